--- /dev/null
+++ b/packages/adapters/src/http_platform.ts
@@ -0,0 +1,154 @@
+/**
+ * The platform's services over HTTP: `POST /v1/table/read`, `/scan` and
+ * `/transact`, `PUT` and `GET /v1/objects/<key>`, `GET /v1/live`. Answers:
+ * 200 with the reply; 409 with `key`, `expected`, `actual` for a condition
+ * that failed; 503 for a call that was not carried out.
+ */
+import * as Errors from "@cairngate/errors";
+import * as HttpJson from "@cairngate/http-json";
+import * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_CONFLICT = 409;
+const STATUS_UNAVAILABLE = 503;
+/** Connections of a box to each platform service. */
+const CONNECTIONS = 4;
+
+/** Adapter of the table service's port. */
+export class HttpTable extends Platform.TableService {
+  readonly #caller = new HttpJson.HttpCaller(CONNECTIONS);
+  readonly #address: string;
+
+  constructor(address: string) {
+    super();
+    this.#address = address;
+  }
+
+  override read(keys: readonly string[]) {
+    return this.#call<readonly Platform.Row[]>("read", { keys });
+  }
+
+  override scan(prefix: string, afterRevision: number) {
+    const body = { prefix, afterRevision };
+    return this.#call<readonly Platform.Row[]>("scan", body);
+  }
+
+  override transact(tx: Platform.Transaction) {
+    const path = "/v1/table/transact";
+    const call = callPlatform(this.#caller, this.#address, {
+      method: "POST",
+      path,
+      body: tx,
+    });
+    return Effect.flatMap(call, (reply) => {
+      if (reply.status === STATUS_OK) {
+        return Effect.succeed((reply.body as { revision: number }).revision);
+      }
+      const body = reply.body as {
+        key: string;
+        expected: number;
+        actual: number;
+      };
+      return Effect.fail(new Errors.ConditionFailedError(body));
+    });
+  }
+
+  #call<A>(
+    operation: string,
+    body: unknown,
+  ): Effect.Effect<A, Platform.StoreError> {
+    const path = `/v1/table/${operation}`;
+    const call = callPlatform(this.#caller, this.#address, {
+      method: "POST",
+      path,
+      body,
+    });
+    return Effect.map(call, (reply) => reply.body as A);
+  }
+}
+
+/** Adapter of the object store's port. */
+export class HttpObjectStore extends Platform.ObjectStore {
+  readonly #caller = new HttpJson.HttpCaller(CONNECTIONS);
+  readonly #address: string;
+
+  constructor(address: string) {
+    super();
+    this.#address = address;
+  }
+
+  override put(key: string, value: unknown) {
+    const call = callPlatform(this.#caller, this.#address, {
+      method: "PUT",
+      path: `/v1/objects/${encodeURIComponent(key)}`,
+      body: { value },
+    });
+    return Effect.asVoid(call);
+  }
+
+  override get(key: string) {
+    const call = callPlatform(this.#caller, this.#address, {
+      method: "GET",
+      path: `/v1/objects/${encodeURIComponent(key)}`,
+    });
+    return Effect.map(call, (reply) =>
+      reply.status === STATUS_NOT_FOUND
+        ? undefined
+        : (reply.body as { value: unknown }).value);
+  }
+}
+
+/** Adapter of the live list's port. */
+export class HttpLiveList extends Platform.LiveList {
+  readonly #caller = new HttpJson.HttpCaller(1);
+  readonly #address: string;
+
+  constructor(address: string) {
+    super();
+    this.#address = address;
+  }
+
+  override workers() {
+    const call = callPlatform(this.#caller, this.#address, {
+      method: "GET",
+      path: "/v1/live",
+    });
+    return Effect.map(
+      call,
+      (reply) => (reply.body as { workers: Types.LiveEntry[] }).workers,
+    );
+  }
+}
+
+function callPlatform(
+  caller: HttpJson.HttpCaller,
+  address: string,
+  what: HttpJson.HttpCall,
+): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
+  const operation = `${what.method} ${what.path}`;
+  return Effect.matchEffect(caller.call(address, what), {
+    onFailure: (err) =>
+      Effect.fail<Platform.StoreError>(
+        err.neverSent
+          ? new Errors.StoreUnavailableError({ operation, cause: err.cause })
+          : new Errors.AnswerLostError({ operation }),
+      ),
+    onSuccess: (reply) => checkStatus(operation, reply),
+  });
+}
+
+function checkStatus(
+  operation: string,
+  reply: HttpJson.HttpReply,
+): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
+  const known = [STATUS_OK, STATUS_CONFLICT, STATUS_NOT_FOUND];
+  if (known.includes(reply.status)) return Effect.succeed(reply);
+  if (reply.status === STATUS_UNAVAILABLE) {
+    const cause = "outage";
+    return Effect.fail(new Errors.StoreUnavailableError({ operation, cause }));
+  }
+  return Effect.fail(new Errors.AnswerLostError({ operation }));
+}
--- /dev/null
+++ b/packages/adapters/src/system_clock.ts
@@ -0,0 +1,19 @@
+/** The machine's clocks. */
+import * as Platform from "@cairngate/platform";
+import * as Effect from "effect/Effect";
+import * as performance from "node:perf_hooks";
+
+/** Wall clock, monotonic clock and timers of the machine. */
+export class SystemClock extends Platform.Clock {
+  override wallMs(): number {
+    return Date.now();
+  }
+
+  override monotonicMs(): number {
+    return performance.performance.now();
+  }
+
+  override sleep(ms: number): Effect.Effect<void> {
+    return Effect.sleep(ms);
+  }
+}
--- /dev/null
+++ b/packages/config/mod.ts
@@ -0,0 +1,10 @@
+/** Reads and checks operators' files and box settings. */
+export { parseDeployment } from "./src/deployment.ts";
+export {
+  type BoxSettings,
+  type PeerSettings,
+  parseSettings,
+  type StandInSettings,
+} from "./src/settings.ts";
+export { readSettingsFile } from "./src/read_settings_file.ts";
+export { hashText } from "./src/hash_text.ts";
--- /dev/null
+++ b/packages/config/src/decode_yaml.ts
@@ -0,0 +1,67 @@
+/** Decodes YAML by a schema and reports every fault at once. */
+import * as Errors from "@cairngate/errors";
+import * as Effect from "effect/Effect";
+import * as Schema from "effect/Schema";
+import * as SchemaIssue from "effect/SchemaIssue";
+import * as Yaml from "yaml";
+
+/** Most aliases of a file; protects against expansion without end. */
+const MAX_ALIASES = 100;
+
+/** Parses and checks a text; all faults are in the error. */
+export function decodeYaml<S extends Schema.Codec<unknown, unknown>>(
+  schema: S,
+  source: { file: string; text: string },
+): Effect.Effect<S["Type"], Errors.InvalidFileError> {
+  return Effect.gen(function* () {
+    const value = yield* parseYaml(source);
+    const options = { errors: "all", onExcessProperty: "error" } as const;
+    return yield* Schema.decodeUnknownEffect(schema)(value, options).pipe(
+      Effect.mapError((err) =>
+        new Errors.InvalidFileError({
+          file: source.file,
+          faults: listFaults(err.issue),
+        })
+      ),
+    );
+  });
+}
+
+function parseYaml(
+  source: { file: string; text: string },
+): Effect.Effect<unknown, Errors.InvalidFileError> {
+  const doc = Yaml.parseDocument(source.text, { prettyErrors: true });
+  if (doc.errors.length > 0) {
+    const faults = doc.errors.map((err) => ({
+      path: `line ${err.linePos?.[0].line ?? "?"}`,
+      expected: err.message.split("\n")[0],
+    }));
+    return Effect.fail(
+      new Errors.InvalidFileError({ file: source.file, faults }),
+    );
+  }
+  return Effect.try({
+    try: () => doc.toJS({ maxAliasCount: MAX_ALIASES }) as unknown,
+    catch: (err) =>
+      new Errors.InvalidFileError({
+        file: source.file,
+        faults: [{ path: "$", expected: String(err) }],
+      }),
+  });
+}
+
+function listFaults(issue: SchemaIssue.Issue): Errors.Fault[] {
+  const format = SchemaIssue.makeFormatterStandardSchemaV1();
+  return format(issue).issues.map((found) => ({
+    path: pathOf(found.path ?? []),
+    expected: found.message,
+  }));
+}
+
+function pathOf(path: readonly unknown[]): string {
+  let text = "$";
+  for (const part of path) {
+    text += typeof part === "number" ? `[${part}]` : `.${String(part)}`;
+  }
+  return text;
+}
--- /dev/null
+++ b/packages/config/src/read_settings_file.ts
@@ -0,0 +1,20 @@
+/** Reads a settings file from disk. */
+import * as Errors from "@cairngate/errors";
+import * as Effect from "effect/Effect";
+import * as fs from "node:fs/promises";
+import * as settings from "./settings.ts";
+
+/** Reads and checks a settings file. */
+export function readSettingsFile(
+  file: string,
+): Effect.Effect<settings.BoxSettings, Errors.InvalidFileError> {
+  const text = Effect.tryPromise({
+    try: () => fs.readFile(file, "utf8"),
+    catch: (err) =>
+      new Errors.InvalidFileError({
+        file,
+        faults: [{ path: "$", expected: `a readable file (${err})` }],
+      }),
+  });
+  return Effect.flatMap(text, (t) => settings.parseSettings(t, file));
+}
--- /dev/null
+++ b/packages/errors/src/errors.ts
@@ -0,0 +1,215 @@
+/** Tagged errors. Each message says what failed and what to do next. */
+import * as Data from "effect/Data";
+
+/** One fault in a file: where, and what was expected there. */
+export interface Fault {
+  readonly path: string;
+  readonly expected: string;
+}
+
+/** A settings or operators' file with faults. Final: correct the file. */
+export class InvalidFileError extends Data.TaggedError("InvalidFileError")<{
+  readonly file: string;
+  readonly faults: readonly Fault[];
+}> {
+  override get message(): string {
+    const lines = this.faults.map((f) => `${f.path}: ${f.expected}`);
+    return `${this.file} is not valid. Correct these places and try again:\n${
+      lines.join("\n")
+    }`;
+  }
+}
+
+/** Guaranteed shapes that cannot all be placed at once. Final. */
+export class InfeasibleGuaranteeError
+  extends Data.TaggedError("InfeasibleGuaranteeError")<{
+    readonly team: string;
+    readonly block: number;
+    readonly missing: number;
+    readonly wouldFit: string;
+  }> {
+  override get message(): string {
+    return `The guaranteed blocks of ${this.block} accelerators do not fit ` +
+      `(first short: team ${this.team}, ${this.missing} missing). ` +
+      `What fits besides the larger blocks: ${this.wouldFit}. ` +
+      `Lower a guarantee or add racks.`;
+  }
+}
+
+/** The file was written against another version. Read it again, then apply. */
+export class VersionConflictError
+  extends Data.TaggedError("VersionConflictError")<{
+    readonly basedOn: number;
+    readonly inForce: number;
+    readonly inForceHash: string;
+  }> {
+  override get message(): string {
+    return `The file is based on version ${this.basedOn}, but version ` +
+      `${this.inForce} (${this.inForceHash}) is in force. ` +
+      `Compare with "cairngate config diff", then apply again.`;
+  }
+}
+
+/** The table service did not answer in time or refused. May be retried. */
+export class StoreUnavailableError
+  extends Data.TaggedError("StoreUnavailableError")<{
+    readonly operation: string;
+    readonly cause: string;
+  }> {
+  override get message(): string {
+    return `The platform's store did not carry out ${this.operation} ` +
+      `(${this.cause}). Try again in a few seconds.`;
+  }
+}
+
+/** An answer from the store was lost; the write may have taken effect. */
+export class AnswerLostError extends Data.TaggedError("AnswerLostError")<{
+  readonly operation: string;
+}> {
+  override get message(): string {
+    return `The answer to ${this.operation} was lost; ` +
+      `read back to learn whether it took effect.`;
+  }
+}
+
+/** A condition of a transaction did not hold. */
+export class ConditionFailedError
+  extends Data.TaggedError("ConditionFailedError")<{
+    readonly key: string;
+    readonly expected: number;
+    readonly actual: number;
+  }> {
+  override get message(): string {
+    return `Row ${this.key} is at revision ${this.actual}, ` +
+      `not ${this.expected}. Read it again.`;
+  }
+}
+
+/** A worker refused an order; nothing was started by it. */
+export class WorkerRefusedError extends Data.TaggedError("WorkerRefusedError")<{
+  readonly worker: string;
+  readonly reason: RefusalReason;
+  /** The epoch the worker holds to. */
+  readonly epoch: number;
+}> {
+  override get message(): string {
+    return `Worker ${this.worker} refused the order: ${this.reason} ` +
+      `(its epoch is ${this.epoch}).`;
+  }
+}
+
+/** Why a worker refuses an order. */
+export enum RefusalReason {
+  StaleEpoch = "stale-epoch",
+  Leaving = "leaving",
+  Busy = "busy",
+  Revoked = "revoked",
+  NotHeld = "not-held",
+  Duplicate = "duplicate",
+  Malformed = "malformed",
+}
+
+/** A worker did not answer; whether the order took effect is not known. */
+export class WorkerLostError extends Data.TaggedError("WorkerLostError")<{
+  readonly worker: string;
+  readonly cause: string;
+  /** True where the order certainly never left this box. */
+  readonly neverSent: boolean;
+}> {
+  override get message(): string {
+    return `Worker ${this.worker} did not answer (${this.cause}).`;
+  }
+}
+
+/** A box could not be reached. May be retried. */
+export class PeerUnreachableError
+  extends Data.TaggedError("PeerUnreachableError")<{
+    readonly box: string;
+    readonly cause: string;
+  }> {
+  override get message(): string {
+    return `Box ${this.box} cannot be reached (${this.cause}).`;
+  }
+}
+
+/** The box asked does not own the cell. Ask the named owner. */
+export class NotOwnerError extends Data.TaggedError("NotOwnerError")<{
+  readonly cell: string;
+  readonly epoch: number;
+}> {
+  override get message(): string {
+    return `This box does not own cell ${this.cell} ` +
+      `(highest epoch seen: ${this.epoch}). Ask again shortly.`;
+  }
+}
+
+/** A caller's request that cannot be taken as it is. Final. */
+export class BadRequestError extends Data.TaggedError("BadRequestError")<{
+  readonly field: string;
+  readonly expected: string;
+}> {
+  override get message(): string {
+    return `Field ${this.field}: ${this.expected}.`;
+  }
+}
+
+/** No such job, or one whose record is gone. */
+export class UnknownJobError extends Data.TaggedError("UnknownJobError")<{
+  readonly jobId: string;
+}> {
+  override get message(): string {
+    return `There is no job ${this.jobId}.`;
+  }
+}
+
+/** Too much work for the moment; nothing was started. */
+export class OverloadedError extends Data.TaggedError("OverloadedError")<{
+  readonly limit: string;
+  readonly retryAfterSeconds: number;
+}> {
+  override get message(): string {
+    return `The limit "${this.limit}" is reached. ` +
+      `Try again in ${this.retryAfterSeconds} s.`;
+  }
+}
+
+/** This box cannot serve yet or any more. */
+export class NotReadyError extends Data.TaggedError("NotReadyError")<{
+  readonly waitsFor: string;
+}> {
+  override get message(): string {
+    return `This box is not ready: it waits for ${this.waitsFor}.`;
+  }
+}
+
+/** A message between processes that has no known shape. Dropped and counted. */
+export class MalformedMessageError
+  extends Data.TaggedError("MalformedMessageError")<{
+    readonly from: string;
+    readonly cause: string;
+  }> {
+  override get message(): string {
+    return `A message from ${this.from} was dropped: ${this.cause}.`;
+  }
+}
+
+/** The store could not keep a value. */
+export class TooLargeError extends Data.TaggedError("TooLargeError")<{
+  readonly what: string;
+  readonly limitBytes: number;
+}> {
+  override get message(): string {
+    return `${this.what} is larger than ${this.limitBytes} bytes.`;
+  }
+}
+
+/** A server could not be opened on its address. */
+export class ListenError extends Data.TaggedError("ListenError")<{
+  readonly address: string;
+  readonly cause: string;
+}> {
+  override get message(): string {
+    return `Cannot listen on ${this.address} (${this.cause}). ` +
+      `Free the port or change the settings.`;
+  }
+}
--- /dev/null
+++ b/packages/http-json/src/send.ts
@@ -0,0 +1,33 @@
+/** Sends answers. */
+import type * as http from "node:http";
+
+/** Sends a JSON answer, unless the caller has gone. */
+export function sendJson(
+  res: http.ServerResponse,
+  status: number,
+  answer: { body: unknown; headers?: Readonly<Record<string, string>> },
+): void {
+  const headers = { "content-type": "application/json", ...answer.headers };
+  send(res, status, { text: JSON.stringify(answer.body) ?? "null", headers });
+}
+
+/** Sends a plain text answer. */
+export function sendText(
+  res: http.ServerResponse,
+  status: number,
+  text: string,
+): void {
+  const headers = { "content-type": "text/plain; charset=utf-8" };
+  send(res, status, { text, headers });
+}
+
+function send(
+  res: http.ServerResponse,
+  status: number,
+  answer: { text: string; headers: Readonly<Record<string, string>> },
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const body = new TextEncoder().encode(answer.text);
+  res.writeHead(status, { ...answer.headers, "content-length": body.length });
+  res.end(body);
+}
--- /dev/null
+++ b/packages/logger/src/logger.ts
@@ -0,0 +1,88 @@
+/** Logs through consola, as text or as one JSON object a line. */
+import * as process from "node:process";
+import * as Consola from "consola";
+
+/** Least severe level that is printed. */
+export type LogLevel = "error" | "warn" | "info" | "debug";
+
+/** How lines are printed. */
+export type LogFormat = "text" | "json";
+
+/** Writes log sentences of one part. */
+export abstract class Logger {
+  abstract error(sentence: string): void;
+  abstract warn(sentence: string): void;
+  abstract info(sentence: string): void;
+  abstract debug(sentence: string): void;
+  /** A logger for another part of the same process. */
+  abstract part(prefix: string): Logger;
+}
+
+class ConsolaLogger extends Logger {
+  readonly #consola: Consola.ConsolaInstance;
+
+  constructor(consola: Consola.ConsolaInstance) {
+    super();
+    this.#consola = consola;
+  }
+
+  override error(sentence: string): void {
+    this.#consola.error(sentence);
+  }
+
+  override warn(sentence: string): void {
+    this.#consola.warn(sentence);
+  }
+
+  override info(sentence: string): void {
+    this.#consola.info(sentence);
+  }
+
+  override debug(sentence: string): void {
+    this.#consola.debug(sentence);
+  }
+
+  override part(prefix: string): Logger {
+    return new ConsolaLogger(this.#consola.withTag(prefix));
+  }
+}
+
+const LEVELS: Readonly<Record<LogLevel, number>> = {
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+};
+
+/** Creates the logger of a process; logs go to standard error. */
+export function createLogger(
+  options: { level: LogLevel; format: LogFormat; box: string },
+): Logger {
+  const consola = Consola.createConsola({
+    level: LEVELS[options.level],
+    stdout: process.stderr,
+    stderr: process.stderr,
+    reporters: [reporterFor(options.format, options.box)],
+  });
+  return new ConsolaLogger(consola);
+}
+
+/** A logger that prints nothing. */
+export function silentLogger(): Logger {
+  return new ConsolaLogger(
+    Consola.createConsola({ level: -999, reporters: [] }),
+  );
+}
+
+function reporterFor(format: LogFormat, box: string): Consola.ConsolaReporter {
+  return {
+    log(entry) {
+      const message = entry.args.map(String).join(" ");
+      const at = entry.date.toISOString();
+      const line = format === "json"
+        ? JSON.stringify({ at, box, level: entry.type, part: entry.tag, message })
+        : `${at} ${entry.type.padEnd(5)} [${entry.tag}] ${message}`;
+      process.stderr.write(line + "\n");
+    },
+  };
+}
--- /dev/null
+++ b/packages/metrics/src/metrics.ts
@@ -0,0 +1,103 @@
+/** The metrics of one process. */
+import * as Hdr from "hdr-histogram-js";
+
+const QUANTILES: readonly number[] = [50, 95, 99];
+const HIGHEST_MS = 3_600_000;
+
+interface Series {
+  readonly type: "counter" | "gauge";
+  readonly values: Map<string, number>;
+}
+
+/** Labels of one value, by name. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** Named counters, gauges and histograms. */
+export class Metrics {
+  readonly #series = new Map<string, Series>();
+  readonly #histograms = new Map<string, Hdr.Histogram>();
+  readonly #sums = new Map<string, number>();
+
+  /** Adds to a counter. Names end in `_total`. */
+  count(name: string, labels: Labels = {}, by = 1): void {
+    const series = this.#get(name, "counter");
+    const key = formatLabels(labels);
+    series.values.set(key, (series.values.get(key) ?? 0) + by);
+  }
+
+  /** Sets a gauge. */
+  set(name: string, value: number, labels: Labels = {}): void {
+    this.#get(name, "gauge").values.set(formatLabels(labels), value);
+  }
+
+  /** Value of a counter or gauge; 0 where it was never set. */
+  get(name: string, labels: Labels = {}): number {
+    return this.#series.get(name)?.values.get(formatLabels(labels)) ?? 0;
+  }
+
+  /** Records a duration. Names end in `_seconds`; values are milliseconds. */
+  observeMs(name: string, ms: number): void {
+    let histogram = this.#histograms.get(name);
+    if (histogram === undefined) {
+      histogram = Hdr.build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: HIGHEST_MS * 1000,
+        numberOfSignificantValueDigits: 2,
+        bitBucketSize: 64,
+      });
+      this.#histograms.set(name, histogram);
+    }
+    const micros = Math.max(1, Math.min(HIGHEST_MS * 1000, Math.round(ms * 1000)));
+    histogram.recordValue(micros);
+    this.#sums.set(name, (this.#sums.get(name) ?? 0) + ms / 1000);
+  }
+
+  /** A quantile of a histogram in milliseconds, 0 to 100. */
+  quantileMs(name: string, percentile: number): number {
+    const histogram = this.#histograms.get(name);
+    if (histogram === undefined) return 0;
+    return histogram.getValueAtPercentile(percentile) / 1000;
+  }
+
+  /** All metrics as Prometheus text. */
+  print(): string {
+    const lines: string[] = [];
+    for (const [name, series] of this.#series) {
+      lines.push(`# TYPE ${name} ${series.type}`);
+      for (const [labels, value] of series.values) {
+        lines.push(`${name}${labels} ${value}`);
+      }
+    }
+    for (const [name, histogram] of this.#histograms) {
+      lines.push(...this.#printHistogram(name, histogram));
+    }
+    return lines.join("\n") + "\n";
+  }
+
+  #printHistogram(name: string, histogram: Hdr.Histogram): string[] {
+    const lines = [`# TYPE ${name} summary`];
+    for (const quantile of QUANTILES) {
+      const seconds = histogram.getValueAtPercentile(quantile) / 1e6;
+      lines.push(`${name}{quantile="${quantile / 100}"} ${seconds}`);
+    }
+    lines.push(`${name}_sum ${this.#sums.get(name) ?? 0}`);
+    lines.push(`${name}_count ${histogram.totalCount}`);
+    return lines;
+  }
+
+  #get(name: string, type: "counter" | "gauge"): Series {
+    let series = this.#series.get(name);
+    if (series === undefined) {
+      series = { type, values: new Map() };
+      this.#series.set(name, series);
+    }
+    return series;
+  }
+}
+
+function formatLabels(labels: Labels): string {
+  const parts = Object.entries(labels).map(([k, v]) =>
+    `${k}=${JSON.stringify(v)}`
+  );
+  return parts.length === 0 ? "" : `{${parts.join(",")}}`;
+}
--- /dev/null
+++ b/packages/peers/src/peer_link.ts
@@ -0,0 +1,172 @@
+/** The link that this box opens to one peer; kept open by one fiber. */
+import * as Errors from "@cairngate/errors";
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import * as Ws from "ws";
+import * as frames from "./frames.ts";
+
+/** Failures that travel over a link. */
+export type LinkError =
+  | Errors.PeerUnreachableError
+  | Errors.NotOwnerError
+  | Errors.NotReadyError;
+
+/** What a link needs. */
+export interface PeerLinkOptions {
+  readonly self: string;
+  readonly peer: string;
+  readonly address: string;
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+}
+
+const FIRST_BACKOFF_MS = 50;
+const LONGEST_BACKOFF_MS = 1000;
+const CONNECT_MS = 1000;
+const LARGEST_FRAME_BYTES = 16_000_000;
+
+/** Sends requests to one peer. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+  readonly #waiting = new Map<number, Deferred.Deferred<unknown, LinkError>>();
+  #socket: Ws.WebSocket | null = null;
+  #nextId = 1;
+
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+  }
+
+  /** Keeps the link open for ever, with backoff between attempts. */
+  run(): Effect.Effect<never> {
+    return Effect.gen({ self: this }, function* () {
+      const { clock, random, log, peer } = this.#options;
+      let backoffMs = FIRST_BACKOFF_MS;
+      for (;;) {
+        const opened = yield* clock.within(CONNECT_MS, this.#open());
+        if (opened !== null && opened.value !== null) {
+          log.info(`Link to ${peer} is open.`);
+          backoffMs = FIRST_BACKOFF_MS;
+          yield* this.#awaitClose(opened.value);
+          log.info(`Link to ${peer} is closed.`);
+        }
+        yield* clock.sleep(random.jitter(backoffMs));
+        backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
+      }
+    }).pipe(Effect.ensuring(Effect.sync(() => this.#socket?.terminate())));
+  }
+
+  /** Sends a request and waits for its reply. */
+  request(
+    req: Types.PeerRequest,
+    timeoutMs: number,
+  ): Effect.Effect<unknown, LinkError> {
+    return Effect.gen({ self: this }, function* () {
+      const socket = this.#socket;
+      if (socket === null) return yield* this.#unreachable("no link");
+      const id = this.#nextId++;
+      const done = Deferred.makeUnsafe<unknown, LinkError>();
+      this.#waiting.set(id, done);
+      const { self, clock } = this.#options;
+      const kind = frames.FrameKind.Request as const;
+      this.#send(socket, { kind, id, from: self, req });
+      const reply = clock.within(timeoutMs, Deferred.await(done));
+      const timed = yield* Effect.ensuring(
+        reply,
+        Effect.sync(() => this.#waiting.delete(id)),
+      );
+      if (timed === null) return yield* this.#unreachable("no reply in time");
+      return timed.value;
+    });
+  }
+
+  #open(): Effect.Effect<Ws.WebSocket | null> {
+    return Effect.callback<Ws.WebSocket | null>((resume) => {
+      const { address } = this.#options;
+      const socket = new Ws.WebSocket(`ws://${address}`, {
+        maxPayload: LARGEST_FRAME_BYTES,
+        perMessageDeflate: false,
+      });
+      socket.once("open", () => {
+        this.#socket = socket;
+        resume(Effect.succeed(socket));
+      });
+      socket.on("error", () => resume(Effect.succeed(null)));
+      socket.on("message", (data: Uint8Array) => this.#receive(data));
+      return Effect.sync(() => socket.terminate());
+    });
+  }
+
+  #awaitClose(socket: Ws.WebSocket): Effect.Effect<void> {
+    const closed = Effect.callback<void>((resume) => {
+      if (socket.readyState === Ws.WebSocket.CLOSED) resume(Effect.void);
+      socket.once("close", () => resume(Effect.void));
+    });
+    return Effect.andThen(closed, Effect.sync(() => this.#fail(socket)));
+  }
+
+  #fail(socket: Ws.WebSocket): void {
+    if (this.#socket === socket) this.#socket = null;
+    for (const done of this.#waiting.values()) {
+      Deferred.doneUnsafe(done, this.#unreachable("the link closed"));
+    }
+    this.#waiting.clear();
+  }
+
+  #receive(data: Uint8Array): void {
+    const { peer, metrics, log } = this.#options;
+    metrics.count("cairngate_peer_received_bytes_total", {}, data.length);
+    const frame = frames.decodeFrame(data, peer);
+    if (frame instanceof Errors.MalformedMessageError) {
+      metrics.count("cairngate_peer_malformed_total");
+      log.warn(frame.message);
+      return;
+    }
+    if (frame.kind === frames.FrameKind.Request) return;
+    const done = this.#waiting.get(frame.id);
+    // A reply that comes after its time-out belongs to nobody.
+    if (done === undefined) {
+      metrics.count("cairngate_peer_late_replies_total");
+      return;
+    }
+    Deferred.doneUnsafe(done, toResult(frame));
+  }
+
+  #send(socket: Ws.WebSocket, frame: frames.Frame): void {
+    const bytes = frames.encodeFrame(frame);
+    const { metrics } = this.#options;
+    metrics.count("cairngate_peer_sent_bytes_total", {}, bytes.length);
+    socket.send(bytes, () => {});
+  }
+
+  #unreachable(
+    cause: string,
+  ): Effect.Effect<never, Errors.PeerUnreachableError> {
+    const box = this.#options.peer;
+    return Effect.fail(new Errors.PeerUnreachableError({ box, cause }));
+  }
+}
+
+function toResult(
+  frame: frames.ReplyFrame | frames.FailureFrame,
+): Effect.Effect<unknown, LinkError> {
+  if (frame.kind === frames.FrameKind.Reply) {
+    return Effect.succeed(frame.value);
+  }
+  const fields = frame.fields as Record<string, never>;
+  if (frame.tag === "NotOwnerError") {
+    return Effect.fail(
+      new Errors.NotOwnerError({
+        cell: String(fields["cell"]),
+        epoch: Number(fields["epoch"]),
+      }),
+    );
+  }
+  const waitsFor = String(fields["waitsFor"] ?? frame.tag);
+  return Effect.fail(new Errors.NotReadyError({ waitsFor }));
+}
--- /dev/null
+++ b/packages/peers/src/ws_peer_network.ts
@@ -0,0 +1,145 @@
+/** All links of a box: one opened to each peer, and those that peers open. */
+import * as Errors from "@cairngate/errors";
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import * as http from "node:http";
+import * as Ws from "ws";
+import * as frames from "./frames.ts";
+import * as links from "./peer_link.ts";
+
+/** What the network needs. */
+export interface WsPeerOptions {
+  readonly self: string;
+  readonly address: string;
+  readonly peers: readonly { name: string; address: string }[];
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+}
+
+const LARGEST_FRAME_BYTES = 16_000_000;
+
+/** Adapter of the peer network to ws. */
+export class WsPeerNetwork extends Platform.PeerNetwork {
+  readonly #options: WsPeerOptions;
+  readonly #links = new Map<string, links.PeerLink>();
+  readonly #fibers: Fiber.Fiber<never>[] = [];
+  readonly #server = http.createServer();
+  #sockets: Ws.WebSocketServer | null = null;
+
+  constructor(options: WsPeerOptions) {
+    super();
+    this.#options = options;
+    for (const { name, address } of options.peers) {
+      if (name === options.self) continue;
+      const link = new links.PeerLink({ ...options, peer: name, address });
+      this.#links.set(name, link);
+    }
+  }
+
+  override peers(): readonly string[] {
+    return [...this.#links.keys()];
+  }
+
+  override listen(
+    handler: Platform.PeerHandler,
+  ): Effect.Effect<void, Errors.ListenError> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#listenOn(this.#options.address);
+      this.#sockets = new Ws.WebSocketServer({
+        server: this.#server,
+        maxPayload: LARGEST_FRAME_BYTES,
+        perMessageDeflate: false,
+      });
+      this.#sockets.on("connection", (socket) => this.#accept(socket, handler));
+      for (const link of this.#links.values()) {
+        this.#fibers.push(Effect.runFork(link.run()));
+      }
+    });
+  }
+
+  override request(box: string, req: Types.PeerRequest, timeoutMs: number) {
+    const link = this.#links.get(box);
+    if (link !== undefined) return link.request(req, timeoutMs);
+    const cause = "not a peer of this box";
+    return Effect.fail(new Errors.PeerUnreachableError({ box, cause }));
+  }
+
+  override close(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      yield* Fiber.interruptAll(this.#fibers);
+      for (const client of this.#sockets?.clients ?? []) client.terminate();
+      this.#sockets?.close();
+      this.#server.close();
+    });
+  }
+
+  #listenOn(address: string): Effect.Effect<void, Errors.ListenError> {
+    return Effect.callback<void, Errors.ListenError>((resume) => {
+      const { hostname, port } = new URL(`ws://${address}`);
+      this.#server.once("error", (err) => {
+        const cause = err.message;
+        resume(Effect.fail(new Errors.ListenError({ address, cause })));
+      });
+      const host = hostname.replace(/^\[|\]$/g, "");
+      this.#server.listen(Number(port || 80), host, () => resume(Effect.void));
+    });
+  }
+
+  #accept(socket: Ws.WebSocket, handler: Platform.PeerHandler): void {
+    const { metrics, log } = this.#options;
+    const answering = new Set<Fiber.Fiber<void>>();
+    socket.on("error", () => socket.terminate());
+    socket.on("close", () => {
+      for (const fiber of answering) Effect.runFork(Fiber.interrupt(fiber));
+    });
+    socket.on("message", (data: Uint8Array) => {
+      metrics.count("cairngate_peer_received_bytes_total", {}, data.length);
+      const frame = frames.decodeFrame(data, "a peer");
+      if (frame instanceof Errors.MalformedMessageError) {
+        metrics.count("cairngate_peer_malformed_total");
+        log.warn(frame.message);
+        return;
+      }
+      if (frame.kind !== frames.FrameKind.Request) return;
+      const fiber = Effect.runFork(this.#answer(socket, frame, handler));
+      answering.add(fiber);
+      fiber.addObserver(() => answering.delete(fiber));
+    });
+  }
+
+  #answer(
+    socket: Ws.WebSocket,
+    frame: frames.RequestFrame,
+    handler: Platform.PeerHandler,
+  ): Effect.Effect<void> {
+    const { id } = frame;
+    return handler(frame.from, frame.req).pipe(
+      Effect.map((value): frames.Frame => ({
+        kind: frames.FrameKind.Reply,
+        id,
+        value,
+      })),
+      Effect.catch((err) => Effect.succeed(toFailure(id, err))),
+      Effect.map((reply) => {
+        const bytes = frames.encodeFrame(reply);
+        const { metrics } = this.#options;
+        metrics.count("cairngate_peer_sent_bytes_total", {}, bytes.length);
+        socket.send(bytes, () => {});
+      }),
+    );
+  }
+}
+
+function toFailure(
+  id: number,
+  err: Errors.NotOwnerError | Errors.NotReadyError,
+): frames.Frame {
+  const { _tag: tag, ...fields } = err;
+  return { kind: frames.FrameKind.Failure, id, tag, fields };
+}
--- /dev/null
+++ b/packages/placement/mod.ts
@@ -0,0 +1,17 @@
+/** Occupancy of racks as buddy blocks, and the ledger of guaranteed shapes. */
+export {
+  ACCELERATORS_PER_RACK,
+  BLOCK_SIZES,
+  FULL_MASK,
+  LARGEST_ORDER,
+  orderOf,
+  sizeOf,
+  WORKERS_PER_RACK,
+} from "./src/blocks.ts";
+export { type BlockPosition, BuddySpace } from "./src/buddy_space.ts";
+export {
+  type BoundBlock,
+  type GuaranteeDemand,
+  GuaranteeLedger,
+} from "./src/guarantee_ledger.ts";
+export { computeFragmentation, type FragmentationReading } from "./src/fragmentation.ts";
--- /dev/null
+++ b/packages/placement/src/guarantee_ledger.ts
@@ -0,0 +1,202 @@
+/**
+ * The ledger of guaranteed shapes. Each block of a team's shape is unbound
+ * until the team first uses it; then it is bound to a physical block, and
+ * unbound again when the team's last job leaves it. The accelerators that are
+ * neither bound, nor fixed by work that cannot yield, nor unavailable must
+ * always have room for all unbound blocks at once.
+ */
+import * as blocks from "./blocks.ts";
+import * as space from "./buddy_space.ts";
+
+/** One block of a team's guaranteed shape, bound to a place. */
+export interface BoundBlock extends space.BlockPosition {
+  readonly id: number;
+  readonly team: string;
+  /** Jobs of the team inside, with the accelerators each takes. */
+  readonly jobs: Map<string, number>;
+}
+
+/** Blocks of one order that a team has paid for. */
+export interface GuaranteeDemand {
+  readonly team: string;
+  readonly order: number;
+  readonly count: number;
+}
+
+const ORDERS = blocks.LARGEST_ORDER + 1;
+
+/** Bound and unbound blocks of all teams over one set of racks. */
+export class GuaranteeLedger {
+  /** Accelerators that no other team's unbound block may count on. */
+  readonly space: space.BuddySpace;
+  readonly #unbound = new Map<string, number[]>();
+  readonly #total = new Array<number>(ORDERS).fill(0);
+  readonly #bound = new Map<number, BoundBlock>();
+  readonly #byTeam = new Map<string, Set<BoundBlock>>();
+  readonly #marks: Uint8Array;
+  #nextId = 1;
+
+  /** Starts with every demand unbound on free racks. */
+  constructor(rackCount: number, demands: readonly GuaranteeDemand[]) {
+    this.space = new space.BuddySpace(rackCount);
+    this.#marks = new Uint8Array(rackCount * blocks.ACCELERATORS_PER_RACK);
+    for (const demand of demands) this.#addDemand(demand);
+  }
+
+  #addDemand(demand: GuaranteeDemand): void {
+    const counts = this.#unbound.get(demand.team) ??
+      new Array<number>(ORDERS).fill(0);
+    counts[demand.order] += demand.count;
+    this.#total[demand.order] += demand.count;
+    this.#unbound.set(demand.team, counts);
+  }
+
+  /** Unbound blocks of a team, by order. */
+  unboundOf(team: string): readonly number[] {
+    return this.#unbound.get(team) ?? [];
+  }
+
+  /** Bound blocks of a team. */
+  boundOf(team: string): Iterable<BoundBlock> {
+    return this.#byTeam.get(team) ?? [];
+  }
+
+  /** All bound blocks. */
+  allBound(): Iterable<BoundBlock> {
+    return this.#bound.values();
+  }
+
+  /** A bound block by id. */
+  get(id: number): BoundBlock | undefined {
+    return this.#bound.get(id);
+  }
+
+  /**
+   * Blocks of each order that are short when all unbound blocks are placed,
+   * largest first. All zero when the guarantees hold.
+   */
+  shortfall(): number[] {
+    return computeShortfall(this.space.maximalCounts(), this.#total);
+  }
+
+  /** Whether all unbound blocks still fit, all at once. */
+  holds(): boolean {
+    return this.shortfall().every((missing) => missing === 0);
+  }
+
+  /** Marks accelerators as fixed or unavailable; calls nest. */
+  mark(worker: number, mask: number): void {
+    this.#change(worker, mask, 1);
+  }
+
+  /** Takes back a mark. */
+  unmark(worker: number, mask: number): void {
+    this.#change(worker, mask, -1);
+  }
+
+  /** Binds an unbound block of a team to a place. */
+  bind(team: string, position: space.BlockPosition): BoundBlock {
+    const bound: BoundBlock = {
+      ...position,
+      id: this.#nextId++,
+      team,
+      jobs: new Map(),
+    };
+    this.#unbound.get(team)![position.order]--;
+    this.#total[position.order]--;
+    this.#bound.set(bound.id, bound);
+    this.#teamSet(team).add(bound);
+    this.#markBlock(position, 1);
+    return bound;
+  }
+
+  /** Counts a job into a bound block. */
+  enter(id: number, jobId: string, accelerators: number): void {
+    const jobs = this.#bound.get(id)!.jobs;
+    jobs.set(jobId, (jobs.get(jobId) ?? 0) + accelerators);
+  }
+
+  /** Takes a job out of a bound block; unbinds the block when it is empty. */
+  leave(id: number, jobId: string): void {
+    const bound = this.#bound.get(id);
+    if (bound === undefined) return;
+    bound.jobs.delete(jobId);
+    if (bound.jobs.size > 0) return;
+    this.#unbind(bound);
+  }
+
+  /** Whether the guarantees would hold after binding a block there. */
+  holdsAfterBinding(position: space.BlockPosition): boolean {
+    this.#markBlock(position, 1);
+    this.#total[position.order]--;
+    const holds = this.holds();
+    this.#total[position.order]++;
+    this.#markBlock(position, -1);
+    return holds;
+  }
+
+  /** Whether the guarantees would hold with these accelerators fixed. */
+  holdsAfterMarking(
+    slots: readonly { worker: number; mask: number }[],
+  ): boolean {
+    for (const slot of slots) this.mark(slot.worker, slot.mask);
+    const holds = this.holds();
+    for (const slot of slots) this.unmark(slot.worker, slot.mask);
+    return holds;
+  }
+
+  #unbind(bound: BoundBlock): void {
+    this.#bound.delete(bound.id);
+    this.#teamSet(bound.team).delete(bound);
+    this.#unbound.get(bound.team)![bound.order]++;
+    this.#total[bound.order]++;
+    this.#markBlock(bound, -1);
+  }
+
+  #teamSet(team: string): Set<BoundBlock> {
+    let set = this.#byTeam.get(team);
+    if (set === undefined) {
+      set = new Set();
+      this.#byTeam.set(team, set);
+    }
+    return set;
+  }
+
+  #markBlock(position: space.BlockPosition, by: number): void {
+    const first = position.rack * blocks.WORKERS_PER_RACK;
+    const end = position.offset + blocks.sizeOf(position.order);
+    for (let at = position.offset; at < end;) {
+      const size = Math.min(end - at, blocks.ACCELERATORS_PER_WORKER);
+      this.#change(first + (at >> 3), blocks.blockMask(at & 7, size), by);
+      at += size;
+    }
+  }
+
+  #change(worker: number, mask: number, by: number): void {
+    let used = this.space.usedMask(worker);
+    for (let bit = 0; bit < blocks.ACCELERATORS_PER_WORKER; bit++) {
+      if ((mask & (1 << bit)) === 0) continue;
+      const at = worker * blocks.ACCELERATORS_PER_WORKER + bit;
+      this.#marks[at] += by;
+      if (this.#marks[at] > 0) used |= 1 << bit;
+      else used &= ~(1 << bit);
+    }
+    this.space.setUsedMask(worker, used);
+  }
+}
+
+/** Blocks short at each order when `demand` is placed on `supply`. */
+export function computeShortfall(
+  supply: readonly number[],
+  demand: readonly number[],
+): number[] {
+  const short = new Array<number>(ORDERS).fill(0);
+  let available = 0;
+  for (let order = ORDERS - 1; order >= 0; order--) {
+    available = available * 2 + supply[order] - demand[order];
+    if (available >= 0) continue;
+    short[order] = -available;
+    available = 0;
+  }
+  return short;
+}
--- /dev/null
+++ b/packages/platform/mod.ts
@@ -0,0 +1,15 @@
+/** Ports: what cairngate needs from the platform, the workers and the time. */
+export { Clock, type Timed } from "./src/clock.ts";
+export { LiveList } from "./src/live_list.ts";
+export { ObjectStore } from "./src/object_store.ts";
+export {
+  type Row,
+  type StoreError,
+  TableService,
+  type Transaction,
+  type RowCondition,
+  type RowWrite,
+} from "./src/table_service.ts";
+export { type WorkerError, Workers } from "./src/workers.ts";
+export { PeerNetwork, type PeerHandler } from "./src/peer_network.ts";
+export { RandomSource } from "./src/random_source.ts";
--- /dev/null
+++ b/packages/platform/src/object_store.ts
@@ -0,0 +1,15 @@
+/** The platform's object store, for inputs and results too large for a row. */
+import type * as Effect from "effect/Effect";
+import type * as tables from "./table_service.ts";
+
+/** Port of the object store. */
+export abstract class ObjectStore {
+  /** Stores an object under a key; the same key again replaces it. */
+  abstract put(
+    key: string,
+    value: unknown,
+  ): Effect.Effect<void, tables.StoreError>;
+
+  /** Reads an object; undefined where there is none. */
+  abstract get(key: string): Effect.Effect<unknown, tables.StoreError>;
+}
--- /dev/null
+++ b/packages/platform/src/peer_network.ts
@@ -0,0 +1,34 @@
+/** Requests and replies between boxes. */
+import type * as Errors from "@cairngate/errors";
+import type * as Types from "@cairngate/types";
+import type * as Effect from "effect/Effect";
+
+/** Answers a request of another box. A failure is sent back as it is. */
+export type PeerHandler = (
+  from: string,
+  req: Types.PeerRequest,
+) => Effect.Effect<unknown, Errors.NotOwnerError | Errors.NotReadyError>;
+
+/** Port of the links between boxes. */
+export abstract class PeerNetwork {
+  /** Names of the other boxes, from the settings. */
+  abstract peers(): readonly string[];
+
+  /** Sets who answers requests; called once at start. */
+  abstract listen(handler: PeerHandler): Effect.Effect<void, Errors.ListenError>;
+
+  /** Sends a request and waits for its reply. */
+  abstract request(
+    box: string,
+    req: Types.PeerRequest,
+    timeoutMs: number,
+  ): Effect.Effect<
+    unknown,
+    | Errors.PeerUnreachableError
+    | Errors.NotOwnerError
+    | Errors.NotReadyError
+  >;
+
+  /** Closes all links. */
+  abstract close(): Effect.Effect<void>;
+}
--- /dev/null
+++ b/packages/scheduler/mod.ts
@@ -0,0 +1,22 @@
+/** Decides what runs where: takes events, returns a plan as plain data. */
+export { type CellLayout, createCellLayout, findWorkerIndex } from "./src/layout.ts";
+export {
+  AgedShortestFirst,
+  ArrivalOrder,
+  OrderPolicy,
+  type OrderInput,
+} from "./src/order_policy.ts";
+export { BestFit, FirstFit, PackingPolicy } from "./src/packing_policy.ts";
+export {
+  createPolicies,
+  POLICY_NAMES,
+  type PolicyName,
+  type SchedulerPolicies,
+} from "./src/policies.ts";
+export { checkGuarantees, listDemands } from "./src/check_guarantees.ts";
+export {
+  type RestoreOptions,
+  Scheduler,
+  type SubmitOptions,
+} from "./src/scheduler.ts";
+export { describeCell } from "./src/describe_cell.ts";
--- /dev/null
+++ b/packages/scheduler/src/adopt_running.ts
@@ -0,0 +1,91 @@
+/** Binds guaranteed blocks around a job that already runs. */
+import * as Placement from "@cairngate/placement";
+import type * as Types from "@cairngate/types";
+import type * as entries from "./job_entry.ts";
+import type * as occupancies from "./occupancy.ts";
+
+/**
+ * Ids of bound blocks around each slot of a running job, or null where its
+ * team has no block for it there. Used when a cell is taken over.
+ */
+export function bindRunning(
+  entry: entries.JobEntry,
+  occupancy: occupancies.Occupancy,
+): number[] | null {
+  const boundIds: number[] = [];
+  for (const slot of entry.slots) {
+    const id = boundAround(entry, slot, occupancy) ??
+      bindAround(entry, slot, occupancy);
+    if (id === null) {
+      dropAll(boundIds, entry, occupancy);
+      return null;
+    }
+    // Entering at once keeps the block bound while later slots are tried.
+    occupancy.ledger.enter(id, entry.shape.id, 0);
+    boundIds.push(id);
+  }
+  return boundIds;
+}
+
+function dropAll(
+  boundIds: readonly number[],
+  entry: entries.JobEntry,
+  occupancy: occupancies.Occupancy,
+): void {
+  for (const id of new Set(boundIds)) {
+    const rack = occupancy.ledger.get(id)?.rack;
+    occupancy.ledger.leave(id, entry.shape.id);
+    if (rack !== undefined) occupancy.refreshRack(rack);
+  }
+}
+
+function boundAround(
+  entry: entries.JobEntry,
+  slot: Types.Slot,
+  occupancy: occupancies.Occupancy,
+): number | null {
+  const place = locate(slot);
+  for (const bound of occupancy.ledger.boundOf(entry.shape.team)) {
+    const size = Placement.sizeOf(bound.order);
+    const isInside = bound.rack === place.rack &&
+      bound.offset <= place.offset && place.offset < bound.offset + size;
+    if (isInside) return bound.id;
+  }
+  return null;
+}
+
+function bindAround(
+  entry: entries.JobEntry,
+  slot: Types.Slot,
+  occupancy: occupancies.Occupancy,
+): number | null {
+  const { ledger } = occupancy;
+  const unbound = ledger.unboundOf(entry.shape.team);
+  const place = locate(slot);
+  const whole = Placement.orderOf(entry.size);
+  const orders = [whole, ...range(entry.order, Placement.LARGEST_ORDER)];
+  for (const order of orders) {
+    if (!(unbound[order] > 0)) continue;
+    const offset = place.offset & ~(Placement.sizeOf(order) - 1);
+    const position = { rack: place.rack, offset, order };
+    if (!ledger.space.isFree(position)) continue;
+    if (!ledger.holdsAfterBinding(position)) continue;
+    const bound = ledger.bind(entry.shape.team, position);
+    occupancy.refreshRack(place.rack);
+    return bound.id;
+  }
+  return null;
+}
+
+function locate(slot: Types.Slot): { rack: number; offset: number } {
+  const rack = Math.floor(slot.worker / Placement.WORKERS_PER_RACK);
+  const inRack = slot.worker % Placement.WORKERS_PER_RACK;
+  const lowestBit = 31 - Math.clz32(slot.mask & -slot.mask);
+  return { rack, offset: inRack * 8 + lowestBit };
+}
+
+function range(first: number, last: number): number[] {
+  const numbers: number[] = [];
+  for (let n = first; n <= last; n++) numbers.push(n);
+  return numbers;
+}
--- /dev/null
+++ b/packages/scheduler/src/check_guarantees.ts
@@ -0,0 +1,69 @@
+/** Whether all guaranteed shapes of a file fit at once. */
+import * as Errors from "@cairngate/errors";
+import * as Placement from "@cairngate/placement";
+import type * as Types from "@cairngate/types";
+import * as layouts from "./layout.ts";
+
+/** Every guaranteed block of the teams, by team and order. */
+export function listDemands(
+  teams: readonly Types.TeamSpec[],
+): Placement.GuaranteeDemand[] {
+  return teams.flatMap((team) =>
+    team.guarantee.map((block) => ({
+      team: team.name,
+      order: Placement.orderOf(block.accelerators),
+      count: block.count,
+    }))
+  );
+}
+
+/** Null where the guarantees of a cell fit all at once, else what is short. */
+export function checkGuarantees(
+  layout: layouts.CellLayout,
+): Errors.InfeasibleGuaranteeError | null {
+  const ledger = new Placement.GuaranteeLedger(
+    layout.racks.length,
+    listDemands(layout.teams),
+  );
+  markMissing(layout, ledger);
+  const short = ledger.shortfall();
+  const order = short.findLastIndex((missing) => missing > 0);
+  if (order < 0) return null;
+  return describeShortfall(layout, { order, missing: short[order] });
+}
+
+/** Marks places of a rack that have no worker or fewer accelerators. */
+export function markMissing(
+  layout: layouts.CellLayout,
+  ledger: Placement.GuaranteeLedger,
+): void {
+  layout.workers.forEach((worker, index) => {
+    const missing = missingMask(worker);
+    if (missing !== 0) ledger.mark(index, missing);
+  });
+}
+
+/** Mask of the accelerators that a place in a rack does not have. */
+export function missingMask(worker: Types.WorkerSpec | undefined): number {
+  if (worker === undefined) return Placement.FULL_MASK;
+  return Placement.FULL_MASK & ~((1 << worker.accelerators) - 1);
+}
+
+function describeShortfall(
+  layout: layouts.CellLayout,
+  short: { order: number; missing: number },
+): Errors.InfeasibleGuaranteeError {
+  const block = Placement.sizeOf(short.order);
+  const wanted = layout.teams.filter((team) =>
+    team.guarantee.some((b) => b.accelerators === block)
+  );
+  const asked = wanted.flatMap((t) => t.guarantee)
+    .filter((b) => b.accelerators === block)
+    .reduce((sum, b) => sum + b.count, 0);
+  return new Errors.InfeasibleGuaranteeError({
+    team: wanted.at(-1)?.name ?? "?",
+    block,
+    missing: short.missing,
+    wouldFit: `${asked - short.missing} of ${asked} blocks of ${block}`,
+  });
+}
--- /dev/null
+++ b/packages/scheduler/src/describe_cell.ts
@@ -0,0 +1,95 @@
+/** Describes a cell for the status page. */
+import * as Placement from "@cairngate/placement";
+import * as Types from "@cairngate/types";
+import type * as layouts from "./layout.ts";
+import type * as schedulers from "./scheduler.ts";
+
+const BITS = 8;
+
+/** The part of a cell's status that the scheduler knows. */
+export type CellDescription = Pick<
+  Types.CellStatus,
+  "racks" | "teams" | "fragmentation" | "waiting" | "running"
+>;
+
+/** Racks drawn as blocks, teams, and fragmentation. */
+export function describeCell(
+  scheduler: schedulers.Scheduler,
+): CellDescription {
+  const jobs = [...scheduler.jobs()];
+  const waiting = jobs.filter((job) => job.state === Types.JobState.Waiting);
+  return {
+    racks: scheduler.layout.racks.map((name, rack) => ({
+      name,
+      workers: drawRack(scheduler, rack),
+    })),
+    teams: scheduler.layout.teams.map((team) => describeTeam(scheduler, team)),
+    fragmentation: Placement.computeFragmentation(scheduler.occupancy.space)
+      .map(({ block, value }) => ({ block, value: value ?? 0 })),
+    waiting: waiting.length,
+    running: jobs.length - waiting.length,
+  };
+}
+
+function drawRack(scheduler: schedulers.Scheduler, rack: number): string[] {
+  const first = rack * Placement.WORKERS_PER_RACK;
+  const drawn: string[] = [];
+  for (let i = 0; i < Placement.WORKERS_PER_RACK; i++) {
+    const worker = scheduler.layout.workers[first + i];
+    if (worker !== undefined) drawn.push(drawWorker(scheduler, worker));
+  }
+  return drawn;
+}
+
+function drawWorker(
+  scheduler: schedulers.Scheduler,
+  worker: layouts.CellWorker,
+): string {
+  const { occupancy } = scheduler;
+  let text = "";
+  for (let bit = 0; bit < Math.min(BITS, worker.accelerators); bit++) {
+    const task = occupancy.taskAt(worker.index, bit);
+    if (task === null) text += occupancy.isAvailable(worker.index) ? "." : "x";
+    else if (task.entitlement === Types.Entitlement.Guaranteed) text += "g";
+    else text += "o";
+  }
+  return text;
+}
+
+function describeTeam(
+  scheduler: schedulers.Scheduler,
+  team: Types.TeamSpec,
+): Types.TeamStatus {
+  const own = [...scheduler.jobs()].filter((j) => j.shape.team === team.name);
+  const guaranteed = own.filter((j) =>
+    j.entitlement === Types.Entitlement.Guaranteed
+  );
+  const paid = team.guarantee.reduce((n, b) => n + b.accelerators * b.count, 0);
+  const usedGuaranteed = guaranteed.reduce((n, j) => n + j.size, 0);
+  return {
+    team: team.name,
+    tier: team.tier,
+    guaranteed: paid,
+    used: scheduler.usedBy(team.name),
+    usedGuaranteed,
+    reclaimable: paid - usedGuaranteed,
+    waiting: own.filter((j) => j.state === Types.JobState.Waiting).length,
+    shortfall: teamShortfall(scheduler, team),
+  };
+}
+
+/** Accelerators of a team's unbound blocks that have no room now. */
+function teamShortfall(
+  scheduler: schedulers.Scheduler,
+  team: Types.TeamSpec,
+): number {
+  const { ledger } = scheduler.occupancy;
+  const short = ledger.shortfall();
+  const unbound = ledger.unboundOf(team.name);
+  let missing = 0;
+  short.forEach((count, order) => {
+    const blocks = Math.min(count, unbound[order] ?? 0);
+    missing += blocks * Placement.sizeOf(order);
+  });
+  return missing;
+}
--- /dev/null
+++ b/packages/scheduler/src/find_with_eviction.ts
@@ -0,0 +1,112 @@
+/** Finds the cheapest place that opens when running work yields. */
+import * as Placement from "@cairngate/placement";
+import * as Types from "@cairngate/types";
+import * as entries from "./job_entry.ts";
+import type * as occupancies from "./occupancy.ts";
+import * as packing from "./packing_policy.ts";
+
+/** A place with the work that has to yield, and its price. */
+export interface EvictionPlace {
+  readonly slots: Types.Slot[];
+  readonly victims: Set<entries.JobEntry>;
+  /** In accelerator-milliseconds. */
+  readonly cost: number;
+}
+
+/** Limits of the search. */
+export interface EvictionSearch {
+  readonly occupancy: occupancies.Occupancy;
+  readonly nowMs: number;
+  readonly mayEvict: (victim: entries.JobEntry) => boolean;
+  readonly allowed: packing.RackFilter;
+}
+
+interface PricedSlot {
+  readonly slot: Types.Slot;
+  readonly cost: number;
+}
+
+/** The cheapest place in one rack; null where no rack can be opened. */
+export function findWithEviction(
+  entry: entries.JobEntry,
+  search: EvictionSearch,
+): EvictionPlace | null {
+  let best: EvictionPlace | null = null;
+  const racks = search.occupancy.layout.racks.length;
+  for (let rack = 0; rack < racks; rack++) {
+    if (!search.allowed(rack)) continue;
+    const place = cheapestInRack(entry, rack, search);
+    if (place === null) continue;
+    if (best === null || place.cost < best.cost) best = place;
+  }
+  return best;
+}
+
+function cheapestInRack(
+  entry: entries.JobEntry,
+  rack: number,
+  search: EvictionSearch,
+): EvictionPlace | null {
+  const { gang, adjacency } = entry.shape;
+  if (adjacency !== Types.Adjacency.Worker || gang === 1) {
+    return cheapestSlots(entry, priceRack(entry, rack, search), search);
+  }
+  let best: EvictionPlace | null = null;
+  const first = rack * Placement.WORKERS_PER_RACK;
+  const priced = priceRack(entry, rack, search);
+  for (let i = 0; i < Placement.WORKERS_PER_RACK; i++) {
+    const inWorker = priced.filter((p) => p.slot.worker === first + i);
+    const place = cheapestSlots(entry, inWorker, search);
+    if (place !== null && (best === null || place.cost < best.cost)) {
+      best = place;
+    }
+  }
+  return best;
+}
+
+function priceRack(
+  entry: entries.JobEntry,
+  rack: number,
+  search: EvictionSearch,
+): PricedSlot[] {
+  const size = Placement.sizeOf(entry.order);
+  const priced: PricedSlot[] = [];
+  for (let at = 0; at < Placement.ACCELERATORS_PER_RACK; at += size) {
+    const slot = packing.slotAt(rack, at, size);
+    const cost = priceSlot(slot, search);
+    if (cost !== null) priced.push({ slot, cost });
+  }
+  return priced;
+}
+
+function priceSlot(slot: Types.Slot, search: EvictionSearch): number | null {
+  const { occupancy, nowMs } = search;
+  if (!occupancy.isAvailable(slot.worker)) return null;
+  if ((occupancy.space.usedMask(slot.worker) & slot.mask) === 0) return 0;
+  if (occupancy.isClaimed(slot)) return null;
+  const victims = occupancy.tasksIn(slot);
+  if (victims.size === 0) return null;
+  let cost = 0;
+  for (const victim of victims) {
+    if (!entries.canYield(victim) || !search.mayEvict(victim)) return null;
+    cost += entries.yieldCost(victim, nowMs);
+  }
+  return cost;
+}
+
+function cheapestSlots(
+  entry: entries.JobEntry,
+  priced: PricedSlot[],
+  search: EvictionSearch,
+): EvictionPlace | null {
+  if (priced.length < entry.shape.gang) return null;
+  priced.sort((a, b) => a.cost - b.cost);
+  const slots = priced.slice(0, entry.shape.gang).map((p) => p.slot);
+  const victims = new Set<entries.JobEntry>();
+  for (const slot of slots) {
+    for (const victim of search.occupancy.tasksIn(slot)) victims.add(victim);
+  }
+  let cost = 0;
+  for (const victim of victims) cost += entries.yieldCost(victim, search.nowMs);
+  return { slots, victims, cost };
+}
--- /dev/null
+++ b/packages/scheduler/src/occupancy.ts
@@ -0,0 +1,160 @@
+/** Who occupies or has claimed each accelerator of a cell. */
+import * as Placement from "@cairngate/placement";
+import * as Types from "@cairngate/types";
+import * as guarantees from "./check_guarantees.ts";
+import type * as entries from "./job_entry.ts";
+import type * as layouts from "./layout.ts";
+
+const BITS = 8;
+
+/** Occupancy of a cell, with its ledger of guaranteed shapes. */
+export class Occupancy {
+  readonly layout: layouts.CellLayout;
+  /** Free means: no task, no claim, available. */
+  readonly space: Placement.BuddySpace;
+  /** Free means: free in `space` and not bound or fixed in the ledger. */
+  readonly open: Placement.BuddySpace;
+  readonly ledger: Placement.GuaranteeLedger;
+  readonly #tasks: (entries.JobEntry | null)[];
+  readonly #claims: (entries.JobEntry | null)[];
+  readonly #missing: Uint8Array;
+  readonly #available: boolean[];
+  /** Grows whenever something becomes free; blocked jobs are tried again. */
+  releases = 0;
+
+  /** Starts with every worker unavailable. */
+  constructor(layout: layouts.CellLayout) {
+    const racks = layout.racks.length;
+    this.layout = layout;
+    this.space = new Placement.BuddySpace(racks);
+    this.open = new Placement.BuddySpace(racks);
+    this.ledger = new Placement.GuaranteeLedger(
+      racks,
+      guarantees.listDemands(layout.teams),
+    );
+    const workers = layout.workers.length;
+    this.#tasks = new Array(workers * BITS).fill(null);
+    this.#claims = new Array(workers * BITS).fill(null);
+    this.#available = new Array(workers).fill(false);
+    this.#missing = Uint8Array.from(layout.workers, guarantees.missingMask);
+    for (let worker = 0; worker < workers; worker++) {
+      this.ledger.mark(worker, Placement.FULL_MASK);
+      this.refresh(worker);
+    }
+  }
+
+  /** Whether new work may be placed on a worker. */
+  isAvailable(worker: number): boolean {
+    return this.#available[worker];
+  }
+
+  /** Opens or closes a worker for new work. */
+  setAvailable(worker: number, available: boolean): void {
+    if (this.#available[worker] === available) return;
+    const own = Placement.FULL_MASK & ~this.#missing[worker];
+    this.#available[worker] = available;
+    if (available) this.ledger.unmark(worker, own);
+    else this.ledger.mark(worker, own);
+    this.refresh(worker);
+    this.releases++;
+  }
+
+  /** The job whose task occupies an accelerator. */
+  taskAt(worker: number, bit: number): entries.JobEntry | null {
+    return this.#tasks[worker * BITS + bit];
+  }
+
+  /** Jobs whose tasks overlap a slot. */
+  tasksIn(slot: Types.Slot): Set<entries.JobEntry> {
+    return this.#jobsIn(this.#tasks, slot);
+  }
+
+  /** Whether a job has claimed a part of a slot. */
+  isClaimed(slot: Types.Slot): boolean {
+    return this.#jobsIn(this.#claims, slot).size > 0;
+  }
+
+  /** Puts a job's tasks on its slots. */
+  occupy(entry: entries.JobEntry): void {
+    this.#setAll(this.#tasks, entry.slots, entry);
+  }
+
+  /** Takes a job's tasks off its slots. */
+  vacate(entry: entries.JobEntry): void {
+    this.#clearAll(this.#tasks, entry);
+    this.releases++;
+  }
+
+  /** Claims slots for a job whose victims still occupy them. */
+  claim(entry: entries.JobEntry, slots: readonly Types.Slot[]): void {
+    this.#setAll(this.#claims, slots, entry);
+  }
+
+  /** Drops a job's claim. */
+  unclaim(entry: entries.JobEntry): void {
+    this.#clearAll(this.#claims, entry);
+    this.releases++;
+  }
+
+  /** Recomputes the masks of one worker. */
+  refresh(worker: number): void {
+    let used = this.#missing[worker];
+    if (!this.#available[worker]) used = Placement.FULL_MASK;
+    for (let bit = 0; bit < BITS; bit++) {
+      const at = worker * BITS + bit;
+      if (this.#tasks[at] !== null || this.#claims[at] !== null) {
+        used |= 1 << bit;
+      }
+    }
+    this.space.setUsedMask(worker, used);
+    this.open.setUsedMask(worker, used | this.ledger.space.usedMask(worker));
+  }
+
+  /** Recomputes the masks of the workers of a rack. */
+  refreshRack(rack: number): void {
+    const first = rack * Placement.WORKERS_PER_RACK;
+    for (let i = 0; i < Placement.WORKERS_PER_RACK; i++) {
+      this.refresh(first + i);
+    }
+  }
+
+  #jobsIn(
+    from: (entries.JobEntry | null)[],
+    slot: Types.Slot,
+  ): Set<entries.JobEntry> {
+    const found = new Set<entries.JobEntry>();
+    for (let bit = 0; bit < BITS; bit++) {
+      if ((slot.mask & (1 << bit)) === 0) continue;
+      const entry = from[slot.worker * BITS + bit];
+      if (entry !== null) found.add(entry);
+    }
+    return found;
+  }
+
+  #setAll(
+    into: (entries.JobEntry | null)[],
+    slots: readonly Types.Slot[],
+    entry: entries.JobEntry | null,
+  ): void {
+    for (const slot of slots) {
+      for (let bit = 0; bit < BITS; bit++) {
+        if (slot.mask & (1 << bit)) into[slot.worker * BITS + bit] = entry;
+      }
+      this.refresh(slot.worker);
+    }
+  }
+
+  /** Clears only what is still the job's own. */
+  #clearAll(
+    from: (entries.JobEntry | null)[],
+    entry: entries.JobEntry,
+  ): void {
+    for (const slot of entry.slots) {
+      for (let bit = 0; bit < BITS; bit++) {
+        const at = slot.worker * BITS + bit;
+        if ((slot.mask & (1 << bit)) && from[at] === entry) from[at] = null;
+      }
+      this.refresh(slot.worker);
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/placer.ts
@@ -0,0 +1,283 @@
+/**
+ * Places one job. The ways are tried in this order: inside the team's
+ * guarantee without disturbing anybody; on free capacity; inside the
+ * guarantee with work that yields; urgent work over lower tiers; a block
+ * opened for a gang that has waited.
+ */
+import * as Types from "@cairngate/types";
+import * as guaranteed from "./find_guaranteed.ts";
+import * as eviction from "./find_with_eviction.ts";
+import * as entries from "./job_entry.ts";
+import type * as occupancies from "./occupancy.ts";
+import type * as policies from "./policies.ts";
+import type * as reservations from "./reservations.ts";
+import * as adoption from "./adopt_running.ts";
+
+/** What a placer works on. */
+export interface PlacerOptions {
+  readonly occupancy: occupancies.Occupancy;
+  readonly reservations: reservations.Reservations;
+  readonly policies: policies.SchedulerPolicies;
+}
+
+/** A job that has its slots; the victims still have to stop. */
+export interface Placed {
+  readonly victims: ReadonlySet<entries.JobEntry>;
+}
+
+/** Gangs smaller than this are not worth moving work for. */
+const REPAIR_FROM_SIZE = 8;
+
+/** Finds places and keeps the books of who holds what. */
+export class Placer {
+  readonly #occupancy: occupancies.Occupancy;
+  readonly #reservations: reservations.Reservations;
+  readonly #policies: policies.SchedulerPolicies;
+  readonly #used = new Map<string, number>();
+  readonly #teams: ReadonlyMap<string, Types.TeamSpec>;
+
+  constructor(options: PlacerOptions) {
+    this.#occupancy = options.occupancy;
+    this.#reservations = options.reservations;
+    this.#policies = options.policies;
+    this.#teams = new Map(
+      options.occupancy.layout.teams.map((team) => [team.name, team]),
+    );
+  }
+
+  /** Accelerators that a team has in use or claimed. */
+  usedBy(team: string): number {
+    return this.#used.get(team) ?? 0;
+  }
+
+  /** Use of a team as a share of its guarantee, at least one accelerator. */
+  shareInUse(team: string): number {
+    const guarantee = this.#teams.get(team)?.guarantee ?? [];
+    const paid = guarantee.reduce((n, b) => n + b.accelerators * b.count, 0);
+    return this.usedBy(team) / Math.max(1, paid);
+  }
+
+  /** Whether the job would take its team over its quota. */
+  isOverQuota(entry: entries.JobEntry): boolean {
+    const quota = this.#teams.get(entry.shape.team)?.quota ?? 0;
+    return this.usedBy(entry.shape.team) + entry.size > quota;
+  }
+
+  /** Gives the job its slots; null where it has to wait. */
+  place(entry: entries.JobEntry, nowMs: number): Placed | null {
+    if (this.isOverQuota(entry)) return null;
+    return this.#placeGuaranteed(entry, nowMs, false) ??
+      this.#placeFree(entry, nowMs) ??
+      this.#placeGuaranteed(entry, nowMs, true) ??
+      this.#displaceLowerTiers(entry, nowMs) ??
+      this.#openBlock(entry, nowMs);
+  }
+
+  /** The job's victims are gone: its tasks take their slots. */
+  start(entry: entries.JobEntry, nowMs: number): void {
+    this.#occupancy.unclaim(entry);
+    this.#occupancy.occupy(entry);
+    entry.state = Types.JobState.Running;
+    entry.startedAtMs = nowMs;
+    const kind = entry.entitlement === Types.Entitlement.Guaranteed
+      ? Types.ReasonKind.PlacedGuaranteed
+      : Types.ReasonKind.PlacedOpportunistic;
+    const detail = `on ${entry.slots.length} worker place(s)`;
+    entries.note(entry, kind, { atMs: nowMs, detail });
+  }
+
+  /** Takes in a job that already runs on these slots. */
+  restore(
+    entry: entries.JobEntry,
+    slots: readonly Types.Slot[],
+    nowMs: number,
+  ): void {
+    entry.slots = slots;
+    const boundIds = adoption.bindRunning(entry, this.#occupancy);
+    if (boundIds === null) this.#hold(entry, { slots, boundIds: [] });
+    else this.#hold(entry, { slots, boundIds });
+    this.start(entry, nowMs);
+  }
+
+  /** Gives back everything the job holds. */
+  release(entry: entries.JobEntry): void {
+    if (entry.slots.length === 0) return;
+    this.#occupancy.unclaim(entry);
+    this.#occupancy.vacate(entry);
+    this.#leaveGuarantee(entry);
+    if (entry.fixed) this.#setFixed(entry, false);
+    this.#count(entry, -entry.size);
+    for (const victim of entry.victims) victim.claimant = null;
+    entry.victims = new Set();
+    entry.claimant = null;
+    entry.slots = [];
+    entry.entitlement = null;
+  }
+
+  #placeGuaranteed(
+    entry: entries.JobEntry,
+    nowMs: number,
+    mayEvict: boolean,
+  ): Placed | null {
+    const occupancy = this.#occupancy;
+    const search = { occupancy, nowMs, mayEvict };
+    const place = guaranteed.findGuaranteedPlace(entry, search);
+    if (place === null) return null;
+    return this.#take(entry, place, nowMs);
+  }
+
+  #placeFree(entry: entries.JobEntry, nowMs: number): Placed | null {
+    const { space, open, ledger } = this.#occupancy;
+    const mayUse = (rack: number) =>
+      this.#reservations.allows(rack, entry, nowMs);
+    if (entry.shape.repeatable) {
+      const slots = this.#policies.packing.find(space, entry, mayUse);
+      if (slots === null) return null;
+      return this.#take(entry, { slots, boundIds: [] }, nowMs);
+    }
+    const slots = this.#policies.packing.find(open, entry, mayUse);
+    if (slots === null || !ledger.holdsAfterMarking(slots)) return null;
+    return this.#take(entry, { slots, boundIds: [] }, nowMs);
+  }
+
+  #displaceLowerTiers(entry: entries.JobEntry, nowMs: number): Placed | null {
+    const isUrgent = entry.shape.tier === Types.Tier.Urgent;
+    if (!this.#policies.urgentDisplaces || !isUrgent) return null;
+    const mayEvict = (victim: entries.JobEntry) =>
+      victim.entitlement === Types.Entitlement.Opportunistic &&
+      victim.shape.tier !== Types.Tier.Urgent;
+    const place = this.#findEviction(entry, nowMs, mayEvict);
+    return place === null ? null : this.#take(entry, place, nowMs);
+  }
+
+  #openBlock(entry: entries.JobEntry, nowMs: number): Placed | null {
+    if (entry.size < REPAIR_FROM_SIZE) return null;
+    const { repair } = this.#policies;
+    const mayEvict = (victim: entries.JobEntry) =>
+      repair.mayMove(victim, entry);
+    const place = this.#findEviction(entry, nowMs, mayEvict);
+    if (place === null || !repair.pays(entry, place, nowMs)) return null;
+    if (!this.#hasRoomElsewhere(place)) return null;
+    return this.#take(entry, place, nowMs);
+  }
+
+  /** Moved work must have somewhere to go, or it only trades places. */
+  #hasRoomElsewhere(place: eviction.EvictionPlace): boolean {
+    const { space } = this.#occupancy;
+    let needed = 0;
+    for (const victim of place.victims) needed += victim.size;
+    let inside = 0;
+    for (const slot of place.slots) {
+      inside += countBits(slot.mask & ~space.usedMask(slot.worker));
+    }
+    return space.freeTotal() - inside >= needed;
+  }
+
+  #findEviction(
+    entry: entries.JobEntry,
+    nowMs: number,
+    mayEvict: (victim: entries.JobEntry) => boolean,
+  ): eviction.EvictionPlace | null {
+    const place = eviction.findWithEviction(entry, {
+      occupancy: this.#occupancy,
+      nowMs,
+      mayEvict,
+      allowed: (rack) => this.#reservations.allows(rack, entry, nowMs),
+    });
+    if (place === null || entry.shape.repeatable) return place;
+    return this.#mayFix(place.slots) ? place : null;
+  }
+
+  /** Work that cannot yield must not stand in the way of a guarantee. */
+  #mayFix(slots: readonly Types.Slot[]): boolean {
+    const { ledger } = this.#occupancy;
+    const isFree = slots.every((slot) =>
+      (ledger.space.usedMask(slot.worker) & slot.mask) === 0
+    );
+    return isFree && ledger.holdsAfterMarking(slots);
+  }
+
+  #take(
+    entry: entries.JobEntry,
+    place: {
+      slots: readonly Types.Slot[];
+      boundIds?: number[];
+      victims?: Set<entries.JobEntry>;
+    },
+    nowMs: number,
+  ): Placed {
+    const victims = place.victims ?? new Set<entries.JobEntry>();
+    this.#hold(entry, { slots: place.slots, boundIds: place.boundIds ?? [] });
+    this.#occupancy.claim(entry, entry.slots);
+    entry.state = Types.JobState.Claiming;
+    entry.victims = victims;
+    for (const victim of victims) markYielding(victim, entry, nowMs);
+    if (victims.size > 0) {
+      const detail = `${victims.size} job(s) have to yield first`;
+      const atMs = nowMs;
+      entries.note(entry, Types.ReasonKind.Claiming, { atMs, detail });
+    }
+    return { victims };
+  }
+
+  #hold(
+    entry: entries.JobEntry,
+    place: { slots: readonly Types.Slot[]; boundIds: number[] },
+  ): void {
+    entry.slots = place.slots;
+    entry.boundIds = place.boundIds;
+    const isGuaranteed = place.boundIds.length > 0;
+    entry.entitlement = isGuaranteed
+      ? Types.Entitlement.Guaranteed
+      : Types.Entitlement.Opportunistic;
+    for (const id of place.boundIds) {
+      this.#occupancy.ledger.enter(id, entry.shape.id, 1 << entry.order);
+    }
+    if (!isGuaranteed && !entry.shape.repeatable) this.#setFixed(entry, true);
+    this.#count(entry, entry.size);
+  }
+
+  #setFixed(entry: entries.JobEntry, fixed: boolean): void {
+    const { ledger } = this.#occupancy;
+    entry.fixed = fixed;
+    for (const slot of entry.slots) {
+      if (fixed) ledger.mark(slot.worker, slot.mask);
+      else ledger.unmark(slot.worker, slot.mask);
+      this.#occupancy.refresh(slot.worker);
+    }
+  }
+
+  #leaveGuarantee(entry: entries.JobEntry): void {
+    const { ledger } = this.#occupancy;
+    for (const id of new Set(entry.boundIds)) {
+      const rack = ledger.get(id)?.rack;
+      ledger.leave(id, entry.shape.id);
+      if (rack !== undefined) this.#occupancy.refreshRack(rack);
+    }
+    entry.boundIds = [];
+  }
+
+  #count(entry: entries.JobEntry, by: number): void {
+    const { team } = entry.shape;
+    this.#used.set(team, this.usedBy(team) + by);
+  }
+}
+
+function markYielding(
+  victim: entries.JobEntry,
+  claimant: entries.JobEntry,
+  nowMs: number,
+): void {
+  victim.state = Types.JobState.Yielding;
+  victim.claimant = claimant;
+  entries.note(victim, Types.ReasonKind.Yielded, {
+    atMs: nowMs,
+    detail: `to ${claimant.shape.id} of ${claimant.shape.team}`,
+  });
+}
+
+function countBits(mask: number): number {
+  let count = 0;
+  for (let rest = mask; rest !== 0; rest &= rest - 1) count++;
+  return count;
+}
--- /dev/null
+++ b/packages/scheduler/src/queue.ts
@@ -0,0 +1,86 @@
+/** Waiting jobs, in lanes of jobs that compete for the same thing. */
+import * as Types from "@cairngate/types";
+import TinyQueue from "tinyqueue";
+import * as entries from "./job_entry.ts";
+
+/** Waiting jobs of one team, tier and shape, smallest key first. */
+export class Lane {
+  readonly name: string;
+  readonly team: string;
+  readonly tierRank: number;
+  readonly #heap: TinyQueue<entries.JobEntry>;
+  /** Count of releases when the head last failed to fit; -1 if never. */
+  blockedAt = -1;
+
+  constructor(name: string, first: entries.JobEntry) {
+    this.name = name;
+    this.team = first.shape.team;
+    this.tierRank = Types.rankTier(first.shape.tier);
+    this.#heap = new TinyQueue<entries.JobEntry>([], compareKeys);
+  }
+
+  /** The next job to try; removed jobs are skipped. */
+  head(): entries.JobEntry | undefined {
+    let top = this.#heap.peek();
+    while (top !== undefined && top.state !== Types.JobState.Waiting) {
+      this.#heap.pop();
+      top = this.#heap.peek();
+    }
+    return top;
+  }
+
+  /** Adds a job. */
+  push(entry: entries.JobEntry): void {
+    const before = this.head();
+    this.#heap.push(entry);
+    if (this.head() !== before) this.blockedAt = -1;
+  }
+
+  /** Takes out the head. */
+  pop(): void {
+    this.#heap.pop();
+    this.blockedAt = -1;
+  }
+}
+
+/** All lanes of a cell. */
+export class JobQueue {
+  readonly #lanes = new Map<string, Lane>();
+
+  /** Adds a waiting job to its lane. */
+  push(entry: entries.JobEntry): void {
+    const name = laneName(entry.shape);
+    let lane = this.#lanes.get(name);
+    if (lane === undefined) {
+      lane = new Lane(name, entry);
+      this.#lanes.set(name, lane);
+    }
+    lane.push(entry);
+  }
+
+  /** Lanes that have a waiting job; empty ones are forgotten. */
+  lanes(): Lane[] {
+    const filled: Lane[] = [];
+    for (const lane of this.#lanes.values()) {
+      if (lane.head() === undefined) this.#lanes.delete(lane.name);
+      else filled.push(lane);
+    }
+    return filled;
+  }
+}
+
+function laneName(shape: Types.JobShape): string {
+  const parts = [
+    shape.team,
+    shape.tier,
+    shape.accelerators,
+    shape.gang,
+    shape.adjacency,
+    shape.repeatable,
+  ];
+  return parts.join("/");
+}
+
+function compareKeys(a: entries.JobEntry, b: entries.JobEntry): number {
+  return a.key - b.key;
+}
--- /dev/null
+++ b/packages/scheduler/src/reservations.ts
@@ -0,0 +1,161 @@
+/** Racks kept for gangs that wait, and the jobs that may run there meanwhile. */
+import * as Placement from "@cairngate/placement";
+import * as Types from "@cairngate/types";
+import * as entries from "./job_entry.ts";
+import type * as occupancies from "./occupancy.ts";
+import * as packing from "./packing_policy.ts";
+
+/** Racks reserved for one gang. */
+export interface Reservation {
+  readonly entry: entries.JobEntry;
+  readonly racks: ReadonlySet<number>;
+  /** When the blocks are expected to be free. */
+  readonly atMs: number;
+}
+
+/** Reservations of one cell. */
+export class Reservations {
+  readonly #byJob = new Map<string, Reservation>();
+  readonly #byRack = new Map<number, Reservation>();
+  readonly #limit: number;
+
+  /** @param limit most racks that may be reserved at once */
+  constructor(limit: number) {
+    this.#limit = limit;
+  }
+
+  /** The reservation of a job. */
+  get(jobId: string): Reservation | undefined {
+    return this.#byJob.get(jobId);
+  }
+
+  /** All reservations. */
+  all(): Iterable<Reservation> {
+    return this.#byJob.values();
+  }
+
+  /** Whether a job may be placed in a rack without delaying a reservation. */
+  allows(rack: number, entry: entries.JobEntry, nowMs: number): boolean {
+    const held = this.#byRack.get(rack);
+    if (held === undefined || held.entry === entry) return true;
+    const isAbove = Types.rankTier(entry.shape.tier) <
+      Types.rankTier(held.entry.shape.tier);
+    if (isAbove) return true;
+    if (entry.shape.estimateMs === null) return false;
+    return nowMs + entries.remainingMs(entry) <= held.atMs;
+  }
+
+  /** Drops a job's reservation. */
+  drop(jobId: string): void {
+    const held = this.#byJob.get(jobId);
+    if (held === undefined) return;
+    this.#byJob.delete(jobId);
+    for (const rack of held.racks) this.#byRack.delete(rack);
+  }
+
+  /** Reserves for a gang that does not fit now, where the limit allows. */
+  reserve(
+    entry: entries.JobEntry,
+    occupancy: occupancies.Occupancy,
+    nowMs: number,
+  ): void {
+    const held = this.#byJob.get(entry.shape.id);
+    if (held !== undefined && held.atMs >= nowMs) return;
+    this.drop(entry.shape.id);
+    const found = this.#findSoonest(entry, occupancy, nowMs);
+    if (found === null) return;
+    if (this.#byRack.size + found.racks.size > this.#limit) return;
+    this.#byJob.set(entry.shape.id, found);
+    for (const rack of found.racks) this.#byRack.set(rack, found);
+  }
+
+  #findSoonest(
+    entry: entries.JobEntry,
+    occupancy: occupancies.Occupancy,
+    nowMs: number,
+  ): Reservation | null {
+    const inOneRack = entry.shape.adjacency !== Types.Adjacency.Any;
+    const times = this.#freeRacks(occupancy).map((rack) => ({
+      rack,
+      ends: blockEnds(entry, rack, { occupancy, nowMs }),
+    }));
+    if (inOneRack) return soonestRack(entry, times);
+    return soonestRack(entry, times) ?? soonestSpread(entry, times);
+  }
+
+  #freeRacks(occupancy: occupancies.Occupancy): number[] {
+    return occupancy.layout.racks
+      .map((_, rack) => rack)
+      .filter((rack) => !this.#byRack.has(rack));
+  }
+}
+
+interface RackTimes {
+  readonly rack: number;
+  /** When each block of the wanted order becomes free, sorted. */
+  readonly ends: number[];
+}
+
+function soonestRack(
+  entry: entries.JobEntry,
+  times: readonly RackTimes[],
+): Reservation | null {
+  const last = entry.shape.gang - 1;
+  let best: Reservation | null = null;
+  for (const { rack, ends } of times) {
+    const atMs = ends[last];
+    if (atMs === undefined) continue;
+    if (best === null || atMs < best.atMs) {
+      best = { entry, racks: new Set([rack]), atMs };
+    }
+  }
+  return best;
+}
+
+function soonestSpread(
+  entry: entries.JobEntry,
+  times: readonly RackTimes[],
+): Reservation | null {
+  const all = times.flatMap(({ rack, ends }) =>
+    ends.map((atMs) => ({ rack, atMs }))
+  );
+  if (all.length < entry.shape.gang) return null;
+  all.sort((a, b) => a.atMs - b.atMs);
+  const chosen = all.slice(0, entry.shape.gang);
+  return {
+    entry,
+    racks: new Set(chosen.map((c) => c.rack)),
+    atMs: chosen[chosen.length - 1].atMs,
+  };
+}
+
+function blockEnds(
+  entry: entries.JobEntry,
+  rack: number,
+  at: { occupancy: occupancies.Occupancy; nowMs: number },
+): number[] {
+  const size = Placement.sizeOf(entry.order);
+  const ends: number[] = [];
+  for (let i = 0; i < Placement.ACCELERATORS_PER_RACK; i += size) {
+    const end = slotEnd(packing.slotAt(rack, i, size), at);
+    if (end !== null) ends.push(end);
+  }
+  return ends.sort((a, b) => a - b);
+}
+
+/** When a slot becomes free; null where it never does by itself. */
+function slotEnd(
+  slot: Types.Slot,
+  at: { occupancy: occupancies.Occupancy; nowMs: number },
+): number | null {
+  const { occupancy, nowMs } = at;
+  if (!occupancy.isAvailable(slot.worker)) return null;
+  if ((occupancy.space.usedMask(slot.worker) & slot.mask) === 0) return nowMs;
+  const tasks = occupancy.tasksIn(slot);
+  if (tasks.size === 0 || occupancy.isClaimed(slot)) return null;
+  let end = nowMs;
+  for (const task of tasks) {
+    end = Math.max(end, entries.estimatedEndMs(task, nowMs));
+  }
+  return end;
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler.ts
@@ -0,0 +1,280 @@
+/**
+ * The scheduler of one cell. Events change its state; `plan` returns what to
+ * do next as plain data. It does no input or output and takes times as
+ * arguments.
+ */
+import * as Types from "@cairngate/types";
+import * as explanations from "./explain.ts";
+import * as entries from "./job_entry.ts";
+import type * as layouts from "./layout.ts";
+import * as occupancies from "./occupancy.ts";
+import * as placer from "./placer.ts";
+import type * as policies from "./policies.ts";
+import * as queues from "./queue.ts";
+import * as reservations from "./reservations.ts";
+
+/** Circumstances of a submission. */
+export interface SubmitOptions {
+  readonly nowMs: number;
+  /** Saved progress of an earlier attempt, 0 to 1. */
+  readonly progress?: number;
+}
+
+/** A job found running when a cell is taken over. */
+export interface RestoreOptions {
+  readonly nowMs: number;
+  readonly slots: readonly Types.Slot[];
+  readonly progress: number;
+}
+
+/** Gangs at least this large get a reservation while they wait. */
+const RESERVE_FROM_SIZE = 8;
+
+/** Scheduler of one cell. */
+export class Scheduler {
+  readonly layout: layouts.CellLayout;
+  readonly occupancy: occupancies.Occupancy;
+  readonly reservations: reservations.Reservations;
+  readonly #policies: policies.SchedulerPolicies;
+  readonly #jobs = new Map<string, entries.JobEntry>();
+  readonly #queue = new queues.JobQueue();
+  readonly #placer: placer.Placer;
+  readonly #ready: entries.JobEntry[] = [];
+
+  /** Starts empty, with every worker unavailable. */
+  constructor(
+    layout: layouts.CellLayout,
+    chosen: policies.SchedulerPolicies,
+  ) {
+    this.layout = layout;
+    this.#policies = chosen;
+    this.occupancy = new occupancies.Occupancy(layout);
+    const limit = Math.ceil(layout.racks.length * chosen.reservedShare);
+    this.reservations = new reservations.Reservations(limit);
+    this.#placer = new placer.Placer({
+      occupancy: this.occupancy,
+      reservations: this.reservations,
+      policies: chosen,
+    });
+  }
+
+  /** A job by id. */
+  get(jobId: string): entries.JobEntry | undefined {
+    return this.#jobs.get(jobId);
+  }
+
+  /** All jobs, waiting and running. */
+  jobs(): Iterable<entries.JobEntry> {
+    return this.#jobs.values();
+  }
+
+  /** Accelerators that a team has in use. */
+  usedBy(team: string): number {
+    return this.#placer.usedBy(team);
+  }
+
+  /** Puts a new job into the queue. */
+  submit(shape: Types.JobShape, options: SubmitOptions): void {
+    if (this.#jobs.has(shape.id)) return;
+    const entry = entries.createEntry(shape, options.progress ?? 0);
+    const detail = `${shape.service} for ${shape.team}`;
+    const atMs = options.nowMs;
+    entries.note(entry, Types.ReasonKind.Submitted, { atMs, detail });
+    this.#jobs.set(shape.id, entry);
+    this.#enqueue(entry);
+  }
+
+  /** Takes in a job that already runs. */
+  restore(shape: Types.JobShape, options: RestoreOptions): void {
+    if (this.#jobs.has(shape.id)) return;
+    const entry = entries.createEntry(shape, options.progress);
+    this.#jobs.set(shape.id, entry);
+    this.#placer.restore(entry, options.slots, options.nowMs);
+  }
+
+  /** Opens or closes a worker for new work. */
+  setWorkerAvailable(worker: number, available: boolean): void {
+    this.occupancy.setAvailable(worker, available);
+    if (!available) this.#abortClaimsOn(worker);
+  }
+
+  /** A job has ended; its accelerators are free. */
+  finish(jobId: string): void {
+    this.#remove(jobId);
+  }
+
+  /** A waiting or running job is taken out; true where it was waiting. */
+  cancel(jobId: string): boolean {
+    const entry = this.#jobs.get(jobId);
+    if (entry === undefined) return false;
+    const wasWaiting = entry.state === Types.JobState.Waiting ||
+      entry.state === Types.JobState.Claiming;
+    this.#remove(jobId);
+    return wasWaiting;
+  }
+
+  /** A running job has stopped and goes back to the queue. */
+  requeue(
+    jobId: string,
+    options: { nowMs: number; progress: number; detail: string },
+  ): void {
+    const entry = this.#jobs.get(jobId);
+    if (entry === undefined) return;
+    this.#release(entry);
+    entry.progress = Math.max(entry.progress, options.progress);
+    entry.state = Types.JobState.Waiting;
+    entries.note(entry, Types.ReasonKind.Requeued, {
+      atMs: options.nowMs,
+      detail: options.detail,
+    });
+    this.#enqueue(entry);
+  }
+
+  /** Tries every waiting job again, also where nothing became free. */
+  reconsider(): void {
+    this.occupancy.releases++;
+  }
+
+  /** Decides what starts, yields and expires now. */
+  plan(nowMs: number): Types.Decision[] {
+    const decisions: Types.Decision[] = [];
+    this.#startReady(decisions, nowMs);
+    for (const lane of this.#orderLanes()) {
+      this.#planLane(lane, decisions, nowMs);
+    }
+    this.#startReady(decisions, nowMs);
+    return decisions;
+  }
+
+  /** Explains a job; null where it is not here. */
+  explain(jobId: string, nowMs: number): Types.Explanation | null {
+    const entry = this.#jobs.get(jobId);
+    if (entry === undefined) return null;
+    return explanations.explainJob(entry, {
+      nowMs,
+      layout: this.layout,
+      jobs: [...this.#jobs.values()],
+      reservations: this.reservations,
+      usedBy: (team) => this.usedBy(team),
+    });
+  }
+
+  #enqueue(entry: entries.JobEntry): void {
+    entry.key = this.#policies.order.key({
+      submittedAtMs: entry.shape.submittedAtMs,
+      remainingMs: entries.remainingMs(entry),
+      size: entry.size,
+    });
+    this.#queue.push(entry);
+  }
+
+  #orderLanes(): queues.Lane[] {
+    const open = this.#queue.lanes()
+      .filter((lane) => lane.blockedAt !== this.occupancy.releases)
+      .map((lane) => ({ lane, key: this.#laneKey(lane) }));
+    open.sort((a, b) => a.lane.tierRank - b.lane.tierRank || a.key - b.key);
+    return open.map((o) => o.lane);
+  }
+
+  #laneKey(lane: queues.Lane): number {
+    const share = this.#placer.shareInUse(lane.team);
+    return lane.head()!.key + share * this.#policies.order.fairShareMs();
+  }
+
+  #planLane(
+    lane: queues.Lane,
+    decisions: Types.Decision[],
+    nowMs: number,
+  ): void {
+    for (;;) {
+      const entry = lane.head();
+      if (entry === undefined) return;
+      if (isExpired(entry, nowMs)) {
+        this.#expire(entry, decisions);
+        continue;
+      }
+      const placed = this.#placer.place(entry, nowMs);
+      if (placed === null) break;
+      lane.pop();
+      this.reservations.drop(entry.shape.id);
+      this.#accept(entry, placed, decisions);
+    }
+    lane.blockedAt = this.occupancy.releases;
+    this.#reserveFor(lane.head()!, nowMs);
+  }
+
+  #reserveFor(entry: entries.JobEntry, nowMs: number): void {
+    if (entry.size < RESERVE_FROM_SIZE) return;
+    if (this.#placer.isOverQuota(entry)) return;
+    this.reservations.reserve(entry, this.occupancy, nowMs);
+  }
+
+  #accept(
+    entry: entries.JobEntry,
+    placed: placer.Placed,
+    decisions: Types.Decision[],
+  ): void {
+    for (const victim of placed.victims) {
+      decisions.push({
+        kind: Types.DecisionKind.Preempt,
+        jobId: victim.shape.id,
+        claimant: entry.shape.id,
+      });
+    }
+    if (entry.victims.size === 0) this.#ready.push(entry);
+  }
+
+  #startReady(decisions: Types.Decision[], nowMs: number): void {
+    for (const entry of this.#ready.splice(0)) {
+      if (!this.#jobs.has(entry.shape.id)) continue;
+      this.#placer.start(entry, nowMs);
+      decisions.push({
+        kind: Types.DecisionKind.Start,
+        jobId: entry.shape.id,
+        slots: entry.slots,
+        entitlement: entry.entitlement!,
+      });
+    }
+  }
+
+  #expire(entry: entries.JobEntry, decisions: Types.Decision[]): void {
+    this.#remove(entry.shape.id);
+    decisions.push({
+      kind: Types.DecisionKind.Expire,
+      jobId: entry.shape.id,
+    });
+  }
+
+  #remove(jobId: string): void {
+    const entry = this.#jobs.get(jobId);
+    if (entry === undefined) return;
+    this.#release(entry);
+    entry.state = Types.JobState.Done;
+    this.#jobs.delete(jobId);
+    this.reservations.drop(jobId);
+  }
+
+  #release(entry: entries.JobEntry): void {
+    const claimant = entry.claimant;
+    this.#placer.release(entry);
+    if (claimant === null) return;
+    claimant.victims.delete(entry);
+    if (claimant.state !== Types.JobState.Claiming) return;
+    if (claimant.victims.size === 0) this.#ready.push(claimant);
+  }
+
+  #abortClaimsOn(worker: number): void {
+    for (const entry of this.#jobs.values()) {
+      if (entry.state !== Types.JobState.Claiming) continue;
+      if (!entry.slots.some((slot) => slot.worker === worker)) continue;
+      this.#placer.release(entry);
+      entry.state = Types.JobState.Waiting;
+      this.#enqueue(entry);
+    }
+  }
+}
+
+function isExpired(entry: entries.JobEntry, nowMs: number): boolean {
+  const deadline = entry.shape.deadlineAtMs;
+  return deadline !== null && nowMs > deadline;
+}
--- /dev/null
+++ b/packages/stand-in-server/src/platform_routes.ts
@@ -0,0 +1,138 @@
+/**
+ * The platform's services over HTTP, and a control page for tests:
+ * `POST /control/faults`, `/control/leaving`, `/control/restart`,
+ * `GET /ledger`, `GET /counts`.
+ */
+import * as HttpJson from "@cairngate/http-json";
+import type * as Platform from "@cairngate/platform";
+import type * as StandIns from "@cairngate/stand-ins";
+import * as Effect from "effect/Effect";
+import type * as http from "node:http";
+
+/** What the routes serve. */
+export interface PlatformParts {
+  readonly table: StandIns.MemoryTable;
+  readonly objects: StandIns.MemoryObjectStore;
+  readonly live: StandIns.MemoryLiveList;
+  readonly faults: StandIns.FaultSwitch;
+  readonly workers: ReadonlyMap<string, StandIns.StandInWorker>;
+  readonly ledger: StandIns.RunLedger;
+}
+
+const BODY_LIMIT_BYTES = 16_000_000;
+const OBJECTS_PATH = "/v1/objects/";
+
+type Reply = Effect.Effect<unknown, { readonly _tag: string }>;
+
+/** Handles all routes of the platform. */
+export function createHandler(parts: PlatformParts): http.RequestListener {
+  return (req, res) => {
+    const handled = HttpJson.readJsonBody(req, BODY_LIMIT_BYTES).pipe(
+      Effect.flatMap((body) => route(parts, req, body)),
+      Effect.match({
+        onSuccess: (body) => HttpJson.sendJson(res, 200, { body }),
+        onFailure: (err) => sendFailure(res, err),
+      }),
+    );
+    Effect.runFork(handled);
+  };
+}
+
+function route(
+  parts: PlatformParts,
+  req: http.IncomingMessage,
+  body: unknown,
+): Reply {
+  const path = req.url ?? "";
+  if (path.startsWith(OBJECTS_PATH)) return routeObject(parts, req, body);
+  if (path.startsWith("/control/")) return routeControl(parts, path, body);
+  switch (path) {
+    case "/v1/table/read":
+      return parts.table.read((body as { keys: string[] }).keys);
+    case "/v1/table/scan": {
+      const scan = body as { prefix: string; afterRevision: number };
+      return parts.table.scan(scan.prefix, scan.afterRevision);
+    }
+    case "/v1/table/transact":
+      return Effect.map(
+        parts.table.transact(body as Platform.Transaction),
+        (revision) => ({ revision }),
+      );
+    case "/v1/live":
+      return Effect.map(parts.live.workers(), (workers) => ({ workers }));
+    case "/ledger":
+      return Effect.succeed(parts.ledger.entries);
+    case "/counts":
+      return Effect.succeed(parts.table.counts);
+    default:
+      return Effect.fail({ _tag: "NoSuchRoute" });
+  }
+}
+
+function routeObject(
+  parts: PlatformParts,
+  req: http.IncomingMessage,
+  body: unknown,
+): Reply {
+  const key = decodeURIComponent((req.url ?? "").slice(OBJECTS_PATH.length));
+  if (req.method === "PUT") {
+    return parts.objects.put(key, (body as { value: unknown }).value);
+  }
+  return Effect.flatMap(
+    parts.objects.get(key),
+    (value) =>
+      value === undefined
+        ? Effect.fail({ _tag: "NoSuchObject" })
+        : Effect.succeed({ value }),
+  );
+}
+
+function routeControl(
+  parts: PlatformParts,
+  path: string,
+  body: unknown,
+): Reply {
+  return Effect.sync(() => {
+    if (path === "/control/faults") {
+      parts.faults.set(body as Partial<StandIns.StoreFaults>);
+    }
+    const named = body as { worker?: string; leaving?: boolean };
+    const worker = parts.workers.get(named.worker ?? "");
+    if (path === "/control/restart") worker?.restart();
+    if (path === "/control/leaving") {
+      setLeaving(parts, named.worker ?? "", named.leaving === true);
+    }
+    return {};
+  });
+}
+
+/** Only the live list learns of it at once; the worker knows from then on. */
+function setLeaving(
+  parts: PlatformParts,
+  name: string,
+  leaving: boolean,
+): void {
+  parts.workers.get(name)?.setLeaving(leaving);
+  parts.live.mark(name, leaving);
+}
+
+function sendFailure(
+  res: http.ServerResponse,
+  err: { readonly _tag: string },
+): void {
+  switch (err._tag) {
+    case "ConditionFailedError":
+      return HttpJson.sendJson(res, 409, { body: err });
+    case "StoreUnavailableError":
+      return HttpJson.sendJson(res, 503, { body: err });
+    case "AnswerLostError":
+      // The write has taken effect; its answer never arrives.
+      res.destroy();
+      return;
+    case "NoSuchRoute":
+    case "NoSuchObject":
+      return HttpJson.sendJson(res, 404, { body: err });
+    default:
+      return HttpJson.sendJson(res, 400, { body: err });
+  }
+}
--- /dev/null
+++ b/packages/stand-in-server/src/serve_stand_ins.ts
@@ -0,0 +1,69 @@
+/** Serves the platform on one address and each worker on its endpoint. */
+import * as Adapters from "@cairngate/adapters";
+import type * as Errors from "@cairngate/errors";
+import * as HttpJson from "@cairngate/http-json";
+import * as StandIns from "@cairngate/stand-ins";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as http from "node:http";
+import * as platformRoutes from "./platform_routes.ts";
+import * as workerRoutes from "./worker_routes.ts";
+
+/** Running stand-ins. */
+export interface StandInServer {
+  readonly workers: ReadonlyMap<string, StandIns.StandInWorker>;
+  readonly ledger: StandIns.RunLedger;
+  /** Closes every address. */
+  close(): void;
+}
+
+const KEEP_ALIVE_MS = 120_000;
+
+/** Opens the stand-ins of a deployment. */
+export function serveStandIns(
+  cfg: Types.DeploymentConfig,
+  platformAddress: string,
+): Effect.Effect<StandInServer, Errors.ListenError> {
+  return Effect.gen(function* () {
+    const clock = new Adapters.SystemClock();
+    const random = new Adapters.SystemRandom();
+    const ledger = new StandIns.RunLedger();
+    const faults = new StandIns.FaultSwitch(clock, random);
+    const live = new StandIns.MemoryLiveList(faults);
+    const workers = new Map<string, StandIns.StandInWorker>();
+    const servers: http.Server[] = [];
+    for (const spec of cfg.racks.flatMap((rack) => rack.workers)) {
+      const options = { ...spec, clock, random, ledger };
+      const worker = new StandIns.StandInWorker(options);
+      const { name, endpoint } = spec;
+      workers.set(name, worker);
+      live.set({ name, endpoint, leaving: false });
+      const server = createServer(workerRoutes.createHandler(worker));
+      yield* HttpJson.listen(server, endpoint);
+      servers.push(server);
+    }
+    const platform = createServer(platformRoutes.createHandler({
+      table: new StandIns.MemoryTable(faults),
+      objects: new StandIns.MemoryObjectStore(faults),
+      live,
+      faults,
+      workers,
+      ledger,
+    }));
+    yield* HttpJson.listen(platform, platformAddress);
+    servers.push(platform);
+    const close = () => servers.forEach(closeServer);
+    return { workers, ledger, close };
+  });
+}
+
+function createServer(handler: http.RequestListener): http.Server {
+  const server = http.createServer(handler);
+  server.keepAliveTimeout = KEEP_ALIVE_MS;
+  return server;
+}
+
+function closeServer(server: http.Server): void {
+  server.close();
+  server.closeAllConnections();
+}
--- /dev/null
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -0,0 +1,53 @@
+/** Faults of the platform's store, switched on and off by tests. */
+import * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import * as Effect from "effect/Effect";
+
+/** Faults in force. */
+export interface StoreFaults {
+  /** No call is carried out. */
+  readonly down: boolean;
+  /** Share of writes whose answer is lost after they took effect. */
+  readonly loseAnswers: number;
+  /** Time that every call takes, in milliseconds. */
+  readonly delayMs: number;
+}
+
+const HEALTHY: StoreFaults = { down: false, loseAnswers: 0, delayMs: 0 };
+
+/** Holds the faults in force and applies them to calls. */
+export class FaultSwitch {
+  readonly #clock: Platform.Clock;
+  readonly #random: Platform.RandomSource;
+  faults: StoreFaults = HEALTHY;
+
+  constructor(clock: Platform.Clock, random: Platform.RandomSource) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /** Changes some faults; the others stay. */
+  set(faults: Partial<StoreFaults>): void {
+    this.faults = { ...this.faults, ...faults };
+  }
+
+  /** Carries out a call under the faults in force. */
+  apply<A, E>(
+    operation: string,
+    call: () => Effect.Effect<A, E>,
+  ): Effect.Effect<A, E | Platform.StoreError> {
+    return Effect.gen({ self: this }, function* () {
+      const { delayMs } = this.faults;
+      if (delayMs > 0) yield* this.#clock.sleep(delayMs);
+      if (this.faults.down) {
+        const cause = "outage";
+        return yield* new Errors.StoreUnavailableError({ operation, cause });
+      }
+      const done = yield* call();
+      const loses = operation === "write" &&
+        this.#random.next() < this.faults.loseAnswers;
+      if (loses) return yield* new Errors.AnswerLostError({ operation });
+      return done;
+    });
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/memory_live_list.ts
@@ -0,0 +1,39 @@
+/** A live list in memory, which can be made to lag. */
+import * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as switches from "./fault_switch.ts";
+
+/** Keeps the list of live and leaving workers. */
+export class MemoryLiveList extends Platform.LiveList {
+  readonly #entries = new Map<string, Types.LiveEntry>();
+  readonly #faults: switches.FaultSwitch;
+
+  constructor(faults: switches.FaultSwitch) {
+    super();
+    this.#faults = faults;
+  }
+
+  /** Adds or changes a machine. */
+  set(entry: Types.LiveEntry): void {
+    this.#entries.set(entry.name, entry);
+  }
+
+  /** Marks a machine as leaving or staying. */
+  mark(name: string, leaving: boolean): void {
+    const entry = this.#entries.get(name);
+    if (entry !== undefined) this.#entries.set(name, { ...entry, leaving });
+  }
+
+  /** Takes a machine off the list. */
+  remove(name: string): void {
+    this.#entries.delete(name);
+  }
+
+  override workers() {
+    return this.#faults.apply(
+      "live list",
+      () => Effect.sync(() => [...this.#entries.values()]),
+    );
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/memory_object_store.ts
@@ -0,0 +1,29 @@
+/** An object store in memory. */
+import * as Platform from "@cairngate/platform";
+import * as Effect from "effect/Effect";
+import type * as switches from "./fault_switch.ts";
+
+/** Keeps objects in a map. */
+export class MemoryObjectStore extends Platform.ObjectStore {
+  readonly #objects = new Map<string, unknown>();
+  readonly #faults: switches.FaultSwitch;
+
+  constructor(faults: switches.FaultSwitch) {
+    super();
+    this.#faults = faults;
+  }
+
+  override put(key: string, value: unknown) {
+    return this.#faults.apply("put", () =>
+      Effect.sync(() => {
+        this.#objects.set(key, structuredClone(value));
+      }));
+  }
+
+  override get(key: string) {
+    return this.#faults.apply(
+      "get",
+      () => Effect.sync(() => this.#objects.get(key)),
+    );
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/memory_workers.ts
@@ -0,0 +1,59 @@
+/** Reaches stand-in workers of the same process. */
+import * as Errors from "@cairngate/errors";
+import * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as workers from "./stand_in_worker.ts";
+
+/** Adapter of the workers' port to workers in memory, by endpoint. */
+export class MemoryWorkers extends Platform.Workers {
+  readonly #byEndpoint = new Map<string, workers.StandInWorker>();
+
+  /** Adds a worker under its endpoint. */
+  add(endpoint: string, worker: workers.StandInWorker): void {
+    this.#byEndpoint.set(endpoint, worker);
+  }
+
+  /** Takes a worker away: it no longer answers. */
+  remove(endpoint: string): void {
+    this.#byEndpoint.delete(endpoint);
+  }
+
+  override seal(endpoint: string, fence: Types.Fence) {
+    return Effect.flatMap(this.#find(endpoint), (w) => w.seal(fence));
+  }
+
+  override hold(endpoint: string, order: Types.HoldOrder) {
+    return Effect.flatMap(this.#find(endpoint), (w) => w.hold(order));
+  }
+
+  override start(endpoint: string, order: Types.TaskOrder) {
+    return Effect.flatMap(this.#find(endpoint), (w) => w.start(order));
+  }
+
+  override run(endpoint: string, order: Types.HoldOrder) {
+    return Effect.flatMap(this.#find(endpoint), (w) => w.run(order));
+  }
+
+  override stop(endpoint: string, order: Types.StopOrder) {
+    return Effect.flatMap(this.#find(endpoint), (w) => w.stop(order));
+  }
+
+  override report(endpoint: string, request: Types.ReportRequest) {
+    return Effect.flatMap(this.#find(endpoint), (w) => w.report(request));
+  }
+
+  #find(
+    endpoint: string,
+  ): Effect.Effect<workers.StandInWorker, Errors.WorkerLostError> {
+    const worker = this.#byEndpoint.get(endpoint);
+    if (worker !== undefined) return Effect.succeed(worker);
+    return Effect.fail(
+      new Errors.WorkerLostError({
+        worker: endpoint,
+        cause: "nobody listens",
+        neverSent: true,
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/stand_in_worker.ts
@@ -0,0 +1,400 @@
+/** A worker in memory: runs tasks under leases and refuses stale epochs. */
+import * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import * as Types from "@cairngate/types";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import * as ledgers from "./run_ledger.ts";
+import * as works from "./work.ts";
+
+/** Run time of a task whose input does not say one, in milliseconds. */
+const DEFAULT_RUN_MS = 5;
+/** Finished tasks that are kept when nobody acknowledges them. */
+const KEPT_TASKS = 5000;
+
+interface Task {
+  readonly order: Types.HoldOrder;
+  readonly epoch: number;
+  readonly gang: number;
+  readonly ended: Deferred.Deferred<Types.TaskAnswer>;
+  state: Types.TaskState;
+  startedAtMs: number;
+  leaseUntilMs: number;
+  progress: number;
+  result: unknown;
+  version: number;
+}
+
+/** What a stand-in worker needs. */
+export interface StandInWorkerOptions {
+  readonly name: string;
+  readonly accelerators: number;
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly ledger: ledgers.RunLedger;
+}
+
+/** One worker. */
+export class StandInWorker {
+  readonly name: string;
+  readonly #options: StandInWorkerOptions;
+  readonly #tasks = new Map<string, Task>();
+  readonly #revoked = new Set<string>();
+  readonly #epochs = new Map<string, number>();
+  #bootId: string;
+  #version = 0;
+  #changed = Deferred.makeUnsafe<void>();
+  leaving = false;
+
+  constructor(options: StandInWorkerOptions) {
+    this.name = options.name;
+    this.#options = options;
+    this.#bootId = options.random.id();
+  }
+
+  /** Forgets everything, as a restarted machine does. */
+  restart(): void {
+    for (const task of this.#tasks.values()) this.#end(task, "lost");
+    this.#tasks.clear();
+    this.#revoked.clear();
+    this.#epochs.clear();
+    this.#bootId = this.#options.random.id();
+    this.#touch();
+  }
+
+  /** Marks the worker as leaving or staying. */
+  setLeaving(leaving: boolean): void {
+    this.leaving = leaving;
+    this.#touch();
+  }
+
+  /** Shuts out lower epochs and returns all tasks. */
+  seal(fence: Types.Fence) {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#checkFence(fence);
+      return this.#inventory();
+    });
+  }
+
+  /** Sets accelerators aside. */
+  hold(order: Types.HoldOrder) {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#checkFence(order.fence);
+      yield* this.#admit(order);
+      this.#addTask(order);
+    });
+  }
+
+  /** Starts a held task. */
+  start(order: Types.TaskOrder) {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#checkFence(order.fence);
+      const task = this.#tasks.get(keyOf(order));
+      if (task === undefined || task.state === Types.TaskState.Stopped) {
+        return yield* this.#refuse(Errors.RefusalReason.NotHeld);
+      }
+      if (task.state === Types.TaskState.Held) yield* this.#begin(task);
+    });
+  }
+
+  /** Holds, starts and waits for the end. */
+  run(order: Types.HoldOrder) {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.hold(order);
+      const task = this.#tasks.get(keyOf(order))!;
+      yield* this.#begin(task);
+      return yield* Deferred.await(task.ended);
+    });
+  }
+
+  /** Stops a task, or keeps one from ever starting. */
+  stop(order: Types.StopOrder) {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#checkFence(order.fence);
+      const task = this.#tasks.get(keyOf(order));
+      this.#revoked.add(keyOf(order));
+      if (task === undefined) return { ran: false, finished: false, progress: 0 };
+      const ran = task.startedAtMs > 0;
+      const finished = task.state === Types.TaskState.Finished;
+      if (isActive(task)) {
+        this.#saveProgress(task, order.checkpoint);
+        this.#end(task, "stopped");
+      }
+      return { ran, finished, progress: task.progress };
+    });
+  }
+
+  /** Waits for changes after a version; renews leases. */
+  report(request: Types.ReportRequest) {
+    return Effect.gen({ self: this }, function* () {
+      const { clock } = this.#options;
+      yield* this.#checkFence(request.fence);
+      for (const key of request.acknowledged) this.#forget(keyOf(key));
+      this.#renewLeases(request.fence.cell);
+      if (this.#version <= request.sinceVersion) {
+        const changed = Deferred.await(this.#changed);
+        yield* clock.within(request.waitMs, changed);
+        yield* this.#checkFence(request.fence);
+        this.#renewLeases(request.fence.cell);
+      }
+      return this.#report(request.sinceVersion);
+    });
+  }
+
+  /** Accelerators in use. */
+  usage(): number {
+    let mask = 0;
+    for (const task of this.#tasks.values()) {
+      if (isActive(task)) mask |= task.order.mask;
+    }
+    let count = 0;
+    for (let rest = mask; rest !== 0; rest &= rest - 1) count++;
+    return count;
+  }
+
+  #checkFence(
+    fence: Types.Fence,
+  ): Effect.Effect<void, Errors.WorkerRefusedError> {
+    const highest = this.#epochs.get(fence.cell) ?? 0;
+    if (fence.epoch < highest) {
+      return this.#refuse(Errors.RefusalReason.StaleEpoch, highest);
+    }
+    this.#epochs.set(fence.cell, fence.epoch);
+    return Effect.void;
+  }
+
+  #admit(
+    order: Types.HoldOrder,
+  ): Effect.Effect<void, Errors.WorkerRefusedError> {
+    if (this.leaving) return this.#refuse(Errors.RefusalReason.Leaving);
+    if (this.#revoked.has(keyOf(order))) {
+      return this.#refuse(Errors.RefusalReason.Revoked);
+    }
+    if (this.#tasks.has(keyOf(order))) {
+      return this.#refuse(Errors.RefusalReason.Duplicate);
+    }
+    for (const task of this.#tasks.values()) {
+      const overlaps = (task.order.mask & order.mask) !== 0;
+      if (isActive(task) && overlaps) {
+        return this.#refuse(Errors.RefusalReason.Busy);
+      }
+    }
+    return Effect.void;
+  }
+
+  #refuse(reason: Errors.RefusalReason, epoch = 0) {
+    return Effect.fail(
+      new Errors.WorkerRefusedError({ worker: this.name, reason, epoch }),
+    );
+  }
+
+  #addTask(order: Types.HoldOrder): void {
+    const { clock } = this.#options;
+    const task: Task = {
+      order,
+      epoch: order.fence.epoch,
+      gang: order.gang,
+      ended: Deferred.makeUnsafe(),
+      state: Types.TaskState.Held,
+      startedAtMs: 0,
+      leaseUntilMs: clock.monotonicMs() + order.holdMs,
+      progress: order.progress,
+      result: null,
+      version: 0,
+    };
+    this.#tasks.set(keyOf(order), task);
+    this.#record(task, ledgers.LedgerEvent.Held);
+    this.#watchHold(task);
+    this.#change(task);
+  }
+
+  #watchHold(task: Task): void {
+    const { clock } = this.#options;
+    const watch = Effect.gen({ self: this }, function* () {
+      yield* clock.sleep(task.order.holdMs);
+      if (task.state !== Types.TaskState.Held) return;
+      this.#revoked.add(keyOf(task.order));
+      this.#end(task, "stopped");
+    });
+    Effect.runFork(watch);
+  }
+
+  #begin(task: Task): Effect.Effect<void> {
+    return Effect.sync(() => {
+      const { clock } = this.#options;
+      task.state = Types.TaskState.Running;
+      task.startedAtMs = clock.wallMs();
+      task.leaseUntilMs = clock.monotonicMs() + task.order.leaseMs;
+      this.#record(task, ledgers.LedgerEvent.Started);
+      this.#change(task);
+      Effect.runFork(this.#work(task));
+    });
+  }
+
+  #work(task: Task): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { clock } = this.#options;
+      const endMs = clock.monotonicMs() +
+        runMsOf(task.order) * (1 - task.progress);
+      for (;;) {
+        const nowMs = clock.monotonicMs();
+        if (task.state !== Types.TaskState.Running || nowMs >= endMs) break;
+        const untilMs = Math.min(endMs, task.leaseUntilMs);
+        yield* clock.sleep(Math.max(1, untilMs - nowMs));
+        if (clock.monotonicMs() > task.leaseUntilMs) this.#lapse(task);
+      }
+      if (task.state === Types.TaskState.Running) this.#finish(task);
+    });
+  }
+
+  #lapse(task: Task): void {
+    if (task.state !== Types.TaskState.Running) return;
+    this.#saveProgress(task, true);
+    this.#end(task, "stopped");
+  }
+
+  #finish(task: Task): void {
+    task.progress = 1;
+    task.result = works.doWork(task.order.work, {
+      input: task.order.input,
+      rank: task.order.rank,
+      gang: task.gang,
+    });
+    this.#end(task, "finished");
+  }
+
+  #end(task: Task, how: "finished" | "stopped" | "lost"): void {
+    if (!isActive(task)) return;
+    task.state = how === "finished"
+      ? Types.TaskState.Finished
+      : Types.TaskState.Stopped;
+    if (how !== "lost") {
+      const event = how === "finished"
+        ? ledgers.LedgerEvent.Finished
+        : ledgers.LedgerEvent.Stopped;
+      this.#record(task, event);
+      Deferred.doneUnsafe(task.ended, Effect.succeed(answerOf(task)));
+    }
+    this.#change(task);
+  }
+
+  #saveProgress(task: Task, checkpoint: boolean): void {
+    const { checkpointMs, progress } = task.order;
+    if (checkpointMs === null || task.startedAtMs === 0) return;
+    const ran = this.#options.clock.wallMs() - task.startedAtMs;
+    const saved = checkpoint ? ran : ran - ran % checkpointMs;
+    task.progress = Math.min(0.999, progress + saved / runMsOf(task.order));
+  }
+
+  #renewLeases(cell: string): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const task of this.#tasks.values()) {
+      if (task.order.fence.cell !== cell) continue;
+      if (task.state !== Types.TaskState.Running) continue;
+      task.leaseUntilMs = nowMs + task.order.leaseMs;
+    }
+  }
+
+  #inventory(): Types.Inventory {
+    return {
+      worker: this.name,
+      bootId: this.#bootId,
+      leaving: this.leaving,
+      version: this.#version,
+      tasks: [...this.#tasks.values()].map(reportOf),
+    };
+  }
+
+  #report(since: number): Types.WorkerReport {
+    const changed = [...this.#tasks.values()].filter((t) => t.version > since);
+    return {
+      worker: this.name,
+      bootId: this.#bootId,
+      leaving: this.leaving,
+      version: this.#version,
+      changed: changed.map(reportOf),
+      usage: this.usage(),
+    };
+  }
+
+  #forget(key: string): void {
+    const task = this.#tasks.get(key);
+    if (task === undefined || isActive(task)) return;
+    this.#tasks.delete(key);
+    this.#revoked.add(key);
+  }
+
+  #change(task: Task): void {
+    this.#touch();
+    task.version = this.#version;
+    if (this.#tasks.size > KEPT_TASKS) this.#forgetOldest();
+  }
+
+  #forgetOldest(): void {
+    for (const [key, task] of this.#tasks) {
+      if (isActive(task)) continue;
+      this.#forget(key);
+      return;
+    }
+  }
+
+  #touch(): void {
+    this.#version++;
+    const changed = this.#changed;
+    this.#changed = Deferred.makeUnsafe();
+    Deferred.doneUnsafe(changed, Effect.void);
+  }
+
+  #record(task: Task, event: ledgers.LedgerEvent): void {
+    const { jobId, attempt, rank, repeatable } = task.order;
+    this.#options.ledger.add({
+      event,
+      worker: this.name,
+      jobId,
+      attempt,
+      rank,
+      gang: task.gang,
+      repeatable,
+      atMs: this.#options.clock.wallMs(),
+    });
+  }
+}
+
+function isActive(task: Task): boolean {
+  return task.state === Types.TaskState.Held ||
+    task.state === Types.TaskState.Running;
+}
+
+function keyOf(key: Types.TaskKey): string {
+  return `${key.jobId}/${key.attempt}/${key.rank}`;
+}
+
+/** Run time that the input asks for, in milliseconds. */
+function runMsOf(order: Types.HoldOrder): number {
+  const input = order.input as { runMs?: unknown } | null;
+  const runMs = input?.runMs;
+  return typeof runMs === "number" && runMs >= 0 ? runMs : DEFAULT_RUN_MS;
+}
+
+function answerOf(task: Task): Types.TaskAnswer {
+  const { jobId, attempt, rank, caller } = task.order;
+  return { jobId, attempt, rank, caller, state: task.state, result: task.result };
+}
+
+function reportOf(task: Task): Types.TaskReport {
+  const { order } = task;
+  return {
+    jobId: order.jobId,
+    attempt: order.attempt,
+    rank: order.rank,
+    state: task.state,
+    epoch: task.epoch,
+    mask: order.mask,
+    gang: order.gang,
+    team: order.team,
+    progress: task.progress,
+    result: task.result,
+    caller: order.caller,
+    spec: order.spec,
+  };
+}
--- /dev/null
+++ b/packages/table-client/src/circuit_breaker.ts
@@ -0,0 +1,33 @@
+/** Stops asking a service that has failed several times in a row. */
+import type * as Platform from "@cairngate/platform";
+
+const FAILURES_TO_OPEN = 5;
+const OPEN_MS = 500;
+
+/** Counts failures; open means: fail at once, do not ask. */
+export class CircuitBreaker {
+  readonly #clock: Platform.Clock;
+  #failures = 0;
+  #openUntilMs = 0;
+
+  constructor(clock: Platform.Clock) {
+    this.#clock = clock;
+  }
+
+  /** Whether calls are refused now. */
+  isOpen(): boolean {
+    return this.#clock.monotonicMs() < this.#openUntilMs;
+  }
+
+  /** The service has answered. */
+  succeeded(): void {
+    this.#failures = 0;
+  }
+
+  /** The service has not answered; one trial follows each open time. */
+  failed(): void {
+    this.#failures++;
+    if (this.#failures < FAILURES_TO_OPEN) return;
+    this.#openUntilMs = this.#clock.monotonicMs() + OPEN_MS;
+  }
+}
--- /dev/null
+++ b/packages/table-client/src/grouped_writer.ts
@@ -0,0 +1,125 @@
+/**
+ * Groups independent writes into one transaction, because the table service
+ * takes only about a hundred writes a second. A group whose conditions fail
+ * is written again one by one, so that one bad write does not fail others.
+ */
+import type * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as clients from "./store_client.ts";
+
+/** One write of a group. */
+export type GroupedWrite = clients.Write;
+
+type Failure = clients.StoreFailure | Errors.ConditionFailedError;
+
+interface Pending {
+  readonly write: GroupedWrite;
+  readonly done: Deferred.Deferred<number, Failure>;
+}
+
+const MOST_WRITES = 100;
+const DEADLINE_MS = 3000;
+
+/** Collects writes while an earlier group is on its way. */
+export class GroupedWriter {
+  readonly #client: clients.StoreClient;
+  readonly #clock: Platform.Clock;
+  readonly #windowMs: number;
+  #pending: Pending[] = [];
+  #isRunning = false;
+
+  /** @param options.windowMs how long a first write waits for company */
+  constructor(
+    options: {
+      client: clients.StoreClient;
+      clock: Platform.Clock;
+      windowMs: number;
+    },
+  ) {
+    this.#client = options.client;
+    this.#clock = options.clock;
+    this.#windowMs = options.windowMs;
+  }
+
+  /** Writes together with others; returns the revision. */
+  write(write: GroupedWrite): Effect.Effect<number, Failure> {
+    return Effect.gen({ self: this }, function* () {
+      const done = Deferred.makeUnsafe<number, Failure>();
+      this.#pending.push({ write, done });
+      if (!this.#isRunning) {
+        this.#isRunning = true;
+        yield* Effect.forkDetach(this.#drain());
+      }
+      return yield* Deferred.await(done);
+    });
+  }
+
+  #drain(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#clock.sleep(this.#windowMs);
+      while (this.#pending.length > 0) {
+        const group = this.#takeGroup();
+        yield* this.#writeGroup(group);
+      }
+      // No step lies between the last look and this line, so that a write
+      // that comes later starts a new run.
+      this.#isRunning = false;
+    });
+  }
+
+  /** Writes of different rows, oldest first; the rest stays for later. */
+  #takeGroup(): Pending[] {
+    const keys = new Set<string>();
+    const group: Pending[] = [];
+    const rest: Pending[] = [];
+    for (const pending of this.#pending) {
+      const own = pending.write.writes.map((w) => w.key);
+      const fits = group.length < MOST_WRITES &&
+        !own.some((key) => keys.has(key));
+      (fits ? group : rest).push(pending);
+      for (const key of own) keys.add(key);
+    }
+    this.#pending = rest;
+    return group;
+  }
+
+  #writeGroup(group: Pending[]): Effect.Effect<void> {
+    if (group.length === 1) return this.#writeOne(group[0]);
+    const all = {
+      conditions: uniqueConditions(group),
+      writes: group.flatMap((p) => p.write.writes),
+    };
+    return this.#client.write(all, DEADLINE_MS).pipe(
+      Effect.flatMap((revision) =>
+        Effect.forEach(group, (p) => Deferred.succeed(p.done, revision))
+      ),
+      Effect.catchTags({
+        ConditionFailedError: () =>
+          Effect.forEach(group, (p) => this.#writeOne(p)),
+        StoreUnavailableError: (err) =>
+          Effect.forEach(group, (p) => Deferred.fail(p.done, err)),
+      }),
+      Effect.asVoid,
+    );
+  }
+
+  #writeOne(pending: Pending): Effect.Effect<void> {
+    return this.#client.write(pending.write, DEADLINE_MS).pipe(
+      Effect.exit,
+      Effect.flatMap((exit) => Deferred.done(pending.done, exit)),
+      Effect.asVoid,
+    );
+  }
+}
+
+function uniqueConditions(group: readonly Pending[]): Platform.RowCondition[] {
+  const byKey = new Map<string, Platform.RowCondition>();
+  for (const { write } of group) {
+    for (const condition of write.conditions) {
+      byKey.set(`${condition.key}@${condition.revision}`, condition);
+    }
+  }
+  return [...byKey.values()];
+}
--- /dev/null
+++ b/packages/table-client/src/keys.ts
@@ -0,0 +1,51 @@
+/** Keys of the rows that cairngate keeps in the table service. */
+
+/** Owner row of a cell: epoch and holder; changes on takeover only. */
+export function ownerKey(cell: string): string {
+  return `owners/${cell}`;
+}
+
+/** Lease row of a cell; renewed by its owner. */
+export function leaseKey(cell: string): string {
+  return `leases/${cell}`;
+}
+
+/** Version of a deployment's configuration in force. */
+export function configKey(deployment: string): string {
+  return `config/${deployment}/current`;
+}
+
+/** One version of a deployment's configuration. */
+export function configVersionKey(
+  deployment: string,
+  version: number,
+): string {
+  return `${configHistoryPrefix(deployment)}${
+    String(version).padStart(8, "0")
+  }`;
+}
+
+/** Start of the keys of all versions of a deployment's configuration. */
+export function configHistoryPrefix(deployment: string): string {
+  return `config/${deployment}/versions/`;
+}
+
+/** Start of the keys of a cell's stored jobs. */
+export function jobPrefix(cell: string): string {
+  return `jobs/${cell}/`;
+}
+
+/** Record of a stored job. */
+export function jobKey(cell: string, jobId: string): string {
+  return `${jobPrefix(cell)}${jobId}`;
+}
+
+/** Intent and outcome of an unrepeatable short job. */
+export function intentKey(cell: string, jobId: string): string {
+  return `intents/${cell}/${jobId}`;
+}
+
+/** Object-store key of a job's result. */
+export function resultObjectKey(cell: string, jobId: string): string {
+  return `results/${cell}/${jobId}`;
+}
--- /dev/null
+++ b/packages/table-client/src/store_client.ts
@@ -0,0 +1,226 @@
+/**
+ * Client of the table service. Every call has a deadline. A transaction whose
+ * answer is lost is resolved by reading its rows back: each row names the
+ * transaction that wrote it. A retry is the same transaction, and its
+ * conditions keep it from taking effect twice.
+ */
+import * as Errors from "@cairngate/errors";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Platform from "@cairngate/platform";
+import * as Effect from "effect/Effect";
+import * as breakers from "./circuit_breaker.ts";
+
+/** What a store client needs. */
+export interface StoreClientOptions {
+  readonly table: Platform.TableService;
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly metrics: Metrics.Metrics;
+  /** Budget of this box; writes beyond it wait. */
+  readonly writesPerSecond: number;
+}
+
+/** Why a call gave up. */
+export type StoreFailure = Errors.StoreUnavailableError;
+
+/** A transaction without its id; the client gives it one. */
+export interface Write {
+  readonly conditions: readonly Platform.RowCondition[];
+  readonly writes: readonly Platform.RowWrite[];
+  /** Given by the caller where a later attempt must be the same write. */
+  readonly writeId?: string;
+}
+
+const CALL_MS = 1000;
+const FIRST_BACKOFF_MS = 40;
+const LONGEST_BACKOFF_MS = 1000;
+/** Time after which a call gives up, unless the caller says otherwise. */
+const DEFAULT_DEADLINE_MS = 3000;
+const BURST_SECONDS = 1;
+
+/** Reads and writes rows; fails with one error after its deadline. */
+export class StoreClient {
+  readonly #options: StoreClientOptions;
+  readonly #breaker: breakers.CircuitBreaker;
+  #tokens: number;
+  #tokensAtMs: number;
+
+  constructor(options: StoreClientOptions) {
+    this.#options = options;
+    this.#breaker = new breakers.CircuitBreaker(options.clock);
+    this.#tokens = options.writesPerSecond * BURST_SECONDS;
+    this.#tokensAtMs = options.clock.monotonicMs();
+  }
+
+  /** Whether the service answered lately. */
+  isReachable(): boolean {
+    return !this.#breaker.isOpen();
+  }
+
+  /** Reads rows; absent ones are left out. */
+  read(
+    keys: readonly string[],
+    deadlineMs = DEFAULT_DEADLINE_MS,
+  ): Effect.Effect<readonly Platform.Row[], StoreFailure> {
+    const call = () => this.#options.table.read(keys);
+    return this.#retryRead("read", call, deadlineMs);
+  }
+
+  /** Rows under a prefix that are newer than a revision. */
+  scan(
+    prefix: string,
+    afterRevision = 0,
+    deadlineMs = DEFAULT_DEADLINE_MS,
+  ): Effect.Effect<readonly Platform.Row[], StoreFailure> {
+    const call = () => this.#options.table.scan(prefix, afterRevision);
+    return this.#retryRead("scan", call, deadlineMs);
+  }
+
+  /** Writes; returns the revision. Unavailable means: perhaps written. */
+  write(
+    write: Write,
+    deadlineMs = DEFAULT_DEADLINE_MS,
+  ): Effect.Effect<number, StoreFailure | Errors.ConditionFailedError> {
+    const writeId = write.writeId ?? this.#options.random.id();
+    const tx = { ...write, writeId };
+    return this.#writeUntil(tx, deadlineMs);
+  }
+
+  #writeUntil(
+    tx: Platform.Transaction,
+    deadlineMs: number,
+  ): Effect.Effect<number, StoreFailure | Errors.ConditionFailedError> {
+    const { clock, random } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const endMs = clock.monotonicMs() + deadlineMs;
+      let backoffMs = FIRST_BACKOFF_MS;
+      let mayHaveLanded = false;
+      for (;;) {
+        yield* this.#takeToken(endMs);
+        const tried = yield* this.#tryWrite(tx);
+        if (tried.kind === "written") return tried.revision;
+        if (tried.kind === "refused" && !mayHaveLanded) return yield* tried.err;
+        mayHaveLanded ||= tried.kind === "lost";
+        if (mayHaveLanded) {
+          const landed = yield* this.#findWrite(tx);
+          if (landed !== null) return landed;
+          if (tried.kind === "refused") return yield* tried.err;
+        }
+        if (clock.monotonicMs() + backoffMs > endMs) {
+          return yield* unavailable("write", "no answer before the deadline");
+        }
+        yield* clock.sleep(random.jitter(backoffMs));
+        backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
+      }
+    });
+  }
+
+  #tryWrite(tx: Platform.Transaction): Effect.Effect<WriteTry> {
+    const { table, metrics } = this.#options;
+    metrics.count("cairngate_store_writes_total");
+    return this.#timed("write", table.transact(tx)).pipe(
+      Effect.map((revision): WriteTry => ({ kind: "written", revision })),
+      Effect.catchTags({
+        ConditionFailedError: (err) =>
+          Effect.succeed<WriteTry>({ kind: "refused", err }),
+        AnswerLostError: () => Effect.succeed<WriteTry>({ kind: "lost" }),
+        StoreUnavailableError: () => Effect.succeed<WriteTry>({ kind: "down" }),
+      }),
+    );
+  }
+
+  /** Revision of the transaction if its rows show that it took effect. */
+  #findWrite(tx: Platform.Transaction): Effect.Effect<number | null> {
+    const kept = tx.writes.filter((w) => w.value !== null);
+    const keys = kept.map((w) => w.key);
+    this.#options.metrics.count("cairngate_store_lost_answers_total");
+    return this.#timed("read", this.#options.table.read(keys)).pipe(
+      Effect.map((rows) => {
+        const own = rows.find((row) => row.writeId === tx.writeId);
+        return own?.revision ?? null;
+      }),
+      Effect.catch(() => Effect.succeed(null)),
+    );
+  }
+
+  #retryRead<A>(
+    operation: string,
+    call: () => Effect.Effect<A, Platform.StoreError>,
+    deadlineMs: number,
+  ): Effect.Effect<A, StoreFailure> {
+    const { clock, random, metrics } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const endMs = clock.monotonicMs() + deadlineMs;
+      let backoffMs = FIRST_BACKOFF_MS;
+      for (;;) {
+        metrics.count("cairngate_store_reads_total");
+        const rows = yield* this.#timed(operation, call()).pipe(
+          Effect.catch(() => Effect.succeed(null)),
+        );
+        if (rows !== null) return rows;
+        if (clock.monotonicMs() + backoffMs > endMs) {
+          return yield* unavailable(operation, "no answer before the deadline");
+        }
+        yield* clock.sleep(random.jitter(backoffMs));
+        backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
+      }
+    });
+  }
+
+  /** One call with a deadline, counted and watched by the circuit breaker. */
+  #timed<A, E extends { readonly _tag: string }>(
+    operation: string,
+    call: Effect.Effect<A, E>,
+  ): Effect.Effect<A, E | Errors.AnswerLostError | StoreFailure> {
+    const { clock, metrics } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      if (this.#breaker.isOpen()) {
+        return yield* unavailable(operation, "it failed several times lately");
+      }
+      const startMs = clock.monotonicMs();
+      const timed = yield* clock.within(CALL_MS, call).pipe(
+        Effect.tapError((err) =>
+          Effect.sync(() => {
+            if (err._tag !== "ConditionFailedError") this.#breaker.failed();
+          })
+        ),
+      );
+      if (timed === null) {
+        this.#breaker.failed();
+        return yield* new Errors.AnswerLostError({ operation });
+      }
+      this.#breaker.succeeded();
+      const tookMs = clock.monotonicMs() - startMs;
+      metrics.observeMs(`cairngate_store_${operation}_seconds`, tookMs);
+      return timed.value;
+    });
+  }
+
+  /** Waits for the write budget; fails when the wait passes the deadline. */
+  #takeToken(endMs: number): Effect.Effect<void, StoreFailure> {
+    const { clock, writesPerSecond } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const gained = (nowMs - this.#tokensAtMs) / 1000 * writesPerSecond;
+    const most = writesPerSecond * BURST_SECONDS;
+    this.#tokens = Math.min(most, this.#tokens + gained) - 1;
+    this.#tokensAtMs = nowMs;
+    if (this.#tokens >= 0) return Effect.void;
+    const waitMs = -this.#tokens / writesPerSecond * 1000;
+    if (nowMs + waitMs <= endMs) return clock.sleep(waitMs);
+    this.#tokens++;
+    return unavailable("write", "the write budget of this box is used up");
+  }
+}
+
+type WriteTry =
+  | { readonly kind: "written"; readonly revision: number }
+  | { readonly kind: "refused"; readonly err: Errors.ConditionFailedError }
+  | { readonly kind: "lost" }
+  | { readonly kind: "down" };
+
+function unavailable(
+  operation: string,
+  cause: string,
+): Effect.Effect<never, StoreFailure> {
+  return Effect.fail(new Errors.StoreUnavailableError({ operation, cause }));
+}
--- /dev/null
+++ b/packages/types/mod.ts
@@ -0,0 +1,6 @@
+/** Shared data types of cairngate. Every other package may import this one. */
+export * from "./src/config.ts";
+export * from "./src/decision.ts";
+export * from "./src/job.ts";
+export * from "./src/peer.ts";
+export * from "./src/worker.ts";
