--- a/packages/adapters/mod.ts
+++ b/packages/adapters/mod.ts
@@ -1,5 +1,9 @@
 /** Adapters: system clock, random numbers, platform and workers over HTTP. */
-export { HttpLiveList, HttpObjectStore, HttpTable } from "./src/http_platform.ts";
+export {
+  HttpLiveList,
+  HttpObjectStore,
+  HttpTable,
+} from "./src/http_platform.ts";
 export { HttpWorkers } from "./src/http_workers.ts";
 export { SystemClock } from "./src/system_clock.ts";
 export { SystemRandom } from "./src/system_random.ts";
--- a/packages/adapters/src/http_platform.ts
+++ b/packages/adapters/src/http_platform.ts
@@ -94,10 +94,13 @@
       method: "GET",
       path: `/v1/objects/${encodeURIComponent(key)}`,
     });
-    return Effect.map(call, (reply) =>
-      reply.status === STATUS_NOT_FOUND
-        ? undefined
-        : (reply.body as { value: unknown }).value);
+    return Effect.map(
+      call,
+      (reply) =>
+        reply.status === STATUS_NOT_FOUND
+          ? undefined
+          : (reply.body as { value: unknown }).value,
+    );
   }
 }
 
--- /dev/null
+++ b/packages/box/src/box.ts
@@ -0,0 +1,261 @@
+/** One box: everything between callers and workers, over ports. */
+import * as Cell from "@cairngate/cell";
+import type * as Config from "@cairngate/config";
+import * as Entry from "@cairngate/entry";
+import type * as Errors from "@cairngate/errors";
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Platform from "@cairngate/platform";
+import * as TableClient from "@cairngate/table-client";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import * as configs from "./config_keeper.ts";
+import * as live from "./live_workers.ts";
+import * as memberships from "./membership.ts";
+import * as routers from "./owner_router.ts";
+import * as requests from "./peer_requests.ts";
+
+/** Ports of a box. */
+export interface BoxPorts {
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly table: Platform.TableService;
+  readonly objects: Platform.ObjectStore;
+  readonly liveList: Platform.LiveList;
+  readonly workers: Platform.Workers;
+  readonly network: Platform.PeerNetwork;
+  readonly metrics: Metrics.Metrics;
+  readonly log: Logger.Logger;
+}
+
+/** The part of the settings that a box itself uses. */
+export type BoxOptions = Pick<
+  Config.BoxSettings,
+  "box" | "dataCentre" | "deployment" | "limits" | "times"
+>;
+
+/** State of a box for `cairngate dump`. */
+export interface BoxDump {
+  readonly box: string;
+  readonly dataCentre: string;
+  readonly state: Types.BoxState;
+  readonly configVersion: number;
+  readonly storeReachable: boolean;
+  readonly waitingCallers: number;
+  readonly membership: ReturnType<memberships.Membership["dump"]>;
+  readonly cells: readonly Cell.CellDump[];
+}
+
+const GROUP_WINDOW_MS = 15;
+const FETCH_CONFIG_MS = 1000;
+const READY_LOOK_MS = 100;
+const DRAIN_LOOK_MS = 50;
+
+/** A running box. */
+export class Box {
+  readonly entry: Entry.Entry;
+  readonly configs: configs.ConfigKeeper;
+  readonly metrics: Metrics.Metrics;
+  readonly owners: routers.OwnerRouter;
+  readonly #ports: BoxPorts;
+  readonly #options: BoxOptions;
+  readonly #store: TableClient.StoreClient;
+  readonly #membership: memberships.Membership;
+  readonly #liveWorkers: live.LiveWorkers;
+  readonly #managers = new Map<string, Cell.CellManager>();
+  readonly #fibers: Fiber.Fiber<unknown>[] = [];
+  readonly #cellPorts: Cell.CellPorts;
+
+  constructor(ports: BoxPorts, options: BoxOptions) {
+    this.#ports = ports;
+    this.#options = options;
+    const { clock, random, log } = ports;
+    const { box, limits, times } = options;
+    const { metrics } = ports;
+    this.metrics = metrics;
+    this.#store = new TableClient.StoreClient({
+      table: ports.table,
+      clock,
+      random,
+      metrics,
+      writesPerSecond: limits.storeWritesPerSecond,
+    });
+    const writer = new TableClient.GroupedWriter({
+      client: this.#store,
+      clock,
+      windowMs: GROUP_WINDOW_MS,
+    });
+    this.configs = new configs.ConfigKeeper({
+      deployment: options.deployment,
+      clock,
+      random,
+      store: this.#store,
+      metrics,
+      log: log.part("config"),
+      onChange: () => this.#followCells(),
+    });
+    this.#liveWorkers = new live.LiveWorkers(ports.liveList, clock);
+    this.#membership = new memberships.Membership({
+      ...options,
+      clock,
+      random,
+      network: ports.network,
+      metrics,
+      liveWorkers: this.#liveWorkers,
+      configVersion: () => this.configs.current?.version ?? 0,
+    });
+    this.owners = new routers.OwnerRouter({
+      box,
+      network: ports.network,
+      membership: this.#membership,
+      local: (_, req) => this.#answer(req),
+    });
+    const shared = { ...ports, box, store: this.#store, writer, metrics };
+    this.#cellPorts = {
+      ...shared,
+      times,
+      log: log.part("cell"),
+      view: this.#membership,
+      config: () => this.configs.inForce,
+    };
+    this.entry = new Entry.Entry({
+      ...shared,
+      limits,
+      log: log.part("entry"),
+      owners: this.owners,
+      config: () => this.configs.inForce?.cfg ?? null,
+    });
+  }
+
+  /** Opens the links and starts to work; returns at once. */
+  start(): Effect.Effect<void, Errors.ListenError> {
+    return Effect.gen({ self: this }, function* () {
+      const { network } = this.#ports;
+      const { times } = this.#options;
+      yield* network.listen((_, req) => this.#answer(req));
+      this.#membership.start();
+      this.#fork(this.configs.keepPolling(times.configPollMs));
+      this.#fork(this.#liveWorkers.keepReading(times.livePollMs));
+      this.#fork(this.#keepFetchingConfig());
+    });
+  }
+
+  /** Whether the box serves callers: it has a configuration and stays. */
+  get isReady(): boolean {
+    return this.#membership.state === Types.BoxState.Live;
+  }
+
+  /** State of the cells this box knows, by asking their owners. */
+  cellStatus(cell: string) {
+    const kind = Types.PeerKind.CellStatus as const;
+    const req = { kind, cell };
+    return this.owners.ask<Types.CellStatus>(cell, req, FETCH_CONFIG_MS * 2);
+  }
+
+  /** Explanation of a job; null where its owner does not know it. */
+  explain(cell: string, jobId: string) {
+    const kind = Types.PeerKind.Explain as const;
+    const req = { kind, cell, jobId };
+    return this.owners.ask<Types.Explanation | null>(
+      cell,
+      req,
+      FETCH_CONFIG_MS * 2,
+    );
+  }
+
+  /** Everything this box knows. */
+  dump(): BoxDump {
+    const cells = [...this.#managers.values()].flatMap((manager) =>
+      manager.owner === null ? [] : [manager.owner.dump()]
+    );
+    return {
+      box: this.#options.box,
+      dataCentre: this.#options.dataCentre,
+      state: this.#membership.state,
+      configVersion: this.configs.current?.version ?? 0,
+      storeReachable: this.#store.isReachable(),
+      waitingCallers: this.entry.waitingCallers,
+      membership: this.#membership.dump(),
+      cells,
+    };
+  }
+
+  /** Tells everybody that this box leaves, and hands its cells over. */
+  leave(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#membership.setState(Types.BoxState.Leaving);
+      const leaving = [...this.#managers.values()].map((m) => m.leave());
+      yield* Effect.all(leaving, { concurrency: "unbounded" });
+    });
+  }
+
+  /** Waits until no caller waits any more, but no longer than a limit. */
+  drain(limitMs: number): Effect.Effect<boolean> {
+    const { clock } = this.#ports;
+    return Effect.gen({ self: this }, function* () {
+      const endMs = clock.monotonicMs() + limitMs;
+      while (this.entry.waitingCallers > 0) {
+        if (clock.monotonicMs() >= endMs) return false;
+        yield* clock.sleep(DRAIN_LOOK_MS);
+      }
+      return true;
+    });
+  }
+
+  /** Ends all work at once. */
+  stop(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      yield* Fiber.interruptAll(this.#fibers);
+      yield* this.#membership.stop();
+      yield* this.#ports.network.close();
+    });
+  }
+
+  #answer(
+    req: Types.PeerRequest,
+  ): Effect.Effect<unknown, Errors.NotOwnerError | Errors.NotReadyError> {
+    return requests.answerPeer({
+      membership: this.#membership,
+      configs: this.configs,
+      owner: (cell) => this.#managers.get(cell)?.owner ?? null,
+    }, req);
+  }
+
+  /** A newer configuration is in force: watch its cells, tell the peers. */
+  #followCells(): void {
+    const cells = this.configs.inForce?.cfg.cells ?? [];
+    for (const { name } of cells) {
+      if (this.#managers.has(name)) continue;
+      const manager = new Cell.CellManager(this.#cellPorts, name);
+      this.#managers.set(name, manager);
+      this.#fork(manager.run());
+    }
+    if (this.#membership.state === Types.BoxState.Starting) {
+      this.#membership.setState(Types.BoxState.Live);
+    } else {
+      this.#membership.announce();
+    }
+  }
+
+  /** Takes a newer configuration from a peer, also when the store is down. */
+  #keepFetchingConfig(): Effect.Effect<never> {
+    const { clock, network } = this.#ports;
+    const fetch = Effect.gen({ self: this }, function* () {
+      const own = this.configs.current?.version ?? 0;
+      const [peer] = this.#membership.peersAhead(own);
+      if (peer === undefined) return;
+      const kind = Types.PeerKind.FetchConfig as const;
+      const found = yield* Effect.result(
+        network.request(peer, { kind }, FETCH_CONFIG_MS),
+      );
+      if (found._tag === "Failure" || found.success === null) return;
+      yield* this.configs.adopt(found.success as Types.ConfigVersion);
+    });
+    return clock.every(READY_LOOK_MS, fetch);
+  }
+
+  #fork(work: Effect.Effect<unknown>): void {
+    this.#fibers.push(Effect.runFork(work));
+  }
+}
--- /dev/null
+++ b/packages/box/src/membership.ts
@@ -0,0 +1,189 @@
+/** What this box knows of its peers, from heartbeats on the links. */
+import * as Cell from "@cairngate/cell";
+import type * as Config from "@cairngate/config";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Platform from "@cairngate/platform";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import type * as live from "./live_workers.ts";
+
+/** What the membership needs. */
+export interface MembershipOptions {
+  readonly box: string;
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly network: Platform.PeerNetwork;
+  readonly metrics: Metrics.Metrics;
+  readonly times: Config.TimeSettings;
+  readonly liveWorkers: live.LiveWorkers;
+  readonly configVersion: () => number;
+}
+
+/** State of a peer, as last heard. */
+interface PeerState {
+  heardAtMs: number;
+  beat: Types.Heartbeat;
+  /** When the link to the peer was found closed; null while it is open. */
+  closedAtMs: number | null;
+}
+
+/** A beat that is late by this factor counts as missed on a closed link. */
+const LATE_FACTOR = 1.5;
+
+/** Sends heartbeats and keeps what peers tell. */
+export class Membership extends Cell.ClusterView {
+  readonly #options: MembershipOptions;
+  readonly #peers = new Map<string, PeerState>();
+  readonly #claims = new Map<string, Types.OwnerClaim>();
+  readonly #fibers: Fiber.Fiber<unknown>[] = [];
+  #state = Types.BoxState.Starting;
+
+  constructor(options: MembershipOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Starts one fiber for each peer. */
+  start(): void {
+    for (const peer of this.#options.network.peers()) {
+      this.#fibers.push(Effect.runFork(this.#keepBeating(peer)));
+    }
+  }
+
+  /** Ends the heartbeats. */
+  stop(): Effect.Effect<void> {
+    return Fiber.interruptAll(this.#fibers);
+  }
+
+  /** Sets the state that peers are told. */
+  setState(state: Types.BoxState): void {
+    this.#state = state;
+    this.announce();
+  }
+
+  /** State that peers are told. */
+  get state(): Types.BoxState {
+    return this.#state;
+  }
+
+  /** Takes in a heartbeat. */
+  noteBeat(beat: Types.Heartbeat): void {
+    const heardAtMs = this.#options.clock.monotonicMs();
+    const closedAtMs = null;
+    this.#peers.set(beat.box, { heardAtMs, beat, closedAtMs });
+    for (const claim of beat.owners) this.noteClaim(claim);
+    this.#options.liveWorkers.noteLeaving(beat.leavingWorkers);
+  }
+
+  /** Peers with a newer configuration than a version, newest first. */
+  peersAhead(version: number): string[] {
+    return [...this.#peers.values()]
+      .filter(({ beat }) => beat.configVersion > version)
+      .sort((a, b) => b.beat.configVersion - a.beat.configVersion)
+      .map(({ beat }) => beat.box);
+  }
+
+  override claimOf(cell: string): Types.OwnerClaim | null {
+    return this.#claims.get(cell) ?? null;
+  }
+
+  override noteClaim(claim: Types.OwnerClaim): void {
+    const known = this.#claims.get(claim.cell);
+    if (known !== undefined && known.epoch >= claim.epoch) return;
+    this.#claims.set(claim.cell, claim);
+  }
+
+  override isHeardByAnyone(box: string): boolean {
+    if (box === this.#options.box) return true;
+    if (this.#isHeard(box)) return true;
+    for (const [name, { beat }] of this.#peers) {
+      if (this.#isHeard(name) && beat.hears.includes(box)) return true;
+    }
+    return false;
+  }
+
+  override isLeaving(box: string): boolean {
+    const state = this.#peers.get(box)?.beat.state;
+    return state === Types.BoxState.Leaving;
+  }
+
+  override livePeers(): readonly string[] {
+    return [...this.#peers]
+      .filter(([name, { beat }]) =>
+        this.#isHeard(name) && beat.state === Types.BoxState.Live
+      )
+      .map(([name]) => name);
+  }
+
+  override isWorkerLeaving(worker: string): boolean {
+    return this.#options.liveWorkers.isLeaving(worker);
+  }
+
+  override announce(): void {
+    for (const peer of this.#options.network.peers()) {
+      Effect.runFork(this.#beat(peer));
+    }
+  }
+
+  /** All peers, for `cairngate dump`. */
+  dump() {
+    const nowMs = this.#options.clock.monotonicMs();
+    return {
+      claims: [...this.#claims.values()],
+      peers: [...this.#peers].map(([name, { heardAtMs, beat }]) => ({
+        name,
+        state: beat.state,
+        heard: this.#isHeard(name),
+        heardAgoMs: Math.round(nowMs - heardAtMs),
+        configVersion: beat.configVersion,
+      })),
+    };
+  }
+
+  #isHeard(box: string): boolean {
+    const peer = this.#peers.get(box);
+    if (peer === undefined) return false;
+    const { heartbeatMs, peerTimeoutMs } = this.#options.times;
+    const ageMs = this.#options.clock.monotonicMs() - peer.heardAtMs;
+    if (peer.closedAtMs !== null && ageMs > heartbeatMs * LATE_FACTOR) {
+      return false;
+    }
+    return ageMs <= peerTimeoutMs;
+  }
+
+  #keepBeating(peer: string): Effect.Effect<never> {
+    const { clock, times } = this.#options;
+    return clock.every(times.heartbeatMs, this.#beat(peer));
+  }
+
+  #beat(peer: string): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { network, times } = this.#options;
+      const sent = yield* Effect.result(
+        network.request(peer, this.#makeBeat(), times.heartbeatMs),
+      );
+      const state = this.#peers.get(peer);
+      if (state === undefined) return;
+      const isClosed = sent._tag === "Failure" &&
+        sent.failure._tag === "PeerUnreachableError";
+      state.closedAtMs = isClosed ? this.#options.clock.monotonicMs() : null;
+    });
+  }
+
+  #makeBeat(): Types.Heartbeat {
+    const { box, liveWorkers, configVersion } = this.#options;
+    const owners = [...this.#claims.values()];
+    const holders = new Set(owners.map((claim) => claim.holder));
+    const hears = [...holders].filter((holder) => this.#isHeard(holder));
+    return {
+      kind: Types.PeerKind.Heartbeat,
+      box,
+      state: this.#state,
+      configVersion: configVersion(),
+      owners,
+      hears,
+      leavingWorkers: liveWorkers.leavingNames(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/cell/src/cell_manager.ts
@@ -0,0 +1,150 @@
+/** Decides when this box takes a cell, and owns it until it is lost. */
+import * as TableClient from "@cairngate/table-client";
+import * as Effect from "effect/Effect";
+import * as crypto from "node:crypto";
+import * as owners from "./cell_owner.ts";
+import * as leases from "./owner_lease.ts";
+import type * as ports from "./ports.ts";
+
+const LOOK_MS = 100;
+/** Each heir waits this much longer than the one before it. */
+const HEIR_STEP_MS = 250;
+const RETRY_MS = 200;
+
+/** Watches one cell and owns it while no other box does. */
+export class CellManager {
+  readonly cell: string;
+  readonly #ports: ports.CellPorts;
+  #owner: owners.CellOwner | null = null;
+  #isLeaving = false;
+  #leaseRevision = 0;
+  #leaseSeenAtMs: number;
+
+  constructor(cellPorts: ports.CellPorts, cell: string) {
+    this.cell = cell;
+    this.#ports = cellPorts;
+    this.#leaseSeenAtMs = cellPorts.clock.monotonicMs();
+  }
+
+  /** The owner, where this box owns the cell now. */
+  get owner(): owners.CellOwner | null {
+    return this.#owner;
+  }
+
+  /** Watches the cell for ever. */
+  run(): Effect.Effect<never> {
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        const config = this.#ports.config();
+        const wanted = config !== null && !this.#isLeaving &&
+          (yield* this.#isVacant());
+        if (wanted && (yield* this.#isStillVacantAfterRank())) {
+          yield* this.#own(config);
+        }
+        yield* this.#ports.clock.sleep(LOOK_MS);
+      }
+    });
+  }
+
+  /** Hands the cell over and takes it no more. */
+  leave(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#isLeaving = true;
+      if (this.#owner !== null) yield* this.#owner.handOver();
+    });
+  }
+
+  #own(config: ports.ConfigInForce): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { log, metrics, view, box } = this.#ports;
+      const taken = yield* Effect.result(
+        leases.OwnerLease.take(this.#ports, this.cell),
+      );
+      if (taken._tag === "Failure") {
+        log.debug(`Cell ${this.cell} was not taken: ${taken.failure.message}`);
+        return yield* this.#ports.clock.sleep(RETRY_MS);
+      }
+      const lease = taken.success;
+      metrics.count("cairngate_takeovers_total", { cell: this.cell });
+      view.noteClaim({ cell: this.cell, epoch: lease.epoch, holder: box });
+      this.#owner = yield* owners.CellOwner.create(this.#ports, lease, config);
+      view.announce();
+      const why = yield* Effect.ensuring(
+        this.#owner.run(),
+        Effect.sync(() => (this.#owner = null)),
+      );
+      this.#leaseSeenAtMs = this.#ports.clock.monotonicMs();
+      log.warn(`Cell ${this.cell} is no longer owned: ${why}.`);
+    });
+  }
+
+  /** Later heirs wait longer, so that not all try at once. */
+  #isStillVacantAfterRank(): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const rank = this.#rank();
+      if (rank === 0) return true;
+      yield* this.#ports.clock.sleep(rank * HEIR_STEP_MS);
+      return !this.#isLeaving && (yield* this.#isVacant());
+    });
+  }
+
+  /** Whether the owner row names nobody, or a box that nobody hears. */
+  #isVacant(): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { view, box } = this.#ports;
+      const claim = view.claimOf(this.cell);
+      const isHeard = claim !== null && claim.holder !== box &&
+        !view.isLeaving(claim.holder) && view.isHeardByAnyone(claim.holder);
+      if (isHeard) return false;
+      const row = yield* this.#readRow();
+      if (row === "unknown") return false;
+      if (row === null || row.holder === "") return true;
+      const { epoch, holder } = row;
+      view.noteClaim({ cell: this.cell, epoch, holder });
+      // A holder of this name that is not this process has died.
+      if (holder === box) return true;
+      if (view.isHeardByAnyone(holder)) return false;
+      return view.livePeers().length > 0 || this.#isLeaseOld();
+    });
+  }
+
+  /** Alone, this box trusts only the lease, which the holder keeps renewing. */
+  #isLeaseOld(): boolean {
+    const { clock, times } = this.#ports;
+    return clock.monotonicMs() - this.#leaseSeenAtMs > times.ownerLeaseMs;
+  }
+
+  #readRow(): Effect.Effect<leases.OwnerRow | null | "unknown"> {
+    return Effect.gen({ self: this }, function* () {
+      const { store, clock } = this.#ports;
+      const keys = [
+        TableClient.Keys.ownerKey(this.cell),
+        TableClient.Keys.leaseKey(this.cell),
+      ];
+      const rows = yield* Effect.result(store.read(keys, RETRY_MS));
+      if (rows._tag === "Failure") return "unknown" as const;
+      const lease = rows.success.find((row) => row.key === keys[1]);
+      if ((lease?.revision ?? 0) !== this.#leaseRevision) {
+        this.#leaseRevision = lease?.revision ?? 0;
+        this.#leaseSeenAtMs = clock.monotonicMs();
+      }
+      const owner = rows.success.find((row) => row.key === keys[0]);
+      return (owner?.value as leases.OwnerRow | undefined) ?? null;
+    });
+  }
+
+  /** Place of this box among the heirs, by rendezvous hash. */
+  #rank(): number {
+    const { box, view } = this.#ports;
+    const own = rendezvousWeight(this.cell, box);
+    const ahead = view.livePeers().filter((peer) => {
+      const weight = rendezvousWeight(this.cell, peer);
+      return weight > own;
+    });
+    return ahead.length;
+  }
+}
+
+function rendezvousWeight(cell: string, box: string): string {
+  return crypto.createHash("sha256").update(`${cell}\n${box}`).digest("hex");
+}
--- /dev/null
+++ b/packages/cell/src/cell_state.ts
@@ -0,0 +1,93 @@
+/** What the parts of a cell's owner share. */
+import * as Scheduler from "@cairngate/scheduler";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import * as Queue from "effect/Queue";
+import * as records from "./job_records.ts";
+import type * as owned from "./owned_job.ts";
+import type * as leases from "./owner_lease.ts";
+import type * as ports from "./ports.ts";
+import * as taskOrders from "./task_orders.ts";
+import type * as workerLinks from "./worker_link.ts";
+
+/** State of a cell under one epoch. */
+export class CellState {
+  readonly ports: ports.CellPorts;
+  readonly lease: leases.OwnerLease;
+  readonly records: records.JobRecords;
+  readonly orders: taskOrders.TaskOrders;
+  readonly jobs = new Map<string, owned.OwnedJob>();
+  readonly links = new Map<string, workerLinks.WorkerLink>();
+  /** Wakes the planner; one element is enough. */
+  readonly wakeups: Queue.Queue<void>;
+  readonly #fibers = new Set<Fiber.Fiber<unknown>>();
+  scheduler: Scheduler.Scheduler;
+  configVersion: number;
+  #attempts = 0;
+
+  constructor(
+    options: {
+      ports: ports.CellPorts;
+      lease: leases.OwnerLease;
+      config: ports.ConfigInForce;
+      wakeups: Queue.Queue<void>;
+    },
+  ) {
+    this.ports = options.ports;
+    this.lease = options.lease;
+    this.wakeups = options.wakeups;
+    this.configVersion = options.config.version;
+    this.scheduler = createScheduler(options.config, options.lease.cell);
+    this.records = new records.JobRecords(options.ports, options.lease);
+    this.orders = new taskOrders.TaskOrders(
+      options.ports,
+      options.lease,
+      (worker) => this.links.get(worker)?.worker.endpoint ?? null,
+    );
+  }
+
+  /** An attempt id that no other owner or attempt has. */
+  nextAttemptId(): string {
+    this.#attempts++;
+    return `${this.lease.epoch}-${this.#attempts}`;
+  }
+
+  /** Index of a worker in the scheduler; -1 where it has none. */
+  indexOf(worker: string): number {
+    return Scheduler.findWorkerIndex(this.scheduler.layout, worker);
+  }
+
+  /** Names of the workers of some slots. */
+  workersOf(slots: readonly Types.Slot[]): string[] {
+    const { workers } = this.scheduler.layout;
+    return slots.map((slot) => workers[slot.worker]?.name ?? "?");
+  }
+
+  /** Has the planner run soon. */
+  wake(): void {
+    Queue.offerUnsafe(this.wakeups, undefined);
+  }
+
+  /** Runs work in a fiber that ends with the ownership at the latest. */
+  fork(work: Effect.Effect<unknown>): void {
+    const fiber = Effect.runFork(work);
+    this.#fibers.add(fiber);
+    fiber.addObserver(() => this.#fibers.delete(fiber));
+  }
+
+  /** Ends all work of this ownership. */
+  interruptAll(): Effect.Effect<void> {
+    return Fiber.interruptAll([...this.#fibers]);
+  }
+}
+
+/** A scheduler for a cell under a configuration. */
+export function createScheduler(
+  config: ports.ConfigInForce,
+  cell: string,
+): Scheduler.Scheduler {
+  const layout = Scheduler.createCellLayout(config.cfg, cell);
+  const policies = Scheduler.createPolicies(config.cfg.weighting);
+  return new Scheduler.Scheduler(layout, policies);
+}
--- /dev/null
+++ b/packages/cell/src/job_records.ts
@@ -0,0 +1,112 @@
+/** Rows of stored jobs. Every write requires that the owner's epoch holds. */
+import type * as Errors from "@cairngate/errors";
+import * as TableClient from "@cairngate/table-client";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as leases from "./owner_lease.ts";
+import type * as ports from "./ports.ts";
+
+/** Results up to this size stay in the row; larger ones become objects. */
+const ROW_RESULT_BYTES = 16_000;
+const RETRY_MS = 500;
+
+const FINAL_STATES: ReadonlySet<Types.JobState> = new Set([
+  Types.JobState.Done,
+  Types.JobState.Failed,
+  Types.JobState.Cancelled,
+  Types.JobState.NotRun,
+  Types.JobState.Unknown,
+]);
+
+/** Whether a job in this state has ended. */
+export function isFinal(state: Types.JobState): boolean {
+  return FINAL_STATES.has(state);
+}
+
+/** Reads and writes the rows of one cell's stored jobs. */
+export class JobRecords {
+  readonly #ports: ports.CellPorts;
+  readonly #lease: leases.OwnerLease;
+  #scannedTo = 0;
+
+  constructor(cellPorts: ports.CellPorts, lease: leases.OwnerLease) {
+    this.#ports = cellPorts;
+    this.#lease = lease;
+  }
+
+  /** Records that changed since the last call. */
+  loadChanged(): Effect.Effect<
+    readonly Types.JobRecord[],
+    Errors.StoreUnavailableError
+  > {
+    return Effect.gen({ self: this }, function* () {
+      const prefix = TableClient.Keys.jobPrefix(this.#lease.cell);
+      const rows = yield* this.#ports.store.scan(prefix, this.#scannedTo);
+      for (const row of rows) {
+        this.#scannedTo = Math.max(this.#scannedTo, row.revision);
+      }
+      return rows.map((row) => row.value as Types.JobRecord);
+    });
+  }
+
+  /** The record of one job; null where there is none. */
+  load(
+    jobId: string,
+  ): Effect.Effect<Types.JobRecord | null, Errors.StoreUnavailableError> {
+    const key = TableClient.Keys.jobKey(this.#lease.cell, jobId);
+    return Effect.map(
+      this.#ports.store.read([key]),
+      (rows) => (rows[0]?.value as Types.JobRecord | undefined) ?? null,
+    );
+  }
+
+  /** Writes a record once. */
+  save(
+    record: Types.JobRecord,
+  ): Effect.Effect<
+    void,
+    Errors.StoreUnavailableError | Errors.ConditionFailedError
+  > {
+    const key = TableClient.Keys.jobKey(this.#lease.cell, record.job.id);
+    const value = { ...record, updatedAtMs: this.#ports.clock.wallMs() };
+    return Effect.asVoid(
+      this.#ports.writer.write({
+        conditions: [this.#lease.condition],
+        writes: [{ key, value }],
+      }),
+    );
+  }
+
+  /**
+   * Writes the end of a job, and tries again until it is written or the cell
+   * is lost. False where the cell was lost: the next owner ends the job.
+   */
+  saveEnd(record: Types.JobRecord): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      while (!this.#lease.isLost) {
+        const small = yield* Effect.exit(this.#moveResult(record));
+        if (small._tag === "Success") {
+          const saved = yield* Effect.result(this.save(small.value));
+          if (saved._tag === "Success") return true;
+          if (saved.failure._tag === "ConditionFailedError") {
+            yield* this.#lease.renew();
+          }
+        }
+        yield* this.#ports.clock.sleep(RETRY_MS);
+      }
+      return false;
+    });
+  }
+
+  /** Moves a large result into the object store. */
+  #moveResult(record: Types.JobRecord) {
+    return Effect.gen({ self: this }, function* () {
+      const size = JSON.stringify(record.result ?? null).length;
+      if (size <= ROW_RESULT_BYTES) return record;
+      const { cell } = this.#lease;
+      const key = TableClient.Keys.resultObjectKey(cell, record.job.id);
+      yield* this.#ports.objects.put(key, record.result);
+      return { ...record, result: null, resultObject: key };
+    });
+  }
+}
--- /dev/null
+++ b/packages/cell/src/job_runner.ts
@@ -0,0 +1,316 @@
+/** Carries out what the scheduler decides, and ends jobs. */
+import * as Types from "@cairngate/types";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as states from "./cell_state.ts";
+import * as owned from "./owned_job.ts";
+
+/** A grant that no worker has reported within this time is taken back. */
+const GRANT_MS = 4000;
+/** Longest wait for the victims' checkpoints. */
+const STOP_RETRY_MS = 500;
+const STOP_TRIES = 6;
+
+/** Carries out decisions of one cell. */
+export class JobRunner {
+  readonly #state: states.CellState;
+
+  constructor(state: states.CellState) {
+    this.#state = state;
+  }
+
+  /** Starts carrying out a decision. */
+  carryOut(decision: Types.Decision): void {
+    const job = this.#state.jobs.get(decision.jobId);
+    if (job === undefined) return;
+    switch (decision.kind) {
+      case Types.DecisionKind.Start:
+        return this.#start(job, decision.slots);
+      case Types.DecisionKind.Preempt:
+        return this.#state.fork(this.#preempt(job, decision.claimant));
+      case Types.DecisionKind.Expire:
+        return this.#expire(job);
+    }
+  }
+
+  /** A member has finished; ends the job when it is the last. */
+  noteFinished(job: owned.OwnedJob, rank: number, result: unknown): void {
+    const { attempt } = job;
+    if (attempt === null) return;
+    attempt.results.set(rank, result);
+    if (attempt.results.size < attempt.slots.length) return;
+    if (job.kind === "short") this.releaseShort(job);
+    else this.#complete(job, attempt);
+  }
+
+  /** A member was lost: the whole job stops, and waits again if it may. */
+  loseMember(job: owned.OwnedJob, why: string): void {
+    const { attempt } = job;
+    if (attempt === null || attempt.stopping) return;
+    attempt.stopping = true;
+    this.#state.ports.metrics.count("cairngate_members_lost_total");
+    if (job.kind === "short") return this.releaseShort(job);
+    this.#state.fork(this.#stopBroken(job, attempt, why));
+  }
+
+  /** Takes a short job off the books. */
+  releaseShort(job: owned.ShortJob): void {
+    const { id } = job.shape;
+    this.#state.scheduler.finish(id);
+    this.#state.jobs.delete(id);
+    this.#state.wake();
+  }
+
+  /** Writes the end of a stored job and tells everybody who waits for it. */
+  end(job: owned.StoredJob, record: Types.JobRecord): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      job.ending = true;
+      this.#state.scheduler.finish(job.shape.id);
+      this.#state.wake();
+      const saved = yield* this.#state.records.saveEnd(record);
+      if (!saved) return false;
+      job.record = record;
+      this.#acknowledge(job);
+      this.#state.jobs.delete(job.shape.id);
+      Deferred.doneUnsafe(job.ended, Effect.succeed(record));
+      return true;
+    });
+  }
+
+  #start(job: owned.OwnedJob, slots: readonly Types.Slot[]): void {
+    const workers = this.#state.workersOf(slots);
+    const id = this.#state.nextAttemptId();
+    job.attempt = owned.createAttempt(id, slots, workers);
+    if (job.kind === "short") this.#grant(job, job.attempt);
+    else this.#state.fork(this.#startStored(job, job.attempt));
+  }
+
+  #grant(job: owned.ShortJob, attempt: owned.Attempt): void {
+    const worker = attempt.workers[0];
+    const grant: Types.Grant = {
+      kind: Types.GrantKind.Granted,
+      jobId: job.shape.id,
+      attempt: attempt.id,
+      epoch: this.#state.lease.epoch,
+      worker,
+      endpoint: this.#state.links.get(worker)?.worker.endpoint ?? "",
+      mask: attempt.slots[0].mask,
+      reason: null,
+      retryAfterSeconds: null,
+    };
+    if (job.granted !== null) {
+      Deferred.doneUnsafe(job.granted, Effect.succeed(grant));
+    }
+    this.#state.fork(this.#watchGrant(job, attempt));
+  }
+
+  /** Takes back a grant whose box never dispatched it. */
+  #watchGrant(
+    job: owned.ShortJob,
+    attempt: owned.Attempt,
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#state.ports.clock.sleep(GRANT_MS);
+      if (job.attempt !== attempt || attempt.seen) return;
+      yield* this.stopUntilKnown(job, attempt);
+      if (job.attempt === attempt) this.releaseShort(job);
+    });
+  }
+
+  #startStored(
+    job: owned.StoredJob,
+    attempt: owned.Attempt,
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { orders, scheduler } = this.#state;
+      const progress = scheduler.get(job.shape.id)?.progress ?? 0;
+      const noted = yield* this.#noteStart(job, attempt);
+      if (!noted || job.attempt !== attempt) {
+        return yield* this.#giveUpStart(
+          job,
+          attempt,
+          "the start was not noted",
+        );
+      }
+      const held = yield* orders.holdAll(job, attempt, progress);
+      if (!held || attempt.stopping) {
+        return yield* this.#giveUpStart(job, attempt, "a hold was refused");
+      }
+      const started = yield* orders.startAll(job.shape, attempt);
+      if (!started && !attempt.stopping) {
+        this.loseMember(job, "a member could not be started");
+      }
+    });
+  }
+
+  /**
+   * Writes that the job starts. In a store outage a repeatable job starts
+   * without it; an unrepeatable one waits.
+   */
+  #noteStart(
+    job: owned.StoredJob,
+    attempt: owned.Attempt,
+  ): Effect.Effect<boolean> {
+    const { clock } = this.#state.ports;
+    const record: Types.JobRecord = {
+      ...job.record,
+      state: Types.JobState.Running,
+      attempt: attempt.id,
+      workers: [...new Set(attempt.workers)],
+      updatedAtMs: clock.wallMs(),
+    };
+    job.record = record;
+    const isHoldover = this.#state.lease.isHoldover;
+    if (isHoldover && job.shape.repeatable) return Effect.succeed(true);
+    return Effect.gen({ self: this }, function* () {
+      const saved = yield* Effect.result(this.#state.records.save(record));
+      if (saved._tag === "Success") return true;
+      if (saved.failure._tag === "StoreUnavailableError") {
+        return job.shape.repeatable;
+      }
+      yield* this.#state.lease.renew();
+      return false;
+    });
+  }
+
+  #giveUpStart(
+    job: owned.StoredJob,
+    attempt: owned.Attempt,
+    why: string,
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      if (attempt.stopping) return;
+      attempt.stopping = true;
+      yield* this.#stopBroken(job, attempt, why);
+    });
+  }
+
+  /** Stops what is left of an attempt; then the job waits again or ends. */
+  #stopBroken(
+    job: owned.StoredJob,
+    attempt: owned.Attempt,
+    why: string,
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { id } = job.shape;
+      this.#state.ports.log.info(`Job ${id} stops as a whole: ${why}.`);
+      const stopped = yield* this.#state.orders.stopAll(
+        job.shape,
+        attempt,
+        true,
+      );
+      if (job.attempt !== attempt) return;
+      const mayHaveRun = stopped.ran ||
+        (!stopped.complete && attempt.startOrdered);
+      if (stopped.results !== null) return this.#complete(job, attempt);
+      if (job.shape.repeatable || !mayHaveRun) {
+        return this.#requeue(job, { progress: stopped.progress, detail: why });
+      }
+      yield* this.end(job, endRecord(job, Types.JobState.Unknown, why));
+    });
+  }
+
+  #requeue(
+    job: owned.StoredJob,
+    options: { progress: number; detail: string },
+  ): void {
+    job.attempt = null;
+    const nowMs = this.#state.ports.clock.wallMs();
+    this.#state.scheduler.requeue(job.shape.id, { ...options, nowMs });
+    this.#state.wake();
+  }
+
+  /** Stops a victim; its claimant starts when the scheduler hears of it. */
+  #preempt(job: owned.OwnedJob, claimant: string): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { attempt } = job;
+      if (attempt === null || attempt.stopping) return;
+      attempt.stopping = true;
+      const detail = `stopped for ${claimant}`;
+      this.#state.ports.metrics.count("cairngate_preemptions_total");
+      const stopped = yield* this.stopUntilKnown(job, attempt);
+      if (job.attempt !== attempt) return;
+      if (job.kind === "short") return this.releaseShort(job);
+      if (stopped.results !== null) {
+        stopped.results.forEach((r, rank) => attempt.results.set(rank, r));
+        return this.#complete(job, attempt);
+      }
+      this.#requeue(job, { progress: stopped.progress, detail });
+    });
+  }
+
+  /** Stops an attempt; workers that do not answer are tried again. */
+  stopUntilKnown(job: owned.OwnedJob, attempt: owned.Attempt) {
+    return Effect.gen({ self: this }, function* () {
+      const { orders, ports } = this.#state;
+      let stopped = yield* orders.stopAll(job.shape, attempt, true);
+      for (let i = 0; i < STOP_TRIES && !stopped.complete; i++) {
+        yield* ports.clock.sleep(STOP_RETRY_MS);
+        stopped = yield* orders.stopAll(job.shape, attempt, true);
+      }
+      return stopped;
+    });
+  }
+
+  #complete(job: owned.StoredJob, attempt: owned.Attempt): void {
+    if (job.ending) return;
+    const results = [...attempt.results.entries()]
+      .sort(([a], [b]) => a - b)
+      .map(([, result]) => result);
+    const result = job.shape.gang === 1 ? results[0] : results;
+    const record = { ...endRecord(job, Types.JobState.Done, null), result };
+    const tookMs = this.#state.ports.clock.wallMs() - job.shape.submittedAtMs;
+    this.#state.ports.metrics.observeMs("cairngate_job_seconds", tookMs);
+    this.#state.fork(this.end(job, record));
+  }
+
+  #expire(job: owned.OwnedJob): void {
+    const why = "its deadline passed while it waited";
+    if (job.kind === "stored") {
+      const record = endRecord(job, Types.JobState.NotRun, why);
+      return this.#state.fork(this.end(job, record));
+    }
+    this.#state.jobs.delete(job.shape.id);
+    if (job.granted === null) return;
+    Deferred.doneUnsafe(
+      job.granted,
+      Effect.succeed(refuseGrant(job.shape.id, why, null)),
+    );
+  }
+
+  #acknowledge(job: owned.StoredJob): void {
+    const { attempt } = job;
+    attempt?.workers.forEach((worker, rank) => {
+      const key = { jobId: job.shape.id, attempt: attempt.id, rank };
+      this.#state.links.get(worker)?.acknowledge(key);
+    });
+  }
+}
+
+/** The record of a job that has ended. */
+export function endRecord(
+  job: owned.StoredJob,
+  state: Types.JobState,
+  reason: string | null,
+): Types.JobRecord {
+  return { ...job.record, state, reason };
+}
+
+/** A reply to `Place` that says: not run. */
+export function refuseGrant(
+  jobId: string,
+  reason: string,
+  retryAfterSeconds: number | null,
+): Types.Grant {
+  return {
+    kind: Types.GrantKind.NotRun,
+    jobId,
+    attempt: "",
+    epoch: 0,
+    worker: "",
+    endpoint: "",
+    mask: 0,
+    reason,
+    retryAfterSeconds,
+  };
+}
--- /dev/null
+++ b/packages/cell/src/owner_lease.ts
@@ -0,0 +1,180 @@
+/**
+ * The right to decide for a cell. The owner row holds the epoch and changes
+ * only when a cell is taken over or released; every store write of an owner
+ * has the row's revision as a condition, and every order to a worker carries
+ * the epoch, so acts of an earlier owner are refused there. The lease is what
+ * the holder itself checks before it acts.
+ */
+import type * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import * as TableClient from "@cairngate/table-client";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as ports from "./ports.ts";
+
+/** Value of the owner row. An empty holder means: released. */
+export interface OwnerRow {
+  readonly epoch: number;
+  readonly holder: string;
+}
+
+/** Outcome of a renewal. */
+export enum Renewal {
+  Renewed = "renewed",
+  /** The store cannot be asked; nobody else can take over either. */
+  Holdover = "holdover",
+  Lost = "lost",
+}
+
+const RENEWALS_PER_LEASE = 3;
+
+/** Ownership of one cell under one epoch. */
+export class OwnerLease {
+  readonly cell: string;
+  readonly epoch: number;
+  /** Revision of the owner row; a condition of every write of the owner. */
+  readonly condition: Platform.RowCondition;
+  readonly #ports: ports.CellPorts;
+  readonly #lost = Deferred.makeUnsafe<string>();
+  #heldUntilMs: number;
+  #holdover = false;
+
+  private constructor(
+    cellPorts: ports.CellPorts,
+    taken: {
+      cell: string;
+      epoch: number;
+      revision: number;
+      heldUntilMs: number;
+    },
+  ) {
+    this.#ports = cellPorts;
+    this.cell = taken.cell;
+    this.epoch = taken.epoch;
+    const key = TableClient.Keys.ownerKey(taken.cell);
+    this.condition = { key, revision: taken.revision };
+    this.#heldUntilMs = taken.heldUntilMs;
+  }
+
+  /** Takes a cell by raising its epoch; fails when another box was first. */
+  static take(
+    cellPorts: ports.CellPorts,
+    cell: string,
+  ): Effect.Effect<
+    OwnerLease,
+    Errors.ConditionFailedError | Errors.StoreUnavailableError
+  > {
+    return Effect.gen(function* () {
+      const { store, clock, times, box } = cellPorts;
+      const key = TableClient.Keys.ownerKey(cell);
+      const [row] = yield* store.read([key]);
+      const epoch = ((row?.value as OwnerRow | undefined)?.epoch ?? 0) + 1;
+      const value: OwnerRow = { epoch, holder: box };
+      const startMs = clock.monotonicMs();
+      const revision = yield* store.write({
+        conditions: [{ key, revision: row?.revision ?? 0 }],
+        writes: [{ key, value }],
+      });
+      const heldUntilMs = startMs + times.ownerLeaseMs;
+      return new OwnerLease(cellPorts, { cell, epoch, revision, heldUntilMs });
+    });
+  }
+
+  /** Whether the store could not be asked at the last renewal. */
+  get isHoldover(): boolean {
+    return this.#holdover;
+  }
+
+  /** Waits until another owner is seen; returns how it was seen. */
+  awaitLoss(): Effect.Effect<string> {
+    return Deferred.await(this.#lost);
+  }
+
+  /** Whether another owner has been seen. */
+  get isLost(): boolean {
+    return Deferred.isDoneUnsafe(this.#lost);
+  }
+
+  /** A higher epoch was seen somewhere. */
+  noteEpoch(epoch: number, where: string): void {
+    if (epoch <= this.epoch) return;
+    Deferred.doneUnsafe(
+      this.#lost,
+      Effect.succeed(`epoch ${epoch} seen at ${where}`),
+    );
+  }
+
+  /**
+   * True where the holder may act now. A holder that was paused finds its
+   * lease lapsed here and renews before it goes on.
+   */
+  check(): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      if (this.isLost) return false;
+      const nowMs = this.#ports.clock.monotonicMs();
+      if (nowMs < this.#heldUntilMs) return true;
+      return (yield* this.renew()) !== Renewal.Lost;
+    });
+  }
+
+  /** Renews for ever, until the lease is lost. */
+  keepRenewing(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { clock, times } = this.#ports;
+      while (!this.isLost) {
+        yield* clock.sleep(times.ownerLeaseMs / RENEWALS_PER_LEASE);
+        yield* this.renew();
+      }
+    });
+  }
+
+  /** Writes the lease row under the condition that the epoch still holds. */
+  renew(): Effect.Effect<Renewal> {
+    return Effect.gen({ self: this }, function* () {
+      const { store, clock, times, box } = this.#ports;
+      const claim = this.#ports.view.claimOf(this.cell);
+      if (claim !== null) this.noteEpoch(claim.epoch, `box ${claim.holder}`);
+      if (this.isLost) return Renewal.Lost;
+      const startMs = clock.monotonicMs();
+      const key = TableClient.Keys.leaseKey(this.cell);
+      const value = { epoch: this.epoch, holder: box };
+      const write = { conditions: [this.condition], writes: [{ key, value }] };
+      const written = store.write(write, times.ownerLeaseMs / 2);
+      const renewal = yield* Effect.catchTags(
+        Effect.as(written, Renewal.Renewed),
+        {
+          ConditionFailedError: () => Effect.succeed(Renewal.Lost),
+          StoreUnavailableError: () => Effect.succeed(Renewal.Holdover),
+        },
+      );
+      this.#note(renewal, startMs);
+      return renewal;
+    });
+  }
+
+  /** Gives the cell back, so that another box takes it at once. */
+  release(): Effect.Effect<void> {
+    const value: OwnerRow = { epoch: this.epoch, holder: "" };
+    const { key } = this.condition;
+    const write = { conditions: [this.condition], writes: [{ key, value }] };
+    return Effect.ignore(this.#ports.store.write(write));
+  }
+
+  #note(renewal: Renewal, startMs: number): void {
+    const { times, log } = this.#ports;
+    if (renewal === Renewal.Renewed) {
+      if (this.#holdover) log.info(`Cell ${this.cell}: the store is back.`);
+      this.#holdover = false;
+      this.#heldUntilMs = startMs + times.ownerLeaseMs;
+      return;
+    }
+    if (renewal === Renewal.Holdover) {
+      if (!this.#holdover) {
+        log.warn(`Cell ${this.cell}: the store is away, holding over.`);
+      }
+      this.#holdover = true;
+      return;
+    }
+    this.noteEpoch(this.epoch + 1, "the owner row");
+  }
+}
--- /dev/null
+++ b/packages/cell/src/reconfigure.ts
@@ -0,0 +1,94 @@
+/** Moves a cell to a newer configuration without stopping what runs. */
+import type * as Scheduler from "@cairngate/scheduler";
+import * as Types from "@cairngate/types";
+import * as states from "./cell_state.ts";
+import type * as runners from "./job_runner.ts";
+import type * as ports from "./ports.ts";
+
+/**
+ * Builds a scheduler for the new configuration and moves every job into it.
+ * Returns the workers that are new and have to be followed.
+ */
+export function applyConfig(
+  state: states.CellState,
+  config: ports.ConfigInForce,
+  runner: runners.JobRunner,
+): Types.WorkerSpec[] {
+  const before = state.scheduler;
+  const after = states.createScheduler(config, state.lease.cell);
+  state.scheduler = after;
+  state.configVersion = config.version;
+  copyAvailability(state, before);
+  const nowMs = state.ports.clock.wallMs();
+  for (const entry of before.jobs()) {
+    const slots = translateSlots(state, before, entry.slots);
+    if (isOnWorkers(entry.state) && slots !== null) {
+      const { progress } = entry;
+      after.restore(entry.shape, { nowMs, slots, progress });
+    } else {
+      after.submit(entry.shape, { nowMs, progress: entry.progress });
+    }
+  }
+  dropRemoved(state, runner);
+  state.ports.log.info(
+    `Cell ${state.lease.cell} follows configuration ${config.version}.`,
+  );
+  return listAdded(state);
+}
+
+function isOnWorkers(jobState: Types.JobState): boolean {
+  return jobState === Types.JobState.Running ||
+    jobState === Types.JobState.Yielding;
+}
+
+function copyAvailability(
+  state: states.CellState,
+  before: Scheduler.Scheduler,
+): void {
+  for (const worker of before.layout.workers) {
+    if (worker === undefined) continue;
+    const index = state.indexOf(worker.name);
+    const available = before.occupancy.isAvailable(worker.index);
+    if (index >= 0) state.scheduler.setWorkerAvailable(index, available);
+  }
+}
+
+/** The same places under the new numbering; null where one is gone. */
+function translateSlots(
+  state: states.CellState,
+  before: Scheduler.Scheduler,
+  slots: readonly Types.Slot[],
+): Types.Slot[] | null {
+  const moved: Types.Slot[] = [];
+  for (const slot of slots) {
+    const name = before.layout.workers[slot.worker]?.name ?? "";
+    const worker = state.indexOf(name);
+    if (worker < 0) return null;
+    moved.push({ worker, mask: slot.mask });
+  }
+  return moved;
+}
+
+/** Jobs on workers that the new file does not list stop and wait again. */
+function dropRemoved(
+  state: states.CellState,
+  runner: runners.JobRunner,
+): void {
+  for (const [name] of state.links) {
+    if (state.indexOf(name) >= 0) continue;
+    for (const job of [...state.jobs.values()]) {
+      if (!job.attempt?.workers.includes(name)) continue;
+      runner.loseMember(job, `worker ${name} is no longer configured`);
+    }
+  }
+}
+
+function listAdded(state: states.CellState): Types.WorkerSpec[] {
+  const added: Types.WorkerSpec[] = [];
+  for (const worker of state.scheduler.layout.workers) {
+    if (worker !== undefined && !state.links.has(worker.name)) {
+      added.push(worker);
+    }
+  }
+  return added;
+}
--- /dev/null
+++ b/packages/cell/src/recovery.ts
@@ -0,0 +1,249 @@
+/**
+ * Merges what workers report into the owner's books: after a takeover from
+ * whole inventories, later from changes. A job that is found running goes on.
+ */
+import * as Types from "@cairngate/types";
+import type * as states from "./cell_state.ts";
+import type * as runners from "./job_runner.ts";
+import * as owned from "./owned_job.ts";
+import * as workerLinks from "./worker_link.ts";
+
+const ACTIVE: ReadonlySet<Types.TaskState> = new Set([
+  Types.TaskState.Held,
+  Types.TaskState.Running,
+]);
+
+/** Listens to the workers of a cell. */
+export class Recovery extends workerLinks.WorkerListener {
+  readonly #state: states.CellState;
+  readonly #runner: runners.JobRunner;
+
+  constructor(state: states.CellState, runner: runners.JobRunner) {
+    super();
+    this.#state = state;
+    this.#runner = runner;
+  }
+
+  /** Takes in a stored job from its row. */
+  addStored(record: Types.JobRecord): void {
+    if (this.#state.jobs.has(record.job.id)) return;
+    const job = owned.createStoredJob(record);
+    this.#state.jobs.set(record.job.id, job);
+    for (const worker of [...job.unseenWorkers]) {
+      const link = this.#state.links.get(worker);
+      if (link === undefined || link.isSealed) job.unseenWorkers.delete(worker);
+    }
+    this.#settle(job);
+  }
+
+  override onInventory(worker: string, inventory: Types.Inventory): void {
+    const found = new Set<string>();
+    for (const task of inventory.tasks) {
+      found.add(`${task.jobId}/${task.attempt}/${task.rank}`);
+      this.#noteTask(worker, task);
+    }
+    this.#findMissing(worker, found);
+    this.#setAvailable(worker, !inventory.leaving);
+    this.#markSeen(worker);
+    this.#state.wake();
+  }
+
+  override onReport(worker: string, report: Types.WorkerReport): void {
+    for (const task of report.changed) this.#noteTask(worker, task);
+    this.#setAvailable(worker, !report.leaving);
+    this.#state.wake();
+  }
+
+  override onUnreachable(worker: string): void {
+    this.#setAvailable(worker, false);
+  }
+
+  override onGone(worker: string): void {
+    for (const job of [...this.#state.jobs.values()]) {
+      if (!job.attempt?.workers.includes(worker)) continue;
+      this.#runner.loseMember(job, `worker ${worker} was lost`);
+    }
+    this.#markSeen(worker);
+    this.#state.wake();
+  }
+
+  /** Opens or closes a worker, unless it is known to be leaving. */
+  #setAvailable(worker: string, available: boolean): void {
+    const index = this.#state.indexOf(worker);
+    if (index < 0) return;
+    const leaving = this.#state.ports.view.isWorkerLeaving(worker);
+    this.#state.scheduler.setWorkerAvailable(index, available && !leaving);
+  }
+
+  #noteTask(worker: string, task: Types.TaskReport): void {
+    const job = this.#state.jobs.get(task.jobId);
+    if (job === undefined) return this.#noteUnknown(worker, task);
+    if (job.attempt === null) return this.#noteFound(worker, job, task);
+    if (job.attempt.id !== task.attempt) return this.#noteStray(worker, task);
+    job.attempt.seen = true;
+    if (task.state === Types.TaskState.Finished) {
+      return this.#runner.noteFinished(job, task.rank, task.result);
+    }
+    if (ACTIVE.has(task.state) || job.attempt.stopping) return;
+    this.#runner.loseMember(job, `worker ${worker} stopped a member`);
+  }
+
+  /** A task of a job that this owner has not heard of. */
+  #noteUnknown(worker: string, task: Types.TaskReport): void {
+    if (!ACTIVE.has(task.state)) {
+      this.#state.links.get(worker)?.acknowledge(task);
+      return;
+    }
+    if (task.spec === null || task.caller === null) {
+      return this.#noteStray(worker, task);
+    }
+    this.#adoptShort(worker, task, task.spec);
+  }
+
+  /** A short job that an earlier owner granted: it goes on. */
+  #adoptShort(
+    worker: string,
+    task: Types.TaskReport,
+    shape: Types.JobShape,
+  ): void {
+    const index = this.#state.indexOf(worker);
+    if (index < 0) return;
+    const slots = [{ worker: index, mask: task.mask }];
+    const attempt = owned.createAttempt(task.attempt, slots, [worker]);
+    attempt.seen = true;
+    const kind = "short" as const;
+    const job: owned.ShortJob = { kind, shape, granted: null, attempt };
+    this.#state.jobs.set(shape.id, job);
+    const nowMs = this.#state.ports.clock.wallMs();
+    const { progress } = task;
+    this.#state.scheduler.restore(shape, { nowMs, slots, progress });
+  }
+
+  /** A task of a job that waits, or whose attempt is still being gathered. */
+  #noteFound(
+    worker: string,
+    job: owned.OwnedJob,
+    task: Types.TaskReport,
+  ): void {
+    const isUseful = ACTIVE.has(task.state) ||
+      task.state === Types.TaskState.Finished;
+    if (!isUseful) return;
+    if (job.kind === "short") return this.#adoptWaiting(worker, job, task);
+    const members = job.found.get(task.attempt) ?? [];
+    const member = { worker: this.#state.indexOf(worker), report: task };
+    const others = members.filter((m) => m.report.rank !== task.rank);
+    job.found.set(task.attempt, [...others, member]);
+    this.#settle(job);
+  }
+
+  /** A waiting short job that already runs, by a grant of an earlier owner. */
+  #adoptWaiting(
+    worker: string,
+    job: owned.ShortJob,
+    task: Types.TaskReport,
+  ): void {
+    if (!ACTIVE.has(task.state)) return;
+    // Its box asked again, so it has given this attempt up.
+    this.#noteStray(worker, task);
+    this.#state.ports.log.info(
+      `Job ${job.shape.id} waits again; its old attempt is stopped.`,
+    );
+  }
+
+  /** A task of no current attempt is stopped or forgotten. */
+  #noteStray(worker: string, task: Types.TaskReport): void {
+    if (ACTIVE.has(task.state)) {
+      this.#state.fork(this.#state.orders.stopStray(worker, task));
+    } else {
+      this.#state.links.get(worker)?.acknowledge(task);
+    }
+  }
+
+  /** Members that the owner believes there, but the worker does not have. */
+  #findMissing(worker: string, found: ReadonlySet<string>): void {
+    for (const job of [...this.#state.jobs.values()]) {
+      const { attempt } = job;
+      if (attempt === null || !attempt.seen || attempt.stopping) continue;
+      attempt.workers.forEach((name, rank) => {
+        if (name !== worker || attempt.results.has(rank)) return;
+        if (found.has(`${job.shape.id}/${attempt.id}/${rank}`)) return;
+        this.#runner.loseMember(job, `worker ${worker} lost a member`);
+      });
+    }
+  }
+
+  #markSeen(worker: string): void {
+    for (const job of [...this.#state.jobs.values()]) {
+      if (job.kind !== "stored") continue;
+      if (job.unseenWorkers.delete(worker)) this.#settle(job);
+    }
+  }
+
+  /** Decides on a stored job once every worker it may run on was looked at. */
+  #settle(job: owned.StoredJob): void {
+    if (job.attempt !== null || job.ending) return;
+    const whole = this.#findWhole(job);
+    if (whole !== null) return this.#adoptStored(job, whole);
+    if (job.unseenWorkers.size > 0) return;
+    const isInQueue = this.#state.scheduler.get(job.shape.id) !== undefined;
+    if (!isInQueue) this.#resolve(job);
+  }
+
+  /** The members of an attempt that is complete on the workers. */
+  #findWhole(job: owned.StoredJob): owned.FoundMember[] | null {
+    for (const members of job.found.values()) {
+      const usable = members.filter((m) => m.worker >= 0);
+      if (usable.length === job.shape.gang) return usable;
+    }
+    return null;
+  }
+
+  #adoptStored(job: owned.StoredJob, members: owned.FoundMember[]): void {
+    const sorted = members.sort((a, b) => a.report.rank - b.report.rank);
+    const slots = sorted.map((m) => ({
+      worker: m.worker,
+      mask: m.report.mask,
+    }));
+    const id = sorted[0].report.attempt;
+    const workers = this.#state.workersOf(slots);
+    const attempt = owned.createAttempt(id, slots, workers);
+    attempt.seen = true;
+    attempt.startOrdered = true;
+    job.attempt = attempt;
+    job.found.clear();
+    job.unseenWorkers.clear();
+    const { scheduler, ports, orders } = this.#state;
+    scheduler.cancel(job.shape.id);
+    const nowMs = ports.clock.wallMs();
+    const progress = Math.min(...sorted.map((m) => m.report.progress));
+    scheduler.restore(job.shape, { nowMs, slots, progress });
+    for (const { report } of sorted) {
+      if (report.state !== Types.TaskState.Finished) continue;
+      this.#runner.noteFinished(job, report.rank, report.result);
+    }
+    const isHeld = sorted.some((m) => m.report.state === Types.TaskState.Held);
+    // All members are here, so the earlier owner's start goes on.
+    if (isHeld) this.#state.fork(orders.startAll(job.shape, attempt));
+  }
+
+  /** No whole attempt exists: what is left stops, and the job waits again. */
+  #resolve(job: owned.StoredJob): void {
+    const members = [...job.found.values()].flat();
+    for (const { worker, report } of members) {
+      const name = this.#state.scheduler.layout.workers[worker]?.name;
+      if (name !== undefined) this.#noteStray(name, report);
+    }
+    const mayHaveRun = job.record.state === Types.JobState.Running;
+    if (mayHaveRun && !job.shape.repeatable) {
+      const reason = "its worker was lost after the start was ordered";
+      const state = Types.JobState.Unknown;
+      const record = { ...job.record, state, reason };
+      return this.#state.fork(this.#runner.end(job, record));
+    }
+    const progress = Math.max(0, ...members.map((m) => m.report.progress));
+    job.found.clear();
+    const nowMs = this.#state.ports.clock.wallMs();
+    this.#state.scheduler.submit(job.shape, { nowMs, progress });
+    this.#state.wake();
+  }
+}
--- /dev/null
+++ b/packages/cell/src/task_orders.ts
@@ -0,0 +1,222 @@
+/** Orders to the workers of one attempt: hold, start, stop. */
+import * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as owned from "./owned_job.ts";
+import type * as leases from "./owner_lease.ts";
+import type * as ports from "./ports.ts";
+
+/** A running task whose lease is not renewed for this long is stopped. */
+export const TASK_LEASE_MS = 600_000;
+/** A hold that is not started within this time is dropped by the worker. */
+export const HOLD_MS = 10_000;
+const ORDER_MS = 2000;
+const START_RETRY_MS = 100;
+/** Starts are repeated for this long; it ends before the holds lapse. */
+const START_FOR_MS = 6000;
+
+/** How the stop of an attempt ended. */
+export interface StopResult {
+  /** Every worker answered. */
+  readonly complete: boolean;
+  /** Some member had started. */
+  readonly ran: boolean;
+  /** Every member had finished; results by rank. */
+  readonly results: readonly unknown[] | null;
+  /** Saved progress of the member that is furthest behind. */
+  readonly progress: number;
+}
+
+/** Sends orders under one epoch. */
+export class TaskOrders {
+  readonly #ports: ports.CellPorts;
+  readonly #lease: leases.OwnerLease;
+  readonly #endpointOf: (worker: string) => string | null;
+
+  constructor(
+    cellPorts: ports.CellPorts,
+    lease: leases.OwnerLease,
+    endpointOf: (worker: string) => string | null,
+  ) {
+    this.#ports = cellPorts;
+    this.#lease = lease;
+    this.#endpointOf = endpointOf;
+  }
+
+  /** Holds every member; true when all are held. */
+  holdAll(
+    stored: owned.StoredJob,
+    attempt: owned.Attempt,
+    progress: number,
+  ): Effect.Effect<boolean> {
+    const holds = attempt.slots.map((slot, rank) => {
+      const order = this.#holdOrder(stored, attempt, { rank, slot, progress });
+      return this.#send(
+        attempt.workers[rank],
+        (endpoint) => this.#ports.workers.hold(endpoint, order),
+      );
+    });
+    return Effect.map(
+      Effect.all(holds, { concurrency: "unbounded" }),
+      (replies) => replies.every((reply) => reply !== null),
+    );
+  }
+
+  /** Starts every member, repeating lost orders; true when all started. */
+  startAll(
+    shape: Types.JobShape,
+    attempt: owned.Attempt,
+  ): Effect.Effect<boolean> {
+    attempt.startOrdered = true;
+    const starts = attempt.workers.map((worker, rank) =>
+      this.#startMember(worker, this.#taskOrder(shape, attempt, rank))
+    );
+    return Effect.map(
+      Effect.all(starts, { concurrency: "unbounded" }),
+      (started) => started.every((ok) => ok),
+    );
+  }
+
+  /** Stops every member. */
+  stopAll(
+    shape: Types.JobShape,
+    attempt: owned.Attempt,
+    checkpoint: boolean,
+  ): Effect.Effect<StopResult> {
+    const stops = attempt.workers.map((worker, rank) => {
+      const order = { ...this.#taskOrder(shape, attempt, rank), checkpoint };
+      return this.#send(
+        worker,
+        (endpoint) => this.#ports.workers.stop(endpoint, order),
+      );
+    });
+    const replies = Effect.all(stops, { concurrency: "unbounded" });
+    return Effect.map(replies, summarizeStops);
+  }
+
+  /** Stops one task that belongs to no current attempt. */
+  stopStray(worker: string, key: Types.TaskKey): Effect.Effect<void> {
+    const { jobId, attempt, rank } = key;
+    const { cell, epoch } = this.#lease;
+    const fence = { cell, epoch };
+    const order = { jobId, attempt, rank, fence, checkpoint: false };
+    const stop = this.#send(
+      worker,
+      (endpoint) => this.#ports.workers.stop(endpoint, order),
+    );
+    return Effect.asVoid(stop);
+  }
+
+  #startMember(
+    worker: string,
+    order: Types.TaskOrder,
+  ): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { clock, random } = this.#ports;
+      const endMs = clock.monotonicMs() + START_FOR_MS;
+      while (clock.monotonicMs() < endMs && !this.#lease.isLost) {
+        const reply = yield* this.#sendTyped(
+          worker,
+          (endpoint) => this.#ports.workers.start(endpoint, order),
+        );
+        if (reply.kind === "done") return true;
+        if (reply.kind === "refused") return false;
+        yield* clock.sleep(random.jitter(START_RETRY_MS));
+      }
+      return false;
+    });
+  }
+
+  #taskOrder(
+    shape: Types.JobShape,
+    attempt: owned.Attempt,
+    rank: number,
+  ): Types.TaskOrder {
+    const { cell, epoch } = this.#lease;
+    const fence = { cell, epoch };
+    return { jobId: shape.id, attempt: attempt.id, rank, fence };
+  }
+
+  #holdOrder(
+    stored: owned.StoredJob,
+    attempt: owned.Attempt,
+    member: { rank: number; slot: Types.Slot; progress: number },
+  ): Types.HoldOrder {
+    const { shape, record } = stored;
+    return {
+      ...this.#taskOrder(shape, attempt, member.rank),
+      team: shape.team,
+      mask: member.slot.mask,
+      gang: shape.gang,
+      work: record.job.work,
+      input: record.job.input,
+      estimateMs: shape.estimateMs,
+      repeatable: shape.repeatable,
+      checkpointMs: shape.checkpointMs,
+      progress: member.progress,
+      holdMs: HOLD_MS,
+      leaseMs: TASK_LEASE_MS,
+      caller: null,
+      spec: shape,
+    };
+  }
+
+  /** The reply, or null where it was refused or lost. */
+  #send<A>(
+    worker: string,
+    order: (endpoint: string) => Effect.Effect<A, Platform.WorkerError>,
+  ): Effect.Effect<{ readonly value: A } | null> {
+    return Effect.map(
+      this.#sendTyped(worker, order),
+      (reply) => reply.kind === "done" ? { value: reply.value } : null,
+    );
+  }
+
+  #sendTyped<A>(
+    worker: string,
+    order: (endpoint: string) => Effect.Effect<A, Platform.WorkerError>,
+  ): Effect.Effect<OrderReply<A>> {
+    return Effect.gen({ self: this }, function* () {
+      const endpoint = this.#endpointOf(worker);
+      if (endpoint === null || !(yield* this.#lease.check())) {
+        return { kind: "lost" } as const;
+      }
+      const call = this.#ports.clock.within(ORDER_MS, order(endpoint));
+      const exit = yield* Effect.result(call);
+      if (exit._tag === "Success") {
+        if (exit.success === null) return { kind: "lost" } as const;
+        return { kind: "done", value: exit.success.value } as const;
+      }
+      return this.#readFailure(exit.failure);
+    });
+  }
+
+  #readFailure(err: Platform.WorkerError): OrderReply<never> {
+    if (err._tag === "WorkerLostError") return { kind: "lost" };
+    if (err.reason === Errors.RefusalReason.StaleEpoch) {
+      this.#lease.noteEpoch(err.epoch, `worker ${err.worker}`);
+    }
+    return { kind: "refused" };
+  }
+}
+
+type OrderReply<A> =
+  | { readonly kind: "done"; readonly value: A }
+  | { readonly kind: "refused" }
+  | { readonly kind: "lost" };
+
+function summarizeStops(
+  replies: readonly ({ readonly value: Types.StopReply } | null)[],
+): StopResult {
+  const known = replies.flatMap((reply) => reply === null ? [] : [reply.value]);
+  const complete = known.length === replies.length;
+  const finished = complete && known.every((reply) => reply.finished);
+  const behind = known.map((reply) => reply.progress);
+  return {
+    complete,
+    ran: known.some((reply) => reply.ran),
+    results: finished ? known.map((reply) => reply.result) : null,
+    progress: complete && behind.length > 0 ? Math.min(...behind) : 0,
+  };
+}
--- /dev/null
+++ b/packages/cell/src/worker_link.ts
@@ -0,0 +1,165 @@
+/** One fiber for each worker: seals it, then waits for its reports. */
+import * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as leases from "./owner_lease.ts";
+import type * as ports from "./ports.ts";
+
+/** Who hears what a worker says. */
+export abstract class WorkerListener {
+  /** The worker is sealed under this owner's epoch. */
+  abstract onInventory(worker: string, inventory: Types.Inventory): void;
+  /** Some of its tasks changed. */
+  abstract onReport(worker: string, report: Types.WorkerReport): void;
+  /** The worker does not answer; its tasks may still run. */
+  abstract onUnreachable(worker: string): void;
+  /** The worker has not answered for long, or has restarted. */
+  abstract onGone(worker: string): void;
+}
+
+const SEAL_MS = 2000;
+const FIRST_BACKOFF_MS = 50;
+const LONGEST_BACKOFF_MS = 2000;
+/** A worker that does not answer for this long is taken as gone. */
+export const WORKER_GONE_MS = 10_000;
+/** Allowance for the answer to a report after its wait. */
+const REPORT_MARGIN_MS = 2000;
+
+/** Follows one worker. */
+export class WorkerLink {
+  readonly worker: Types.WorkerSpec;
+  readonly #ports: ports.CellPorts;
+  readonly #lease: leases.OwnerLease;
+  readonly #listener: WorkerListener;
+  #acknowledged: Types.TaskKey[] = [];
+  #bootId: string | null = null;
+  #lostSinceMs: number | null = null;
+  #isGone = false;
+
+  constructor(
+    options: {
+      worker: Types.WorkerSpec;
+      ports: ports.CellPorts;
+      lease: leases.OwnerLease;
+      listener: WorkerListener;
+    },
+  ) {
+    this.worker = options.worker;
+    this.#ports = options.ports;
+    this.#lease = options.lease;
+    this.#listener = options.listener;
+  }
+
+  /** Whether the worker is sealed and answering. */
+  get isSealed(): boolean {
+    return this.#bootId !== null && this.#lostSinceMs === null;
+  }
+
+  /** The worker may forget a finished task; sent with the next report. */
+  acknowledge(key: Types.TaskKey): void {
+    const { jobId, attempt, rank } = key;
+    this.#acknowledged.push({ jobId, attempt, rank });
+  }
+
+  /** Seals and follows the worker for ever. */
+  run(): Effect.Effect<never> {
+    return Effect.gen({ self: this }, function* () {
+      const { clock, random } = this.#ports;
+      let backoffMs = FIRST_BACKOFF_MS;
+      for (;;) {
+        const inventory = yield* this.#seal();
+        if (inventory !== null) {
+          backoffMs = FIRST_BACKOFF_MS;
+          yield* this.#follow(inventory);
+        }
+        this.#noteUnreachable();
+        yield* clock.sleep(random.jitter(backoffMs));
+        backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
+      }
+    });
+  }
+
+  #seal(): Effect.Effect<Types.Inventory | null> {
+    const { cell, epoch } = this.#lease;
+    const { endpoint } = this.worker;
+    const seal = this.#ports.workers.seal(endpoint, { cell, epoch });
+    return this.#ask(SEAL_MS, seal);
+  }
+
+  #follow(inventory: Types.Inventory): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#noteAlive(inventory.bootId);
+      this.#listener.onInventory(this.worker.name, inventory);
+      let { version } = inventory;
+      for (;;) {
+        const report = yield* this.#report(version);
+        if (report === null) return;
+        if (report.bootId !== inventory.bootId) return;
+        version = report.version;
+        this.#listener.onReport(this.worker.name, report);
+      }
+    });
+  }
+
+  #report(sinceVersion: number): Effect.Effect<Types.WorkerReport | null> {
+    const { cell, epoch } = this.#lease;
+    const waitMs = this.#ports.times.reportWaitMs;
+    const acknowledged = this.#acknowledged;
+    this.#acknowledged = [];
+    const request = {
+      fence: { cell, epoch },
+      sinceVersion,
+      waitMs,
+      acknowledged,
+    };
+    this.#ports.metrics.count("cairngate_worker_reports_total");
+    const report = this.#ports.workers.report(this.worker.endpoint, request);
+    return this.#ask(waitMs + REPORT_MARGIN_MS, report);
+  }
+
+  /** The answer, or null where none came in time. */
+  #ask<A>(
+    limitMs: number,
+    call: Effect.Effect<A, Platform.WorkerError>,
+  ): Effect.Effect<A | null> {
+    return this.#ports.clock.within(limitMs, call).pipe(
+      Effect.map((timed) => timed?.value ?? null),
+      Effect.catch((err) =>
+        Effect.sync(() => {
+          this.#noteRefusal(err);
+          return null;
+        })
+      ),
+    );
+  }
+
+  #noteRefusal(err: Platform.WorkerError): void {
+    if (err._tag !== "WorkerRefusedError") return;
+    if (err.reason !== Errors.RefusalReason.StaleEpoch) return;
+    this.#lease.noteEpoch(err.epoch, `worker ${this.worker.name}`);
+  }
+
+  #noteAlive(bootId: string): void {
+    const { log } = this.#ports;
+    if (this.#bootId !== null && this.#bootId !== bootId) {
+      log.warn(`Worker ${this.worker.name} has restarted.`);
+      this.#listener.onGone(this.worker.name);
+    }
+    this.#bootId = bootId;
+    this.#lostSinceMs = null;
+    this.#isGone = false;
+  }
+
+  #noteUnreachable(): void {
+    const nowMs = this.#ports.clock.monotonicMs();
+    if (this.#lostSinceMs === null) {
+      this.#lostSinceMs = nowMs;
+      this.#listener.onUnreachable(this.worker.name);
+    }
+    if (this.#isGone || nowMs - this.#lostSinceMs < WORKER_GONE_MS) return;
+    this.#isGone = true;
+    this.#ports.log.warn(`Worker ${this.worker.name} is gone.`);
+    this.#listener.onGone(this.worker.name);
+  }
+}
--- /dev/null
+++ b/packages/cli/mod.ts
@@ -0,0 +1,2 @@
+/** cairngate: the operators' command line. */
+export { runCli } from "./src/run_cli.ts";
--- /dev/null
+++ b/packages/cli/src/base_command.ts
@@ -0,0 +1,93 @@
+/** What all commands share: the box to ask, JSON output, typed failures. */
+import * as HttpJson from "@cairngate/http-json";
+import * as Clipanion from "clipanion";
+import * as Consola from "consola";
+import * as Effect from "effect/Effect";
+import process from "node:process";
+import * as exitCodes from "./exit_codes.ts";
+
+const DEFAULT_OPERATORS = "127.0.0.1:7102";
+const DEFAULT_CALLERS = "127.0.0.1:7101";
+const CONNECTIONS = 1;
+const STATUS_CONFLICT = 409;
+
+/** A problem as a box sends it. */
+interface ProblemBody {
+  readonly title?: string;
+  readonly detail?: string;
+  readonly outcome?: string | null;
+}
+
+/** Base of every command. */
+export abstract class BaseCommand extends Clipanion.Command {
+  box = Clipanion.Option.String("--box", {
+    description: "Operators' address of a box, host:port " +
+      "(or CAIRNGATE_OPERATORS)",
+  });
+  callers = Clipanion.Option.String("--callers", {
+    description: "Callers' address of a box, host:port (or CAIRNGATE_CALLERS)",
+  });
+  json = Clipanion.Option.Boolean("--json", false, {
+    description: "Print one JSON object",
+  });
+  readonly #caller = new HttpJson.HttpCaller(CONNECTIONS);
+
+  /** Prints an answer as JSON, or as lines for people. */
+  protected print(body: unknown, lines: () => readonly string[]): void {
+    const text = this.json ? JSON.stringify(body) : lines().join("\n");
+    this.context.stdout.write(`${text}\n`);
+  }
+
+  /** Calls the operators' address. */
+  protected askBox(
+    what: HttpJson.HttpCall,
+  ): Promise<HttpJson.HttpReply | null> {
+    const address = this.box ?? process.env["CAIRNGATE_OPERATORS"] ??
+      DEFAULT_OPERATORS;
+    return this.#call(address, what);
+  }
+
+  /** Calls the callers' address. */
+  protected askCallers(
+    what: HttpJson.HttpCall,
+  ): Promise<HttpJson.HttpReply | null> {
+    const address = this.callers ?? process.env["CAIRNGATE_CALLERS"] ??
+      DEFAULT_CALLERS;
+    return this.#call(address, what);
+  }
+
+  /** Reports an answer that is not a success; returns the exit code. */
+  protected fail(reply: HttpJson.HttpReply | null): exitCodes.ExitCode {
+    if (reply === null) return exitCodes.ExitCode.Unreachable;
+    const problem = (reply.body ?? {}) as ProblemBody;
+    if (this.json) {
+      this.context.stdout.write(`${JSON.stringify(reply.body)}\n`);
+    }
+    this.complain(problem.detail ?? `status ${reply.status}`);
+    if (reply.status === STATUS_CONFLICT) return exitCodes.ExitCode.Conflict;
+    if (problem.outcome === "unknown") return exitCodes.ExitCode.Unknown;
+    const isInvalid = reply.status === 400 || reply.status === 422;
+    return isInvalid ? exitCodes.ExitCode.Invalid : exitCodes.ExitCode.Refused;
+  }
+
+  /** Prints an error for people. */
+  protected complain(message: string): void {
+    const log = Consola.createConsola({
+      stdout: process.stderr,
+      stderr: process.stderr,
+    });
+    log.error(message);
+  }
+
+  async #call(
+    address: string,
+    what: HttpJson.HttpCall,
+  ): Promise<HttpJson.HttpReply | null> {
+    const called = await Effect.runPromise(
+      Effect.result(this.#caller.call(address, what)),
+    );
+    if (called._tag === "Success") return called.success;
+    this.complain(`${address} does not answer (${called.failure.cause}).`);
+    return null;
+  }
+}
--- a/packages/config/mod.ts
+++ b/packages/config/mod.ts
@@ -2,9 +2,10 @@
 export { parseDeployment } from "./src/deployment.ts";
 export {
   type BoxSettings,
-  type PeerSettings,
+  type LimitSettings,
   parseSettings,
-  type StandInSettings,
+  type PeerSettings,
+  type TimeSettings,
 } from "./src/settings.ts";
 export { readSettingsFile } from "./src/read_settings_file.ts";
 export { hashText } from "./src/hash_text.ts";
--- a/packages/config/src/deployment.ts
+++ b/packages/config/src/deployment.ts
@@ -50,6 +50,7 @@
     accelerators: Schema.Literals([1, 2, 4, 8, 16, 32, 64]),
     count: Positive,
   })),
+  cell: Schema.optionalKey(Name),
   quota: Count,
   waitingLimit: Schema.optionalKey(Positive),
 });
@@ -109,6 +110,7 @@
     ...parsed,
     teams: parsed.teams.map((team) => ({
       ...team,
+      cell: team.cell ?? parsed.cells[0].name,
       waitingLimit: team.waitingLimit ?? DEFAULT_WAITING_LIMIT,
     })),
     services: parsed.services.map((service) => ({
@@ -134,6 +136,7 @@
       parsed.racks.flatMap((rack) => rack.workers),
     ),
     ...checkCells(parsed),
+    ...checkTeams(parsed),
     ...checkServices(parsed),
   ];
 }
@@ -174,6 +177,15 @@
   return faults;
 }
 
+function checkTeams(parsed: Parsed): Errors.Fault[] {
+  const known = new Set(parsed.cells.map((cell) => cell.name));
+  return parsed.teams.flatMap((team, i) => {
+    if (team.cell === undefined || known.has(team.cell)) return [];
+    const expected = `a cell of the file, not ${team.cell}`;
+    return [{ path: `$.teams[${i}].cell`, expected }];
+  });
+}
+
 function checkServices(parsed: Parsed): Errors.Fault[] {
   const faults: Errors.Fault[] = [];
   parsed.services.forEach((service, i) => {
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -91,11 +91,6 @@
   readonly times: TimeSettings;
 }
 
-/** Where a stand-in platform listens. */
-export interface StandInSettings {
-  readonly address: string;
-}
-
 const DEFAULT_LIMITS: LimitSettings = {
   waitingCallers: 2000,
   bodyBytes: 1_000_000,
--- /dev/null
+++ b/packages/daemon/mod.ts
@@ -0,0 +1,6 @@
+/** cairngated: one box as a process. */
+export {
+  type RunningDaemon,
+  startDaemon,
+  type StartOptions,
+} from "./src/start_daemon.ts";
--- /dev/null
+++ b/packages/daemon/src/embedded_platform.ts
@@ -0,0 +1,54 @@
+/** The platform and its workers in the daemon's own process. */
+import * as Adapters from "@cairngate/adapters";
+import * as Config from "@cairngate/config";
+import type * as Errors from "@cairngate/errors";
+import * as Metrics from "@cairngate/metrics";
+import type * as Platform from "@cairngate/platform";
+import * as StandIns from "@cairngate/stand-ins";
+import * as Effect from "effect/Effect";
+
+/** Adapters that a box needs besides its peers. */
+export interface PlatformAdapters {
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+  readonly metrics: Metrics.Metrics;
+  readonly table: Platform.TableService;
+  readonly objects: Platform.ObjectStore;
+  readonly liveList: Platform.LiveList;
+  readonly workers: Platform.Workers;
+}
+
+/** Adds the machine's clock and random numbers. */
+export function withTime(
+  adapters: Omit<PlatformAdapters, "clock" | "random" | "metrics">,
+): PlatformAdapters {
+  const clock = new Adapters.SystemClock();
+  const random = new Adapters.SystemRandom();
+  return { ...adapters, clock, random, metrics: new Metrics.Metrics() };
+}
+
+/** Stand-ins for all workers of an operators' file. */
+export function createEmbeddedPlatform(
+  text: string,
+): Effect.Effect<PlatformAdapters, Errors.InvalidFileError> {
+  return Effect.gen(function* () {
+    const cfg = yield* Config.parseDeployment(text);
+    const clock = new Adapters.SystemClock();
+    const random = new Adapters.SystemRandom();
+    const faults = new StandIns.FaultSwitch(clock, random);
+    const ledger = new StandIns.RunLedger();
+    const liveList = new StandIns.MemoryLiveList(faults);
+    const workers = new StandIns.MemoryWorkers();
+    for (const spec of cfg.racks.flatMap((rack) => rack.workers)) {
+      const options = { ...spec, clock, random, ledger };
+      workers.add(spec.endpoint, new StandIns.StandInWorker(options));
+      liveList.set({ ...spec, leaving: false });
+    }
+    return withTime({
+      table: new StandIns.MemoryTable(faults),
+      objects: new StandIns.MemoryObjectStore(faults),
+      liveList,
+      workers,
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/start_daemon.ts
@@ -0,0 +1,115 @@
+/** Wires a box to its adapters and servers. */
+import * as Adapters from "@cairngate/adapters";
+import * as Box from "@cairngate/box";
+import type * as Config from "@cairngate/config";
+import type * as Errors from "@cairngate/errors";
+import * as Http from "@cairngate/http";
+import * as Logger from "@cairngate/logger";
+import * as Peers from "@cairngate/peers";
+import * as Effect from "effect/Effect";
+import * as embedded from "./embedded_platform.ts";
+
+/** How to start. */
+export interface StartOptions {
+  readonly settings: Config.BoxSettings;
+  /** Text of an operators' file: run on stand-ins in this process. */
+  readonly embeddedFile: string | null;
+}
+
+/** A running daemon. */
+export interface RunningDaemon {
+  readonly box: Box.Box;
+  /** Hands over, finishes what is in flight, then ends. */
+  stop(): Effect.Effect<void>;
+}
+
+/** Time for the balancer to notice that this box is not ready. */
+const UNREADY_MS = 1000;
+
+/** Starts a box and its servers. */
+export function startDaemon(
+  options: StartOptions,
+): Effect.Effect<RunningDaemon, Errors.ListenError | Errors.InvalidFileError> {
+  return Effect.gen(function* () {
+    const { settings } = options;
+    const log = Logger.createLogger({
+      level: settings.logLevel,
+      format: settings.logFormat,
+      box: settings.box,
+    });
+    const platform = options.embeddedFile === null
+      ? reachPlatform(settings)
+      : yield* embedded.createEmbeddedPlatform(options.embeddedFile);
+    const box = createBox(settings, platform, log);
+    yield* box.start();
+    const callers = yield* Http.serveCallers(box, {
+      address: settings.callersAddress,
+      bodyBytes: settings.limits.bodyBytes,
+    });
+    const closeOperators = yield* Http.serveOperators(
+      box,
+      settings.operatorsAddress,
+    );
+    const own = log.part("daemon");
+    own.info(
+      `Box ${settings.box} serves callers on ${settings.callersAddress}.`,
+    );
+    const stop = () =>
+      stopDaemon({ box, callers, closeOperators, log: own, settings });
+    return { box, stop };
+  });
+}
+
+function createBox(
+  settings: Config.BoxSettings,
+  platform: embedded.PlatformAdapters,
+  log: Logger.Logger,
+): Box.Box {
+  const { clock, random } = platform;
+  const network = new Peers.WsPeerNetwork({
+    self: settings.box,
+    address: settings.peersAddress,
+    peers: settings.peers,
+    clock,
+    random,
+    log: log.part("peers"),
+    metrics: platform.metrics,
+  });
+  return new Box.Box({ ...platform, network, log }, settings);
+}
+
+function reachPlatform(
+  settings: Config.BoxSettings,
+): embedded.PlatformAdapters {
+  const { platformAddress, limits } = settings;
+  return embedded.withTime({
+    table: new Adapters.HttpTable(platformAddress),
+    objects: new Adapters.HttpObjectStore(platformAddress),
+    liveList: new Adapters.HttpLiveList(platformAddress),
+    workers: new Adapters.HttpWorkers(limits.connectionsPerWorker),
+  });
+}
+
+interface StopParts {
+  readonly box: Box.Box;
+  readonly callers: Http.CallersServer;
+  readonly closeOperators: () => void;
+  readonly log: Logger.Logger;
+  readonly settings: Config.BoxSettings;
+}
+
+function stopDaemon(parts: StopParts): Effect.Effect<void> {
+  const { box, callers, log, settings } = parts;
+  return Effect.gen(function* () {
+    log.info("The box leaves.");
+    callers.beginClosing();
+    yield* box.leave();
+    yield* Effect.sleep(UNREADY_MS);
+    const drained = yield* box.drain(settings.times.stopGraceMs);
+    if (!drained) log.warn("Some callers still wait; they are cut off.");
+    yield* Effect.timeoutOption(callers.close(), UNREADY_MS);
+    yield* box.stop();
+    parts.closeOperators();
+    log.info("The box has stopped.");
+  });
+}
--- /dev/null
+++ b/packages/entry/src/admission.ts
@@ -0,0 +1,58 @@
+/** Bounds on waiting callers; the lowest tier is turned away first. */
+import * as Errors from "@cairngate/errors";
+import type * as Metrics from "@cairngate/metrics";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+
+/** Share of the bound up to which callers of a tier are admitted. */
+const SHARES: Readonly<Record<Types.Tier, number>> = {
+  [Types.Tier.Urgent]: 1,
+  [Types.Tier.Standard]: 0.8,
+  [Types.Tier.Batch]: 0.6,
+};
+
+const RETRY_AFTER_S: Readonly<Record<Types.Tier, number>> = {
+  [Types.Tier.Urgent]: 1,
+  [Types.Tier.Standard]: 2,
+  [Types.Tier.Batch]: 5,
+};
+
+/** Counts the callers that wait on this box. */
+export class Admission {
+  readonly #limit: number;
+  readonly #metrics: Metrics.Metrics;
+  #waiting = 0;
+
+  constructor(limit: number, metrics: Metrics.Metrics) {
+    this.#limit = limit;
+    this.#metrics = metrics;
+  }
+
+  /** Callers that wait now. */
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  /** Runs work while its caller counts as waiting, or turns it away. */
+  admit<A, E>(
+    tier: Types.Tier,
+    work: Effect.Effect<A, E>,
+  ): Effect.Effect<A, E | Errors.OverloadedError> {
+    return Effect.suspend((): Effect.Effect<A, E | Errors.OverloadedError> => {
+      if (this.#waiting >= this.#limit * SHARES[tier]) {
+        this.#metrics.count("cairngate_shed_total", { tier });
+        return Effect.fail(
+          new Errors.OverloadedError({
+            limit: `waiting callers of tier ${tier}`,
+            retryAfterSeconds: RETRY_AFTER_S[tier],
+          }),
+        );
+      }
+      this.#waiting++;
+      const leave = Effect.sync(() => {
+        this.#waiting--;
+      });
+      return Effect.ensuring(work, leave);
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/intents.ts
@@ -0,0 +1,127 @@
+/**
+ * Durable intents of unrepeatable short jobs. The row exists before the
+ * dispatch, under the job's id, so that no other box dispatches the same job.
+ */
+import * as Errors from "@cairngate/errors";
+import * as TableClient from "@cairngate/table-client";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as ports from "./ports.ts";
+
+/** Value of an intent row. */
+export interface IntentRow {
+  readonly box: string;
+  readonly attempt: string;
+  readonly worker: string;
+  /** Null until the outcome is known. */
+  readonly outcome: Types.Outcome | null;
+}
+
+/** How the claim of an intent ended. */
+export type IntentClaim =
+  | { readonly kind: "own"; readonly revision: number }
+  | { readonly kind: "other" };
+
+/** An intent row with its revision. */
+export interface KnownIntent {
+  readonly row: IntentRow;
+  readonly revision: number;
+}
+
+const POLL_MS = 200;
+const SAVE_TRIES = 5;
+
+/** Reads and writes intents. */
+export class Intents {
+  readonly #ports: ports.EntryPorts;
+
+  constructor(entryPorts: ports.EntryPorts) {
+    this.#ports = entryPorts;
+  }
+
+  /** Claims a job for this box and attempt, or tells who has claimed it. */
+  claim(
+    job: Types.Job,
+    own: { attempt: string; worker: string; revision: number },
+  ): Effect.Effect<IntentClaim, Errors.StoreUnavailableError> {
+    return Effect.gen({ self: this }, function* () {
+      const key = TableClient.Keys.intentKey(job.cell, job.id);
+      const { attempt, worker } = own;
+      const value: IntentRow = {
+        box: this.#ports.box,
+        attempt,
+        worker,
+        outcome: null,
+      };
+      const written = yield* Effect.result(this.#ports.writer.write({
+        conditions: [{ key, revision: own.revision }],
+        writes: [{ key, value }],
+      }));
+      if (written._tag === "Success") {
+        return { kind: "own", revision: written.success } as const;
+      }
+      if (written.failure._tag === "StoreUnavailableError") {
+        return yield* written.failure;
+      }
+      return { kind: "other" } as const;
+    });
+  }
+
+  /** The intent of a job; null where there is none. */
+  read(
+    job: Types.Job,
+  ): Effect.Effect<KnownIntent | null, Errors.StoreUnavailableError> {
+    const key = TableClient.Keys.intentKey(job.cell, job.id);
+    return Effect.map(this.#ports.store.read([key]), ([found]) => {
+      if (found === undefined) return null;
+      return { row: found.value as IntentRow, revision: found.revision };
+    });
+  }
+
+  /**
+   * Records the outcome of a claim. Nothing is written where another box has
+   * claimed the job since; given up with a log line after some tries.
+   */
+  saveOutcome(
+    job: Types.Job,
+    own: {
+      attempt: string;
+      worker: string;
+      revision: number;
+      outcome: Types.Outcome;
+    },
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const key = TableClient.Keys.intentKey(job.cell, job.id);
+      const { revision, ...rest } = own;
+      const value: IntentRow = { box: this.#ports.box, ...rest };
+      const conditions = [{ key, revision }];
+      const write = { conditions, writes: [{ key, value }] };
+      for (let i = 0; i < SAVE_TRIES; i++) {
+        const saved = yield* Effect.result(this.#ports.writer.write(write));
+        if (saved._tag === "Success") return;
+        if (saved.failure._tag === "ConditionFailedError") return;
+      }
+      this.#ports.log.warn(`The outcome of job ${job.id} was not recorded.`);
+    });
+  }
+
+  /** Waits for the outcome that another box records; null if none in time. */
+  awaitOutcome(
+    job: Types.Job,
+    untilMs: number,
+  ): Effect.Effect<Types.Outcome | null> {
+    return Effect.gen({ self: this }, function* () {
+      const { clock } = this.#ports;
+      while (clock.monotonicMs() < untilMs) {
+        const row = yield* Effect.result(this.read(job));
+        const known = row._tag === "Success" ? row.success : null;
+        if (known !== null && known.row.outcome !== null) {
+          return known.row.outcome;
+        }
+        yield* clock.sleep(POLL_MS);
+      }
+      return null;
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/outcomes.ts
@@ -0,0 +1,35 @@
+/** The three outcomes a caller can be told. */
+import * as Types from "@cairngate/types";
+
+/** The complete answer. */
+export function done(
+  jobId: string,
+  attempt: string,
+  result: unknown,
+): Types.Outcome {
+  const kind = Types.OutcomeKind.Done;
+  const reason = null;
+  return { kind, jobId, attempt, result, reason, retryAfterSeconds: null };
+}
+
+/** The job did not run, and will not. */
+export function notRun(
+  jobId: string,
+  reason: string,
+  retryAfterSeconds: number | null,
+): Types.Outcome {
+  const kind = Types.OutcomeKind.NotRun;
+  const attempt = null;
+  return { kind, jobId, attempt, result: null, reason, retryAfterSeconds };
+}
+
+/** Whether the job ran is not known. */
+export function unknown(
+  jobId: string,
+  attempt: string | null,
+  reason: string,
+): Types.Outcome {
+  const kind = Types.OutcomeKind.Unknown;
+  const result = null;
+  return { kind, jobId, attempt, result, reason, retryAfterSeconds: null };
+}
--- /dev/null
+++ b/packages/entry/src/parse_submission.ts
@@ -0,0 +1,186 @@
+/** Turns a caller's request into a job. */
+import * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as Schema from "effect/Schema";
+import * as SchemaIssue from "effect/SchemaIssue";
+import * as crypto from "node:crypto";
+
+/** A caller's request, as HTTP delivers it. */
+export interface SubmitRequest {
+  readonly body: unknown;
+  readonly idempotencyKey: string | null;
+  /** Seconds the caller waits for the answer; null where it did not say. */
+  readonly waitSeconds: number | null;
+}
+
+const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
+const MAX_ACCELERATORS = 8;
+const MAX_GANG = 64;
+const ID_LENGTH = 24;
+
+const Positive = Schema.Int.check(Schema.isGreaterThanOrEqualTo(1));
+const Seconds = Schema.Number.check(Schema.isGreaterThan(0));
+
+const BodySchema = Schema.Struct({
+  team: Schema.NonEmptyString,
+  service: Schema.NonEmptyString,
+  input: Schema.optionalKey(Schema.Unknown),
+  tier: Schema.optionalKey(Schema.Enum(Types.Tier)),
+  accelerators: Schema.optionalKey(
+    Positive.check(Schema.isLessThanOrEqualTo(MAX_ACCELERATORS)),
+  ),
+  gang: Schema.optionalKey(
+    Positive.check(Schema.isLessThanOrEqualTo(MAX_GANG)),
+  ),
+  adjacency: Schema.optionalKey(Schema.Enum(Types.Adjacency)),
+  estimateSeconds: Schema.optionalKey(Seconds),
+  deadlineSeconds: Schema.optionalKey(Seconds),
+});
+
+type Body = typeof BodySchema.Type;
+
+/** What a job is made from. */
+export interface ParseContext {
+  readonly cfg: Types.DeploymentConfig;
+  readonly clock: Platform.Clock;
+  readonly random: Platform.RandomSource;
+}
+
+/** Checks a request against the configuration and makes the job. */
+export function parseSubmission(
+  req: SubmitRequest,
+  context: ParseContext,
+): Effect.Effect<Types.Job, Errors.BadRequestError> {
+  return Effect.gen(function* () {
+    const body = yield* decodeBody(req.body);
+    yield* checkKey(req.idempotencyKey);
+    const team = context.cfg.teams.find((t) => t.name === body.team);
+    if (team === undefined) return yield* bad("team", "a configured team");
+    const service = context.cfg.services.find((s) => s.name === body.service);
+    if (service === undefined) {
+      return yield* bad("service", "a configured service");
+    }
+    const job = buildJob(req, { body, team, service, context });
+    yield* checkShape(job, team);
+    return job;
+  });
+}
+
+/** The cell of a job, read from its id. */
+export function cellOfJobId(
+  jobId: string,
+): Effect.Effect<string, Errors.UnknownJobError> {
+  const dot = jobId.lastIndexOf(".");
+  if (dot > 0) return Effect.succeed(jobId.slice(0, dot));
+  return Effect.fail(new Errors.UnknownJobError({ jobId }));
+}
+
+function decodeBody(
+  body: unknown,
+): Effect.Effect<Body, Errors.BadRequestError> {
+  const decode = Schema.decodeUnknownEffect(BodySchema);
+  return decode(body, { onExcessProperty: "error" }).pipe(
+    Effect.mapError((err) => {
+      const format = SchemaIssue.makeFormatterStandardSchemaV1();
+      const [first] = format(err.issue).issues;
+      const field = (first?.path ?? []).map(String).join(".") || "body";
+      const expected = first?.message ?? "a valid job";
+      return new Errors.BadRequestError({ field, expected });
+    }),
+  );
+}
+
+function checkKey(
+  key: string | null,
+): Effect.Effect<void, Errors.BadRequestError> {
+  if (key === null || KEY_PATTERN.test(key)) return Effect.void;
+  return bad("Idempotency-Key", "1 to 128 visible ASCII characters");
+}
+
+function buildJob(
+  req: SubmitRequest,
+  parts: {
+    body: Body;
+    team: Types.TeamSpec;
+    service: Types.ServiceSpec;
+    context: ParseContext;
+  },
+): Types.Job {
+  const { body, team, service, context } = parts;
+  const nowMs = context.clock.wallMs();
+  const deadlineSeconds = body.deadlineSeconds ?? service.deadlineSeconds;
+  const { idempotencyKey } = req;
+  return {
+    id: makeJobId(team, idempotencyKey, context.random),
+    team: team.name,
+    service: service.name,
+    kind: service.kind,
+    cell: team.cell,
+    tier: lowerTier(body.tier ?? service.tier, team.tier),
+    accelerators: body.accelerators ?? service.accelerators,
+    gang: body.gang ?? service.gang,
+    adjacency: body.adjacency ?? service.adjacency,
+    estimateMs: toMs(body.estimateSeconds ?? service.estimateSeconds),
+    repeatable: service.repeatable,
+    checkpointMs: toMs(service.checkpointSeconds),
+    submittedAtMs: nowMs,
+    deadlineAtMs: deadlineSeconds === null
+      ? null
+      : nowMs + deadlineSeconds * 1000,
+    work: service.work,
+    input: body.input ?? null,
+    idempotencyKey,
+  };
+}
+
+function checkShape(
+  job: Types.Job,
+  team: Types.TeamSpec,
+): Effect.Effect<void, Errors.BadRequestError> {
+  const size = job.accelerators * job.gang;
+  const inWorker = job.adjacency === Types.Adjacency.Worker;
+  if (inWorker && size > MAX_ACCELERATORS) {
+    return bad("gang", `at most ${MAX_ACCELERATORS} accelerators in a worker`);
+  }
+  const inRack = job.adjacency === Types.Adjacency.Rack;
+  if (inRack && size > MAX_ACCELERATORS * MAX_ACCELERATORS) {
+    return bad("gang", "at most 64 accelerators in a rack");
+  }
+  if (job.kind === Types.ServiceKind.Short && job.gang > 1) {
+    return bad("gang", "1 for a short service");
+  }
+  if (size > team.quota) {
+    return bad("gang", `at most the team's quota of ${team.quota}`);
+  }
+  return Effect.void;
+}
+
+/** A key names the same job at every box. */
+function makeJobId(
+  team: Types.TeamSpec,
+  key: string | null,
+  random: Platform.RandomSource,
+): string {
+  const seed = key === null ? random.id() : `${team.name}\n${key}`;
+  const digest = crypto.createHash("sha256").update(seed).digest("hex");
+  return `${team.cell}.${digest.slice(0, ID_LENGTH)}`;
+}
+
+/** A job never has a higher tier than its team has paid for. */
+function lowerTier(wanted: Types.Tier, paid: Types.Tier): Types.Tier {
+  const rank = Math.max(Types.rankTier(wanted), Types.rankTier(paid));
+  return Types.TIER_ORDER[rank];
+}
+
+function toMs(seconds: number | null): number | null {
+  return seconds === null ? null : seconds * 1000;
+}
+
+function bad(
+  field: string,
+  expected: string,
+): Effect.Effect<never, Errors.BadRequestError> {
+  return Effect.fail(new Errors.BadRequestError({ field, expected }));
+}
--- /dev/null
+++ b/packages/entry/src/stored_jobs.ts
@@ -0,0 +1,162 @@
+/** Stored jobs: the row comes before the answer, so none is lost. */
+import * as Errors from "@cairngate/errors";
+import * as TableClient from "@cairngate/table-client";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as parsing from "./parse_submission.ts";
+import type * as ports from "./ports.ts";
+
+const ASK_MS = 2000;
+const CANCEL_MS = 8000;
+const POLL_MS = 500;
+
+/** Takes stored jobs and reads them back. */
+export class StoredJobs {
+  readonly #ports: ports.EntryPorts;
+
+  constructor(entryPorts: ports.EntryPorts) {
+    this.#ports = entryPorts;
+  }
+
+  /** Stores a job; the same key again returns the job that exists. */
+  accept(
+    job: Types.Job,
+  ): Effect.Effect<Types.JobRecord, Errors.StoreUnavailableError> {
+    return Effect.gen({ self: this }, function* () {
+      const record = newRecord(job, this.#ports.clock.wallMs());
+      const key = TableClient.Keys.jobKey(job.cell, job.id);
+      const written = yield* Effect.result(this.#ports.writer.write({
+        conditions: [{ key, revision: 0 }],
+        writes: [{ key, value: record }],
+      }));
+      if (written._tag === "Failure") {
+        if (written.failure._tag === "StoreUnavailableError") {
+          return yield* written.failure;
+        }
+        return (yield* this.#readRow(job.id, job.cell)) ?? record;
+      }
+      yield* Effect.forkDetach(this.#tellOwner(record));
+      return record;
+    });
+  }
+
+  /** The record of a job, waiting for its end if asked. */
+  status(
+    jobId: string,
+    waitMs: number,
+  ): Effect.Effect<
+    Types.JobRecord,
+    Errors.UnknownJobError | Errors.StoreUnavailableError
+  > {
+    return Effect.gen({ self: this }, function* () {
+      const cell = yield* parsing.cellOfJobId(jobId);
+      const { clock } = this.#ports;
+      const untilMs = clock.monotonicMs() + waitMs;
+      for (;;) {
+        const leftMs = Math.max(0, Math.floor(untilMs - clock.monotonicMs()));
+        const record = yield* this.#lookUp(jobId, cell, leftMs);
+        if (record === null) {
+          return yield* new Errors.UnknownJobError({ jobId });
+        }
+        const isOver = clock.monotonicMs() >= untilMs;
+        if (isOver || hasEnded(record)) return yield* this.#withResult(record);
+        yield* clock.sleep(POLL_MS);
+      }
+    });
+  }
+
+  /** Cancels a job. */
+  cancel(
+    jobId: string,
+  ): Effect.Effect<Types.JobRecord, Errors.UnknownJobError | ports.AskError> {
+    return Effect.gen({ self: this }, function* () {
+      const cell = yield* parsing.cellOfJobId(jobId);
+      const kind = Types.PeerKind.Cancel as const;
+      const req = { kind, cell, jobId };
+      const record = yield* this.#ports.owners.ask<Types.JobRecord | null>(
+        cell,
+        req,
+        CANCEL_MS,
+      );
+      if (record === null) return yield* new Errors.UnknownJobError({ jobId });
+      return record;
+    });
+  }
+
+  /** The owner knows best; without it, the row tells. */
+  #lookUp(
+    jobId: string,
+    cell: string,
+    waitMs: number,
+  ): Effect.Effect<Types.JobRecord | null, Errors.StoreUnavailableError> {
+    const kind = Types.PeerKind.JobStatus as const;
+    const req = { kind, cell, jobId, waitMs };
+    const asked = this.#ports.owners.ask<Types.JobRecord | null>(
+      cell,
+      req,
+      waitMs + ASK_MS,
+    );
+    return Effect.catch(asked, () => this.#readRow(jobId, cell));
+  }
+
+  #readRow(
+    jobId: string,
+    cell: string,
+  ): Effect.Effect<Types.JobRecord | null, Errors.StoreUnavailableError> {
+    const key = TableClient.Keys.jobKey(cell, jobId);
+    return Effect.map(
+      this.#ports.store.read([key]),
+      (rows) => (rows[0]?.value as Types.JobRecord | undefined) ?? null,
+    );
+  }
+
+  /** Reads a large result back from the object store. */
+  #withResult(
+    record: Types.JobRecord,
+  ): Effect.Effect<Types.JobRecord, Errors.StoreUnavailableError> {
+    if (record.resultObject === null) return Effect.succeed(record);
+    return this.#ports.objects.get(record.resultObject).pipe(
+      Effect.map((result) => ({ ...record, result })),
+      Effect.mapError(() =>
+        new Errors.StoreUnavailableError({
+          operation: "reading a result",
+          cause: "the object store did not answer",
+        })
+      ),
+    );
+  }
+
+  /** A hint only: the owner finds the row by itself within seconds. */
+  #tellOwner(record: Types.JobRecord): Effect.Effect<void> {
+    const kind = Types.PeerKind.Enqueue as const;
+    const { cell } = record.job;
+    const tell = this.#ports.owners.ask(cell, { kind, cell, record }, ASK_MS);
+    return Effect.ignore(tell);
+  }
+}
+
+function newRecord(job: Types.Job, nowMs: number): Types.JobRecord {
+  return {
+    job,
+    state: Types.JobState.Waiting,
+    attempt: null,
+    workers: [],
+    result: null,
+    resultObject: null,
+    reason: null,
+    updatedAtMs: nowMs,
+  };
+}
+
+const ENDED: ReadonlySet<Types.JobState> = new Set([
+  Types.JobState.Done,
+  Types.JobState.Failed,
+  Types.JobState.Cancelled,
+  Types.JobState.NotRun,
+  Types.JobState.Unknown,
+]);
+
+/** Whether a job has ended. */
+export function hasEnded(record: Types.JobRecord): boolean {
+  return ENDED.has(record.state);
+}
--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -1,5 +1,10 @@
 /** JSON over Node's http: reading bodies, sending answers, calling. */
 export { formatAddress, listen, parseAddress } from "./src/address.ts";
-export { type HttpCall, HttpCaller, HttpLostError, type HttpReply } from "./src/http_caller.ts";
+export {
+  type HttpCall,
+  HttpCaller,
+  HttpLostError,
+  type HttpReply,
+} from "./src/http_caller.ts";
 export { readJsonBody } from "./src/read_json_body.ts";
 export { sendJson, sendText } from "./src/send.ts";
--- a/packages/http-json/src/http_caller.ts
+++ b/packages/http-json/src/http_caller.ts
@@ -27,7 +27,11 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
-const CONNECT_REFUSED = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]);
+const CONNECT_REFUSED = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
 
 /** Calls over at most a number of connections to each address. */
 export class HttpCaller {
--- /dev/null
+++ b/packages/http/src/callers_server.ts
@@ -0,0 +1,209 @@
+/**
+ * Callers' HTTP: `POST /v1/jobs`, `GET` and `DELETE /v1/jobs/{id}`.
+ * `Idempotency-Key` names a job; `Prefer: wait=N` waits up to N seconds.
+ */
+import type * as Box from "@cairngate/box";
+import * as Entry from "@cairngate/entry";
+import * as Errors from "@cairngate/errors";
+import * as HttpJson from "@cairngate/http-json";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as http from "node:http";
+import * as problems from "./problems.ts";
+
+/** A running server. */
+export interface CallersServer {
+  /** Answers are the last of their connections from now on. */
+  beginClosing(): void;
+  /** Takes no new connections; resolves when the last answer is sent. */
+  close(): Effect.Effect<void>;
+}
+
+const JOBS_PATH = "/v1/jobs";
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_MS = 60_000;
+const MAX_CONNECTIONS = 5000;
+
+/** Opens the callers' server of a box. */
+export function serveCallers(
+  box: Box.Box,
+  options: { address: string; bodyBytes: number },
+): Effect.Effect<CallersServer, Errors.ListenError> {
+  return Effect.gen(function* () {
+    const state = { closing: false };
+    const server = http.createServer((req, res) => {
+      if (state.closing) res.setHeader("connection", "close");
+      Effect.runFork(handle(box, { req, res, bodyBytes: options.bodyBytes }));
+    });
+    server.headersTimeout = HEADERS_TIMEOUT_MS;
+    server.requestTimeout = REQUEST_TIMEOUT_MS;
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.maxConnections = MAX_CONNECTIONS;
+    yield* HttpJson.listen(server, options.address);
+    return {
+      beginClosing: () => {
+        state.closing = true;
+      },
+      close: () => closeServer(server),
+    };
+  });
+}
+
+function closeServer(server: http.Server): Effect.Effect<void> {
+  return Effect.callback<void>((resume) => {
+    server.close(() => resume(Effect.void));
+    server.closeIdleConnections();
+  });
+}
+
+interface Exchange {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly bodyBytes: number;
+}
+
+function handle(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
+  const { req, res } = exchange;
+  const { pathname } = new URL(req.url ?? "/", "http://box");
+  if (pathname === JOBS_PATH && req.method === "POST") {
+    return submit(box, exchange);
+  }
+  const jobId = decodeJobId(pathname);
+  if (jobId !== null && req.method === "GET") {
+    return lookUp(box, exchange, jobId);
+  }
+  if (jobId !== null && req.method === "DELETE") {
+    return cancel(box, exchange, jobId);
+  }
+  return Effect.sync(() => {
+    const expected = `a route such as ${JOBS_PATH}`;
+    const err = new Errors.BadRequestError({ field: "path", expected });
+    problems.sendFailure(res, err, null);
+  });
+}
+
+/** Null where the path names no job. */
+function decodeJobId(pathname: string): string | null {
+  if (!pathname.startsWith(`${JOBS_PATH}/`)) return null;
+  try {
+    return decodeURIComponent(pathname.slice(JOBS_PATH.length + 1));
+  } catch {
+    return null;
+  }
+}
+
+function submit(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
+  const { req, res, bodyBytes } = exchange;
+  return Effect.gen(function* () {
+    const waitSeconds = yield* readWait(req);
+    const body = yield* HttpJson.readJsonBody(req, bodyBytes);
+    const idempotencyKey = headerOf(req, "idempotency-key");
+    return yield* box.entry.submit({ body, idempotencyKey, waitSeconds });
+  }).pipe(
+    Effect.match({
+      onSuccess: (submission) => sendSubmission(res, submission),
+      // A submission that fails has sent nothing to a worker.
+      onFailure: (err) => problems.sendFailure(res, err, outcomeOfFailure(err)),
+    }),
+  );
+}
+
+/** A write whose answer was lost may have stored the job. */
+function outcomeOfFailure(err: { _tag: string }): Types.OutcomeKind {
+  return err._tag === "StoreUnavailableError"
+    ? Types.OutcomeKind.Unknown
+    : Types.OutcomeKind.NotRun;
+}
+
+function lookUp(
+  box: Box.Box,
+  exchange: Exchange,
+  jobId: string,
+): Effect.Effect<void> {
+  const { req, res } = exchange;
+  return Effect.gen(function* () {
+    const waitSeconds = yield* readWait(req);
+    return yield* box.entry.status(jobId, waitSeconds);
+  }).pipe(
+    Effect.match({
+      onSuccess: (record) => sendRecord(res, 200, record),
+      onFailure: (err) => problems.sendFailure(res, err, null),
+    }),
+  );
+}
+
+function cancel(
+  box: Box.Box,
+  exchange: Exchange,
+  jobId: string,
+): Effect.Effect<void> {
+  const { res } = exchange;
+  return Effect.match(box.entry.cancel(jobId), {
+    onSuccess: (record) => sendRecord(res, 200, record),
+    onFailure: (err) => problems.sendFailure(res, err, null),
+  });
+}
+
+function sendSubmission(
+  res: http.ServerResponse,
+  submission: Entry.Submission,
+): void {
+  if (submission.kind === Entry.SubmissionKind.Accepted) {
+    const { record } = submission;
+    const isDone = record.state === Types.JobState.Done;
+    return sendRecord(res, isDone ? 200 : 202, record);
+  }
+  const { outcome } = submission;
+  if (outcome.kind !== Types.OutcomeKind.Done) {
+    return problems.sendOutcome(res, outcome);
+  }
+  const { jobId, attempt, result, kind } = outcome;
+  const body = { jobId, attempt, outcome: kind, result };
+  HttpJson.sendJson(res, 200, { body });
+}
+
+function sendRecord(
+  res: http.ServerResponse,
+  status: number,
+  record: Types.JobRecord,
+): void {
+  const { job, state, attempt, result, reason } = record;
+  const jobId = job.id;
+  const outcome = outcomeOfState(state);
+  const body = { jobId, state, outcome, attempt, result, reason };
+  const headers = { location: `${JOBS_PATH}/${encodeURIComponent(jobId)}` };
+  HttpJson.sendJson(res, status, { body, headers });
+}
+
+/** Null while the job has not ended. */
+function outcomeOfState(state: Types.JobState): Types.OutcomeKind | null {
+  switch (state) {
+    case Types.JobState.Done:
+      return Types.OutcomeKind.Done;
+    case Types.JobState.NotRun:
+      return Types.OutcomeKind.NotRun;
+    case Types.JobState.Unknown:
+      return Types.OutcomeKind.Unknown;
+    default:
+      return null;
+  }
+}
+
+function headerOf(req: http.IncomingMessage, name: string): string | null {
+  const value = req.headers[name];
+  return typeof value === "string" ? value : null;
+}
+
+function readWait(
+  req: http.IncomingMessage,
+): Effect.Effect<number | null, Errors.BadRequestError> {
+  const prefer = headerOf(req, "prefer");
+  if (prefer === null) return Effect.succeed(null);
+  const found = /(?:^|[,;\s])wait\s*=\s*"?([^\s,;"]+)"?/.exec(prefer);
+  if (found === null) return Effect.succeed(null);
+  const seconds = Number(found[1]);
+  if (Number.isFinite(seconds) && seconds >= 0) return Effect.succeed(seconds);
+  const expected = "wait=N with a number of seconds";
+  return Effect.fail(new Errors.BadRequestError({ field: "Prefer", expected }));
+}
--- /dev/null
+++ b/packages/http/src/operators_server.ts
@@ -0,0 +1,163 @@
+/**
+ * Operators' HTTP, on an address of its own: `/healthz`, `/readyz`,
+ * `/metrics`, `/debug/dump`, `/v1/config` (GET and POST),
+ * `/v1/config/history`, `/v1/config/versions/{n}`, `/v1/status`,
+ * `/v1/jobs/{id}/explain`.
+ */
+import type * as Box from "@cairngate/box";
+import * as Errors from "@cairngate/errors";
+import * as HttpJson from "@cairngate/http-json";
+import * as Effect from "effect/Effect";
+import * as http from "node:http";
+import process from "node:process";
+import * as problems from "./problems.ts";
+
+const FILE_LIMIT_BYTES = 16_000_000;
+const VERSIONS_PATH = "/v1/config/versions/";
+const EXPLAIN_PATTERN = /^\/v1\/jobs\/([^/]+)\/explain$/;
+
+type Handled = Effect.Effect<unknown, problems.HttpFailure>;
+
+/** Opens the operators' server of a box; returns how to close it. */
+export function serveOperators(
+  box: Box.Box,
+  address: string,
+): Effect.Effect<() => void, Errors.ListenError> {
+  return Effect.gen(function* () {
+    const server = http.createServer((req, res) => {
+      Effect.runFork(handle(box, req, res));
+    });
+    yield* HttpJson.listen(server, address);
+    return () => {
+      server.close();
+      server.closeAllConnections();
+    };
+  });
+}
+
+function handle(
+  box: Box.Box,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): Effect.Effect<void> {
+  const { pathname } = new URL(req.url ?? "/", "http://box");
+  switch (pathname) {
+    case "/healthz":
+      return Effect.sync(() => HttpJson.sendText(res, 200, "ok\n"));
+    case "/readyz":
+      return Effect.sync(() => sendReady(box, res));
+    case "/metrics":
+      return Effect.sync(() => {
+        noteProcess(box);
+        HttpJson.sendText(res, 200, box.metrics.print());
+      });
+  }
+  return Effect.match(route(box, req, pathname), {
+    onSuccess: (body) => HttpJson.sendJson(res, 200, { body }),
+    onFailure: (err) => problems.sendFailure(res, err, null),
+  });
+}
+
+function route(
+  box: Box.Box,
+  req: http.IncomingMessage,
+  pathname: string,
+): Handled {
+  const explained = EXPLAIN_PATTERN.exec(pathname);
+  if (explained !== null) return explain(box, decodeURIComponent(explained[1]));
+  if (pathname.startsWith(VERSIONS_PATH)) {
+    return readVersion(box, pathname.slice(VERSIONS_PATH.length));
+  }
+  if (pathname === "/v1/config" && req.method === "POST") {
+    return apply(box, req);
+  }
+  switch (pathname) {
+    case "/v1/config":
+      return Effect.succeed(box.configs.current);
+    case "/v1/config/history":
+      return box.configs.history();
+    case "/v1/status":
+      return readStatus(box);
+    case "/debug/dump":
+      return Effect.sync(() => box.dump());
+    default:
+      return bad("path", "a route of the operators' address");
+  }
+}
+
+function sendReady(box: Box.Box, res: http.ServerResponse): void {
+  if (box.isReady) HttpJson.sendText(res, 200, "ready\n");
+  else HttpJson.sendText(res, 503, "not ready\n");
+}
+
+function noteProcess(box: Box.Box): void {
+  const { user, system } = process.cpuUsage();
+  box.metrics.set("process_cpu_seconds_total", (user + system) / 1e6);
+  box.metrics.set("process_resident_memory_bytes", process.memoryUsage().rss);
+}
+
+function apply(box: Box.Box, req: http.IncomingMessage): Handled {
+  return Effect.gen(function* () {
+    const body = yield* HttpJson.readJsonBody(req, FILE_LIMIT_BYTES);
+    const given = (body ?? {}) as Partial<Box.ApplyRequest>;
+    const { text, basedOn, applyId } = given;
+    if (typeof text !== "string") return yield* bad("text", "a file's text");
+    if (typeof basedOn !== "number" || !Number.isInteger(basedOn)) {
+      return yield* bad("basedOn", "a version number");
+    }
+    if (typeof applyId !== "string" || applyId === "") {
+      return yield* bad("applyId", "a unique id");
+    }
+    return yield* box.configs.apply({ text, basedOn, applyId });
+  });
+}
+
+function readVersion(box: Box.Box, text: string): Handled {
+  return Effect.gen(function* () {
+    const version = Number(text);
+    const found = Number.isInteger(version) && version > 0
+      ? yield* box.configs.read(version)
+      : null;
+    if (found === null) {
+      return yield* bad("version", "a version in the history");
+    }
+    return found;
+  });
+}
+
+function readStatus(box: Box.Box): Handled {
+  return Effect.gen(function* () {
+    const inForce = box.configs.inForce;
+    if (inForce === null) {
+      return yield* new Errors.NotReadyError({ waitsFor: "configuration" });
+    }
+    const asked = inForce.cfg.cells.map(({ name }) =>
+      Effect.result(box.cellStatus(name))
+    );
+    const replies = yield* Effect.all(asked, { concurrency: "unbounded" });
+    return {
+      version: inForce.version,
+      cells: replies.flatMap((r) => r._tag === "Success" ? [r.success] : []),
+      unreachable: inForce.cfg.cells.flatMap(({ name }, i) =>
+        replies[i]._tag === "Failure" ? [name] : []
+      ),
+    };
+  });
+}
+
+function explain(box: Box.Box, jobId: string): Handled {
+  return Effect.gen(function* () {
+    const cell = jobId.slice(0, Math.max(0, jobId.lastIndexOf(".")));
+    const explanation = yield* box.explain(cell, jobId);
+    if (explanation !== null) return explanation;
+    const record = yield* box.entry.status(jobId, null);
+    return { jobId, state: record.state, reason: record.reason, record };
+  });
+}
+
+function bad(
+  field: string,
+  expected: string,
+): Effect.Effect<never, Errors.BadRequestError> {
+  return Effect.fail(new Errors.BadRequestError({ field, expected }));
+}
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -1,5 +1,5 @@
 /** Logs through consola, as text or as one JSON object a line. */
-import * as process from "node:process";
+import process from "node:process";
 import * as Consola from "consola";
 
 /** Least severe level that is printed. */
@@ -80,7 +80,13 @@
       const message = entry.args.map(String).join(" ");
       const at = entry.date.toISOString();
       const line = format === "json"
-        ? JSON.stringify({ at, box, level: entry.type, part: entry.tag, message })
+        ? JSON.stringify({
+          at,
+          box,
+          level: entry.type,
+          part: entry.tag,
+          message,
+        })
         : `${at} ${entry.type.padEnd(5)} [${entry.tag}] ${message}`;
       process.stderr.write(line + "\n");
     },
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -47,7 +47,10 @@
       });
       this.#histograms.set(name, histogram);
     }
-    const micros = Math.max(1, Math.min(HIGHEST_MS * 1000, Math.round(ms * 1000)));
+    const micros = Math.max(
+      1,
+      Math.min(HIGHEST_MS * 1000, Math.round(ms * 1000)),
+    );
     histogram.recordValue(micros);
     this.#sums.set(name, (this.#sums.get(name) ?? 0) + ms / 1000);
   }
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -14,4 +14,7 @@
   type GuaranteeDemand,
   GuaranteeLedger,
 } from "./src/guarantee_ledger.ts";
-export { computeFragmentation, type FragmentationReading } from "./src/fragmentation.ts";
+export {
+  computeFragmentation,
+  type FragmentationReading,
+} from "./src/fragmentation.ts";
--- a/packages/placement/src/buddy_space.ts
+++ b/packages/placement/src/buddy_space.ts
@@ -121,7 +121,11 @@
   /** First free block of an order inside a maximal block of order `within`. */
   findIn(rack: number, order: number, within: number): BlockPosition | null {
     const step = blocks.sizeOf(within);
-    for (let offset = 0; offset < blocks.ACCELERATORS_PER_RACK; offset += step) {
+    for (
+      let offset = 0;
+      offset < blocks.ACCELERATORS_PER_RACK;
+      offset += step
+    ) {
       const outer = { rack, offset, order: within };
       if (!this.isFree(outer) || this.#isPartOfLarger(outer)) continue;
       return { rack, offset, order };
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -4,12 +4,12 @@
 export { ObjectStore } from "./src/object_store.ts";
 export {
   type Row,
+  type RowCondition,
+  type RowWrite,
   type StoreError,
   TableService,
   type Transaction,
-  type RowCondition,
-  type RowWrite,
 } from "./src/table_service.ts";
 export { type WorkerError, Workers } from "./src/workers.ts";
-export { PeerNetwork, type PeerHandler } from "./src/peer_network.ts";
+export { type PeerHandler, PeerNetwork } from "./src/peer_network.ts";
 export { RandomSource } from "./src/random_source.ts";
--- a/packages/platform/src/peer_network.ts
+++ b/packages/platform/src/peer_network.ts
@@ -15,7 +15,9 @@
   abstract peers(): readonly string[];
 
   /** Sets who answers requests; called once at start. */
-  abstract listen(handler: PeerHandler): Effect.Effect<void, Errors.ListenError>;
+  abstract listen(
+    handler: PeerHandler,
+  ): Effect.Effect<void, Errors.ListenError>;
 
   /** Sends a request and waits for its reply. */
   abstract request(
--- /dev/null
+++ b/packages/quickstart/bin.ts
@@ -0,0 +1,5 @@
+/** `npm run quickstart`. */
+import process from "node:process";
+import * as quickstart from "./src/run_quickstart.ts";
+
+process.exit(await quickstart.runQuickstart());
--- /dev/null
+++ b/packages/quickstart/src/run_quickstart.ts
@@ -0,0 +1,211 @@
+/**
+ * Starts one box on stand-ins, applies an example, submits short jobs, a gang
+ * and a job that another yields to, and prints what was decided and why.
+ */
+import * as Config from "@cairngate/config";
+import * as Daemon from "@cairngate/daemon";
+import * as HttpJson from "@cairngate/http-json";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as fs from "node:fs/promises";
+import process from "node:process";
+import * as timers from "node:timers/promises";
+
+const EXAMPLE = "examples/polni_data/deployment.yaml";
+const SHORT_JOBS = 20;
+/** Jobs of 16 accelerators that take all 240 of the example. */
+const FILLING_JOBS = 15;
+const FILLING_TEAMS = ["coop_slovacko", "coop_vysocina", "coop_valassko"];
+const READY_TRIES = 200;
+const LOOK_MS = 50;
+
+const SETTINGS = `
+box: quickstart
+dataCentre: brno
+deployment: polni_data
+callersAddress: 127.0.0.1:7191
+operatorsAddress: 127.0.0.1:7192
+peersAddress: 127.0.0.1:7193
+platformAddress: 127.0.0.1:7190
+logLevel: error
+`;
+
+/** A job as the callers' address answers it. */
+interface JobAnswer {
+  readonly jobId: string;
+  readonly outcome: string | null;
+  readonly result: { readonly request?: string } | null;
+}
+
+/** Talks to the one box of the quickstart. */
+class QuickstartClient {
+  readonly #caller = new HttpJson.HttpCaller(SHORT_JOBS);
+  readonly #settings: Config.BoxSettings;
+
+  constructor(settings: Config.BoxSettings) {
+    this.#settings = settings;
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.#caller.close();
+  }
+
+  /** Submits a job; `waitSeconds` of 0 returns once it is accepted. */
+  async submit(body: unknown, waitSeconds = 0): Promise<JobAnswer> {
+    const reply = await Effect.runPromise(
+      this.#caller.call(this.#settings.callersAddress, {
+        method: "POST",
+        path: "/v1/jobs",
+        body,
+        headers: waitSeconds > 0 ? { prefer: `wait=${waitSeconds}` } : {},
+      }),
+    );
+    return reply.body as JobAnswer;
+  }
+
+  /** Asks the operators' address. */
+  async ask<A>(what: HttpJson.HttpCall): Promise<A> {
+    const reply = await Effect.runPromise(
+      this.#caller.call(this.#settings.operatorsAddress, what),
+    );
+    return reply.body as A;
+  }
+
+  /** Explains a job. */
+  explain(jobId: string): Promise<Types.Explanation> {
+    const path = `/v1/jobs/${encodeURIComponent(jobId)}/explain`;
+    return this.ask<Types.Explanation>({ method: "GET", path });
+  }
+
+  /** Waits until the cell has an owner with all workers sealed. */
+  async awaitReady(): Promise<boolean> {
+    for (let i = 0; i < READY_TRIES; i++) {
+      const status = await this.ask<{ cells?: Types.CellStatus[] }>({
+        method: "GET",
+        path: "/v1/status",
+      });
+      const [cell] = status.cells ?? [];
+      if (cell !== undefined && cell.sealedWorkers === cell.workers) {
+        return true;
+      }
+      await timers.setTimeout(LOOK_MS);
+    }
+    return false;
+  }
+}
+
+/** Runs the quickstart; returns the exit code. */
+export async function runQuickstart(): Promise<number> {
+  const text = await fs.readFile(EXAMPLE, "utf8");
+  const settings = await Effect.runPromise(
+    Config.parseSettings(SETTINGS, "quickstart"),
+  );
+  const daemon = await Effect.runPromise(
+    Daemon.startDaemon({ settings, embeddedFile: text }),
+  );
+  const client = new QuickstartClient(settings);
+  try {
+    return await runSteps(client, text);
+  } finally {
+    client.close();
+    await Effect.runPromise(daemon.stop());
+  }
+}
+
+async function runSteps(
+  client: QuickstartClient,
+  text: string,
+): Promise<number> {
+  say(`1. Apply ${EXAMPLE}`);
+  const body = { text, basedOn: 0, applyId: "quickstart" };
+  await client.ask({ method: "POST", path: "/v1/config", body });
+  if (!await client.awaitReady()) {
+    say("   The cell found no owner in time.");
+    return 1;
+  }
+  const answered = await runShortJobs(client);
+  await fillWithBatchWork(client);
+  const isPlaced = await claimGuarantee(client);
+  return answered && isPlaced ? 0 : 1;
+}
+
+async function runShortJobs(client: QuickstartClient): Promise<boolean> {
+  say(`2. ${SHORT_JOBS} fault scans, each answered while its driver waits`);
+  const jobs = Array.from({ length: SHORT_JOBS }, (_, i) =>
+    client.submit({
+      team: "coop_hana",
+      service: "fault_scan",
+      input: {
+        request: `scan-${i}`,
+        readings: [{ code: `E${i}`, value: i, limit: 9 }],
+      },
+    }));
+  const answers = await Promise.all(jobs);
+  const own = answers.filter((a, i) => a.result?.request === `scan-${i}`);
+  say(`   ${own.length} of ${SHORT_JOBS} answers belong to their request`);
+  return own.length === SHORT_JOBS;
+}
+
+/** Long batch work takes all the capacity that nobody has claimed. */
+async function fillWithBatchWork(client: QuickstartClient): Promise<void> {
+  say("3. Batch work of three teams fills the racks");
+  for (let i = 0; i < FILLING_JOBS; i++) {
+    const team = FILLING_TEAMS[i % FILLING_TEAMS.length];
+    await client.submit({
+      team,
+      service: "soil_compaction",
+      input: { runMs: 3_600_000, grid: [1, 2, 3] },
+    });
+  }
+  await timers.setTimeout(500);
+  const status = await client.ask<{ cells: Types.CellStatus[] }>({
+    method: "GET",
+    path: "/v1/status",
+  });
+  for (const rack of status.cells[0].racks) {
+    say(`   ${rack.name}  ${rack.workers.join(" ")}`);
+  }
+  say("   (. free, g guaranteed, o opportunistic)");
+}
+
+async function claimGuarantee(client: QuickstartClient): Promise<boolean> {
+  say("4. coop_hana claims its guaranteed block with a gang of 16");
+  const gang = await client.submit({
+    team: "coop_hana",
+    service: "yield_map",
+    gang: 16,
+    accelerators: 2,
+    input: { runMs: 1500, grid: [1, 2, 3, 4] },
+  });
+  await timers.setTimeout(700);
+  const found = await client.explain(gang.jobId);
+  say(`   gang ${gang.jobId}: ${found.state} on ${found.workers.join(", ")}`);
+  for (const { kind, detail } of found.history) say(`     ${kind}: ${detail}`);
+  await showVictim(client, gang.jobId);
+  return found.entitlement !== null;
+}
+
+async function showVictim(
+  client: QuickstartClient,
+  claimant: string,
+): Promise<void> {
+  const dump = await client.ask<{ cells: { jobs: { id: string }[] }[] }>({
+    method: "GET",
+    path: "/debug/dump",
+  });
+  for (const { id } of dump.cells[0].jobs) {
+    const found = await client.explain(id);
+    const yielded = (found.history ?? []).find((r) =>
+      r.detail.includes(claimant)
+    );
+    if (yielded === undefined) continue;
+    say(`   job ${id} of ${found.team} yielded; it is ${found.state}:`);
+    for (const reason of found.waitsFor) say(`     waits: ${reason.detail}`);
+    return;
+  }
+}
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -1,10 +1,14 @@
 /** Decides what runs where: takes events, returns a plan as plain data. */
-export { type CellLayout, createCellLayout, findWorkerIndex } from "./src/layout.ts";
+export {
+  type CellLayout,
+  createCellLayout,
+  findWorkerIndex,
+} from "./src/layout.ts";
 export {
   AgedShortestFirst,
   ArrivalOrder,
-  OrderPolicy,
   type OrderInput,
+  OrderPolicy,
 } from "./src/order_policy.ts";
 export { BestFit, FirstFit, PackingPolicy } from "./src/packing_policy.ts";
 export {
--- a/packages/scheduler/src/find_guaranteed.ts
+++ b/packages/scheduler/src/find_guaranteed.ts
@@ -186,7 +186,11 @@
   const { rack, order, fit, occupancy } = search;
   const found: Candidate[] = [];
   const step = Placement.sizeOf(order);
-  for (let offset = 0; offset < Placement.ACCELERATORS_PER_RACK; offset += step) {
+  for (
+    let offset = 0;
+    offset < Placement.ACCELERATORS_PER_RACK;
+    offset += step
+  ) {
     const position = { rack, offset, order };
     if (!occupancy.ledger.space.isFree(position)) continue;
     const choice = chooseInRegion(entry, members, {
--- a/packages/scheduler/src/layout.ts
+++ b/packages/scheduler/src/layout.ts
@@ -39,7 +39,7 @@
     cell: cellName,
     racks: names,
     workers,
-    teams: cfg.teams,
+    teams: cfg.teams.filter((team) => team.cell === cellName),
     weighting: cfg.weighting,
   };
 }
--- a/packages/stand-in-server/bin.ts
+++ b/packages/stand-in-server/bin.ts
@@ -4,7 +4,7 @@
 import * as Clipanion from "clipanion";
 import * as Effect from "effect/Effect";
 import * as fs from "node:fs/promises";
-import * as process from "node:process";
+import process from "node:process";
 import * as server from "./src/serve_stand_ins.ts";
 
 class ServeCommand extends Clipanion.Command {
--- a/packages/stand-ins/mod.ts
+++ b/packages/stand-ins/mod.ts
@@ -3,9 +3,9 @@
 export {
   type LedgerEntry,
   LedgerEvent,
+  type LedgerSummary,
   RunLedger,
   summarizeLedger,
-  type LedgerSummary,
 } from "./src/run_ledger.ts";
 export { MemoryLiveList } from "./src/memory_live_list.ts";
 export { MemoryObjectStore } from "./src/memory_object_store.ts";
--- a/packages/stand-ins/src/stand_in_worker.ts
+++ b/packages/stand-ins/src/stand_in_worker.ts
@@ -113,14 +113,16 @@
       yield* this.#checkFence(order.fence);
       const task = this.#tasks.get(keyOf(order));
       this.#revoked.add(keyOf(order));
-      if (task === undefined) return { ran: false, finished: false, progress: 0 };
+      if (task === undefined) {
+        return { ran: false, finished: false, progress: 0, result: null };
+      }
       const ran = task.startedAtMs > 0;
       const finished = task.state === Types.TaskState.Finished;
       if (isActive(task)) {
         this.#saveProgress(task, order.checkpoint);
         this.#end(task, "stopped");
       }
-      return { ran, finished, progress: task.progress };
+      return { ran, finished, progress: task.progress, result: task.result };
     });
   }
 
@@ -325,8 +327,9 @@
   }
 
   #change(task: Task): void {
+    // Waiting reports resume inside of #touch, so the version is set first.
+    task.version = this.#version + 1;
     this.#touch();
-    task.version = this.#version;
     if (this.#tasks.size > KEPT_TASKS) this.#forgetOldest();
   }
 
@@ -378,7 +381,14 @@
 
 function answerOf(task: Task): Types.TaskAnswer {
   const { jobId, attempt, rank, caller } = task.order;
-  return { jobId, attempt, rank, caller, state: task.state, result: task.result };
+  return {
+    jobId,
+    attempt,
+    rank,
+    caller,
+    state: task.state,
+    result: task.result,
+  };
 }
 
 function reportOf(task: Task): Types.TaskReport {
--- a/packages/table-client/mod.ts
+++ b/packages/table-client/mod.ts
@@ -1,4 +1,4 @@
 /** Resilient client of the table service: retries, lost answers, grouping. */
 export { StoreClient, type StoreClientOptions } from "./src/store_client.ts";
-export { GroupedWriter, type GroupedWrite } from "./src/grouped_writer.ts";
+export { type GroupedWrite, GroupedWriter } from "./src/grouped_writer.ts";
 export * as Keys from "./src/keys.ts";
--- a/packages/types/src/config.ts
+++ b/packages/types/src/config.ts
@@ -34,6 +34,8 @@
   readonly name: string;
   readonly tier: job.Tier;
   readonly guarantee: readonly BlockSpec[];
+  /** The cell that keeps the guarantee and runs the team's jobs. */
+  readonly cell: string;
   /** Most accelerators the team may use at once. */
   readonly quota: number;
   /** Most short jobs the team may have waiting. */
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -76,6 +76,15 @@
   readonly uncertain: boolean;
 }
 
+/** What the owner knows of a released attempt. */
+export interface ReleasedReply {
+  /** False: proved never to have run; null: not known. */
+  readonly ran: boolean | null;
+  /** Whether the attempt finished, with its result. */
+  readonly finished: boolean;
+  readonly result: unknown;
+}
+
 /** Tells the owner that a stored job exists. */
 export interface Enqueue {
   readonly kind: PeerKind.Enqueue;
--- a/packages/types/src/worker.ts
+++ b/packages/types/src/worker.ts
@@ -70,6 +70,8 @@
   /** The task had finished before the stop arrived. */
   readonly finished: boolean;
   readonly progress: number;
+  /** The result of a finished task. */
+  readonly result: unknown;
 }
 
 /** A task as a worker reports it. */
