--- /dev/null
+++ b/packages/box/src/accidents_test.ts
@@ -0,0 +1,74 @@
+import * as Entry from "@cairngate/entry";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
+import * as vitest from "vitest";
+
+const { describe, expect, test } = vitest;
+
+describe("the three accidents of the users", () => {
+  test("a rebuild is not starved by a stream of diagnostics", async () => {
+    const cluster = new TestUtils.TestCluster();
+    await cluster.start();
+    const accepted = await cluster.run(cluster.submit("box_1", {
+      service: "rebuild",
+      gang: 16,
+      input: { runMs: 500 },
+    }));
+    const { record } = accepted as { record: Types.JobRecord };
+    for (let i = 0; i < 30; i++) {
+      const input = { runMs: 400 };
+      cluster.begin(cluster.submit("box_2", { service: "diagnose", input }));
+      await cluster.clock.advance(100);
+    }
+    const ended = await cluster.run(
+      cluster.box("box_3").entry.status(record.job.id, 60),
+    );
+    expect(ended.state).toBe(Types.JobState.Done);
+  });
+
+  test("a scan sent again through another box runs once", async () => {
+    const cluster = new TestUtils.TestCluster();
+    await cluster.start();
+    const input = { request: "scan", runMs: 300 };
+    const body = { service: "scan", input };
+    const first = cluster.begin(
+      cluster.submit("box_1", body, { key: "vehicle-7" }),
+    );
+    await cluster.clock.advance(100);
+    const second = cluster.begin(
+      cluster.submit("box_2", body, { key: "vehicle-7" }),
+    );
+    await cluster.clock.advance(5000);
+    const answers = await Promise.all([first.value, second.value]);
+    for (const answer of answers) {
+      expect(answer).toMatchObject({
+        kind: Entry.SubmissionKind.Ended,
+        outcome: { kind: Types.OutcomeKind.Done, result: { request: "scan" } },
+      });
+    }
+    expect(cluster.summary().startedJobs).toBe(1);
+    expect(cluster.summary().doubled).toEqual([]);
+  });
+
+  test("a batch survives the death of its box and of the owner", async () => {
+    const cluster = new TestUtils.TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    const accepted = await cluster.run(cluster.submit(owner, {
+      service: "rebuild",
+      gang: 4,
+      input: { runMs: 8000 },
+    }));
+    const { record } = accepted as { record: Types.JobRecord };
+    await cluster.clock.advance(1000);
+    await cluster.kill(owner);
+    const [left] = [...cluster.boxes.keys()];
+    const ended = await cluster.run(
+      cluster.box(left).entry.status(record.job.id, 60),
+    );
+    expect(ended.state).toBe(Types.JobState.Done);
+    const starts = cluster.ledger.entries.filter((e) => e.event === "started");
+    // The takeover found the gang running and did not cut it.
+    expect(starts).toHaveLength(4);
+  });
+});
--- a/packages/box/src/config_keeper.ts
+++ b/packages/box/src/config_keeper.ts
@@ -122,10 +122,13 @@
       }
       // Another fiber may have brought a newer one into force meanwhile.
       if (found.version <= (this.#version?.version ?? 0)) return;
+      // A box that has just started says nothing about propagation.
+      if (this.#version !== null) {
+        const ageMs = Math.max(0, clock.wallMs() - found.appliedAtMs);
+        metrics.observeMs("cairngate_config_propagation_seconds", ageMs);
+      }
       this.#version = found;
       this.#cfg = parsed.success;
-      const ageMs = Math.max(0, clock.wallMs() - found.appliedAtMs);
-      metrics.observeMs("cairngate_config_propagation_seconds", ageMs);
       metrics.set("cairngate_config_version", found.version);
       log.info(`Version ${found.version} (${found.hash}) is in force.`);
       this.#options.onChange();
--- a/packages/box/src/membership.ts
+++ b/packages/box/src/membership.ts
@@ -4,6 +4,7 @@
 import type * as Metrics from "@cairngate/metrics";
 import type * as Platform from "@cairngate/platform";
 import * as Types from "@cairngate/types";
+import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type * as live from "./live_workers.ts";
@@ -36,6 +37,7 @@
   readonly #options: MembershipOptions;
   readonly #peers = new Map<string, PeerState>();
   readonly #claims = new Map<string, Types.OwnerClaim>();
+  readonly #claimWaits = new Map<string, Deferred.Deferred<void>>();
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
   #state = Types.BoxState.Starting;
 
@@ -92,6 +94,18 @@
     const known = this.#claims.get(claim.cell);
     if (known !== undefined && known.epoch >= claim.epoch) return;
     this.#claims.set(claim.cell, claim);
+    const waits = this.#claimWaits.get(claim.cell);
+    this.#claimWaits.delete(claim.cell);
+    if (waits !== undefined) Deferred.doneUnsafe(waits, Effect.void);
+  }
+
+  /** Waits until a newer claim on a cell is seen. */
+  awaitNewerClaim(cell: string): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const waits = this.#claimWaits.get(cell) ?? Deferred.makeUnsafe<void>();
+      this.#claimWaits.set(cell, waits);
+      return Deferred.await(waits);
+    });
   }
 
   override isHeardByAnyone(box: string): boolean {
--- a/packages/box/src/owner_router.ts
+++ b/packages/box/src/owner_router.ts
@@ -40,7 +40,16 @@
     const reply = claim.holder === this.#box
       ? this.#local(this.#box, req)
       : this.#network.request(claim.holder, req, timeoutMs);
-    return reply as Effect.Effect<A, Entry.AskError>;
+    const { epoch } = claim;
+    // A paused owner answers nothing; its heir is asked as soon as it is seen.
+    const newer = Effect.flatMap(
+      this.#membership.awaitNewerClaim(cell),
+      () => Effect.fail(new Errors.NotOwnerError({ cell, epoch })),
+    );
+    return Effect.raceFirst(
+      reply as Effect.Effect<A, Entry.AskError>,
+      newer,
+    );
   }
 
   override isWorkerLeaving(worker: string): boolean {
--- a/packages/box/src/peer_requests.ts
+++ b/packages/box/src/peer_requests.ts
@@ -46,7 +46,7 @@
     case Types.PeerKind.Released:
       return owner.released(req);
     case Types.PeerKind.Enqueue:
-      return owner.enqueue(req.record);
+      return owner.enqueue();
     case Types.PeerKind.JobStatus:
       return orNotReady(owner.jobStatus(req));
     case Types.PeerKind.Cancel:
--- a/packages/cell/src/cell_owner.ts
+++ b/packages/cell/src/cell_owner.ts
@@ -9,10 +9,10 @@
 import * as runners from "./job_runner.ts";
 import type * as owned from "./owned_job.ts";
 import type * as leases from "./owner_lease.ts";
-import * as records from "./job_records.ts";
 import type * as ports from "./ports.ts";
 import * as reconfigure from "./reconfigure.ts";
 import * as recoveries from "./recovery.ts";
+import * as sweeping from "./sweep_ended.ts";
 import * as workerLinks from "./worker_link.ts";
 
 const TICK_MS = 500;
@@ -42,6 +42,8 @@
   readonly #state: states.CellState;
   readonly #runner: runners.JobRunner;
   readonly #recovery: recoveries.Recovery;
+  #scanWanted = false;
+  #isScanning = false;
 
   private constructor(state: states.CellState) {
     this.#state = state;
@@ -70,12 +72,17 @@
   run(): Effect.Effect<string> {
     return Effect.gen({ self: this }, function* () {
       const { lease, links, scheduler } = this.#state;
+      this.#state.fork(lease.keepRenewing());
+      // The rows come first: a running gang that is not known yet would be
+      // taken for a stray and stopped when its worker is sealed.
+      yield* Effect.raceFirst(this.#loadStored(), lease.awaitLoss());
       for (const worker of scheduler.layout.workers) {
         if (worker !== undefined) this.#follow(worker);
       }
-      this.#state.fork(lease.keepRenewing());
+      this.#recovery.beginSealing();
       this.#state.fork(this.#keepTicking());
       this.#state.fork(this.#keepPlanning());
+      this.#state.fork(sweeping.keepSweeping(this.#state.ports, lease));
       this.#state.ports.log.info(
         `Cell ${lease.cell} is owned, epoch ${lease.epoch}, ` +
           `${links.size} workers.`,
@@ -151,11 +158,15 @@
     });
   }
 
-  /** Takes in a stored job. */
-  enqueue(record: Types.JobRecord): Effect.Effect<void> {
+  /**
+   * A stored job exists. The message may be old and the job long ended, so
+   * it only makes this owner look at the rows at once.
+   */
+  enqueue(): Effect.Effect<void> {
     return Effect.sync(() => {
-      this.#recovery.addStored(record);
-      this.#state.wake();
+      this.#scanWanted = true;
+      if (this.#isScanning) return;
+      this.#state.fork(this.#scanWhileWanted());
     });
   }
 
@@ -291,15 +302,35 @@
     });
   }
 
-  /** Picks up stored jobs whose box did not tell of them. */
-  #scan(): Effect.Effect<void> {
+  /** Reads all stored jobs, however long the store is away. */
+  #loadStored(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (!(yield* this.#scan())) {
+        yield* this.#state.ports.clock.sleep(TICK_MS);
+      }
+    });
+  }
+
+  #scanWhileWanted(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#isScanning = true;
+      while (this.#scanWanted) {
+        this.#scanWanted = false;
+        yield* this.#scan();
+        this.#state.wake();
+      }
+      this.#isScanning = false;
+    });
+  }
+
+  /** Picks up stored jobs that are new; false where the store is away. */
+  #scan(): Effect.Effect<boolean> {
     return this.#state.records.loadChanged().pipe(
       Effect.map((found) => {
-        for (const record of found) {
-          if (!isEnded(record)) this.#recovery.addStored(record);
-        }
+        for (const record of found) this.#recovery.addStored(record);
+        return true;
       }),
-      Effect.catch(() => Effect.void),
+      Effect.catch(() => Effect.succeed(false)),
     );
   }
 
@@ -376,7 +407,3 @@
     });
   }
 }
-
-function isEnded(record: Types.JobRecord): boolean {
-  return records.isFinal(record.state);
-}
--- a/packages/cell/src/cell_state.ts
+++ b/packages/cell/src/cell_state.ts
@@ -18,6 +18,8 @@
   readonly records: records.JobRecords;
   readonly orders: taskOrders.TaskOrders;
   readonly jobs = new Map<string, owned.OwnedJob>();
+  /** Stored jobs ended under this epoch; a scan may still show them open. */
+  readonly endedIds = new Set<string>();
   readonly links = new Map<string, workerLinks.WorkerLink>();
   /** Wakes the planner; one element is enough. */
   readonly wakeups: Queue.Queue<void>;
--- a/packages/cell/src/job_records.ts
+++ b/packages/cell/src/job_records.ts
@@ -1,5 +1,6 @@
 /** Rows of stored jobs. Every write requires that the owner's epoch holds. */
 import type * as Errors from "@cairngate/errors";
+import type * as Platform from "@cairngate/platform";
 import * as TableClient from "@cairngate/table-client";
 import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
@@ -53,9 +54,13 @@
   load(
     jobId: string,
   ): Effect.Effect<Types.JobRecord | null, Errors.StoreUnavailableError> {
-    const key = TableClient.Keys.jobKey(this.#lease.cell, jobId);
+    const { cell } = this.#lease;
+    const keys = [
+      TableClient.Keys.endedKey(cell, jobId),
+      TableClient.Keys.jobKey(cell, jobId),
+    ];
     return Effect.map(
-      this.#ports.store.read([key]),
+      this.#ports.store.read(keys),
       (rows) => (rows[0]?.value as Types.JobRecord | undefined) ?? null,
     );
   }
@@ -67,14 +72,18 @@
     void,
     Errors.StoreUnavailableError | Errors.ConditionFailedError
   > {
-    const key = TableClient.Keys.jobKey(this.#lease.cell, record.job.id);
+    const { cell } = this.#lease;
+    const key = TableClient.Keys.jobKey(cell, record.job.id);
     const value = { ...record, updatedAtMs: this.#ports.clock.wallMs() };
-    return Effect.asVoid(
-      this.#ports.writer.write({
-        conditions: [this.#lease.condition],
-        writes: [{ key, value }],
-      }),
-    );
+    const writes: Platform.RowWrite[] = [{ key, value }];
+    if (isFinal(record.state)) {
+      // Ended jobs move away, so that an heir reads only what is left to do.
+      const endedKey = TableClient.Keys.endedKey(cell, record.job.id);
+      writes[0] = { key, value: null };
+      writes.push({ key: endedKey, value });
+    }
+    const conditions = [this.#lease.condition];
+    return Effect.asVoid(this.#ports.writer.write({ conditions, writes }));
   }
 
   /**
--- a/packages/cell/src/job_runner.ts
+++ b/packages/cell/src/job_runner.ts
@@ -71,6 +71,7 @@
       if (!saved) return false;
       job.record = record;
       this.#acknowledge(job);
+      this.#state.endedIds.add(job.shape.id);
       this.#state.jobs.delete(job.shape.id);
       Deferred.doneUnsafe(job.ended, Effect.succeed(record));
       return true;
--- a/packages/cell/src/recovery.ts
+++ b/packages/cell/src/recovery.ts
@@ -4,6 +4,7 @@
  */
 import * as Types from "@cairngate/types";
 import type * as states from "./cell_state.ts";
+import * as records from "./job_records.ts";
 import type * as runners from "./job_runner.ts";
 import * as owned from "./owned_job.ts";
 import * as workerLinks from "./worker_link.ts";
@@ -17,6 +18,7 @@
 export class Recovery extends workerLinks.WorkerListener {
   readonly #state: states.CellState;
   readonly #runner: runners.JobRunner;
+  #isSealing = false;
 
   constructor(state: states.CellState, runner: runners.JobRunner) {
     super();
@@ -27,8 +29,22 @@
   /** Takes in a stored job from its row. */
   addStored(record: Types.JobRecord): void {
     if (this.#state.jobs.has(record.job.id)) return;
+    if (records.isFinal(record.state)) return;
+    if (this.#state.endedIds.has(record.job.id)) return;
     const job = owned.createStoredJob(record);
     this.#state.jobs.set(record.job.id, job);
+    if (this.#isSealing) this.#settleNew(job);
+  }
+
+  /** All rows are read; the workers are sealed from now on. */
+  beginSealing(): void {
+    this.#isSealing = true;
+    for (const job of [...this.#state.jobs.values()]) {
+      if (job.kind === "stored") this.#settleNew(job);
+    }
+  }
+
+  #settleNew(job: owned.StoredJob): void {
     for (const worker of [...job.unseenWorkers]) {
       const link = this.#state.links.get(worker);
       if (link === undefined || link.isSealed) job.unseenWorkers.delete(worker);
--- /dev/null
+++ b/packages/cell/src/sweep_ended.ts
@@ -0,0 +1,53 @@
+/** Removes the rows of jobs that ended long ago. */
+import type * as Platform from "@cairngate/platform";
+import * as TableClient from "@cairngate/table-client";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import type * as leases from "./owner_lease.ts";
+import type * as ports from "./ports.ts";
+
+const EVERY_MS = 3_600_000;
+const KEEP_MS = 7 * 24 * 3_600_000;
+const ROWS_PER_WRITE = 100;
+const PAUSE_MS = 1000;
+
+/** Sweeps for ever, slowly; what fails is left for the next time. */
+export function keepSweeping(
+  cellPorts: ports.CellPorts,
+  lease: leases.OwnerLease,
+): Effect.Effect<never> {
+  const sweep = Effect.ignore(sweepEnded(cellPorts, lease));
+  const rest = cellPorts.clock.sleep(EVERY_MS);
+  return Effect.forever(Effect.andThen(rest, sweep));
+}
+
+/** Removes ended jobs and intents that are older than a week. */
+export function sweepEnded(
+  cellPorts: ports.CellPorts,
+  lease: leases.OwnerLease,
+) {
+  return Effect.gen(function* () {
+    const { store, clock } = cellPorts;
+    const before = clock.wallMs() - KEEP_MS;
+    const rows = yield* store.scan(TableClient.Keys.endedPrefix(lease.cell));
+    const intents = yield* store.scan(
+      TableClient.Keys.intentPrefix(lease.cell),
+    );
+    const old = [...rows, ...intents].filter((row) => isOlder(row, before));
+    for (let i = 0; i < old.length; i += ROWS_PER_WRITE) {
+      const part = old.slice(i, i + ROWS_PER_WRITE);
+      yield* store.write({
+        conditions: [lease.condition],
+        writes: part.map(({ key }) => ({ key, value: null })),
+      });
+      yield* clock.sleep(PAUSE_MS);
+    }
+    return old.length;
+  });
+}
+
+function isOlder(row: Platform.Row, beforeMs: number): boolean {
+  const value = row.value as Partial<Types.JobRecord & { atMs: number }>;
+  const atMs = value.updatedAtMs ?? value.atMs ?? Infinity;
+  return atMs < beforeMs;
+}
--- /dev/null
+++ b/packages/drill/src/faults.ts
@@ -0,0 +1,233 @@
+/** The faults of a drill, one after another in seeded order. */
+import type * as LocalCluster from "@cairngate/local-cluster";
+import type * as Rand from "pure-rand/types/RandomGenerator";
+import * as timers from "node:timers/promises";
+import * as dice from "./dice.ts";
+import type * as loads from "./load.ts";
+
+/** When something was done to an owner. */
+export interface OwnerEvent {
+  readonly kind: "kill" | "pause";
+  readonly atMs: number;
+}
+
+/** What the faults did. */
+export interface FaultLog {
+  readonly names: string[];
+  readonly owners: OwnerEvent[];
+  /** Worker and time at which the list marked it as leaving. */
+  readonly leavings: { worker: string; atMs: number; untilMs: number }[];
+  applied: number;
+  conflicts: number;
+}
+
+const CELL = "cell_0";
+const PAUSE_MS = 3500;
+const OUTAGE_MS = 4000;
+const LEAVE_MS = 6000;
+const SETTLE_MS = 2500;
+const RESTART_AFTER_MS = 1200;
+const LOST_ANSWERS = 0.3;
+const SLOW_MS = 120;
+
+/** Carries out faults on a cluster under load. */
+export class Faults {
+  readonly log: FaultLog = {
+    names: [],
+    owners: [],
+    leavings: [],
+    applied: 1,
+    conflicts: 0,
+  };
+  readonly #cluster: LocalCluster.LocalCluster;
+  readonly #load: loads.Load;
+  readonly #random: Rand.RandomGenerator;
+  readonly #workers: number;
+
+  constructor(
+    parts: {
+      cluster: LocalCluster.LocalCluster;
+      load: loads.Load;
+      random: Rand.RandomGenerator;
+      workers: number;
+    },
+  ) {
+    this.#cluster = parts.cluster;
+    this.#load = parts.load;
+    this.#random = parts.random;
+    this.#workers = parts.workers;
+  }
+
+  /** One fault of each kind in seeded order, again until the time is over. */
+  async run(untilMs: number): Promise<void> {
+    while (Date.now() < untilMs) {
+      for (const fault of this.#shuffle()) {
+        if (Date.now() >= untilMs) return;
+        this.log.names.push(fault.name);
+        await fault.run();
+        await timers.setTimeout(SETTLE_MS);
+      }
+    }
+  }
+
+  #shuffle(): Fault[] {
+    const left = this.#all();
+    const order: Fault[] = [];
+    while (left.length > 0) {
+      const next = dice.choose(this.#random, left);
+      left.splice(left.indexOf(next), 1);
+      order.push(next);
+    }
+    return order;
+  }
+
+  #all(): Fault[] {
+    return [
+      { name: "kill-owner", run: () => this.#killOwner() },
+      { name: "kill-other", run: () => this.#killOther() },
+      { name: "pause-owner", run: () => this.#pauseOwner() },
+      { name: "store-outage", run: () => this.#storeOutage() },
+      { name: "outage-and-kill", run: () => this.#outageAndKill() },
+      { name: "lost-answers", run: () => this.#loseAnswers() },
+      { name: "leaving-worker", run: () => this.#leavingWorker() },
+      { name: "worker-restart", run: () => this.#restartWorker() },
+      { name: "racing-applies", run: () => this.#raceApplies() },
+      { name: "rolling-stop", run: () => this.#rollingStop() },
+    ];
+  }
+
+  async #killOwner(): Promise<void> {
+    const owner = await this.#cluster.owner(CELL);
+    if (owner === 0) return;
+    this.log.owners.push({ kind: "kill", atMs: Date.now() });
+    await this.#kill(owner);
+  }
+
+  async #killOther(): Promise<void> {
+    const owner = await this.#cluster.owner(CELL);
+    const others = this.#cluster.running().filter((box) => box !== owner);
+    await this.#kill(dice.choose(this.#random, others));
+  }
+
+  async #kill(box: number): Promise<void> {
+    this.#load.avoided.add(box);
+    this.#cluster.signal(box, "SIGKILL");
+    await this.#cluster.awaitExit(box);
+    await timers.setTimeout(RESTART_AFTER_MS);
+    await this.#cluster.startBox(box);
+    await this.#awaitServing(box);
+  }
+
+  async #pauseOwner(): Promise<void> {
+    const owner = await this.#cluster.owner(CELL);
+    if (owner === 0) return;
+    this.log.owners.push({ kind: "pause", atMs: Date.now() });
+    this.#load.avoided.add(owner);
+    this.#cluster.signal(owner, "SIGSTOP");
+    await timers.setTimeout(PAUSE_MS);
+    this.#cluster.signal(owner, "SIGCONT");
+    this.#load.avoided.delete(owner);
+  }
+
+  async #storeOutage(): Promise<void> {
+    await this.#setFaults({ down: true });
+    await timers.setTimeout(OUTAGE_MS);
+    await this.#setFaults({ down: false });
+  }
+
+  async #outageAndKill(): Promise<void> {
+    await this.#setFaults({ down: true });
+    const owner = await this.#cluster.owner(CELL);
+    const killing = owner === 0 ? Promise.resolve() : this.#kill(owner);
+    await timers.setTimeout(OUTAGE_MS);
+    await this.#setFaults({ down: false });
+    await killing;
+  }
+
+  async #loseAnswers(): Promise<void> {
+    await this.#setFaults({ loseAnswers: LOST_ANSWERS, delayMs: SLOW_MS });
+    await timers.setTimeout(OUTAGE_MS);
+    await this.#setFaults({ loseAnswers: 0, delayMs: 0 });
+  }
+
+  async #leavingWorker(): Promise<void> {
+    const worker = this.#chooseWorker();
+    const atMs = Date.now();
+    const listOnly = true;
+    await this.#control("leaving", { worker, leaving: true, listOnly });
+    await timers.setTimeout(LEAVE_MS);
+    this.log.leavings.push({ worker, atMs, untilMs: Date.now() });
+    await this.#control("leaving", { worker, leaving: false, listOnly });
+  }
+
+  async #restartWorker(): Promise<void> {
+    await this.#control("restart", { worker: this.#chooseWorker() });
+  }
+
+  async #raceApplies(): Promise<void> {
+    const [a, b] = this.#cluster.running();
+    const current = await this.#cluster.client.get(
+      this.#cluster.operators(a),
+      "/v1/config",
+    );
+    const version = Number(current.body["version"] ?? 0);
+    const { text } = this.#cluster.options;
+    const replies = await Promise.all([
+      this.#cluster.apply(a, `${text}# by ${a}, after ${version}\n`, version),
+      this.#cluster.apply(b, `${text}# by ${b}, after ${version}\n`, version),
+    ]);
+    for (const reply of replies) {
+      if (reply.status === 200) this.log.applied++;
+      if (reply.status === 409) this.log.conflicts++;
+    }
+  }
+
+  /** Every box in turn is stopped as planned and started again. */
+  async #rollingStop(): Promise<void> {
+    for (const box of [...this.#cluster.running()]) {
+      this.#load.stopping.add(box);
+      const ended = this.#cluster.awaitExit(box);
+      this.#cluster.signal(box, "SIGTERM");
+      // The balancer looks at readiness and notices a moment later.
+      await timers.setTimeout(300);
+      this.#load.avoided.add(box);
+      await ended;
+      await this.#cluster.startBox(box);
+      await this.#awaitServing(box);
+      this.#load.stopping.delete(box);
+    }
+  }
+
+  async #awaitServing(box: number): Promise<void> {
+    const endMs = Date.now() + 15_000;
+    while (Date.now() < endMs) {
+      const address = this.#cluster.operators(box);
+      const reply = await this.#cluster.client.get(address, "/readyz");
+      if (reply.status === 200) break;
+      await timers.setTimeout(50);
+    }
+    this.#load.avoided.delete(box);
+  }
+
+  #chooseWorker(): string {
+    const names = Array.from(
+      { length: this.#workers },
+      (_, i) => `worker_${i}`,
+    );
+    return dice.choose(this.#random, names);
+  }
+
+  #setFaults(faults: Readonly<Record<string, unknown>>) {
+    return this.#control("faults", faults);
+  }
+
+  #control(what: string, body: unknown) {
+    const { platform, client } = this.#cluster;
+    return client.post(platform, `/control/${what}`, body);
+  }
+}
+
+interface Fault {
+  readonly name: string;
+  readonly run: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/drill/src/run_drill.ts
@@ -0,0 +1,235 @@
+/** Runs a drill: load, faults, then the counts. */
+import * as LocalCluster from "@cairngate/local-cluster";
+import * as StandIns from "@cairngate/stand-ins";
+import * as Xoroshiro from "pure-rand/generator/xoroshiro128plus";
+import * as timers from "node:timers/promises";
+import type * as reports from "./drill_report.ts";
+import * as faults from "./faults.ts";
+import * as loads from "./load.ts";
+import * as watches from "./version_watch.ts";
+
+/** Options of a drill. */
+export interface DrillOptions {
+  readonly seed: number;
+  readonly boxes: number;
+  readonly minutes: number;
+  readonly logFolder: string | null;
+}
+
+const WORKERS = 16;
+const FIRST_PORT = 8500;
+const WORKER_PORT = 8700;
+const LONG_WAIT_S = 30;
+const GAP_WINDOW_MS = 8000;
+const HEAL_MS = 3000;
+
+/** Runs one drill and ends every process it started. */
+export async function runDrill(
+  options: DrillOptions,
+): Promise<reports.DrillReport> {
+  const random = Xoroshiro.xoroshiro128plus(options.seed);
+  const cluster = createCluster(options);
+  try {
+    await cluster.start();
+    const load = new loads.Load(cluster, random);
+    const fault = new faults.Faults({
+      cluster,
+      load,
+      random,
+      workers: WORKERS,
+    });
+    const watch = new watches.VersionWatch(cluster);
+    const startMs = Date.now();
+    const running = load.run();
+    const watching = watch.run();
+    await timers.setTimeout(HEAL_MS);
+    await fault.run(startMs + options.minutes * 60_000);
+    await timers.setTimeout(HEAL_MS);
+    load.stop();
+    await running;
+    watch.stop();
+    await watching;
+    const longEnded = await awaitLongJobs(cluster, load.record.longIds);
+    const ledger = await readLedger(cluster);
+    const config = await readPropagation(cluster);
+    const seconds = (Date.now() - startMs) / 1000;
+    return makeReport({
+      options,
+      seconds,
+      load: load.record,
+      log: fault.log,
+      longEnded,
+      ledger,
+      config,
+      reversals: watch.reversals,
+    });
+  } finally {
+    await cluster.stop();
+  }
+}
+
+function createCluster(options: DrillOptions): LocalCluster.LocalCluster {
+  const text = LocalCluster.makeDeployment({
+    name: "drill",
+    workers: WORKERS,
+    teams: 2,
+    cells: 1,
+    firstWorkerPort: WORKER_PORT,
+  });
+  return new LocalCluster.LocalCluster({
+    boxes: options.boxes,
+    deployment: "drill",
+    text,
+    cells: ["cell_0"],
+    firstPort: FIRST_PORT,
+    logFolder: options.logFolder,
+  });
+}
+
+/** How many long jobs ended in each state; "lost" for those that did not. */
+async function awaitLongJobs(
+  cluster: LocalCluster.LocalCluster,
+  ids: readonly string[],
+): Promise<Record<string, number>> {
+  const ended: Record<string, number> = {};
+  const [box] = cluster.running();
+  await Promise.all(ids.map(async (id) => {
+    const reply = await cluster.client.call(cluster.callers(box), {
+      method: "GET",
+      path: `/v1/jobs/${id}`,
+      headers: { prefer: `wait=${LONG_WAIT_S}` },
+    });
+    const state = String(reply.body["state"] ?? "lost");
+    const isOver = ["done", "unknown", "not-run"].includes(state);
+    const name = isOver ? state : `lost (${state})`;
+    ended[name] = (ended[name] ?? 0) + 1;
+  }));
+  return ended;
+}
+
+async function readLedger(
+  cluster: LocalCluster.LocalCluster,
+): Promise<StandIns.LedgerEntry[]> {
+  const reply = await cluster.client.get(cluster.platform, "/ledger");
+  return Object.values(reply.body) as StandIns.LedgerEntry[];
+}
+
+/** Quantiles over all boxes: the slowest box counts. */
+async function readPropagation(
+  cluster: LocalCluster.LocalCluster,
+): Promise<{ p50Ms: number; p99Ms: number }> {
+  let p50Ms = 0;
+  let p99Ms = 0;
+  for (const box of cluster.running()) {
+    const reply = await cluster.client.get(cluster.operators(box), "/metrics");
+    const text = String(reply.body["text"]);
+    p50Ms = Math.max(p50Ms, readQuantile(text, "0.5") * 1000);
+    p99Ms = Math.max(p99Ms, readQuantile(text, "0.99") * 1000);
+  }
+  return { p50Ms, p99Ms };
+}
+
+function readQuantile(text: string, quantile: string): number {
+  const name = `cairngate_config_propagation_seconds{quantile="${quantile}"}`;
+  const line = text.split("\n").find((l) => l.startsWith(name));
+  return Number(line?.slice(name.length + 1) ?? 0);
+}
+
+interface ReportParts {
+  readonly options: DrillOptions;
+  readonly seconds: number;
+  readonly load: loads.LoadRecord;
+  readonly log: faults.FaultLog;
+  readonly longEnded: Readonly<Record<string, number>>;
+  readonly ledger: readonly StandIns.LedgerEntry[];
+  readonly config: { p50Ms: number; p99Ms: number };
+  readonly reversals: number;
+}
+
+function makeReport(parts: ReportParts): reports.DrillReport {
+  const { load, log, ledger } = parts;
+  const summary = StandIns.summarizeLedger(ledger);
+  const started = new Set(
+    ledger.filter((e) => e.event === StandIns.LedgerEvent.Started)
+      .map((e) => e.jobId),
+  );
+  const lost = Object.entries(parts.longEnded)
+    .filter(([state]) => state.startsWith("lost"))
+    .reduce((sum, [, count]) => sum + count, 0);
+  const urgent = urgentStarts(ledger);
+  return {
+    seed: parts.options.seed,
+    seconds: Math.round(parts.seconds),
+    faults: log.names,
+    submitted: load.submitted,
+    answered: load.answered,
+    notRun: load.notRunIds.length,
+    unknown: load.unknown,
+    refused: load.refused,
+    longAccepted: load.longIds.length,
+    longEnded: parts.longEnded,
+    forbidden: {
+      wrongAnswers: load.wrongAnswers,
+      doubledUnrepeatable: summary.doubled.length,
+      notRunButRan: load.notRunIds.filter((id) => started.has(id)).length,
+      partialGangs: summary.partial.length,
+      lostJobs: lost,
+      configReversals: parts.reversals,
+      cutRequests: load.cutRequests,
+    },
+    urgentGapKillMs: longestGap(urgent, eventsOf(log, "kill")),
+    urgentGapPauseMs: longestGap(urgent, eventsOf(log, "pause")),
+    urgentGapAnyMs: longestGap(urgent, null),
+    leavingLastNewWorkMs: lastNewWork(ledger, log),
+    config: {
+      applied: log.applied,
+      conflicts: log.conflicts,
+      ...parts.config,
+      maxMs: parts.config.p99Ms,
+    },
+  };
+}
+
+function urgentStarts(ledger: readonly StandIns.LedgerEntry[]): number[] {
+  return ledger
+    .filter((e) => e.event === StandIns.LedgerEvent.Started && e.gang === 1)
+    .map((e) => e.atMs)
+    .sort((a, b) => a - b);
+}
+
+function eventsOf(log: faults.FaultLog, kind: string): number[] {
+  return log.owners.filter((e) => e.kind === kind).map((e) => e.atMs);
+}
+
+/** Longest time between starts, near some moments or anywhere (null). */
+function longestGap(
+  starts: readonly number[],
+  near: readonly number[] | null,
+): number {
+  let longest = 0;
+  for (let i = 1; i < starts.length; i++) {
+    const isNear = near === null ||
+      near.some((atMs) =>
+        starts[i] >= atMs && starts[i - 1] <= atMs + GAP_WINDOW_MS
+      );
+    if (isNear) longest = Math.max(longest, starts[i] - starts[i - 1]);
+  }
+  return longest;
+}
+
+/** Latest new work on a worker after it was marked as leaving. */
+function lastNewWork(
+  ledger: readonly StandIns.LedgerEntry[],
+  log: faults.FaultLog,
+): number {
+  let latest = 0;
+  for (const { worker, atMs, untilMs } of log.leavings) {
+    for (const entry of ledger) {
+      if (entry.event !== StandIns.LedgerEvent.Held) continue;
+      if (entry.worker !== worker) continue;
+      if (entry.atMs < atMs || entry.atMs > untilMs) continue;
+      latest = Math.max(latest, entry.atMs - atMs);
+    }
+  }
+  return latest;
+}
--- a/packages/entry/src/intents.ts
+++ b/packages/entry/src/intents.ts
@@ -13,6 +13,8 @@
   readonly box: string;
   readonly attempt: string;
   readonly worker: string;
+  /** When the row was written; old rows are removed. */
+  readonly atMs: number;
   /** Null until the outcome is known. */
   readonly outcome: Types.Outcome | null;
 }
@@ -29,7 +31,7 @@
 }
 
 const POLL_MS = 200;
-const SAVE_TRIES = 5;
+const SAVE_TRIES = 2;
 
 /** Reads and writes intents. */
 export class Intents {
@@ -51,6 +53,7 @@
         box: this.#ports.box,
         attempt,
         worker,
+        atMs: this.#ports.clock.wallMs(),
         outcome: null,
       };
       const written = yield* Effect.result(this.#ports.writer.write({
@@ -94,7 +97,8 @@
     return Effect.gen({ self: this }, function* () {
       const key = TableClient.Keys.intentKey(job.cell, job.id);
       const { revision, ...rest } = own;
-      const value: IntentRow = { box: this.#ports.box, ...rest };
+      const { box, clock } = this.#ports;
+      const value: IntentRow = { box, atMs: clock.wallMs(), ...rest };
       const conditions = [{ key, revision }];
       const write = { conditions, writes: [{ key, value }] };
       for (let i = 0; i < SAVE_TRIES; i++) {
--- a/packages/entry/src/short_jobs.ts
+++ b/packages/entry/src/short_jobs.ts
@@ -63,9 +63,8 @@
       const earlier = yield* this.#findEarlier(flight);
       if (earlier !== null) return earlier;
       const outcome = yield* this.#attemptUntilDone(flight);
-      const claimed = flight.claim;
-      if (claimed !== null && outcome.kind === Types.OutcomeKind.NotRun) {
-        yield* this.#saveOutcome(flight, claimed, outcome);
+      if (outcome.kind === Types.OutcomeKind.NotRun) {
+        yield* this.#noteNotRun(flight, outcome);
       }
       return outcome;
     });
@@ -254,6 +253,19 @@
     return Effect.as(this.#saveOutcome(flight, grant, outcome), outcome);
   }
 
+  /**
+   * Leaves word that a keyed job did not run, before the caller is told: a
+   * box that was paused with the same key finds it and does not dispatch.
+   */
+  #noteNotRun(flight: Flight, outcome: Types.Outcome): Effect.Effect<void> {
+    const { job, claim, intentRevision: revision } = flight;
+    if (job.repeatable || job.idempotencyKey === null) return Effect.void;
+    const attempt = claim?.attempt ?? "";
+    const worker = claim?.worker ?? "";
+    const row = { attempt, worker, revision, outcome };
+    return this.#intents.saveOutcome(job, row);
+  }
+
   /** Only unrepeatable jobs keep their outcome; the caller does not wait. */
   #saveOutcome(
     flight: Flight,
--- a/packages/entry/src/stored_jobs.ts
+++ b/packages/entry/src/stored_jobs.ts
@@ -25,8 +25,9 @@
     return Effect.gen({ self: this }, function* () {
       const record = newRecord(job, this.#ports.clock.wallMs());
       const key = TableClient.Keys.jobKey(job.cell, job.id);
+      const endedKey = TableClient.Keys.endedKey(job.cell, job.id);
       const written = yield* Effect.result(this.#ports.writer.write({
-        conditions: [{ key, revision: 0 }],
+        conditions: [{ key, revision: 0 }, { key: endedKey, revision: 0 }],
         writes: [{ key, value: record }],
       }));
       if (written._tag === "Failure") {
@@ -35,7 +36,7 @@
         }
         return (yield* this.#readRow(job.id, job.cell)) ?? record;
       }
-      yield* Effect.forkDetach(this.#tellOwner(record));
+      yield* Effect.forkDetach(this.#tellOwner(job.cell));
       return record;
     });
   }
@@ -103,9 +104,12 @@
     jobId: string,
     cell: string,
   ): Effect.Effect<Types.JobRecord | null, Errors.StoreUnavailableError> {
-    const key = TableClient.Keys.jobKey(cell, jobId);
+    const keys = [
+      TableClient.Keys.endedKey(cell, jobId),
+      TableClient.Keys.jobKey(cell, jobId),
+    ];
     return Effect.map(
-      this.#ports.store.read([key]),
+      this.#ports.store.read(keys),
       (rows) => (rows[0]?.value as Types.JobRecord | undefined) ?? null,
     );
   }
@@ -127,10 +131,9 @@
   }
 
   /** A hint only: the owner finds the row by itself within seconds. */
-  #tellOwner(record: Types.JobRecord): Effect.Effect<void> {
+  #tellOwner(cell: string): Effect.Effect<void> {
     const kind = Types.PeerKind.Enqueue as const;
-    const { cell } = record.job;
-    const tell = this.#ports.owners.ask(cell, { kind, cell, record }, ASK_MS);
+    const tell = this.#ports.owners.ask(cell, { kind, cell }, ASK_MS);
     return Effect.ignore(tell);
   }
 }
--- /dev/null
+++ b/packages/local-cluster/src/local_cluster.ts
@@ -0,0 +1,225 @@
+/** Boxes and one stand-in process on loopback. */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs/promises";
+import * as os from "node:os";
+import * as path from "node:path";
+import process from "node:process";
+import * as timers from "node:timers/promises";
+import * as url from "node:url";
+import * as Yaml from "yaml";
+import * as clients from "./cluster_client.ts";
+
+/** What to start. */
+export interface ClusterOptions {
+  readonly boxes: number;
+  /** Name and text of the operators' file. */
+  readonly deployment: string;
+  readonly text: string;
+  readonly cells: readonly string[];
+  /** First of the ports for the platform and the boxes. */
+  readonly firstPort: number;
+  /** Settings on top of the usual ones. */
+  readonly extraSettings?: Readonly<Record<string, unknown>>;
+  /** Where the processes' logs go; null for nowhere. */
+  readonly logFolder?: string | null;
+}
+
+const PORTS_PER_BOX = 10;
+const READY_MS = 20_000;
+const LOOK_MS = 50;
+const STOP_MS = 15_000;
+
+/** Processes on loopback, each known by its own id. */
+export class LocalCluster {
+  readonly options: ClusterOptions;
+  readonly client = new clients.ClusterClient(64);
+  readonly #boxes = new Map<number, childProcess.ChildProcess>();
+  #standIns: childProcess.ChildProcess | null = null;
+  #folder = "";
+
+  constructor(options: ClusterOptions) {
+    this.options = options;
+  }
+
+  /** Address of the stand-in platform. */
+  get platform(): string {
+    return `127.0.0.1:${this.options.firstPort}`;
+  }
+
+  /** Callers' address of a box; boxes count from 1. */
+  callers(box: number): string {
+    return this.#address(box, 1);
+  }
+
+  /** Operators' address of a box. */
+  operators(box: number): string {
+    return this.#address(box, 2);
+  }
+
+  /** Numbers of the boxes whose process runs. */
+  running(): number[] {
+    return [...this.#boxes.keys()];
+  }
+
+  /** Starts everything and applies the operators' file. */
+  async start(): Promise<void> {
+    this.#folder = await fs.mkdtemp(path.join(os.tmpdir(), "cairngate-"));
+    const file = path.join(this.#folder, "deployment.yaml");
+    await fs.writeFile(file, this.options.text);
+    const args = ["--deployment", file, "--platform", this.platform];
+    this.#standIns = this.#spawn("stand-in-server", args, "stand-ins");
+    await this.#until(() => this.#answers(this.platform, "/counts"));
+    for (let box = 1; box <= this.options.boxes; box++) {
+      await this.startBox(box);
+    }
+    await this.#until(() => this.#answers(this.operators(1), "/healthz"));
+    await this.apply(1, this.options.text, 0);
+    await this.awaitReady();
+  }
+
+  /** Applies a file through a box. */
+  apply(
+    box: number,
+    text: string,
+    basedOn: number,
+  ): Promise<clients.JobReply> {
+    const applyId = `apply-${basedOn}-${box}-${process.hrtime.bigint()}`;
+    const body = { text, basedOn, applyId };
+    return this.client.post(this.operators(box), "/v1/config", body);
+  }
+
+  /** Starts the process of a box. */
+  async startBox(box: number): Promise<void> {
+    const file = path.join(this.#folder, `box_${box}.yaml`);
+    await fs.writeFile(file, Yaml.stringify(this.#settings(box)));
+    const child = this.#spawn("daemon", ["--settings", file], `box_${box}`);
+    this.#boxes.set(box, child);
+    child.once("exit", () => {
+      if (this.#boxes.get(box) === child) this.#boxes.delete(box);
+    });
+  }
+
+  /** Sends a signal to the process of a box. */
+  signal(box: number, signal: NodeJS.Signals): void {
+    this.#boxes.get(box)?.kill(signal);
+  }
+
+  /** Waits until the process of a box has ended; its exit code. */
+  async awaitExit(box: number): Promise<number | null> {
+    const child = this.#boxes.get(box);
+    if (child === undefined) return null;
+    const ended = new Promise<number | null>((resolve) => {
+      child.once("exit", (code) => resolve(code));
+    });
+    const late = timers.setTimeout(STOP_MS, null, { ref: false });
+    return await Promise.race([ended, late]);
+  }
+
+  /** Process id of a box. */
+  pid(box: number): number | undefined {
+    return this.#boxes.get(box)?.pid;
+  }
+
+  /** Number of the box that owns a cell; 0 where none answers. */
+  async owner(cell: string): Promise<number> {
+    const [box] = this.running();
+    const reply = await this.client.get(this.operators(box), "/v1/status");
+    const cells = (reply.body["cells"] ?? []) as {
+      cell: string;
+      owner: string;
+    }[];
+    const found = cells.find((c) => c.cell === cell);
+    return Number(found?.owner.replace("box_", "") ?? 0);
+  }
+
+  /** Waits until every box is ready and every cell has sealed its workers. */
+  async awaitReady(): Promise<void> {
+    for (const box of this.running()) {
+      await this.#until(() => this.#answers(this.operators(box), "/readyz"));
+    }
+    await this.#until(() => this.#isSealed());
+  }
+
+  /** Ends all processes that this cluster started. */
+  async stop(): Promise<void> {
+    for (const child of this.#boxes.values()) child.kill("SIGKILL");
+    this.#standIns?.kill("SIGKILL");
+    this.client.close();
+    await fs.rm(this.#folder, { recursive: true, force: true });
+  }
+
+  async #isSealed(): Promise<boolean> {
+    const [box] = this.running();
+    const reply = await this.client.get(this.operators(box), "/v1/status");
+    const cells = (reply.body["cells"] ?? []) as {
+      sealedWorkers: number;
+      workers: number;
+    }[];
+    return cells.length === this.options.cells.length &&
+      cells.every((cell) => cell.sealedWorkers === cell.workers);
+  }
+
+  async #answers(address: string, route: string): Promise<boolean> {
+    return (await this.client.get(address, route)).status === 200;
+  }
+
+  async #until(holds: () => Promise<boolean>): Promise<void> {
+    const endMs = Date.now() + READY_MS;
+    while (Date.now() < endMs) {
+      if (await holds()) return;
+      await timers.setTimeout(LOOK_MS);
+    }
+    throw new ClusterNotReadyError(this.options.deployment);
+  }
+
+  #address(box: number, offset: number): string {
+    const port = this.options.firstPort + box * PORTS_PER_BOX + offset;
+    return `127.0.0.1:${port}`;
+  }
+
+  #settings(box: number) {
+    const peers = [];
+    for (let other = 1; other <= this.options.boxes; other++) {
+      if (other === box) continue;
+      peers.push({ name: `box_${other}`, address: this.#address(other, 3) });
+    }
+    return {
+      box: `box_${box}`,
+      dataCentre: `dc_${box % 3}`,
+      deployment: this.options.deployment,
+      callersAddress: this.callers(box),
+      operatorsAddress: this.operators(box),
+      peersAddress: this.#address(box, 3),
+      platformAddress: this.platform,
+      peers,
+      ...this.options.extraSettings,
+    };
+  }
+
+  #spawn(
+    packageName: string,
+    args: readonly string[],
+    logName: string,
+  ): childProcess.ChildProcess {
+    const bin = url.fileURLToPath(
+      new URL(`../../../${packageName}/dist/bin.js`, import.meta.url),
+    );
+    const child = childProcess.spawn(process.execPath, [bin, ...args], {
+      stdio: ["ignore", "ignore", "pipe"],
+    });
+    const { logFolder } = this.options;
+    child.stderr?.on("data", (chunk: Uint8Array) => {
+      if (logFolder === undefined || logFolder === null) return;
+      void fs.appendFile(path.join(logFolder, `${logName}.log`), chunk);
+    });
+    return child;
+  }
+}
+
+/** The processes did not become ready in time. */
+export class ClusterNotReadyError extends Error {
+  readonly _tag = "ClusterNotReadyError";
+  constructor(deployment: string) {
+    super(`The processes of ${deployment} were not ready in time.`);
+  }
+}
--- /dev/null
+++ b/packages/local-cluster/src/make_deployment.ts
@@ -0,0 +1,105 @@
+/** Operators' files of any size for drills and measurements. */
+import * as Yaml from "yaml";
+
+/** Size of a deployment. */
+export interface DeploymentShape {
+  readonly name: string;
+  readonly workers: number;
+  readonly teams: number;
+  readonly cells: number;
+  /** Address of worker i is 127.0.0.1 with this port plus i. */
+  readonly firstWorkerPort: number;
+}
+
+const WORKERS_PER_RACK = 8;
+const ACCELERATORS = 8;
+
+/** Text of an operators' file with racks of 8, teams and four services. */
+export function makeDeployment(shape: DeploymentShape): string {
+  const racks = makeRacks(shape);
+  const cells = Array.from({ length: shape.cells }, (_, i) => ({
+    name: `cell_${i}`,
+    racks: racks.map((rack) => rack.name)
+      .filter((_, j) => j % shape.cells === i),
+  }));
+  return Yaml.stringify({
+    name: shape.name,
+    weighting: { completionTime: 0.8, fragmentation: 0.2 },
+    racks,
+    cells,
+    teams: makeTeams(shape),
+    services: makeServices(),
+  });
+}
+
+function makeRacks(shape: DeploymentShape) {
+  const count = Math.ceil(shape.workers / WORKERS_PER_RACK);
+  return Array.from({ length: count }, (_, rack) => ({
+    name: `rack_${rack}`,
+    dataCentre: `dc_${rack % 3}`,
+    workers: Array.from(
+      { length: Math.min(8, shape.workers - rack * WORKERS_PER_RACK) },
+      (_, place) => {
+        const index = rack * WORKERS_PER_RACK + place;
+        return {
+          name: `worker_${index}`,
+          endpoint: `127.0.0.1:${shape.firstWorkerPort + index}`,
+          accelerators: ACCELERATORS,
+        };
+      },
+    ),
+  }));
+}
+
+function makeTeams(shape: DeploymentShape) {
+  const tiers = ["urgent", "urgent", "standard", "batch"];
+  const total = shape.workers * ACCELERATORS;
+  const perTeam = Math.floor(total / shape.teams / 2 / ACCELERATORS);
+  return Array.from({ length: shape.teams }, (_, i) => ({
+    name: `team_${i}`,
+    tier: tiers[i % tiers.length],
+    cell: `cell_${i % shape.cells}`,
+    guarantee: perTeam > 0 ? [{ accelerators: 8, count: perTeam }] : [],
+    quota: total,
+  }));
+}
+
+function makeServices() {
+  return [
+    {
+      name: "scan",
+      kind: "short",
+      tier: "urgent",
+      work: "fault_scan",
+      repeatable: false,
+      estimateSeconds: 1,
+      deadlineSeconds: 20,
+    },
+    {
+      name: "diagnose",
+      kind: "short",
+      tier: "urgent",
+      work: "fault_scan",
+      repeatable: true,
+      estimateSeconds: 1,
+      deadlineSeconds: 20,
+    },
+    {
+      name: "rebuild",
+      kind: "long",
+      tier: "standard",
+      work: "yield_map",
+      repeatable: true,
+      estimateSeconds: 60,
+      checkpointSeconds: 1,
+    },
+    {
+      name: "once",
+      kind: "long",
+      tier: "batch",
+      work: "settlement",
+      repeatable: false,
+      estimateSeconds: 10,
+    },
+  ];
+}
--- a/packages/stand-in-server/src/platform_routes.ts
+++ b/packages/stand-in-server/src/platform_routes.ts
@@ -96,24 +96,25 @@
     if (path === "/control/faults") {
       parts.faults.set(body as Partial<StandIns.StoreFaults>);
     }
-    const named = body as { worker?: string; leaving?: boolean };
+    const named = body as LeavingBody;
     const worker = parts.workers.get(named.worker ?? "");
     if (path === "/control/restart") worker?.restart();
-    if (path === "/control/leaving") {
-      setLeaving(parts, named.worker ?? "", named.leaving === true);
-    }
+    if (path === "/control/leaving") setLeaving(parts, named);
     return {};
   });
 }
 
-/** Only the live list learns of it at once; the worker knows from then on. */
-function setLeaving(
-  parts: PlatformParts,
-  name: string,
-  leaving: boolean,
-): void {
-  parts.workers.get(name)?.setLeaving(leaving);
-  parts.live.mark(name, leaving);
+/** The worker itself may be kept unaware, so that only the list tells. */
+function setLeaving(parts: PlatformParts, body: LeavingBody): void {
+  const { worker = "", leaving = false, listOnly = false } = body;
+  parts.live.mark(worker, leaving);
+  if (!listOnly) parts.workers.get(worker)?.setLeaving(leaving);
+}
+
+interface LeavingBody {
+  readonly worker?: string;
+  readonly leaving?: boolean;
+  readonly listOnly?: boolean;
 }
 
 function sendFailure(
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -30,19 +30,34 @@
   return `config/${deployment}/versions/`;
 }
 
-/** Start of the keys of a cell's stored jobs. */
+/** Start of the keys of a cell's stored jobs that have not ended. */
 export function jobPrefix(cell: string): string {
   return `jobs/${cell}/`;
 }
 
-/** Record of a stored job. */
+/** Start of the keys of a cell's ended jobs. */
+export function endedPrefix(cell: string): string {
+  return `ended/${cell}/`;
+}
+
+/** Record of a stored job that has ended. */
+export function endedKey(cell: string, jobId: string): string {
+  return `${endedPrefix(cell)}${jobId}`;
+}
+
+/** Record of a stored job that has not ended. */
 export function jobKey(cell: string, jobId: string): string {
   return `${jobPrefix(cell)}${jobId}`;
 }
 
+/** Start of the keys of a cell's intents. */
+export function intentPrefix(cell: string): string {
+  return `intents/${cell}/`;
+}
+
 /** Intent and outcome of an unrepeatable short job. */
 export function intentKey(cell: string, jobId: string): string {
-  return `intents/${cell}/${jobId}`;
+  return `${intentPrefix(cell)}${jobId}`;
 }
 
 /** Object-store key of a job's result. */
--- /dev/null
+++ b/packages/test-utils/mod.ts
@@ -0,0 +1,7 @@
+/** Fakes and builders for tests. */
+export { buildDeployment, buildJobShape, buildTeam } from "./src/builders.ts";
+export { FakeClock } from "./src/fake_clock.ts";
+export { FakeNetwork, NetworkHub } from "./src/fake_network.ts";
+export { FaultyWorkers, Loss } from "./src/faulty_workers.ts";
+export { SeededRandom } from "./src/seeded_random.ts";
+export { TestCluster } from "./src/test_cluster.ts";
--- /dev/null
+++ b/packages/test-utils/src/fake_network.ts
@@ -0,0 +1,81 @@
+/** Links between boxes of one process, which tests can cut. */
+import * as Errors from "@cairngate/errors";
+import * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+
+/** Connects the fake networks of all boxes. */
+export class NetworkHub {
+  readonly #handlers = new Map<string, Platform.PeerHandler>();
+  readonly #cut = new Set<string>();
+  readonly names: readonly string[];
+  readonly clock: Platform.Clock;
+
+  constructor(names: readonly string[], clock: Platform.Clock) {
+    this.names = names;
+    this.clock = clock;
+  }
+
+  /** Sets who answers for a box; null when the box is gone. */
+  attach(box: string, handler: Platform.PeerHandler | null): void {
+    if (handler === null) this.#handlers.delete(box);
+    else this.#handlers.set(box, handler);
+  }
+
+  /** Cuts a box off from all others. */
+  cut(box: string): void {
+    this.#cut.add(box);
+  }
+
+  /** Connects a box again. */
+  heal(box: string): void {
+    this.#cut.delete(box);
+  }
+
+  /** Carries a request; a cut link answers nothing. */
+  carry(
+    from: string,
+    to: string,
+    req: Types.PeerRequest,
+  ): ReturnType<Platform.PeerHandler> {
+    if (this.#cut.has(from) || this.#cut.has(to)) return Effect.never;
+    const handler = this.#handlers.get(to);
+    if (handler === undefined) return Effect.never;
+    // Messages are copied, as they are on a real link.
+    return handler(from, structuredClone(req));
+  }
+}
+
+/** One box's side of the hub. */
+export class FakeNetwork extends Platform.PeerNetwork {
+  readonly #self: string;
+  readonly #hub: NetworkHub;
+
+  constructor(self: string, hub: NetworkHub) {
+    super();
+    this.#self = self;
+    this.#hub = hub;
+  }
+
+  override peers(): readonly string[] {
+    return this.#hub.names.filter((name) => name !== this.#self);
+  }
+
+  override listen(handler: Platform.PeerHandler): Effect.Effect<void> {
+    return Effect.sync(() => this.#hub.attach(this.#self, handler));
+  }
+
+  override request(box: string, req: Types.PeerRequest, timeoutMs: number) {
+    const carried = this.#hub.carry(this.#self, box, req);
+    const timed = this.#hub.clock.within(timeoutMs, carried);
+    return Effect.flatMap(timed, (reply) => {
+      if (reply !== null) return Effect.succeed(reply.value);
+      const cause = "no reply in time";
+      return Effect.fail(new Errors.PeerUnreachableError({ box, cause }));
+    });
+  }
+
+  override close(): Effect.Effect<void> {
+    return Effect.sync(() => this.#hub.attach(this.#self, null));
+  }
+}
--- /dev/null
+++ b/packages/test-utils/src/faulty_workers.ts
@@ -0,0 +1,72 @@
+/** Workers whose orders and answers can be lost, by order and worker. */
+import * as Errors from "@cairngate/errors";
+import * as Platform from "@cairngate/platform";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+
+/** What becomes of a call. */
+export enum Loss {
+  None = "none",
+  /** The order never arrives. */
+  Order = "order",
+  /** The order is carried out; its answer never arrives. */
+  Answer = "answer",
+}
+
+/** Decides for each call. */
+export type LossRule = (order: string, endpoint: string) => Loss;
+
+/** Wraps an adapter of the workers. */
+export class FaultyWorkers extends Platform.Workers {
+  readonly #inner: Platform.Workers;
+  rule: LossRule = () => Loss.None;
+
+  constructor(inner: Platform.Workers) {
+    super();
+    this.#inner = inner;
+  }
+
+  override seal(endpoint: string, fence: Types.Fence) {
+    return this.#apply("seal", endpoint, this.#inner.seal(endpoint, fence));
+  }
+
+  override hold(endpoint: string, order: Types.HoldOrder) {
+    return this.#apply("hold", endpoint, this.#inner.hold(endpoint, order));
+  }
+
+  override start(endpoint: string, order: Types.TaskOrder) {
+    return this.#apply("start", endpoint, this.#inner.start(endpoint, order));
+  }
+
+  override run(endpoint: string, order: Types.HoldOrder) {
+    return this.#apply("run", endpoint, this.#inner.run(endpoint, order));
+  }
+
+  override stop(endpoint: string, order: Types.StopOrder) {
+    return this.#apply("stop", endpoint, this.#inner.stop(endpoint, order));
+  }
+
+  override report(endpoint: string, request: Types.ReportRequest) {
+    const call = this.#inner.report(endpoint, request);
+    return this.#apply("report", endpoint, call);
+  }
+
+  #apply<A>(
+    order: string,
+    endpoint: string,
+    call: Effect.Effect<A, Platform.WorkerError>,
+  ): Effect.Effect<A, Platform.WorkerError> {
+    return Effect.suspend(() => {
+      const loss = this.rule(order, endpoint);
+      if (loss === Loss.None) return call;
+      const lost = Effect.fail(
+        new Errors.WorkerLostError({
+          worker: endpoint,
+          cause: `the ${loss} was lost`,
+          neverSent: false,
+        }),
+      );
+      return loss === Loss.Order ? lost : Effect.andThen(call, lost);
+    });
+  }
+}
--- /dev/null
+++ b/packages/test-utils/src/test_cluster.ts
@@ -0,0 +1,199 @@
+/** Several boxes of one process on fakes and a clock that the test moves. */
+import * as Box from "@cairngate/box";
+import * as Logger from "@cairngate/logger";
+import * as Metrics from "@cairngate/metrics";
+import * as StandIns from "@cairngate/stand-ins";
+import type * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as Yaml from "yaml";
+import * as builders from "./builders.ts";
+import * as clocks from "./fake_clock.ts";
+import * as networks from "./fake_network.ts";
+import * as faulty from "./faulty_workers.ts";
+import * as randoms from "./seeded_random.ts";
+
+const TIMES = {
+  heartbeatMs: 400,
+  peerTimeoutMs: 1200,
+  ownerLeaseMs: 6000,
+  configPollMs: 1000,
+  livePollMs: 1000,
+  reportWaitMs: 10_000,
+  stopGraceMs: 30_000,
+};
+const LIMITS = {
+  waitingCallers: 100,
+  bodyBytes: 100_000,
+  storeWritesPerSecond: 100,
+  connectionsPerWorker: 6,
+};
+const READY_MS = 10_000;
+
+/** Boxes, workers and platform of one test. */
+export class TestCluster {
+  readonly clock = new clocks.FakeClock();
+  readonly random: randoms.SeededRandom;
+  readonly faults: StandIns.FaultSwitch;
+  readonly table: StandIns.MemoryTable;
+  readonly live: StandIns.MemoryLiveList;
+  readonly ledger = new StandIns.RunLedger();
+  readonly workers = new Map<string, StandIns.StandInWorker>();
+  readonly reach = new StandIns.MemoryWorkers();
+  readonly hub: networks.NetworkHub;
+  readonly cfg: Types.DeploymentConfig;
+  readonly boxes = new Map<string, Box.Box>();
+  /** Each box's own way to the workers, so that it can be cut alone. */
+  readonly links = new Map<string, faulty.FaultyWorkers>();
+  readonly #objects: StandIns.MemoryObjectStore;
+
+  constructor(
+    options: { boxes?: number; cfg?: Types.DeploymentConfig; seed?: number } =
+      {},
+  ) {
+    this.random = new randoms.SeededRandom(options.seed ?? 1);
+    this.faults = new StandIns.FaultSwitch(this.clock, this.random);
+    this.table = new StandIns.MemoryTable(this.faults);
+    this.live = new StandIns.MemoryLiveList(this.faults);
+    this.#objects = new StandIns.MemoryObjectStore(this.faults);
+    this.cfg = options.cfg ?? builders.buildDeployment({ workersPerRack: 2 });
+    const count = options.boxes ?? 3;
+    const names = Array.from({ length: count }, (_, i) => `box_${i + 1}`);
+    this.hub = new networks.NetworkHub(names, this.clock);
+    for (const spec of this.cfg.racks.flatMap((rack) => rack.workers)) {
+      this.#addWorker(spec);
+    }
+    for (const name of names) this.createBox(name);
+  }
+
+  /** Starts all boxes, applies the deployment and waits for an owner. */
+  async start(): Promise<void> {
+    for (const box of this.boxes.values()) {
+      await Effect.runPromise(box.start());
+    }
+    await this.run(
+      this.box("box_1").configs.apply({
+        text: Yaml.stringify(withoutNulls(this.cfg)),
+        basedOn: 0,
+        applyId: "first",
+      }),
+    );
+    await this.clock.advanceUntil(() => this.isSettled(), READY_MS);
+  }
+
+  /** A box by name. */
+  box(name: string): Box.Box {
+    return this.boxes.get(name)!;
+  }
+
+  /** Name of the box that owns the cell; null where none does. */
+  owner(): string | null {
+    let best: { name: string; epoch: number } | null = null;
+    for (const [name, box] of this.boxes) {
+      for (const cell of box.dump().cells) {
+        if (best === null || cell.epoch > best.epoch) {
+          best = { name, epoch: cell.epoch };
+        }
+      }
+    }
+    return best?.name ?? null;
+  }
+
+  /** Whether the cell has an owner with all workers sealed. */
+  isSettled(): boolean {
+    const owner = this.owner();
+    if (owner === null) return false;
+    const [cell] = this.box(owner).dump().cells;
+    const isEverywhere = [...this.boxes.values()].every((b) => b.isReady);
+    return isEverywhere && cell.workers.every((worker) => worker.sealed);
+  }
+
+  /** Runs work to its end while time moves; fails with its failure. */
+  async run<A, E>(
+    work: Effect.Effect<A, E>,
+    limitMs = 60_000,
+  ): Promise<A> {
+    const pending = this.begin(work);
+    await this.clock.advanceUntil(() => pending.isOver(), limitMs);
+    return await pending.value;
+  }
+
+  /** Begins work; time has to be moved for it to end. */
+  begin<A, E>(
+    work: Effect.Effect<A, E>,
+  ): { value: Promise<A>; isOver: () => boolean } {
+    let over = false;
+    const value = Effect.runPromise(work);
+    value.then(() => (over = true), () => (over = true));
+    return { value, isOver: () => over };
+  }
+
+  /** The process of a box dies: nothing of it goes on. */
+  async kill(name: string): Promise<void> {
+    this.hub.attach(name, null);
+    this.links.get(name)!.rule = () => faulty.Loss.Order;
+    await this.run(this.box(name).stop());
+    this.boxes.delete(name);
+  }
+
+  /** Creates a box that is not yet started. */
+  createBox(name: string): Box.Box {
+    const workers = new faulty.FaultyWorkers(this.reach);
+    const box = new Box.Box({
+      clock: this.clock,
+      random: this.random,
+      metrics: new Metrics.Metrics(),
+      table: this.table,
+      objects: this.#objects,
+      liveList: this.live,
+      workers,
+      network: new networks.FakeNetwork(name, this.hub),
+      log: Logger.silentLogger(),
+    }, {
+      box: name,
+      dataCentre: "dc",
+      deployment: this.cfg.name,
+      limits: LIMITS,
+      times: TIMES,
+    });
+    this.links.set(name, workers);
+    this.boxes.set(name, box);
+    return box;
+  }
+
+  /** Submits a job through a box. */
+  submit(
+    box: string,
+    body: Readonly<Record<string, unknown>>,
+    options: { key?: string; waitSeconds?: number } = {},
+  ) {
+    return this.box(box).entry.submit({
+      body: { team: "a", ...body },
+      idempotencyKey: options.key ?? null,
+      waitSeconds: options.waitSeconds ?? null,
+    });
+  }
+
+  /** Counts over what truly ran. */
+  summary(): StandIns.LedgerSummary {
+    return StandIns.summarizeLedger(this.ledger.entries);
+  }
+
+  #addWorker(spec: Types.WorkerSpec): void {
+    const worker = new StandIns.StandInWorker({
+      ...spec,
+      clock: this.clock,
+      random: this.random,
+      ledger: this.ledger,
+    });
+    this.workers.set(spec.name, worker);
+    this.reach.add(spec.endpoint, worker);
+    this.live.set({ ...spec, leaving: false });
+  }
+}
+
+/** Optional fields are absent in a file, not null. */
+function withoutNulls(cfg: Types.DeploymentConfig): unknown {
+  return JSON.parse(
+    JSON.stringify(cfg, (_, value) => value === null ? undefined : value),
+  );
+}
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -89,7 +89,6 @@
 export interface Enqueue {
   readonly kind: PeerKind.Enqueue;
   readonly cell: string;
-  readonly record: job.JobRecord;
 }
 
 /** Asks the owner for a stored job's record; waits for its end if asked. */
