Add the naive scheduler and a bench that compares policies with it

Cause: no decision was measured. Change: the naive reference, generated traces, a virtual clock over the real decision code with books of its own that notice two jobs on one accelerator.

--- /dev/null
+++ b/packages/bench/src/readings.ts
@@ -0,0 +1,233 @@
+/** What the bench reads off a run; definitions in docs/MEASURES.md. */
+import * as Metrics from "@cairngate/metrics";
+import * as Placement from "@cairngate/placement";
+import type * as Types from "@cairngate/types";
+import type * as traces from "./traces.ts";
+
+/** Completion times of one tier in seconds. */
+export interface TierSummary {
+  readonly jobs: number;
+  readonly mean: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  /** Mean ÷ mean of each job alone on an empty cell. */
+  readonly overLowerBound: number;
+}
+
+/** Readings of one policy. */
+export interface Summary {
+  readonly completion: Readonly<Record<string, TierSummary>>;
+  /** Time average by block size, where at least one block's worth is free. */
+  readonly fragmentation: Readonly<Record<string, number>>;
+  /** Mean completion in seconds by team. */
+  readonly teams: Readonly<Record<string, number>>;
+  /** Longest wait of a gang that fitted in the sum of the free accelerators. */
+  readonly gangWaitMaxS: number;
+  readonly preemptions: number;
+  readonly lostAcceleratorHours: number;
+  readonly reclaimMaxS: number;
+  readonly reclaimP99S: number;
+  readonly utilisation: number;
+  readonly makespanH: number;
+  readonly decisionsPerSecond: number;
+  readonly planP50Ms: number;
+  readonly planP99Ms: number;
+  readonly heapMb: number;
+  readonly ended: number;
+  readonly expired: number;
+}
+
+interface GangWait {
+  readonly size: number;
+  waitedMs: number;
+}
+
+/** Collects readings while a run goes on. */
+export class Readings {
+  readonly #space: Placement.BuddySpace;
+  readonly #durations = new Map<string, number>();
+  readonly #completions = new Map<string, number[]>();
+  readonly #alone = new Map<string, number>();
+  readonly #teams = new Map<string, number[]>();
+  readonly #fragmentation = new Map<number, { sum: number; time: number }>();
+  readonly #gangs = new Map<string, GangWait>();
+  readonly #plans = new Metrics.Metrics();
+  readonly #reclaims: number[] = [];
+  readonly #capacity: number;
+  #nowMs = 0;
+  #lastArrivalMs = 0;
+  #busyMs = 0;
+  #gangWaitMaxMs = 0;
+  #preemptions = 0;
+  #lostMs = 0;
+  #decisions = 0;
+  #planMs = 0;
+  #ended = 0;
+  #expired = 0;
+
+  constructor(
+    space: Placement.BuddySpace,
+    jobs: readonly traces.TraceJob[],
+  ) {
+    this.#space = space;
+    this.#capacity = space.freeTotal();
+    jobs.forEach((job, i) => {
+      this.#durations.set(`job-${i}`, job.duration);
+      this.#lastArrivalMs = Math.max(this.#lastArrivalMs, job.at * 1000);
+    });
+  }
+
+  /** Time passes; the state of the racks has held until now. */
+  advance(nowMs: number): void {
+    const passed = nowMs - this.#nowMs;
+    if (passed <= 0) return;
+    const free = this.#space.freeTotal();
+    if (this.#nowMs <= this.#lastArrivalMs) {
+      this.#busyMs += (this.#capacity - free) * passed;
+      this.#addFragmentation(passed);
+    }
+    for (const gang of this.#gangs.values()) {
+      if (gang.size <= free) gang.waitedMs += passed;
+    }
+    this.#nowMs = nowMs;
+  }
+
+  /** A job has arrived. */
+  arrive(shape: Types.JobShape): void {
+    if (shape.gang === 1) return;
+    const size = shape.gang * shape.accelerators;
+    this.#gangs.set(shape.id, { size, waitedMs: 0 });
+  }
+
+  /** A job has started. */
+  start(
+    shape: Types.JobShape,
+    nowMs: number,
+    claimedAtMs: number | null,
+  ): void {
+    const gang = this.#gangs.get(shape.id);
+    if (gang !== undefined) {
+      this.#gangWaitMaxMs = Math.max(this.#gangWaitMaxMs, gang.waitedMs);
+      this.#gangs.delete(shape.id);
+    }
+    if (claimedAtMs !== null) this.#reclaims.push(nowMs - claimedAtMs);
+  }
+
+  /** A job has ended. */
+  end(shape: Types.JobShape, nowMs: number): void {
+    const seconds = (nowMs - shape.submittedAtMs) / 1000;
+    const alone = this.#durations.get(shape.id)!;
+    add(this.#completions, shape.tier, seconds);
+    add(this.#completions, "all", seconds);
+    add(this.#teams, shape.team, seconds);
+    for (const tier of [shape.tier, "all"]) {
+      this.#alone.set(tier, (this.#alone.get(tier) ?? 0) + alone);
+    }
+    this.#ended++;
+  }
+
+  /** A job ended without running to its end. */
+  expire(_shape: Types.JobShape): void {
+    this.#expired++;
+  }
+
+  /** A job was stopped for another. */
+  preempt(shape: Types.JobShape, nowMs: number): void {
+    this.#preemptions++;
+    if (shape.gang === 1) return;
+    const size = shape.gang * shape.accelerators;
+    this.#gangs.set(shape.id, { size, waitedMs: 0 });
+    this.#nowMs = Math.max(this.#nowMs, nowMs);
+  }
+
+  /** Work that has to be done again. */
+  lose(shape: Types.JobShape, ms: number): void {
+    this.#lostMs += ms * shape.gang * shape.accelerators;
+  }
+
+  /** A round of decisions was made. */
+  planned(ms: number, decisions: number): void {
+    this.#plans.observeMs("plan", ms);
+    this.#planMs += ms;
+    this.#decisions += decisions;
+  }
+
+  /** All readings at the end. */
+  summarize(heapMb: number): Summary {
+    const completion: Record<string, TierSummary> = {};
+    for (const [tier, seconds] of this.#completions) {
+      completion[tier] = this.#summarizeTier(tier, seconds);
+    }
+    const fragmentation: Record<string, number> = {};
+    for (const [block, { sum, time }] of this.#fragmentation) {
+      fragmentation[block] = time === 0 ? 0 : sum / time;
+    }
+    const teams: Record<string, number> = {};
+    for (const [team, seconds] of this.#teams) teams[team] = mean(seconds);
+    const reclaims = [...this.#reclaims].sort((a, b) => a - b);
+    return {
+      completion,
+      fragmentation,
+      teams,
+      gangWaitMaxS: this.#gangWaitMaxMs / 1000,
+      preemptions: this.#preemptions,
+      lostAcceleratorHours: this.#lostMs / 3_600_000,
+      reclaimMaxS: (reclaims.at(-1) ?? 0) / 1000,
+      reclaimP99S: percentile(reclaims, 0.99) / 1000,
+      utilisation: this.#busyMs / this.#capacity /
+        Math.max(1, this.#lastArrivalMs),
+      makespanH: this.#nowMs / 3_600_000,
+      decisionsPerSecond: this.#decisions / (this.#planMs / 1000),
+      planP50Ms: this.#plans.quantileMs("plan", 50),
+      planP99Ms: this.#plans.quantileMs("plan", 99),
+      heapMb,
+      ended: this.#ended,
+      expired: this.#expired,
+    };
+  }
+
+  #summarizeTier(tier: string, seconds: readonly number[]): TierSummary {
+    const sorted = [...seconds].sort((a, b) => a - b);
+    const alone = this.#alone.get(tier)! / seconds.length;
+    return {
+      jobs: seconds.length,
+      mean: mean(seconds),
+      p50: percentile(sorted, 0.5),
+      p95: percentile(sorted, 0.95),
+      p99: percentile(sorted, 0.99),
+      overLowerBound: mean(seconds) / alone,
+    };
+  }
+
+  #addFragmentation(passedMs: number): void {
+    for (
+      const { block, value } of Placement.computeFragmentation(this.#space)
+    ) {
+      if (value === null) continue;
+      const kept = this.#fragmentation.get(block) ?? { sum: 0, time: 0 };
+      kept.sum += value * passedMs;
+      kept.time += passedMs;
+      this.#fragmentation.set(block, kept);
+    }
+  }
+}
+
+function add(
+  into: Map<string, number[]>,
+  name: string,
+  value: number,
+): void {
+  const list = into.get(name);
+  if (list === undefined) into.set(name, [value]);
+  else list.push(value);
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, v) => sum + v, 0) / Math.max(1, values.length);
+}
+
+function percentile(sorted: readonly number[], share: number): number {
+  if (sorted.length === 0) return 0;
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))];
+}
--- /dev/null
+++ b/packages/bench/src/simulate.ts
@@ -0,0 +1,284 @@
+/** Runs one scheduler over a trace on a virtual clock. */
+import * as Placement from "@cairngate/placement";
+import * as Scheduler from "@cairngate/scheduler";
+import * as Types from "@cairngate/types";
+import * as perf from "node:perf_hooks";
+import process from "node:process";
+import TinyQueue from "tinyqueue";
+import * as readings from "./readings.ts";
+import type * as traces from "./traces.ts";
+
+/** Time to write a checkpoint and stop, in milliseconds. */
+const STOP_MS = 2000;
+/** Time to load a checkpoint, in milliseconds. */
+const RESTORE_MS = 10_000;
+
+/** A rack that is lost for a while. */
+export interface RackLoss {
+  readonly rack: number;
+  readonly atMs: number;
+  readonly untilMs: number;
+}
+
+/** What to run. */
+export interface SimulationOptions {
+  readonly layout: Scheduler.CellLayout;
+  readonly scheduler: Scheduler.SchedulerCore;
+  readonly jobs: readonly traces.TraceJob[];
+  readonly losses: readonly RackLoss[];
+  /** Called after every round of decisions; for tests. */
+  readonly afterPlan?: (nowMs: number) => void;
+}
+
+/** Result of one scheduler on one trace. */
+export type PolicyResult = readings.Summary;
+
+enum EventKind {
+  Arrive,
+  End,
+  Stopped,
+  RackLost,
+  RackBack,
+}
+
+interface SimEvent {
+  readonly atMs: number;
+  readonly kind: EventKind;
+  readonly job: SimJob | null;
+  /** The run that the event belongs to; older runs are ignored. */
+  readonly run: number;
+  readonly rack: number;
+}
+
+interface SimJob {
+  readonly shape: Types.JobShape;
+  readonly durationMs: number;
+  slots: readonly Types.Slot[];
+  startedAtMs: number;
+  progress: number;
+  run: number;
+  claimedAtMs: number | null;
+}
+
+/** Runs the trace to its end and returns the readings. */
+export function simulate(options: SimulationOptions): PolicyResult {
+  return new Simulation(options).run();
+}
+
+class Simulation {
+  readonly #options: SimulationOptions;
+  readonly #events = new TinyQueue<SimEvent>([], (a, b) => a.atMs - b.atMs);
+  readonly #jobs = new Map<string, SimJob>();
+  readonly #space: Placement.BuddySpace;
+  readonly #readings: readings.Readings;
+  #nowMs = 0;
+
+  constructor(options: SimulationOptions) {
+    this.#options = options;
+    this.#space = new Placement.BuddySpace(options.layout.racks.length);
+    this.#readings = new readings.Readings(this.#space, options.jobs);
+    options.layout.workers.forEach((worker, index) => {
+      const own = worker === undefined ? 0 : (1 << worker.accelerators) - 1;
+      this.#space.setUsedMask(index, Placement.FULL_MASK & ~own);
+      if (worker !== undefined) {
+        options.scheduler.setWorkerAvailable(index, true);
+      }
+    });
+    options.jobs.forEach((job, i) => this.#addArrival(job, i));
+    for (const loss of options.losses) this.#addLoss(loss);
+  }
+
+  run(): PolicyResult {
+    for (;;) {
+      const event = this.#events.pop();
+      if (event === undefined) break;
+      this.#readings.advance(event.atMs);
+      this.#nowMs = event.atMs;
+      this.#handle(event);
+      // Events of the same moment are decided on together.
+      if (this.#events.peek()?.atMs === event.atMs) continue;
+      this.#plan();
+    }
+    const memoryMb = process.memoryUsage().heapUsed / 1e6;
+    return this.#readings.summarize(memoryMb);
+  }
+
+  #addArrival(job: traces.TraceJob, index: number): void {
+    const shape = toShape(job, index);
+    const sim: SimJob = {
+      shape,
+      durationMs: job.duration * 1000,
+      slots: [],
+      startedAtMs: 0,
+      progress: 0,
+      run: 0,
+      claimedAtMs: null,
+    };
+    this.#jobs.set(shape.id, sim);
+    this.#push(EventKind.Arrive, shape.submittedAtMs, sim);
+  }
+
+  #addLoss(loss: RackLoss): void {
+    const { rack } = loss;
+    this.#push(EventKind.RackLost, loss.atMs, null, rack);
+    this.#push(EventKind.RackBack, loss.untilMs, null, rack);
+  }
+
+  #push(kind: EventKind, atMs: number, job: SimJob | null, rack = -1): void {
+    this.#events.push({ atMs, kind, job, run: job?.run ?? 0, rack });
+  }
+
+  #handle(event: SimEvent): void {
+    const { job } = event;
+    if (job !== null && event.run !== job.run) return;
+    switch (event.kind) {
+      case EventKind.Arrive:
+        this.#readings.arrive(job!.shape);
+        this.#options.scheduler.submit(job!.shape, { nowMs: this.#nowMs });
+        return;
+      case EventKind.End:
+        return this.#end(job!);
+      case EventKind.Stopped:
+        return this.#stopped(job!);
+      case EventKind.RackLost:
+        return this.#loseRack(event.rack);
+      case EventKind.RackBack:
+        return this.#setRack(event.rack, true);
+    }
+  }
+
+  #plan(): void {
+    const startMs = perf.performance.now();
+    const decisions = this.#options.scheduler.plan(this.#nowMs);
+    this.#readings.planned(perf.performance.now() - startMs, decisions.length);
+    for (const decision of decisions) this.#carryOut(decision);
+    this.#options.afterPlan?.(this.#nowMs);
+  }
+
+  #carryOut(decision: Types.Decision): void {
+    const job = this.#jobs.get(decision.jobId)!;
+    switch (decision.kind) {
+      case Types.DecisionKind.Start:
+        return this.#start(job, decision.slots);
+      case Types.DecisionKind.Preempt: {
+        const claimant = this.#jobs.get(decision.claimant)!;
+        claimant.claimedAtMs ??= this.#nowMs;
+        job.run++;
+        return this.#push(EventKind.Stopped, this.#nowMs + STOP_MS, job);
+      }
+      case Types.DecisionKind.Expire:
+        return this.#readings.expire(job.shape);
+    }
+  }
+
+  #start(job: SimJob, slots: readonly Types.Slot[]): void {
+    job.slots = slots;
+    job.startedAtMs = this.#nowMs;
+    job.run++;
+    this.#occupy(slots, true);
+    this.#readings.start(job.shape, this.#nowMs, job.claimedAtMs);
+    job.claimedAtMs = null;
+    const restore = job.progress > 0 ? RESTORE_MS : 0;
+    const left = job.durationMs * (1 - job.progress) + restore;
+    this.#push(EventKind.End, this.#nowMs + left, job);
+  }
+
+  #end(job: SimJob): void {
+    this.#vacate(job);
+    this.#options.scheduler.finish(job.shape.id);
+    this.#readings.end(job.shape, this.#nowMs);
+  }
+
+  #stopped(job: SimJob): void {
+    this.#vacate(job);
+    const progress = this.#saveProgress(job);
+    this.#readings.preempt(job.shape, this.#nowMs);
+    const detail = "stopped for another job";
+    const options = { nowMs: this.#nowMs, progress, detail };
+    this.#options.scheduler.requeue(job.shape.id, options);
+  }
+
+  /** Progress of the last whole checkpoint interval; the rest is lost. */
+  #saveProgress(job: SimJob): number {
+    const ran = this.#nowMs - job.startedAtMs;
+    const interval = job.shape.checkpointMs;
+    const saved = interval === null ? 0 : ran - ran % interval;
+    const before = job.progress;
+    job.progress = Math.min(0.999, before + saved / job.durationMs);
+    this.#readings.lose(job.shape, ran - saved);
+    return job.progress;
+  }
+
+  #loseRack(rack: number): void {
+    const first = rack * Placement.WORKERS_PER_RACK;
+    const lost = [...this.#jobs.values()].filter((job) =>
+      job.slots.some((slot) => Math.floor(slot.worker / 8) === rack)
+    );
+    this.#setRack(rack, false);
+    for (const job of lost) {
+      job.run++;
+      this.#vacate(job);
+      const progress = this.#saveProgress(job);
+      const detail = `rack ${first} was lost`;
+      const options = { nowMs: this.#nowMs, progress, detail };
+      if (job.shape.repeatable) {
+        this.#options.scheduler.requeue(job.shape.id, options);
+      } else {
+        this.#options.scheduler.finish(job.shape.id);
+        this.#readings.expire(job.shape);
+      }
+    }
+  }
+
+  #setRack(rack: number, available: boolean): void {
+    const first = rack * Placement.WORKERS_PER_RACK;
+    for (let i = first; i < first + Placement.WORKERS_PER_RACK; i++) {
+      if (this.#options.layout.workers[i] === undefined) continue;
+      this.#options.scheduler.setWorkerAvailable(i, available);
+    }
+  }
+
+  #vacate(job: SimJob): void {
+    this.#occupy(job.slots, false);
+    job.slots = [];
+  }
+
+  /** Keeps a book of its own, and so notices two jobs on one accelerator. */
+  #occupy(slots: readonly Types.Slot[], taken: boolean): void {
+    for (const { worker, mask } of slots) {
+      const used = this.#space.usedMask(worker);
+      const expected = taken ? 0 : mask;
+      if ((used & mask) !== expected) throw new OverlapError(worker);
+      this.#space.setUsedMask(worker, taken ? used | mask : used & ~mask);
+    }
+  }
+}
+
+/** A scheduler put two jobs on one accelerator. */
+export class OverlapError extends Error {
+  readonly _tag = "OverlapError";
+  constructor(worker: number) {
+    super(`Two jobs on one accelerator of worker ${worker}.`);
+  }
+}
+
+function toShape(job: traces.TraceJob, index: number): Types.JobShape {
+  return {
+    id: `job-${index}`,
+    team: job.team,
+    service: job.service,
+    tier: job.tier as Types.Tier,
+    accelerators: job.accelerators,
+    gang: job.gang,
+    adjacency: job.block as Types.Adjacency,
+    estimateMs: toMs(job.estimate),
+    repeatable: job.repeatable,
+    checkpointMs: toMs(job.checkpoint),
+    submittedAtMs: job.at * 1000,
+    deadlineAtMs: null,
+  };
+}
+
+function toMs(seconds: number | null | undefined): number | null {
+  return seconds === null || seconds === undefined ? null : seconds * 1000;
+}
--- /dev/null
+++ b/packages/bench/src/traces.ts
@@ -0,0 +1,271 @@
+/**
+ * Generated traces. Shapes come from the brief: short diagnostics in bursts,
+ * rebuilds of hours, nightly settlement gangs. Run times are log-normal: most
+ * jobs are short and a few are very long, as job logs of shared clusters show.
+ */
+import type * as Types from "@cairngate/types";
+import * as Float from "pure-rand/distribution/uniformFloat64";
+import * as Xoroshiro from "pure-rand/generator/xoroshiro128plus";
+
+/** One job of a trace; times in seconds. */
+export interface TraceJob {
+  readonly at: number;
+  readonly team: string;
+  readonly service: string;
+  readonly tier: `${Types.Tier}`;
+  readonly accelerators: number;
+  readonly block: `${Types.Adjacency}`;
+  readonly gang: number;
+  readonly duration: number;
+  readonly estimate: number | null;
+  readonly repeatable: boolean;
+  readonly checkpoint: number | null;
+}
+
+/** Names of the generated traces. */
+export const TRACE_NAMES = [
+  "normal",
+  "burst",
+  "night",
+  "estimates-off",
+  "no-estimates",
+  "rack-lost",
+  "target",
+] as const;
+
+/** Name of a generated trace. */
+export type TraceName = (typeof TRACE_NAMES)[number];
+
+const DAY_S = 86_400;
+const ACCELERATORS = 8;
+
+/** How to generate. */
+export interface TraceOptions {
+  readonly seed: number;
+  readonly workers: number;
+  readonly deployment: "polni_data" | "dala_toll";
+}
+
+/** Draws random numbers for a trace. */
+class Draw {
+  readonly #generator: ReturnType<typeof Xoroshiro.xoroshiro128plus>;
+
+  constructor(seed: number) {
+    this.#generator = Xoroshiro.xoroshiro128plus(seed);
+  }
+
+  unit(): number {
+    return Float.uniformFloat64(this.#generator);
+  }
+
+  choose<T>(from: readonly T[]): T {
+    return from[Math.floor(this.unit() * from.length)];
+  }
+
+  exponential(mean: number): number {
+    return -mean * Math.log(1 - this.unit());
+  }
+
+  /** Log-normal with this median. */
+  logNormal(median: number, sigma: number): number {
+    const u = Math.max(1e-12, this.unit());
+    const normal = Math.sqrt(-2 * Math.log(u)) *
+      Math.cos(2 * Math.PI * this.unit());
+    return median * Math.exp(sigma * normal);
+  }
+}
+
+/** Generates a trace. */
+export function makeTrace(
+  name: TraceName,
+  options: TraceOptions,
+): TraceJob[] {
+  const draw = new Draw(options.seed);
+  const jobs = name === "target"
+    ? makeTarget(draw, options)
+    : makeDay(name, draw, options);
+  const told = jobs.map((job) => changeEstimate(name, draw, job));
+  return told.sort((a, b) => a.at - b.at);
+}
+
+function changeEstimate(
+  name: TraceName,
+  draw: Draw,
+  job: TraceJob,
+): TraceJob {
+  if (name === "no-estimates") return { ...job, estimate: null };
+  const spread = name === "estimates-off" ? 3 : 1.3;
+  const factor = spread ** (2 * draw.unit() - 1);
+  return { ...job, estimate: job.duration * factor };
+}
+
+function makeDay(
+  name: TraceName,
+  draw: Draw,
+  options: TraceOptions,
+): TraceJob[] {
+  const isPolni = options.deployment === "polni_data";
+  const teams = isPolni
+    ? ["coop_hana", "coop_slovacko", "coop_vysocina", "coop_valassko"]
+    : ["gantry_west", "gantry_east", "gantry_south", "settlement_office"];
+  const capacity = options.workers * ACCELERATORS;
+  const jobs = [
+    ...makeShort(draw, { teams, perHour: isPolni ? 240 : 360, isPolni }),
+    ...makeLong(draw, { teams, capacity, isPolni }),
+  ];
+  if (name === "burst") jobs.push(...makeBurst(draw, teams));
+  if (name === "night" || !isPolni) jobs.push(...makeNight(draw, capacity));
+  return jobs;
+}
+
+/** Short work follows the working day: twice the mean at noon. */
+function makeShort(
+  draw: Draw,
+  options: { teams: string[]; perHour: number; isPolni: boolean },
+): TraceJob[] {
+  const jobs: TraceJob[] = [];
+  const gapS = 3600 / (options.perHour * 2);
+  for (let at = 0; at < DAY_S; at += draw.exponential(gapS)) {
+    const load = 0.5 - 0.5 * Math.cos(2 * Math.PI * at / DAY_S);
+    if (draw.unit() > load) continue;
+    jobs.push(makeShortJob(draw, at, options));
+  }
+  return jobs;
+}
+
+function makeShortJob(
+  draw: Draw,
+  at: number,
+  options: { teams: string[]; isPolni: boolean },
+): TraceJob {
+  const repeatable = draw.unit() < 0.5;
+  const polniService = repeatable ? "fleet_diagnostics" : "fault_scan";
+  const dalaService = repeatable ? "gantry_replay" : "plate_match";
+  return {
+    at,
+    team: draw.choose(options.teams.slice(0, 2)),
+    service: options.isPolni ? polniService : dalaService,
+    tier: "urgent",
+    accelerators: 1,
+    block: "any",
+    gang: 1,
+    duration: draw.logNormal(6, 0.6),
+    estimate: null,
+    repeatable,
+    checkpoint: null,
+  };
+}
+
+/** Long work at nine tenths of the capacity over the day. */
+function makeLong(
+  draw: Draw,
+  options: { teams: string[]; capacity: number; isPolni: boolean },
+): TraceJob[] {
+  const jobs: TraceJob[] = [];
+  let left = options.capacity * DAY_S * (options.isPolni ? 0.85 : 0.5);
+  while (left > 0) {
+    const job = makeLongJob(draw, draw.unit() * DAY_S, options.teams);
+    jobs.push(job);
+    left -= job.duration * job.gang * job.accelerators;
+  }
+  return jobs;
+}
+
+function makeLongJob(draw: Draw, at: number, teams: string[]): TraceJob {
+  const size = draw.choose([1, 1, 1, 2, 2, 4, 8, 16, 16, 32, 64]);
+  const accelerators = Math.min(size, draw.choose([1, 2, 4, 8]));
+  const gang = Math.max(1, Math.floor(size / accelerators));
+  const isGang = gang > 1;
+  return {
+    at,
+    team: draw.choose(teams),
+    service: isGang ? "yield_map" : "soil_compaction",
+    tier: draw.unit() < 0.4 ? "standard" : "batch",
+    accelerators,
+    block: isGang ? "rack" : "any",
+    gang,
+    duration: Math.min(6 * 3600, 60 + draw.logNormal(900, 1.2)),
+    estimate: null,
+    repeatable: true,
+    checkpoint: 300,
+  };
+}
+
+/** 600 small jobs within two minutes, four times, without warning. */
+function makeBurst(draw: Draw, teams: string[]): TraceJob[] {
+  const jobs: TraceJob[] = [];
+  for (let burst = 0; burst < 4; burst++) {
+    const start = draw.unit() * DAY_S;
+    const team = draw.choose(teams);
+    for (let i = 0; i < 600; i++) {
+      const at = start + draw.unit() * 120;
+      const job = makeLongJob(draw, at, [team]);
+      const duration = draw.logNormal(120, 0.8);
+      const shape = { accelerators: 1, gang: 1, block: "any" as const };
+      jobs.push({ ...job, ...shape, tier: "standard", duration });
+    }
+  }
+  return jobs;
+}
+
+/** Settlement between 0 and 4 o'clock: gangs of 32 and 64 accelerators. */
+function makeNight(draw: Draw, capacity: number): TraceJob[] {
+  const jobs: TraceJob[] = [];
+  const gangs = Math.round(capacity / 20);
+  for (let i = 0; i < gangs; i++) {
+    jobs.push({
+      at: draw.unit() * 4 * 3600,
+      team: "settlement_office",
+      service: "night_settlement",
+      tier: "standard",
+      accelerators: 8,
+      block: "rack",
+      gang: draw.choose([4, 8, 8]),
+      duration: 600 + draw.logNormal(1200, 0.7),
+      estimate: null,
+      repeatable: true,
+      checkpoint: 300,
+    });
+  }
+  return jobs;
+}
+
+/** Letter 1: 40 teams, 9,000 jobs, about 20,000 tasks running at the peak. */
+function makeTarget(draw: Draw, options: TraceOptions): TraceJob[] {
+  const teams = Array.from({ length: 40 }, (_, i) => `team_${i}`);
+  const jobs: TraceJob[] = [];
+  // A wave of small tasks first, so that 20,000 tasks run at once.
+  const tasks = Math.round(options.workers * 6.2);
+  for (let i = 0; i < tasks; i++) {
+    jobs.push(makeTargetJob(draw, { at: i * 0.02, teams, size: 1 }));
+  }
+  for (let i = 0; i < 9000; i++) {
+    const size = draw.choose([1, 1, 2, 4, 8, 16, 64]);
+    const at = 600 + draw.unit() * DAY_S;
+    jobs.push(makeTargetJob(draw, { at, teams, size }));
+  }
+  jobs.push(...makeShort(draw, { teams, perHour: 120, isPolni: true }));
+  return jobs;
+}
+
+function makeTargetJob(
+  draw: Draw,
+  options: { at: number; teams: string[]; size: number },
+): TraceJob {
+  const { at, size } = options;
+  const accelerators = Math.min(8, size);
+  const gang = Math.max(1, size / accelerators);
+  return {
+    at,
+    team: draw.choose(options.teams),
+    service: "long",
+    tier: draw.unit() < 0.4 ? "standard" : "batch",
+    accelerators,
+    block: gang > 1 ? "rack" : "any",
+    gang,
+    duration: Math.min(12 * 3600, draw.logNormal(5400, 0.7)),
+    estimate: null,
+    repeatable: true,
+    checkpoint: 600,
+  };
+}
--- /dev/null
+++ b/packages/naive/mod.ts
@@ -0,0 +1,2 @@
+/** The reference scheduler: first come, first fit. */
+export { NaiveScheduler } from "./src/naive_scheduler.ts";
--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -18,9 +18,10 @@
   type SchedulerPolicies,
 } from "./src/policies.ts";
 export { checkGuarantees, listDemands } from "./src/check_guarantees.ts";
+export { type RestoreOptions, Scheduler } from "./src/scheduler.ts";
+export { describeCell } from "./src/describe_cell.ts";
 export {
-  type RestoreOptions,
-  Scheduler,
+  type RequeueOptions,
+  SchedulerCore,
   type SubmitOptions,
-} from "./src/scheduler.ts";
-export { describeCell } from "./src/describe_cell.ts";
+} from "./src/scheduler_core.ts";
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -12,13 +12,7 @@
 import type * as policies from "./policies.ts";
 import * as queues from "./queue.ts";
 import * as reservations from "./reservations.ts";
-
-/** Circumstances of a submission. */
-export interface SubmitOptions {
-  readonly nowMs: number;
-  /** Saved progress of an earlier attempt, 0 to 1. */
-  readonly progress?: number;
-}
+import * as cores from "./scheduler_core.ts";
 
 /** A job found running when a cell is taken over. */
 export interface RestoreOptions {
@@ -31,7 +25,7 @@
 const RESERVE_FROM_SIZE = 8;
 
 /** Scheduler of one cell. */
-export class Scheduler {
+export class Scheduler extends cores.SchedulerCore {
   readonly layout: layouts.CellLayout;
   readonly occupancy: occupancies.Occupancy;
   readonly reservations: reservations.Reservations;
@@ -46,6 +40,7 @@
     layout: layouts.CellLayout,
     chosen: policies.SchedulerPolicies,
   ) {
+    super();
     this.layout = layout;
     this.#policies = chosen;
     this.occupancy = new occupancies.Occupancy(layout);
@@ -74,7 +69,7 @@
   }
 
   /** Puts a new job into the queue. */
-  submit(shape: Types.JobShape, options: SubmitOptions): void {
+  override submit(shape: Types.JobShape, options: cores.SubmitOptions): void {
     if (this.#jobs.has(shape.id)) return;
     const entry = entries.createEntry(shape, options.progress ?? 0);
     const detail = `${shape.service} for ${shape.team}`;
@@ -93,13 +88,13 @@
   }
 
   /** Opens or closes a worker for new work. */
-  setWorkerAvailable(worker: number, available: boolean): void {
+  override setWorkerAvailable(worker: number, available: boolean): void {
     this.occupancy.setAvailable(worker, available);
     if (!available) this.#abortClaimsOn(worker);
   }
 
   /** A job has ended; its accelerators are free. */
-  finish(jobId: string): void {
+  override finish(jobId: string): void {
     this.#remove(jobId);
   }
 
@@ -114,10 +109,7 @@
   }
 
   /** A running job has stopped and goes back to the queue. */
-  requeue(
-    jobId: string,
-    options: { nowMs: number; progress: number; detail: string },
-  ): void {
+  override requeue(jobId: string, options: cores.RequeueOptions): void {
     const entry = this.#jobs.get(jobId);
     if (entry === undefined) return;
     this.#release(entry);
@@ -136,7 +128,7 @@
   }
 
   /** Decides what starts, yields and expires now. */
-  plan(nowMs: number): Types.Decision[] {
+  override plan(nowMs: number): Types.Decision[] {
     const decisions: Types.Decision[] = [];
     this.#startReady(decisions, nowMs);
     for (const lane of this.#orderLanes()) {
