Try blocked jobs only on racks that changed, and pack before the guarantee

Cause: each release made every blocked lane search all racks, and each team's guarantee was laid around its own first job, so four teams broke four racks. Change: a blocked lane looks only at racks released since its last try, with a full pass every 20 s of scheduler time; where fragmentation weighs more, the place is chosen by packing and the guarantee is laid around it where it fits.

--- a/packages/scheduler/src/find_guaranteed.ts
+++ b/packages/scheduler/src/find_guaranteed.ts
@@ -21,6 +21,8 @@
   readonly nowMs: number;
   /** Whether running work may be made to yield. */
   readonly mayEvict: boolean;
+  /** Racks to look at. */
+  readonly racks: readonly number[];
 }
 
 /** A choice of sub-blocks in one region, with its price. */
@@ -49,7 +51,9 @@
   if (whole !== null) return whole;
   if (entry.shape.gang === 1) return null;
   if (entry.shape.adjacency !== Types.Adjacency.Any) return null;
-  return findMemberByMember(entry, search);
+  // Members may lie in several racks, so one released rack can be enough.
+  const racks = search.occupancy.racksReleasedSince(-1);
+  return findMemberByMember(entry, { ...search, racks });
 }
 
 /** Unbinds the blocks of a place that no job has entered. */
@@ -119,6 +123,7 @@
 ): (RegionChoice & { id: number }) | null {
   let best: (RegionChoice & { id: number }) | null = null;
   for (const bound of search.occupancy.ledger.boundOf(entry.shape.team)) {
+    if (!search.racks.includes(bound.rack)) continue;
     const choice = chooseInRegion(entry, members, { ...search, region: bound });
     if (choice === null) continue;
     if (best === null || choice.cost < best.cost) {
@@ -151,39 +156,69 @@
   members: number,
   search: GuaranteedSearch & { order: number },
 ): Candidate | null {
-  const candidates = listBindings(entry, members, search);
-  candidates.sort((a, b) => a.cost - b.cost);
   const { ledger } = search.occupancy;
-  for (const candidate of candidates.slice(0, BINDING_TRIES)) {
-    if (ledger.holdsAfterBinding(candidate.position)) return candidate;
-  }
   // Guarantees that are already short do not take away one that still fits.
-  if (!ledger.holds() && candidates.length > 0) return candidates[0];
+  const mayBind = ledger.holds()
+    ? (found: Candidate) => ledger.holdsAfterBinding(found.position)
+    : () => true;
+  if (!search.mayEvict) {
+    return firstFreeBinding(entry, members, search, mayBind);
+  }
+  const candidates = rankRacks(entry, members, search)
+    .flatMap((rack) => listInRack(entry, members, { ...search, ...rack }));
+  candidates.sort((a, b) => a.cost - b.cost);
+  return candidates.slice(0, BINDING_TRIES).find(mayBind) ?? null;
+}
+
+/** The best rack that has room for the job right now. */
+function firstFreeBinding(
+  entry: entries.JobEntry,
+  members: number,
+  search: GuaranteedSearch & { order: number },
+  mayBind: (found: Candidate) => boolean,
+): Candidate | null {
+  for (const rack of rankRacks(entry, members, search)) {
+    const found = listInRack(entry, members, { ...search, ...rack });
+    found.sort((a, b) => a.cost - b.cost);
+    const usable = found.slice(0, BINDING_TRIES).find(mayBind);
+    if (usable !== undefined) return usable;
+  }
   return null;
 }
 
-/** One candidate for each rack and fit, smallest sufficient blocks first. */
-function listBindings(
+interface RankedRack {
+  readonly rack: number;
+  readonly fit: number;
+  readonly rank: number;
+}
+
+/** Racks in which a block can be bound, smallest sufficient blocks first. */
+function rankRacks(
   entry: entries.JobEntry,
   members: number,
   search: GuaranteedSearch & { order: number },
-): Candidate[] {
-  const { ledger } = search.occupancy;
-  const found: Candidate[] = [];
-  for (let rack = 0; rack < ledger.space.rackCount; rack++) {
+): RankedRack[] {
+  const { ledger, space } = search.occupancy;
+  const ranked: RankedRack[] = [];
+  for (const rack of search.racks) {
     const fit = ledger.space.smallestFit(rack, search.order);
     if (fit < 0) continue;
-    found.push(...listInRack(entry, members, { ...search, rack, fit }));
+    const hasRoom = space.blocksInRack(rack, entry.order) >= members;
+    if (!search.mayEvict && !hasRoom) continue;
+    // Where the job breaks a block counts before where its guarantee does.
+    const breaks = space.smallestFit(rack, entry.order);
+    const rank = breaks * 1e4 + fit * 1e2 + space.freeInRack(rack);
+    ranked.push({ rack, fit, rank });
   }
-  return found;
+  return ranked.sort((a, b) => a.rank - b.rank);
 }
 
 function listInRack(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch & { order: number; rack: number; fit: number },
+  search: GuaranteedSearch & { order: number; rack: number },
 ): Candidate[] {
-  const { rack, order, fit, occupancy } = search;
+  const { rack, order, occupancy } = search;
   const found: Candidate[] = [];
   const step = Placement.sizeOf(order);
   for (
@@ -198,10 +233,9 @@
       region: position,
     });
     if (choice === null) continue;
-    // A larger block is broken only where no exact one will do.
-    const cost = choice.cost + (fit - order) * 1e-3 +
-      occupancy.space.freeInRack(rack) * 1e-6;
-    found.push({ ...choice, cost, position });
+    // Among equal places, the one in a block that is already broken is best.
+    const isWhole = occupancy.space.isFree(position) ? 1 : 0;
+    found.push({ ...choice, cost: choice.cost + isWhole * 1e-3, position });
   }
   return found;
 }
@@ -255,7 +289,7 @@
   if (occupancy.isClaimed(slot)) return null;
   let cost = 0;
   const victims = occupancy.tasksIn(slot);
-  if (victims.size === 0) return null;
+  if (victims.length === 0) return null;
   for (const victim of victims) {
     if (!mustYieldTo(victim, entry)) return null;
     cost += entries.yieldCost(victim, nowMs);
--- a/packages/scheduler/src/find_with_eviction.ts
+++ b/packages/scheduler/src/find_with_eviction.ts
@@ -19,6 +19,8 @@
   readonly nowMs: number;
   readonly mayEvict: (victim: entries.JobEntry) => boolean;
   readonly allowed: packing.RackFilter;
+  /** Racks to look at. */
+  readonly racks: readonly number[];
 }
 
 interface PricedSlot {
@@ -32,8 +34,7 @@
   search: EvictionSearch,
 ): EvictionPlace | null {
   let best: EvictionPlace | null = null;
-  const racks = search.occupancy.layout.racks.length;
-  for (let rack = 0; rack < racks; rack++) {
+  for (const rack of search.racks) {
     if (!search.allowed(rack)) continue;
     const place = cheapestInRack(entry, rack, search);
     if (place === null) continue;
@@ -85,7 +86,7 @@
   if ((occupancy.space.usedMask(slot.worker) & slot.mask) === 0) return 0;
   if (occupancy.isClaimed(slot)) return null;
   const victims = occupancy.tasksIn(slot);
-  if (victims.size === 0) return null;
+  if (victims.length === 0) return null;
   let cost = 0;
   for (const victim of victims) {
     if (!entries.canYield(victim) || !search.mayEvict(victim)) return null;
--- a/packages/scheduler/src/occupancy.ts
+++ b/packages/scheduler/src/occupancy.ts
@@ -19,8 +19,10 @@
   readonly #claims: (entries.JobEntry | null)[];
   readonly #missing: Uint8Array;
   readonly #available: boolean[];
-  /** Grows whenever something becomes free; blocked jobs are tried again. */
-  releases = 0;
+  readonly #releasedAt: Int32Array;
+  readonly #allRacks: readonly number[];
+  #changed: { since: number; at: number; racks: readonly number[] };
+  #releases = 0;
 
   /** Starts with every worker unavailable. */
   constructor(layout: layouts.CellLayout) {
@@ -36,6 +38,9 @@
     this.#tasks = new Array(workers * BITS).fill(null);
     this.#claims = new Array(workers * BITS).fill(null);
     this.#available = new Array(workers).fill(false);
+    this.#releasedAt = new Int32Array(racks);
+    this.#allRacks = layout.racks.map((_, rack) => rack);
+    this.#changed = { since: -1, at: 0, racks: this.#allRacks };
     this.#missing = Uint8Array.from(layout.workers, guarantees.missingMask);
     for (let worker = 0; worker < workers; worker++) {
       this.ledger.mark(worker, Placement.FULL_MASK);
@@ -43,6 +48,28 @@
     }
   }
 
+  /** Grows whenever something becomes free; blocked jobs are tried again. */
+  get releases(): number {
+    return this.#releases;
+  }
+
+  /** Racks in which something became free after a count of releases. */
+  racksReleasedSince(since: number): readonly number[] {
+    if (since < 0) return this.#allRacks;
+    const { releases } = this;
+    if (this.#changed.since !== since || this.#changed.at !== releases) {
+      const racks = this.#allRacks.filter((r) => this.#releasedAt[r] > since);
+      this.#changed = { since, at: releases, racks };
+    }
+    return this.#changed.racks;
+  }
+
+  /** Something in a rack became free, or may be used by others again. */
+  noteRelease(rack: number): void {
+    this.#releases++;
+    this.#releasedAt[rack] = this.#releases;
+  }
+
   /** Whether new work may be placed on a worker. */
   isAvailable(worker: number): boolean {
     return this.#available[worker];
@@ -56,7 +83,7 @@
     if (available) this.ledger.unmark(worker, own);
     else this.ledger.mark(worker, own);
     this.refresh(worker);
-    this.releases++;
+    this.noteRelease(Math.floor(worker / Placement.WORKERS_PER_RACK));
   }
 
   /** The job whose task occupies an accelerator. */
@@ -64,14 +91,24 @@
     return this.#tasks[worker * BITS + bit];
   }
 
-  /** Jobs whose tasks overlap a slot. */
-  tasksIn(slot: Types.Slot): Set<entries.JobEntry> {
-    return this.#jobsIn(this.#tasks, slot);
+  /** Jobs whose tasks overlap a slot; each once. */
+  tasksIn(slot: Types.Slot): entries.JobEntry[] {
+    const found: entries.JobEntry[] = [];
+    for (let bit = 0; bit < BITS; bit++) {
+      if ((slot.mask & (1 << bit)) === 0) continue;
+      const entry = this.#tasks[slot.worker * BITS + bit];
+      if (entry !== null && !found.includes(entry)) found.push(entry);
+    }
+    return found;
   }
 
   /** Whether a job has claimed a part of a slot. */
   isClaimed(slot: Types.Slot): boolean {
-    return this.#jobsIn(this.#claims, slot).size > 0;
+    for (let bit = 0; bit < BITS; bit++) {
+      if ((slot.mask & (1 << bit)) === 0) continue;
+      if (this.#claims[slot.worker * BITS + bit] !== null) return true;
+    }
+    return false;
   }
 
   /** Puts a job's tasks on its slots. */
@@ -82,7 +119,6 @@
   /** Takes a job's tasks off its slots. */
   vacate(entry: entries.JobEntry): void {
     this.#clearAll(this.#tasks, entry);
-    this.releases++;
   }
 
   /** Claims slots for a job whose victims still occupy them. */
@@ -93,7 +129,6 @@
   /** Drops a job's claim. */
   unclaim(entry: entries.JobEntry): void {
     this.#clearAll(this.#claims, entry);
-    this.releases++;
   }
 
   /** Recomputes the masks of one worker. */
@@ -118,19 +153,6 @@
     }
   }
 
-  #jobsIn(
-    from: (entries.JobEntry | null)[],
-    slot: Types.Slot,
-  ): Set<entries.JobEntry> {
-    const found = new Set<entries.JobEntry>();
-    for (let bit = 0; bit < BITS; bit++) {
-      if ((slot.mask & (1 << bit)) === 0) continue;
-      const entry = from[slot.worker * BITS + bit];
-      if (entry !== null) found.add(entry);
-    }
-    return found;
-  }
-
   #setAll(
     into: (entries.JobEntry | null)[],
     slots: readonly Types.Slot[],
@@ -155,6 +177,7 @@
         if ((slot.mask & (1 << bit)) && from[at] === entry) from[at] = null;
       }
       this.refresh(slot.worker);
+      this.noteRelease(Math.floor(slot.worker / Placement.WORKERS_PER_RACK));
     }
   }
 }
--- a/packages/scheduler/src/packing_policy.ts
+++ b/packages/scheduler/src/packing_policy.ts
@@ -6,6 +6,12 @@
 /** Decides for a rack whether a job may use it. */
 export type RackFilter = (rack: number) => boolean;
 
+/** Where to look. */
+export interface PackingSearch {
+  readonly racks: readonly number[];
+  readonly allowed: RackFilter;
+}
+
 /** Chooses among racks and blocks that are free. */
 export abstract class PackingPolicy {
   /** Smaller is better; Infinity where the blocks do not fit in the rack. */
@@ -19,27 +25,27 @@
   find(
     space: Placement.BuddySpace,
     entry: entries.JobEntry,
-    allowed: RackFilter,
+    search: PackingSearch,
   ): Types.Slot[] | null {
     const { gang, adjacency } = entry.shape;
     if (adjacency === Types.Adjacency.Worker && gang > 1) {
-      return this.#findInWorker(space, entry, allowed);
+      return this.#findInWorker(space, entry, search);
     }
     const want = { order: entry.order, count: gang };
-    const rack = this.#bestRack(space, want, allowed);
+    const rack = this.#bestRack(space, want, search);
     if (rack >= 0) return space.tryOut(() => takeBlocks(space, rack, want));
     if (adjacency === Types.Adjacency.Rack || gang === 1) return null;
-    return space.tryOut(() => this.#spread(space, want, allowed));
+    return space.tryOut(() => this.#spread(space, want, search.allowed));
   }
 
   #findInWorker(
     space: Placement.BuddySpace,
     entry: entries.JobEntry,
-    allowed: RackFilter,
+    search: PackingSearch,
   ): Types.Slot[] | null {
     const order = Placement.orderOf(entry.size);
     if (order > Placement.orderOf(Placement.WORKERS_PER_RACK)) return null;
-    const rack = this.#bestRack(space, { order, count: 1 }, allowed);
+    const rack = this.#bestRack(space, { order, count: 1 }, search);
     if (rack < 0) return null;
     const within = space.smallestFit(rack, order);
     const block = space.findIn(rack, order, within)!;
@@ -49,14 +55,14 @@
   #bestRack(
     space: Placement.BuddySpace,
     want: { order: number; count: number },
-    allowed: RackFilter,
+    search: PackingSearch,
   ): number {
     let best = -1;
     let bestRank = Infinity;
-    for (let rack = 0; rack < space.rackCount; rack++) {
+    for (const rack of search.racks) {
       if (space.freeInRack(rack) < want.count << want.order) continue;
       const rank = this.rankRack(space, rack, want);
-      if (rank >= bestRank || !allowed(rack)) continue;
+      if (rank >= bestRank || !search.allowed(rack)) continue;
       best = rack;
       bestRank = rank;
     }
@@ -70,10 +76,11 @@
     allowed: RackFilter,
   ): Types.Slot[] | null {
     const slots: Types.Slot[] = [];
+    const racks = Array.from({ length: space.rackCount }, (_, rack) => rack);
     let left = want.count;
     while (left > 0) {
       const rest = { order: want.order, count: left };
-      const rack = this.#bestRack(space, rest, allowed);
+      const rack = this.#bestRack(space, rest, { racks, allowed });
       const from = rack >= 0 ? rack : roomiestRack(space, want.order, allowed);
       if (from < 0) return null;
       const count = Math.min(left, space.blocksInRack(from, want.order));
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -20,6 +20,12 @@
   readonly policies: policies.SchedulerPolicies;
 }
 
+/** When a job is tried, and the racks that have changed since the last try. */
+export interface PlaceTime {
+  readonly nowMs: number;
+  readonly racks: readonly number[];
+}
+
 /** A job that has its slots; the victims still have to stop. */
 export interface Placed {
   readonly victims: ReadonlySet<entries.JobEntry>;
@@ -64,13 +70,15 @@
   }
 
   /** Gives the job its slots; null where it has to wait. */
-  place(entry: entries.JobEntry, nowMs: number): Placed | null {
+  place(entry: entries.JobEntry, when: PlaceTime): Placed | null {
     if (this.isOverQuota(entry)) return null;
-    return this.#placeGuaranteed(entry, nowMs, false) ??
-      this.#placeFree(entry, nowMs) ??
-      this.#placeGuaranteed(entry, nowMs, true) ??
-      this.#displaceLowerTiers(entry, nowMs) ??
-      this.#openBlock(entry, nowMs);
+    if (when.racks.length === 0) return null;
+    return this.#placePacked(entry, when) ??
+      this.#placeGuaranteed(entry, when, false) ??
+      this.#placeFree(entry, when) ??
+      this.#placeGuaranteed(entry, when, true) ??
+      this.#displaceLowerTiers(entry, when) ??
+      this.#openBlock(entry, when);
   }
 
   /** The job's victims are gone: its tasks take their slots. */
@@ -116,46 +124,71 @@
 
   #placeGuaranteed(
     entry: entries.JobEntry,
-    nowMs: number,
+    when: PlaceTime,
     mayEvict: boolean,
   ): Placed | null {
     const occupancy = this.#occupancy;
-    const search = { occupancy, nowMs, mayEvict };
+    const search = { ...when, occupancy, mayEvict };
     const place = guaranteed.findGuaranteedPlace(entry, search);
     if (place === null) return null;
-    return this.#take(entry, place, nowMs);
+    return this.#take(entry, place, when.nowMs);
+  }
+
+  /**
+   * Chooses the place by packing alone, and lays the guarantee around it
+   * where that can be done. Keeps racks whole; the job may end up without a
+   * guarantee although its team has one unclaimed.
+   */
+  #placePacked(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+    if (!this.#policies.packFirst || !entry.shape.repeatable) return null;
+    const { nowMs, racks } = when;
+    const allowed = (rack: number) =>
+      this.#reservations.allows(rack, entry, nowMs);
+    const slots = this.#policies.packing.find(
+      this.#occupancy.space,
+      entry,
+      { racks, allowed },
+    );
+    if (slots === null) return null;
+    entry.slots = slots;
+    const boundIds = adoption.bindRunning(entry, this.#occupancy) ?? [];
+    return this.#take(entry, { slots, boundIds }, nowMs);
   }
 
-  #placeFree(entry: entries.JobEntry, nowMs: number): Placed | null {
+  #placeFree(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+    const { nowMs, racks } = when;
     const { space, open, ledger } = this.#occupancy;
-    const mayUse = (rack: number) =>
+    const allowed = (rack: number) =>
       this.#reservations.allows(rack, entry, nowMs);
+    const search = { racks, allowed };
     if (entry.shape.repeatable) {
-      const slots = this.#policies.packing.find(space, entry, mayUse);
+      const slots = this.#policies.packing.find(space, entry, search);
       if (slots === null) return null;
       return this.#take(entry, { slots, boundIds: [] }, nowMs);
     }
-    const slots = this.#policies.packing.find(open, entry, mayUse);
+    const slots = this.#policies.packing.find(open, entry, search);
     if (slots === null || !ledger.holdsAfterMarking(slots)) return null;
     return this.#take(entry, { slots, boundIds: [] }, nowMs);
   }
 
-  #displaceLowerTiers(entry: entries.JobEntry, nowMs: number): Placed | null {
+  #displaceLowerTiers(entry: entries.JobEntry, when: PlaceTime): Placed | null {
     const isUrgent = entry.shape.tier === Types.Tier.Urgent;
     if (!this.#policies.urgentDisplaces || !isUrgent) return null;
     const mayEvict = (victim: entries.JobEntry) =>
       victim.entitlement === Types.Entitlement.Opportunistic &&
       victim.shape.tier !== Types.Tier.Urgent;
-    const place = this.#findEviction(entry, nowMs, mayEvict);
-    return place === null ? null : this.#take(entry, place, nowMs);
+    const place = this.#findEviction(entry, when, mayEvict);
+    return place === null ? null : this.#take(entry, place, when.nowMs);
   }
 
-  #openBlock(entry: entries.JobEntry, nowMs: number): Placed | null {
+  #openBlock(entry: entries.JobEntry, when: PlaceTime): Placed | null {
     if (entry.size < REPAIR_FROM_SIZE) return null;
     const { repair } = this.#policies;
+    const { nowMs } = when;
+    if (!repair.mayPay(entry, nowMs)) return null;
     const mayEvict = (victim: entries.JobEntry) =>
       repair.mayMove(victim, entry);
-    const place = this.#findEviction(entry, nowMs, mayEvict);
+    const place = this.#findEviction(entry, when, mayEvict);
     if (place === null || !repair.pays(entry, place, nowMs)) return null;
     if (!this.#hasRoomElsewhere(place)) return null;
     return this.#take(entry, place, nowMs);
@@ -175,14 +208,14 @@
 
   #findEviction(
     entry: entries.JobEntry,
-    nowMs: number,
+    when: PlaceTime,
     mayEvict: (victim: entries.JobEntry) => boolean,
   ): eviction.EvictionPlace | null {
     const place = eviction.findWithEviction(entry, {
+      ...when,
       occupancy: this.#occupancy,
-      nowMs,
       mayEvict,
-      allowed: (rack) => this.#reservations.allows(rack, entry, nowMs),
+      allowed: (rack) => this.#reservations.allows(rack, entry, when.nowMs),
     });
     if (place === null || entry.shape.repeatable) return place;
     return this.#mayFix(place.slots) ? place : null;
--- a/packages/scheduler/src/policies.ts
+++ b/packages/scheduler/src/policies.ts
@@ -11,6 +11,8 @@
   readonly repair: repair.RepairPolicy;
   /** Share of the racks that may be reserved for waiting gangs. */
   readonly reservedShare: number;
+  /** Whether packing chooses the place before the guarantee does. */
+  readonly packFirst: boolean;
   /** Whether urgent work may displace lower tiers on unclaimed capacity. */
   readonly urgentDisplaces: boolean;
 }
@@ -23,6 +25,8 @@
   "first-fit",
   "no-repair",
   "no-displacement",
+  "guarantee-first",
+  "pack-first",
 ] as const;
 
 /** Name of a combination of policies. */
@@ -46,6 +50,10 @@
       return { ...base, packing: new packing.FirstFit() };
     case "no-repair":
       return { ...base, repair: new repair.NoRepair() };
+    case "guarantee-first":
+      return { ...base, packFirst: false };
+    case "pack-first":
+      return { ...base, packFirst: true };
     case "no-displacement":
       return { ...base, urgentDisplaces: false };
     default:
@@ -61,6 +69,7 @@
     packing: new packing.BestFit(),
     repair: new repair.OpenBlocks(repairShare),
     reservedShare: RESERVED_SHARE,
+    packFirst: weighting.fragmentation > weighting.completionTime,
     urgentDisplaces: true,
   };
 }
--- a/packages/scheduler/src/queue.ts
+++ b/packages/scheduler/src/queue.ts
@@ -11,6 +11,8 @@
   readonly #heap: TinyQueue<entries.JobEntry>;
   /** Count of releases when the head last failed to fit; -1 if never. */
   blockedAt = -1;
+  /** The quota stood in the way, so no rack was looked at. */
+  blockedByQuota = false;
 
   constructor(name: string, first: entries.JobEntry) {
     this.name = name;
--- a/packages/scheduler/src/repair_policy.ts
+++ b/packages/scheduler/src/repair_policy.ts
@@ -3,8 +3,14 @@
 import type * as eviction from "./find_with_eviction.ts";
 import type * as entries from "./job_entry.ts";
 
+/** Least price of moving anything, in accelerator-milliseconds. */
+const RESTART_COST = 30_000;
+
 /** Decides whether opening a block pays. */
 export abstract class RepairPolicy {
+  /** Whether any price could be worth paying yet; saves the search. */
+  abstract mayPay(gang: entries.JobEntry, nowMs: number): boolean;
+
   /** Whether the price of a place is worth paying for a waiting gang. */
   abstract pays(
     gang: entries.JobEntry,
@@ -25,6 +31,10 @@
 
 /** Never moves running work. */
 export class NoRepair extends RepairPolicy {
+  override mayPay(): boolean {
+    return false;
+  }
+
   override pays(): boolean {
     return false;
   }
@@ -42,12 +52,21 @@
     this.#share = share;
   }
 
+  override mayPay(gang: entries.JobEntry, nowMs: number): boolean {
+    return this.#budget(gang, nowMs) > RESTART_COST;
+  }
+
   override pays(
     gang: entries.JobEntry,
     place: eviction.EvictionPlace,
     nowMs: number,
   ): boolean {
+    return place.cost < this.#budget(gang, nowMs);
+  }
+
+  /** Accelerator-milliseconds that may be lost for the gang. */
+  #budget(gang: entries.JobEntry, nowMs: number): number {
     const waited = nowMs - gang.shape.submittedAtMs;
-    return place.cost < this.#share * waited * gang.size;
+    return this.#share * waited * gang.size;
   }
 }
--- a/packages/scheduler/src/reservations.ts
+++ b/packages/scheduler/src/reservations.ts
@@ -46,11 +46,14 @@
   }
 
   /** Drops a job's reservation. */
-  drop(jobId: string): void {
+  drop(jobId: string, occupancy: occupancies.Occupancy): void {
     const held = this.#byJob.get(jobId);
     if (held === undefined) return;
     this.#byJob.delete(jobId);
-    for (const rack of held.racks) this.#byRack.delete(rack);
+    for (const rack of held.racks) {
+      this.#byRack.delete(rack);
+      occupancy.noteRelease(rack);
+    }
   }
 
   /** Reserves for a gang that does not fit now, where the limit allows. */
@@ -61,7 +64,8 @@
   ): void {
     const held = this.#byJob.get(entry.shape.id);
     if (held !== undefined && held.atMs >= nowMs) return;
-    this.drop(entry.shape.id);
+    this.drop(entry.shape.id, occupancy);
+    if (this.#byRack.size >= this.#limit) return;
     const found = this.#findSoonest(entry, occupancy, nowMs);
     if (found === null) return;
     if (this.#byRack.size + found.racks.size > this.#limit) return;
@@ -152,7 +156,7 @@
   if (!occupancy.isAvailable(slot.worker)) return null;
   if ((occupancy.space.usedMask(slot.worker) & slot.mask) === 0) return nowMs;
   const tasks = occupancy.tasksIn(slot);
-  if (tasks.size === 0 || occupancy.isClaimed(slot)) return null;
+  if (tasks.length === 0 || occupancy.isClaimed(slot)) return null;
   let end = nowMs;
   for (const task of tasks) {
     end = Math.max(end, entries.estimatedEndMs(task, nowMs));
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -21,6 +21,9 @@
   readonly progress: number;
 }
 
+/** Time between passes that try every waiting job on every rack. */
+const FULL_PASS_MS = 20_000;
+
 /** Gangs at least this large get a reservation while they wait. */
 const RESERVE_FROM_SIZE = 8;
 
@@ -34,6 +37,7 @@
   readonly #queue = new queues.JobQueue();
   readonly #placer: placer.Placer;
   readonly #ready: entries.JobEntry[] = [];
+  #fullAtMs = -Infinity;
 
   /** Starts empty, with every worker unavailable. */
   constructor(
@@ -124,13 +128,14 @@
 
   /** Tries every waiting job again, also where nothing became free. */
   reconsider(): void {
-    this.occupancy.releases++;
+    this.#fullAtMs = -Infinity;
   }
 
   /** Decides what starts, yields and expires now. */
   override plan(nowMs: number): Types.Decision[] {
     const decisions: Types.Decision[] = [];
     this.#startReady(decisions, nowMs);
+    if (nowMs - this.#fullAtMs >= FULL_PASS_MS) this.#unblockAll(nowMs);
     for (const lane of this.#orderLanes()) {
       this.#planLane(lane, decisions, nowMs);
     }
@@ -151,6 +156,12 @@
     });
   }
 
+  /** Reservations and costs change with time, not only with releases. */
+  #unblockAll(nowMs: number): void {
+    this.#fullAtMs = nowMs;
+    for (const lane of this.#queue.lanes()) lane.blockedAt = -1;
+  }
+
   #enqueue(entry: entries.JobEntry): void {
     entry.key = this.#policies.order.key({
       submittedAtMs: entry.shape.submittedAtMs,
@@ -185,13 +196,16 @@
         this.#expire(entry, decisions);
         continue;
       }
-      const placed = this.#placer.place(entry, nowMs);
+      const since = lane.blockedByQuota ? -1 : lane.blockedAt;
+      const racks = this.occupancy.racksReleasedSince(since);
+      const placed = this.#placer.place(entry, { nowMs, racks });
       if (placed === null) break;
       lane.pop();
-      this.reservations.drop(entry.shape.id);
+      this.reservations.drop(entry.shape.id, this.occupancy);
       this.#accept(entry, placed, decisions);
     }
     lane.blockedAt = this.occupancy.releases;
+    lane.blockedByQuota = this.#placer.isOverQuota(lane.head()!);
     this.#reserveFor(lane.head()!, nowMs);
   }
 
@@ -243,7 +257,7 @@
     this.#release(entry);
     entry.state = Types.JobState.Done;
     this.#jobs.delete(jobId);
-    this.reservations.drop(jobId);
+    this.reservations.drop(jobId, this.occupancy);
   }
 
   #release(entry: entries.JobEntry): void {
