Pack first everywhere, read the live list only when it changed

Cause: at 2,900 workers laying the guarantee first cost a search over all racks for each job, and left the longest gang waiting 2.6 times as long as naive; each box read the whole live list every second (195 KB/s at 2,896 workers); idle connections were reused just as the server closed them. Change: packing chooses the place in both deployments; the live list is read with its tag; idle connections close after 4 s; a box waits to be told of a newer configuration instead of looking every 100 ms.

--- a/packages/adapters/src/http_platform.ts
+++ b/packages/adapters/src/http_platform.ts
@@ -1,16 +1,16 @@
 /**
  * The platform's services over HTTP: `POST /v1/table/read`, `/scan` and
- * `/transact`, `PUT` and `GET /v1/objects/<key>`, `GET /v1/live`. Answers:
+ * `/transact`, `PUT` and `GET /v1/objects/<key>`, `GET /v1/live` with `If-None-Match`. Answers:
  * 200 with the reply; 409 with `key`, `expected`, `actual` for a condition
  * that failed; 503 for a call that was not carried out.
  */
 import * as Errors from "@cairngate/errors";
 import * as HttpJson from "@cairngate/http-json";
 import * as Platform from "@cairngate/platform";
-import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 
 const STATUS_OK = 200;
+const STATUS_NOT_MODIFIED = 304;
 const STATUS_NOT_FOUND = 404;
 const STATUS_CONFLICT = 409;
 const STATUS_UNAVAILABLE = 503;
@@ -19,12 +19,16 @@
 
 /** Adapter of the table service's port. */
 export class HttpTable extends Platform.TableService {
-  readonly #caller = new HttpJson.HttpCaller(CONNECTIONS);
+  readonly #caller: HttpJson.HttpCaller;
   readonly #address: string;
 
-  constructor(address: string) {
+  constructor(
+    address: string,
+    listener: HttpJson.TrafficListener | null = null,
+  ) {
     super();
     this.#address = address;
+    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
   }
 
   override read(keys: readonly string[]) {
@@ -72,12 +76,16 @@
 
 /** Adapter of the object store's port. */
 export class HttpObjectStore extends Platform.ObjectStore {
-  readonly #caller = new HttpJson.HttpCaller(CONNECTIONS);
+  readonly #caller: HttpJson.HttpCaller;
   readonly #address: string;
 
-  constructor(address: string) {
+  constructor(
+    address: string,
+    listener: HttpJson.TrafficListener | null = null,
+  ) {
     super();
     this.#address = address;
+    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
   }
 
   override put(key: string, value: unknown) {
@@ -106,23 +114,30 @@
 
 /** Adapter of the live list's port. */
 export class HttpLiveList extends Platform.LiveList {
-  readonly #caller = new HttpJson.HttpCaller(1);
+  readonly #caller: HttpJson.HttpCaller;
   readonly #address: string;
 
-  constructor(address: string) {
+  constructor(
+    address: string,
+    listener: HttpJson.TrafficListener | null = null,
+  ) {
     super();
     this.#address = address;
+    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
   }
 
-  override workers() {
+  override workers(knownTag: string | null) {
+    const headers: Record<string, string> = {};
+    if (knownTag !== null) headers["if-none-match"] = `"${knownTag}"`;
     const call = callPlatform(this.#caller, this.#address, {
       method: "GET",
       path: "/v1/live",
+      headers,
+    });
+    return Effect.map(call, (reply) => {
+      if (reply.status === STATUS_NOT_MODIFIED) return null;
+      return reply.body as Platform.LiveSnapshot;
     });
-    return Effect.map(
-      call,
-      (reply) => (reply.body as { workers: Types.LiveEntry[] }).workers,
-    );
   }
 }
 
@@ -147,7 +162,12 @@
   operation: string,
   reply: HttpJson.HttpReply,
 ): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
-  const known = [STATUS_OK, STATUS_CONFLICT, STATUS_NOT_FOUND];
+  const known = [
+    STATUS_OK,
+    STATUS_NOT_MODIFIED,
+    STATUS_CONFLICT,
+    STATUS_NOT_FOUND,
+  ];
   if (known.includes(reply.status)) return Effect.succeed(reply);
   if (reply.status === STATUS_UNAVAILABLE) {
     const cause = "outage";
--- a/packages/adapters/src/http_workers.ts
+++ b/packages/adapters/src/http_workers.ts
@@ -19,11 +19,14 @@
   readonly #orders: HttpJson.HttpCaller;
 
   /** @param connections most connections of this box to one worker */
-  constructor(connections: number) {
+  constructor(
+    connections: number,
+    listener: HttpJson.TrafficListener | null = null,
+  ) {
     super();
     const forRuns = Math.max(1, connections - CONTROL_CONNECTIONS);
-    this.#runs = new HttpJson.HttpCaller(forRuns);
-    this.#orders = new HttpJson.HttpCaller(CONTROL_CONNECTIONS);
+    this.#runs = new HttpJson.HttpCaller(forRuns, listener);
+    this.#orders = new HttpJson.HttpCaller(CONTROL_CONNECTIONS, listener);
   }
 
   /** Closes all connections. */
--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -49,7 +49,7 @@
 
 const GROUP_WINDOW_MS = 15;
 const FETCH_CONFIG_MS = 1000;
-const READY_LOOK_MS = 100;
+const FETCH_RETRY_MS = 500;
 const DRAIN_LOOK_MS = 50;
 
 /** A running box. */
@@ -252,7 +252,8 @@
       if (found._tag === "Failure" || found.success === null) return;
       yield* this.configs.adopt(found.success as Types.ConfigVersion);
     });
-    return clock.every(READY_LOOK_MS, fetch);
+    const look = Effect.andThen(this.#membership.awaitNewerConfig(), fetch);
+    return clock.every(FETCH_RETRY_MS, look);
   }
 
   #fork(work: Effect.Effect<unknown>): void {
--- a/packages/box/src/live_workers.ts
+++ b/packages/box/src/live_workers.ts
@@ -12,6 +12,7 @@
 export class LiveWorkers {
   readonly #list: Platform.LiveList;
   readonly #clock: Platform.Clock;
+  #tag: string | null = null;
   #listed: ReadonlySet<string> = new Set();
   readonly #toldAtMs = new Map<string, number>();
 
@@ -22,9 +23,11 @@
 
   /** Reads the platform's list for ever. */
   keepReading(intervalMs: number): Effect.Effect<never> {
-    const read = this.#list.workers().pipe(
-      Effect.map((entries) => {
-        const leaving = entries.filter((entry) => entry.leaving);
+    const read = Effect.suspend(() => this.#list.workers(this.#tag)).pipe(
+      Effect.map((found) => {
+        if (found === null) return;
+        this.#tag = found.tag;
+        const leaving = found.workers.filter((entry) => entry.leaving);
         this.#listed = new Set(leaving.map((entry) => entry.name));
       }),
       // In an outage the last list stays in force.
--- a/packages/box/src/membership.ts
+++ b/packages/box/src/membership.ts
@@ -39,6 +39,7 @@
   readonly #claims = new Map<string, Types.OwnerClaim>();
   readonly #claimWaits = new Map<string, Deferred.Deferred<void>>();
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
+  #newerConfig = Deferred.makeUnsafe<void>();
   #state = Types.BoxState.Starting;
 
   constructor(options: MembershipOptions) {
@@ -75,9 +76,22 @@
     const closedAtMs = null;
     this.#peers.set(beat.box, { heardAtMs, beat, closedAtMs });
     for (const claim of beat.owners) this.noteClaim(claim);
+    if (beat.configVersion > this.#options.configVersion()) {
+      Deferred.doneUnsafe(this.#newerConfig, Effect.void);
+    }
     this.#options.liveWorkers.noteLeaving(beat.leavingWorkers);
   }
 
+  /** Waits until a peer has a newer configuration than this box. */
+  awaitNewerConfig(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const isAhead = this.peersAhead(this.#options.configVersion()).length > 0;
+      if (isAhead) return Effect.void;
+      this.#newerConfig = Deferred.makeUnsafe();
+      return Deferred.await(this.#newerConfig);
+    });
+  }
+
   /** Peers with a newer configuration than a version, newest first. */
   peersAhead(version: number): string[] {
     return [...this.#peers.values()]
--- a/packages/daemon/src/embedded_platform.ts
+++ b/packages/daemon/src/embedded_platform.ts
@@ -20,11 +20,12 @@
 
 /** Adds the machine's clock and random numbers. */
 export function withTime(
+  metrics: Metrics.Metrics,
   adapters: Omit<PlatformAdapters, "clock" | "random" | "metrics">,
 ): PlatformAdapters {
   const clock = new Adapters.SystemClock();
   const random = new Adapters.SystemRandom();
-  return { ...adapters, clock, random, metrics: new Metrics.Metrics() };
+  return { ...adapters, clock, random, metrics };
 }
 
 /** Stand-ins for all workers of an operators' file. */
@@ -44,7 +45,7 @@
       workers.add(spec.endpoint, new StandIns.StandInWorker(options));
       liveList.set({ ...spec, leaving: false });
     }
-    return withTime({
+    return withTime(new Metrics.Metrics(), {
       table: new StandIns.MemoryTable(faults),
       objects: new StandIns.MemoryObjectStore(faults),
       liveList,
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -5,6 +5,7 @@
 import type * as Errors from "@cairngate/errors";
 import * as Http from "@cairngate/http";
 import * as Logger from "@cairngate/logger";
+import * as Metrics from "@cairngate/metrics";
 import * as Peers from "@cairngate/peers";
 import * as Effect from "effect/Effect";
 import * as embedded from "./embedded_platform.ts";
@@ -82,14 +83,27 @@
   settings: Config.BoxSettings,
 ): embedded.PlatformAdapters {
   const { platformAddress, limits } = settings;
-  return embedded.withTime({
-    table: new Adapters.HttpTable(platformAddress),
-    objects: new Adapters.HttpObjectStore(platformAddress),
-    liveList: new Adapters.HttpLiveList(platformAddress),
-    workers: new Adapters.HttpWorkers(limits.connectionsPerWorker),
+  const metrics = new Metrics.Metrics();
+  const platform = countTraffic(metrics, "platform");
+  const workers = countTraffic(metrics, "worker");
+  return embedded.withTime(metrics, {
+    table: new Adapters.HttpTable(platformAddress, platform),
+    objects: new Adapters.HttpObjectStore(platformAddress, platform),
+    liveList: new Adapters.HttpLiveList(platformAddress, platform),
+    workers: new Adapters.HttpWorkers(limits.connectionsPerWorker, workers),
   });
 }
 
+function countTraffic(
+  metrics: Metrics.Metrics,
+  link: string,
+): (sent: number, received: number) => void {
+  return (sent, received) => {
+    metrics.count(`cairngate_${link}_sent_bytes_total`, {}, sent);
+    metrics.count(`cairngate_${link}_received_bytes_total`, {}, received);
+  };
+}
+
 interface StopParts {
   readonly box: Box.Box;
   readonly callers: Http.CallersServer;
--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -5,6 +5,7 @@
   HttpCaller,
   HttpLostError,
   type HttpReply,
+  type TrafficListener,
 } from "./src/http_caller.ts";
 export { readJsonBody } from "./src/read_json_body.ts";
 export { sendJson, sendText } from "./src/send.ts";
--- a/packages/http-json/src/http_caller.ts
+++ b/packages/http-json/src/http_caller.ts
@@ -2,6 +2,7 @@
 import * as Data from "effect/Data";
 import * as Effect from "effect/Effect";
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as addresses from "./address.ts";
 
 /** A complete answer. */
@@ -33,13 +34,37 @@
   "ENETUNREACH",
 ]);
 
+/**
+ * Idle connections are closed before the usual 5 s of servers: a request sent
+ * just as the server closes the connection would be lost, and nobody could
+ * tell whether it was carried out.
+ */
+const IDLE_MS = 4000;
+
+/** Told of the bytes on the wire, headers included, after each answer. */
+export type TrafficListener = (
+  sentBytes: number,
+  receivedBytes: number,
+) => void;
+
 /** Calls over at most a number of connections to each address. */
 export class HttpCaller {
   readonly #agent: http.Agent;
+  readonly #listener: TrafficListener | null;
+  /** Bytes of each connection that were told already. */
+  readonly #told = new WeakMap<
+    net.Socket,
+    { sent: number; received: number }
+  >();
 
   /** @param connections most connections to one address */
-  constructor(connections: number) {
-    this.#agent = new http.Agent({ keepAlive: true, maxSockets: connections });
+  constructor(connections: number, listener: TrafficListener | null = null) {
+    this.#agent = new http.Agent({
+      keepAlive: true,
+      maxSockets: connections,
+      timeout: IDLE_MS,
+    });
+    this.#listener = listener;
   }
 
   /** Closes all connections. */
@@ -62,7 +87,11 @@
         fail(err.message, CONNECT_REFUSED.has(err.code ?? ""));
       });
       req.on("response", (res) => {
-        collect(res, (reply) => resume(Effect.succeed(reply)), fail);
+        const { socket } = res;
+        collect(res, (reply) => {
+          this.#tell(socket);
+          resume(Effect.succeed(reply));
+        }, fail);
       });
       req.end(what.body === undefined ? undefined : JSON.stringify(what.body));
       return Effect.sync(() => {
@@ -71,6 +100,14 @@
     });
   }
 
+  #tell(socket: net.Socket): void {
+    if (this.#listener === null) return;
+    const { bytesWritten: sent, bytesRead: received } = socket;
+    const before = this.#told.get(socket) ?? { sent: 0, received: 0 };
+    this.#told.set(socket, { sent, received });
+    this.#listener(sent - before.sent, received - before.received);
+  }
+
   #open(address: string, what: HttpCall): http.ClientRequest {
     const { host, port } = addresses.parseAddress(address);
     const { method, path } = what;
--- /dev/null
+++ b/packages/measure/bin.ts
@@ -0,0 +1,45 @@
+/** `npm run measure`. */
+import * as Clipanion from "clipanion";
+import process from "node:process";
+import * as measuring from "./src/run_measurements.ts";
+
+class MeasureCommand extends Clipanion.Command {
+  static override paths = [Clipanion.Command.Default];
+  static override usage = Clipanion.Command.Usage({
+    description: "Measure the slopes of docs/CAPACITY.md",
+    examples: [["As JSON", "npm run measure -- --json"]],
+  });
+  json = Clipanion.Option.Boolean("--json", false);
+
+  override async execute(): Promise<number> {
+    const report = await measuring.runMeasurements((line) => {
+      this.context.stderr.write(`${line}\n`);
+    });
+    if (this.json) {
+      this.context.stdout.write(`${JSON.stringify(report)}\n`);
+      return 0;
+    }
+    for (const slope of report.slopes) {
+      const { of, per, intercept, residual } = slope;
+      const line = `${of.padEnd(22)} per ${per.padEnd(20)} ` +
+        `${slope.slope.toPrecision(3).padStart(10)} + ` +
+        `${intercept.toPrecision(3).padStart(10)}  ` +
+        `residual ${residual.toFixed(2)}`;
+      this.context.stdout.write(`${line}\n`);
+    }
+    for (const { boxes, maxMs } of report.propagation) {
+      this.context.stdout.write(
+        `in force on ${boxes} boxes after at most ${maxMs.toFixed(0)} ms\n`,
+      );
+    }
+    return 0;
+  }
+}
+
+const cli = new Clipanion.Cli({
+  binaryName: "measure",
+  binaryVersion: "0.1.0",
+});
+cli.register(MeasureCommand);
+cli.register(Clipanion.Builtins.HelpCommand);
+process.exit(await cli.run(process.argv.slice(2)));
--- /dev/null
+++ b/packages/measure/src/fit_line.ts
@@ -0,0 +1,29 @@
+/** A straight line through points, by least squares. */
+
+/** A fit: y = intercept + slope * x. */
+export interface LineFit {
+  readonly slope: number;
+  readonly intercept: number;
+  /** Largest distance of a point from the line, as a share of the largest y. */
+  readonly residual: number;
+}
+
+/** Fits a line to at least two points. */
+export function fitLine(
+  points: readonly (readonly [number, number])[],
+): LineFit {
+  const n = points.length;
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / n;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / n;
+  let over = 0;
+  let under = 0;
+  for (const [x, y] of points) {
+    over += (x - meanX) * (y - meanY);
+    under += (x - meanX) ** 2;
+  }
+  const slope = under === 0 ? 0 : over / under;
+  const intercept = meanY - slope * meanX;
+  const largest = Math.max(...points.map(([, y]) => Math.abs(y)), 1e-9);
+  const distances = points.map(([x, y]) => Math.abs(y - intercept - slope * x));
+  return { slope, intercept, residual: Math.max(...distances) / largest };
+}
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -1,6 +1,6 @@
 /** Ports: what cairngate needs from the platform, the workers and the time. */
 export { Clock, type Timed } from "./src/clock.ts";
-export { LiveList } from "./src/live_list.ts";
+export { LiveList, type LiveSnapshot } from "./src/live_list.ts";
 export { ObjectStore } from "./src/object_store.ts";
 export {
   type Row,
--- a/packages/platform/src/live_list.ts
+++ b/packages/platform/src/live_list.ts
@@ -3,11 +3,20 @@
 import type * as Effect from "effect/Effect";
 import type * as tables from "./table_service.ts";
 
+/** The list as it was read. */
+export interface LiveSnapshot {
+  /** Changes whenever the list does. */
+  readonly tag: string;
+  readonly workers: readonly Types.LiveEntry[];
+}
+
 /** Port of the live list. */
 export abstract class LiveList {
-  /** Workers as the platform last knew them. */
-  abstract workers(): Effect.Effect<
-    readonly Types.LiveEntry[],
-    tables.StoreError
-  >;
+  /**
+   * Workers as the platform last knew them; null where nothing changed since
+   * the snapshot with this tag.
+   */
+  abstract workers(
+    knownTag: string | null,
+  ): Effect.Effect<LiveSnapshot | null, tables.StoreError>;
 }
--- a/packages/scheduler/src/policies.ts
+++ b/packages/scheduler/src/policies.ts
@@ -26,7 +26,6 @@
   "no-repair",
   "no-displacement",
   "guarantee-first",
-  "pack-first",
 ] as const;
 
 /** Name of a combination of policies. */
@@ -52,8 +51,6 @@
       return { ...base, repair: new repair.NoRepair() };
     case "guarantee-first":
       return { ...base, packFirst: false };
-    case "pack-first":
-      return { ...base, packFirst: true };
     case "no-displacement":
       return { ...base, urgentDisplaces: false };
     default:
@@ -69,7 +66,7 @@
     packing: new packing.BestFit(),
     repair: new repair.OpenBlocks(repairShare),
     reservedShare: RESERVED_SHARE,
-    packFirst: weighting.fragmentation > weighting.completionTime,
+    packFirst: true,
     urgentDisplaces: true,
   };
 }
--- a/packages/scheduler/src/repair_policy.ts
+++ b/packages/scheduler/src/repair_policy.ts
@@ -6,6 +6,9 @@
 /** Least price of moving anything, in accelerator-milliseconds. */
 const RESTART_COST = 30_000;
 
+/** A gang moves only jobs that are this many times smaller than itself. */
+const MOVE_RATIO = 2;
+
 /** Decides whether opening a block pays. */
 export abstract class RepairPolicy {
   /** Whether any price could be worth paying yet; saves the search. */
@@ -20,7 +23,7 @@
 
   /** Whether a running job may be moved for a waiting gang. */
   mayMove(victim: entries.JobEntry, gang: entries.JobEntry): boolean {
-    const isSmaller = victim.size < gang.size;
+    const isSmaller = victim.size * MOVE_RATIO <= gang.size;
     const isOpportunistic =
       victim.entitlement === Types.Entitlement.Opportunistic;
     const isNotAbove = Types.rankTier(victim.shape.tier) >=
--- a/packages/stand-in-server/src/platform_routes.ts
+++ b/packages/stand-in-server/src/platform_routes.ts
@@ -59,7 +59,7 @@
         (revision) => ({ revision }),
       );
     case "/v1/live":
-      return Effect.map(parts.live.workers(), (workers) => ({ workers }));
+      return readLive(parts, req);
     case "/ledger":
       return Effect.succeed(parts.ledger.entries);
     case "/counts":
@@ -69,6 +69,18 @@
   }
 }
 
+/** A list that did not change is answered with 304 and no body. */
+function readLive(parts: PlatformParts, req: http.IncomingMessage): Reply {
+  const tag = req.headers["if-none-match"]?.replaceAll('"', "") ?? null;
+  return Effect.flatMap(
+    parts.live.workers(tag),
+    (found): Reply =>
+      found === null
+        ? Effect.fail({ _tag: "NotModified" })
+        : Effect.succeed(found),
+  );
+}
+
 function routeObject(
   parts: PlatformParts,
   req: http.IncomingMessage,
@@ -130,6 +142,9 @@
       // The write has taken effect; its answer never arrives.
       res.destroy();
       return;
+    case "NotModified":
+      res.writeHead(304).end();
+      return;
     case "NoSuchRoute":
     case "NoSuchObject":
       return HttpJson.sendJson(res, 404, { body: err });
