--- /dev/null
+++ b/packages/box/src/answers_test.ts
@@ -0,0 +1,125 @@
+import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+
+const { describe, expect, test } = vitest;
+const { Loss, TestCluster } = TestUtils;
+
+function loseFirst(order: string, loss: TestUtils.Loss) {
+  let left = 1;
+  return (name: string) => name === order && left-- > 0 ? loss : Loss.None;
+}
+
+describe("an answer", () => {
+  test("to another caller's request is dropped and counted", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const link = cluster.links.get("box_2")!;
+    let first = true;
+    link.answerRule = (answer) => {
+      if (!first) return answer;
+      first = false;
+      const caller = { box: "box_2", request: "somebody else's" };
+      return { ...answer, caller, result: { request: "foreign" } };
+    };
+    const found = await cluster.run(
+      cluster.submit("box_2", {
+        service: "diagnose",
+        input: { request: "own" },
+      }),
+    );
+    expect(found).toMatchObject({
+      outcome: { kind: "done", result: { request: "own" } },
+    });
+    const name = "cairngate_foreign_answers_total";
+    expect(cluster.box("box_2").metrics.get(name)).toBe(1);
+  });
+
+  test("that was lost is fetched for work that may run only once", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    cluster.links.get("box_2")!.rule = loseFirst("run", Loss.Answer);
+    const found = await cluster.run(
+      cluster.submit("box_2", { service: "scan", input: { request: "r" } }),
+    );
+    expect(found).toMatchObject({
+      outcome: { kind: "done", result: { request: "r" } },
+    });
+    expect(cluster.summary().doubled).toEqual([]);
+  });
+
+  test("is unknown where nobody can tell, and the work runs once", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    cluster.links.get("box_2")!.rule = loseFirst("run", Loss.Answer);
+    for (const link of cluster.links.values()) {
+      const inner = link.rule;
+      link.rule = (order, endpoint) =>
+        order === "stop" ? Loss.Order : inner(order, endpoint);
+    }
+    const found = await cluster.run(
+      cluster.submit("box_2", { service: "scan", input: { request: "r" } }),
+    );
+    expect(found).toMatchObject({ outcome: { kind: "unknown" } });
+    await cluster.clock.advance(30_000);
+    expect(cluster.summary().startedJobs).toBe(1);
+    expect(cluster.summary().doubled).toEqual([]);
+  });
+
+  test("not run is true where the order was lost on its way", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    cluster.links.get("box_2")!.rule = (order) =>
+      order === "run" ? Loss.Order : Loss.None;
+    const found = await cluster.run(
+      cluster.submit("box_2", {
+        service: "scan",
+        input: { request: "r" },
+        deadlineSeconds: 3,
+      }),
+    );
+    expect(found).toMatchObject({ outcome: { kind: "not-run" } });
+    await cluster.clock.advance(30_000);
+    expect(cluster.summary().startedJobs).toBe(0);
+  });
+});
+
+describe("overload", () => {
+  test("sheds the lowest tier first and says when to come back", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const input = { runMs: 60_000 };
+    for (let i = 0; i < 80; i++) {
+      cluster.begin(cluster.submit("box_1", { service: "diagnose", input }));
+    }
+    await cluster.clock.advance(10);
+    const batch = { service: "diagnose", tier: "batch", input };
+    await expect(cluster.run(cluster.submit("box_1", batch))).rejects
+      .toMatchObject({ _tag: "OverloadedError", retryAfterSeconds: 5 });
+    const urgent = cluster.begin(
+      cluster.submit("box_1", { service: "diagnose", input }),
+    );
+    await cluster.clock.advance(10);
+    expect(urgent.isOver()).toBe(false);
+  });
+});
+
+describe("an old message about a stored job", () => {
+  test("does not bring a job back that has ended", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const accepted = await cluster.run(
+      cluster.submit("box_1", { service: "once", input: { runMs: 100 } }),
+    );
+    const { record } = accepted as { record: Types.JobRecord };
+    await cluster.run(cluster.box("box_1").entry.status(record.job.id, 40));
+    const kind = Types.PeerKind.Enqueue as const;
+    const { owners } = cluster.box("box_2");
+    await cluster.run(
+      Effect.ignore(owners.ask("cell", { kind, cell: "cell" }, 1000)),
+    );
+    await cluster.clock.advance(10_000);
+    expect(cluster.summary().doubled).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/box/src/config_test.ts
@@ -0,0 +1,120 @@
+import * as Config from "@cairngate/config";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+
+const { describe, expect, test } = vitest;
+const { TestCluster } = TestUtils;
+
+/** A version has to be in force everywhere within this time. */
+const IN_FORCE_MS = 3000;
+
+function textOf(cluster: TestUtils.TestCluster, mark: string): string {
+  return `${cluster.box("box_1").configs.current!.text}# ${mark}\n`;
+}
+
+describe("two operators at once", () => {
+  test("one wins, the other is told of the version in force", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const applies = ["box_1", "box_2"].map((name) =>
+      cluster.begin(Effect.result(
+        cluster.box(name).configs.apply({
+          text: textOf(cluster, name),
+          basedOn: 1,
+          applyId: name,
+        }),
+      ))
+    );
+    await cluster.clock.advance(5000);
+    const results = await Promise.all(applies.map((apply) => apply.value));
+    const lost = results.filter((r) => r._tag === "Failure");
+    expect(results.filter((r) => r._tag === "Success")).toHaveLength(1);
+    expect(lost).toHaveLength(1);
+    expect(lost[0]).toMatchObject({
+      failure: { _tag: "VersionConflictError", basedOn: 1, inForce: 2 },
+    });
+  });
+});
+
+describe("an accepted file", () => {
+  test("is in force on every box within 3 s", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const startMs = cluster.clock.wallMs();
+    await cluster.run(
+      cluster.box("box_2").configs.apply({
+        text: textOf(cluster, "next"),
+        basedOn: 1,
+        applyId: "next",
+      }),
+    );
+    const isEverywhere = () =>
+      [...cluster.boxes.values()].every((b) =>
+        b.configs.current?.version === 2
+      );
+    await cluster.clock.advanceUntil(isEverywhere, IN_FORCE_MS);
+    expect(isEverywhere()).toBe(true);
+    expect(cluster.clock.wallMs() - startMs).toBeLessThanOrEqual(IN_FORCE_MS);
+  });
+
+  test("took effect although its answer was lost", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    cluster.faults.set({ loseAnswers: 1 });
+    const request = { text: textOf(cluster, "x"), basedOn: 1, applyId: "x" };
+    const applied = await cluster.run(
+      cluster.box("box_1").configs.apply(request),
+    );
+    expect(applied).toMatchObject({ version: 2, changed: true });
+    cluster.faults.set({ loseAnswers: 0 });
+    const again = await cluster.run(
+      cluster.box("box_3").configs.apply(request),
+    );
+    expect(again).toMatchObject({ version: 2, changed: false });
+  });
+
+  test("is never followed by an older one", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const old = cluster.box("box_1").configs.current!;
+    await cluster.run(
+      cluster.box("box_1").configs.apply({
+        text: textOf(cluster, "new"),
+        basedOn: 1,
+        applyId: "new",
+      }),
+    );
+    await cluster.run(cluster.box("box_1").configs.adopt(old));
+    expect(cluster.box("box_1").configs.current?.version).toBe(2);
+  });
+
+  test("reaches a box that starts in an outage, from a peer", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    await cluster.kill("box_3");
+    cluster.faults.set({ down: true });
+    await cluster.restart("box_3");
+    expect(cluster.box("box_3").isReady).toBe(false);
+    await cluster.clock.advance(3000);
+    expect(cluster.box("box_3").isReady).toBe(true);
+    expect(cluster.box("box_3").configs.current?.version).toBe(1);
+  });
+});
+
+describe("a file that is not valid", () => {
+  test("is refused with every fault and its place", async () => {
+    const text = "name: x\nweighting: {completionTime: 2, fragmentation: 0}\n" +
+      "racks: []\ncells: []\nteams: []\nservices: []\nspare: 1\n";
+    const parsed = await Effect.runPromise(
+      Effect.result(Config.parseDeployment(text)),
+    );
+    expect(parsed._tag).toBe("Failure");
+    const failure = parsed._tag === "Failure" ? parsed.failure : null;
+    const paths = failure!.faults.map((fault) => fault.path);
+    expect(paths).toContain("$.spare");
+    expect(paths).toContain("$.weighting.completionTime");
+    expect(paths).toContain("$.racks");
+    expect(paths.length).toBeGreaterThanOrEqual(6);
+  });
+});
--- /dev/null
+++ b/packages/box/src/takeover_test.ts
@@ -0,0 +1,145 @@
+import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
+import * as vitest from "vitest";
+
+const { describe, expect, test } = vitest;
+const { Loss, TestCluster } = TestUtils;
+
+/** Urgent work has to start within this time after an owner's death. */
+const URGENT_START_MS = 2300;
+
+describe("an owner's sudden death", () => {
+  test("delays urgent work by at most 2.3 s", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    await cluster.kill(owner);
+    const startMs = cluster.clock.wallMs();
+    const [left] = [...cluster.boxes.keys()];
+    const answer = await cluster.run(
+      cluster.submit(left, { service: "diagnose", input: { request: "r" } }),
+    );
+    expect(answer).toMatchObject({ outcome: { kind: "done" } });
+    const [start] = cluster.ledger.entries;
+    expect(start.atMs - startMs).toBeLessThanOrEqual(URGENT_START_MS);
+  });
+
+  test("cuts nothing that runs, and the heir ends it", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    const other = [...cluster.boxes.keys()].find((name) => name !== owner)!;
+    const short = cluster.begin(cluster.submit(other, {
+      service: "scan",
+      input: { request: "mine", runMs: 6000 },
+    }, { key: "k" }));
+    await cluster.clock.advance(500);
+    await cluster.kill(owner);
+    await cluster.clock.advance(8000);
+    expect(await short.value).toMatchObject({
+      outcome: { kind: "done", result: { request: "mine" } },
+    });
+    expect(cluster.summary().doubled).toEqual([]);
+    expect(cluster.summary().startedJobs).toBe(1);
+  });
+
+  test("between the holds and the start of a gang starts it whole", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    cluster.links.get(owner)!.rule = (order) =>
+      order === "start" ? Loss.Order : Loss.None;
+    const accepted = await cluster.run(cluster.submit(owner, {
+      service: "once",
+      gang: 4,
+      accelerators: 4,
+      input: { runMs: 1000 },
+    }));
+    await cluster.clock.advance(1000);
+    const held = cluster.ledger.entries.filter((e) => e.event === "held");
+    expect(held).toHaveLength(4);
+    await cluster.kill(owner);
+    const { record } = accepted as { record: Types.JobRecord };
+    const [left] = [...cluster.boxes.keys()];
+    const ended = await cluster.run(
+      cluster.box(left).entry.status(record.job.id, 40),
+    );
+    expect(ended.state).toBe(Types.JobState.Done);
+    expect(cluster.summary().partial).toEqual([]);
+    expect(cluster.summary().doubled).toEqual([]);
+  });
+});
+
+describe("an owner that was paused", () => {
+  test("is refused by the workers when it wakes, and steps down", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    cluster.clocks.get(owner)!.pause();
+    await cluster.clock.advance(5000);
+    const heir = cluster.owner()!;
+    expect(heir).not.toBe(owner);
+    const epoch = cluster.box(heir).dump().cells[0].epoch;
+    cluster.clocks.get(owner)!.resume();
+    await cluster.clock.advance(3000);
+    expect(cluster.box(owner).dump().cells).toEqual([]);
+    expect(cluster.box(heir).dump().cells[0].epoch).toBe(epoch);
+  });
+
+  test("does not start an unrepeatable job a second time", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    const other = [...cluster.boxes.keys()].find((name) => name !== owner)!;
+    const accepted = await cluster.run(cluster.submit(other, {
+      service: "once",
+      input: { runMs: 4000 },
+    }));
+    cluster.clocks.get(owner)!.pause();
+    await cluster.clock.advance(6000);
+    cluster.clocks.get(owner)!.resume();
+    const { record } = accepted as { record: Types.JobRecord };
+    const ended = await cluster.run(
+      cluster.box(other).entry.status(record.job.id, 40),
+    );
+    expect(ended.state).toBe(Types.JobState.Done);
+    expect(cluster.summary().doubled).toEqual([]);
+  });
+});
+
+describe("an owner that only some boxes hear", () => {
+  test("keeps its cell", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    const other = [...cluster.boxes.keys()].find((name) => name !== owner)!;
+    cluster.hub.cut(other);
+    await cluster.clock.advance(3000);
+    expect(cluster.owner()).toBe(owner);
+    cluster.hub.heal(other);
+    await cluster.clock.advance(3000);
+    expect(cluster.owner()).toBe(owner);
+  });
+});
+
+describe("a planned stop", () => {
+  test("hands the cell over and cuts no request in flight", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const owner = cluster.owner()!;
+    const input = { request: "slow", runMs: 3000 };
+    const pending = cluster.begin(
+      cluster.submit(owner, { service: "scan", input }),
+    );
+    await cluster.clock.advance(500);
+    const leaving = cluster.begin(cluster.box(owner).leave());
+    await cluster.clock.advance(1500);
+    await leaving.value;
+    expect(cluster.owner()).not.toBe(owner);
+    const drained = await cluster.run(cluster.box(owner).drain(30_000));
+    expect(drained).toBe(true);
+    expect(await pending.value).toMatchObject({
+      outcome: { kind: "done", result: { request: "slow" } },
+    });
+  });
+});
--- a/packages/scheduler/src/explain.ts
+++ b/packages/scheduler/src/explain.ts
@@ -1,6 +1,6 @@
 /** Explains in one screen why a job runs, waits or yields. */
 import * as Types from "@cairngate/types";
-import type * as entries from "./job_entry.ts";
+import * as entries from "./job_entry.ts";
 import type * as layouts from "./layout.ts";
 import type * as reservations from "./reservations.ts";
 
@@ -100,8 +100,10 @@
 }
 
 function wanted(entry: entries.JobEntry): string {
-  const { gang, accelerators, adjacency } = entry.shape;
-  const members = `${gang} block(s) of ${accelerators}`;
+  const { gang, accelerators, adjacency, repeatable } = entry.shape;
+  // Work that cannot yield may not take what a team has been guaranteed.
+  const where = repeatable ? "" : " outside of all guarantees";
+  const members = `${gang} block(s) of ${accelerators}${where}`;
   switch (adjacency) {
     case Types.Adjacency.Worker:
       return `${members} in one worker`;
@@ -120,11 +122,12 @@
   const ahead = context.jobs.filter((other) => {
     if (other.state !== Types.JobState.Waiting || other === entry) return false;
     const otherRank = Types.rankTier(other.shape.tier);
-    return otherRank < rank || (otherRank === rank && other.key < entry.key);
+    return otherRank < rank ||
+      (otherRank === rank && entries.goesBefore(other, entry));
   });
   ahead.sort((a, b) =>
     Types.rankTier(a.shape.tier) - Types.rankTier(b.shape.tier) ||
-    a.key - b.key
+    entries.compareOrder(a, b)
   );
   return ahead.slice(0, AHEAD_LIMIT).map((other) => other.shape.id);
 }
--- /dev/null
+++ b/packages/scheduler/src/histories_test.ts
@@ -0,0 +1,341 @@
+import * as Naive from "@cairngate/naive";
+import * as Placement from "@cairngate/placement";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
+import * as fc from "fast-check";
+import process from "node:process";
+import * as vitest from "vitest";
+import * as cores from "./scheduler_core.ts";
+import * as layouts from "./layout.ts";
+import * as policies from "./policies.ts";
+import * as schedulers from "./scheduler.ts";
+
+const { describe, expect, test } = vitest;
+const { buildDeployment, buildJobShape, buildTeam } = TestUtils;
+
+/** Raised by hand for a long run; CI takes the default. */
+const HISTORIES = Number(process.env["CAIRNGATE_HISTORIES"] ?? 150);
+const SEED = 42;
+
+const TEAMS = [
+  buildTeam("a", { guarantee: [[16, 1], [4, 2]] }),
+  buildTeam("b", { guarantee: [[8, 2]], quota: 48 }),
+  buildTeam("c"),
+];
+
+enum Step {
+  Submit,
+  Finish,
+  Cancel,
+  LoseWorker,
+  ReturnWorker,
+}
+
+interface Move {
+  readonly step: Step;
+  readonly pick: number;
+  readonly shape: Types.JobShape;
+}
+
+const shapes = fc.record({
+  team: fc.constantFrom("a", "b", "c"),
+  tier: fc.constantFrom(
+    Types.Tier.Urgent,
+    Types.Tier.Standard,
+    Types.Tier.Batch,
+  ),
+  accelerators: fc.constantFrom(1, 2, 3, 4, 8),
+  gang: fc.constantFrom(1, 1, 1, 2, 4, 8),
+  adjacency: fc.constantFrom(Types.Adjacency.Any, Types.Adjacency.Rack),
+  repeatable: fc.boolean(),
+  estimateMs: fc.option(fc.integer({ min: 1000, max: 500_000 })),
+});
+
+const moves: fc.Arbitrary<Move[]> = fc.array(
+  fc.record({
+    step: fc.constantFrom(
+      Step.Submit,
+      Step.Submit,
+      Step.Submit,
+      Step.Finish,
+      Step.Finish,
+      Step.Cancel,
+      Step.LoseWorker,
+      Step.ReturnWorker,
+    ),
+    pick: fc.nat(),
+    shape: shapes.map((changes) => buildJobShape("x", changes)),
+  }),
+  { minLength: 10, maxLength: 60 },
+);
+
+/** Keeps books of its own over what a scheduler decides. */
+class Books {
+  readonly scheduler: cores.SchedulerCore;
+  readonly layout: layouts.CellLayout;
+  readonly running = new Map<string, readonly Types.Slot[]>();
+  readonly yielding = new Set<string>();
+  readonly waiting = new Map<string, Types.JobShape>();
+  readonly lost = new Set<number>();
+  nowMs = 0;
+
+  constructor(scheduler: cores.SchedulerCore, layout: layouts.CellLayout) {
+    this.scheduler = scheduler;
+    this.layout = layout;
+    for (const worker of layout.workers) {
+      if (worker !== undefined) {
+        scheduler.setWorkerAvailable(worker.index, true);
+      }
+    }
+  }
+
+  apply(move: Move, index: number): void {
+    this.nowMs += 1000;
+    switch (move.step) {
+      case Step.Submit: {
+        const id = `j${index}`;
+        const shape = { ...move.shape, id, submittedAtMs: this.nowMs };
+        this.waiting.set(id, shape);
+        return this.scheduler.submit(shape, { nowMs: this.nowMs });
+      }
+      case Step.Finish:
+        return this.#finish(pickOf([...this.running.keys()], move.pick));
+      case Step.Cancel:
+        return this.#finish(pickOf([...this.waiting.keys()], move.pick));
+      case Step.LoseWorker:
+        return this.#loseWorker(move.pick);
+      case Step.ReturnWorker: {
+        const worker = pickOf([...this.lost], move.pick);
+        if (worker === undefined) return;
+        this.lost.delete(worker);
+        return this.scheduler.setWorkerAvailable(worker, true);
+      }
+    }
+  }
+
+  /** Plans until nothing more happens; victims stop at once. */
+  settle(): void {
+    for (let round = 0; round < 200; round++) {
+      const decisions = this.scheduler.plan(this.nowMs);
+      if (decisions.length === 0) return;
+      for (const decision of decisions) this.#carryOut(decision);
+      for (const id of [...this.yielding]) this.#requeue(id);
+    }
+    throw new Error("the plan never comes to rest");
+  }
+
+  /** Nobody shares an accelerator, and no gang is in parts. */
+  check(): void {
+    const used = new Map<string, string>();
+    for (const [id, slots] of this.running) {
+      for (const { worker, mask } of slots) {
+        expect(this.lost.has(worker)).toBe(false);
+        for (let bit = 0; bit < 8; bit++) {
+          if ((mask & (1 << bit)) === 0) continue;
+          const at = `${worker}.${bit}`;
+          expect(used.get(at)).toBeUndefined();
+          used.set(at, id);
+        }
+      }
+    }
+  }
+
+  #carryOut(decision: Types.Decision): void {
+    if (decision.kind === Types.DecisionKind.Preempt) {
+      this.yielding.add(decision.jobId);
+      return;
+    }
+    if (decision.kind !== Types.DecisionKind.Start) return;
+    const shape = this.waiting.get(decision.jobId)!;
+    expect(decision.slots).toHaveLength(shape.gang);
+    if (shape.adjacency === Types.Adjacency.Rack) {
+      const racks = new Set(
+        decision.slots.map((s) => Math.floor(s.worker / 8)),
+      );
+      expect(racks.size).toBe(1);
+    }
+    this.waiting.delete(decision.jobId);
+    this.running.set(decision.jobId, decision.slots);
+    this.shapes.set(decision.jobId, shape);
+  }
+
+  readonly shapes = new Map<string, Types.JobShape>();
+
+  #requeue(id: string): void {
+    this.yielding.delete(id);
+    const shape = this.shapes.get(id)!;
+    // Work that cannot be repeated is never made to yield.
+    expect(shape.repeatable).toBe(true);
+    this.running.delete(id);
+    this.waiting.set(id, shape);
+    const options = { nowMs: this.nowMs, progress: 0, detail: "yielded" };
+    this.scheduler.requeue(id, options);
+  }
+
+  #finish(id: string | undefined): void {
+    if (id === undefined) return;
+    this.running.delete(id);
+    this.waiting.delete(id);
+    this.scheduler.finish(id);
+  }
+
+  #loseWorker(pick: number): void {
+    const known = this.layout.workers.flatMap((w) => w?.index ?? []);
+    const worker = pickOf(known.filter((w) => !this.lost.has(w)), pick)!;
+    if (this.lost.size > 3) return;
+    this.lost.add(worker);
+    this.scheduler.setWorkerAvailable(worker, false);
+    for (const [id, slots] of [...this.running]) {
+      if (!slots.some((slot) => slot.worker === worker)) continue;
+      if (this.shapes.get(id)!.repeatable) this.#requeue(id);
+      else this.#finish(id);
+    }
+  }
+}
+
+function pickOf<T>(from: readonly T[], pick: number): T | undefined {
+  return from.length === 0 ? undefined : from[pick % from.length];
+}
+
+function makeLayout(): layouts.CellLayout {
+  const cfg = buildDeployment({ racks: 2, workersPerRack: 5, teams: TEAMS });
+  return layouts.createCellLayout(cfg, "cell");
+}
+
+/** Guarantees recomputed from nothing but the running jobs, by brute force. */
+function guaranteesFit(
+  scheduler: schedulers.Scheduler,
+  books: Books,
+): boolean {
+  const { ledger } = scheduler.occupancy;
+  const space = new Placement.BuddySpace(books.layout.racks.length);
+  books.layout.workers.forEach((worker, index) => {
+    const own = worker === undefined ? 0 : 0xff;
+    const usable = books.lost.has(index) ? 0 : own;
+    space.setUsedMask(index, 0xff & ~usable);
+  });
+  const take = (worker: number, mask: number) =>
+    space.setUsedMask(worker, space.usedMask(worker) | mask);
+  for (const [id, slots] of books.running) {
+    const entry = scheduler.get(id)!;
+    const isFixed = !entry.shape.repeatable &&
+      entry.entitlement === Types.Entitlement.Opportunistic;
+    if (isFixed) { for (const { worker, mask } of slots) take(worker, mask); }
+  }
+  for (const bound of ledger.allBound()) {
+    for (let at = bound.offset; at < bound.offset + (1 << bound.order); at++) {
+      take(bound.rack * 8 + (at >> 3), 1 << (at & 7));
+    }
+  }
+  return placeAll(space, unboundOrders(scheduler));
+}
+
+function unboundOrders(scheduler: schedulers.Scheduler): number[] {
+  const orders: number[] = [];
+  for (const { name } of TEAMS) {
+    scheduler.occupancy.ledger.unboundOf(name).forEach((count, order) => {
+      for (let i = 0; i < count; i++) orders.push(order);
+    });
+  }
+  return orders.sort((a, b) => b - a);
+}
+
+/** Largest first, each in the first free place. */
+function placeAll(
+  space: Placement.BuddySpace,
+  orders: readonly number[],
+): boolean {
+  return orders.every((order) => {
+    for (let rack = 0; rack < space.rackCount; rack++) {
+      for (let offset = 0; offset < 64; offset += 1 << order) {
+        if (!space.isFree({ rack, offset, order })) continue;
+        for (let at = offset; at < offset + (1 << order); at++) {
+          const worker = rack * 8 + (at >> 3);
+          const mask = space.usedMask(worker) | (1 << (at & 7));
+          space.setUsedMask(worker, mask);
+        }
+        return true;
+      }
+    }
+    return false;
+  });
+}
+
+describe("generated histories", () => {
+  test("never break a guarantee that the workers left could keep", () => {
+    fc.assert(
+      fc.property(moves, (history) => {
+        const layout = makeLayout();
+        const chosen = policies.createPolicies(layout.weighting);
+        const scheduler = new schedulers.Scheduler(layout, chosen);
+        const books = new Books(scheduler, layout);
+        history.forEach((move, i) => {
+          books.apply(move, i);
+          books.settle();
+          books.check();
+          const holds = scheduler.occupancy.ledger.holds();
+          expect(holds).toBe(guaranteesFit(scheduler, books));
+          if (books.lost.size === 0 && everyLossHealed(history, i)) {
+            expect(holds).toBe(true);
+          }
+        });
+      }),
+      { numRuns: HISTORIES, seed: SEED },
+    );
+  });
+
+  test("end every job once the others are gone, as naive does", () => {
+    fc.assert(
+      fc.property(moves, (history) => {
+        const layout = makeLayout();
+        const chosen = policies.createPolicies(layout.weighting);
+        const ours = new Books(
+          new schedulers.Scheduler(layout, chosen),
+          layout,
+        );
+        const naive = new Books(new Naive.NaiveScheduler(layout), layout);
+        const submits = history.filter((m) => m.step === Step.Submit);
+        for (const books of [ours, naive]) {
+          submits.forEach((move, i) => books.apply(move, i));
+          drain(books);
+        }
+        // A job that fits on an empty cell ends under both; no other does.
+        expect([...ours.waiting.keys()].filter(fitsQuota(ours))).toEqual(
+          [...naive.waiting.keys()].filter(fitsQuota(naive)).filter(
+            (id) => ours.waiting.has(id),
+          ),
+        );
+      }),
+      { numRuns: HISTORIES, seed: SEED },
+    );
+  });
+});
+
+/** Whether no worker was lost up to a move. */
+function everyLossHealed(history: readonly Move[], until: number): boolean {
+  return history.slice(0, until + 1).every((m) => m.step !== Step.LoseWorker);
+}
+
+function fitsQuota(books: Books): (id: string) => boolean {
+  return (id) => {
+    const shape = books.waiting.get(id)!;
+    const team = TEAMS.find((t) => t.name === shape.team)!;
+    // What cannot yield may rightly wait for ever beside guarantees.
+    if (!shape.repeatable) return false;
+    const order = Placement.orderOf(shape.accelerators);
+    return shape.gang << order <= Math.min(team.quota, 64);
+  };
+}
+
+/** Ends running jobs one after another until nothing starts any more. */
+function drain(books: Books): void {
+  books.settle();
+  while (books.running.size > 0) {
+    const [id] = books.running.keys();
+    books.nowMs += 60_000;
+    books.running.delete(id);
+    books.scheduler.finish(id);
+    books.settle();
+    books.check();
+  }
+}
--- a/packages/scheduler/src/job_entry.ts
+++ b/packages/scheduler/src/job_entry.ts
@@ -38,6 +38,8 @@
   withdrawn: boolean;
   /** Position key within its lane; smaller starts earlier. */
   key: number;
+  /** Order of arrival; decides between equal keys. */
+  sequence: number;
 }
 
 /** Creates the entry of a waiting job. */
@@ -62,9 +64,20 @@
     claimant: null,
     withdrawn: false,
     key: 0,
+    sequence: 0,
   };
 }
 
+/** Whether one waiting job of a tier goes before another. */
+export function goesBefore(a: JobEntry, b: JobEntry): boolean {
+  return compareOrder(a, b) < 0;
+}
+
+/** Compares two waiting jobs of a tier; negative where `a` goes first. */
+export function compareOrder(a: JobEntry, b: JobEntry): number {
+  return a.key - b.key || a.sequence - b.sequence;
+}
+
 /** Adds a line to a job's history. */
 export function note(
   entry: JobEntry,
--- a/packages/scheduler/src/queue.ts
+++ b/packages/scheduler/src/queue.ts
@@ -18,7 +18,7 @@
     this.name = name;
     this.team = first.shape.team;
     this.tierRank = Types.rankTier(first.shape.tier);
-    this.#heap = new TinyQueue<entries.JobEntry>([], compareKeys);
+    this.#heap = new TinyQueue<entries.JobEntry>([], entries.compareOrder);
   }
 
   /** The next job to try; removed jobs are skipped. */
@@ -82,7 +82,3 @@
   ];
   return parts.join("/");
 }
-
-function compareKeys(a: entries.JobEntry, b: entries.JobEntry): number {
-  return a.key - b.key;
-}
--- a/packages/scheduler/src/reservations.ts
+++ b/packages/scheduler/src/reservations.ts
@@ -63,7 +63,9 @@
     nowMs: number,
   ): void {
     const held = this.#byJob.get(entry.shape.id);
-    if (held !== undefined && held.atMs >= nowMs) return;
+    // A reservation that was missed stays: with its time in the past, no more
+    // work is let in, however wrong the estimates of the running work are.
+    if (held !== undefined && this.#isUsable(held, occupancy)) return;
     this.drop(entry.shape.id, occupancy);
     if (this.#byRack.size >= this.#limit) return;
     const found = this.#findSoonest(entry, occupancy, nowMs);
@@ -73,6 +75,17 @@
     for (const rack of found.racks) this.#byRack.set(rack, found);
   }
 
+  /** Whether every rack still has a worker that takes new work. */
+  #isUsable(held: Reservation, occupancy: occupancies.Occupancy): boolean {
+    return [...held.racks].every((rack) => {
+      const first = rack * Placement.WORKERS_PER_RACK;
+      for (let i = first; i < first + Placement.WORKERS_PER_RACK; i++) {
+        if (occupancy.isAvailable(i)) return true;
+      }
+      return false;
+    });
+  }
+
   #findSoonest(
     entry: entries.JobEntry,
     occupancy: occupancies.Occupancy,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -38,6 +38,7 @@
   readonly #placer: placer.Placer;
   readonly #ready: entries.JobEntry[] = [];
   #fullAtMs = -Infinity;
+  #arrivals = 0;
 
   /** Starts empty, with every worker unavailable. */
   constructor(
@@ -163,6 +164,7 @@
   }
 
   #enqueue(entry: entries.JobEntry): void {
+    if (entry.sequence === 0) entry.sequence = ++this.#arrivals;
     entry.key = this.#policies.order.key({
       submittedAtMs: entry.shape.submittedAtMs,
       remainingMs: entries.remainingMs(entry),
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -2,6 +2,7 @@
 export { buildDeployment, buildJobShape, buildTeam } from "./src/builders.ts";
 export { FakeClock } from "./src/fake_clock.ts";
 export { FakeNetwork, NetworkHub } from "./src/fake_network.ts";
-export { FaultyWorkers, Loss } from "./src/faulty_workers.ts";
+export { type AnswerRule, FaultyWorkers, Loss } from "./src/faulty_workers.ts";
+export { PausableClock } from "./src/pausable_clock.ts";
 export { SeededRandom } from "./src/seeded_random.ts";
 export { TestCluster } from "./src/test_cluster.ts";
--- a/packages/test-utils/src/fake_network.ts
+++ b/packages/test-utils/src/fake_network.ts
@@ -8,6 +8,7 @@
 export class NetworkHub {
   readonly #handlers = new Map<string, Platform.PeerHandler>();
   readonly #cut = new Set<string>();
+  readonly #gates = new Map<string, Effect.Effect<void>>();
   readonly names: readonly string[];
   readonly clock: Platform.Clock;
 
@@ -22,6 +23,11 @@
     else this.#handlers.set(box, handler);
   }
 
+  /** Sets what a box waits for before it answers. */
+  setGate(box: string, gate: Effect.Effect<void>): void {
+    this.#gates.set(box, gate);
+  }
+
   /** Cuts a box off from all others. */
   cut(box: string): void {
     this.#cut.add(box);
@@ -42,7 +48,8 @@
     const handler = this.#handlers.get(to);
     if (handler === undefined) return Effect.never;
     // Messages are copied, as they are on a real link.
-    return handler(from, structuredClone(req));
+    const gate = this.#gates.get(to) ?? Effect.void;
+    return Effect.andThen(gate, handler(from, structuredClone(req)));
   }
 }
 
--- a/packages/test-utils/src/faulty_workers.ts
+++ b/packages/test-utils/src/faulty_workers.ts
@@ -16,10 +16,16 @@
 /** Decides for each call. */
 export type LossRule = (order: string, endpoint: string) => Loss;
 
+/** Changes an answer on its way. */
+export type AnswerRule = (answer: Types.TaskAnswer) => Types.TaskAnswer;
+
 /** Wraps an adapter of the workers. */
 export class FaultyWorkers extends Platform.Workers {
   readonly #inner: Platform.Workers;
   rule: LossRule = () => Loss.None;
+  answerRule: AnswerRule = (answer) => answer;
+  /** Waits while the box is paused. */
+  gate: Effect.Effect<void> = Effect.void;
 
   constructor(inner: Platform.Workers) {
     super();
@@ -39,7 +45,9 @@
   }
 
   override run(endpoint: string, order: Types.HoldOrder) {
-    return this.#apply("run", endpoint, this.#inner.run(endpoint, order));
+    const run = this.#inner.run(endpoint, order);
+    const changed = Effect.map(run, (answer) => this.answerRule(answer));
+    return this.#apply("run", endpoint, changed);
   }
 
   override stop(endpoint: string, order: Types.StopOrder) {
@@ -58,7 +66,9 @@
   ): Effect.Effect<A, Platform.WorkerError> {
     return Effect.suspend(() => {
       const loss = this.rule(order, endpoint);
-      if (loss === Loss.None) return call;
+      if (loss === Loss.None) {
+        return Effect.andThen(this.gate, Effect.tap(call, () => this.gate));
+      }
       const lost = Effect.fail(
         new Errors.WorkerLostError({
           worker: endpoint,
--- /dev/null
+++ b/packages/test-utils/src/pausable_clock.ts
@@ -0,0 +1,46 @@
+/** The clock of one box, which a test can stop as SIGSTOP does. */
+import * as Platform from "@cairngate/platform";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+
+/** Shares the time of another clock, but wakes nobody while it is paused. */
+export class PausableClock extends Platform.Clock {
+  readonly #inner: Platform.Clock;
+  #resumed: Deferred.Deferred<void> | null = null;
+
+  constructor(inner: Platform.Clock) {
+    super();
+    this.#inner = inner;
+  }
+
+  override wallMs(): number {
+    return this.#inner.wallMs();
+  }
+
+  override monotonicMs(): number {
+    return this.#inner.monotonicMs();
+  }
+
+  override sleep(ms: number): Effect.Effect<void> {
+    return Effect.andThen(this.#inner.sleep(ms), this.awaitRunning());
+  }
+
+  /** Waits while the box is paused. */
+  awaitRunning(): Effect.Effect<void> {
+    return Effect.suspend(() =>
+      this.#resumed === null ? Effect.void : Deferred.await(this.#resumed)
+    );
+  }
+
+  /** Stops the box. */
+  pause(): void {
+    this.#resumed ??= Deferred.makeUnsafe<void>();
+  }
+
+  /** Lets the box go on from where it was. */
+  resume(): void {
+    const resumed = this.#resumed;
+    this.#resumed = null;
+    if (resumed !== null) Deferred.doneUnsafe(resumed, Effect.void);
+  }
+}
--- a/packages/test-utils/src/test_cluster.ts
+++ b/packages/test-utils/src/test_cluster.ts
@@ -10,6 +10,7 @@
 import * as clocks from "./fake_clock.ts";
 import * as networks from "./fake_network.ts";
 import * as faulty from "./faulty_workers.ts";
+import * as pausable from "./pausable_clock.ts";
 import * as randoms from "./seeded_random.ts";
 
 const TIMES = {
@@ -42,6 +43,7 @@
   readonly hub: networks.NetworkHub;
   readonly cfg: Types.DeploymentConfig;
   readonly boxes = new Map<string, Box.Box>();
+  readonly clocks = new Map<string, pausable.PausableClock>();
   /** Each box's own way to the workers, so that it can be cut alone. */
   readonly links = new Map<string, faulty.FaultyWorkers>();
   readonly #objects: StandIns.MemoryObjectStore;
@@ -135,11 +137,20 @@
     this.boxes.delete(name);
   }
 
+  /** Starts a box again under its name, as after a crash. */
+  async restart(name: string): Promise<void> {
+    await Effect.runPromise(this.createBox(name).start());
+  }
+
   /** Creates a box that is not yet started. */
   createBox(name: string): Box.Box {
     const workers = new faulty.FaultyWorkers(this.reach);
+    const clock = new pausable.PausableClock(this.clock);
+    workers.gate = clock.awaitRunning();
+    this.hub.setGate(name, clock.awaitRunning());
+    this.clocks.set(name, clock);
     const box = new Box.Box({
-      clock: this.clock,
+      clock,
       random: this.random,
       metrics: new Metrics.Metrics(),
       table: this.table,
