Say unknown after a stopped attempt, and start no claim without its place

A repeatable job whose first attempt was stopped and whose second found no place was told 'not run'. A claim whose last victim had stopped started with no place when the worker was lost in between; the exception ended the planner, and every job of the cell waited. Change: a job of which an attempt may have run ends as unknown; only a claim that still holds its place starts; a defect in one round of planning is logged and counted and does not end the planner.

--- a/packages/box/src/answers_test.ts
+++ b/packages/box/src/answers_test.ts
@@ -85,6 +85,27 @@
   });
 });
 
+describe("a job whose first attempt was stopped", () => {
+  test("is not told to be not run when no second place is found", async () => {
+    const cfg = TestUtils.buildDeployment({ workersPerRack: 1 });
+    const cluster = new TestCluster({ cfg });
+    await cluster.start();
+    const pending = cluster.begin(cluster.submit("box_2", {
+      service: "diagnose",
+      input: { runMs: 60_000 },
+      deadlineSeconds: 8,
+    }));
+    await cluster.clock.advance(1000);
+    const [held] = cluster.ledger.entries;
+    const worker = cluster.workers.get("w0")!;
+    worker.setLeaving(true);
+    const fence = { cell: "cell", epoch: 1 };
+    await cluster.run(worker.stop({ ...held, fence, checkpoint: false }));
+    await cluster.clock.advance(20_000);
+    expect(await pending.value).toMatchObject({ outcome: { kind: "unknown" } });
+  });
+});
+
 describe("a worker that has restarted", () => {
   test("is no proof that a long job did not run", async () => {
     const cluster = new TestCluster();
--- a/packages/cell/src/cell_owner.ts
+++ b/packages/cell/src/cell_owner.ts
@@ -2,6 +2,7 @@
 import * as Errors from "@cairngate/errors";
 import * as Scheduler from "@cairngate/scheduler";
 import * as Types from "@cairngate/types";
+import * as Cause from "effect/Cause";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as Queue from "effect/Queue";
@@ -273,19 +274,33 @@
 
   #keepPlanning(): Effect.Effect<never> {
     return Effect.gen({ self: this }, function* () {
-      const { clock, metrics } = this.#state.ports;
       for (;;) {
         yield* Queue.take(this.#state.wakeups);
         if (!(yield* this.#state.lease.check())) continue;
-        const startMs = clock.monotonicMs();
-        const decisions = this.#state.scheduler.plan(clock.wallMs());
-        const tookMs = clock.monotonicMs() - startMs;
-        metrics.observeMs("cairngate_plan_seconds", tookMs);
-        for (const decision of decisions) this.#runner.carryOut(decision);
+        yield* Effect.catchCause(
+          Effect.sync(() => this.#plan()),
+          (cause) => Effect.sync(() => this.#noteDefect(cause)),
+        );
       }
     });
   }
 
+  #plan(): void {
+    const { clock, metrics } = this.#state.ports;
+    const startMs = clock.monotonicMs();
+    const decisions = this.#state.scheduler.plan(clock.wallMs());
+    const tookMs = clock.monotonicMs() - startMs;
+    metrics.observeMs("cairngate_plan_seconds", tookMs);
+    for (const decision of decisions) this.#runner.carryOut(decision);
+  }
+
+  /** A defect in one round must not end the planning for good. */
+  #noteDefect(cause: Cause.Cause<never>): void {
+    const { log, metrics } = this.#state.ports;
+    metrics.count("cairngate_planner_defects_total");
+    log.error(`A round of planning failed: ${Cause.pretty(cause)}`);
+  }
+
   #keepTicking(): Effect.Effect<never> {
     return Effect.gen({ self: this }, function* () {
       const { clock } = this.#state.ports;
--- a/packages/entry/src/short_jobs.ts
+++ b/packages/entry/src/short_jobs.ts
@@ -33,6 +33,8 @@
   readonly untilMs: number;
   /** Revision of the intent row; 0 where there is none. */
   intentRevision: number;
+  /** Whether an attempt was sent of which nobody proved that it never ran. */
+  mayHaveRun: boolean;
   /** The grant under which this box claimed the intent. */
   claim: Types.Grant | null;
 }
@@ -58,14 +60,18 @@
         request: random.id(),
         untilMs: clock.monotonicMs() + waitMs,
         intentRevision: 0,
+        mayHaveRun: false,
         claim: null,
       };
       const earlier = yield* this.#findEarlier(flight);
       if (earlier !== null) return earlier;
       const outcome = yield* this.#attemptUntilDone(flight);
-      if (outcome.kind === Types.OutcomeKind.NotRun) {
-        yield* this.#noteNotRun(flight, outcome);
+      if (outcome.kind !== Types.OutcomeKind.NotRun) return outcome;
+      if (flight.mayHaveRun) {
+        const why = `an earlier attempt may have run; then ${outcome.reason}`;
+        return outcomes.unknown(job.id, null, why);
       }
+      yield* this.#noteNotRun(flight, outcome);
       return outcome;
     });
   }
@@ -231,6 +237,7 @@
         return yield* this.#finish(flight, grant, reply.result);
       }
       if (reply?.ran === false) return null;
+      flight.mayHaveRun = true;
       if (job.repeatable && this.#mayRetry(flight)) return null;
       const outcome = outcomes.unknown(job.id, grant.attempt, dispatch.why);
       yield* this.#saveOutcome(flight, grant, outcome);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -234,7 +234,9 @@
 
   #startReady(decisions: Types.Decision[], nowMs: number): void {
     for (const entry of this.#ready.splice(0)) {
-      if (!this.#jobs.has(entry.shape.id)) continue;
+      // Its place may have gone with a worker since its last victim stopped.
+      if (entry.state !== Types.JobState.Claiming) continue;
+      if (entry.victims.size > 0) continue;
       this.#placer.start(entry, nowMs);
       decisions.push({
         kind: Types.DecisionKind.Start,
--- a/packages/scheduler/src/scheduler_test.ts
+++ b/packages/scheduler/src/scheduler_test.ts
@@ -85,6 +85,29 @@
     expect(scheduler.occupancy.ledger.holds()).toBe(true);
   });
 
+  test("claimed on a worker that is lost are claimed elsewhere", () => {
+    const teams = [buildTeam("a", { guarantee: [[8, 1]] }), buildTeam("b")];
+    const cfg = buildDeployment({ workersPerRack: 2, teams });
+    const scheduler = createScheduler(cfg);
+    for (let i = 0; i < 2; i++) {
+      const shape = buildJobShape(`b${i}`, { team: "b", accelerators: 8 });
+      scheduler.submit(shape, { nowMs: 0 });
+    }
+    scheduler.plan(0);
+    scheduler.submit(buildJobShape("claim", { accelerators: 8 }), { nowMs: 1 });
+    const [{ jobId }] = scheduler.plan(1);
+    const [slot] = scheduler.get(jobId)!.slots;
+    const options = { nowMs: 2, progress: 0, detail: "yielded" };
+    scheduler.requeue(jobId, options);
+    scheduler.setWorkerAvailable(slot.worker, false);
+    for (const decision of scheduler.plan(3)) {
+      if (decision.kind !== Types.DecisionKind.Start) continue;
+      expect(decision.slots.map((s) => s.worker)).not.toContain(slot.worker);
+      expect(decision.slots.length).toBeGreaterThan(0);
+    }
+    expect(scheduler.get("claim")?.state).not.toBe(Types.JobState.Running);
+  });
+
   test("that a lost worker makes short are reported", () => {
     const teams = [buildTeam("a", { guarantee: [[16, 1]] })];
     const cfg = buildDeployment({ workersPerRack: 2, teams });
