Split the owner by job, test a file that takes a rack away

Change: places for short jobs are in grants.ts, what is shown in owner_views.ts; a test that a smaller file moves the work of the lost rack only.

--- a/packages/box/src/config_test.ts
+++ b/packages/box/src/config_test.ts
@@ -1,5 +1,6 @@
 import * as Config from "@cairngate/config";
 import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import * as vitest from "vitest";
 
@@ -104,6 +105,41 @@
   });
 });
 
+describe("a file that takes a rack away", () => {
+  test("moves the work of that rack and leaves the other alone", async () => {
+    const cfg = TestUtils.buildDeployment({ racks: 2, workersPerRack: 1 });
+    const cluster = new TestCluster({ cfg });
+    await cluster.start();
+    const ids: string[] = [];
+    for (let i = 0; i < 2; i++) {
+      const accepted = await cluster.run(cluster.submit("box_1", {
+        service: "rebuild",
+        accelerators: 8,
+        input: { runMs: 6000 },
+      }));
+      ids.push((accepted as { record: Types.JobRecord }).record.job.id);
+    }
+    await cluster.clock.advance(2000);
+    const smaller = { ...cfg, racks: cfg.racks.slice(0, 1) };
+    const cells = [{ name: "cell", racks: ["rack_0"] }];
+    await cluster.run(
+      cluster.box("box_2").configs.apply({
+        text: TestUtils.printDeployment({ ...smaller, cells }),
+        basedOn: 1,
+        applyId: "smaller",
+      }),
+    );
+    for (const id of ids) {
+      const ended = await cluster.run(
+        cluster.box("box_3").entry.status(id, 50),
+      );
+      expect(ended.state).toBe(Types.JobState.Done);
+    }
+    const starts = cluster.ledger.entries.filter((e) => e.event === "started");
+    expect(starts.map((e) => e.worker).sort()).toEqual(["w0", "w0", "w1"]);
+  });
+});
+
 describe("a file that is not valid", () => {
   test("is refused with every fault and its place", async () => {
     const text = "name: x\nweighting: {completionTime: 2, fragmentation: 0}\n" +
--- a/packages/box/src/peer_requests.ts
+++ b/packages/box/src/peer_requests.ts
@@ -40,11 +40,11 @@
 ): Effect.Effect<unknown, Failure> {
   switch (req.kind) {
     case Types.PeerKind.Place:
-      return owner.place(req);
+      return owner.grants.place(req);
     case Types.PeerKind.Withdraw:
-      return owner.withdraw(req.jobId);
+      return owner.grants.withdraw(req.jobId);
     case Types.PeerKind.Released:
-      return owner.released(req);
+      return owner.grants.released(req);
     case Types.PeerKind.Enqueue:
       return owner.enqueue();
     case Types.PeerKind.JobStatus:
--- a/packages/cell/src/cell_owner.ts
+++ b/packages/cell/src/cell_owner.ts
@@ -1,13 +1,14 @@
 /** The owner of a cell: takes requests of the boxes and runs the planner. */
 import * as Errors from "@cairngate/errors";
-import * as Scheduler from "@cairngate/scheduler";
 import * as Types from "@cairngate/types";
 import * as Cause from "effect/Cause";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as Queue from "effect/Queue";
 import * as states from "./cell_state.ts";
+import * as grants from "./grants.ts";
 import * as runners from "./job_runner.ts";
+import * as views from "./owner_views.ts";
 import type * as owned from "./owned_job.ts";
 import type * as leases from "./owner_lease.ts";
 import type * as ports from "./ports.ts";
@@ -19,30 +20,14 @@
 const TICK_MS = 500;
 const RECONSIDER_EVERY_TICKS = 10;
 const SCAN_EVERY_TICKS = 10;
-const LONGEST_RETRY_AFTER_S = 30;
-const WAITING_PER_SECOND = 50;
-
-/** State of an owned cell for `cairngate dump`. */
-export interface CellDump {
-  readonly cell: string;
-  readonly epoch: number;
-  readonly holdover: boolean;
-  readonly configVersion: number;
-  readonly workers: readonly { name: string; sealed: boolean }[];
-  readonly jobs: readonly {
-    id: string;
-    kind: string;
-    state: string;
-    attempt: string | null;
-    workers: readonly string[];
-  }[];
-}
 
 /** Owns one cell under one epoch. */
 export class CellOwner {
   readonly #state: states.CellState;
   readonly #runner: runners.JobRunner;
   readonly #recovery: recoveries.Recovery;
+  /** Places for short jobs, asked for by the boxes that hold the callers. */
+  readonly grants: grants.Grants;
   #scanWanted = false;
   #isScanning = false;
 
@@ -50,6 +35,7 @@
     this.#state = state;
     this.#runner = new runners.JobRunner(state);
     this.#recovery = new recoveries.Recovery(state, this.#runner);
+    this.grants = new grants.Grants(state, this.#runner);
   }
 
   /** Creates the owner for a lease that was just taken. */
@@ -92,73 +78,6 @@
     }).pipe(Effect.ensuring(this.#end()));
   }
 
-  /** Finds a place for a short job; answers when it is decided. */
-  place(
-    req: Types.Place,
-  ): Effect.Effect<Types.Grant, Errors.NotOwnerError> {
-    return Effect.gen({ self: this }, function* () {
-      const { clock, metrics } = this.#state.ports;
-      const refusal = this.#refuseOverload(req.shape);
-      if (refusal !== null) return refusal;
-      yield* this.#dropEarlier(req.shape.id);
-      const granted = Deferred.makeUnsafe<Types.Grant, Errors.NotOwnerError>();
-      const kind = "short" as const;
-      const { shape } = req;
-      this.#state.jobs.set(shape.id, { kind, shape, granted, attempt: null });
-      this.#state.scheduler.submit(shape, { nowMs: clock.wallMs() });
-      this.#state.wake();
-      const startMs = clock.monotonicMs();
-      const timed = yield* clock.within(req.waitMs, Deferred.await(granted))
-        .pipe(Effect.onInterrupt(() => this.withdraw(shape.id)));
-      metrics.observeMs(
-        "cairngate_decision_wait_seconds",
-        clock.monotonicMs() - startMs,
-      );
-      if (timed !== null) return timed.value;
-      yield* this.withdraw(shape.id);
-      const why = "no place became free in time";
-      return runners.refuseGrant(shape.id, why, this.#retryAfter());
-    });
-  }
-
-  /** A job that waits will not be dispatched any more. */
-  withdraw(jobId: string): Effect.Effect<void> {
-    return Effect.sync(() => {
-      const job = this.#state.jobs.get(jobId);
-      // A granted attempt is watched, and taken back if it is not dispatched.
-      if (job?.kind !== "short" || job.attempt !== null) return;
-      this.#state.scheduler.cancel(jobId);
-      this.#state.jobs.delete(jobId);
-      this.#state.wake();
-    });
-  }
-
-  /** A granted attempt has ended, or its end is not known. */
-  released(req: Types.Released): Effect.Effect<Types.ReleasedReply> {
-    return Effect.gen({ self: this }, function* () {
-      const job = this.#state.jobs.get(req.jobId);
-      const isCurrent = job?.kind === "short" &&
-        job.attempt?.id === req.attempt;
-      if (!req.uncertain) {
-        if (isCurrent) this.#runner.releaseShort(job);
-        return { ran: req.ran, finished: false, result: null };
-      }
-      if (!isCurrent || job.attempt === null) {
-        return { ran: null, finished: false, result: null };
-      }
-      const { attempt } = job;
-      attempt.stopping = true;
-      const stopped = yield* this.#runner.stopUntilKnown(job, attempt);
-      if (job.attempt === attempt) this.#runner.releaseShort(job);
-      if (!stopped.complete) {
-        return { ran: null, finished: false, result: null };
-      }
-      const finished = stopped.results !== null;
-      const result = stopped.results?.[0] ?? null;
-      return { ran: stopped.ran, finished, result };
-    });
-  }
-
   /**
    * A stored job exists. The message may be old and the job long ended, so
    * it only makes this owner look at the rows at once.
@@ -218,38 +137,12 @@
 
   /** State of the cell for operators. */
   status(): Types.CellStatus {
-    const { lease, links, scheduler } = this.#state;
-    return {
-      cell: lease.cell,
-      owner: this.#state.ports.box,
-      epoch: lease.epoch,
-      holdover: lease.isHoldover,
-      sealedWorkers: [...links.values()].filter((l) => l.isSealed).length,
-      workers: links.size,
-      ...Scheduler.describeCell(scheduler),
-    };
+    return views.describeStatus(this.#state);
   }
 
   /** Everything, for `cairngate dump`. */
-  dump(): CellDump {
-    const { lease, links, jobs, scheduler } = this.#state;
-    return {
-      cell: lease.cell,
-      epoch: lease.epoch,
-      holdover: lease.isHoldover,
-      configVersion: this.#state.configVersion,
-      workers: [...links.values()].map((link) => ({
-        name: link.worker.name,
-        sealed: link.isSealed,
-      })),
-      jobs: [...jobs.values()].map((job) => ({
-        id: job.shape.id,
-        kind: job.kind,
-        state: scheduler.get(job.shape.id)?.state ?? "recovering",
-        attempt: job.attempt?.id ?? null,
-        workers: job.attempt?.workers ?? [],
-      })),
-    };
+  dump(): views.CellDump {
+    return views.describeDump(this.#state);
   }
 
   /** Gives the cell back; tasks on the workers go on. */
@@ -366,41 +259,6 @@
     for (const worker of added) this.#follow(worker);
   }
 
-  /** A box that asks again has given its earlier attempt up. */
-  #dropEarlier(jobId: string): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const job = this.#state.jobs.get(jobId);
-      if (job?.kind !== "short") return;
-      const { attempt } = job;
-      if (attempt !== null) {
-        attempt.stopping = true;
-        yield* this.#runner.stopUntilKnown(job, attempt);
-      }
-      this.#runner.releaseShort(job);
-    });
-  }
-
-  #refuseOverload(shape: Types.JobShape): Types.Grant | null {
-    const { scheduler } = this.#state;
-    const team = scheduler.layout.teams.find((t) => t.name === shape.team);
-    if (team === undefined) {
-      return runners.refuseGrant(shape.id, "the team has no cell here", null);
-    }
-    let waiting = 0;
-    for (const job of scheduler.jobs()) {
-      if (job.shape.team !== shape.team) continue;
-      if (job.state === Types.JobState.Waiting) waiting++;
-    }
-    if (waiting < team.waitingLimit) return null;
-    const why = `${waiting} jobs of the team wait already`;
-    return runners.refuseGrant(shape.id, why, this.#retryAfter());
-  }
-
-  #retryAfter(): number {
-    const seconds = 1 + this.#state.jobs.size / WAITING_PER_SECOND;
-    return Math.min(LONGEST_RETRY_AFTER_S, Math.ceil(seconds));
-  }
-
   #currentRecord(job: owned.StoredJob): Types.JobRecord {
     const entry = this.#state.scheduler.get(job.shape.id);
     const state = entry?.state ?? job.record.state;
@@ -410,15 +268,7 @@
   #end(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#state.interruptAll();
-      for (const job of this.#state.jobs.values()) {
-        if (job.kind !== "short" || job.granted === null) continue;
-        const { cell, epoch } = this.#state.lease;
-        // The waiting box asks the next owner.
-        Deferred.doneUnsafe(
-          job.granted,
-          Effect.fail(new Errors.NotOwnerError({ cell, epoch })),
-        );
-      }
+      this.grants.refuseAll();
     });
   }
 }
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -1,5 +1,10 @@
 /** Fakes and builders for tests. */
-export { buildDeployment, buildJobShape, buildTeam } from "./src/builders.ts";
+export {
+  buildDeployment,
+  buildJobShape,
+  buildTeam,
+  printDeployment,
+} from "./src/builders.ts";
 export { FakeClock } from "./src/fake_clock.ts";
 export { FakeNetwork, NetworkHub } from "./src/fake_network.ts";
 export { type AnswerRule, FaultyWorkers, Loss } from "./src/faulty_workers.ts";
--- a/packages/test-utils/src/builders.ts
+++ b/packages/test-utils/src/builders.ts
@@ -1,5 +1,6 @@
 /** Small deployments and jobs. */
 import * as Types from "@cairngate/types";
+import * as Yaml from "yaml";
 
 /** A team; the guarantee is a list of [accelerators, count]. */
 export function buildTeam(
@@ -102,3 +103,12 @@
     ...changes,
   };
 }
+
+/** Text of an operators' file; optional fields are left out, not null. */
+export function printDeployment(cfg: Types.DeploymentConfig): string {
+  const plain = JSON.stringify(
+    cfg,
+    (_, value) => value === null ? undefined : value,
+  );
+  return Yaml.stringify(JSON.parse(plain));
+}
--- a/packages/test-utils/src/test_cluster.ts
+++ b/packages/test-utils/src/test_cluster.ts
@@ -5,7 +5,6 @@
 import * as StandIns from "@cairngate/stand-ins";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
-import * as Yaml from "yaml";
 import * as builders from "./builders.ts";
 import * as clocks from "./fake_clock.ts";
 import * as networks from "./fake_network.ts";
@@ -74,7 +73,7 @@
     }
     await this.run(
       this.box("box_1").configs.apply({
-        text: Yaml.stringify(withoutNulls(this.cfg)),
+        text: builders.printDeployment(this.cfg),
         basedOn: 0,
         applyId: "first",
       }),
@@ -201,10 +200,3 @@
     this.live.set({ ...spec, leaving: false });
   }
 }
-
-/** Optional fields are absent in a file, not null. */
-function withoutNulls(cfg: Types.DeploymentConfig): unknown {
-  return JSON.parse(
-    JSON.stringify(cfg, (_, value) => value === null ? undefined : value),
-  );
-}
