--- a/packages/bench/src/simulate.ts
+++ b/packages/bench/src/simulate.ts
@@ -161,8 +161,8 @@
       case Types.DecisionKind.Start:
         return this.#start(job, decision.slots);
       case Types.DecisionKind.Preempt: {
-        const claimant = this.#jobs.get(decision.claimant)!;
-        claimant.claimedAtMs ??= this.#nowMs;
+        const claimant = this.#jobs.get(decision.claimant ?? "");
+        if (claimant !== undefined) claimant.claimedAtMs ??= this.#nowMs;
         job.run++;
         return this.#push(EventKind.Stopped, this.#nowMs + STOP_MS, job);
       }
--- a/packages/cell/src/cell_manager.ts
+++ b/packages/cell/src/cell_manager.ts
@@ -6,7 +6,7 @@
 import * as leases from "./owner_lease.ts";
 import type * as ports from "./ports.ts";
 
-const LOOK_MS = 200;
+const LOOK_MS = 250;
 /** Each heir waits this much longer than the one before it. */
 const HEIR_STEP_MS = 250;
 const RETRY_MS = 200;
--- a/packages/cell/src/cell_owner.ts
+++ b/packages/cell/src/cell_owner.ts
@@ -17,9 +17,9 @@
 import * as sweeping from "./sweep_ended.ts";
 import * as workerLinks from "./worker_link.ts";
 
-const TICK_MS = 500;
-const RECONSIDER_EVERY_TICKS = 10;
-const SCAN_EVERY_TICKS = 10;
+const TICK_MS = 1000;
+const RECONSIDER_EVERY_TICKS = 5;
+const SCAN_EVERY_TICKS = 5;
 
 /** Owns one cell under one epoch. */
 export class CellOwner {
--- a/packages/cell/src/job_runner.ts
+++ b/packages/cell/src/job_runner.ts
@@ -222,12 +222,17 @@
   }
 
   /** Stops a victim; its claimant starts when the scheduler hears of it. */
-  #preempt(job: owned.OwnedJob, claimant: string): Effect.Effect<void> {
+  #preempt(
+    job: owned.OwnedJob,
+    claimant: string | null,
+  ): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { attempt } = job;
       if (attempt === null || attempt.stopping) return;
       attempt.stopping = true;
-      const detail = `stopped for ${claimant}`;
+      const detail = claimant === null
+        ? "moved to make a rack whole"
+        : `stopped for ${claimant}`;
       this.#state.ports.metrics.count("cairngate_preemptions_total");
       const stopped = yield* this.stopUntilKnown(job, attempt);
       if (job.attempt !== attempt) return;
--- a/packages/measure/bin.ts
+++ b/packages/measure/bin.ts
@@ -9,12 +9,15 @@
     description: "Measure the slopes of docs/CAPACITY.md",
     examples: [["As JSON", "npm run measure -- --json"]],
   });
+  only = Clipanion.Option.String("--only", {
+    description: "One of workers, reports, boxes, tasks, rates",
+  });
   json = Clipanion.Option.Boolean("--json", false);
 
   override async execute(): Promise<number> {
     const report = await measuring.runMeasurements((line) => {
       this.context.stderr.write(`${line}\n`);
-    });
+    }, this.only ?? null);
     if (this.json) {
       this.context.stdout.write(`${JSON.stringify(report)}\n`);
       return 0;
--- a/packages/measure/src/run_measurements.ts
+++ b/packages/measure/src/run_measurements.ts
@@ -45,6 +45,7 @@
 /** Runs everything; `say` hears of each step. */
 export async function runMeasurements(
   say: (line: string) => void,
+  only: string | null = null,
 ): Promise<MeasureReport> {
   const measurements: Measurement[] = [];
   const propagation: { boxes: number; maxMs: number }[] = [];
@@ -52,40 +53,45 @@
     measurements.push(found);
     say(`${found.name}: ${JSON.stringify(found.use)}`);
   };
-  for (const workers of [30, 240, 960, 2896]) {
+  const wants = (kind: string) => only === null || only === kind;
+  for (const workers of wants("workers") ? [30, 240, 960, 2896] : []) {
     await withCluster({ workers, boxes: 3 }, async (cluster) => {
       note(await measure(cluster, "workers", workers));
     });
   }
-  for (const reportWaitMs of [1000, 2000, 6000]) {
+  for (const reportWaitMs of wants("reports") ? [1000, 2000, 6000] : []) {
     const times = { reportWaitMs };
     await withCluster({ workers: 240, boxes: 3, times }, async (cluster) => {
       const rate = 240_000 / reportWaitMs;
       note(await measure(cluster, "reportsPerSecond", rate));
     });
   }
-  for (const boxes of [3, 6, 9]) {
+  for (const boxes of wants("boxes") ? [3, 6, 9] : []) {
     await withCluster({ workers: 30, boxes }, async (cluster) => {
       note(await measure(cluster, "boxes", boxes));
       propagation.push({ boxes, maxMs: await measureApply(cluster) });
     });
   }
-  await withCluster({ workers: 240, boxes: 3 }, async (cluster) => {
-    for (const tasks of [0, 400, 1600]) {
-      await startTasks(cluster, tasks);
-      note(await measure(cluster, "tasks", tasks));
-    }
-  });
-  await withCluster({ workers: 30, boxes: 3 }, async (cluster) => {
-    for (const rate of [0, 20, 60]) {
-      const during = () => sendShortJobs(cluster, rate);
-      note(await measure(cluster, "shortJobsPerSecond", rate, during));
-    }
-    for (const rate of [0, 5, 15]) {
-      const during = () => sendLongJobs(cluster, rate);
-      note(await measure(cluster, "longJobsPerSecond", rate, during));
-    }
-  });
+  if (wants("tasks")) {
+    await withCluster({ workers: 240, boxes: 3 }, async (cluster) => {
+      for (const tasks of [0, 400, 1600]) {
+        await startTasks(cluster, tasks);
+        note(await measure(cluster, "tasks", tasks));
+      }
+    });
+  }
+  if (wants("rates")) {
+    await withCluster({ workers: 30, boxes: 3 }, async (cluster) => {
+      for (const rate of [0, 20, 60]) {
+        const during = () => sendShortJobs(cluster, rate);
+        note(await measure(cluster, "shortJobsPerSecond", rate, during));
+      }
+      for (const rate of [0, 5, 15]) {
+        const during = () => sendLongJobs(cluster, rate);
+        note(await measure(cluster, "longJobsPerSecond", rate, during));
+      }
+    });
+  }
   return { measurements, slopes: fitAll(measurements), propagation };
 }
 
--- a/packages/placement/src/buddy_space.ts
+++ b/packages/placement/src/buddy_space.ts
@@ -47,10 +47,12 @@
 
   /** Runs a search that takes accelerators, then gives them all back. */
   tryOut<T>(search: () => T): T {
+    const outer = this.#trial;
     const before = new Map<number, number>();
     this.#trial = before;
     const found = search();
-    this.#trial = null;
+    // A trial within a trial gives back to the outer one.
+    this.#trial = outer;
     for (const [worker, mask] of before) this.setUsedMask(worker, mask);
     return found;
   }
--- a/packages/scheduler/src/policies.ts
+++ b/packages/scheduler/src/policies.ts
@@ -13,6 +13,8 @@
   readonly reservedShare: number;
   /** Whether packing chooses the place before the guarantee does. */
   readonly packFirst: boolean;
+  /** Whether work is moved to make racks whole while nothing waits. */
+  readonly consolidates: boolean;
   /** Whether urgent work may displace lower tiers on unclaimed capacity. */
   readonly urgentDisplaces: boolean;
 }
@@ -26,6 +28,7 @@
   "no-repair",
   "no-displacement",
   "guarantee-first",
+  "no-consolidation",
 ] as const;
 
 /** Name of a combination of policies. */
@@ -49,6 +52,8 @@
       return { ...base, packing: new packing.FirstFit() };
     case "no-repair":
       return { ...base, repair: new repair.NoRepair() };
+    case "no-consolidation":
+      return { ...base, consolidates: false };
     case "guarantee-first":
       return { ...base, packFirst: false };
     case "no-displacement":
@@ -67,6 +72,7 @@
     repair: new repair.OpenBlocks(repairShare),
     reservedShare: RESERVED_SHARE,
     packFirst: true,
+    consolidates: weighting.fragmentation > weighting.completionTime,
     urgentDisplaces: true,
   };
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -4,6 +4,7 @@
  * arguments.
  */
 import * as Types from "@cairngate/types";
+import * as consolidations from "./consolidation.ts";
 import * as explanations from "./explain.ts";
 import * as entries from "./job_entry.ts";
 import type * as layouts from "./layout.ts";
@@ -136,7 +137,10 @@
   override plan(nowMs: number): Types.Decision[] {
     const decisions: Types.Decision[] = [];
     this.#startReady(decisions, nowMs);
-    if (nowMs - this.#fullAtMs >= FULL_PASS_MS) this.#unblockAll(nowMs);
+    if (nowMs - this.#fullAtMs >= FULL_PASS_MS) {
+      this.#unblockAll(nowMs);
+      this.#consolidate(decisions, nowMs);
+    }
     for (const lane of this.#orderLanes()) {
       this.#planLane(lane, decisions, nowMs);
     }
@@ -163,6 +167,25 @@
     for (const lane of this.#queue.lanes()) lane.blockedAt = -1;
   }
 
+  /** Moves the work of one rack while nothing waits. */
+  #consolidate(decisions: Types.Decision[], nowMs: number): void {
+    if (!this.#policies.consolidates || this.#queue.lanes().length > 0) return;
+    const { occupancy } = this;
+    const { packing } = this.#policies;
+    const moved = consolidations.findConsolidation({
+      occupancy,
+      packing,
+      nowMs,
+    });
+    for (const entry of moved) {
+      entry.state = Types.JobState.Yielding;
+      const detail = "to make a rack whole";
+      entries.note(entry, Types.ReasonKind.Moved, { atMs: nowMs, detail });
+      const kind = Types.DecisionKind.Preempt as const;
+      decisions.push({ kind, jobId: entry.shape.id, claimant: null });
+    }
+  }
+
   #enqueue(entry: entries.JobEntry): void {
     if (entry.sequence === 0) entry.sequence = ++this.#arrivals;
     entry.key = this.#policies.order.key({
--- a/packages/scheduler/src/scheduler_test.ts
+++ b/packages/scheduler/src/scheduler_test.ts
@@ -153,6 +153,36 @@
   });
 });
 
+describe("where fragmentation weighs more", () => {
+  test("work is moved to make a rack whole while nothing waits", () => {
+    const weighting = { completionTime: 0.3, fragmentation: 0.7 };
+    const cfg = buildDeployment({ racks: 2, weighting });
+    const scheduler = createScheduler(cfg);
+    const half = { accelerators: 8, gang: 4, estimateMs: 36_000_000 };
+    for (const id of ["first", "second"]) {
+      scheduler.submit(buildJobShape(id, half), { nowMs: 0 });
+    }
+    scheduler.plan(0);
+    const small = { accelerators: 2, estimateMs: 36_000_000 };
+    scheduler.submit(buildJobShape("small", small), { nowMs: 1 });
+    scheduler.plan(1);
+    scheduler.finish("second");
+    const racks = () =>
+      new Set(
+        ["first", "small"].flatMap((id) => scheduler.get(id)!.slots)
+          .map((slot) => Math.floor(slot.worker / 8)),
+      );
+    expect(racks().size).toBe(2);
+    const nowMs = 3_600_000;
+    const decisions = scheduler.plan(nowMs);
+    expect(decisions).toMatchObject([{ jobId: "small", claimant: null }]);
+    const options = { nowMs, progress: 0.1, detail: "moved" };
+    scheduler.requeue("small", options);
+    scheduler.plan(nowMs + 1);
+    expect(racks().size).toBe(1);
+  });
+});
+
 describe("explanations", () => {
   test("name the quota that a job waits for", () => {
     const teams = [buildTeam("a", { quota: 1 })];
--- a/packages/test-utils/src/test_cluster.ts
+++ b/packages/test-utils/src/test_cluster.ts
@@ -16,8 +16,8 @@
   heartbeatMs: 500,
   peerTimeoutMs: 1400,
   ownerLeaseMs: 6000,
-  configPollMs: 1000,
-  livePollMs: 1000,
+  configPollMs: 2000,
+  livePollMs: 1500,
   reportWaitMs: 10_000,
   stopGraceMs: 30_000,
 };
--- a/packages/types/src/decision.ts
+++ b/packages/types/src/decision.ts
@@ -36,7 +36,8 @@
 export interface PreemptDecision {
   readonly kind: DecisionKind.Preempt;
   readonly jobId: string;
-  readonly claimant: string;
+  /** The job that gains from it; null where a rack is made whole. */
+  readonly claimant: string | null;
 }
 
 /** The deadline passed while the job waited; it never ran. */
@@ -55,6 +56,7 @@
   PlacedOpportunistic = "placed-opportunistic",
   Claiming = "claiming",
   Yielded = "yielded",
+  Moved = "moved",
   Requeued = "requeued",
   Finished = "finished",
   Cancelled = "cancelled",
