Split four large files, keep final states and refusals in one place

Change: the stand-in's task, the dispatch of a short job and the choice inside a block have files of their own; the drill takes the worker that got work last for its faults, since an idle one proved nothing; the bench keeps the peak of its heap.

--- a/packages/adapters/src/http_platform.ts
+++ b/packages/adapters/src/http_platform.ts
@@ -19,16 +19,14 @@
 
 /** Adapter of the table service's port. */
 export class HttpTable extends Platform.TableService {
-  readonly #caller: HttpJson.HttpCaller;
-  readonly #address: string;
+  readonly #platform: PlatformCaller;
 
   constructor(
     address: string,
     listener: HttpJson.TrafficListener | null = null,
   ) {
     super();
-    this.#address = address;
-    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
+    this.#platform = new PlatformCaller(address, listener);
   }
 
   override read(keys: readonly string[]) {
@@ -42,7 +40,7 @@
 
   override transact(tx: Platform.Transaction) {
     const path = "/v1/table/transact";
-    const call = callPlatform(this.#caller, this.#address, {
+    const call = this.#platform.call({
       method: "POST",
       path,
       body: tx,
@@ -65,7 +63,7 @@
     body: unknown,
   ): Effect.Effect<A, Platform.StoreError> {
     const path = `/v1/table/${operation}`;
-    const call = callPlatform(this.#caller, this.#address, {
+    const call = this.#platform.call({
       method: "POST",
       path,
       body,
@@ -76,20 +74,18 @@
 
 /** Adapter of the object store's port. */
 export class HttpObjectStore extends Platform.ObjectStore {
-  readonly #caller: HttpJson.HttpCaller;
-  readonly #address: string;
+  readonly #platform: PlatformCaller;
 
   constructor(
     address: string,
     listener: HttpJson.TrafficListener | null = null,
   ) {
     super();
-    this.#address = address;
-    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
+    this.#platform = new PlatformCaller(address, listener);
   }
 
   override put(key: string, value: unknown) {
-    const call = callPlatform(this.#caller, this.#address, {
+    const call = this.#platform.call({
       method: "PUT",
       path: `/v1/objects/${encodeURIComponent(key)}`,
       body: { value },
@@ -98,7 +94,7 @@
   }
 
   override get(key: string) {
-    const call = callPlatform(this.#caller, this.#address, {
+    const call = this.#platform.call({
       method: "GET",
       path: `/v1/objects/${encodeURIComponent(key)}`,
     });
@@ -114,22 +110,20 @@
 
 /** Adapter of the live list's port. */
 export class HttpLiveList extends Platform.LiveList {
-  readonly #caller: HttpJson.HttpCaller;
-  readonly #address: string;
+  readonly #platform: PlatformCaller;
 
   constructor(
     address: string,
     listener: HttpJson.TrafficListener | null = null,
   ) {
     super();
-    this.#address = address;
-    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
+    this.#platform = new PlatformCaller(address, listener);
   }
 
   override workers(knownTag: string | null) {
     const headers: Record<string, string> = {};
     if (knownTag !== null) headers["if-none-match"] = `"${knownTag}"`;
-    const call = callPlatform(this.#caller, this.#address, {
+    const call = this.#platform.call({
       method: "GET",
       path: "/v1/live",
       headers,
@@ -141,21 +135,30 @@
   }
 }
 
-function callPlatform(
-  caller: HttpJson.HttpCaller,
-  address: string,
-  what: HttpJson.HttpCall,
-): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
-  const operation = `${what.method} ${what.path}`;
-  return Effect.matchEffect(caller.call(address, what), {
-    onFailure: (err) =>
-      Effect.fail<Platform.StoreError>(
-        err.neverSent
-          ? new Errors.StoreUnavailableError({ operation, cause: err.cause })
-          : new Errors.AnswerLostError({ operation }),
-      ),
-    onSuccess: (reply) => checkStatus(operation, reply),
-  });
+/** Calls one platform; tells an outage from a lost answer. */
+class PlatformCaller {
+  readonly #caller: HttpJson.HttpCaller;
+  readonly #address: string;
+
+  constructor(address: string, listener: HttpJson.TrafficListener | null) {
+    this.#address = address;
+    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
+  }
+
+  call(
+    what: HttpJson.HttpCall,
+  ): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
+    const operation = `${what.method} ${what.path}`;
+    return Effect.matchEffect(this.#caller.call(this.#address, what), {
+      onFailure: (err) =>
+        Effect.fail<Platform.StoreError>(
+          err.neverSent
+            ? new Errors.StoreUnavailableError({ operation, cause: err.cause })
+            : new Errors.AnswerLostError({ operation }),
+        ),
+      onSuccess: (reply) => checkStatus(operation, reply),
+    });
+  }
 }
 
 function checkStatus(
--- a/packages/bench/src/readings.ts
+++ b/packages/bench/src/readings.ts
@@ -33,7 +33,8 @@
   readonly decisionsPerSecond: number;
   readonly planP50Ms: number;
   readonly planP99Ms: number;
-  readonly heapMb: number;
+  /** Largest heap seen. */
+  readonly heapPeakMb: number;
   readonly ended: number;
   readonly expired: number;
 }
@@ -154,7 +155,7 @@
   }
 
   /** All readings at the end. */
-  summarize(heapMb: number): Summary {
+  summarize(heapPeakMb: number): Summary {
     const completion: Record<string, TierSummary> = {};
     for (const [tier, seconds] of this.#completions) {
       completion[tier] = this.#summarizeTier(tier, seconds);
@@ -181,7 +182,7 @@
       decisionsPerSecond: this.#decisions / (this.#planMs / 1000),
       planP50Ms: this.#plans.quantileMs("plan", 50),
       planP99Ms: this.#plans.quantileMs("plan", 99),
-      heapMb,
+      heapPeakMb,
       ended: this.#ended,
       expired: this.#expired,
     };
--- a/packages/bench/src/render_report.ts
+++ b/packages/bench/src/render_report.ts
@@ -63,7 +63,7 @@
   ["decisions a second", "decisionsPerSecond"],
   ["plan p50 ms", "planP50Ms"],
   ["plan p99 ms", "planP99Ms"],
-  ["heap MB", "heapMb"],
+  ["peak heap MB", "heapPeakMb"],
   ["jobs ended", "ended"],
   ["jobs expired", "expired"],
 ];
--- a/packages/bench/src/simulate.ts
+++ b/packages/bench/src/simulate.ts
@@ -10,6 +10,8 @@
 
 /** Time to write a checkpoint and stop, in milliseconds. */
 const STOP_MS = 2000;
+/** Rounds of decisions between two looks at the memory. */
+const ROUNDS_PER_SAMPLE = 500;
 /** Time to load a checkpoint, in milliseconds. */
 const RESTORE_MS = 10_000;
 
@@ -72,6 +74,8 @@
   readonly #space: Placement.BuddySpace;
   readonly #readings: readings.Readings;
   #nowMs = 0;
+  #peakMb = 0;
+  #rounds = 0;
 
   constructor(options: SimulationOptions) {
     this.#options = options;
@@ -99,8 +103,13 @@
       if (this.#events.peek()?.atMs === event.atMs) continue;
       this.#plan();
     }
-    const memoryMb = process.memoryUsage().heapUsed / 1e6;
-    return this.#readings.summarize(memoryMb);
+    this.#noteMemory();
+    return this.#readings.summarize(this.#peakMb);
+  }
+
+  #noteMemory(): void {
+    const heapMb = process.memoryUsage().heapUsed / 1e6;
+    this.#peakMb = Math.max(this.#peakMb, heapMb);
   }
 
   #addArrival(job: traces.TraceJob, index: number): void {
@@ -148,6 +157,7 @@
   }
 
   #plan(): void {
+    if (this.#rounds++ % ROUNDS_PER_SAMPLE === 0) this.#noteMemory();
     const startMs = perf.performance.now();
     const decisions = this.#options.scheduler.plan(this.#nowMs);
     this.#readings.planned(perf.performance.now() - startMs, decisions.length);
--- a/packages/cell/src/grants.ts
+++ b/packages/cell/src/grants.ts
@@ -4,7 +4,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as states from "./cell_state.ts";
-import * as runners from "./job_runner.ts";
+import type * as runners from "./job_runner.ts";
 
 const LONGEST_RETRY_AFTER_S = 30;
 const WAITING_PER_SECOND = 50;
@@ -44,7 +44,7 @@
       if (timed !== null) return timed.value;
       yield* this.withdraw(shape.id);
       const why = "no place became free in time";
-      return runners.refuseGrant(shape.id, why, this.#retryAfter());
+      return Types.createRefusal(shape.id, why, this.#retryAfter());
     });
   }
 
@@ -116,7 +116,7 @@
     const { scheduler } = this.#state;
     const team = scheduler.layout.teams.find((t) => t.name === shape.team);
     if (team === undefined) {
-      return runners.refuseGrant(shape.id, "the team has no cell here", null);
+      return Types.createRefusal(shape.id, "the team has no cell here", null);
     }
     let waiting = 0;
     for (const job of scheduler.jobs()) {
@@ -125,7 +125,7 @@
     }
     if (waiting < team.waitingLimit) return null;
     const why = `${waiting} jobs of the team wait already`;
-    return runners.refuseGrant(shape.id, why, this.#retryAfter());
+    return Types.createRefusal(shape.id, why, this.#retryAfter());
   }
 
   #retryAfter(): number {
--- a/packages/cell/src/job_records.ts
+++ b/packages/cell/src/job_records.ts
@@ -11,19 +11,6 @@
 const ROW_RESULT_BYTES = 16_000;
 const RETRY_MS = 500;
 
-const FINAL_STATES: ReadonlySet<Types.JobState> = new Set([
-  Types.JobState.Done,
-  Types.JobState.Failed,
-  Types.JobState.Cancelled,
-  Types.JobState.NotRun,
-  Types.JobState.Unknown,
-]);
-
-/** Whether a job in this state has ended. */
-export function isFinal(state: Types.JobState): boolean {
-  return FINAL_STATES.has(state);
-}
-
 /** Reads and writes the rows of one cell's stored jobs. */
 export class JobRecords {
   readonly #ports: ports.CellPorts;
@@ -76,7 +63,7 @@
     const key = TableClient.Keys.jobKey(cell, record.job.id);
     const value = { ...record, updatedAtMs: this.#ports.clock.wallMs() };
     const writes: Platform.RowWrite[] = [{ key, value }];
-    if (isFinal(record.state)) {
+    if (Types.isFinalState(record.state)) {
       // Ended jobs move away, so that an heir reads only what is left to do.
       const endedKey = TableClient.Keys.endedKey(cell, record.job.id);
       writes[0] = { key, value: null };
--- a/packages/cell/src/job_runner.ts
+++ b/packages/cell/src/job_runner.ts
@@ -280,7 +280,7 @@
     if (job.granted === null) return;
     Deferred.doneUnsafe(
       job.granted,
-      Effect.succeed(refuseGrant(job.shape.id, why, null)),
+      Effect.succeed(Types.createRefusal(job.shape.id, why, null)),
     );
   }
 
@@ -301,22 +301,3 @@
 ): Types.JobRecord {
   return { ...job.record, state, reason };
 }
-
-/** A reply to `Place` that says: not run. */
-export function refuseGrant(
-  jobId: string,
-  reason: string,
-  retryAfterSeconds: number | null,
-): Types.Grant {
-  return {
-    kind: Types.GrantKind.NotRun,
-    jobId,
-    attempt: "",
-    epoch: 0,
-    worker: "",
-    endpoint: "",
-    mask: 0,
-    reason,
-    retryAfterSeconds,
-  };
-}
--- a/packages/cell/src/recovery.ts
+++ b/packages/cell/src/recovery.ts
@@ -4,7 +4,6 @@
  */
 import * as Types from "@cairngate/types";
 import type * as states from "./cell_state.ts";
-import * as records from "./job_records.ts";
 import type * as runners from "./job_runner.ts";
 import * as owned from "./owned_job.ts";
 import * as workerLinks from "./worker_link.ts";
@@ -29,7 +28,7 @@
   /** Takes in a stored job from its row. */
   addStored(record: Types.JobRecord): void {
     if (this.#state.jobs.has(record.job.id)) return;
-    if (records.isFinal(record.state)) return;
+    if (Types.isFinalState(record.state)) return;
     if (this.#state.endedIds.has(record.job.id)) return;
     const job = owned.createStoredJob(record);
     this.#state.jobs.set(record.job.id, job);
--- a/packages/drill/bin.ts
+++ b/packages/drill/bin.ts
@@ -16,6 +16,7 @@
     description: "How many seeds, one after another",
   });
   boxes = Clipanion.Option.String("--boxes", "9");
+  workers = Clipanion.Option.String("--workers", String(drill.DEFAULT_WORKERS));
   minutes = Clipanion.Option.String("--minutes", "1");
   logs = Clipanion.Option.String("--logs", {
     description: "Folder for the logs of the processes",
@@ -42,6 +43,7 @@
         seed: Number(this.seed) + i,
         boxes,
         minutes: Number(this.minutes),
+        workers: Number(this.workers),
         logFolder: this.logs ?? null,
       });
       this.#print(report);
--- a/packages/drill/src/faults.ts
+++ b/packages/drill/src/faults.ts
@@ -42,20 +42,17 @@
   readonly #cluster: LocalCluster.LocalCluster;
   readonly #load: loads.Load;
   readonly #random: Rand.RandomGenerator;
-  readonly #workers: number;
 
   constructor(
     parts: {
       cluster: LocalCluster.LocalCluster;
       load: loads.Load;
       random: Rand.RandomGenerator;
-      workers: number;
     },
   ) {
     this.#cluster = parts.cluster;
     this.#load = parts.load;
     this.#random = parts.random;
-    this.#workers = parts.workers;
   }
 
   /** One fault of each kind in seeded order, again until the time is over. */
@@ -151,7 +148,7 @@
   }
 
   async #leavingWorker(): Promise<void> {
-    const worker = this.#chooseWorker();
+    const worker = await this.#chooseBusyWorker();
     const atMs = Date.now();
     const listOnly = true;
     await this.#control("leaving", { worker, leaving: true, listOnly });
@@ -161,7 +158,8 @@
   }
 
   async #restartWorker(): Promise<void> {
-    await this.#control("restart", { worker: this.#chooseWorker() });
+    const worker = await this.#chooseBusyWorker();
+    await this.#control("restart", { worker });
   }
 
   async #raceApplies(): Promise<void> {
@@ -209,12 +207,12 @@
     this.#load.avoided.delete(box);
   }
 
-  #chooseWorker(): string {
-    const names = Array.from(
-      { length: this.#workers },
-      (_, i) => `worker_${i}`,
-    );
-    return dice.choose(this.#random, names);
+  /** The worker that got work last: an idle one would prove nothing. */
+  async #chooseBusyWorker(): Promise<string> {
+    const { platform, client } = this.#cluster;
+    const reply = await client.get(platform, "/ledger");
+    const entries = Object.values(reply.body) as { worker: string }[];
+    return entries.at(-1)?.worker ?? "worker_0";
   }
 
   #setFaults(faults: Readonly<Record<string, unknown>>) {
--- a/packages/drill/src/run_drill.ts
+++ b/packages/drill/src/run_drill.ts
@@ -13,10 +13,12 @@
   readonly seed: number;
   readonly boxes: number;
   readonly minutes: number;
+  readonly workers: number;
   readonly logFolder: string | null;
 }
 
-const WORKERS = 16;
+/** Workers of a drill where no number is given. */
+export const DEFAULT_WORKERS = 16;
 const FIRST_PORT = 8500;
 const WORKER_PORT = 8700;
 const LONG_WAIT_S = 30;
@@ -32,12 +34,7 @@
   try {
     await cluster.start();
     const load = new loads.Load(cluster, random);
-    const fault = new faults.Faults({
-      cluster,
-      load,
-      random,
-      workers: WORKERS,
-    });
+    const fault = new faults.Faults({ cluster, load, random });
     const watch = new watches.VersionWatch(cluster);
     const startMs = Date.now();
     const running = load.run();
@@ -71,7 +68,7 @@
 function createCluster(options: DrillOptions): LocalCluster.LocalCluster {
   const text = LocalCluster.makeDeployment({
     name: "drill",
-    workers: WORKERS,
+    workers: options.workers,
     teams: 2,
     cells: 1,
     firstWorkerPort: WORKER_PORT,
@@ -117,16 +114,18 @@
 /** Quantiles over all boxes: the slowest box counts. */
 async function readPropagation(
   cluster: LocalCluster.LocalCluster,
-): Promise<{ p50Ms: number; p99Ms: number }> {
+): Promise<Propagation> {
   let p50Ms = 0;
   let p99Ms = 0;
+  let maxMs = 0;
   for (const box of cluster.running()) {
     const reply = await cluster.client.get(cluster.operators(box), "/metrics");
     const text = String(reply.body["text"]);
     p50Ms = Math.max(p50Ms, readQuantile(text, "0.5") * 1000);
     p99Ms = Math.max(p99Ms, readQuantile(text, "0.99") * 1000);
+    maxMs = Math.max(maxMs, readQuantile(text, "1") * 1000);
   }
-  return { p50Ms, p99Ms };
+  return { p50Ms, p99Ms, maxMs };
 }
 
 function readQuantile(text: string, quantile: string): number {
@@ -135,6 +134,13 @@
   return Number(line?.slice(name.length + 1) ?? 0);
 }
 
+/** Times until a version was in force. */
+interface Propagation {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+}
+
 interface ReportParts {
   readonly options: DrillOptions;
   readonly seconds: number;
@@ -142,7 +148,7 @@
   readonly log: faults.FaultLog;
   readonly longEnded: Readonly<Record<string, number>>;
   readonly ledger: readonly StandIns.LedgerEntry[];
-  readonly config: { p50Ms: number; p99Ms: number };
+  readonly config: Propagation;
   readonly reversals: number;
 }
 
@@ -185,7 +191,6 @@
       applied: log.applied,
       conflicts: log.conflicts,
       ...parts.config,
-      maxMs: parts.config.p99Ms,
     },
   };
 }
--- /dev/null
+++ b/packages/entry/src/dispatch.ts
@@ -0,0 +1,68 @@
+/** The order that carries a short job to its worker, and its answer. */
+import type * as Platform from "@cairngate/platform";
+import * as Types from "@cairngate/types";
+
+const HOLD_MS = 5000;
+const LEASE_MS = 600_000;
+
+/** How one dispatch ended. */
+export type Dispatch =
+  | { readonly kind: "answered"; readonly result: unknown }
+  /** Proved not to have run. */
+  | { readonly kind: "not-started"; readonly why: string }
+  | { readonly kind: "uncertain"; readonly why: string };
+
+/** The part of a job that the owner needs; the input stays here. */
+export function toShape(job: Types.Job): Types.JobShape {
+  const { kind: _, cell: __, work: ___, input: ____, ...rest } = job;
+  const { idempotencyKey: _____, ...shape } = rest;
+  return shape;
+}
+
+/** The order for a granted job; it carries the request that waits. */
+export function makeOrder(
+  flight: { readonly job: Types.Job; readonly request: string },
+  grant: Types.Grant,
+  box: string,
+): Types.HoldOrder {
+  const { job, request } = flight;
+  return {
+    jobId: job.id,
+    attempt: grant.attempt,
+    rank: 0,
+    fence: { cell: job.cell, epoch: grant.epoch },
+    team: job.team,
+    mask: grant.mask,
+    gang: 1,
+    work: job.work,
+    input: job.input,
+    estimateMs: job.estimateMs,
+    repeatable: job.repeatable,
+    checkpointMs: job.checkpointMs,
+    progress: 0,
+    holdMs: HOLD_MS,
+    leaseMs: LEASE_MS,
+    caller: { box, request },
+    spec: toShape(job),
+  };
+}
+
+/** What a failure of a worker proves. */
+export function readFailure(err: Platform.WorkerError): Dispatch {
+  if (err._tag === "WorkerRefusedError") {
+    return { kind: "not-started", why: err.message };
+  }
+  if (err.neverSent) return { kind: "not-started", why: err.message };
+  return { kind: "uncertain", why: err.message };
+}
+
+/** Whether an answer is to this very request. */
+export function isOwnAnswer(
+  order: Types.HoldOrder,
+  answer: Types.TaskAnswer,
+): boolean {
+  return answer.jobId === order.jobId &&
+    answer.attempt === order.attempt &&
+    answer.caller?.request === order.caller?.request &&
+    answer.caller?.box === order.caller?.box;
+}
--- a/packages/entry/src/short_jobs.ts
+++ b/packages/entry/src/short_jobs.ts
@@ -2,9 +2,9 @@
  * Runs a short job while its caller waits: asks the owner for a place, sends
  * the work to the worker itself, and takes only the answer to its own request.
  */
-import type * as Platform from "@cairngate/platform";
 import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
+import * as dispatches from "./dispatch.ts";
 import * as intents from "./intents.ts";
 import * as outcomes from "./outcomes.ts";
 import type * as ports from "./ports.ts";
@@ -15,17 +15,8 @@
 const RELEASE_MS = 6000;
 /** Time a dispatched job has beyond its deadline to deliver its answer. */
 const ANSWER_MARGIN_MS = 200;
-const HOLD_MS = 5000;
-const LEASE_MS = 600_000;
 const RETRY_AFTER_S = 2;
 
-/** How one dispatch ended. */
-type Dispatch =
-  | { readonly kind: "answered"; readonly result: unknown }
-  /** Proved not to have run. */
-  | { readonly kind: "not-started"; readonly why: string }
-  | { readonly kind: "uncertain"; readonly why: string };
-
 /** One short job on its way. */
 interface Flight {
   readonly job: Types.Job;
@@ -139,8 +130,8 @@
       let why = "no box owns the cell";
       for (;;) {
         const waitMs = Math.floor(flight.untilMs - clock.monotonicMs());
-        if (waitMs <= 0) return refusal(job.id, why);
-        const shape = toShape(job);
+        if (waitMs <= 0) return Types.createRefusal(job.id, why, RETRY_AFTER_S);
+        const shape = dispatches.toShape(job);
         const kind = Types.PeerKind.Place as const;
         const { cell } = job;
         const req = { kind, cell, box, request, shape, waitMs };
@@ -178,7 +169,10 @@
     });
   }
 
-  #dispatch(flight: Flight, grant: Types.Grant): Effect.Effect<Dispatch> {
+  #dispatch(
+    flight: Flight,
+    grant: Types.Grant,
+  ): Effect.Effect<dispatches.Dispatch> {
     return Effect.gen({ self: this }, function* () {
       const { clock, workers, owners, metrics } = this.#ports;
       if (owners.isWorkerLeaving(grant.worker)) {
@@ -186,10 +180,12 @@
       }
       metrics.count("cairngate_dispatches_total");
       const limitMs = flight.untilMs - clock.monotonicMs() + ANSWER_MARGIN_MS;
-      const order = makeOrder(flight, grant, this.#ports.box);
+      const order = dispatches.makeOrder(flight, grant, this.#ports.box);
       const run = workers.run(grant.endpoint, order);
       const ended = yield* Effect.result(clock.within(limitMs, run));
-      if (ended._tag === "Failure") return readFailure(ended.failure);
+      if (ended._tag === "Failure") {
+        return dispatches.readFailure(ended.failure);
+      }
       if (ended.success === null) {
         return { kind: "uncertain", why: "no answer by the deadline" } as const;
       }
@@ -198,12 +194,11 @@
   }
 
   /** Only the answer to this very request counts. */
-  #checkAnswer(order: Types.HoldOrder, answer: Types.TaskAnswer): Dispatch {
-    const isOwn = answer.jobId === order.jobId &&
-      answer.attempt === order.attempt &&
-      answer.caller?.request === order.caller?.request &&
-      answer.caller?.box === order.caller?.box;
-    if (!isOwn) {
+  #checkAnswer(
+    order: Types.HoldOrder,
+    answer: Types.TaskAnswer,
+  ): dispatches.Dispatch {
+    if (!dispatches.isOwnAnswer(order, answer)) {
       this.#ports.metrics.count("cairngate_foreign_answers_total");
       return { kind: "uncertain", why: "the answer was not to this request" };
     }
@@ -217,7 +212,7 @@
   #conclude(
     flight: Flight,
     grant: Types.Grant,
-    dispatch: Dispatch,
+    dispatch: dispatches.Dispatch,
   ): Effect.Effect<Types.Outcome | null> {
     return Effect.gen({ self: this }, function* () {
       const { job } = flight;
@@ -311,59 +306,3 @@
       .pipe(Effect.catch(() => Effect.succeed(null)));
   }
 }
-
-function refusal(jobId: string, reason: string): Types.Grant {
-  return {
-    kind: Types.GrantKind.NotRun,
-    jobId,
-    attempt: "",
-    epoch: 0,
-    worker: "",
-    endpoint: "",
-    mask: 0,
-    reason,
-    retryAfterSeconds: RETRY_AFTER_S,
-  };
-}
-
-/** The part of a job that the owner needs; the input stays here. */
-function toShape(job: Types.Job): Types.JobShape {
-  const { kind: _, cell: __, work: ___, input: ____, ...rest } = job;
-  const { idempotencyKey: _____, ...shape } = rest;
-  return shape;
-}
-
-function makeOrder(
-  flight: Flight,
-  grant: Types.Grant,
-  box: string,
-): Types.HoldOrder {
-  const { job, request } = flight;
-  return {
-    jobId: job.id,
-    attempt: grant.attempt,
-    rank: 0,
-    fence: { cell: job.cell, epoch: grant.epoch },
-    team: job.team,
-    mask: grant.mask,
-    gang: 1,
-    work: job.work,
-    input: job.input,
-    estimateMs: job.estimateMs,
-    repeatable: job.repeatable,
-    checkpointMs: job.checkpointMs,
-    progress: 0,
-    holdMs: HOLD_MS,
-    leaseMs: LEASE_MS,
-    caller: { box, request },
-    spec: toShape(job),
-  };
-}
-
-function readFailure(err: Platform.WorkerError): Dispatch {
-  if (err._tag === "WorkerRefusedError") {
-    return { kind: "not-started", why: err.message };
-  }
-  if (err.neverSent) return { kind: "not-started", why: err.message };
-  return { kind: "uncertain", why: err.message };
-}
--- a/packages/entry/src/stored_jobs.ts
+++ b/packages/entry/src/stored_jobs.ts
@@ -60,7 +60,9 @@
           return yield* new Errors.UnknownJobError({ jobId });
         }
         const isOver = clock.monotonicMs() >= untilMs;
-        if (isOver || hasEnded(record)) return yield* this.#withResult(record);
+        if (isOver || Types.isFinalState(record.state)) {
+          return yield* this.#withResult(record);
+        }
         yield* clock.sleep(POLL_MS);
       }
     });
@@ -150,16 +152,3 @@
     updatedAtMs: nowMs,
   };
 }
-
-const ENDED: ReadonlySet<Types.JobState> = new Set([
-  Types.JobState.Done,
-  Types.JobState.Failed,
-  Types.JobState.Cancelled,
-  Types.JobState.NotRun,
-  Types.JobState.Unknown,
-]);
-
-/** Whether a job has ended. */
-export function hasEnded(record: Types.JobRecord): boolean {
-  return ENDED.has(record.state);
-}
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -1,7 +1,8 @@
 /** The metrics of one process. */
 import * as Hdr from "hdr-histogram-js";
 
-const QUANTILES: readonly number[] = [50, 95, 99];
+/** 100 is the largest value seen. */
+const QUANTILES: readonly number[] = [50, 95, 99, 100];
 const HIGHEST_MS = 3_600_000;
 
 interface Series {
--- a/packages/scheduler/src/find_guaranteed.ts
+++ b/packages/scheduler/src/find_guaranteed.ts
@@ -4,9 +4,9 @@
  */
 import * as Placement from "@cairngate/placement";
 import * as Types from "@cairngate/types";
-import * as entries from "./job_entry.ts";
+import * as regions from "./choose_in_region.ts";
+import type * as entries from "./job_entry.ts";
 import type * as occupancies from "./occupancy.ts";
-import * as packing from "./packing_policy.ts";
 
 /** A place within the guarantee. */
 export interface GuaranteedPlace {
@@ -15,24 +15,7 @@
   readonly victims: Set<entries.JobEntry>;
 }
 
-/** Where and when to search. */
-export interface GuaranteedSearch {
-  readonly occupancy: occupancies.Occupancy;
-  readonly nowMs: number;
-  /** Whether running work may be made to yield. */
-  readonly mayEvict: boolean;
-  /** Racks to look at. */
-  readonly racks: readonly number[];
-}
-
-/** A choice of sub-blocks in one region, with its price. */
-interface RegionChoice {
-  readonly slots: Types.Slot[];
-  readonly victims: Set<entries.JobEntry>;
-  readonly cost: number;
-}
-
-interface Candidate extends RegionChoice {
+interface Candidate extends regions.RegionChoice {
   readonly position: Placement.BlockPosition;
 }
 
@@ -45,7 +28,7 @@
  */
 export function findGuaranteedPlace(
   entry: entries.JobEntry,
-  search: GuaranteedSearch,
+  search: regions.GuaranteedSearch,
 ): GuaranteedPlace | null {
   const whole = findInOneRegion(entry, entry.shape.gang, search);
   if (whole !== null) return whole;
@@ -72,7 +55,7 @@
 function findInOneRegion(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch,
+  search: regions.GuaranteedSearch,
 ): GuaranteedPlace | null {
   const bound = findInBound(entry, members, search);
   if (bound !== null && bound.cost === 0) return toPlace(bound, bound.id);
@@ -86,14 +69,17 @@
   return bound === null ? null : toPlace(bound, bound.id);
 }
 
-function toPlace(choice: RegionChoice, boundId: number): GuaranteedPlace {
+function toPlace(
+  choice: regions.RegionChoice,
+  boundId: number,
+): GuaranteedPlace {
   const { slots, victims } = choice;
   return { slots, victims, boundIds: slots.map(() => boundId) };
 }
 
 function findMemberByMember(
   entry: entries.JobEntry,
-  search: GuaranteedSearch,
+  search: regions.GuaranteedSearch,
 ): GuaranteedPlace | null {
   const { occupancy } = search;
   const slots: Types.Slot[] = [];
@@ -119,12 +105,15 @@
 function findInBound(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch,
-): (RegionChoice & { id: number }) | null {
-  let best: (RegionChoice & { id: number }) | null = null;
+  search: regions.GuaranteedSearch,
+): (regions.RegionChoice & { id: number }) | null {
+  let best: (regions.RegionChoice & { id: number }) | null = null;
   for (const bound of search.occupancy.ledger.boundOf(entry.shape.team)) {
     if (!search.racks.includes(bound.rack)) continue;
-    const choice = chooseInRegion(entry, members, { ...search, region: bound });
+    const choice = regions.chooseInRegion(entry, members, {
+      ...search,
+      region: bound,
+    });
     if (choice === null) continue;
     if (best === null || choice.cost < best.cost) {
       best = { ...choice, id: bound.id };
@@ -136,7 +125,7 @@
 function findNewBinding(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch,
+  search: regions.GuaranteedSearch,
 ): Candidate | null {
   const unbound = search.occupancy.ledger.unboundOf(entry.shape.team);
   const least = Math.max(
@@ -154,7 +143,7 @@
 function bestBinding(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch & { order: number },
+  search: regions.GuaranteedSearch & { order: number },
 ): Candidate | null {
   const { ledger } = search.occupancy;
   // Guarantees that are already short do not take away one that still fits.
@@ -174,7 +163,7 @@
 function firstFreeBinding(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch & { order: number },
+  search: regions.GuaranteedSearch & { order: number },
   mayBind: (found: Candidate) => boolean,
 ): Candidate | null {
   for (const rack of rankRacks(entry, members, search)) {
@@ -196,7 +185,7 @@
 function rankRacks(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch & { order: number },
+  search: regions.GuaranteedSearch & { order: number },
 ): RankedRack[] {
   const { ledger, space } = search.occupancy;
   const ranked: RankedRack[] = [];
@@ -216,7 +205,7 @@
 function listInRack(
   entry: entries.JobEntry,
   members: number,
-  search: GuaranteedSearch & { order: number; rack: number },
+  search: regions.GuaranteedSearch & { order: number; rack: number },
 ): Candidate[] {
   const { rack, order, occupancy } = search;
   const found: Candidate[] = [];
@@ -228,7 +217,7 @@
   ) {
     const position = { rack, offset, order };
     if (!occupancy.ledger.space.isFree(position)) continue;
-    const choice = chooseInRegion(entry, members, {
+    const choice = regions.chooseInRegion(entry, members, {
       ...search,
       region: position,
     });
@@ -239,72 +228,3 @@
   }
   return found;
 }
-
-/** The cheapest sub-blocks of a region for a number of members. */
-function chooseInRegion(
-  entry: entries.JobEntry,
-  members: number,
-  search: GuaranteedSearch & { region: Placement.BlockPosition },
-): RegionChoice | null {
-  const { region } = search;
-  const size = Placement.sizeOf(entry.order);
-  if (members * size > Placement.sizeOf(region.order)) return null;
-  const priced: { slot: Types.Slot; cost: number }[] = [];
-  const end = region.offset + Placement.sizeOf(region.order);
-  for (let offset = region.offset; offset < end; offset += size) {
-    const slot = packing.slotAt(region.rack, offset, size);
-    const cost = priceOfSlot(entry, slot, search);
-    if (cost !== null) priced.push({ slot, cost });
-  }
-  if (priced.length < members) return null;
-  priced.sort((a, b) => a.cost - b.cost);
-  return sumChoice(priced.slice(0, members), search);
-}
-
-function sumChoice(
-  chosen: { slot: Types.Slot; cost: number }[],
-  search: GuaranteedSearch,
-): RegionChoice {
-  const victims = new Set<entries.JobEntry>();
-  for (const { slot } of chosen) {
-    for (const victim of search.occupancy.tasksIn(slot)) victims.add(victim);
-  }
-  let cost = 0;
-  for (const victim of victims) cost += entries.yieldCost(victim, search.nowMs);
-  return { slots: chosen.map((c) => c.slot), victims, cost };
-}
-
-/** Null where the slot cannot be had. */
-function priceOfSlot(
-  entry: entries.JobEntry,
-  slot: Types.Slot,
-  search: GuaranteedSearch,
-): number | null {
-  const { occupancy, nowMs } = search;
-  if (!occupancy.isAvailable(slot.worker)) return null;
-  if (occupancy.layout.workers[slot.worker] === undefined) return null;
-  const free = (occupancy.space.usedMask(slot.worker) & slot.mask) === 0;
-  if (free) return 0;
-  if (!search.mayEvict) return null;
-  if (occupancy.isClaimed(slot)) return null;
-  let cost = 0;
-  const victims = occupancy.tasksIn(slot);
-  if (victims.length === 0) return null;
-  for (const victim of victims) {
-    if (!mustYieldTo(victim, entry)) return null;
-    cost += entries.yieldCost(victim, nowMs);
-  }
-  return cost;
-}
-
-/** Whether running work has to give way to a claim on a guarantee. */
-export function mustYieldTo(
-  victim: entries.JobEntry,
-  claimant: entries.JobEntry,
-): boolean {
-  if (!entries.canYield(victim)) return false;
-  if (victim.entitlement === Types.Entitlement.Opportunistic) return true;
-  if (victim.shape.team !== claimant.shape.team) return false;
-  return Types.rankTier(victim.shape.tier) >
-    Types.rankTier(claimant.shape.tier);
-}
--- a/packages/stand-ins/src/stand_in_worker.ts
+++ b/packages/stand-ins/src/stand_in_worker.ts
@@ -5,26 +5,12 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as ledgers from "./run_ledger.ts";
+import * as tasks from "./stand_in_task.ts";
 import * as works from "./work.ts";
 
-/** Run time of a task whose input does not say one, in milliseconds. */
-const DEFAULT_RUN_MS = 5;
 /** Finished tasks that are kept when nobody acknowledges them. */
 const KEPT_TASKS = 5000;
 
-interface Task {
-  readonly order: Types.HoldOrder;
-  readonly epoch: number;
-  readonly gang: number;
-  readonly ended: Deferred.Deferred<Types.TaskAnswer>;
-  state: Types.TaskState;
-  startedAtMs: number;
-  leaseUntilMs: number;
-  progress: number;
-  result: unknown;
-  version: number;
-}
-
 /** What a stand-in worker needs. */
 export interface StandInWorkerOptions {
   readonly name: string;
@@ -38,7 +24,7 @@
 export class StandInWorker {
   readonly name: string;
   readonly #options: StandInWorkerOptions;
-  readonly #tasks = new Map<string, Task>();
+  readonly #tasks = new Map<string, tasks.Task>();
   readonly #revoked = new Set<string>();
   readonly #epochs = new Map<string, number>();
   #bootId: string;
@@ -92,7 +78,7 @@
   start(order: Types.TaskOrder) {
     return Effect.gen({ self: this }, function* () {
       yield* this.#checkFence(order.fence);
-      const task = this.#tasks.get(keyOf(order));
+      const task = this.#tasks.get(tasks.keyOf(order));
       if (task === undefined || task.state === Types.TaskState.Stopped) {
         return yield* this.#refuse(Errors.RefusalReason.NotHeld);
       }
@@ -104,7 +90,7 @@
   run(order: Types.HoldOrder) {
     return Effect.gen({ self: this }, function* () {
       yield* this.hold(order);
-      const task = this.#tasks.get(keyOf(order))!;
+      const task = this.#tasks.get(tasks.keyOf(order))!;
       yield* this.#begin(task);
       return yield* Deferred.await(task.ended);
     });
@@ -114,15 +100,15 @@
   stop(order: Types.StopOrder) {
     return Effect.gen({ self: this }, function* () {
       yield* this.#checkFence(order.fence);
-      const task = this.#tasks.get(keyOf(order));
-      this.#revoked.add(keyOf(order));
+      const task = this.#tasks.get(tasks.keyOf(order));
+      this.#revoked.add(tasks.keyOf(order));
       if (task === undefined) {
         const nothing = { ran: false, finished: false, progress: 0 };
         return { ...nothing, result: null, bootId: this.#bootId };
       }
       const ran = task.startedAtMs > 0;
       const finished = task.state === Types.TaskState.Finished;
-      if (isActive(task)) {
+      if (tasks.isActive(task)) {
         this.#saveProgress(task, order.checkpoint);
         this.#end(task, "stopped");
       }
@@ -136,7 +122,7 @@
     return Effect.gen({ self: this }, function* () {
       const { clock } = this.#options;
       yield* this.#checkFence(request.fence);
-      for (const key of request.acknowledged) this.#forget(keyOf(key));
+      for (const key of request.acknowledged) this.#forget(tasks.keyOf(key));
       this.#renewLeases(request.fence.cell);
       if (this.#version <= request.sinceVersion) {
         const changed = Deferred.await(this.#changed);
@@ -152,7 +138,7 @@
   usage(): number {
     let mask = 0;
     for (const task of this.#tasks.values()) {
-      if (isActive(task)) mask |= task.order.mask;
+      if (tasks.isActive(task)) mask |= task.order.mask;
     }
     let count = 0;
     for (let rest = mask; rest !== 0; rest &= rest - 1) count++;
@@ -174,15 +160,15 @@
     order: Types.HoldOrder,
   ): Effect.Effect<void, Errors.WorkerRefusedError> {
     if (this.leaving) return this.#refuse(Errors.RefusalReason.Leaving);
-    if (this.#revoked.has(keyOf(order))) {
+    if (this.#revoked.has(tasks.keyOf(order))) {
       return this.#refuse(Errors.RefusalReason.Revoked);
     }
-    if (this.#tasks.has(keyOf(order))) {
+    if (this.#tasks.has(tasks.keyOf(order))) {
       return this.#refuse(Errors.RefusalReason.Duplicate);
     }
     for (const task of this.#tasks.values()) {
       const overlaps = (task.order.mask & order.mask) !== 0;
-      if (isActive(task) && overlaps) {
+      if (tasks.isActive(task) && overlaps) {
         return this.#refuse(Errors.RefusalReason.Busy);
       }
     }
@@ -197,7 +183,7 @@
 
   #addTask(order: Types.HoldOrder): void {
     const { clock } = this.#options;
-    const task: Task = {
+    const task: tasks.Task = {
       order,
       epoch: order.fence.epoch,
       gang: order.gang,
@@ -209,24 +195,24 @@
       result: null,
       version: 0,
     };
-    this.#tasks.set(keyOf(order), task);
+    this.#tasks.set(tasks.keyOf(order), task);
     this.#record(task, ledgers.LedgerEvent.Held);
     this.#watchHold(task);
     this.#change(task);
   }
 
-  #watchHold(task: Task): void {
+  #watchHold(task: tasks.Task): void {
     const { clock } = this.#options;
     const watch = Effect.gen({ self: this }, function* () {
       yield* clock.sleep(task.order.holdMs);
       if (task.state !== Types.TaskState.Held) return;
-      this.#revoked.add(keyOf(task.order));
+      this.#revoked.add(tasks.keyOf(task.order));
       this.#end(task, "stopped");
     });
     Effect.runFork(watch);
   }
 
-  #begin(task: Task): Effect.Effect<void> {
+  #begin(task: tasks.Task): Effect.Effect<void> {
     return Effect.sync(() => {
       const { clock } = this.#options;
       task.state = Types.TaskState.Running;
@@ -238,11 +224,11 @@
     });
   }
 
-  #work(task: Task): Effect.Effect<void> {
+  #work(task: tasks.Task): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { clock } = this.#options;
       const endMs = clock.monotonicMs() +
-        runMsOf(task.order) * (1 - task.progress);
+        tasks.runMsOf(task.order) * (1 - task.progress);
       for (;;) {
         const nowMs = clock.monotonicMs();
         if (task.state !== Types.TaskState.Running || nowMs >= endMs) break;
@@ -254,13 +240,13 @@
     });
   }
 
-  #lapse(task: Task): void {
+  #lapse(task: tasks.Task): void {
     if (task.state !== Types.TaskState.Running) return;
     this.#saveProgress(task, true);
     this.#end(task, "stopped");
   }
 
-  #finish(task: Task): void {
+  #finish(task: tasks.Task): void {
     task.progress = 1;
     task.result = works.doWork(task.order.work, {
       input: task.order.input,
@@ -270,8 +256,8 @@
     this.#end(task, "finished");
   }
 
-  #end(task: Task, how: "finished" | "stopped"): void {
-    if (!isActive(task)) return;
+  #end(task: tasks.Task, how: "finished" | "stopped"): void {
+    if (!tasks.isActive(task)) return;
     task.state = how === "finished"
       ? Types.TaskState.Finished
       : Types.TaskState.Stopped;
@@ -279,16 +265,19 @@
       ? ledgers.LedgerEvent.Finished
       : ledgers.LedgerEvent.Stopped;
     this.#record(task, event);
-    Deferred.doneUnsafe(task.ended, Effect.succeed(answerOf(task)));
+    Deferred.doneUnsafe(task.ended, Effect.succeed(tasks.answerOf(task)));
     this.#change(task);
   }
 
-  #saveProgress(task: Task, checkpoint: boolean): void {
+  #saveProgress(task: tasks.Task, checkpoint: boolean): void {
     const { checkpointMs, progress } = task.order;
     if (checkpointMs === null || task.startedAtMs === 0) return;
     const ran = this.#options.clock.wallMs() - task.startedAtMs;
     const saved = checkpoint ? ran : ran - ran % checkpointMs;
-    task.progress = Math.min(0.999, progress + saved / runMsOf(task.order));
+    task.progress = Math.min(
+      0.999,
+      progress + saved / tasks.runMsOf(task.order),
+    );
   }
 
   #renewLeases(cell: string): void {
@@ -306,7 +295,7 @@
       bootId: this.#bootId,
       leaving: this.leaving,
       version: this.#version,
-      tasks: [...this.#tasks.values()].map(reportOf),
+      tasks: [...this.#tasks.values()].map(tasks.reportOf),
     };
   }
 
@@ -317,19 +306,19 @@
       bootId: this.#bootId,
       leaving: this.leaving,
       version: this.#version,
-      changed: changed.map(reportOf),
+      changed: changed.map(tasks.reportOf),
       usage: this.usage(),
     };
   }
 
   #forget(key: string): void {
     const task = this.#tasks.get(key);
-    if (task === undefined || isActive(task)) return;
+    if (task === undefined || tasks.isActive(task)) return;
     this.#tasks.delete(key);
     this.#revoked.add(key);
   }
 
-  #change(task: Task): void {
+  #change(task: tasks.Task): void {
     // Waiting reports resume inside of #touch, so the version is set first.
     task.version = this.#version + 1;
     this.#touch();
@@ -338,7 +327,7 @@
 
   #forgetOldest(): void {
     for (const [key, task] of this.#tasks) {
-      if (isActive(task)) continue;
+      if (tasks.isActive(task)) continue;
       this.#forget(key);
       return;
     }
@@ -351,7 +340,7 @@
     Deferred.doneUnsafe(changed, Effect.void);
   }
 
-  #record(task: Task, event: ledgers.LedgerEvent): void {
+  #record(task: tasks.Task, event: ledgers.LedgerEvent): void {
     const { jobId, attempt, rank, repeatable } = task.order;
     this.#options.ledger.add({
       event,
@@ -365,49 +354,3 @@
     });
   }
 }
-
-function isActive(task: Task): boolean {
-  return task.state === Types.TaskState.Held ||
-    task.state === Types.TaskState.Running;
-}
-
-function keyOf(key: Types.TaskKey): string {
-  return `${key.jobId}/${key.attempt}/${key.rank}`;
-}
-
-/** Run time that the input asks for, in milliseconds. */
-function runMsOf(order: Types.HoldOrder): number {
-  const input = order.input as { runMs?: unknown } | null;
-  const runMs = input?.runMs;
-  return typeof runMs === "number" && runMs >= 0 ? runMs : DEFAULT_RUN_MS;
-}
-
-function answerOf(task: Task): Types.TaskAnswer {
-  const { jobId, attempt, rank, caller } = task.order;
-  return {
-    jobId,
-    attempt,
-    rank,
-    caller,
-    state: task.state,
-    result: task.result,
-  };
-}
-
-function reportOf(task: Task): Types.TaskReport {
-  const { order } = task;
-  return {
-    jobId: order.jobId,
-    attempt: order.attempt,
-    rank: order.rank,
-    state: task.state,
-    epoch: task.epoch,
-    mask: order.mask,
-    gang: order.gang,
-    team: order.team,
-    progress: task.progress,
-    result: task.result,
-    caller: order.caller,
-    spec: order.spec,
-  };
-}
--- a/packages/types/src/job.ts
+++ b/packages/types/src/job.ts
@@ -48,6 +48,19 @@
   Unknown = "unknown",
 }
 
+const FINAL_STATES: ReadonlySet<JobState> = new Set([
+  JobState.Done,
+  JobState.Failed,
+  JobState.Cancelled,
+  JobState.NotRun,
+  JobState.Unknown,
+]);
+
+/** Whether a job in this state has ended. */
+export function isFinalState(state: JobState): boolean {
+  return FINAL_STATES.has(state);
+}
+
 /** The three outcomes a caller can be told. */
 export enum OutcomeKind {
   Done = "done",
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -151,6 +151,25 @@
   readonly retryAfterSeconds: number | null;
 }
 
+/** A reply to `Place` that says: not run. */
+export function createRefusal(
+  jobId: string,
+  reason: string,
+  retryAfterSeconds: number | null,
+): Grant {
+  return {
+    kind: GrantKind.NotRun,
+    jobId,
+    attempt: "",
+    epoch: 0,
+    worker: "",
+    endpoint: "",
+    mask: 0,
+    reason,
+    retryAfterSeconds,
+  };
+}
+
 /** State of one rack, as shown to operators. */
 export interface RackStatus {
   readonly name: string;
