Spread the full tries of waiting lanes over the rounds

Cause: every 20 s one round tried all lanes on all racks, which made the p99 of a round at 30 workers 0.9 to 3.4 ms on busy traces. Change: at most 8 lanes a round.

--- a/packages/scheduler/src/queue.ts
+++ b/packages/scheduler/src/queue.ts
@@ -11,6 +11,8 @@
   readonly #heap: TinyQueue<entries.JobEntry>;
   /** Count of releases when the head last failed to fit; -1 if never. */
   blockedAt = -1;
+  /** When the head was last tried on every rack. */
+  fullyTriedAtMs = -Infinity;
   /** The quota stood in the way, so no rack was looked at. */
   blockedByQuota = false;
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -22,8 +22,10 @@
   readonly progress: number;
 }
 
-/** Time between passes that try every waiting job on every rack. */
+/** Time between two tries of a lane on every rack. */
 const FULL_PASS_MS = 20_000;
+/** Lanes tried on every rack in one round, so that no round takes long. */
+const FULL_TRIES_PER_ROUND = 8;
 
 /** Gangs at least this large get a reservation while they wait. */
 const RESERVE_FROM_SIZE = 8;
@@ -38,7 +40,7 @@
   readonly #queue = new queues.JobQueue();
   readonly #placer: placer.Placer;
   readonly #ready: entries.JobEntry[] = [];
-  #fullAtMs = -Infinity;
+  #consolidatedAtMs = -Infinity;
   #arrivals = 0;
 
   /** Starts empty, with every worker unavailable. */
@@ -130,15 +132,16 @@
 
   /** Tries every waiting job again, also where nothing became free. */
   reconsider(): void {
-    this.#fullAtMs = -Infinity;
+    for (const lane of this.#queue.lanes()) lane.blockedAt = -1;
   }
 
   /** Decides what starts, yields and expires now. */
   override plan(nowMs: number): Types.Decision[] {
     const decisions: Types.Decision[] = [];
     this.#startReady(decisions, nowMs);
-    if (nowMs - this.#fullAtMs >= FULL_PASS_MS) {
-      this.#unblockAll(nowMs);
+    this.#unblockSome(nowMs);
+    if (nowMs - this.#consolidatedAtMs >= FULL_PASS_MS) {
+      this.#consolidatedAtMs = nowMs;
       this.#consolidate(decisions, nowMs);
     }
     for (const lane of this.#orderLanes()) {
@@ -161,10 +164,19 @@
     });
   }
 
-  /** Reservations and costs change with time, not only with releases. */
-  #unblockAll(nowMs: number): void {
-    this.#fullAtMs = nowMs;
-    for (const lane of this.#queue.lanes()) lane.blockedAt = -1;
+  /**
+   * Reservations and costs change with time, not only with releases, so every
+   * lane is tried on all racks now and then; a few in each round.
+   */
+  #unblockSome(nowMs: number): void {
+    let left = FULL_TRIES_PER_ROUND;
+    for (const lane of this.#queue.lanes()) {
+      if (nowMs - lane.fullyTriedAtMs < FULL_PASS_MS) continue;
+      lane.fullyTriedAtMs = nowMs;
+      lane.blockedAt = -1;
+      left--;
+      if (left === 0) return;
+    }
   }
 
   /** Moves the work of one rack while nothing waits. */
