--- a/packages/drill/bin.ts
+++ b/packages/drill/bin.ts
@@ -16,6 +16,9 @@
     description: "How many seeds, one after another",
   });
   boxes = Clipanion.Option.String("--boxes", "9");
+  port = Clipanion.Option.String("--port", String(drill.DEFAULT_PORT), {
+    description: "First port; several drills need ranges 500 apart",
+  });
   workers = Clipanion.Option.String("--workers", String(drill.DEFAULT_WORKERS));
   minutes = Clipanion.Option.String("--minutes", "1");
   logs = Clipanion.Option.String("--logs", {
@@ -44,6 +47,7 @@
         boxes,
         minutes: Number(this.minutes),
         workers: Number(this.workers),
+        port: Number(this.port),
         logFolder: this.logs ?? null,
       });
       this.#print(report);
--- a/packages/drill/src/run_drill.ts
+++ b/packages/drill/src/run_drill.ts
@@ -14,13 +14,15 @@
   readonly boxes: number;
   readonly minutes: number;
   readonly workers: number;
+  readonly port: number;
   readonly logFolder: string | null;
 }
 
 /** Workers of a drill where no number is given. */
 export const DEFAULT_WORKERS = 16;
-const FIRST_PORT = 8500;
-const WORKER_PORT = 8700;
+/** First port of a drill where none is given; up to 300 more are used. */
+export const DEFAULT_PORT = 8500;
+const WORKER_PORT_OFFSET = 200;
 const LONG_WAIT_S = 30;
 const GAP_WINDOW_MS = 8000;
 const HEAL_MS = 3000;
@@ -71,14 +73,14 @@
     workers: options.workers,
     teams: 2,
     cells: 1,
-    firstWorkerPort: WORKER_PORT,
+    firstWorkerPort: options.port + WORKER_PORT_OFFSET,
   });
   return new LocalCluster.LocalCluster({
     boxes: options.boxes,
     deployment: "drill",
     text,
     cells: ["cell_0"],
-    firstPort: FIRST_PORT,
+    firstPort: options.port,
     logFolder: options.logFolder,
   });
 }
