Refuse a key that stands for another request

Cause: a key used again by mistake with another body returned the first request's answer, which is another caller's answer to whoever sent it. Change: the job and the intent keep a hash of what was asked for; another hash is refused, by field name for long jobs and as not run for scans. Before -> after: the second request got the first one's result -> it is refused; two tests.

--- a/packages/box/src/answers_test.ts
+++ b/packages/box/src/answers_test.ts
@@ -85,6 +85,40 @@
   });
 });
 
+describe("a key that was used for another request", () => {
+  test("does not give the other request's answer to a scan", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const scan = (box: string, request: string) =>
+      cluster.run(
+        cluster.submit(box, { service: "scan", input: { request } }, {
+          key: "same",
+        }),
+      );
+    await scan("box_1", "first");
+    await cluster.clock.advance(1000);
+    const second = await scan("box_2", "second");
+    expect(second).toMatchObject({ outcome: { kind: "not-run" } });
+    expect(cluster.summary().startedJobs).toBe(1);
+  });
+
+  test("is refused for a long job, by name", async () => {
+    const cluster = new TestCluster();
+    await cluster.start();
+    const store = (request: string) =>
+      cluster.run(
+        cluster.submit("box_1", { service: "rebuild", input: { request } }, {
+          key: "same",
+        }),
+      );
+    await store("first");
+    await expect(store("second")).rejects.toMatchObject({
+      _tag: "BadRequestError",
+      field: "Idempotency-Key",
+    });
+  });
+});
+
 describe("a job whose first attempt was stopped", () => {
   test("is not told to be not run when no second place is found", async () => {
     const cfg = TestUtils.buildDeployment({ workersPerRack: 1 });
--- a/packages/entry/src/dispatch.ts
+++ b/packages/entry/src/dispatch.ts
@@ -15,7 +15,7 @@
 /** The part of a job that the owner needs; the input stays here. */
 export function toShape(job: Types.Job): Types.JobShape {
   const { kind: _, cell: __, work: ___, input: ____, ...rest } = job;
-  const { idempotencyKey: _____, ...shape } = rest;
+  const { idempotencyKey: _____, digest: ______, ...shape } = rest;
   return shape;
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -100,6 +100,11 @@
   #store(job: Types.Job, waitSeconds: number | null) {
     return Effect.gen({ self: this }, function* () {
       const record = yield* this.#stored.accept(job);
+      if (record.job.digest !== job.digest) {
+        const expected = "a key that was not used for another request";
+        const field = "Idempotency-Key";
+        return yield* new Errors.BadRequestError({ field, expected });
+      }
       const kind = SubmissionKind.Accepted as const;
       if (waitSeconds === null || waitSeconds <= 0) return { kind, record };
       const waited = yield* Effect.result(
--- a/packages/entry/src/intents.ts
+++ b/packages/entry/src/intents.ts
@@ -13,6 +13,8 @@
   readonly box: string;
   readonly attempt: string;
   readonly worker: string;
+  /** Hash of the request that the key stands for. */
+  readonly digest: string;
   /** When the row was written; old rows are removed. */
   readonly atMs: number;
   /** Null until the outcome is known. */
@@ -53,6 +55,7 @@
         box: this.#ports.box,
         attempt,
         worker,
+        digest: job.digest,
         atMs: this.#ports.clock.wallMs(),
         outcome: null,
       };
@@ -98,7 +101,8 @@
       const key = TableClient.Keys.intentKey(job.cell, job.id);
       const { revision, ...rest } = own;
       const { box, clock } = this.#ports;
-      const value: IntentRow = { box, atMs: clock.wallMs(), ...rest };
+      const atMs = clock.wallMs();
+      const value: IntentRow = { box, atMs, digest: job.digest, ...rest };
       const conditions = [{ key, revision }];
       const write = { conditions, writes: [{ key, value }] };
       for (let i = 0; i < SAVE_TRIES; i++) {
@@ -120,6 +124,7 @@
       while (clock.monotonicMs() < untilMs) {
         const row = yield* Effect.result(this.read(job));
         const known = row._tag === "Success" ? row.success : null;
+        if (known !== null && known.row.digest !== job.digest) return null;
         if (known !== null && known.row.outcome !== null) {
           return known.row.outcome;
         }
--- a/packages/entry/src/parse_submission.ts
+++ b/packages/entry/src/parse_submission.ts
@@ -18,7 +18,7 @@
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const MAX_ACCELERATORS = 8;
 const MAX_GANG = 64;
-const ID_LENGTH = 24;
+const HASH_LENGTH = 24;
 
 const Positive = Schema.Int.check(Schema.isGreaterThanOrEqualTo(1));
 const Seconds = Schema.Number.check(Schema.isGreaterThan(0));
@@ -132,6 +132,7 @@
     work: service.work,
     input: body.input ?? null,
     idempotencyKey,
+    digest: hash(JSON.stringify([service.name, body])),
   };
 }
 
@@ -164,8 +165,12 @@
   random: Platform.RandomSource,
 ): string {
   const seed = key === null ? random.id() : `${team.name}\n${key}`;
-  const digest = crypto.createHash("sha256").update(seed).digest("hex");
-  return `${team.cell}.${digest.slice(0, ID_LENGTH)}`;
+  return `${team.cell}.${hash(seed)}`;
+}
+
+function hash(text: string): string {
+  const digest = crypto.createHash("sha256").update(text).digest("hex");
+  return digest.slice(0, HASH_LENGTH);
 }
 
 /** A job never has a higher tier than its team has paid for. */
--- a/packages/entry/src/short_jobs.ts
+++ b/packages/entry/src/short_jobs.ts
@@ -79,7 +79,11 @@
         return outcomes.unknown(job.id, null, why);
       }
       if (row.success === null) return null;
-      const { outcome } = row.success.row;
+      const { outcome, digest } = row.success.row;
+      if (digest !== job.digest) {
+        const why = "the key was used for another request";
+        return outcomes.notRun(job.id, why, null);
+      }
       if (outcome?.kind === Types.OutcomeKind.NotRun) {
         // It did not run, so this box may take the claim over.
         flight.intentRevision = row.success.revision;
--- a/packages/types/src/job.ts
+++ b/packages/types/src/job.ts
@@ -97,6 +97,8 @@
   readonly work: string;
   readonly input: unknown;
   readonly idempotencyKey: string | null;
+  /** Hash of what was asked for; a key stands for one request only. */
+  readonly digest: string;
 }
 
 /** The durable record of a job, as kept in the table service. */
