Notice a closed link at once

Cause: since boxes that own nothing beat every 2 s, they noticed the closed link to a dead owner only at their next beat, so the silence of 1.4 s decided. Change: whether a link is open is asked when a box's being heard is judged.

--- a/packages/box/src/membership.ts
+++ b/packages/box/src/membership.ts
@@ -25,8 +25,6 @@
 interface PeerState {
   heardAtMs: number;
   beat: Types.Heartbeat;
-  /** Whether the last beat could be sent to it. */
-  isLinkOpen: boolean;
 }
 
 /**
@@ -82,7 +80,7 @@
   /** Takes in a heartbeat. */
   noteBeat(beat: Types.Heartbeat): void {
     const heardAtMs = this.#options.clock.monotonicMs();
-    this.#peers.set(beat.box, { heardAtMs, beat, isLinkOpen: true });
+    this.#peers.set(beat.box, { heardAtMs, beat });
     for (const claim of beat.owners) this.noteClaim(claim);
     if (beat.configVersion > this.#options.configVersion()) {
       Deferred.doneUnsafe(this.#newerConfig, Effect.void);
@@ -183,7 +181,8 @@
     if (peer === undefined) return false;
     const { heartbeatMs, peerTimeoutMs } = this.#options.times;
     const ageMs = this.#options.clock.monotonicMs() - peer.heardAtMs;
-    if (!peer.isLinkOpen && ageMs > heartbeatMs * LATE_FACTOR) {
+    const isOpen = this.#options.network.isOpen(box);
+    if (!isOpen && ageMs > heartbeatMs * LATE_FACTOR) {
       return false;
     }
     const isOwner = peer.beat.owners.some((claim) => claim.holder === box);
@@ -234,9 +233,7 @@
   }
 
   #beat(peer: string): void {
-    const isSent = this.#options.network.notify(peer, this.#makeBeat());
-    const state = this.#peers.get(peer);
-    if (state !== undefined) state.isLinkOpen = isSent;
+    this.#options.network.notify(peer, this.#makeBeat());
   }
 
   #makeBeat(): Types.Heartbeat {
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -62,13 +62,17 @@
     }).pipe(Effect.ensuring(Effect.sync(() => this.#socket?.terminate())));
   }
 
-  /** Sends a message that has no reply; false where the link is closed. */
-  notify(req: Types.PeerRequest): boolean {
+  /** Whether the link is open. */
+  get isOpen(): boolean {
+    return this.#socket !== null;
+  }
+
+  /** Sends a message that has no reply; lost where the link is closed. */
+  notify(req: Types.PeerRequest): void {
     const socket = this.#socket;
-    if (socket === null) return false;
+    if (socket === null) return;
     const kind = frames.FrameKind.Notice as const;
     this.#send(socket, { kind, from: this.#options.self, req });
-    return true;
   }
 
   /** Sends a request and waits for its reply. */
--- a/packages/peers/src/ws_peer_network.ts
+++ b/packages/peers/src/ws_peer_network.ts
@@ -63,8 +63,12 @@
     });
   }
 
-  override notify(box: string, req: Types.PeerRequest): boolean {
-    return this.#links.get(box)?.notify(req) ?? false;
+  override isOpen(box: string): boolean {
+    return this.#links.get(box)?.isOpen ?? false;
+  }
+
+  override notify(box: string, req: Types.PeerRequest): void {
+    this.#links.get(box)?.notify(req);
   }
 
   override request(box: string, req: Types.PeerRequest, timeoutMs: number) {
--- a/packages/peers/src/ws_peer_network_test.ts
+++ b/packages/peers/src/ws_peer_network_test.ts
@@ -75,9 +75,10 @@
     const first = await createNetwork(1, () => Effect.succeed("first"));
     expect(await ask(network, "b")).toMatchObject({ success: "first" });
     await Effect.runPromise(first.network.close());
-    expect(network.notify("c", FETCH)).toBe(false);
     await createNetwork(1, () => Effect.succeed("second"));
     expect(await ask(network, "b")).toMatchObject({ success: "second" });
+    expect(network.isOpen("b")).toBe(true);
+    expect(network.isOpen("nobody")).toBe(false);
   });
 
   test("drop and count what is not a message", async () => {
--- a/packages/platform/src/peer_network.ts
+++ b/packages/platform/src/peer_network.ts
@@ -19,8 +19,11 @@
     handler: PeerHandler,
   ): Effect.Effect<void, Errors.ListenError>;
 
-  /** Sends a message that has no reply; false where no link is open. */
-  abstract notify(box: string, req: Types.PeerRequest): boolean;
+  /** Whether this box's link to a peer is open. */
+  abstract isOpen(box: string): boolean;
+
+  /** Sends a message that has no reply; lost where no link is open. */
+  abstract notify(box: string, req: Types.PeerRequest): void;
 
   /** Sends a request and waits for its reply. */
   abstract request(
--- a/packages/test-utils/src/fake_network.ts
+++ b/packages/test-utils/src/fake_network.ts
@@ -77,11 +77,14 @@
     return Effect.sync(() => this.#hub.attach(this.#self, handler));
   }
 
-  override notify(box: string, req: Types.PeerRequest): boolean {
-    Effect.runFork(Effect.ignore(this.#hub.carry(this.#self, box, req)));
+  override isOpen(box: string): boolean {
     return this.#hub.isAttached(box);
   }
 
+  override notify(box: string, req: Types.PeerRequest): void {
+    Effect.runFork(Effect.ignore(this.#hub.carry(this.#self, box, req)));
+  }
+
   override request(box: string, req: Types.PeerRequest, timeoutMs: number) {
     const carried = this.#hub.carry(this.#self, box, req);
     const timed = this.#hub.clock.within(timeoutMs, carried);
