--- a/packages/drill/src/run_drill.ts
+++ b/packages/drill/src/run_drill.ts
@@ -24,7 +24,11 @@
 export const DEFAULT_PORT = 8500;
 const WORKER_PORT_OFFSET = 200;
 const LONG_WAIT_S = 30;
-const GAP_WINDOW_MS = 8000;
+/**
+ * A gap belongs to a kill or pause if it begins this soon after it: the next
+ * fault comes 3.7 s later at the earliest.
+ */
+const GAP_WINDOW_MS = 3000;
 const HEAL_MS = 3000;
 
 /** Runs one drill and ends every process it started. */
