Say what to do about a missing or unknown setting

Cause: a wrong settings file was answered in the schema library's words. Change: 'is required; add it' and 'is not known here; remove it'; the placer's comment names the order in force.

--- a/packages/config/src/decode_yaml.ts
+++ b/packages/config/src/decode_yaml.ts
@@ -8,6 +8,12 @@
 /** Most aliases of a file; protects against expansion without end. */
 const MAX_ALIASES = 100;
 
+/** What to do, where the schema library only names its rule. */
+const PLAIN_MESSAGES: ReadonlyMap<string, string> = new Map([
+  ["Missing key", "is required; add it"],
+  ["Expected no excess property", "is not known here; remove it"],
+]);
+
 /** Parses and checks a text; all faults are in the error. */
 export function decodeYaml<S extends Schema.Codec<unknown, unknown>>(
   schema: S,
@@ -54,7 +60,7 @@
   const format = SchemaIssue.makeFormatterStandardSchemaV1();
   return format(issue).issues.map((found) => ({
     path: pathOf(found.path ?? []),
-    expected: found.message,
+    expected: PLAIN_MESSAGES.get(found.message) ?? found.message,
   }));
 }
 
--- a/packages/config/src/settings_test.ts
+++ b/packages/config/src/settings_test.ts
@@ -42,6 +42,8 @@
     "$.times.heartbeatMs",
   ]);
   expect(failure!.message).toContain("box.yaml is not valid");
+  expect(failure!.message).toContain("$.box: is required; add it");
+  expect(failure!.message).toContain("$.spare: is not known here; remove it");
 });
 
 test("text that is no YAML names its line", async () => {
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -1,8 +1,9 @@
 /**
- * Places one job. The ways are tried in this order: inside the team's
- * guarantee without disturbing anybody; on free capacity; inside the
- * guarantee with work that yields; urgent work over lower tiers; a block
- * opened for a gang that has waited.
+ * Places one job. The ways are tried in this order: where packing says, with
+ * the team's guarantee laid around it if it fits there; inside the guarantee
+ * without disturbing anybody; on free capacity; inside the guarantee with work
+ * that yields; urgent work over lower tiers; a block opened for a gang that
+ * has waited.
  */
 import * as Types from "@cairngate/types";
 import * as guaranteed from "./find_guaranteed.ts";
