--- a/packages/drill/src/faults.ts
+++ b/packages/drill/src/faults.ts
@@ -19,6 +19,8 @@
   readonly leavings: { worker: string; atMs: number; untilMs: number }[];
   applied: number;
   conflicts: number;
+  /** For each apply and box, the time until the version was in force. */
+  readonly inForceMs: number[];
 }
 
 const CELL = "cell_0";
@@ -29,6 +31,7 @@
 const RESTART_AFTER_MS = 1200;
 const LOST_ANSWERS = 0.3;
 const SLOW_MS = 120;
+const IN_FORCE_LIMIT_MS = 10_000;
 
 /** Carries out faults on a cluster under load. */
 export class Faults {
@@ -38,6 +41,7 @@
     leavings: [],
     applied: 1,
     conflicts: 0,
+    inForceMs: [],
   };
   readonly #cluster: LocalCluster.LocalCluster;
   readonly #load: loads.Load;
@@ -170,6 +174,7 @@
     );
     const version = Number(current.body["version"] ?? 0);
     const { text } = this.#cluster.options;
+    const startMs = Date.now();
     const replies = await Promise.all([
       this.#cluster.apply(a, `${text}# by ${a}, after ${version}\n`, version),
       this.#cluster.apply(b, `${text}# by ${b}, after ${version}\n`, version),
@@ -178,6 +183,26 @@
       if (reply.status === 200) this.log.applied++;
       if (reply.status === 409) this.log.conflicts++;
     }
+    if (!replies.some((reply) => reply.status === 200)) return;
+    const boxes = this.#cluster.running();
+    await Promise.all(
+      boxes.map((box) => this.#awaitVersion(box, version + 1, startMs)),
+    );
+  }
+
+  /** Notes how long after the apply was sent a version was in force. */
+  async #awaitVersion(
+    box: number,
+    version: number,
+    startMs: number,
+  ): Promise<void> {
+    const address = this.#cluster.operators(box);
+    while (Date.now() - startMs < IN_FORCE_LIMIT_MS) {
+      const reply = await this.#cluster.client.get(address, "/v1/config");
+      if (Number(reply.body["version"] ?? 0) >= version) break;
+      await timers.setTimeout(10);
+    }
+    this.log.inForceMs.push(Date.now() - startMs);
   }
 
   /** Every box in turn is stopped as planned and started again. */
--- a/packages/drill/src/run_drill.ts
+++ b/packages/drill/src/run_drill.ts
@@ -54,7 +54,6 @@
     await watching;
     const longEnded = await awaitLongJobs(cluster, load.record.longIds);
     const ledger = await readLedger(cluster);
-    const config = await readPropagation(cluster);
     const seconds = (Date.now() - startMs) / 1000;
     return makeReport({
       options,
@@ -63,7 +62,6 @@
       log: fault.log,
       longEnded,
       ledger,
-      config,
       reversals: watch.reversals,
     });
   } finally {
@@ -117,36 +115,6 @@
   return Object.values(reply.body) as StandIns.LedgerEntry[];
 }
 
-/** Quantiles over all boxes: the slowest box counts. */
-async function readPropagation(
-  cluster: LocalCluster.LocalCluster,
-): Promise<Propagation> {
-  let p50Ms = 0;
-  let p99Ms = 0;
-  let maxMs = 0;
-  for (const box of cluster.running()) {
-    const reply = await cluster.client.get(cluster.operators(box), "/metrics");
-    const text = String(reply.body["text"]);
-    p50Ms = Math.max(p50Ms, readQuantile(text, "0.5") * 1000);
-    p99Ms = Math.max(p99Ms, readQuantile(text, "0.99") * 1000);
-    maxMs = Math.max(maxMs, readQuantile(text, "1") * 1000);
-  }
-  return { p50Ms, p99Ms, maxMs };
-}
-
-function readQuantile(text: string, quantile: string): number {
-  const name = `cairngate_config_propagation_seconds{quantile="${quantile}"}`;
-  const line = text.split("\n").find((l) => l.startsWith(name));
-  return Number(line?.slice(name.length + 1) ?? 0);
-}
-
-/** Times until a version was in force. */
-interface Propagation {
-  readonly p50Ms: number;
-  readonly p99Ms: number;
-  readonly maxMs: number;
-}
-
 interface ReportParts {
   readonly options: DrillOptions;
   readonly seconds: number;
@@ -154,7 +122,6 @@
   readonly log: faults.FaultLog;
   readonly longEnded: Readonly<Record<string, number>>;
   readonly ledger: readonly StandIns.LedgerEntry[];
-  readonly config: Propagation;
   readonly reversals: number;
 }
 
@@ -196,7 +163,7 @@
     config: {
       applied: log.applied,
       conflicts: log.conflicts,
-      ...parts.config,
+      ...summarizeTimes(log.inForceMs),
     },
   };
 }
@@ -228,6 +195,15 @@
   return longest;
 }
 
+function summarizeTimes(
+  times: readonly number[],
+): { p50Ms: number; p99Ms: number; maxMs: number } {
+  const sorted = [...times].sort((a, b) => a - b);
+  const at = (share: number) =>
+    sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+  return { p50Ms: at(0.5), p99Ms: at(0.99), maxMs: at(1) };
+}
+
 /** Latest new work on a worker after it was marked as leaving. */
 function lastNewWork(
   ledger: readonly StandIns.LedgerEntry[],
