--- /dev/null
+++ b/packages/scheduler/src/holdings.ts
@@ -0,0 +1,123 @@
+/** The books of who holds which accelerators, and on what ground. */
+import * as Types from "@cairngate/types";
+import * as entries from "./job_entry.ts";
+import type * as occupancies from "./occupancy.ts";
+
+/** A job that has its slots; the victims still have to stop. */
+export interface Placed {
+  readonly victims: ReadonlySet<entries.JobEntry>;
+}
+
+/** A place that was found. */
+export interface FoundPlace {
+  readonly slots: readonly Types.Slot[];
+  /** Bound guaranteed blocks, by slot; empty for opportunistic work. */
+  readonly boundIds?: number[];
+  readonly victims?: Set<entries.JobEntry>;
+}
+
+/** Gives places to jobs and takes them back. */
+export class Holdings {
+  readonly #occupancy: occupancies.Occupancy;
+  readonly #used = new Map<string, number>();
+
+  constructor(occupancy: occupancies.Occupancy) {
+    this.#occupancy = occupancy;
+  }
+
+  /** Accelerators that a team has in use or claimed. */
+  usedBy(team: string): number {
+    return this.#used.get(team) ?? 0;
+  }
+
+  /** Gives back everything the job holds. */
+  release(entry: entries.JobEntry): void {
+    if (entry.slots.length === 0) return;
+    this.#occupancy.unclaim(entry);
+    this.#occupancy.vacate(entry);
+    this.#leaveGuarantee(entry);
+    if (entry.fixed) this.#setFixed(entry, false);
+    this.#count(entry, -entry.size);
+    for (const victim of entry.victims) victim.claimant = null;
+    entry.victims = new Set();
+    entry.claimant = null;
+    entry.slots = [];
+    entry.entitlement = null;
+  }
+
+  /** Claims a place; the job starts when its victims have stopped. */
+  take(
+    entry: entries.JobEntry,
+    place: FoundPlace,
+    nowMs: number,
+  ): Placed {
+    const victims = place.victims ?? new Set<entries.JobEntry>();
+    this.hold(entry, place);
+    this.#occupancy.claim(entry, entry.slots);
+    entry.state = Types.JobState.Claiming;
+    entry.victims = victims;
+    for (const victim of victims) markYielding(victim, entry, nowMs);
+    if (victims.size > 0) {
+      const detail = `${victims.size} job(s) have to yield first`;
+      const atMs = nowMs;
+      entries.note(entry, Types.ReasonKind.Claiming, { atMs, detail });
+    }
+    return { victims };
+  }
+
+  /** Enters a place into the books. */
+  hold(
+    entry: entries.JobEntry,
+    place: FoundPlace,
+  ): void {
+    entry.slots = place.slots;
+    entry.boundIds = place.boundIds ?? [];
+    const isGuaranteed = entry.boundIds.length > 0;
+    entry.entitlement = isGuaranteed
+      ? Types.Entitlement.Guaranteed
+      : Types.Entitlement.Opportunistic;
+    for (const id of entry.boundIds) {
+      this.#occupancy.ledger.enter(id, entry.shape.id, 1 << entry.order);
+    }
+    if (!isGuaranteed && !entry.shape.repeatable) this.#setFixed(entry, true);
+    this.#count(entry, entry.size);
+  }
+
+  #setFixed(entry: entries.JobEntry, fixed: boolean): void {
+    const { ledger } = this.#occupancy;
+    entry.fixed = fixed;
+    for (const slot of entry.slots) {
+      if (fixed) ledger.mark(slot.worker, slot.mask);
+      else ledger.unmark(slot.worker, slot.mask);
+      this.#occupancy.refresh(slot.worker);
+    }
+  }
+
+  #leaveGuarantee(entry: entries.JobEntry): void {
+    const { ledger } = this.#occupancy;
+    for (const id of new Set(entry.boundIds)) {
+      const rack = ledger.get(id)?.rack;
+      ledger.leave(id, entry.shape.id);
+      if (rack !== undefined) this.#occupancy.refreshRack(rack);
+    }
+    entry.boundIds = [];
+  }
+
+  #count(entry: entries.JobEntry, by: number): void {
+    const { team } = entry.shape;
+    this.#used.set(team, this.usedBy(team) + by);
+  }
+}
+
+function markYielding(
+  victim: entries.JobEntry,
+  claimant: entries.JobEntry,
+  nowMs: number,
+): void {
+  victim.state = Types.JobState.Yielding;
+  victim.claimant = claimant;
+  entries.note(victim, Types.ReasonKind.Yielded, {
+    atMs: nowMs,
+    detail: `to ${claimant.shape.id} of ${claimant.shape.team}`,
+  });
+}
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -8,6 +8,7 @@
 import * as Types from "@cairngate/types";
 import * as guaranteed from "./find_guaranteed.ts";
 import * as eviction from "./find_with_eviction.ts";
+import * as holdings from "./holdings.ts";
 import * as entries from "./job_entry.ts";
 import type * as occupancies from "./occupancy.ts";
 import type * as policies from "./policies.ts";
@@ -27,24 +28,20 @@
   readonly racks: readonly number[];
 }
 
-/** A job that has its slots; the victims still have to stop. */
-export interface Placed {
-  readonly victims: ReadonlySet<entries.JobEntry>;
-}
-
 /** Gangs smaller than this are not worth moving work for. */
 const REPAIR_FROM_SIZE = 8;
 
-/** Finds places and keeps the books of who holds what. */
+/** Finds places for jobs. */
 export class Placer {
   readonly #occupancy: occupancies.Occupancy;
   readonly #reservations: reservations.Reservations;
   readonly #policies: policies.SchedulerPolicies;
-  readonly #used = new Map<string, number>();
+  readonly #holdings: holdings.Holdings;
   readonly #teams: ReadonlyMap<string, Types.TeamSpec>;
 
   constructor(options: PlacerOptions) {
     this.#occupancy = options.occupancy;
+    this.#holdings = new holdings.Holdings(options.occupancy);
     this.#reservations = options.reservations;
     this.#policies = options.policies;
     this.#teams = new Map(
@@ -54,7 +51,12 @@
 
   /** Accelerators that a team has in use or claimed. */
   usedBy(team: string): number {
-    return this.#used.get(team) ?? 0;
+    return this.#holdings.usedBy(team);
+  }
+
+  /** Gives back everything the job holds. */
+  release(entry: entries.JobEntry): void {
+    this.#holdings.release(entry);
   }
 
   /** Use of a team as a share of its guarantee, at least one accelerator. */
@@ -71,7 +73,7 @@
   }
 
   /** Gives the job its slots; null where it has to wait. */
-  place(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+  place(entry: entries.JobEntry, when: PlaceTime): holdings.Placed | null {
     if (this.isOverQuota(entry)) return null;
     if (when.racks.length === 0) return null;
     return this.#placePacked(entry, when) ??
@@ -103,36 +105,21 @@
   ): void {
     entry.slots = slots;
     const boundIds = adoption.bindRunning(entry, this.#occupancy);
-    if (boundIds === null) this.#hold(entry, { slots, boundIds: [] });
-    else this.#hold(entry, { slots, boundIds });
+    if (boundIds === null) this.#holdings.hold(entry, { slots, boundIds: [] });
+    else this.#holdings.hold(entry, { slots, boundIds });
     this.start(entry, nowMs);
   }
 
-  /** Gives back everything the job holds. */
-  release(entry: entries.JobEntry): void {
-    if (entry.slots.length === 0) return;
-    this.#occupancy.unclaim(entry);
-    this.#occupancy.vacate(entry);
-    this.#leaveGuarantee(entry);
-    if (entry.fixed) this.#setFixed(entry, false);
-    this.#count(entry, -entry.size);
-    for (const victim of entry.victims) victim.claimant = null;
-    entry.victims = new Set();
-    entry.claimant = null;
-    entry.slots = [];
-    entry.entitlement = null;
-  }
-
   #placeGuaranteed(
     entry: entries.JobEntry,
     when: PlaceTime,
     mayEvict: boolean,
-  ): Placed | null {
+  ): holdings.Placed | null {
     const occupancy = this.#occupancy;
     const search = { ...when, occupancy, mayEvict };
     const place = guaranteed.findGuaranteedPlace(entry, search);
     if (place === null) return null;
-    return this.#take(entry, place, when.nowMs);
+    return this.#holdings.take(entry, place, when.nowMs);
   }
 
   /**
@@ -140,7 +127,10 @@
    * where that can be done. Keeps racks whole; the job may end up without a
    * guarantee although its team has one unclaimed.
    */
-  #placePacked(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+  #placePacked(
+    entry: entries.JobEntry,
+    when: PlaceTime,
+  ): holdings.Placed | null {
     if (!this.#policies.packFirst || !entry.shape.repeatable) return null;
     const { nowMs, racks } = when;
     const allowed = (rack: number) =>
@@ -153,10 +143,10 @@
     if (slots === null) return null;
     entry.slots = slots;
     const boundIds = adoption.bindRunning(entry, this.#occupancy) ?? [];
-    return this.#take(entry, { slots, boundIds }, nowMs);
+    return this.#holdings.take(entry, { slots, boundIds }, nowMs);
   }
 
-  #placeFree(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+  #placeFree(entry: entries.JobEntry, when: PlaceTime): holdings.Placed | null {
     const { nowMs, racks } = when;
     const { space, open, ledger } = this.#occupancy;
     const allowed = (rack: number) =>
@@ -165,24 +155,29 @@
     if (entry.shape.repeatable) {
       const slots = this.#policies.packing.find(space, entry, search);
       if (slots === null) return null;
-      return this.#take(entry, { slots, boundIds: [] }, nowMs);
+      return this.#holdings.take(entry, { slots, boundIds: [] }, nowMs);
     }
     const slots = this.#policies.packing.find(open, entry, search);
     if (slots === null || !ledger.holdsAfterMarking(slots)) return null;
-    return this.#take(entry, { slots, boundIds: [] }, nowMs);
+    return this.#holdings.take(entry, { slots, boundIds: [] }, nowMs);
   }
 
-  #displaceLowerTiers(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+  #displaceLowerTiers(
+    entry: entries.JobEntry,
+    when: PlaceTime,
+  ): holdings.Placed | null {
     const isUrgent = entry.shape.tier === Types.Tier.Urgent;
     if (!this.#policies.urgentDisplaces || !isUrgent) return null;
     const mayEvict = (victim: entries.JobEntry) =>
       victim.entitlement === Types.Entitlement.Opportunistic &&
       victim.shape.tier !== Types.Tier.Urgent;
     const place = this.#findEviction(entry, when, mayEvict);
-    return place === null ? null : this.#take(entry, place, when.nowMs);
+    return place === null
+      ? null
+      : this.#holdings.take(entry, place, when.nowMs);
   }
 
-  #openBlock(entry: entries.JobEntry, when: PlaceTime): Placed | null {
+  #openBlock(entry: entries.JobEntry, when: PlaceTime): holdings.Placed | null {
     if (entry.size < REPAIR_FROM_SIZE) return null;
     const { repair } = this.#policies;
     const { nowMs } = when;
@@ -192,7 +187,7 @@
     const place = this.#findEviction(entry, when, mayEvict);
     if (place === null || !repair.pays(entry, place, nowMs)) return null;
     if (!this.#hasRoomElsewhere(place)) return null;
-    return this.#take(entry, place, nowMs);
+    return this.#holdings.take(entry, place, nowMs);
   }
 
   /** Moved work must have somewhere to go, or it only trades places. */
@@ -230,84 +225,6 @@
     );
     return isFree && ledger.holdsAfterMarking(slots);
   }
-
-  #take(
-    entry: entries.JobEntry,
-    place: {
-      slots: readonly Types.Slot[];
-      boundIds?: number[];
-      victims?: Set<entries.JobEntry>;
-    },
-    nowMs: number,
-  ): Placed {
-    const victims = place.victims ?? new Set<entries.JobEntry>();
-    this.#hold(entry, { slots: place.slots, boundIds: place.boundIds ?? [] });
-    this.#occupancy.claim(entry, entry.slots);
-    entry.state = Types.JobState.Claiming;
-    entry.victims = victims;
-    for (const victim of victims) markYielding(victim, entry, nowMs);
-    if (victims.size > 0) {
-      const detail = `${victims.size} job(s) have to yield first`;
-      const atMs = nowMs;
-      entries.note(entry, Types.ReasonKind.Claiming, { atMs, detail });
-    }
-    return { victims };
-  }
-
-  #hold(
-    entry: entries.JobEntry,
-    place: { slots: readonly Types.Slot[]; boundIds: number[] },
-  ): void {
-    entry.slots = place.slots;
-    entry.boundIds = place.boundIds;
-    const isGuaranteed = place.boundIds.length > 0;
-    entry.entitlement = isGuaranteed
-      ? Types.Entitlement.Guaranteed
-      : Types.Entitlement.Opportunistic;
-    for (const id of place.boundIds) {
-      this.#occupancy.ledger.enter(id, entry.shape.id, 1 << entry.order);
-    }
-    if (!isGuaranteed && !entry.shape.repeatable) this.#setFixed(entry, true);
-    this.#count(entry, entry.size);
-  }
-
-  #setFixed(entry: entries.JobEntry, fixed: boolean): void {
-    const { ledger } = this.#occupancy;
-    entry.fixed = fixed;
-    for (const slot of entry.slots) {
-      if (fixed) ledger.mark(slot.worker, slot.mask);
-      else ledger.unmark(slot.worker, slot.mask);
-      this.#occupancy.refresh(slot.worker);
-    }
-  }
-
-  #leaveGuarantee(entry: entries.JobEntry): void {
-    const { ledger } = this.#occupancy;
-    for (const id of new Set(entry.boundIds)) {
-      const rack = ledger.get(id)?.rack;
-      ledger.leave(id, entry.shape.id);
-      if (rack !== undefined) this.#occupancy.refreshRack(rack);
-    }
-    entry.boundIds = [];
-  }
-
-  #count(entry: entries.JobEntry, by: number): void {
-    const { team } = entry.shape;
-    this.#used.set(team, this.usedBy(team) + by);
-  }
-}
-
-function markYielding(
-  victim: entries.JobEntry,
-  claimant: entries.JobEntry,
-  nowMs: number,
-): void {
-  victim.state = Types.JobState.Yielding;
-  victim.claimant = claimant;
-  entries.note(victim, Types.ReasonKind.Yielded, {
-    atMs: nowMs,
-    detail: `to ${claimant.shape.id} of ${claimant.shape.team}`,
-  });
 }
 
 function countBits(mask: number): number {
--- a/packages/scheduler/src/queue.ts
+++ b/packages/scheduler/src/queue.ts
@@ -3,6 +3,11 @@
 import TinyQueue from "tinyqueue";
 import * as entries from "./job_entry.ts";
 
+/** Time between two tries of a lane on every rack. */
+const FULL_TRY_MS = 20_000;
+/** Lanes tried on every rack in one round, so that no round takes long. */
+const FULL_TRIES_PER_ROUND = 8;
+
 /** Waiting jobs of one team, tier and shape, smallest key first. */
 export class Lane {
   readonly name: string;
@@ -71,6 +76,35 @@
     }
     return filled;
   }
+
+  /** Lanes that may start something now, in the order to try them. */
+  openLanes(releases: number, keyOf: (lane: Lane) => number): Lane[] {
+    const open = this.lanes()
+      .filter((lane) => lane.blockedAt !== releases)
+      .map((lane) => ({ lane, key: keyOf(lane) }));
+    open.sort((a, b) => a.lane.tierRank - b.lane.tierRank || a.key - b.key);
+    return open.map((o) => o.lane);
+  }
+
+  /**
+   * Reservations and costs change with time, not only with releases, so every
+   * lane is tried on all racks now and then; a few in each round.
+   */
+  unblockSome(nowMs: number): void {
+    let left = FULL_TRIES_PER_ROUND;
+    for (const lane of this.lanes()) {
+      if (nowMs - lane.fullyTriedAtMs < FULL_TRY_MS) continue;
+      lane.fullyTriedAtMs = nowMs;
+      lane.blockedAt = -1;
+      left--;
+      if (left === 0) return;
+    }
+  }
+
+  /** Has every lane tried on all racks in the next round. */
+  unblockAll(): void {
+    for (const lane of this.lanes()) lane.blockedAt = -1;
+  }
 }
 
 function laneName(shape: Types.JobShape): string {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -6,6 +6,7 @@
 import * as Types from "@cairngate/types";
 import * as consolidations from "./consolidation.ts";
 import * as explanations from "./explain.ts";
+import type * as holdings from "./holdings.ts";
 import * as entries from "./job_entry.ts";
 import type * as layouts from "./layout.ts";
 import * as occupancies from "./occupancy.ts";
@@ -22,10 +23,8 @@
   readonly progress: number;
 }
 
-/** Time between two tries of a lane on every rack. */
-const FULL_PASS_MS = 20_000;
-/** Lanes tried on every rack in one round, so that no round takes long. */
-const FULL_TRIES_PER_ROUND = 8;
+/** Time between two looks for a rack to make whole. */
+const CONSOLIDATE_MS = 20_000;
 
 /** Gangs at least this large get a reservation while they wait. */
 const RESERVE_FROM_SIZE = 8;
@@ -132,19 +131,24 @@
 
   /** Tries every waiting job again, also where nothing became free. */
   reconsider(): void {
-    for (const lane of this.#queue.lanes()) lane.blockedAt = -1;
+    this.#queue.unblockAll();
   }
 
   /** Decides what starts, yields and expires now. */
   override plan(nowMs: number): Types.Decision[] {
     const decisions: Types.Decision[] = [];
     this.#startReady(decisions, nowMs);
-    this.#unblockSome(nowMs);
-    if (nowMs - this.#consolidatedAtMs >= FULL_PASS_MS) {
+    this.#queue.unblockSome(nowMs);
+    if (nowMs - this.#consolidatedAtMs >= CONSOLIDATE_MS) {
       this.#consolidatedAtMs = nowMs;
       this.#consolidate(decisions, nowMs);
     }
-    for (const lane of this.#orderLanes()) {
+    const { releases } = this.occupancy;
+    const lanes = this.#queue.openLanes(
+      releases,
+      (lane) => this.#laneKey(lane),
+    );
+    for (const lane of lanes) {
       this.#planLane(lane, decisions, nowMs);
     }
     this.#startReady(decisions, nowMs);
@@ -164,21 +168,6 @@
     });
   }
 
-  /**
-   * Reservations and costs change with time, not only with releases, so every
-   * lane is tried on all racks now and then; a few in each round.
-   */
-  #unblockSome(nowMs: number): void {
-    let left = FULL_TRIES_PER_ROUND;
-    for (const lane of this.#queue.lanes()) {
-      if (nowMs - lane.fullyTriedAtMs < FULL_PASS_MS) continue;
-      lane.fullyTriedAtMs = nowMs;
-      lane.blockedAt = -1;
-      left--;
-      if (left === 0) return;
-    }
-  }
-
   /** Moves the work of one rack while nothing waits. */
   #consolidate(decisions: Types.Decision[], nowMs: number): void {
     if (!this.#policies.consolidates || this.#queue.lanes().length > 0) return;
@@ -208,14 +197,6 @@
     this.#queue.push(entry);
   }
 
-  #orderLanes(): queues.Lane[] {
-    const open = this.#queue.lanes()
-      .filter((lane) => lane.blockedAt !== this.occupancy.releases)
-      .map((lane) => ({ lane, key: this.#laneKey(lane) }));
-    open.sort((a, b) => a.lane.tierRank - b.lane.tierRank || a.key - b.key);
-    return open.map((o) => o.lane);
-  }
-
   #laneKey(lane: queues.Lane): number {
     const share = this.#placer.shareInUse(lane.team);
     return lane.head()!.key + share * this.#policies.order.fairShareMs();
@@ -254,7 +235,7 @@
 
   #accept(
     entry: entries.JobEntry,
-    placed: placer.Placed,
+    placed: holdings.Placed,
     decisions: Types.Decision[],
   ): void {
     for (const victim of placed.victims) {
