--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -89,7 +89,6 @@
     this.configs = new configs.ConfigKeeper({
       deployment: options.deployment,
       clock,
-      random,
       store: this.#store,
       metrics,
       log: log.part("config"),
@@ -99,9 +98,7 @@
     this.#membership = new memberships.Membership({
       ...options,
       clock,
-      random,
       network: ports.network,
-      metrics,
       liveWorkers: this.#liveWorkers,
       configVersion: () => this.configs.current?.version ?? 0,
     });
--- a/packages/box/src/config_keeper.ts
+++ b/packages/box/src/config_keeper.ts
@@ -17,7 +17,6 @@
 export interface ConfigKeeperOptions {
   readonly deployment: string;
   readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
   readonly store: TableClient.StoreClient;
   readonly metrics: Metrics.Metrics;
   readonly log: Logger.Logger;
--- a/packages/box/src/membership.ts
+++ b/packages/box/src/membership.ts
@@ -1,7 +1,6 @@
 /** What this box knows of its peers, from heartbeats on the links. */
 import * as Cell from "@cairngate/cell";
 import type * as Config from "@cairngate/config";
-import type * as Metrics from "@cairngate/metrics";
 import type * as Platform from "@cairngate/platform";
 import * as Types from "@cairngate/types";
 import * as Deferred from "effect/Deferred";
@@ -13,9 +12,7 @@
 export interface MembershipOptions {
   readonly box: string;
   readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
   readonly network: Platform.PeerNetwork;
-  readonly metrics: Metrics.Metrics;
   readonly times: Config.TimeSettings;
   readonly liveWorkers: live.LiveWorkers;
   readonly configVersion: () => number;
--- a/packages/box/src/peer_requests.ts
+++ b/packages/box/src/peer_requests.ts
@@ -41,8 +41,6 @@
   switch (req.kind) {
     case Types.PeerKind.Place:
       return owner.grants.place(req);
-    case Types.PeerKind.Withdraw:
-      return owner.grants.withdraw(req.jobId);
     case Types.PeerKind.Released:
       return owner.grants.released(req);
     case Types.PeerKind.Enqueue:
--- a/packages/scheduler/src/job_entry.ts
+++ b/packages/scheduler/src/job_entry.ts
@@ -34,8 +34,6 @@
   victims: Set<JobEntry>;
   /** The job this one yields to. */
   claimant: JobEntry | null;
-  /** A withdrawn job is not queued again after it yielded. */
-  withdrawn: boolean;
   /** Position key within its lane; smaller starts earlier. */
   key: number;
   /** Order of arrival; decides between equal keys. */
@@ -62,7 +60,6 @@
     progress,
     victims: new Set(),
     claimant: null,
-    withdrawn: false,
     key: 0,
     sequence: 0,
   };
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -1,5 +1,4 @@
 /** Messages between boxes. */
-import type * as decision from "./decision.ts";
 import type * as job from "./job.ts";
 
 /** Which box owns a cell, under which epoch. */
@@ -21,7 +20,6 @@
   Heartbeat = "heartbeat",
   FetchConfig = "fetch-config",
   Place = "place",
-  Withdraw = "withdraw",
   Released = "released",
   Enqueue = "enqueue",
   JobStatus = "job-status",
@@ -58,13 +56,6 @@
   readonly waitMs: number;
 }
 
-/** Tells the owner that a waiting or granted job will not be dispatched. */
-export interface Withdraw {
-  readonly kind: PeerKind.Withdraw;
-  readonly cell: string;
-  readonly jobId: string;
-}
-
 /** Tells the owner that a granted attempt has ended. */
 export interface Released {
   readonly kind: PeerKind.Released;
@@ -124,7 +115,6 @@
   | Heartbeat
   | FetchConfig
   | Place
-  | Withdraw
   | Released
   | Enqueue
   | JobStatus
@@ -209,6 +199,3 @@
   readonly block: number;
   readonly value: number;
 }
-
-/** The entitlement under which a job runs, for status pages. */
-export type EntitlementName = decision.Entitlement;
