Rename the package of the ports to ports

Cause: the adapter to a prepared platform will live in platform/, and the package of ports had the same name. Ruled out: naming the adapter otherwise; the users ask for platform/. Conclusion: ports are @cairngate/ports from now on.

--- a/packages/adapters/src/http_platform.ts
+++ b/packages/adapters/src/http_platform.ts
@@ -6,7 +6,7 @@
  */
 import * as Errors from "@cairngate/errors";
 import * as HttpJson from "@cairngate/http-json";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 
 const STATUS_OK = 200;
@@ -18,7 +18,7 @@
 const CONNECTIONS = 4;
 
 /** Adapter of the table service's port. */
-export class HttpTable extends Platform.TableService {
+export class HttpTable extends Ports.TableService {
   readonly #platform: PlatformCaller;
 
   constructor(
@@ -30,15 +30,15 @@
   }
 
   override read(keys: readonly string[]) {
-    return this.#call<readonly Platform.Row[]>("read", { keys });
+    return this.#call<readonly Ports.Row[]>("read", { keys });
   }
 
   override scan(prefix: string, afterRevision: number) {
     const body = { prefix, afterRevision };
-    return this.#call<readonly Platform.Row[]>("scan", body);
+    return this.#call<readonly Ports.Row[]>("scan", body);
   }
 
-  override transact(tx: Platform.Transaction) {
+  override transact(tx: Ports.Transaction) {
     const path = "/v1/table/transact";
     const call = this.#platform.call({
       method: "POST",
@@ -61,7 +61,7 @@
   #call<A>(
     operation: string,
     body: unknown,
-  ): Effect.Effect<A, Platform.StoreError> {
+  ): Effect.Effect<A, Ports.StoreError> {
     const path = `/v1/table/${operation}`;
     const call = this.#platform.call({
       method: "POST",
@@ -73,7 +73,7 @@
 }
 
 /** Adapter of the object store's port. */
-export class HttpObjectStore extends Platform.ObjectStore {
+export class HttpObjectStore extends Ports.ObjectStore {
   readonly #platform: PlatformCaller;
 
   constructor(
@@ -109,7 +109,7 @@
 }
 
 /** Adapter of the live list's port. */
-export class HttpLiveList extends Platform.LiveList {
+export class HttpLiveList extends Ports.LiveList {
   readonly #platform: PlatformCaller;
 
   constructor(
@@ -130,7 +130,7 @@
     });
     return Effect.map(call, (reply) => {
       if (reply.status === STATUS_NOT_MODIFIED) return null;
-      return reply.body as Platform.LiveSnapshot;
+      return reply.body as Ports.LiveSnapshot;
     });
   }
 }
@@ -147,11 +147,11 @@
 
   call(
     what: HttpJson.HttpCall,
-  ): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
+  ): Effect.Effect<HttpJson.HttpReply, Ports.StoreError> {
     const operation = `${what.method} ${what.path}`;
     return Effect.matchEffect(this.#caller.call(this.#address, what), {
       onFailure: (err) =>
-        Effect.fail<Platform.StoreError>(
+        Effect.fail<Ports.StoreError>(
           err.neverSent
             ? new Errors.StoreUnavailableError({ operation, cause: err.cause })
             : new Errors.AnswerLostError({ operation }),
@@ -164,7 +164,7 @@
 function checkStatus(
   operation: string,
   reply: HttpJson.HttpReply,
-): Effect.Effect<HttpJson.HttpReply, Platform.StoreError> {
+): Effect.Effect<HttpJson.HttpReply, Ports.StoreError> {
   const known = [
     STATUS_OK,
     STATUS_NOT_MODIFIED,
--- a/packages/adapters/src/http_workers.ts
+++ b/packages/adapters/src/http_workers.ts
@@ -4,7 +4,7 @@
  */
 import * as Errors from "@cairngate/errors";
 import * as HttpJson from "@cairngate/http-json";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 
@@ -14,7 +14,7 @@
 const CONTROL_CONNECTIONS = 2;
 
 /** Adapter of the workers' port. */
-export class HttpWorkers extends Platform.Workers {
+export class HttpWorkers extends Ports.Workers {
   readonly #runs: HttpJson.HttpCaller;
   readonly #orders: HttpJson.HttpCaller;
 
@@ -66,7 +66,7 @@
     endpoint: string,
     name: string,
     body: unknown,
-  ): Effect.Effect<A, Platform.WorkerError> {
+  ): Effect.Effect<A, Ports.WorkerError> {
     return this.#call<A>(this.#orders, endpoint, {
       path: `/v1/${name}`,
       body,
@@ -77,11 +77,11 @@
     caller: HttpJson.HttpCaller,
     endpoint: string,
     what: { path: string; body: unknown },
-  ): Effect.Effect<A, Platform.WorkerError> {
+  ): Effect.Effect<A, Ports.WorkerError> {
     const call = caller.call(endpoint, { method: "POST", ...what });
     return Effect.matchEffect(call, {
       onFailure: (err) =>
-        Effect.fail<Platform.WorkerError>(
+        Effect.fail<Ports.WorkerError>(
           new Errors.WorkerLostError({
             worker: endpoint,
             cause: err.cause,
@@ -96,7 +96,7 @@
 function readReply<A>(
   endpoint: string,
   reply: HttpJson.HttpReply,
-): Effect.Effect<A, Platform.WorkerError> {
+): Effect.Effect<A, Ports.WorkerError> {
   if (reply.status === STATUS_OK) return Effect.succeed(reply.body as A);
   if (reply.status === STATUS_REFUSED) {
     const body = reply.body as {
--- a/packages/adapters/src/system_clock.ts
+++ b/packages/adapters/src/system_clock.ts
@@ -1,10 +1,10 @@
 /** The machine's clocks. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import * as performance from "node:perf_hooks";
 
 /** Wall clock, monotonic clock and timers of the machine. */
-export class SystemClock extends Platform.Clock {
+export class SystemClock extends Ports.Clock {
   override wallMs(): number {
     return Date.now();
   }
--- a/packages/adapters/src/system_random.ts
+++ b/packages/adapters/src/system_random.ts
@@ -1,9 +1,9 @@
 /** Random numbers and identifiers of the machine. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as crypto from "node:crypto";
 
 /** Random source for daemons. */
-export class SystemRandom extends Platform.RandomSource {
+export class SystemRandom extends Ports.RandomSource {
   override next(): number {
     return Math.random();
   }
--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -5,7 +5,7 @@
 import type * as Errors from "@cairngate/errors";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
@@ -18,13 +18,13 @@
 
 /** Ports of a box. */
 export interface BoxPorts {
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
-  readonly table: Platform.TableService;
-  readonly objects: Platform.ObjectStore;
-  readonly liveList: Platform.LiveList;
-  readonly workers: Platform.Workers;
-  readonly network: Platform.PeerNetwork;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
+  readonly table: Ports.TableService;
+  readonly objects: Ports.ObjectStore;
+  readonly liveList: Ports.LiveList;
+  readonly workers: Ports.Workers;
+  readonly network: Ports.PeerNetwork;
   readonly metrics: Metrics.Metrics;
   readonly log: Logger.Logger;
 }
--- a/packages/box/src/config_keeper.ts
+++ b/packages/box/src/config_keeper.ts
@@ -7,7 +7,7 @@
 import type * as Cell from "@cairngate/cell";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Scheduler from "@cairngate/scheduler";
 import * as TableClient from "@cairngate/table-client";
 import type * as Types from "@cairngate/types";
@@ -16,7 +16,7 @@
 /** What the keeper needs. */
 export interface ConfigKeeperOptions {
   readonly deployment: string;
-  readonly clock: Platform.Clock;
+  readonly clock: Ports.Clock;
   readonly store: TableClient.StoreClient;
   readonly metrics: Metrics.Metrics;
   readonly log: Logger.Logger;
--- a/packages/box/src/live_workers.ts
+++ b/packages/box/src/live_workers.ts
@@ -2,7 +2,7 @@
  * Which workers are leaving: the platform's list, which lags, joined with
  * what peers tell. Leaving beats live.
  */
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 
 /** What peers told counts at least this long, and until the next reading. */
@@ -12,14 +12,14 @@
 
 /** Keeps the names of leaving workers. */
 export class LiveWorkers {
-  readonly #list: Platform.LiveList;
-  readonly #clock: Platform.Clock;
+  readonly #list: Ports.LiveList;
+  readonly #clock: Ports.Clock;
   #tag: string | null = null;
   /** Leaving workers of the list, and since when this box knows. */
   #listed: ReadonlyMap<string, number> = new Map();
   readonly #toldAtMs = new Map<string, number>();
 
-  constructor(list: Platform.LiveList, clock: Platform.Clock) {
+  constructor(list: Ports.LiveList, clock: Ports.Clock) {
     this.#list = list;
     this.#clock = clock;
   }
--- a/packages/box/src/membership.ts
+++ b/packages/box/src/membership.ts
@@ -1,7 +1,7 @@
 /** What this box knows of its peers, from heartbeats on the links. */
 import * as Cell from "@cairngate/cell";
 import type * as Config from "@cairngate/config";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Types from "@cairngate/types";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -11,8 +11,8 @@
 /** What the membership needs. */
 export interface MembershipOptions {
   readonly box: string;
-  readonly clock: Platform.Clock;
-  readonly network: Platform.PeerNetwork;
+  readonly clock: Ports.Clock;
+  readonly network: Ports.PeerNetwork;
   readonly times: Config.TimeSettings;
   readonly liveWorkers: live.LiveWorkers;
   readonly configVersion: () => number;
--- a/packages/box/src/owner_router.ts
+++ b/packages/box/src/owner_router.ts
@@ -1,7 +1,7 @@
 /** Sends a request to the owner of a cell, here or on a peer. */
 import * as Entry from "@cairngate/entry";
 import * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import type * as memberships from "./membership.ts";
@@ -9,16 +9,16 @@
 /** Adapter of the owner directory to membership and peer links. */
 export class OwnerRouter extends Entry.OwnerDirectory {
   readonly #box: string;
-  readonly #network: Platform.PeerNetwork;
+  readonly #network: Ports.PeerNetwork;
   readonly #membership: memberships.Membership;
-  readonly #local: Platform.PeerHandler;
+  readonly #local: Ports.PeerHandler;
 
   constructor(
     options: {
       box: string;
-      network: Platform.PeerNetwork;
+      network: Ports.PeerNetwork;
       membership: memberships.Membership;
-      local: Platform.PeerHandler;
+      local: Ports.PeerHandler;
     },
   ) {
     super();
--- a/packages/cell/src/job_records.ts
+++ b/packages/cell/src/job_records.ts
@@ -1,6 +1,6 @@
 /** Rows of stored jobs. Every write requires that the owner's epoch holds. */
 import type * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
@@ -62,7 +62,7 @@
     const { cell } = this.#lease;
     const key = TableClient.Keys.jobKey(cell, record.job.id);
     const value = { ...record, updatedAtMs: this.#ports.clock.wallMs() };
-    const writes: Platform.RowWrite[] = [{ key, value }];
+    const writes: Ports.RowWrite[] = [{ key, value }];
     if (Types.isFinalState(record.state)) {
       // Ended jobs move away, so that an heir reads only what is left to do.
       const endedKey = TableClient.Keys.endedKey(cell, record.job.id);
--- a/packages/cell/src/owner_lease.ts
+++ b/packages/cell/src/owner_lease.ts
@@ -6,7 +6,7 @@
  * the holder itself checks before it acts.
  */
 import type * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -33,7 +33,7 @@
   readonly cell: string;
   readonly epoch: number;
   /** Revision of the owner row; a condition of every write of the owner. */
-  readonly condition: Platform.RowCondition;
+  readonly condition: Ports.RowCondition;
   readonly #ports: ports.CellPorts;
   readonly #lost = Deferred.makeUnsafe<string>();
   #heldUntilMs: number;
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -2,7 +2,7 @@
 import type * as Config from "@cairngate/config";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import type * as TableClient from "@cairngate/table-client";
 import type * as Types from "@cairngate/types";
 
@@ -33,12 +33,12 @@
 /** Ports of a cell. */
 export interface CellPorts {
   readonly box: string;
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
   readonly store: TableClient.StoreClient;
   readonly writer: TableClient.GroupedWriter;
-  readonly objects: Platform.ObjectStore;
-  readonly workers: Platform.Workers;
+  readonly objects: Ports.ObjectStore;
+  readonly workers: Ports.Workers;
   readonly metrics: Metrics.Metrics;
   readonly log: Logger.Logger;
   readonly view: ClusterView;
--- a/packages/cell/src/sweep_ended.ts
+++ b/packages/cell/src/sweep_ended.ts
@@ -1,5 +1,5 @@
 /** Removes the rows of jobs that ended long ago. */
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
@@ -46,7 +46,7 @@
   });
 }
 
-function isOlder(row: Platform.Row, beforeMs: number): boolean {
+function isOlder(row: Ports.Row, beforeMs: number): boolean {
   const value = row.value as Partial<Types.JobRecord & { atMs: number }>;
   const atMs = value.updatedAtMs ?? value.atMs ?? Infinity;
   return atMs < beforeMs;
--- a/packages/cell/src/task_orders.ts
+++ b/packages/cell/src/task_orders.ts
@@ -1,6 +1,6 @@
 /** Orders to the workers of one attempt: hold, start, stop. */
 import * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import type * as owned from "./owned_job.ts";
@@ -165,7 +165,7 @@
   /** The reply, or null where it was refused or lost. */
   #send<A>(
     worker: string,
-    order: (endpoint: string) => Effect.Effect<A, Platform.WorkerError>,
+    order: (endpoint: string) => Effect.Effect<A, Ports.WorkerError>,
   ): Effect.Effect<{ readonly value: A } | null> {
     return Effect.map(
       this.#sendTyped(worker, order),
@@ -175,7 +175,7 @@
 
   #sendTyped<A>(
     worker: string,
-    order: (endpoint: string) => Effect.Effect<A, Platform.WorkerError>,
+    order: (endpoint: string) => Effect.Effect<A, Ports.WorkerError>,
   ): Effect.Effect<OrderReply<A>> {
     return Effect.gen({ self: this }, function* () {
       const endpoint = this.#endpointOf(worker);
@@ -192,7 +192,7 @@
     });
   }
 
-  #readFailure(err: Platform.WorkerError): OrderReply<never> {
+  #readFailure(err: Ports.WorkerError): OrderReply<never> {
     if (err._tag === "WorkerLostError") return { kind: "lost" };
     if (err.reason === Errors.RefusalReason.StaleEpoch) {
       this.#lease.noteEpoch(err.epoch, `worker ${err.worker}`);
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -1,6 +1,6 @@
 /** One fiber for each worker: seals it, then waits for its reports. */
 import * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import type * as leases from "./owner_lease.ts";
@@ -126,7 +126,7 @@
   /** The answer, or null where none came in time. */
   #ask<A>(
     limitMs: number,
-    call: Effect.Effect<A, Platform.WorkerError>,
+    call: Effect.Effect<A, Ports.WorkerError>,
   ): Effect.Effect<A | null> {
     return this.#ports.clock.within(limitMs, call).pipe(
       Effect.map((timed) => timed?.value ?? null),
@@ -139,7 +139,7 @@
     );
   }
 
-  #noteRefusal(err: Platform.WorkerError): void {
+  #noteRefusal(err: Ports.WorkerError): void {
     if (err._tag !== "WorkerRefusedError") return;
     if (err.reason !== Errors.RefusalReason.StaleEpoch) return;
     this.#lease.noteEpoch(err.epoch, `worker ${this.worker.name}`);
--- a/packages/daemon/src/embedded_platform.ts
+++ b/packages/daemon/src/embedded_platform.ts
@@ -3,19 +3,19 @@
 import * as Config from "@cairngate/config";
 import type * as Errors from "@cairngate/errors";
 import * as Metrics from "@cairngate/metrics";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as StandIns from "@cairngate/stand-ins";
 import * as Effect from "effect/Effect";
 
 /** Adapters that a box needs besides its peers. */
 export interface PlatformAdapters {
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
   readonly metrics: Metrics.Metrics;
-  readonly table: Platform.TableService;
-  readonly objects: Platform.ObjectStore;
-  readonly liveList: Platform.LiveList;
-  readonly workers: Platform.Workers;
+  readonly table: Ports.TableService;
+  readonly objects: Ports.ObjectStore;
+  readonly liveList: Ports.LiveList;
+  readonly workers: Ports.Workers;
 }
 
 /** Adds the machine's clock and random numbers. */
--- a/packages/entry/src/dispatch.ts
+++ b/packages/entry/src/dispatch.ts
@@ -1,5 +1,5 @@
 /** The order that carries a short job to its worker, and its answer. */
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Types from "@cairngate/types";
 
 const HOLD_MS = 5000;
@@ -48,7 +48,7 @@
 }
 
 /** What a failure of a worker proves. */
-export function readFailure(err: Platform.WorkerError): Dispatch {
+export function readFailure(err: Ports.WorkerError): Dispatch {
   if (err._tag === "WorkerRefusedError") {
     return { kind: "not-started", why: err.message };
   }
--- a/packages/entry/src/parse_submission.ts
+++ b/packages/entry/src/parse_submission.ts
@@ -1,6 +1,6 @@
 /** Turns a caller's request into a job. */
 import * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import * as Schema from "effect/Schema";
@@ -44,8 +44,8 @@
 /** What a job is made from. */
 export interface ParseContext {
   readonly cfg: Types.DeploymentConfig;
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
 }
 
 /** Checks a request against the configuration and makes the job. */
@@ -162,7 +162,7 @@
 function makeJobId(
   team: Types.TeamSpec,
   key: string | null,
-  random: Platform.RandomSource,
+  random: Ports.RandomSource,
 ): string {
   const seed = key === null ? random.id() : `${team.name}\n${key}`;
   return `${team.cell}.${hash(seed)}`;
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -2,7 +2,7 @@
 import * as Errors from "@cairngate/errors";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -20,8 +20,8 @@
   readonly self: string;
   readonly peer: string;
   readonly address: string;
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
 }
--- a/packages/peers/src/ws_peer_network.ts
+++ b/packages/peers/src/ws_peer_network.ts
@@ -2,7 +2,7 @@
 import * as Errors from "@cairngate/errors";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
@@ -16,8 +16,8 @@
   readonly self: string;
   readonly address: string;
   readonly peers: readonly { name: string; address: string }[];
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
 }
@@ -25,7 +25,7 @@
 const LARGEST_FRAME_BYTES = 16_000_000;
 
 /** Adapter of the peer network to ws. */
-export class WsPeerNetwork extends Platform.PeerNetwork {
+export class WsPeerNetwork extends Ports.PeerNetwork {
   readonly #options: WsPeerOptions;
   readonly #links = new Map<string, links.PeerLink>();
   readonly #fibers: Fiber.Fiber<never>[] = [];
@@ -47,7 +47,7 @@
   }
 
   override listen(
-    handler: Platform.PeerHandler,
+    handler: Ports.PeerHandler,
   ): Effect.Effect<void, Errors.ListenError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#listenOn(this.#options.address);
@@ -99,7 +99,7 @@
     });
   }
 
-  #accept(socket: Ws.WebSocket, handler: Platform.PeerHandler): void {
+  #accept(socket: Ws.WebSocket, handler: Ports.PeerHandler): void {
     const { metrics, log } = this.#options;
     const codec = new frames.FrameCodec();
     const answering = new Set<Fiber.Fiber<void>>();
@@ -130,7 +130,7 @@
   #answer(
     connection: { socket: Ws.WebSocket; codec: frames.FrameCodec },
     frame: frames.RequestFrame,
-    handler: Platform.PeerHandler,
+    handler: Ports.PeerHandler,
   ): Effect.Effect<void> {
     const { id } = frame;
     return handler(frame.from, frame.req).pipe(
--- a/packages/stand-in-server/src/platform_routes.ts
+++ b/packages/stand-in-server/src/platform_routes.ts
@@ -4,7 +4,7 @@
  * `GET /ledger`, `GET /counts`.
  */
 import * as HttpJson from "@cairngate/http-json";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import type * as StandIns from "@cairngate/stand-ins";
 import * as Effect from "effect/Effect";
 import type * as http from "node:http";
@@ -55,7 +55,7 @@
     }
     case "/v1/table/transact":
       return Effect.map(
-        parts.table.transact(body as Platform.Transaction),
+        parts.table.transact(body as Ports.Transaction),
         (revision) => ({ revision }),
       );
     case "/v1/live":
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -1,6 +1,6 @@
 /** Faults of the platform's store, switched on and off by tests. */
 import * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 
 /** Faults in force. */
@@ -17,11 +17,11 @@
 
 /** Holds the faults in force and applies them to calls. */
 export class FaultSwitch {
-  readonly #clock: Platform.Clock;
-  readonly #random: Platform.RandomSource;
+  readonly #clock: Ports.Clock;
+  readonly #random: Ports.RandomSource;
   faults: StoreFaults = HEALTHY;
 
-  constructor(clock: Platform.Clock, random: Platform.RandomSource) {
+  constructor(clock: Ports.Clock, random: Ports.RandomSource) {
     this.#clock = clock;
     this.#random = random;
   }
@@ -35,7 +35,7 @@
   apply<A, E>(
     operation: string,
     call: () => Effect.Effect<A, E>,
-  ): Effect.Effect<A, E | Platform.StoreError> {
+  ): Effect.Effect<A, E | Ports.StoreError> {
     return Effect.gen({ self: this }, function* () {
       const { delayMs } = this.faults;
       if (delayMs > 0) yield* this.#clock.sleep(delayMs);
--- a/packages/stand-ins/src/memory_live_list.ts
+++ b/packages/stand-ins/src/memory_live_list.ts
@@ -1,11 +1,11 @@
 /** A live list in memory, which can be made to lag. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import type * as switches from "./fault_switch.ts";
 
 /** Keeps the list of live and leaving workers. */
-export class MemoryLiveList extends Platform.LiveList {
+export class MemoryLiveList extends Ports.LiveList {
   readonly #entries = new Map<string, Types.LiveEntry>();
   #version = 1;
   readonly #faults: switches.FaultSwitch;
--- a/packages/stand-ins/src/memory_object_store.ts
+++ b/packages/stand-ins/src/memory_object_store.ts
@@ -1,10 +1,10 @@
 /** An object store in memory. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import type * as switches from "./fault_switch.ts";
 
 /** Keeps objects in a map. */
-export class MemoryObjectStore extends Platform.ObjectStore {
+export class MemoryObjectStore extends Ports.ObjectStore {
   readonly #objects = new Map<string, unknown>();
   readonly #faults: switches.FaultSwitch;
 
--- a/packages/stand-ins/src/memory_table.ts
+++ b/packages/stand-ins/src/memory_table.ts
@@ -1,12 +1,12 @@
 /** A table service in memory. */
 import * as Errors from "@cairngate/errors";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import type * as switches from "./fault_switch.ts";
 
 /** Keeps rows in a map; transactions are atomic. */
-export class MemoryTable extends Platform.TableService {
-  readonly #rows = new Map<string, Platform.Row>();
+export class MemoryTable extends Ports.TableService {
+  readonly #rows = new Map<string, Ports.Row>();
   readonly #faults: switches.FaultSwitch;
   #revision = 0;
   /** Transactions and reads carried out. */
@@ -35,12 +35,12 @@
       }));
   }
 
-  override transact(tx: Platform.Transaction) {
+  override transact(tx: Ports.Transaction) {
     return this.#faults.apply("write", () => this.#transact(tx));
   }
 
   #transact(
-    tx: Platform.Transaction,
+    tx: Ports.Transaction,
   ): Effect.Effect<number, Errors.ConditionFailedError> {
     return Effect.suspend(() => {
       this.counts.writes++;
@@ -57,7 +57,7 @@
     });
   }
 
-  #put(write: Platform.RowWrite, writeId: string): void {
+  #put(write: Ports.RowWrite, writeId: string): void {
     if (write.value === null) {
       this.#rows.delete(write.key);
       return;
--- a/packages/stand-ins/src/memory_workers.ts
+++ b/packages/stand-ins/src/memory_workers.ts
@@ -1,12 +1,12 @@
 /** Reaches stand-in workers of the same process. */
 import * as Errors from "@cairngate/errors";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import type * as workers from "./stand_in_worker.ts";
 
 /** Adapter of the workers' port to workers in memory, by endpoint. */
-export class MemoryWorkers extends Platform.Workers {
+export class MemoryWorkers extends Ports.Workers {
   readonly #byEndpoint = new Map<string, workers.StandInWorker>();
 
   /** Adds a worker under its endpoint. */
--- a/packages/stand-ins/src/stand_in_worker.ts
+++ b/packages/stand-ins/src/stand_in_worker.ts
@@ -1,6 +1,6 @@
 /** A worker in memory: runs tasks under leases and refuses stale epochs. */
 import * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Types from "@cairngate/types";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -15,8 +15,8 @@
 export interface StandInWorkerOptions {
   readonly name: string;
   readonly accelerators: number;
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
   readonly ledger: ledgers.RunLedger;
 }
 
--- a/packages/table-client/src/circuit_breaker.ts
+++ b/packages/table-client/src/circuit_breaker.ts
@@ -1,16 +1,16 @@
 /** Stops asking a service that has failed several times in a row. */
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 
 const FAILURES_TO_OPEN = 5;
 const OPEN_MS = 500;
 
 /** Counts failures; open means: fail at once, do not ask. */
 export class CircuitBreaker {
-  readonly #clock: Platform.Clock;
+  readonly #clock: Ports.Clock;
   #failures = 0;
   #openUntilMs = 0;
 
-  constructor(clock: Platform.Clock) {
+  constructor(clock: Ports.Clock) {
     this.#clock = clock;
   }
 
--- a/packages/table-client/src/grouped_writer.ts
+++ b/packages/table-client/src/grouped_writer.ts
@@ -4,7 +4,7 @@
  * is written again one by one, so that one bad write does not fail others.
  */
 import type * as Errors from "@cairngate/errors";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as clients from "./store_client.ts";
@@ -25,7 +25,7 @@
 /** Collects writes while an earlier group is on its way. */
 export class GroupedWriter {
   readonly #client: clients.StoreClient;
-  readonly #clock: Platform.Clock;
+  readonly #clock: Ports.Clock;
   readonly #windowMs: number;
   #pending: Pending[] = [];
   #isRunning = false;
@@ -34,7 +34,7 @@
   constructor(
     options: {
       client: clients.StoreClient;
-      clock: Platform.Clock;
+      clock: Ports.Clock;
       windowMs: number;
     },
   ) {
@@ -114,8 +114,8 @@
   }
 }
 
-function uniqueConditions(group: readonly Pending[]): Platform.RowCondition[] {
-  const byKey = new Map<string, Platform.RowCondition>();
+function uniqueConditions(group: readonly Pending[]): Ports.RowCondition[] {
+  const byKey = new Map<string, Ports.RowCondition>();
   for (const { write } of group) {
     for (const condition of write.conditions) {
       byKey.set(`${condition.key}@${condition.revision}`, condition);
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -6,15 +6,15 @@
  */
 import * as Errors from "@cairngate/errors";
 import type * as Metrics from "@cairngate/metrics";
-import type * as Platform from "@cairngate/platform";
+import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import * as breakers from "./circuit_breaker.ts";
 
 /** What a store client needs. */
 export interface StoreClientOptions {
-  readonly table: Platform.TableService;
-  readonly clock: Platform.Clock;
-  readonly random: Platform.RandomSource;
+  readonly table: Ports.TableService;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
   readonly metrics: Metrics.Metrics;
   /** Budget of this box; writes beyond it wait. */
   readonly writesPerSecond: number;
@@ -25,8 +25,8 @@
 
 /** A transaction without its id; the client gives it one. */
 export interface Write {
-  readonly conditions: readonly Platform.RowCondition[];
-  readonly writes: readonly Platform.RowWrite[];
+  readonly conditions: readonly Ports.RowCondition[];
+  readonly writes: readonly Ports.RowWrite[];
   /** Given by the caller where a later attempt must be the same write. */
   readonly writeId?: string;
 }
@@ -61,7 +61,7 @@
   read(
     keys: readonly string[],
     deadlineMs = DEFAULT_DEADLINE_MS,
-  ): Effect.Effect<readonly Platform.Row[], StoreFailure> {
+  ): Effect.Effect<readonly Ports.Row[], StoreFailure> {
     const call = () => this.#options.table.read(keys);
     return this.#retryRead("read", call, deadlineMs);
   }
@@ -71,7 +71,7 @@
     prefix: string,
     afterRevision = 0,
     deadlineMs = DEFAULT_DEADLINE_MS,
-  ): Effect.Effect<readonly Platform.Row[], StoreFailure> {
+  ): Effect.Effect<readonly Ports.Row[], StoreFailure> {
     const call = () => this.#options.table.scan(prefix, afterRevision);
     return this.#retryRead("scan", call, deadlineMs);
   }
@@ -87,7 +87,7 @@
   }
 
   #writeUntil(
-    tx: Platform.Transaction,
+    tx: Ports.Transaction,
     deadlineMs: number,
   ): Effect.Effect<number, StoreFailure | Errors.ConditionFailedError> {
     const { clock, random } = this.#options;
@@ -115,7 +115,7 @@
     });
   }
 
-  #tryWrite(tx: Platform.Transaction): Effect.Effect<WriteTry> {
+  #tryWrite(tx: Ports.Transaction): Effect.Effect<WriteTry> {
     const { table, metrics } = this.#options;
     metrics.count("cairngate_store_writes_total");
     return this.#timed("write", table.transact(tx)).pipe(
@@ -130,7 +130,7 @@
   }
 
   /** Revision of the transaction if its rows show that it took effect. */
-  #findWrite(tx: Platform.Transaction): Effect.Effect<number | null> {
+  #findWrite(tx: Ports.Transaction): Effect.Effect<number | null> {
     const kept = tx.writes.filter((w) => w.value !== null);
     const keys = kept.map((w) => w.key);
     this.#options.metrics.count("cairngate_store_lost_answers_total");
@@ -145,7 +145,7 @@
 
   #retryRead<A>(
     operation: string,
-    call: () => Effect.Effect<A, Platform.StoreError>,
+    call: () => Effect.Effect<A, Ports.StoreError>,
     deadlineMs: number,
   ): Effect.Effect<A, StoreFailure> {
     const { clock, random, metrics } = this.#options;
--- a/packages/test-utils/src/fake_clock.ts
+++ b/packages/test-utils/src/fake_clock.ts
@@ -1,5 +1,5 @@
 /** A clock that moves only when a test says so. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import * as timers from "node:timers";
 
@@ -13,7 +13,7 @@
 const SETTLE_ROUNDS = 4;
 
 /** Time that a test moves. */
-export class FakeClock extends Platform.Clock {
+export class FakeClock extends Ports.Clock {
   #nowMs = 1_000_000;
   #order = 0;
   #sleepers: Sleeper[] = [];
--- a/packages/test-utils/src/fake_network.ts
+++ b/packages/test-utils/src/fake_network.ts
@@ -1,24 +1,24 @@
 /** Links between boxes of one process, which tests can cut. */
 import * as Errors from "@cairngate/errors";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 
 /** Connects the fake networks of all boxes. */
 export class NetworkHub {
-  readonly #handlers = new Map<string, Platform.PeerHandler>();
+  readonly #handlers = new Map<string, Ports.PeerHandler>();
   readonly #cut = new Set<string>();
   readonly #gates = new Map<string, Effect.Effect<void>>();
   readonly names: readonly string[];
-  readonly clock: Platform.Clock;
+  readonly clock: Ports.Clock;
 
-  constructor(names: readonly string[], clock: Platform.Clock) {
+  constructor(names: readonly string[], clock: Ports.Clock) {
     this.names = names;
     this.clock = clock;
   }
 
   /** Sets who answers for a box; null when the box is gone. */
-  attach(box: string, handler: Platform.PeerHandler | null): void {
+  attach(box: string, handler: Ports.PeerHandler | null): void {
     if (handler === null) this.#handlers.delete(box);
     else this.#handlers.set(box, handler);
   }
@@ -48,7 +48,7 @@
     from: string,
     to: string,
     req: Types.PeerRequest,
-  ): ReturnType<Platform.PeerHandler> {
+  ): ReturnType<Ports.PeerHandler> {
     if (this.#cut.has(from) || this.#cut.has(to)) return Effect.never;
     const handler = this.#handlers.get(to);
     if (handler === undefined) return Effect.never;
@@ -59,7 +59,7 @@
 }
 
 /** One box's side of the hub. */
-export class FakeNetwork extends Platform.PeerNetwork {
+export class FakeNetwork extends Ports.PeerNetwork {
   readonly #self: string;
   readonly #hub: NetworkHub;
 
@@ -73,7 +73,7 @@
     return this.#hub.names.filter((name) => name !== this.#self);
   }
 
-  override listen(handler: Platform.PeerHandler): Effect.Effect<void> {
+  override listen(handler: Ports.PeerHandler): Effect.Effect<void> {
     return Effect.sync(() => this.#hub.attach(this.#self, handler));
   }
 
--- a/packages/test-utils/src/faulty_workers.ts
+++ b/packages/test-utils/src/faulty_workers.ts
@@ -1,6 +1,6 @@
 /** Workers whose orders and answers can be lost, by order and worker. */
 import * as Errors from "@cairngate/errors";
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 
@@ -20,14 +20,14 @@
 export type AnswerRule = (answer: Types.TaskAnswer) => Types.TaskAnswer;
 
 /** Wraps an adapter of the workers. */
-export class FaultyWorkers extends Platform.Workers {
-  readonly #inner: Platform.Workers;
+export class FaultyWorkers extends Ports.Workers {
+  readonly #inner: Ports.Workers;
   rule: LossRule = () => Loss.None;
   answerRule: AnswerRule = (answer) => answer;
   /** Waits while the box is paused. */
   gate: Effect.Effect<void> = Effect.void;
 
-  constructor(inner: Platform.Workers) {
+  constructor(inner: Ports.Workers) {
     super();
     this.#inner = inner;
   }
@@ -62,8 +62,8 @@
   #apply<A>(
     order: string,
     endpoint: string,
-    call: Effect.Effect<A, Platform.WorkerError>,
-  ): Effect.Effect<A, Platform.WorkerError> {
+    call: Effect.Effect<A, Ports.WorkerError>,
+  ): Effect.Effect<A, Ports.WorkerError> {
     return Effect.suspend(() => {
       const loss = this.rule(order, endpoint);
       if (loss === Loss.None) {
--- a/packages/test-utils/src/pausable_clock.ts
+++ b/packages/test-utils/src/pausable_clock.ts
@@ -1,14 +1,14 @@
 /** The clock of one box, which a test can stop as SIGSTOP does. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 
 /** Shares the time of another clock, but wakes nobody while it is paused. */
-export class PausableClock extends Platform.Clock {
-  readonly #inner: Platform.Clock;
+export class PausableClock extends Ports.Clock {
+  readonly #inner: Ports.Clock;
   #resumed: Deferred.Deferred<void> | null = null;
 
-  constructor(inner: Platform.Clock) {
+  constructor(inner: Ports.Clock) {
     super();
     this.#inner = inner;
   }
--- a/packages/test-utils/src/seeded_random.ts
+++ b/packages/test-utils/src/seeded_random.ts
@@ -1,10 +1,10 @@
 /** Random numbers that repeat for a seed. */
-import * as Platform from "@cairngate/platform";
+import * as Ports from "@cairngate/ports";
 import * as Float from "pure-rand/distribution/uniformFloat64";
 import * as Xoroshiro from "pure-rand/generator/xoroshiro128plus";
 
 /** Random source for tests. */
-export class SeededRandom extends Platform.RandomSource {
+export class SeededRandom extends Ports.RandomSource {
   readonly #generator: ReturnType<typeof Xoroshiro.xoroshiro128plus>;
   #ids = 0;
 
