--- a/packages/config/mod.ts
+++ b/packages/config/mod.ts
@@ -9,3 +9,9 @@
 } from "./src/settings.ts";
 export { readSettingsFile } from "./src/read_settings_file.ts";
 export { hashText } from "./src/hash_text.ts";
+export {
+  type NodeBounds,
+  type NodeSettings,
+  parseNodeSettings,
+  readNodeSettings,
+} from "./src/node_settings.ts";
--- /dev/null
+++ b/packages/config/src/node_settings.ts
@@ -0,0 +1,79 @@
+/** The schema of a workflow node's settings file. */
+import type * as Errors from "@cairngate/errors";
+import * as Effect from "effect/Effect";
+import * as Schema from "effect/Schema";
+import * as decoding from "./decode_yaml.ts";
+import * as files from "./read_settings_file.ts";
+
+const Name = Schema.NonEmptyString;
+const Address = Schema.String.check(
+  Schema.isPattern(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, {
+    message: "Expected an IP number and a port, such as 127.0.0.1:7000",
+  }),
+);
+const Positive = Schema.Number.check(Schema.isGreaterThan(0));
+
+const BoundsSchema = Schema.Struct({
+  longestLeaseMs: Positive,
+  stopMs: Positive,
+  gangWaitMs: Positive,
+  remotePenalty: Positive,
+  keepEndedMs: Positive,
+});
+
+const NodeSchema = Schema.Struct({
+  node: Name,
+  zone: Name,
+  callersAddress: Address,
+  readinessAddress: Address,
+  storeAddress: Address,
+  storeWritesPerSecond: Positive,
+  bounds: BoundsSchema,
+  logLevel: Schema.optionalKey(
+    Schema.Literals(["error", "warn", "info", "debug"]),
+  ),
+  logFormat: Schema.optionalKey(Schema.Literals(["text", "json"])),
+});
+
+/** Bounds that the platform sets; times are in milliseconds. */
+export interface NodeBounds {
+  readonly longestLeaseMs: number;
+  readonly stopMs: number;
+  readonly gangWaitMs: number;
+  readonly remotePenalty: number;
+  readonly keepEndedMs: number;
+}
+
+/** Checked settings of a node. */
+export interface NodeSettings {
+  readonly node: string;
+  readonly zone: string;
+  readonly callersAddress: string;
+  readonly readinessAddress: string;
+  readonly storeAddress: string;
+  readonly storeWritesPerSecond: number;
+  readonly bounds: NodeBounds;
+  readonly logLevel: "error" | "warn" | "info" | "debug";
+  readonly logFormat: "text" | "json";
+}
+
+/** Parses a node's settings; the error lists every fault with its path. */
+export function parseNodeSettings(
+  text: string,
+  file: string,
+): Effect.Effect<NodeSettings, Errors.InvalidFileError> {
+  const decoded = decoding.decodeYaml(NodeSchema, { file, text });
+  return Effect.map(decoded, (parsed) => ({
+    ...parsed,
+    logLevel: parsed.logLevel ?? "info",
+    logFormat: parsed.logFormat ?? "text",
+  }));
+}
+
+/** Reads and checks a node's settings file. */
+export function readNodeSettings(
+  file: string,
+): Effect.Effect<NodeSettings, Errors.InvalidFileError> {
+  const text = files.readText(file);
+  return Effect.flatMap(text, (t) => parseNodeSettings(t, file));
+}
--- a/packages/config/src/read_settings_file.ts
+++ b/packages/config/src/read_settings_file.ts
@@ -8,7 +8,15 @@
 export function readSettingsFile(
   file: string,
 ): Effect.Effect<settings.BoxSettings, Errors.InvalidFileError> {
-  const text = Effect.tryPromise({
+  const text = readText(file);
+  return Effect.flatMap(text, (t) => settings.parseSettings(t, file));
+}
+
+/** Reads the text of a file. */
+export function readText(
+  file: string,
+): Effect.Effect<string, Errors.InvalidFileError> {
+  return Effect.tryPromise({
     try: () => fs.readFile(file, "utf8"),
     catch: (err) =>
       new Errors.InvalidFileError({
@@ -16,5 +24,4 @@
         faults: [{ path: "$", expected: `a readable file (${err})` }],
       }),
   });
-  return Effect.flatMap(text, (t) => settings.parseSettings(t, file));
 }
--- /dev/null
+++ b/packages/coordinator/src/election.ts
@@ -0,0 +1,216 @@
+/**
+ * Election of the coordinator by a row of the store. The row holds the fencing
+ * token and changes on takeover only; a second row is renewed by the holder.
+ * A node takes over when the holder has let both rows stand still.
+ */
+import * as TableClient from "@cairngate/table-client";
+import type * as Ports from "@cairngate/ports";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as ports from "./ports.ts";
+
+/** Value of the coordinator row. An empty holder means: released. */
+export interface CoordinatorRow {
+  readonly token: number;
+  readonly holder: string;
+  readonly incarnation: string;
+}
+
+const RENEW_MS = 700;
+/** Time without a renewal after which another node takes over. */
+const SILENCE_MS = 2200;
+/** Candidates wait up to this much longer, so that few collide. */
+const SPREAD_MS = 400;
+const LOOK_MS = 100;
+const WRITE_LIMIT_MS = 1500;
+
+/** The right to decide, under one fencing token. */
+export class Term {
+  readonly token: number;
+  /** Condition of every write of the holder. */
+  readonly condition: Ports.RowCondition;
+  readonly #lost = Deferred.makeUnsafe<string>();
+
+  constructor(token: number, revision: number) {
+    this.token = token;
+    this.condition = { key: TableClient.Keys.COORDINATOR_KEY, revision };
+  }
+
+  /** Whether a later holder has been seen. */
+  get isLost(): boolean {
+    return Deferred.isDoneUnsafe(this.#lost);
+  }
+
+  /** A later holder was seen. */
+  lose(how: string): void {
+    Deferred.doneUnsafe(this.#lost, Effect.succeed(how));
+  }
+
+  /** Waits for the end of the term; tells how it was seen. */
+  awaitLoss(): Effect.Effect<string> {
+    return Deferred.await(this.#lost);
+  }
+}
+
+/** Takes part in the election for ever. */
+export class Election {
+  readonly #ports: ports.CoordinatorPorts;
+  readonly #follower: TableClient.RowFollower<unknown>;
+  #row: CoordinatorRow | null = null;
+  #changedAtMs = Number.POSITIVE_INFINITY;
+  #silentSinceMs = Number.POSITIVE_INFINITY;
+  #lastHeardMs = Number.NEGATIVE_INFINITY;
+  #spreadMs = 0;
+  #term: Term | null = null;
+  #leaving = false;
+
+  constructor(coordinatorPorts: ports.CoordinatorPorts) {
+    this.#ports = coordinatorPorts;
+    const { clock, random, electionFeed: feed } = coordinatorPorts;
+    this.#follower = new TableClient.RowFollower<unknown>({
+      feed,
+      clock,
+      random,
+      waitMs: SILENCE_MS / 2,
+      onChange: (entries) => this.#note(entries),
+      onHeard: () => this.#heard(),
+    });
+  }
+
+  /** Holder of the row as last seen; null where there is none. */
+  get holder(): string | null {
+    const holder = this.#row?.holder ?? "";
+    return holder === "" ? null : holder;
+  }
+
+  /** Runs `work` whenever this node is elected, until the term is lost. */
+  run(work: (term: Term) => Effect.Effect<void>): Effect.Effect<never> {
+    const hold = Effect.gen({ self: this }, function* () {
+      yield* this.#ports.clock.sleep(LOOK_MS);
+      if (!this.#mayTake()) return;
+      const term = yield* this.#take();
+      if (term === null) return;
+      yield* this.#serve(term, work);
+    });
+    return Effect.raceFirst(
+      this.#follower.run(),
+      Effect.forever(hold),
+    );
+  }
+
+  /** Gives the row back, so that another node takes over at once. */
+  release(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#leaving = true;
+      const term = this.#term;
+      if (term === null || term.isLost) return;
+      term.lose("released");
+      const { node, incarnation, store } = this.#ports;
+      const value: CoordinatorRow = { token: term.token, holder: "", incarnation };
+      const { key } = term.condition;
+      const write = { conditions: [term.condition], writes: [{ key, value }] };
+      yield* Effect.ignore(store.write(write, WRITE_LIMIT_MS));
+      this.#ports.log.info(`Node ${node} gave token ${term.token} back.`);
+    });
+  }
+
+  #note(entries: readonly Ports.FeedEntry<unknown>[]): void {
+    for (const { key, value } of entries) {
+      if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
+      this.#row = value as CoordinatorRow | null;
+      const token = this.#row?.token ?? 0;
+      const term = this.#term;
+      const isOther = this.#row?.incarnation !== this.#ports.incarnation;
+      if (term !== null && token > term.token && isOther) {
+        term.lose(`token ${token} seen`);
+      }
+    }
+    this.#changedAtMs = this.#ports.clock.monotonicMs();
+  }
+
+  /** Silence counts only while the store is heard without a break. */
+  #heard(): void {
+    const nowMs = this.#ports.clock.monotonicMs();
+    const brokeOff = nowMs - this.#lastHeardMs > SILENCE_MS;
+    this.#lastHeardMs = nowMs;
+    if (brokeOff || this.#silentSinceMs === Number.POSITIVE_INFINITY) {
+      this.#silentSinceMs = nowMs;
+      this.#spreadMs = this.#ports.random.next() * SPREAD_MS;
+    }
+  }
+
+  #mayTake(): boolean {
+    if (this.#leaving || !this.#follower.hasSnapshot) return false;
+    if (this.#row === null || this.#row.holder === "") return true;
+    const { node, incarnation, clock } = this.#ports;
+    const isFormerSelf = this.#row.holder === node &&
+      this.#row.incarnation !== incarnation;
+    if (isFormerSelf) return true;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.#lastHeardMs > SILENCE_MS) return false;
+    const sinceMs = Math.max(
+      Number.isFinite(this.#changedAtMs) ? this.#changedAtMs : 0,
+      this.#silentSinceMs,
+    );
+    return nowMs - sinceMs > SILENCE_MS + this.#spreadMs;
+  }
+
+  #take(): Effect.Effect<Term | null> {
+    return Effect.gen({ self: this }, function* () {
+      const { store, node, incarnation, log } = this.#ports;
+      const key = TableClient.Keys.COORDINATOR_KEY;
+      const leaseKey = TableClient.Keys.COORDINATOR_LEASE_KEY;
+      const [row] = yield* store.read([key], WRITE_LIMIT_MS);
+      const found = row?.value as CoordinatorRow | undefined;
+      if ((found?.token ?? 0) !== (this.#row?.token ?? 0)) return null;
+      const token = (found?.token ?? 0) + 1;
+      const value: CoordinatorRow = { token, holder: node, incarnation };
+      const revision = yield* store.write({
+        conditions: [{ key, revision: row?.revision ?? 0 }],
+        writes: [{ key, value }, { key: leaseKey, value: token }],
+      }, WRITE_LIMIT_MS);
+      log.info(`Node ${node} coordinates under token ${token}.`);
+      return new Term(token, revision);
+    }).pipe(Effect.catch((err) => {
+      this.#ports.log.info(`Not elected: ${err.message}`);
+      this.#silentSinceMs = Number.POSITIVE_INFINITY;
+      return Effect.succeed(null);
+    }));
+  }
+
+  #serve(
+    term: Term,
+    work: (term: Term) => Effect.Effect<void>,
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#term = term;
+      const ended = Effect.map(term.awaitLoss(), (how) => {
+        this.#ports.log.info(`Token ${term.token} is lost: ${how}.`);
+      });
+      const both = Effect.raceFirst(work(term), this.#keepRenewing(term));
+      yield* Effect.raceFirst(both, ended);
+      term.lose("the work ended");
+      this.#term = null;
+      this.#silentSinceMs = this.#ports.clock.monotonicMs();
+    });
+  }
+
+  #keepRenewing(term: Term): Effect.Effect<never> {
+    const { store, clock } = this.#ports;
+    const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
+    const renew = Effect.suspend(() =>
+      store.write({
+        conditions: [term.condition],
+        writes: [{ key, value: Math.round(clock.monotonicMs()) }],
+      }, RENEW_MS)
+    ).pipe(
+      Effect.asVoid,
+      Effect.catchTags({
+        ConditionFailedError: () =>
+          Effect.sync(() => term.lose("the row has changed")),
+        StoreUnavailableError: () => Effect.void,
+      }),
+    );
+    return clock.every(RENEW_MS, renew);
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/ports.ts
@@ -0,0 +1,39 @@
+/** What the coordinator needs from its node. */
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import type * as TableClient from "@cairngate/table-client";
+
+/** Bounds that the platform sets, in milliseconds. */
+export interface WorkerBounds {
+  /** Longest lease of a worker. */
+  readonly longestLeaseMs: number;
+  /** Time that a stop takes at most. */
+  readonly stopMs: number;
+  /** Time that members of a gang wait for each other. */
+  readonly gangWaitMs: number;
+  /** How much slower work runs away from its rack. */
+  readonly remotePenalty: number;
+  /** Time for which ended workflows can be asked for. */
+  readonly keepEndedMs: number;
+}
+
+/** Everything that a coordinator works with. */
+export interface CoordinatorPorts {
+  /** Name of this node. */
+  readonly node: string;
+  /** Differs in each life of the node. */
+  readonly incarnation: string;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
+  readonly store: TableClient.StoreClient;
+  readonly workers: Ports.TaskWorkers;
+  readonly workerFeed: Ports.RowFeed<Ports.WorkerListing>;
+  readonly intakeFeed: Ports.RowFeed<unknown>;
+  readonly electionFeed: Ports.RowFeed<unknown>;
+  /** Configuration in force on this node; null before the first. */
+  readonly config: () => Ports.AccessConfig | null;
+  readonly bounds: WorkerBounds;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+}
--- /dev/null
+++ b/packages/coordinator/src/worker_directory.ts
@@ -0,0 +1,132 @@
+/** The platform's list of workers, followed, and a session with each of them. */
+import type * as Ports from "@cairngate/ports";
+import * as Workflow from "@cairngate/workflow";
+import type * as Scheduler from "@cairngate/workflow-scheduler";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import * as leaseClocks from "./lease_clock.ts";
+import * as sessions from "./worker_session.ts";
+
+/** What the directory needs; `ref` differs for each session. */
+export type DirectoryOptions = Omit<
+  sessions.SessionOptions,
+  "ref" | "lapsesAtMs"
+>;
+
+/** Workers by id; one for each term. */
+export class WorkerDirectory {
+  readonly #options: DirectoryOptions;
+  readonly #listings = new Map<string, Ports.WorkerListing>();
+  readonly #sessions = new Map<string, sessions.WorkerSession>();
+  readonly #fibers = new Map<string, Fiber.Fiber<void>>();
+  readonly #foreignLapseMs: number;
+
+  constructor(options: DirectoryOptions) {
+    this.#options = options;
+    const { clock, bounds } = options.ports;
+    this.#foreignLapseMs = leaseClocks.foreignLapseMs(
+      clock.monotonicMs(),
+      bounds.longestLeaseMs,
+    );
+  }
+
+  /** Takes in changes of the list. */
+  update(
+    entries: readonly Ports.FeedEntry<Ports.WorkerListing>[],
+  ): Effect.Effect<void> {
+    return Effect.forEach(entries, ({ key, value }) => {
+      if (value !== null) return this.#list(value);
+      this.#listings.delete(key);
+      return this.#closeIfIdle(key);
+    }, { discard: true });
+  }
+
+  /** The session with a worker; null where the worker is unknown. */
+  session(id: string): sessions.WorkerSession | null {
+    return this.#sessions.get(id) ?? null;
+  }
+
+  /** All sessions. */
+  get sessions(): Iterable<sessions.WorkerSession> {
+    return this.#sessions.values();
+  }
+
+  /** The listing of a worker; null where it is not listed. */
+  listing(id: string): Ports.WorkerListing | null {
+    return this.#listings.get(id) ?? null;
+  }
+
+  /** The session with a worker that the records name. */
+  open(id: string): sessions.WorkerSession | null {
+    const known = this.#sessions.get(id);
+    if (known !== undefined) return known;
+    const listing = this.#listings.get(id);
+    if (listing === undefined) return null;
+    return this.#open(listing);
+  }
+
+  /** The workers as a plan sees them. */
+  states(): Scheduler.WorkerState[] {
+    const states: Scheduler.WorkerState[] = [];
+    for (const listing of this.#listings.values()) {
+      const session = this.open(listing.id);
+      states.push({
+        id: listing.id,
+        service: listing.service,
+        rack: listing.rack,
+        labels: new Set(listing.labels),
+        total: listing,
+        usable: !listing.draining && session !== null && session.isUsable,
+        occupants: session?.occupants.map(({ task }) => task) ?? [],
+      });
+    }
+    return states;
+  }
+
+  /** Ends all fibers of the sessions. */
+  close(): Effect.Effect<void> {
+    return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
+  }
+
+  #list(listing: Ports.WorkerListing): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#listings.set(listing.id, listing);
+      const session = this.#sessions.get(listing.id);
+      if (listing.clockMs !== null) session?.readClock(listing.clockMs);
+      for (const [id, former] of this.#sessions) {
+        if (id === listing.id) continue;
+        if (former.ref.address !== listing.address || former.isOver) continue;
+        yield* former.endAll(Workflow.RunEnd.Lost);
+        this.#drop(id);
+      }
+    });
+  }
+
+  #open(listing: Ports.WorkerListing): sessions.WorkerSession {
+    const { id, address, clockMs } = listing;
+    const session = new sessions.WorkerSession({
+      ...this.#options,
+      ref: { id, address },
+      lapsesAtMs: this.#foreignLapseMs,
+    });
+    if (clockMs !== null) session.readClock(clockMs);
+    this.#sessions.set(id, session);
+    this.#fibers.set(id, Effect.runFork(session.run()));
+    return session;
+  }
+
+  #closeIfIdle(id: string): Effect.Effect<void> {
+    return Effect.sync(() => {
+      const session = this.#sessions.get(id);
+      if (session === undefined || session.occupants.length > 0) return;
+      this.#drop(id);
+    });
+  }
+
+  #drop(id: string): void {
+    this.#sessions.delete(id);
+    const fiber = this.#fibers.get(id);
+    this.#fibers.delete(id);
+    if (fiber !== undefined) Effect.runFork(Fiber.interrupt(fiber));
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/worker_session.ts
@@ -0,0 +1,485 @@
+/**
+ * What the coordinator has to do with one life of a worker: it keeps the lease,
+ * carries out starts and stops, and learns what runs and what has ended.
+ */
+import * as Errors from "@cairngate/errors";
+import type * as Ports from "@cairngate/ports";
+import * as Workflow from "@cairngate/workflow";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as election from "./election.ts";
+import * as leaseClocks from "./lease_clock.ts";
+import type * as ports from "./ports.ts";
+import * as healths from "./worker_health.ts";
+
+/** A run that the worker holds or may hold. */
+export interface Occupant {
+  readonly task: Workflow.Task;
+  readonly run: number;
+  /** Since when the worker must know of it; null while it may not. */
+  knownSinceMs: number | null;
+  /** Whether the start was sent. */
+  sent: boolean;
+  /** Whether it is being stopped. */
+  stopping: boolean;
+}
+
+/** The end of a run, for the coordinator. */
+export interface SessionEnd {
+  readonly how: Workflow.RunEnd;
+  readonly checkpoint: string;
+}
+
+/** Told by a session of what happens at its worker. */
+export abstract class SessionListener {
+  /** A run is over; the effect ends when that is recorded. */
+  abstract runEnded(
+    session: WorkerSession,
+    occupant: Occupant,
+    end: SessionEnd,
+  ): Effect.Effect<void>;
+  /** A run is confirmed to be there. */
+  abstract runConfirmed(occupant: Occupant): void;
+  /** The room or the reach of the worker has changed. */
+  abstract roomChanged(): void;
+}
+
+/** What a session needs. */
+export interface SessionOptions {
+  readonly ports: ports.CoordinatorPorts;
+  readonly term: election.Term;
+  readonly listener: SessionListener;
+  readonly ref: Ports.WorkerRef;
+  /** Our time by which leases of earlier coordinators have run out. */
+  readonly lapsesAtMs: number;
+}
+
+const ORDER_LIMIT_MS = 700;
+const VIEW_SLACK_MS = 800;
+const LONGEST_WAIT_MS = 2000;
+const START_TRIES = 3;
+const RETRY_MS = 150;
+const UNRECORDED_PAUSE_MS = 1000;
+
+const END_OF_KIND: Readonly<Record<Ports.EndKind, Workflow.RunEnd>> = {
+  done: Workflow.RunEnd.Done,
+  failed: Workflow.RunEnd.Failed,
+  stopped: Workflow.RunEnd.Stopped,
+  lapsed: Workflow.RunEnd.Lapsed,
+  broken: Workflow.RunEnd.Broken,
+  alone: Workflow.RunEnd.Alone,
+};
+
+/** One worker life. */
+export class WorkerSession {
+  readonly ref: Ports.WorkerRef;
+  readonly health = new healths.WorkerHealth();
+  readonly #options: SessionOptions;
+  readonly #clock: leaseClocks.LeaseClock;
+  readonly #occupants = new Map<string, Occupant>();
+  readonly #strays = new Set<string>();
+  #seenEnds = 0;
+  #recordedEnds = 0;
+  #toldEnds = 0;
+  #reachable = true;
+  #over = false;
+  #signal = Deferred.makeUnsafe<void>();
+
+  constructor(options: SessionOptions) {
+    this.#options = options;
+    this.ref = options.ref;
+    this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
+  }
+
+  /** Runs that the worker holds or may hold. */
+  get occupants(): readonly Occupant[] {
+    return [...this.#occupants.values()];
+  }
+
+  /** Whether new work may be sent here. */
+  get isUsable(): boolean {
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    return !this.#over && this.#reachable && this.#strays.size === 0 &&
+      !this.health.isAside(nowMs);
+  }
+
+  /** Whether this life of the worker has ended. */
+  get isOver(): boolean {
+    return this.#over;
+  }
+
+  /** Takes in the clock that the worker's own listing shows. */
+  readClock(clockMs: number): void {
+    this.#clock.read(clockMs, this.#options.ports.clock.monotonicMs());
+  }
+
+  /** Takes in a run that the records say may be here. */
+  adopt(task: Workflow.Task): void {
+    const occupant: Occupant = {
+      task,
+      run: task.run,
+      knownSinceMs: Number.NEGATIVE_INFINITY,
+      sent: true,
+      stopping: false,
+    };
+    this.#occupants.set(task.name, occupant);
+    this.#wake();
+  }
+
+  /** Keeps room for a run whose start is not sent yet. */
+  reserve(task: Workflow.Task): Occupant {
+    const occupant: Occupant = {
+      task,
+      run: task.run,
+      knownSinceMs: null,
+      sent: false,
+      stopping: false,
+    };
+    this.#occupants.set(task.name, occupant);
+    return occupant;
+  }
+
+  /** Sends a start until its fate is known. */
+  start(occupant: Occupant): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { task } = occupant;
+      if (occupant.stopping || task.workflow.isOver || this.#over) {
+        return yield* this.#end(occupant, Workflow.RunEnd.Lost);
+      }
+      occupant.sent = true;
+      this.#wake();
+      let mayBeThere = false;
+      for (let attempt = 0; attempt < START_TRIES; attempt++) {
+        if (occupant.stopping || !this.#holds(occupant)) break;
+        const fate = yield* this.#tryStart(occupant);
+        if (fate === StartFate.Over) return;
+        mayBeThere ||= fate === StartFate.Unknown;
+        yield* this.#options.ports.clock.sleep(RETRY_MS);
+      }
+      if (!this.#holds(occupant)) return;
+      this.health.failed(this.#options.ports.clock.monotonicMs());
+      if (mayBeThere || occupant.stopping) return yield* this.stop(occupant);
+      yield* this.#end(occupant, Workflow.RunEnd.Lost);
+    });
+  }
+
+  /** Stops a run; ends when the worker has heard it or the run is over. */
+  stop(occupant: Occupant): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { term, ports: { clock, workers } } = this.#options;
+      occupant.stopping = true;
+      const { task: { name: task }, run } = occupant;
+      const fencingToken = term.token;
+      while (this.#holds(occupant) && !this.#over && occupant.sent) {
+        const order = workers.stop(this.ref, { task, run, fencingToken });
+        const heard = yield* this.#call(order, ORDER_LIMIT_MS);
+        if (heard !== null) {
+          occupant.knownSinceMs ??= clock.monotonicMs();
+          this.#wake();
+          return;
+        }
+        yield* clock.sleep(RETRY_MS);
+      }
+    });
+  }
+
+  /** The worker has left or was replaced: nothing runs there any more. */
+  endAll(how: Workflow.RunEnd): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#over = true;
+      this.#wake();
+      for (const occupant of this.occupants) yield* this.#end(occupant, how);
+    });
+  }
+
+  /** Keeps the lease while there is something to keep it for. */
+  run(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (!this.#over) {
+        if (!this.#hasBusiness()) {
+          yield* Deferred.await(this.#signal);
+          this.#signal = Deferred.makeUnsafe<void>();
+          continue;
+        }
+        yield* this.#look();
+      }
+    });
+  }
+
+  #hasBusiness(): boolean {
+    return this.#recordedEnds > this.#toldEnds || this.#strays.size > 0 ||
+      this.occupants.some((occupant) => occupant.sent) || !this.#reachable;
+  }
+
+  #holds(occupant: Occupant): boolean {
+    return this.#occupants.get(occupant.task.name) === occupant;
+  }
+
+  #tryStart(occupant: Occupant): Effect.Effect<StartFate> {
+    const { term, ports: { workers, clock, bounds } } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      if (!this.#clock.isKnown) yield* this.#look();
+      if (!this.#holds(occupant)) return StartFate.Over;
+      const { task, run } = occupant;
+      const nowMs = clock.monotonicMs();
+      const order = workers.start(this.ref, {
+        task: task.name,
+        run,
+        payload: task.workflow.spec.payload,
+        checkpoint: task.checkpoint,
+        ticket: null,
+        fencingToken: term.token,
+        leaseUntilMs: this.#clock.leaseEnd(nowMs, bounds.longestLeaseMs),
+      });
+      const timed = yield* Effect.result(
+        clock.within(ORDER_LIMIT_MS, order),
+      );
+      if (timed._tag === "Failure") {
+        return yield* this.#startFailed(occupant, timed.failure);
+      }
+      if (timed.success === null) return StartFate.Unknown;
+      this.#confirm(occupant, timed.success.value);
+      return StartFate.Over;
+    });
+  }
+
+  #confirm(occupant: Occupant, clockMs: number): void {
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    this.#clock.read(clockMs, nowMs);
+    occupant.knownSinceMs ??= nowMs;
+    this.#reachable = true;
+    this.#options.listener.runConfirmed(occupant);
+  }
+
+  #startFailed(
+    occupant: Occupant,
+    err: Ports.OrderError,
+  ): Effect.Effect<StartFate> {
+    const { ports: { clock, log, metrics } } = this.#options;
+    if (err._tag === "WorkerLostError") {
+      return Effect.succeed(
+        err.neverSent ? StartFate.NotThere : StartFate.Unknown,
+      );
+    }
+    metrics.count("cairngate_starts_refused_total", { reason: err._tag });
+    log.info(`Start of ${occupant.task.name} run ${occupant.run}: ${err.message}`);
+    if (err._tag === "WorkerReplacedError") {
+      return Effect.as(
+        this.endAll(Workflow.RunEnd.Lost),
+        StartFate.Over,
+      );
+    }
+    switch (err.reason) {
+      case Errors.OrderRefusal.Fenced:
+        this.#options.term.lose(err.message);
+        return Effect.succeed(StartFate.Over);
+      case Errors.OrderRefusal.OldRun:
+        // It ran and ended, or was stopped: the next look tells which.
+        occupant.knownSinceMs ??= clock.monotonicMs();
+        this.#wake();
+        return Effect.succeed(StartFate.Over);
+      case Errors.OrderRefusal.Unhealthy:
+        this.health.failed(clock.monotonicMs());
+        break;
+      case Errors.OrderRefusal.Late:
+        return Effect.as(this.#look(), StartFate.NotThere);
+      default:
+        break;
+    }
+    return Effect.as(
+      this.#end(occupant, Workflow.RunEnd.Lost),
+      StartFate.Over,
+    );
+  }
+
+  /** Makes an order; null where no answer came or it was refused. */
+  #call<A>(
+    order: Effect.Effect<A, Ports.OrderError>,
+    limitMs: number,
+  ): Effect.Effect<A | null> {
+    const { ports: { clock }, term } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const timed = yield* Effect.result(clock.within(limitMs, order));
+      if (timed._tag === "Success") return timed.success?.value ?? null;
+      const err = timed.failure;
+      if (err._tag === "WorkerReplacedError") {
+        yield* this.endAll(Workflow.RunEnd.Lost);
+      }
+      const isFenced = err._tag === "OrderRefusedError" &&
+        err.reason === Errors.OrderRefusal.Fenced;
+      if (isFenced) term.lose(err.message);
+      return null;
+    });
+  }
+
+  /** One look at the worker, which also renews its lease. */
+  #look(): Effect.Effect<void> {
+    const { ports: { clock, workers, bounds }, term } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const sentAtMs = clock.monotonicMs();
+      const waitMs = this.#waitMs();
+      const told = this.#recordedEnds;
+      const order = workers.renew(this.ref, {
+        fencingToken: term.token,
+        leaseUntilMs: this.#clock.isKnown
+          ? this.#clock.leaseEnd(sentAtMs, bounds.longestLeaseMs)
+          : null,
+        recordedEnds: told,
+        waitMs,
+      });
+      const view = yield* this.#call(order, waitMs + VIEW_SLACK_MS);
+      if (view === null) return yield* this.#notHeard();
+      if (!this.#reachable) {
+        this.#reachable = true;
+        this.#options.listener.roomChanged();
+      }
+      this.#toldEnds = Math.max(this.#toldEnds, told);
+      this.#clock.read(view.clockMs, clock.monotonicMs());
+      yield* this.#takeView(view, sentAtMs);
+    });
+  }
+
+  #waitMs(): number {
+    const settled = this.#clock.isKnown && this.#reachable &&
+      this.#recordedEnds <= this.#toldEnds && this.#strays.size === 0 &&
+      this.occupants.every((o) =>
+        !o.sent || (o.knownSinceMs !== Number.NEGATIVE_INFINITY)
+      );
+    if (!settled) return 0;
+    const { longestLeaseMs } = this.#options.ports.bounds;
+    return Math.min(LONGEST_WAIT_MS, Math.floor(longestLeaseMs / 3));
+  }
+
+  #notHeard(): Effect.Effect<void> {
+    const { ports: { clock }, listener } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      if (this.#reachable) {
+        this.#reachable = false;
+        listener.roomChanged();
+      }
+      if (this.#clock.hasLapsed(clock.monotonicMs())) {
+        for (const occupant of this.occupants) {
+          if (occupant.sent) yield* this.#end(occupant, Workflow.RunEnd.Lost);
+        }
+      }
+      yield* clock.sleep(RETRY_MS * 2);
+    });
+  }
+
+  #takeView(view: Ports.WorkerView, sentAtMs: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const records: Effect.Effect<void>[] = [];
+      const newest = view.ended.reduce(
+        (most, { number }) => Math.max(most, number),
+        this.#seenEnds,
+      );
+      for (const ended of view.ended) {
+        if (ended.number <= this.#seenEnds) continue;
+        const recorded = this.#takeEnd(ended);
+        if (recorded !== null) records.push(recorded);
+      }
+      this.#seenEnds = newest;
+      const held = this.#takeHeld(view);
+      for (const occupant of this.occupants) {
+        const { knownSinceMs } = occupant;
+        const isMissing = knownSinceMs !== null && knownSinceMs < sentAtMs &&
+          !held.has(occupant);
+        if (isMissing) records.push(this.#end(occupant, Workflow.RunEnd.Lost));
+      }
+      if (records.length > 0 || this.#recordedEnds < newest) {
+        yield* this.#awaitRecords(records, newest);
+      }
+    });
+  }
+
+  /** The next look waits for the records, but not without end. */
+  #awaitRecords(
+    records: readonly Effect.Effect<void>[],
+    newest: number,
+  ): Effect.Effect<void> {
+    const { clock } = this.#options.ports;
+    const all = Effect.all(records, { concurrency: "unbounded" }).pipe(
+      Effect.map(() => {
+        this.#recordedEnds = Math.max(this.#recordedEnds, newest);
+        this.#wake();
+      }),
+    );
+    return Effect.gen(function* () {
+      const done = Deferred.makeUnsafe<void>();
+      yield* Effect.forkDetach(
+        Effect.andThen(all, Deferred.succeed(done, undefined)),
+      );
+      yield* clock.within(UNRECORDED_PAUSE_MS, Deferred.await(done));
+    });
+  }
+
+  #takeEnd(ended: Ports.EndedRun): Effect.Effect<void> | null {
+    this.#strays.delete(`${ended.task}@${ended.run}`);
+    const occupant = this.#occupants.get(ended.task);
+    if (occupant === undefined || occupant.run !== ended.run) return null;
+    return this.#end(occupant, END_OF_KIND[ended.how], ended.checkpoint);
+  }
+
+  /** Confirms runs that are held; stops those that nobody expects. */
+  #takeHeld(view: Ports.WorkerView): Set<Occupant> {
+    const { listener, ports: { clock } } = this.#options;
+    const held = new Set<Occupant>();
+    const strays = new Set<string>();
+    for (const { task, run, checkpoint } of view.held) {
+      const occupant = this.#occupants.get(task);
+      if (occupant === undefined || occupant.run !== run) {
+        strays.add(`${task}@${run}`);
+        continue;
+      }
+      held.add(occupant);
+      if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
+      const wasKnown = occupant.knownSinceMs !== null &&
+        Number.isFinite(occupant.knownSinceMs);
+      if (wasKnown) continue;
+      occupant.knownSinceMs = clock.monotonicMs();
+      listener.runConfirmed(occupant);
+    }
+    this.#replaceStrays(strays);
+    return held;
+  }
+
+  #replaceStrays(strays: ReadonlySet<string>): void {
+    const { term, ports: { workers, log }, listener } = this.#options;
+    const had = this.#strays.size > 0;
+    this.#strays.clear();
+    for (const stray of strays) {
+      this.#strays.add(stray);
+      const [task, run] = stray.split("@");
+      log.warn(`Worker ${this.ref.id} runs ${stray}, which nobody expects.`);
+      const order = { task, run: Number(run), fencingToken: term.token };
+      Effect.runFork(
+        this.#call(workers.stop(this.ref, order), ORDER_LIMIT_MS),
+      );
+    }
+    if (had && strays.size === 0) listener.roomChanged();
+  }
+
+  #end(
+    occupant: Occupant,
+    how: Workflow.RunEnd,
+    checkpoint = "",
+  ): Effect.Effect<void> {
+    if (!this.#holds(occupant)) return Effect.void;
+    this.#occupants.delete(occupant.task.name);
+    return this.#options.listener.runEnded(this, occupant, { how, checkpoint });
+  }
+
+  #wake(): void {
+    Deferred.doneUnsafe(this.#signal, Effect.void);
+  }
+}
+
+/** What is known after one try to start a run. */
+enum StartFate {
+  /** Nothing more to do: it runs, or its end is taken in. */
+  Over,
+  /** It certainly did not arrive. */
+  NotThere,
+  /** It may run, now or later. */
+  Unknown,
+}
--- a/packages/errors/src/errors.ts
+++ b/packages/errors/src/errors.ts
@@ -55,6 +55,8 @@
   extends Data.TaggedError("StoreUnavailableError")<{
     readonly operation: string;
     readonly cause: string;
+    /** True where an earlier try of the same write got no answer. */
+    readonly perhapsDone?: boolean;
   }> {
   override get message(): string {
     return `The platform's store did not carry out ${this.operation} ` +
@@ -213,3 +215,68 @@
       `Free the port or change the settings.`;
   }
 }
+
+/** The history of a feed is gone from this position. Read all rows again. */
+export class HistoryLostError extends Data.TaggedError("HistoryLostError")<{
+  readonly position: number;
+}> {
+  override get message(): string {
+    return `The history after position ${this.position} is gone. ` +
+      `Read all rows again.`;
+  }
+}
+
+/** Why a worker refuses an order of a workflow's task. */
+export enum OrderRefusal {
+  /** It has seen a higher fencing token. */
+  Fenced = "fenced",
+  /** The run is not above one that was stopped or ended there. */
+  OldRun = "old-run",
+  /** The lease given with the order has run out. */
+  Late = "late",
+  /** The task does not fit beside what runs there. */
+  NoRoom = "no-room",
+  /** The ticket of the advice service does not hold. */
+  Ticket = "ticket",
+  Malformed = "malformed",
+  /** The worker is not well; it has done nothing. */
+  Unhealthy = "unhealthy",
+}
+
+/** A worker refused an order; nothing was done. */
+export class OrderRefusedError extends Data.TaggedError("OrderRefusedError")<{
+  readonly worker: string;
+  readonly reason: OrderRefusal;
+}> {
+  override get message(): string {
+    return `Worker ${this.worker} refused the order: ${this.reason}.`;
+  }
+}
+
+/** Another life of the worker answered; all that ran in the former is gone. */
+export class WorkerReplacedError
+  extends Data.TaggedError("WorkerReplacedError")<{
+    readonly worker: string;
+  }> {
+  override get message(): string {
+    return `Worker ${this.worker} has been replaced at its address.`;
+  }
+}
+
+/** The caller's key is unknown. */
+export class UnknownKeyError extends Data.TaggedError("UnknownKeyError")<{
+  readonly queue: string;
+}> {
+  override get message(): string {
+    return `The key given is not one of a tenant of queue ${this.queue}.`;
+  }
+}
+
+/** No queue is reached at this host and path. */
+export class UnknownQueueError extends Data.TaggedError("UnknownQueueError")<{
+  readonly path: string;
+}> {
+  override get message(): string {
+    return `No queue is reached at ${this.path}.`;
+  }
+}
--- /dev/null
+++ b/packages/gateway/mod.ts
@@ -0,0 +1,12 @@
+/** Callers' side of a node. */
+export {
+  type Access,
+  type AccessError,
+  type AccessRequest,
+  AccessTable,
+} from "./src/access.ts";
+export {
+  type Submission,
+  type SubmissionOptions,
+  Submissions,
+} from "./src/submissions.ts";
--- /dev/null
+++ b/packages/gateway/src/access.ts
@@ -0,0 +1,93 @@
+/** The configuration in force on this node: queues, keys, tenants. */
+import * as Errors from "@cairngate/errors";
+import type * as Logger from "@cairngate/logger";
+import type * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+
+/** Who asks for what. */
+export interface AccessRequest {
+  readonly host: string;
+  readonly path: string;
+  /** Null where the call carries no key. */
+  readonly key: string | null;
+}
+
+/** What a request may use. */
+export interface Access {
+  readonly route: Ports.QueueRoute;
+  /** Empty for a call without a known key on an open queue. */
+  readonly tenant: string;
+  /** Path behind the queue's prefix. */
+  readonly rest: string;
+}
+
+/** Why a request is turned away. */
+export type AccessError =
+  | Errors.NotReadyError
+  | Errors.UnknownQueueError
+  | Errors.UnknownKeyError;
+
+/** Holds the newest configuration; it never goes back. */
+export class AccessTable {
+  readonly #log: Logger.Logger;
+  #config: Ports.AccessConfig | null = null;
+  #byHost = new Map<string, Ports.QueueRoute[]>();
+  #tenantOfKey = new Map<string, string>();
+
+  constructor(log: Logger.Logger) {
+    this.#log = log;
+  }
+
+  /** The configuration in force; null before the first. */
+  get config(): Ports.AccessConfig | null {
+    return this.#config;
+  }
+
+  /** Takes a version in, unless a newer one is in force. */
+  offer(config: Ports.AccessConfig): void {
+    if (config.version <= (this.#config?.version ?? 0)) return;
+    this.#config = config;
+    this.#byHost = indexRoutes(config);
+    this.#tenantOfKey = new Map(
+      config.tenants.flatMap(({ name, keys }) => keys.map((k) => [k, name])),
+    );
+    this.#log.info(`Configuration ${config.version} is in force.`);
+  }
+
+  /** Finds the queue by host and longest prefix, and checks the key. */
+  check(request: AccessRequest): Effect.Effect<Access, AccessError> {
+    if (this.#config === null) {
+      const waitsFor = "the first configuration";
+      return Effect.fail(new Errors.NotReadyError({ waitsFor }));
+    }
+    const { path, key } = request;
+    const route = this.#byHost.get(request.host)?.find(({ pathPrefix }) =>
+      path.startsWith(pathPrefix)
+    );
+    if (route === undefined) {
+      return Effect.fail(new Errors.UnknownQueueError({ path }));
+    }
+    const tenant = key === null ? undefined : this.#tenantOfKey.get(key);
+    if (tenant === undefined && !route.anonymous) {
+      return Effect.fail(new Errors.UnknownKeyError({ queue: route.queue }));
+    }
+    const rest = path.slice(route.pathPrefix.length);
+    return Effect.succeed({ route, tenant: tenant ?? "", rest });
+  }
+}
+
+/** Routes of each host, longest prefix first. */
+function indexRoutes(
+  config: Ports.AccessConfig,
+): Map<string, Ports.QueueRoute[]> {
+  const byHost = new Map<string, Ports.QueueRoute[]>();
+  for (const route of config.queues) {
+    const routes = byHost.get(route.host) ?? [];
+    routes.push(route);
+    byHost.set(route.host, routes);
+  }
+  for (const routes of byHost.values()) {
+    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  }
+  return byHost;
+}
--- /dev/null
+++ b/packages/gateway/src/submissions.ts
@@ -0,0 +1,167 @@
+/** Accepts, cancels and shows workflows; every answer rests on stored rows. */
+import * as Errors from "@cairngate/errors";
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Workflow from "@cairngate/workflow";
+import * as Effect from "effect/Effect";
+import type * as access from "./access.ts";
+
+/** What a caller hands in, already in the product's terms. */
+export interface Submission {
+  readonly id: string;
+  readonly payload: string;
+  readonly steps: readonly Workflow.StepSpec[];
+  readonly schedule: Workflow.Schedule | null;
+}
+
+/** What the submissions need. */
+export interface SubmissionOptions {
+  readonly store: TableClient.StoreClient;
+  readonly clock: Ports.Clock;
+}
+
+/** A write of the store that a caller waits for ends within this time. */
+const WRITE_LIMIT_MS = 900;
+const READ_LIMIT_MS = 900;
+
+/** Callers' side of the workflows. */
+export class Submissions {
+  readonly #store: TableClient.StoreClient;
+  readonly #clock: Ports.Clock;
+
+  constructor(options: SubmissionOptions) {
+    this.#store = options.store;
+    this.#clock = options.clock;
+  }
+
+  /**
+   * Stores a workflow; the same id again changes nothing. An error without
+   * `perhapsDone` proves that it is not stored.
+   */
+  accept(
+    allowed: access.Access,
+    submission: Submission,
+  ): Effect.Effect<
+    void,
+    Errors.BadRequestError | Errors.StoreUnavailableError
+  > {
+    const { id, payload, steps, schedule } = submission;
+    const fault = Workflow.findStepFault(steps, schedule);
+    if (fault !== null) return Effect.fail(new Errors.BadRequestError(fault));
+    const value: Workflow.WorkflowSpec = {
+      id,
+      tenant: allowed.tenant,
+      policy: policyOf(allowed.route),
+      payload,
+      steps,
+      schedule,
+      acceptedAtMs: this.#clock.wallMs(),
+    };
+    const key = TableClient.Keys.workflowKey(id);
+    const mark = TableClient.Keys.waitingKey(value.policy.queue, id);
+    const write = {
+      conditions: [{ key, revision: 0 }],
+      writes: [{ key, value }, { key: mark, value: 1 }],
+    };
+    return this.#store.write(write, WRITE_LIMIT_MS).pipe(
+      Effect.asVoid,
+      // The row is there: it was accepted before.
+      Effect.catchTag("ConditionFailedError", () => Effect.void),
+    );
+  }
+
+  /** Marks a workflow as cancelled; fails where there is none. */
+  cancel(
+    allowed: access.Access,
+    id: string,
+  ): Effect.Effect<
+    void,
+    | Errors.UnknownJobError
+    | Errors.StoreUnavailableError
+    | Errors.ConditionFailedError
+  > {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#find(allowed, id);
+      const key = TableClient.Keys.cancelKey(id);
+      const writes = [{ key, value: this.#clock.wallMs() }];
+      yield* this.#store.write({ conditions: [], writes }, WRITE_LIMIT_MS);
+    });
+  }
+
+  /** The state of a workflow, from its rows. */
+  state(
+    allowed: access.Access,
+    id: string,
+  ): Effect.Effect<
+    Workflow.WorkflowState,
+    Errors.UnknownJobError | Errors.StoreUnavailableError
+  > {
+    return Effect.gen({ self: this }, function* () {
+      const rows = yield* this.#find(allowed, id);
+      const progress = rows.get(TableClient.Keys.progressKey(id))?.value as
+        | Workflow.ProgressRecord
+        | undefined;
+      const state = progress?.state ?? Workflow.WorkflowState.Queued;
+      const isCancelled = rows.has(TableClient.Keys.cancelKey(id));
+      return isCancelled && !Workflow.isFinal(state)
+        ? Workflow.WorkflowState.Cancelled
+        : state;
+    });
+  }
+
+  /** Accepted workflows of a queue of which nothing has begun. */
+  countWaiting(
+    allowed: access.Access,
+  ): Effect.Effect<number, Errors.StoreUnavailableError> {
+    const prefix = TableClient.Keys.waitingPrefix(allowed.route.queue);
+    const rows = this.#store.scan(prefix, 0, READ_LIMIT_MS);
+    return Effect.map(rows, (found) => found.length);
+  }
+
+  #find(
+    allowed: access.Access,
+    id: string,
+  ): Effect.Effect<
+    ReadonlyMap<string, Ports.Row>,
+    Errors.UnknownJobError | Errors.StoreUnavailableError
+  > {
+    const key = TableClient.Keys.workflowKey(id);
+    const keys = [
+      key,
+      TableClient.Keys.progressKey(id),
+      TableClient.Keys.cancelKey(id),
+    ];
+    return Effect.gen({ self: this }, function* () {
+      const rows = yield* this.#store.read(keys, READ_LIMIT_MS);
+      const byKey = new Map(rows.map((row) => [row.key, row]));
+      const spec = byKey.get(key)?.value as Workflow.WorkflowSpec | undefined;
+      const isOwn = spec !== undefined && isVisible(allowed, spec);
+      if (!isOwn) return yield* new Errors.UnknownJobError({ jobId: id });
+      return byKey;
+    });
+  }
+}
+
+/** A tenant sees its own workflows, and those that were handed in openly. */
+function isVisible(
+  allowed: access.Access,
+  spec: Workflow.WorkflowSpec,
+): boolean {
+  const isOfQueue = spec.policy.queue === allowed.route.queue;
+  const isOfTenant = spec.tenant === "" || allowed.tenant === spec.tenant ||
+    allowed.route.anonymous;
+  return isOfQueue && isOfTenant;
+}
+
+function policyOf(route: Ports.QueueRoute): Workflow.QueuePolicy {
+  const {
+    queue,
+    service,
+    priority,
+    attempts,
+    stretch,
+    latencyMs,
+    advice,
+  } = route;
+  return { queue, service, priority, attempts, stretch, latencyMs, advice };
+}
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -13,3 +13,22 @@
 export { type WorkerError, Workers } from "./src/workers.ts";
 export { type PeerHandler, PeerNetwork } from "./src/peer_network.ts";
 export { RandomSource } from "./src/random_source.ts";
+export { type FeedEntry, type FeedPage, RowFeed } from "./src/row_feed.ts";
+export {
+  type EndedRun,
+  type EndKind,
+  type HeldRun,
+  type OrderError,
+  type RenewLease,
+  type RunRef,
+  type StartRun,
+  TaskWorkers,
+  type WorkerListing,
+  type WorkerRef,
+  type WorkerView,
+} from "./src/task_workers.ts";
+export type {
+  AccessConfig,
+  QueueRoute,
+  TenantAccess,
+} from "./src/access_config.ts";
--- a/packages/table-client/mod.ts
+++ b/packages/table-client/mod.ts
@@ -2,3 +2,4 @@
 export { StoreClient, type StoreClientOptions } from "./src/store_client.ts";
 export { type GroupedWrite, GroupedWriter } from "./src/grouped_writer.ts";
 export * as Keys from "./src/keys.ts";
+export { RowFollower, type RowFollowerOptions } from "./src/row_follower.ts";
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -64,3 +64,43 @@
 export function resultObjectKey(cell: string, jobId: string): string {
   return `results/${cell}/${jobId}`;
 }
+
+/** Rows that callers' requests write: accepted workflows and cancels. */
+export const INTAKE_PREFIX = "intake/";
+
+/** Row of an accepted workflow; never changes. */
+export function workflowKey(id: string): string {
+  return `${INTAKE_PREFIX}${id}/spec`;
+}
+
+/** Row that says: a caller has cancelled this workflow. */
+export function cancelKey(id: string): string {
+  return `${INTAKE_PREFIX}${id}/cancel`;
+}
+
+/** Rows of the progress of workflows. */
+export const PROGRESS_PREFIX = "progress/";
+
+/** Progress of one workflow; written by the coordinator. */
+export function progressKey(id: string): string {
+  return `${PROGRESS_PREFIX}${id}`;
+}
+
+/** Start of the keys of a queue's workflows that have not begun. */
+export function waitingPrefix(queue: string): string {
+  return `waiting/${queue}/`;
+}
+
+/** Marks a workflow that has not begun. */
+export function waitingKey(queue: string, id: string): string {
+  return `${waitingPrefix(queue)}${id}`;
+}
+
+/** Rows by which the nodes elect a coordinator. */
+export const ELECTION_PREFIX = "election/";
+
+/** Who coordinates, under which fencing token; changes on takeover only. */
+export const COORDINATOR_KEY = `${ELECTION_PREFIX}coordinator`;
+
+/** Renewed by the coordinator. */
+export const COORDINATOR_LEASE_KEY = `${ELECTION_PREFIX}lease`;
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -44,6 +44,7 @@
   readonly #breaker: breakers.CircuitBreaker;
   #tokens: number;
   #tokensAtMs: number;
+  #failingSinceMs: number | null = null;
 
   constructor(options: StoreClientOptions) {
     this.#options = options;
@@ -57,6 +58,12 @@
     return !this.#breaker.isOpen();
   }
 
+  /** Time for which calls have failed; 0 while the last one was answered. */
+  silentForMs(): number {
+    const sinceMs = this.#failingSinceMs;
+    return sinceMs === null ? 0 : this.#options.clock.monotonicMs() - sinceMs;
+  }
+
   /** Reads rows; absent ones are left out. */
   read(
     keys: readonly string[],
@@ -107,7 +114,11 @@
           if (tried.kind === "refused") return yield* tried.err;
         }
         if (clock.monotonicMs() + backoffMs > endMs) {
-          return yield* unavailable("write", "no answer before the deadline");
+          return yield* new Errors.StoreUnavailableError({
+            operation: "write",
+            cause: "no answer before the deadline",
+            perhapsDone: mayHaveLanded,
+          });
         }
         yield* clock.sleep(random.jitter(backoffMs));
         backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
@@ -181,21 +192,27 @@
       const timed = yield* clock.within(CALL_MS, call).pipe(
         Effect.tapError((err) =>
           Effect.sync(() => {
-            if (err._tag !== "ConditionFailedError") this.#breaker.failed();
+            if (err._tag !== "ConditionFailedError") this.#failed();
           })
         ),
       );
       if (timed === null) {
-        this.#breaker.failed();
+        this.#failed();
         return yield* new Errors.AnswerLostError({ operation });
       }
       this.#breaker.succeeded();
+      this.#failingSinceMs = null;
       const tookMs = clock.monotonicMs() - startMs;
       metrics.observeMs(`cairngate_store_${operation}_seconds`, tookMs);
       return timed.value;
     });
   }
 
+  #failed(): void {
+    this.#breaker.failed();
+    this.#failingSinceMs ??= this.#options.clock.monotonicMs();
+  }
+
   /** Waits for the write budget; fails when the wait passes the deadline. */
   #takeToken(endMs: number): Effect.Effect<void, StoreFailure> {
     const { clock, writesPerSecond } = this.#options;
--- /dev/null
+++ b/packages/workflow-node/mod.ts
@@ -0,0 +1,6 @@
+/** One node of cairngate for workflows. */
+export {
+  type NodeFeeds,
+  WorkflowNode,
+  type WorkflowNodePorts,
+} from "./src/workflow_node.ts";
--- /dev/null
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -0,0 +1,129 @@
+/** One node: takes workflows from callers and takes part in the election. */
+import * as Coordinator from "@cairngate/coordinator";
+import * as Gateway from "@cairngate/gateway";
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+
+/** Feeds that a node follows. */
+export interface NodeFeeds {
+  readonly config: Ports.RowFeed<Ports.AccessConfig>;
+  readonly workers: Ports.RowFeed<Ports.WorkerListing>;
+  readonly intake: Ports.RowFeed<unknown>;
+  readonly election: Ports.RowFeed<unknown>;
+}
+
+/** Everything that a node works with. */
+export interface WorkflowNodePorts {
+  readonly node: string;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
+  readonly table: Ports.TableService;
+  readonly workers: Ports.TaskWorkers;
+  readonly feeds: NodeFeeds;
+  readonly bounds: Coordinator.WorkerBounds;
+  readonly storeWritesPerSecond: number;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+}
+
+const CONFIG_WAIT_MS = 10_000;
+/** Without a word of the store for this long, callers had better go elsewhere. */
+const STORE_SILENCE_MS = 2000;
+
+/** A node. */
+export class WorkflowNode {
+  readonly access: Gateway.AccessTable;
+  readonly submissions: Gateway.Submissions;
+  readonly #ports: WorkflowNodePorts;
+  readonly #store: TableClient.StoreClient;
+  readonly #election: Coordinator.Election;
+  readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
+  readonly #fibers: Fiber.Fiber<unknown>[] = [];
+  #leaving = false;
+
+  constructor(ports: WorkflowNodePorts) {
+    this.#ports = ports;
+    const { clock, random, metrics, table, log } = ports;
+    const writesPerSecond = ports.storeWritesPerSecond;
+    this.#store = new TableClient.StoreClient({
+      table,
+      clock,
+      random,
+      metrics,
+      writesPerSecond,
+    });
+    this.access = new Gateway.AccessTable(log.part("access"));
+    this.submissions = new Gateway.Submissions({ store: this.#store, clock });
+    this.#coordinatorPorts = {
+      node: ports.node,
+      incarnation: random.id(),
+      clock,
+      random,
+      store: this.#store,
+      workers: ports.workers,
+      workerFeed: ports.feeds.workers,
+      intakeFeed: ports.feeds.intake,
+      electionFeed: ports.feeds.election,
+      config: () => this.access.config,
+      bounds: ports.bounds,
+      log: log.part("coordinator"),
+      metrics,
+    };
+    this.#election = new Coordinator.Election(this.#coordinatorPorts);
+  }
+
+  /** Follows the configuration and takes part in the election. */
+  start(): void {
+    const { clock, random, feeds } = this.#ports;
+    const follower = new TableClient.RowFollower({
+      feed: feeds.config,
+      clock,
+      random,
+      waitMs: CONFIG_WAIT_MS,
+      onChange: (entries) => {
+        for (const { value } of entries) {
+          if (value !== null) this.access.offer(value);
+        }
+      },
+    });
+    this.#fibers.push(Effect.runFork(follower.run()));
+    const work = (term: Coordinator.Term) =>
+      new Coordinator.Coordinator(this.#coordinatorPorts, term).run();
+    this.#fibers.push(Effect.runFork(this.#election.run(work)));
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    return !this.#leaving && this.access.config !== null &&
+      this.#store.silentForMs() < STORE_SILENCE_MS;
+  }
+
+  /** Hands the coordination over; callers are still served. */
+  leave(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      this.#leaving = true;
+      return this.#election.release();
+    });
+  }
+
+  /** Ends all fibers. */
+  stop(): Effect.Effect<void> {
+    return Effect.suspend(() => Fiber.interruptAll(this.#fibers));
+  }
+
+  /** What this node knows and does, for people. */
+  dump(): Readonly<Record<string, unknown>> {
+    const { node } = this.#ports;
+    return {
+      node,
+      ready: this.isReady,
+      configVersion: this.access.config?.version ?? null,
+      coordinator: this.#election.holder,
+      storeSilentMs: Math.round(this.#store.silentForMs()),
+    };
+  }
+}
--- /dev/null
+++ b/packages/workflow-scheduler/mod.ts
@@ -0,0 +1,10 @@
+/** Decisions about workflows as plain data. */
+export { type WorkerState } from "./src/fleet.ts";
+export {
+  makePlan,
+  type Plan,
+  type PlanInput,
+  type StartDecision,
+  type WaitDecision,
+  WaitReason,
+} from "./src/plan.ts";
--- /dev/null
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -0,0 +1,130 @@
+/** Chooses what has to yield so that urgent work fits. */
+import * as Workflow from "@cairngate/workflow";
+import * as fleet from "./fleet.ts";
+import * as placement from "./placement.ts";
+import type * as rank from "./rank.ts";
+
+/** Places for a unit and the tasks that have to stop first. */
+export interface Eviction {
+  readonly places: placement.Places;
+  readonly victims: ReadonlySet<Workflow.Task>;
+  readonly cost: number;
+}
+
+/** What an eviction needs to know. */
+export interface EvictionContext {
+  readonly ranks: rank.Ranks;
+  readonly nowMs: number;
+}
+
+/** Core-seconds that one accelerator-second counts for. */
+const ACCELERATOR_WEIGHT = 8;
+/** Price of any stop, in core-seconds: the task has to start again. */
+const RESTART_COST = 5;
+/** Work that a task with checkpoints loses at most, in ms. */
+const LOST_WITH_CHECKPOINT_MS = 300;
+
+/** Finds the cheapest set of victims; null where even that is not enough. */
+export function findEviction(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  context: EvictionContext,
+): Eviction | null {
+  const near = placement.nearWorkers(unit, rooms);
+  if (!placement.wantsOneRack(unit)) return evictAmong(unit, near, context);
+  let best: Eviction | null = null;
+  for (const rack of placement.groupByRack(near).values()) {
+    const found = evictAmong(unit, rack, context);
+    if (found !== null && (best === null || found.cost < best.cost)) {
+      best = found;
+    }
+  }
+  return best;
+}
+
+/** Frees one task's room after another, each where it costs least. */
+export function evictAmong(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  context: EvictionContext,
+): Eviction | null {
+  const chosen = new Set<Workflow.Task>();
+  const places: fleet.WorkerRoom[] = [];
+  const taken = new Map<fleet.WorkerRoom, number>();
+  let cost = 0;
+  while (places.length < unit.tasks.length) {
+    let best: { room: fleet.WorkerRoom; more: Victims } | null = null;
+    for (const room of rooms) {
+      const count = (taken.get(room) ?? 0) + 1;
+      const more = victimsFor({ unit, room, count, chosen }, context);
+      if (more === null) continue;
+      if (best === null || more.cost < best.more.cost) best = { room, more };
+      if (more.cost === 0) break;
+    }
+    if (best === null) return null;
+    for (const victim of best.more.tasks) addGroup(chosen, victim);
+    cost += best.more.cost;
+    taken.set(best.room, (taken.get(best.room) ?? 0) + 1);
+    places.push(best.room);
+  }
+  return { places, victims: chosen, cost };
+}
+
+interface Victims {
+  readonly tasks: readonly Workflow.Task[];
+  readonly cost: number;
+}
+
+/** Cheapest further victims on one worker so that `count` tasks fit. */
+function victimsFor(
+  search: {
+    unit: Workflow.Unit;
+    room: fleet.WorkerRoom;
+    count: number;
+    chosen: ReadonlySet<Workflow.Task>;
+  },
+  context: EvictionContext,
+): Victims | null {
+  const { unit, room, count, chosen } = search;
+  const amounts = { ...room.soon };
+  for (const task of room.worker.occupants) {
+    if (chosen.has(task)) fleet.give(amounts, task.step);
+  }
+  if (room.fits(unit, amounts) >= count) return { tasks: [], cost: 0 };
+  const candidates = room.worker.occupants
+    .filter((task) =>
+      !chosen.has(task) && task.state !== Workflow.TaskState.Stopping &&
+      context.ranks.mayEvict(unit.workflow, task.workflow)
+    )
+    .map((task) => ({ task, cost: costOf(task, context) }))
+    .sort((a, b) => a.cost - b.cost);
+  const picked: Workflow.Task[] = [];
+  let cost = 0;
+  for (const candidate of candidates) {
+    fleet.give(amounts, candidate.task.step);
+    picked.push(candidate.task);
+    cost += candidate.cost;
+    if (room.fits(unit, amounts) >= count) return { tasks: picked, cost };
+  }
+  return null;
+}
+
+/** Work that is lost when a task, and with it its gang, is stopped. */
+function costOf(task: Workflow.Task, context: EvictionContext): number {
+  const { step } = task;
+  const ranMs = Math.max(0, context.nowMs - task.startedAtMs);
+  const lostMs = step.checkpoints
+    ? Math.min(ranMs, LOST_WITH_CHECKPOINT_MS)
+    : ranMs;
+  const weight = step.cpuMillis / 1000 +
+    ACCELERATOR_WEIGHT * step.accelerators;
+  const members = step.gang ? task.workflow.siblings(task).length : 1;
+  return members * (weight * lostMs / 1000 + RESTART_COST);
+}
+
+function addGroup(chosen: Set<Workflow.Task>, task: Workflow.Task): void {
+  const group = task.step.gang ? task.workflow.siblings(task) : [task];
+  for (const member of group) {
+    if (member.isPlaced) chosen.add(member);
+  }
+}
--- /dev/null
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -0,0 +1,116 @@
+/** Room on the workers, as one plan sees and changes it. */
+import * as Workflow from "@cairngate/workflow";
+
+/** A worker as the coordinator knows it. */
+export interface WorkerState {
+  readonly id: string;
+  readonly service: string;
+  readonly rack: string;
+  readonly labels: ReadonlySet<string>;
+  readonly total: Workflow.Resources;
+  /** False while it drains, cannot be reached or is put aside. */
+  readonly usable: boolean;
+  /** Tasks that it holds or may hold. */
+  readonly occupants: readonly Workflow.Task[];
+}
+
+/** Amounts that change while a plan is made. */
+interface Amounts {
+  cpuMillis: number;
+  memoryMb: number;
+  accelerators: number;
+}
+
+/** Room of one worker during a plan. */
+export class WorkerRoom {
+  readonly worker: WorkerState;
+  /** Free now. */
+  readonly free: Amounts;
+  /** Free once all that is being stopped has ended. */
+  readonly soon: Amounts;
+  /** Tasks of each step that it holds, for limits per worker. */
+  readonly #held = new Map<readonly Workflow.Task[], number>();
+
+  constructor(worker: WorkerState) {
+    this.worker = worker;
+    this.free = { ...worker.total };
+    this.soon = { ...worker.total };
+    for (const task of worker.occupants) {
+      take(this.free, task.step, 1);
+      if (task.state !== Workflow.TaskState.Stopping) {
+        take(this.soon, task.step, 1);
+      }
+      this.#note(task, 1);
+    }
+  }
+
+  /** Tasks of a unit's step that fit into an amount of room. */
+  fits(unit: Workflow.Unit, amounts: Workflow.Resources): number {
+    const { step } = unit;
+    const most = Math.min(
+      divide(amounts.cpuMillis, step.fills ? 0 : step.cpuMillis),
+      divide(amounts.memoryMb, step.memoryMb),
+      divide(amounts.accelerators, step.accelerators),
+      unit.tasks.length,
+    );
+    if (step.perWorker === 0) return Math.max(0, most);
+    const held = this.#held.get(unit.workflow.siblings(unit.tasks[0])) ?? 0;
+    return Math.max(0, Math.min(most, step.perWorker - held));
+  }
+
+  /** Takes room for tasks of a step, now and later. */
+  claim(unit: Workflow.Unit, count: number): void {
+    take(this.free, unit.step, count);
+    take(this.soon, unit.step, count);
+    this.#note(unit.tasks[0], count);
+  }
+
+  /** Keeps all of the room from others. */
+  close(): void {
+    this.free.accelerators = -1;
+    this.free.memoryMb = -1;
+    this.free.cpuMillis = -1;
+  }
+
+  /** Counts a task that is going to be stopped. */
+  expect(task: Workflow.Task): void {
+    give(this.soon, task.step);
+  }
+
+  #note(task: Workflow.Task, count: number): void {
+    if (task.step.perWorker === 0) return;
+    const siblings = task.workflow.siblings(task);
+    this.#held.set(siblings, (this.#held.get(siblings) ?? 0) + count);
+  }
+}
+
+/** Takes resources of a step from an amount. */
+export function take(
+  amounts: Amounts,
+  step: Workflow.StepSpec,
+  count: number,
+): void {
+  if (!step.fills) amounts.cpuMillis -= step.cpuMillis * count;
+  amounts.memoryMb -= step.memoryMb * count;
+  amounts.accelerators -= step.accelerators * count;
+}
+
+/** Gives the resources of one task of a step back. */
+export function give(amounts: Amounts, step: Workflow.StepSpec): void {
+  take(amounts, step, -1);
+}
+
+function divide(room: number, need: number): number {
+  if (room < 0) return 0;
+  return need === 0 ? Number.POSITIVE_INFINITY : Math.floor(room / need);
+}
+
+/** Whether a worker may run a step at all. */
+export function isEligible(
+  worker: WorkerState,
+  unit: Workflow.Unit,
+): boolean {
+  const { step, workflow } = unit;
+  return worker.usable && worker.service === workflow.spec.policy.service &&
+    (step.label === null || worker.labels.has(step.label));
+}
--- /dev/null
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -0,0 +1,108 @@
+/** Finds places for a unit within some amount of room on each worker. */
+import type * as Workflow from "@cairngate/workflow";
+import * as fleet from "./fleet.ts";
+
+/** Workers of a unit's tasks, in the order of the tasks. */
+export type Places = readonly fleet.WorkerRoom[];
+
+/** Tells the room of a worker that a search may use. */
+export type RoomOf = (room: fleet.WorkerRoom) => Workflow.Resources;
+
+/** Room that is free now. */
+export const freeNow: RoomOf = (room) => room.free;
+
+/** Room that is free once all stops have ended. */
+export const freeSoon: RoomOf = (room) => room.soon;
+
+/** Finds the tightest places among some workers; null where there are none. */
+export function findAmong(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  roomOf: RoomOf,
+): Places | null {
+  const open = rooms
+    .map((room) => ({ room, fits: room.fits(unit, roomOf(room)) }))
+    .filter(({ fits }) => fits > 0);
+  const sum = open.reduce((total, { fits }) => total + fits, 0);
+  if (sum < unit.tasks.length) return null;
+  const left = ({ room, fits }: typeof open[number]) =>
+    roomOf(room).accelerators - fits * unit.step.accelerators;
+  open.sort((a, b) =>
+    left(a) - left(b) ||
+    roomOf(a.room).accelerators - roomOf(b.room).accelerators ||
+    roomOf(a.room).memoryMb - roomOf(b.room).memoryMb
+  );
+  const places: fleet.WorkerRoom[] = [];
+  for (const { room, fits } of open) {
+    const count = Math.min(fits, unit.tasks.length - places.length);
+    for (let i = 0; i < count; i++) places.push(room);
+  }
+  return places;
+}
+
+/** Finds places within one rack: the wanted one, else the tightest. */
+export function findInOneRack(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  roomOf: RoomOf,
+): Places | null {
+  let best: Places | null = null;
+  let bestFree = Number.POSITIVE_INFINITY;
+  for (const rack of groupByRack(rooms).values()) {
+    const found = findAmong(unit, rack, roomOf);
+    if (found === null) continue;
+    const free = rack.reduce((sum, r) => sum + roomOf(r).accelerators, 0);
+    if (free >= bestFree) continue;
+    best = found;
+    bestFree = free;
+  }
+  return best;
+}
+
+/** Whether tasks of a unit run at full speed only within one rack. */
+export function wantsOneRack(unit: Workflow.Unit): boolean {
+  return unit.step.gang && unit.step.sameRack && unit.tasks.length > 1;
+}
+
+/** Workers where a unit runs at full speed. */
+export function nearWorkers(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+): readonly fleet.WorkerRoom[] {
+  const { rack } = unit.step;
+  if (rack === null) return rooms;
+  return rooms.filter((room) => room.worker.rack === rack);
+}
+
+/** Finds places where the unit runs at full speed. */
+export function findNear(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  roomOf: RoomOf,
+): Places | null {
+  const near = nearWorkers(unit, rooms);
+  return wantsOneRack(unit)
+    ? findInOneRack(unit, near, roomOf)
+    : findAmong(unit, near, roomOf);
+}
+
+/** Whether the unit would run at full speed on empty workers. */
+export function couldBeNear(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+): boolean {
+  return findNear(unit, rooms, (room) => room.worker.total) !== null;
+}
+
+/** Workers by rack. */
+export function groupByRack(
+  rooms: readonly fleet.WorkerRoom[],
+): Map<string, fleet.WorkerRoom[]> {
+  const racks = new Map<string, fleet.WorkerRoom[]>();
+  for (const room of rooms) {
+    const rack = racks.get(room.worker.rack);
+    if (rack === undefined) racks.set(room.worker.rack, [room]);
+    else rack.push(room);
+  }
+  return racks;
+}
--- /dev/null
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -0,0 +1,148 @@
+/** Makes a plan: which units start where, and which tasks stop for them. */
+import * as Workflow from "@cairngate/workflow";
+import * as eviction from "./eviction.ts";
+import * as fleet from "./fleet.ts";
+import * as placement from "./placement.ts";
+import * as rank from "./rank.ts";
+
+/** What a plan is made from. */
+export interface PlanInput {
+  readonly workers: readonly fleet.WorkerState[];
+  readonly workflows: Iterable<Workflow.Workflow>;
+  /** Accelerators that each tenant has paid for. */
+  readonly guarantees: ReadonlyMap<string, number>;
+  readonly nowMs: number;
+  readonly wallMs: number;
+  /** How much slower work runs away from its rack. */
+  readonly remotePenalty: number;
+}
+
+/** Start these tasks on these workers. */
+export interface StartDecision {
+  readonly unit: Workflow.Unit;
+  /** Worker of each task, in the order of the tasks. */
+  readonly workers: readonly string[];
+}
+
+/** Why a unit waits. */
+export enum WaitReason {
+  Stops = "stops",
+  Room = "room",
+}
+
+/** A unit that stays where it is. */
+export interface WaitDecision {
+  readonly unit: Workflow.Unit;
+  readonly reason: WaitReason;
+}
+
+/** Decisions of one plan. */
+export interface Plan {
+  readonly starts: readonly StartDecision[];
+  readonly stops: readonly Workflow.Task[];
+  readonly waits: readonly WaitDecision[];
+}
+
+/** Decides for all units that are ready. */
+export function makePlan(input: PlanInput): Plan {
+  return new Planner(input).run();
+}
+
+class Planner {
+  readonly #input: PlanInput;
+  readonly #ranks: rank.Ranks;
+  readonly #rooms: readonly fleet.WorkerRoom[];
+  readonly #byId: ReadonlyMap<string, fleet.WorkerRoom>;
+  readonly #starts: StartDecision[] = [];
+  readonly #stops = new Set<Workflow.Task>();
+  readonly #waits: WaitDecision[] = [];
+
+  constructor(input: PlanInput) {
+    this.#input = input;
+    this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
+    this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
+    this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+  }
+
+  run(): Plan {
+    const units: Workflow.Unit[] = [];
+    for (const workflow of this.#input.workflows) {
+      units.push(...workflow.readyUnits(this.#input.wallMs));
+    }
+    units.sort(rank.compareUnits(this.#ranks));
+    for (const unit of units) this.#decide(unit);
+    return {
+      starts: this.#starts,
+      stops: [...this.#stops],
+      waits: this.#waits,
+    };
+  }
+
+  #decide(unit: Workflow.Unit): void {
+    const rooms = this.#rooms.filter((r) => fleet.isEligible(r.worker, unit));
+    const places = this.#findFree(unit, rooms);
+    if (places !== null) return this.#start(unit, places);
+    const isUrgent = unit.workflow.spec.policy.priority === 0;
+    if (isUrgent && this.#claim(unit, rooms)) return;
+    this.#waits.push({ unit, reason: WaitReason.Room });
+  }
+
+  #findFree(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): placement.Places | null {
+    const near = placement.findNear(unit, rooms, placement.freeNow);
+    if (near !== null) return near;
+    if (this.#shouldStayNear(unit, rooms)) return null;
+    return placement.findAmong(unit, rooms, placement.freeNow);
+  }
+
+  /** Waiting pays while the unit would still end earlier near its data. */
+  #shouldStayNear(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): boolean {
+    const { step, workflow } = unit;
+    if (step.rack === null && !placement.wantsOneRack(unit)) return true;
+    if (!placement.couldBeNear(unit, rooms)) return false;
+    const dueMs = Workflow.dueAtMs(workflow.spec, unit.round);
+    const patienceMs = (this.#input.remotePenalty - 1) * step.estimateMs;
+    return this.#input.wallMs - dueMs < patienceMs;
+  }
+
+  #start(unit: Workflow.Unit, places: placement.Places): void {
+    const workers = places.map((room) => room.worker.id);
+    for (const room of places) room.claim(unit, 1);
+    this.#starts.push({ unit, workers });
+  }
+
+  /** Keeps room that is being freed, or makes others yield. */
+  #claim(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): boolean {
+    const soon = placement.findNear(unit, rooms, placement.freeSoon);
+    if (soon !== null) return this.#reserve(unit, soon);
+    const context = { ranks: this.#ranks, nowMs: this.#input.nowMs };
+    const found = eviction.findEviction(unit, rooms, context) ??
+      eviction.evictAmong(unit, rooms, context);
+    if (found === null) return false;
+    for (const victim of found.victims) this.#stop(victim);
+    return this.#reserve(unit, found.places);
+  }
+
+  #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
+    for (const room of places) room.claim(unit, 1);
+    this.#waits.push({ unit, reason: WaitReason.Stops });
+    return true;
+  }
+
+  #stop(task: Workflow.Task): void {
+    if (this.#stops.has(task)) return;
+    this.#stops.add(task);
+    const room = task.worker === null
+      ? undefined
+      : this.#byId.get(task.worker);
+    if (task.state !== Workflow.TaskState.Stopping) room?.expect(task);
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/task.ts
@@ -0,0 +1,93 @@
+/** One task of a workflow and the place where it runs. */
+import type * as spec from "./spec.ts";
+import type * as workflows from "./workflow.ts";
+
+/** Where a task is in its life. */
+export enum TaskState {
+  /** Runs nowhere. */
+  Waiting = "waiting",
+  /** Has a place; the worker has not confirmed the start. */
+  Starting = "starting",
+  Running = "running",
+  /** Was told to stop; its place is not free yet. */
+  Stopping = "stopping",
+  Done = "done",
+}
+
+/** How a run ended, as its worker tells. */
+export enum RunEnd {
+  Done = "done",
+  /** By its own fault or its worker's. */
+  Failed = "failed",
+  Stopped = "stopped",
+  /** The worker's lease ran out. */
+  Lapsed = "lapsed",
+  /** Another member of the gang ended. */
+  Broken = "broken",
+  /** The other members of the gang did not come. */
+  Alone = "alone",
+  /** The worker is gone or never had the run. */
+  Lost = "lost",
+}
+
+/** One task. Mutable; owned by its workflow. */
+export class Task {
+  readonly workflow: workflows.Workflow;
+  readonly round: number;
+  readonly stepIndex: number;
+  readonly index: number;
+  readonly step: spec.StepSpec;
+  state = TaskState.Waiting;
+  /** Number of the newest run; 0 before the first. */
+  run = 0;
+  /** Worker of the newest run; null while the task runs nowhere. */
+  worker: string | null = null;
+  failures = 0;
+  /** Newest checkpoint; empty for none. */
+  checkpoint = "";
+  /** Monotonic time of the newest start. */
+  startedAtMs = 0;
+  /** Monotonic time since which the task waits. */
+  waitingSinceMs = 0;
+
+  constructor(
+    workflow: workflows.Workflow,
+    place: { round: number; stepIndex: number; index: number },
+  ) {
+    this.workflow = workflow;
+    this.round = place.round;
+    this.stepIndex = place.stepIndex;
+    this.index = place.index;
+    this.step = workflow.spec.steps[place.stepIndex];
+  }
+
+  /** Name of the task within its workflow. */
+  get key(): string {
+    return `${this.round}.${this.stepIndex}.${this.index}`;
+  }
+
+  /** Name of the task for workers. */
+  get name(): string {
+    return `${this.workflow.spec.id}.${this.key}`;
+  }
+
+  /** Whether a worker may hold a run of this task. */
+  get isPlaced(): boolean {
+    return this.worker !== null;
+  }
+
+  /** Gives the task a place under a new run number. */
+  place(worker: string, run: number, nowMs: number): void {
+    this.state = TaskState.Starting;
+    this.worker = worker;
+    this.run = run;
+    this.startedAtMs = nowMs;
+  }
+
+  /** The task runs nowhere any more. */
+  release(nowMs: number): void {
+    this.worker = null;
+    this.waitingSinceMs = nowMs;
+    if (this.state !== TaskState.Done) this.state = TaskState.Waiting;
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/workflow.ts
@@ -0,0 +1,194 @@
+/** A workflow in the coordinator's memory, with all of its tasks. */
+import * as spec from "./spec.ts";
+import * as tasks from "./task.ts";
+
+/** State of a workflow as callers see it. */
+export enum WorkflowState {
+  Queued = "queued",
+  Running = "running",
+  Completed = "completed",
+  Failed = "failed",
+  Cancelled = "cancelled",
+}
+
+/** Whether a workflow in this state has ended. */
+export function isFinal(state: WorkflowState): boolean {
+  return state === WorkflowState.Completed ||
+    state === WorkflowState.Failed || state === WorkflowState.Cancelled;
+}
+
+/** Tasks that are placed together: a gang, or one task. */
+export interface Unit {
+  readonly workflow: Workflow;
+  readonly round: number;
+  readonly stepIndex: number;
+  readonly step: spec.StepSpec;
+  readonly tasks: readonly tasks.Task[];
+}
+
+/** A workflow. Mutable; one coordinator owns it. */
+export class Workflow {
+  readonly spec: spec.WorkflowSpec;
+  /** Tasks by round and step. */
+  readonly rounds: readonly (readonly (readonly tasks.Task[])[])[];
+  readonly #byKey = new Map<string, tasks.Task>();
+  /** Runs of gangs whose failure is counted already, as round.step.run. */
+  readonly #countedFailures = new Set<string>();
+  state = WorkflowState.Queued;
+  /** A caller has asked for the end. */
+  cancelled = false;
+
+  constructor(workflowSpec: spec.WorkflowSpec) {
+    this.spec = workflowSpec;
+    const rounds = spec.countRounds(workflowSpec);
+    this.rounds = Array.from({ length: rounds }, (_, r) => this.#makeRound(r));
+  }
+
+  /** The task with this key; undefined where there is none. */
+  task(key: string): tasks.Task | undefined {
+    return this.#byKey.get(key);
+  }
+
+  /** All tasks. */
+  get tasks(): Iterable<tasks.Task> {
+    return this.#byKey.values();
+  }
+
+  /** Tasks that a worker may hold. */
+  placedTasks(): tasks.Task[] {
+    return [...this.tasks].filter((task) => task.isPlaced);
+  }
+
+  /** Tasks of the same step and round. */
+  siblings(task: tasks.Task): readonly tasks.Task[] {
+    return this.rounds[task.round][task.stepIndex];
+  }
+
+  /** Whether nothing of it will start any more. */
+  get isOver(): boolean {
+    return this.cancelled || isFinal(this.state);
+  }
+
+  /** Units that may start now, in order of rounds and steps. */
+  readyUnits(wallMs: number): Unit[] {
+    if (this.isOver) return [];
+    const units: Unit[] = [];
+    for (let round = 0; round < this.rounds.length; round++) {
+      if (spec.dueAtMs(this.spec, round) > wallMs) break;
+      this.spec.steps.forEach((_, stepIndex) => {
+        if (this.#mayStart(round, stepIndex)) {
+          units.push(...this.#unitsOf(round, stepIndex));
+        }
+      });
+    }
+    return units;
+  }
+
+  /** Next time at which a round falls due; null where none is to come. */
+  nextDueMs(wallMs: number): number | null {
+    if (this.isOver) return null;
+    for (let round = 0; round < this.rounds.length; round++) {
+      const dueMs = spec.dueAtMs(this.spec, round);
+      if (dueMs > wallMs) return dueMs;
+    }
+    return null;
+  }
+
+  /** Takes in the end of a run. Returns false where it is old news. */
+  endRun(
+    task: tasks.Task,
+    ended: { run: number; how: tasks.RunEnd; checkpoint: string },
+    nowMs: number,
+  ): boolean {
+    if (ended.run !== task.run) return false;
+    if (ended.checkpoint !== "") this.#keepCheckpoint(task, ended.checkpoint);
+    if (ended.how === tasks.RunEnd.Done && !task.step.lasting) {
+      this.#markDone(task);
+    }
+    if (ended.how === tasks.RunEnd.Failed) this.#countFailure(task);
+    task.release(nowMs);
+    this.#conclude();
+    return true;
+  }
+
+  /** Takes in the end of a cancelled workflow once nothing of it runs. */
+  concludeCancel(): boolean {
+    if (!this.cancelled || isFinal(this.state)) return false;
+    if (this.placedTasks().length > 0) return false;
+    this.state = WorkflowState.Cancelled;
+    return true;
+  }
+
+  #makeRound(round: number): tasks.Task[][] {
+    return this.spec.steps.map((step, stepIndex) =>
+      Array.from({ length: step.count }, (_, index) => {
+        const task = new tasks.Task(this, { round, stepIndex, index });
+        this.#byKey.set(task.key, task);
+        return task;
+      })
+    );
+  }
+
+  #mayStart(round: number, stepIndex: number): boolean {
+    return this.spec.steps[stepIndex].after.every((before) =>
+      this.rounds[round][before].every((t) => t.state === tasks.TaskState.Done)
+    );
+  }
+
+  #unitsOf(round: number, stepIndex: number): Unit[] {
+    const step = this.spec.steps[stepIndex];
+    const all = this.rounds[round][stepIndex];
+    const make = (members: readonly tasks.Task[]): Unit => ({
+      workflow: this,
+      round,
+      stepIndex,
+      step,
+      tasks: members,
+    });
+    if (step.gang) {
+      return all.every(isWaiting) && all.length > 0 ? [make(all)] : [];
+    }
+    return all.filter(isWaiting).map((task) => make([task]));
+  }
+
+  /** A gang's members end together, and a checkpoint of one serves all. */
+  #group(task: tasks.Task): readonly tasks.Task[] {
+    return task.step.gang ? this.siblings(task) : [task];
+  }
+
+  #keepCheckpoint(task: tasks.Task, checkpoint: string): void {
+    for (const member of this.#group(task)) member.checkpoint = checkpoint;
+  }
+
+  #markDone(task: tasks.Task): void {
+    for (const member of this.#group(task)) {
+      member.state = tasks.TaskState.Done;
+    }
+  }
+
+  #countFailure(task: tasks.Task): void {
+    if (task.step.lasting) return;
+    if (task.step.gang) {
+      const id = `${task.round}.${task.stepIndex}.${task.run}`;
+      if (this.#countedFailures.has(id)) return;
+      this.#countedFailures.add(id);
+    }
+    for (const member of this.#group(task)) member.failures++;
+    if (task.failures < this.spec.policy.attempts) return;
+    if (task.state !== tasks.TaskState.Done && !this.isOver) {
+      this.state = WorkflowState.Failed;
+    }
+  }
+
+  #conclude(): void {
+    if (isFinal(this.state)) return;
+    for (const task of this.tasks) {
+      if (task.state !== tasks.TaskState.Done) return;
+    }
+    this.state = WorkflowState.Completed;
+  }
+}
+
+function isWaiting(task: tasks.Task): boolean {
+  return task.state === tasks.TaskState.Waiting && !task.isPlaced;
+}
