Follow rows from the newest position

Ruled out: the store's versions; the printed feeds all named the same start. Conclusion: suspend each look.

--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -106,7 +106,11 @@
       if (term === null || term.isLost) return;
       term.lose("released");
       const { node, incarnation, store } = this.#ports;
-      const value: CoordinatorRow = { token: term.token, holder: "", incarnation };
+      const value: CoordinatorRow = {
+        token: term.token,
+        holder: "",
+        incarnation,
+      };
       const { key } = term.condition;
       const write = { conditions: [term.condition], writes: [{ key, value }] };
       yield* Effect.ignore(store.write(write, WRITE_LIMIT_MS));
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -262,7 +262,9 @@
       );
     }
     metrics.count("cairngate_starts_refused_total", { reason: err._tag });
-    log.info(`Start of ${occupant.task.name} run ${occupant.run}: ${err.message}`);
+    log.info(
+      `Start of ${occupant.task.name} run ${occupant.run}: ${err.message}`,
+    );
     if (err._tag === "WorkerReplacedError") {
       return Effect.as(
         this.endAll(Workflow.RunEnd.Lost),
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -52,10 +52,11 @@
 
   /** One look: a snapshot, or a wait for changes. */
   step(): Effect.Effect<void> {
-    const position = this.#position;
-    const look = position === null
-      ? this.#readAll()
-      : this.#readChanges(position);
+    const look = Effect.suspend(() =>
+      this.#position === null
+        ? this.#readAll()
+        : this.#readChanges(this.#position)
+    );
     return Effect.catch(look, () => this.#pause());
   }
 
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -140,9 +140,7 @@
   #stop(task: Workflow.Task): void {
     if (this.#stops.has(task)) return;
     this.#stops.add(task);
-    const room = task.worker === null
-      ? undefined
-      : this.#byId.get(task.worker);
+    const room = task.worker === null ? undefined : this.#byId.get(task.worker);
     if (task.state !== Workflow.TaskState.Stopping) room?.expect(task);
   }
 }
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -11,7 +11,11 @@
   type StepSpec,
   type WorkflowSpec,
 } from "./src/spec.ts";
-export { findStepFault, MOST_TASKS, type StepFault } from "./src/check_steps.ts";
+export {
+  findStepFault,
+  MOST_TASKS,
+  type StepFault,
+} from "./src/check_steps.ts";
 export { RunEnd, Task, TaskState } from "./src/task.ts";
 export { isFinal, type Unit, Workflow, WorkflowState } from "./src/workflow.ts";
 export {
