Acknowledge ends in the order of their records; let silent workers lapse

Cause 1: a look after an unfinished record acknowledged the ends of the look before, so a new coordinator started tasks again that had ended done. Cause 2: each unanswered renewal pushed the end of the lease on, so the tasks of a worker that had left were never free. Ruled out: late writes of earlier coordinators; their condition is the row. Conclusion: a number stands for all below it, so records are chained; a lease is renewed only where the worker answers. Both tests fail on the old code.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -17,7 +17,8 @@
 /** Events that come together are planned together. */
 const GATHER_MS = 2;
 const READ_LIMIT_MS = 1500;
-const FEED_WAIT_MS = 10_000;
+/** A silent link is noticed soon after this wait. */
+const FEED_WAIT_MS = 1000;
 const SWEEP_MS = 5000;
 
 /** Coordinates all workflows under one fencing token. */
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -81,6 +81,8 @@
   #seenEnds = 0;
   #recordedEnds = 0;
   #toldEnds = 0;
+  /** Done once the ends of all looks so far are recorded. */
+  #recorded = Deferred.makeUnsafe<void>();
   #reachable = true;
   #over = false;
   #signal = Deferred.makeUnsafe<void>();
@@ -89,6 +91,7 @@
     this.#options = options;
     this.ref = options.ref;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
+    Deferred.doneUnsafe(this.#recorded, Effect.void);
   }
 
   /** Runs that the worker holds or may hold. */
@@ -323,7 +326,8 @@
       const told = this.#recordedEnds;
       const order = workers.renew(this.ref, {
         fencingToken: term.token,
-        leaseUntilMs: this.#clock.isKnown
+        // A worker that is not heard gets no longer lease: it has to lapse.
+        leaseUntilMs: this.#clock.isKnown && this.#reachable
           ? this.#clock.leaseEnd(sentAtMs, bounds.longestLeaseMs)
           : null,
         recordedEnds: told,
@@ -371,16 +375,12 @@
   #takeView(view: Ports.WorkerView, sentAtMs: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const records: Effect.Effect<void>[] = [];
-      const newest = view.ended.reduce(
-        (most, { number }) => Math.max(most, number),
-        this.#seenEnds,
-      );
-      for (const ended of view.ended) {
-        if (ended.number <= this.#seenEnds) continue;
+      const fresh = view.ended.filter(({ number }) => number > this.#seenEnds);
+      for (const ended of fresh) {
+        this.#seenEnds = Math.max(this.#seenEnds, ended.number);
         const recorded = this.#takeEnd(ended);
         if (recorded !== null) records.push(recorded);
       }
-      this.#seenEnds = newest;
       const held = this.#takeHeld(view);
       for (const occupant of this.occupants) {
         const { knownSinceMs } = occupant;
@@ -388,31 +388,40 @@
           !held.has(occupant);
         if (isMissing) records.push(this.#end(occupant, Workflow.RunEnd.Lost));
       }
-      if (records.length > 0 || this.#recordedEnds < newest) {
-        yield* this.#awaitRecords(records, newest);
+      if (records.length > 0 || fresh.length > 0) {
+        this.#acknowledgeAfter(records, this.#seenEnds);
       }
+      if (this.#recordedEnds < this.#seenEnds) yield* this.#awaitRecords();
     });
   }
 
-  /** The next look waits for the records, but not without end. */
-  #awaitRecords(
+  /**
+   * Ends are acknowledged in their order: a number stands for all below it, so
+   * it waits for the records of all earlier looks too.
+   */
+  #acknowledgeAfter(
     records: readonly Effect.Effect<void>[],
-    newest: number,
-  ): Effect.Effect<void> {
-    const { clock } = this.#options.ports;
-    const all = Effect.all(records, { concurrency: "unbounded" }).pipe(
-      Effect.map(() => {
-        this.#recordedEnds = Math.max(this.#recordedEnds, newest);
-        this.#wake();
-      }),
+    upTo: number,
+  ): void {
+    const earlier = this.#recorded;
+    const done = Deferred.makeUnsafe<void>();
+    this.#recorded = done;
+    const recorded = Effect.all(
+      [Deferred.await(earlier), ...records],
+      { concurrency: "unbounded", discard: true },
     );
-    return Effect.gen(function* () {
-      const done = Deferred.makeUnsafe<void>();
-      yield* Effect.forkDetach(
-        Effect.andThen(all, Deferred.succeed(done, undefined)),
-      );
-      yield* clock.within(UNRECORDED_PAUSE_MS, Deferred.await(done));
+    const acknowledge = Effect.sync(() => {
+      this.#recordedEnds = upTo;
+      Deferred.doneUnsafe(done, Effect.void);
+      this.#wake();
     });
+    Effect.runFork(Effect.andThen(recorded, acknowledge));
+  }
+
+  /** The next look waits for the records, but not without end. */
+  #awaitRecords(): Effect.Effect<unknown> {
+    const { clock } = this.#options.ports;
+    return clock.within(UNRECORDED_PAUSE_MS, Deferred.await(this.#recorded));
   }
 
   #takeEnd(ended: Ports.EndedRun): Effect.Effect<void> | null {
--- a/packages/stand-ins/mod.ts
+++ b/packages/stand-ins/mod.ts
@@ -1,4 +1,5 @@
 /** In-memory stand-ins for the platform and its workers. */
+export { FaultyTable } from "./src/faulty_table.ts";
 export { FaultSwitch, type StoreFaults } from "./src/fault_switch.ts";
 export {
   type LedgerEntry,
@@ -9,7 +10,14 @@
 } from "./src/run_ledger.ts";
 export { MemoryLiveList } from "./src/memory_live_list.ts";
 export { MemoryObjectStore } from "./src/memory_object_store.ts";
-export { MemoryTable } from "./src/memory_table.ts";
+export { MemoryRowFeed } from "./src/memory_row_feed.ts";
+export {
+  MemoryTaskWorkers,
+  OrderFate,
+  type TaskRunNote,
+  type TaskWorkerSpec,
+} from "./src/memory_task_workers.ts";
+export { MemoryTable, type TableChange } from "./src/memory_table.ts";
 export { MemoryWorkers } from "./src/memory_workers.ts";
 export { StandInWorker } from "./src/stand_in_worker.ts";
 export { doWork } from "./src/work.ts";
--- /dev/null
+++ b/packages/stand-ins/src/memory_row_feed.ts
@@ -0,0 +1,61 @@
+/** A feed of the rows of a table in memory. */
+import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import type * as switches from "./fault_switch.ts";
+import type * as tables from "./memory_table.ts";
+
+/** Rows under one prefix. */
+export class MemoryRowFeed<T> extends Ports.RowFeed<T> {
+  readonly #table: tables.MemoryTable;
+  readonly #prefix: string;
+  readonly #clock: Ports.Clock;
+  readonly #faults: switches.FaultSwitch;
+
+  constructor(
+    options: {
+      table: tables.MemoryTable;
+      prefix: string;
+      clock: Ports.Clock;
+      faults: switches.FaultSwitch;
+    },
+  ) {
+    super();
+    this.#table = options.table;
+    this.#prefix = options.prefix;
+    this.#clock = options.clock;
+    this.#faults = options.faults;
+  }
+
+  override snapshot() {
+    const read = () =>
+      Effect.sync((): Ports.FeedPage<T> => ({
+        entries: this.#table.rowsUnder(this.#prefix).map(({ key, value }) => ({
+          key,
+          value: value as T,
+        })),
+        position: this.#table.revision,
+      }));
+    return this.#faults.apply("scan", read);
+  }
+
+  override changes(position: number, waitMs: number) {
+    const untilMs = this.#clock.monotonicMs() + waitMs;
+    const wait = Effect.gen({ self: this }, function* () {
+      for (;;) {
+        const changes = this.#table.changesAfter(this.#prefix, position);
+        const leftMs = untilMs - this.#clock.monotonicMs();
+        if (changes.length > 0 || leftMs <= 0) {
+          return {
+            entries: changes.map(({ key, row }) => ({
+              key,
+              value: (row?.value ?? null) as T | null,
+            })),
+            position: this.#table.revision,
+          };
+        }
+        yield* this.#clock.within(leftMs, this.#table.awaitChange());
+      }
+    });
+    return this.#faults.apply("scan", () => wait);
+  }
+}
--- a/packages/stand-ins/src/memory_table.ts
+++ b/packages/stand-ins/src/memory_table.ts
@@ -1,13 +1,23 @@
 /** A table service in memory. */
 import * as Errors from "@cairngate/errors";
 import * as Ports from "@cairngate/ports";
+import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as switches from "./fault_switch.ts";
 
+/** A change of one row; a null row means that it was removed. */
+export interface TableChange {
+  readonly key: string;
+  readonly row: Ports.Row | null;
+  readonly revision: number;
+}
+
 /** Keeps rows in a map; transactions are atomic. */
 export class MemoryTable extends Ports.TableService {
   readonly #rows = new Map<string, Ports.Row>();
   readonly #faults: switches.FaultSwitch;
+  readonly #changes: TableChange[] = [];
+  #changed = Deferred.makeUnsafe<void>();
   #revision = 0;
   /** Transactions and reads carried out. */
   readonly counts = { writes: 0, reads: 0 };
@@ -17,6 +27,28 @@
     this.#faults = faults;
   }
 
+  /** Revision of the newest transaction. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Rows under a prefix, without faults. */
+  rowsUnder(prefix: string): Ports.Row[] {
+    return [...this.#rows.values()].filter((r) => r.key.startsWith(prefix));
+  }
+
+  /** Changes under a prefix after a revision. */
+  changesAfter(prefix: string, revision: number): TableChange[] {
+    return this.#changes.filter((change) =>
+      change.revision > revision && change.key.startsWith(prefix)
+    );
+  }
+
+  /** Ends at the next change of any row. */
+  awaitChange(): Effect.Effect<void> {
+    return Effect.suspend(() => Deferred.await(this.#changed));
+  }
+
   override read(keys: readonly string[]) {
     return this.#faults.apply("read", () =>
       Effect.sync(() => {
@@ -53,6 +85,8 @@
       }
       this.#revision++;
       for (const write of tx.writes) this.#put(write, tx.writeId);
+      Deferred.doneUnsafe(this.#changed, Effect.void);
+      this.#changed = Deferred.makeUnsafe<void>();
       return Effect.succeed(this.#revision);
     });
   }
@@ -60,15 +94,17 @@
   #put(write: Ports.RowWrite, writeId: string): void {
     if (write.value === null) {
       this.#rows.delete(write.key);
+      this.#note(write.key, null);
       return;
     }
     const { key, value } = write;
     const copy = structuredClone(value);
-    this.#rows.set(key, {
-      key,
-      value: copy,
-      revision: this.#revision,
-      writeId,
-    });
+    const row = { key, value: copy, revision: this.#revision, writeId };
+    this.#rows.set(key, row);
+    this.#note(key, row);
+  }
+
+  #note(key: string, row: Ports.Row | null): void {
+    this.#changes.push({ key, row, revision: this.#revision });
   }
 }
--- /dev/null
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -0,0 +1,261 @@
+/**
+ * Workers in memory that run tasks of workflows under a lease and a fencing
+ * token. A task takes the time that its test gives; members of a gang work from
+ * the moment all are there and end together.
+ */
+import * as Errors from "@cairngate/errors";
+import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+
+/** A worker of the stand-in. */
+export interface TaskWorkerSpec {
+  readonly id: string;
+  readonly accelerators: number;
+}
+
+/** What becomes of an order on its way. */
+export enum OrderFate {
+  Carried = "carried",
+  /** It never arrives. */
+  Lost = "lost",
+  /** It is carried out, and its answer is lost. */
+  AnswerLost = "answer-lost",
+}
+
+/** One run, for the checks of tests. */
+export interface TaskRunNote {
+  readonly task: string;
+  readonly run: number;
+  readonly worker: string;
+  readonly startedAtMs: number;
+  endedAtMs: number | null;
+  how: Ports.EndKind | null;
+  /** When the coordinator said that the end is recorded. */
+  acknowledgedAtMs: number | null;
+}
+
+/** How long a task runs and how it ends. */
+export interface TaskBehaviour {
+  readonly runMs: number;
+  readonly fails: boolean;
+}
+
+interface HeldTask {
+  readonly note: TaskRunNote;
+  readonly endsAtMs: number;
+  readonly fails: boolean;
+}
+
+interface WorkerLife {
+  readonly spec: TaskWorkerSpec;
+  token: number;
+  leaseUntilMs: number;
+  nextEnd: number;
+  readonly held: Map<string, HeldTask>;
+  readonly ended: { number: number; note: TaskRunNote }[];
+  /** Highest run stopped or ended, by task. */
+  readonly over: Map<string, number>;
+}
+
+/** All workers of a test. */
+export class MemoryTaskWorkers extends Ports.TaskWorkers {
+  readonly #clock: Ports.Clock;
+  readonly #lives = new Map<string, WorkerLife>();
+  /** Every run that was started. */
+  readonly runs: TaskRunNote[] = [];
+  /** Behaviour of a task; tests may replace it. */
+  behave: (task: string, worker: string) => TaskBehaviour = () => ({
+    runMs: 1000,
+    fails: false,
+  });
+  /** What becomes of an order; tests may replace it. */
+  carry: (worker: string, order: "start" | "stop" | "renew") => OrderFate =
+    () => OrderFate.Carried;
+
+  constructor(clock: Ports.Clock, specs: readonly TaskWorkerSpec[]) {
+    super();
+    this.#clock = clock;
+    for (const spec of specs) this.#lives.set(spec.id, createLife(spec));
+  }
+
+  override start(worker: Ports.WorkerRef, order: Ports.StartRun) {
+    return this.#order(worker, "start", (life) => {
+      this.#checkToken(life, order.fencingToken);
+      const key = order.task;
+      const held = life.held.get(key);
+      if (held?.note.run === order.run) return this.#clock.monotonicMs();
+      if (order.run <= (life.over.get(key) ?? 0)) {
+        throw this.#refuse(worker, Errors.OrderRefusal.OldRun);
+      }
+      life.leaseUntilMs = Math.max(life.leaseUntilMs, order.leaseUntilMs);
+      if (life.held.size >= life.spec.accelerators) {
+        throw this.#refuse(worker, Errors.OrderRefusal.NoRoom);
+      }
+      this.#begin(life, order);
+      return this.#clock.monotonicMs();
+    });
+  }
+
+  override stop(
+    worker: Ports.WorkerRef,
+    order: Ports.RunRef & { readonly fencingToken: number },
+  ) {
+    return this.#order(worker, "stop", (life) => {
+      this.#checkToken(life, order.fencingToken);
+      const over = life.over.get(order.task) ?? 0;
+      life.over.set(order.task, Math.max(over, order.run));
+      const held = life.held.get(order.task);
+      if (held?.note.run === order.run) this.#end(life, held, "stopped");
+      return this.#clock.monotonicMs();
+    });
+  }
+
+  override renew(worker: Ports.WorkerRef, order: Ports.RenewLease) {
+    const look = this.#order(worker, "renew", (life) => {
+      this.#checkToken(life, order.fencingToken);
+      life.leaseUntilMs = Math.max(
+        life.leaseUntilMs,
+        order.leaseUntilMs ?? 0,
+      );
+      this.#acknowledge(life, order.recordedEnds);
+      return this.#view(life);
+    });
+    const stepMs = 50;
+    const untilMs = this.#clock.monotonicMs() + order.waitMs;
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        const view = yield* look;
+        const nowMs = this.#clock.monotonicMs();
+        if (view.ended.length > 0 || nowMs >= untilMs) return view;
+        yield* this.#clock.sleep(stepMs);
+      }
+    });
+  }
+
+  /** Runs of a task, in order. */
+  runsOf(task: string): TaskRunNote[] {
+    return this.runs.filter((note) => note.task === task);
+  }
+
+  #order<A>(
+    worker: Ports.WorkerRef,
+    kind: "start" | "stop" | "renew",
+    work: (life: WorkerLife) => A,
+  ): Effect.Effect<A, Ports.OrderError> {
+    const lost = new Errors.WorkerLostError({
+      worker: worker.id,
+      cause: "lost by the test",
+      neverSent: false,
+    });
+    return Effect.suspend((): Effect.Effect<A, Ports.OrderError> => {
+      const fate = this.carry(worker.id, kind);
+      const life = this.#lives.get(worker.id);
+      if (fate === OrderFate.Lost || life === undefined) {
+        return Effect.fail(lost);
+      }
+      this.#advance(life);
+      try {
+        const result = work(life);
+        return fate === OrderFate.AnswerLost
+          ? Effect.fail(lost)
+          : Effect.succeed(result);
+      } catch (err) {
+        return Effect.fail(err as Errors.OrderRefusedError);
+      }
+    });
+  }
+
+  #begin(life: WorkerLife, order: Ports.StartRun): void {
+    const nowMs = this.#clock.monotonicMs();
+    const { runMs, fails } = this.behave(order.task, life.spec.id);
+    const note: TaskRunNote = {
+      task: order.task,
+      run: order.run,
+      worker: life.spec.id,
+      startedAtMs: nowMs,
+      endedAtMs: null,
+      how: null,
+      acknowledgedAtMs: null,
+    };
+    this.runs.push(note);
+    life.held.set(order.task, { note, endsAtMs: nowMs + runMs, fails });
+  }
+
+  /** Lets what has happened since the last order happen. */
+  #advance(life: WorkerLife): void {
+    const nowMs = this.#clock.monotonicMs();
+    for (const held of [...life.held.values()]) {
+      const { endsAtMs, fails } = held;
+      if (endsAtMs <= Math.min(nowMs, life.leaseUntilMs)) {
+        this.#end(life, held, fails ? "failed" : "done", endsAtMs);
+      } else if (nowMs > life.leaseUntilMs) {
+        this.#end(life, held, "lapsed", life.leaseUntilMs);
+      }
+    }
+  }
+
+  #end(
+    life: WorkerLife,
+    held: HeldTask,
+    how: Ports.EndKind,
+    atMs = this.#clock.monotonicMs(),
+  ): void {
+    const { note } = held;
+    life.held.delete(note.task);
+    life.over.set(note.task, note.run);
+    note.endedAtMs = atMs;
+    note.how = how;
+    life.ended.push({ number: life.nextEnd++, note });
+  }
+
+  #acknowledge(life: WorkerLife, upTo: number): void {
+    while (life.ended.length > 0 && life.ended[0].number <= upTo) {
+      const [first] = life.ended.splice(0, 1);
+      first.note.acknowledgedAtMs = this.#clock.monotonicMs();
+    }
+  }
+
+  #view(life: WorkerLife): Ports.WorkerView {
+    return {
+      clockMs: this.#clock.monotonicMs(),
+      held: [...life.held.values()].map(({ note }) => ({
+        task: note.task,
+        run: note.run,
+        checkpoint: "",
+        percent: 0,
+        reading: null,
+      })),
+      ended: life.ended.map(({ number, note }) => ({
+        number,
+        task: note.task,
+        run: note.run,
+        how: note.how ?? "lapsed",
+        checkpoint: "",
+      })),
+    };
+  }
+
+  #checkToken(life: WorkerLife, token: number): void {
+    if (token < life.token) {
+      const reason = Errors.OrderRefusal.Fenced;
+      throw new Errors.OrderRefusedError({ worker: life.spec.id, reason });
+    }
+    life.token = token;
+  }
+
+  #refuse(worker: Ports.WorkerRef, reason: Errors.OrderRefusal) {
+    return new Errors.OrderRefusedError({ worker: worker.id, reason });
+  }
+}
+
+function createLife(spec: TaskWorkerSpec): WorkerLife {
+  return {
+    spec,
+    token: 0,
+    leaseUntilMs: 0,
+    nextEnd: 1,
+    held: new Map(),
+    ended: [],
+    over: new Map(),
+  };
+}
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -19,7 +19,7 @@
 }
 
 const SNAPSHOT_LIMIT_MS = 1500;
-const ANSWER_SLACK_MS = 700;
+const ANSWER_SLACK_MS = 500;
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 500;
 
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -11,3 +11,9 @@
 export { PausableClock } from "./src/pausable_clock.ts";
 export { SeededRandom } from "./src/seeded_random.ts";
 export { TestCluster } from "./src/test_cluster.ts";
+export {
+  buildAccess,
+  buildStep,
+  FLEET_BOUNDS,
+  TestFleet,
+} from "./src/test_fleet.ts";
--- /dev/null
+++ b/packages/test-utils/src/test_fleet.ts
@@ -0,0 +1,275 @@
+/** Several nodes for workflows on fakes and a clock that the test moves. */
+import * as Logger from "@cairngate/logger";
+import * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import * as StandIns from "@cairngate/stand-ins";
+import type * as Workflow from "@cairngate/workflow";
+import * as Node from "@cairngate/workflow-node";
+import * as Effect from "effect/Effect";
+import * as clocks from "./fake_clock.ts";
+import * as randoms from "./seeded_random.ts";
+
+/** Bounds that the tests play with. */
+export const FLEET_BOUNDS = {
+  longestLeaseMs: 6000,
+  stopMs: 500,
+  gangWaitMs: 3000,
+  remotePenalty: 3,
+  keepEndedMs: 120_000,
+};
+
+const CONFIG_PREFIX = "test-config/";
+const WORKERS_PREFIX = "test-workers/";
+const WRITES_PER_SECOND = 500;
+
+/** A configuration with one queue for each priority, 0 to 2. */
+export function buildAccess(
+  guarantees: Readonly<Record<string, number>> = { hana: 4 },
+  version = 1,
+): Ports.AccessConfig {
+  const queues = [0, 1, 2].map((priority) => ({
+    queue: `queue-${priority}`,
+    host: "jobs.example",
+    pathPrefix: `/p${priority}/`,
+    anonymous: false,
+    service: "analysis",
+    priority,
+    attempts: 3,
+    stretch: 2,
+    latencyMs: 500,
+    advice: null,
+  }));
+  const tenants = Object.entries(guarantees).map(([name, guaranteed]) => ({
+    name,
+    keys: [`key-of-${name}`],
+    guaranteed,
+  }));
+  return { version, queues, tenants, maxBodyBytes: 100_000 };
+}
+
+/** A step of one task on one accelerator. */
+export function buildStep(
+  changes: Partial<Workflow.StepSpec> = {},
+): Workflow.StepSpec {
+  return {
+    count: 1,
+    cpuMillis: 1000,
+    memoryMb: 1000,
+    accelerators: 1,
+    estimateMs: 1000,
+    after: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    label: null,
+    rack: null,
+    perWorker: 0,
+    duplicates: false,
+    lasting: false,
+    image: "",
+    latencyTargetMs: 0,
+    fills: false,
+    mayMiss: 0,
+    ...changes,
+  };
+}
+
+interface FleetNode {
+  readonly node: Node.WorkflowNode;
+  readonly faults: StandIns.FaultSwitch;
+}
+
+/** Nodes, workers and store of one test. */
+export class TestFleet {
+  readonly clock = new clocks.FakeClock();
+  readonly random: randoms.SeededRandom;
+  /** Faults of the store for all nodes. */
+  readonly faults: StandIns.FaultSwitch;
+  readonly table: StandIns.MemoryTable;
+  readonly workers: StandIns.MemoryTaskWorkers;
+  readonly nodes = new Map<string, FleetNode>();
+  readonly #config: Ports.AccessConfig;
+  #writes = 0;
+
+  /** @param options.workers accelerators of each worker, four to a rack */
+  constructor(
+    options: {
+      nodes?: number;
+      workers?: readonly number[];
+      seed?: number;
+      config?: Ports.AccessConfig;
+    } = {},
+  ) {
+    this.random = new randoms.SeededRandom(options.seed ?? 1);
+    this.faults = new StandIns.FaultSwitch(this.clock, this.random);
+    this.table = new StandIns.MemoryTable(this.faults);
+    this.#config = options.config ?? buildAccess();
+    const sizes = options.workers ?? [2, 2];
+    const specs = sizes.map((accelerators, i) => ({
+      id: `worker-${i}`,
+      accelerators,
+    }));
+    this.workers = new StandIns.MemoryTaskWorkers(this.clock, specs);
+    for (const [i, spec] of specs.entries()) this.list(spec, i);
+    this.applyConfig(this.#config);
+    const count = options.nodes ?? 3;
+    for (let i = 1; i <= count; i++) this.addNode(`node-${i}`);
+  }
+
+  /** Starts all nodes and waits until one coordinates. */
+  async start(): Promise<void> {
+    for (const { node } of this.nodes.values()) node.start();
+    await this.until(() => this.coordinator() !== null);
+    await this.clock.advance(200);
+  }
+
+  /** Ends all nodes. */
+  async stop(): Promise<void> {
+    for (const name of [...this.nodes.keys()]) await this.kill(name);
+  }
+
+  /** Makes a node; it has to be started. */
+  addNode(name: string): Node.WorkflowNode {
+    const faults = new StandIns.FaultSwitch(this.clock, this.random);
+    const feed = <T>(prefix: string) =>
+      new StandIns.MemoryRowFeed<T>({
+        table: this.table,
+        prefix,
+        clock: this.clock,
+        faults,
+      });
+    const node = new Node.WorkflowNode({
+      node: name,
+      clock: this.clock,
+      random: this.random,
+      table: new StandIns.FaultyTable(this.table, faults),
+      workers: this.workers,
+      feeds: {
+        config: feed<Ports.AccessConfig>(CONFIG_PREFIX),
+        workers: feed<Ports.WorkerListing>(WORKERS_PREFIX),
+        intake: feed<unknown>("intake/"),
+        election: feed<unknown>("election/"),
+      },
+      bounds: FLEET_BOUNDS,
+      storeWritesPerSecond: WRITES_PER_SECOND,
+      log: Logger.silentLogger(),
+      metrics: new Metrics.Metrics(),
+    });
+    this.nodes.set(name, { node, faults });
+    return node;
+  }
+
+  /** The node of this name. */
+  node(name: string): Node.WorkflowNode {
+    return this.#get(name).node;
+  }
+
+  /** Faults of the store for one node. */
+  faultsOf(name: string): StandIns.FaultSwitch {
+    return this.#get(name).faults;
+  }
+
+  /** Name of the node that coordinates; null while there is none. */
+  coordinator(): string | null {
+    const [row] = this.table.rowsUnder("election/coordinator");
+    const holder = (row?.value as { holder: string } | undefined)?.holder;
+    return holder === undefined || holder === "" ? null : holder;
+  }
+
+  /** Ends a node at once. */
+  async kill(name: string): Promise<void> {
+    await Effect.runPromise(this.#get(name).node.stop());
+    this.nodes.delete(name);
+  }
+
+  /** Lists a worker in the store. */
+  list(
+    spec: StandIns.TaskWorkerSpec,
+    index: number,
+    changes: Partial<Ports.WorkerListing> = {},
+  ): void {
+    const rack = `rack-${Math.floor(index / 4)}`;
+    const listing: Ports.WorkerListing = {
+      id: spec.id,
+      address: `10.0.0.${index}:80`,
+      service: "analysis",
+      zone: "zone-1",
+      rack,
+      labels: ["a", rack],
+      cpuMillis: 64_000,
+      memoryMb: 64_000,
+      accelerators: spec.accelerators,
+      draining: false,
+      leavesInMs: null,
+      clockMs: this.clock.monotonicMs(),
+      ...changes,
+    };
+    this.write(`${WORKERS_PREFIX}${spec.id}`, listing);
+  }
+
+  /** Puts a configuration in force. */
+  applyConfig(config: Ports.AccessConfig): void {
+    this.write(`${CONFIG_PREFIX}config`, config);
+  }
+
+  /** Writes a row as the platform does. */
+  write(key: string, value: unknown): void {
+    const writeId = `test-${this.#writes++}`;
+    const writes = [{ key, value }];
+    Effect.runSync(this.table.transact({ writeId, conditions: [], writes }));
+  }
+
+  /** Hands a workflow in at a node. */
+  async submit(
+    name: string,
+    id: string,
+    options: {
+      priority?: number;
+      tenant?: string;
+      steps?: readonly Workflow.StepSpec[];
+      schedule?: Workflow.Schedule;
+    } = {},
+  ): Promise<void> {
+    const node = this.node(name);
+    const allowed = await this.run(node.access.check({
+      host: "jobs.example",
+      path: `/p${options.priority ?? 1}/${id}`,
+      key: `key-of-${options.tenant ?? "hana"}`,
+    }));
+    await this.run(node.submissions.accept(allowed, {
+      id,
+      payload: "work",
+      steps: options.steps ?? [buildStep()],
+      schedule: options.schedule ?? null,
+    }));
+  }
+
+  /** State of a workflow, as the store has it. */
+  state(id: string): Workflow.WorkflowState | null {
+    const [row] = this.table.rowsUnder(`progress/${id}`);
+    return (row?.value as Workflow.ProgressRecord | undefined)?.state ?? null;
+  }
+
+  /** Runs an effect while the clock moves. */
+  async run<A, E>(effect: Effect.Effect<A, E>): Promise<A> {
+    let settled = false;
+    const result = Effect.runPromise(effect).finally(() => {
+      settled = true;
+    });
+    result.catch(() => {});
+    await this.clock.advance(0);
+    while (!settled) await this.clock.advance(20);
+    return await result;
+  }
+
+  /** Moves the clock until something holds; false if it never does. */
+  until(holds: () => boolean, limitMs = 20_000): Promise<boolean> {
+    return this.clock.advanceUntil(holds, limitMs);
+  }
+
+  #get(name: string): FleetNode {
+    const found = this.nodes.get(name);
+    if (found === undefined) throw new RangeError(`no node ${name}`);
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/workflow-node/src/lost_workers_test.ts
@@ -0,0 +1,32 @@
+/** Tasks of workers that are not heard any more run elsewhere, never twice. */
+import * as StandIns from "@cairngate/stand-ins";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+vitest.describe("a worker that is not heard", () => {
+  vitest.it("loses its task once its lease has run out", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
+    fleet.workers.behave = () => ({ runMs: 8000, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", "a000000000000001");
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const [first] = fleet.workers.runs;
+    fleet.workers.carry = (worker) =>
+      worker === first.worker
+        ? StandIns.OrderFate.Lost
+        : StandIns.OrderFate.Carried;
+    const again = await fleet.until(() => fleet.workers.runs.length === 2);
+    vitest.expect(again).toBe(true);
+    const [, second] = fleet.workers.runs;
+    const { longestLeaseMs } = TestUtils.FLEET_BOUNDS;
+    const waitedMs = second.startedAtMs - first.startedAtMs;
+    vitest.expect(waitedMs).toBeGreaterThan(longestLeaseMs);
+    vitest.expect(waitedMs).toBeLessThan(longestLeaseMs * 2);
+    await fleet.until(() =>
+      fleet.state("a000000000000001") === Workflow.WorkflowState.Completed
+    );
+    vitest.expect(fleet.workers.runs.length).toBe(2);
+    await fleet.stop();
+  });
+});
--- /dev/null
+++ b/packages/workflow-node/src/records_test.ts
@@ -0,0 +1,50 @@
+/** Ends of runs are acknowledged only when they are recorded. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+vitest.describe("ends of runs", () => {
+  vitest.it("completes a workflow and acknowledges its end", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    await fleet.submit("node-1", "a000000000000001");
+    const done = await fleet.until(() =>
+      fleet.state("a000000000000001") === Workflow.WorkflowState.Completed
+    );
+    vitest.expect(done).toBe(true);
+    await fleet.clock.advance(500);
+    const [run] = fleet.workers.runsOf("a000000000000001.0.0.0");
+    vitest.expect(run.how).toBe("done");
+    vitest.expect(run.acknowledgedAtMs).not.toBeNull();
+    await fleet.stop();
+  });
+
+  vitest.it(
+    "waits with the acknowledgement while the store is down",
+    async () => {
+      const fleet = new TestUtils.TestFleet({ workers: [2] });
+      fleet.workers.behave = (task) => ({
+        runMs: task.endsWith(".1") ? 30_000 : 1000,
+        fails: false,
+      });
+      await fleet.start();
+      const steps = [TestUtils.buildStep({ count: 2 })];
+      await fleet.submit("node-1", "a000000000000001", { steps });
+      await fleet.until(() => fleet.workers.runs.length === 2);
+      for (const name of fleet.nodes.keys()) {
+        fleet.faultsOf(name).set({ down: true });
+      }
+      await fleet.clock.advance(8000);
+      const [run] = fleet.workers.runsOf("a000000000000001.0.0.0");
+      vitest.expect(run.how).toBe("done");
+      vitest.expect(run.acknowledgedAtMs).toBeNull();
+      for (const name of fleet.nodes.keys()) {
+        fleet.faultsOf(name).set({ down: false });
+      }
+      const done = await fleet.until(() => run.acknowledgedAtMs !== null);
+      vitest.expect(done).toBe(true);
+      vitest.expect(fleet.workers.runs.length).toBe(2);
+      await fleet.stop();
+    },
+  );
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -30,7 +30,8 @@
   readonly metrics: Metrics.Metrics;
 }
 
-const CONFIG_WAIT_MS = 10_000;
+/** A silent link is noticed soon after this wait. */
+const CONFIG_WAIT_MS = 800;
 /** Without a word of the store for this long, callers had better go elsewhere. */
 const STORE_SILENCE_MS = 2000;
 
