Restart stragglers, refuse at once while the store fails, take over sooner

Cause: requests waited 0.9 s for a store that reset every call; tasks on slow or standing workers ran to their end; a takeover took 2.2 s of silence. Ruled out: holding requests for the store; it costs more than a refusal.

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -28,6 +28,7 @@
   readinessAddress: Address,
   storeAddress: Address,
   storeWritesPerSecond: Positive,
+  configInForceMs: Positive,
   bounds: BoundsSchema,
   logLevel: Schema.optionalKey(
     Schema.Literals(["error", "warn", "info", "debug"]),
@@ -52,6 +53,7 @@
   readonly readinessAddress: string;
   readonly storeAddress: string;
   readonly storeWritesPerSecond: number;
+  readonly configInForceMs: number;
   readonly bounds: NodeBounds;
   readonly logLevel: "error" | "warn" | "info" | "debug";
   readonly logFormat: "text" | "json";
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -10,6 +10,7 @@
 import * as intake from "./intake.ts";
 import type * as ports from "./ports.ts";
 import * as recorders from "./recorder.ts";
+import * as stragglers from "./straggler_watch.ts";
 import * as sessions from "./worker_session.ts";
 
 /** Longest time between two plans while something waits. */
@@ -20,6 +21,8 @@
 /** A silent link is noticed soon after this wait. */
 const FEED_WAIT_MS = 1000;
 const SWEEP_MS = 5000;
+/** Time between two looks for slow runs. */
+const STRAGGLERS_MS = 400;
 
 /** Coordinates all workflows under one fencing token. */
 export class Coordinator extends sessions.SessionListener {
@@ -68,9 +71,11 @@
       onChange: (entries) => this.#takeIntake(entries),
     });
     const work = Effect.gen({ self: this }, function* () {
-      yield* this.#readProgress();
-      while (!followWorkers.hasSnapshot) yield* followWorkers.step();
-      while (!followIntake.hasSnapshot) yield* followIntake.step();
+      yield* Effect.all([
+        this.#readProgress(),
+        followUntilRead(followWorkers),
+      ], { concurrency: "unbounded", discard: true });
+      yield* followUntilRead(followIntake);
       this.#recovered = true;
       this.#progress.clear();
       this.#ports.log.info(
@@ -83,6 +88,10 @@
         this.#recorder.run(),
         this.#keepPlanning(),
         this.#ports.clock.every(SWEEP_MS, this.#sweep()),
+        this.#ports.clock.every(
+          STRAGGLERS_MS,
+          Effect.sync(() => this.#restartStragglers()),
+        ),
       ], { concurrency: "unbounded", discard: true });
     });
     return Effect.ensuring(work, this.#directory.close());
@@ -249,6 +258,37 @@
     }));
   }
 
+  /** Stops slow runs that would end sooner elsewhere. */
+  #restartStragglers(): void {
+    const { clock, log, metrics } = this.#ports;
+    const found = stragglers.findStragglers(this.#runsInProgress());
+    for (const id of found.workers) {
+      this.#directory.session(id)?.health.wasSlow(clock.monotonicMs());
+    }
+    for (const task of found.restart) {
+      if (task.state !== Workflow.TaskState.Running) continue;
+      log.info(`Run ${task.run} of ${task.name} is slow; it starts again.`);
+      metrics.count("cairngate_stragglers_total");
+      task.slowRuns++;
+      this.#stop(task);
+    }
+  }
+
+  #runsInProgress(): stragglers.RunProgress[] {
+    const runs: stragglers.RunProgress[] = [];
+    for (const session of this.#directory.sessions) {
+      for (const occupant of session.occupants) {
+        const { task, seenSinceMs, percent, percentAtMs } = occupant;
+        const isRunning = task.state === Workflow.TaskState.Running &&
+          task.run === occupant.run && seenSinceMs !== null;
+        if (!isRunning) continue;
+        const ranMs = percentAtMs - Math.min(seenSinceMs, task.startedAtMs);
+        runs.push({ task, worker: session.ref.id, ranMs, percent });
+      }
+    }
+    return runs;
+  }
+
   #releaseMissing(): void {
     const nowMs = this.#ports.clock.monotonicMs();
     for (const [task, untilMs] of this.#missing) {
@@ -336,6 +376,14 @@
   }
 }
 
+function followUntilRead<T>(
+  follower: TableClient.RowFollower<T>,
+): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    while (!follower.hasSnapshot) yield* follower.step();
+  });
+}
+
 function guaranteesOf(
   config: Ports.AccessConfig | null,
 ): ReadonlyMap<string, number> {
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -16,12 +16,13 @@
   readonly incarnation: string;
 }
 
-const RENEW_MS = 700;
+const RENEW_MS = 350;
 /** Time without a renewal after which another node takes over. */
-const SILENCE_MS = 2200;
+const SILENCE_MS = 1600;
 /** Candidates wait up to this much longer, so that few collide. */
-const SPREAD_MS = 400;
-const LOOK_MS = 100;
+const SPREAD_MS = 300;
+const LOOK_MS = 50;
+const RENEW_LIMIT_MS = 700;
 const WRITE_LIMIT_MS = 1500;
 
 /** The right to decide, under one fencing token. */
@@ -206,7 +207,7 @@
       store.write({
         conditions: [term.condition],
         writes: [{ key, value: Math.round(clock.monotonicMs()) }],
-      }, RENEW_MS)
+      }, RENEW_LIMIT_MS)
     ).pipe(
       Effect.asVoid,
       Effect.catchTags({
--- /dev/null
+++ b/packages/coordinator/src/straggler_watch_test.ts
@@ -0,0 +1,69 @@
+/** Slow runs are found by comparison, and restarted only where that pays. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import * as watch from "./straggler_watch.ts";
+
+function buildRuns(
+  percents: readonly number[],
+  options: { ranMs?: number; step?: Partial<Workflow.StepSpec> } = {},
+): watch.RunProgress[] {
+  const step = TestUtils.buildStep({
+    count: percents.length,
+    estimateMs: 4000,
+    ...options.step,
+  });
+  const workflow = new Workflow.Workflow({
+    id: "a000000000000001",
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[0],
+    payload: "",
+    steps: [step],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  return percents.map((percent, i) => ({
+    task: workflow.rounds[0][0][i],
+    worker: `worker-${i}`,
+    ranMs: options.ranMs ?? 2000,
+    percent,
+  }));
+}
+
+vitest.describe("findStragglers", () => {
+  vitest.it("restarts the one run that lags far behind", () => {
+    const runs = buildRuns([50, 52, 8, 49]);
+    const found = watch.findStragglers(runs);
+    vitest.expect(found.restart).toEqual([runs[2].task]);
+    vitest.expect([...found.workers]).toEqual(["worker-2"]);
+  });
+
+  vitest.it("leaves runs alone that are all equally slow", () => {
+    const found = watch.findStragglers(buildRuns([5, 6, 5, 6]));
+    vitest.expect(found.restart).toEqual([]);
+  });
+
+  vitest.it("says nothing about runs that have just begun", () => {
+    const found = watch.findStragglers(
+      buildRuns([20, 0, 20], { ranMs: 400 }),
+    );
+    vitest.expect(found.workers.size).toBe(0);
+  });
+
+  vitest.it("keeps a slow run that is nearly done", () => {
+    const found = watch.findStragglers(buildRuns([100, 98, 100]));
+    vitest.expect(found.restart).toEqual([]);
+  });
+
+  vitest.it("restarts a lone run once, then takes the task as slow", () => {
+    const runs = buildRuns([2]);
+    vitest.expect(watch.findStragglers(runs).restart.length).toBe(1);
+    runs[0].task.slowRuns = 1;
+    vitest.expect(watch.findStragglers(runs).restart.length).toBe(0);
+  });
+
+  vitest.it("never restarts a task that lasts", () => {
+    const runs = buildRuns([50, 2, 50], { step: { lasting: true } });
+    vitest.expect(watch.findStragglers(runs).restart).toEqual([]);
+  });
+});
--- a/packages/coordinator/src/worker_health.ts
+++ b/packages/coordinator/src/worker_health.ts
@@ -6,6 +6,9 @@
 const FIRST_ASIDE_MS = 1200;
 const LONGEST_ASIDE_MS = 20_000;
 
+/** Time for which a worker that is merely slow gets no work. */
+const SLOW_ASIDE_MS = 3000;
+
 /** One worker's record. */
 export class WorkerHealth {
   #failures = 0;
@@ -22,6 +25,11 @@
     this.#asideUntilMs = Number.NEGATIVE_INFINITY;
   }
 
+  /** A run came on much more slowly than others. */
+  wasSlow(nowMs: number): void {
+    this.#asideUntilMs = Math.max(this.#asideUntilMs, nowMs + SLOW_ASIDE_MS);
+  }
+
   /** A run failed, or an order was not answered. */
   failed(nowMs: number): void {
     const asideMs = Math.min(
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -22,6 +22,11 @@
   sent: boolean;
   /** Whether it is being stopped. */
   stopping: boolean;
+  /** When the worker first said that it holds the run. */
+  seenSinceMs: number | null;
+  /** Progress that the worker told last, 0 to 100, and when. */
+  percent: number;
+  percentAtMs: number;
 }
 
 /** The end of a run, for the coordinator. */
@@ -54,10 +59,10 @@
   readonly lapsesAtMs: number;
 }
 
-const ORDER_LIMIT_MS = 700;
+const ORDER_LIMIT_MS = 450;
 const VIEW_SLACK_MS = 800;
-const LONGEST_WAIT_MS = 2000;
-const START_TRIES = 3;
+const LONGEST_WAIT_MS = 1000;
+const START_TRIES = 2;
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -118,26 +123,16 @@
 
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
-    const occupant: Occupant = {
-      task,
-      run: task.run,
-      knownSinceMs: Number.NEGATIVE_INFINITY,
-      sent: true,
-      stopping: false,
-    };
+    const occupant = createOccupant(task);
+    occupant.knownSinceMs = Number.NEGATIVE_INFINITY;
+    occupant.sent = true;
     this.#occupants.set(task.name, occupant);
     this.#wake();
   }
 
   /** Keeps room for a run whose start is not sent yet. */
   reserve(task: Workflow.Task): Occupant {
-    const occupant: Occupant = {
-      task,
-      run: task.run,
-      knownSinceMs: null,
-      sent: false,
-      stopping: false,
-    };
+    const occupant = createOccupant(task);
     this.#occupants.set(task.name, occupant);
     return occupant;
   }
@@ -436,7 +431,8 @@
     const { listener, ports: { clock } } = this.#options;
     const held = new Set<Occupant>();
     const strays = new Set<string>();
-    for (const { task, run, checkpoint } of view.held) {
+    const nowMs = clock.monotonicMs();
+    for (const { task, run, checkpoint, percent } of view.held) {
       const occupant = this.#occupants.get(task);
       if (occupant === undefined || occupant.run !== run) {
         strays.add(`${task}@${run}`);
@@ -444,10 +440,13 @@
       }
       held.add(occupant);
       if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
+      occupant.seenSinceMs ??= nowMs;
+      occupant.percent = percent;
+      occupant.percentAtMs = nowMs;
       const wasKnown = occupant.knownSinceMs !== null &&
         Number.isFinite(occupant.knownSinceMs);
       if (wasKnown) continue;
-      occupant.knownSinceMs = clock.monotonicMs();
+      occupant.knownSinceMs = nowMs;
       listener.runConfirmed(occupant);
     }
     this.#replaceStrays(strays);
@@ -485,6 +484,19 @@
   }
 }
 
+function createOccupant(task: Workflow.Task): Occupant {
+  return {
+    task,
+    run: task.run,
+    knownSinceMs: null,
+    sent: false,
+    stopping: false,
+    seenSinceMs: null,
+    percent: 0,
+    percentAtMs: 0,
+  };
+}
+
 /** What is known after one try to start a run. */
 enum StartFate {
   /** Nothing more to do: it runs, or its end is taken in. */
--- a/packages/gateway/src/access.ts
+++ b/packages/gateway/src/access.ts
@@ -30,12 +30,15 @@
 /** Holds the newest configuration; it never goes back. */
 export class AccessTable {
   readonly #log: Logger.Logger;
+  readonly #mayBeStale: () => boolean;
   #config: Ports.AccessConfig | null = null;
   #byHost = new Map<string, Ports.QueueRoute[]>();
   #tenantOfKey = new Map<string, string>();
 
-  constructor(log: Logger.Logger) {
+  /** @param mayBeStale whether a newer version may be in force elsewhere */
+  constructor(log: Logger.Logger, mayBeStale: () => boolean) {
     this.#log = log;
+    this.#mayBeStale = mayBeStale;
   }
 
   /** The configuration in force; null before the first. */
@@ -60,6 +63,10 @@
       const waitsFor = "the first configuration";
       return Effect.fail(new Errors.NotReadyError({ waitsFor }));
     }
+    if (this.#mayBeStale()) {
+      const waitsFor = "the store, which may hold a newer configuration";
+      return Effect.fail(new Errors.NotReadyError({ waitsFor }));
+    }
     const { path, key } = request;
     const route = this.#byHost.get(request.host)?.find(({ pathPrefix }) =>
       path.startsWith(pathPrefix)
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -21,8 +21,8 @@
 }
 
 /** A write of the store that a caller waits for ends within this time. */
-const WRITE_LIMIT_MS = 900;
-const READ_LIMIT_MS = 900;
+const WRITE_LIMIT_MS = 450;
+const READ_LIMIT_MS = 450;
 
 /** Callers' side of the workflows. */
 export class Submissions {
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -218,11 +218,11 @@
   #view(life: WorkerLife): Ports.WorkerView {
     return {
       clockMs: this.#clock.monotonicMs(),
-      held: [...life.held.values()].map(({ note }) => ({
-        task: note.task,
-        run: note.run,
+      held: [...life.held.values()].map((held) => ({
+        task: held.note.task,
+        run: held.note.run,
         checkpoint: "",
-        percent: 0,
+        percent: percentOf(held, this.#clock.monotonicMs()),
         reading: null,
       })),
       ended: life.ended.map(({ number, note }) => ({
@@ -248,6 +248,12 @@
   }
 }
 
+function percentOf(held: HeldTask, nowMs: number): number {
+  const { startedAtMs } = held.note;
+  const share = (nowMs - startedAtMs) / (held.endsAtMs - startedAtMs);
+  return Math.floor(Math.min(1, share) * 100);
+}
+
 function createLife(spec: TaskWorkerSpec): WorkerLife {
   return {
     spec,
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -14,6 +14,8 @@
   readonly onChange: (entries: readonly Ports.FeedEntry<T>[]) => void;
   /** Told after each successful look, also where nothing changed. */
   readonly onHeard?: () => void;
+  /** Told after each look that failed. */
+  readonly onFailed?: () => void;
   /** Longest wait of one look. */
   readonly waitMs: number;
 }
@@ -21,7 +23,7 @@
 const SNAPSHOT_LIMIT_MS = 1500;
 const ANSWER_SLACK_MS = 500;
 const FIRST_BACKOFF_MS = 50;
-const LONGEST_BACKOFF_MS = 500;
+const LONGEST_BACKOFF_MS = 250;
 
 /** Keeps the keys that it has told of, to notice what has gone. */
 export class RowFollower<T> {
@@ -105,6 +107,7 @@
 
   #pause(): Effect.Effect<void> {
     const { clock, random } = this.#options;
+    this.#options.onFailed?.();
     const waitMs = random.jitter(this.#backoffMs);
     this.#backoffMs = Math.min(this.#backoffMs * 2, LONGEST_BACKOFF_MS);
     return clock.sleep(waitMs);
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -58,6 +58,17 @@
     return !this.#breaker.isOpen();
   }
 
+  /** The service answered a call that was made without this client. */
+  noteAnswered(): void {
+    this.#breaker.succeeded();
+    this.#failingSinceMs = null;
+  }
+
+  /** A call that was made without this client failed. */
+  noteFailed(): void {
+    this.#failingSinceMs ??= this.#options.clock.monotonicMs();
+  }
+
   /** Time for which calls have failed; 0 while the last one was answered. */
   silentForMs(): number {
     const sinceMs = this.#failingSinceMs;
@@ -200,8 +211,7 @@
         this.#failed();
         return yield* new Errors.AnswerLostError({ operation });
       }
-      this.#breaker.succeeded();
-      this.#failingSinceMs = null;
+      this.noteAnswered();
       const tookMs = clock.monotonicMs() - startMs;
       metrics.observeMs(`cairngate_store_${operation}_seconds`, tookMs);
       return timed.value;
@@ -210,7 +220,7 @@
 
   #failed(): void {
     this.#breaker.failed();
-    this.#failingSinceMs ??= this.#options.clock.monotonicMs();
+    this.noteFailed();
   }
 
   /** Waits for the write budget; fails when the wait passes the deadline. */
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -21,6 +21,7 @@
 const CONFIG_PREFIX = "test-config/";
 const WORKERS_PREFIX = "test-workers/";
 const WRITES_PER_SECOND = 500;
+const CONFIG_IN_FORCE_MS = 2000;
 
 /** A configuration with one queue for each priority, 0 to 2. */
 export function buildAccess(
@@ -152,6 +153,7 @@
       },
       bounds: FLEET_BOUNDS,
       storeWritesPerSecond: WRITES_PER_SECOND,
+      configInForceMs: CONFIG_IN_FORCE_MS,
       log: Logger.silentLogger(),
       metrics: new Metrics.Metrics(),
     });
--- a/packages/workflow-node/src/lost_workers_test.ts
+++ b/packages/workflow-node/src/lost_workers_test.ts
@@ -9,7 +9,8 @@
     const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
     fleet.workers.behave = () => ({ runMs: 8000, fails: false });
     await fleet.start();
-    await fleet.submit("node-1", "a000000000000001");
+    const steps = [TestUtils.buildStep({ estimateMs: 8000 })];
+    await fleet.submit("node-1", "a000000000000001", { steps });
     await fleet.until(() => fleet.workers.runs.length === 1);
     const [first] = fleet.workers.runs;
     fleet.workers.carry = (worker) =>
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -26,14 +26,18 @@
   readonly feeds: NodeFeeds;
   readonly bounds: Coordinator.WorkerBounds;
   readonly storeWritesPerSecond: number;
+  /** Time within which a configuration has to be in force on every node. */
+  readonly configInForceMs: number;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
 }
 
 /** A silent link is noticed soon after this wait. */
 const CONFIG_WAIT_MS = 800;
-/** Without a word of the store for this long, callers had better go elsewhere. */
-const STORE_SILENCE_MS = 2000;
+/** A store that fails for this long fails callers' requests too. */
+const STORE_FAILING_MS = 300;
+/** Covers the time from a look at the store to the check of a request. */
+const FRESHNESS_MARGIN_MS = 150;
 
 /** A node. */
 export class WorkflowNode {
@@ -45,6 +49,7 @@
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
   #leaving = false;
+  #configHeardAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(ports: WorkflowNodePorts) {
     this.#ports = ports;
@@ -57,7 +62,10 @@
       metrics,
       writesPerSecond,
     });
-    this.access = new Gateway.AccessTable(log.part("access"));
+    this.access = new Gateway.AccessTable(
+      log.part("access"),
+      () => this.#mayBeStale(),
+    );
     this.submissions = new Gateway.Submissions({ store: this.#store, clock });
     this.#coordinatorPorts = {
       node: ports.node,
@@ -77,6 +85,17 @@
     this.#election = new Coordinator.Election(this.#coordinatorPorts);
   }
 
+  /**
+   * A configuration that was acknowledged after the last look has to be in
+   * force here by a bound; while the store fails, nothing could be kept anyway.
+   */
+  #mayBeStale(): boolean {
+    const { clock, configInForceMs } = this.#ports;
+    const silentMs = clock.monotonicMs() - this.#configHeardAtMs;
+    return silentMs > configInForceMs - FRESHNESS_MARGIN_MS ||
+      this.#store.silentForMs() > STORE_FAILING_MS;
+  }
+
   /** Follows the configuration and takes part in the election. */
   start(): void {
     const { clock, random, feeds } = this.#ports;
@@ -85,6 +104,11 @@
       clock,
       random,
       waitMs: CONFIG_WAIT_MS,
+      onHeard: () => {
+        this.#configHeardAtMs = clock.monotonicMs();
+        this.#store.noteAnswered();
+      },
+      onFailed: () => this.#store.noteFailed(),
       onChange: (entries) => {
         for (const { value } of entries) {
           if (value !== null) this.access.offer(value);
@@ -100,7 +124,7 @@
   /** Whether callers should be sent here. */
   get isReady(): boolean {
     return !this.#leaving && this.access.config !== null &&
-      this.#store.silentForMs() < STORE_SILENCE_MS;
+      !this.#mayBeStale();
   }
 
   /** Hands the coordination over; callers are still served. */
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -22,7 +22,7 @@
 /** Price of any stop, in core-seconds: the task has to start again. */
 const RESTART_COST = 5;
 /** Work that a task with checkpoints loses at most, in ms. */
-const LOST_WITH_CHECKPOINT_MS = 300;
+const LOST_WITH_CHECKPOINT_MS = 100;
 
 /** Finds the cheapest set of victims; null where even that is not enough. */
 export function findEviction(
@@ -93,7 +93,7 @@
   if (room.fits(unit, amounts) >= count) return { tasks: [], cost: 0 };
   const candidates = room.worker.occupants
     .filter((task) =>
-      !chosen.has(task) && task.state !== Workflow.TaskState.Stopping &&
+      !chosen.has(task) && isEvictable(task) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
     .map((task) => ({ task, cost: costOf(task, context) }))
@@ -122,6 +122,11 @@
   return members * (weight * lostMs / 1000 + RESTART_COST);
 }
 
+function isEvictable(task: Workflow.Task): boolean {
+  return task.state === Workflow.TaskState.Starting ||
+    task.state === Workflow.TaskState.Running;
+}
+
 function addGroup(chosen: Set<Workflow.Task>, task: Workflow.Task): void {
   const group = task.step.gang ? task.workflow.siblings(task) : [task];
   for (const member of group) {
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -43,6 +43,8 @@
   /** Worker of the newest run; null while the task runs nowhere. */
   worker: string | null = null;
   failures = 0;
+  /** Runs that were stopped because they were slow. */
+  slowRuns = 0;
   /** Newest checkpoint; empty for none. */
   checkpoint = "";
   /** Monotonic time of the newest start. */
