Fill racks one after another; judge progress up to the first 100 percent

Cause: single tasks and loose gangs took the tightest worker of any rack, so urgent gangs found no whole rack; a gang member that waited at 100 percent seemed to slow down, which hid the slow members beside it.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -111,7 +111,10 @@
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) session.health.succeeded();
     if (end.how === Workflow.RunEnd.Failed) session.health.failed(nowMs);
-    if (end.how !== Workflow.RunEnd.Done) this.#logEnd(session, occupant, end);
+    if (end.how !== Workflow.RunEnd.Done) {
+      workflow.lostRuns++;
+      this.#logEnd(session, occupant, end);
+    }
     if (end.how !== Workflow.RunEnd.Done && task.step.gang) {
       this.#stopGang(task, run);
     }
@@ -220,7 +223,25 @@
     const { id } = workflow.spec;
     if (!Workflow.isFinal(workflow.state) || this.#endedAtMs.has(id)) return;
     this.#endedAtMs.set(id, this.#ports.clock.monotonicMs());
-    this.#ports.log.info(`Workflow ${id} is ${workflow.state}.`);
+    this.#logConclusion(workflow);
+  }
+
+  /** One line that tells how a workflow fared against its objective. */
+  #logConclusion(workflow: Workflow.Workflow): void {
+    const { spec, state } = workflow;
+    const nowMs = this.#ports.clock.wallMs();
+    const lastRound = Workflow.countRounds(spec) - 1;
+    const dueMs = Workflow.dueAtMs(spec, lastRound);
+    const allowedMs = Workflow.objectiveAtMs(spec, lastRound) - dueMs;
+    const [first] = spec.steps;
+    this.#ports.log.info(
+      `Workflow ${spec.id} of priority ${spec.policy.priority} is ${state} ` +
+        `after ${Math.round(nowMs - dueMs)} of ${Math.round(allowedMs)} ms; ` +
+        `first start after ${Math.round(workflow.firstStartMs - dueMs)} ms, ` +
+        `${workflow.lostRuns} runs lost; ${first.count} tasks of ` +
+        `${first.accelerators} accelerators, gang ${first.gang}, ` +
+        `one rack ${first.sameRack}.`,
+    );
   }
 
   #stopAll(workflow: Workflow.Workflow): void {
@@ -336,6 +357,7 @@
     const run = 1 + Math.max(...unit.tasks.map((task) => task.run));
     if (workflow.state === Workflow.WorkflowState.Queued) {
       workflow.state = Workflow.WorkflowState.Running;
+      workflow.firstStartMs = this.#ports.clock.wallMs();
     }
     const orders = unit.tasks.flatMap((task, i) => {
       const session = this.#directory.session(workers[i]);
--- a/packages/coordinator/src/straggler_watch.ts
+++ b/packages/coordinator/src/straggler_watch.ts
@@ -26,9 +26,9 @@
 /** A run this young says nothing yet. */
 const LEAST_RAN_MS = 900;
 /** A run below this share of the usual pace is slow. */
-const SLOW_SHARE = 0.45;
+const SLOW_SHARE = 0.28;
 /** Without others to compare with, only this share of the estimate counts. */
-const SLOW_SHARE_ALONE = 0.25;
+const SLOW_SHARE_ALONE = 0.18;
 /** Time that a restart costs beside the work. */
 const RESTART_MS = 600;
 /** A restart has to be this much better, because rates are rough. */
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -65,6 +65,8 @@
 const START_TRIES = 2;
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
+/** A member of a gang that waits for the others comes no further. */
+const DONE_PERCENT = 100;
 
 const END_OF_KIND: Readonly<Record<Ports.EndKind, Workflow.RunEnd>> = {
   done: Workflow.RunEnd.Done,
@@ -441,8 +443,8 @@
       held.add(occupant);
       if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
       occupant.seenSinceMs ??= nowMs;
+      if (occupant.percent < DONE_PERCENT) occupant.percentAtMs = nowMs;
       occupant.percent = percent;
-      occupant.percentAtMs = nowMs;
       const wasKnown = occupant.knownSinceMs !== null &&
         Number.isFinite(occupant.knownSinceMs);
       if (wasKnown) continue;
--- a/packages/workflow-scheduler/src/placement.ts
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -25,9 +25,13 @@
     .filter(({ fits }) => fits > 0);
   const sum = open.reduce((total, { fits }) => total + fits, 0);
   if (sum < unit.tasks.length) return null;
+  const rackFree = freeByRack(rooms, roomOf);
   const left = ({ room, fits }: typeof open[number]) =>
     roomOf(room).accelerators - fits * unit.step.accelerators;
+  // Racks are filled one after another, so that whole ones stay free.
   open.sort((a, b) =>
+    (rackFree.get(a.room.worker.rack) ?? 0) -
+      (rackFree.get(b.room.worker.rack) ?? 0) ||
     left(a) - left(b) ||
     roomOf(a.room).accelerators - roomOf(b.room).accelerators ||
     roomOf(a.room).memoryMb - roomOf(b.room).memoryMb
@@ -40,6 +44,19 @@
   return places;
 }
 
+/** Free accelerators of each rack. */
+function freeByRack(
+  rooms: readonly fleet.WorkerRoom[],
+  roomOf: RoomOf,
+): Map<string, number> {
+  const free = new Map<string, number>();
+  for (const room of rooms) {
+    const { rack } = room.worker;
+    free.set(rack, (free.get(rack) ?? 0) + roomOf(room).accelerators);
+  }
+  return free;
+}
+
 /** Finds places within one rack: the wanted one, else the tightest. */
 export function findInOneRack(
   unit: Workflow.Unit,
