Adopt all recorded runs before a session looks; watch adopted runs from there

Cause 1: a session looked at its worker as soon as its first run was adopted and stopped the others there as strays. Cause 2: a run of an earlier coordinator had no start time, so a lone one seemed to have stood still since the clock began, and was stopped. Conclusion: sessions begin after recovery; progress is judged by what came while it was watched. Tests for plans, workflows, access and takeover come along.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -38,7 +38,6 @@
   /** Tasks whose recorded worker is not listed. */
   readonly #missing = new Map<Workflow.Task, number>();
   #signal = Deferred.makeUnsafe<void>();
-  #recovered = false;
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
@@ -76,7 +75,7 @@
         followUntilRead(followWorkers),
       ], { concurrency: "unbounded", discard: true });
       yield* followUntilRead(followIntake);
-      this.#recovered = true;
+      this.#directory.begin();
       this.#progress.clear();
       this.#ports.log.info(
         `Took over ${this.#workflows.size} workflows under token ` +
@@ -193,6 +192,9 @@
   /** Finds the worker that may run a task since an earlier term. */
   #adopt(task: Workflow.Task): void {
     const session = this.#directory.open(task.worker ?? "");
+    // How long it ran is not known; half of its work is a fair guess.
+    task.startedAtMs = this.#ports.clock.monotonicMs() -
+      task.step.estimateMs / 2;
     if (session !== null) {
       session.adopt(task);
       if (task.workflow.isOver) this.#stop(task);
@@ -299,12 +301,17 @@
     const runs: stragglers.RunProgress[] = [];
     for (const session of this.#directory.sessions) {
       for (const occupant of session.occupants) {
-        const { task, seenSinceMs, percent, percentAtMs } = occupant;
+        const { task, watchedSinceMs, percent, percentAtMs } = occupant;
         const isRunning = task.state === Workflow.TaskState.Running &&
-          task.run === occupant.run && seenSinceMs !== null;
+          task.run === occupant.run && watchedSinceMs !== null;
         if (!isRunning) continue;
-        const ranMs = percentAtMs - Math.min(seenSinceMs, task.startedAtMs);
-        runs.push({ task, worker: session.ref.id, ranMs, percent });
+        runs.push({
+          task,
+          worker: session.ref.id,
+          ranMs: percentAtMs - watchedSinceMs,
+          percent,
+          came: percent - occupant.watchedFromPercent,
+        });
       }
     }
     return runs;
--- a/packages/coordinator/src/straggler_watch.ts
+++ b/packages/coordinator/src/straggler_watch.ts
@@ -9,10 +9,12 @@
 export interface RunProgress {
   readonly task: Workflow.Task;
   readonly worker: string;
-  /** Time since the run was confirmed. */
+  /** Time for which the run was watched. */
   readonly ranMs: number;
   /** Share that is done, 0 to 100. */
   readonly percent: number;
+  /** Share that came in the time watched. */
+  readonly came: number;
 }
 
 /** What to do about slow runs. */
@@ -70,7 +72,7 @@
 }
 
 function rateOf(run: RunProgress): number {
-  return run.percent / run.ranMs;
+  return run.came / run.ranMs;
 }
 
 /** Percent per millisecond: the upper median, or by the estimate if alone. */
--- a/packages/coordinator/src/straggler_watch_test.ts
+++ b/packages/coordinator/src/straggler_watch_test.ts
@@ -27,6 +27,7 @@
     worker: `worker-${i}`,
     ranMs: options.ranMs ?? 2000,
     percent,
+    came: percent,
   }));
 }
 
@@ -62,6 +63,13 @@
     vitest.expect(watch.findStragglers(runs).restart.length).toBe(0);
   });
 
+  vitest.it("judges a run by what came while it was watched", () => {
+    const runs = buildRuns([90]).map((run) => ({ ...run, came: 40 }));
+    vitest.expect(watch.findStragglers(runs).restart).toEqual([]);
+    const standing = buildRuns([50]).map((run) => ({ ...run, came: 0 }));
+    vitest.expect(watch.findStragglers(standing).restart.length).toBe(1);
+  });
+
   vitest.it("never restarts a task that lasts", () => {
     const runs = buildRuns([50, 2, 50], { step: { lasting: true } });
     vitest.expect(watch.findStragglers(runs).restart).toEqual([]);
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -20,6 +20,7 @@
   readonly #sessions = new Map<string, sessions.WorkerSession>();
   readonly #fibers = new Map<string, Fiber.Fiber<void>>();
   readonly #foreignLapseMs: number;
+  #begun = false;
 
   constructor(options: DirectoryOptions) {
     this.#options = options;
@@ -30,6 +31,15 @@
     );
   }
 
+  /**
+   * Lets the sessions talk to their workers. Before that, all recorded runs have
+   * to be adopted: a session stops runs that it does not know.
+   */
+  begin(): void {
+    this.#begun = true;
+    for (const session of this.#sessions.values()) this.#run(session);
+  }
+
   /** Takes in changes of the list. */
   update(
     entries: readonly Ports.FeedEntry<Ports.WorkerListing>[],
@@ -111,10 +121,14 @@
     });
     if (clockMs !== null) session.readClock(clockMs);
     this.#sessions.set(id, session);
-    this.#fibers.set(id, Effect.runFork(session.run()));
+    if (this.#begun) this.#run(session);
     return session;
   }
 
+  #run(session: sessions.WorkerSession): void {
+    this.#fibers.set(session.ref.id, Effect.runFork(session.run()));
+  }
+
   #closeIfIdle(id: string): Effect.Effect<void> {
     return Effect.sync(() => {
       const session = this.#sessions.get(id);
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -22,8 +22,9 @@
   sent: boolean;
   /** Whether it is being stopped. */
   stopping: boolean;
-  /** When the worker first said that it holds the run. */
-  seenSinceMs: number | null;
+  /** Since when the progress is watched, and what it was then. */
+  watchedSinceMs: number | null;
+  watchedFromPercent: number;
   /** Progress that the worker told last, 0 to 100, and when. */
   percent: number;
   percentAtMs: number;
@@ -442,7 +443,7 @@
       }
       held.add(occupant);
       if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
-      occupant.seenSinceMs ??= nowMs;
+      watch(occupant, percent, nowMs);
       if (occupant.percent < DONE_PERCENT) occupant.percentAtMs = nowMs;
       occupant.percent = percent;
       const wasKnown = occupant.knownSinceMs !== null &&
@@ -493,12 +494,21 @@
     knownSinceMs: null,
     sent: false,
     stopping: false,
-    seenSinceMs: null,
+    watchedSinceMs: null,
+    watchedFromPercent: 0,
     percent: 0,
     percentAtMs: 0,
   };
 }
 
+/** A run of an earlier coordinator is watched from where it is found. */
+function watch(occupant: Occupant, percent: number, nowMs: number): void {
+  if (occupant.watchedSinceMs !== null) return;
+  const isOwn = occupant.knownSinceMs !== Number.NEGATIVE_INFINITY;
+  occupant.watchedSinceMs = isOwn ? occupant.task.startedAtMs : nowMs;
+  occupant.watchedFromPercent = isOwn ? 0 : percent;
+}
+
 /** What is known after one try to start a run. */
 enum StartFate {
   /** Nothing more to do: it runs, or its end is taken in. */
--- /dev/null
+++ b/packages/workflow-node/src/takeover_test.ts
@@ -0,0 +1,140 @@
+/** Nodes die, lose the store or leave; work goes on and runs once. */
+import * as StandIns from "@cairngate/stand-ins";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+
+function isCompleted(fleet: TestUtils.TestFleet, id = ID): boolean {
+  return fleet.state(id) === Workflow.WorkflowState.Completed;
+}
+
+/** A node that does not coordinate. */
+function otherNode(fleet: TestUtils.TestFleet): string {
+  const coordinator = fleet.coordinator();
+  const others = [...fleet.nodes.keys()].filter((n) => n !== coordinator);
+  return others[0];
+}
+
+vitest.describe("takeover", () => {
+  vitest.it("keeps running tasks when the coordinator dies", async () => {
+    const fleet = new TestUtils.TestFleet();
+    fleet.workers.behave = () => ({ runMs: 5000, fails: false });
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ count: 3, estimateMs: 5000 })];
+    await fleet.submit(otherNode(fleet), ID, { steps });
+    await fleet.until(() => fleet.workers.runs.length === 3);
+    const first = fleet.coordinator();
+    await fleet.kill(first ?? "");
+    vitest.expect(await fleet.until(() => isCompleted(fleet))).toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(3);
+    vitest.expect(fleet.coordinator()).not.toBe(first);
+    await fleet.stop();
+  });
+
+  vitest.it("hands over at once when the coordinator leaves", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const first = fleet.coordinator() ?? "";
+    await fleet.run(fleet.node(first).leave());
+    const leftAtMs = fleet.clock.monotonicMs();
+    await fleet.until(() => ![null, first].includes(fleet.coordinator()));
+    vitest.expect(fleet.clock.monotonicMs() - leftAtMs).toBeLessThan(500);
+    await fleet.stop();
+  });
+
+  vitest.it("moves away from a node that the store turns away", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const first = fleet.coordinator() ?? "";
+    fleet.faultsOf(first).set({ down: true });
+    const moved = await fleet.until(() => fleet.coordinator() !== first);
+    vitest.expect(moved).toBe(true);
+    await fleet.submit(fleet.coordinator() ?? "", ID);
+    vitest.expect(await fleet.until(() => isCompleted(fleet))).toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+
+  vitest.it("does not take over while the store is away for all", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const first = fleet.coordinator();
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ down: true });
+    }
+    await fleet.clock.advance(6000);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ down: false });
+    }
+    await fleet.clock.advance(3000);
+    vitest.expect(fleet.coordinator()).toBe(first);
+    await fleet.stop();
+  });
+
+  vitest.it("rebuilds everything after all nodes were killed", async () => {
+    const fleet = new TestUtils.TestFleet();
+    fleet.workers.behave = () => ({ runMs: 3000, fails: false });
+    await fleet.start();
+    const steps = [
+      TestUtils.buildStep({ estimateMs: 3000 }),
+      TestUtils.buildStep({ after: [0], estimateMs: 3000 }),
+    ];
+    await fleet.submit("node-1", ID, { steps });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    for (const name of [...fleet.nodes.keys()]) await fleet.kill(name);
+    await fleet.clock.advance(1000);
+    for (const name of ["node-4", "node-5"]) fleet.addNode(name).start();
+    vitest.expect(await fleet.until(() => isCompleted(fleet))).toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(2);
+    await fleet.stop();
+  });
+
+  vitest.it(
+    "stops what still runs of a workflow that was cancelled",
+    async () => {
+      const fleet = new TestUtils.TestFleet();
+      fleet.workers.behave = () => ({ runMs: 30_000, fails: false });
+      await fleet.start();
+      const steps = [TestUtils.buildStep({ estimateMs: 30_000 })];
+      await fleet.submit("node-1", ID, { steps });
+      await fleet.until(() => fleet.workers.runs.length === 1);
+      await fleet.kill(fleet.coordinator() ?? "");
+      const name = otherNode(fleet);
+      const node = fleet.node(name);
+      const path = `/p1/${ID}`;
+      const host = "jobs.example";
+      const key = "key-of-hana";
+      const allowed = await fleet.run(node.access.check({ host, path, key }));
+      await fleet.run(node.submissions.cancel(allowed, ID));
+      const stopped = await fleet.until(() =>
+        fleet.workers.runs[0].how === "stopped"
+      );
+      vitest.expect(stopped).toBe(true);
+      vitest.expect(fleet.workers.runs.length).toBe(1);
+      const state = await fleet.run(node.submissions.state(allowed, ID));
+      vitest.expect(state).toBe(Workflow.WorkflowState.Cancelled);
+      await fleet.stop();
+    },
+  );
+});
+
+vitest.describe("orders that get no answer", () => {
+  vitest.it("start a run once although its answer is lost", async () => {
+    const fleet = new TestUtils.TestFleet();
+    let lost = 0;
+    fleet.workers.carry = (_, order) => {
+      const isFirst = order === "start" && lost === 0;
+      if (isFirst) lost++;
+      return isFirst
+        ? StandIns.OrderFate.AnswerLost
+        : StandIns.OrderFate.Carried;
+    };
+    await fleet.start();
+    await fleet.submit("node-1", ID);
+    vitest.expect(await fleet.until(() => isCompleted(fleet))).toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+});
--- /dev/null
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -0,0 +1,199 @@
+/** Plans over a few small workers. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import type * as fleet from "./fleet.ts";
+import * as plans from "./plan.ts";
+
+const RACK_SIZE = 2;
+let ids = 0;
+
+function buildWorkflow(
+  options: {
+    priority?: number;
+    tenant?: string;
+    step?: Partial<Workflow.StepSpec>;
+    steps?: readonly Workflow.StepSpec[];
+    acceptedAtMs?: number;
+  } = {},
+): Workflow.Workflow {
+  const policy = TestUtils.buildAccess().queues[options.priority ?? 1];
+  return new Workflow.Workflow({
+    id: `workflow-${ids++}`,
+    tenant: options.tenant ?? "hana",
+    policy,
+    payload: "",
+    steps: options.steps ?? [TestUtils.buildStep(options.step)],
+    schedule: null,
+    acceptedAtMs: options.acceptedAtMs ?? 0,
+  });
+}
+
+function buildWorkers(
+  sizes: readonly number[],
+  occupants: Readonly<Record<number, readonly Workflow.Task[]>> = {},
+): fleet.WorkerState[] {
+  return sizes.map((accelerators, i) => ({
+    id: `worker-${i}`,
+    service: "analysis",
+    rack: `rack-${Math.floor(i / RACK_SIZE)}`,
+    labels: new Set(["a"]),
+    total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators },
+    usable: true,
+    occupants: occupants[i] ?? [],
+  }));
+}
+
+function run(
+  workflow: Workflow.Workflow,
+  worker: string,
+): readonly Workflow.Task[] {
+  const placed = workflow.rounds[0][0];
+  for (const task of placed) {
+    task.place(worker, 1, 0);
+    task.state = Workflow.TaskState.Running;
+  }
+  return placed;
+}
+
+function plan(
+  workers: readonly fleet.WorkerState[],
+  workflows: readonly Workflow.Workflow[],
+  options: { guarantees?: Record<string, number>; wallMs?: number } = {},
+): plans.Plan {
+  return plans.makePlan({
+    workers,
+    workflows,
+    guarantees: new Map(Object.entries(options.guarantees ?? { hana: 100 })),
+    nowMs: 1000,
+    wallMs: options.wallMs ?? 0,
+    remotePenalty: 3,
+  });
+}
+
+vitest.describe("makePlan", () => {
+  vitest.it("starts a gang whole or not at all", () => {
+    const gang = buildWorkflow({ step: { count: 3, gang: true } });
+    vitest.expect(plan(buildWorkers([1, 1]), [gang]).starts).toEqual([]);
+    const { starts } = plan(buildWorkers([1, 1, 1]), [gang]);
+    vitest.expect(starts.length).toBe(1);
+    vitest.expect([...starts[0].workers].sort()).toEqual([
+      "worker-0",
+      "worker-1",
+      "worker-2",
+    ]);
+  });
+
+  vitest.it("starts a step only after the steps before it", () => {
+    const steps = [
+      TestUtils.buildStep(),
+      TestUtils.buildStep({ after: [0] }),
+    ];
+    const workflow = buildWorkflow({ steps });
+    const workers = buildWorkers([4]);
+    const first = plan(workers, [workflow]).starts;
+    vitest.expect(first.map(({ unit }) => unit.stepIndex)).toEqual([0]);
+    workflow.rounds[0][0][0].state = Workflow.TaskState.Done;
+    const second = plan(workers, [workflow]).starts;
+    vitest.expect(second.map(({ unit }) => unit.stepIndex)).toEqual([1]);
+  });
+
+  vitest.it("keeps a gang of one rack together and waits for it", () => {
+    const gang = buildWorkflow({
+      step: { count: 2, gang: true, sameRack: true, estimateMs: 1000 },
+    });
+    const busy = run(buildWorkflow({ priority: 2 }), "worker-0");
+    const other = run(buildWorkflow({ priority: 2 }), "worker-2");
+    const workers = buildWorkers([1, 1, 1, 1], { 0: busy, 2: other });
+    vitest.expect(plan(workers, [gang], { wallMs: 500 }).starts).toEqual([]);
+    const late = plan(workers, [gang], { wallMs: 2500 }).starts;
+    vitest.expect(late.length).toBe(1);
+  });
+
+  vitest.it("spreads a gang that no rack could ever hold", () => {
+    const gang = buildWorkflow({
+      step: { count: 3, gang: true, sameRack: true },
+    });
+    vitest.expect(plan(buildWorkers([1, 1, 1]), [gang]).starts.length).toBe(1);
+  });
+
+  vitest.it("lets urgent work make other work yield, cheapest first", () => {
+    const cheap = buildWorkflow({ priority: 2, step: { checkpoints: true } });
+    const dear = buildWorkflow({ priority: 2 });
+    const workers = buildWorkers([1, 1], {
+      0: run(dear, "worker-0"),
+      1: run(cheap, "worker-1"),
+    });
+    const urgent = buildWorkflow({ priority: 0 });
+    const { starts, stops } = plan(workers, [dear, cheap, urgent]);
+    vitest.expect(starts).toEqual([]);
+    vitest.expect(stops).toEqual(cheap.rounds[0][0]);
+  });
+
+  vitest.it("stops nothing more while earlier stops make room", () => {
+    const victim = buildWorkflow({ priority: 2 });
+    const other = buildWorkflow({ priority: 2 });
+    const stopping = run(victim, "worker-0");
+    stopping[0].state = Workflow.TaskState.Stopping;
+    const workers = buildWorkers([1, 1], {
+      0: stopping,
+      1: run(other, "worker-1"),
+    });
+    const urgent = buildWorkflow({ priority: 0 });
+    vitest.expect(plan(workers, [victim, other, urgent]).stops).toEqual([]);
+  });
+
+  vitest.it("keeps freed room for the urgent work that claims it", () => {
+    const victim = buildWorkflow({ priority: 2 });
+    const stopping = run(victim, "worker-0");
+    stopping[0].state = Workflow.TaskState.Stopping;
+    const small = buildWorkflow({ priority: 2 });
+    const urgent = buildWorkflow({
+      priority: 0,
+      step: { accelerators: 2 },
+    });
+    const workers = buildWorkers([2], { 0: stopping });
+    vitest.expect(plan(workers, [victim, small, urgent]).starts).toEqual([]);
+  });
+
+  vitest.it("never makes work yield for work that is not urgent", () => {
+    const low = buildWorkflow({ priority: 2 });
+    const workers = buildWorkers([1], { 0: run(low, "worker-0") });
+    const middle = buildWorkflow({ priority: 1 });
+    vitest.expect(plan(workers, [low, middle]).stops).toEqual([]);
+  });
+
+  vitest.it("reclaims a guarantee from urgent work beyond another's", () => {
+    const beyond = buildWorkflow({ priority: 0, tenant: "rival" });
+    const workers = buildWorkers([1], { 0: run(beyond, "worker-0") });
+    const claim = buildWorkflow({ priority: 0, tenant: "hana" });
+    const guarantees = { hana: 1, rival: 0 };
+    const { stops } = plan(workers, [beyond, claim], { guarantees });
+    vitest.expect(stops).toEqual(beyond.rounds[0][0]);
+    const both = plan(workers, [beyond, claim], {
+      guarantees: { hana: 1, rival: 1 },
+    });
+    vitest.expect(both.stops).toEqual([]);
+  });
+
+  vitest.it("holds to labels and to limits per worker", () => {
+    const labelled = buildWorkflow({ step: { label: "b" } });
+    vitest.expect(plan(buildWorkers([4]), [labelled]).starts).toEqual([]);
+    const apart = buildWorkflow({ step: { count: 3, perWorker: 1 } });
+    const { starts } = plan(buildWorkers([4, 4]), [apart]);
+    vitest.expect(starts.length).toBe(2);
+  });
+
+  vitest.it("leaves workers alone that are not usable", () => {
+    const workers = buildWorkers([4]).map((w) => ({ ...w, usable: false }));
+    vitest.expect(plan(workers, [buildWorkflow()]).starts).toEqual([]);
+  });
+
+  vitest.it("fills one rack before it opens the next", () => {
+    const low = buildWorkflow({ priority: 2 });
+    const workers = buildWorkers([2, 2, 2, 2], { 3: run(low, "worker-3") });
+    const next = buildWorkflow({ step: { count: 1 } });
+    const { starts } = plan(workers, [low, next]);
+    vitest.expect(starts[0].workers[0]).toBe("worker-3");
+  });
+});
--- /dev/null
+++ b/packages/workflow/src/workflow_test.ts
@@ -0,0 +1,146 @@
+/** Workflows take in ends of runs and conclude. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+import * as records from "./progress_record.ts";
+import type * as spec from "./spec.ts";
+import * as tasks from "./task.ts";
+import * as workflows from "./workflow.ts";
+
+function build(
+  steps: readonly spec.StepSpec[],
+  schedule: spec.Schedule | null = null,
+): workflows.Workflow {
+  return new workflows.Workflow({
+    id: "a000000000000001",
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[1],
+    payload: "",
+    steps,
+    schedule,
+    acceptedAtMs: 0,
+  });
+}
+
+function end(
+  workflow: workflows.Workflow,
+  key: string,
+  how: tasks.RunEnd,
+  run = 1,
+): boolean {
+  const task = workflow.task(key);
+  if (task === undefined) throw new RangeError(key);
+  return workflow.endRun(task, { run, how, checkpoint: "" }, 0);
+}
+
+function placeAll(workflow: workflows.Workflow, run = 1): void {
+  for (const task of workflow.tasks) task.place("worker-1", run, 0);
+}
+
+vitest.describe("Workflow", () => {
+  vitest.it("is completed when every task is done", () => {
+    const workflow = build([TestUtils.buildStep({ count: 2 })]);
+    placeAll(workflow);
+    end(workflow, "0.0.0", tasks.RunEnd.Done);
+    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Queued);
+    end(workflow, "0.0.1", tasks.RunEnd.Done);
+    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Completed);
+  });
+
+  vitest.it("takes one member's end as the end of the gang", () => {
+    const workflow = build([TestUtils.buildStep({ count: 3, gang: true })]);
+    placeAll(workflow);
+    end(workflow, "0.0.1", tasks.RunEnd.Done);
+    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Completed);
+  });
+
+  vitest.it("counts a gang's failure once for each run", () => {
+    const workflow = build([TestUtils.buildStep({ count: 2, gang: true })]);
+    for (let run = 1; run <= 3; run++) {
+      placeAll(workflow, run);
+      end(workflow, "0.0.0", tasks.RunEnd.Failed, run);
+      end(workflow, "0.0.1", tasks.RunEnd.Failed, run);
+      vitest.expect(workflow.task("0.0.1")?.failures).toBe(run);
+    }
+    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Failed);
+  });
+
+  vitest.it("does not count stops, lapses and lost runs as failures", () => {
+    const workflow = build([TestUtils.buildStep()]);
+    const ways = [
+      tasks.RunEnd.Stopped,
+      tasks.RunEnd.Lapsed,
+      tasks.RunEnd.Lost,
+      tasks.RunEnd.Broken,
+      tasks.RunEnd.Alone,
+    ];
+    ways.forEach((how, i) => {
+      placeAll(workflow, i + 1);
+      end(workflow, "0.0.0", how, i + 1);
+    });
+    vitest.expect(workflow.task("0.0.0")?.failures).toBe(0);
+    vitest.expect(workflow.readyUnits(0).length).toBe(1);
+  });
+
+  vitest.it("ignores the end of an earlier run", () => {
+    const workflow = build([TestUtils.buildStep()]);
+    placeAll(workflow, 2);
+    vitest.expect(end(workflow, "0.0.0", tasks.RunEnd.Failed, 1)).toBe(false);
+    vitest.expect(workflow.task("0.0.0")?.isPlaced).toBe(true);
+  });
+
+  vitest.it("starts a lasting task again however it ends", () => {
+    const workflow = build([TestUtils.buildStep({ lasting: true })]);
+    placeAll(workflow);
+    end(workflow, "0.0.0", tasks.RunEnd.Done);
+    vitest.expect(workflow.readyUnits(0).length).toBe(1);
+    vitest.expect(workflow.state).not.toBe(workflows.WorkflowState.Completed);
+  });
+
+  vitest.it("starts rounds only when they fall due", () => {
+    const schedule = { firstAtMs: 1000, everyMs: 500, rounds: 3 };
+    const workflow = build([TestUtils.buildStep()], schedule);
+    vitest.expect(workflow.readyUnits(999).length).toBe(0);
+    vitest.expect(workflow.readyUnits(1000).length).toBe(1);
+    vitest.expect(workflow.readyUnits(1600).length).toBe(2);
+  });
+
+  vitest.it("is cancelled once nothing of it runs", () => {
+    const workflow = build([TestUtils.buildStep()]);
+    placeAll(workflow);
+    workflow.cancelled = true;
+    vitest.expect(workflow.concludeCancel()).toBe(false);
+    end(workflow, "0.0.0", tasks.RunEnd.Stopped);
+    vitest.expect(workflow.concludeCancel()).toBe(true);
+    vitest.expect(workflow.readyUnits(0)).toEqual([]);
+  });
+});
+
+vitest.describe("progress records", () => {
+  vitest.it("bring back what is done, where runs may be, and failures", () => {
+    const steps = [TestUtils.buildStep({ count: 3 })];
+    const workflow = build(steps);
+    workflow.state = workflows.WorkflowState.Running;
+    placeAll(workflow);
+    end(workflow, "0.0.0", tasks.RunEnd.Done);
+    end(workflow, "0.0.1", tasks.RunEnd.Failed);
+    const kept = JSON.parse(JSON.stringify(records.toProgress(workflow)));
+    const again = build(steps);
+    records.applyProgress(again, kept);
+    vitest.expect(again.task("0.0.0")?.state).toBe(tasks.TaskState.Done);
+    vitest.expect(again.task("0.0.1")?.failures).toBe(1);
+    vitest.expect(again.task("0.0.2")?.worker).toBe("worker-1");
+    vitest.expect(again.task("0.0.2")?.state).toBe(tasks.TaskState.Starting);
+  });
+
+  vitest.it(
+    "keep the runs of an ended workflow that still have to stop",
+    () => {
+      const workflow = build([TestUtils.buildStep({ count: 2 })]);
+      placeAll(workflow);
+      workflow.state = workflows.WorkflowState.Failed;
+      end(workflow, "0.0.0", tasks.RunEnd.Stopped);
+      const { tasks: kept } = records.toProgress(workflow);
+      vitest.expect(Object.keys(kept)).toEqual(["0.0.1"]);
+    },
+  );
+});
