--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -7,6 +7,7 @@
 import * as Effect from "effect/Effect";
 import * as directories from "./worker_directory.ts";
 import type * as election from "./election.ts";
+import * as evacuation from "./evacuation.ts";
 import * as intake from "./intake.ts";
 import type * as ports from "./ports.ts";
 import * as recorders from "./recorder.ts";
@@ -89,7 +90,10 @@
         this.#ports.clock.every(SWEEP_MS, this.#sweep()),
         this.#ports.clock.every(
           STRAGGLERS_MS,
-          Effect.sync(() => this.#restartStragglers()),
+          Effect.sync(() => {
+            this.#restartStragglers();
+            this.#evacuate();
+          }),
         ),
       ], { concurrency: "unbounded", discard: true });
     });
@@ -297,6 +301,21 @@
     }
   }
 
+  /** Stops runs that would not end before their worker leaves. */
+  #evacuate(): void {
+    const { log, metrics } = this.#ports;
+    const leaving = this.#runsInProgress().flatMap((run) => {
+      const leavesInMs = this.#directory.leavesInMs(run.worker);
+      return leavesInMs === null ? [] : [{ ...run, leavesInMs }];
+    });
+    for (const task of evacuation.findLeaving(leaving)) {
+      if (task.state !== Workflow.TaskState.Running) continue;
+      log.info(`Run ${task.run} of ${task.name} moves; its worker leaves.`);
+      metrics.count("cairngate_evacuated_total");
+      this.#stop(task);
+    }
+  }
+
   #runsInProgress(): stragglers.RunProgress[] {
     const runs: stragglers.RunProgress[] = [];
     for (const session of this.#directory.sessions) {
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -19,6 +19,8 @@
   readonly #listings = new Map<string, Ports.WorkerListing>();
   readonly #sessions = new Map<string, sessions.WorkerSession>();
   readonly #fibers = new Map<string, Fiber.Fiber<void>>();
+  /** Our time by which a draining worker may leave. */
+  readonly #leavesAtMs = new Map<string, number>();
   readonly #foreignLapseMs: number;
   #begun = false;
 
@@ -47,6 +49,7 @@
     return Effect.forEach(entries, ({ key, value }) => {
       if (value !== null) return this.#list(value);
       this.#listings.delete(key);
+      this.#leavesAtMs.delete(key);
       return this.#closeIfIdle(key);
     }, { discard: true });
   }
@@ -66,6 +69,13 @@
     return this.#listings.get(id) ?? null;
   }
 
+  /** Least time until a worker leaves; null while it stays. */
+  leavesInMs(id: string): number | null {
+    const atMs = this.#leavesAtMs.get(id);
+    if (atMs === undefined) return null;
+    return Math.max(0, atMs - this.#options.ports.clock.monotonicMs());
+  }
+
   /** The session with a worker that the records name. */
   open(id: string): sessions.WorkerSession | null {
     const known = this.#sessions.get(id);
@@ -101,6 +111,7 @@
   #list(listing: Ports.WorkerListing): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       this.#listings.set(listing.id, listing);
+      this.#noteLeaving(listing);
       const session = this.#sessions.get(listing.id);
       if (listing.clockMs !== null) session?.readClock(listing.clockMs);
       for (const [id, former] of this.#sessions) {
@@ -112,6 +123,13 @@
     });
   }
 
+  #noteLeaving(listing: Ports.WorkerListing): void {
+    const { id, draining, leavesInMs } = listing;
+    if (!draining || leavesInMs === null) return;
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    this.#leavesAtMs.set(id, nowMs + leavesInMs);
+  }
+
   #open(listing: Ports.WorkerListing): sessions.WorkerSession {
     const { id, address, clockMs } = listing;
     const session = new sessions.WorkerSession({
