Ask the advice service before tasks of a queue with advice start

Cause: a start on such a queue without a ticket is refused, so its workflows would never run. Ruled out: asking for every step at arrival; the service works on one question of a node at a time, so only steps that wait are asked about. Conclusion: an advice book by step; tickets hold until they run out.

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -29,6 +29,7 @@
   storeAddress: Address,
   storeWritesPerSecond: Positive,
   configInForceMs: Positive,
+  adviceAddress: Schema.optionalKey(Schema.NullOr(Address)),
   bounds: BoundsSchema,
   logLevel: Schema.optionalKey(
     Schema.Literals(["error", "warn", "info", "debug"]),
@@ -54,6 +55,8 @@
   readonly storeAddress: string;
   readonly storeWritesPerSecond: number;
   readonly configInForceMs: number;
+  /** Address of the advice service; null where there is none. */
+  readonly adviceAddress: string | null;
   readonly bounds: NodeBounds;
   readonly logLevel: "error" | "warn" | "info" | "debug";
   readonly logFormat: "text" | "json";
@@ -67,6 +70,7 @@
   const decoded = decoding.decodeYaml(NodeSchema, { file, text });
   return Effect.map(decoded, (parsed) => ({
     ...parsed,
+    adviceAddress: parsed.adviceAddress ?? null,
     logLevel: parsed.logLevel ?? "info",
     logFormat: parsed.logFormat ?? "text",
   }));
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -7,6 +7,7 @@
 import * as Effect from "effect/Effect";
 import * as directories from "./worker_directory.ts";
 import type * as election from "./election.ts";
+import * as advice from "./advice_book.ts";
 import * as evacuation from "./evacuation.ts";
 import * as intake from "./intake.ts";
 import type * as ports from "./ports.ts";
@@ -31,6 +32,7 @@
   readonly #term: election.Term;
   readonly #recorder: recorders.Recorder;
   readonly #directory: directories.WorkerDirectory;
+  readonly #advice: advice.AdviceBook;
   readonly #workflows = new Map<string, Workflow.Workflow>();
   /** Cancels whose workflow has not been seen yet. */
   readonly #cancels = new Set<string>();
@@ -48,6 +50,11 @@
     this.#ports = coordinatorPorts;
     this.#term = term;
     this.#recorder = new recorders.Recorder(coordinatorPorts, term);
+    this.#advice = new advice.AdviceBook({
+      advisor: coordinatorPorts.advisor,
+      clock: coordinatorPorts.clock,
+      onAdvice: () => this.roomChanged(),
+    });
     this.#directory = new directories.WorkerDirectory({
       ports: coordinatorPorts,
       term,
@@ -359,22 +366,40 @@
     const startedAtMs = clock.monotonicMs();
     const live = [...this.#workflows.values()].filter((w) => !w.isOver);
     if (live.length === 0) return;
+    const workers = this.#directory.states();
     const plan = Scheduler.makePlan({
-      workers: this.#directory.states(),
+      workers,
       workflows: live,
       guarantees: guaranteesOf(config()),
       nowMs: startedAtMs,
       wallMs: clock.wallMs(),
       remotePenalty: bounds.remotePenalty,
+      isAdvised: (unit, worker) => this.#advice.ticket(unit, worker) !== null,
     });
     for (const task of plan.stops) this.#stop(task);
     for (const start of plan.starts) this.#start(start);
+    this.#askAdvice(plan, workers);
     metrics.observeMs(
       "cairngate_plan_seconds",
       clock.monotonicMs() - startedAtMs,
     );
   }
 
+  /** Asks about the first unit that waits for advice. */
+  #askAdvice(
+    plan: Scheduler.Plan,
+    workers: readonly Scheduler.WorkerState[],
+  ): void {
+    const { Advice } = Scheduler.WaitReason;
+    for (const { unit, reason } of plan.waits) {
+      if (reason !== Advice) continue;
+      const eligible = workers
+        .filter((worker) => Scheduler.isEligible(worker, unit))
+        .sort((a, b) => a.occupants.length - b.occupants.length);
+      this.#advice.ask(unit, eligible.map(({ id }) => id));
+    }
+  }
+
   /** Takes the places at once; orders leave when they are recorded. */
   #start(decision: Scheduler.StartDecision): void {
     const { unit, workers } = decision;
@@ -389,7 +414,8 @@
       const session = this.#directory.session(workers[i]);
       if (session === null) return [];
       task.place(workers[i], run, nowMs);
-      return [{ session, occupant: session.reserve(task) }];
+      const ticket = this.#advice.ticket(unit, workers[i]);
+      return [{ session, occupant: session.reserve(task, ticket) }];
     });
     const send = Effect.forEach(
       orders,
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -28,6 +28,8 @@
   readonly random: Ports.RandomSource;
   readonly store: TableClient.StoreClient;
   readonly workers: Ports.TaskWorkers;
+  /** Null where no advice service is set. */
+  readonly advisor: Ports.Advisor | null;
   readonly workerFeed: Ports.RowFeed<Ports.WorkerListing>;
   readonly intakeFeed: Ports.RowFeed<unknown>;
   readonly electionFeed: Ports.RowFeed<unknown>;
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -18,6 +18,8 @@
   readonly run: number;
   /** Since when the worker must know of it; null while it may not. */
   knownSinceMs: number | null;
+  /** Permission of the advice service; null where none is needed. */
+  readonly ticket: string | null;
   /** Whether the start was sent. */
   sent: boolean;
   /** Whether it is being stopped. */
@@ -134,8 +136,8 @@
   }
 
   /** Keeps room for a run whose start is not sent yet. */
-  reserve(task: Workflow.Task): Occupant {
-    const occupant = createOccupant(task);
+  reserve(task: Workflow.Task, ticket: string | null): Occupant {
+    const occupant = createOccupant(task, ticket);
     this.#occupants.set(task.name, occupant);
     return occupant;
   }
@@ -228,7 +230,7 @@
         run,
         payload: task.workflow.spec.payload,
         checkpoint: task.checkpoint,
-        ticket: null,
+        ticket: occupant.ticket,
         fencingToken: term.token,
         leaseUntilMs: this.#clock.leaseEnd(nowMs, bounds.longestLeaseMs),
       });
@@ -487,9 +489,13 @@
   }
 }
 
-function createOccupant(task: Workflow.Task): Occupant {
+function createOccupant(
+  task: Workflow.Task,
+  ticket: string | null = null,
+): Occupant {
   return {
     task,
+    ticket,
     run: task.run,
     knownSinceMs: null,
     sent: false,
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -13,6 +13,12 @@
 export { type WorkerError, Workers } from "./src/workers.ts";
 export { type PeerHandler, PeerNetwork } from "./src/peer_network.ts";
 export { RandomSource } from "./src/random_source.ts";
+export {
+  type Advice,
+  type AdviceTicket,
+  Advisor,
+  MOST_ADVISED,
+} from "./src/advisor.ts";
 export { type FeedEntry, type FeedPage, RowFeed } from "./src/row_feed.ts";
 export {
   type EndedRun,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -90,6 +90,7 @@
   readonly workers: StandIns.MemoryTaskWorkers;
   readonly nodes = new Map<string, FleetNode>();
   readonly #config: Ports.AccessConfig;
+  readonly #advisor: Ports.Advisor | null;
   #writes = 0;
 
   /** @param options.workers accelerators of each worker, four to a rack */
@@ -99,8 +100,10 @@
       workers?: readonly number[];
       seed?: number;
       config?: Ports.AccessConfig;
+      advisor?: (clock: Ports.Clock) => Ports.Advisor;
     } = {},
   ) {
+    this.#advisor = options.advisor?.(this.clock) ?? null;
     this.random = new randoms.SeededRandom(options.seed ?? 1);
     this.faults = new StandIns.FaultSwitch(this.clock, this.random);
     this.table = new StandIns.MemoryTable(this.faults);
@@ -145,6 +148,7 @@
       random: this.random,
       table: new StandIns.FaultyTable(this.table, faults),
       workers: this.workers,
+      advisor: this.#advisor,
       feeds: {
         config: feed<Ports.AccessConfig>(CONFIG_PREFIX),
         workers: feed<Ports.WorkerListing>(WORKERS_PREFIX),
--- /dev/null
+++ b/packages/workflow-node/src/advice_test.ts
@@ -0,0 +1,67 @@
+/** Steps of queues with advice run only where the advice lets them. */
+import * as Ports from "@cairngate/ports";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+
+const VALIDITY_MS = 2000;
+const DECISION_MS = 100;
+
+/** Lets every step run on one worker only. */
+class OneWorkerAdvisor extends Ports.Advisor {
+  readonly #clock: Ports.Clock;
+  readonly #allowed: string;
+  asked = 0;
+  atOnce = 0;
+  mostAtOnce = 0;
+
+  constructor(clock: Ports.Clock, allowed: string) {
+    super();
+    this.#clock = clock;
+    this.#allowed = allowed;
+  }
+
+  override ask(step: string, workers: readonly string[]) {
+    this.asked++;
+    this.atOnce++;
+    this.mostAtOnce = Math.max(this.mostAtOnce, this.atOnce);
+    const tickets = workers.filter((id) => id === this.#allowed)
+      .map((worker) => ({ worker, ticket: `${step}@${worker}` }));
+    return Effect.map(this.#clock.sleep(DECISION_MS), () => {
+      this.atOnce--;
+      return { tickets, validityMs: VALIDITY_MS };
+    });
+  }
+}
+
+vitest.describe("a queue with advice", () => {
+  vitest.it("runs where the advice says, and asks one by one", async () => {
+    const access = TestUtils.buildAccess();
+    const advice = {
+      decisionMs: DECISION_MS,
+      perWorkerMs: 0,
+      validityMs: VALIDITY_MS,
+    };
+    const queues = access.queues.map((queue) => ({ ...queue, advice }));
+    let advisor: OneWorkerAdvisor | null = null;
+    const fleet = new TestUtils.TestFleet({
+      workers: [2, 2, 2],
+      config: { ...access, queues },
+      advisor: (clock) => (advisor = new OneWorkerAdvisor(clock, "worker-2")),
+    });
+    await fleet.start();
+    const ids = ["a000000000000001", "a000000000000002"];
+    const steps = [TestUtils.buildStep({ count: 3 })];
+    for (const id of ids) await fleet.submit("node-1", id, { steps });
+    const done = await fleet.until(() =>
+      ids.every((id) => fleet.state(id) === Workflow.WorkflowState.Completed)
+    );
+    vitest.expect(done).toBe(true);
+    const workers = new Set(fleet.workers.runs.map(({ worker }) => worker));
+    vitest.expect([...workers]).toEqual(["worker-2"]);
+    const { mostAtOnce } = advisor as unknown as OneWorkerAdvisor;
+    vitest.expect(mostAtOnce).toBe(1);
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -23,6 +23,8 @@
   readonly random: Ports.RandomSource;
   readonly table: Ports.TableService;
   readonly workers: Ports.TaskWorkers;
+  /** Null where no advice service is set. */
+  readonly advisor: Ports.Advisor | null;
   readonly feeds: NodeFeeds;
   readonly bounds: Coordinator.WorkerBounds;
   readonly storeWritesPerSecond: number;
@@ -74,6 +76,7 @@
       random,
       store: this.#store,
       workers: ports.workers,
+      advisor: ports.advisor,
       workerFeed: ports.feeds.workers,
       intakeFeed: ports.feeds.intake,
       electionFeed: ports.feeds.election,
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -15,6 +15,8 @@
   readonly wallMs: number;
   /** How much slower work runs away from its rack. */
   readonly remotePenalty: number;
+  /** Whether the advice for a step lets it run on a worker now. */
+  readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
 }
 
 /** Start these tasks on these workers. */
@@ -27,6 +29,7 @@
 /** Why a unit waits. */
 export enum WaitReason {
   Stops = "stops",
+  Advice = "advice",
   Room = "room",
 }
 
@@ -79,12 +82,24 @@
   }
 
   #decide(unit: Workflow.Unit): void {
-    const rooms = this.#rooms.filter((r) => fleet.isEligible(r.worker, unit));
+    const rooms = this.#roomsFor(unit);
     const places = this.#findFree(unit, rooms);
     if (places !== null) return this.#start(unit, places);
     const isUrgent = unit.workflow.spec.policy.priority === 0;
     if (isUrgent && this.#claim(unit, rooms)) return;
-    this.#waits.push({ unit, reason: WaitReason.Room });
+    const needsAdvice = unit.workflow.spec.policy.advice !== null;
+    const reason = needsAdvice ? WaitReason.Advice : WaitReason.Room;
+    this.#waits.push({ unit, reason });
+  }
+
+  #roomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
+    const eligible = this.#rooms.filter(({ worker }) =>
+      fleet.isEligible(worker, unit)
+    );
+    if (unit.workflow.spec.policy.advice === null) return eligible;
+    return eligible.filter(({ worker }) =>
+      this.#input.isAdvised(unit, worker.id)
+    );
   }
 
   #findFree(
--- a/packages/workflow-scheduler/src/plan_test.ts
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -59,7 +59,11 @@
 function plan(
   workers: readonly fleet.WorkerState[],
   workflows: readonly Workflow.Workflow[],
-  options: { guarantees?: Record<string, number>; wallMs?: number } = {},
+  options: {
+    guarantees?: Record<string, number>;
+    wallMs?: number;
+    isAdvised?: plans.PlanInput["isAdvised"];
+  } = {},
 ): plans.Plan {
   return plans.makePlan({
     workers,
@@ -68,6 +72,7 @@
     nowMs: 1000,
     wallMs: options.wallMs ?? 0,
     remotePenalty: 3,
+    isAdvised: options.isAdvised ?? (() => true),
   });
 }
 
