Show on request why workflows wait

Cause: a node's dump told nothing of the work it coordinates. Ruled out: a row of reasons in the store; they change with every plan. Conclusion: the coordinator's dump lists workflows with the reason they wait and workers with their runs; 'cairngate node' prints it.

--- /dev/null
+++ b/packages/cli/src/node_command.ts
@@ -0,0 +1,24 @@
+/** `cairngate node`: what one workflow node knows and why work waits. */
+import * as Clipanion from "clipanion";
+import * as base from "./base_command.ts";
+import * as exitCodes from "./exit_codes.ts";
+import * as render from "./render_node.ts";
+
+const STATE_PATH = "/state";
+
+/** Shows a node's state; the coordinator's also shows workflows and workers. */
+export class NodeCommand extends base.BaseCommand {
+  static override paths = [["node"]];
+  static override usage = Clipanion.Command.Usage({
+    description: "Show what a workflow node knows, and why work waits",
+    examples: [["Ask a node", "cairngate node --box 127.0.0.1:8523"]],
+  });
+
+  override async execute(): Promise<number> {
+    const reply = await this.askBox({ method: "GET", path: STATE_PATH });
+    if (reply === null || reply.status !== 200) return this.fail(reply);
+    const state = reply.body as render.NodeState;
+    this.print(state, () => render.describeNode(state));
+    return exitCodes.ExitCode.Ok;
+  }
+}
--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -3,6 +3,7 @@
 import * as apply from "./apply_command.ts";
 import * as config from "./config_commands.ts";
 import * as doctor from "./doctor_command.ts";
+import * as node from "./node_command.ts";
 import * as read from "./read_commands.ts";
 import * as submit from "./submit_command.ts";
 
@@ -21,6 +22,7 @@
   cli.register(config.HistoryCommand);
   cli.register(config.DiffCommand);
   cli.register(doctor.DoctorCommand);
+  cli.register(node.NodeCommand);
   cli.register(Clipanion.Builtins.HelpCommand);
   cli.register(Clipanion.Builtins.VersionCommand);
   return cli.run([...args]);
--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -1,4 +1,9 @@
 /** The coordinator: election, recovery, decisions carried out. */
 export { Coordinator } from "./src/coordinator.ts";
+export type {
+  CoordinatorDump,
+  WorkerDump,
+  WorkflowDump,
+} from "./src/describe.ts";
 export { type CoordinatorRow, Election, Term } from "./src/election.ts";
 export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -8,6 +8,7 @@
 import * as directories from "./worker_directory.ts";
 import type * as election from "./election.ts";
 import * as advice from "./advice_book.ts";
+import * as describing from "./describe.ts";
 import * as evacuation from "./evacuation.ts";
 import * as intake from "./intake.ts";
 import type * as ports from "./ports.ts";
@@ -40,6 +41,8 @@
   readonly #progress = new Map<string, Ports.Row>();
   /** Tasks whose recorded worker is not listed. */
   readonly #missing = new Map<Workflow.Task, number>();
+  /** Why the units of a workflow wait since the last plan. */
+  readonly #waits = new Map<string, Scheduler.WaitReason>();
   #signal = Deferred.makeUnsafe<void>();
 
   constructor(
@@ -62,6 +65,23 @@
     });
   }
 
+  /** What this coordinator knows, for people. */
+  dump(): describing.CoordinatorDump {
+    const live = [...this.#workflows.values()].filter(
+      ({ state }) => !Workflow.isFinal(state),
+    );
+    return {
+      token: this.#term.token,
+      workflows: live.map((workflow) =>
+        describing.describeWorkflow(
+          workflow,
+          this.#waits.get(workflow.spec.id) ?? null,
+        )
+      ),
+      workers: this.#directory.states().map(describing.describeWorker),
+    };
+  }
+
   /** Runs until interrupted. */
   run(): Effect.Effect<void> {
     const followWorkers = new TableClient.RowFollower({
@@ -376,6 +396,10 @@
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, worker) => this.#advice.ticket(unit, worker) !== null,
     });
+    this.#waits.clear();
+    for (const { unit, reason } of plan.waits) {
+      this.#waits.set(unit.workflow.spec.id, reason);
+    }
     for (const task of plan.stops) this.#stop(task);
     for (const start of plan.starts) this.#start(start);
     this.#askAdvice(plan, workers);
--- /dev/null
+++ b/packages/workflow-node/src/dump_test.ts
@@ -0,0 +1,28 @@
+/** The dump of a node explains what waits and why. */
+import type * as Coordinator from "@cairngate/coordinator";
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+vitest.describe("the dump of a node", () => {
+  vitest.it("tells at the coordinator why a workflow waits", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1] });
+    fleet.workers.behave = () => ({ runMs: 10_000, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", "a000000000000001");
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    await fleet.submit("node-1", "a000000000000002");
+    await fleet.clock.advance(500);
+    const name = fleet.coordinator() ?? "";
+    const dump = fleet.node(name).dump();
+    const work = dump["work"] as Coordinator.CoordinatorDump;
+    const states = work.workflows.map(({ id, waitsFor }) => [id, waitsFor]);
+    vitest.expect(states).toEqual([
+      ["a000000000000001", null],
+      ["a000000000000002", "room"],
+    ]);
+    vitest.expect(work.workers[0].runs).toEqual(["a000000000000001.0.0.0@1"]);
+    const other = [...fleet.nodes.keys()].find((node) => node !== name) ?? "";
+    vitest.expect(fleet.node(other).dump()["work"]).toBeNull();
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -50,6 +50,8 @@
   readonly #election: Coordinator.Election;
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
+  /** While this node coordinates. */
+  #coordinator: Coordinator.Coordinator | null = null;
   #leaving = false;
   #configHeardAtMs = Number.NEGATIVE_INFINITY;
 
@@ -120,7 +122,14 @@
     });
     this.#fibers.push(Effect.runFork(follower.run()));
     const work = (term: Coordinator.Term) =>
-      new Coordinator.Coordinator(this.#coordinatorPorts, term).run();
+      Effect.suspend(() => {
+        const ports = this.#coordinatorPorts;
+        this.#coordinator = new Coordinator.Coordinator(ports, term);
+        const ended = Effect.sync(() => {
+          this.#coordinator = null;
+        });
+        return Effect.ensuring(this.#coordinator.run(), ended);
+      });
     this.#fibers.push(Effect.runFork(this.#election.run(work)));
   }
 
@@ -152,6 +161,7 @@
       configVersion: this.access.config?.version ?? null,
       coordinator: this.#election.holder,
       storeSilentMs: Math.round(this.#store.silentForMs()),
+      work: this.#coordinator?.dump() ?? null,
     };
   }
 }
