Take over only from the holder that was judged; say who yields to whom

Ruled out: clashes of the condition; the second write was against the new row. Conclusion: the token that was judged has to be the one that is replaced. The log names claimant and victim of each yield.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -400,7 +400,7 @@
     for (const { unit, reason } of plan.waits) {
       this.#waits.set(unit.workflow.spec.id, reason);
     }
-    for (const task of plan.stops) this.#stop(task);
+    for (const stop of plan.stops) this.#yield(stop);
     for (const start of plan.starts) this.#start(start);
     this.#askAdvice(plan, workers);
     metrics.observeMs(
@@ -409,6 +409,18 @@
     );
   }
 
+  #yield(decision: Scheduler.StopDecision): void {
+    const { task, claimant } = decision;
+    const { log, clock, metrics } = this.#ports;
+    const ranMs = Math.round(clock.monotonicMs() - task.startedAtMs);
+    log.info(
+      `Run ${task.run} of ${task.name} yields after ${ranMs} ms to ` +
+        `${claimant.workflow.spec.id}; checkpoints: ${task.step.checkpoints}.`,
+    );
+    metrics.count("cairngate_yields_total");
+    this.#stop(task);
+  }
+
   /** Asks about the first unit that waits for advice. */
   #askAdvice(
     plan: Scheduler.Plan,
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -89,7 +89,7 @@
     const hold = Effect.gen({ self: this }, function* () {
       yield* this.#ports.clock.sleep(LOOK_MS);
       if (!this.#mayTake()) return;
-      const term = yield* this.#take();
+      const term = yield* this.#take(this.#row?.token ?? 0);
       if (term === null) return;
       yield* this.#serve(term, work);
     });
@@ -160,14 +160,15 @@
     return nowMs - sinceMs > SILENCE_MS + this.#spreadMs;
   }
 
-  #take(): Effect.Effect<Term | null> {
+  /** Takes over from the holder that was judged, and from no later one. */
+  #take(judgedToken: number): Effect.Effect<Term | null> {
     return Effect.gen({ self: this }, function* () {
       const { store, node, incarnation, log } = this.#ports;
       const key = TableClient.Keys.COORDINATOR_KEY;
       const leaseKey = TableClient.Keys.COORDINATOR_LEASE_KEY;
       const [row] = yield* store.read([key], WRITE_LIMIT_MS);
       const found = row?.value as CoordinatorRow | undefined;
-      if ((found?.token ?? 0) !== (this.#row?.token ?? 0)) return null;
+      if ((found?.token ?? 0) !== judgedToken) return null;
       const token = (found?.token ?? 0) + 1;
       const value: CoordinatorRow = { token, holder: node, incarnation };
       const revision = yield* store.write({
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -182,6 +182,12 @@
     return holder === undefined || holder === "" ? null : holder;
   }
 
+  /** Fencing token of the newest term. */
+  token(): number {
+    const [row] = this.table.rowsUnder("election/coordinator");
+    return (row?.value as { token: number } | undefined)?.token ?? 0;
+  }
+
   /** Ends a node at once. */
   async kill(name: string): Promise<void> {
     await Effect.runPromise(this.#get(name).node.stop());
--- a/packages/workflow-node/src/takeover_test.ts
+++ b/packages/workflow-node/src/takeover_test.ts
@@ -44,6 +44,21 @@
     await fleet.stop();
   });
 
+  vitest.it("changes hands once where many nodes could take over", async () => {
+    const fleet = new TestUtils.TestFleet({ nodes: 6 });
+    await fleet.start();
+    const before = fleet.token();
+    // Calls take a while, so that all nodes are at it at the same time.
+    for (const [i, name] of [...fleet.nodes.keys()].entries()) {
+      fleet.faultsOf(name).set({ delayMs: 5 + 9 * i });
+    }
+    const first = fleet.coordinator() ?? "";
+    await fleet.run(fleet.node(first).leave());
+    await fleet.clock.advance(1500);
+    vitest.expect(fleet.token()).toBe(before + 1);
+    await fleet.stop();
+  });
+
   vitest.it("moves away from a node that the store turns away", async () => {
     const fleet = new TestUtils.TestFleet();
     await fleet.start();
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -5,6 +5,7 @@
   type Plan,
   type PlanInput,
   type StartDecision,
+  type StopDecision,
   type WaitDecision,
   WaitReason,
 } from "./src/plan.ts";
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -39,10 +39,16 @@
   readonly reason: WaitReason;
 }
 
+/** Stop this task so that a more urgent unit fits. */
+export interface StopDecision {
+  readonly task: Workflow.Task;
+  readonly claimant: Workflow.Unit;
+}
+
 /** Decisions of one plan. */
 export interface Plan {
   readonly starts: readonly StartDecision[];
-  readonly stops: readonly Workflow.Task[];
+  readonly stops: readonly StopDecision[];
   readonly waits: readonly WaitDecision[];
 }
 
@@ -57,7 +63,7 @@
   readonly #rooms: readonly fleet.WorkerRoom[];
   readonly #byId: ReadonlyMap<string, fleet.WorkerRoom>;
   readonly #starts: StartDecision[] = [];
-  readonly #stops = new Set<Workflow.Task>();
+  readonly #stops = new Map<Workflow.Task, StopDecision>();
   readonly #waits: WaitDecision[] = [];
 
   constructor(input: PlanInput) {
@@ -76,7 +82,7 @@
     for (const unit of units) this.#decide(unit);
     return {
       starts: this.#starts,
-      stops: [...this.#stops],
+      stops: [...this.#stops.values()],
       waits: this.#waits,
     };
   }
@@ -142,7 +148,7 @@
     const found = eviction.findEviction(unit, rooms, context) ??
       eviction.evictAmong(unit, rooms, context);
     if (found === null) return false;
-    for (const victim of found.victims) this.#stop(victim);
+    for (const victim of found.victims) this.#stop(victim, unit);
     return this.#reserve(unit, found.places);
   }
 
@@ -152,9 +158,9 @@
     return true;
   }
 
-  #stop(task: Workflow.Task): void {
+  #stop(task: Workflow.Task, claimant: Workflow.Unit): void {
     if (this.#stops.has(task)) return;
-    this.#stops.add(task);
+    this.#stops.set(task, { task, claimant });
     const room = task.worker === null ? undefined : this.#byId.get(task.worker);
     if (task.state !== Workflow.TaskState.Stopping) room?.expect(task);
   }
--- a/packages/workflow-scheduler/src/plan_test.ts
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -132,7 +132,8 @@
     const urgent = buildWorkflow({ priority: 0 });
     const { starts, stops } = plan(workers, [dear, cheap, urgent]);
     vitest.expect(starts).toEqual([]);
-    vitest.expect(stops).toEqual(cheap.rounds[0][0]);
+    vitest.expect(stops.map(({ task }) => task)).toEqual(cheap.rounds[0][0]);
+    vitest.expect(stops[0].claimant.workflow).toBe(urgent);
   });
 
   vitest.it("stops nothing more while earlier stops make room", () => {
@@ -174,7 +175,7 @@
     const claim = buildWorkflow({ priority: 0, tenant: "hana" });
     const guarantees = { hana: 1, rival: 0 };
     const { stops } = plan(workers, [beyond, claim], { guarantees });
-    vitest.expect(stops).toEqual(beyond.rounds[0][0]);
+    vitest.expect(stops.map(({ task }) => task)).toEqual(beyond.rounds[0][0]);
     const both = plan(workers, [beyond, claim], {
       guarantees: { hana: 1, rival: 1 },
     });
