--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -20,6 +20,8 @@
 const REPLAN_MS = 250;
 /** Events that come together are planned together. */
 const GATHER_MS = 2;
+/** A plan that took long is followed by a pause this many times as long. */
+const PLAN_PAUSE = 3;
 const READ_LIMIT_MS = 1500;
 /** A silent link is noticed soon after this wait. */
 const FEED_WAIT_MS = 1000;
@@ -43,6 +45,8 @@
   readonly #missing = new Map<Workflow.Task, number>();
   /** Why the units of a workflow wait since the last plan. */
   readonly #waits = new Map<string, Scheduler.WaitReason>();
+  /** Time that the last plan took. */
+  #planMs = 0;
   #signal = Deferred.makeUnsafe<void>();
 
   constructor(
@@ -305,7 +309,7 @@
     return Effect.forever(Effect.gen({ self: this }, function* () {
       yield* clock.within(REPLAN_MS, Deferred.await(this.#signal));
       this.#signal = Deferred.makeUnsafe<void>();
-      yield* clock.sleep(GATHER_MS);
+      yield* clock.sleep(Math.max(GATHER_MS, this.#planMs * PLAN_PAUSE));
       this.#releaseMissing();
       if (this.#recorder.isStalled || this.#term.isLost) return;
       this.#plan();
@@ -403,10 +407,8 @@
     for (const stop of plan.stops) this.#yield(stop);
     for (const start of plan.starts) this.#start(start);
     this.#askAdvice(plan, workers);
-    metrics.observeMs(
-      "cairngate_plan_seconds",
-      clock.monotonicMs() - startedAtMs,
-    );
+    this.#planMs = clock.monotonicMs() - startedAtMs;
+    metrics.observeMs("cairngate_plan_seconds", this.#planMs);
   }
 
   #yield(decision: Scheduler.StopDecision): void {
--- a/packages/measure/bin.ts
+++ b/packages/measure/bin.ts
@@ -1,8 +1,11 @@
 /** `npm run measure`. */
 import * as Clipanion from "clipanion";
 import process from "node:process";
+import * as plans from "./src/workflow_plans.ts";
 import * as measuring from "./src/run_measurements.ts";
 
+const PLAN_SIZES: readonly number[] = [33, 245, 725, 2900];
+
 class MeasureCommand extends Clipanion.Command {
   static override paths = [Clipanion.Command.Default];
   static override usage = Clipanion.Command.Usage({
@@ -13,8 +16,12 @@
     description: "One of workers, reports, boxes, tasks, rates",
   });
   json = Clipanion.Option.Boolean("--json", false);
+  plans = Clipanion.Option.Boolean("--plans", false, {
+    description: "Only the time of plans for workflows, by size",
+  });
 
   override async execute(): Promise<number> {
+    if (this.plans) return this.#measurePlans();
     const report = await measuring.runMeasurements((line) => {
       this.context.stderr.write(`${line}\n`);
     }, this.only ?? null);
@@ -37,6 +44,17 @@
     }
     return 0;
   }
+
+  #measurePlans(): number {
+    for (const workers of PLAN_SIZES) {
+      const times = plans.measurePlans(workers);
+      const line = `${times.workers} workers, ${times.running} running, ` +
+        `${times.waiting} waiting tasks: median ` +
+        `${times.medianMs.toFixed(2)} ms, worst ${times.worstMs.toFixed(2)} ms`;
+      this.context.stdout.write(`${line}\n`);
+    }
+    return 0;
+  }
 }
 
 const cli = new Clipanion.Cli({
--- /dev/null
+++ b/packages/measure/src/workflow_plans.ts
@@ -0,0 +1,123 @@
+/** Time that one plan for workflows takes, by the size of the fleet. */
+import * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as performance from "node:perf_hooks";
+
+/** Plans of one size. */
+export interface PlanTimes {
+  readonly workers: number;
+  readonly running: number;
+  readonly waiting: number;
+  readonly medianMs: number;
+  readonly worstMs: number;
+}
+
+const ACCELERATORS = 8;
+const RACK_SIZE = 8;
+const RUNNING_PER_WORKER = 7;
+const WAITING_TASKS = 8;
+const REPEATS = 15;
+const POLICY: Workflow.QueuePolicy = {
+  queue: "maps",
+  service: "analysis",
+  priority: 1,
+  attempts: 4,
+  stretch: 3,
+  latencyMs: 1000,
+  advice: null,
+};
+
+/** Measures plans over a fleet that is nearly full. */
+export function measurePlans(workers: number): PlanTimes {
+  const tasksOf: Workflow.Task[][] = [];
+  const workflows: Workflow.Workflow[] = [];
+  for (let i = 0; i < workers; i++) {
+    const workflow = buildWorkflow(`running-${i}`, RUNNING_PER_WORKER);
+    for (const task of workflow.tasks) task.place(`worker-${i}`, 1, 0);
+    tasksOf.push([...workflow.tasks]);
+    workflows.push(workflow);
+  }
+  // Each asks for more than any worker has free, so each search is a whole one.
+  const waiting = Math.ceil(workers / 10);
+  for (let i = 0; i < waiting; i++) {
+    workflows.push(buildWorkflow(`waiting-${i}`, WAITING_TASKS, 2));
+  }
+  const input: Scheduler.PlanInput = {
+    workers: tasksOf.map(buildWorker),
+    workflows,
+    guarantees: new Map(),
+    nowMs: 1000,
+    wallMs: 1000,
+    remotePenalty: 3,
+    isAdvised: () => true,
+  };
+  const times = Array.from({ length: REPEATS }, () => timePlan(input));
+  times.sort((a, b) => a - b);
+  return {
+    workers,
+    running: workers * RUNNING_PER_WORKER,
+    waiting: waiting * WAITING_TASKS,
+    medianMs: times[Math.floor(REPEATS / 2)],
+    worstMs: times[REPEATS - 1],
+  };
+}
+
+function timePlan(input: Scheduler.PlanInput): number {
+  const startedAtMs = performance.performance.now();
+  Scheduler.makePlan(input);
+  return performance.performance.now() - startedAtMs;
+}
+
+function buildWorker(
+  occupants: readonly Workflow.Task[],
+  index: number,
+): Scheduler.WorkerState {
+  return {
+    id: `worker-${index}`,
+    service: POLICY.service,
+    rack: `rack-${Math.floor(index / RACK_SIZE)}`,
+    labels: new Set(["a"]),
+    total: {
+      cpuMillis: 64_000,
+      memoryMb: 262_144,
+      accelerators: ACCELERATORS,
+    },
+    usable: true,
+    occupants,
+  };
+}
+
+function buildWorkflow(
+  id: string,
+  count: number,
+  accelerators = 1,
+): Workflow.Workflow {
+  return new Workflow.Workflow({
+    id,
+    tenant: "coop",
+    policy: POLICY,
+    payload: "",
+    steps: [{
+      count,
+      cpuMillis: 1000,
+      memoryMb: 1000,
+      accelerators,
+      estimateMs: 1000,
+      after: [],
+      checkpoints: false,
+      gang: false,
+      sameRack: false,
+      label: null,
+      rack: null,
+      perWorker: 0,
+      duplicates: false,
+      lasting: false,
+      image: "",
+      latencyTargetMs: 0,
+      fills: false,
+      mayMiss: 0,
+    }],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+}
--- /dev/null
+++ b/packages/measure/src/workflow_plans_test.ts
@@ -0,0 +1,13 @@
+/** The measurement of plans runs and counts what it says. */
+import * as vitest from "vitest";
+import * as plans from "./workflow_plans.ts";
+
+vitest.describe("measurePlans", () => {
+  vitest.it("measures a small fleet", () => {
+    const times = plans.measurePlans(20);
+    vitest.expect(times.running).toBe(140);
+    vitest.expect(times.waiting).toBe(16);
+    vitest.expect(times.medianMs).toBeGreaterThan(0);
+    vitest.expect(times.worstMs).toBeGreaterThanOrEqual(times.medianMs);
+  });
+});
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -65,6 +65,8 @@
   readonly #starts: StartDecision[] = [];
   readonly #stops = new Map<Workflow.Task, StopDecision>();
   readonly #waits: WaitDecision[] = [];
+  /** Steps of which a task found no room; its siblings find none either. */
+  readonly #blocked = new Set<readonly Workflow.Task[]>();
 
   constructor(input: PlanInput) {
     this.#input = input;
@@ -88,11 +90,14 @@
   }
 
   #decide(unit: Workflow.Unit): void {
+    const siblings = unit.workflow.siblings(unit.tasks[0]);
+    if (this.#blocked.has(siblings)) return;
     const rooms = this.#roomsFor(unit);
     const places = this.#findFree(unit, rooms);
     if (places !== null) return this.#start(unit, places);
     const isUrgent = unit.workflow.spec.policy.priority === 0;
     if (isUrgent && this.#claim(unit, rooms)) return;
+    this.#blocked.add(siblings);
     const needsAdvice = unit.workflow.spec.policy.advice !== null;
     const reason = needsAdvice ? WaitReason.Advice : WaitReason.Room;
     this.#waits.push({ unit, reason });
