Split the coordinator and the session into parts of one job each

Ruled out: splitting by length; the parts are the book of workflows, control of runs, planning, the watch over runs, occupants and the ledger of ends.

--- /dev/null
+++ b/packages/coordinator/src/planning.ts
@@ -0,0 +1,131 @@
+/** Makes plans when something has changed, and hands them on. */
+import type * as Ports from "@cairngate/ports";
+import type * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as advice from "./advice_book.ts";
+import type * as ports from "./ports.ts";
+import type * as controls from "./run_control.ts";
+import type * as directories from "./worker_directory.ts";
+
+/** What planning works with. */
+export interface PlanningParts {
+  readonly ports: ports.CoordinatorPorts;
+  readonly directory: directories.WorkerDirectory;
+  readonly control: controls.RunControl;
+  readonly advice: advice.AdviceBook;
+  /** Workflows of which something may start. */
+  readonly live: () => readonly Workflow.Workflow[];
+  /** Done before each plan; false: no plan now. */
+  readonly prepare: () => boolean;
+}
+
+/** Longest time between two plans while something waits. */
+const REPLAN_MS = 250;
+/** Events that come together are planned together. */
+const GATHER_MS = 2;
+/** A plan that took long is followed by a pause this many times as long. */
+const PLAN_PAUSE = 3;
+
+/** Plans for one term. */
+export class Planning {
+  readonly #parts: PlanningParts;
+  /** Why the units of a workflow wait since the last plan. */
+  readonly #waits = new Map<string, Scheduler.WaitReason>();
+  /** Time that the last plan took. */
+  #planMs = 0;
+  #signal = Deferred.makeUnsafe<void>();
+
+  constructor(parts: PlanningParts) {
+    this.#parts = parts;
+  }
+
+  /** Something has changed: plan soon. */
+  wake(): void {
+    Deferred.doneUnsafe(this.#signal, Effect.void);
+  }
+
+  /** Why a workflow waits since the last plan; null where it does not. */
+  waitsFor(id: string): Scheduler.WaitReason | null {
+    return this.#waits.get(id) ?? null;
+  }
+
+  /** Plans for ever. */
+  run(): Effect.Effect<never> {
+    const { clock } = this.#parts.ports;
+    return Effect.forever(Effect.gen({ self: this }, function* () {
+      yield* clock.within(REPLAN_MS, Deferred.await(this.#signal));
+      this.#signal = Deferred.makeUnsafe<void>();
+      yield* clock.sleep(Math.max(GATHER_MS, this.#planMs * PLAN_PAUSE));
+      if (this.#parts.prepare()) this.#plan();
+    }));
+  }
+
+  #plan(): void {
+    const { ports: { clock, metrics }, control, directory } = this.#parts;
+    const startedAtMs = clock.monotonicMs();
+    const workflows = this.#parts.live();
+    if (workflows.length === 0) return;
+    const workers = directory.states();
+    const plan = Scheduler.makePlan(this.#inputOf(workers, workflows));
+    this.#waits.clear();
+    for (const { unit, reason } of plan.waits) {
+      this.#waits.set(unit.workflow.spec.id, reason);
+    }
+    for (const stop of plan.stops) this.#yield(stop);
+    for (const start of plan.starts) control.start(start);
+    this.#askAdvice(plan, workers);
+    this.#planMs = clock.monotonicMs() - startedAtMs;
+    metrics.observeMs("cairngate_plan_seconds", this.#planMs);
+  }
+
+  #inputOf(
+    workers: readonly Scheduler.WorkerState[],
+    workflows: readonly Workflow.Workflow[],
+  ): Scheduler.PlanInput {
+    const { ports: { clock, bounds, config }, advice: book } = this.#parts;
+    return {
+      workers,
+      workflows,
+      guarantees: guaranteesOf(config()),
+      nowMs: clock.monotonicMs(),
+      wallMs: clock.wallMs(),
+      remotePenalty: bounds.remotePenalty,
+      isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
+    };
+  }
+
+  #yield(decision: Scheduler.StopDecision): void {
+    const { task, claimant } = decision;
+    const { log, clock, metrics } = this.#parts.ports;
+    const ranMs = Math.round(clock.monotonicMs() - task.startedAtMs);
+    log.info(
+      `Run ${task.run} of ${task.name} yields after ${ranMs} ms to ` +
+        `${claimant.workflow.spec.id}; checkpoints: ${task.step.checkpoints}.`,
+    );
+    metrics.count("cairngate_yields_total");
+    this.#parts.control.stop(task);
+  }
+
+  /** Asks about the first unit that waits for advice. */
+  #askAdvice(
+    plan: Scheduler.Plan,
+    workers: readonly Scheduler.WorkerState[],
+  ): void {
+    for (const { unit, reason } of plan.waits) {
+      if (reason !== Scheduler.WaitReason.Advice) continue;
+      const eligible = workers
+        .filter((worker) => Scheduler.isEligible(worker, unit))
+        .sort((a, b) => a.occupants.length - b.occupants.length);
+      this.#parts.advice.ask(unit, eligible.map(({ id }) => id));
+    }
+  }
+}
+
+function guaranteesOf(
+  config: Ports.AccessConfig | null,
+): ReadonlyMap<string, number> {
+  const tenants = config?.tenants ?? [];
+  return new Map(tenants.map(({ name, guaranteed }) => [name, guaranteed]));
+}
--- /dev/null
+++ b/packages/coordinator/src/run_control.ts
@@ -0,0 +1,117 @@
+/** Starts, stops and adopts runs; no order leaves before it is recorded. */
+import * as Workflow from "@cairngate/workflow";
+import type * as Scheduler from "@cairngate/workflow-scheduler";
+import * as Effect from "effect/Effect";
+import type * as advice from "./advice_book.ts";
+import * as leaseClocks from "./lease_clock.ts";
+import type * as ports from "./ports.ts";
+import type * as recorders from "./recorder.ts";
+import type * as directories from "./worker_directory.ts";
+
+/** What the control of runs works with. */
+export interface RunControlParts {
+  readonly ports: ports.CoordinatorPorts;
+  readonly recorder: recorders.Recorder;
+  readonly directory: directories.WorkerDirectory;
+  readonly advice: advice.AdviceBook;
+}
+
+/** Carries out decisions about runs. */
+export class RunControl {
+  readonly #parts: RunControlParts;
+  /** Tasks whose recorded worker is not listed, and until when they wait. */
+  readonly #missing = new Map<Workflow.Task, number>();
+
+  constructor(parts: RunControlParts) {
+    this.#parts = parts;
+  }
+
+  /** Takes the places at once; orders leave when they are recorded. */
+  start(decision: Scheduler.StartDecision): void {
+    const { ports: { clock }, directory, recorder } = this.#parts;
+    const { unit, workers } = decision;
+    const { workflow } = unit;
+    const run = 1 + Math.max(...unit.tasks.map((task) => task.run));
+    if (workflow.state === Workflow.WorkflowState.Queued) {
+      workflow.state = Workflow.WorkflowState.Running;
+      workflow.firstStartMs = clock.wallMs();
+    }
+    const orders = unit.tasks.flatMap((task, i) => {
+      const session = directory.session(workers[i]);
+      if (session === null) return [];
+      task.place(workers[i], run, clock.monotonicMs());
+      const ticket = this.#parts.advice.ticket(unit, workers[i]);
+      return [{ session, occupant: session.reserve(task, ticket) }];
+    });
+    const send = Effect.forEach(
+      orders,
+      ({ session, occupant }) => session.start(occupant),
+      { concurrency: "unbounded", discard: true },
+    );
+    Effect.runFork(Effect.andThen(recorder.record(workflow), send));
+  }
+
+  /** Stops the run of a task, wherever it may be. */
+  stop(task: Workflow.Task): void {
+    if (task.worker === null) return;
+    const session = this.#parts.directory.session(task.worker);
+    const occupant = session?.occupants.find((o) => o.task === task);
+    if (session === null || occupant === undefined) return;
+    if (task.state !== Workflow.TaskState.Done) {
+      task.state = Workflow.TaskState.Stopping;
+    }
+    if (occupant.stopping) return;
+    occupant.stopping = true;
+    Effect.runFork(session.stop(occupant));
+  }
+
+  /** Stops all runs of a workflow. */
+  stopAll(workflow: Workflow.Workflow): void {
+    for (const task of workflow.placedTasks()) this.stop(task);
+  }
+
+  /** Stops the other members of a gang's run. */
+  stopGang(task: Workflow.Task, run: number): void {
+    for (const member of task.workflow.siblings(task)) {
+      if (member.isPlaced && member.run === run) this.stop(member);
+    }
+  }
+
+  /** Finds the worker that may run a task since an earlier term. */
+  adopt(task: Workflow.Task): void {
+    const { ports: { clock, bounds }, directory } = this.#parts;
+    const nowMs = clock.monotonicMs();
+    // How long it ran is not known; half of its work is a fair guess.
+    task.startedAtMs = nowMs - task.step.estimateMs / 2;
+    const session = directory.open(task.worker ?? "");
+    if (session === null) {
+      // The worker is not listed: its lease has run out at the latest by then.
+      const untilMs = leaseClocks.foreignLapseMs(nowMs, bounds.longestLeaseMs);
+      this.#missing.set(task, untilMs);
+      return;
+    }
+    session.adopt(task);
+    if (task.workflow.isOver) this.stop(task);
+  }
+
+  /** Settles tasks of workers that were not listed; returns those freed. */
+  releaseMissing(): readonly Workflow.Task[] {
+    const nowMs = this.#parts.ports.clock.monotonicMs();
+    const freed: Workflow.Task[] = [];
+    for (const [task, untilMs] of this.#missing) {
+      const session = this.#parts.directory.open(task.worker ?? "");
+      if (session !== null) {
+        this.#missing.delete(task);
+        session.adopt(task);
+        if (task.workflow.isOver) this.stop(task);
+      } else if (nowMs >= untilMs) {
+        this.#missing.delete(task);
+        const how = Workflow.RunEnd.Lost;
+        const end = { run: task.run, how, checkpoint: "" };
+        task.workflow.endRun(task, end, nowMs);
+        freed.push(task);
+      }
+    }
+    return freed;
+  }
+}
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -10,28 +10,10 @@
 import type * as election from "./election.ts";
 import * as leaseClocks from "./lease_clock.ts";
 import type * as ports from "./ports.ts";
+import * as endLedgers from "./end_ledger.ts";
+import * as occupants from "./occupant.ts";
 import * as healths from "./worker_health.ts";
 
-/** A run that the worker holds or may hold. */
-export interface Occupant {
-  readonly task: Workflow.Task;
-  readonly run: number;
-  /** Since when the worker must know of it; null while it may not. */
-  knownSinceMs: number | null;
-  /** Permission of the advice service; null where none is needed. */
-  readonly ticket: string | null;
-  /** Whether the start was sent. */
-  sent: boolean;
-  /** Whether it is being stopped. */
-  stopping: boolean;
-  /** Since when the progress is watched, and what it was then. */
-  watchedSinceMs: number | null;
-  watchedFromPercent: number;
-  /** Progress that the worker told last, 0 to 100, and when. */
-  percent: number;
-  percentAtMs: number;
-}
-
 /** The end of a run, for the coordinator. */
 export interface SessionEnd {
   readonly how: Workflow.RunEnd;
@@ -43,11 +25,11 @@
   /** A run is over; the effect ends when that is recorded. */
   abstract runEnded(
     session: WorkerSession,
-    occupant: Occupant,
+    occupant: occupants.Occupant,
     end: SessionEnd,
   ): Effect.Effect<void>;
   /** A run is confirmed to be there. */
-  abstract runConfirmed(occupant: Occupant): void;
+  abstract runConfirmed(occupant: occupants.Occupant): void;
   /** The room or the reach of the worker has changed. */
   abstract roomChanged(): void;
 }
@@ -68,8 +50,6 @@
 const START_TRIES = 2;
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
-/** A member of a gang that waits for the others comes no further. */
-const DONE_PERCENT = 100;
 
 const END_OF_KIND: Readonly<Record<Ports.EndKind, Workflow.RunEnd>> = {
   done: Workflow.RunEnd.Done,
@@ -86,13 +66,9 @@
   readonly health = new healths.WorkerHealth();
   readonly #options: SessionOptions;
   readonly #clock: leaseClocks.LeaseClock;
-  readonly #occupants = new Map<string, Occupant>();
+  readonly #occupants = new Map<string, occupants.Occupant>();
   readonly #strays = new Set<string>();
-  #seenEnds = 0;
-  #recordedEnds = 0;
-  #toldEnds = 0;
-  /** Done once the ends of all looks so far are recorded. */
-  #recorded = Deferred.makeUnsafe<void>();
+  readonly #ends = new endLedgers.EndLedger();
   #reachable = true;
   #over = false;
   #signal = Deferred.makeUnsafe<void>();
@@ -101,11 +77,10 @@
     this.#options = options;
     this.ref = options.ref;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
-    Deferred.doneUnsafe(this.#recorded, Effect.void);
   }
 
   /** Runs that the worker holds or may hold. */
-  get occupants(): readonly Occupant[] {
+  get occupants(): readonly occupants.Occupant[] {
     return [...this.#occupants.values()];
   }
 
@@ -128,22 +103,19 @@
 
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
-    const occupant = createOccupant(task);
-    occupant.knownSinceMs = Number.NEGATIVE_INFINITY;
-    occupant.sent = true;
-    this.#occupants.set(task.name, occupant);
+    this.#occupants.set(task.name, occupants.adoptOccupant(task));
     this.#wake();
   }
 
   /** Keeps room for a run whose start is not sent yet. */
-  reserve(task: Workflow.Task, ticket: string | null): Occupant {
-    const occupant = createOccupant(task, ticket);
+  reserve(task: Workflow.Task, ticket: string | null): occupants.Occupant {
+    const occupant = occupants.createOccupant(task, ticket);
     this.#occupants.set(task.name, occupant);
     return occupant;
   }
 
   /** Sends a start until its fate is known. */
-  start(occupant: Occupant): Effect.Effect<void> {
+  start(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { task } = occupant;
       if (occupant.stopping || task.workflow.isOver || this.#over) {
@@ -167,7 +139,7 @@
   }
 
   /** Stops a run; ends when the worker has heard it or the run is over. */
-  stop(occupant: Occupant): Effect.Effect<void> {
+  stop(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { term, ports: { clock, workers } } = this.#options;
       occupant.stopping = true;
@@ -210,15 +182,15 @@
   }
 
   #hasBusiness(): boolean {
-    return this.#recordedEnds > this.#toldEnds || this.#strays.size > 0 ||
+    return this.#ends.hasNews || this.#strays.size > 0 ||
       this.occupants.some((occupant) => occupant.sent) || !this.#reachable;
   }
 
-  #holds(occupant: Occupant): boolean {
+  #holds(occupant: occupants.Occupant): boolean {
     return this.#occupants.get(occupant.task.name) === occupant;
   }
 
-  #tryStart(occupant: Occupant): Effect.Effect<StartFate> {
+  #tryStart(occupant: occupants.Occupant): Effect.Effect<StartFate> {
     const { term, ports: { workers, clock, bounds } } = this.#options;
     return Effect.gen({ self: this }, function* () {
       if (!this.#clock.isKnown) yield* this.#look();
@@ -246,7 +218,7 @@
     });
   }
 
-  #confirm(occupant: Occupant, clockMs: number): void {
+  #confirm(occupant: occupants.Occupant, clockMs: number): void {
     const nowMs = this.#options.ports.clock.monotonicMs();
     this.#clock.read(clockMs, nowMs);
     occupant.knownSinceMs ??= nowMs;
@@ -255,7 +227,7 @@
   }
 
   #startFailed(
-    occupant: Occupant,
+    occupant: occupants.Occupant,
     err: Ports.OrderError,
   ): Effect.Effect<StartFate> {
     const { ports: { clock, log, metrics } } = this.#options;
@@ -323,7 +295,7 @@
     return Effect.gen({ self: this }, function* () {
       const sentAtMs = clock.monotonicMs();
       const waitMs = this.#waitMs();
-      const told = this.#recordedEnds;
+      const told = this.#ends.recorded;
       const order = workers.renew(this.ref, {
         fencingToken: term.token,
         // A worker that is not heard gets no longer lease: it has to lapse.
@@ -339,7 +311,7 @@
         this.#reachable = true;
         this.#options.listener.roomChanged();
       }
-      this.#toldEnds = Math.max(this.#toldEnds, told);
+      this.#ends.noteTold(told);
       this.#clock.read(view.clockMs, clock.monotonicMs());
       yield* this.#takeView(view, sentAtMs);
     });
@@ -347,9 +319,9 @@
 
   #waitMs(): number {
     const settled = this.#clock.isKnown && this.#reachable &&
-      this.#recordedEnds <= this.#toldEnds && this.#strays.size === 0 &&
+      !this.#ends.hasNews && this.#strays.size === 0 &&
       this.occupants.every((o) =>
-        !o.sent || (o.knownSinceMs !== Number.NEGATIVE_INFINITY)
+        !o.sent || (o.knownSinceMs !== occupants.EARLIER_TERM)
       );
     if (!settled) return 0;
     const { longestLeaseMs } = this.#options.ports.bounds;
@@ -375,9 +347,8 @@
   #takeView(view: Ports.WorkerView, sentAtMs: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const records: Effect.Effect<void>[] = [];
-      const fresh = view.ended.filter(({ number }) => number > this.#seenEnds);
+      const fresh = this.#ends.takeNew(view.ended);
       for (const ended of fresh) {
-        this.#seenEnds = Math.max(this.#seenEnds, ended.number);
         const recorded = this.#takeEnd(ended);
         if (recorded !== null) records.push(recorded);
       }
@@ -389,39 +360,14 @@
         if (isMissing) records.push(this.#end(occupant, Workflow.RunEnd.Lost));
       }
       if (records.length > 0 || fresh.length > 0) {
-        this.#acknowledgeAfter(records, this.#seenEnds);
+        this.#ends.recordAfter(records, () => this.#wake());
+      }
+      if (this.#ends.isWaiting) {
+        // The next look waits for the records, but not without end.
+        const { clock } = this.#options.ports;
+        yield* clock.within(UNRECORDED_PAUSE_MS, this.#ends.awaitRecords());
       }
-      if (this.#recordedEnds < this.#seenEnds) yield* this.#awaitRecords();
-    });
-  }
-
-  /**
-   * Ends are acknowledged in their order: a number stands for all below it, so
-   * it waits for the records of all earlier looks too.
-   */
-  #acknowledgeAfter(
-    records: readonly Effect.Effect<void>[],
-    upTo: number,
-  ): void {
-    const earlier = this.#recorded;
-    const done = Deferred.makeUnsafe<void>();
-    this.#recorded = done;
-    const recorded = Effect.all(
-      [Deferred.await(earlier), ...records],
-      { concurrency: "unbounded", discard: true },
-    );
-    const acknowledge = Effect.sync(() => {
-      this.#recordedEnds = upTo;
-      Deferred.doneUnsafe(done, Effect.void);
-      this.#wake();
     });
-    Effect.runFork(Effect.andThen(recorded, acknowledge));
-  }
-
-  /** The next look waits for the records, but not without end. */
-  #awaitRecords(): Effect.Effect<unknown> {
-    const { clock } = this.#options.ports;
-    return clock.within(UNRECORDED_PAUSE_MS, Deferred.await(this.#recorded));
   }
 
   #takeEnd(ended: Ports.EndedRun): Effect.Effect<void> | null {
@@ -432,9 +378,9 @@
   }
 
   /** Confirms runs that are held; stops those that nobody expects. */
-  #takeHeld(view: Ports.WorkerView): Set<Occupant> {
+  #takeHeld(view: Ports.WorkerView): Set<occupants.Occupant> {
     const { listener, ports: { clock } } = this.#options;
-    const held = new Set<Occupant>();
+    const held = new Set<occupants.Occupant>();
     const strays = new Set<string>();
     const nowMs = clock.monotonicMs();
     for (const { task, run, checkpoint, percent } of view.held) {
@@ -445,12 +391,8 @@
       }
       held.add(occupant);
       if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
-      watch(occupant, percent, nowMs);
-      if (occupant.percent < DONE_PERCENT) occupant.percentAtMs = nowMs;
-      occupant.percent = percent;
-      const wasKnown = occupant.knownSinceMs !== null &&
-        Number.isFinite(occupant.knownSinceMs);
-      if (wasKnown) continue;
+      occupants.noteProgress(occupant, percent, nowMs);
+      if (occupants.isConfirmed(occupant)) continue;
       occupant.knownSinceMs = nowMs;
       listener.runConfirmed(occupant);
     }
@@ -475,7 +417,7 @@
   }
 
   #end(
-    occupant: Occupant,
+    occupant: occupants.Occupant,
     how: Workflow.RunEnd,
     checkpoint = "",
   ): Effect.Effect<void> {
@@ -489,32 +431,6 @@
   }
 }
 
-function createOccupant(
-  task: Workflow.Task,
-  ticket: string | null = null,
-): Occupant {
-  return {
-    task,
-    ticket,
-    run: task.run,
-    knownSinceMs: null,
-    sent: false,
-    stopping: false,
-    watchedSinceMs: null,
-    watchedFromPercent: 0,
-    percent: 0,
-    percentAtMs: 0,
-  };
-}
-
-/** A run of an earlier coordinator is watched from where it is found. */
-function watch(occupant: Occupant, percent: number, nowMs: number): void {
-  if (occupant.watchedSinceMs !== null) return;
-  const isOwn = occupant.knownSinceMs !== Number.NEGATIVE_INFINITY;
-  occupant.watchedSinceMs = isOwn ? occupant.task.startedAtMs : nowMs;
-  occupant.watchedFromPercent = isOwn ? 0 : percent;
-}
-
 /** What is known after one try to start a run. */
 enum StartFate {
   /** Nothing more to do: it runs, or its end is taken in. */
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -35,8 +35,8 @@
   /** Runs of gangs whose failure is counted already, as round.step.run. */
   readonly #countedFailures = new Set<string>();
   state = WorkflowState.Queued;
-  /** Wall-clock time of the first start, as this coordinator saw it. */
-  firstStartMs = 0;
+  /** Wall-clock time of the first start; null where an earlier term saw it. */
+  firstStartMs: number | null = null;
   /** Runs that did not end well, as this coordinator saw them. */
   lostRuns = 0;
   /** A caller has asked for the end. */
