Stop a run whose start may still arrive, also after a refusal

Cause: a start without an answer, followed by a refusal of the second try, was taken as not there; the first could arrive seconds later beside a new run. A refused start was also planned again at once, without end. Conclusion: the starter tells refused, not there and may be there apart; a worker that refuses rests for 300 ms.

--- a/packages/coordinator/src/worker_health.ts
+++ b/packages/coordinator/src/worker_health.ts
@@ -9,6 +9,9 @@
 /** Time for which a worker that is merely slow gets no work. */
 const SLOW_ASIDE_MS = 3000;
 
+/** Time after a refusal; what we know of the room there is wrong. */
+const REFUSED_ASIDE_MS = 300;
+
 /** One worker's record. */
 export class WorkerHealth {
   #failures = 0;
@@ -25,6 +28,14 @@
     this.#asideUntilMs = Number.NEGATIVE_INFINITY;
   }
 
+  /** An order was refused although there should be room. */
+  refused(nowMs: number): void {
+    this.#asideUntilMs = Math.max(
+      this.#asideUntilMs,
+      nowMs + REFUSED_ASIDE_MS,
+    );
+  }
+
   /** A run came on much more slowly than others. */
   wasSlow(nowMs: number): void {
     this.#asideUntilMs = Math.max(this.#asideUntilMs, nowMs + SLOW_ASIDE_MS);
--- /dev/null
+++ b/packages/coordinator/src/worker_health_test.ts
@@ -0,0 +1,36 @@
+/** Workers are put aside for what went wrong there, and come back. */
+import * as vitest from "vitest";
+import * as healths from "./worker_health.ts";
+
+vitest.describe("WorkerHealth", () => {
+  vitest.it("stays aside ever longer while runs fail", () => {
+    const health = new healths.WorkerHealth();
+    const lengths = [1, 2, 3].map((i) => {
+      const failedAtMs = i * 100_000;
+      health.failed(failedAtMs);
+      let ms = 0;
+      while (health.isAside(failedAtMs + ms)) ms += 100;
+      return ms;
+    });
+    vitest.expect(lengths[1]).toBeGreaterThan(lengths[0]);
+    vitest.expect(lengths[2]).toBeGreaterThan(lengths[1]);
+  });
+
+  vitest.it("comes back at once after a success", () => {
+    const health = new healths.WorkerHealth();
+    health.failed(0);
+    health.failed(0);
+    health.succeeded();
+    vitest.expect(health.isAside(1)).toBe(false);
+  });
+
+  vitest.it("rests briefly after a refusal, longer when it was slow", () => {
+    const refused = new healths.WorkerHealth();
+    refused.refused(0);
+    vitest.expect(refused.isAside(200)).toBe(true);
+    vitest.expect(refused.isAside(400)).toBe(false);
+    const slow = new healths.WorkerHealth();
+    slow.wasSlow(0);
+    vitest.expect(slow.isAside(400)).toBe(true);
+  });
+});
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -12,6 +12,7 @@
 import type * as ports from "./ports.ts";
 import * as endLedgers from "./end_ledger.ts";
 import * as occupants from "./occupant.ts";
+import * as starters from "./run_starter.ts";
 import * as healths from "./worker_health.ts";
 
 /** The end of a run, for the coordinator. */
@@ -47,7 +48,6 @@
 const ORDER_LIMIT_MS = 450;
 const VIEW_SLACK_MS = 800;
 const LONGEST_WAIT_MS = 1000;
-const START_TRIES = 2;
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -66,6 +66,7 @@
   readonly health = new healths.WorkerHealth();
   readonly #options: SessionOptions;
   readonly #clock: leaseClocks.LeaseClock;
+  readonly #starter: starters.RunStarter;
   readonly #occupants = new Map<string, occupants.Occupant>();
   readonly #strays = new Set<string>();
   readonly #ends = new endLedgers.EndLedger();
@@ -77,6 +78,15 @@
     this.#options = options;
     this.ref = options.ref;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
+    const { clock, bounds } = options.ports;
+    this.#starter = new starters.RunStarter({
+      ports: options.ports,
+      term: options.term,
+      ref: options.ref,
+      leaseEnd: () =>
+        this.#clock.leaseEnd(clock.monotonicMs(), bounds.longestLeaseMs),
+      isWanted: (occupant) => this.#holds(occupant) && !occupant.stopping,
+    });
   }
 
   /** Runs that the worker holds or may hold. */
@@ -114,7 +124,7 @@
     return occupant;
   }
 
-  /** Sends a start until its fate is known. */
+  /** Starts a run; one whose fate stays open is stopped. */
   start(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { task } = occupant;
@@ -123,18 +133,9 @@
       }
       occupant.sent = true;
       this.#wake();
-      let mayBeThere = false;
-      for (let attempt = 0; attempt < START_TRIES; attempt++) {
-        if (occupant.stopping || !this.#holds(occupant)) break;
-        const fate = yield* this.#tryStart(occupant);
-        if (fate === StartFate.Over) return;
-        mayBeThere ||= fate === StartFate.Unknown;
-        yield* this.#options.ports.clock.sleep(RETRY_MS);
-      }
-      if (!this.#holds(occupant)) return;
-      this.health.failed(this.#options.ports.clock.monotonicMs());
-      if (mayBeThere || occupant.stopping) return yield* this.stop(occupant);
-      yield* this.#end(occupant, Workflow.RunEnd.Lost);
+      if (!this.#clock.isKnown) yield* this.#look();
+      const report = yield* this.#starter.send(occupant);
+      if (this.#holds(occupant)) yield* this.#settleStart(occupant, report);
     });
   }
 
@@ -190,83 +191,42 @@
     return this.#occupants.get(occupant.task.name) === occupant;
   }
 
-  #tryStart(occupant: occupants.Occupant): Effect.Effect<StartFate> {
-    const { term, ports: { workers, clock, bounds } } = this.#options;
-    return Effect.gen({ self: this }, function* () {
-      if (!this.#clock.isKnown) yield* this.#look();
-      if (!this.#holds(occupant)) return StartFate.Over;
-      const { task, run } = occupant;
-      const nowMs = clock.monotonicMs();
-      const order = workers.start(this.ref, {
-        task: task.name,
-        run,
-        payload: task.workflow.spec.payload,
-        checkpoint: task.checkpoint,
-        ticket: occupant.ticket,
-        fencingToken: term.token,
-        leaseUntilMs: this.#clock.leaseEnd(nowMs, bounds.longestLeaseMs),
-      });
-      const timed = yield* Effect.result(
-        clock.within(ORDER_LIMIT_MS, order),
-      );
-      if (timed._tag === "Failure") {
-        return yield* this.#startFailed(occupant, timed.failure);
-      }
-      if (timed.success === null) return StartFate.Unknown;
-      this.#confirm(occupant, timed.success.value);
-      return StartFate.Over;
-    });
-  }
-
-  #confirm(occupant: occupants.Occupant, clockMs: number): void {
-    const nowMs = this.#options.ports.clock.monotonicMs();
-    this.#clock.read(clockMs, nowMs);
-    occupant.knownSinceMs ??= nowMs;
-    this.#reachable = true;
-    this.#options.listener.runConfirmed(occupant);
-  }
-
-  #startFailed(
+  #settleStart(
     occupant: occupants.Occupant,
-    err: Ports.OrderError,
-  ): Effect.Effect<StartFate> {
-    const { ports: { clock, log, metrics } } = this.#options;
-    if (err._tag === "WorkerLostError") {
-      return Effect.succeed(
-        err.neverSent ? StartFate.NotThere : StartFate.Unknown,
-      );
-    }
-    metrics.count("cairngate_starts_refused_total", { reason: err._tag });
-    log.info(
-      `Start of ${occupant.task.name} run ${occupant.run}: ${err.message}`,
-    );
-    if (err._tag === "WorkerReplacedError") {
-      return Effect.as(
-        this.endAll(Workflow.RunEnd.Lost),
-        StartFate.Over,
-      );
-    }
-    switch (err.reason) {
-      case Errors.OrderRefusal.Fenced:
-        this.#options.term.lose(err.message);
-        return Effect.succeed(StartFate.Over);
-      case Errors.OrderRefusal.OldRun:
-        // It ran and ended, or was stopped: the next look tells which.
-        occupant.knownSinceMs ??= clock.monotonicMs();
+    report: starters.StartReport,
+  ): Effect.Effect<void> {
+    const { term, listener, ports: { clock } } = this.#options;
+    const nowMs = clock.monotonicMs();
+    switch (report.outcome) {
+      case starters.StartOutcome.Running:
+        this.#clock.read(report.clockMs ?? 0, nowMs);
+        occupant.knownSinceMs ??= nowMs;
+        this.#reachable = true;
+        listener.runConfirmed(occupant);
+        return Effect.void;
+      case starters.StartOutcome.Earlier:
+        occupant.knownSinceMs ??= nowMs;
         this.#wake();
-        return Effect.succeed(StartFate.Over);
-      case Errors.OrderRefusal.Unhealthy:
-        this.health.failed(clock.monotonicMs());
-        break;
-      case Errors.OrderRefusal.Late:
-        return Effect.as(this.#look(), StartFate.NotThere);
-      default:
-        break;
+        return Effect.void;
+      case starters.StartOutcome.Replaced:
+        return this.endAll(Workflow.RunEnd.Lost);
+      case starters.StartOutcome.Fenced:
+        term.lose("a worker has seen a higher token");
+        return Effect.void;
+      case starters.StartOutcome.Refused:
+        this.health.refused(nowMs);
+        // The look tells what takes the room, and the worker's clock.
+        return Effect.andThen(
+          this.#look(),
+          Effect.suspend(() => this.#end(occupant, Workflow.RunEnd.Lost)),
+        );
+      case starters.StartOutcome.NotThere:
+        this.health.failed(nowMs);
+        return this.#end(occupant, Workflow.RunEnd.Lost);
+      case starters.StartOutcome.MayBeThere:
+        this.health.failed(nowMs);
+        return this.stop(occupant);
     }
-    return Effect.as(
-      this.#end(occupant, Workflow.RunEnd.Lost),
-      StartFate.Over,
-    );
   }
 
   /** Makes an order; null where no answer came or it was refused. */
@@ -430,13 +390,3 @@
     Deferred.doneUnsafe(this.#signal, Effect.void);
   }
 }
-
-/** What is known after one try to start a run. */
-enum StartFate {
-  /** Nothing more to do: it runs, or its end is taken in. */
-  Over,
-  /** It certainly did not arrive. */
-  NotThere,
-  /** It may run, now or later. */
-  Unknown,
-}
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -20,6 +20,10 @@
   Lost = "lost",
   /** It is carried out, and its answer is lost. */
   AnswerLost = "answer-lost",
+  /** It gets no answer and is carried out seconds later. */
+  Late = "late",
+  /** It is refused for want of room. */
+  NoRoom = "no-room",
 }
 
 /** One run, for the checks of tests. */
@@ -57,6 +61,8 @@
   readonly over: Map<string, number>;
 }
 
+const LATE_MS = 2500;
+
 /** All workers of a test. */
 export class MemoryTaskWorkers extends Ports.TaskWorkers {
   readonly #clock: Ports.Clock;
@@ -153,6 +159,18 @@
       if (fate === OrderFate.Lost || life === undefined) {
         return Effect.fail(lost);
       }
+      if (fate === OrderFate.NoRoom) {
+        return Effect.fail(this.#refuse(worker, Errors.OrderRefusal.NoRoom));
+      }
+      if (fate === OrderFate.Late) {
+        const later = Effect.sync(() => {
+          this.#advance(life);
+          work(life);
+        });
+        const order = Effect.andThen(this.#clock.sleep(LATE_MS), later);
+        Effect.runFork(Effect.ignoreCause(order));
+        return Effect.fail(lost);
+      }
       this.#advance(life);
       try {
         const result = work(life);
--- a/packages/workflow-node/src/takeover_test.ts
+++ b/packages/workflow-node/src/takeover_test.ts
@@ -152,4 +152,31 @@
     vitest.expect(fleet.workers.runs.length).toBe(1);
     await fleet.stop();
   });
+
+  vitest.it(
+    "never run twice where a start arrives after a refusal",
+    async () => {
+      const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
+      fleet.workers.behave = () => ({ runMs: 4000, fails: false });
+      let firstAtMs: number | null = null;
+      fleet.workers.carry = (_, order) => {
+        if (order !== "start") return StandIns.OrderFate.Carried;
+        const nowMs = fleet.clock.monotonicMs();
+        if (firstAtMs === null) {
+          firstAtMs = nowMs;
+          return StandIns.OrderFate.Late;
+        }
+        return nowMs < firstAtMs + 3000
+          ? StandIns.OrderFate.NoRoom
+          : StandIns.OrderFate.Carried;
+      };
+      await fleet.start();
+      const steps = [TestUtils.buildStep({ estimateMs: 4000 })];
+      await fleet.submit("node-1", ID, { steps });
+      vitest.expect(await fleet.until(() => isCompleted(fleet))).toBe(true);
+      await fleet.clock.advance(3000);
+      vitest.expect(fleet.workers.runs.length).toBe(1);
+      await fleet.stop();
+    },
+  );
 });
