Order by what can still end in time; keep room for waiting gangs

Cause: under overload, work that was late already went first, small tasks took every place that a waiting gang needed (first starts after 30 s), and urgent work beyond its guarantee stopped others for an objective that was lost.

--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -109,7 +109,10 @@
   return null;
 }
 
-/** Work that is lost when a task, and with it its gang, is stopped. */
+/**
+ * Work that is lost when a task, and with it its gang, is stopped. Urgent work
+ * that has to begin again misses its objective, so it counts once more.
+ */
 function costOf(task: Workflow.Task, context: EvictionContext): number {
   const { step } = task;
   const ranMs = Math.max(0, context.nowMs - task.startedAtMs);
@@ -119,7 +122,9 @@
   const weight = step.cpuMillis / 1000 +
     ACCELERATOR_WEIGHT * step.accelerators;
   const members = step.gang ? task.workflow.siblings(task).length : 1;
-  return members * (weight * lostMs / 1000 + RESTART_COST);
+  const isUrgent = task.workflow.spec.policy.priority === 0;
+  const late = isUrgent ? weight * step.estimateMs / 1000 : 0;
+  return members * (weight * lostMs / 1000 + RESTART_COST + late);
 }
 
 function isEvictable(task: Workflow.Task): boolean {
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -4,6 +4,7 @@
 import * as fleet from "./fleet.ts";
 import * as placement from "./placement.ts";
 import * as rank from "./rank.ts";
+import * as reservation from "./reservation.ts";
 
 /** What a plan is made from. */
 export interface PlanInput {
@@ -57,6 +58,9 @@
   return new Planner(input).run();
 }
 
+/** Gangs for which room is kept in one plan. */
+const MOST_RESERVED = 4;
+
 class Planner {
   readonly #input: PlanInput;
   readonly #ranks: rank.Ranks;
@@ -66,6 +70,7 @@
   readonly #stops = new Map<Workflow.Task, StopDecision>();
   readonly #waits: WaitDecision[] = [];
   /** Steps of which a task found no room; its siblings find none either. */
+  #reserved = 0;
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
   constructor(input: PlanInput) {
@@ -80,8 +85,8 @@
     for (const workflow of this.#input.workflows) {
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
-    units.sort(rank.compareUnits(this.#ranks));
-    for (const unit of units) this.#decide(unit);
+    const sorted = rank.sortUnits(units, this.#ranks, this.#input.wallMs);
+    for (const unit of sorted) this.#decide(unit);
     return {
       starts: this.#starts,
       stops: [...this.#stops.values()],
@@ -95,14 +100,34 @@
     const rooms = this.#roomsFor(unit);
     const places = this.#findFree(unit, rooms);
     if (places !== null) return this.#start(unit, places);
-    const isUrgent = unit.workflow.spec.policy.priority === 0;
-    if (isUrgent && this.#claim(unit, rooms)) return;
+    if (this.#mayClaim(unit) && this.#claim(unit, rooms)) return;
+    this.#reserveAhead(unit, rooms);
     this.#blocked.add(siblings);
     const needsAdvice = unit.workflow.spec.policy.advice !== null;
     const reason = needsAdvice ? WaitReason.Advice : WaitReason.Room;
     this.#waits.push({ unit, reason });
   }
 
+  /** Urgent work beyond a guarantee claims only while that is of use. */
+  #mayClaim(unit: Workflow.Unit): boolean {
+    if (unit.workflow.spec.policy.priority > 0) return false;
+    const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
+    return isGuaranteed ||
+      rank.hopeOf(unit, this.#input.wallMs) === rank.Hope.InTime;
+  }
+
+  /** Keeps the room that a waiting gang will get first from later units. */
+  #reserveAhead(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): void {
+    if (!unit.step.gang || this.#reserved >= MOST_RESERVED) return;
+    const places = reservation.findEarliest(unit, rooms, this.#input.nowMs);
+    if (places === null) return;
+    this.#reserved++;
+    for (const room of places) room.claim(unit, 1);
+  }
+
   #roomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
     const eligible = this.#rooms.filter(({ worker }) =>
       fleet.isEligible(worker, unit)
--- a/packages/workflow-scheduler/src/plan_test.ts
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -202,4 +202,31 @@
     const { starts } = plan(workers, [low, next]);
     vitest.expect(starts[0].workers[0]).toBe("worker-3");
   });
+
+  vitest.it("keeps room for a waiting gang from later units", () => {
+    const soon = buildWorkflow({ priority: 2, step: { estimateMs: 1000 } });
+    const workers = buildWorkers([1, 1], { 0: run(soon, "worker-0") });
+    const gang = buildWorkflow({ step: { count: 2, gang: true } });
+    const small = buildWorkflow({ priority: 2 });
+    vitest.expect(plan(workers, [soon, gang, small]).starts).toEqual([]);
+    const alone = plan(workers, [soon, small]).starts;
+    vitest.expect(alone.length).toBe(1);
+  });
+
+  vitest.it("takes what can still end in time before what cannot", () => {
+    const late = buildWorkflow({ acceptedAtMs: -10_000 });
+    const fresh = buildWorkflow({ acceptedAtMs: 0 });
+    const { starts } = plan(buildWorkers([1]), [late, fresh]);
+    vitest.expect(starts[0].unit.workflow).toBe(fresh);
+  });
+
+  vitest.it("lets late urgent work claim only inside its guarantee", () => {
+    const low = buildWorkflow({ priority: 2 });
+    const workers = buildWorkers([1], { 0: run(low, "worker-0") });
+    const urgent = buildWorkflow({ priority: 0, acceptedAtMs: -5000 });
+    const beyond = plan(workers, [low, urgent], { guarantees: { hana: 0 } });
+    vitest.expect(beyond.stops).toEqual([]);
+    const inside = plan(workers, [low, urgent], { guarantees: { hana: 1 } });
+    vitest.expect(inside.stops.length).toBe(1);
+  });
 });
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -52,13 +52,46 @@
   return Math.max(0, ...needs);
 }
 
-/** Orders units: rank first, then the time by which they should end. */
-export function compareUnits(
+/** What a unit that starts now can still reach. */
+export enum Hope {
+  /** It ends by its objective. */
+  InTime = 0,
+  /** It ends late, but within three times its objective. */
+  Late = 1,
+  None = 2,
+}
+
+/** An end within this many times the objective is late, and still of use. */
+const LATE_FACTOR = 3;
+
+/** What a unit can still reach if it starts now. */
+export function hopeOf(unit: Workflow.Unit, wallMs: number): Hope {
+  const { spec } = unit.workflow;
+  const dueMs = Workflow.dueAtMs(spec, unit.round);
+  const allowedMs = Workflow.objectiveAtMs(spec, unit.round) - dueMs;
+  const endMs = wallMs - dueMs + unit.step.estimateMs;
+  if (endMs <= allowedMs) return Hope.InTime;
+  return endMs <= allowedMs * LATE_FACTOR ? Hope.Late : Hope.None;
+}
+
+/**
+ * Orders units: rank first, then what they can still reach, then the time by
+ * which they should end.
+ */
+export function sortUnits(
+  units: readonly Workflow.Unit[],
   ranks: Ranks,
-): (a: Workflow.Unit, b: Workflow.Unit) => number {
-  const key = (unit: Workflow.Unit) =>
-    Workflow.objectiveAtMs(unit.workflow.spec, unit.round);
-  return (a, b) =>
-    ranks.of(a.workflow) - ranks.of(b.workflow) || key(a) - key(b) ||
-    a.stepIndex - b.stepIndex;
+  wallMs: number,
+): Workflow.Unit[] {
+  const keyed = units.map((unit) => ({
+    unit,
+    rank: ranks.of(unit.workflow),
+    hope: hopeOf(unit, wallMs),
+    objectiveMs: Workflow.objectiveAtMs(unit.workflow.spec, unit.round),
+  }));
+  keyed.sort((a, b) =>
+    a.rank - b.rank || a.hope - b.hope || a.objectiveMs - b.objectiveMs ||
+    a.unit.stepIndex - b.unit.stepIndex
+  );
+  return keyed.map(({ unit }) => unit);
 }
--- /dev/null
+++ b/packages/workflow-scheduler/src/reservation.ts
@@ -0,0 +1,71 @@
+/**
+ * Finds the places that a waiting gang will have first, by the estimated ends of
+ * what runs there.
+ */
+import * as Workflow from "@cairngate/workflow";
+import * as fleet from "./fleet.ts";
+import * as placement from "./placement.ts";
+
+/** A run that is late by its estimate ends, we guess, after this time. */
+const OVERDUE_MS = 500;
+
+interface Ending {
+  readonly room: fleet.WorkerRoom;
+  readonly task: Workflow.Task;
+  readonly atMs: number;
+}
+
+/** The places that are free first; null where the unit fits nowhere. */
+export function findEarliest(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  nowMs: number,
+): placement.Places | null {
+  const near = placement.nearWorkers(unit, rooms);
+  if (!placement.wantsOneRack(unit)) {
+    return searchAmong(unit, near, nowMs)?.places ?? null;
+  }
+  let best: { places: placement.Places; atMs: number } | null = null;
+  for (const rack of placement.groupByRack(near).values()) {
+    const found = searchAmong(unit, rack, nowMs);
+    if (found === null) continue;
+    if (best === null || found.atMs < best.atMs) best = found;
+  }
+  return best?.places ?? null;
+}
+
+/** Lets runs end one after another until the unit fits. */
+function searchAmong(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  nowMs: number,
+): { places: placement.Places; atMs: number } | null {
+  if (placement.findAmong(unit, rooms, (r) => r.worker.total) === null) {
+    return null;
+  }
+  const amounts = new Map(rooms.map((room) => [room, { ...room.soon }]));
+  const roomOf = (room: fleet.WorkerRoom) => amounts.get(room) ?? room.soon;
+  for (const { room, task, atMs } of listEndings(rooms, nowMs)) {
+    const amount = amounts.get(room);
+    if (amount !== undefined) fleet.give(amount, task.step);
+    const places = placement.findAmong(unit, rooms, roomOf);
+    if (places !== null) return { places, atMs };
+  }
+  return null;
+}
+
+function listEndings(
+  rooms: readonly fleet.WorkerRoom[],
+  nowMs: number,
+): Ending[] {
+  const endings: Ending[] = [];
+  for (const room of rooms) {
+    for (const task of room.worker.occupants) {
+      if (task.state === Workflow.TaskState.Stopping) continue;
+      const expectedMs = task.startedAtMs + task.step.estimateMs;
+      const atMs = Math.max(expectedMs, nowMs + OVERDUE_MS);
+      endings.push({ room, task, atMs });
+    }
+  }
+  return endings.sort((a, b) => a.atMs - b.atMs);
+}
