Price the time of a stop and restart by the weight of the task

Cause: a stop cost 5 core-seconds whatever stopped, so many light tasks were stopped where one heavy one would have done, each with its stop and restart.

--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -19,8 +19,8 @@
 
 /** Core-seconds that one accelerator-second counts for. */
 const ACCELERATOR_WEIGHT = 8;
-/** Price of any stop, in core-seconds: the task has to start again. */
-const RESTART_COST = 5;
+/** Time for which a place is of no use around any stop and restart, in ms. */
+const RESTART_MS = 1000;
 /** Work that a task with checkpoints loses at most, in ms. */
 const LOST_WITH_CHECKPOINT_MS = 100;
 
@@ -124,7 +124,7 @@
   const members = step.gang ? task.workflow.siblings(task).length : 1;
   const isUrgent = task.workflow.spec.policy.priority === 0;
   const late = isUrgent ? weight * step.estimateMs / 1000 : 0;
-  return members * (weight * lostMs / 1000 + RESTART_COST + late);
+  return members * (weight * (lostMs + RESTART_MS) / 1000 + late);
 }
 
 function isEvictable(task: Workflow.Task): boolean {
