Let nothing wait for a better place while most of the fleet is free

Cause: room kept for gangs, and waiting for the rack of the data, could leave a workflow without a run for seconds beside free workers, which the users' rules forbid while under half of the capacity is in use. Conclusion: below 55% in use there are no reservations, and 2 s of patience.

--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -105,6 +105,28 @@
   return need === 0 ? Number.POSITIVE_INFINITY : Math.floor(room / need);
 }
 
+/** Share of the fleet's capacity that is taken, by the scarcest resource. */
+export function usedShare(rooms: readonly WorkerRoom[]): number {
+  const total = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  for (const room of rooms) {
+    add(total, room.worker.total);
+    add(free, room.free);
+  }
+  const shareOf = (all: number, left: number) => all === 0 ? 0 : 1 - left / all;
+  return Math.max(
+    shareOf(total.cpuMillis, free.cpuMillis),
+    shareOf(total.memoryMb, free.memoryMb),
+    shareOf(total.accelerators, free.accelerators),
+  );
+}
+
+function add(sum: Amounts, amounts: Workflow.Resources): void {
+  sum.cpuMillis += amounts.cpuMillis;
+  sum.memoryMb += amounts.memoryMb;
+  sum.accelerators += amounts.accelerators;
+}
+
 /** Whether a worker may run a step at all. */
 export function isEligible(
   worker: WorkerState,
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -61,6 +61,10 @@
 /** Gangs for which room is kept in one plan. */
 const MOST_RESERVED = 4;
 
+/** Below this share in use, work waits only briefly for a better place. */
+const IDLE_SHARE = 0.55;
+const IDLE_WAIT_MS = 2000;
+
 class Planner {
   readonly #input: PlanInput;
   readonly #ranks: rank.Ranks;
@@ -70,6 +74,8 @@
   readonly #stops = new Map<Workflow.Task, StopDecision>();
   readonly #waits: WaitDecision[] = [];
   /** Steps of which a task found no room; its siblings find none either. */
+  /** Most of the fleet is free: nothing should wait for a better place. */
+  readonly #isIdle: boolean;
   #reserved = 0;
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
@@ -77,6 +83,7 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
+    this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
   }
 
@@ -121,7 +128,8 @@
     unit: Workflow.Unit,
     rooms: readonly fleet.WorkerRoom[],
   ): void {
-    if (!unit.step.gang || this.#reserved >= MOST_RESERVED) return;
+    const isDue = unit.step.gang && !this.#isIdle;
+    if (!isDue || this.#reserved >= MOST_RESERVED) return;
     const places = reservation.findEarliest(unit, rooms, this.#input.nowMs);
     if (places === null) return;
     this.#reserved++;
@@ -157,7 +165,8 @@
     if (step.rack === null && !placement.wantsOneRack(unit)) return true;
     if (!placement.couldBeNear(unit, rooms)) return false;
     const dueMs = Workflow.dueAtMs(workflow.spec, unit.round);
-    const patienceMs = (this.#input.remotePenalty - 1) * step.estimateMs;
+    const gainMs = (this.#input.remotePenalty - 1) * step.estimateMs;
+    const patienceMs = this.#isIdle ? Math.min(gainMs, IDLE_WAIT_MS) : gainMs;
     return this.#input.wallMs - dueMs < patienceMs;
   }
 
