--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -3,7 +3,7 @@
 import * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
 import * as StandIns from "@cairngate/stand-ins";
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import * as Node from "@cairngate/workflow-node";
 import * as Effect from "effect/Effect";
 import * as clocks from "./fake_clock.ts";
@@ -52,27 +52,13 @@
 export function buildStep(
   changes: Partial<Workflow.StepSpec> = {},
 ): Workflow.StepSpec {
-  return {
-    count: 1,
+  return Workflow.createStep({
     cpuMillis: 1000,
     memoryMb: 1000,
     accelerators: 1,
     estimateMs: 1000,
-    after: [],
-    checkpoints: false,
-    gang: false,
-    sameRack: false,
-    label: null,
-    rack: null,
-    perWorker: 0,
-    duplicates: false,
-    lasting: false,
-    image: "",
-    latencyTargetMs: 0,
-    fills: false,
-    mayMiss: 0,
     ...changes,
-  };
+  });
 }
 
 interface FleetNode {
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -2,6 +2,7 @@
 export {
   type AdvicePolicy,
   countRounds,
+  createStep,
   dueAtMs,
   longestChainMs,
   objectiveAtMs,
--- a/packages/workflow/src/spec.ts
+++ b/packages/workflow/src/spec.ts
@@ -41,6 +41,32 @@
   readonly mayMiss: number;
 }
 
+const NOTHING_ASKED: StepSpec = {
+  count: 1,
+  cpuMillis: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  estimateMs: 0,
+  after: [],
+  checkpoints: false,
+  gang: false,
+  sameRack: false,
+  label: null,
+  rack: null,
+  perWorker: 0,
+  duplicates: false,
+  lasting: false,
+  image: "",
+  latencyTargetMs: 0,
+  fills: false,
+  mayMiss: 0,
+};
+
+/** A step of one task that asks for nothing but what is given here. */
+export function createStep(asked: Partial<StepSpec>): StepSpec {
+  return { ...NOTHING_ASKED, ...asked };
+}
+
 /** When the steps of a scheduled workflow run again. */
 export interface Schedule {
   /** Wall-clock time of the first round. */
