Start unscheduled workflows at once, whatever the accepting clock said

Cause: a workflow without a schedule counted as due at its acceptance, by the accepting node's clock; where that was 2 s ahead, its tasks waited 2 s. Figures: the new test fails on the old code, passes now. Conclusion: only rounds of a schedule wait for the clock.

--- a/packages/workflow/src/spec.ts
+++ b/packages/workflow/src/spec.ts
@@ -123,6 +123,18 @@
   return spec.schedule.firstAtMs + round * spec.schedule.everyMs;
 }
 
+/**
+ * Whether a round may start. Without a schedule it always may: the clock of the
+ * node that accepted the workflow may be ahead of this one's.
+ */
+export function isDue(
+  spec: WorkflowSpec,
+  round: number,
+  wallMs: number,
+): boolean {
+  return spec.schedule === null || dueAtMs(spec, round) <= wallMs;
+}
+
 /** Estimated length of the longest chain of steps. */
 export function longestChainMs(steps: readonly StepSpec[]): number {
   const ends: number[] = [];
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -78,7 +78,7 @@
     if (this.isOver) return [];
     const units: Unit[] = [];
     for (let round = 0; round < this.rounds.length; round++) {
-      if (spec.dueAtMs(this.spec, round) > wallMs) break;
+      if (!spec.isDue(this.spec, round, wallMs)) break;
       this.spec.steps.forEach((_, stepIndex) => {
         if (this.#mayStart(round, stepIndex)) {
           units.push(...this.#unitsOf(round, stepIndex));
@@ -88,16 +88,6 @@
     return units;
   }
 
-  /** Next time at which a round falls due; null where none is to come. */
-  nextDueMs(wallMs: number): number | null {
-    if (this.isOver) return null;
-    for (let round = 0; round < this.rounds.length; round++) {
-      const dueMs = spec.dueAtMs(this.spec, round);
-      if (dueMs > wallMs) return dueMs;
-    }
-    return null;
-  }
-
   /** Takes in the end of a run. Returns false where it is old news. */
   endRun(
     task: tasks.Task,
--- a/packages/workflow/src/workflow_test.ts
+++ b/packages/workflow/src/workflow_test.ts
@@ -104,6 +104,11 @@
     vitest.expect(workflow.readyUnits(1600).length).toBe(2);
   });
 
+  vitest.it("starts at once although the accepting clock was ahead", () => {
+    const workflow = build([TestUtils.buildStep()]);
+    vitest.expect(workflow.readyUnits(-2000).length).toBe(1);
+  });
+
   vitest.it("is cancelled once nothing of it runs", () => {
     const workflow = build([TestUtils.buildStep()]);
     placeAll(workflow);
