Take workers off that are no longer listed; ask them nothing more

Cause: a removed row was looked up by its row's key, which is not the worker's id, so workers that had left stayed listed, got work, and were asked each 300 ms for the rest of the term. Ruled out: the feed; it tells removed rows by their key, as it should. Conclusion: the directory keeps which worker a row was; sessions that hold nothing and are not listed are closed.

--- a/packages/coordinator/src/run_watch.ts
+++ b/packages/coordinator/src/run_watch.ts
@@ -27,6 +27,7 @@
     const runs = this.#runsInProgress();
     this.#restartStragglers(runs);
     this.#evacuate(runs);
+    this.#directory.dropGone();
   }
 
   #restartStragglers(runs: readonly stragglers.RunProgress[]): void {
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -19,6 +19,8 @@
   readonly #listings = new Map<string, Ports.WorkerListing>();
   readonly #sessions = new Map<string, sessions.WorkerSession>();
   readonly #fibers = new Map<string, Fiber.Fiber<void>>();
+  /** Worker of each row; a removed row shows no more than its key. */
+  readonly #idOfRow = new Map<string, string>();
   /** Our time by which a draining worker may leave. */
   readonly #leavesAtMs = new Map<string, number>();
   readonly #foreignLapseMs: number;
@@ -47,10 +49,12 @@
     entries: readonly Ports.FeedEntry<Ports.WorkerListing>[],
   ): Effect.Effect<void> {
     return Effect.forEach(entries, ({ key, value }) => {
-      if (value !== null) return this.#list(value);
-      this.#listings.delete(key);
-      this.#leavesAtMs.delete(key);
-      return this.#closeIfIdle(key);
+      if (value !== null) {
+        this.#idOfRow.set(key, value.id);
+        return this.#list(value);
+      }
+      this.#unlist(key);
+      return Effect.void;
     }, { discard: true });
   }
 
@@ -103,6 +107,14 @@
     return states;
   }
 
+  /** Closes sessions with workers that are not listed and hold nothing. */
+  dropGone(): void {
+    for (const [id, session] of this.#sessions) {
+      const isGone = !this.#listings.has(id) && session.isIdle;
+      if (isGone) this.#drop(id);
+    }
+  }
+
   /** Ends all fibers of the sessions. */
   close(): Effect.Effect<void> {
     return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
@@ -123,6 +135,14 @@
     });
   }
 
+  #unlist(rowKey: string): void {
+    const id = this.#idOfRow.get(rowKey);
+    if (id === undefined) return;
+    this.#idOfRow.delete(rowKey);
+    this.#listings.delete(id);
+    this.#leavesAtMs.delete(id);
+  }
+
   #noteLeaving(listing: Ports.WorkerListing): void {
     const { id, draining, leavesInMs } = listing;
     if (!draining || leavesInMs === null) return;
@@ -147,14 +167,6 @@
     this.#fibers.set(session.ref.id, Effect.runFork(session.run()));
   }
 
-  #closeIfIdle(id: string): Effect.Effect<void> {
-    return Effect.sync(() => {
-      const session = this.#sessions.get(id);
-      if (session === undefined || session.occupants.length > 0) return;
-      this.#drop(id);
-    });
-  }
-
   #drop(id: string): void {
     this.#sessions.delete(id);
     const fiber = this.#fibers.get(id);
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -101,6 +101,12 @@
       !this.health.isAside(nowMs);
   }
 
+  /** Whether nothing is left to learn or to tell. */
+  get isIdle(): boolean {
+    return this.#occupants.size === 0 &&
+      (!this.#reachable || !this.#ends.hasNews);
+  }
+
   /** Whether this life of the worker has ended. */
   get isOver(): boolean {
     return this.#over;
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -205,6 +205,11 @@
     this.write(`${WORKERS_PREFIX}${spec.id}`, listing);
   }
 
+  /** Takes a worker off the list. */
+  unlist(id: string): void {
+    this.write(`${WORKERS_PREFIX}${id}`, null);
+  }
+
   /** Puts a configuration in force. */
   applyConfig(config: Ports.AccessConfig): void {
     this.write(`${CONFIG_PREFIX}config`, config);
--- a/packages/workflow-node/src/lost_workers_test.ts
+++ b/packages/workflow-node/src/lost_workers_test.ts
@@ -30,4 +30,27 @@
     vitest.expect(fleet.workers.runs.length).toBe(2);
     await fleet.stop();
   });
+
+  vitest.it("is not asked any more once it has left", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
+    fleet.workers.behave = () => ({ runMs: 8000, fails: false });
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ estimateMs: 8000 })];
+    await fleet.submit("node-1", "a000000000000001", { steps });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const [first] = fleet.workers.runs;
+    let asked = 0;
+    fleet.workers.carry = (worker) => {
+      if (worker !== first.worker) return StandIns.OrderFate.Carried;
+      asked++;
+      return StandIns.OrderFate.Lost;
+    };
+    fleet.unlist(first.worker);
+    await fleet.until(() => fleet.workers.runs.length === 2);
+    await fleet.clock.advance(1000);
+    asked = 0;
+    await fleet.clock.advance(5000);
+    vitest.expect(asked).toBe(0);
+    await fleet.stop();
+  });
 });
