Lay what callers write into eight partitions of the store

Cause: an outage of a share of the store's partitions hit the one that held all rows, so that every request was refused while most of the store was up.

--- a/packages/coordinator/src/intake.ts
+++ b/packages/coordinator/src/intake.ts
@@ -1,6 +1,5 @@
 /** Turns the rows of accepted and cancelled workflows into events. */
 import type * as Ports from "@cairngate/ports";
-import * as TableClient from "@cairngate/table-client";
 import type * as Workflow from "@cairngate/workflow";
 
 /** What the rows say has happened. */
@@ -17,8 +16,7 @@
   const cancelled: string[] = [];
   for (const { key, value } of entries) {
     if (value === null) continue;
-    const [id, kind] = key.slice(TableClient.Keys.INTAKE_PREFIX.length)
-      .split("/");
+    const [, id, kind] = key.split("/");
     if (kind === "cancel") cancelled.push(id);
     if (kind === "spec") accepted.push(value as Workflow.WorkflowSpec);
   }
--- a/packages/coordinator/src/recorder.ts
+++ b/packages/coordinator/src/recorder.ts
@@ -10,12 +10,13 @@
 import type * as election from "./election.ts";
 import type * as ports from "./ports.ts";
 
-/** Workflows in one transaction; each takes up to three of its entries. */
-const MOST_WORKFLOWS = 30;
+/** Workflows in one transaction; each takes two of its entries. */
+const MOST_WORKFLOWS = 45;
 /** A write is given up only with the term. */
 const NO_LIMIT_MS = 3_600_000;
 /** A write that takes longer holds up further plans. */
 const STALLED_MS = 600;
+const MARK_RETRY_MS = 1000;
 
 /** Groups records; one for each term. */
 export class Recorder {
@@ -120,20 +121,28 @@
 
   #noteWritten(workflow: Workflow.Workflow, revision: number): void {
     this.#revisions.set(workflow, revision);
-    if (hasBegun(workflow)) this.#marked.delete(workflow);
+    if (!hasBegun(workflow) || !this.#marked.delete(workflow)) return;
+    Effect.runFork(this.#removeMark(workflow));
   }
 
-  #rowsOf(workflow: Workflow.Workflow): { key: string; value: unknown }[] {
+  /** The mark lies in another partition; it may stay a little longer. */
+  #removeMark(workflow: Workflow.Workflow): Effect.Effect<void> {
+    const { store, clock } = this.#ports;
     const { id, policy } = workflow.spec;
-    const value = Workflow.toProgress(workflow);
-    const rows: { key: string; value: unknown }[] = [
-      { key: TableClient.Keys.progressKey(id), value },
-    ];
-    if (hasBegun(workflow) && this.#marked.has(workflow)) {
-      const key = TableClient.Keys.waitingKey(policy.queue, id);
-      rows.push({ key, value: null });
-    }
-    return rows;
+    const key = TableClient.Keys.waitingKey(policy.queue, id);
+    const write = { conditions: [], writes: [{ key, value: null }] };
+    return Effect.gen({ self: this }, function* () {
+      while (!this.#term.isLost) {
+        const done = yield* Effect.result(store.write(write));
+        if (done._tag === "Success") return;
+        yield* clock.sleep(MARK_RETRY_MS);
+      }
+    });
+  }
+
+  #rowsOf(workflow: Workflow.Workflow): { key: string; value: unknown }[] {
+    const key = TableClient.Keys.progressKey(workflow.spec.id);
+    return [{ key, value: Workflow.toProgress(workflow) }];
   }
 }
 
--- a/packages/coordinator/src/workflow_book.ts
+++ b/packages/coordinator/src/workflow_book.ts
@@ -126,16 +126,24 @@
     }).pipe(Effect.catch(() => Effect.void));
   }
 
+  /**
+   * The spec goes first: progress without a spec is nothing, but a spec without
+   * progress would be run again.
+   */
   #remove(workflow: Workflow.Workflow) {
     const { id } = workflow.spec;
-    const keys = [
+    const { store } = this.#ports;
+    const intake = [
       TableClient.Keys.workflowKey(id),
       TableClient.Keys.cancelKey(id),
-      TableClient.Keys.progressKey(id),
     ];
-    const writes = keys.map((key) => ({ key, value: null }));
-    const conditions = [this.#term.condition];
-    return Effect.map(this.#ports.store.write({ conditions, writes }), () => {
+    const progress = [TableClient.Keys.progressKey(id)];
+    const toWrites = (keys: readonly string[]) =>
+      keys.map((key) => ({ key, value: null }));
+    return Effect.gen({ self: this }, function* () {
+      yield* store.write({ conditions: [], writes: toWrites(intake) });
+      const conditions = [this.#term.condition];
+      yield* store.write({ conditions, writes: toWrites(progress) });
       this.#workflows.delete(id);
       this.#cancels.delete(id);
       this.#endedAtMs.delete(id);
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -113,9 +113,14 @@
   countWaiting(
     allowed: access.Access,
   ): Effect.Effect<number, Errors.StoreUnavailableError> {
-    const prefix = TableClient.Keys.waitingPrefix(allowed.route.queue);
-    const rows = this.#store.scan(prefix, 0, READ_LIMIT_MS);
-    return Effect.map(rows, (found) => found.length);
+    const prefixes = TableClient.Keys.waitingPrefixes(allowed.route.queue);
+    const scans = prefixes.map((prefix) =>
+      this.#store.scan(prefix, 0, READ_LIMIT_MS)
+    );
+    return Effect.map(
+      Effect.all(scans, { concurrency: "unbounded" }),
+      (found) => found.flat().length,
+    );
   }
 
   #find(
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -1,4 +1,5 @@
 /** Keys of the rows that cairngate keeps in the table service. */
+import * as crypto from "node:crypto";
 
 /** Owner row of a cell: epoch and holder; changes on takeover only. */
 export function ownerKey(cell: string): string {
@@ -65,17 +66,39 @@
   return `results/${cell}/${jobId}`;
 }
 
-/** Rows that callers' requests write: accepted workflows and cancels. */
-export const INTAKE_PREFIX = "intake/";
+/**
+ * What callers write lies in several partitions, so that an outage of some of
+ * them leaves the others open for new work. A partition is named behind the
+ * table, as in `intake:3/...`; a transaction stays within one.
+ */
+export const INTAKE_PARTITIONS: readonly string[] = [
+  "0",
+  "1",
+  "2",
+  "3",
+  "4",
+  "5",
+  "6",
+  "7",
+];
+
+/** Table of accepted workflows and cancels. */
+export const INTAKE_TABLE = "intake";
+
+/** Partition of what callers write about one workflow. */
+export function partitionOf(id: string): string {
+  const [first] = crypto.createHash("sha1").update(id).digest();
+  return INTAKE_PARTITIONS[first % INTAKE_PARTITIONS.length];
+}
 
 /** Row of an accepted workflow; never changes. */
 export function workflowKey(id: string): string {
-  return `${INTAKE_PREFIX}${id}/spec`;
+  return `${INTAKE_TABLE}:${partitionOf(id)}/${id}/spec`;
 }
 
 /** Row that says: a caller has cancelled this workflow. */
 export function cancelKey(id: string): string {
-  return `${INTAKE_PREFIX}${id}/cancel`;
+  return `${INTAKE_TABLE}:${partitionOf(id)}/${id}/cancel`;
 }
 
 /** Rows of the progress of workflows. */
@@ -86,14 +109,14 @@
   return `${PROGRESS_PREFIX}${id}`;
 }
 
-/** Start of the keys of a queue's workflows that have not begun. */
-export function waitingPrefix(queue: string): string {
-  return `waiting/${queue}/`;
+/** Starts of the keys of a queue's workflows that have not begun. */
+export function waitingPrefixes(queue: string): readonly string[] {
+  return INTAKE_PARTITIONS.map((part) => `waiting:${part}/${queue}/`);
 }
 
 /** Marks a workflow that has not begun. */
 export function waitingKey(queue: string, id: string): string {
-  return `${waitingPrefix(queue)}${id}`;
+  return `waiting:${partitionOf(id)}/${queue}/${id}`;
 }
 
 /** Rows by which the nodes elect a coordinator. */
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -138,7 +138,7 @@
       feeds: {
         config: feed<Ports.AccessConfig>(CONFIG_PREFIX),
         workers: feed<Ports.WorkerListing>(WORKERS_PREFIX),
-        intake: feed<unknown>("intake/"),
+        intake: feed<unknown>("intake"),
         election: feed<unknown>("election/"),
       },
       bounds: FLEET_BOUNDS,
