Leave lasting steps what they need; split strays and the listener off

Cause: urgent work could stop more tasks of a lasting step than may be away, and a lasting task stayed on a draining worker to its end; the session's file held three jobs. Ruled out: nothing; the sites have no lasting work, so only tests tell.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -12,9 +12,9 @@
 import type * as ports from "./ports.ts";
 import * as recorders from "./recorder.ts";
 import * as controls from "./run_control.ts";
+import * as listeners from "./session_listener.ts";
 import * as watches from "./run_watch.ts";
 import * as directories from "./worker_directory.ts";
-import * as sessions from "./worker_session.ts";
 import * as books from "./workflow_book.ts";
 
 /** A silent link is noticed soon after this wait. */
@@ -24,7 +24,7 @@
 const WATCH_MS = 400;
 
 /** Coordinates all workflows under one fencing token. */
-export class Coordinator extends sessions.SessionListener {
+export class Coordinator extends listeners.SessionListener {
   readonly #ports: ports.CoordinatorPorts;
   readonly #term: election.Term;
   readonly #recorder: recorders.Recorder;
@@ -108,9 +108,9 @@
   }
 
   override runEnded(
-    session: sessions.WorkerSession,
+    worker: listeners.SessionWorker,
     occupant: occupants.Occupant,
-    end: sessions.SessionEnd,
+    end: listeners.SessionEnd,
   ): Effect.Effect<void> {
     const { task, run } = occupant;
     const { workflow } = task;
@@ -119,8 +119,8 @@
     const wasOver = workflow.isOver;
     workflow.endRun(task, { run, ...end }, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
-    if (end.how === Workflow.RunEnd.Done) session.health.succeeded();
-    else this.#runLost(session, occupant, end.how);
+    if (end.how === Workflow.RunEnd.Done) worker.health.succeeded();
+    else this.#runLost(worker, occupant, end.how);
     if (workflow.isOver && !wasOver) this.#control.stopAll(workflow);
     this.#book.conclude(workflow);
     this.roomChanged();
@@ -140,16 +140,16 @@
   }
 
   #runLost(
-    session: sessions.WorkerSession,
+    worker: listeners.SessionWorker,
     occupant: occupants.Occupant,
     how: Workflow.RunEnd,
   ): void {
     const { task, run } = occupant;
     const { clock, log } = this.#ports;
     task.workflow.lostRuns++;
-    log.info(`Run ${run} of ${task.name} on ${session.ref.id}: ${how}.`);
+    log.info(`Run ${run} of ${task.name} on ${worker.ref.id}: ${how}.`);
     if (how === Workflow.RunEnd.Failed) {
-      session.health.failed(clock.monotonicMs());
+      worker.health.failed(clock.monotonicMs());
     }
     if (task.step.gang) this.#control.stopGang(task, run);
   }
--- a/packages/coordinator/src/evacuation.ts
+++ b/packages/coordinator/src/evacuation.ts
@@ -27,7 +27,7 @@
 
 function shouldLeave(run: LeavingRun): boolean {
   const { step } = run.task;
-  if (step.lasting) return false;
+  if (step.lasting) return true;
   const hasTimeMs = step.checkpoints ? run.leavesInMs : run.leavesInMs * BET;
   return remainingMs(run) > hasTimeMs;
 }
--- a/packages/coordinator/src/evacuation_test.ts
+++ b/packages/coordinator/src/evacuation_test.ts
@@ -39,6 +39,11 @@
     vitest.expect(evacuation.findLeaving([plain, saved])).toEqual([saved.task]);
   });
 
+  vitest.it("moves a lasting task at once, for it never ends", () => {
+    const run = buildRun({ leavesInMs: 60_000 }, { lasting: true });
+    vitest.expect(evacuation.findLeaving([run])).toEqual([run.task]);
+  });
+
   vitest.it("goes by the estimate while there is little to go by", () => {
     const run = buildRun({ ranMs: 100, percent: 0 });
     vitest.expect(evacuation.findLeaving([run])).toEqual([run.task]);
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -1,6 +1,5 @@
 /** The platform's list of workers, followed, and a session with each of them. */
 import type * as Ports from "@cairngate/ports";
-import * as Workflow from "@cairngate/workflow";
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
@@ -129,7 +128,7 @@
       for (const [id, former] of this.#sessions) {
         if (id === listing.id) continue;
         if (former.ref.address !== listing.address || former.isOver) continue;
-        yield* former.endAll(Workflow.RunEnd.Lost);
+        yield* former.endAll();
         this.#drop(id);
       }
     });
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -4,7 +4,7 @@
  */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
-import * as Workflow from "@cairngate/workflow";
+import type * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as election from "./election.ts";
@@ -13,33 +13,15 @@
 import * as endLedgers from "./end_ledger.ts";
 import * as occupants from "./occupant.ts";
 import * as starters from "./run_starter.ts";
+import * as listeners from "./session_listener.ts";
+import * as strays from "./stray_runs.ts";
 import * as healths from "./worker_health.ts";
 
-/** The end of a run, for the coordinator. */
-export interface SessionEnd {
-  readonly how: Workflow.RunEnd;
-  readonly checkpoint: string;
-}
-
-/** Told by a session of what happens at its worker. */
-export abstract class SessionListener {
-  /** A run is over; the effect ends when that is recorded. */
-  abstract runEnded(
-    session: WorkerSession,
-    occupant: occupants.Occupant,
-    end: SessionEnd,
-  ): Effect.Effect<void>;
-  /** A run is confirmed to be there. */
-  abstract runConfirmed(occupant: occupants.Occupant): void;
-  /** The room or the reach of the worker has changed. */
-  abstract roomChanged(): void;
-}
-
 /** What a session needs. */
 export interface SessionOptions {
   readonly ports: ports.CoordinatorPorts;
   readonly term: election.Term;
-  readonly listener: SessionListener;
+  readonly listener: listeners.SessionListener;
   readonly ref: Ports.WorkerRef;
   /** Our time by which leases of earlier coordinators have run out. */
   readonly lapsesAtMs: number;
@@ -51,15 +33,6 @@
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
 
-const END_OF_KIND: Readonly<Record<Ports.EndKind, Workflow.RunEnd>> = {
-  done: Workflow.RunEnd.Done,
-  failed: Workflow.RunEnd.Failed,
-  stopped: Workflow.RunEnd.Stopped,
-  lapsed: Workflow.RunEnd.Lapsed,
-  broken: Workflow.RunEnd.Broken,
-  alone: Workflow.RunEnd.Alone,
-};
-
 /** One worker life. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
@@ -68,7 +41,7 @@
   readonly #clock: leaseClocks.LeaseClock;
   readonly #starter: starters.RunStarter;
   readonly #occupants = new Map<string, occupants.Occupant>();
-  readonly #strays = new Set<string>();
+  readonly #strays = new strays.StrayRuns();
   readonly #ends = new endLedgers.EndLedger();
   #reachable = true;
   #over = false;
@@ -97,7 +70,7 @@
   /** Whether new work may be sent here. */
   get isUsable(): boolean {
     const nowMs = this.#options.ports.clock.monotonicMs();
-    return !this.#over && this.#reachable && this.#strays.size === 0 &&
+    return !this.#over && this.#reachable && this.#strays.count === 0 &&
       !this.health.isAside(nowMs);
   }
 
@@ -135,7 +108,7 @@
     return Effect.gen({ self: this }, function* () {
       const { task } = occupant;
       if (occupant.stopping || task.workflow.isOver || this.#over) {
-        return yield* this.#end(occupant, Workflow.RunEnd.Lost);
+        return yield* this.#end(occupant, listeners.LOST);
       }
       occupant.sent = true;
       this.#wake();
@@ -166,11 +139,13 @@
   }
 
   /** The worker has left or was replaced: nothing runs there any more. */
-  endAll(how: Workflow.RunEnd): Effect.Effect<void> {
+  endAll(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       this.#over = true;
       this.#wake();
-      for (const occupant of this.occupants) yield* this.#end(occupant, how);
+      for (const occupant of this.occupants) {
+        yield* this.#end(occupant, listeners.LOST);
+      }
     });
   }
 
@@ -189,7 +164,7 @@
   }
 
   #hasBusiness(): boolean {
-    return this.#ends.hasNews || this.#strays.size > 0 ||
+    return this.#ends.hasNews || this.#strays.count > 0 ||
       this.occupants.some((occupant) => occupant.sent) || !this.#reachable;
   }
 
@@ -215,7 +190,7 @@
         this.#wake();
         return Effect.void;
       case starters.StartOutcome.Replaced:
-        return this.endAll(Workflow.RunEnd.Lost);
+        return this.endAll();
       case starters.StartOutcome.Fenced:
         term.lose("a worker has seen a higher token");
         return Effect.void;
@@ -224,11 +199,11 @@
         // The look tells what takes the room, and the worker's clock.
         return Effect.andThen(
           this.#look(),
-          Effect.suspend(() => this.#end(occupant, Workflow.RunEnd.Lost)),
+          Effect.suspend(() => this.#end(occupant, listeners.LOST)),
         );
       case starters.StartOutcome.NotThere:
         this.health.failed(nowMs);
-        return this.#end(occupant, Workflow.RunEnd.Lost);
+        return this.#end(occupant, listeners.LOST);
       case starters.StartOutcome.MayBeThere:
         this.health.failed(nowMs);
         return this.stop(occupant);
@@ -246,7 +221,7 @@
       if (timed._tag === "Success") return timed.success?.value ?? null;
       const err = timed.failure;
       if (err._tag === "WorkerReplacedError") {
-        yield* this.endAll(Workflow.RunEnd.Lost);
+        yield* this.endAll();
       }
       const isFenced = err._tag === "OrderRefusedError" &&
         err.reason === Errors.OrderRefusal.Fenced;
@@ -285,7 +260,7 @@
 
   #waitMs(): number {
     const settled = this.#clock.isKnown && this.#reachable &&
-      !this.#ends.hasNews && this.#strays.size === 0 &&
+      !this.#ends.hasNews && this.#strays.count === 0 &&
       this.occupants.every((o) =>
         !o.sent || (o.knownSinceMs !== occupants.EARLIER_TERM)
       );
@@ -303,7 +278,7 @@
       }
       if (this.#clock.hasLapsed(clock.monotonicMs())) {
         for (const occupant of this.occupants) {
-          if (occupant.sent) yield* this.#end(occupant, Workflow.RunEnd.Lost);
+          if (occupant.sent) yield* this.#end(occupant, listeners.LOST);
         }
       }
       yield* clock.sleep(RETRY_MS * 2);
@@ -323,7 +298,7 @@
         const { knownSinceMs } = occupant;
         const isMissing = knownSinceMs !== null && knownSinceMs < sentAtMs &&
           !held.has(occupant);
-        if (isMissing) records.push(this.#end(occupant, Workflow.RunEnd.Lost));
+        if (isMissing) records.push(this.#end(occupant, listeners.LOST));
       }
       if (records.length > 0 || fresh.length > 0) {
         this.#ends.recordAfter(records, () => this.#wake());
@@ -337,22 +312,22 @@
   }
 
   #takeEnd(ended: Ports.EndedRun): Effect.Effect<void> | null {
-    this.#strays.delete(`${ended.task}@${ended.run}`);
+    this.#strays.ended(ended);
     const occupant = this.#occupants.get(ended.task);
     if (occupant === undefined || occupant.run !== ended.run) return null;
-    return this.#end(occupant, END_OF_KIND[ended.how], ended.checkpoint);
+    return this.#end(occupant, listeners.toSessionEnd(ended));
   }
 
   /** Confirms runs that are held; stops those that nobody expects. */
   #takeHeld(view: Ports.WorkerView): Set<occupants.Occupant> {
     const { listener, ports: { clock } } = this.#options;
     const held = new Set<occupants.Occupant>();
-    const strays = new Set<string>();
+    const unexpected: Ports.RunRef[] = [];
     const nowMs = clock.monotonicMs();
     for (const { task, run, checkpoint, percent } of view.held) {
       const occupant = this.#occupants.get(task);
       if (occupant === undefined || occupant.run !== run) {
-        strays.add(`${task}@${run}`);
+        unexpected.push({ task, run });
         continue;
       }
       held.add(occupant);
@@ -362,34 +337,30 @@
       occupant.knownSinceMs = nowMs;
       listener.runConfirmed(occupant);
     }
-    this.#replaceStrays(strays);
+    this.#stopStrays(unexpected);
     return held;
   }
 
-  #replaceStrays(strays: ReadonlySet<string>): void {
+  #stopStrays(found: readonly Ports.RunRef[]): void {
     const { term, ports: { workers, log }, listener } = this.#options;
-    const had = this.#strays.size > 0;
-    this.#strays.clear();
-    for (const stray of strays) {
-      this.#strays.add(stray);
-      const [task, run] = stray.split("@");
-      log.warn(`Worker ${this.ref.id} runs ${stray}, which nobody expects.`);
-      const order = { task, run: Number(run), fencingToken: term.token };
+    for (const run of found) {
+      const name = strays.nameOf(run);
+      log.warn(`Worker ${this.ref.id} runs ${name}, which nobody expects.`);
+      const order = { ...run, fencingToken: term.token };
       Effect.runFork(
         this.#call(workers.stop(this.ref, order), ORDER_LIMIT_MS),
       );
     }
-    if (had && strays.size === 0) listener.roomChanged();
+    if (this.#strays.replace(found)) listener.roomChanged();
   }
 
   #end(
     occupant: occupants.Occupant,
-    how: Workflow.RunEnd,
-    checkpoint = "",
+    end: listeners.SessionEnd,
   ): Effect.Effect<void> {
     if (!this.#holds(occupant)) return Effect.void;
     this.#occupants.delete(occupant.task.name);
-    return this.#options.listener.runEnded(this, occupant, { how, checkpoint });
+    return this.#options.listener.runEnded(this, occupant, end);
   }
 
   #wake(): void {
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -101,6 +101,10 @@
   const picked: Workflow.Task[] = [];
   let cost = 0;
   for (const candidate of candidates) {
+    const { task } = candidate;
+    const isKept = task.step.lasting &&
+      isNeeded(task, [...chosen, ...picked]);
+    if (isKept) continue;
     fleet.give(amounts, candidate.task.step);
     picked.push(candidate.task);
     cost += candidate.cost;
@@ -132,6 +136,21 @@
     task.state === Workflow.TaskState.Running;
 }
 
+/** Whether a lasting step can not miss one more of its tasks. */
+function isNeeded(
+  task: Workflow.Task,
+  chosen: readonly Workflow.Task[],
+): boolean {
+  const { lasting, mayMiss } = task.step;
+  if (!lasting || mayMiss === 0) return false;
+  const isAway = (other: Workflow.Task) =>
+    chosen.includes(other) || other.state !== Workflow.TaskState.Running;
+  const away = task.workflow.siblings(task).filter((other) =>
+    other !== task && isAway(other)
+  );
+  return away.length >= mayMiss;
+}
+
 function addGroup(chosen: Set<Workflow.Task>, task: Workflow.Task): void {
   const group = task.step.gang ? task.workflow.siblings(task) : [task];
   for (const member of group) {
--- a/packages/workflow-scheduler/src/plan_test.ts
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -258,4 +258,14 @@
     const small = buildWorkflow({ priority: 2 });
     vitest.expect(plan(workers, [soon, gang, small]).starts.length).toBe(1);
   });
+
+  vitest.it("leaves a lasting step as many tasks as it needs", () => {
+    const step = { count: 3, lasting: true, mayMiss: 1 };
+    const serving = buildWorkflow({ priority: 2, step });
+    const workers = buildWorkers([3], { 0: run(serving, "worker-0") });
+    const small = buildWorkflow({ priority: 0 });
+    vitest.expect(plan(workers, [serving, small]).stops.length).toBe(1);
+    const large = buildWorkflow({ priority: 0, step: { accelerators: 2 } });
+    vitest.expect(plan(workers, [serving, large]).stops).toEqual([]);
+  });
 });
