--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -138,6 +138,11 @@
     });
   }
 
+  /** Lets everything happen that time has brought, also where nobody asked. */
+  settle(): void {
+    for (const life of this.#lives.values()) this.#advance(life);
+  }
+
   /** Runs of a task, in order. */
   runsOf(task: string): TaskRunNote[] {
     return this.runs.filter((note) => note.task === task);
