Answer questions for a state with a record that is on its way

Cause: callers ask as the last task ends; the record takes 11 ms, the answer was read 3 ms too early and they asked again 250 ms later (seen in a trial that logged questions and records side by side). Ruled out: a late look at the worker; ends are seen within 1 ms. Now a question about a running workflow reads its row again after 25 ms.

--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -23,6 +23,11 @@
 /** A write of the store that a caller waits for ends within this time. */
 const WRITE_LIMIT_MS = 450;
 const READ_LIMIT_MS = 450;
+/**
+ * Callers often ask just as the last task ends, while its record is on the way
+ * to the store; a caller who hears `running` asks again only much later.
+ */
+const RECORD_ARRIVES_MS = 25;
 
 /** Callers' side of the workflows. */
 export class Submissions {
@@ -98,14 +103,15 @@
   > {
     return Effect.gen({ self: this }, function* () {
       const rows = yield* this.#find(allowed, id);
-      const progress = rows.get(TableClient.Keys.progressKey(id))?.value as
-        | Workflow.ProgressRecord
-        | undefined;
-      const state = progress?.state ?? Workflow.WorkflowState.Queued;
+      const key = TableClient.Keys.progressKey(id);
+      const state = stateOf(rows.get(key));
+      if (Workflow.isFinal(state)) return state;
       const isCancelled = rows.has(TableClient.Keys.cancelKey(id));
-      return isCancelled && !Workflow.isFinal(state)
-        ? Workflow.WorkflowState.Cancelled
-        : state;
+      if (isCancelled) return Workflow.WorkflowState.Cancelled;
+      if (state === Workflow.WorkflowState.Queued) return state;
+      yield* this.#clock.sleep(RECORD_ARRIVES_MS);
+      const [row] = yield* this.#store.read([key], READ_LIMIT_MS);
+      return stateOf(row);
     });
   }
 
@@ -147,6 +153,12 @@
   }
 }
 
+/** The state that a progress row shows; without one nothing has begun. */
+function stateOf(row: Ports.Row | undefined): Workflow.WorkflowState {
+  const progress = row?.value as Workflow.ProgressRecord | undefined;
+  return progress?.state ?? Workflow.WorkflowState.Queued;
+}
+
 /** A tenant sees its own workflows, and those that were handed in openly. */
 function isVisible(
   allowed: access.Access,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -233,18 +233,25 @@
       schedule?: Workflow.Schedule;
     } = {},
   ): Promise<void> {
-    const node = this.node(name);
-    const allowed = await this.run(node.access.check({
-      host: "jobs.example",
-      path: `/p${options.priority ?? 1}/${id}`,
-      key: `key-of-${options.tenant ?? "hana"}`,
-    }));
-    await this.run(node.submissions.accept(allowed, {
-      id,
-      payload: "work",
-      steps: options.steps ?? [buildStep()],
-      schedule: options.schedule ?? null,
-    }));
+    const allowed = await this.#allow(name, id, options);
+    await this.run(
+      this.node(name).submissions.accept(allowed, {
+        id,
+        payload: "work",
+        steps: options.steps ?? [buildStep()],
+        schedule: options.schedule ?? null,
+      }),
+    );
+  }
+
+  /** Asks a node for the state of a workflow, as its caller does. */
+  async ask(
+    name: string,
+    id: string,
+    options: { priority?: number; tenant?: string } = {},
+  ): Promise<Workflow.WorkflowState> {
+    const allowed = await this.#allow(name, id, options);
+    return await this.run(this.node(name).submissions.state(allowed, id));
   }
 
   /** State of a workflow, as the store has it. */
@@ -270,6 +277,20 @@
     return this.clock.advanceUntil(holds, limitMs);
   }
 
+  #allow(
+    name: string,
+    id: string,
+    options: { priority?: number; tenant?: string },
+  ) {
+    return this.run(
+      this.node(name).access.check({
+        host: "jobs.example",
+        path: `/p${options.priority ?? 1}/${id}`,
+        key: `key-of-${options.tenant ?? "hana"}`,
+      }),
+    );
+  }
+
   #get(name: string): FleetNode {
     const found = this.nodes.get(name);
     if (found === undefined) throw new RangeError(`no node ${name}`);
