--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -8,9 +8,11 @@
 import type * as election from "./election.ts";
 import * as intake from "./intake.ts";
 import type * as occupants from "./occupant.ts";
+import * as fences from "./partition_fences.ts";
 import * as plannings from "./planning.ts";
 import type * as ports from "./ports.ts";
 import * as recorders from "./recorder.ts";
+import * as recoveries from "./recovery.ts";
 import * as controls from "./run_control.ts";
 import * as listeners from "./session_listener.ts";
 import * as watches from "./run_watch.ts";
@@ -22,11 +24,14 @@
 const SWEEP_MS = 5000;
 /** Time between two looks at all running tasks. */
 const WATCH_MS = 400;
+/** A store that is silent for this long holds up plans. */
+const STORE_SILENT_MS = 600;
 
 /** Coordinates all workflows under one fencing token. */
 export class Coordinator extends listeners.SessionListener {
   readonly #ports: ports.CoordinatorPorts;
   readonly #term: election.Term;
+  readonly #recovery: recoveries.Recovery;
   readonly #recorder: recorders.Recorder;
   readonly #book: books.WorkflowBook;
   readonly #directory: directories.WorkerDirectory;
@@ -41,12 +46,20 @@
     super();
     this.#ports = coordinatorPorts;
     this.#term = term;
-    this.#recorder = new recorders.Recorder(coordinatorPorts, term);
-    this.#book = new books.WorkflowBook(coordinatorPorts, term, this.#recorder);
+    const held = new fences.PartitionFences(coordinatorPorts, term);
+    this.#recovery = new recoveries.Recovery(coordinatorPorts, term, held);
+    this.#recorder = new recorders.Recorder(coordinatorPorts, term, held);
+    this.#book = new books.WorkflowBook({
+      ports: coordinatorPorts,
+      fences: held,
+      recorder: this.#recorder,
+      recovery: this.#recovery,
+    });
     const directory = new directories.WorkerDirectory({
       ports: coordinatorPorts,
       term,
       listener: this,
+      recovery: this.#recovery,
     });
     this.#directory = directory;
     const book = new advice.AdviceBook({
@@ -90,11 +103,11 @@
     const { clock } = this.#ports;
     const work = Effect.gen({ self: this }, function* () {
       yield* Effect.all([
-        this.#book.readProgress(),
+        this.#recovery.awaitUsable(),
         followUntilRead(followWorkers),
       ], { concurrency: "unbounded", discard: true });
-      yield* followUntilRead(followIntake);
-      this.#endRecovery();
+      while (!this.#hasReadOpen(followIntake)) yield* followIntake.step();
+      this.#begin();
       yield* Effect.all([
         followWorkers.run(),
         followIntake.run(),
@@ -104,7 +117,11 @@
         clock.every(WATCH_MS, Effect.sync(() => this.#watch.look())),
       ], { concurrency: "unbounded", discard: true });
     });
-    return Effect.ensuring(work, this.#directory.close());
+    const all = Effect.all([this.#recovery.openAll(), work], {
+      concurrency: "unbounded",
+      discard: true,
+    });
+    return Effect.ensuring(all, this.#directory.close());
   }
 
   override runEnded(
@@ -166,16 +183,36 @@
   }
 
   #followIntake(): TableClient.RowFollower<unknown> {
-    return new TableClient.RowFollower<unknown>({
+    const isOpen = (partition: string) => this.#recovery.isOpen(partition);
+    const follower = new TableClient.RowFollower<unknown>({
       ...this.#feedOptions(),
       feed: this.#ports.intakeFeed,
+      mayRead: isOpen,
       onChange: (entries) => {
-        const events = intake.readIntake(entries);
-        for (const spec of events.accepted) this.#accept(spec);
+        const events = intake.readIntake(entries, isOpen);
+        for (const accepted of events.accepted) this.#accept(accepted);
         for (const id of events.cancelled) this.#cancel(id);
         this.roomChanged();
       },
+      onHeard: () => this.#noteRead(follower),
     });
+    return follower;
+  }
+
+  /** Whether every partition that is open has been read. */
+  #hasReadOpen(follower: TableClient.RowFollower<unknown>): boolean {
+    return TableClient.Keys.PARTITIONS.every((partition) =>
+      !this.#recovery.isOpen(partition) || follower.hasRead(partition)
+    );
+  }
+
+  /** Notes once that all partitions have been read. */
+  #noteRead(follower: TableClient.RowFollower<unknown>): void {
+    if (this.#recovery.isComplete || !follower.hasSnapshot) return;
+    this.#recovery.complete();
+    this.#ports.log.info(`All partitions are read: ${this.#book.size} known.`);
+    for (const workflow of this.#book.open) this.#concludeIfOver(workflow);
+    this.roomChanged();
   }
 
   #feedOptions() {
@@ -183,17 +220,16 @@
     return { clock, random, waitMs: FEED_WAIT_MS };
   }
 
-  #endRecovery(): void {
+  #begin(): void {
     this.#directory.begin();
-    this.#book.endRecovery();
     this.#ports.log.info(
       `Took over ${this.#book.size} workflows under token ` +
         `${this.#term.token}.`,
     );
   }
 
-  #accept(spec: Workflow.WorkflowSpec): void {
-    const workflow = this.#book.accept(spec);
+  #accept({ spec, partition }: intake.AcceptedWorkflow): void {
+    const workflow = this.#book.accept(spec, partition);
     if (workflow === null) return;
     for (const task of workflow.placedTasks()) this.#control.adopt(task);
     if (this.#book.isCancelled(spec.id)) this.#cancel(spec.id);
@@ -203,17 +239,24 @@
     const workflow = this.#book.cancel(id);
     if (workflow === null) return;
     this.#control.stopAll(workflow);
+    this.#concludeIfOver(workflow);
+  }
+
+  /** Ends a cancelled workflow of which nothing runs. */
+  #concludeIfOver(workflow: Workflow.Workflow): void {
+    if (!workflow.isOver) return;
     this.#book.conclude(workflow);
     Effect.runFork(this.#recorder.record(workflow));
   }
 
-  /** No plan while a record hangs: its orders would not leave. */
+  /** No plan while the store is silent: its orders would not leave. */
   #preparePlan(): boolean {
     for (const { workflow } of this.#control.releaseMissing()) {
       this.#book.conclude(workflow);
       Effect.runFork(this.#recorder.record(workflow));
     }
-    return !this.#recorder.isStalled && !this.#term.isLost;
+    const silentMs = this.#ports.store.silentForMs();
+    return silentMs < STORE_SILENT_MS && !this.#term.isLost;
   }
 }
 
--- a/packages/coordinator/src/intake.ts
+++ b/packages/coordinator/src/intake.ts
@@ -1,24 +1,38 @@
 /** Turns the rows of accepted and cancelled workflows into events. */
 import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
 import type * as Workflow from "@cairngate/workflow";
 
+/** A workflow and the partition of its row. */
+export interface AcceptedWorkflow {
+  readonly spec: Workflow.WorkflowSpec;
+  readonly partition: string;
+}
+
 /** What the rows say has happened. */
 export interface IntakeEvents {
-  readonly accepted: readonly Workflow.WorkflowSpec[];
+  readonly accepted: readonly AcceptedWorkflow[];
   readonly cancelled: readonly string[];
 }
 
-/** Reads rows of the intake; removed rows say nothing. */
+/**
+ * Reads rows of the intake; removed rows say nothing. Rows of partitions that
+ * are not open yet are left out: they will be read again.
+ */
 export function readIntake(
   entries: readonly Ports.FeedEntry<unknown>[],
+  isOpen: (partition: string) => boolean,
 ): IntakeEvents {
-  const accepted: Workflow.WorkflowSpec[] = [];
+  const accepted: AcceptedWorkflow[] = [];
   const cancelled: string[] = [];
   for (const { key, value } of entries) {
-    if (value === null) continue;
+    const partition = TableClient.Keys.partitionIn(key);
+    if (value === null || !isOpen(partition)) continue;
     const [, id, kind] = key.split("/");
     if (kind === "cancel") cancelled.push(id);
-    if (kind === "spec") accepted.push(value as Workflow.WorkflowSpec);
+    if (kind === "spec") {
+      accepted.push({ spec: value as Workflow.WorkflowSpec, partition });
+    }
   }
   return { accepted, cancelled };
 }
--- /dev/null
+++ b/packages/coordinator/src/partition_fences.ts
@@ -0,0 +1,61 @@
+/**
+ * The right of one term to write progress, partition by partition. A row in each
+ * partition holds the token of the only coordinator that may write there.
+ */
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Effect from "effect/Effect";
+import type * as election from "./election.ts";
+import type * as ports from "./ports.ts";
+
+const LIMIT_MS = 1500;
+
+interface FenceRow {
+  readonly token: number;
+}
+
+/** Fences of one term. */
+export class PartitionFences {
+  readonly #store: TableClient.StoreClient;
+  readonly #term: election.Term;
+  /** Revision of the fence row in each partition that is taken. */
+  readonly #revisions = new Map<string, number>();
+
+  constructor(
+    { store }: Pick<ports.CoordinatorPorts, "store">,
+    term: election.Term,
+  ) {
+    this.#store = store;
+    this.#term = term;
+  }
+
+  /** Condition of every write in a partition that is taken. */
+  condition(partition: string): Ports.RowCondition {
+    const revision = this.#revisions.get(partition);
+    if (revision === undefined) {
+      throw new RangeError(`partition ${partition} is not taken`);
+    }
+    return { key: TableClient.Keys.fenceKey(partition), revision };
+  }
+
+  /** Shuts earlier coordinators out of a partition; false: try again. */
+  take(partition: string): Effect.Effect<boolean> {
+    const key = TableClient.Keys.fenceKey(partition);
+    return Effect.gen({ self: this }, function* () {
+      const [row] = yield* this.#store.read([key], LIMIT_MS);
+      const found = (row?.value as FenceRow | undefined)?.token ?? 0;
+      if (found > this.#term.token) {
+        this.#term.lose(`token ${found} holds partition ${partition}`);
+        return false;
+      }
+      const value: FenceRow = { token: this.#term.token };
+      const write = {
+        conditions: [{ key, revision: row?.revision ?? 0 }],
+        writes: [{ key, value }],
+      };
+      const revision = yield* this.#store.write(write, LIMIT_MS);
+      this.#revisions.set(partition, revision);
+      return true;
+    }).pipe(Effect.catch(() => Effect.succeed(false)));
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/partition_recorder.ts
@@ -0,0 +1,151 @@
+/**
+ * Writes the progress of one partition's workflows. Whatever changed while a
+ * write is on its way goes into the next one; orders wait for the write that
+ * carries them.
+ */
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Workflow from "@cairngate/workflow";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as election from "./election.ts";
+import type * as fences from "./partition_fences.ts";
+import type * as ports from "./ports.ts";
+
+/** Workflows in one transaction; each takes up to three of its entries. */
+const MOST_WORKFLOWS = 30;
+/** A write is given up only with the term. */
+const NO_LIMIT_MS = 3_600_000;
+/** A write that takes longer holds up further plans. */
+const STALLED_MS = 600;
+
+/** What a recorder of one partition needs. */
+export interface PartitionRecorderOptions {
+  readonly ports: ports.CoordinatorPorts;
+  readonly term: election.Term;
+  readonly fences: fences.PartitionFences;
+  readonly partition: string;
+}
+
+/** Groups records of one partition. */
+export class PartitionRecorder {
+  readonly #options: PartitionRecorderOptions;
+  readonly #dirty = new Set<Workflow.Workflow>();
+  /** Workflows whose mark of waiting may still be there. */
+  readonly #marked = new Set<Workflow.Workflow>();
+  #written = Deferred.makeUnsafe<void>();
+  #signal = Deferred.makeUnsafe<void>();
+  /** Revision of each progress row that exists. */
+  readonly #revisions = new Map<Workflow.Workflow, number>();
+  #writingSinceMs: number | null = null;
+
+  constructor(options: PartitionRecorderOptions) {
+    this.#options = options;
+  }
+
+  /** Whether a write hangs, so that orders would not leave. */
+  get isStalled(): boolean {
+    const sinceMs = this.#writingSinceMs;
+    return sinceMs !== null &&
+      this.#options.ports.clock.monotonicMs() - sinceMs > STALLED_MS;
+  }
+
+  /** Takes in a workflow whose progress has this revision; 0 for none. */
+  adopt(workflow: Workflow.Workflow, revision: number): void {
+    this.#marked.add(workflow);
+    if (revision > 0) this.#revisions.set(workflow, revision);
+  }
+
+  /** Drops what is known of a workflow that has been swept away. */
+  forget(workflow: Workflow.Workflow): void {
+    this.#marked.delete(workflow);
+    this.#revisions.delete(workflow);
+  }
+
+  /** A workflow has changed; the effect ends when that is written. */
+  record(workflow: Workflow.Workflow): Effect.Effect<void> {
+    this.#dirty.add(workflow);
+    const written = this.#written;
+    Deferred.doneUnsafe(this.#signal, Effect.void);
+    return Deferred.await(written);
+  }
+
+  /** Writes for ever. */
+  run(): Effect.Effect<never> {
+    return Effect.forever(Effect.gen({ self: this }, function* () {
+      yield* Deferred.await(this.#signal);
+      this.#signal = Deferred.makeUnsafe<void>();
+      while (this.#dirty.size > 0) yield* this.#writeAll();
+    }));
+  }
+
+  #writeAll(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const batch = [...this.#dirty];
+      this.#dirty.clear();
+      const written = this.#written;
+      this.#written = Deferred.makeUnsafe<void>();
+      for (let at = 0; at < batch.length; at += MOST_WORKFLOWS) {
+        yield* this.#write(batch.slice(at, at + MOST_WORKFLOWS));
+      }
+      Deferred.doneUnsafe(written, Effect.void);
+    });
+  }
+
+  /**
+   * One transaction under one id, tried until its fate is known: a write that
+   * the store carries out late must not undo a later one.
+   */
+  #write(batch: readonly Workflow.Workflow[]): Effect.Effect<void> {
+    const { ports: { store, clock }, term, fences, partition } = this.#options;
+    const write = {
+      conditions: [
+        fences.condition(partition),
+        ...batch.map((workflow) => this.#conditionOf(workflow)),
+      ],
+      writes: batch.flatMap((workflow) => this.#rowsOf(workflow)),
+    };
+    this.#writingSinceMs = clock.monotonicMs();
+    return store.write(write, NO_LIMIT_MS).pipe(
+      Effect.map((revision) => {
+        this.#writingSinceMs = null;
+        for (const workflow of batch) this.#noteWritten(workflow, revision);
+      }),
+      Effect.catch((err) => {
+        term.lose(err.message);
+        return Effect.never;
+      }),
+    );
+  }
+
+  #conditionOf(workflow: Workflow.Workflow): Ports.RowCondition {
+    const revision = this.#revisions.get(workflow) ?? 0;
+    return { key: this.#keyOf(workflow), revision };
+  }
+
+  #noteWritten(workflow: Workflow.Workflow, revision: number): void {
+    this.#revisions.set(workflow, revision);
+    if (hasBegun(workflow)) this.#marked.delete(workflow);
+  }
+
+  #rowsOf(workflow: Workflow.Workflow): Ports.RowWrite[] {
+    const { spec: { id, policy } } = workflow;
+    const key = this.#keyOf(workflow);
+    const rows = [{ key, value: Workflow.toProgress(workflow) as unknown }];
+    if (hasBegun(workflow) && this.#marked.has(workflow)) {
+      const { partition } = this.#options;
+      const mark = TableClient.Keys.waitingKey(partition, policy.queue, id);
+      rows.push({ key: mark, value: null });
+    }
+    return rows;
+  }
+
+  #keyOf(workflow: Workflow.Workflow): string {
+    const { partition } = this.#options;
+    return TableClient.Keys.progressKey(partition, workflow.spec.id);
+  }
+}
+
+function hasBegun(workflow: Workflow.Workflow): boolean {
+  return workflow.state !== Workflow.WorkflowState.Queued;
+}
--- a/packages/coordinator/src/recorder.ts
+++ b/packages/coordinator/src/recorder.ts
@@ -1,151 +1,68 @@
-/**
- * Writes the progress of workflows. Whatever changed while a write is on its
- * way goes into the next one; orders wait for the write that carries them.
- */
-import type * as Ports from "@cairngate/ports";
+/** Writes the progress of workflows, each in its own partition. */
 import * as TableClient from "@cairngate/table-client";
-import * as Workflow from "@cairngate/workflow";
-import * as Deferred from "effect/Deferred";
+import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import type * as election from "./election.ts";
+import type * as fences from "./partition_fences.ts";
+import * as partitions from "./partition_recorder.ts";
 import type * as ports from "./ports.ts";
 
-/** Workflows in one transaction; each takes two of its entries. */
-const MOST_WORKFLOWS = 45;
-/** A write is given up only with the term. */
-const NO_LIMIT_MS = 3_600_000;
-/** A write that takes longer holds up further plans. */
-const STALLED_MS = 600;
-const MARK_RETRY_MS = 1000;
-
-/** Groups records; one for each term. */
+/** The recorders of all partitions; one for each term. */
 export class Recorder {
-  readonly #ports: ports.CoordinatorPorts;
-  readonly #term: election.Term;
-  readonly #dirty = new Set<Workflow.Workflow>();
-  /** Workflows whose mark of waiting may still be there. */
-  readonly #marked = new Set<Workflow.Workflow>();
-  #written = Deferred.makeUnsafe<void>();
-  #signal = Deferred.makeUnsafe<void>();
-  /** Revision of each progress row that exists. */
-  readonly #revisions = new Map<Workflow.Workflow, number>();
-  #writingSinceMs: number | null = null;
+  readonly #byPartition: ReadonlyMap<string, partitions.PartitionRecorder>;
+  readonly #ofWorkflow = new Map<
+    Workflow.Workflow,
+    partitions.PartitionRecorder
+  >();
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
     term: election.Term,
+    partitionFences: fences.PartitionFences,
   ) {
-    this.#ports = coordinatorPorts;
-    this.#term = term;
+    const parts = { ports: coordinatorPorts, term, fences: partitionFences };
+    this.#byPartition = new Map(
+      TableClient.Keys.PARTITIONS.map((partition) => [
+        partition,
+        new partitions.PartitionRecorder({ ...parts, partition }),
+      ]),
+    );
   }
 
-  /** Whether a write hangs, so that orders would not leave. */
-  get isStalled(): boolean {
-    const sinceMs = this.#writingSinceMs;
-    return sinceMs !== null &&
-      this.#ports.clock.monotonicMs() - sinceMs > STALLED_MS;
+  /** Whether a write hangs, so that orders for this workflow would not leave. */
+  isStalled(workflow: Workflow.Workflow): boolean {
+    return this.#ofWorkflow.get(workflow)?.isStalled ?? false;
   }
 
   /** Takes in a workflow whose progress has this revision; 0 for none. */
-  adopt(workflow: Workflow.Workflow, revision: number): void {
-    this.#marked.add(workflow);
-    if (revision > 0) this.#revisions.set(workflow, revision);
+  adopt(
+    workflow: Workflow.Workflow,
+    place: { partition: string; revision: number },
+  ): void {
+    this.forget(workflow);
+    const recorder = this.#byPartition.get(place.partition);
+    if (recorder === undefined) throw new RangeError(place.partition);
+    this.#ofWorkflow.set(workflow, recorder);
+    recorder.adopt(workflow, place.revision);
   }
 
   /** Drops what is known of a workflow that has been swept away. */
   forget(workflow: Workflow.Workflow): void {
-    this.#marked.delete(workflow);
-    this.#revisions.delete(workflow);
+    this.#ofWorkflow.get(workflow)?.forget(workflow);
+    this.#ofWorkflow.delete(workflow);
   }
 
   /** A workflow has changed; the effect ends when that is written. */
   record(workflow: Workflow.Workflow): Effect.Effect<void> {
-    this.#dirty.add(workflow);
-    const written = this.#written;
-    Deferred.doneUnsafe(this.#signal, Effect.void);
-    return Deferred.await(written);
+    return this.#ofWorkflow.get(workflow)?.record(workflow) ?? Effect.void;
   }
 
   /** Writes for ever. */
   run(): Effect.Effect<never> {
-    return Effect.forever(Effect.gen({ self: this }, function* () {
-      yield* Deferred.await(this.#signal);
-      this.#signal = Deferred.makeUnsafe<void>();
-      while (this.#dirty.size > 0) yield* this.#writeAll();
-    }));
-  }
-
-  #writeAll(): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const batch = [...this.#dirty];
-      this.#dirty.clear();
-      const written = this.#written;
-      this.#written = Deferred.makeUnsafe<void>();
-      for (let at = 0; at < batch.length; at += MOST_WORKFLOWS) {
-        yield* this.#write(batch.slice(at, at + MOST_WORKFLOWS));
-      }
-      Deferred.doneUnsafe(written, Effect.void);
-    });
-  }
-
-  /**
-   * One transaction under one id, tried until its fate is known: a write that
-   * the store carries out late must not undo a later one.
-   */
-  #write(batch: readonly Workflow.Workflow[]): Effect.Effect<void> {
-    const { store, clock } = this.#ports;
-    const write = {
-      conditions: [
-        this.#term.condition,
-        ...batch.map((workflow) => this.#conditionOf(workflow)),
-      ],
-      writes: batch.flatMap((workflow) => this.#rowsOf(workflow)),
-    };
-    this.#writingSinceMs = clock.monotonicMs();
-    return store.write(write, NO_LIMIT_MS).pipe(
-      Effect.map((revision) => {
-        this.#writingSinceMs = null;
-        for (const workflow of batch) this.#noteWritten(workflow, revision);
-      }),
-      Effect.catch((err) => {
-        this.#term.lose(err.message);
-        return Effect.never;
-      }),
+    const all = [...this.#byPartition.values()].map((one) => one.run());
+    return Effect.andThen(
+      Effect.all(all, { concurrency: "unbounded", discard: true }),
+      Effect.never,
     );
   }
-
-  #conditionOf(workflow: Workflow.Workflow): Ports.RowCondition {
-    const key = TableClient.Keys.progressKey(workflow.spec.id);
-    return { key, revision: this.#revisions.get(workflow) ?? 0 };
-  }
-
-  #noteWritten(workflow: Workflow.Workflow, revision: number): void {
-    this.#revisions.set(workflow, revision);
-    if (!hasBegun(workflow) || !this.#marked.delete(workflow)) return;
-    Effect.runFork(this.#removeMark(workflow));
-  }
-
-  /** The mark lies in another partition; it may stay a little longer. */
-  #removeMark(workflow: Workflow.Workflow): Effect.Effect<void> {
-    const { store, clock } = this.#ports;
-    const { id, policy } = workflow.spec;
-    const key = TableClient.Keys.waitingKey(policy.queue, id);
-    const write = { conditions: [], writes: [{ key, value: null }] };
-    return Effect.gen({ self: this }, function* () {
-      while (!this.#term.isLost) {
-        const done = yield* Effect.result(store.write(write));
-        if (done._tag === "Success") return;
-        yield* clock.sleep(MARK_RETRY_MS);
-      }
-    });
-  }
-
-  #rowsOf(workflow: Workflow.Workflow): { key: string; value: unknown }[] {
-    const key = TableClient.Keys.progressKey(workflow.spec.id);
-    return [{ key, value: Workflow.toProgress(workflow) }];
-  }
-}
-
-function hasBegun(workflow: Workflow.Workflow): boolean {
-  return workflow.state !== Workflow.WorkflowState.Queued;
 }
--- /dev/null
+++ b/packages/coordinator/src/recovery.ts
@@ -0,0 +1,118 @@
+/**
+ * Reads back what earlier coordinators have recorded, partition by partition. A
+ * partition that is away holds up only its own workflows, and whatever may not
+ * happen before all records are known.
+ */
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as election from "./election.ts";
+import type * as fences from "./partition_fences.ts";
+import type * as ports from "./ports.ts";
+
+const SCAN_LIMIT_MS = 1500;
+const RETRY_MS = 60;
+const LOOK_MS = 5;
+/** Partitions that are not open by then are waited for beside the work. */
+const PATIENCE_MS = 700;
+
+/** A record of an earlier coordinator. */
+export interface FoundProgress {
+  readonly partition: string;
+  readonly row: Ports.Row;
+}
+
+/** Recovery of one term. */
+export class Recovery {
+  readonly #ports: ports.CoordinatorPorts;
+  readonly #term: election.Term;
+  readonly #fences: fences.PartitionFences;
+  readonly #open = new Set<string>();
+  readonly #progress = new Map<string, FoundProgress>();
+  readonly #complete = Deferred.makeUnsafe<void>();
+
+  constructor(
+    coordinatorPorts: ports.CoordinatorPorts,
+    term: election.Term,
+    partitionFences: fences.PartitionFences,
+  ) {
+    this.#ports = coordinatorPorts;
+    this.#term = term;
+    this.#fences = partitionFences;
+  }
+
+  /** Whether a partition is fenced and its progress is read. */
+  isOpen(partition: string): boolean {
+    return this.#open.has(partition);
+  }
+
+  /** Whether all records of earlier coordinators are known. */
+  get isComplete(): boolean {
+    return Deferred.isDoneUnsafe(this.#complete);
+  }
+
+  /** Ends when all records of earlier coordinators are known. */
+  awaitComplete(): Effect.Effect<void> {
+    return Deferred.await(this.#complete);
+  }
+
+  /** Every row of every partition has been taken in. */
+  complete(): void {
+    this.#progress.clear();
+    Deferred.doneUnsafe(this.#complete, Effect.void);
+  }
+
+  /** What earlier coordinators recorded of a workflow; null for nothing. */
+  progressOf(id: string): FoundProgress | null {
+    return this.#progress.get(id) ?? null;
+  }
+
+  /** Opens all partitions, however long some of them are away. */
+  openAll(): Effect.Effect<void> {
+    return Effect.forEach(
+      TableClient.Keys.PARTITIONS,
+      (partition) => this.#openOne(partition),
+      { concurrency: "unbounded", discard: true },
+    );
+  }
+
+  /** Ends when all partitions are open, or some are and time is up. */
+  awaitUsable(): Effect.Effect<void> {
+    const { clock } = this.#ports;
+    return Effect.gen({ self: this }, function* () {
+      const patientUntilMs = clock.monotonicMs() + PATIENCE_MS;
+      while (this.#open.size < TableClient.Keys.PARTITIONS.length) {
+        const isLate = clock.monotonicMs() >= patientUntilMs;
+        if (isLate && this.#open.size > 0) return;
+        yield* clock.sleep(LOOK_MS);
+      }
+    });
+  }
+
+  #openOne(partition: string): Effect.Effect<void> {
+    const { clock } = this.#ports;
+    return Effect.gen({ self: this }, function* () {
+      while (!(yield* this.#tryOpen(partition))) {
+        if (this.#term.isLost) return;
+        yield* clock.sleep(RETRY_MS);
+      }
+    });
+  }
+
+  /** Records can be read only once no earlier coordinator writes any more. */
+  #tryOpen(partition: string): Effect.Effect<boolean> {
+    const { store } = this.#ports;
+    const prefix = TableClient.Keys.progressPrefix(partition);
+    return Effect.gen({ self: this }, function* () {
+      if (!(yield* this.#fences.take(partition))) return false;
+      const rows = yield* store.scan(prefix, 0, SCAN_LIMIT_MS);
+      for (const row of rows) {
+        const id = row.key.slice(prefix.length);
+        this.#progress.set(id, { partition, row });
+      }
+      this.#open.add(partition);
+      return true;
+    }).pipe(Effect.catch(() => Effect.succeed(false)));
+  }
+}
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -39,6 +39,10 @@
    * to be adopted: a session stops runs that it does not know.
    */
   begin(): void {
+    // Runs that no record names so far have to keep their leases as well.
+    if (!this.#options.recovery.isComplete) {
+      for (const id of this.#listings.keys()) this.open(id);
+    }
     this.#begun = true;
     for (const session of this.#sessions.values()) this.#run(session);
   }
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -12,6 +12,7 @@
 import type * as ports from "./ports.ts";
 import * as endLedgers from "./end_ledger.ts";
 import * as occupants from "./occupant.ts";
+import type * as recoveries from "./recovery.ts";
 import * as starters from "./run_starter.ts";
 import * as listeners from "./session_listener.ts";
 import * as strays from "./stray_runs.ts";
@@ -22,6 +23,7 @@
   readonly ports: ports.CoordinatorPorts;
   readonly term: election.Term;
   readonly listener: listeners.SessionListener;
+  readonly recovery: recoveries.Recovery;
   readonly ref: Ports.WorkerRef;
   /** Our time by which leases of earlier coordinators have run out. */
   readonly lapsesAtMs: number;
@@ -164,7 +166,8 @@
   }
 
   #hasBusiness(): boolean {
-    return this.#ends.hasNews || this.#strays.count > 0 ||
+    return !this.#options.recovery.isComplete || this.#ends.hasNews ||
+      this.#strays.count > 0 ||
       this.occupants.some((occupant) => occupant.sent) || !this.#reachable;
   }
 
@@ -312,10 +315,18 @@
   }
 
   #takeEnd(ended: Ports.EndedRun): Effect.Effect<void> | null {
+    const { recovery } = this.#options;
     this.#strays.ended(ended);
     const occupant = this.#occupants.get(ended.task);
-    if (occupant === undefined || occupant.run !== ended.run) return null;
-    return this.#end(occupant, listeners.toSessionEnd(ended));
+    if (occupant !== undefined && occupant.run === ended.run) {
+      return this.#end(occupant, listeners.toSessionEnd(ended));
+    }
+    if (recovery.isComplete) return null;
+    // The record that names this run may not be read yet.
+    return Effect.andThen(
+      recovery.awaitComplete(),
+      Effect.suspend(() => this.#takeEnd(ended) ?? Effect.void),
+    );
   }
 
   /** Confirms runs that are held; stops those that nobody expects. */
@@ -341,9 +352,10 @@
     return held;
   }
 
+  /** Before all records are read, nobody can tell which runs are strays. */
   #stopStrays(found: readonly Ports.RunRef[]): void {
-    const { term, ports: { workers, log }, listener } = this.#options;
-    for (const run of found) {
+    const { term, ports: { workers, log }, listener, recovery } = this.#options;
+    for (const run of recovery.isComplete ? found : []) {
       const name = strays.nameOf(run);
       log.warn(`Worker ${this.ref.id} runs ${name}, which nobody expects.`);
       const order = { ...run, fencingToken: term.token };
--- a/packages/coordinator/src/workflow_book.ts
+++ b/packages/coordinator/src/workflow_book.ts
@@ -1,87 +1,71 @@
 /** All workflows of one term: accepted, cancelled, ended, swept away. */
-import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as fences from "./partition_fences.ts";
 import type * as ports from "./ports.ts";
 import type * as recorders from "./recorder.ts";
+import type * as recoveries from "./recovery.ts";
 
-const READ_LIMIT_MS = 1500;
-const RETRY_MS = 20;
+/** What the book works with. */
+export interface BookParts {
+  readonly ports: ports.CoordinatorPorts;
+  readonly fences: fences.PartitionFences;
+  readonly recorder: recorders.Recorder;
+  readonly recovery: recoveries.Recovery;
+}
+
+/** Where the rows of a workflow lie. */
+interface Filed {
+  readonly workflow: Workflow.Workflow;
+  /** Partition of its progress. */
+  partition: string;
+  /** Other partitions in which it was accepted once more. */
+  readonly copies: Set<string>;
+}
 
 /** Workflows by id. */
 export class WorkflowBook {
-  readonly #ports: ports.CoordinatorPorts;
-  readonly #term: election.Term;
-  readonly #recorder: recorders.Recorder;
-  readonly #workflows = new Map<string, Workflow.Workflow>();
+  readonly #parts: BookParts;
+  readonly #filed = new Map<string, Filed>();
   /** Cancels whose workflow has not been seen yet. */
   readonly #cancels = new Set<string>();
   readonly #endedAtMs = new Map<string, number>();
-  /** What earlier coordinators recorded; used while the intake is read. */
-  readonly #progress = new Map<string, Ports.Row>();
 
-  constructor(
-    coordinatorPorts: ports.CoordinatorPorts,
-    term: election.Term,
-    recorder: recorders.Recorder,
-  ) {
-    this.#ports = coordinatorPorts;
-    this.#term = term;
-    this.#recorder = recorder;
+  constructor(parts: BookParts) {
+    this.#parts = parts;
   }
 
   /** Workflows of which something may still start. */
   get live(): readonly Workflow.Workflow[] {
-    return [...this.#workflows.values()].filter((w) => !w.isOver);
+    return this.#all().filter((workflow) => this.#mayStart(workflow));
   }
 
   /** Workflows that have not ended; some are being cancelled. */
   get open(): readonly Workflow.Workflow[] {
-    return [...this.#workflows.values()].filter(
-      ({ state }) => !Workflow.isFinal(state),
-    );
+    return this.#all().filter(({ state }) => !Workflow.isFinal(state));
   }
 
   /** How many are known. */
   get size(): number {
-    return this.#workflows.size;
-  }
-
-  /** Reads what earlier coordinators have recorded. */
-  readProgress(): Effect.Effect<void> {
-    const { store, clock } = this.#ports;
-    const prefix = TableClient.Keys.PROGRESS_PREFIX;
-    return Effect.gen({ self: this }, function* () {
-      for (;;) {
-        const read = yield* Effect.result(
-          store.scan(prefix, 0, READ_LIMIT_MS),
-        );
-        if (read._tag === "Success") {
-          for (const row of read.success) this.#progress.set(row.key, row);
-          return;
-        }
-        yield* clock.sleep(RETRY_MS);
-      }
-    });
+    return this.#filed.size;
   }
 
-  /** The intake is read: no more records of earlier coordinators are needed. */
-  endRecovery(): void {
-    this.#progress.clear();
-  }
-
-  /** Takes in an accepted workflow; null where it is known already. */
-  accept(spec: Workflow.WorkflowSpec): Workflow.Workflow | null {
-    if (this.#workflows.has(spec.id)) return null;
+  /**
+   * Takes in an accepted workflow; null where nothing new is learned. A caller
+   * that got no answer from one partition may be in another as well.
+   */
+  accept(
+    spec: Workflow.WorkflowSpec,
+    partition: string,
+  ): Workflow.Workflow | null {
+    const known = this.#filed.get(spec.id);
+    if (known !== undefined) return this.#acceptAgain(known, partition);
     const workflow = new Workflow.Workflow(spec);
-    this.#workflows.set(spec.id, workflow);
-    const row = this.#progress.get(TableClient.Keys.progressKey(spec.id));
-    this.#recorder.adopt(workflow, row?.revision ?? 0);
-    if (row !== undefined) {
-      Workflow.applyProgress(workflow, row.value as Workflow.ProgressRecord);
-    }
+    const filed: Filed = { workflow, partition, copies: new Set() };
+    this.#filed.set(spec.id, filed);
+    this.#parts.recorder.adopt(workflow, { partition, revision: 0 });
+    this.#applyRecord(filed);
     return workflow;
   }
 
@@ -92,69 +76,130 @@
 
   /** Marks a workflow as cancelled; null where there is nothing to do. */
   cancel(id: string): Workflow.Workflow | null {
-    const workflow = this.#workflows.get(id);
+    const workflow = this.#filed.get(id)?.workflow;
     if (workflow === undefined) {
       this.#cancels.add(id);
       return null;
     }
     if (workflow.isOver) return null;
     workflow.cancelled = true;
-    this.#ports.log.info(`Workflow ${id} is cancelled.`);
+    this.#parts.ports.log.info(`Workflow ${id} is cancelled.`);
     return workflow;
   }
 
   /** Notes the end of a workflow, if it has ended now. */
   conclude(workflow: Workflow.Workflow): void {
+    if (!this.#isCertain(workflow)) return;
     workflow.concludeCancel();
     const { id } = workflow.spec;
     if (!Workflow.isFinal(workflow.state) || this.#endedAtMs.has(id)) return;
-    this.#endedAtMs.set(id, this.#ports.clock.monotonicMs());
+    this.#endedAtMs.set(id, this.#parts.ports.clock.monotonicMs());
     this.#logConclusion(workflow);
   }
 
   /** Removes rows of workflows that ended long ago. */
   sweep(): Effect.Effect<void> {
-    const { clock, bounds } = this.#ports;
+    const { clock, bounds } = this.#parts.ports;
     return Effect.gen({ self: this }, function* () {
       const beforeMs = clock.monotonicMs() - bounds.keepEndedMs;
       for (const [id, atMs] of this.#endedAtMs) {
-        const workflow = this.#workflows.get(id);
-        if (atMs > beforeMs || workflow === undefined) continue;
-        if (workflow.placedTasks().length > 0) continue;
-        yield* this.#remove(workflow);
+        const filed = this.#filed.get(id);
+        if (atMs > beforeMs || filed === undefined) continue;
+        if (filed.workflow.placedTasks().length > 0) continue;
+        yield* this.#remove(filed);
       }
     }).pipe(Effect.catch(() => Effect.void));
   }
 
+  #all(): Workflow.Workflow[] {
+    return [...this.#filed.values()].map(({ workflow }) => workflow);
+  }
+
+  #mayStart(workflow: Workflow.Workflow): boolean {
+    return !workflow.isOver && this.#isCertain(workflow) &&
+      !this.#parts.recorder.isStalled(workflow);
+  }
+
   /**
-   * The spec goes first: progress without a spec is nothing, but a spec without
-   * progress would be run again.
+   * Until all partitions are read, a workflow that seems untouched may have been
+   * started from a copy in one of the others.
    */
-  #remove(workflow: Workflow.Workflow) {
-    const { id } = workflow.spec;
-    const { store } = this.#ports;
-    const intake = [
-      TableClient.Keys.workflowKey(id),
-      TableClient.Keys.cancelKey(id),
-    ];
-    const progress = [TableClient.Keys.progressKey(id)];
-    const toWrites = (keys: readonly string[]) =>
-      keys.map((key) => ({ key, value: null }));
+  #isCertain(workflow: Workflow.Workflow): boolean {
+    return this.#parts.recovery.isComplete ||
+      workflow.state !== Workflow.WorkflowState.Queued;
+  }
+
+  #acceptAgain(known: Filed, partition: string): Workflow.Workflow | null {
+    if (known.partition === partition) return null;
+    known.copies.add(partition);
+    const hasMoved = !this.#isCertain(known.workflow) &&
+      this.#applyRecord(known);
+    Effect.runFork(Effect.ignore(this.#dropCopies(known)));
+    return hasMoved ? known.workflow : null;
+  }
+
+  /** Applies what an earlier coordinator recorded, wherever that lies. */
+  #applyRecord(filed: Filed): boolean {
+    const { recorder, recovery } = this.#parts;
+    const { workflow } = filed;
+    const found = recovery.progressOf(workflow.spec.id);
+    if (found === null) return false;
+    if (found.partition !== filed.partition) {
+      filed.copies.add(filed.partition);
+      filed.copies.delete(found.partition);
+      filed.partition = found.partition;
+    }
+    const { partition, row: { revision, value } } = found;
+    recorder.adopt(workflow, { partition, revision });
+    Workflow.applyProgress(workflow, value as Workflow.ProgressRecord);
+    return true;
+  }
+
+  #dropCopies(filed: Filed) {
+    return Effect.forEach(
+      [...filed.copies],
+      (partition) =>
+        Effect.map(this.#removeRows(filed, partition), () => {
+          filed.copies.delete(partition);
+        }),
+      { discard: true },
+    );
+  }
+
+  #remove(filed: Filed) {
+    const { workflow, workflow: { spec: { id } } } = filed;
     return Effect.gen({ self: this }, function* () {
-      yield* store.write({ conditions: [], writes: toWrites(intake) });
-      const conditions = [this.#term.condition];
-      yield* store.write({ conditions, writes: toWrites(progress) });
-      this.#workflows.delete(id);
+      yield* this.#dropCopies(filed);
+      yield* this.#removeRows(filed, filed.partition);
+      this.#filed.delete(id);
       this.#cancels.delete(id);
       this.#endedAtMs.delete(id);
-      this.#recorder.forget(workflow);
+      this.#parts.recorder.forget(workflow);
     });
   }
 
+  /** Removes all rows of a workflow in one partition. */
+  #removeRows(filed: Filed, partition: string) {
+    const { spec: { id, policy } } = filed.workflow;
+    const { fences, ports: { store } } = this.#parts;
+    const keys = [
+      TableClient.Keys.workflowKey(partition, id),
+      TableClient.Keys.cancelKey(partition, id),
+      TableClient.Keys.waitingKey(partition, policy.queue, id),
+      TableClient.Keys.progressKey(partition, id),
+    ];
+    return Effect.suspend(() =>
+      store.write({
+        conditions: [fences.condition(partition)],
+        writes: keys.map((key) => ({ key, value: null })),
+      })
+    );
+  }
+
   /** One line that tells how a workflow fared against its objective. */
   #logConclusion(workflow: Workflow.Workflow): void {
     const { spec, state } = workflow;
-    const nowMs = this.#ports.clock.wallMs();
+    const nowMs = this.#parts.ports.clock.wallMs();
     const lastRound = Workflow.countRounds(spec) - 1;
     const dueMs = Workflow.dueAtMs(spec, lastRound);
     const allowedMs = Workflow.objectiveAtMs(spec, lastRound) - dueMs;
@@ -162,7 +207,7 @@
     const started = workflow.firstStartMs === null
       ? "started before this term"
       : `first start after ${Math.round(workflow.firstStartMs - dueMs)} ms`;
-    this.#ports.log.info(
+    this.#parts.ports.log.info(
       `Workflow ${spec.id} of priority ${spec.policy.priority} is ${state} ` +
         `after ${Math.round(nowMs - dueMs)} of ${Math.round(allowedMs)} ms; ` +
         `${started}, ${workflow.lostRuns} runs lost; ${first.count} tasks of ` +
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -62,8 +62,10 @@
       schedule,
       acceptedAtMs: this.#clock.wallMs(),
     };
-    const key = TableClient.Keys.workflowKey(id);
-    const mark = TableClient.Keys.waitingKey(value.policy.queue, id);
+    const partition = TableClient.Keys.homePartition(id);
+    const key = TableClient.Keys.workflowKey(partition, id);
+    const { queue } = value.policy;
+    const mark = TableClient.Keys.waitingKey(partition, queue, id);
     const write = {
       conditions: [{ key, revision: 0 }],
       writes: [{ key, value }, { key: mark, value: 1 }],
@@ -87,7 +89,8 @@
   > {
     return Effect.gen({ self: this }, function* () {
       yield* this.#find(allowed, id);
-      const key = TableClient.Keys.cancelKey(id);
+      const partition = TableClient.Keys.homePartition(id);
+      const key = TableClient.Keys.cancelKey(partition, id);
       const writes = [{ key, value: this.#clock.wallMs() }];
       yield* this.#store.write({ conditions: [], writes }, WRITE_LIMIT_MS);
     });
@@ -103,10 +106,11 @@
   > {
     return Effect.gen({ self: this }, function* () {
       const rows = yield* this.#find(allowed, id);
-      const key = TableClient.Keys.progressKey(id);
+      const partition = TableClient.Keys.homePartition(id);
+      const key = TableClient.Keys.progressKey(partition, id);
       const state = stateOf(rows.get(key));
       if (Workflow.isFinal(state)) return state;
-      const isCancelled = rows.has(TableClient.Keys.cancelKey(id));
+      const isCancelled = rows.has(TableClient.Keys.cancelKey(partition, id));
       if (isCancelled) return Workflow.WorkflowState.Cancelled;
       if (state === Workflow.WorkflowState.Queued) return state;
       yield* this.#clock.sleep(RECORD_ARRIVES_MS);
@@ -136,11 +140,12 @@
     ReadonlyMap<string, Ports.Row>,
     Errors.UnknownJobError | Errors.StoreUnavailableError
   > {
-    const key = TableClient.Keys.workflowKey(id);
+    const partition = TableClient.Keys.homePartition(id);
+    const key = TableClient.Keys.workflowKey(partition, id);
     const keys = [
       key,
-      TableClient.Keys.progressKey(id),
-      TableClient.Keys.cancelKey(id),
+      TableClient.Keys.progressKey(partition, id),
+      TableClient.Keys.cancelKey(partition, id),
     ];
     return Effect.gen({ self: this }, function* () {
       const rows = yield* this.#store.read(keys, READ_LIMIT_MS);
--- a/packages/ports/src/row_feed.ts
+++ b/packages/ports/src/row_feed.ts
@@ -18,8 +18,13 @@
 
 /** Port of rows that can be followed. */
 export abstract class RowFeed<T> {
-  /** All rows. */
-  abstract snapshot(): Effect.Effect<FeedPage<T>, tables.StoreError>;
+  /** Partitions of the rows; each can fail while the others can be read. */
+  abstract readonly partitions: readonly string[];
+
+  /** All rows of one partition. */
+  abstract snapshot(
+    partition: string,
+  ): Effect.Effect<FeedPage<T>, tables.StoreError>;
 
   /** Waits until rows change after a position, at most for a time. */
   abstract changes(
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -7,13 +7,20 @@
 export interface StoreFaults {
   /** No call is carried out. */
   readonly down: boolean;
+  /** No call to these partitions is carried out. */
+  readonly downPartitions: readonly string[];
   /** Share of writes whose answer is lost after they took effect. */
   readonly loseAnswers: number;
   /** Time that every call takes, in milliseconds. */
   readonly delayMs: number;
 }
 
-const HEALTHY: StoreFaults = { down: false, loseAnswers: 0, delayMs: 0 };
+const HEALTHY: StoreFaults = {
+  down: false,
+  downPartitions: [],
+  loseAnswers: 0,
+  delayMs: 0,
+};
 
 /** Holds the faults in force and applies them to calls. */
 export class FaultSwitch {
@@ -31,15 +38,16 @@
     this.faults = { ...this.faults, ...faults };
   }
 
-  /** Carries out a call under the faults in force. */
+  /** Carries out a call to a partition under the faults in force. */
   apply<A, E>(
     operation: string,
     call: () => Effect.Effect<A, E>,
+    partition = "",
   ): Effect.Effect<A, E | Ports.StoreError> {
     return Effect.gen({ self: this }, function* () {
       const { delayMs } = this.faults;
       if (delayMs > 0) yield* this.#clock.sleep(delayMs);
-      if (this.faults.down) {
+      if (this.faults.down || this.faults.downPartitions.includes(partition)) {
         const cause = "outage";
         return yield* new Errors.StoreUnavailableError({ operation, cause });
       }
--- a/packages/stand-ins/src/faulty_table.ts
+++ b/packages/stand-ins/src/faulty_table.ts
@@ -1,6 +1,7 @@
 /** One node's way to a table, with faults of its own. */
 import * as Ports from "@cairngate/ports";
 import type * as switches from "./fault_switch.ts";
+import * as partitions from "./partition_of.ts";
 
 /** Passes calls on under the faults of one node. */
 export class FaultyTable extends Ports.TableService {
@@ -14,17 +15,24 @@
   }
 
   override read(keys: readonly string[]) {
-    return this.#faults.apply("read", () => this.#inner.read(keys));
+    const partition = partitions.partitionOf(keys[0]);
+    return this.#faults.apply("read", () => this.#inner.read(keys), partition);
   }
 
   override scan(prefix: string, afterRevision: number) {
     return this.#faults.apply(
       "scan",
       () => this.#inner.scan(prefix, afterRevision),
+      partitions.partitionOf(prefix),
     );
   }
 
   override transact(tx: Ports.Transaction) {
-    return this.#faults.apply("write", () => this.#inner.transact(tx));
+    const partition = partitions.partitionOf(tx.writes[0]?.key);
+    return this.#faults.apply(
+      "write",
+      () => this.#inner.transact(tx),
+      partition,
+    );
   }
 }
--- a/packages/stand-ins/src/memory_row_feed.ts
+++ b/packages/stand-ins/src/memory_row_feed.ts
@@ -6,6 +6,7 @@
 
 /** Rows under one prefix. */
 export class MemoryRowFeed<T> extends Ports.RowFeed<T> {
+  override readonly partitions: readonly string[];
   readonly #table: tables.MemoryTable;
   readonly #prefix: string;
   readonly #clock: Ports.Clock;
@@ -17,25 +18,30 @@
       prefix: string;
       clock: Ports.Clock;
       faults: switches.FaultSwitch;
+      /** Left out: the rows lie in one partition. */
+      partitions?: readonly string[];
     },
   ) {
     super();
+    this.partitions = options.partitions ?? [""];
     this.#table = options.table;
     this.#prefix = options.prefix;
     this.#clock = options.clock;
     this.#faults = options.faults;
   }
 
-  override snapshot() {
+  override snapshot(partition: string) {
+    const table = this.#prefix.replace("/", "");
+    const prefix = partition === "" ? this.#prefix : `${table}:${partition}/`;
     const read = () =>
       Effect.sync((): Ports.FeedPage<T> => ({
-        entries: this.#table.rowsUnder(this.#prefix).map(({ key, value }) => ({
+        entries: this.#table.rowsUnder(prefix).map(({ key, value }) => ({
           key,
           value: value as T,
         })),
         position: this.#table.revision,
       }));
-    return this.#faults.apply("scan", read);
+    return this.#faults.apply("scan", read, partition);
   }
 
   override changes(position: number, waitMs: number) {
--- a/packages/stand-ins/src/memory_table.ts
+++ b/packages/stand-ins/src/memory_table.ts
@@ -4,6 +4,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as switches from "./fault_switch.ts";
+import * as partitions from "./partition_of.ts";
 
 /** A change of one row; a null row means that it was removed. */
 export interface TableChange {
@@ -50,25 +51,28 @@
   }
 
   override read(keys: readonly string[]) {
-    return this.#faults.apply("read", () =>
+    const call = () =>
       Effect.sync(() => {
         this.counts.reads++;
         return keys.flatMap((key) => this.#rows.get(key) ?? []);
-      }));
+      });
+    return this.#faults.apply("read", call, partitions.partitionOf(keys[0]));
   }
 
   override scan(prefix: string, afterRevision: number) {
-    return this.#faults.apply("scan", () =>
+    const call = () =>
       Effect.sync(() => {
         this.counts.reads++;
         return [...this.#rows.values()].filter((row) =>
           row.key.startsWith(prefix) && row.revision > afterRevision
         );
-      }));
+      });
+    return this.#faults.apply("scan", call, partitions.partitionOf(prefix));
   }
 
   override transact(tx: Ports.Transaction) {
-    return this.#faults.apply("write", () => this.#transact(tx));
+    const partition = partitions.partitionOf(tx.writes[0]?.key);
+    return this.#faults.apply("write", () => this.#transact(tx), partition);
   }
 
   #transact(
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -67,11 +67,11 @@
 }
 
 /**
- * What callers write lies in several partitions, so that an outage of some of
- * them leaves the others open for new work. A partition is named behind the
- * table, as in `intake:3/...`; a transaction stays within one.
+ * All rows of a workflow lie in one of several partitions, so that an outage of
+ * some of them leaves the workflows of the others untouched. A partition is
+ * named behind the table, as in `intake:3/...`; a transaction stays within one.
  */
-export const INTAKE_PARTITIONS: readonly string[] = [
+export const PARTITIONS: readonly string[] = [
   "0",
   "1",
   "2",
@@ -85,38 +85,61 @@
 /** Table of accepted workflows and cancels. */
 export const INTAKE_TABLE = "intake";
 
-/** Partition of what callers write about one workflow. */
-export function partitionOf(id: string): string {
+/** Partition in which a workflow is looked for first. */
+export function homePartition(id: string): string {
   const [first] = crypto.createHash("sha1").update(id).digest();
-  return INTAKE_PARTITIONS[first % INTAKE_PARTITIONS.length];
+  return PARTITIONS[first % PARTITIONS.length];
+}
+
+/** Partition that a key or prefix names; empty where it names none. */
+export function partitionIn(key: string): string {
+  const [table] = key.split("/", 1);
+  const colon = table.indexOf(":");
+  return colon < 0 ? "" : table.slice(colon + 1);
+}
+
+/** Start of the keys of what callers wrote about one workflow. */
+export function intakePrefix(partition: string, id: string): string {
+  return `${INTAKE_TABLE}:${partition}/${id}/`;
 }
 
 /** Row of an accepted workflow; never changes. */
-export function workflowKey(id: string): string {
-  return `${INTAKE_TABLE}:${partitionOf(id)}/${id}/spec`;
+export function workflowKey(partition: string, id: string): string {
+  return `${intakePrefix(partition, id)}spec`;
 }
 
 /** Row that says: a caller has cancelled this workflow. */
-export function cancelKey(id: string): string {
-  return `${INTAKE_TABLE}:${partitionOf(id)}/${id}/cancel`;
+export function cancelKey(partition: string, id: string): string {
+  return `${intakePrefix(partition, id)}cancel`;
 }
 
-/** Rows of the progress of workflows. */
-export const PROGRESS_PREFIX = "progress/";
+/** Start of the keys of the progress of a partition's workflows. */
+export function progressPrefix(partition: string): string {
+  return `progress:${partition}/`;
+}
 
 /** Progress of one workflow; written by the coordinator. */
-export function progressKey(id: string): string {
-  return `${PROGRESS_PREFIX}${id}`;
+export function progressKey(partition: string, id: string): string {
+  return `${progressPrefix(partition)}${id}`;
+}
+
+/** Token of the only coordinator that may write progress in a partition. */
+export function fenceKey(partition: string): string {
+  return `fence:${partition}/token`;
 }
 
 /** Starts of the keys of a queue's workflows that have not begun. */
 export function waitingPrefixes(queue: string): readonly string[] {
-  return INTAKE_PARTITIONS.map((part) => `waiting:${part}/${queue}/`);
+  return PARTITIONS.map((partition) => `waiting:${partition}/${queue}/`);
 }
 
 /** Marks a workflow that has not begun. */
-export function waitingKey(queue: string, id: string): string {
-  return `waiting:${partitionOf(id)}/${queue}/${id}`;
+export function waitingKey(
+  partition: string,
+  queue: string,
+  id: string,
+): string {
+  return `waiting:${partition}/${queue}/${id}`;
 }
 
 /** Rows by which the nodes elect a coordinator. */
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -1,6 +1,7 @@
 /**
- * Follows rows for ever: reads all, then waits for changes; reads all again
- * when the history is lost.
+ * Follows rows for ever: reads all, partition by partition, then waits for
+ * changes; reads all again when the history is lost. A partition that can not be
+ * read holds up no other.
  */
 import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
@@ -16,25 +17,35 @@
   readonly onHeard?: () => void;
   /** Told after each look that failed. */
   readonly onFailed?: () => void;
+  /** Whether a partition may be read now; left out: always. */
+  readonly mayRead?: (partition: string) => boolean;
   /** Longest wait of one look. */
   readonly waitMs: number;
 }
 
 const SNAPSHOT_LIMIT_MS = 1500;
+/** A partition that failed before holds up the changes of the others. */
+const SNAPSHOT_AGAIN_LIMIT_MS = 400;
 const ANSWER_SLACK_MS = 500;
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 250;
+/** Longest wait of one look while some partition is still to be read. */
+const UNREAD_WAIT_MS = 200;
 
 /** Keeps the keys that it has told of, to notice what has gone. */
 export class RowFollower<T> {
   readonly #options: RowFollowerOptions<T>;
   readonly #known = new Set<string>();
+  /** Keys found since the reading of all partitions began. */
+  readonly #present = new Set<string>();
+  readonly #unread: Set<string>;
   #position: number | null = null;
   #heardAtMs = Number.NEGATIVE_INFINITY;
   #backoffMs = FIRST_BACKOFF_MS;
 
   constructor(options: RowFollowerOptions<T>) {
     this.#options = options;
+    this.#unread = new Set(options.feed.partitions);
   }
 
   /** Monotonic time of the last successful look. */
@@ -42,9 +53,14 @@
     return this.#heardAtMs;
   }
 
-  /** Whether all rows have been read at least once. */
+  /** Whether all partitions have been read. */
   get hasSnapshot(): boolean {
-    return this.#position !== null;
+    return this.#position !== null && this.#unread.size === 0;
+  }
+
+  /** Whether a partition has been read. */
+  hasRead(partition: string): boolean {
+    return this.#position !== null && !this.#unread.has(partition);
   }
 
   /** Follows for ever. */
@@ -52,31 +68,53 @@
     return Effect.forever(this.step());
   }
 
-  /** One look: a snapshot, or a wait for changes. */
+  /** One look: at partitions that are still to be read, or for changes. */
   step(): Effect.Effect<void> {
-    const look = Effect.suspend(() =>
-      this.#position === null
-        ? this.#readAll()
-        : this.#readChanges(this.#position)
-    );
+    const look = Effect.gen({ self: this }, function* () {
+      if (yield* this.#readMissing()) return;
+      if (this.#position === null) return yield* this.#pause();
+      yield* this.#readChanges(this.#position);
+    });
     return Effect.catch(look, () => this.#pause());
   }
 
-  #readAll(): Effect.Effect<void, Ports.StoreError> {
+  /** Reads partitions that are still to be read; tells whether one was. */
+  #readMissing(): Effect.Effect<boolean> {
+    const { mayRead } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const open = [...this.#unread].filter((p) => mayRead?.(p) ?? true);
+      const read = yield* Effect.forEach(
+        open,
+        (partition) => this.#readAll(partition),
+        { concurrency: "unbounded" },
+      );
+      return read.includes(true);
+    });
+  }
+
+  #readAll(partition: string): Effect.Effect<boolean> {
     const { feed, clock } = this.#options;
+    const limitMs = this.#position === null
+      ? SNAPSHOT_LIMIT_MS
+      : SNAPSHOT_AGAIN_LIMIT_MS;
     return Effect.gen({ self: this }, function* () {
-      const timed = yield* clock.within(SNAPSHOT_LIMIT_MS, feed.snapshot());
-      if (timed === null) return yield* this.#pause();
+      const page = feed.snapshot(partition);
+      const timed = yield* clock.within(limitMs, page);
+      if (timed === null) return false;
+      this.#unread.delete(partition);
       const { entries, position } = timed.value;
-      const present = new Set(entries.map((entry) => entry.key));
-      const gone = [...this.#known].filter((key) => !present.has(key));
-      const removed = gone.map((key) => ({ key, value: null }));
-      this.#take([...entries, ...removed], position);
-    });
+      // What changed between the reads is told again from the oldest on.
+      this.#take(entries, Math.min(this.#position ?? position, position));
+      this.#tellGone();
+      return true;
+    }).pipe(Effect.catch(() => Effect.succeed(false)));
   }
 
   #readChanges(position: number): Effect.Effect<void, Ports.StoreError> {
-    const { feed, clock, waitMs } = this.#options;
+    const { feed, clock } = this.#options;
+    const waitMs = this.#unread.size === 0
+      ? this.#options.waitMs
+      : UNREAD_WAIT_MS;
     return Effect.gen({ self: this }, function* () {
       const limitMs = waitMs + ANSWER_SLACK_MS;
       const timed = yield* clock.within(
@@ -86,17 +124,26 @@
       if (timed === null) return yield* this.#pause();
       this.#take(timed.value.entries, timed.value.position);
     }).pipe(
-      Effect.catchTag("HistoryLostError", () =>
-        Effect.sync(() => {
-          this.#position = null;
-        })),
+      Effect.catchTag(
+        "HistoryLostError",
+        () => Effect.sync(() => this.#beginAgain()),
+      ),
     );
   }
 
+  #beginAgain(): void {
+    this.#position = null;
+    this.#present.clear();
+    for (const partition of this.#options.feed.partitions) {
+      this.#unread.add(partition);
+    }
+  }
+
   #take(entries: readonly Ports.FeedEntry<T>[], position: number): void {
     for (const { key, value } of entries) {
-      if (value === null) this.#known.delete(key);
-      else this.#known.add(key);
+      const change = value === null ? "delete" : "add";
+      this.#known[change](key);
+      this.#present[change](key);
     }
     this.#position = position;
     this.#backoffMs = FIRST_BACKOFF_MS;
@@ -105,6 +152,15 @@
     this.#options.onHeard?.();
   }
 
+  /** Once all partitions are read: what is known and was not found is gone. */
+  #tellGone(): void {
+    if (this.#unread.size > 0) return;
+    const gone = [...this.#known].filter((key) => !this.#present.has(key));
+    for (const key of gone) this.#known.delete(key);
+    if (gone.length === 0) return;
+    this.#options.onChange(gone.map((key) => ({ key, value: null })));
+  }
+
   #pause(): Effect.Effect<void> {
     const { clock, random } = this.#options;
     this.#options.onFailed?.();
--- /dev/null
+++ b/packages/table-client/src/row_follower_test.ts
@@ -0,0 +1,111 @@
+/** Rows are followed partition by partition. */
+import * as Errors from "@cairngate/errors";
+import * as Ports from "@cairngate/ports";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+import * as followers from "./row_follower.ts";
+
+type Page = Ports.FeedPage<string>;
+
+const DOWN = new Errors.StoreUnavailableError({
+  operation: "scan",
+  cause: "outage",
+});
+
+/** A feed that answers what a test has laid out. */
+class ScriptedFeed extends Ports.RowFeed<string> {
+  override readonly partitions = ["a", "b"];
+  /** Rows of each partition that can be read. */
+  readonly pages = new Map<string, Page>();
+  /** Answers to the next looks for changes. */
+  readonly changePages: (Page | "lost")[] = [];
+  /** Positions that were asked for. */
+  readonly asked: number[] = [];
+
+  override snapshot(partition: string) {
+    const page = this.pages.get(partition);
+    return page === undefined ? Effect.fail(DOWN) : Effect.succeed(page);
+  }
+
+  override changes(position: number) {
+    this.asked.push(position);
+    const page = this.changePages.shift() ?? { entries: [], position };
+    if (page === "lost") {
+      return Effect.fail(new Errors.HistoryLostError({ position }));
+    }
+    return Effect.succeed(page);
+  }
+}
+
+function pageOf(position: number, ...keys: string[]): Page {
+  return { position, entries: keys.map((key) => ({ key, value: key })) };
+}
+
+function follow() {
+  const clock = new TestUtils.FakeClock();
+  const feed = new ScriptedFeed();
+  const told: string[] = [];
+  const follower = new followers.RowFollower<string>({
+    feed,
+    clock,
+    random: new TestUtils.SeededRandom(1),
+    waitMs: 1000,
+    onChange: (entries) => {
+      for (const { key, value } of entries) {
+        told.push(value === null ? `-${key}` : key);
+      }
+    },
+  });
+  const step = async () => {
+    const done = Effect.runPromise(follower.step());
+    await clock.advance(500);
+    await done;
+  };
+  return { feed, told, follower, step };
+}
+
+vitest.describe("RowFollower", () => {
+  vitest.it("goes on from the oldest position of the partitions", async () => {
+    const { feed, told, step } = follow();
+    feed.pages.set("a", pageOf(7, "a/1"));
+    feed.pages.set("b", pageOf(5, "b/1"));
+    await step();
+    await step();
+    vitest.expect(told).toEqual(["a/1", "b/1"]);
+    vitest.expect(feed.asked).toEqual([5]);
+  });
+
+  vitest.it("tells changes while one partition can not be read", async () => {
+    const { feed, told, follower, step } = follow();
+    feed.pages.set("a", pageOf(7, "a/1"));
+    await step();
+    vitest.expect(follower.hasRead("a")).toBe(true);
+    vitest.expect(follower.hasSnapshot).toBe(false);
+    feed.changePages.push(pageOf(8, "a/2"));
+    await step();
+    vitest.expect(told).toEqual(["a/1", "a/2"]);
+    feed.pages.set("b", pageOf(9, "b/1"));
+    await step();
+    vitest.expect(told).toEqual(["a/1", "a/2", "b/1"]);
+    vitest.expect(follower.hasSnapshot).toBe(true);
+    await step();
+    vitest.expect(feed.asked.at(-1)).toBe(8);
+  });
+
+  vitest.it("tells what has gone once a lost history is read", async () => {
+    const { feed, told, step } = follow();
+    feed.pages.set("a", pageOf(7, "a/1"));
+    feed.pages.set("b", pageOf(7, "b/1", "b/2"));
+    await step();
+    feed.changePages.push("lost");
+    await step();
+    feed.pages.set("a", pageOf(30));
+    feed.pages.delete("b");
+    await step();
+    vitest.expect(told).toEqual(["a/1", "b/1", "b/2"]);
+    feed.pages.set("b", pageOf(31, "b/2"));
+    await step();
+    vitest.expect(told.slice(3)).toEqual(["b/2", "-a/1", "-b/1"]);
+  });
+});
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -9,6 +9,7 @@
 import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import * as breakers from "./circuit_breaker.ts";
+import * as keys from "./keys.ts";
 
 /** What a store client needs. */
 export interface StoreClientOptions {
@@ -41,26 +42,30 @@
 /** Reads and writes rows; fails with one error after its deadline. */
 export class StoreClient {
   readonly #options: StoreClientOptions;
-  readonly #breaker: breakers.CircuitBreaker;
+  /** One for each partition: some may fail while others answer. */
+  readonly #breakers = new Map<string, breakers.CircuitBreaker>();
   #tokens: number;
   #tokensAtMs: number;
   #failingSinceMs: number | null = null;
 
   constructor(options: StoreClientOptions) {
     this.#options = options;
-    this.#breaker = new breakers.CircuitBreaker(options.clock);
     this.#tokens = options.writesPerSecond * BURST_SECONDS;
     this.#tokensAtMs = options.clock.monotonicMs();
   }
 
-  /** Whether the service answered lately. */
+  /** Whether all partitions that are used answered lately. */
   isReachable(): boolean {
-    return !this.#breaker.isOpen();
+    return [...this.#breakers.values()].every((one) => !one.isOpen());
+  }
+
+  /** Whether calls to a partition have failed and are not tried now. */
+  isShut(partition: string): boolean {
+    return this.#breaker(partition).isOpen();
   }
 
   /** The service answered a call that was made without this client. */
   noteAnswered(): void {
-    this.#breaker.succeeded();
     this.#failingSinceMs = null;
   }
 
@@ -77,11 +82,12 @@
 
   /** Reads rows; absent ones are left out. */
   read(
-    keys: readonly string[],
+    rowKeys: readonly string[],
     deadlineMs = DEFAULT_DEADLINE_MS,
   ): Effect.Effect<readonly Ports.Row[], StoreFailure> {
-    const call = () => this.#options.table.read(keys);
-    return this.#retryRead("read", call, deadlineMs);
+    const call = () => this.#options.table.read(rowKeys);
+    const partition = keys.partitionIn(rowKeys[0] ?? "");
+    return this.#retryRead({ operation: "read", partition }, call, deadlineMs);
   }
 
   /** Rows under a prefix that are newer than a revision. */
@@ -91,7 +97,8 @@
     deadlineMs = DEFAULT_DEADLINE_MS,
   ): Effect.Effect<readonly Ports.Row[], StoreFailure> {
     const call = () => this.#options.table.scan(prefix, afterRevision);
-    return this.#retryRead("scan", call, deadlineMs);
+    const partition = keys.partitionIn(prefix);
+    return this.#retryRead({ operation: "scan", partition }, call, deadlineMs);
   }
 
   /** Writes; returns the revision. Unavailable means: perhaps written. */
@@ -140,7 +147,8 @@
   #tryWrite(tx: Ports.Transaction): Effect.Effect<WriteTry> {
     const { table, metrics } = this.#options;
     metrics.count("cairngate_store_writes_total");
-    return this.#timed("write", table.transact(tx)).pipe(
+    const target = { operation: "write", partition: partitionOf(tx) };
+    return this.#timed(target, table.transact(tx)).pipe(
       Effect.map((revision): WriteTry => ({ kind: "written", revision })),
       Effect.catchTags({
         ConditionFailedError: (err) =>
@@ -154,9 +162,10 @@
   /** Revision of the transaction if its rows show that it took effect. */
   #findWrite(tx: Ports.Transaction): Effect.Effect<number | null> {
     const kept = tx.writes.filter((w) => w.value !== null);
-    const keys = kept.map((w) => w.key);
+    const call = this.#options.table.read(kept.map((w) => w.key));
     this.#options.metrics.count("cairngate_store_lost_answers_total");
-    return this.#timed("read", this.#options.table.read(keys)).pipe(
+    const target = { operation: "read", partition: partitionOf(tx) };
+    return this.#timed(target, call).pipe(
       Effect.map((rows) => {
         const own = rows.find((row) => row.writeId === tx.writeId);
         return own?.revision ?? null;
@@ -166,7 +175,7 @@
   }
 
   #retryRead<A>(
-    operation: string,
+    target: Target,
     call: () => Effect.Effect<A, Ports.StoreError>,
     deadlineMs: number,
   ): Effect.Effect<A, StoreFailure> {
@@ -176,12 +185,13 @@
       let backoffMs = FIRST_BACKOFF_MS;
       for (;;) {
         metrics.count("cairngate_store_reads_total");
-        const rows = yield* this.#timed(operation, call()).pipe(
+        const rows = yield* this.#timed(target, call()).pipe(
           Effect.catch(() => Effect.succeed(null)),
         );
         if (rows !== null) return rows;
         if (clock.monotonicMs() + backoffMs > endMs) {
-          return yield* unavailable(operation, "no answer before the deadline");
+          const cause = "no answer before the deadline";
+          return yield* unavailable(target.operation, cause);
         }
         yield* clock.sleep(random.jitter(backoffMs));
         backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
@@ -191,26 +201,28 @@
 
   /** One call with a deadline, counted and watched by the circuit breaker. */
   #timed<A, E extends { readonly _tag: string }>(
-    operation: string,
+    { operation, partition }: Target,
     call: Effect.Effect<A, E>,
   ): Effect.Effect<A, E | Errors.AnswerLostError | StoreFailure> {
     const { clock, metrics } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      if (this.#breaker.isOpen()) {
+      const breaker = this.#breaker(partition);
+      if (breaker.isOpen()) {
         return yield* unavailable(operation, "it failed several times lately");
       }
       const startMs = clock.monotonicMs();
       const timed = yield* clock.within(CALL_MS, call).pipe(
         Effect.tapError((err) =>
           Effect.sync(() => {
-            if (err._tag !== "ConditionFailedError") this.#failed();
+            if (err._tag !== "ConditionFailedError") this.#failed(breaker);
           })
         ),
       );
       if (timed === null) {
-        this.#failed();
+        this.#failed(breaker);
         return yield* new Errors.AnswerLostError({ operation });
       }
+      breaker.succeeded();
       this.noteAnswered();
       const tookMs = clock.monotonicMs() - startMs;
       metrics.observeMs(`cairngate_store_${operation}_seconds`, tookMs);
@@ -218,11 +230,19 @@
     });
   }
 
-  #failed(): void {
-    this.#breaker.failed();
+  #failed(breaker: breakers.CircuitBreaker): void {
+    breaker.failed();
     this.noteFailed();
   }
 
+  #breaker(partition: string): breakers.CircuitBreaker {
+    const known = this.#breakers.get(partition);
+    if (known !== undefined) return known;
+    const made = new breakers.CircuitBreaker(this.#options.clock);
+    this.#breakers.set(partition, made);
+    return made;
+  }
+
   /** Waits for the write budget; fails when the wait passes the deadline. */
   #takeToken(endMs: number): Effect.Effect<void, StoreFailure> {
     const { clock, writesPerSecond } = this.#options;
@@ -239,12 +259,23 @@
   }
 }
 
+/** What a call does, and to which partition. */
+interface Target {
+  readonly operation: string;
+  readonly partition: string;
+}
+
 type WriteTry =
   | { readonly kind: "written"; readonly revision: number }
   | { readonly kind: "refused"; readonly err: Errors.ConditionFailedError }
   | { readonly kind: "lost" }
   | { readonly kind: "down" };
 
+/** A transaction stays within one partition. */
+function partitionOf({ writes, conditions }: Ports.Transaction): string {
+  return keys.partitionIn((writes[0] ?? conditions[0])?.key ?? "");
+}
+
 function unavailable(
   operation: string,
   cause: string,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -3,6 +3,7 @@
 import * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
 import * as StandIns from "@cairngate/stand-ins";
+import * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
 import * as Node from "@cairngate/workflow-node";
 import * as Effect from "effect/Effect";
@@ -121,12 +122,13 @@
   /** Makes a node; it has to be started. */
   addNode(name: string): Node.WorkflowNode {
     const faults = new StandIns.FaultSwitch(this.clock, this.random);
-    const feed = <T>(prefix: string) =>
+    const feed = <T>(prefix: string, partitions?: readonly string[]) =>
       new StandIns.MemoryRowFeed<T>({
         table: this.table,
         prefix,
         clock: this.clock,
         faults,
+        partitions: partitions ?? [""],
       });
     const node = new Node.WorkflowNode({
       node: name,
@@ -138,7 +140,7 @@
       feeds: {
         config: feed<Ports.AccessConfig>(CONFIG_PREFIX),
         workers: feed<Ports.WorkerListing>(WORKERS_PREFIX),
-        intake: feed<unknown>("intake"),
+        intake: feed<unknown>("intake", TableClient.Keys.PARTITIONS),
         election: feed<unknown>("election/"),
       },
       bounds: FLEET_BOUNDS,
@@ -256,7 +258,8 @@
 
   /** State of a workflow, as the store has it. */
   state(id: string): Workflow.WorkflowState | null {
-    const [row] = this.table.rowsUnder(`progress/${id}`);
+    const [row] = this.table.rowsUnder("progress:")
+      .filter(({ key }) => key.endsWith(`/${id}`));
     return (row?.value as Workflow.ProgressRecord | undefined)?.state ?? null;
   }
 
--- /dev/null
+++ b/packages/workflow-node/src/partitions_test.ts
@@ -0,0 +1,108 @@
+/** Some partitions of the store are away; the others work on. */
+import * as TableClient from "@cairngate/table-client";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const FIRST = "a000000000000001";
+const HOME = TableClient.Keys.homePartition(FIRST);
+/** An id of another partition. */
+const SECOND = ["a000000000000002", "a000000000000003", "a000000000000004"]
+  .filter((id) => TableClient.Keys.homePartition(id) !== HOME)[0];
+
+function isCompleted(fleet: TestUtils.TestFleet, id: string): boolean {
+  return fleet.state(id) === Workflow.WorkflowState.Completed;
+}
+
+function setDown(fleet: TestUtils.TestFleet, ...partitions: string[]): void {
+  for (const name of fleet.nodes.keys()) {
+    fleet.faultsOf(name).set({ downPartitions: partitions });
+  }
+}
+
+async function startFleet(runMs: number): Promise<TestUtils.TestFleet> {
+  const fleet = new TestUtils.TestFleet();
+  fleet.workers.behave = () => ({ runMs, fails: false });
+  await fleet.start();
+  return fleet;
+}
+
+const TWO_STEPS = [
+  TestUtils.buildStep(),
+  TestUtils.buildStep({ after: [0] }),
+];
+
+vitest.describe("while a partition is away", () => {
+  vitest.it("workflows of the others run and end", async () => {
+    const fleet = await startFleet(1000);
+    await fleet.submit("node-1", FIRST, { steps: TWO_STEPS });
+    await fleet.submit("node-2", SECOND, { steps: TWO_STEPS });
+    await fleet.until(() => fleet.workers.runs.length === 2);
+    setDown(fleet, HOME);
+    await fleet.clock.advance(4000);
+    vitest.expect(isCompleted(fleet, SECOND)).toBe(true);
+    vitest.expect(isCompleted(fleet, FIRST)).toBe(false);
+    setDown(fleet);
+    vitest.expect(await fleet.until(() => isCompleted(fleet, FIRST)))
+      .toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(4);
+    await fleet.stop();
+  });
+
+  vitest.it("a takeover stops nothing that it can not know", async () => {
+    const fleet = await startFleet(3000);
+    await fleet.submit("node-1", FIRST);
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const first = fleet.coordinator() ?? "";
+    setDown(fleet, HOME);
+    await fleet.kill(first);
+    await fleet.clock.advance(6000);
+    vitest.expect(fleet.coordinator()).not.toBe(first);
+    const [run] = fleet.workers.runs;
+    vitest.expect(run.how).toBe("done");
+    vitest.expect(run.acknowledgedAtMs).toBeNull();
+    setDown(fleet);
+    vitest.expect(await fleet.until(() => isCompleted(fleet, FIRST)))
+      .toBe(true);
+    vitest.expect(await fleet.until(() => run.acknowledgedAtMs !== null))
+      .toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+
+  vitest.it("a takeover starts no copy of what it can not know", async () => {
+    const fleet = await startFleet(20_000);
+    const steps = [TestUtils.buildStep({ estimateMs: 20_000 })];
+    await fleet.submit("node-1", FIRST, { steps });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const other = TableClient.Keys.homePartition(SECOND);
+    const [accepted] = fleet.table.rowsUnder(`intake:${HOME}/${FIRST}/`);
+    const copy = TableClient.Keys.workflowKey(other, FIRST);
+    setDown(fleet, HOME);
+    await fleet.kill(fleet.coordinator() ?? "");
+    fleet.write(copy, accepted.value);
+    await fleet.clock.advance(6000);
+    setDown(fleet);
+    await fleet.clock.advance(6000);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    vitest.expect(fleet.workers.runs[0].how).toBeNull();
+    vitest.expect(fleet.table.rowsUnder(copy)).toEqual([]);
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a workflow that was accepted in two partitions", () => {
+  vitest.it("runs once, and its copy is removed", async () => {
+    const fleet = await startFleet(1000);
+    await fleet.submit("node-1", FIRST);
+    const [accepted] = fleet.table.rowsUnder(`intake:${HOME}/${FIRST}/`);
+    const other = TableClient.Keys.homePartition(SECOND);
+    const copy = TableClient.Keys.workflowKey(other, FIRST);
+    fleet.write(copy, accepted.value);
+    await fleet.clock.advance(3000);
+    vitest.expect(isCompleted(fleet, FIRST)).toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    vitest.expect(fleet.table.rowsUnder(copy)).toEqual([]);
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -1,9 +1,10 @@
 /**
  * Random faults over several nodes: kills, outages of the store for one node or
- * all, lost answers, orders that are lost, unanswered or late, failing runs.
+ * all, or of some partitions, lost answers, orders that are lost, unanswered or late, failing runs.
  * CAIRNGATE_FAULT_RUNS sets how many seeds are played.
  */
 import * as StandIns from "@cairngate/stand-ins";
+import * as TableClient from "@cairngate/table-client";
 import * as TestUtils from "@cairngate/test-utils";
 import * as Workflow from "@cairngate/workflow";
 import process from "node:process";
@@ -57,7 +58,7 @@
 ): Promise<void> {
   const names = [...fleet.nodes.keys()];
   const name = random.choose(names);
-  switch (random.between(0, 4)) {
+  switch (random.between(0, 5)) {
     case 0: {
       const victim = fleet.coordinator() ?? name;
       if (!fleet.nodes.has(victim)) return;
@@ -72,6 +73,12 @@
       return;
     case 3:
       return fleet.faultsOf(name).set({ loseAnswers: 0.4 });
+    case 4: {
+      const isAway = () => random.next() < 0.35;
+      const downPartitions = TableClient.Keys.PARTITIONS.filter(isAway);
+      for (const each of names) fleet.faultsOf(each).set({ downPartitions });
+      return;
+    }
     default:
       return fleet.faultsOf(name).set({ delayMs: 120 });
   }
@@ -79,7 +86,12 @@
 
 function mendNodes(fleet: TestUtils.TestFleet): void {
   for (const name of fleet.nodes.keys()) {
-    fleet.faultsOf(name).set({ down: false, loseAnswers: 0, delayMs: 0 });
+    fleet.faultsOf(name).set({
+      down: false,
+      downPartitions: [],
+      loseAnswers: 0,
+      delayMs: 0,
+    });
   }
 }
 
