Let an end that is listed before its record wait for that record only

Ruled out: two copies of the workflow (its rows lay in one partition). Test: partitions, 'an end waits for its own partition only', fails before.

--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -45,6 +45,8 @@
   readonly #occupants = new Map<string, occupants.Occupant>();
   readonly #strays = new strays.StrayRuns();
   readonly #ends = new endLedgers.EndLedger();
+  /** Ends that were listed before the record of their run was read. */
+  readonly #unplaced = new Map<string, Deferred.Deferred<void>>();
   #reachable = true;
   #over = false;
   #signal = Deferred.makeUnsafe<void>();
@@ -95,6 +97,8 @@
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
     this.#occupants.set(task.name, occupants.adoptOccupant(task));
+    const ended = this.#unplaced.get(nameOfRun(task));
+    if (ended !== undefined) Deferred.doneUnsafe(ended, Effect.void);
     this.#wake();
   }
 
@@ -300,7 +304,7 @@
       for (const occupant of this.occupants) {
         const { knownSinceMs } = occupant;
         const isMissing = knownSinceMs !== null && knownSinceMs < sentAtMs &&
-          !held.has(occupant);
+          !held.has(occupant) && !this.#unplaced.has(nameOfRun(occupant.task));
         if (isMissing) records.push(this.#end(occupant, listeners.LOST));
       }
       if (records.length > 0 || fresh.length > 0) {
@@ -321,12 +325,23 @@
     if (occupant !== undefined && occupant.run === ended.run) {
       return this.#end(occupant, listeners.toSessionEnd(ended));
     }
-    if (recovery.isComplete) return null;
-    // The record that names this run may not be read yet.
-    return Effect.andThen(
-      recovery.awaitComplete(),
-      Effect.suspend(() => this.#takeEnd(ended) ?? Effect.void),
+    return recovery.isComplete ? null : this.#takeEndLater(ended);
+  }
+
+  /** The record that names this run may not be read yet. */
+  #takeEndLater(ended: Ports.EndedRun): Effect.Effect<void> {
+    const name = strays.nameOf(ended);
+    const adopted = Deferred.makeUnsafe<void>();
+    this.#unplaced.set(name, adopted);
+    const known = Effect.raceFirst(
+      Deferred.await(adopted),
+      this.#options.recovery.awaitComplete(),
     );
+    const take = Effect.suspend(() => {
+      this.#unplaced.delete(name);
+      return this.#takeEnd(ended) ?? Effect.void;
+    });
+    return Effect.andThen(known, take);
   }
 
   /** Confirms runs that are held; stops those that nobody expects. */
@@ -379,3 +394,7 @@
     Deferred.doneUnsafe(this.#signal, Effect.void);
   }
 }
+
+function nameOfRun({ name: task, run }: Workflow.Task): string {
+  return strays.nameOf({ task, run });
+}
--- a/packages/workflow-node/src/partitions_test.ts
+++ b/packages/workflow-node/src/partitions_test.ts
@@ -49,6 +49,35 @@
     await fleet.stop();
   });
 
+  vitest.it("new workflows are filed, run and found elsewhere", async () => {
+    const fleet = await startFleet(1000);
+    setDown(fleet, HOME);
+    await fleet.submit("node-1", FIRST);
+    await fleet.until(() => isCompleted(fleet, FIRST));
+    const ask = () => fleet.ask("node-2", FIRST);
+    vitest.expect(await ask()).toBe(Workflow.WorkflowState.Completed);
+    setDown(fleet);
+    await fleet.clock.advance(1000);
+    vitest.expect(await ask()).toBe(Workflow.WorkflowState.Completed);
+    await fleet.submit("node-3", FIRST);
+    await fleet.clock.advance(3000);
+    vitest.expect(await ask()).toBe(Workflow.WorkflowState.Completed);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+
+  vitest.it("nobody is told that there is no such workflow", async () => {
+    const fleet = await startFleet(1000);
+    setDown(fleet, TableClient.Keys.homePartition(SECOND));
+    await vitest.expect(fleet.ask("node-1", FIRST)).rejects
+      .toMatchObject({ _tag: "StoreUnavailableError" });
+    setDown(fleet);
+    await fleet.clock.advance(1000);
+    await vitest.expect(fleet.ask("node-1", FIRST)).rejects
+      .toMatchObject({ _tag: "UnknownJobError" });
+    await fleet.stop();
+  });
+
   vitest.it("a takeover stops nothing that it can not know", async () => {
     const fleet = await startFleet(3000);
     await fleet.submit("node-1", FIRST);
@@ -70,6 +99,21 @@
     await fleet.stop();
   });
 
+  vitest.it("an end waits for its own partition only", async () => {
+    const fleet = await startFleet(3000);
+    await fleet.submit("node-1", FIRST);
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const other = TableClient.Keys.homePartition(SECOND);
+    setDown(fleet, HOME, other);
+    await fleet.kill(fleet.coordinator() ?? "");
+    await fleet.clock.advance(6000);
+    setDown(fleet, other);
+    await fleet.clock.advance(2000);
+    vitest.expect(isCompleted(fleet, FIRST)).toBe(true);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+
   vitest.it("a takeover starts no copy of what it can not know", async () => {
     const fleet = await startFleet(20_000);
     const steps = [TestUtils.buildStep({ estimateMs: 20_000 })];
