File and find workflows in other partitions where one does not answer

Cause: with a third of the partitions away a third of the submissions got 503 or, after a reset, 504, after which callers can not try again. Now the home partition is tried first, the next one when it fails or lags four times the usual time; questions look everywhere. The limit of a call now holds also while a single call hangs, so it is 1 s, as it was in effect. Tests: first_success, partitions (filed, found, not denied).

--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -1,10 +1,11 @@
 /** Accepts, cancels and shows workflows; every answer rests on stored rows. */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
-import * as TableClient from "@cairngate/table-client";
+import type * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import type * as access from "./access.ts";
+import * as workflowRows from "./workflow_rows.ts";
 
 /** What a caller hands in, already in the product's terms. */
 export interface Submission {
@@ -20,9 +21,6 @@
   readonly clock: Ports.Clock;
 }
 
-/** A write of the store that a caller waits for ends within this time. */
-const WRITE_LIMIT_MS = 450;
-const READ_LIMIT_MS = 450;
 /**
  * Callers often ask just as the last task ends, while its record is on the way
  * to the store; a caller who hears `running` asks again only much later.
@@ -31,11 +29,11 @@
 
 /** Callers' side of the workflows. */
 export class Submissions {
-  readonly #store: TableClient.StoreClient;
+  readonly #rows: workflowRows.WorkflowRows;
   readonly #clock: Ports.Clock;
 
   constructor(options: SubmissionOptions) {
-    this.#store = options.store;
+    this.#rows = new workflowRows.WorkflowRows(options);
     this.#clock = options.clock;
   }
 
@@ -53,7 +51,7 @@
     const { id, payload, steps, schedule } = submission;
     const fault = Workflow.findStepFault(steps, schedule);
     if (fault !== null) return Effect.fail(new Errors.BadRequestError(fault));
-    const value: Workflow.WorkflowSpec = {
+    return this.#rows.file({
       id,
       tenant: allowed.tenant,
       policy: policyOf(allowed.route),
@@ -61,20 +59,7 @@
       steps,
       schedule,
       acceptedAtMs: this.#clock.wallMs(),
-    };
-    const partition = TableClient.Keys.homePartition(id);
-    const key = TableClient.Keys.workflowKey(partition, id);
-    const { queue } = value.policy;
-    const mark = TableClient.Keys.waitingKey(partition, queue, id);
-    const write = {
-      conditions: [{ key, revision: 0 }],
-      writes: [{ key, value }, { key: mark, value: 1 }],
-    };
-    return this.#store.write(write, WRITE_LIMIT_MS).pipe(
-      Effect.asVoid,
-      // The row is there: it was accepted before.
-      Effect.catchTag("ConditionFailedError", () => Effect.void),
-    );
+    });
   }
 
   /** Marks a workflow as cancelled; fails where there is none. */
@@ -88,11 +73,7 @@
     | Errors.ConditionFailedError
   > {
     return Effect.gen({ self: this }, function* () {
-      yield* this.#find(allowed, id);
-      const partition = TableClient.Keys.homePartition(id);
-      const key = TableClient.Keys.cancelKey(partition, id);
-      const writes = [{ key, value: this.#clock.wallMs() }];
-      yield* this.#store.write({ conditions: [], writes }, WRITE_LIMIT_MS);
+      yield* this.#rows.cancel(yield* this.#find(allowed, id));
     });
   }
 
@@ -105,17 +86,13 @@
     Errors.UnknownJobError | Errors.StoreUnavailableError
   > {
     return Effect.gen({ self: this }, function* () {
-      const rows = yield* this.#find(allowed, id);
-      const partition = TableClient.Keys.homePartition(id);
-      const key = TableClient.Keys.progressKey(partition, id);
-      const state = stateOf(rows.get(key));
+      const found = yield* this.#find(allowed, id);
+      const state = stateOf(found.progress);
       if (Workflow.isFinal(state)) return state;
-      const isCancelled = rows.has(TableClient.Keys.cancelKey(partition, id));
-      if (isCancelled) return Workflow.WorkflowState.Cancelled;
+      if (found.isCancelled) return Workflow.WorkflowState.Cancelled;
       if (state === Workflow.WorkflowState.Queued) return state;
       yield* this.#clock.sleep(RECORD_ARRIVES_MS);
-      const [row] = yield* this.#store.read([key], READ_LIMIT_MS);
-      return stateOf(row);
+      return stateOf(yield* this.#rows.readProgress(found));
     });
   }
 
@@ -123,44 +100,29 @@
   countWaiting(
     allowed: access.Access,
   ): Effect.Effect<number, Errors.StoreUnavailableError> {
-    const prefixes = TableClient.Keys.waitingPrefixes(allowed.route.queue);
-    const scans = prefixes.map((prefix) =>
-      this.#store.scan(prefix, 0, READ_LIMIT_MS)
-    );
-    return Effect.map(
-      Effect.all(scans, { concurrency: "unbounded" }),
-      (found) => found.flat().length,
-    );
+    return this.#rows.countWaiting(allowed.route.queue);
   }
 
   #find(
     allowed: access.Access,
     id: string,
   ): Effect.Effect<
-    ReadonlyMap<string, Ports.Row>,
+    workflowRows.FoundWorkflow,
     Errors.UnknownJobError | Errors.StoreUnavailableError
   > {
-    const partition = TableClient.Keys.homePartition(id);
-    const key = TableClient.Keys.workflowKey(partition, id);
-    const keys = [
-      key,
-      TableClient.Keys.progressKey(partition, id),
-      TableClient.Keys.cancelKey(partition, id),
-    ];
     return Effect.gen({ self: this }, function* () {
-      const rows = yield* this.#store.read(keys, READ_LIMIT_MS);
-      const byKey = new Map(rows.map((row) => [row.key, row]));
-      const spec = byKey.get(key)?.value as Workflow.WorkflowSpec | undefined;
-      const isOwn = spec !== undefined && isVisible(allowed, spec);
+      const found = yield* this.#rows.find(id);
+      const isOwn = found !== null && isVisible(allowed, found.spec);
       if (!isOwn) return yield* new Errors.UnknownJobError({ jobId: id });
-      return byKey;
+      return found;
     });
   }
 }
 
-/** The state that a progress row shows; without one nothing has begun. */
-function stateOf(row: Ports.Row | undefined): Workflow.WorkflowState {
-  const progress = row?.value as Workflow.ProgressRecord | undefined;
+/** The state that a record shows; without one nothing has begun. */
+function stateOf(
+  progress: Workflow.ProgressRecord | null,
+): Workflow.WorkflowState {
   return progress?.state ?? Workflow.WorkflowState.Queued;
 }
 
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -33,11 +33,19 @@
 }
 
 const CALL_MS = 1000;
+/** A call that is sent at all has at least this time. */
+const LEAST_CALL_MS = 50;
 const FIRST_BACKOFF_MS = 40;
 const LONGEST_BACKOFF_MS = 1000;
 /** Time after which a call gives up, unless the caller says otherwise. */
 const DEFAULT_DEADLINE_MS = 3000;
 const BURST_SECONDS = 1;
+/** Writes that take this many times the usual time are late. */
+const HEDGE_FACTOR = 4;
+const LEAST_HEDGE_MS = 40;
+const LONGEST_HEDGE_MS = 1000;
+/** Weight of the newest write in the usual time. */
+const NEWEST_WEIGHT = 0.3;
 
 /** Reads and writes rows; fails with one error after its deadline. */
 export class StoreClient {
@@ -47,6 +55,7 @@
   #tokens: number;
   #tokensAtMs: number;
   #failingSinceMs: number | null = null;
+  #usualWriteMs = 0;
 
   constructor(options: StoreClientOptions) {
     this.#options = options;
@@ -59,6 +68,12 @@
     return [...this.#breakers.values()].every((one) => !one.isOpen());
   }
 
+  /** Time after which a second try beside a call is worth its price. */
+  get hedgeMs(): number {
+    const usualMs = this.#usualWriteMs * HEDGE_FACTOR;
+    return Math.min(LONGEST_HEDGE_MS, Math.max(LEAST_HEDGE_MS, usualMs));
+  }
+
   /** Whether calls to a partition have failed and are not tried now. */
   isShut(partition: string): boolean {
     return this.#breaker(partition).isOpen();
@@ -122,12 +137,12 @@
       let mayHaveLanded = false;
       for (;;) {
         yield* this.#takeToken(endMs);
-        const tried = yield* this.#tryWrite(tx);
+        const tried = yield* this.#tryWrite(tx, endMs);
         if (tried.kind === "written") return tried.revision;
         if (tried.kind === "refused" && !mayHaveLanded) return yield* tried.err;
         mayHaveLanded ||= tried.kind === "lost";
         if (mayHaveLanded) {
-          const landed = yield* this.#findWrite(tx);
+          const landed = yield* this.#findWrite(tx, endMs);
           if (landed !== null) return landed;
           if (tried.kind === "refused") return yield* tried.err;
         }
@@ -144,10 +159,13 @@
     });
   }
 
-  #tryWrite(tx: Ports.Transaction): Effect.Effect<WriteTry> {
+  #tryWrite(
+    tx: Ports.Transaction,
+    endMs: number,
+  ): Effect.Effect<WriteTry> {
     const { table, metrics } = this.#options;
     metrics.count("cairngate_store_writes_total");
-    const target = { operation: "write", partition: partitionOf(tx) };
+    const target = { operation: "write", partition: partitionOf(tx), endMs };
     return this.#timed(target, table.transact(tx)).pipe(
       Effect.map((revision): WriteTry => ({ kind: "written", revision })),
       Effect.catchTags({
@@ -160,11 +178,14 @@
   }
 
   /** Revision of the transaction if its rows show that it took effect. */
-  #findWrite(tx: Ports.Transaction): Effect.Effect<number | null> {
+  #findWrite(
+    tx: Ports.Transaction,
+    endMs: number,
+  ): Effect.Effect<number | null> {
     const kept = tx.writes.filter((w) => w.value !== null);
     const call = this.#options.table.read(kept.map((w) => w.key));
     this.#options.metrics.count("cairngate_store_lost_answers_total");
-    const target = { operation: "read", partition: partitionOf(tx) };
+    const target = { operation: "read", partition: partitionOf(tx), endMs };
     return this.#timed(target, call).pipe(
       Effect.map((rows) => {
         const own = rows.find((row) => row.writeId === tx.writeId);
@@ -175,13 +196,14 @@
   }
 
   #retryRead<A>(
-    target: Target,
+    what: Omit<Target, "endMs">,
     call: () => Effect.Effect<A, Ports.StoreError>,
     deadlineMs: number,
   ): Effect.Effect<A, StoreFailure> {
     const { clock, random, metrics } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const endMs = clock.monotonicMs() + deadlineMs;
+      const target = { ...what, endMs };
       let backoffMs = FIRST_BACKOFF_MS;
       for (;;) {
         metrics.count("cairngate_store_reads_total");
@@ -191,7 +213,7 @@
         if (rows !== null) return rows;
         if (clock.monotonicMs() + backoffMs > endMs) {
           const cause = "no answer before the deadline";
-          return yield* unavailable(target.operation, cause);
+          return yield* unavailable(what.operation, cause);
         }
         yield* clock.sleep(random.jitter(backoffMs));
         backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
@@ -201,7 +223,7 @@
 
   /** One call with a deadline, counted and watched by the circuit breaker. */
   #timed<A, E extends { readonly _tag: string }>(
-    { operation, partition }: Target,
+    { operation, partition, endMs }: Target,
     call: Effect.Effect<A, E>,
   ): Effect.Effect<A, E | Errors.AnswerLostError | StoreFailure> {
     const { clock, metrics } = this.#options;
@@ -211,7 +233,11 @@
         return yield* unavailable(operation, "it failed several times lately");
       }
       const startMs = clock.monotonicMs();
-      const timed = yield* clock.within(CALL_MS, call).pipe(
+      const limitMs = Math.min(
+        CALL_MS,
+        Math.max(LEAST_CALL_MS, endMs - startMs),
+      );
+      const timed = yield* clock.within(limitMs, call).pipe(
         Effect.tapError((err) =>
           Effect.sync(() => {
             if (err._tag !== "ConditionFailedError") this.#failed(breaker);
@@ -225,6 +251,7 @@
       breaker.succeeded();
       this.noteAnswered();
       const tookMs = clock.monotonicMs() - startMs;
+      if (operation === "write") this.#noteWriteTime(tookMs);
       metrics.observeMs(`cairngate_store_${operation}_seconds`, tookMs);
       return timed.value;
     });
@@ -235,6 +262,11 @@
     this.noteFailed();
   }
 
+  #noteWriteTime(tookMs: number): void {
+    const before = this.#usualWriteMs;
+    this.#usualWriteMs = before + (tookMs - before) * NEWEST_WEIGHT;
+  }
+
   #breaker(partition: string): breakers.CircuitBreaker {
     const known = this.#breakers.get(partition);
     if (known !== undefined) return known;
@@ -263,6 +295,8 @@
 interface Target {
   readonly operation: string;
   readonly partition: string;
+  /** Time at which the caller gives up. */
+  readonly endMs: number;
 }
 
 type WriteTry =
