Let a call that was sent run on past its caller's deadline, as before

Cause: ended a single call at the deadline of its caller. The home partition is left after its time by the gateway itself.

--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -20,8 +20,8 @@
 }
 
 /** A write of the store that a caller waits for ends within this time. */
-const WRITE_LIMIT_MS = 1000;
-const READ_LIMIT_MS = 1000;
+const WRITE_LIMIT_MS = 450;
+const READ_LIMIT_MS = 450;
 /** A home partition is waited for at least this long. */
 const HOME_READ_LIMIT_MS = 250;
 /** Partitions in which an acceptance is tried. */
@@ -77,13 +77,14 @@
     return Effect.gen({ self: this }, function* () {
       const [home, ...others] = this.#order(id);
       const homeMs = Math.max(HOME_READ_LIMIT_MS, this.#store.hedgeMs);
-      const atHome = yield* Effect.result(this.#findIn(home, id, homeMs));
+      const atHome = yield* Effect.result(
+        this.#within(homeMs, this.#findIn(home, id)),
+      );
       const first = atHome._tag === "Success" ? atHome.success : null;
       if (first !== null && first.progress !== null) return first;
       const elsewhere = yield* Effect.forEach(
         others,
-        (partition) =>
-          Effect.result(this.#findIn(partition, id, READ_LIMIT_MS)),
+        (partition) => Effect.result(this.#findIn(partition, id)),
         { concurrency: "unbounded" },
       );
       const found = elsewhere.flatMap((one) =>
@@ -104,7 +105,7 @@
     Workflow.ProgressRecord | null,
     Errors.StoreUnavailableError
   > {
-    return this.#readProgress(partition, id, READ_LIMIT_MS);
+    return this.#readProgress(partition, id);
   }
 
   /** Accepted workflows of a queue of which nothing has begun. */
@@ -152,16 +153,29 @@
     );
   }
 
+  /** A call that must not hang; a late one fails. */
+  #within<A>(
+    limitMs: number,
+    call: Effect.Effect<A, Errors.StoreUnavailableError>,
+  ): Effect.Effect<A, Errors.StoreUnavailableError> {
+    return Effect.flatMap(this.#clock.within(limitMs, call), (timed) => {
+      if (timed !== null) return Effect.succeed(timed.value);
+      const cause = "no answer in time";
+      return Effect.fail(
+        new Errors.StoreUnavailableError({ operation: "read", cause }),
+      );
+    });
+  }
+
   #findIn(
     partition: string,
     id: string,
-    limitMs: number,
   ): Effect.Effect<FoundWorkflow | null, Errors.StoreUnavailableError> {
     const prefix = TableClient.Keys.intakePrefix(partition, id);
     return Effect.gen({ self: this }, function* () {
       const [rows, progress] = yield* Effect.all([
-        this.#store.scan(prefix, 0, limitMs),
-        this.#readProgress(partition, id, limitMs),
+        this.#store.scan(prefix, 0, READ_LIMIT_MS),
+        this.#readProgress(partition, id),
       ], { concurrency: "unbounded" });
       const byKey = new Map(rows.map((row) => [row.key, row.value]));
       const specKey = TableClient.Keys.workflowKey(partition, id);
@@ -175,14 +189,13 @@
   #readProgress(
     partition: string,
     id: string,
-    limitMs: number,
   ): Effect.Effect<
     Workflow.ProgressRecord | null,
     Errors.StoreUnavailableError
   > {
     const key = TableClient.Keys.progressKey(partition, id);
     return Effect.map(
-      this.#store.read([key], limitMs),
+      this.#store.read([key], READ_LIMIT_MS),
       ([row]) => (row?.value as Workflow.ProgressRecord | undefined) ?? null,
     );
   }
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -33,8 +33,6 @@
 }
 
 const CALL_MS = 1000;
-/** A call that is sent at all has at least this time. */
-const LEAST_CALL_MS = 50;
 const FIRST_BACKOFF_MS = 40;
 const LONGEST_BACKOFF_MS = 1000;
 /** Time after which a call gives up, unless the caller says otherwise. */
@@ -137,12 +135,12 @@
       let mayHaveLanded = false;
       for (;;) {
         yield* this.#takeToken(endMs);
-        const tried = yield* this.#tryWrite(tx, endMs);
+        const tried = yield* this.#tryWrite(tx);
         if (tried.kind === "written") return tried.revision;
         if (tried.kind === "refused" && !mayHaveLanded) return yield* tried.err;
         mayHaveLanded ||= tried.kind === "lost";
         if (mayHaveLanded) {
-          const landed = yield* this.#findWrite(tx, endMs);
+          const landed = yield* this.#findWrite(tx);
           if (landed !== null) return landed;
           if (tried.kind === "refused") return yield* tried.err;
         }
@@ -159,13 +157,10 @@
     });
   }
 
-  #tryWrite(
-    tx: Ports.Transaction,
-    endMs: number,
-  ): Effect.Effect<WriteTry> {
+  #tryWrite(tx: Ports.Transaction): Effect.Effect<WriteTry> {
     const { table, metrics } = this.#options;
     metrics.count("cairngate_store_writes_total");
-    const target = { operation: "write", partition: partitionOf(tx), endMs };
+    const target = { operation: "write", partition: partitionOf(tx) };
     return this.#timed(target, table.transact(tx)).pipe(
       Effect.map((revision): WriteTry => ({ kind: "written", revision })),
       Effect.catchTags({
@@ -178,14 +173,11 @@
   }
 
   /** Revision of the transaction if its rows show that it took effect. */
-  #findWrite(
-    tx: Ports.Transaction,
-    endMs: number,
-  ): Effect.Effect<number | null> {
+  #findWrite(tx: Ports.Transaction): Effect.Effect<number | null> {
     const kept = tx.writes.filter((w) => w.value !== null);
     const call = this.#options.table.read(kept.map((w) => w.key));
     this.#options.metrics.count("cairngate_store_lost_answers_total");
-    const target = { operation: "read", partition: partitionOf(tx), endMs };
+    const target = { operation: "read", partition: partitionOf(tx) };
     return this.#timed(target, call).pipe(
       Effect.map((rows) => {
         const own = rows.find((row) => row.writeId === tx.writeId);
@@ -196,14 +188,13 @@
   }
 
   #retryRead<A>(
-    what: Omit<Target, "endMs">,
+    target: Target,
     call: () => Effect.Effect<A, Ports.StoreError>,
     deadlineMs: number,
   ): Effect.Effect<A, StoreFailure> {
     const { clock, random, metrics } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const endMs = clock.monotonicMs() + deadlineMs;
-      const target = { ...what, endMs };
       let backoffMs = FIRST_BACKOFF_MS;
       for (;;) {
         metrics.count("cairngate_store_reads_total");
@@ -213,7 +204,7 @@
         if (rows !== null) return rows;
         if (clock.monotonicMs() + backoffMs > endMs) {
           const cause = "no answer before the deadline";
-          return yield* unavailable(what.operation, cause);
+          return yield* unavailable(target.operation, cause);
         }
         yield* clock.sleep(random.jitter(backoffMs));
         backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
@@ -223,7 +214,7 @@
 
   /** One call with a deadline, counted and watched by the circuit breaker. */
   #timed<A, E extends { readonly _tag: string }>(
-    { operation, partition, endMs }: Target,
+    { operation, partition }: Target,
     call: Effect.Effect<A, E>,
   ): Effect.Effect<A, E | Errors.AnswerLostError | StoreFailure> {
     const { clock, metrics } = this.#options;
@@ -233,11 +224,7 @@
         return yield* unavailable(operation, "it failed several times lately");
       }
       const startMs = clock.monotonicMs();
-      const limitMs = Math.min(
-        CALL_MS,
-        Math.max(LEAST_CALL_MS, endMs - startMs),
-      );
-      const timed = yield* clock.within(limitMs, call).pipe(
+      const timed = yield* clock.within(CALL_MS, call).pipe(
         Effect.tapError((err) =>
           Effect.sync(() => {
             if (err._tag !== "ConditionFailedError") this.#failed(breaker);
@@ -295,8 +282,6 @@
 interface Target {
   readonly operation: string;
   readonly partition: string;
-  /** Time at which the caller gives up. */
-  readonly endMs: number;
 }
 
 type WriteTry =
