Call the store through a peer while it turns this node away

A node alone cannot tell a store that is away from one that turns it away: node and two peers probe it together; calls go through a peer only while the store answers the peer and not the node. Members are rows of the store.

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -26,6 +26,7 @@
   zone: Name,
   callersAddress: Address,
   readinessAddress: Address,
+  peersAddress: Address,
   storeAddress: Address,
   storeWritesPerSecond: Positive,
   configInForceMs: Positive,
@@ -52,6 +53,8 @@
   readonly zone: string;
   readonly callersAddress: string;
   readonly readinessAddress: string;
+  /** Where peers open their links, as host:port. */
+  readonly peersAddress: string;
   readonly storeAddress: string;
   readonly storeWritesPerSecond: number;
   readonly configInForceMs: number;
--- a/packages/peers/src/frames.ts
+++ b/packages/peers/src/frames.ts
@@ -1,6 +1,5 @@
-/** Frames on a link between boxes, encoded with msgpackr. */
+/** Frames on a link between processes, encoded with msgpackr. */
 import * as Errors from "@cairngate/errors";
-import type * as Types from "@cairngate/types";
 import * as MsgPack from "msgpackr";
 
 /** Kinds of frames. */
@@ -11,19 +10,19 @@
   Notice = 4,
 }
 
-/** A request of the box that opened the link. */
+/** A request of the process that opened the link. */
 export interface RequestFrame {
   readonly kind: FrameKind.Request;
   readonly id: number;
   readonly from: string;
-  readonly req: Types.PeerRequest;
+  readonly req: object;
 }
 
 /** A message that has no reply. */
 export interface NoticeFrame {
   readonly kind: FrameKind.Notice;
   readonly from: string;
-  readonly req: Types.PeerRequest;
+  readonly req: object;
 }
 
 /** The reply to a request. */
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -1,9 +1,8 @@
-/** The link that this box opens to one peer; kept open by one fiber. */
+/** The link that this process opens to one peer; kept open by one fiber. */
 import * as Errors from "@cairngate/errors";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
-import type * as Types from "@cairngate/types";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as Ws from "ws";
@@ -68,7 +67,7 @@
   }
 
   /** Sends a message that has no reply; lost where the link is closed. */
-  notify(req: Types.PeerRequest): void {
+  notify(req: object): void {
     const socket = this.#socket;
     if (socket === null) return;
     const kind = frames.FrameKind.Notice as const;
@@ -77,7 +76,7 @@
 
   /** Sends a request and waits for its reply. */
   request(
-    req: Types.PeerRequest,
+    req: object,
     timeoutMs: number,
   ): Effect.Effect<unknown, LinkError> {
     return Effect.gen({ self: this }, function* () {
--- /dev/null
+++ b/packages/peers/src/ws_store_peers.ts
@@ -0,0 +1,124 @@
+/** Links for calls to the store: opened when needed, closed when idle. */
+import type * as Errors from "@cairngate/errors";
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import * as links from "./peer_link.ts";
+import * as servers from "./peer_server.ts";
+
+/** What the links need. */
+export interface WsStorePeersOptions {
+  readonly self: string;
+  /** Where peers open their links, as host:port. */
+  readonly address: string;
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+}
+
+interface OpenLink {
+  readonly link: links.PeerLink;
+  readonly fiber: Fiber.Fiber<never>;
+  usedAtMs: number;
+}
+
+const OPEN_LOOK_MS = 3;
+const IDLE_MS = 30_000;
+const IDLE_LOOK_MS = 5000;
+
+/** Adapter of the links between nodes to ws. */
+export class WsStorePeers extends Ports.StorePeers {
+  readonly #options: WsStorePeersOptions;
+  readonly #server: servers.PeerServer;
+  /** Links by address. */
+  readonly #links = new Map<string, OpenLink>();
+  #sweeper: Fiber.Fiber<never> | null = null;
+
+  constructor(options: WsStorePeersOptions) {
+    super();
+    this.#options = options;
+    this.#server = new servers.PeerServer(options);
+  }
+
+  override listen(
+    handler: (call: Ports.StoreCall) => Effect.Effect<Ports.StoreReply>,
+  ): Effect.Effect<void, Errors.ListenError> {
+    const { clock, address } = this.#options;
+    const sweep = clock.every(IDLE_LOOK_MS, this.#closeIdle());
+    return Effect.andThen(
+      this.#server.listen(
+        address,
+        (_, req) => handler(req as Ports.StoreCall),
+      ),
+      Effect.sync(() => {
+        this.#sweeper = Effect.runFork(sweep);
+      }),
+    );
+  }
+
+  override call(
+    peer: Ports.StorePeer,
+    call: Ports.StoreCall,
+    timeoutMs: number,
+  ): Effect.Effect<Ports.StoreReply, Errors.PeerUnreachableError> {
+    const { clock } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const endMs = clock.monotonicMs() + timeoutMs;
+      const link = this.#linkTo(peer);
+      while (!link.isOpen && clock.monotonicMs() < endMs) {
+        yield* clock.sleep(OPEN_LOOK_MS);
+      }
+      const leftMs = Math.max(1, endMs - clock.monotonicMs());
+      return (yield* link.request(call, leftMs)) as Ports.StoreReply;
+    }).pipe(
+      // A peer of another version may answer otherwise.
+      Effect.catchTags({
+        NotOwnerError: () => Effect.succeed(REFUSED),
+        NotReadyError: () => Effect.succeed(REFUSED),
+      }),
+    );
+  }
+
+  override close(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const fibers = [...this.#links.values()].map(({ fiber }) => fiber);
+      if (this.#sweeper !== null) yield* Fiber.interrupt(this.#sweeper);
+      yield* Fiber.interruptAll(fibers);
+      this.#links.clear();
+      this.#server.close();
+    });
+  }
+
+  #linkTo({ node, address }: Ports.StorePeer): links.PeerLink {
+    const nowMs = this.#options.clock.monotonicMs();
+    const known = this.#links.get(address);
+    if (known !== undefined) {
+      known.usedAtMs = nowMs;
+      return known.link;
+    }
+    const options = { ...this.#options, peer: node, address };
+    const link = new links.PeerLink(options);
+    const fiber = Effect.runFork(link.run());
+    this.#links.set(address, { link, fiber, usedAtMs: nowMs });
+    return link;
+  }
+
+  #closeIdle(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const beforeMs = this.#options.clock.monotonicMs() - IDLE_MS;
+      const idle = [...this.#links].filter(([, one]) =>
+        one.usedAtMs < beforeMs
+      );
+      for (const [address] of idle) this.#links.delete(address);
+      return Fiber.interruptAll(idle.map(([, { fiber }]) => fiber));
+    });
+  }
+}
+
+const REFUSED: Ports.StoreReply = {
+  outcome: Ports.StoreOutcome.Unavailable,
+  value: "the peer refused the call",
+};
--- /dev/null
+++ b/packages/peers/src/ws_store_peers_test.ts
@@ -0,0 +1,77 @@
+/** Links for calls to the store, over real sockets. */
+import * as Adapters from "@cairngate/adapters";
+import * as Logger from "@cairngate/logger";
+import * as Metrics from "@cairngate/metrics";
+import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import * as net from "node:net";
+import * as vitest from "vitest";
+import * as stores from "./ws_store_peers.ts";
+
+const READ = { kind: Ports.StoreCallKind.Read, keys: ["a/1"] } as const;
+
+let open: stores.WsStorePeers[] = [];
+
+/** An address that nobody listens on. */
+function findFreeAddress(): Promise<string> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as net.AddressInfo;
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+}
+
+async function createPeers(self: string) {
+  const address = await findFreeAddress();
+  const peers = new stores.WsStorePeers({
+    self,
+    address,
+    clock: new Adapters.SystemClock(),
+    random: new Adapters.SystemRandom(),
+    log: Logger.silentLogger(),
+    metrics: new Metrics.Metrics(),
+  });
+  open.push(peers);
+  return { peers, member: { node: self, address } };
+}
+
+vitest.afterEach(async () => {
+  for (const peers of open) await Effect.runPromise(peers.close());
+  open = [];
+});
+
+vitest.describe("links for calls to the store", () => {
+  vitest.it("carry a call and its reply", async () => {
+    const caller = await createPeers("node-1");
+    const answering = await createPeers("node-2");
+    const calls: Ports.StoreCall[] = [];
+    const reply = { outcome: Ports.StoreOutcome.Done, value: [{ key: "a/1" }] };
+    await Effect.runPromise(answering.peers.listen((call) => {
+      calls.push(call);
+      return Effect.succeed(reply);
+    }));
+    const { member } = answering;
+    for (let i = 0; i < 2; i++) {
+      const got = await Effect.runPromise(
+        caller.peers.call(member, READ, 2000),
+      );
+      vitest.expect(got).toEqual(reply);
+    }
+    vitest.expect(calls).toEqual([READ, READ]);
+  });
+
+  vitest.it("give up in time where nobody listens", async () => {
+    const caller = await createPeers("node-1");
+    const member = { node: "node-2", address: await findFreeAddress() };
+    const begunAtMs = performance.now();
+    const got = await Effect.runPromise(
+      Effect.result(caller.peers.call(member, READ, 200)),
+    );
+    vitest.expect(got).toMatchObject({
+      failure: { _tag: "PeerUnreachableError", box: "node-2" },
+    });
+    vitest.expect(performance.now() - begunAtMs).toBeLessThan(1500);
+  });
+});
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -12,6 +12,14 @@
 } from "./src/table_service.ts";
 export { type WorkerError, Workers } from "./src/workers.ts";
 export { type PeerHandler, PeerNetwork } from "./src/peer_network.ts";
+export {
+  type StoreCall,
+  StoreCallKind,
+  StoreOutcome,
+  type StorePeer,
+  StorePeers,
+  type StoreReply,
+} from "./src/store_peers.ts";
 export { RandomSource } from "./src/random_source.ts";
 export {
   type Advice,
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -7,6 +7,8 @@
 export interface StoreFaults {
   /** No call is carried out. */
   readonly down: boolean;
+  /** No call is carried out or answered. */
+  readonly silent: boolean;
   /** No call to these partitions is carried out. */
   readonly downPartitions: readonly string[];
   /** Share of writes whose answer is lost after they took effect. */
@@ -17,6 +19,7 @@
 
 const HEALTHY: StoreFaults = {
   down: false,
+  silent: false,
   downPartitions: [],
   loseAnswers: 0,
   delayMs: 0,
@@ -45,7 +48,8 @@
     partition = "",
   ): Effect.Effect<A, E | Ports.StoreError> {
     return Effect.gen({ self: this }, function* () {
-      const { delayMs } = this.faults;
+      const { delayMs, silent } = this.faults;
+      if (silent) return yield* Effect.never;
       if (delayMs > 0) yield* this.#clock.sleep(delayMs);
       if (this.faults.down || this.faults.downPartitions.includes(partition)) {
         const cause = "outage";
--- /dev/null
+++ b/packages/store-relay/src/relay_server.ts
@@ -0,0 +1,70 @@
+/** Carries out calls to the store for peers that the store turns away. */
+import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import * as replies from "./replies.ts";
+import type * as routes from "./store_route.ts";
+
+/** What the server needs. */
+export interface RelayServerOptions {
+  /** This node's own way to the store. */
+  readonly table: Ports.TableService;
+  readonly feeds: ReadonlyMap<string, Ports.RowFeed<unknown>>;
+  readonly route: routes.StoreRoute;
+}
+
+/** Calls of peers that are carried out at once. */
+const MOST_CALLS = 64;
+
+/** Answers the calls of peers. */
+export class RelayServer {
+  readonly #options: RelayServerOptions;
+  #running = 0;
+
+  constructor(options: RelayServerOptions) {
+    this.#options = options;
+  }
+
+  /** Carries out one call; never passes it on to a third node. */
+  answer(call: Ports.StoreCall): Effect.Effect<Ports.StoreReply> {
+    return Effect.suspend(() => {
+      if (!this.#options.route.isDirect) return refuse("it is turned away too");
+      if (this.#running >= MOST_CALLS) return refuse("it has too many calls");
+      this.#running++;
+      const done = Effect.sync(() => {
+        this.#running--;
+      });
+      return Effect.ensuring(this.#carryOut(call), done);
+    });
+  }
+
+  #carryOut(call: Ports.StoreCall): Effect.Effect<Ports.StoreReply> {
+    const { table, route, feeds } = this.#options;
+    switch (call.kind) {
+      case Ports.StoreCallKind.Probe:
+        return replies.toReply(route.probe());
+      case Ports.StoreCallKind.Read:
+        return replies.toReply(table.read(call.keys));
+      case Ports.StoreCallKind.Scan:
+        return replies.toReply(table.scan(call.prefix, call.afterRevision));
+      case Ports.StoreCallKind.Transact:
+        return replies.toReply(table.transact(call.tx));
+      case Ports.StoreCallKind.Snapshot: {
+        const feed = feeds.get(call.feed);
+        if (feed === undefined) return refuse(`no feed ${call.feed}`);
+        return replies.toReply(feed.snapshot(call.partition));
+      }
+      case Ports.StoreCallKind.Changes: {
+        const feed = feeds.get(call.feed);
+        if (feed === undefined) return refuse(`no feed ${call.feed}`);
+        return replies.toReply(feed.changes(call.position, call.waitMs));
+      }
+      default:
+        return refuse("it does not know this call");
+    }
+  }
+}
+
+function refuse(value: string): Effect.Effect<Ports.StoreReply> {
+  const outcome = Ports.StoreOutcome.Unavailable;
+  return Effect.succeed({ outcome, value });
+}
--- /dev/null
+++ b/packages/store-relay/src/relayed_table.ts
@@ -0,0 +1,59 @@
+/** The table service over a route that may lead through a peer. */
+import * as Ports from "@cairngate/ports";
+import type * as Errors from "@cairngate/errors";
+import type * as Effect from "effect/Effect";
+import type * as routes from "./store_route.ts";
+
+const LIMIT_MS = 1000;
+
+/** Passes calls on. */
+export class RelayedTable extends Ports.TableService {
+  readonly #direct: Ports.TableService;
+  readonly #route: routes.StoreRoute;
+
+  constructor(direct: Ports.TableService, route: routes.StoreRoute) {
+    super();
+    this.#direct = direct;
+    this.#route = route;
+  }
+
+  override read(
+    keys: readonly string[],
+  ): Effect.Effect<readonly Ports.Row[], Ports.StoreError> {
+    return this.#route.carry({
+      direct: this.#direct.read(keys),
+      relayed: { kind: Ports.StoreCallKind.Read, keys },
+      limitMs: LIMIT_MS,
+      quietMs: 0,
+      whenSwitched: "again",
+    }) as Effect.Effect<readonly Ports.Row[], Ports.StoreError>;
+  }
+
+  override scan(
+    prefix: string,
+    afterRevision: number,
+  ): Effect.Effect<readonly Ports.Row[], Ports.StoreError> {
+    return this.#route.carry({
+      direct: this.#direct.scan(prefix, afterRevision),
+      relayed: { kind: Ports.StoreCallKind.Scan, prefix, afterRevision },
+      limitMs: LIMIT_MS,
+      quietMs: 0,
+      whenSwitched: "again",
+    }) as Effect.Effect<readonly Ports.Row[], Ports.StoreError>;
+  }
+
+  override transact(
+    tx: Ports.Transaction,
+  ): Effect.Effect<number, Ports.StoreError | Errors.ConditionFailedError> {
+    return this.#route.carry({
+      direct: this.#direct.transact(tx),
+      relayed: { kind: Ports.StoreCallKind.Transact, tx },
+      limitMs: LIMIT_MS,
+      quietMs: 0,
+      whenSwitched: "lost",
+    }) as Effect.Effect<
+      number,
+      Ports.StoreError | Errors.ConditionFailedError
+    >;
+  }
+}
--- /dev/null
+++ b/packages/store-relay/src/replies.ts
@@ -0,0 +1,69 @@
+/** Results of calls to the store as replies to a peer, and back. */
+import * as Errors from "@cairngate/errors";
+import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+
+/** Failures of calls to the store. */
+export type CallError =
+  | Ports.StoreError
+  | Errors.ConditionFailedError
+  | Errors.HistoryLostError;
+
+/** Turns the result of a call into a reply. */
+export function toReply<A>(
+  call: Effect.Effect<A, CallError>,
+): Effect.Effect<Ports.StoreReply> {
+  return Effect.match(call, {
+    onSuccess: (value): Ports.StoreReply => ({
+      outcome: Ports.StoreOutcome.Done,
+      value,
+    }),
+    onFailure: describeFailure,
+  });
+}
+
+function describeFailure(err: CallError): Ports.StoreReply {
+  switch (err._tag) {
+    case "StoreUnavailableError":
+      return { outcome: Ports.StoreOutcome.Unavailable, value: err.cause };
+    case "AnswerLostError":
+      return { outcome: Ports.StoreOutcome.AnswerLost, value: err.operation };
+    case "HistoryLostError":
+      return { outcome: Ports.StoreOutcome.HistoryLost, value: err.position };
+    case "ConditionFailedError": {
+      const { key, expected, actual } = err;
+      const value = { key, expected, actual };
+      return { outcome: Ports.StoreOutcome.ConditionFailed, value };
+    }
+  }
+}
+
+/** Turns a reply into the result that the call has here. */
+export function fromReply<A>(
+  operation: string,
+  { outcome, value }: Ports.StoreReply,
+): Effect.Effect<A, CallError> {
+  switch (outcome) {
+    case Ports.StoreOutcome.Done:
+      return Effect.succeed(value as A);
+    case Ports.StoreOutcome.AnswerLost:
+      return Effect.fail(new Errors.AnswerLostError({ operation }));
+    case Ports.StoreOutcome.HistoryLost:
+      return Effect.fail(
+        new Errors.HistoryLostError({ position: Number(value) }),
+      );
+    case Ports.StoreOutcome.ConditionFailed: {
+      const fields = value as Pick<
+        Errors.ConditionFailedError,
+        "key" | "expected" | "actual"
+      >;
+      return Effect.fail(new Errors.ConditionFailedError(fields));
+    }
+    default: {
+      const cause = `a peer says: ${String(value)}`;
+      return Effect.fail(
+        new Errors.StoreUnavailableError({ operation, cause }),
+      );
+    }
+  }
+}
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -142,6 +142,14 @@
   return `waiting:${partition}/${queue}/${id}`;
 }
 
+/** Rows by which the nodes find each other. */
+export const MEMBER_PREFIX = "members/";
+
+/** Row of one node. */
+export function memberKey(node: string): string {
+  return `${MEMBER_PREFIX}${node}`;
+}
+
 /** Rows by which the nodes elect a coordinator. */
 export const ELECTION_PREFIX = "election/";
 
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -6,6 +6,7 @@
   printDeployment,
 } from "./src/builders.ts";
 export { FakeClock } from "./src/fake_clock.ts";
+export { FakePeerHub } from "./src/fake_store_peers.ts";
 export { FakeNetwork, NetworkHub } from "./src/fake_network.ts";
 export { type AnswerRule, FaultyWorkers, Loss } from "./src/faulty_workers.ts";
 export { PausableClock } from "./src/pausable_clock.ts";
--- a/packages/workflow-node/mod.ts
+++ b/packages/workflow-node/mod.ts
@@ -1,4 +1,5 @@
 /** One node of cairngate for workflows. */
+export type { MemberRow } from "./src/member_book.ts";
 export {
   type NodeFeeds,
   WorkflowNode,
--- /dev/null
+++ b/packages/workflow-node/src/relay_test.ts
@@ -0,0 +1,120 @@
+/** Nodes that the store turns away work on through their peers. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+
+function isCompleted(fleet: TestUtils.TestFleet, id = ID): boolean {
+  return fleet.state(id) === Workflow.WorkflowState.Completed;
+}
+
+function otherNode(fleet: TestUtils.TestFleet): string {
+  const coordinator = fleet.coordinator();
+  return [...fleet.nodes.keys()].filter((n) => n !== coordinator)[0];
+}
+
+/** How the store turns a node away. */
+const WAYS = [
+  { how: "refuses its calls", faults: { down: true } },
+  { how: "leaves its calls unanswered", faults: { silent: true } },
+];
+
+vitest.describe("a node that the store turns away", () => {
+  for (const { how, faults } of WAYS) {
+    vitest.it(`takes workflows where the store ${how}`, async () => {
+      const fleet = new TestUtils.TestFleet();
+      await fleet.start();
+      const name = otherNode(fleet);
+      fleet.faultsOf(name).set(faults);
+      await fleet.clock.advance(3000);
+      vitest.expect(fleet.node(name).isReady).toBe(true);
+      await fleet.submit(name, ID);
+      await fleet.until(() => isCompleted(fleet));
+      vitest.expect(await fleet.ask(name, ID))
+        .toBe(Workflow.WorkflowState.Completed);
+      await fleet.stop();
+    });
+
+    vitest.it(`coordinates on where the store ${how}`, async () => {
+      const fleet = new TestUtils.TestFleet();
+      await fleet.start();
+      const token = fleet.token();
+      fleet.faultsOf(fleet.coordinator() ?? "").set(faults);
+      await fleet.clock.advance(3000);
+      await fleet.submit(otherNode(fleet), ID);
+      vitest.expect(await fleet.until(() => isCompleted(fleet), 3000))
+        .toBe(true);
+      vitest.expect(fleet.token()).toBe(token);
+      await fleet.stop();
+    });
+  }
+
+  vitest.it("learns a new configuration in time", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const name = otherNode(fleet);
+    fleet.faultsOf(name).set({ silent: true });
+    await fleet.clock.advance(3000);
+    fleet.applyConfig(TestUtils.buildAccess({ ivo: 2 }, 2));
+    await fleet.clock.advance(1000);
+    vitest.expect(fleet.node(name).access.config?.version).toBe(2);
+    await fleet.stop();
+  });
+
+  vitest.it("goes directly again once the store answers it", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const name = otherNode(fleet);
+    fleet.faultsOf(name).set({ down: true });
+    await fleet.clock.advance(2000);
+    vitest.expect(fleet.node(name).dump()["storeThrough"]).not.toBeNull();
+    fleet.faultsOf(name).set({ down: false });
+    await fleet.clock.advance(1000);
+    vitest.expect(fleet.node(name).dump()["storeThrough"]).toBeNull();
+    await fleet.stop();
+  });
+
+  vitest.it("takes another peer when its own dies", async () => {
+    const fleet = new TestUtils.TestFleet({ nodes: 4 });
+    await fleet.start();
+    const name = otherNode(fleet);
+    fleet.faultsOf(name).set({ down: true });
+    await fleet.clock.advance(2000);
+    await fleet.kill(String(fleet.node(name).dump()["storeThrough"]));
+    await fleet.clock.advance(3000);
+    vitest.expect(fleet.node(name).isReady).toBe(true);
+    await fleet.submit(name, ID);
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a store that is away or slow for all", () => {
+  vitest.it("is not sought through peers while it is away", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ down: true });
+    }
+    await fleet.clock.advance(3000);
+    for (const name of fleet.nodes.keys()) {
+      vitest.expect(fleet.node(name).dump()["storeThrough"]).toBeNull();
+    }
+    await fleet.stop();
+  });
+
+  vitest.it("is not sought through peers while it is slow", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ delayMs: 320 });
+    }
+    for (let i = 0; i < 30; i++) {
+      await fleet.clock.advance(100);
+      for (const name of fleet.nodes.keys()) {
+        vitest.expect(fleet.node(name).dump()["storeThrough"]).toBeNull();
+      }
+    }
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -1,12 +1,15 @@
 /** One node: takes workflows from callers and takes part in the election. */
 import * as Coordinator from "@cairngate/coordinator";
+import type * as Errors from "@cairngate/errors";
 import * as Gateway from "@cairngate/gateway";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
+import * as StoreRelay from "@cairngate/store-relay";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
+import * as members from "./member_book.ts";
 
 /** Feeds that a node follows. */
 export interface NodeFeeds {
@@ -14,11 +17,15 @@
   readonly workers: Ports.RowFeed<Ports.WorkerListing>;
   readonly intake: Ports.RowFeed<unknown>;
   readonly election: Ports.RowFeed<unknown>;
+  readonly members: Ports.RowFeed<members.MemberRow>;
 }
 
 /** Everything that a node works with. */
 export interface WorkflowNodePorts {
   readonly node: string;
+  /** Where peers open their links, as host:port. */
+  readonly peersAddress: string;
+  readonly peers: Ports.StorePeers;
   readonly clock: Ports.Clock;
   readonly random: Ports.RandomSource;
   readonly table: Ports.TableService;
@@ -47,6 +54,10 @@
   readonly submissions: Gateway.Submissions;
   readonly #ports: WorkflowNodePorts;
   readonly #store: TableClient.StoreClient;
+  readonly #route: StoreRelay.StoreRoute;
+  readonly #members: members.MemberBook;
+  readonly #relay: StoreRelay.RelayServer;
+  readonly #feeds: NodeFeeds;
   readonly #election: Coordinator.Election;
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
@@ -57,14 +68,37 @@
 
   constructor(ports: WorkflowNodePorts) {
     this.#ports = ports;
-    const { clock, random, metrics, table, log } = ports;
-    const writesPerSecond = ports.storeWritesPerSecond;
-    this.#store = new TableClient.StoreClient({
+    const { node, clock, random, metrics, table, log } = ports;
+    this.#route = new StoreRelay.StoreRoute({
       table,
+      peers: ports.peers,
+      members: () => this.#members.others(),
       clock,
       random,
+      log: log.part("relay"),
       metrics,
-      writesPerSecond,
+    });
+    const direct = new Map<string, Ports.RowFeed<unknown>>(
+      Object.entries(ports.feeds),
+    );
+    const route = this.#route;
+    this.#relay = new StoreRelay.RelayServer({ table, feeds: direct, route });
+    this.#feeds = relayFeeds(ports.feeds, route);
+    this.#store = new TableClient.StoreClient({
+      table: new StoreRelay.RelayedTable(table, route),
+      clock,
+      random,
+      metrics,
+      writesPerSecond: ports.storeWritesPerSecond,
+    });
+    this.#members = new members.MemberBook({
+      node,
+      address: ports.peersAddress,
+      store: this.#store,
+      feed: this.#feeds.members,
+      clock,
+      random,
+      mayRemove: () => this.#coordinator !== null,
     });
     this.access = new Gateway.AccessTable(
       log.part("access"),
@@ -72,16 +106,16 @@
     );
     this.submissions = new Gateway.Submissions({ store: this.#store, clock });
     this.#coordinatorPorts = {
-      node: ports.node,
+      node,
       incarnation: random.id(),
       clock,
       random,
       store: this.#store,
       workers: ports.workers,
       advisor: ports.advisor,
-      workerFeed: ports.feeds.workers,
-      intakeFeed: ports.feeds.intake,
-      electionFeed: ports.feeds.election,
+      workerFeed: this.#feeds.workers,
+      intakeFeed: this.#feeds.intake,
+      electionFeed: this.#feeds.election,
       config: () => this.access.config,
       bounds: ports.bounds,
       log: log.part("coordinator"),
@@ -102,10 +136,17 @@
   }
 
   /** Follows the configuration and takes part in the election. */
-  start(): void {
-    const { clock, random, feeds } = this.#ports;
+  start(): Effect.Effect<void, Errors.ListenError> {
+    const { peers } = this.#ports;
+    const listen = peers.listen((call) => this.#relay.answer(call));
+    return Effect.map(listen, () => this.#work());
+  }
+
+  #work(): void {
+    const { clock, random } = this.#ports;
+    this.#fibers.push(Effect.runFork(this.#members.run()));
     const follower = new TableClient.RowFollower({
-      feed: feeds.config,
+      feed: this.#feeds.config,
       clock,
       random,
       waitMs: CONFIG_WAIT_MS,
@@ -143,13 +184,17 @@
   leave(): Effect.Effect<void> {
     return Effect.suspend(() => {
       this.#leaving = true;
-      return this.#election.release();
+      const both = [this.#election.release(), this.#members.leave()];
+      return Effect.all(both, { concurrency: "unbounded", discard: true });
     });
   }
 
   /** Ends all fibers. */
   stop(): Effect.Effect<void> {
-    return Effect.suspend(() => Fiber.interruptAll(this.#fibers));
+    return Effect.andThen(
+      Effect.suspend(() => Fiber.interruptAll(this.#fibers)),
+      this.#ports.peers.close(),
+    );
   }
 
   /** What this node knows and does, for people. */
@@ -160,8 +205,26 @@
       ready: this.isReady,
       configVersion: this.access.config?.version ?? null,
       coordinator: this.#election.holder,
+      peers: this.#members.others().map((peer) => peer.node),
+      storeThrough: this.#route.through,
       storeSilentMs: Math.round(this.#store.silentForMs()),
       work: this.#coordinator?.dump() ?? null,
     };
   }
 }
+
+/** The same feeds over a route that may lead through a peer. */
+function relayFeeds(
+  feeds: NodeFeeds,
+  route: StoreRelay.StoreRoute,
+): NodeFeeds {
+  const relay = <T>(name: keyof NodeFeeds, feed: Ports.RowFeed<T>) =>
+    new StoreRelay.RelayedFeed<T>(name, feed, route);
+  return {
+    config: relay("config", feeds.config),
+    workers: relay("workers", feeds.workers),
+    intake: relay("intake", feeds.intake),
+    election: relay("election", feeds.election),
+    members: relay("members", feeds.members),
+  };
+}
