Judge runs by their pace of late, on the workers' own clocks

Now a run is compared with itself before, then with its siblings, then with its estimate; a slow worker is given time to mend before work is thrown away for it. Looks at runs that come on every 0.6 s instead of 1 s.

--- a/packages/coordinator/src/occupant.ts
+++ b/packages/coordinator/src/occupant.ts
@@ -1,5 +1,6 @@
 /** A run that a worker holds or may hold. */
 import type * as Workflow from "@cairngate/workflow";
+import * as paces from "./run_pace.ts";
 
 /** One run on one worker. Mutable; owned by the worker's session. */
 export interface Occupant {
@@ -13,20 +14,15 @@
   sent: boolean;
   /** Whether it is being stopped. */
   stopping: boolean;
-  /** Since when the progress is watched, and what it was then. */
-  watchedSinceMs: number | null;
-  watchedFromPercent: number;
-  /** Progress that the worker told last, 0 to 100, and when. */
-  percent: number;
-  percentAtMs: number;
+  /** How it comes on; null before the first look. */
+  pace: paces.RunPace | null;
+  /** Since when it is slow, by our clock; null while it is not. */
+  slowSinceMs: number | null;
 }
 
 /** Known before this coordinator's time. */
 export const EARLIER_TERM = Number.NEGATIVE_INFINITY;
 
-/** A member of a gang that waits for the others comes no further. */
-const DONE_PERCENT = 100;
-
 /** A run whose start is not sent yet. */
 export function createOccupant(
   task: Workflow.Task,
@@ -39,10 +35,8 @@
     knownSinceMs: null,
     sent: false,
     stopping: false,
-    watchedSinceMs: null,
-    watchedFromPercent: 0,
-    percent: 0,
-    percentAtMs: 0,
+    pace: null,
+    slowSinceMs: null,
   };
 }
 
@@ -60,18 +54,13 @@
   return knownSinceMs !== null && knownSinceMs !== EARLIER_TERM;
 }
 
-/** Takes in the progress that the worker tells. */
+/** Takes in the progress that the worker tells, at its own time. */
 export function noteProgress(
   occupant: Occupant,
   percent: number,
-  nowMs: number,
+  clockMs: number,
 ): void {
-  if (occupant.watchedSinceMs === null) {
-    // A run of an earlier coordinator is watched from where it is found.
-    const isOwn = occupant.knownSinceMs !== EARLIER_TERM;
-    occupant.watchedSinceMs = isOwn ? occupant.task.startedAtMs : nowMs;
-    occupant.watchedFromPercent = isOwn ? 0 : percent;
-  }
-  if (occupant.percent < DONE_PERCENT) occupant.percentAtMs = nowMs;
-  occupant.percent = percent;
+  if (occupant.pace === null) {
+    occupant.pace = new paces.RunPace(clockMs, percent);
+  } else occupant.pace.note(clockMs, percent);
 }
--- /dev/null
+++ b/packages/coordinator/src/run_pace.ts
@@ -0,0 +1,77 @@
+/**
+ * How a run comes on, by what its worker tells. Times are those of the worker's
+ * own clock, so that an answer that is late says nothing about the pace.
+ */
+
+interface Sample {
+  readonly atMs: number;
+  readonly percent: number;
+}
+
+/** Progress within this time is recent. */
+const RECENT_MS = 1300;
+/** Progress over less time says too little. */
+const LEAST_RECENT_MS = 450;
+const LEAST_EARLIER_MS = 1000;
+/** A member of a gang that waits for the others comes no further. */
+const DONE_PERCENT = 100;
+
+/** The pace of one run, from the first look at it. */
+export class RunPace {
+  readonly #first: Sample;
+  /** Recent samples, and the last one before them; oldest first. */
+  #samples: Sample[];
+
+  constructor(atMs: number, percent: number) {
+    this.#first = { atMs, percent };
+    this.#samples = [this.#first];
+  }
+
+  /** Takes in what a look has shown. */
+  note(atMs: number, percent: number): void {
+    if (this.percent >= DONE_PERCENT || atMs <= this.#last.atMs) return;
+    this.#samples.push({ atMs, percent });
+    const beforeMs = atMs - RECENT_MS;
+    while (this.#samples.length > 2 && this.#samples[1].atMs <= beforeMs) {
+      this.#samples.shift();
+    }
+  }
+
+  /** Share that is done, 0 to 100. */
+  get percent(): number {
+    return this.#last.percent;
+  }
+
+  /** Time for which the run was watched. */
+  get watchedMs(): number {
+    return this.#last.atMs - this.#first.atMs;
+  }
+
+  /** Share that came in the time watched. */
+  get came(): number {
+    return this.#last.percent - this.#first.percent;
+  }
+
+  /** Percent per millisecond of late; null while too little is known. */
+  get recentRate(): number | null {
+    return rateBetween(this.#samples[0], this.#last, LEAST_RECENT_MS);
+  }
+
+  /** Percent per millisecond before that; null while too little is known. */
+  get earlierRate(): number | null {
+    return rateBetween(this.#first, this.#samples[0], LEAST_EARLIER_MS);
+  }
+
+  get #last(): Sample {
+    return this.#samples[this.#samples.length - 1];
+  }
+}
+
+function rateBetween(
+  from: Sample,
+  to: Sample,
+  leastMs: number,
+): number | null {
+  const spanMs = to.atMs - from.atMs;
+  return spanMs < leastMs ? null : (to.percent - from.percent) / spanMs;
+}
--- a/packages/coordinator/src/run_watch.ts
+++ b/packages/coordinator/src/run_watch.ts
@@ -1,8 +1,10 @@
 /** Watches running tasks: slow ones begin again, leaving workers are emptied. */
 import * as Workflow from "@cairngate/workflow";
 import * as evacuation from "./evacuation.ts";
+import type * as occupants from "./occupant.ts";
 import type * as ports from "./ports.ts";
 import type * as controls from "./run_control.ts";
+import type * as paces from "./run_pace.ts";
 import * as stragglers from "./straggler_watch.ts";
 import type * as directories from "./worker_directory.ts";
 
@@ -24,17 +26,26 @@
 
   /** One look. */
   look(): void {
-    const runs = this.#runsInProgress();
-    this.#restartStragglers(runs);
+    const occupants = this.#occupantsInProgress();
+    const runs = occupants.map((one) => this.#progressOf(one));
+    this.#restartStragglers(occupants, runs);
     this.#evacuate(runs);
     this.#directory.dropGone();
   }
 
-  #restartStragglers(runs: readonly stragglers.RunProgress[]): void {
+  #restartStragglers(
+    occupants: readonly WatchedOccupant[],
+    runs: readonly stragglers.RunProgress[],
+  ): void {
     const { clock, log, metrics } = this.#ports;
+    const nowMs = clock.monotonicMs();
     const found = stragglers.findStragglers(runs);
+    for (const { occupant } of occupants) {
+      const isSlow = found.slow.has(occupant.task);
+      occupant.slowSinceMs = isSlow ? occupant.slowSinceMs ?? nowMs : null;
+    }
     for (const id of found.workers) {
-      this.#directory.session(id)?.health.wasSlow(clock.monotonicMs());
+      this.#directory.session(id)?.health.wasSlow(nowMs);
     }
     for (const task of found.restart) {
       log.info(`Run ${task.run} of ${task.name} is slow; it starts again.`);
@@ -58,23 +69,37 @@
     }
   }
 
-  #runsInProgress(): stragglers.RunProgress[] {
-    const runs: stragglers.RunProgress[] = [];
-    for (const session of this.#directory.sessions) {
-      for (const occupant of session.occupants) {
-        const { task, watchedSinceMs, percent, percentAtMs } = occupant;
+  #occupantsInProgress(): WatchedOccupant[] {
+    return [...this.#directory.sessions].flatMap((session) =>
+      session.occupants.flatMap((occupant) => {
+        const { task, run, pace } = occupant;
         const isRunning = task.state === Workflow.TaskState.Running &&
-          task.run === occupant.run && watchedSinceMs !== null;
-        if (!isRunning) continue;
-        runs.push({
-          task,
-          worker: session.ref.id,
-          ranMs: percentAtMs - watchedSinceMs,
-          percent,
-          came: percent - occupant.watchedFromPercent,
-        });
-      }
-    }
-    return runs;
+          task.run === run;
+        if (!isRunning || pace === null) return [];
+        return [{ occupant, pace, worker: session.ref.id }];
+      })
+    );
+  }
+
+  #progressOf(watched: WatchedOccupant): stragglers.RunProgress {
+    const { occupant: { task, slowSinceMs }, pace, worker } = watched;
+    const nowMs = this.#ports.clock.monotonicMs();
+    return {
+      task,
+      worker,
+      ranMs: pace.watchedMs,
+      percent: pace.percent,
+      came: pace.came,
+      recentRate: pace.recentRate,
+      earlierRate: pace.earlierRate,
+      slowForMs: slowSinceMs === null ? 0 : nowMs - slowSinceMs,
+    };
   }
 }
+
+/** A run that has been looked at. */
+interface WatchedOccupant {
+  readonly occupant: occupants.Occupant;
+  readonly pace: paces.RunPace;
+  readonly worker: string;
+}
--- a/packages/coordinator/src/straggler_watch.ts
+++ b/packages/coordinator/src/straggler_watch.ts
@@ -1,7 +1,7 @@
 /**
- * Finds runs that come on much more slowly than the other tasks of their step,
- * and the workers that hold them. Estimates are rough, so tasks are compared
- * with each other where there are others.
+ * Finds runs that come on much more slowly than they did before, or than the
+ * other tasks of their step, and the workers that hold them. Estimates are rough
+ * and count only where there is nothing else to compare with.
  */
 import * as Workflow from "@cairngate/workflow";
 
@@ -15,11 +15,18 @@
   readonly percent: number;
   /** Share that came in the time watched. */
   readonly came: number;
+  /** Percent per millisecond of late, and before that; null: not known. */
+  readonly recentRate: number | null;
+  readonly earlierRate: number | null;
+  /** Time for which the run has been slow. */
+  readonly slowForMs: number;
 }
 
 /** What to do about slow runs. */
 export interface Stragglers {
-  /** Runs that would end sooner if they began again elsewhere. */
+  /** Runs that are slow now. */
+  readonly slow: ReadonlySet<Workflow.Task>;
+  /** Those of them that would end sooner if they began again elsewhere. */
   readonly restart: readonly Workflow.Task[];
   /** Workers that hold slow runs. */
   readonly workers: ReadonlySet<string>;
@@ -27,7 +34,9 @@
 
 /** A run this young says nothing yet. */
 const LEAST_RAN_MS = 900;
-/** A run below this share of the usual pace is slow. */
+/** A run below this share of its own earlier pace is slow. */
+const SLOW_SHARE_OF_ITSELF = 0.4;
+/** A run below this share of the usual pace of its step is slow. */
 const SLOW_SHARE = 0.28;
 /** Without others to compare with, only this share of the estimate counts. */
 const SLOW_SHARE_ALONE = 0.18;
@@ -39,22 +48,29 @@
 /** A task that stays slow elsewhere is slow itself. */
 const MOST_SLOW_RUNS = 2;
 const MOST_SLOW_RUNS_ALONE = 1;
+/** A worker that turns slow mostly stays so for a while, not for good. */
+const LIKELY_SLOW_MS = 4000;
+/** Stands for no progress at all. */
+const LEAST_RATE = 1e-6;
 
 /** Compares the runs of each step. */
 export function findStragglers(runs: readonly RunProgress[]): Stragglers {
+  const slow = new Set<Workflow.Task>();
   const restart: Workflow.Task[] = [];
   const workers = new Set<string>();
   for (const group of groupBySiblings(runs).values()) {
     const usual = usualRate(group);
     for (const run of group) {
       const most = group.length === 1 ? MOST_SLOW_RUNS_ALONE : MOST_SLOW_RUNS;
-      if (run.task.slowRuns >= most) continue;
       if (!isSlow(run, usual, group.length)) continue;
+      if (run.earlierRate === null && run.task.slowRuns >= most) continue;
+      slow.add(run.task);
       workers.add(run.worker);
-      if (paysToRestart(run, usual)) restart.push(run.task);
+      const mayRestart = run.task.slowRuns < most;
+      if (mayRestart && paysToRestart(run, usual)) restart.push(run.task);
     }
   }
-  return { restart, workers };
+  return { slow, restart, workers };
 }
 
 function groupBySiblings(
@@ -75,6 +91,11 @@
   return run.came / run.ranMs;
 }
 
+/** Pace of late, where it is known. */
+function paceOf(run: RunProgress): number {
+  return run.recentRate ?? rateOf(run);
+}
+
 /** Percent per millisecond: the upper median, or by the estimate if alone. */
 function usualRate(group: readonly RunProgress[]): number {
   if (group.length === 1) return 100 / Math.max(1, estimateOf(group[0]));
@@ -88,14 +109,20 @@
 
 function isSlow(run: RunProgress, usual: number, others: number): boolean {
   if (run.percent >= NEARLY_DONE) return false;
+  if (run.earlierRate !== null && run.earlierRate > 0) {
+    return paceOf(run) < run.earlierRate * SLOW_SHARE_OF_ITSELF;
+  }
   const share = others === 1 ? SLOW_SHARE_ALONE : SLOW_SHARE;
-  return rateOf(run) < usual * share;
+  return paceOf(run) < usual * share;
 }
 
 function paysToRestart(run: RunProgress, usual: number): boolean {
-  const rate = Math.max(rateOf(run), 1e-6);
-  const leftMs = (100 - run.percent) / rate;
+  const wellRate = Math.max(run.earlierRate ?? usual, LEAST_RATE);
+  const wellMs = (100 - run.percent) / wellRate;
+  const slowMs = (100 - run.percent) / Math.max(paceOf(run), LEAST_RATE);
+  const mendsMs = Math.max(LIKELY_SLOW_MS, run.slowForMs) + wellMs;
+  const leftMs = Math.min(slowMs, mendsMs);
   const done = run.task.step.checkpoints ? run.percent : 0;
-  const againMs = (100 - done) / Math.max(usual, 1e-6) + RESTART_MS;
+  const againMs = (100 - done) / wellRate + RESTART_MS;
   return leftMs > againMs * GAIN;
 }
--- a/packages/coordinator/src/straggler_watch_test.ts
+++ b/packages/coordinator/src/straggler_watch_test.ts
@@ -28,6 +28,9 @@
     ranMs: options.ranMs ?? 2000,
     percent,
     came: percent,
+    recentRate: null,
+    earlierRate: null,
+    slowForMs: 0,
   }));
 }
 
@@ -70,6 +73,38 @@
     vitest.expect(watch.findStragglers(standing).restart.length).toBe(1);
   });
 
+  vitest.it("knows a run that has slowed down by its own pace", () => {
+    const [run] = buildRuns([40]).map((one) => ({
+      ...one,
+      ranMs: 3000,
+      earlierRate: 0.02,
+    }));
+    const well = { ...run, recentRate: 0.015 };
+    vitest.expect(watch.findStragglers([well]).workers.size).toBe(0);
+    const slow = { ...run, recentRate: 0.004 };
+    const found = watch.findStragglers([slow]);
+    vitest.expect([...found.workers]).toEqual(["worker-0"]);
+    vitest.expect([...found.slow]).toEqual([run.task]);
+  });
+
+  vitest.it("gives a slow worker time to mend, but not for ever", () => {
+    const slowed = { ranMs: 5000, recentRate: 0, earlierRate: 0.0125 };
+    const [run] = buildRuns([50]).map((one) => ({ ...one, ...slowed }));
+    vitest.expect(watch.findStragglers([run]).restart).toEqual([]);
+    const later = { ...run, slowForMs: 8000 };
+    vitest.expect(watch.findStragglers([later]).restart).toEqual([run.task]);
+  });
+
+  vitest.it("restarts at once what loses nothing by it", () => {
+    const step = { checkpoints: true };
+    const slowed = { ranMs: 5000, recentRate: 0, earlierRate: 0.0125 };
+    const [run] = buildRuns([50], { step }).map((one) => ({
+      ...one,
+      ...slowed,
+    }));
+    vitest.expect(watch.findStragglers([run]).restart).toEqual([run.task]);
+  });
+
   vitest.it("never restarts a task that lasts", () => {
     const runs = buildRuns([50, 2, 50], { step: { lasting: true } });
     vitest.expect(watch.findStragglers(runs).restart).toEqual([]);
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -32,6 +32,8 @@
 const ORDER_LIMIT_MS = 450;
 const VIEW_SLACK_MS = 800;
 const LONGEST_WAIT_MS = 1000;
+/** Longest time between two looks at runs that come on. */
+const PROGRESS_WAIT_MS = 600;
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -188,6 +190,10 @@
     switch (report.outcome) {
       case starters.StartOutcome.Running:
         this.#clock.read(report.clockMs ?? 0, nowMs);
+        // A run that resumes from a checkpoint does not begin at nothing.
+        if (report.clockMs !== null && occupant.task.checkpoint === "") {
+          occupants.noteProgress(occupant, 0, report.clockMs);
+        }
         occupant.knownSinceMs ??= nowMs;
         this.#reachable = true;
         listener.runConfirmed(occupant);
@@ -273,7 +279,9 @@
       );
     if (!settled) return 0;
     const { longestLeaseMs } = this.#options.ports.bounds;
-    return Math.min(LONGEST_WAIT_MS, Math.floor(longestLeaseMs / 3));
+    const comesOn = this.occupants.some(({ task }) => !task.step.lasting);
+    const longestMs = comesOn ? PROGRESS_WAIT_MS : LONGEST_WAIT_MS;
+    return Math.min(longestMs, Math.floor(longestLeaseMs / 3));
   }
 
   #notHeard(): Effect.Effect<void> {
@@ -358,7 +366,7 @@
       }
       held.add(occupant);
       if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
-      occupants.noteProgress(occupant, percent, nowMs);
+      occupants.noteProgress(occupant, percent, view.clockMs);
       if (occupants.isConfirmed(occupant)) continue;
       occupant.knownSinceMs = nowMs;
       listener.runConfirmed(occupant);
