Give urgent work the fast workers, learned from siblings

Cause: a third of the workers is 1.3 times slower; two of three urgent gangs of three had one of them and ran 1.3 times as long (logs of the pace of each member, grouped by worker: 0.8 to 0.93 or 1.0 to 1.2; not by zone or rack). Speeds are learned from runs of one step on several workers, once a run; urgent work takes fast workers first, other work slow ones.

--- a/packages/coordinator/src/occupant.ts
+++ b/packages/coordinator/src/occupant.ts
@@ -16,6 +16,8 @@
   stopping: boolean;
   /** How it comes on; null before the first look. */
   pace: paces.RunPace | null;
+  /** Whether its pace was compared with that of its siblings. */
+  compared: boolean;
   /** Since when it is slow, by our clock; null while it is not. */
   slowSinceMs: number | null;
 }
@@ -36,6 +38,7 @@
     sent: false,
     stopping: false,
     pace: null,
+    compared: false,
     slowSinceMs: null,
   };
 }
--- a/packages/coordinator/src/run_watch.ts
+++ b/packages/coordinator/src/run_watch.ts
@@ -8,6 +8,11 @@
 import * as stragglers from "./straggler_watch.ts";
 import type * as directories from "./worker_directory.ts";
 
+/** A run this old tells the speed of its worker. */
+const LEAST_COMPARED_MS = 1000;
+/** Runs of a step that are needed for a comparison. */
+const LEAST_COMPARED = 3;
+
 /** Looks at all runs from time to time. */
 export class RunWatch {
   readonly #ports: ports.CoordinatorPorts;
@@ -28,11 +33,33 @@
   look(): void {
     const occupants = this.#occupantsInProgress();
     const runs = occupants.map((one) => this.#progressOf(one));
+    this.#compareSpeeds(occupants);
     this.#restartStragglers(occupants, runs);
     this.#evacuate(runs);
     this.#directory.dropGone();
   }
 
+  #compareSpeeds(watched: readonly WatchedOccupant[]): void {
+    const steps = new Map<readonly Workflow.Task[], WatchedOccupant[]>();
+    for (const one of watched) {
+      if (one.pace.watchedMs < LEAST_COMPARED_MS) continue;
+      const { task } = one.occupant;
+      const siblings = task.workflow.siblings(task);
+      const known = steps.get(siblings);
+      if (known === undefined) steps.set(siblings, [one]);
+      else known.push(one);
+    }
+    for (const runs of steps.values()) {
+      const rates = runs.map(({ pace }) => pace.came / pace.watchedMs);
+      const fresh = runs.flatMap(({ occupant, worker }, i) =>
+        occupant.compared ? [] : [{ worker, rate: rates[i] }]
+      );
+      this.#directory.speeds.compare(rates, fresh);
+      if (runs.length < LEAST_COMPARED) continue;
+      for (const { occupant } of runs) occupant.compared = true;
+    }
+  }
+
   #restartStragglers(
     occupants: readonly WatchedOccupant[],
     runs: readonly stragglers.RunProgress[],
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -5,6 +5,7 @@
 import * as Fiber from "effect/Fiber";
 import * as leaseClocks from "./lease_clock.ts";
 import * as sessions from "./worker_session.ts";
+import * as speeds from "./worker_speeds.ts";
 
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
@@ -20,6 +21,8 @@
   readonly #fibers = new Map<string, Fiber.Fiber<void>>();
   /** Worker of each row; a removed row shows no more than its key. */
   readonly #idOfRow = new Map<string, string>();
+  /** How fast the workers are beside each other. */
+  readonly speeds = new speeds.WorkerSpeeds();
   /** Our time by which a draining worker may leave. */
   readonly #leavesAtMs = new Map<string, number>();
   readonly #foreignLapseMs: number;
@@ -104,6 +107,7 @@
         labels: new Set(listing.labels),
         total: listing,
         usable: !listing.draining && session !== null && session.isUsable,
+        speed: this.speeds.of(listing.id),
         occupants: session?.occupants.map(({ task }) => task) ?? [],
       });
     }
@@ -144,6 +148,7 @@
     this.#idOfRow.delete(rowKey);
     this.#listings.delete(id);
     this.#leavesAtMs.delete(id);
+    this.speeds.forget(id);
   }
 
   #noteLeaving(listing: Ports.WorkerListing): void {
--- a/packages/measure/src/workflow_plans.ts
+++ b/packages/measure/src/workflow_plans.ts
@@ -83,6 +83,7 @@
       accelerators: ACCELERATORS,
     },
     usable: true,
+    speed: 1,
     occupants,
   };
 }
--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -10,6 +10,8 @@
   readonly total: Workflow.Resources;
   /** False while it drains, cannot be reached or is put aside. */
   readonly usable: boolean;
+  /** Speed beside the other workers; 1 is the usual one. */
+  readonly speed: number;
   /** Tasks that it holds or may hold. */
   readonly occupants: readonly Workflow.Task[];
 }
--- a/packages/workflow-scheduler/src/placement.ts
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -28,8 +28,10 @@
   const rackFree = freeByRack(rooms, roomOf);
   const left = ({ room, fits }: typeof open[number]) =>
     roomOf(room).accelerators - fits * unit.step.accelerators;
+  const slowness = slownessFor(unit);
   // Racks are filled one after another, so that whole ones stay free.
   open.sort((a, b) =>
+    slowness(a.room) - slowness(b.room) ||
     (rackFree.get(a.room.worker.rack) ?? 0) -
       (rackFree.get(b.room.worker.rack) ?? 0) ||
     left(a) - left(b) ||
@@ -44,6 +46,19 @@
   return places;
 }
 
+/** Workers whose speeds differ by less count as equally fast. */
+const SPEED_STEP = 0.12;
+
+/**
+ * Urgent work takes the fast workers first and other work the slow ones, because
+ * it has more time.
+ */
+function slownessFor(unit: Workflow.Unit): (room: fleet.WorkerRoom) => number {
+  const isUrgent = unit.workflow.spec.policy.priority === 0;
+  const sign = isUrgent ? -1 : 1;
+  return ({ worker }) => sign * Math.round((worker.speed - 1) / SPEED_STEP);
+}
+
 /** Free accelerators of each rack. */
 function freeByRack(
   rooms: readonly fleet.WorkerRoom[],
@@ -63,17 +78,18 @@
   rooms: readonly fleet.WorkerRoom[],
   roomOf: RoomOf,
 ): Places | null {
-  let best: Places | null = null;
-  let bestFree = Number.POSITIVE_INFINITY;
+  const slowness = slownessFor(unit);
+  let best: { places: Places; slowest: number; free: number } | null = null;
   for (const rack of groupByRack(rooms).values()) {
-    const found = findAmong(unit, rack, roomOf);
-    if (found === null) continue;
+    const places = findAmong(unit, rack, roomOf);
+    if (places === null) continue;
     const free = rack.reduce((sum, r) => sum + roomOf(r).accelerators, 0);
-    if (free >= bestFree) continue;
-    best = found;
-    bestFree = free;
+    const slowest = Math.max(...places.map(slowness));
+    const isBetter = best === null || slowest < best.slowest ||
+      (slowest === best.slowest && free < best.free);
+    if (isBetter) best = { places, slowest, free };
   }
-  return best;
+  return best?.places ?? null;
 }
 
 /** Whether tasks of a unit run at full speed only within one rack. */
