Fit records into one row; go on after defects; check every body

A record listed every touched task with its worker's name, so a workflow of a few hundred tasks did not fit into a row of 64 KB and its writes were refused for ever; a body with a wrong type ended in a defect and an unanswered call; one defect in a fiber that runs for ever ended its work silently; a row that could not be decoded hid all others of its feed. Change: done tasks as bit sets, workers by number, at most 500 placed tasks of one workflow; schemas for submissions; fibers that begin again after a defect, with a log line and a count; a row that cannot be read is logged and passed over; an answer of the store without an object is no answer (but for 410, whose status says all). Ruled out: splitting a record over rows (a transaction of 100 entries would bound the batch of workflows instead). Tests: the widest workflow fits, indexes come back, defects are counted, 25 bodies at the front door, a row that cannot be read.

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -29,6 +29,7 @@
   peersAddress: Address,
   storeAddress: Address,
   storeWritesPerSecond: Positive,
+  storeRowBytes: Positive,
   configInForceMs: Positive,
   adviceAddress: Schema.optionalKey(Schema.NullOr(Address)),
   bounds: BoundsSchema,
@@ -57,6 +58,8 @@
   readonly peersAddress: string;
   readonly storeAddress: string;
   readonly storeWritesPerSecond: number;
+  /** Most bytes of one row's value. */
+  readonly storeRowBytes: number;
   readonly configInForceMs: number;
   /** Address of the advice service; null where there is none. */
   readonly adviceAddress: string | null;
--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -6,4 +6,5 @@
   WorkflowDump,
 } from "./src/describe.ts";
 export { type CoordinatorRow, Election, Term } from "./src/election.ts";
+export { restartOnDefect, type RestartParts } from "./src/restart.ts";
 export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -9,6 +9,7 @@
 import * as Effect from "effect/Effect";
 import type * as ports from "./ports.ts";
 import * as paces from "./renewal_pace.ts";
+import * as restart from "./restart.ts";
 
 /** Value of the coordinator row. An empty holder means: released. */
 export interface CoordinatorRow {
@@ -200,7 +201,10 @@
       const ended = Effect.map(term.awaitLoss(), (how) => {
         this.#ports.log.info(`Token ${term.token} is lost: ${how}.`);
       });
-      const both = Effect.raceFirst(work(term), this.#keepRenewing(term));
+      const both = Effect.raceFirst(
+        Effect.catchDefect(work(term), (defect) => this.#giveUp(term, defect)),
+        this.#keepRenewing(term),
+      );
       yield* Effect.raceFirst(both, ended);
       term.lose("the work ended");
       this.#term = null;
@@ -208,6 +212,16 @@
     });
   }
 
+  /** A fault in our own code ends the term; perhaps another node fares better. */
+  #giveUp(term: Term, defect: unknown): Effect.Effect<void> {
+    return Effect.sync(() => {
+      const { log, metrics } = this.#ports;
+      log.error(`Coordinating failed: ${restart.describeDefect(defect)}`);
+      metrics.count("cairngate_defects_total", { what: "Coordinating" });
+      term.lose("the coordinator failed");
+    });
+  }
+
   #keepRenewing(term: Term): Effect.Effect<never> {
     const { store, clock } = this.#ports;
     const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -4,6 +4,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as leaseClocks from "./lease_clock.ts";
+import * as restart from "./restart.ts";
 import * as sessions from "./worker_session.ts";
 import * as speeds from "./worker_speeds.ts";
 
@@ -172,7 +173,16 @@
   }
 
   #run(session: sessions.WorkerSession): void {
-    this.#fibers.set(session.ref.id, Effect.runFork(session.run()));
+    const { clock, log, metrics } = this.#options.ports;
+    const { id } = session.ref;
+    const what = `The session with worker ${id}`;
+    const run = restart.restartOnDefect(session.run(), {
+      what,
+      clock,
+      log,
+      metrics,
+    });
+    this.#fibers.set(id, Effect.runFork(run));
   }
 
   #drop(id: string): void {
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -19,6 +19,8 @@
 export interface SubmissionOptions {
   readonly store: TableClient.StoreClient;
   readonly clock: Ports.Clock;
+  /** Most bytes of one row's value. */
+  readonly rowBytes: number;
 }
 
 /**
@@ -26,13 +28,17 @@
  * to the store; a caller who hears `running` asks again only much later.
  */
 const RECORD_ARRIVES_MS = 25;
+/** What a row holds beside the workflow. */
+const ROW_OVERHEAD_BYTES = 1000;
 
 /** Callers' side of the workflows. */
 export class Submissions {
   readonly #rows: workflowRows.WorkflowRows;
   readonly #clock: Ports.Clock;
+  readonly #rowBytes: number;
 
   constructor(options: SubmissionOptions) {
+    this.#rowBytes = options.rowBytes;
     this.#rows = new workflowRows.WorkflowRows(options);
     this.#clock = options.clock;
   }
@@ -46,12 +52,14 @@
     submission: Submission,
   ): Effect.Effect<
     void,
-    Errors.BadRequestError | Errors.StoreUnavailableError
+    | Errors.BadRequestError
+    | Errors.TooLargeError
+    | Errors.StoreUnavailableError
   > {
     const { id, payload, steps, schedule } = submission;
     const fault = Workflow.findStepFault(steps, schedule);
     if (fault !== null) return Effect.fail(new Errors.BadRequestError(fault));
-    return this.#rows.file({
+    const spec: Workflow.WorkflowSpec = {
       id,
       tenant: allowed.tenant,
       policy: policyOf(allowed.route),
@@ -59,7 +67,13 @@
       steps,
       schedule,
       acceptedAtMs: this.#clock.wallMs(),
-    });
+    };
+    const limitBytes = this.#rowBytes - ROW_OVERHEAD_BYTES;
+    if (Buffer.byteLength(JSON.stringify(spec)) > limitBytes) {
+      const what = "The workflow";
+      return Effect.fail(new Errors.TooLargeError({ what, limitBytes }));
+    }
+    return this.#rows.file(spec);
   }
 
   /** Marks a workflow as cancelled; fails where there is none. */
--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -7,5 +7,6 @@
   type HttpReply,
   type TrafficListener,
 } from "./src/http_caller.ts";
+export { isObject } from "./src/is_object.ts";
 export { readJsonBody } from "./src/read_json_body.ts";
 export { sendJson, sendText } from "./src/send.ts";
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -23,6 +23,7 @@
 const CONFIG_PREFIX = "test-config/";
 const WORKERS_PREFIX = "test-workers/";
 const WRITES_PER_SECOND = 500;
+const ROW_BYTES = 65_536;
 const CONFIG_IN_FORCE_MS = 2000;
 
 /** A configuration with one queue for each priority, 0 to 2. */
@@ -156,6 +157,7 @@
       },
       bounds: FLEET_BOUNDS,
       storeWritesPerSecond: WRITES_PER_SECOND,
+      storeRowBytes: ROW_BYTES,
       configInForceMs: CONFIG_IN_FORCE_MS,
       log: Logger.silentLogger(),
       metrics: new Metrics.Metrics(),
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -35,6 +35,8 @@
   readonly feeds: NodeFeeds;
   readonly bounds: Coordinator.WorkerBounds;
   readonly storeWritesPerSecond: number;
+  /** Most bytes of one row's value. */
+  readonly storeRowBytes: number;
   /** Time within which a configuration has to be in force on every node. */
   readonly configInForceMs: number;
   readonly log: Logger.Logger;
@@ -104,7 +106,11 @@
       log.part("access"),
       () => this.#mayBeStale(),
     );
-    this.submissions = new Gateway.Submissions({ store: this.#store, clock });
+    this.submissions = new Gateway.Submissions({
+      store: this.#store,
+      clock,
+      rowBytes: ports.storeRowBytes,
+    });
     this.#coordinatorPorts = {
       node,
       incarnation: random.id(),
@@ -144,7 +150,7 @@
 
   #work(): void {
     const { clock, random } = this.#ports;
-    this.#fibers.push(Effect.runFork(this.#members.run()));
+    this.#keep("Membership", this.#members.run());
     const follower = new TableClient.RowFollower({
       feed: this.#feeds.config,
       clock,
@@ -161,7 +167,7 @@
         }
       },
     });
-    this.#fibers.push(Effect.runFork(follower.run()));
+    this.#keep("Following the configuration", follower.run());
     const work = (term: Coordinator.Term) =>
       Effect.suspend(() => {
         const ports = this.#coordinatorPorts;
@@ -171,7 +177,15 @@
         });
         return Effect.ensuring(this.#coordinator.run(), ended);
       });
-    this.#fibers.push(Effect.runFork(this.#election.run(work)));
+    this.#keep("The election", this.#election.run(work));
+  }
+
+  /** Runs work for ever beside everything else. */
+  #keep(what: string, work: Effect.Effect<never>): void {
+    const { clock, log, metrics } = this.#ports;
+    const parts = { what, clock, log: log.part("node"), metrics };
+    const kept = Coordinator.restartOnDefect(work, parts);
+    this.#fibers.push(Effect.runFork(kept));
   }
 
   /** Whether callers should be sent here. */
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -18,10 +18,11 @@
   type StepFault,
 } from "./src/check_steps.ts";
 export { RunEnd, Task, TaskState } from "./src/task.ts";
-export { isFinal, type Unit, Workflow, WorkflowState } from "./src/workflow.ts";
+export { type Unit, Workflow } from "./src/workflow.ts";
+export { isFinal, WorkflowState } from "./src/workflow_state.ts";
 export {
   applyProgress,
+  type ListedTask,
   type ProgressRecord,
-  type TaskRecord,
   toProgress,
 } from "./src/progress_record.ts";
--- a/packages/workflow/src/check_steps.ts
+++ b/packages/workflow/src/check_steps.ts
@@ -10,6 +10,8 @@
 /** Most tasks of one workflow over all of its steps and rounds. */
 export const MOST_TASKS = 20_000;
 const MOST_STEPS = 256;
+/** Most members of a gang: all of them are placed at once. */
+export const MOST_GANG = 500;
 
 /** Finds the first fault; null where there is none. */
 export function findStepFault(
@@ -35,6 +37,9 @@
   if (!Number.isInteger(step.count) || step.count < 1) {
     return { field: `${field}.count`, expected: "a whole number above 0" };
   }
+  if (step.gang && step.count > MOST_GANG) {
+    return { field: `${field}.count`, expected: `at most ${MOST_GANG}` };
+  }
   const amounts = [step.cpuMillis, step.memoryMb, step.accelerators];
   if (amounts.some((n) => !Number.isFinite(n) || n < 0)) {
     return { field, expected: "resources of 0 or more" };
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -1,40 +1,103 @@
-/** The durable record of a workflow's progress; the coordinator writes it. */
+/**
+ * The durable record of a workflow's progress; the coordinator writes it. It has
+ * to fit into one row of the store, however many tasks a workflow has, so only
+ * tasks that are under way are listed one by one.
+ */
+import * as indexSets from "./index_set.ts";
 import * as tasks from "./task.ts";
-import * as workflows from "./workflow.ts";
-
-/** What is kept of a task that has been touched. */
-export interface TaskRecord {
-  /** Whether the task has ended for good. */
-  readonly done: boolean;
-  readonly run: number;
-  /** Worker that may hold the newest run; null for none. */
-  readonly worker: string | null;
-  readonly failures: number;
-  readonly checkpoint: string;
-}
+import type * as workflows from "./workflow.ts";
+import * as states from "./workflow_state.ts";
+
+/**
+ * A listed task: its run, its worker's place in `workers` or -1 for none, its
+ * failures, and its checkpoint where there is one.
+ */
+export type ListedTask = readonly [
+  run: number,
+  worker: number,
+  failures: number,
+  checkpoint?: string,
+];
 
 /** What is kept of a workflow; untouched tasks are left out. */
 export interface ProgressRecord {
-  readonly state: workflows.WorkflowState;
-  readonly tasks: Readonly<Record<string, TaskRecord>>;
+  readonly state: states.WorkflowState;
+  /** Workers that may hold runs. */
+  readonly workers: readonly string[];
+  /** Indexes of done tasks as a set in one text, by `round.step`. */
+  readonly done: Readonly<Record<string, string>>;
+  /** Highest run of tasks that wait and are not listed, by `round.step`. */
+  readonly runs: Readonly<Record<string, number>>;
+  /** Tasks that a worker may hold, have failed or have a checkpoint, by key. */
+  readonly tasks: Readonly<Record<string, ListedTask>>;
 }
 
+/** Waiting tasks with a checkpoint or failures that are listed at most. */
+const MOST_WAITING_LISTED = 200;
+/** Characters of all checkpoints of one record; others begin anew. */
+const MOST_CHECKPOINT_LENGTH = 12_000;
+const NO_WORKER = -1;
+
 /** Makes the record of a workflow. */
 export function toProgress(workflow: workflows.Workflow): ProgressRecord {
-  const kept: Record<string, TaskRecord> = {};
-  const hasEnded = workflows.isFinal(workflow.state);
-  for (const task of workflow.tasks) {
-    // What still runs after the end has to be stopped by whoever takes over.
-    if (task.run === 0 || (hasEnded && !task.isPlaced)) continue;
-    kept[task.key] = {
-      done: task.state === tasks.TaskState.Done,
-      run: task.run,
-      worker: task.worker,
-      failures: task.failures,
-      checkpoint: task.checkpoint,
-    };
+  const done: Record<string, string> = {};
+  const runs: Record<string, number> = {};
+  const workers = new Map<string, number>();
+  const listed = new Map<string, ListedTask>();
+  const waiting: tasks.Task[] = [];
+  const budget = { checkpoints: MOST_CHECKPOINT_LENGTH };
+  const hasEnded = states.isFinal(workflow.state);
+  for (const [step, members] of workflow.steps) {
+    const isDone = (task: tasks.Task) => task.state === tasks.TaskState.Done;
+    const doneIndexes = members.filter(isDone).map(({ index }) => index);
+    if (doneIndexes.length > 0) {
+      done[step] = indexSets.encodeIndexes(doneIndexes);
+    }
+    for (const task of members) {
+      if (task.isPlaced) listed.set(task.key, listTask(task, workers, budget));
+      else if (!isDone(task) && task.run > 0) waiting.push(task);
+    }
+  }
+  // What still runs after the end has to be stopped by whoever takes over.
+  for (const task of hasEnded ? [] : selectWaiting(waiting)) {
+    listed.set(task.key, listTask(task, workers, budget));
   }
-  return { state: workflow.state, tasks: kept };
+  for (const task of hasEnded ? [] : waiting) {
+    if (!listed.has(task.key)) {
+      runs[task.stepKey] = Math.max(runs[task.stepKey] ?? 0, task.run);
+    }
+  }
+  return {
+    state: workflow.state,
+    workers: [...workers.keys()],
+    done: hasEnded ? {} : done,
+    runs,
+    tasks: Object.fromEntries(listed),
+  };
+}
+
+/** Failures count towards the end of a workflow, so they come first. */
+function selectWaiting(waiting: readonly tasks.Task[]): tasks.Task[] {
+  return waiting
+    .filter(({ failures, checkpoint }) => failures > 0 || checkpoint !== "")
+    .sort((a, b) => b.failures - a.failures)
+    .slice(0, MOST_WAITING_LISTED);
+}
+
+function listTask(
+  task: tasks.Task,
+  workers: Map<string, number>,
+  budget: { checkpoints: number },
+): ListedTask {
+  const { run, worker, failures, checkpoint } = task;
+  if (worker !== null && !workers.has(worker)) {
+    workers.set(worker, workers.size);
+  }
+  const place = worker === null ? NO_WORKER : workers.get(worker) ?? NO_WORKER;
+  budget.checkpoints -= checkpoint.length;
+  return checkpoint === "" || budget.checkpoints < 0
+    ? [run, place, failures]
+    : [run, place, failures, checkpoint];
 }
 
 /** Puts a record into a workflow that was made from its spec. */
@@ -43,20 +106,30 @@
   record: ProgressRecord,
 ): void {
   workflow.state = record.state;
+  for (const [step, members] of workflow.steps) {
+    const run = record.runs[step] ?? 0;
+    for (const task of members) task.run = run;
+    for (const index of indexSets.decodeIndexes(record.done[step] ?? "")) {
+      if (index < members.length) members[index].state = tasks.TaskState.Done;
+    }
+  }
   for (const [key, kept] of Object.entries(record.tasks)) {
     const task = workflow.task(key);
-    if (task === undefined) continue;
-    task.run = kept.run;
-    task.worker = kept.worker;
-    task.failures = kept.failures;
-    task.checkpoint = kept.checkpoint;
-    task.state = stateOf(kept);
+    if (task !== undefined) applyListed(task, kept, record.workers);
   }
 }
 
-function stateOf(kept: TaskRecord): tasks.TaskState {
-  if (kept.done) return tasks.TaskState.Done;
-  return kept.worker === null
-    ? tasks.TaskState.Waiting
-    : tasks.TaskState.Starting;
+function applyListed(
+  task: tasks.Task,
+  [run, place, failures, checkpoint]: ListedTask,
+  workers: readonly string[],
+): void {
+  task.run = run;
+  task.worker = workers[place] ?? null;
+  task.failures = failures;
+  task.checkpoint = checkpoint ?? "";
+  const isPlaced = task.worker !== null;
+  if (isPlaced && task.state !== tasks.TaskState.Done) {
+    task.state = tasks.TaskState.Starting;
+  }
 }
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -63,9 +63,14 @@
     this.step = workflow.spec.steps[place.stepIndex];
   }
 
+  /** Name of its step and round within the workflow. */
+  get stepKey(): string {
+    return `${this.round}.${this.stepIndex}`;
+  }
+
   /** Name of the task within its workflow. */
   get key(): string {
-    return `${this.round}.${this.stepIndex}.${this.index}`;
+    return `${this.stepKey}.${this.index}`;
   }
 
   /** Name of the task for workers. */
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -1,21 +1,7 @@
 /** A workflow in the coordinator's memory, with all of its tasks. */
 import * as spec from "./spec.ts";
 import * as tasks from "./task.ts";
-
-/** State of a workflow as callers see it. */
-export enum WorkflowState {
-  Queued = "queued",
-  Running = "running",
-  Completed = "completed",
-  Failed = "failed",
-  Cancelled = "cancelled",
-}
-
-/** Whether a workflow in this state has ended. */
-export function isFinal(state: WorkflowState): boolean {
-  return state === WorkflowState.Completed ||
-    state === WorkflowState.Failed || state === WorkflowState.Cancelled;
-}
+import * as states from "./workflow_state.ts";
 
 /** Tasks that are placed together: a gang, or one task. */
 export interface Unit {
@@ -26,6 +12,9 @@
   readonly tasks: readonly tasks.Task[];
 }
 
+/** Tasks of one workflow that may be placed at once. */
+export const MOST_PLACED = 500;
+
 /** A workflow. Mutable; one coordinator owns it. */
 export class Workflow {
   readonly spec: spec.WorkflowSpec;
@@ -34,7 +23,7 @@
   readonly #byKey = new Map<string, tasks.Task>();
   /** Runs of gangs whose failure is counted already, as round.step.run. */
   readonly #countedFailures = new Set<string>();
-  state = WorkflowState.Queued;
+  state = states.WorkflowState.Queued;
   /** Wall-clock time of the first start; null where an earlier term saw it. */
   firstStartMs: number | null = null;
   /** Runs that did not end well, as this coordinator saw them. */
@@ -53,6 +42,13 @@
     return this.#byKey.get(key);
   }
 
+  /** Tasks of each step and round, by `round.step`. */
+  get steps(): readonly (readonly [string, readonly tasks.Task[]])[] {
+    return this.rounds.flatMap((steps) =>
+      steps.map((members) => [members[0].stepKey, members] as const)
+    );
+  }
+
   /** All tasks. */
   get tasks(): Iterable<tasks.Task> {
     return this.#byKey.values();
@@ -70,12 +66,27 @@
 
   /** Whether nothing of it will start any more. */
   get isOver(): boolean {
-    return this.cancelled || isFinal(this.state);
+    return this.cancelled || states.isFinal(this.state);
   }
 
-  /** Units that may start now, in order of rounds and steps. */
+  /**
+   * Units that may start now, in order of rounds and steps. The record of a
+   * workflow has to fit into one row, so not all tasks of a very wide one run at
+   * the same time.
+   */
   readyUnits(wallMs: number): Unit[] {
     if (this.isOver) return [];
+    const units = this.#allReadyUnits(wallMs);
+    if (this.#byKey.size <= MOST_PLACED) return units;
+    let left = MOST_PLACED - this.placedTasks().length;
+    return units.filter((unit) => {
+      if (unit.tasks.length > left) return false;
+      left -= unit.tasks.length;
+      return true;
+    });
+  }
+
+  #allReadyUnits(wallMs: number): Unit[] {
     const units: Unit[] = [];
     for (let round = 0; round < this.rounds.length; round++) {
       if (!spec.isDue(this.spec, round, wallMs)) break;
@@ -107,9 +118,9 @@
 
   /** Takes in the end of a cancelled workflow once nothing of it runs. */
   concludeCancel(): boolean {
-    if (!this.cancelled || isFinal(this.state)) return false;
+    if (!this.cancelled || states.isFinal(this.state)) return false;
     if (this.placedTasks().length > 0) return false;
-    this.state = WorkflowState.Cancelled;
+    this.state = states.WorkflowState.Cancelled;
     return true;
   }
 
@@ -170,16 +181,16 @@
     for (const member of this.#group(task)) member.failures++;
     if (task.failures < this.spec.policy.attempts) return;
     if (task.state !== tasks.TaskState.Done && !this.isOver) {
-      this.state = WorkflowState.Failed;
+      this.state = states.WorkflowState.Failed;
     }
   }
 
   #conclude(): void {
-    if (isFinal(this.state)) return;
+    if (states.isFinal(this.state)) return;
     for (const task of this.tasks) {
       if (task.state !== tasks.TaskState.Done) return;
     }
-    this.state = WorkflowState.Completed;
+    this.state = states.WorkflowState.Completed;
   }
 }
 
--- a/packages/workflow/src/workflow_test.ts
+++ b/packages/workflow/src/workflow_test.ts
@@ -5,6 +5,11 @@
 import type * as spec from "./spec.ts";
 import * as tasks from "./task.ts";
 import * as workflows from "./workflow.ts";
+import * as states from "./workflow_state.ts";
+
+/** Characters that fit into one row of the store, in its own encoding. */
+const ROW_LENGTH = 48_000;
+const MOST_OF_ONE_STEP = 20_000;
 
 function build(
   steps: readonly spec.StepSpec[],
@@ -41,16 +46,16 @@
     const workflow = build([TestUtils.buildStep({ count: 2 })]);
     placeAll(workflow);
     end(workflow, "0.0.0", tasks.RunEnd.Done);
-    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Queued);
+    vitest.expect(workflow.state).toBe(states.WorkflowState.Queued);
     end(workflow, "0.0.1", tasks.RunEnd.Done);
-    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Completed);
+    vitest.expect(workflow.state).toBe(states.WorkflowState.Completed);
   });
 
   vitest.it("takes one member's end as the end of the gang", () => {
     const workflow = build([TestUtils.buildStep({ count: 3, gang: true })]);
     placeAll(workflow);
     end(workflow, "0.0.1", tasks.RunEnd.Done);
-    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Completed);
+    vitest.expect(workflow.state).toBe(states.WorkflowState.Completed);
   });
 
   vitest.it("counts a gang's failure once for each run", () => {
@@ -61,7 +66,7 @@
       end(workflow, "0.0.1", tasks.RunEnd.Failed, run);
       vitest.expect(workflow.task("0.0.1")?.failures).toBe(run);
     }
-    vitest.expect(workflow.state).toBe(workflows.WorkflowState.Failed);
+    vitest.expect(workflow.state).toBe(states.WorkflowState.Failed);
   });
 
   vitest.it("does not count stops, lapses and lost runs as failures", () => {
@@ -93,7 +98,7 @@
     placeAll(workflow);
     end(workflow, "0.0.0", tasks.RunEnd.Done);
     vitest.expect(workflow.readyUnits(0).length).toBe(1);
-    vitest.expect(workflow.state).not.toBe(workflows.WorkflowState.Completed);
+    vitest.expect(workflow.state).not.toBe(states.WorkflowState.Completed);
   });
 
   vitest.it("starts rounds only when they fall due", () => {
@@ -124,7 +129,7 @@
   vitest.it("bring back what is done, where runs may be, and failures", () => {
     const steps = [TestUtils.buildStep({ count: 3 })];
     const workflow = build(steps);
-    workflow.state = workflows.WorkflowState.Running;
+    workflow.state = states.WorkflowState.Running;
     placeAll(workflow);
     end(workflow, "0.0.0", tasks.RunEnd.Done);
     end(workflow, "0.0.1", tasks.RunEnd.Failed);
@@ -137,12 +142,51 @@
     vitest.expect(again.task("0.0.2")?.state).toBe(tasks.TaskState.Starting);
   });
 
+  vitest.it("bring back runs, failures and checkpoints of what waits", () => {
+    const steps = [TestUtils.buildStep({ count: 3, checkpoints: true })];
+    const workflow = build(steps);
+    placeAll(workflow, 4);
+    const task = workflow.task("0.0.0");
+    if (task === undefined) throw new RangeError("no task");
+    const how = tasks.RunEnd.Stopped;
+    workflow.endRun(task, { run: 4, how, checkpoint: "half" }, 0);
+    end(workflow, "0.0.1", tasks.RunEnd.Stopped, 4);
+    end(workflow, "0.0.2", tasks.RunEnd.Failed, 4);
+    const again = build(steps);
+    records.applyProgress(again, records.toProgress(workflow));
+    const runs = [...again.tasks].map(({ run }) => run);
+    vitest.expect(runs).toEqual([4, 4, 4]);
+    vitest.expect(again.task("0.0.0")?.checkpoint).toBe("half");
+    vitest.expect(again.task("0.0.2")?.failures).toBe(1);
+    vitest.expect(again.readyUnits(0).length).toBe(3);
+  });
+
+  vitest.it("fit into one row, however wide a workflow is", () => {
+    const count = MOST_OF_ONE_STEP;
+    const workflow = build([TestUtils.buildStep({ count, checkpoints: true })]);
+    workflow.state = states.WorkflowState.Running;
+    let run = 0;
+    for (const unit of workflow.readyUnits(0)) {
+      unit.tasks[0].place(`i-${String(run).padStart(10, "0")}`, ++run, 0);
+    }
+    vitest.expect(run).toBe(workflows.MOST_PLACED);
+    for (const task of workflow.tasks) {
+      task.checkpoint = "0123456789abcdef";
+      if (task.isPlaced) continue;
+      task.run = 3;
+      task.failures = 1;
+      if (task.index % 2 === 0) task.state = tasks.TaskState.Done;
+    }
+    const record = records.toProgress(workflow);
+    vitest.expect(JSON.stringify(record).length).toBeLessThan(ROW_LENGTH);
+  });
+
   vitest.it(
     "keep the runs of an ended workflow that still have to stop",
     () => {
       const workflow = build([TestUtils.buildStep({ count: 2 })]);
       placeAll(workflow);
-      workflow.state = workflows.WorkflowState.Failed;
+      workflow.state = states.WorkflowState.Failed;
       end(workflow, "0.0.0", tasks.RunEnd.Stopped);
       const { tasks: kept } = records.toProgress(workflow);
       vitest.expect(Object.keys(kept)).toEqual(["0.0.1"]);
