Notice at once that the store is back; reject waiting for it at the door

Cause: after an outage of the whole store three pauses outlived it: a follower's first look waited 0.8 to 1 s for a change before it counted as an answer, the breaker of a partition stayed open for up to 0.5 s, and a write that was tried again slept for up to 1 s. Change: a look after a failure asks for an answer at once; the first answer after a silence of 0.3 s lets every breaker try and ends every pause between tries.

--- a/packages/table-client/src/circuit_breaker.ts
+++ b/packages/table-client/src/circuit_breaker.ts
@@ -24,6 +24,11 @@
     this.#failures = 0;
   }
 
+  /** Another call was answered: the next call here is a trial. */
+  allowTrial(): void {
+    this.#openUntilMs = 0;
+  }
+
   /** The service has not answered; one trial follows each open time. */
   failed(): void {
     this.#failures++;
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -41,6 +41,8 @@
   readonly #unread: Set<string>;
   #position: number | null = null;
   #heardAtMs = Number.NEGATIVE_INFINITY;
+  /** Whether the last look failed. */
+  #hasFailed = false;
   #backoffMs = FIRST_BACKOFF_MS;
 
   constructor(options: RowFollowerOptions<T>) {
@@ -112,9 +114,7 @@
 
   #readChanges(position: number): Effect.Effect<void, Ports.StoreError> {
     const { feed, clock } = this.#options;
-    const waitMs = this.#unread.size === 0
-      ? this.#options.waitMs
-      : UNREAD_WAIT_MS;
+    const waitMs = this.#waitMs();
     return Effect.gen({ self: this }, function* () {
       const limitMs = waitMs + ANSWER_SLACK_MS;
       const timed = yield* clock.within(
@@ -131,6 +131,12 @@
     );
   }
 
+  /** After a failure a look asks for an answer at once: is the store back? */
+  #waitMs(): number {
+    if (this.#hasFailed) return 0;
+    return this.#unread.size === 0 ? this.#options.waitMs : UNREAD_WAIT_MS;
+  }
+
   #beginAgain(): void {
     this.#position = null;
     this.#present.clear();
@@ -146,6 +152,7 @@
       this.#present[change](key);
     }
     this.#position = position;
+    this.#hasFailed = false;
     this.#backoffMs = FIRST_BACKOFF_MS;
     if (entries.length > 0) this.#options.onChange(entries);
     this.#heardAtMs = this.#options.clock.monotonicMs();
@@ -163,6 +170,7 @@
 
   #pause(): Effect.Effect<void> {
     const { clock, random } = this.#options;
+    this.#hasFailed = true;
     this.#options.onFailed?.();
     const waitMs = random.jitter(this.#backoffMs);
     this.#backoffMs = Math.min(this.#backoffMs * 2, LONGEST_BACKOFF_MS);
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -7,6 +7,7 @@
 import * as Errors from "@cairngate/errors";
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
+import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as breakers from "./circuit_breaker.ts";
 import * as keys from "./keys.ts";
@@ -42,6 +43,11 @@
 const HEDGE_FACTOR = 4;
 const LEAST_HEDGE_MS = 40;
 const LONGEST_HEDGE_MS = 1000;
+/**
+ * After a silence of this length an answer means that the service is back. A
+ * service of which some partitions answer is never silent for so long.
+ */
+const OUTAGE_MS = 300;
 /** Weight of the newest write in the usual time. */
 const NEWEST_WEIGHT = 0.3;
 
@@ -54,6 +60,8 @@
   #tokensAtMs: number;
   #failingSinceMs: number | null = null;
   #usualWriteMs = 0;
+  /** Done when the service answers again after an outage. */
+  #back = Deferred.makeUnsafe<void>();
 
   constructor(options: StoreClientOptions) {
     this.#options = options;
@@ -77,9 +85,11 @@
     return this.#breaker(partition).isOpen();
   }
 
-  /** The service answered a call that was made without this client. */
+  /** The service answered a call, perhaps one made without this client. */
   noteAnswered(): void {
+    const wasOut = this.silentForMs() >= OUTAGE_MS;
     this.#failingSinceMs = null;
+    if (wasOut) this.#endOutage();
   }
 
   /** A call that was made without this client failed. */
@@ -93,6 +103,20 @@
     return sinceMs === null ? 0 : this.#options.clock.monotonicMs() - sinceMs;
   }
 
+  /** Whoever waits for the next try need not wait any longer. */
+  #endOutage(): void {
+    for (const breaker of this.#breakers.values()) breaker.allowTrial();
+    Deferred.doneUnsafe(this.#back, Effect.void);
+    this.#back = Deferred.makeUnsafe<void>();
+  }
+
+  /** The pause before the next try; the end of an outage ends it. */
+  #pause(backoffMs: number): Effect.Effect<void> {
+    const { clock, random } = this.#options;
+    const back = Deferred.await(this.#back);
+    return Effect.raceFirst(clock.sleep(random.jitter(backoffMs)), back);
+  }
+
   /** Reads rows; absent ones are left out. */
   read(
     rowKeys: readonly string[],
@@ -128,7 +152,7 @@
     tx: Ports.Transaction,
     deadlineMs: number,
   ): Effect.Effect<number, StoreFailure | Errors.ConditionFailedError> {
-    const { clock, random } = this.#options;
+    const { clock } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const endMs = clock.monotonicMs() + deadlineMs;
       let backoffMs = FIRST_BACKOFF_MS;
@@ -151,7 +175,7 @@
             perhapsDone: mayHaveLanded,
           });
         }
-        yield* clock.sleep(random.jitter(backoffMs));
+        yield* this.#pause(backoffMs);
         backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
       }
     });
@@ -192,7 +216,7 @@
     call: () => Effect.Effect<A, Ports.StoreError>,
     deadlineMs: number,
   ): Effect.Effect<A, StoreFailure> {
-    const { clock, random, metrics } = this.#options;
+    const { clock, metrics } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const endMs = clock.monotonicMs() + deadlineMs;
       let backoffMs = FIRST_BACKOFF_MS;
@@ -206,7 +230,7 @@
           const cause = "no answer before the deadline";
           return yield* unavailable(target.operation, cause);
         }
-        yield* clock.sleep(random.jitter(backoffMs));
+        yield* this.#pause(backoffMs);
         backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
       }
     });
