Let a box with room coordinate; believe rows, not silence of the feed

Change: boxes tell their processor in their row; those with 1.5 times less claim a term 0.4 s later, those that reach the store only through a peer 1.5 s later; a holder hands over to a larger box that answers and reaches the store; at the first start all wait 0.4 s to learn of each other. Before a takeover the lease row is read: a renewal that the feed did not tell ends the attempt, and the lease row as read is a condition of the write. Tests: the coordinator is large at the start and after a loss, hands over once to one that joins, goes on where the store turns it away, is small where no other is; a feed that falls behind does not change the term (failed before).

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -21,12 +21,18 @@
   keepEndedMs: Positive,
 });
 
+const ProcessorSchema = Schema.Struct({
+  share: Positive,
+  cores: Positive,
+});
+
 const NodeSchema = Schema.Struct({
   node: Name,
   zone: Name,
   callersAddress: Address,
   readinessAddress: Address,
   peersAddress: Address,
+  processor: ProcessorSchema,
   storeAddress: Address,
   storeWritesPerSecond: Positive,
   storeRowBytes: Positive,
@@ -48,6 +54,12 @@
   readonly keepEndedMs: number;
 }
 
+/** What a box may use of its processor: a share of each of its cores. */
+export interface Processor {
+  readonly share: number;
+  readonly cores: number;
+}
+
 /** Checked settings of a node. */
 export interface NodeSettings {
   readonly node: string;
@@ -56,6 +68,7 @@
   readonly readinessAddress: string;
   /** Where peers open their links, as host:port. */
   readonly peersAddress: string;
+  readonly processor: Processor;
   readonly storeAddress: string;
   readonly storeWritesPerSecond: number;
   /** Most bytes of one row's value. */
--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -7,4 +7,5 @@
 } from "./src/describe.ts";
 export { type CoordinatorRow, Election, Term } from "./src/election.ts";
 export { restartOnDefect, type RestartParts } from "./src/restart.ts";
+export type { Fitness } from "./src/fitness.ts";
 export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -8,6 +8,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as ports from "./ports.ts";
+import * as fitnesses from "./fitness.ts";
 import * as paces from "./renewal_pace.ts";
 import * as restart from "./restart.ts";
 
@@ -16,11 +17,19 @@
   readonly token: number;
   readonly holder: string;
   readonly incarnation: string;
+  /** Box that is meant to take over a released row; left out: any. */
+  readonly successor?: string;
 }
 
 const RENEW_MS = 350;
 /** Candidates wait up to this much longer, so that few collide. */
 const SPREAD_MS = 200;
+/** At the first start the boxes learn of each other for this time, in ms. */
+const FIRST_WAIT_MS = 400;
+/** A successor takes a released row within this time, in ms, or another does. */
+const SUCCESSOR_MS = 1000;
+/** Time between two looks for a fitter box, in ms. */
+const FITTER_MS = 1000;
 /** A silent link is noticed soon after this wait. */
 const FEED_WAIT_MS = 400;
 const LOOK_MS = 50;
@@ -60,10 +69,13 @@
   readonly #ports: ports.CoordinatorPorts;
   readonly #follower: TableClient.RowFollower<unknown>;
   #row: CoordinatorRow | null = null;
+  /** Newest renewal that was seen; differs with each one. */
+  #lease: unknown = null;
   readonly #pace = new paces.RenewalPace();
   #changedAtMs = Number.POSITIVE_INFINITY;
   #silentSinceMs = Number.POSITIVE_INFINITY;
   #lastHeardMs = Number.NEGATIVE_INFINITY;
+  #heardFirstAtMs: number | null = null;
   #spreadMs = 0;
   #term: Term | null = null;
   #leaving = false;
@@ -109,21 +121,26 @@
       const term = this.#term;
       if (term === null || term.isLost) return;
       term.lose("released");
-      const { node, incarnation, store } = this.#ports;
-      const value: CoordinatorRow = {
-        token: term.token,
-        holder: "",
-        incarnation,
-      };
-      const { key } = term.condition;
-      const write = { conditions: [term.condition], writes: [{ key, value }] };
-      yield* Effect.ignore(store.write(write, WRITE_LIMIT_MS));
-      this.#ports.log.info(`Node ${node} gave token ${term.token} back.`);
+      yield* this.#writeRelease(term);
     });
   }
 
+  #writeRelease(term: Term, successor?: string): Effect.Effect<void> {
+    const { incarnation, store, log } = this.#ports;
+    const { token, condition, condition: { key } } = term;
+    const value: CoordinatorRow = { token, holder: "", incarnation, successor };
+    const write = { conditions: [condition], writes: [{ key, value }] };
+    return Effect.andThen(
+      Effect.ignore(store.write(write, WRITE_LIMIT_MS)),
+      Effect.sync(() => {
+        log.info(`Token ${token} is released to ${successor ?? "any box"}.`);
+      }),
+    );
+  }
+
   #note(entries: readonly Ports.FeedEntry<unknown>[]): void {
     for (const { key, value } of entries) {
+      if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) this.#lease = value;
       if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
       this.#row = value as CoordinatorRow | null;
       this.#pace.reset();
@@ -143,6 +160,7 @@
     const nowMs = this.#ports.clock.monotonicMs();
     const brokeOff = nowMs - this.#lastHeardMs > this.#pace.silenceMs;
     this.#lastHeardMs = nowMs;
+    if (this.#heardFirstAtMs === null) this.#heardFirstAtMs = nowMs;
     // After an outage the holder needs a while to renew again.
     if (brokeOff) this.#pace.reset();
     if (brokeOff || this.#silentSinceMs === Number.POSITIVE_INFINITY) {
@@ -153,8 +171,8 @@
 
   #mayTake(): boolean {
     if (this.#leaving || !this.#follower.hasSnapshot) return false;
-    if (this.#row === null || this.#row.holder === "") return true;
     const { node, incarnation, clock } = this.#ports;
+    if (this.#row === null || this.#row.holder === "") return this.#mayClaim();
     const isFormerSelf = this.#row.holder === node &&
       this.#row.incarnation !== incarnation;
     if (isFormerSelf) return true;
@@ -165,7 +183,22 @@
       Number.isFinite(this.#changedAtMs) ? this.#changedAtMs : 0,
       this.#silentSinceMs,
     );
-    return nowMs - sinceMs > silenceMs + this.#spreadMs;
+    const delayMs = fitnesses.claimDelayMs(this.#ports.fitness);
+    return nowMs - sinceMs > silenceMs + this.#spreadMs + delayMs;
+  }
+
+  /** Nobody holds the row: the fittest box claims it first. */
+  #mayClaim(): boolean {
+    const { node, clock, fitness } = this.#ports;
+    const successor = this.#row?.successor;
+    if (successor === node) return true;
+    const firstMs = this.#row === null ? FIRST_WAIT_MS : 0;
+    const waitMs = successor === undefined ? firstMs : SUCCESSOR_MS;
+    const heardMs = this.#heardFirstAtMs ?? Number.POSITIVE_INFINITY;
+    const isKnown = Number.isFinite(this.#changedAtMs);
+    const sinceMs = isKnown ? Math.max(this.#changedAtMs, heardMs) : heardMs;
+    const freeForMs = clock.monotonicMs() - sinceMs;
+    return freeForMs >= waitMs + fitnesses.claimDelayMs(fitness);
   }
 
   /** Takes over from the holder that was judged, and from no later one. */
@@ -174,13 +207,19 @@
       const { store, node, incarnation, log } = this.#ports;
       const key = TableClient.Keys.COORDINATOR_KEY;
       const leaseKey = TableClient.Keys.COORDINATOR_LEASE_KEY;
-      const [row] = yield* store.read([key], WRITE_LIMIT_MS);
+      const rows = yield* store.read([key, leaseKey], WRITE_LIMIT_MS);
+      const row = rows.find((one) => one.key === key);
+      const lease = rows.find((one) => one.key === leaseKey);
       const found = row?.value as CoordinatorRow | undefined;
       if ((found?.token ?? 0) !== judgedToken) return null;
+      if (this.#hasRenewed(found, lease?.value ?? null)) return null;
       const token = (found?.token ?? 0) + 1;
       const value: CoordinatorRow = { token, holder: node, incarnation };
       const revision = yield* store.write({
-        conditions: [{ key, revision: row?.revision ?? 0 }],
+        conditions: [
+          { key, revision: row?.revision ?? 0 },
+          { key: leaseKey, revision: lease?.revision ?? 0 },
+        ],
         writes: [{ key, value }, { key: leaseKey, value: token }],
       }, WRITE_LIMIT_MS);
       log.info(`Node ${node} coordinates under token ${token}.`);
@@ -192,6 +231,20 @@
     }));
   }
 
+  /**
+   * Whether the holder has renewed since the feed told of it last: a feed may
+   * fall behind while its looks are still answered.
+   */
+  #hasRenewed(found: CoordinatorRow | undefined, lease: unknown): boolean {
+    const isHeld = found !== undefined && found.holder !== "" &&
+      found.holder !== this.#ports.node;
+    if (!isHeld || lease === this.#lease) return false;
+    this.#lease = lease;
+    this.#changedAtMs = this.#ports.clock.monotonicMs();
+    this.#ports.log.warn("The feed of the election falls behind its rows.");
+    return true;
+  }
+
   #serve(
     term: Term,
     work: (term: Term) => Effect.Effect<void>,
@@ -201,10 +254,15 @@
       const ended = Effect.map(term.awaitLoss(), (how) => {
         this.#ports.log.info(`Token ${term.token} is lost: ${how}.`);
       });
-      const both = Effect.raceFirst(
-        Effect.catchDefect(work(term), (defect) => this.#giveUp(term, defect)),
+      const guarded = Effect.catchDefect(
+        work(term),
+        (defect) => this.#giveUp(term, defect),
+      );
+      const beside = Effect.raceFirst(
         this.#keepRenewing(term),
+        this.#moveToFitter(term),
       );
+      const both = Effect.raceFirst(guarded, beside);
       yield* Effect.raceFirst(both, ended);
       term.lose("the work ended");
       this.#term = null;
@@ -222,6 +280,21 @@
     });
   }
 
+  /** Hands the term to a box that is better placed for it, once there is one. */
+  #moveToFitter(term: Term): Effect.Effect<never> {
+    const { clock, fitness } = this.#ports;
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        yield* clock.sleep(FITTER_MS);
+        if (!fitness.hasFitter()) continue;
+        const fitter = yield* fitness.findFitter();
+        if (fitter === null || term.isLost) continue;
+        yield* this.#writeRelease(term, fitter);
+        term.lose(`handed to ${fitter}`);
+      }
+    });
+  }
+
   #keepRenewing(term: Term): Effect.Effect<never> {
     const { store, clock } = this.#ports;
     const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -3,6 +3,7 @@
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
 import type * as TableClient from "@cairngate/table-client";
+import type * as fitnesses from "./fitness.ts";
 
 /** Bounds that the platform sets, in milliseconds. */
 export interface WorkerBounds {
@@ -35,6 +36,7 @@
   readonly electionFeed: Ports.RowFeed<unknown>;
   /** Configuration in force on this node; null before the first. */
   readonly config: () => Ports.AccessConfig | null;
+  readonly fitness: fitnesses.Fitness;
   readonly bounds: WorkerBounds;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -13,6 +13,8 @@
   readonly downPartitions: readonly string[];
   /** Share of writes whose answer is lost after they took effect. */
   readonly loseAnswers: number;
+  /** Looks for changes are answered in time and show none. */
+  readonly hideChanges: boolean;
   /** Time that every call takes, in milliseconds. */
   readonly delayMs: number;
 }
@@ -22,6 +24,7 @@
   silent: false,
   downPartitions: [],
   loseAnswers: 0,
+  hideChanges: false,
   delayMs: 0,
 };
 
--- a/packages/stand-ins/src/memory_row_feed.ts
+++ b/packages/stand-ins/src/memory_row_feed.ts
@@ -48,6 +48,10 @@
     const untilMs = this.#clock.monotonicMs() + waitMs;
     const wait = Effect.gen({ self: this }, function* () {
       for (;;) {
+        if (this.#faults.faults.hideChanges) {
+          yield* this.#clock.sleep(waitMs);
+          return { entries: [], position };
+        }
         const changes = this.#table.changesAfter(this.#prefix, position);
         const leftMs = untilMs - this.#clock.monotonicMs();
         if (changes.length > 0 || leftMs <= 0) {
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -81,6 +81,7 @@
   readonly links = new peers.FakePeerHub(this.clock);
   readonly nodes = new Map<string, FleetNode>();
   readonly #config: Ports.AccessConfig;
+  readonly #coresOf: (name: string) => number;
   readonly #advisor: Ports.Advisor | null;
   #writes = 0;
 
@@ -91,9 +92,12 @@
       workers?: readonly number[];
       seed?: number;
       config?: Ports.AccessConfig;
+      /** Processor of each node, in cores. */
+      cores?: (name: string) => number;
       advisor?: (clock: Ports.Clock) => Ports.Advisor;
     } = {},
   ) {
+    this.#coresOf = options.cores ?? (() => 1);
     this.#advisor = options.advisor?.(this.clock) ?? null;
     this.random = new randoms.SeededRandom(options.seed ?? 1);
     this.faults = new StandIns.FaultSwitch(this.clock, this.random);
@@ -155,6 +159,7 @@
         election: feed<unknown>("election/"),
         members: feed<Node.MemberRow>("members/"),
       },
+      processorCores: this.#coresOf(name),
       bounds: FLEET_BOUNDS,
       storeWritesPerSecond: WRITES_PER_SECOND,
       storeRowBytes: ROW_BYTES,
--- /dev/null
+++ b/packages/workflow-node/src/leader_fitness_test.ts
@@ -0,0 +1,97 @@
+/** The box that coordinates is one that has the room for it. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+/** Boxes with more processor than the others. */
+const LARGE = ["node-3", "node-5"];
+const NODES = 7;
+/** Work that runs for as long as its estimate. */
+const STEPS = [TestUtils.buildStep({ estimateMs: 5000 })];
+
+function coresOf(name: string): number {
+  return LARGE.includes(name) || name.startsWith("large") ? 1.35 : 0.324;
+}
+
+async function startFleet(seed = 1): Promise<TestUtils.TestFleet> {
+  const fleet = new TestUtils.TestFleet({ nodes: NODES, cores: coresOf, seed });
+  fleet.workers.behave = () => ({ runMs: 5000, fails: false });
+  await fleet.start();
+  await fleet.clock.advance(3000);
+  return fleet;
+}
+
+function isLarge(fleet: TestUtils.TestFleet): boolean {
+  return coresOf(fleet.coordinator() ?? "") > 1;
+}
+
+vitest.describe("the coordinator", () => {
+  vitest.it("is a box with more processor, at the first start", async () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const fleet = await startFleet(seed);
+      vitest.expect(isLarge(fleet)).toBe(true);
+      await fleet.stop();
+    }
+  });
+
+  vitest.it("is such a box again after it was lost", async () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const fleet = await startFleet(seed);
+      const token = fleet.token();
+      const first = fleet.coordinator() ?? "";
+      await fleet.kill(first);
+      const moved = await fleet.until(() => fleet.token() > token);
+      vitest.expect(moved).toBe(true);
+      vitest.expect(isLarge(fleet)).toBe(true);
+      vitest.expect(fleet.coordinator()).not.toBe(first);
+      await fleet.stop();
+    }
+  });
+
+  vitest.it("is a small box while no other is there", async () => {
+    const fleet = await startFleet();
+    for (const name of LARGE) await fleet.kill(name);
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    const isDone = () => fleet.state(ID) === Workflow.WorkflowState.Completed;
+    vitest.expect(await fleet.until(isDone)).toBe(true);
+    await fleet.stop();
+  });
+
+  vitest.it("hands over once to a larger box that joins", async () => {
+    const fleet = await startFleet();
+    for (const name of LARGE) await fleet.kill(name);
+    await fleet.clock.advance(4000);
+    // A listing that tells an old time would make leases end too early.
+    for (const i of [0, 1]) {
+      fleet.list({ id: `worker-${i}`, accelerators: 2 }, i);
+    }
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const token = fleet.token();
+    fleet.startNode("large-1");
+    const moved = await fleet.until(() => fleet.coordinator() === "large-1");
+    vitest.expect(moved).toBe(true);
+    await fleet.clock.advance(10_000);
+    vitest.expect(fleet.token()).toBe(token + 1);
+    vitest.expect(fleet.state(ID)).toBe(Workflow.WorkflowState.Completed);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+
+  vitest.it(
+    "goes on on a large box where the store turns it away",
+    async () => {
+      const fleet = await startFleet();
+      await fleet.submit("node-1", ID, { steps: STEPS });
+      await fleet.until(() => fleet.workers.runs.length === 1);
+      const token = fleet.token();
+      fleet.faultsOf(fleet.coordinator() ?? "").set({ down: true });
+      await fleet.clock.advance(12_000);
+      vitest.expect(fleet.token()).toBeLessThanOrEqual(token + 1);
+      vitest.expect(isLarge(fleet)).toBe(true);
+      vitest.expect(fleet.workers.runs.length).toBe(1);
+      await fleet.stop();
+    },
+  );
+});
--- a/packages/workflow-node/src/member_book.ts
+++ b/packages/workflow-node/src/member_book.ts
@@ -11,6 +11,8 @@
   readonly node: string;
   /** Where its peers open links, as host:port. */
   readonly address: string;
+  /** Processor that it may use, in cores. */
+  readonly cores: number;
   /** Wall-clock time of the renewal; makes each renewal a change. */
   readonly renewedAtMs: number;
 }
@@ -19,6 +21,8 @@
 export interface MemberBookOptions {
   readonly node: string;
   readonly address: string;
+  /** Processor that this node may use, in cores. */
+  readonly cores: number;
   readonly store: TableClient.StoreClient;
   readonly feed: Ports.RowFeed<MemberRow>;
   readonly clock: Ports.Clock;
@@ -27,6 +31,11 @@
   readonly mayRemove: () => boolean;
 }
 
+/** Another node. */
+export interface Member extends Ports.StorePeer {
+  readonly cores: number;
+}
+
 const FEED_WAIT_MS = 10_000;
 const RENEW_MS = 15_000;
 const RETRY_MS = 500;
@@ -47,12 +56,16 @@
   }
 
   /** The other nodes. */
-  others(): readonly Ports.StorePeer[] {
+  others(): readonly Member[] {
     const { node, clock } = this.#options;
     const sinceMs = clock.monotonicMs() - GONE_MS;
     return [...this.#heard.values()]
       .filter(({ row, atMs }) => row.node !== node && atMs >= sinceMs)
-      .map(({ row }) => ({ node: row.node, address: row.address }));
+      .map(({ row: { node: name, address, cores } }) => ({
+        node: name,
+        address,
+        cores,
+      }));
   }
 
   /** Announces this node and follows the others, for ever. */
@@ -85,10 +98,10 @@
   }
 
   #keepRenewing(): Effect.Effect<never> {
-    const { node, address, clock } = this.#options;
+    const { node, address, cores, clock } = this.#options;
     return Effect.forever(Effect.gen({ self: this }, function* () {
       const renewedAtMs = clock.wallMs();
-      const row: MemberRow = { node, address, renewedAtMs };
+      const row: MemberRow = { node, address, cores, renewedAtMs };
       const written = yield* Effect.result(this.#write(node, row));
       yield* this.#removeGone();
       yield* clock.sleep(written._tag === "Success" ? RENEW_MS : RETRY_MS);
--- a/packages/workflow-node/src/takeover_test.ts
+++ b/packages/workflow-node/src/takeover_test.ts
@@ -73,6 +73,22 @@
     await fleet.stop();
   });
 
+  vitest.it("does not happen where only the feeds fall behind", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const before = fleet.token();
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ hideChanges: true });
+    }
+    await fleet.clock.advance(6000);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ hideChanges: false });
+    }
+    await fleet.clock.advance(3000);
+    vitest.expect(fleet.token()).toBe(before);
+    await fleet.stop();
+  });
+
   vitest.it("does not take over while the store is away for all", async () => {
     const fleet = new TestUtils.TestFleet();
     await fleet.start();
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -9,6 +9,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
+import * as fitnesses from "./leader_fitness.ts";
 import * as members from "./member_book.ts";
 
 /** Feeds that a node follows. */
@@ -33,6 +34,8 @@
   /** Null where no advice service is set. */
   readonly advisor: Ports.Advisor | null;
   readonly feeds: NodeFeeds;
+  /** Processor that this node may use, in cores. */
+  readonly processorCores: number;
   readonly bounds: Coordinator.WorkerBounds;
   readonly storeWritesPerSecond: number;
   /** Most bytes of one row's value. */
@@ -96,6 +99,7 @@
     this.#members = new members.MemberBook({
       node,
       address: ports.peersAddress,
+      cores: ports.processorCores,
       store: this.#store,
       feed: this.#feeds.members,
       clock,
@@ -123,6 +127,12 @@
       intakeFeed: this.#feeds.intake,
       electionFeed: this.#feeds.election,
       config: () => this.access.config,
+      fitness: new fitnesses.LeaderFitness({
+        cores: ports.processorCores,
+        others: () => this.#members.others(),
+        peers: ports.peers,
+        reachesStore: () => this.#route.isDirect,
+      }),
       bounds: ports.bounds,
       log: log.part("coordinator"),
       metrics,
