Throw away no more than a claimant brings; reserve by the pace of runs

Change: urgent work beyond its guarantee makes others yield only where they lose no more core-seconds than it brings by its estimate; what is guaranteed is claimed as before. Reservations go by the pace that runs show instead of their estimates, and a gang ends with its last member. Tests: both fail without the change.

--- a/packages/coordinator/src/occupant.ts
+++ b/packages/coordinator/src/occupant.ts
@@ -57,13 +57,15 @@
   return knownSinceMs !== null && knownSinceMs !== EARLIER_TERM;
 }
 
-/** Takes in the progress that the worker tells, at its own time. */
+/** Takes in the progress that the worker tells, at its own time and ours. */
 export function noteProgress(
   occupant: Occupant,
   percent: number,
-  clockMs: number,
+  at: { readonly clockMs: number; readonly nowMs: number },
 ): void {
   if (occupant.pace === null) {
-    occupant.pace = new paces.RunPace(clockMs, percent);
-  } else occupant.pace.note(clockMs, percent);
+    occupant.pace = new paces.RunPace(at.clockMs, percent);
+  } else occupant.pace.note(at.clockMs, percent);
+  const { leftMs } = occupant.pace;
+  if (leftMs !== null) occupant.task.endsAtMs = at.nowMs + leftMs;
 }
--- a/packages/coordinator/src/run_pace.ts
+++ b/packages/coordinator/src/run_pace.ts
@@ -62,6 +62,14 @@
     return rateBetween(this.#first, this.#samples[0], LEAST_EARLIER_MS);
   }
 
+  /** Time that is left at the pace so far; null while too little is known. */
+  get leftMs(): number | null {
+    const rate = this.recentRate ??
+      rateBetween(this.#first, this.#last, LEAST_RECENT_MS);
+    if (rate === null || rate <= 0) return null;
+    return (DONE_PERCENT - this.percent) / rate;
+  }
+
   get #last(): Sample {
     return this.#samples[this.#samples.length - 1];
   }
--- a/packages/coordinator/src/run_pace_test.ts
+++ b/packages/coordinator/src/run_pace_test.ts
@@ -32,6 +32,12 @@
     vitest.expect(pace.recentRate).toBeCloseTo(0.1, 3);
   });
 
+  vitest.it("tells what is left at the recent pace", () => {
+    vitest.expect(look(0, 10, 20, 30, 40).leftMs).toBeCloseTo(3000, 0);
+    vitest.expect(look(0, 0).leftMs).toBeNull();
+    vitest.expect(look(0).leftMs).toBeNull();
+  });
+
   vitest.it("ignores a look that is older than the last", () => {
     const pace = look(0, 5, 10);
     pace.note(10_700, 7);
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -192,7 +192,8 @@
         this.#clock.read(report.clockMs ?? 0, nowMs);
         // A run that resumes from a checkpoint does not begin at nothing.
         if (report.clockMs !== null && occupant.task.checkpoint === "") {
-          occupants.noteProgress(occupant, 0, report.clockMs);
+          const { clockMs } = report;
+          occupants.noteProgress(occupant, 0, { clockMs, nowMs });
         }
         occupant.knownSinceMs ??= nowMs;
         this.#reachable = true;
@@ -366,7 +367,10 @@
       }
       held.add(occupant);
       if (checkpoint !== "") occupant.task.checkpoint = checkpoint;
-      occupants.noteProgress(occupant, percent, view.clockMs);
+      occupants.noteProgress(occupant, percent, {
+        clockMs: view.clockMs,
+        nowMs,
+      });
       if (occupants.isConfirmed(occupant)) continue;
       occupant.knownSinceMs = nowMs;
       listener.runConfirmed(occupant);
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -24,6 +24,16 @@
 /** Work that a task with checkpoints loses at most, in ms. */
 const LOST_WITH_CHECKPOINT_MS = 100;
 
+/** Core-seconds of one second of a task; accelerators count as cores. */
+function weightOf(step: Workflow.StepSpec): number {
+  return step.cpuMillis / 1000 + ACCELERATOR_WEIGHT * step.accelerators;
+}
+
+/** Core-seconds that a unit brings, by its estimate. */
+export function workOf({ step, tasks }: Workflow.Unit): number {
+  return tasks.length * weightOf(step) * step.estimateMs / 1000;
+}
+
 /** Finds the cheapest set of victims; null where even that is not enough. */
 export function findEviction(
   unit: Workflow.Unit,
@@ -123,8 +133,7 @@
   const lostMs = step.checkpoints
     ? Math.min(ranMs, LOST_WITH_CHECKPOINT_MS)
     : ranMs;
-  const weight = step.cpuMillis / 1000 +
-    ACCELERATOR_WEIGHT * step.accelerators;
+  const weight = weightOf(step);
   const members = step.gang ? task.workflow.siblings(task).length : 1;
   const isUrgent = task.workflow.spec.policy.priority === 0;
   const late = isUrgent ? weight * step.estimateMs / 1000 : 0;
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -186,11 +186,17 @@
     const context = { ranks: this.#ranks, nowMs: this.#input.nowMs };
     const found = eviction.findEviction(unit, rooms, context) ??
       eviction.evictAmong(unit, rooms, context);
-    if (found === null) return false;
+    if (found === null || !this.#isWorth(unit, found)) return false;
     for (const victim of found.victims) this.#stop(victim, unit);
     return this.#reserve(unit, found.places);
   }
 
+  /** Beyond a guarantee nobody makes others lose more work than it brings. */
+  #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
+    return this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed ||
+      found.cost <= eviction.workOf(unit);
+  }
+
   #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
     for (const room of places) room.claim(unit, 1);
     this.#waits.push({ unit, reason: WaitReason.Stops });
--- a/packages/workflow-scheduler/src/plan_test.ts
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -183,6 +183,48 @@
     vitest.expect(both.stops).toEqual([]);
   });
 
+  vitest.it("throws away no more than it brings beyond a guarantee", () => {
+    const gang = buildWorkflow({
+      priority: 2,
+      step: { count: 2, gang: true, estimateMs: 9000 },
+    });
+    const workers = buildWorkers([1, 1]);
+    const placed = gang.rounds[0][0];
+    placed.forEach((task, i) => {
+      task.place(`worker-${i}`, 1, -8000);
+      task.state = Workflow.TaskState.Running;
+    });
+    const busy = workers.map((w, i) => ({ ...w, occupants: [placed[i]] }));
+    const urgent = buildWorkflow({ priority: 0, step: { estimateMs: 1000 } });
+    const beyond = plan(busy, [gang, urgent], { guarantees: { hana: 0 } });
+    vitest.expect(beyond.stops).toEqual([]);
+    const within = plan(busy, [gang, urgent], { guarantees: { hana: 1 } });
+    vitest.expect(within.stops.length).toBe(2);
+    const large = buildWorkflow({ priority: 0, step: { estimateMs: 30_000 } });
+    const worth = plan(busy, [gang, large], { guarantees: { hana: 0 } });
+    vitest.expect(worth.stops.length).toBe(2);
+  });
+
+  vitest.it("keeps for a gang the room that is free first by its pace", () => {
+    const runs = [5000, 1000].map((estimateMs) =>
+      buildWorkflow({ priority: 2, step: { estimateMs } })
+    );
+    const filler = buildWorkflow({ priority: 2, step: { estimateMs: 60_000 } });
+    const [first] = run(runs[0], "worker-0");
+    run(runs[1], "worker-1");
+    // The estimate says worker-1; the pace says that worker-0 is free first.
+    first.endsAtMs = 1100;
+    const workers = buildWorkers([2, 2, 1], {
+      0: [first],
+      1: runs[1].rounds[0][0],
+      2: run(filler, "worker-2"),
+    });
+    const gang = buildWorkflow({ step: { accelerators: 2, gang: true } });
+    const later = buildWorkflow({ priority: 2 });
+    const { starts } = plan(workers, [...runs, filler, gang, later]);
+    vitest.expect(starts.map(({ workers: [id] }) => id)).toEqual(["worker-1"]);
+  });
+
   vitest.it("holds to labels and to limits per worker", () => {
     const labelled = buildWorkflow({ step: { label: "b" } });
     vitest.expect(plan(buildWorkers([4]), [labelled]).starts).toEqual([]);
--- a/packages/workflow-scheduler/src/reservation.ts
+++ b/packages/workflow-scheduler/src/reservation.ts
@@ -54,6 +54,13 @@
   return null;
 }
 
+/** When a run ends by its pace, or else by its estimate. */
+function endOf(task: Workflow.Task, nowMs: number): number {
+  if (task.endsAtMs !== null) return Math.max(task.endsAtMs, nowMs);
+  const expectedMs = task.startedAtMs + task.step.estimateMs;
+  return Math.max(expectedMs, nowMs + OVERDUE_MS);
+}
+
 function listEndings(
   rooms: readonly fleet.WorkerRoom[],
   nowMs: number,
@@ -62,9 +69,10 @@
   for (const room of rooms) {
     for (const task of room.worker.occupants) {
       if (task.state === Workflow.TaskState.Stopping) continue;
-      const expectedMs = task.startedAtMs + task.step.estimateMs;
-      const atMs = Math.max(expectedMs, nowMs + OVERDUE_MS);
-      endings.push({ room, task, atMs });
+      // The members of a gang end together.
+      const group = task.step.gang ? task.workflow.siblings(task) : [task];
+      const ends = group.map((member) => endOf(member, nowMs));
+      endings.push({ room, task, atMs: Math.max(...ends) });
     }
   }
   return endings.sort((a, b) => a.atMs - b.atMs);
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -49,6 +49,8 @@
   checkpoint = "";
   /** Monotonic time of the newest start. */
   startedAtMs = 0;
+  /** Monotonic time at which the newest run ends by its pace; null: not known. */
+  endsAtMs: number | null = null;
   /** Monotonic time since which the task waits. */
   waitingSinceMs = 0;
 
@@ -89,6 +91,7 @@
     this.worker = worker;
     this.run = run;
     this.startedAtMs = nowMs;
+    this.endsAtMs = null;
   }
 
   /** The task runs nowhere any more. */
