Ask the store and the workers less as boxes and workers grow

Change: members are read every 10 s (five times in the first 2 s); one scan counts all queues for 1 s; a look waits for 0.4 of the time in which a configuration has to be in force; only the follower of the configuration finds out that the store is back, the others are told. Runs are looked at every 0.6 s up to 150 workers, then rarer, once a second from 250 on. A question for a state that finds `running` looks again after twice the usual time of a write, 15 to 100 ms, in place of a fixed 25 ms: an end that happened before the question is shown. It follows what the store takes now. Tests: one scan for several queues, no kept failure.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -216,8 +216,9 @@
   }
 
   #feedOptions() {
-    const { clock, random } = this.#ports;
-    return { clock, random, waitMs: FEED_WAIT_MS };
+    const { clock, random, store } = this.#ports;
+    const awaitBack = () => store.awaitBack();
+    return { clock, random, awaitBack, waitMs: FEED_WAIT_MS };
   }
 
   #begin(): void {
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -11,9 +11,16 @@
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
   sessions.SessionOptions,
-  "ref" | "lapsesAtMs"
+  "ref" | "lapsesAtMs" | "progressWaitMs"
 >;
 
+/** Time between two looks at runs that come on, in a small fleet, in ms. */
+const LEAST_PROGRESS_WAIT_MS = 600;
+/** The same in a large fleet: slow runs have to be noticed within seconds. */
+const LONGEST_PROGRESS_WAIT_MS = 1000;
+/** Looks in a second before they become rarer: 250 workers once a second. */
+const LOOKS_PER_SECOND = 250;
+
 /** Workers by id; one for each term. */
 export class WorkerDirectory {
   readonly #options: DirectoryOptions;
@@ -165,6 +172,7 @@
       ...this.#options,
       ref: { id, address },
       lapsesAtMs: this.#foreignLapseMs,
+      progressWaitMs: () => this.#progressWaitMs(),
     });
     if (clockMs !== null) session.readClock(clockMs);
     this.#sessions.set(id, session);
@@ -172,6 +180,14 @@
     return session;
   }
 
+  #progressWaitMs(): number {
+    const fairMs = this.#sessions.size / LOOKS_PER_SECOND * 1000;
+    return Math.min(
+      LONGEST_PROGRESS_WAIT_MS,
+      Math.max(LEAST_PROGRESS_WAIT_MS, fairMs),
+    );
+  }
+
   #run(session: sessions.WorkerSession): void {
     const { clock, log, metrics } = this.#options.ports;
     const { id } = session.ref;
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -27,13 +27,13 @@
   readonly ref: Ports.WorkerRef;
   /** Our time by which leases of earlier coordinators have run out. */
   readonly lapsesAtMs: number;
+  /** Longest time between two looks at runs that come on, in ms. */
+  readonly progressWaitMs: () => number;
 }
 
 const ORDER_LIMIT_MS = 450;
 const VIEW_SLACK_MS = 800;
 const LONGEST_WAIT_MS = 1000;
-/** Longest time between two looks at runs that come on. */
-const PROGRESS_WAIT_MS = 600;
 const RETRY_MS = 150;
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -281,7 +281,9 @@
     if (!settled) return 0;
     const { longestLeaseMs } = this.#options.ports.bounds;
     const comesOn = this.occupants.some(({ task }) => !task.step.lasting);
-    const longestMs = comesOn ? PROGRESS_WAIT_MS : LONGEST_WAIT_MS;
+    const longestMs = comesOn
+      ? this.#options.progressWaitMs()
+      : LONGEST_WAIT_MS;
     return Math.min(longestMs, Math.floor(longestLeaseMs / 3));
   }
 
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -5,6 +5,7 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import type * as access from "./access.ts";
+import * as waiting from "./waiting_counts.ts";
 import * as workflowRows from "./workflow_rows.ts";
 
 /** What a caller hands in, already in the product's terms. */
@@ -24,22 +25,30 @@
 }
 
 /**
- * Callers often ask just as the last task ends, while its record is on the way
- * to the store; a caller who hears `running` asks again only much later.
+ * An answer shows what had happened when it was asked for. An end is on its way
+ * to the rows for the usual time of a write, and a little longer in the
+ * coordinator; this many such times are allowed for it.
  */
-const RECORD_ARRIVES_MS = 25;
+const RECORD_WRITES = 2;
+/** Least and longest time allowed for a record to arrive, in ms. */
+const LEAST_ARRIVAL_MS = 15;
+const LONGEST_ARRIVAL_MS = 100;
 /** What a row holds beside the workflow. */
 const ROW_OVERHEAD_BYTES = 1000;
 
 /** Callers' side of the workflows. */
 export class Submissions {
   readonly #rows: workflowRows.WorkflowRows;
+  readonly #waiting: waiting.WaitingCounts;
+  readonly #store: TableClient.StoreClient;
   readonly #clock: Ports.Clock;
   readonly #rowBytes: number;
 
   constructor(options: SubmissionOptions) {
     this.#rowBytes = options.rowBytes;
     this.#rows = new workflowRows.WorkflowRows(options);
+    this.#waiting = new waiting.WaitingCounts(options);
+    this.#store = options.store;
     this.#clock = options.clock;
   }
 
@@ -105,16 +114,22 @@
       if (Workflow.isFinal(state)) return state;
       if (found.isCancelled) return Workflow.WorkflowState.Cancelled;
       if (state === Workflow.WorkflowState.Queued) return state;
-      yield* this.#clock.sleep(RECORD_ARRIVES_MS);
+      yield* this.#clock.sleep(this.#arrivalMs());
       return stateOf(yield* this.#rows.readProgress(found));
     });
   }
 
+  /** Time in which the record of an end arrives that has just happened. */
+  #arrivalMs(): number {
+    const usualMs = this.#store.usualWriteMs * RECORD_WRITES;
+    return Math.min(LONGEST_ARRIVAL_MS, Math.max(LEAST_ARRIVAL_MS, usualMs));
+  }
+
   /** Accepted workflows of a queue of which nothing has begun. */
   countWaiting(
     allowed: access.Access,
   ): Effect.Effect<number, Errors.StoreUnavailableError> {
-    return this.#rows.countWaiting(allowed.route.queue);
+    return this.#waiting.of(allowed.route.queue);
   }
 
   #find(
--- /dev/null
+++ b/packages/gateway/src/waiting_counts.ts
@@ -0,0 +1,89 @@
+/**
+ * Counts the workflows of each queue that have not begun. One scan of all
+ * partitions serves all queues for a while, because operators and callers ask
+ * for several queues at a time.
+ */
+import type * as Errors from "@cairngate/errors";
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+
+/** What the counts are read with. */
+export interface WaitingCountsOptions {
+  readonly store: TableClient.StoreClient;
+  readonly clock: Ports.Clock;
+}
+
+/** Age up to which counts are given again, in ms; callers bear twice as much. */
+const FRESH_MS = 1000;
+const READ_LIMIT_MS = 450;
+
+type Counts = ReadonlyMap<string, number>;
+
+interface Scan {
+  readonly atMs: number;
+  readonly counts: Deferred.Deferred<Counts, Errors.StoreUnavailableError>;
+}
+
+/** Counts by queue. */
+export class WaitingCounts {
+  readonly #options: WaitingCountsOptions;
+  #last: Scan | null = null;
+
+  constructor(options: WaitingCountsOptions) {
+    this.#options = options;
+  }
+
+  /** Workflows of a queue that have not begun. */
+  of(queue: string): Effect.Effect<number, Errors.StoreUnavailableError> {
+    return Effect.map(this.#counts(), (counts) => counts.get(queue) ?? 0);
+  }
+
+  #counts(): Effect.Effect<Counts, Errors.StoreUnavailableError> {
+    return Effect.suspend(() => {
+      const nowMs = this.#options.clock.monotonicMs();
+      const known = this.#last;
+      if (known !== null && nowMs - known.atMs < FRESH_MS) {
+        return Deferred.await(known.counts);
+      }
+      return this.#scan(nowMs);
+    });
+  }
+
+  /** Scans for all who ask meanwhile; a failure is not kept for others. */
+  #scan(nowMs: number): Effect.Effect<Counts, Errors.StoreUnavailableError> {
+    const counts = Deferred.makeUnsafe<Counts, Errors.StoreUnavailableError>();
+    const scan: Scan = { atMs: nowMs, counts };
+    this.#last = scan;
+    const read = Effect.tapError(this.#readAll(), () =>
+      Effect.sync(() => {
+        if (this.#last === scan) this.#last = null;
+      }));
+    // Whoever asked first may leave; the others wait on.
+    return Effect.andThen(
+      Effect.forkDetach(Deferred.into(read, counts)),
+      Deferred.await(counts),
+    );
+  }
+
+  #readAll(): Effect.Effect<Counts, Errors.StoreUnavailableError> {
+    const scans = TableClient.Keys.PARTITIONS.map((partition) => {
+      const prefix = TableClient.Keys.waitingPrefix(partition);
+      return this.#options.store.scan(prefix, 0, READ_LIMIT_MS);
+    });
+    return Effect.map(
+      Effect.all(scans, { concurrency: "unbounded" }),
+      (found) => countByQueue(found.flat()),
+    );
+  }
+}
+
+function countByQueue(marks: readonly Ports.Row[]): Counts {
+  const counts = new Map<string, number>();
+  for (const { key } of marks) {
+    const queue = TableClient.Keys.queueOfWaitingKey(key);
+    counts.set(queue, (counts.get(queue) ?? 0) + 1);
+  }
+  return counts;
+}
--- /dev/null
+++ b/packages/gateway/src/waiting_counts_test.ts
@@ -0,0 +1,73 @@
+/** One scan serves all who ask for counts at about the same time. */
+import * as Metrics from "@cairngate/metrics";
+import * as StandIns from "@cairngate/stand-ins";
+import * as TableClient from "@cairngate/table-client";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+import * as waiting from "./waiting_counts.ts";
+
+const PARTITIONS = TableClient.Keys.PARTITIONS.length;
+
+/** Counts over a table in memory; `scans` tells how often it was scanned. */
+function createCounts() {
+  const clock = new TestUtils.FakeClock();
+  const random = new TestUtils.SeededRandom(1);
+  const faults = new StandIns.FaultSwitch(clock, random);
+  const table = new StandIns.MemoryTable(faults);
+  const scan = vitest.vi.spyOn(table, "scan");
+  const store = new TableClient.StoreClient({
+    table,
+    clock,
+    random,
+    metrics: new Metrics.Metrics(),
+    writesPerSecond: 1000,
+  });
+  const counts = new waiting.WaitingCounts({ store, clock });
+  const mark = (queue: string, id: string) => {
+    const partition = TableClient.Keys.homePartition(id);
+    const key = TableClient.Keys.waitingKey(partition, queue, id);
+    const writes = [{ key, value: 1 }];
+    Effect.runSync(table.transact({ writeId: id, conditions: [], writes }));
+  };
+  const ask = async (queue: string) => {
+    const asked = Effect.runPromise(Effect.result(counts.of(queue)));
+    await clock.advance(500);
+    return await asked;
+  };
+  return { clock, faults, scan, mark, ask };
+}
+
+vitest.describe("WaitingCounts", () => {
+  vitest.it("counts each queue by itself", async () => {
+    const { mark, ask } = createCounts();
+    mark("maps", "a1");
+    mark("maps", "a2");
+    mark("scans", "a3");
+    vitest.expect(await ask("maps")).toMatchObject({ success: 2 });
+    vitest.expect(await ask("scans")).toMatchObject({ success: 1 });
+    vitest.expect(await ask("others")).toMatchObject({ success: 0 });
+  });
+
+  vitest.it("scans once for several queues, and again soon", async () => {
+    const { clock, scan, mark, ask } = createCounts();
+    await ask("maps");
+    await ask("scans");
+    vitest.expect(scan.mock.calls.length).toBe(PARTITIONS);
+    mark("maps", "a1");
+    await clock.advance(500);
+    vitest.expect(await ask("maps")).toMatchObject({ success: 1 });
+    vitest.expect(scan.mock.calls.length).toBe(2 * PARTITIONS);
+  });
+
+  vitest.it("gives nobody the failure of an earlier scan", async () => {
+    const { faults, ask } = createCounts();
+    faults.set({ down: true });
+    const failed = await ask("maps");
+    vitest.expect(failed).toMatchObject({
+      failure: { _tag: "StoreUnavailableError" },
+    });
+    faults.set({ down: false });
+    vitest.expect(await ask("maps")).toMatchObject({ success: 0 });
+  });
+});
--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -22,8 +22,8 @@
 /** A write of the store that a caller waits for ends within this time. */
 const WRITE_LIMIT_MS = 450;
 const READ_LIMIT_MS = 450;
-/** A home partition is waited for at least this long. */
-const HOME_READ_LIMIT_MS = 250;
+/** A home partition is waited for at least this long, also where it is slow. */
+const HOME_READ_LIMIT_MS = 400;
 /** Partitions in which an acceptance is tried. */
 const MOST_TRIED = 4;
 
@@ -108,19 +108,6 @@
     return this.#readProgress(partition, id);
   }
 
-  /** Accepted workflows of a queue of which nothing has begun. */
-  countWaiting(
-    queue: string,
-  ): Effect.Effect<number, Errors.StoreUnavailableError> {
-    const scans = TableClient.Keys.waitingPrefixes(queue).map((prefix) =>
-      this.#store.scan(prefix, 0, READ_LIMIT_MS)
-    );
-    return Effect.map(
-      Effect.all(scans, { concurrency: "unbounded" }),
-      (found) => found.flat().length,
-    );
-  }
-
   /** Home first; partitions that have failed lately come last. */
   #order(id: string): readonly string[] {
     const all = TableClient.Keys.PARTITIONS;
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -128,9 +128,14 @@
   return `fence:${partition}/token`;
 }
 
-/** Starts of the keys of a queue's workflows that have not begun. */
-export function waitingPrefixes(queue: string): readonly string[] {
-  return PARTITIONS.map((partition) => `waiting:${partition}/${queue}/`);
+/** Start of the keys of a partition's workflows that have not begun. */
+export function waitingPrefix(partition: string): string {
+  return `waiting:${partition}/`;
+}
+
+/** Queue that the key of a waiting workflow names. */
+export function queueOfWaitingKey(key: string): string {
+  return key.slice(key.indexOf("/") + 1, key.lastIndexOf("/"));
 }
 
 /** Marks a workflow that has not begun. */
@@ -139,7 +144,7 @@
   queue: string,
   id: string,
 ): string {
-  return `waiting:${partition}/${queue}/${id}`;
+  return `${waitingPrefix(partition)}${queue}/${id}`;
 }
 
 /** Rows by which the nodes find each other. */
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -19,6 +19,11 @@
   readonly onFailed?: () => void;
   /** Whether a partition may be read now; left out: always. */
   readonly mayRead?: (partition: string) => boolean;
+  /**
+   * Ends when the store is back after an outage. With it the looks become rare
+   * while they fail; left out: they have to find out.
+   */
+  readonly awaitBack?: () => Effect.Effect<void>;
   /** Longest wait of one look. */
   readonly waitMs: number;
 }
@@ -29,6 +34,8 @@
 const ANSWER_SLACK_MS = 500;
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 250;
+/** Longest pause where somebody else notices the end of an outage, in ms. */
+const LONGEST_AWAITED_MS = 1000;
 /** Longest wait of one look while some partition is still to be read. */
 const UNREAD_WAIT_MS = 200;
 
@@ -169,11 +176,15 @@
   }
 
   #pause(): Effect.Effect<void> {
-    const { clock, random } = this.#options;
+    const { clock, random, awaitBack, onFailed } = this.#options;
     this.#hasFailed = true;
-    this.#options.onFailed?.();
+    onFailed?.();
     const waitMs = random.jitter(this.#backoffMs);
-    this.#backoffMs = Math.min(this.#backoffMs * 2, LONGEST_BACKOFF_MS);
-    return clock.sleep(waitMs);
+    const longestMs = awaitBack === undefined
+      ? LONGEST_BACKOFF_MS
+      : LONGEST_AWAITED_MS;
+    this.#backoffMs = Math.min(this.#backoffMs * 2, longestMs);
+    if (awaitBack === undefined) return clock.sleep(waitMs);
+    return Effect.raceFirst(clock.sleep(waitMs), awaitBack());
   }
 }
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -74,6 +74,11 @@
     return [...this.#breakers.values()].every((one) => !one.isOpen());
   }
 
+  /** What a write usually takes, in ms; 0 before the first. */
+  get usualWriteMs(): number {
+    return this.#usualWriteMs;
+  }
+
   /** Time after which a second try beside a call is worth its price. */
   get hedgeMs(): number {
     const usualMs = this.#usualWriteMs * HEDGE_FACTOR;
@@ -110,11 +115,16 @@
     this.#back = Deferred.makeUnsafe<void>();
   }
 
+  /** Ends when the service answers again after an outage. */
+  awaitBack(): Effect.Effect<void> {
+    return Effect.suspend(() => Deferred.await(this.#back));
+  }
+
   /** The pause before the next try; the end of an outage ends it. */
   #pause(backoffMs: number): Effect.Effect<void> {
     const { clock, random } = this.#options;
-    const back = Deferred.await(this.#back);
-    return Effect.raceFirst(clock.sleep(random.jitter(backoffMs)), back);
+    const slept = clock.sleep(random.jitter(backoffMs));
+    return Effect.raceFirst(slept, this.awaitBack());
   }
 
   /** Reads rows; absent ones are left out. */
--- a/packages/workflow-node/src/member_book.ts
+++ b/packages/workflow-node/src/member_book.ts
@@ -13,6 +13,8 @@
   readonly address: string;
   /** Processor that it may use, in cores. */
   readonly cores: number;
+  /** Wall-clock time at which its process began. */
+  readonly startedAtMs: number;
   /** Wall-clock time of the renewal; makes each renewal a change. */
   readonly renewedAtMs: number;
 }
@@ -26,7 +28,6 @@
   readonly store: TableClient.StoreClient;
   readonly feed: Ports.RowFeed<MemberRow>;
   readonly clock: Ports.Clock;
-  readonly random: Ports.RandomSource;
   /** Whether this node removes the rows of nodes that have gone. */
   readonly mayRemove: () => boolean;
 }
@@ -34,9 +35,20 @@
 /** Another node. */
 export interface Member extends Ports.StorePeer {
   readonly cores: number;
+  readonly startedAtMs: number;
 }
 
-const FEED_WAIT_MS = 10_000;
+/**
+ * Pauses between the first looks at the rows, in ms: boxes that start together
+ * find each other soon.
+ */
+const FIRST_PAUSES_MS: readonly number[] = [200, 300, 500, 1000];
+/**
+ * Pause between two looks, in ms. A watch would be woken by every renewal of
+ * every box, so that its calls would grow with the square of the boxes.
+ */
+const PAUSE_MS = 10_000;
+const LOOK_LIMIT_MS = 1500;
 const RENEW_MS = 15_000;
 const RETRY_MS = 500;
 const GONE_MS = 50_000;
@@ -50,9 +62,11 @@
 export class MemberBook {
   readonly #options: MemberBookOptions;
   readonly #heard = new Map<string, Heard>();
+  readonly #startedAtMs: number;
 
   constructor(options: MemberBookOptions) {
     this.#options = options;
+    this.#startedAtMs = options.clock.wallMs();
   }
 
   /** The other nodes. */
@@ -61,26 +75,43 @@
     const sinceMs = clock.monotonicMs() - GONE_MS;
     return [...this.#heard.values()]
       .filter(({ row, atMs }) => row.node !== node && atMs >= sinceMs)
-      .map(({ row: { node: name, address, cores } }) => ({
-        node: name,
-        address,
-        cores,
-      }));
+      .map(({ row: { renewedAtMs: _, ...member } }) => member);
   }
 
-  /** Announces this node and follows the others, for ever. */
+  /** Announces this node and looks at the others, for ever. */
   run(): Effect.Effect<never> {
-    const { clock, random, feed } = this.#options;
-    const follower = new TableClient.RowFollower<MemberRow>({
-      feed,
-      clock,
-      random,
-      waitMs: FEED_WAIT_MS,
-      onChange: (entries) => {
-        for (const { key, value } of entries) this.#note(key, value);
-      },
+    return Effect.raceFirst(this.#keepLooking(), this.#keepRenewing());
+  }
+
+  #keepLooking(): Effect.Effect<never> {
+    const { clock } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      let looks = 0;
+      for (;;) {
+        const hasRead = yield* this.#look();
+        const pauseMs = FIRST_PAUSES_MS[looks] ?? PAUSE_MS;
+        if (hasRead) looks++;
+        yield* clock.sleep(hasRead ? pauseMs : RETRY_MS);
+      }
     });
-    return Effect.raceFirst(follower.run(), this.#keepRenewing());
+  }
+
+  /** Reads all rows; false where the store did not answer. */
+  #look(): Effect.Effect<boolean> {
+    const { clock, feed } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const timed = yield* clock.within(LOOK_LIMIT_MS, feed.snapshot(""));
+      if (timed === null) return false;
+      const rows = timed.value.entries.flatMap(({ value }) =>
+        value === null ? [] : [value]
+      );
+      const names = new Set(rows.map((row) => row.node));
+      for (const row of rows) this.#note(row);
+      for (const node of this.#heard.keys()) {
+        if (!names.has(node)) this.#heard.delete(node);
+      }
+      return true;
+    }).pipe(Effect.catch(() => Effect.succeed(false)));
   }
 
   /** Takes this node's own row away. */
@@ -88,20 +119,19 @@
     return Effect.ignore(this.#write(this.#options.node, null));
   }
 
-  #note(key: string, row: MemberRow | null): void {
-    const node = key.slice(TableClient.Keys.MEMBER_PREFIX.length);
-    if (row === null) this.#heard.delete(node);
-    else {this.#heard.set(node, {
-        row,
-        atMs: this.#options.clock.monotonicMs(),
-      });}
+  /** A row is as old as its last change, as far as this node has seen it. */
+  #note(row: MemberRow): void {
+    const known = this.#heard.get(row.node);
+    if (known?.row.renewedAtMs === row.renewedAtMs) return;
+    this.#heard.set(row.node, { row, atMs: this.#options.clock.monotonicMs() });
   }
 
   #keepRenewing(): Effect.Effect<never> {
     const { node, address, cores, clock } = this.#options;
     return Effect.forever(Effect.gen({ self: this }, function* () {
       const renewedAtMs = clock.wallMs();
-      const row: MemberRow = { node, address, cores, renewedAtMs };
+      const startedAtMs = this.#startedAtMs;
+      const row = { node, address, cores, startedAtMs, renewedAtMs };
       const written = yield* Effect.result(this.#write(node, row));
       yield* this.#removeGone();
       yield* clock.sleep(written._tag === "Success" ? RENEW_MS : RETRY_MS);
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -46,8 +46,11 @@
   readonly metrics: Metrics.Metrics;
 }
 
-/** A silent link is noticed soon after this wait. */
-const CONFIG_WAIT_MS = 800;
+/**
+ * Share of the time in which a configuration has to be in force that one look
+ * waits for a change: a link that turns silent is noticed well before its end.
+ */
+const CONFIG_WAIT_SHARE = 0.4;
 /** A store that fails for this long fails callers' requests too. */
 const STORE_FAILING_MS = 300;
 /** Covers the time from a look at the store to the check of a request. */
@@ -103,7 +106,6 @@
       store: this.#store,
       feed: this.#feeds.members,
       clock,
-      random,
       mayRemove: () => this.#coordinator !== null,
     });
     this.access = new Gateway.AccessTable(
@@ -159,13 +161,13 @@
   }
 
   #work(): void {
-    const { clock, random } = this.#ports;
+    const { clock, random, configInForceMs } = this.#ports;
     this.#keep("Membership", this.#members.run());
     const follower = new TableClient.RowFollower({
       feed: this.#feeds.config,
       clock,
       random,
-      waitMs: CONFIG_WAIT_MS,
+      waitMs: Math.round(configInForceMs * CONFIG_WAIT_SHARE),
       onHeard: () => {
         this.#configHeardAtMs = clock.monotonicMs();
         this.#store.noteAnswered();
