Hand over to a box that a rolling restart has passed; bear a slow store

Cause: with boxes restarted one by one every 2 s a leaving holder released the row to any box, often to one whose turn came next. Change: a leaving holder releases the row to the box with most processor that answers and reaches the store; of equal ones to the one that started last. Test: the term goes to the box that was restarted last.

--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -25,7 +25,7 @@
 /** Candidates wait up to this much longer, so that few collide. */
 const SPREAD_MS = 200;
 /** At the first start the boxes learn of each other for this time, in ms. */
-const FIRST_WAIT_MS = 400;
+const FIRST_WAIT_MS = 700;
 /** A successor takes a released row within this time, in ms, or another does. */
 const SUCCESSOR_MS = 1000;
 /** Time between two looks for a fitter box, in ms. */
@@ -82,11 +82,12 @@
 
   constructor(coordinatorPorts: ports.CoordinatorPorts) {
     this.#ports = coordinatorPorts;
-    const { clock, random, electionFeed: feed } = coordinatorPorts;
+    const { clock, random, store, electionFeed: feed } = coordinatorPorts;
     this.#follower = new TableClient.RowFollower<unknown>({
       feed,
       clock,
       random,
+      awaitBack: () => store.awaitBack(),
       waitMs: FEED_WAIT_MS,
       onChange: (entries) => this.#note(entries),
       onHeard: () => this.#heard(),
@@ -120,15 +121,22 @@
       this.#leaving = true;
       const term = this.#term;
       if (term === null || term.isLost) return;
+      const successor = yield* this.#ports.fitness.findSuccessor();
+      if (term.isLost) return;
       term.lose("released");
-      yield* this.#writeRelease(term);
+      yield* this.#writeRelease(term, successor);
     });
   }
 
-  #writeRelease(term: Term, successor?: string): Effect.Effect<void> {
+  #writeRelease(term: Term, successor: string | null): Effect.Effect<void> {
     const { incarnation, store, log } = this.#ports;
     const { token, condition, condition: { key } } = term;
-    const value: CoordinatorRow = { token, holder: "", incarnation, successor };
+    const value: CoordinatorRow = {
+      token,
+      holder: "",
+      incarnation,
+      ...(successor === null ? {} : { successor }),
+    };
     const write = { conditions: [condition], writes: [{ key, value }] };
     return Effect.andThen(
       Effect.ignore(store.write(write, WRITE_LIMIT_MS)),
--- a/packages/coordinator/src/fitness.ts
+++ b/packages/coordinator/src/fitness.ts
@@ -9,6 +9,8 @@
   readonly hasFitter: () => boolean;
   /** Such a box that answers now and reaches the store; null for none. */
   readonly findFitter: () => Effect.Effect<string | null>;
+  /** The box that should follow when this one leaves; null for none. */
+  readonly findSuccessor: () => Effect.Effect<string | null>;
 }
 
 /**
--- a/packages/coordinator/src/partition_recorder.ts
+++ b/packages/coordinator/src/partition_recorder.ts
@@ -16,8 +16,11 @@
 const MOST_WORKFLOWS = 30;
 /** A write is given up only with the term. */
 const NO_LIMIT_MS = 3_600_000;
-/** A write that takes longer holds up further plans. */
-const STALLED_MS = 600;
+/**
+ * A write that takes longer holds up further plans; a store that is merely slow,
+ * with writes of half a second, does not.
+ */
+const STALLED_MS = 1000;
 
 /** What a recorder of one partition needs. */
 export interface PartitionRecorderOptions {
--- a/packages/workflow-node/src/leader_fitness.ts
+++ b/packages/workflow-node/src/leader_fitness.ts
@@ -34,17 +34,31 @@
   readonly hasFitter = (): boolean => this.#fitter().length > 0;
 
   readonly findFitter = (): Effect.Effect<string | null> =>
-    Effect.gen({ self: this }, function* () {
-      const fittest = [...this.#fitter()]
-        .sort((a, b) => b.cores - a.cores)
+    this.#findAmong(this.#fitter());
+
+  /** Boxes that are clearly smaller come only where no other answers. */
+  readonly findSuccessor = (): Effect.Effect<string | null> =>
+    this.#findAmong(this.#options.others());
+
+  /**
+   * The box with most processor that answers; of equal ones the one that started
+   * last, because a rolling restart has passed it already.
+   */
+  #findAmong(
+    candidates: readonly members.Member[],
+  ): Effect.Effect<string | null> {
+    return Effect.gen({ self: this }, function* () {
+      const best = [...candidates]
+        .sort((a, b) => b.cores - a.cores || b.startedAtMs - a.startedAtMs)
         .slice(0, MOST_ASKED);
       const answers = yield* Effect.forEach(
-        fittest,
+        best,
         (member) => this.#reachesStoreFrom(member),
         { concurrency: "unbounded" },
       );
-      return fittest.find((_, i) => answers[i])?.node ?? null;
+      return best.find((_, i) => answers[i])?.node ?? null;
     });
+  }
 
   #fitter(): readonly members.Member[] {
     const { cores, others } = this.#options;
--- a/packages/workflow-node/src/leader_fitness_test.ts
+++ b/packages/workflow-node/src/leader_fitness_test.ts
@@ -94,4 +94,21 @@
       await fleet.stop();
     },
   );
+
+  vitest.it("goes to a box that a rolling restart has passed", async () => {
+    const fleet = new TestUtils.TestFleet({ nodes: 5 });
+    await fleet.start();
+    const first = fleet.coordinator() ?? "";
+    const others = [...fleet.nodes.keys()].filter((name) => name !== first);
+    for (const name of others.slice(0, 2)) {
+      await fleet.kill(name);
+      await fleet.clock.advance(2000);
+      fleet.startNode(name);
+    }
+    await fleet.clock.advance(12_000);
+    await fleet.run(fleet.node(first).leave());
+    await fleet.until(() => ![null, first].includes(fleet.coordinator()));
+    vitest.expect(fleet.coordinator()).toBe(others[1]);
+    await fleet.stop();
+  });
 });
