--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -5,7 +5,8 @@
   WorkerDump,
   WorkflowDump,
 } from "./src/describe.ts";
-export { type CoordinatorRow, Election, Term } from "./src/election.ts";
+export { Election } from "./src/election.ts";
+export { type CoordinatorRow, Term } from "./src/term.ts";
 export { restartOnDefect, type RestartParts } from "./src/restart.ts";
 export type { Fitness } from "./src/fitness.ts";
 export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -5,7 +5,7 @@
 import * as Effect from "effect/Effect";
 import * as advice from "./advice_book.ts";
 import * as describing from "./describe.ts";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import * as intake from "./intake.ts";
 import type * as occupants from "./occupant.ts";
 import * as fences from "./partition_fences.ts";
@@ -30,7 +30,7 @@
 /** Coordinates all workflows under one fencing token. */
 export class Coordinator extends listeners.SessionListener {
   readonly #ports: ports.CoordinatorPorts;
-  readonly #term: election.Term;
+  readonly #term: terms.Term;
   readonly #recovery: recoveries.Recovery;
   readonly #recorder: recorders.Recorder;
   readonly #book: books.WorkflowBook;
@@ -41,7 +41,7 @@
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
-    term: election.Term,
+    term: terms.Term,
   ) {
     super();
     this.#ports = coordinatorPorts;
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -5,21 +5,12 @@
  */
 import * as TableClient from "@cairngate/table-client";
 import type * as Ports from "@cairngate/ports";
-import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as ports from "./ports.ts";
 import * as fitnesses from "./fitness.ts";
 import * as paces from "./renewal_pace.ts";
 import * as restart from "./restart.ts";
-
-/** Value of the coordinator row. An empty holder means: released. */
-export interface CoordinatorRow {
-  readonly token: number;
-  readonly holder: string;
-  readonly incarnation: string;
-  /** Box that is meant to take over a released row; left out: any. */
-  readonly successor?: string;
-}
+import * as terms from "./term.ts";
 
 const RENEW_MS = 350;
 /** Candidates wait up to this much longer, so that few collide. */
@@ -36,39 +27,11 @@
 const RENEW_LIMIT_MS = 400;
 const WRITE_LIMIT_MS = 1500;
 
-/** The right to decide, under one fencing token. */
-export class Term {
-  readonly token: number;
-  /** Condition of every write of the holder. */
-  readonly condition: Ports.RowCondition;
-  readonly #lost = Deferred.makeUnsafe<string>();
-
-  constructor(token: number, revision: number) {
-    this.token = token;
-    this.condition = { key: TableClient.Keys.COORDINATOR_KEY, revision };
-  }
-
-  /** Whether a later holder has been seen. */
-  get isLost(): boolean {
-    return Deferred.isDoneUnsafe(this.#lost);
-  }
-
-  /** A later holder was seen. */
-  lose(how: string): void {
-    Deferred.doneUnsafe(this.#lost, Effect.succeed(how));
-  }
-
-  /** Waits for the end of the term; tells how it was seen. */
-  awaitLoss(): Effect.Effect<string> {
-    return Deferred.await(this.#lost);
-  }
-}
-
 /** Takes part in the election for ever. */
 export class Election {
   readonly #ports: ports.CoordinatorPorts;
   readonly #follower: TableClient.RowFollower<unknown>;
-  #row: CoordinatorRow | null = null;
+  #row: terms.CoordinatorRow | null = null;
   /** Newest renewal that was seen; differs with each one. */
   #lease: unknown = null;
   readonly #pace = new paces.RenewalPace();
@@ -77,7 +40,7 @@
   #lastHeardMs = Number.NEGATIVE_INFINITY;
   #heardFirstAtMs: number | null = null;
   #spreadMs = 0;
-  #term: Term | null = null;
+  #term: terms.Term | null = null;
   #leaving = false;
 
   constructor(coordinatorPorts: ports.CoordinatorPorts) {
@@ -101,7 +64,7 @@
   }
 
   /** Runs `work` whenever this node is elected, until the term is lost. */
-  run(work: (term: Term) => Effect.Effect<void>): Effect.Effect<never> {
+  run(work: (term: terms.Term) => Effect.Effect<void>): Effect.Effect<never> {
     const hold = Effect.gen({ self: this }, function* () {
       yield* this.#ports.clock.sleep(LOOK_MS);
       if (!this.#mayTake()) return;
@@ -128,10 +91,13 @@
     });
   }
 
-  #writeRelease(term: Term, successor: string | null): Effect.Effect<void> {
+  #writeRelease(
+    term: terms.Term,
+    successor: string | null,
+  ): Effect.Effect<void> {
     const { incarnation, store, log } = this.#ports;
     const { token, condition, condition: { key } } = term;
-    const value: CoordinatorRow = {
+    const value: terms.CoordinatorRow = {
       token,
       holder: "",
       incarnation,
@@ -150,7 +116,7 @@
     for (const { key, value } of entries) {
       if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) this.#lease = value;
       if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
-      this.#row = value as CoordinatorRow | null;
+      this.#row = value as terms.CoordinatorRow | null;
       this.#pace.reset();
       const token = this.#row?.token ?? 0;
       const term = this.#term;
@@ -210,7 +176,7 @@
   }
 
   /** Takes over from the holder that was judged, and from no later one. */
-  #take(judgedToken: number): Effect.Effect<Term | null> {
+  #take(judgedToken: number): Effect.Effect<terms.Term | null> {
     return Effect.gen({ self: this }, function* () {
       const { store, node, incarnation, log } = this.#ports;
       const key = TableClient.Keys.COORDINATOR_KEY;
@@ -218,11 +184,11 @@
       const rows = yield* store.read([key, leaseKey], WRITE_LIMIT_MS);
       const row = rows.find((one) => one.key === key);
       const lease = rows.find((one) => one.key === leaseKey);
-      const found = row?.value as CoordinatorRow | undefined;
+      const found = row?.value as terms.CoordinatorRow | undefined;
       if ((found?.token ?? 0) !== judgedToken) return null;
       if (this.#hasRenewed(found, lease?.value ?? null)) return null;
       const token = (found?.token ?? 0) + 1;
-      const value: CoordinatorRow = { token, holder: node, incarnation };
+      const value: terms.CoordinatorRow = { token, holder: node, incarnation };
       const revision = yield* store.write({
         conditions: [
           { key, revision: row?.revision ?? 0 },
@@ -231,7 +197,7 @@
         writes: [{ key, value }, { key: leaseKey, value: token }],
       }, WRITE_LIMIT_MS);
       log.info(`Node ${node} coordinates under token ${token}.`);
-      return new Term(token, revision);
+      return new terms.Term(token, revision);
     }).pipe(Effect.catch((err) => {
       this.#ports.log.info(`Not elected: ${err.message}`);
       this.#silentSinceMs = Number.POSITIVE_INFINITY;
@@ -243,7 +209,10 @@
    * Whether the holder has renewed since the feed told of it last: a feed may
    * fall behind while its looks are still answered.
    */
-  #hasRenewed(found: CoordinatorRow | undefined, lease: unknown): boolean {
+  #hasRenewed(
+    found: terms.CoordinatorRow | undefined,
+    lease: unknown,
+  ): boolean {
     const isHeld = found !== undefined && found.holder !== "" &&
       found.holder !== this.#ports.node;
     if (!isHeld || lease === this.#lease) return false;
@@ -254,8 +223,8 @@
   }
 
   #serve(
-    term: Term,
-    work: (term: Term) => Effect.Effect<void>,
+    term: terms.Term,
+    work: (term: terms.Term) => Effect.Effect<void>,
   ): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       this.#term = term;
@@ -279,7 +248,7 @@
   }
 
   /** A fault in our own code ends the term; perhaps another node fares better. */
-  #giveUp(term: Term, defect: unknown): Effect.Effect<void> {
+  #giveUp(term: terms.Term, defect: unknown): Effect.Effect<void> {
     return Effect.sync(() => {
       const { log, metrics } = this.#ports;
       log.error(`Coordinating failed: ${restart.describeDefect(defect)}`);
@@ -289,7 +258,7 @@
   }
 
   /** Hands the term to a box that is better placed for it, once there is one. */
-  #moveToFitter(term: Term): Effect.Effect<never> {
+  #moveToFitter(term: terms.Term): Effect.Effect<never> {
     const { clock, fitness } = this.#ports;
     return Effect.gen({ self: this }, function* () {
       for (;;) {
@@ -303,7 +272,7 @@
     });
   }
 
-  #keepRenewing(term: Term): Effect.Effect<never> {
+  #keepRenewing(term: terms.Term): Effect.Effect<never> {
     const { store, clock } = this.#ports;
     const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
     const renew = Effect.suspend(() =>
--- a/packages/coordinator/src/partition_fences.ts
+++ b/packages/coordinator/src/partition_fences.ts
@@ -5,7 +5,7 @@
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import type * as ports from "./ports.ts";
 
 const LIMIT_MS = 1500;
@@ -17,13 +17,13 @@
 /** Fences of one term. */
 export class PartitionFences {
   readonly #store: TableClient.StoreClient;
-  readonly #term: election.Term;
+  readonly #term: terms.Term;
   /** Revision of the fence row in each partition that is taken. */
   readonly #revisions = new Map<string, number>();
 
   constructor(
     { store }: Pick<ports.CoordinatorPorts, "store">,
-    term: election.Term,
+    term: terms.Term,
   ) {
     this.#store = store;
     this.#term = term;
--- a/packages/coordinator/src/partition_recorder.ts
+++ b/packages/coordinator/src/partition_recorder.ts
@@ -8,7 +8,7 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "./ports.ts";
 
@@ -25,7 +25,7 @@
 /** What a recorder of one partition needs. */
 export interface PartitionRecorderOptions {
   readonly ports: ports.CoordinatorPorts;
-  readonly term: election.Term;
+  readonly term: terms.Term;
   readonly fences: fences.PartitionFences;
   readonly partition: string;
 }
--- a/packages/coordinator/src/recorder.ts
+++ b/packages/coordinator/src/recorder.ts
@@ -2,7 +2,7 @@
 import * as TableClient from "@cairngate/table-client";
 import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import type * as fences from "./partition_fences.ts";
 import * as partitions from "./partition_recorder.ts";
 import type * as ports from "./ports.ts";
@@ -17,7 +17,7 @@
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
-    term: election.Term,
+    term: terms.Term,
     partitionFences: fences.PartitionFences,
   ) {
     const parts = { ports: coordinatorPorts, term, fences: partitionFences };
--- a/packages/coordinator/src/recovery.ts
+++ b/packages/coordinator/src/recovery.ts
@@ -7,7 +7,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "./ports.ts";
 
@@ -26,7 +26,7 @@
 /** Recovery of one term. */
 export class Recovery {
   readonly #ports: ports.CoordinatorPorts;
-  readonly #term: election.Term;
+  readonly #term: terms.Term;
   readonly #fences: fences.PartitionFences;
   readonly #open = new Set<string>();
   readonly #progress = new Map<string, FoundProgress>();
@@ -34,7 +34,7 @@
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
-    term: election.Term,
+    term: terms.Term,
     partitionFences: fences.PartitionFences,
   ) {
     this.#ports = coordinatorPorts;
--- a/packages/coordinator/src/run_starter.ts
+++ b/packages/coordinator/src/run_starter.ts
@@ -2,7 +2,7 @@
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import type * as occupants from "./occupant.ts";
 import type * as ports from "./ports.ts";
 
@@ -33,7 +33,7 @@
 /** What a starter needs. */
 export interface RunStarterOptions {
   readonly ports: ports.CoordinatorPorts;
-  readonly term: election.Term;
+  readonly term: terms.Term;
   readonly ref: Ports.WorkerRef;
   /** End of a lease that begins now, on the worker's clock. */
   readonly leaseEnd: () => number;
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -7,7 +7,7 @@
 import type * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import type * as election from "./election.ts";
+import type * as terms from "./term.ts";
 import * as leaseClocks from "./lease_clock.ts";
 import type * as ports from "./ports.ts";
 import * as endLedgers from "./end_ledger.ts";
@@ -21,7 +21,7 @@
 /** What a session needs. */
 export interface SessionOptions {
   readonly ports: ports.CoordinatorPorts;
-  readonly term: election.Term;
+  readonly term: terms.Term;
   readonly listener: listeners.SessionListener;
   readonly recovery: recoveries.Recovery;
   readonly ref: Ports.WorkerRef;
