Do not ask the store in a loop while the feed of the election is behind

Cause: found by reading. Now it waits for the usual silence again. Fitness becomes an abstract class, as other behaviour that varies. Tests: those of the election pass; the calls were not counted.

--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -8,5 +8,5 @@
 export { Election } from "./src/election.ts";
 export { type CoordinatorRow, Term } from "./src/term.ts";
 export { restartOnDefect, type RestartParts } from "./src/restart.ts";
-export type { Fitness } from "./src/fitness.ts";
+export { Fitness } from "./src/fitness.ts";
 export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -78,7 +78,7 @@
     );
   }
 
-  /** Gives the row back, so that another node takes over at once. */
+  /** Releases the row, so that another node takes over at once. */
   release(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       this.#leaving = true;
@@ -185,8 +185,10 @@
       const row = rows.find((one) => one.key === key);
       const lease = rows.find((one) => one.key === leaseKey);
       const found = row?.value as terms.CoordinatorRow | undefined;
-      if ((found?.token ?? 0) !== judgedToken) return null;
-      if (this.#hasRenewed(found, lease?.value ?? null)) return null;
+      const isOther = (found?.token ?? 0) !== judgedToken;
+      if (isOther || this.#hasRenewed(found, lease?.value ?? null)) {
+        return this.#waitAgain();
+      }
       const token = (found?.token ?? 0) + 1;
       const value: terms.CoordinatorRow = { token, holder: node, incarnation };
       const revision = yield* store.write({
@@ -217,9 +219,14 @@
       found.holder !== this.#ports.node;
     if (!isHeld || lease === this.#lease) return false;
     this.#lease = lease;
+    return true;
+  }
+
+  /** The rows have changed: whoever holds them has its usual time again. */
+  #waitAgain(): null {
     this.#changedAtMs = this.#ports.clock.monotonicMs();
     this.#ports.log.warn("The feed of the election falls behind its rows.");
-    return true;
+    return null;
   }
 
   #serve(
--- a/packages/coordinator/src/fitness.ts
+++ b/packages/coordinator/src/fitness.ts
@@ -2,15 +2,15 @@
 import type * as Effect from "effect/Effect";
 
 /** What the election asks of its box. */
-export interface Fitness {
+export abstract class Fitness {
   /** Whether calls reach the store without a peer's help. */
-  readonly reachesStore: () => boolean;
+  abstract reachesStore(): boolean;
   /** Whether other boxes are known that have clearly more processor. */
-  readonly hasFitter: () => boolean;
+  abstract hasFitter(): boolean;
   /** Such a box that answers now and reaches the store; null for none. */
-  readonly findFitter: () => Effect.Effect<string | null>;
+  abstract findFitter(): Effect.Effect<string | null>;
   /** The box that should follow when this one leaves; null for none. */
-  readonly findSuccessor: () => Effect.Effect<string | null>;
+  abstract findSuccessor(): Effect.Effect<string | null>;
 }
 
 /**
--- a/packages/workflow-node/src/leader_fitness.ts
+++ b/packages/workflow-node/src/leader_fitness.ts
@@ -1,5 +1,5 @@
 /** Compares this box with the others as a place for the coordinator. */
-import type * as Coordinator from "@cairngate/coordinator";
+import * as Coordinator from "@cairngate/coordinator";
 import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import type * as members from "./member_book.ts";
@@ -22,23 +22,29 @@
 const ASK_LIMIT_MS = 400;
 
 /** Fitness by processor and by the way to the store. */
-export class LeaderFitness implements Coordinator.Fitness {
+export class LeaderFitness extends Coordinator.Fitness {
   readonly #options: LeaderFitnessOptions;
 
   constructor(options: LeaderFitnessOptions) {
+    super();
     this.#options = options;
   }
 
-  readonly reachesStore = (): boolean => this.#options.reachesStore();
+  override reachesStore(): boolean {
+    return this.#options.reachesStore();
+  }
 
-  readonly hasFitter = (): boolean => this.#fitter().length > 0;
+  override hasFitter(): boolean {
+    return this.#fitter().length > 0;
+  }
 
-  readonly findFitter = (): Effect.Effect<string | null> =>
-    this.#findAmong(this.#fitter());
+  override findFitter() {
+    return this.#findAmong(this.#fitter());
+  }
 
-  /** Boxes that are clearly smaller come only where no other answers. */
-  readonly findSuccessor = (): Effect.Effect<string | null> =>
-    this.#findAmong(this.#options.others());
+  override findSuccessor() {
+    return this.#findAmong(this.#options.others());
+  }
 
   /**
    * The box with most processor that answers; of equal ones the one that started
