--- a/packages/coordinator/src/election.ts
+++ b/packages/coordinator/src/election.ts
@@ -12,8 +12,9 @@
 import * as restart from "./restart.ts";
 import * as terms from "./term.ts";
 
+/** Time between two renewals, in ms: a loss is seen after three of them. */
 const RENEW_MS = 350;
-/** Candidates wait up to this much longer, so that few collide. */
+/** Candidates wait up to this much longer, in ms, so that few collide. */
 const SPREAD_MS = 200;
 /** At the first start the boxes learn of each other for this time, in ms. */
 const FIRST_WAIT_MS = 700;
@@ -21,10 +22,13 @@
 const SUCCESSOR_MS = 1000;
 /** Time between two looks for a fitter box, in ms. */
 const FITTER_MS = 1000;
-/** A silent link is noticed soon after this wait. */
+/** Longest wait of one look, in ms: a silent link is noticed soon after. */
 const FEED_WAIT_MS = 400;
+/** Time between two checks of whether to claim, in ms. */
 const LOOK_MS = 50;
+/** A renewal is not repeated after this time, in ms: the next one is due. */
 const RENEW_LIMIT_MS = 400;
+/** A takeover or a release is given up after this time, in ms. */
 const WRITE_LIMIT_MS = 1500;
 
 /** Takes part in the election for ever. */
--- a/packages/coordinator/src/partition_fences.ts
+++ b/packages/coordinator/src/partition_fences.ts
@@ -8,6 +8,7 @@
 import type * as terms from "./term.ts";
 import type * as ports from "./ports.ts";
 
+/** A read or write of a fence is given up after this time, in ms. */
 const LIMIT_MS = 1500;
 
 interface FenceRow {
--- a/packages/coordinator/src/recovery.ts
+++ b/packages/coordinator/src/recovery.ts
@@ -11,10 +11,13 @@
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "./ports.ts";
 
+/** A scan of one partition is given up after this time, in ms. */
 const SCAN_LIMIT_MS = 1500;
+/** Pause before a partition is tried again, in ms. */
 const RETRY_MS = 60;
+/** Time between two checks of whether enough is open, in ms. */
 const LOOK_MS = 5;
-/** Partitions that are not open by then are waited for beside the work. */
+/** Partitions not open by then, in ms, are waited for beside the work. */
 const PATIENCE_MS = 700;
 
 /** A record of an earlier coordinator. */
--- a/packages/coordinator/src/renewal_pace.ts
+++ b/packages/coordinator/src/renewal_pace.ts
@@ -5,8 +5,11 @@
 
 /** Renewals that have to be seen before their pace counts. */
 const LEAST_SEEN = 3;
+/** Two renewals (350 ms) that are lost in a row are borne, in ms. */
 const LEAST_SILENCE_MS = 900;
+/** Running work must be renewed within a lease of 6 s, in ms. */
 const LONGEST_SILENCE_MS = 1600;
+/** Usual intervals that may pass without a renewal. */
 const INTERVALS = 2.5;
 /** Weight that an earlier long interval keeps with each renewal. */
 const FADING = 0.8;
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -31,10 +31,15 @@
   readonly progressWaitMs: () => number;
 }
 
+/** An order without an answer counts as lost after this time, in ms. */
 const ORDER_LIMIT_MS = 450;
+/** A look may take this much longer than it was asked to wait, in ms. */
 const VIEW_SLACK_MS = 800;
+/** Longest wait of a look at a worker with lasting tasks only, in ms. */
 const LONGEST_WAIT_MS = 1000;
+/** Pause before an order is sent again, in ms. */
 const RETRY_MS = 150;
+/** Longest time for which a look waits for the records of ends, in ms. */
 const UNRECORDED_PAUSE_MS = 1000;
 
 /** One worker life. */
