--- a/packages/table-client/src/grouped_writer.ts
+++ b/packages/table-client/src/grouped_writer.ts
@@ -1,6 +1,6 @@
 /**
  * Groups independent writes into one transaction, because the table service
- * takes only about a hundred writes a second. A group whose conditions fail
+ * takes a limited number of writes a second. A group whose conditions fail
  * is written again one by one, so that one bad write does not fail others.
  */
 import type * as Errors from "@cairngate/errors";
