--- a/packages/coordinator/src/restart.ts
+++ b/packages/coordinator/src/restart.ts
@@ -13,6 +13,7 @@
   readonly metrics: Metrics.Metrics;
 }
 
+/** Pause before work begins again, in ms: a lasting fault must not spin. */
 const PAUSE_MS = 200;
 
 /** Begins work again after a defect; a long-running fiber must not die of one. */
--- a/packages/coordinator/src/run_pace.ts
+++ b/packages/coordinator/src/run_pace.ts
@@ -12,6 +12,7 @@
 const RECENT_MS = 1300;
 /** Progress over less time says too little. */
 const LEAST_RECENT_MS = 450;
+/** The same for what came before, in ms: twice as long, as it is compared with. */
 const LEAST_EARLIER_MS = 1000;
 /** A member of a gang that waits for the others comes no further. */
 const DONE_PERCENT = 100;
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -32,6 +32,7 @@
 const RECORD_WRITES = 2;
 /** Least and longest time allowed for a record to arrive, in ms. */
 const LEAST_ARRIVAL_MS = 15;
+/** In ms: a slow store must not hold up every question for a state. */
 const LONGEST_ARRIVAL_MS = 100;
 /** What a row holds beside the workflow. */
 const ROW_OVERHEAD_BYTES = 1000;
--- a/packages/gateway/src/waiting_counts.ts
+++ b/packages/gateway/src/waiting_counts.ts
@@ -17,6 +17,7 @@
 
 /** Age up to which counts are given again, in ms; callers bear twice as much. */
 const FRESH_MS = 1000;
+/** A scan is not repeated after this time, in ms: callers wait for it. */
 const READ_LIMIT_MS = 450;
 
 type Counts = ReadonlyMap<string, number>;
--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -21,6 +21,7 @@
 
 /** A write of the store that a caller waits for ends within this time. */
 const WRITE_LIMIT_MS = 450;
+/** A read is not repeated after this time, in ms: callers wait for it. */
 const READ_LIMIT_MS = 450;
 /** A home partition is waited for at least this long, also where it is slow. */
 const HOME_READ_LIMIT_MS = 400;
