Notice connections that turn silent

A link between boxes never came back, and a pool of kept connections failed once for each of them.

Found on the way: a start went out with a lease in the endpoint's past where a look for its clock was lost, or where the listing that told it was old. It is now sent only once the clock is known, and a listing's clock counts from when it came. The stand-in of endpoints refuses late starts, as the protocol says.

--- a/packages/adapters/src/http_platform.ts
+++ b/packages/adapters/src/http_platform.ts
@@ -142,7 +142,10 @@
 
   constructor(address: string, listener: HttpJson.TrafficListener | null) {
     this.#address = address;
-    this.#caller = new HttpJson.HttpCaller(CONNECTIONS, listener);
+    this.#caller = new HttpJson.HttpCaller({
+      connections: CONNECTIONS,
+      onTraffic: listener,
+    });
   }
 
   call(
--- a/packages/adapters/src/http_workers.ts
+++ b/packages/adapters/src/http_workers.ts
@@ -25,8 +25,12 @@
   ) {
     super();
     const forRuns = Math.max(1, connections - CONTROL_CONNECTIONS);
-    this.#runs = new HttpJson.HttpCaller(forRuns, listener);
-    this.#orders = new HttpJson.HttpCaller(CONTROL_CONNECTIONS, listener);
+    const onTraffic = listener;
+    this.#runs = new HttpJson.HttpCaller({ connections: forRuns, onTraffic });
+    this.#orders = new HttpJson.HttpCaller({
+      connections: CONTROL_CONNECTIONS,
+      onTraffic,
+    });
   }
 
   /** Closes all connections. */
--- a/packages/cli/src/base_command.ts
+++ b/packages/cli/src/base_command.ts
@@ -30,7 +30,7 @@
   json = Clipanion.Option.Boolean("--json", false, {
     description: "Print one JSON object",
   });
-  readonly #caller = new HttpJson.HttpCaller(CONNECTIONS);
+  readonly #caller = new HttpJson.HttpCaller({ connections: CONNECTIONS });
 
   /** Prints an answer as JSON, or as lines for people. */
   protected print(body: unknown, lines: () => readonly string[]): void {
--- a/packages/coordinator/src/run_starter.ts
+++ b/packages/coordinator/src/run_starter.ts
@@ -31,6 +31,12 @@
   readonly clockMs: number | null;
 }
 
+/** Nothing was sent, so nothing can be there. */
+export const NEVER_SENT: StartReport = {
+  outcome: StartOutcome.NotThere,
+  clockMs: null,
+};
+
 /** What a starter needs. */
 export interface RunStarterOptions {
   readonly ports: ports.CoordinatorPorts;
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -35,6 +35,8 @@
   readonly speeds = new speeds.WorkerSpeeds();
   /** Our time by which a draining worker may leave. */
   readonly #leavesAtMs = new Map<string, number>();
+  /** Our time at which the newest listing came, by endpoint. */
+  readonly #listedAtMs = new Map<string, number>();
   readonly #foreignLapseMs: number;
   #begun = false;
 
@@ -148,7 +150,9 @@
       this.#listings.set(listing.id, listing);
       this.#noteLeaving(listing);
       const session = this.#sessions.get(listing.id);
-      if (listing.clockMs !== null) session?.readClock(listing.clockMs);
+      const nowMs = this.#options.ports.clock.monotonicMs();
+      this.#listedAtMs.set(listing.id, nowMs);
+      if (listing.clockMs !== null) session?.readClock(listing.clockMs, nowMs);
       for (const [id, former] of this.#sessions) {
         if (id === listing.id) continue;
         if (former.ref.address !== listing.address || former.isOver) continue;
@@ -164,6 +168,7 @@
     this.#idOfRow.delete(rowKey);
     this.#listings.delete(id);
     this.#leavesAtMs.delete(id);
+    this.#listedAtMs.delete(id);
     this.speeds.forget(id);
   }
 
@@ -183,7 +188,10 @@
       load: this.#load,
       progressWaitMs: () => this.#progressWaitMs(),
     });
-    if (clockMs !== null) session.readClock(clockMs);
+    const listedAtMs = this.#listedAtMs.get(id);
+    if (clockMs !== null && listedAtMs !== undefined) {
+      session.readClock(clockMs, listedAtMs);
+    }
     this.#sessions.set(id, session);
     if (this.#begun) this.#run(session);
     return session;
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -48,6 +48,11 @@
 const LOOKS_PER_LEASE = 3;
 /** Pause before an order is sent again, in ms. */
 const RETRY_MS = 150;
+/**
+ * Looks that are made for the endpoint's clock before a start: the first one may
+ * go over a connection that has turned silent, the second goes over a new one.
+ */
+const CLOCK_LOOKS = 2;
 /** Longest time for which a look waits for the records of ends, in ms. */
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -106,9 +111,9 @@
     return this.#over;
   }
 
-  /** Takes in the clock that the worker's own listing shows. */
-  readClock(clockMs: number): void {
-    this.#clock.read(clockMs, this.#options.ports.clock.monotonicMs());
+  /** Takes in the clock that the worker's own listing showed at a time of ours. */
+  readClock(clockMs: number, readAtMs: number): void {
+    this.#clock.read(clockMs, readAtMs);
   }
 
   /** Takes in a run that the records say may be here. */
@@ -135,12 +140,24 @@
       }
       occupant.sent = true;
       this.#wake();
-      if (!this.#clock.isKnown) yield* this.#look();
-      const report = yield* this.#starter.send(occupant);
+      const report = (yield* this.#learnClock())
+        ? yield* this.#starter.send(occupant)
+        : starters.NEVER_SENT;
       if (this.#holds(occupant)) yield* this.#settleStart(occupant, report);
     });
   }
 
+  /** A lease is told in the endpoint's own time, so no start goes without it. */
+  #learnClock(): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      for (let tries = 0; tries < CLOCK_LOOKS; tries++) {
+        if (this.#clock.isKnown || this.#over) break;
+        yield* this.#look();
+      }
+      return this.#clock.isKnown;
+    });
+  }
+
   /** Stops a run; ends when the worker has heard it or the run is over. */
   stop(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -318,7 +335,8 @@
   #notHeard(): Effect.Effect<void> {
     const { ports: { clock }, listener } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      if (this.#reachable) {
+      const isFirst = this.#reachable;
+      if (isFirst) {
         this.#reachable = false;
         listener.roomChanged();
       }
@@ -327,7 +345,8 @@
           if (occupant.sent) yield* this.#end(occupant, listeners.LOST);
         }
       }
-      yield* clock.sleep(RETRY_MS * 2);
+      // Perhaps only the connection is silent: the next look takes a new one.
+      if (!isFirst) yield* clock.sleep(RETRY_MS * 2);
     });
   }
 
--- a/packages/daemon/src/start_daemon_test.ts
+++ b/packages/daemon/src/start_daemon_test.ts
@@ -22,7 +22,7 @@
 limits: { bodyBytes: 20000 }
 `;
 
-const caller = new HttpJson.HttpCaller(8);
+const caller = new HttpJson.HttpCaller({ connections: 8 });
 let daemon: daemons.RunningDaemon;
 
 async function call(address: string, what: HttpJson.HttpCall) {
--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -3,8 +3,10 @@
 export {
   type HttpCall,
   HttpCaller,
+  type HttpCallerOptions,
   HttpLostError,
   type HttpReply,
+  type SilentConnection,
   type TrafficListener,
 } from "./src/http_caller.ts";
 export { isObject } from "./src/is_object.ts";
--- a/packages/local-cluster/src/cluster_client.ts
+++ b/packages/local-cluster/src/cluster_client.ts
@@ -16,7 +16,7 @@
 
   /** @param connections most connections to one address */
   constructor(connections: number) {
-    this.#caller = new HttpJson.HttpCaller(connections);
+    this.#caller = new HttpJson.HttpCaller({ connections });
   }
 
   /** Closes all connections. */
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -29,6 +29,19 @@
 const LONGEST_BACKOFF_MS = 1000;
 const CONNECT_MS = 1000;
 const LARGEST_FRAME_BYTES = 16_000_000;
+/**
+ * While a reply is due and nothing comes for this long, the peer is asked for a
+ * sign of life, in ms: replies that take longer wait for the store.
+ */
+const QUIET_MS = 300;
+/** The same while nothing but messages without a reply is sent, in ms. */
+const NOTICES_QUIET_MS = 2000;
+/**
+ * Time for the sign of life, in ms. Any live process gives it whatever its work
+ * waits for; with the quiet time before and a new connection after it, a link
+ * answers again within 3 s.
+ */
+const SIGN_OF_LIFE_MS = 700;
 
 /** Sends requests to one peer. */
 export class PeerLink {
@@ -37,6 +50,11 @@
   #socket: Ws.WebSocket | null = null;
   #codec = new frames.FrameCodec();
   #nextId = 1;
+  /** Counts what has come on the open connection, signs of life included. */
+  #heard = 0;
+  /** Whether something was sent since anything came. */
+  #isUnproven = false;
+  #isWatching = false;
 
   constructor(options: PeerLinkOptions) {
     this.#options = options;
@@ -106,8 +124,10 @@
         maxPayload: LARGEST_FRAME_BYTES,
         perMessageDeflate: false,
       });
+      socket.on("pong", () => this.#noteHeard());
       socket.once("open", () => {
         this.#socket = socket;
+        this.#isUnproven = false;
         this.#codec = codec;
         resume(Effect.succeed(socket));
       });
@@ -135,6 +155,7 @@
 
   #receive(codec: frames.FrameCodec, data: Uint8Array): void {
     const { peer, metrics, log } = this.#options;
+    this.#noteHeard();
     metrics.count("cairngate_peer_received_bytes_total", {}, data.length);
     const frame = codec.decode(data, peer);
     if (frame instanceof Errors.MalformedMessageError) {
@@ -159,6 +180,57 @@
     const { metrics } = this.#options;
     metrics.count("cairngate_peer_sent_bytes_total", {}, bytes.length);
     socket.send(bytes, () => {});
+    this.#isUnproven = true;
+    if (!this.#isWatching) Effect.runFork(this.#watch(socket));
+  }
+
+  #noteHeard(): void {
+    this.#heard++;
+    this.#isUnproven = false;
+  }
+
+  /**
+   * Watches the connection while something that was sent has had no effect yet.
+   * A connection can turn silent for good without being closed; a peer that is
+   * merely slow with its reply still gives a sign of life.
+   */
+  #watch(socket: Ws.WebSocket): Effect.Effect<void> {
+    const { clock } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      this.#isWatching = true;
+      while (this.#socket === socket && this.#isAwaiting) {
+        const heard = this.#heard;
+        const quietMs = this.#waiting.size > 0 ? QUIET_MS : NOTICES_QUIET_MS;
+        yield* clock.sleep(quietMs);
+        if (this.#heard !== heard || this.#socket !== socket) continue;
+        socket.ping();
+        yield* clock.sleep(SIGN_OF_LIFE_MS);
+        // What arrived while this process was held up is read first.
+        yield* nextTurn;
+        if (this.#heard === heard && this.#socket === socket) {
+          this.#giveUp(socket, quietMs + SIGN_OF_LIFE_MS);
+        }
+      }
+    }).pipe(Effect.ensuring(Effect.sync(() => {
+      this.#isWatching = false;
+    })));
+  }
+
+  get #isAwaiting(): boolean {
+    return this.#isUnproven || this.#waiting.size > 0;
+  }
+
+  #giveUp(socket: Ws.WebSocket, silentMs: number): void {
+    const { log, metrics, peer } = this.#options;
+    const lost = this.#waiting.size;
+    const kind = "peer";
+    metrics.count("cairngate_connections_silent_total", { kind });
+    metrics.count("cairngate_answers_lost_by_silence_total", { kind }, lost);
+    log.warn(
+      `Link to ${peer} is given up: silent for ${silentMs} ms, ` +
+        `${lost} calls lost.`,
+    );
+    socket.terminate();
   }
 
   #unreachable(
@@ -169,6 +241,11 @@
   }
 }
 
+/** Lets what has arrived on sockets be read. */
+const nextTurn: Effect.Effect<void> = Effect.callback<void>((resume) => {
+  setImmediate(() => resume(Effect.void));
+});
+
 function toResult(
   frame: frames.ReplyFrame | frames.FailureFrame,
 ): Effect.Effect<unknown, LinkError> {
--- /dev/null
+++ b/packages/peers/src/silence_test.ts
@@ -0,0 +1,155 @@
+/** Links that turn silent without being closed, over real sockets. */
+import * as Adapters from "@cairngate/adapters";
+import * as Logger from "@cairngate/logger";
+import * as Metrics from "@cairngate/metrics";
+import * as Ports from "@cairngate/ports";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as net from "node:net";
+import * as Ws from "ws";
+import * as vitest from "vitest";
+import * as frames from "./frames.ts";
+import * as servers from "./peer_server.ts";
+import * as stores from "./ws_store_peers.ts";
+
+const READ = { kind: Ports.StoreCallKind.Read, keys: ["a/1"] } as const;
+const DONE: Ports.StoreReply = { outcome: Ports.StoreOutcome.Done, value: [] };
+const clock = new Adapters.SystemClock();
+
+/** What a test has opened, to be closed after it. */
+const closers: (() => unknown)[] = [];
+
+vitest.afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+/** An address that nobody listens on. */
+function findFreeAddress(): Promise<string> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as net.AddressInfo;
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+}
+
+async function createPeers(self: string, metrics = new Metrics.Metrics()) {
+  const address = await findFreeAddress();
+  const peers = new stores.WsStorePeers({
+    self,
+    address,
+    clock,
+    random: new Adapters.SystemRandom(),
+    log: Logger.silentLogger(),
+    metrics,
+  });
+  closers.push(() => Effect.runPromise(peers.close()));
+  return { peers, address };
+}
+
+/** A box that calls another one through a proxy. */
+async function createPair(answer: () => Effect.Effect<Ports.StoreReply>) {
+  const answering = await createPeers("box-2");
+  await Effect.runPromise(answering.peers.listen(answer));
+  const proxy = new TestUtils.SilentProxy(answering.address);
+  closers.push(() => proxy.stop());
+  const address = await proxy.start();
+  const metrics = new Metrics.Metrics();
+  const { peers } = await createPeers("box-1", metrics);
+  const call = (limitMs = 1000) =>
+    Effect.runPromise(
+      Effect.result(peers.call({ node: "box-2", address }, READ, limitMs)),
+    );
+  return { proxy, call, metrics };
+}
+
+const sleep = (ms: number) => Effect.runPromise(clock.sleep(ms));
+
+vitest.describe("a link that turns silent", () => {
+  for (const way of ["both", "to-server", "to-client"] as const) {
+    vitest.it(`answers again within 3 s (silent: ${way})`, async () => {
+      const { proxy, call, metrics } = await createPair(() =>
+        Effect.succeed(DONE)
+      );
+      vitest.expect((await call())._tag).toBe("Success");
+      proxy.silence(way);
+      const begunAtMs = performance.now();
+      while ((await call())._tag === "Failure") {
+        vitest.expect(performance.now() - begunAtMs).toBeLessThan(3000);
+      }
+      vitest.expect(performance.now() - begunAtMs).toBeLessThan(3000);
+      const kind = "peer";
+      vitest.expect(metrics.get("cairngate_connections_silent_total", { kind }))
+        .toBe(1);
+      vitest.expect(proxy.opened).toBe(2);
+    });
+  }
+
+  vitest.it("is kept while the peer is merely slow", async () => {
+    const { proxy, call } = await createPair(() =>
+      Effect.as(clock.sleep(1500), DONE)
+    );
+    vitest.expect((await call(2500))._tag).toBe("Success");
+    vitest.expect((await call(2500))._tag).toBe("Success");
+    vitest.expect(proxy.opened).toBe(1);
+  });
+});
+
+vitest.describe("a link that a peer has opened", () => {
+  const LOOK_MS = 100;
+
+  async function listen(reply: unknown) {
+    const metrics = new Metrics.Metrics();
+    const server = new servers.PeerServer({
+      log: Logger.silentLogger(),
+      metrics,
+      lookMs: LOOK_MS,
+    });
+    const address = await findFreeAddress();
+    await Effect.runPromise(
+      server.listen(address, () => Effect.succeed(reply)),
+    );
+    closers.push(() => server.close());
+    const kind = "accepted";
+    const silent = () =>
+      metrics.get("cairngate_connections_silent_total", { kind });
+    return { address, silent };
+  }
+
+  function open(address: string): Promise<Ws.WebSocket> {
+    const socket = new Ws.WebSocket(`ws://${address}`);
+    socket.on("error", () => {});
+    closers.push(() => socket.terminate());
+    return new Promise((resolve) => socket.once("open", () => resolve(socket)));
+  }
+
+  vitest.it("is closed when the peer has gone in silence", async () => {
+    const { address, silent } = await listen({});
+    const proxy = new TestUtils.SilentProxy(address);
+    closers.push(() => proxy.stop());
+    await open(await proxy.start());
+    await sleep(LOOK_MS * 4);
+    vitest.expect(silent()).toBe(0);
+    proxy.silence();
+    await sleep(LOOK_MS * 4);
+    vitest.expect(silent()).toBe(1);
+  });
+
+  vitest.it("is closed when its replies pile up", async () => {
+    const { address, silent } = await listen({ text: "x".repeat(1_000_000) });
+    const socket = await open(address);
+    // A client that asks and does not read.
+    socket.pause();
+    const codec = new frames.FrameCodec();
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    for (let id = 1; id <= 40 && silent() === 0; id++) {
+      const kind = frames.FrameKind.Request as const;
+      socket.send(codec.encode({ kind, id, from: "box-1", req: READ }));
+      await sleep(2);
+    }
+    vitest.expect(silent()).toBe(1);
+    socket.resume();
+    await closed;
+  });
+});
--- a/packages/ports/src/table_service.ts
+++ b/packages/ports/src/table_service.ts
@@ -56,6 +56,14 @@
     keys: readonly string[],
   ): Effect.Effect<readonly Row[], StoreError>;
 
+  /**
+   * Asks for next to nothing: does the service answer this box? Where open
+   * connections may have turned silent, it goes over a new one.
+   */
+  probe(key: string): Effect.Effect<void, StoreError> {
+    return Effect.asVoid(this.read([key]));
+  }
+
   /** Rows whose key starts with a prefix and that are newer than a revision. */
   abstract scan(
     prefix: string,
--- a/packages/quickstart/src/run_quickstart.ts
+++ b/packages/quickstart/src/run_quickstart.ts
@@ -39,7 +39,7 @@
 
 /** Talks to the one box of the quickstart. */
 class QuickstartClient {
-  readonly #caller = new HttpJson.HttpCaller(SHORT_JOBS);
+  readonly #caller = new HttpJson.HttpCaller({ connections: SHORT_JOBS });
   readonly #settings: Config.BoxSettings;
 
   constructor(settings: Config.BoxSettings) {
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -3,6 +3,7 @@
 import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 import * as processors from "./busy_processor.ts";
+import * as connections from "./open_connections.ts";
 
 /** Faults in force. */
 export interface StoreFaults {
@@ -45,6 +46,8 @@
   faults: StoreFaults = HEALTHY;
   /** Processor of the box that makes the calls. */
   readonly processor: processors.BusyProcessor;
+  /** Connections of the box to the store. */
+  readonly connections: connections.OpenConnections;
   /** Scans whose rows are on their way. */
   #scans = 0;
 
@@ -52,6 +55,7 @@
     this.#clock = clock;
     this.#random = random;
     this.processor = new processors.BusyProcessor(clock);
+    this.connections = new connections.OpenConnections(clock);
   }
 
   /** Changes some faults; the others stay. */
@@ -68,13 +72,17 @@
     return Effect.gen({ self: this }, function* () {
       yield* this.processor.use();
       const { delayMs, silent } = this.faults;
-      if (silent) return yield* Effect.never;
+      const way = this.connections.begin();
+      // A probe goes over a new connection.
+      const isSwallowed = way.isSilent && operation !== "probe";
+      if (silent || isSwallowed) return yield* Effect.never;
       if (delayMs > 0) yield* this.#clock.sleep(delayMs);
       if (this.faults.down || this.faults.downPartitions.includes(partition)) {
         const cause = "outage";
         return yield* new Errors.StoreUnavailableError({ operation, cause });
       }
       const done = yield* call();
+      if (!way.answers()) return yield* Effect.never;
       if (operation === "scan") yield* this.#carry(done);
       const loses = operation === "write" &&
         this.#random.next() < this.faults.loseAnswers;
--- a/packages/stand-ins/src/faulty_table.ts
+++ b/packages/stand-ins/src/faulty_table.ts
@@ -1,5 +1,6 @@
 /** One node's way to a table, with faults of its own. */
 import * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
 import type * as switches from "./fault_switch.ts";
 import * as partitions from "./partition_of.ts";
 
@@ -19,6 +20,12 @@
     return this.#faults.apply("read", () => this.#inner.read(keys), partition);
   }
 
+  override probe(key: string) {
+    return Effect.asVoid(
+      this.#faults.apply("probe", () => this.#inner.probe(key)),
+    );
+  }
+
   override scan(prefix: string, afterRevision: number) {
     return this.#faults.apply(
       "scan",
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -6,6 +6,7 @@
 import * as Errors from "@cairngate/errors";
 import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
+import * as connections from "./open_connections.ts";
 
 /** A worker of the stand-in. */
 export interface TaskWorkerSpec {
@@ -69,6 +70,8 @@
 export class MemoryTaskWorkers extends Ports.TaskWorkers {
   readonly #clock: Ports.Clock;
   readonly #lives = new Map<string, WorkerLife>();
+  /** Connections to each of them. */
+  readonly #connections = new Map<string, connections.OpenConnections>();
   /** Every run that was started. */
   readonly runs: TaskRunNote[] = [];
   /** Behaviour of a task; tests may replace it. */
@@ -87,6 +90,21 @@
   }
 
   override start(worker: Ports.WorkerRef, order: Ports.StartRun) {
+    return this.#overConnection(worker, this.#start(worker, order));
+  }
+
+  /** An order that is answered at once, over a connection that may be silent. */
+  #overConnection<A>(
+    worker: Ports.WorkerRef,
+    order: Effect.Effect<A, Ports.OrderError>,
+  ): Effect.Effect<A, Ports.OrderError> {
+    return Effect.suspend(() => {
+      const way = this.#connectionsTo(worker.id).begin();
+      return way.isSilent ? Effect.never : order;
+    });
+  }
+
+  #start(worker: Ports.WorkerRef, order: Ports.StartRun) {
     return this.#order(worker, "start", (life) => {
       this.#checkToken(life, order.fencingToken);
       const key = order.task;
@@ -96,6 +114,9 @@
         throw this.#refuse(worker, Errors.OrderRefusal.OldRun);
       }
       life.leaseUntilMs = Math.max(life.leaseUntilMs, order.leaseUntilMs);
+      if (life.leaseUntilMs < this.#clock.monotonicMs()) {
+        throw this.#refuse(worker, Errors.OrderRefusal.Late);
+      }
       if (life.held.size >= life.spec.accelerators) {
         throw this.#refuse(worker, Errors.OrderRefusal.NoRoom);
       }
@@ -107,6 +128,13 @@
   override stop(
     worker: Ports.WorkerRef,
     order: Ports.RunRef & { readonly fencingToken: number },
+  ) {
+    return this.#overConnection(worker, this.#stop(worker, order));
+  }
+
+  #stop(
+    worker: Ports.WorkerRef,
+    order: Ports.RunRef & { readonly fencingToken: number },
   ) {
     return this.#order(worker, "stop", (life) => {
       this.#checkToken(life, order.fencingToken);
@@ -129,10 +157,13 @@
       return this.#view(life);
     });
     const stepMs = 50;
-    const untilMs = this.#clock.monotonicMs() + order.waitMs;
     return Effect.gen({ self: this }, function* () {
+      const way = this.#connectionsTo(worker.id).begin();
+      if (way.isSilent) return yield* Effect.never;
+      const untilMs = this.#clock.monotonicMs() + order.waitMs;
       for (;;) {
         const view = yield* look;
+        if (!way.answers()) return yield* Effect.never;
         const nowMs = this.#clock.monotonicMs();
         if (view.ended.length > 0 || nowMs >= untilMs) return view;
         yield* this.#clock.sleep(stepMs);
@@ -140,6 +171,19 @@
     });
   }
 
+  /** All open connections turn silent; new ones work. */
+  silenceOpen(): void {
+    for (const id of this.#lives.keys()) this.#connectionsTo(id).silence();
+  }
+
+  #connectionsTo(id: string): connections.OpenConnections {
+    const known = this.#connections.get(id);
+    if (known !== undefined) return known;
+    const made = new connections.OpenConnections(this.#clock);
+    this.#connections.set(id, made);
+    return made;
+  }
+
   /** Lets everything happen that time has brought, also where nobody asked. */
   settle(): void {
     for (const life of this.#lives.values()) this.#advance(life);
--- a/packages/store-relay/src/store_route.ts
+++ b/packages/store-relay/src/store_route.ts
@@ -76,7 +76,7 @@
   /** Asks the store directly for next to nothing. */
   probe(): Effect.Effect<void, Ports.StoreError> {
     const { table, clock } = this.#options;
-    const read = clock.within(PROBE_LIMIT_MS, table.read([PROBE_KEY]));
+    const read = clock.within(PROBE_LIMIT_MS, table.probe(PROBE_KEY));
     return Effect.flatMap(read, (timed) => {
       if (timed !== null) return Effect.void;
       const cause = "no answer to a probe";
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -13,6 +13,7 @@
 export { type AnswerRule, FaultyWorkers, Loss } from "./src/faulty_workers.ts";
 export { PausableClock } from "./src/pausable_clock.ts";
 export { SeededRandom } from "./src/seeded_random.ts";
+export { SilentProxy, type SilentWay } from "./src/silent_proxy.ts";
 export { TestCluster } from "./src/test_cluster.ts";
 export {
   buildAccess,
--- a/packages/test-utils/src/fake_store_peers.ts
+++ b/packages/test-utils/src/fake_store_peers.ts
@@ -1,14 +1,20 @@
 /** Links between the nodes of one test. */
 import * as Errors from "@cairngate/errors";
 import * as Ports from "@cairngate/ports";
+import * as StandIns from "@cairngate/stand-ins";
 import * as Effect from "effect/Effect";
 
+/** A silent link is given up after this time without a sign of life, in ms. */
+const LINK_OVERDUE_MS = 1000;
+
 type Handler = (call: Ports.StoreCall) => Effect.Effect<Ports.StoreReply>;
 
 /** All nodes of a test by address. */
 export class FakePeerHub {
   readonly #clock: Ports.Clock;
   readonly #handlers = new Map<string, Handler>();
+  /** Links by their two ends. */
+  readonly #links = new Map<string, StandIns.OpenConnections>();
   /** Whether a message gets from one address to another; tests replace it. */
   passes: (from: string, to: string) => boolean = () => true;
   /** Time that a call and its reply are on their way. */
@@ -29,6 +35,20 @@
     else this.#handlers.set(address, handler);
   }
 
+  /** All open links turn silent; new ones work. */
+  silenceOpen(): void {
+    for (const link of this.#links.values()) link.silence();
+  }
+
+  #linkOf(from: string, to: string): StandIns.OpenConnections {
+    const name = `${from}>${to}`;
+    const known = this.#links.get(name);
+    if (known !== undefined) return known;
+    const made = new StandIns.OpenConnections(this.#clock, LINK_OVERDUE_MS);
+    this.#links.set(name, made);
+    return made;
+  }
+
   /** Carries a call; silence where nothing passes. */
   carry(
     path: { from: string; to: string },
@@ -39,12 +59,15 @@
     const fail = (cause: string) =>
       Effect.fail(new Errors.PeerUnreachableError({ box: to, cause }));
     const reply = Effect.gen({ self: this }, function* () {
+      const way = this.#linkOf(from, to).begin();
+      if (way.isSilent) return yield* Effect.never;
       yield* this.#clock.sleep(this.delayMs);
       if (!this.passes(from, to)) return yield* Effect.never;
       const handler = this.#handlers.get(to);
       if (handler === undefined) return yield* fail("nobody listens");
       const answer = yield* handler(structuredClone(call));
-      if (!this.passes(to, from)) return yield* Effect.never;
+      const isLost = !this.passes(to, from) || !way.answers();
+      if (isLost) return yield* Effect.never;
       return structuredClone(answer);
     });
     return Effect.flatMap(
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -188,6 +188,13 @@
     return this.#get(name).faults;
   }
 
+  /** All open connections of all boxes turn silent; new ones work. */
+  silenceOpen(): void {
+    for (const { faults } of this.nodes.values()) faults.connections.silence();
+    this.workers.silenceOpen();
+    this.links.silenceOpen();
+  }
+
   /** Name of the node that coordinates; null while there is none. */
   coordinator(): string | null {
     const [row] = this.table.rowsUnder("election/coordinator");
--- a/packages/workflow-node/src/calm_starts_test.ts
+++ b/packages/workflow-node/src/calm_starts_test.ts
@@ -154,6 +154,7 @@
     const downPartitions = TableClient.Keys.PARTITIONS.filter(away);
     play.setFaults({ downPartitions });
   },
+  (play) => play.fleet.silenceOpen(),
   (play) => {
     const cut = play.someName;
     play.fleet.links.passes = (from, to) => from !== cut && to !== cut;
--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -1,6 +1,7 @@
 /**
  * Random faults over several nodes: kills, outages of the store for one node or
- * all, or of some partitions, cut links, lost answers, orders that are lost, unanswered or late, failing runs.
+ * all, or of some partitions, cut links, lost answers, connections that turn
+ * silent, orders that are lost, unanswered or late, failing runs.
  * CAIRNGATE_FAULT_RUNS sets how many seeds are played.
  */
 import * as StandIns from "@cairngate/stand-ins";
@@ -58,7 +59,7 @@
 ): Promise<void> {
   const names = [...fleet.nodes.keys()];
   const name = random.choose(names);
-  switch (random.between(0, 7)) {
+  switch (random.between(0, 8)) {
     case 0: {
       const victim = fleet.coordinator() ?? name;
       if (!fleet.nodes.has(victim)) return;
@@ -78,6 +79,8 @@
       fleet.links.passes = (from, to) => from !== cut && to !== cut;
       return;
     }
+    case 8:
+      return fleet.silenceOpen();
     case 3:
       return fleet.faultsOf(name).set({ loseAnswers: 0.4 });
     case 4: {
