Notice the end of an outage of the store at once

After an outage in which the store answers nothing it is worse: looks hang until their limits, which double up to 6 s.

Ruled out: ending the first look (a slow store, whose outages seem to end often, would never finish one); a shorter limit for looks (answers may be large).

--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -21,10 +21,13 @@
   /** Whether a partition may be read now; left out: always. */
   readonly mayRead?: (partition: string) => boolean;
   /**
-   * Ends when the store is back after an outage. With it the looks become rare
-   * while they fail; left out: they have to find out.
+   * Ends when the store is back after an outage: a pause ends with it, and a look
+   * is made again. With it the looks become rare while they fail; left out: they
+   * have to find out.
    */
   readonly awaitBack?: () => Effect.Effect<void>;
+  /** Longest pause between looks that fail, in ms. */
+  readonly longestPauseMs?: number;
   /** Longest wait of one look. */
   readonly waitMs: number;
 }
@@ -170,10 +173,8 @@
     const hasReadAll = this.#unread.size === 0;
     return Effect.gen({ self: this }, function* () {
       const limitMs = waitMs + this.#answerMs;
-      const timed = yield* clock.within(
-        limitMs,
-        feed.changes(position, waitMs),
-      );
+      const asked = this.#againWhenBack(feed.changes(position, waitMs));
+      const timed = yield* clock.within(limitMs, asked);
       if (timed === null) {
         // An answer may be large; it is not asked for again in less time.
         this.#answerMs = Math.min(LONGEST_ANSWER_MS, this.#answerMs * 2);
@@ -196,6 +197,17 @@
     );
   }
 
+  /**
+   * What was asked during an outage is answered late, if ever: it is asked again
+   * when the outage ends. The first answer counts, so that a slow store, whose
+   * outages seem to end often, holds up no look.
+   */
+  #againWhenBack<A, E>(look: Effect.Effect<A, E>): Effect.Effect<A, E> {
+    const { awaitBack } = this.#options;
+    if (awaitBack === undefined) return look;
+    return Effect.raceFirst(look, Effect.andThen(awaitBack(), look));
+  }
+
   /** After a failure a look asks for an answer at once: is the store back? */
   #waitMs(): number {
     if (this.#hasFailed || (this.hasSnapshot && !this.#isCaughtUp)) return 0;
@@ -240,13 +252,15 @@
   }
 
   #pause(): Effect.Effect<void> {
-    const { clock, random, awaitBack, onFailed } = this.#options;
+    const { clock, random, awaitBack, onFailed, longestPauseMs } =
+      this.#options;
     this.#hasFailed = true;
     onFailed?.();
     const waitMs = random.jitter(this.#backoffMs);
-    const longestMs = awaitBack === undefined
+    const usualMs = awaitBack === undefined
       ? LONGEST_BACKOFF_MS
       : LONGEST_AWAITED_MS;
+    const longestMs = longestPauseMs ?? usualMs;
     this.#backoffMs = Math.min(this.#backoffMs * 2, longestMs);
     if (awaitBack === undefined) return clock.sleep(waitMs);
     return Effect.raceFirst(clock.sleep(waitMs), awaitBack());
--- a/packages/workflow-node/src/outage_test.ts
+++ b/packages/workflow-node/src/outage_test.ts
@@ -1,12 +1,38 @@
 /** The whole store is away for a while, and returns. */
+import type * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
 import * as vitest from "vitest";
 
 const ID = "a000000000000001";
 const ALL = ["node-1", "node-2", "node-3"];
 
+/** Time in which every box takes work again once the store is back, in ms. */
+const ACCEPTS_MS = 400;
+
 function setDown(fleet: TestUtils.TestFleet, down: boolean): void {
-  for (const name of ALL) fleet.faultsOf(name).set({ down });
+  setFaults(fleet, { down });
+}
+
+function setFaults(
+  fleet: TestUtils.TestFleet,
+  faults: Partial<StandIns.StoreFaults>,
+): void {
+  for (const name of ALL) fleet.faultsOf(name).set(faults);
+}
+
+/** Time until a box takes a workflow, in ms. */
+async function timeToAccept(
+  fleet: TestUtils.TestFleet,
+  name: string,
+): Promise<number> {
+  const beganAtMs = fleet.clock.monotonicMs();
+  const id = `b${name.replace(/\D/g, "").padStart(15, "0")}`;
+  let accepted = false;
+  while (!accepted && fleet.clock.monotonicMs() < beganAtMs + 5000) {
+    accepted = await fleet.submit(name, id).then(() => true, () => false);
+    if (!accepted) await fleet.clock.advance(10);
+  }
+  return fleet.clock.monotonicMs() - beganAtMs;
 }
 
 vitest.describe("after an outage of the whole store", () => {
@@ -27,4 +53,25 @@
     }
     vitest.expect(Math.max(...waits)).toBeLessThan(300);
   });
+
+  const outages = {
+    "refuses all": { down: true },
+    "answers nothing": { silent: true },
+  };
+  for (const [what, faults] of Object.entries(outages)) {
+    vitest.it(`every box takes work at once (it ${what})`, async () => {
+      const waits: number[] = [];
+      for (const seed of [1, 2, 3, 4, 5, 6]) {
+        const fleet = new TestUtils.TestFleet({ seed });
+        await fleet.start();
+        setFaults(fleet, faults);
+        await fleet.clock.advance(3000 + 170 * seed);
+        setFaults(fleet, { down: false, silent: false });
+        const all = ALL.map((name) => timeToAccept(fleet, name));
+        waits.push(...await Promise.all(all));
+        await fleet.stop();
+      }
+      vitest.expect(Math.max(...waits)).toBeLessThan(ACCEPTS_MS);
+    });
+  }
 });
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -11,6 +11,7 @@
 import * as Fiber from "effect/Fiber";
 import * as fitnesses from "./leader_fitness.ts";
 import * as members from "./member_book.ts";
+import * as outages from "./outage_watch.ts";
 
 /** Feeds that a node follows. */
 export interface NodeFeeds {
@@ -51,6 +52,11 @@
  * waits for a change: a link that turns silent is noticed well before its end.
  */
 const CONFIG_WAIT_SHARE = 0.4;
+/**
+ * Longest pause between looks for a configuration that fail, in ms: where some
+ * partitions answer, nothing tells that this one is back.
+ */
+const CONFIG_PAUSE_MS = 250;
 /** A store that fails for this long fails callers' requests too. */
 const STORE_FAILING_MS = 300;
 /** Covers the time from a look at the store to the check of a request. */
@@ -163,11 +169,19 @@
   #work(): void {
     const { clock, random, configInForceMs } = this.#ports;
     this.#keep("Membership", this.#members.run());
+    const watch = new outages.OutageWatch({
+      store: this.#store,
+      clock,
+      probe: () => this.#route.probe(),
+    });
+    this.#keep("Watching for the store's return", watch.run());
     const follower = new TableClient.RowFollower({
       feed: this.#feeds.config,
       clock,
       random,
       waitMs: Math.round(configInForceMs * CONFIG_WAIT_SHARE),
+      awaitBack: () => this.#store.awaitBack(),
+      longestPauseMs: CONFIG_PAUSE_MS,
       onHeard: () => {
         this.#configHeardAtMs = clock.monotonicMs();
         this.#store.noteAnswered();
