Answer callers while they wait

A call of the store's client may take 1 s, and the reading back of a lost one as much again, whatever limit its caller has.

Now the front door passes on how long the caller says that it waits. Where a write usually takes longer the request is refused at once, and nothing is sent; otherwise it is told before it leaves that the job may be kept.

Ruled out: a limit of 0.45 s for all, which would end writes of a slow store that succeed after 0.6 s.

--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -63,10 +63,12 @@
   /**
    * Stores a workflow; the same id again changes nothing. An error without
    * `perhapsDone` proves that it is not stored.
+   * @param waitsMs how long the caller still waits for the answer
    */
   accept(
     allowed: access.Access,
     submission: Submission,
+    waitsMs?: number,
   ): Effect.Effect<
     void,
     | Errors.BadRequestError
@@ -90,7 +92,7 @@
       const what = "The workflow";
       return Effect.fail(new Errors.TooLargeError({ what, limitBytes }));
     }
-    return this.#rows.file(spec);
+    return this.#rows.file(spec, waitsMs);
   }
 
   /**
--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -38,6 +38,8 @@
 const READ_LIMIT_MS = 450;
 /** A home partition is waited for at least this long, also where it is slow. */
 const HOME_READ_LIMIT_MS = 400;
+/** An answer is on its way to the caller for less than this, in ms. */
+const ANSWER_MS = 50;
 /** Partitions in which an acceptance is tried. */
 const MOST_TRIED = 4;
 
@@ -57,9 +59,28 @@
   /**
    * Files a workflow in one partition at least; a second copy does no harm. An
    * error without `perhapsDone` proves that it is filed nowhere.
+   * @param waitsMs how long the caller still waits: nothing is tried that takes
+   * longer, and what has begun is answered before
    */
   file(
     spec: Workflow.WorkflowSpec,
+    waitsMs = Number.POSITIVE_INFINITY,
+  ): Effect.Effect<void, Errors.StoreUnavailableError> {
+    const limitMs = waitsMs - ANSWER_MS;
+    if (this.#store.usualWriteMs > limitMs) {
+      const cause = "it takes longer than the caller waits";
+      return unavailable(cause, false);
+    }
+    const filed = this.#fileSomewhere(spec);
+    if (limitMs === Number.POSITIVE_INFINITY) return filed;
+    return Effect.flatMap(this.#clock.within(limitMs, filed), (timed) => {
+      if (timed !== null) return Effect.void;
+      return unavailable("the caller waits no longer", true);
+    });
+  }
+
+  #fileSomewhere(
+    spec: Workflow.WorkflowSpec,
   ): Effect.Effect<void, Errors.StoreUnavailableError> {
     const endMs = this.#clock.monotonicMs() + WRITE_LIMIT_MS;
     const ways = this.#order(spec.id).slice(0, MOST_TRIED).map((partition) =>
@@ -224,6 +245,16 @@
   }
 }
 
+function unavailable(
+  cause: string,
+  perhapsDone: boolean,
+): Effect.Effect<never, Errors.StoreUnavailableError> {
+  const operation = "write";
+  return Effect.fail(
+    new Errors.StoreUnavailableError({ operation, cause, perhapsDone }),
+  );
+}
+
 /** One failure for all: perhaps done where one of them was perhaps done. */
 function joinFailures(
   failures: readonly Errors.StoreUnavailableError[],
--- /dev/null
+++ b/packages/workflow-node/src/impatient_caller_test.ts
@@ -0,0 +1,68 @@
+/** A caller that says how long it waits gets its answer while it waits. */
+import type * as Errors from "@cairngate/errors";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+
+/** A store 75 times slower than usual takes about this long, in ms. */
+const SLOW_MS = 700;
+
+/** Hands in with so much time left; the answer, and after how long it came. */
+async function submit(
+  fleet: TestUtils.TestFleet,
+  waitsMs: number,
+): Promise<{ err: Errors.StoreUnavailableError | null; tookMs: number }> {
+  const node = fleet.node("node-1");
+  const id = "a000000000000009";
+  const allowed = await fleet.run(
+    node.access.check({
+      host: "jobs.example",
+      path: `/p1/${id}`,
+      key: "key-of-hana",
+    }),
+  );
+  const begunAtMs = fleet.clock.monotonicMs();
+  const steps = [TestUtils.buildStep()];
+  const job = { id, payload: "work", steps, schedule: null };
+  const result = await fleet.run(
+    Effect.result(node.submissions.accept(allowed, job, waitsMs)),
+  );
+  const tookMs = fleet.clock.monotonicMs() - begunAtMs;
+  const err = result._tag === "Failure" ? result.failure : null;
+  return { err: err as Errors.StoreUnavailableError | null, tookMs };
+}
+
+vitest.describe("a caller that waits for a limited time", () => {
+  vitest.it("is told before it leaves that it may be done", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    fleet.faultsOf("node-1").set({ silent: true });
+    const { err, tookMs } = await submit(fleet, 300);
+    vitest.expect(err?.perhapsDone).toBe(true);
+    vitest.expect(tookMs).toBeLessThan(300);
+    await fleet.stop();
+  });
+
+  vitest.it("is refused at once where the store takes longer", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ delayMs: SLOW_MS });
+    }
+    // The box learns from its own writes how slow the store is.
+    for (let i = 0; i < 6; i++) await fleet.submit("node-1", `b${i}`);
+    const { err, tookMs } = await submit(fleet, SLOW_MS / 2);
+    vitest.expect(err?._tag).toBe("StoreUnavailableError");
+    vitest.expect(err?.perhapsDone).not.toBe(true);
+    vitest.expect(tookMs).toBeLessThan(50);
+    await fleet.stop();
+  });
+
+  vitest.it("is served where there is time", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    const { err } = await submit(fleet, 300);
+    vitest.expect(err).toBe(null);
+    await fleet.stop();
+  });
+});
