Start a broken gang again without waiting for a lost endpoint's lease

Members of a gang end together. So once one of them has ended as broken, a run that its silent endpoint had confirmed has ended as well, and the gang is placed anew. Not where its unknown end may be the last attempt that the queue allows, and not where the endpoint never confirmed the start, which may still arrive late.

Ruled out: leases of 6 s where 10 are allowed, because all running work would lapse when all boxes are without power for more than about 4 s.

--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -340,10 +340,10 @@
         this.#reachable = false;
         listener.roomChanged();
       }
-      if (this.#clock.hasLapsed(clock.monotonicMs())) {
-        for (const occupant of this.occupants) {
-          if (occupant.sent) yield* this.#end(occupant, listeners.LOST);
-        }
+      const hasLapsed = this.#clock.hasLapsed(clock.monotonicMs());
+      for (const occupant of this.occupants) {
+        const isGone = occupant.sent && (hasLapsed || hasBroken(occupant));
+        if (isGone) yield* this.#end(occupant, listeners.LOST);
       }
       // Perhaps only the connection is silent: the next look takes a new one.
       if (!isFirst) yield* clock.sleep(RETRY_MS * 2);
@@ -456,6 +456,16 @@
   }
 }
 
+/**
+ * Whether a run has ended with its gang, wherever its endpoint is. One that was
+ * never confirmed may still arrive there, late, and wait for the others.
+ */
+function hasBroken(occupant: occupants.Occupant): boolean {
+  const { task, run } = occupant;
+  return occupants.isConfirmed(occupant) && task.run === run &&
+    task.workflow.hasEndedWithGang(task);
+}
+
 function nameOfRun({ name: task, run }: Workflow.Task): string {
   return strays.nameOf({ task, run });
 }
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -189,6 +189,14 @@
     for (const life of this.#lives.values()) this.#advance(life);
   }
 
+  /** Ends whatever runs of a task, as endpoints do for reasons of their own. */
+  endNow(task: string, how: Ports.EndKind): void {
+    for (const life of this.#lives.values()) {
+      const held = life.held.get(task);
+      if (held !== undefined) this.#end(life, held, how);
+    }
+  }
+
   /** Runs of a task, in order. */
   runsOf(task: string): TaskRunNote[] {
     return this.runs.filter((note) => note.task === task);
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -23,6 +23,8 @@
   readonly #byKey = new Map<string, tasks.Task>();
   /** Runs of gangs whose failure is counted already, as round.step.run. */
   readonly #countedFailures = new Set<string>();
+  /** Runs of gangs of which a member ended as broken, as round.step.run. */
+  readonly #brokenRuns = new Set<string>();
   state = states.WorkflowState.Queued;
   /** Wall-clock time of the first start; null where an earlier term saw it. */
   firstStartMs: number | null = null;
@@ -111,11 +113,23 @@
       this.#markDone(task);
     }
     if (ended.how === tasks.RunEnd.Failed) this.#countFailure(task);
+    if (ended.how === tasks.RunEnd.Broken) this.#brokenRuns.add(gangRun(task));
     task.release(nowMs);
     this.#conclude();
     return true;
   }
 
+  /**
+   * Whether the newest run of a task has surely ended although its endpoint is
+   * not heard: members of a gang end together, and one of them ended as broken.
+   * How this one ended is not known. It may have failed and be the cause; where
+   * that would use up the attempts, only the endpoint itself can tell.
+   */
+  hasEndedWithGang(task: tasks.Task): boolean {
+    return task.step.gang && this.#brokenRuns.has(gangRun(task)) &&
+      task.failures + 1 < this.spec.policy.attempts;
+  }
+
   /** Takes in the end of a cancelled workflow once nothing of it runs. */
   concludeCancel(): boolean {
     if (!this.cancelled || states.isFinal(this.state)) return false;
@@ -174,7 +188,7 @@
   #countFailure(task: tasks.Task): void {
     if (task.step.lasting) return;
     if (task.step.gang) {
-      const id = `${task.round}.${task.stepIndex}.${task.run}`;
+      const id = gangRun(task);
       if (this.#countedFailures.has(id)) return;
       this.#countedFailures.add(id);
     }
@@ -194,6 +208,11 @@
   }
 }
 
+/** Name of the newest run of a gang within its workflow. */
+function gangRun(task: tasks.Task): string {
+  return `${task.stepKey}.${task.run}`;
+}
+
 function isWaiting(task: tasks.Task): boolean {
   return task.state === tasks.TaskState.Waiting && !task.isPlaced;
 }
