--- /dev/null
+++ b/tools/ceiling/bin.ts
@@ -0,0 +1,64 @@
+/** `npm run ceiling`. */
+import * as Clipanion from "clipanion";
+import * as fs from "node:fs";
+import process from "node:process";
+import * as ceilings from "./mod.ts";
+
+/** The users' callers go on for 3 s (their `deadline ms`). */
+const PATIENCE_S = "3";
+const EXIT_BAD_INPUT = 2;
+
+class CeilingCommand extends Clipanion.Command {
+  static override paths = [Clipanion.Command.Default];
+  static override usage = Clipanion.Command.Usage({
+    description: "Print the most that a played day could have earned",
+    examples: [["A report of the bench", "npm run ceiling -- report.json"]],
+  });
+  patience = Clipanion.Option.String("--patience", PATIENCE_S, {
+    description: "Seconds for which a caller goes on asking",
+  });
+  json = Clipanion.Option.Boolean("--json", false);
+  file = Clipanion.Option.String();
+
+  override execute(): Promise<number> {
+    const patienceS = Number(this.patience);
+    if (!(patienceS > 0)) {
+      this.context.stderr.write("--patience takes seconds above 0.\n");
+      return Promise.resolve(EXIT_BAD_INPUT);
+    }
+    try {
+      const report = ceilings.readReport(fs.readFileSync(this.file, "utf8"));
+      this.#print(report, ceilings.boundOf(report, { patienceS }));
+    } catch (err) {
+      const text = err instanceof Error ? err.message : String(err);
+      this.context.stderr.write(`${this.file}: ${text}\n`);
+      return Promise.resolve(EXIT_BAD_INPUT);
+    }
+    return Promise.resolve(0);
+  }
+
+  #print(report: ceilings.DayReport, bound: ceilings.Bound): void {
+    const { stdout } = this.context;
+    if (this.json) {
+      stdout.write(`${JSON.stringify({ earned: report.worth, bound })}\n`);
+      return;
+    }
+    const share = (bound.lostShare * 100).toFixed(1);
+    stdout.write(
+      `earned ${report.worth.toFixed(3)}, at most ${bound.worth.toFixed(3)}; ` +
+        `${share}% of the requests could not be kept by anybody\n`,
+    );
+    for (const { name, earned } of report.parts) {
+      const most = bound.parts[name].toFixed(3);
+      stdout.write(`  ${name}: ${earned.toFixed(3)} of at most ${most}\n`);
+    }
+  }
+}
+
+const cli = new Clipanion.Cli({
+  binaryName: "ceiling",
+  binaryVersion: "0.1.0",
+});
+cli.register(CeilingCommand);
+cli.register(Clipanion.Builtins.HelpCommand);
+process.exit(await cli.run(process.argv.slice(2)));
--- /dev/null
+++ b/tools/ceiling/mod.ts
@@ -0,0 +1,7 @@
+/** The ceiling of a played day. */
+export { type Bound, boundOf, findOutages, type Span } from "./src/ceiling.ts";
+export {
+  type DayReport,
+  MalformedReport,
+  readReport,
+} from "./src/day_report.ts";
--- /dev/null
+++ b/tools/ceiling/src/ceiling.ts
@@ -0,0 +1,108 @@
+/** An upper bound of what a played day could have earned; see README. */
+import type * as reports from "./day_report.ts";
+
+/** A span of time, in seconds from the start of traffic. */
+export interface Span {
+  readonly fromS: number;
+  readonly toS: number;
+}
+
+/** What could have been earned. */
+export interface Bound {
+  /** Share of the requests that nobody could have kept. */
+  readonly lostShare: number;
+  /** Most that the mark of the day could have been. */
+  readonly worth: number;
+  /** The same by part of the mark, before prices. */
+  readonly parts: Readonly<Record<string, number>>;
+  /** Prices that no policy avoids. */
+  readonly prices: number;
+}
+
+/** What the bound assumes. */
+export interface BoundOptions {
+  /** How long a caller goes on asking for one request, in s. */
+  readonly patienceS: number;
+}
+
+/** Windows that count as the worst ones. */
+const WORST_WINDOWS = 2;
+/** The share that is not served counts by its logarithm, over three nines. */
+const NINES = 3;
+/** Boxes of a role that all start again are back after this, in s. */
+const RESTART_S = 0.5;
+/** Prices of boxes that are there whatever is decided. */
+const UNAVOIDABLE: readonly string[] = [
+  "machine-seconds",
+  "memory, GB x seconds",
+];
+
+/** Times in which no request could be kept. */
+export function findOutages(events: readonly reports.DayEvent[]): Span[] {
+  return events.flatMap(({ kind, fromS, toS }): Span[] => {
+    const [name, how = ""] = kind.split(" (");
+    const isOfAll = !/nodes|tables|log/.test(how);
+    if (name === "platform_down" && isOfAll) return [{ fromS, toS }];
+    if (name === "closing") return [{ fromS, toS: fromS + RESTART_S }];
+    return [];
+  });
+}
+
+/** The bound of a day. */
+export function boundOf(
+  report: reports.DayReport,
+  { patienceS }: BoundOptions,
+): Bound {
+  const hopeless = findOutages(report.events)
+    .map(({ fromS, toS }): Span => ({ fromS, toS: toS - patienceS }));
+  const shares = report.windows.map((window) => lostShareOf(window, hopeless));
+  const owed = report.windows.reduce((sum, window) => sum + window.owed, 0);
+  const lost = report.windows.reduce(
+    (sum, window, i) => sum + window.owed * shares[i],
+    0,
+  );
+  const lostShare = owed === 0 ? 0 : lost / owed;
+  const worstWindows = meanOfHighest(shares, WORST_WINDOWS);
+  const parts: Record<string, number> = {};
+  for (const { name } of report.parts) {
+    parts[name] = boundOfPart(name, { lostShare, worstWindows });
+  }
+  const prices = report.prices
+    .filter(({ name }) => UNAVOIDABLE.includes(name))
+    .reduce((sum, { taken }) => sum + taken, 0);
+  const weights = report.parts.reduce((sum, { weight }) => sum + weight, 0);
+  const earned = report.parts.reduce(
+    (sum, { name, weight }) => sum + weight * parts[name],
+    0,
+  );
+  return { lostShare, worth: earned / weights - prices, parts, prices };
+}
+
+function boundOfPart(
+  name: string,
+  lost: { lostShare: number; worstWindows: number },
+): number {
+  if (name === "worst windows") return 1 - lost.worstWindows;
+  if (name !== "nines") return 1 - lost.lostShare;
+  if (lost.lostShare === 0) return 1;
+  return Math.min(1, -Math.log10(lost.lostShare) / NINES);
+}
+
+/** Share of a window that lies in any of the spans, which do not overlap. */
+function lostShareOf(
+  { fromS, lengthS }: reports.DayWindow,
+  spans: readonly Span[],
+): number {
+  const coveredS = spans.reduce((sum, span) => {
+    const beginS = Math.max(fromS, span.fromS);
+    const endS = Math.min(fromS + lengthS, span.toS);
+    return sum + Math.max(0, endS - beginS);
+  }, 0);
+  return Math.min(1, coveredS / lengthS);
+}
+
+function meanOfHighest(values: readonly number[], count: number): number {
+  const highest = [...values].sort((a, b) => b - a).slice(0, count);
+  if (highest.length === 0) return 0;
+  return highest.reduce((sum, value) => sum + value, 0) / highest.length;
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,7 +9,11 @@
     }],
   },
   test: {
-    include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
+    include: [
+      "packages/*/src/**/*_test.ts",
+      "platform/src/**/*_test.ts",
+      "tools/*/src/**/*_test.ts",
+    ],
     testTimeout: 30_000,
   },
 });
