Take the circle out of the ports

row_feed.ts and table_service.ts imported each other for two types, which are leaves now: store_error.ts and page_ask.ts.

--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -7,11 +7,12 @@
   type RowCondition,
   type RowPage,
   type RowWrite,
-  type StoreError,
   TableService,
   type Transaction,
   type WriteError,
 } from "./src/table_service.ts";
+export type { StoreError } from "./src/store_error.ts";
+export type { PageAsk } from "./src/page_ask.ts";
 export { type WorkerError, Workers } from "./src/workers.ts";
 export { type PeerHandler, PeerNetwork } from "./src/peer_network.ts";
 export {
@@ -32,7 +33,6 @@
 export {
   type FeedEntry,
   type FeedPage,
-  type PageAsk,
   RowFeed,
   type SnapshotPage,
 } from "./src/row_feed.ts";
--- a/packages/ports/src/live_list.ts
+++ b/packages/ports/src/live_list.ts
@@ -1,7 +1,7 @@
 /** The platform's list of live and leaving machines. It lags. */
 import type * as Types from "@cairngate/types";
 import type * as Effect from "effect/Effect";
-import type * as tables from "./table_service.ts";
+import type * as failures from "./store_error.ts";
 
 /** The list as it was read. */
 export interface LiveSnapshot {
@@ -18,5 +18,5 @@
    */
   abstract workers(
     knownTag: string | null,
-  ): Effect.Effect<LiveSnapshot | null, tables.StoreError>;
+  ): Effect.Effect<LiveSnapshot | null, failures.StoreError>;
 }
--- a/packages/ports/src/object_store.ts
+++ b/packages/ports/src/object_store.ts
@@ -1,6 +1,6 @@
 /** The platform's object store, for inputs and results too large for a row. */
 import type * as Effect from "effect/Effect";
-import type * as tables from "./table_service.ts";
+import type * as failures from "./store_error.ts";
 
 /** Port of the object store. */
 export abstract class ObjectStore {
@@ -8,8 +8,8 @@
   abstract put(
     key: string,
     value: unknown,
-  ): Effect.Effect<void, tables.StoreError>;
+  ): Effect.Effect<void, failures.StoreError>;
 
   /** Reads an object; undefined where there is none. */
-  abstract get(key: string): Effect.Effect<unknown, tables.StoreError>;
+  abstract get(key: string): Effect.Effect<unknown, failures.StoreError>;
 }
--- a/packages/ports/src/row_feed.ts
+++ b/packages/ports/src/row_feed.ts
@@ -1,7 +1,8 @@
 /** Rows that can be followed as they change. */
 import type * as Errors from "@cairngate/errors";
 import type * as Effect from "effect/Effect";
-import type * as tables from "./table_service.ts";
+import type * as pages from "./page_ask.ts";
+import type * as failures from "./store_error.ts";
 
 /** A row as it is now; a null value means that it is gone. */
 export interface FeedEntry<T> {
@@ -16,14 +17,6 @@
   readonly position: number;
 }
 
-/** Which rows of a partition one read asks for. */
-export interface PageAsk {
-  /** Where to begin, as the page before told; null for the first row. */
-  readonly from: string | null;
-  /** Most rows of the answer; the store may give fewer. */
-  readonly most: number;
-}
-
 /** Some of the rows of a partition. */
 export interface SnapshotPage<T> {
   readonly items: readonly FeedEntry<T>[];
@@ -41,12 +34,12 @@
   /** Rows of one partition, a page at a time. */
   abstract page(
     partition: string,
-    ask: PageAsk,
-  ): Effect.Effect<SnapshotPage<T>, tables.StoreError>;
+    ask: pages.PageAsk,
+  ): Effect.Effect<SnapshotPage<T>, failures.StoreError>;
 
   /** Waits until rows change after a position, at most for a time. */
   abstract changes(
     position: number,
     waitMs: number,
-  ): Effect.Effect<FeedPage<T>, tables.StoreError | Errors.HistoryLostError>;
+  ): Effect.Effect<FeedPage<T>, failures.StoreError | Errors.HistoryLostError>;
 }
--- a/packages/ports/src/store_peers.ts
+++ b/packages/ports/src/store_peers.ts
@@ -1,7 +1,7 @@
 /** Calls to the store that go through another node. */
 import type * as Errors from "@cairngate/errors";
 import type * as Effect from "effect/Effect";
-import type * as feeds from "./row_feed.ts";
+import type * as pages from "./page_ask.ts";
 import type * as tables from "./table_service.ts";
 
 /** Kinds of calls. */
@@ -28,14 +28,14 @@
   | {
     readonly kind: StoreCallKind.ScanPage;
     readonly prefix: string;
-    readonly ask: feeds.PageAsk;
+    readonly ask: pages.PageAsk;
   }
   | { readonly kind: StoreCallKind.Transact; readonly tx: tables.Transaction }
   | {
     readonly kind: StoreCallKind.Snapshot;
     readonly feed: string;
     readonly partition: string;
-    readonly ask: feeds.PageAsk;
+    readonly ask: pages.PageAsk;
   }
   | {
     readonly kind: StoreCallKind.Changes;
--- a/packages/ports/src/table_service.ts
+++ b/packages/ports/src/table_service.ts
@@ -1,7 +1,8 @@
 /** The platform's transactional table service. */
 import type * as Errors from "@cairngate/errors";
 import * as Effect from "effect/Effect";
-import type * as feeds from "./row_feed.ts";
+import type * as pages from "./page_ask.ts";
+import type * as failures from "./store_error.ts";
 
 /** A row. Revisions grow over the whole table; 0 means the row is absent. */
 export interface Row {
@@ -31,11 +32,6 @@
   readonly writes: readonly RowWrite[];
 }
 
-/** The service did not answer; a write may or may not have taken effect. */
-export type StoreError =
-  | Errors.StoreUnavailableError
-  | Errors.AnswerLostError;
-
 /** Some of the rows under a prefix. */
 export interface RowPage {
   readonly items: readonly Row[];
@@ -45,7 +41,7 @@
 
 /** Failures of a transaction. */
 export type WriteError =
-  | StoreError
+  | failures.StoreError
   | Errors.ConditionFailedError
   | Errors.WriteRefusedError;
 
@@ -54,13 +50,13 @@
   /** Reads rows; absent ones are left out. */
   abstract read(
     keys: readonly string[],
-  ): Effect.Effect<readonly Row[], StoreError>;
+  ): Effect.Effect<readonly Row[], failures.StoreError>;
 
   /**
    * Asks for next to nothing: does the service answer this box? Where open
    * connections may have turned silent, it goes over a new one.
    */
-  probe(key: string): Effect.Effect<void, StoreError> {
+  probe(key: string): Effect.Effect<void, failures.StoreError> {
     return Effect.asVoid(this.read([key]));
   }
 
@@ -68,7 +64,7 @@
   abstract scan(
     prefix: string,
     afterRevision: number,
-  ): Effect.Effect<readonly Row[], StoreError>;
+  ): Effect.Effect<readonly Row[], failures.StoreError>;
 
   /**
    * Rows whose key starts with a prefix, a page at a time. A service that has no
@@ -76,8 +72,8 @@
    */
   scanPage(
     prefix: string,
-    _ask: feeds.PageAsk,
-  ): Effect.Effect<RowPage, StoreError> {
+    _ask: pages.PageAsk,
+  ): Effect.Effect<RowPage, failures.StoreError> {
     const all = this.scan(prefix, 0);
     return Effect.map(all, (items) => ({ items, next: null }));
   }
