Make no second tries of writes while the store is slow

The load was our own: the second try of a write begins after four times the usual time, and the usual time was learned from writes that succeeded, so it stayed at 10 ms; each submission was sent to four partitions at once, some twice.

Now every slow answer counts for 3 s, also a refusal, a call without an answer and a look of the configuration that comes late; and no further partition is tried once the time for a submission is over.

Ruled out so far: a longer limit for writes, because what hangs in an outage would hang longer.

--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -187,7 +187,8 @@
       conditions: [{ key, revision: 0 }],
       writes: [{ key, value: spec }, { key: mark, value: 1 }],
     };
-    const limitMs = Math.max(0, endMs - this.#clock.monotonicMs());
+    const limitMs = endMs - this.#clock.monotonicMs();
+    if (limitMs <= 0) return unavailable("no time is left", false);
     return this.#store.write(write, limitMs).pipe(
       Effect.asVoid,
       // The row is there: it was accepted before.
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -48,6 +48,8 @@
   readonly processor: processors.BusyProcessor;
   /** Connections of the box to the store. */
   readonly connections: connections.OpenConnections;
+  /** Writes that the box has sent, whatever came of them. */
+  writes = 0;
   /** Scans whose rows are on their way. */
   #scans = 0;
 
@@ -71,6 +73,7 @@
   ): Effect.Effect<A, E | Ports.StoreError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.processor.use();
+      if (operation === "write") this.writes++;
       const { delayMs, silent } = this.faults;
       const way = this.connections.begin();
       // A probe goes over a new connection.
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -16,6 +16,8 @@
   readonly onChange: (entries: readonly Ports.FeedEntry<T>[]) => void;
   /** Told after each successful look, also where nothing changed. */
   readonly onHeard?: () => void;
+  /** Told how much longer than it was asked to wait an answer took, in ms. */
+  readonly onDelay?: (ms: number) => void;
   /** Told after each look that failed. */
   readonly onFailed?: () => void;
   /** Whether a partition may be read now; left out: always. */
@@ -173,6 +175,7 @@
     const hasReadAll = this.#unread.size === 0;
     return Effect.gen({ self: this }, function* () {
       const limitMs = waitMs + this.#answerMs;
+      const askedAtMs = clock.monotonicMs();
       const asked = this.#againWhenBack(feed.changes(position, waitMs));
       const timed = yield* clock.within(limitMs, asked);
       if (timed === null) {
@@ -181,6 +184,8 @@
         return yield* this.#pause();
       }
       this.#answerMs = ANSWER_MS;
+      const delayMs = clock.monotonicMs() - askedAtMs - waitMs;
+      if (delayMs > 0) this.#options.onDelay?.(delayMs);
       const { entries, position: reached } = timed.value;
       this.#position = reached;
       const isAll = entries.length === 0 || reached >= this.#newestPosition;
--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -55,6 +55,11 @@
  * service of which some partitions answer is never silent for so long.
  */
 const OUTAGE_MS = 300;
+/**
+ * A slow answer is remembered for this long, in ms: every box looks for a new
+ * configuration a few times in it.
+ */
+const SLOW_MEMORY_MS = 3000;
 /** Weight of the newest write in the usual time. */
 const NEWEST_WEIGHT = 0.3;
 
@@ -67,6 +72,8 @@
   #tokensAtMs: number;
   #failingSinceMs: number | null = null;
   #usualWriteMs = 0;
+  /** The slowest answer of late. */
+  #slowest = { atMs: Number.NEGATIVE_INFINITY, tookMs: 0 };
   /** Done when the service answers again after an outage. */
   #back = Deferred.makeUnsafe<void>();
 
@@ -86,10 +93,22 @@
     return this.#usualWriteMs;
   }
 
-  /** Time after which a second try beside a call is worth its price. */
+  /**
+   * Time after which a second try beside a call is worth its price. Refusals of a
+   * store that is slow, and calls without an answer, count as well: where all
+   * is slow, more tries only make it slower.
+   */
   get hedgeMs(): number {
-    const usualMs = this.#usualWriteMs * HEDGE_FACTOR;
-    return Math.min(LONGEST_HEDGE_MS, Math.max(LEAST_HEDGE_MS, usualMs));
+    const longestMs = Math.max(this.#usualWriteMs, this.#slowMs);
+    const hedgeMs = longestMs * HEDGE_FACTOR;
+    return Math.min(LONGEST_HEDGE_MS, Math.max(LEAST_HEDGE_MS, hedgeMs));
+  }
+
+  /** The slowest answer of late, whatever it was; 0 where there was none. */
+  get #slowMs(): number {
+    const { atMs, tookMs } = this.#slowest;
+    const isRecent = this.#options.clock.monotonicMs() - atMs < SLOW_MEMORY_MS;
+    return isRecent ? tookMs : 0;
   }
 
   /** Whether calls to a partition have failed and are not tried now. */
@@ -115,6 +134,12 @@
     return sinceMs === null ? 0 : this.#options.clock.monotonicMs() - sinceMs;
   }
 
+  /** An answer took this long, in ms; perhaps one to a call made without us. */
+  noteDelay(tookMs: number): void {
+    if (tookMs < this.#slowMs) return;
+    this.#slowest = { atMs: this.#options.clock.monotonicMs(), tookMs };
+  }
+
   /** Whoever waits for the next try need not wait any longer. */
   #endOutage(): void {
     for (const breaker of this.#breakers.values()) breaker.allowTrial();
@@ -307,7 +332,12 @@
         return yield* unavailable(operation, "it failed several times lately");
       }
       const startMs = clock.monotonicMs();
-      const timed = yield* clock.within(limitMs, call).pipe(
+      const noteTime = Effect.sync(() => {
+        if (operation !== "write") return;
+        this.noteDelay(clock.monotonicMs() - startMs);
+      });
+      const asked = Effect.ensuring(clock.within(limitMs, call), noteTime);
+      const timed = yield* asked.pipe(
         Effect.tapError((err) =>
           Effect.sync(() => {
             if (!isAnswer(err._tag)) this.#failed(breaker);
--- a/packages/table-client/src/store_client_test.ts
+++ b/packages/table-client/src/store_client_test.ts
@@ -139,3 +139,26 @@
   });
   expect(err.message).toContain("Read it again");
 });
+
+describe("a store that is slow", () => {
+  const SLOW_MS = 300;
+  const write = { conditions: [], writes: [{ key: "k", value: 1 }] };
+
+  test("gets no second tries soon, also where it refuses", async () => {
+    const { clock, faults, client } = createStore();
+    await run(clock, client.write(write));
+    const usualMs = client.hedgeMs;
+    faults.set({ down: true, delayMs: SLOW_MS });
+    await run(clock, client.write(write, 100));
+    expect(usualMs).toBeLessThan(SLOW_MS / 2);
+    expect(client.hedgeMs).toBeGreaterThan(SLOW_MS * 3);
+  });
+
+  test("is not remembered for long", async () => {
+    const { clock, client } = createStore();
+    client.noteDelay(SLOW_MS);
+    expect(client.hedgeMs).toBeGreaterThan(SLOW_MS * 3);
+    await clock.advance(5000);
+    expect(client.hedgeMs).toBeLessThan(SLOW_MS / 2);
+  });
+});
--- a/packages/workflow-node/src/impatient_caller_test.ts
+++ b/packages/workflow-node/src/impatient_caller_test.ts
@@ -1,5 +1,6 @@
 /** A caller that says how long it waits gets its answer while it waits. */
 import type * as Errors from "@cairngate/errors";
+import * as TableClient from "@cairngate/table-client";
 import * as TestUtils from "@cairngate/test-utils";
 import * as Effect from "effect/Effect";
 import * as vitest from "vitest";
@@ -66,3 +67,21 @@
     await fleet.stop();
   });
 });
+
+vitest.describe("a store that refuses for want of time", () => {
+  vitest.it("gets a few writes for one submission", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    // Every call takes 300 ms, and writes are refused by a store with a queue.
+    const downPartitions = TableClient.Keys.PARTITIONS;
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ delayMs: 300, downPartitions });
+    }
+    await fleet.clock.advance(3000);
+    const before = fleet.faultsOf("node-1").writes;
+    await submit(fleet, 3000);
+    const writes = fleet.faultsOf("node-1").writes - before;
+    vitest.expect(writes).toBeLessThanOrEqual(3);
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -186,6 +186,7 @@
         this.#configHeardAtMs = clock.monotonicMs();
         this.#store.noteAnswered();
       },
+      onDelay: (ms) => this.#store.noteDelay(ms),
       onFailed: () => this.#store.noteFailed(),
       onChange: (entries) => {
         for (const { value } of entries) {
