--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -25,16 +25,6 @@
   readonly rowBytes: number;
 }
 
-/**
- * An answer shows what had happened when it was asked for. An end is on its way
- * to the rows for the usual time of a write, and a little longer in the
- * coordinator; this many such times are allowed for it.
- */
-const RECORD_WRITES = 2;
-/** Least and longest time allowed for a record to arrive, in ms. */
-const LEAST_ARRIVAL_MS = 15;
-/** In ms: a slow store must not hold up every question for a state. */
-const LONGEST_ARRIVAL_MS = 100;
 /** What a row holds beside the workflow. */
 const ROW_OVERHEAD_BYTES = 1000;
 
@@ -43,7 +33,6 @@
   readonly #rows: workflowRows.WorkflowRows;
   readonly #cancellation: cancellation.Cancellation;
   readonly #waiting: waiting.WaitingCounts;
-  readonly #store: TableClient.StoreClient;
   readonly #clock: Ports.Clock;
   readonly #rowBytes: number;
 
@@ -56,7 +45,6 @@
       clock,
     });
     this.#waiting = new waiting.WaitingCounts(options);
-    this.#store = options.store;
     this.#clock = clock;
   }
 
@@ -120,19 +108,10 @@
       if (Workflow.isFinal(state)) return state;
       const isCancelled = found.isCancelled ||
         found.progress?.cancelled === true;
-      if (isCancelled) return Workflow.WorkflowState.Cancelled;
-      if (state === Workflow.WorkflowState.Queued) return state;
-      yield* this.#clock.sleep(this.#arrivalMs());
-      return stateOf(yield* this.#rows.readProgress(found));
+      return isCancelled ? Workflow.WorkflowState.Cancelled : state;
     });
   }
 
-  /** Time in which the record of an end arrives that has just happened. */
-  #arrivalMs(): number {
-    const usualMs = this.#store.usualWriteMs * RECORD_WRITES;
-    return Math.min(LONGEST_ARRIVAL_MS, Math.max(LEAST_ARRIVAL_MS, usualMs));
-  }
-
   /** Accepted workflows of a queue of which nothing has begun. */
   countWaiting(
     allowed: access.Access,
--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -153,16 +153,6 @@
     });
   }
 
-  /** What is recorded of a workflow by now. */
-  readProgress(
-    { partition, spec: { id } }: FoundWorkflow,
-  ): Effect.Effect<
-    Workflow.ProgressRecord | null,
-    Errors.StoreUnavailableError
-  > {
-    return this.#readProgress(partition, id);
-  }
-
   /** Home first; partitions that have failed lately come last. */
   #order(id: string): readonly string[] {
     const all = TableClient.Keys.PARTITIONS;
