Judge by the lease whether an end was noted in time

Traced: worker-2 ended the run at 1,014,982 ms, fell silent four times for its coordinator, its lease ran out at about 1,019,500, the coordinator took the run for lost at 1,019,993 and started it again, and noted the end at 1,020,293. The check took an end for noted whenever that came within 6 s, the length of a lease, although the lease had been renewed last before the run ended.

The stand-in of endpoints now tells whether the lease ran out before an end was noted, and the check uses that: exact both ways, so ends noted after more than 6 s of an unbroken lease count as well, as they did not before. Product code is not touched.

--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -39,6 +39,8 @@
   how: Ports.EndKind | null;
   /** When the coordinator said that the end is recorded. */
   acknowledgedAtMs: number | null;
+  /** Whether the lease ran out between the end and that moment. */
+  hasLapsedMeanwhile: boolean;
 }
 
 /** How long a task runs and how it ends. */
@@ -57,6 +59,8 @@
   readonly spec: TaskWorkerSpec;
   token: number;
   leaseUntilMs: number;
+  /** When a lease ran out last. */
+  lapsedAtMs: number;
   nextEnd: number;
   readonly held: Map<string, HeldTask>;
   readonly ended: { number: number; note: TaskRunNote }[];
@@ -254,6 +258,7 @@
       endedAtMs: null,
       how: null,
       acknowledgedAtMs: null,
+      hasLapsedMeanwhile: false,
     };
     this.runs.push(note);
     life.held.set(order.task, { note, endsAtMs: nowMs + runMs, fails });
@@ -262,6 +267,7 @@
   /** Lets what has happened since the last order happen. */
   #advance(life: WorkerLife): void {
     const nowMs = this.#clock.monotonicMs();
+    if (nowMs > life.leaseUntilMs) life.lapsedAtMs = life.leaseUntilMs;
     for (const held of [...life.held.values()]) {
       const { endsAtMs, fails } = held;
       if (endsAtMs <= Math.min(nowMs, life.leaseUntilMs)) {
@@ -289,7 +295,9 @@
   #acknowledge(life: WorkerLife, upTo: number): void {
     while (life.ended.length > 0 && life.ended[0].number <= upTo) {
       const [first] = life.ended.splice(0, 1);
-      first.note.acknowledgedAtMs = this.#clock.monotonicMs();
+      const { note } = first;
+      note.acknowledgedAtMs = this.#clock.monotonicMs();
+      note.hasLapsedMeanwhile = life.lapsedAtMs > (note.endedAtMs ?? 0);
     }
   }
 
@@ -337,6 +345,7 @@
     spec,
     token: 0,
     leaseUntilMs: 0,
+    lapsedAtMs: Number.NEGATIVE_INFINITY,
     nextEnd: 1,
     held: new Map(),
     ended: [],
--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -42,14 +42,10 @@
   return found;
 }
 
-/** An end that was noted in time stands; later ones the lease has outlived. */
+/** An end that is noted stands, unless the lease ran out before it was. */
 function isNotedDone(note: StandIns.TaskRunNote): boolean {
-  const { how, endedAtMs, acknowledgedAtMs } = note;
-  if (how !== "done" || endedAtMs === null || acknowledgedAtMs === null) {
-    return false;
-  }
-  const { longestLeaseMs } = TestUtils.FLEET_BOUNDS;
-  return acknowledgedAtMs - endedAtMs < longestLeaseMs;
+  const { how, acknowledgedAtMs, hasLapsedMeanwhile } = note;
+  return how === "done" && acknowledgedAtMs !== null && !hasLapsedMeanwhile;
 }
 
 /** Breaks one thing. */
