--- a/packages/peers/src/silence_test.ts
+++ b/packages/peers/src/silence_test.ts
@@ -5,7 +5,6 @@
 import * as Ports from "@cairngate/ports";
 import * as TestUtils from "@cairngate/test-utils";
 import * as Effect from "effect/Effect";
-import * as net from "node:net";
 import * as Ws from "ws";
 import * as vitest from "vitest";
 import * as frames from "./frames.ts";
@@ -23,19 +22,8 @@
   for (const close of closers.splice(0).reverse()) await close();
 });
 
-/** An address that nobody listens on. */
-function findFreeAddress(): Promise<string> {
-  return new Promise((resolve) => {
-    const server = net.createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as net.AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
-  });
-}
-
 async function createPeers(self: string, metrics = new Metrics.Metrics()) {
-  const address = await findFreeAddress();
+  const address = await TestUtils.findFreeAddress();
   const peers = new stores.WsStorePeers({
     self,
     address,
@@ -106,7 +94,7 @@
       metrics,
       lookMs: LOOK_MS,
     });
-    const address = await findFreeAddress();
+    const address = await TestUtils.findFreeAddress();
     await Effect.runPromise(
       server.listen(address, () => Effect.succeed(reply)),
     );
--- a/packages/peers/src/ws_store_peers_test.ts
+++ b/packages/peers/src/ws_store_peers_test.ts
@@ -3,8 +3,8 @@
 import * as Logger from "@cairngate/logger";
 import * as Metrics from "@cairngate/metrics";
 import * as Ports from "@cairngate/ports";
+import * as TestUtils from "@cairngate/test-utils";
 import * as Effect from "effect/Effect";
-import * as net from "node:net";
 import * as vitest from "vitest";
 import * as stores from "./ws_store_peers.ts";
 
@@ -12,19 +12,8 @@
 
 let open: stores.WsStorePeers[] = [];
 
-/** An address that nobody listens on. */
-function findFreeAddress(): Promise<string> {
-  return new Promise((resolve) => {
-    const server = net.createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as net.AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
-  });
-}
-
 async function createPeers(self: string) {
-  const address = await findFreeAddress();
+  const address = await TestUtils.findFreeAddress();
   const peers = new stores.WsStorePeers({
     self,
     address,
@@ -64,7 +53,10 @@
 
   vitest.it("give up in time where nobody listens", async () => {
     const caller = await createPeers("node-1");
-    const member = { node: "node-2", address: await findFreeAddress() };
+    const member = {
+      node: "node-2",
+      address: await TestUtils.findFreeAddress(),
+    };
     const begunAtMs = performance.now();
     const got = await Effect.runPromise(
       Effect.result(caller.peers.call(member, READ, 200)),
