Count only answers as slow, and wait for writes that a slow store has taken

Where one partition answered nothing, three submissions were enough to put off second tries beyond the time for a submission, so that what could be kept elsewhere was refused. Only answers count now, refusals among them.

It grows to 2 s with the answers of late; without an answer it stays.

Tests: store_client, two more, both red before.

--- a/packages/table-client/src/store_client.ts
+++ b/packages/table-client/src/store_client.ts
@@ -40,7 +40,13 @@
   readonly writeId?: string;
 }
 
+/** A call without an answer counts as lost after this time, in ms. */
 const CALL_MS = 1000;
+/**
+ * The same for a write while the store is slow, in ms: a second in its queue, and
+ * the answer of a store 90 times slower twice.
+ */
+const LONGEST_WRITE_MS = 2000;
 const FIRST_BACKOFF_MS = 40;
 const LONGEST_BACKOFF_MS = 1000;
 /** Time after which a call gives up, unless the caller says otherwise. */
@@ -95,8 +101,9 @@
 
   /**
    * Time after which a second try beside a call is worth its price. Refusals of a
-   * store that is slow, and calls without an answer, count as well: where all
-   * is slow, more tries only make it slower.
+   * store that is slow count as well: where all is slow, more tries only make it
+   * slower. A call without an answer does not: its partition may be away while
+   * others answer.
    */
   get hedgeMs(): number {
     const longestMs = Math.max(this.#usualWriteMs, this.#slowMs);
@@ -104,6 +111,16 @@
     return Math.min(LONGEST_HEDGE_MS, Math.max(LEAST_HEDGE_MS, hedgeMs));
   }
 
+  /**
+   * Time after which a write counts as lost. A slow store lets writes wait for up
+   * to a second before it carries them out; to give one up that is on its way and
+   * to send it again would only lengthen the queue.
+   */
+  get #writeLimitMs(): number {
+    const slowMs = this.#slowMs * HEDGE_FACTOR;
+    return Math.min(LONGEST_WRITE_MS, Math.max(CALL_MS, slowMs));
+  }
+
   /** The slowest answer of late, whatever it was; 0 where there was none. */
   get #slowMs(): number {
     const { atMs, tookMs } = this.#slowest;
@@ -265,7 +282,8 @@
     const { table, metrics } = this.#options;
     metrics.count("cairngate_store_writes_total");
     const target = { operation: "write", partition: partitionOf(tx) };
-    return this.#timed(target, table.transact(tx)).pipe(
+    const limitMs = this.#writeLimitMs;
+    return this.#timed(target, table.transact(tx), limitMs).pipe(
       Effect.map((revision): WriteTry => ({ kind: "written", revision })),
       Effect.catchTags({
         ConditionFailedError: (err) =>
@@ -332,14 +350,14 @@
         return yield* unavailable(operation, "it failed several times lately");
       }
       const startMs = clock.monotonicMs();
-      const noteTime = Effect.sync(() => {
-        if (operation !== "write") return;
-        this.noteDelay(clock.monotonicMs() - startMs);
-      });
-      const asked = Effect.ensuring(clock.within(limitMs, call), noteTime);
-      const timed = yield* asked.pipe(
+      const noteTime = () => {
+        const isWrite = operation === "write";
+        if (isWrite) this.noteDelay(clock.monotonicMs() - startMs);
+      };
+      const timed = yield* clock.within(limitMs, call).pipe(
         Effect.tapError((err) =>
           Effect.sync(() => {
+            noteTime();
             if (!isAnswer(err._tag)) this.#failed(breaker);
           })
         ),
@@ -348,6 +366,7 @@
         this.#failed(breaker);
         return yield* new Errors.AnswerLostError({ operation });
       }
+      noteTime();
       breaker.succeeded();
       this.noteAnswered();
       const tookMs = clock.monotonicMs() - startMs;
--- a/packages/table-client/src/store_client_test.ts
+++ b/packages/table-client/src/store_client_test.ts
@@ -161,4 +161,31 @@
     await clock.advance(5000);
     expect(client.hedgeMs).toBeLessThan(SLOW_MS / 2);
   });
+
+  test("is waited for instead of being sent the same again", async () => {
+    const { clock, faults, table, client } = createStore();
+    faults.set({ delayMs: 400 });
+    await run(clock, client.write(write));
+    faults.set({ delayMs: 1500 });
+    const before = table.counts.writes;
+    const result = await run(clock, client.write(write));
+    expect(result._tag).toBe("Success");
+    await clock.advance(5000);
+    expect(table.counts.writes - before).toBe(1);
+  });
+});
+
+describe("a partition that answers nothing", () => {
+  test("does not put off second tries in the others", async () => {
+    const { clock, faults, client } = createStore();
+    const write = { conditions: [], writes: [{ key: "k", value: 1 }] };
+    await run(clock, client.write(write));
+    const usualMs = client.hedgeMs;
+    faults.set({ silent: true });
+    // A call that is ended because another one was answered, and one that is lost.
+    await run(clock, clock.within(200, client.write(write)));
+    expect(client.hedgeMs).toBe(usualMs);
+    await run(clock, client.write(write, 100));
+    expect(client.hedgeMs).toBe(usualMs);
+  });
 });
