Add a command that tells one job's story from the logs of several boxes

Vitest takes clipanion through its own resolver, because its ES modules import folders; commands can be tested for the first time.

--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -6,6 +6,7 @@
 import * as node from "./node_command.ts";
 import * as read from "./read_commands.ts";
 import * as submit from "./submit_command.ts";
+import * as trace from "./trace_command.ts";
 
 /** Runs the command line; returns the exit code. */
 export function runCli(args: readonly string[]): Promise<number> {
@@ -23,6 +24,7 @@
   cli.register(config.DiffCommand);
   cli.register(doctor.DoctorCommand);
   cli.register(node.NodeCommand);
+  cli.register(trace.TraceCommand);
   cli.register(Clipanion.Builtins.HelpCommand);
   cli.register(Clipanion.Builtins.VersionCommand);
   return cli.run([...args]);
--- /dev/null
+++ b/packages/cli/src/trace_test.ts
@@ -0,0 +1,117 @@
+/** Stories of one id from several logs. */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as stream from "node:stream";
+import * as Clipanion from "clipanion";
+import * as vitest from "vitest";
+import * as exitCodes from "./exit_codes.ts";
+import * as traces from "./trace.ts";
+import * as commands from "./trace_command.ts";
+
+const ID = "5c0e7a21d94b36f8";
+const at = (s: string) => `2026-09-26T05:49:${s}Z`;
+const text = (s: string, message: string) =>
+  `${at(s)} info  [coordinator] ${message}`;
+const json = (s: string, message: string) =>
+  JSON.stringify({
+    at: at(s),
+    box: "box-7",
+    level: "info",
+    part: "node",
+    message,
+  });
+
+async function* listed(lines: readonly string[]): AsyncGenerator<string> {
+  yield* lines;
+}
+
+const source = (name: string, lines: readonly string[]) => ({
+  name,
+  lines: listed(lines),
+});
+
+vitest.describe("a trace", () => {
+  vitest.it("merges text and JSON of several boxes by time", async () => {
+    const trace = await traces.readTrace(ID, [
+      source("box-1", [
+        text("34.100", `Run 1 of ${ID}.0.0.3 on i-1: broken.`),
+        text("34.300", `Workflow ${ID} is cancelled.`),
+        text("34.301", "Workflow 0000000000000000 is cancelled."),
+      ]),
+      source("box-2", [json("34.200", `Job ${ID} moves.`)]),
+    ]);
+    vitest.expect(trace.lines.map(({ box }) => box))
+      .toEqual(["box-1", "box-7", "box-1"]);
+    vitest.expect(traces.renderTrace(trace)).toEqual([
+      `${ID} from ${at("34.100")} on, in seconds:`,
+      `    +0.000  box-1  [coordinator] Run 1 of ${ID}.0.0.3 on i-1: broken.`,
+      `    +0.100  box-7  [node] Job ${ID} moves.`,
+      `    +0.200  box-1  [coordinator] Workflow ${ID} is cancelled.`,
+    ]);
+  });
+
+  vitest.it("takes no id for another that begins alike", async () => {
+    const lines = [
+      text("34.1", `Run 1 of ${ID}.0.0.17: lost.`),
+      text("34.2", `Run 1 of ${ID}.0.0.1: lost.`),
+      text("34.3", `Run 1 of a${ID}.0.0.1: lost.`),
+    ];
+    const found = await traces.readTrace(`${ID}.0.0.1`, [source("b", lines)]);
+    vitest.expect(found.lines.map((line) => line.at)).toEqual([at("34.2")]);
+  });
+
+  vitest.it("counts broken lines and tells of them", async () => {
+    const lines = ["", "no log", "{broken", text("34.1", `Job ${ID}.`)];
+    const trace = await traces.readTrace(ID, [source("box-1", lines)]);
+    vitest.expect(trace.lines).toHaveLength(1);
+    vitest.expect(traces.renderGaps(trace)).toEqual([
+      "box-1: 2 lines are no lines of a log and were passed over.",
+    ]);
+  });
+
+  vitest.it("keeps a bounded number of lines", async () => {
+    const lines = Array.from({ length: 50 }, () => text("34.1", `Job ${ID}.`));
+    const trace = await traces.readTrace(ID, [source("box-1", lines)], 10);
+    vitest.expect(trace.lines).toHaveLength(10);
+    vitest.expect(trace.leftOut).toBe(40);
+  });
+});
+
+vitest.describe("the command", () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cairngate-trace-"));
+  const file = path.join(folder, "box-1.log");
+
+  vitest.beforeAll(() => {
+    fs.writeFileSync(file, `${text("34.1", `Workflow ${ID} waits.`)}\n`);
+  });
+  vitest.afterAll(() => fs.rmSync(folder, { recursive: true }));
+
+  async function run(args: readonly string[]) {
+    const stdout = new stream.PassThrough();
+    const cli = new Clipanion.Cli();
+    cli.register(commands.TraceCommand);
+    const stdin = stream.Readable.from([`${text("34.1", `Job ${ID}.`)}\n`]);
+    const code = await cli.run(["trace", ...args], {
+      stdout,
+      stdin: stdin as unknown as NodeJS.ReadStream,
+    });
+    stdout.end();
+    return { code, text: String(stdout.read() ?? "") };
+  }
+
+  vitest.it("reads files and standard input", async () => {
+    const fromFile = await run([ID, file]);
+    vitest.expect(fromFile.code).toBe(exitCodes.ExitCode.Ok);
+    vitest.expect(fromFile.text).toContain(`Workflow ${ID} waits.`);
+    const fromPipe = await run([ID]);
+    vitest.expect(fromPipe.text).toContain(`Job ${ID}.`);
+  });
+
+  vitest.it("tells by its code what was wrong", async () => {
+    const unknown = await run(["0000000000000000", file]);
+    vitest.expect(unknown.code).toBe(exitCodes.ExitCode.Refused);
+    const noFile = await run([ID, path.join(folder, "none.log")]);
+    vitest.expect(noFile.code).toBe(exitCodes.ExitCode.Invalid);
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -15,5 +15,7 @@
       "tools/*/src/**/*_test.ts",
     ],
     testTimeout: 30_000,
+    // Its ES modules import folders, which Node alone does not resolve.
+    server: { deps: { inline: ["clipanion"] } },
   },
 });
