--- a/packages/workflow-scheduler/src/plan_growth_test.ts
+++ b/packages/workflow-scheduler/src/plan_growth_test.ts
@@ -3,7 +3,9 @@
 import * as vitest from "vitest";
 import * as plans from "./plan.ts";
 
+/** Endpoints of the fleet, with eight accelerators each: all are free. */
 const ENDPOINTS = 200;
+/** Tasks of the step, one accelerator each: about what the users' batches have. */
 const TASKS = 40;
 /** Looks at each endpoint that a plan for one step may take. */
 const MOST_LOOKS = 4;
--- a/tools/ceiling/bin.ts
+++ b/tools/ceiling/bin.ts
@@ -6,6 +6,7 @@
 
 /** The users' callers go on for 3 s (their `deadline ms`). */
 const PATIENCE_S = "3";
+/** Exit code for an argument or a file that is not valid, as of `cairngate`. */
 const EXIT_BAD_INPUT = 2;
 
 class CeilingCommand extends Clipanion.Command {
