--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -36,7 +36,8 @@
   readonly worker: string;
   readonly startedAtMs: number;
   endedAtMs: number | null;
-  how: Ports.EndKind | null;
+  /** Null while it runs; "crashed" where its endpoint ended under it. */
+  how: Ports.EndKind | "crashed" | null;
   /** When the coordinator said that the end is recorded. */
   acknowledgedAtMs: number | null;
   /** Whether the lease ran out between the end and that moment. */
@@ -47,6 +48,11 @@
 export interface TaskBehaviour {
   readonly runMs: number;
   readonly fails: boolean;
+  /**
+   * The run ends its endpoint this long after its start, in ms; 0: before the
+   * start is answered. Left out: it does not.
+   */
+  readonly crashesAfterMs?: number;
 }
 
 interface HeldTask {
@@ -76,8 +82,12 @@
   readonly #lives = new Map<string, WorkerLife>();
   /** Connections to each of them. */
   readonly #connections = new Map<string, connections.OpenConnections>();
+  /** Ids of lives that have ended, and whether another one has followed. */
+  readonly #endedLives = new Map<string, { isReplaced: boolean }>();
   /** Every run that was started. */
   readonly runs: TaskRunNote[] = [];
+  /** Told of each life that crashes; tests let another one begin. */
+  onCrash: (spec: TaskWorkerSpec) => void = () => {};
   /** Behaviour of a task; tests may replace it. */
   behave: (task: string, worker: string) => TaskBehaviour = () => ({
     runMs: 1000,
@@ -201,6 +211,27 @@
     }
   }
 
+  /** A life ends with all that runs there; nobody is told. */
+  crash(id: string): void {
+    const life = this.#lives.get(id);
+    if (life === undefined) return;
+    this.#advance(life);
+    this.#lives.delete(id);
+    this.#endedLives.set(id, { isReplaced: false });
+    for (const { note } of life.held.values()) {
+      note.endedAtMs = this.#clock.monotonicMs();
+      note.how = "crashed";
+    }
+    this.onCrash(life.spec);
+  }
+
+  /** A new life begins, empty, where another one has ended. */
+  replace(former: string, spec: TaskWorkerSpec): void {
+    this.#lives.set(spec.id, createLife(spec));
+    const ended = this.#endedLives.get(former);
+    if (ended !== undefined) ended.isReplaced = true;
+  }
+
   /** Runs of a task, in order. */
   runsOf(task: string): TaskRunNote[] {
     return this.runs.filter((note) => note.task === task);
@@ -220,6 +251,8 @@
       const fate = this.carry(worker.id, kind);
       const life = this.#lives.get(worker.id);
       if (fate === OrderFate.Silent) return Effect.never;
+      const ended = this.#endedLives.get(worker.id);
+      if (ended !== undefined) return Effect.fail(this.#refuseDead(worker));
       if (fate === OrderFate.Lost || life === undefined) {
         return Effect.fail(lost);
       }
@@ -228,6 +261,7 @@
       }
       if (fate === OrderFate.Late) {
         const later = Effect.sync(() => {
+          if (!this.#lives.has(worker.id)) return;
           this.#advance(life);
           work(life);
         });
@@ -238,7 +272,8 @@
       this.#advance(life);
       try {
         const result = work(life);
-        return fate === OrderFate.AnswerLost
+        const isDead = !this.#lives.has(worker.id);
+        return isDead || fate === OrderFate.AnswerLost
           ? Effect.fail(lost)
           : Effect.succeed(result);
       } catch (err) {
@@ -249,7 +284,10 @@
 
   #begin(life: WorkerLife, order: Ports.StartRun): void {
     const nowMs = this.#clock.monotonicMs();
-    const { runMs, fails } = this.behave(order.task, life.spec.id);
+    const { runMs, fails, crashesAfterMs } = this.behave(
+      order.task,
+      life.spec.id,
+    );
     const note: TaskRunNote = {
       task: order.task,
       run: order.run,
@@ -262,6 +300,19 @@
     };
     this.runs.push(note);
     life.held.set(order.task, { note, endsAtMs: nowMs + runMs, fails });
+    if (crashesAfterMs !== undefined) {
+      this.#crashAfter(life, note, crashesAfterMs);
+    }
+  }
+
+  #crashAfter(life: WorkerLife, note: TaskRunNote, afterMs: number): void {
+    const { id } = life.spec;
+    if (afterMs === 0) return this.crash(id);
+    const crash = Effect.sync(() => {
+      this.#advance(life);
+      if (note.endedAtMs === null) this.crash(id);
+    });
+    Effect.runFork(Effect.andThen(this.#clock.sleep(afterMs), crash));
   }
 
   /** Lets what has happened since the last order happen. */
@@ -315,7 +366,7 @@
         number,
         task: note.task,
         run: note.run,
-        how: note.how ?? "lapsed",
+        how: toldEnd(note),
         checkpoint: "",
       })),
     };
@@ -329,6 +380,19 @@
     life.token = token;
   }
 
+  /** What answers at the address of a life that has ended. */
+  #refuseDead(worker: Ports.WorkerRef): Ports.OrderError {
+    if (this.#endedLives.get(worker.id)?.isReplaced === true) {
+      return new Errors.WorkerReplacedError({ worker: worker.id });
+    }
+    const cause = "connection refused";
+    return new Errors.WorkerLostError({
+      worker: worker.id,
+      cause,
+      neverSent: true,
+    });
+  }
+
   #refuse(worker: Ports.WorkerRef, reason: Errors.OrderRefusal) {
     return new Errors.OrderRefusedError({ worker: worker.id, reason });
   }
@@ -340,6 +404,11 @@
   return Math.floor(Math.min(1, share) * 100);
 }
 
+/** A life tells no crash: it is over by then. */
+function toldEnd({ how }: TaskRunNote): Ports.EndKind {
+  return how === null || how === "crashed" ? "lapsed" : how;
+}
+
 function createLife(spec: TaskWorkerSpec): WorkerLife {
   return {
     spec,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -25,6 +25,8 @@
 const WRITES_PER_SECOND = 500;
 const ROW_BYTES = 65_536;
 const CONFIG_IN_FORCE_MS = 2000;
+/** A crashed endpoint is back after this time, in ms, at the same address. */
+export const CRASH_BACK_MS = 3000;
 
 /** A configuration with one queue for each priority, 0 to 2. */
 export function buildAccess(
@@ -84,7 +86,10 @@
   readonly #coresOf: (name: string) => number;
   readonly #advisor: Ports.Advisor | null;
   readonly #bounds: typeof FLEET_BOUNDS;
+  /** Place of each endpoint's address. */
+  readonly #placeOf = new Map<string, number>();
   #writes = 0;
+  #lives = 0;
 
   /** @param options.workers accelerators of each worker, four to a rack */
   constructor(
@@ -116,6 +121,10 @@
       accelerators,
     }));
     this.workers = new StandIns.MemoryTaskWorkers(this.clock, specs);
+    this.workers.onCrash = (spec) => {
+      const back = Effect.sync(() => this.bringBack(spec));
+      Effect.runFork(Effect.andThen(this.clock.sleep(CRASH_BACK_MS), back));
+    };
     for (const [i, spec] of specs.entries()) this.list(spec, i);
     this.applyConfig(this.#config);
     const count = options.nodes ?? 3;
@@ -220,6 +229,7 @@
     index: number,
     changes: Partial<Ports.WorkerListing> = {},
   ): void {
+    this.#placeOf.set(spec.id, index);
     const rack = `rack-${Math.floor(index / 4)}`;
     const listing: Ports.WorkerListing = {
       id: spec.id,
@@ -239,6 +249,16 @@
     this.write(`${WORKERS_PREFIX}${spec.id}`, listing);
   }
 
+  /** A new life of a crashed endpoint begins at the same address. */
+  bringBack(former: StandIns.TaskWorkerSpec): void {
+    const base = former.id.split("~")[0];
+    const id = `${base}~${++this.#lives}`;
+    const spec = { ...former, id };
+    this.workers.replace(former.id, spec);
+    this.unlist(former.id);
+    this.list(spec, this.#placeOf.get(former.id) ?? 0);
+  }
+
   /** Takes a worker off the list. */
   unlist(id: string): void {
     this.write(`${WORKERS_PREFIX}${id}`, null);
