End only the lives of an endpoint that a listing replaces

Cause: taking in a listing ended the former lives at its address one after the other and waited for the records of their runs in between, while newer listings were taken in beside it. Where the store was away for some seconds the loop went on into sessions that had come since, and ended the newest life's. Ruled out: a stale row of the feed; the trace shows the loop of the older listing.

The former lives are now chosen at once, and no change of the list waits for the records of another. The test crashes an endpoint twice while a partition is away: the run on the newest life was taken for lost before, and ends as done now.

--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -78,18 +78,28 @@
     for (const session of this.#sessions.values()) this.#run(session);
   }
 
-  /** Takes in changes of the list. */
+  /**
+   * Takes in changes of the list at once; the effect ends when the ends of runs on
+   * endpoints that were replaced are recorded. That may take as long as the store
+   * is away, and newer changes must not wait for it.
+   */
   update(
     entries: readonly Ports.FeedEntry<Ports.WorkerListing>[],
   ): Effect.Effect<void> {
-    return Effect.forEach(entries, ({ key, value }) => {
-      if (value !== null) {
+    return Effect.suspend(() => {
+      const former = entries.flatMap(({ key, value }) => {
+        if (value === null) {
+          this.#unlist(key);
+          return [];
+        }
         this.#idOfRow.set(key, value.id);
         return this.#list(value);
-      }
-      this.#unlist(key);
-      return Effect.void;
-    }, { discard: true });
+      });
+      return Effect.forEach(former, (session) => session.endAll(), {
+        concurrency: "unbounded",
+        discard: true,
+      });
+    });
   }
 
   /** The session with a worker; null where the worker is unknown. */
@@ -169,23 +179,22 @@
     return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
   }
 
-  #list(listing: Ports.WorkerListing): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      this.#listings.set(listing.id, listing);
-      this.#noteLeaving(listing);
-      this.#unlistedAtMs.delete(listing.id);
-      const session = this.#sessions.get(listing.id);
-      session?.noteListed(listing.draining);
-      const nowMs = this.#options.ports.clock.monotonicMs();
-      this.#listedAtMs.set(listing.id, nowMs);
-      if (listing.clockMs !== null) session?.readClock(listing.clockMs, nowMs);
-      for (const [id, former] of this.#sessions) {
-        if (id === listing.id) continue;
-        if (former.ref.address !== listing.address || former.isOver) continue;
-        yield* former.endAll();
-        this.#drop(id);
-      }
-    });
+  /** Takes in a listing; returns the sessions with lives that it replaces. */
+  #list(listing: Ports.WorkerListing): sessions.WorkerSession[] {
+    this.#listings.set(listing.id, listing);
+    this.#noteLeaving(listing);
+    this.#unlistedAtMs.delete(listing.id);
+    const session = this.#sessions.get(listing.id);
+    session?.noteListed(listing.draining);
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    this.#listedAtMs.set(listing.id, nowMs);
+    if (listing.clockMs !== null) session?.readClock(listing.clockMs, nowMs);
+    const former = [...this.#sessions.values()].filter((one) =>
+      one.ref.id !== listing.id && one.ref.address === listing.address &&
+      !one.isOver
+    );
+    for (const { ref } of former) this.#drop(ref.id);
+    return former;
   }
 
   #unlist(rowKey: string): void {
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -19,6 +19,7 @@
 export {
   buildAccess,
   buildStep,
+  CRASH_BACK_MS,
   FLEET_BOUNDS,
   TestFleet,
 } from "./src/test_fleet.ts";
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -88,6 +88,7 @@
   readonly #bounds: typeof FLEET_BOUNDS;
   /** Place of each endpoint's address. */
   readonly #placeOf = new Map<string, number>();
+  readonly #logOf: (node: string) => Logger.Logger;
   #writes = 0;
   #lives = 0;
 
@@ -103,9 +104,12 @@
       advisor?: (clock: Ports.Clock) => Ports.Advisor;
       /** Longest lease of an endpoint, in ms. */
       longestLeaseMs?: number;
+      /** Logger of each node; silent where it is left out. */
+      logOf?: (node: string) => Logger.Logger;
     } = {},
   ) {
     this.#coresOf = options.cores ?? (() => 1);
+    this.#logOf = options.logOf ?? (() => Logger.silentLogger());
     this.#bounds = {
       ...FLEET_BOUNDS,
       longestLeaseMs: options.longestLeaseMs ?? FLEET_BOUNDS.longestLeaseMs,
@@ -180,7 +184,7 @@
       storeWritesPerSecond: WRITES_PER_SECOND,
       storeRowBytes: ROW_BYTES,
       configInForceMs: CONFIG_IN_FORCE_MS,
-      log: Logger.silentLogger(),
+      log: this.#logOf(name),
       metrics: new Metrics.Metrics(),
     });
     this.nodes.set(name, { node, faults });
@@ -295,6 +299,14 @@
     } = {},
   ): Promise<void> {
     const allowed = await this.#allow(name, id, options);
+    for (const [index, step] of (options.steps ?? []).entries()) {
+      if (!step.gang) continue;
+      const members = Array.from(
+        { length: step.count },
+        (_, member) => `${id}.0.${index}.${member}`,
+      );
+      this.workers.addGang(members);
+    }
     await this.run(
       this.node(name).submissions.accept(allowed, {
         id,
--- /dev/null
+++ b/packages/workflow-node/src/replaced_endpoint_test.ts
@@ -0,0 +1,64 @@
+/** An endpoint that crashes again before the first crash is recorded. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+const HELD_UP = "a000000000000001";
+const RUN_MS = 6000;
+const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+
+/** Partition in which the progress of a workflow lies. */
+function partitionOf(fleet: TestUtils.TestFleet, id: string): string {
+  const [row] = fleet.table.rowsUnder("progress:")
+    .filter(({ key }) => key.endsWith(`/${id}`));
+  return row.key.slice("progress:".length).split("/")[0];
+}
+
+/** Runs a workflow on the newest life that lies in another partition. */
+async function runElsewhere(
+  fleet: TestUtils.TestFleet,
+  partition: string,
+): Promise<string> {
+  for (let i = 2; i < 20; i++) {
+    const id = `a${String(i).padStart(15, "0")}`;
+    const isTaken = await fleet.submit("node-2", id, { steps: STEPS }).then(
+      () => true,
+      () => false,
+    );
+    if (!isTaken) continue;
+    const task = `${id}.0.0.0`;
+    const begun = () => fleet.workers.runsOf(task).length > 0;
+    if (await fleet.until(begun, 2000)) {
+      vitest.expect(partitionOf(fleet, id)).not.toBe(partition);
+      return task;
+    }
+  }
+  throw new RangeError("no workflow in another partition has begun");
+}
+
+vitest.describe("an endpoint that crashes twice while records hang", () => {
+  vitest.it("keeps what its newest life runs", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1] });
+    fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", HELD_UP, { steps: STEPS });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const partition = partitionOf(fleet, HELD_UP);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ downPartitions: [partition] });
+    }
+    for (let i = 0; i < 2; i++) {
+      for (const id of fleet.workers.listLives()) fleet.workers.crash(id);
+      await fleet.clock.advance(TestUtils.CRASH_BACK_MS + 100);
+    }
+    const task = await runElsewhere(fleet, partition);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ downPartitions: [] });
+    }
+    await fleet.clock.advance(RUN_MS * 2);
+    fleet.workers.settle();
+    const [first] = fleet.workers.runsOf(task);
+    vitest.expect(first.how).toBe("done");
+    vitest.expect(fleet.workers.runsOf(task).length).toBe(1);
+    await fleet.stop();
+  });
+});
