Give a task up only where its runs were there

Operators take a task for good until two endpoints crashed under it.

A crash now says whether the run was there: its start was answered, a look has shown it, or the endpoint fell silent within a second of the start. Two such are needed; without them a task is given up at the fifth crash, which is all that the rule leaves.

The stand-ins end the members of a gang together.

--- a/packages/coordinator/src/missing_runs.ts
+++ b/packages/coordinator/src/missing_runs.ts
@@ -42,7 +42,8 @@
       const runs = lapsed.filter((one) => one.worker === worker);
       const tasks = runs.map(({ task }) => task);
       const isExcused = noteCrash(worker, tasks);
-      const evidence = { wasAlone: runs.length === 1, isExcused };
+      const wasAlone = runs.length === 1;
+      const evidence = { wasAlone, isExcused, wasThere: false };
       return runs.map((one) => ({ ...one, evidence }));
     });
   }
--- a/packages/coordinator/src/occupant.ts
+++ b/packages/coordinator/src/occupant.ts
@@ -12,6 +12,8 @@
   knownSinceMs: number | null;
   /** Whether the start was sent. */
   sent: boolean;
+  /** When, by our clock; null where an earlier coordinator sent it. */
+  sentAtMs: number | null;
   /** Whether it is being stopped. */
   stopping: boolean;
   /** How it comes on; null before the first look. */
@@ -36,6 +38,7 @@
     ticket,
     knownSinceMs: null,
     sent: false,
+    sentAtMs: null,
     stopping: false,
     pace: null,
     compared: false,
--- a/packages/coordinator/src/silence_log.ts
+++ b/packages/coordinator/src/silence_log.ts
@@ -78,6 +78,11 @@
     return true;
   }
 
+  /** Since when an endpoint is not heard; null while it is. */
+  silentSinceMs({ address }: Ports.WorkerRef): number | null {
+    return this.#falls.get(address)?.silentAtMs ?? null;
+  }
+
   /** Whether an endpoint at this address has crashed lately. */
   hasCrashedLately(address: string): boolean {
     return (this.#falls.get(address)?.crashedAtMs ?? null) !== null;
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -65,6 +65,11 @@
  * the next look tells of them.
  */
 const PROBATION_MS = 3000;
+/**
+ * An endpoint that falls silent within this time, in ms, of a start that it did
+ * not answer had the run: a look that waits there ends with its connection.
+ */
+const AT_START_MS = 1000;
 /** Longest time for which a look waits for the records of ends, in ms. */
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -191,6 +196,7 @@
         return yield* this.#end(occupant, lost(LostCause.NotWanted));
       }
       occupant.sent = true;
+      occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
       this.#wake();
       const report = (yield* this.#learnClock())
         ? yield* this.#starter.send(occupant)
@@ -236,25 +242,44 @@
       if (this.#over) return;
       this.#over = true;
       this.#wake();
+      const { listener } = this.#options;
       const unheard = this.#unheard.takeAll();
-      const end = this.#endOfAll(unheard);
-      const records = this.occupants.map((occupant) =>
-        this.#end(occupant, occupant.sent ? end : lost(LostCause.NeverSent))
-      );
+      const endOf = this.#endOfAll(unheard);
+      const records = this.occupants.map((occupant) => {
+        const end = occupant.sent
+          ? endOf(this.#wasThere(occupant))
+          : lost(LostCause.NeverSent);
+        return this.#end(occupant, end);
+      });
       for (const run of unheard) {
-        records.push(this.#options.listener.lateEnd(this, run, end));
+        records.push(listener.lateEnd(this, run, endOf(run.wasThere)));
       }
       yield* Effect.all(records, { concurrency: "unbounded", discard: true });
     });
   }
 
-  /** How all runs have ended that were or may have been here. */
-  #endOfAll(unheard: readonly unheards.UnheardRun[]): listeners.SessionEnd {
-    if (this.#isLeaving) return lost(LostCause.Left);
+  /** How the runs have ended that were, or may have been, here. */
+  #endOfAll(
+    unheard: readonly unheards.UnheardRun[],
+  ): (wasThere: boolean) => listeners.SessionEnd {
+    if (this.#isLeaving) return () => lost(LostCause.Left);
     const sent = this.occupants.filter((one) => one.sent);
     const tasks = [...sent, ...unheard].map(({ task }) => task);
+    const wasAlone = isOneUnit(tasks);
     const isExcused = this.#options.silences.noteCrash(this.ref, tasks);
-    return listeners.crashed({ wasAlone: isOneUnit(tasks), isExcused });
+    return (wasThere) => listeners.crashed({ wasAlone, isExcused, wasThere });
+  }
+
+  /**
+   * Whether a run surely was here: it was confirmed, or the endpoint fell silent
+   * as soon as its start was sent.
+   */
+  #wasThere(occupant: occupants.Occupant): boolean {
+    const { sentAtMs } = occupant;
+    if (occupants.isConfirmed(occupant)) return true;
+    const silentAtMs = this.#options.silences.silentSinceMs(this.ref);
+    return sentAtMs !== null && silentAtMs !== null &&
+      silentAtMs >= sentAtMs && silentAtMs - sentAtMs <= AT_START_MS;
   }
 
   /** Keeps the lease while there is something to keep it for. */
@@ -415,7 +440,8 @@
       for (const occupant of this.occupants) {
         if (!occupant.sent) continue;
         if (!hasLapsed && !hasBroken(occupant)) continue;
-        this.#unheard.add(occupant);
+        const wasThere = occupants.isConfirmed(occupant);
+        this.#unheard.add({ task: occupant.task, run: occupant.run, wasThere });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.GangBroken;
         yield* this.#end(occupant, lost(cause));
       }
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -86,6 +86,8 @@
   readonly #endedLives = new Map<string, { isReplaced: boolean }>();
   /** Every run that was started. */
   readonly runs: TaskRunNote[] = [];
+  /** Tasks of each gang, by member. */
+  readonly #gangs = new Map<string, readonly string[]>();
   /** Told of each life that crashes; tests let another one begin. */
   onCrash: (spec: TaskWorkerSpec) => void = () => {};
   /** Behaviour of a task; tests may replace it. */
@@ -211,6 +213,11 @@
     }
   }
 
+  /** These tasks are a gang: the runs of one number end together. */
+  addGang(tasks: readonly string[]): void {
+    for (const task of tasks) this.#gangs.set(task, tasks);
+  }
+
   /** Ids of all that live. */
   listLives(): string[] {
     return [...this.#lives.keys()];
@@ -227,6 +234,7 @@
       note.endedAtMs = this.#clock.monotonicMs();
       note.how = "crashed";
     }
+    for (const { note } of life.held.values()) this.#endGang(note);
     this.onCrash(life.spec);
   }
 
@@ -346,6 +354,24 @@
     note.endedAtMs = atMs;
     note.how = how;
     life.ended.push({ number: life.nextEnd++, note });
+    this.#endGang(note);
+  }
+
+  /** The other members of a gang's run end with the first. */
+  #endGang({ task, run, how, endedAtMs }: TaskRunNote): void {
+    const others = this.#gangs.get(task) ?? [];
+    for (const other of others) {
+      for (const life of this.#lives.values()) {
+        const held = life.held.get(other);
+        if (held === undefined || held.note.run !== run) continue;
+        this.#end(
+          life,
+          held,
+          how === "done" ? "done" : "broken",
+          endedAtMs ?? this.#clock.monotonicMs(),
+        );
+      }
+    }
   }
 
   #acknowledge(life: WorkerLife, upTo: number): void {
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -22,6 +22,7 @@
   checkpoint?: string,
   crashesLaid?: number,
   crashesExcused?: number,
+  crashesCertain?: number,
 ];
 
 /** A run that was given up before its end was known. */
@@ -150,8 +151,10 @@
   const place = worker === null ? NO_WORKER : workers.get(worker) ?? NO_WORKER;
   budget.checkpoints -= checkpoint.length;
   const kept = budget.checkpoints < 0 ? "" : checkpoint;
-  const { laid, excused } = task.crashes;
-  if (laid + excused > 0) return [run, place, failures, kept, laid, excused];
+  const { laid, excused, certain } = task.crashes;
+  if (laid + excused > 0) {
+    return [run, place, failures, kept, laid, excused, certain];
+  }
   return kept === "" ? [run, place, failures] : [run, place, failures, kept];
 }
 
@@ -190,14 +193,15 @@
 
 function applyListed(
   task: tasks.Task,
-  [run, place, failures, checkpoint, laid = 0, excused = 0]: ListedTask,
+  [run, place, failures, checkpoint, ...crashes]: ListedTask,
   workers: readonly string[],
 ): void {
   task.run = run;
   task.worker = workers[place] ?? null;
   task.failures = failures;
   task.checkpoint = checkpoint ?? "";
-  task.crashes = { laid, excused };
+  const [laid = 0, excused = 0, certain = 0] = crashes;
+  task.crashes = { laid, excused, certain };
   const isPlaced = task.worker !== null;
   if (isPlaced && task.state !== tasks.TaskState.Done) {
     task.state = tasks.TaskState.Starting;
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -10,10 +10,12 @@
   readonly laid: number;
   /** Crashes with which so many endpoints fell that the task is not to blame. */
   readonly excused: number;
+  /** Of all these, those with which the task's run surely was there. */
+  readonly certain: number;
 }
 
 /** A task under which no endpoint has crashed. */
-export const NO_CRASHES: CrashCount = { laid: 0, excused: 0 };
+export const NO_CRASHES: CrashCount = { laid: 0, excused: 0, certain: 0 };
 
 /** Why a task is not started any more. */
 export enum GiveUpReason {
@@ -45,6 +47,13 @@
  * that an endpoint carries out late.
  */
 const MOST_CRASHES = 4;
+/**
+ * The same where it is not certain that its runs were there: starts that were not
+ * answered may have been lost. It is all that operators allow.
+ */
+const MOST_UNCERTAIN_CRASHES = 5;
+/** Operators take a task for good until so many endpoints crashed under it. */
+const LEAST_CERTAIN = 2;
 /** A lasting task that has run for so long, in ms, is not what ended its endpoint. */
 const LASTING_PROVEN_MS = 30_000;
 
@@ -54,10 +63,16 @@
   readonly wasAlone: boolean;
   /** So many endpoints fell at once that no task has done it. */
   readonly isExcused: boolean;
+  /** The run was there: its start was answered, or a look has shown it. */
+  readonly wasThere: boolean;
 }
 
 /** Nothing speaks for or against the task. */
-export const NO_EVIDENCE: CrashEvidence = { wasAlone: false, isExcused: false };
+export const NO_EVIDENCE: CrashEvidence = {
+  wasAlone: false,
+  isExcused: false,
+  wasThere: false,
+};
 
 /** Whether a lasting task has run for so long that an older crash is no trait. */
 export function isProvenLasting(step: spec.StepSpec, ranMs: number): boolean {
@@ -66,18 +81,21 @@
 
 /** Whether the crashes under a task are reason enough to give it up. */
 export function hasCrashedTooOften(
-  { laid, excused }: CrashCount,
+  { laid, excused, certain }: CrashCount,
   { wasAlone }: CrashEvidence,
 ): boolean {
+  if (laid + excused >= MOST_UNCERTAIN_CRASHES) return true;
+  if (certain < LEAST_CERTAIN) return false;
   return laid + excused >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
 }
 
 /** The count after one more crash. */
 export function addCrash(
   count: CrashCount,
-  { isExcused }: CrashEvidence,
+  { isExcused, wasThere }: CrashEvidence,
 ): CrashCount {
-  const added = { ...count, laid: count.laid + 1 };
+  const certain = count.certain + (wasThere ? 1 : 0);
+  const added = { ...count, laid: count.laid + 1, certain };
   return isExcused ? excuseCrash(added) : added;
 }
 
@@ -88,7 +106,7 @@
 export function excuseCrash(count: CrashCount): CrashCount {
   return count.laid === 0 || count.excused > 0
     ? count
-    : { laid: count.laid - 1, excused: count.excused + 1 };
+    : { ...count, laid: count.laid - 1, excused: count.excused + 1 };
 }
 
 /**
