--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -67,9 +67,10 @@
 const PROBATION_MS = 3000;
 /**
  * An endpoint that falls silent within this time, in ms, of a start that it did
- * not answer had the run: a look that waits there ends with its connection.
+ * not answer had the run: its connections are reset at once when it ends. One that
+ * was dark before is found out by looks that time out, and those are slower.
  */
-const AT_START_MS = 1000;
+const AT_START_MS = 150;
 /** Longest time for which a look waits for the records of ends, in ms. */
 const UNRECORDED_PAUSE_MS = 1000;
 
