Search once for all single tasks of a step

Cause: a plan searched and sorted all endpoints once for each task that is no member of a gang. One search now finds places for all tasks of a step that follow one another, in the order in which single searches found them: the tightest endpoint of the fullest rack first; of racks equally full, by name. What is left over goes the old way: it makes others yield, or waits.

--- a/packages/measure/bin.ts
+++ b/packages/measure/bin.ts
@@ -4,7 +4,10 @@
 import * as plans from "./src/workflow_plans.ts";
 import * as measuring from "./src/run_measurements.ts";
 
-const PLAN_SIZES: readonly number[] = [33, 245, 725, 2900];
+/** Endpoints: a small site, the largest site so far, and two sizes to come. */
+const PLAN_SIZES: readonly number[] = [33, 380, 1000, 2900];
+/** Waiting tasks: a busy minute, and what is to be carried at full size. */
+const BATCH_SIZES: readonly number[] = [500, 5000, 20_000];
 
 class MeasureCommand extends Clipanion.Command {
   static override paths = [Clipanion.Command.Default];
@@ -47,14 +50,24 @@
 
   #measurePlans(): number {
     for (const workers of PLAN_SIZES) {
-      const times = plans.measurePlans(workers);
-      const line = `${times.workers} workers, ${times.running} running, ` +
-        `${times.waiting} waiting tasks: median ` +
-        `${times.medianMs.toFixed(2)} ms, worst ${times.worstMs.toFixed(2)} ms`;
-      this.context.stdout.write(`${line}\n`);
+      this.#printPlan("full fleet", plans.measurePlans(workers));
+      for (const waiting of BATCH_SIZES) {
+        const times = plans.measureBatchPlans(workers, waiting);
+        this.#printPlan("batches, half free", times);
+      }
     }
     return 0;
   }
+
+  #printPlan(what: string, times: plans.PlanTimes): void {
+    this.context.stdout.write(
+      `${what}: ${times.workers} workers, ${times.running} running, ` +
+        `${times.waiting} waiting tasks: median ` +
+        `${times.medianMs.toFixed(2)} ms, worst ${
+          times.worstMs.toFixed(2)
+        } ms\n`,
+    );
+  }
 }
 
 const cli = new Clipanion.Cli({
--- a/packages/measure/src/workflow_plans.ts
+++ b/packages/measure/src/workflow_plans.ts
@@ -62,6 +62,44 @@
   };
 }
 
+/** Accelerators in use on each worker while batches wait. */
+const USED_BESIDE_BATCHES = 4;
+/** Tasks of a batch, one accelerator each: about what the users' batches have. */
+const BATCH_TASKS = 40;
+
+/** Measures plans for batches of single tasks on a fleet that is half free. */
+export function measureBatchPlans(workers: number, waiting: number): PlanTimes {
+  const running = Array.from(
+    { length: workers },
+    (_, i) => buildWorkflow(`running-${i}`, USED_BESIDE_BATCHES),
+  );
+  running.forEach((workflow, i) => {
+    for (const task of workflow.tasks) task.place(`worker-${i}`, 1, 0);
+  });
+  const batches = Array.from(
+    { length: Math.ceil(waiting / BATCH_TASKS) },
+    (_, i) => buildWorkflow(`batch-${i}`, BATCH_TASKS),
+  );
+  const input: Scheduler.PlanInput = {
+    workers: running.map((workflow, i) => buildWorker([...workflow.tasks], i)),
+    workflows: [...running, ...batches],
+    guarantees: new Map(),
+    nowMs: 1000,
+    wallMs: 1000,
+    remotePenalty: 3,
+    isAdvised: () => true,
+  };
+  const times = Array.from({ length: REPEATS }, () => timePlan(input));
+  times.sort((a, b) => a - b);
+  return {
+    workers,
+    running: workers * USED_BESIDE_BATCHES,
+    waiting: batches.length * BATCH_TASKS,
+    medianMs: times[Math.floor(REPEATS / 2)],
+    worstMs: times[REPEATS - 1],
+  };
+}
+
 function timePlan(input: Scheduler.PlanInput): number {
   const startedAtMs = performance.performance.now();
   Scheduler.makePlan(input);
--- a/packages/measure/src/workflow_plans_test.ts
+++ b/packages/measure/src/workflow_plans_test.ts
@@ -11,3 +11,12 @@
     vitest.expect(times.worstMs).toBeGreaterThanOrEqual(times.medianMs);
   });
 });
+
+vitest.describe("measureBatchPlans", () => {
+  vitest.it("measures batches on a half free fleet", () => {
+    const times = plans.measureBatchPlans(10, 100);
+    vitest.expect(times.running).toBe(40);
+    vitest.expect(times.waiting).toBe(120);
+    vitest.expect(times.medianMs).toBeGreaterThan(0);
+  });
+});
--- a/packages/workflow-scheduler/src/placement.ts
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -38,9 +38,53 @@
     roomOf(a.room).accelerators - roomOf(b.room).accelerators ||
     roomOf(a.room).memoryMb - roomOf(b.room).memoryMb
   );
+  return takePlaces(open, unit.tasks.length);
+}
+
+/**
+ * Finds places for as many tasks of a unit as there is room for, each by itself.
+ * One search does for all what one after another would find: the tightest worker
+ * of the fullest rack is filled first.
+ */
+export function findForEach(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  roomOf: RoomOf,
+): Places {
+  const fitting = rooms
+    .map((room) => ({ room, fits: room.fits(unit, roomOf(room)) }))
+    .filter(({ fits }) => fits > 0);
+  if (fitting.length === 0) return [];
+  const rackFree = freeByRack(rooms, roomOf);
+  const slowness = slownessFor(unit);
+  const open = fitting.map(({ room, fits }) => ({
+    room,
+    fits,
+    slowness: slowness(room),
+    rackFree: rackFree.get(room.worker.rack) ?? 0,
+    free: roomOf(room).accelerators,
+  }));
+  open.sort((a, b) =>
+    a.slowness - b.slowness || a.rackFree - b.rackFree ||
+    compareTexts(a.room.worker.rack, b.room.worker.rack) ||
+    a.free - b.free || roomOf(a.room).memoryMb - roomOf(b.room).memoryMb
+  );
+  return takePlaces(open, unit.tasks.length);
+}
+
+function compareTexts(a: string, b: string): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
+
+/** The first places, in order, of rooms that each take some tasks. */
+function takePlaces(
+  open: readonly { readonly room: fleet.WorkerRoom; readonly fits: number }[],
+  most: number,
+): Places {
   const places: fleet.WorkerRoom[] = [];
   for (const { room, fits } of open) {
-    const count = Math.min(fits, unit.tasks.length - places.length);
+    const count = Math.min(fits, most - places.length);
     for (let i = 0; i < count; i++) places.push(room);
   }
   return places;
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -74,10 +74,10 @@
   readonly #starts: StartDecision[] = [];
   readonly #stops = new Map<Workflow.Task, StopDecision>();
   readonly #waits: WaitDecision[] = [];
-  /** Steps of which a task found no room; its siblings find none either. */
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   #reserved = 0;
+  /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
   constructor(input: PlanInput) {
@@ -94,7 +94,7 @@
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
     const sorted = rank.sortUnits(units, this.#ranks, this.#input.wallMs);
-    for (const unit of sorted) this.#decide(unit);
+    for (const units of groupSiblings(sorted)) this.#decideAll(units);
     return {
       starts: this.#starts,
       stops: [...this.#stops.values()],
@@ -102,16 +102,65 @@
     };
   }
 
+  /**
+   * One search finds places for all single tasks of a step that fit: a search for
+   * each of 40 tasks looked at each endpoint 40 times (plan_growth_test.ts).
+   */
+  #decideAll(units: readonly Workflow.Unit[]): void {
+    const [first] = units;
+    if (units.length === 1) return this.#decide(first);
+    const siblings = first.workflow.siblings(first.tasks[0]);
+    if (this.#blocked.has(siblings)) return;
+    const all = { ...first, tasks: units.flatMap(({ tasks }) => tasks) };
+    const rooms = this.#roomsFor(all);
+    const places = this.#findForEach(all, rooms);
+    places.forEach((room, i) => this.#start(units[i], [room]));
+    for (const unit of units.slice(places.length)) {
+      this.#decideWithoutRoom(unit, rooms);
+      if (this.#blocked.has(siblings)) return;
+    }
+  }
+
+  /** Near their data first; elsewhere only where waiting does not pay. */
+  #findForEach(
+    all: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): placement.Places {
+    const near = placement.nearWorkers(all, rooms);
+    const places = placement.findForEach(all, near, placement.freeNow);
+    const isFull = places.length === all.tasks.length;
+    if (isFull || near === rooms) return places;
+    const one = { ...all, tasks: all.tasks.slice(0, 1) };
+    if (this.#shouldStayNear(one, rooms)) return places;
+    const rest = { ...all, tasks: all.tasks.slice(places.length) };
+    const nearRooms = new Set(near);
+    const others = rooms.filter((room) => !nearRooms.has(room));
+    return [
+      ...places,
+      ...placement.findForEach(rest, others, placement.freeNow),
+    ];
+  }
+
   #decide(unit: Workflow.Unit): void {
     const siblings = unit.workflow.siblings(unit.tasks[0]);
     if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
     const rooms = this.#roomsFor(unit);
     const places = this.#findFree(unit, rooms);
     if (places !== null) return this.#start(unit, places);
+    this.#decideWithoutRoom(unit, rooms);
+  }
+
+  /** A unit for which nothing is free makes others yield, or waits. */
+  #decideWithoutRoom(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): void {
     if (this.#mayClaim(unit) && this.#claim(unit, rooms)) return;
     this.#reserveAhead(unit, rooms);
     // Its siblings need no endpoint of their own, and may find room.
-    if (!isolation.isSuspect(unit)) this.#blocked.add(siblings);
+    if (!isolation.isSuspect(unit)) {
+      this.#blocked.add(unit.workflow.siblings(unit.tasks[0]));
+    }
     const needsAdvice = unit.workflow.spec.policy.advice !== null;
     const reason = needsAdvice ? WaitReason.Advice : WaitReason.Room;
     this.#waits.push({ unit, reason });
@@ -220,3 +269,22 @@
     if (task.state !== Workflow.TaskState.Stopping) room?.expect(task);
   }
 }
+
+/** Single tasks of one step that follow one another; all others by themselves. */
+function groupSiblings(
+  sorted: readonly Workflow.Unit[],
+): readonly (readonly Workflow.Unit[])[] {
+  const groups: Workflow.Unit[][] = [];
+  let lastSiblings: readonly Workflow.Task[] | null = null;
+  for (const unit of sorted) {
+    const isSingle = !unit.step.gang && !isolation.isSuspect(unit);
+    const siblings = unit.workflow.siblings(unit.tasks[0]);
+    if (isSingle && siblings === lastSiblings) {
+      groups[groups.length - 1].push(unit);
+      continue;
+    }
+    groups.push([unit]);
+    lastSiblings = isSingle ? siblings : null;
+  }
+  return groups;
+}
