Stop within the grace time, whatever a step does

The grace time comes from the settings and is shared out: hand over and serve on at the same time, then the last answers, then the end, each with its part and a log line. A step that never ends is left behind: tested for each of them, and for all at once.

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -37,6 +37,7 @@
   storeWritesPerSecond: Positive,
   storeRowBytes: Positive,
   configInForceMs: Positive,
+  graceSeconds: Positive,
   adviceAddress: Schema.optionalKey(Schema.NullOr(Address)),
   bounds: BoundsSchema,
   logLevel: Schema.optionalKey(
@@ -74,6 +75,8 @@
   /** Most bytes of one row's value. */
   readonly storeRowBytes: number;
   readonly configInForceMs: number;
+  /** Time from the signal to stop until the process is killed, in seconds. */
+  readonly graceSeconds: number;
   /** Address of the advice service; null where there is none. */
   readonly adviceAddress: string | null;
   readonly bounds: NodeBounds;
--- a/packages/workflow-node/mod.ts
+++ b/packages/workflow-node/mod.ts
@@ -5,3 +5,8 @@
   WorkflowNode,
   type WorkflowNodePorts,
 } from "./src/workflow_node.ts";
+export {
+  type StopOptions,
+  stopOrderly,
+  type StopSteps,
+} from "./src/orderly_stop.ts";
--- /dev/null
+++ b/packages/workflow-node/src/orderly_stop_test.ts
@@ -0,0 +1,69 @@
+/** A stop keeps to its grace time, whatever a step does. */
+import * as Logger from "@cairngate/logger";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+import * as stops from "./orderly_stop.ts";
+
+const GRACE_MS = 6000;
+const UNREADY_MS = 2300;
+
+/** Stops with these steps; tells when each of them began, and the end. */
+async function play(changes: Partial<stops.StopSteps>) {
+  const clock = new TestUtils.FakeClock();
+  const startedAtMs = clock.monotonicMs();
+  const began: Record<string, number> = {};
+  const note = (name: string) =>
+    Effect.sync(() => {
+      began[name] = clock.monotonicMs() - startedAtMs;
+    });
+  const step = (name: keyof stops.StopSteps) =>
+    Effect.andThen(note(name), changes[name] ?? Effect.void);
+  let endedMs: number | null = null;
+  const stop = stops.stopOrderly({
+    handOver: step("handOver"),
+    answer: step("answer"),
+    end: step("end"),
+  }, {
+    graceMs: GRACE_MS,
+    unreadyMs: UNREADY_MS,
+    clock,
+    log: Logger.silentLogger(),
+  });
+  Effect.runFork(Effect.andThen(
+    stop,
+    Effect.sync(() => {
+      endedMs = clock.monotonicMs() - startedAtMs;
+    }),
+  ));
+  await clock.advance(GRACE_MS * 2);
+  return { began, endedMs };
+}
+
+vitest.describe("a planned stop", () => {
+  vitest.it("serves on until no new callers come", async () => {
+    const { began, endedMs } = await play({});
+    vitest.expect(began["answer"]).toBeGreaterThanOrEqual(UNREADY_MS);
+    vitest.expect(endedMs).toBeLessThan(UNREADY_MS + 100);
+  });
+
+  for (const name of ["handOver", "answer", "end"] as const) {
+    vitest.it(`ends in time though ${name} never does`, async () => {
+      const { endedMs } = await play({ [name]: Effect.never });
+      vitest.expect(endedMs).not.toBeNull();
+      vitest.expect(endedMs).toBeLessThan(GRACE_MS);
+    });
+  }
+
+  vitest.it(
+    "keeps time for the last answers though all else hangs",
+    async () => {
+      const hangs = { handOver: Effect.never, answer: Effect.never };
+      const { began, endedMs } = await play({ ...hangs, end: Effect.never });
+      const { answersMs } = stops.shareGrace(GRACE_MS);
+      vitest.expect(began["end"] - began["answer"])
+        .toBeGreaterThanOrEqual(answersMs);
+      vitest.expect(endedMs).toBeLessThan(GRACE_MS);
+    },
+  );
+});
