Check the room again where a start is sent

Cause: a start is planned, recorded, then sent; with a slow store seconds lie between. An endpoint whose listing had shrunk meanwhile, or that had begun to drain, got it all the same, and one that does not guard its room ran over it.

The session asks the newest listing for room before it sends, counting all that it has sent and that has not ended, stops under way too. Test: four starts planned on a room of four that shrinks to one before they leave: 4 at once before, 1 now.

--- a/packages/coordinator/src/session_listener.ts
+++ b/packages/coordinator/src/session_listener.ts
@@ -18,6 +18,8 @@
   Refused = "refused",
   NeverSent = "never-sent",
   NotWanted = "not-wanted",
+  /** The endpoint's listing changed between the plan and the start. */
+  NoRoom = "no-room",
 }
 
 const SENTENCE_OF: Readonly<Record<LostCause, string>> = {
@@ -28,6 +30,7 @@
   [LostCause.Refused]: "its start was refused",
   [LostCause.NeverSent]: "its start did not reach the endpoint",
   [LostCause.NotWanted]: "nobody wants it any more",
+  [LostCause.NoRoom]: "its endpoint drains or its room has shrunk",
 };
 
 /** A cause for the log. */
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -1,6 +1,7 @@
 /** The platform's list of workers, followed, and a session with each of them. */
 import type * as Ports from "@cairngate/ports";
-import type * as Scheduler from "@cairngate/workflow-scheduler";
+import type * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as loads from "./box_load.ts";
@@ -13,7 +14,7 @@
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
   sessions.SessionOptions,
-  "ref" | "lapsesAtMs" | "progressWaitMs" | "load" | "silences"
+  "ref" | "lapsesAtMs" | "progressWaitMs" | "load" | "silences" | "mayHold"
 >;
 
 /**
@@ -212,6 +213,13 @@
     this.speeds.forget(id);
   }
 
+  /** An endpoint whose listing lapsed with the store keeps its last word. */
+  #mayHold(id: string, tasks: readonly Workflow.Task[]): boolean {
+    const listing = this.#listings.get(id);
+    if (listing === undefined) return true;
+    return !listing.draining && Scheduler.fitTogether(tasks, listing);
+  }
+
   #noteLeaving(listing: Ports.WorkerListing): void {
     const { id, draining, leavesInMs } = listing;
     if (!draining || leavesInMs === null) return;
@@ -228,6 +236,7 @@
       load: this.#load,
       progressWaitMs: () => this.#progressWaitMs(),
       silences: this.silences,
+      mayHold: (tasks) => this.#mayHold(id, tasks),
     });
     session.noteListed(listing.draining);
     const listedAtMs = this.#listedAtMs.get(id);
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -36,6 +36,8 @@
   readonly load: loads.BoxLoad;
   /** Longest time between two looks at runs that come on, in ms. */
   readonly progressWaitMs: () => number;
+  /** Whether its listing still lets it run these tasks together. */
+  readonly mayHold: (tasks: readonly Workflow.Task[]) => boolean;
   /** Which endpoints have fallen silent or crashed; one for all sessions. */
   readonly silences: silences.SilenceLog;
 }
@@ -196,6 +198,12 @@
       if (occupant.stopping || task.workflow.isOver || this.#over) {
         return yield* this.#end(occupant, lost(LostCause.NotWanted));
       }
+      const sent = this.occupants.filter((one) => one.sent);
+      // The plan was made before its record was written, which may take seconds.
+      const tasks = [...sent.map((one) => one.task), task];
+      if (!this.#options.mayHold(tasks)) {
+        return yield* this.#end(occupant, lost(LostCause.NoRoom));
+      }
       occupant.sent = true;
       occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
       this.#wake();
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -88,6 +88,8 @@
   readonly runs: TaskRunNote[] = [];
   /** Tasks of each gang, by member. */
   readonly #gangs = new Map<string, readonly string[]>();
+  /** Whether a start for which there is no room is refused. */
+  guardsRoom = true;
   /** Told of each life that crashes; tests let another one begin. */
   onCrash: (spec: TaskWorkerSpec) => void = () => {};
   /** Behaviour of a task; tests may replace it. */
@@ -133,7 +135,7 @@
       if (life.leaseUntilMs < this.#clock.monotonicMs()) {
         throw this.#refuse(worker, Errors.OrderRefusal.Late);
       }
-      if (life.held.size >= life.spec.accelerators) {
+      if (this.guardsRoom && life.held.size >= life.spec.accelerators) {
         throw this.#refuse(worker, Errors.OrderRefusal.NoRoom);
       }
       this.#begin(life, order);
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -1,5 +1,5 @@
 /** Decisions about workflows as plain data. */
-export { isEligible, type WorkerState } from "./src/fleet.ts";
+export { fitTogether, isEligible, type WorkerState } from "./src/fleet.ts";
 export {
   makePlan,
   type Plan,
--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -106,6 +106,16 @@
   amounts.accelerators -= step.accelerators * count;
 }
 
+/** Whether these tasks fit into a worker's room together. */
+export function fitTogether(
+  tasks: Iterable<Workflow.Task>,
+  total: Workflow.Resources,
+): boolean {
+  const left = { ...total };
+  for (const { step } of tasks) take(left, step, 1);
+  return left.cpuMillis >= 0 && left.memoryMb >= 0 && left.accelerators >= 0;
+}
+
 /** Gives the resources of one task of a step back. */
 export function give(amounts: Amounts, step: Workflow.StepSpec): void {
   take(amounts, step, -1);
