--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -36,6 +36,8 @@
   readonly load: loads.BoxLoad;
   /** Longest time between two looks at runs that come on, in ms. */
   readonly progressWaitMs: () => number;
+  /** Whether its listing still lets it run these tasks together. */
+  readonly mayHold: (tasks: readonly Workflow.Task[]) => boolean;
   /** Which endpoints have fallen silent or crashed; one for all sessions. */
   readonly silences: silences.SilenceLog;
 }
@@ -61,10 +63,10 @@
 const CLOCK_LOOKS = 2;
 /**
  * A task under which an endpoint has crashed has its endpoint for itself for this
- * time, in ms: the crashes of the users' record came 10 ms after the start, and
- * the next look tells of them.
+ * time, in ms. The crashes of the users' record came 10 ms after the start; longer
+ * would keep room idle for the many that only stood beside such a task.
  */
-const PROBATION_MS = 3000;
+const PROBATION_MS = 1000;
 /**
  * An endpoint that falls silent within this time, in ms, of a start that it did
  * not answer had the run: its connections are reset at once when it ends. One that
@@ -196,6 +198,12 @@
       if (occupant.stopping || task.workflow.isOver || this.#over) {
         return yield* this.#end(occupant, lost(LostCause.NotWanted));
       }
+      const sent = this.occupants.filter((one) => one.sent);
+      // The plan was made before its record was written, which may take seconds.
+      const tasks = [...sent.map((one) => one.task), task];
+      if (!this.#options.mayHold(tasks)) {
+        return yield* this.#end(occupant, lost(LostCause.NoRoom));
+      }
       occupant.sent = true;
       occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
       this.#wake();
