Test failures told late: two silent members, terms that end, stops, lasting work

Each form of the issue's list, by the play that reproduced it: at 1.5 s and 4 s of silence, through a new coordinator after each failure, with two failing members, a run that fails before its stop arrives, and a lasting gang, which goes on.

--- a/packages/workflow-node/src/late_failures_test.ts
+++ b/packages/workflow-node/src/late_failures_test.ts
@@ -15,56 +15,173 @@
 const LIMIT_MS = 60_000;
 const STEP_MS = 20;
 
-/** A gang of three of which one member fails soon after each start. */
-async function startFailingGang(): Promise<TestUtils.TestFleet> {
+/** What a test changes in the play of a gang. */
+interface Play {
+  /** Time for which the endpoint of a failed run is not heard, in ms. */
+  readonly silentMs: number;
+  /** Members that fail in each run. */
+  readonly failing: readonly string[];
+  readonly lasting: boolean;
+  /** Ends the coordinator's box each time that a run has failed. */
+  readonly takesOver: boolean;
+}
+
+const USUAL: Play = {
+  silentMs: SILENT_MS,
+  failing: [FAILING],
+  lasting: false,
+  takesOver: false,
+};
+
+/** A gang of three of which some members fail soon after each start. */
+async function startFailingGang(
+  { failing, lasting }: Play,
+): Promise<TestUtils.TestFleet> {
   const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1, 1, 1] });
   fleet.workers.behave = (task) =>
-    task === FAILING
+    failing.includes(task)
       ? { runMs: FAILS_AFTER_MS, fails: true }
       : { runMs: LIMIT_MS, fails: false };
   await fleet.start();
-  const steps = [TestUtils.buildStep({ count: 3, gang: true })];
+  const steps = [TestUtils.buildStep({ count: 3, gang: true, lasting })];
   await fleet.submit("node-1", ID, { steps });
   return fleet;
 }
 
 /** Whether the endpoint is not heard, because a run has failed there lately. */
-function isSilent(fleet: TestUtils.TestFleet, endpoint: string): boolean {
+function isSilent(
+  fleet: TestUtils.TestFleet,
+  endpoint: string,
+  { failing, silentMs }: Play,
+): boolean {
   const nowMs = fleet.clock.monotonicMs();
-  return fleet.workers.runsOf(FAILING).some(({ worker, startedAtMs }) => {
-    const failedForMs = nowMs - startedAtMs - FAILS_AFTER_MS;
-    return worker === endpoint && failedForMs >= 0 && failedForMs < SILENT_MS;
-  });
+  return failing.some((task) =>
+    fleet.workers.runsOf(task).some(({ worker, startedAtMs }) => {
+      const failedForMs = nowMs - startedAtMs - FAILS_AFTER_MS;
+      return worker === endpoint && failedForMs >= 0 && failedForMs < silentMs;
+    })
+  );
 }
 
 /** The other members end with a failed one, and its endpoint falls silent. */
 async function playGang(
   fleet: TestUtils.TestFleet,
-  isDone: () => boolean,
+  play: Play,
+  limitMs: number,
 ): Promise<void> {
   const seen = new Set<StandIns.TaskRunNote>();
   fleet.workers.carry = (endpoint) =>
-    isSilent(fleet, endpoint)
+    isSilent(fleet, endpoint, play)
       ? StandIns.OrderFate.Lost
       : StandIns.OrderFate.Carried;
-  for (let ms = 0; ms < LIMIT_MS && !isDone(); ms += STEP_MS) {
+  for (let ms = 0; ms < limitMs; ms += STEP_MS) {
     await fleet.clock.advance(STEP_MS);
     fleet.workers.settle();
     for (const note of fleet.workers.runsOf(FAILING)) {
       if (note.how !== "failed" || seen.has(note)) continue;
       seen.add(note);
       for (const other of OTHERS) fleet.workers.endNow(other, "broken");
+      if (play.takesOver) await replaceCoordinator(fleet);
     }
   }
 }
 
+async function replaceCoordinator(fleet: TestUtils.TestFleet): Promise<void> {
+  const coordinator = fleet.coordinator();
+  if (coordinator === null || !fleet.nodes.has(coordinator)) return;
+  await fleet.kill(coordinator);
+  fleet.startNode(`${coordinator}+`);
+}
+
+function isFailed(fleet: TestUtils.TestFleet): boolean {
+  return fleet.state(ID) === Workflow.WorkflowState.Failed;
+}
+
+/** Plays a gang; returns how often each failing member ran. */
+async function countRuns(changes: Partial<Play>): Promise<{
+  readonly runs: readonly number[];
+  readonly failed: boolean;
+}> {
+  const play = { ...USUAL, ...changes };
+  const fleet = await startFailingGang(play);
+  await playGang(fleet, play, LIMIT_MS);
+  const runs = play.failing.map((task) => fleet.workers.runsOf(task).length);
+  const failed = isFailed(fleet);
+  await fleet.stop();
+  return { runs, failed };
+}
+
 vitest.describe("a gang whose failures are told late", () => {
   vitest.it("is given up after its attempts", async () => {
-    const fleet = await startFailingGang();
-    const isFailed = () => fleet.state(ID) === Workflow.WorkflowState.Failed;
-    await playGang(fleet, isFailed);
-    vitest.expect(fleet.workers.runsOf(FAILING).length).toBe(ATTEMPTS);
-    vitest.expect(isFailed()).toBe(true);
+    const { runs, failed } = await countRuns({});
+    vitest.expect(runs).toEqual([ATTEMPTS]);
+    vitest.expect(failed).toBe(true);
+  });
+
+  vitest.it("is given up though they come after the next failure", async () => {
+    const { runs, failed } = await countRuns({ silentMs: 4000 });
+    vitest.expect(runs).toEqual([ATTEMPTS]);
+    vitest.expect(failed).toBe(true);
+  });
+
+  vitest.it("is given up with two members that are silent", async () => {
+    const failing = [FAILING, OTHERS[0]];
+    const { runs, failed } = await countRuns({ failing });
+    vitest.expect(Math.max(...runs)).toBe(ATTEMPTS);
+    vitest.expect(failed).toBe(true);
+  });
+
+  vitest.it("is given up though each failure ends a term", async () => {
+    const { runs, failed } = await countRuns({ takesOver: true });
+    vitest.expect(runs).toEqual([ATTEMPTS]);
+    vitest.expect(failed).toBe(true);
+  });
+
+  vitest.it(
+    "is given up though terms end and the next run fails first",
+    async () => {
+      const { runs, failed } = await countRuns({
+        takesOver: true,
+        silentMs: 4000,
+      });
+      vitest.expect(runs).toEqual([ATTEMPTS]);
+      vitest.expect(failed).toBe(true);
+    },
+  );
+
+  vitest.it("goes on where it lasts", async () => {
+    const { runs, failed } = await countRuns({ lasting: true });
+    vitest.expect(runs[0]).toBeGreaterThan(ATTEMPTS);
+    vitest.expect(failed).toBe(false);
+  });
+});
+
+vitest.describe("a run that fails before its stop arrives", () => {
+  vitest.it("counts as failed", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1] });
+    fleet.workers.behave = (task) =>
+      task.startsWith(ID)
+        ? { runMs: FAILS_AFTER_MS * 10, fails: true }
+        : { runMs: FAILS_AFTER_MS, fails: false };
+    await fleet.start();
+    await fleet.submit("node-1", ID, { priority: 2 });
+    const urgent = async (index: number) => {
+      const id = `a${String(index).padStart(15, "0")}`;
+      await fleet.submit("node-2", id, { priority: 0 });
+    };
+    for (let run = 1; run <= ATTEMPTS; run++) {
+      const begun = () => fleet.workers.runsOf(`${ID}.0.0.0`).length >= run;
+      vitest.expect(await fleet.until(begun)).toBe(true);
+      // Its stop is on its way when it fails.
+      fleet.workers.carry = (_, order) =>
+        order === "stop" ? StandIns.OrderFate.Lost : StandIns.OrderFate.Carried;
+      await urgent(run);
+      await fleet.clock.advance(FAILS_AFTER_MS * 20);
+      fleet.workers.carry = () => StandIns.OrderFate.Carried;
+    }
+    await fleet.clock.advance(LIMIT_MS);
+    vitest.expect(isFailed(fleet)).toBe(true);
+    vitest.expect(fleet.workers.runsOf(`${ID}.0.0.0`).length).toBe(ATTEMPTS);
     await fleet.stop();
   });
 });
