Weigh how sure it is that a run was where its endpoint crashed

An endpoint that falls silent just after a start that is not answered probably had it, and no more: four such crashes count as much as two with which the run certainly was there. A crashing task that answers no start is given up at the fourth crash, not the third.

--- a/packages/coordinator/src/missing_runs.ts
+++ b/packages/coordinator/src/missing_runs.ts
@@ -1,5 +1,5 @@
 /** Runs that the records lay to endpoints which are not listed any more. */
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 
 /** A run whose endpoint is gone; whoever ended it did not tell. */
 export interface MissingRun {
@@ -44,8 +44,10 @@
       const isExcused = noteCrash(worker, tasks);
       const wasAlone = runs.length === 1;
       return runs.map((one) => {
-        const wasThere = one.task.confirmedRun === one.run;
-        return { ...one, evidence: { wasAlone, isExcused, wasThere } };
+        const presence = one.task.confirmedRun === one.run
+          ? Workflow.Presence.Certain
+          : Workflow.Presence.Unknown;
+        return { ...one, evidence: { wasAlone, isExcused, presence } };
       });
     });
   }
--- a/packages/coordinator/src/run_control.ts
+++ b/packages/coordinator/src/run_control.ts
@@ -95,7 +95,7 @@
   adoptOpenEnd(end: Workflow.OpenEnd): void {
     const session = this.#parts.directory.open(end.worker);
     if (session === null) this.#addMissing(end);
-    else session.adoptUnheard({ ...end, wasThere: true });
+    else session.adoptUnheard({ ...end, presence: Workflow.Presence.Certain });
   }
 
   /** Runs of endpoints that were not listed and whose leases have run out. */
--- a/packages/coordinator/src/unheard_runs.ts
+++ b/packages/coordinator/src/unheard_runs.ts
@@ -10,8 +10,8 @@
 export interface UnheardRun {
   readonly task: Workflow.Task;
   readonly run: number;
-  /** Whether its endpoint surely had it. */
-  readonly wasThere: boolean;
+  /** How sure it is that its endpoint had it. */
+  readonly presence: Workflow.Presence;
 }
 
 /** Those of one session. */
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -4,7 +4,7 @@
  */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as loads from "./box_load.ts";
@@ -69,8 +69,8 @@
 const PROBATION_MS = 1000;
 /**
  * An endpoint that falls silent within this time, in ms, of a start that it did
- * not answer had the run: its connections are reset at once when it ends. One that
- * was dark before is found out by looks that time out, and those are slower.
+ * not answer probably had the run: its connections are reset at once when it ends.
+ * One that was dark before is found out by looks that time out, which is slower.
  */
 const AT_START_MS = 150;
 /** Longest time for which a look waits for the records of ends, in ms. */
@@ -256,12 +256,12 @@
       const endOf = this.#endOfAll(unheard);
       const records = this.occupants.map((occupant) => {
         const end = occupant.sent
-          ? endOf(this.#wasThere(occupant))
+          ? endOf(this.#presenceOf(occupant))
           : lost(LostCause.NeverSent);
         return this.#end(occupant, end);
       });
       for (const run of unheard) {
-        records.push(listener.lateEnd(this, run, endOf(run.wasThere)));
+        records.push(listener.lateEnd(this, run, endOf(run.presence)));
       }
       yield* Effect.all(records, { concurrency: "unbounded", discard: true });
     });
@@ -270,27 +270,29 @@
   /** How the runs have ended that were, or may have been, here. */
   #endOfAll(
     unheard: readonly unheards.UnheardRun[],
-  ): (wasThere: boolean) => listeners.SessionEnd {
+  ): (presence: Workflow.Presence) => listeners.SessionEnd {
     if (this.#isLeaving) return () => lost(LostCause.Left);
     const sent = this.occupants.filter((one) => one.sent);
     const tasks = [...sent, ...unheard].map(({ task }) => task);
     const wasAlone = isOneUnit(tasks);
     const isExcused = this.#options.silences.noteCrash(this.ref, tasks);
-    return (wasThere) => listeners.crashed({ wasAlone, isExcused, wasThere });
+    return (presence) => listeners.crashed({ wasAlone, isExcused, presence });
   }
 
-  /**
-   * Whether a run surely was here: it was confirmed, or the endpoint fell silent
-   * as soon as its start was sent.
-   */
-  #wasThere(occupant: occupants.Occupant): boolean {
+  /** How sure it is that a run was here when the endpoint ended. */
+  #presenceOf(occupant: occupants.Occupant): Workflow.Presence {
     const { sentAtMs, task, run } = occupant;
     const isKnown = occupants.isConfirmed(occupant) ||
       task.confirmedRun === run;
-    if (isKnown) return true;
+    if (isKnown) return Workflow.Presence.Certain;
     const silentAtMs = this.#options.silences.silentSinceMs(this.ref);
-    return sentAtMs !== null && silentAtMs !== null &&
-      silentAtMs >= sentAtMs && silentAtMs - sentAtMs <= AT_START_MS;
+    if (sentAtMs === null || silentAtMs === null) {
+      return Workflow.Presence.Unknown;
+    }
+    const afterMs = silentAtMs - sentAtMs;
+    return afterMs >= 0 && afterMs <= AT_START_MS
+      ? Workflow.Presence.Likely
+      : Workflow.Presence.Unknown;
   }
 
   /** Keeps the lease while there is something to keep it for. */
@@ -451,8 +453,9 @@
       for (const occupant of this.occupants) {
         if (!occupant.sent) continue;
         if (!hasLapsed && !hasBroken(occupant)) continue;
-        const wasThere = occupants.isConfirmed(occupant);
-        this.#unheard.add({ task: occupant.task, run: occupant.run, wasThere });
+        const { task, run } = occupant;
+        const presence = this.#presenceOf(occupant);
+        this.#unheard.add({ task, run, presence });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.GangBroken;
         yield* this.#end(occupant, lost(cause));
       }
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -25,6 +25,7 @@
   type CrashEvidence,
   type GiveUp,
   GiveUpReason,
+  Presence,
 } from "./src/restart_budget.ts";
 export { type EndOfRun, type Unit, Workflow } from "./src/workflow.ts";
 export { isFinal, WorkflowState } from "./src/workflow_state.ts";
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -22,7 +22,7 @@
   checkpoint?: string,
   crashesLaid?: number,
   crashesExcused?: number,
-  crashesCertain?: number,
+  crashesPresence?: number,
   confirmedRun?: number,
 ];
 
@@ -152,10 +152,10 @@
   const place = worker === null ? NO_WORKER : workers.get(worker) ?? NO_WORKER;
   budget.checkpoints -= checkpoint.length;
   const kept = budget.checkpoints < 0 ? "" : checkpoint;
-  const { laid, excused, certain } = task.crashes;
+  const { laid, excused, presence } = task.crashes;
   if (laid + excused > 0) {
     const { confirmedRun } = task;
-    return [run, place, failures, kept, laid, excused, certain, confirmedRun];
+    return [run, place, failures, kept, laid, excused, presence, confirmedRun];
   }
   return kept === "" ? [run, place, failures] : [run, place, failures, kept];
 }
@@ -202,8 +202,8 @@
   task.worker = workers[place] ?? null;
   task.failures = failures;
   task.checkpoint = checkpoint ?? "";
-  const [laid = 0, excused = 0, certain = 0, confirmedRun = 0] = crashes;
-  task.crashes = { laid, excused, certain };
+  const [laid = 0, excused = 0, presence = 0, confirmedRun = 0] = crashes;
+  task.crashes = { laid, excused, presence };
   task.confirmedRun = confirmedRun;
   const isPlaced = task.worker !== null;
   if (isPlaced && task.state !== tasks.TaskState.Done) {
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -10,12 +10,22 @@
   readonly laid: number;
   /** Crashes with which so many endpoints fell that the task is not to blame. */
   readonly excused: number;
-  /** Of all these, those with which the task's run surely was there. */
-  readonly certain: number;
+  /** How sure it is that the task's runs were there: their presence, summed. */
+  readonly presence: number;
+}
+
+/** How sure it is that a run was on the endpoint that crashed. */
+export enum Presence {
+  /** Its start may have been lost. */
+  Unknown = 0,
+  /** The endpoint fell silent as soon as the start was sent. */
+  Likely = 1,
+  /** Its start was answered, or a look has shown it. */
+  Certain = 2,
 }
 
 /** A task under which no endpoint has crashed. */
-export const NO_CRASHES: CrashCount = { laid: 0, excused: 0, certain: 0 };
+export const NO_CRASHES: CrashCount = { laid: 0, excused: 0, presence: 0 };
 
 /** Why a task is not started any more. */
 export enum GiveUpReason {
@@ -52,8 +62,11 @@
  * answered may have been lost. It is all that operators allow.
  */
 const MOST_UNCERTAIN_CRASHES = 5;
-/** Operators take a task for good until so many endpoints crashed under it. */
-const LEAST_CERTAIN = 2;
+/**
+ * Operators take a task for good until two endpoints crashed under it: two crashes
+ * with which it certainly was there, or four with which it was likely.
+ */
+const LEAST_PRESENCE = 2 * Presence.Certain;
 /** A lasting task that has run for so long, in ms, is not what ended its endpoint. */
 const LASTING_PROVEN_MS = 30_000;
 
@@ -63,15 +76,14 @@
   readonly wasAlone: boolean;
   /** So many endpoints fell at once that no task has done it. */
   readonly isExcused: boolean;
-  /** The run was there: its start was answered, or a look has shown it. */
-  readonly wasThere: boolean;
+  readonly presence: Presence;
 }
 
 /** Nothing speaks for or against the task. */
 export const NO_EVIDENCE: CrashEvidence = {
   wasAlone: false,
   isExcused: false,
-  wasThere: false,
+  presence: Presence.Unknown,
 };
 
 /** Whether a lasting task has run for so long that an older crash is no trait. */
@@ -81,21 +93,24 @@
 
 /** Whether the crashes under a task are reason enough to give it up. */
 export function hasCrashedTooOften(
-  { laid, excused, certain }: CrashCount,
+  { laid, excused, presence }: CrashCount,
   { wasAlone }: CrashEvidence,
 ): boolean {
   if (laid + excused >= MOST_UNCERTAIN_CRASHES) return true;
-  if (certain < LEAST_CERTAIN) return false;
+  if (presence < LEAST_PRESENCE) return false;
   return laid + excused >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
 }
 
 /** The count after one more crash. */
 export function addCrash(
   count: CrashCount,
-  { isExcused, wasThere }: CrashEvidence,
+  { isExcused, presence }: CrashEvidence,
 ): CrashCount {
-  const certain = count.certain + (wasThere ? 1 : 0);
-  const added = { ...count, laid: count.laid + 1, certain };
+  const added = {
+    ...count,
+    laid: count.laid + 1,
+    presence: count.presence + presence,
+  };
   return isExcused ? excuseCrash(added) : added;
 }
 
