Draw rooms that shrink and grow in the random faults

Endpoints that start whatever they are told say that their room is another, with draws of their own, so the other faults of a seed stay as they are. Checked: no start brings an endpoint over the most that it has said in the last 4.5 s.

--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -248,8 +248,78 @@
   return false;
 }
 
-async function play(seed: number): Promise<string[]> {
-  const fleet = new TestUtils.TestFleet({ seed, workers: [2, 2, 1, 1] });
+/** A shrunk room counts from then on, in ms: operators give contact and a beat. */
+const ROOM_KNOWN_MS = 4500;
+/** Accelerators of the endpoints. */
+const SIZES: readonly number[] = [2, 2, 1, 1];
+
+/** Rooms of the endpoints that shrink and grow, as their listings tell. */
+class ChangingRooms {
+  readonly #fleet: TestUtils.TestFleet;
+  readonly #random: TestUtils.SeededRandom;
+  readonly #changes: { id: string; atMs: number; room: number }[] = [];
+
+  constructor(fleet: TestUtils.TestFleet, seed: number) {
+    this.#fleet = fleet;
+    // Draws of its own: the other faults of a seed stay as they are.
+    this.#random = new TestUtils.SeededRandom(seed + 0.5);
+    fleet.workers.guardsRoom = false;
+  }
+
+  /** One endpoint says that its room is another. */
+  change(): void {
+    const lives = this.#fleet.workers.listLives();
+    if (lives.length === 0) return;
+    const id = this.#random.choose(lives);
+    this.#set(id, this.#random.between(0, this.#sizeOf(id)));
+  }
+
+  /** All endpoints have all of their room again. */
+  restore(): void {
+    for (const id of this.#fleet.workers.listLives()) {
+      this.#set(id, this.#sizeOf(id));
+    }
+  }
+
+  /** Starts that brought an endpoint over what it had said for long enough. */
+  findViolations(): string[] {
+    const { runs } = this.#fleet.workers;
+    return runs.flatMap(({ task, run, worker, startedAtMs }) => {
+      const held = runs.filter((note) =>
+        note.worker === worker && note.startedAtMs <= startedAtMs &&
+        (note.endedAtMs ?? Number.POSITIVE_INFINITY) > startedAtMs
+      );
+      const room = this.#roomAt(worker, startedAtMs);
+      return held.length > room
+        ? [`${task} run ${run}: ${held.length} on a room of ${room}`]
+        : [];
+    });
+  }
+
+  #set(id: string, room: number): void {
+    const place = this.#fleet.placeOf(id);
+    this.#fleet.list({ id, accelerators: room }, place);
+    this.#changes.push({ id, atMs: this.#fleet.clock.monotonicMs(), room });
+  }
+
+  #sizeOf(id: string): number {
+    return SIZES[this.#fleet.placeOf(id)];
+  }
+
+  /** The most that it has said of itself in the time that counts. */
+  #roomAt(id: string, atMs: number): number {
+    const own = this.#changes.filter((one) => one.id === id && one.atMs < atMs);
+    const before = own.filter((one) => one.atMs <= atMs - ROOM_KNOWN_MS);
+    const counted = own.slice(Math.max(0, before.length - 1));
+    const rooms = counted.map(({ room }) => room);
+    if (before.length === 0) rooms.push(this.#sizeOf(id));
+    return Math.max(...rooms);
+  }
+}
+
+async function play(seed: number, changesRooms = false): Promise<string[]> {
+  const fleet = new TestUtils.TestFleet({ seed, workers: SIZES });
+  const rooms = changesRooms ? new ChangingRooms(fleet, seed) : null;
   const random = new TestUtils.SeededRandom(seed);
   const grey = new GreyEndpoints(fleet);
   fleet.workers.behave = (task, endpoint) => ({
@@ -266,6 +336,7 @@
     const id = `${kind}${String(round).padStart(15, "0")}`;
     if (await submitSomewhere(fleet, random, id)) accepted.push(id);
     breakOrders(fleet, random, random.choose(ORDER_SHARES), grey);
+    rooms?.change();
     const faults = random.between(1, 3);
     for (let i = 0; i < faults; i++) {
       await breakSomething(fleet, random, grey);
@@ -276,12 +347,14 @@
     await fleet.clock.advance(ROUND_MS);
   }
   fleet.workers.carry = () => StandIns.OrderFate.Carried;
+  rooms?.restore();
   const isOver = (id: string) => {
     const state = fleet.state(id);
     return state !== null && Workflow.isFinal(state);
   };
   const ended = await fleet.until(() => accepted.every(isOver), END_LIMIT_MS);
   const violations = findViolations(fleet);
+  violations.push(...rooms?.findViolations() ?? []);
   violations.push(...accepted.flatMap((id) => checkFailed(fleet, id)));
   if (!ended) {
     violations.push(`not ended: ${accepted.filter((id) => !isOver(id))}`);
@@ -316,3 +389,11 @@
     });
   }
 });
+
+vitest.describe("random faults and rooms that change", () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    vitest.it(`start nothing without room, seed ${seed}`, async () => {
+      vitest.expect(await play(seed, true)).toEqual([]);
+    });
+  }
+});
