Cut the judging of ends, and their log lines, out of session and coordinator

life_end.ts tells a crash from an announced leave and how sure it is that a run was there; end_log.ts writes the lines and counters. Tests of crashes, late failures, gangs, takeovers and records pass.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -5,6 +5,7 @@
 import * as Effect from "effect/Effect";
 import * as advice from "./advice_book.ts";
 import * as describing from "./describe.ts";
+import * as endLogs from "./end_log.ts";
 import type * as terms from "./term.ts";
 import * as intake from "./intake.ts";
 import type * as occupants from "./occupant.ts";
@@ -46,6 +47,7 @@
   readonly #control: controls.RunControl;
   readonly #watch: watches.RunWatch;
   readonly #planning: plannings.Planning;
+  readonly #endLog: endLogs.EndLog;
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
@@ -54,6 +56,7 @@
     super();
     this.#ports = coordinatorPorts;
     this.#term = term;
+    this.#endLog = new endLogs.EndLog(coordinatorPorts);
     this.#electedAtMs = coordinatorPorts.clock.monotonicMs();
     const held = new fences.PartitionFences(coordinatorPorts, term);
     this.#recovery = new recoveries.Recovery(coordinatorPorts, term, held);
@@ -163,30 +166,19 @@
     end: listeners.SessionEnd,
   ): Effect.Effect<void> {
     const { workflow } = task;
-    const { clock, log } = this.#ports;
+    const nowMs = this.#ports.clock.monotonicMs();
     const wasOver = workflow.isOver;
-    const isNews = workflow.endRun(
-      task,
-      { run, ...end },
-      clock.monotonicMs(),
-    );
+    const isNews = workflow.endRun(task, { run, ...end }, nowMs);
     if (!isNews) return Effect.void;
-    const { id } = worker.ref;
-    log.info(
-      `Run ${run} of ${task.name} on ${id}: ${end.how}, as is known now.`,
-    );
-    if (end.how === Workflow.RunEnd.Crashed) this.#crashed(id, task, run);
+    this.#endLog.endedLate({ task, run, endpoint: worker.ref.id }, end);
     return this.#settle(workflow, wasOver);
   }
 
   override crashExcused(tasks: readonly Workflow.Task[]): void {
     for (const task of tasks) {
-      const { workflow, name, crashes } = task;
+      const { workflow } = task;
       if (!workflow.excuseCrash(task)) continue;
-      this.#ports.log.info(
-        `A crash under ${name} is not laid to it: others fell at that moment. ` +
-          `${crashes.laid - 1} crashes are laid to it.`,
-      );
+      this.#endLog.excused(task);
       Effect.runFork(this.#recorder.record(workflow));
     }
   }
@@ -194,7 +186,7 @@
   /** What follows from the end of a run; the effect ends when it is recorded. */
   #settle(workflow: Workflow.Workflow, wasOver: boolean): Effect.Effect<void> {
     if (workflow.isOver && !wasOver) {
-      this.#noteGiveUp(workflow);
+      this.#endLog.gaveUp(workflow);
       this.#control.stopAll(workflow);
     }
     this.#book.conclude(workflow);
@@ -202,29 +194,6 @@
     return this.#recorder.record(workflow);
   }
 
-  #noteGiveUp({ spec: { id }, giveUp }: Workflow.Workflow): void {
-    if (giveUp === null) return;
-    const { log, metrics } = this.#ports;
-    const { reason, task, run, failures, crashes } = giveUp;
-    metrics.count("cairngate_workflows_given_up_total", { reason });
-    log.warn(
-      `Workflow ${id} is given up for ${reason} of ${task}, last with run ` +
-        `${run}: ${failures} runs failed, ${crashes.laid} crashes of endpoints ` +
-        `are laid to it, ${crashes.excused} are not.`,
-    );
-  }
-
-  /** One line for each crash with which a task may have something to do. */
-  #crashed(endpoint: string, task: Workflow.Task, run: number): void {
-    const { log, metrics } = this.#ports;
-    const { laid, excused } = task.crashes;
-    metrics.count("cairngate_crashes_under_tasks_total");
-    log.warn(
-      `Endpoint ${endpoint} ended with run ${run} of ${task.name} on it: ` +
-        `${laid} crashes are laid to the task, ${excused} are not.`,
-    );
-  }
-
   override runConfirmed(occupant: occupants.Occupant): void {
     const { task, run } = occupant;
     if (task.run !== run) return;
@@ -244,21 +213,13 @@
   #runLost(
     worker: listeners.SessionWorker,
     occupant: occupants.Occupant,
-    { how, cause }: listeners.SessionEnd,
+    end: listeners.SessionEnd,
   ): void {
     const { task, run } = occupant;
-    const { clock, log, metrics } = this.#ports;
     task.workflow.lostRuns++;
-    const why = cause === null
-      ? ""
-      : `, because ${listeners.describeCause(cause)}`;
-    log.info(`Run ${run} of ${task.name} on ${worker.ref.id}: ${how}${why}.`);
-    if (cause !== null) metrics.count("cairngate_runs_lost_total", { cause });
-    if (how === Workflow.RunEnd.Crashed) {
-      this.#crashed(worker.ref.id, task, run);
-    }
-    if (how === Workflow.RunEnd.Failed) {
-      worker.health.failed(clock.monotonicMs());
+    this.#endLog.ended({ task, run, endpoint: worker.ref.id }, end);
+    if (end.how === Workflow.RunEnd.Failed) {
+      worker.health.failed(this.#ports.clock.monotonicMs());
     }
     if (task.step.gang) this.#control.stopGang(task, run);
   }
@@ -356,16 +317,11 @@
   #endMissing(missing: missings.MissingRun): Effect.Effect<void> {
     const { task, run, worker, evidence } = missing;
     const { workflow } = task;
-    const { clock, log } = this.#ports;
     const wasOver = workflow.isOver;
     const how = Workflow.RunEnd.Crashed;
     const end = { run, how, checkpoint: "", crash: evidence };
-    log.info(
-      `Run ${run} of ${task.name}: its endpoint ${worker} is not listed and ` +
-        `its lease has run out.`,
-    );
-    workflow.endRun(task, end, clock.monotonicMs());
-    this.#crashed(worker, task, run);
+    workflow.endRun(task, end, this.#ports.clock.monotonicMs());
+    this.#endLog.missing({ task, run, endpoint: worker });
     return this.#settle(workflow, wasOver);
   }
 
--- /dev/null
+++ b/packages/coordinator/src/end_log.ts
@@ -0,0 +1,85 @@
+/** Log lines and counters for runs that did not end well. */
+import * as Workflow from "@cairngate/workflow";
+import type * as ports from "./ports.ts";
+import * as listeners from "./session_listener.ts";
+
+/** A run on an endpoint. */
+export interface RunPlace {
+  readonly task: Workflow.Task;
+  readonly run: number;
+  readonly endpoint: string;
+}
+
+/** Tells how runs ended; one for each term. */
+export class EndLog {
+  readonly #ports: Pick<ports.CoordinatorPorts, "log" | "metrics">;
+
+  constructor(
+    coordinatorPorts: Pick<ports.CoordinatorPorts, "log" | "metrics">,
+  ) {
+    this.#ports = coordinatorPorts;
+  }
+
+  /** A run ended other than as done. */
+  ended(place: RunPlace, { how, cause }: listeners.SessionEnd): void {
+    const { log, metrics } = this.#ports;
+    const { task, run, endpoint } = place;
+    const why = cause === null
+      ? ""
+      : `, because ${listeners.describeCause(cause)}`;
+    log.info(`Run ${run} of ${task.name} on ${endpoint}: ${how}${why}.`);
+    if (cause !== null) metrics.count("cairngate_runs_lost_total", { cause });
+    if (how === Workflow.RunEnd.Crashed) this.#crashed(place);
+  }
+
+  /** The end of a run became known after it had been given up. */
+  endedLate(place: RunPlace, { how }: listeners.SessionEnd): void {
+    const { task, run, endpoint } = place;
+    this.#ports.log.info(
+      `Run ${run} of ${task.name} on ${endpoint}: ${how}, as is known now.`,
+    );
+    if (how === Workflow.RunEnd.Crashed) this.#crashed(place);
+  }
+
+  /** The endpoint of a run of an earlier term is gone. */
+  missing(place: RunPlace): void {
+    const { task, run, endpoint } = place;
+    this.#ports.log.info(
+      `Run ${run} of ${task.name}: its endpoint ${endpoint} is not listed and ` +
+        `its lease has run out.`,
+    );
+    this.#crashed(place);
+  }
+
+  /** A crash under a task is not laid to it any more. */
+  excused({ name, crashes }: Workflow.Task): void {
+    this.#ports.log.info(
+      `A crash under ${name} is not laid to it: others fell at that moment. ` +
+        `${crashes.laid} crashes are laid to it.`,
+    );
+  }
+
+  /** A workflow has failed. */
+  gaveUp({ spec: { id }, giveUp }: Workflow.Workflow): void {
+    if (giveUp === null) return;
+    const { log, metrics } = this.#ports;
+    const { reason, task, run, failures, crashes } = giveUp;
+    metrics.count("cairngate_workflows_given_up_total", { reason });
+    log.warn(
+      `Workflow ${id} is given up for ${reason} of ${task}, last with run ` +
+        `${run}: ${failures} runs failed, ${crashes.laid} crashes of endpoints ` +
+        `are laid to it, ${crashes.excused} are not.`,
+    );
+  }
+
+  /** One line for each crash with which a task may have something to do. */
+  #crashed({ task, run, endpoint }: RunPlace): void {
+    const { log, metrics } = this.#ports;
+    const { laid, excused } = task.crashes;
+    metrics.count("cairngate_crashes_under_tasks_total");
+    log.warn(
+      `Endpoint ${endpoint} ended with run ${run} of ${task.name} on it: ` +
+        `${laid} crashes are laid to the task, ${excused} are not.`,
+    );
+  }
+}
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -4,12 +4,13 @@
  */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
-import * as Workflow from "@cairngate/workflow";
+import type * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as loads from "./box_load.ts";
 import type * as terms from "./term.ts";
 import * as leaseClocks from "./lease_clock.ts";
+import * as lifeEnds from "./life_end.ts";
 import type * as ports from "./ports.ts";
 import * as endLedgers from "./end_ledger.ts";
 import * as occupants from "./occupant.ts";
@@ -67,12 +68,6 @@
  * would keep room idle for the many that only stood beside such a task.
  */
 const PROBATION_MS = 1000;
-/**
- * An endpoint that falls silent within this time, in ms, of a start that it did
- * not answer probably had the run: its connections are reset at once when it ends.
- * One that was dark before is found out by looks that time out, which is slower.
- */
-const AT_START_MS = 150;
 /** Longest time for which a look waits for the records of ends, in ms. */
 const UNRECORDED_PAUSE_MS = 1000;
 
@@ -89,12 +84,9 @@
   /** Ends that were listed before the record of their run was read. */
   readonly #unplaced = new Map<string, Deferred.Deferred<void>>();
   readonly #unheard = new unheards.UnheardRuns();
+  readonly #lifeEnd: lifeEnds.LifeEnd;
   #reachable = true;
-  /** Our time of its last answer to a look. */
-  #heardAtMs = Number.NEGATIVE_INFINITY;
   #over = false;
-  /** Whether it is known to leave, so that its end is no crash. */
-  #isLeaving = false;
   #signal = Deferred.makeUnsafe<void>();
 
   constructor(options: SessionOptions) {
@@ -102,6 +94,7 @@
     this.ref = options.ref;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
     const { clock, bounds } = options.ports;
+    this.#lifeEnd = new lifeEnds.LifeEnd(clock, options.ref, options.silences);
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
@@ -145,19 +138,12 @@
 
   /** It is listed, and tells whether it is going to leave. */
   noteListed(isDraining: boolean): void {
-    this.#isLeaving = isDraining;
+    this.#lifeEnd.noteListed(isDraining);
   }
 
-  /**
-   * It is listed no more. Some leave without a word, and serve on: one that still
-   * answers has not crashed.
-   */
+  /** It is listed no more. */
   noteUnlisted(): void {
-    const { clock } = this.#options.ports;
-    const heardBeforeMs = clock.monotonicMs() - this.#heardAtMs;
-    const answers = this.#reachable &&
-      heardBeforeMs <= MOST_WAIT_MS + VIEW_SLACK_MS;
-    this.#isLeaving ||= answers;
+    this.#lifeEnd.noteUnlisted(this.#reachable);
   }
 
   /** Takes in a run that an earlier coordinator gave up before its end. */
@@ -253,10 +239,11 @@
       this.#wake();
       const { listener } = this.#options;
       const unheard = this.#unheard.takeAll();
-      const endOf = this.#endOfAll(unheard);
+      const sent = this.occupants.filter((one) => one.sent);
+      const endOf = this.#lifeEnd.end(sent, unheard);
       const records = this.occupants.map((occupant) => {
         const end = occupant.sent
-          ? endOf(this.#presenceOf(occupant))
+          ? endOf(this.#lifeEnd.presenceOf(occupant))
           : lost(LostCause.NeverSent);
         return this.#end(occupant, end);
       });
@@ -267,34 +254,6 @@
     });
   }
 
-  /** How the runs have ended that were, or may have been, here. */
-  #endOfAll(
-    unheard: readonly unheards.UnheardRun[],
-  ): (presence: Workflow.Presence) => listeners.SessionEnd {
-    if (this.#isLeaving) return () => lost(LostCause.Left);
-    const sent = this.occupants.filter((one) => one.sent);
-    const tasks = [...sent, ...unheard].map(({ task }) => task);
-    const wasAlone = isOneUnit(tasks);
-    const isExcused = this.#options.silences.noteCrash(this.ref, tasks);
-    return (presence) => listeners.crashed({ wasAlone, isExcused, presence });
-  }
-
-  /** How sure it is that a run was here when the endpoint ended. */
-  #presenceOf(occupant: occupants.Occupant): Workflow.Presence {
-    const { sentAtMs, task, run } = occupant;
-    const isKnown = occupants.isConfirmed(occupant) ||
-      task.confirmedRun === run;
-    if (isKnown) return Workflow.Presence.Certain;
-    const silentAtMs = this.#options.silences.silentSinceMs(this.ref);
-    if (sentAtMs === null || silentAtMs === null) {
-      return Workflow.Presence.Unknown;
-    }
-    const afterMs = silentAtMs - sentAtMs;
-    return afterMs >= 0 && afterMs <= AT_START_MS
-      ? Workflow.Presence.Likely
-      : Workflow.Presence.Unknown;
-  }
-
   /** Keeps the lease while there is something to keep it for. */
   run(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -406,8 +365,8 @@
       const isAtOnce = waitMs === 0 && this.#reachable;
       const view = yield* isAtOnce ? load.inTurn(renew) : renew;
       if (view === null) return yield* this.#notHeard();
-      this.#heardAtMs = clock.monotonicMs();
-      this.#noteDelay(this.#heardAtMs - sentAtMs, waitMs);
+      this.#lifeEnd.noteHeard();
+      this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
       if (!this.#reachable) {
         this.#reachable = true;
         this.#options.silences.noteHeard(this.ref);
@@ -454,7 +413,7 @@
         if (!occupant.sent) continue;
         if (!hasLapsed && !hasBroken(occupant)) continue;
         const { task, run } = occupant;
-        const presence = this.#presenceOf(occupant);
+        const presence = this.#lifeEnd.presenceOf(occupant);
         this.#unheard.add({ task, run, presence });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.GangBroken;
         yield* this.#end(occupant, lost(cause));
@@ -594,14 +553,6 @@
     task.workflow.hasEndedWithGang(task);
 }
 
-/** Whether all tasks were started together: one task, or members of one gang. */
-function isOneUnit(tasks: readonly Workflow.Task[]): boolean {
-  const units = tasks.map((task) =>
-    task.step.gang ? task.workflow.siblings(task) : task
-  );
-  return new Set<unknown>(units).size === 1;
-}
-
 function nameOfRun({ name: task, run }: Workflow.Task): string {
   return strays.nameOf({ task, run });
 }
