Suspend boxes in the random faults; take a recorded start for likely there

The fleet of the tests gives each node a clock that stands still while the node does; the time of day goes on and may step. The random faults suspend boxes for 1 to 10 s, the coordinator first, with all other faults.

A start that an earlier coordinator has recorded now counts as likely there, like one after which the endpoint fell silent: four such are enough.

--- a/packages/coordinator/src/life_end.ts
+++ b/packages/coordinator/src/life_end.ts
@@ -80,10 +80,10 @@
     const isKnown = occupants.isConfirmed(occupant) ||
       task.confirmedRun === run;
     if (isKnown) return Workflow.Presence.Certain;
+    // An earlier coordinator sent it, most likely: its record says so.
+    if (sentAtMs === null) return Workflow.Presence.Likely;
     const silentAtMs = this.#silences.silentSinceMs(this.#ref);
-    if (sentAtMs === null || silentAtMs === null) {
-      return Workflow.Presence.Unknown;
-    }
+    if (silentAtMs === null) return Workflow.Presence.Unknown;
     const afterMs = silentAtMs - sentAtMs;
     return afterMs >= 0 && afterMs <= AT_START_MS
       ? Workflow.Presence.Likely
--- a/packages/coordinator/src/missing_runs.ts
+++ b/packages/coordinator/src/missing_runs.ts
@@ -46,7 +46,7 @@
       return runs.map((one) => {
         const presence = one.task.confirmedRun === one.run
           ? Workflow.Presence.Certain
-          : Workflow.Presence.Unknown;
+          : Workflow.Presence.Likely;
         return { ...one, evidence: { wasAlone, isExcused, presence } };
       });
     });
--- a/packages/stand-ins/src/busy_processor.ts
+++ b/packages/stand-ins/src/busy_processor.ts
@@ -7,6 +7,8 @@
   readonly #clock: Ports.Clock;
   /** Time that each call takes, in ms; tests set it. */
   callMs = 0;
+  /** Waits while the box stands still. */
+  gate: Effect.Effect<void> = Effect.void;
   #freeAtMs = 0;
 
   constructor(clock: Ports.Clock) {
@@ -21,6 +23,10 @@
 
   /** Works on one call. */
   use(): Effect.Effect<void> {
+    return Effect.andThen(this.gate, this.#work());
+  }
+
+  #work(): Effect.Effect<void> {
     return Effect.suspend(() => {
       if (this.callMs === 0) return Effect.void;
       const { delayMs } = this;
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -85,6 +85,7 @@
         return yield* new Errors.StoreUnavailableError({ operation, cause });
       }
       const done = yield* call();
+      yield* this.processor.gate;
       if (!way.answers()) return yield* Effect.never;
       if (operation === "scan") yield* this.#carry(done);
       const loses = operation === "write" &&
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -9,6 +9,7 @@
 import * as Effect from "effect/Effect";
 import * as clocks from "./fake_clock.ts";
 import * as peers from "./fake_store_peers.ts";
+import * as suspendables from "./suspendable_clock.ts";
 import * as randoms from "./seeded_random.ts";
 
 /** Bounds that the tests play with. */
@@ -82,6 +83,8 @@
   /** Links between the nodes. */
   readonly links = new peers.FakePeerHub(this.clock);
   readonly nodes = new Map<string, FleetNode>();
+  /** Clock of each node. */
+  readonly clocks = new Map<string, suspendables.SuspendableClock>();
   readonly #config: Ports.AccessConfig;
   readonly #coresOf: (name: string) => number;
   readonly #advisor: Ports.Advisor | null;
@@ -155,6 +158,9 @@
   /** Makes a node; it has to be started. */
   addNode(name: string): Node.WorkflowNode {
     const faults = new StandIns.FaultSwitch(this.clock, this.random);
+    const clock = new suspendables.SuspendableClock(this.clock);
+    faults.processor.gate = clock.awaitRunning();
+    this.clocks.set(name, clock);
     const feed = <T>(prefix: string, partitions?: readonly string[]) =>
       new StandIns.MemoryRowFeed<T>({
         table: this.table,
@@ -167,7 +173,7 @@
       node: name,
       peersAddress: name,
       peers: this.links.linksOf(name),
-      clock: this.clock,
+      clock,
       random: this.random,
       table: new StandIns.FaultyTable(this.table, faults),
       workers: new StandIns.BusyTaskWorkers(this.workers, faults.processor),
--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -240,6 +240,8 @@
     TestUtils.buildStep({ count: 2, gang: true, after: [0] }),
   ];
   for (const name of fleet.nodes.keys()) {
+    // A call there would last as long as the box stands still.
+    if (fleet.clocks.get(name)?.isSuspended === true) continue;
     const priority = random.between(0, 2);
     const done = await fleet.submit(name, id, { steps, priority })
       .then(() => true, () => false);
@@ -317,9 +319,64 @@
   }
 }
 
-async function play(seed: number, changesRooms = false): Promise<string[]> {
+/** Shortest and longest time for which a box stands still, in ms. */
+const SUSPENDED_MS: readonly [number, number] = [1000, 10_000];
+/** How far the time of day steps on some of them, in ms. */
+const WALL_STEPS_MS: readonly number[] = [0, 0, -2000, 2000];
+
+/** Boxes that stand still, the coordinator first, with their steady clocks. */
+class Suspensions {
+  readonly #fleet: TestUtils.TestFleet;
+  readonly #random: TestUtils.SeededRandom;
+  readonly #untilMs = new Map<string, number>();
+
+  constructor(fleet: TestUtils.TestFleet, seed: number) {
+    this.#fleet = fleet;
+    this.#random = new TestUtils.SeededRandom(seed + 0.25);
+  }
+
+  /** One box stands still from now on; others go on when their time is over. */
+  next(): void {
+    this.#resumeDue();
+    const names = [...this.#fleet.nodes.keys()];
+    const coordinator = this.#fleet.coordinator();
+    const isKnown = coordinator !== null && names.includes(coordinator);
+    const name = isKnown && this.#random.next() < 0.7
+      ? coordinator
+      : this.#random.choose(names);
+    const clock = this.#fleet.clocks.get(name);
+    if (clock === undefined) return;
+    const lastsMs = this.#random.between(...SUSPENDED_MS);
+    this.#untilMs.set(name, this.#fleet.clock.monotonicMs() + lastsMs);
+    clock.wallAheadMs = this.#random.choose(WALL_STEPS_MS);
+    clock.suspend();
+  }
+
+  /** All boxes go on. */
+  end(): void {
+    for (const clock of this.#fleet.clocks.values()) clock.resume();
+  }
+
+  #resumeDue(): void {
+    const nowMs = this.#fleet.clock.monotonicMs();
+    for (const [name, untilMs] of this.#untilMs) {
+      if (untilMs > nowMs) continue;
+      this.#untilMs.delete(name);
+      this.#fleet.clocks.get(name)?.resume();
+    }
+  }
+}
+
+/** Kinds of faults beside the usual ones. */
+interface PlayKinds {
+  readonly changesRooms?: boolean;
+  readonly suspends?: boolean;
+}
+
+async function play(seed: number, kinds: PlayKinds = {}): Promise<string[]> {
   const fleet = new TestUtils.TestFleet({ seed, workers: SIZES });
-  const rooms = changesRooms ? new ChangingRooms(fleet, seed) : null;
+  const rooms = kinds.changesRooms ? new ChangingRooms(fleet, seed) : null;
+  const suspensions = kinds.suspends ? new Suspensions(fleet, seed) : null;
   const random = new TestUtils.SeededRandom(seed);
   const grey = new GreyEndpoints(fleet);
   fleet.workers.behave = (task, endpoint) => ({
@@ -337,6 +394,7 @@
     if (await submitSomewhere(fleet, random, id)) accepted.push(id);
     breakOrders(fleet, random, random.choose(ORDER_SHARES), grey);
     rooms?.change();
+    suspensions?.next();
     const faults = random.between(1, 3);
     for (let i = 0; i < faults; i++) {
       await breakSomething(fleet, random, grey);
@@ -348,6 +406,7 @@
   }
   fleet.workers.carry = () => StandIns.OrderFate.Carried;
   rooms?.restore();
+  suspensions?.end();
   const isOver = (id: string) => {
     const state = fleet.state(id);
     return state !== null && Workflow.isFinal(state);
@@ -393,7 +452,15 @@
 vitest.describe("random faults and rooms that change", () => {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
     vitest.it(`start nothing without room, seed ${seed}`, async () => {
-      vitest.expect(await play(seed, true)).toEqual([]);
+      vitest.expect(await play(seed, { changesRooms: true })).toEqual([]);
+    });
+  }
+});
+
+vitest.describe("random faults and boxes that stand still", () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    vitest.it(`lose nothing and run nothing twice, seed ${seed}`, async () => {
+      vitest.expect(await play(seed, { suspends: true })).toEqual([]);
     });
   }
 });
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -18,7 +18,10 @@
 export enum Presence {
   /** Its start may have been lost. */
   Unknown = 0,
-  /** The endpoint fell silent as soon as the start was sent. */
+  /**
+   * The endpoint fell silent as soon as the start was sent, or an earlier
+   * coordinator has recorded the start.
+   */
   Likely = 1,
   /** Its start was answered, or a look has shown it. */
   Certain = 2,
