Keep suspects near their data and gangs on one rack

A task under which an endpoint had crashed took empty endpoints wherever they were: away from its data, or a gang that wants one rack on several, it then ran three times as long.

--- a/packages/workflow-scheduler/src/isolation.ts
+++ b/packages/workflow-scheduler/src/isolation.ts
@@ -29,17 +29,18 @@
   const empty = rooms.filter((room) => room.isEmpty);
   // One that has crashed may do so again, and no task would be to blame.
   const steady = empty.filter(({ worker }) => !worker.hasCrashedLately);
-  if (hasPlaces(unit, steady)) return steady;
-  if (hasPlaces(unit, empty)) return empty;
+  if (hasPlacesNear(unit, steady)) return steady;
+  if (hasPlacesNear(unit, empty)) return empty;
   const crashes = Math.max(...unit.tasks.map((task) => task.crashes.laid));
   if (crashes < PATIENT_AFTER_CRASHES) return rooms;
   const waitedMs = nowMs - Math.min(...unit.tasks.map((t) => t.waitingSinceMs));
-  return waitedMs < PATIENCE_MS ? empty : rooms;
+  return waitedMs < PATIENCE_MS ? [] : rooms;
 }
 
-function hasPlaces(
+/** Far from its data, or on several racks, it would run much longer. */
+function hasPlacesNear(
   unit: Workflow.Unit,
   rooms: readonly fleet.WorkerRoom[],
 ): boolean {
-  return placement.findAmong(unit, rooms, placement.freeNow) !== null;
+  return placement.findNear(unit, rooms, placement.freeNow) !== null;
 }
--- /dev/null
+++ b/packages/workflow-scheduler/src/isolation_test.ts
@@ -0,0 +1,132 @@
+/** Tasks under which endpoints have crashed run by themselves, if that is cheap. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import type * as fleet from "./fleet.ts";
+import * as plans from "./plan.ts";
+
+const RACK_SIZE = 2;
+const NOW_MS = 10_000;
+
+function buildWorkflow(
+  id: string,
+  step: Partial<Workflow.StepSpec>,
+  crashes = 0,
+): Workflow.Workflow {
+  const workflow = new Workflow.Workflow({
+    id,
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[1],
+    payload: "",
+    steps: [TestUtils.buildStep(step)],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  for (const task of workflow.tasks) {
+    task.crashes = { laid: crashes, excused: 0, presence: crashes };
+    task.waitingSinceMs = NOW_MS;
+  }
+  return workflow;
+}
+
+/** Endpoints of two accelerators; those named are half full. */
+function buildWorkers(
+  count: number,
+  halfFull: readonly number[],
+  crashedLately: readonly number[] = [],
+): fleet.WorkerState[] {
+  return Array.from({ length: count }, (_, i) => {
+    const beside = buildWorkflow(`beside-${i}`, {});
+    for (const task of beside.tasks) task.place(`worker-${i}`, 1, 0);
+    return {
+      id: `worker-${i}`,
+      service: "analysis",
+      rack: `rack-${Math.floor(i / RACK_SIZE)}`,
+      labels: new Set(["a"]),
+      total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators: 2 },
+      usable: true,
+      hasCrashedLately: crashedLately.includes(i),
+      speed: 1,
+      occupants: halfFull.includes(i) ? [...beside.tasks] : [],
+    };
+  });
+}
+
+/** Endpoints on which the plan starts the tasks of each workflow, by id. */
+function plan(
+  workers: readonly fleet.WorkerState[],
+  workflows: readonly Workflow.Workflow[],
+): Record<string, string[]> {
+  const { starts } = plans.makePlan({
+    workers,
+    workflows,
+    guarantees: new Map(),
+    nowMs: NOW_MS,
+    wallMs: 0,
+    remotePenalty: 3,
+    isAdvised: () => true,
+  });
+  const places: Record<string, string[]> = {};
+  for (const { unit, workers: chosen } of starts) {
+    const { id } = unit.workflow.spec;
+    places[id] = [...places[id] ?? [], ...chosen];
+  }
+  return places;
+}
+
+vitest.describe("a task under which an endpoint has crashed", () => {
+  vitest.it("starts on an empty endpoint, and nothing beside it", () => {
+    const workers = buildWorkers(3, [0, 1]);
+    const suspect = buildWorkflow("suspect", {}, 1);
+    const other = buildWorkflow("other", {});
+    const places = plan(workers, [suspect, other]);
+    vitest.expect(places["suspect"]).toEqual(["worker-2"]);
+    vitest.expect(places["other"]).not.toEqual(["worker-2"]);
+  });
+
+  vitest.it("takes one that has not crashed lately first", () => {
+    const suspect = buildWorkflow("suspect", {}, 1);
+    const workers = buildWorkers(4, [], [0, 1, 3]);
+    vitest.expect(plan(workers, [suspect])["suspect"]).toEqual(["worker-2"]);
+  });
+
+  vitest.it("starts beside others where none is empty", () => {
+    const suspect = buildWorkflow("suspect", {}, 1);
+    const places = plan(buildWorkers(2, [0, 1]), [suspect]);
+    vitest.expect(places["suspect"]).toHaveLength(1);
+  });
+
+  vitest.it("waits for one after two crashes", () => {
+    const suspect = buildWorkflow("suspect", {}, 2);
+    const workers = buildWorkers(2, [0, 1]);
+    vitest.expect(plan(workers, [suspect])).toEqual({});
+    const [task] = suspect.tasks;
+    task.waitingSinceMs = 0;
+    vitest.expect(plan(workers, [suspect])["suspect"]).toHaveLength(1);
+  });
+
+  vitest.it("does not hold up its siblings", () => {
+    const step = buildWorkflow("step", { count: 2 });
+    const [suspect] = step.tasks;
+    suspect.crashes = { laid: 2, excused: 0, presence: 4 };
+    const places = plan(buildWorkers(2, [0, 1]), [step]);
+    vitest.expect(places["step"]).toHaveLength(1);
+  });
+
+  vitest.it("stays on one rack as a gang, rather than alone on several", () => {
+    const step = { count: 3, gang: true, sameRack: true };
+    const suspect = buildWorkflow("suspect", step, 1);
+    // One empty endpoint a rack; the gang fits beside others within one.
+    const places = plan(buildWorkers(4, [0, 2]), [suspect]);
+    const racks = new Set(
+      places["suspect"].map((id) => Math.floor(Number(id.slice(-1)) / 2)),
+    );
+    vitest.expect(racks.size).toBe(1);
+  });
+
+  vitest.it("stays near its data, rather than alone elsewhere", () => {
+    const suspect = buildWorkflow("suspect", { rack: "rack-0" }, 1);
+    const places = plan(buildWorkers(4, [0, 1]), [suspect]);
+    vitest.expect(["worker-0", "worker-1"]).toContain(places["suspect"][0]);
+  });
+});
