Test shrinking rooms with gangs, memory, and an outage of the store

A gang that no longer fits is held back whole and starts when the room is there again; memory counts as accelerators do; a room that shrank while the store was away is followed on its return. All passed without a change.

--- a/packages/workflow-node/src/shrinking_room_test.ts
+++ b/packages/workflow-node/src/shrinking_room_test.ts
@@ -138,4 +138,61 @@
     vitest.expect(mostAtOnce(fleet, shrunkAtMs)).toBe(1);
     await fleet.stop();
   });
+
+  vitest.it(
+    "holds a gang back whole that fitted when it was planned",
+    async () => {
+      const fleet = await startFleet();
+      for (const name of fleet.nodes.keys()) {
+        fleet.faultsOf(name).set({ delayMs: SLOW_MS });
+      }
+      const steps = [TestUtils.buildStep({ count: ROOM, gang: true })];
+      const [id] = ids(1);
+      const handedIn = fleet.submit("node-1", id, { steps });
+      await fleet.until(() => fleet.table.rowsUnder("progress:").length > 0);
+      resize(fleet, ROOM - 1);
+      await handedIn;
+      await fleet.clock.advance(5000);
+      fleet.workers.settle();
+      const running = fleet.workers.runs.filter(({ how }) => how === null);
+      vitest.expect(running).toEqual([]);
+      resize(fleet, ROOM);
+      vitest.expect(await endAll(fleet, [id])).toBe(true);
+      await fleet.stop();
+    },
+  );
+
+  vitest.it("counts each of its resources", async () => {
+    const fleet = await startFleet();
+    const place = fleet.placeOf(ENDPOINT);
+    const spec = { id: ENDPOINT, accelerators: ROOM };
+    // Memory for one task only, of 1,000 MB each.
+    fleet.list(spec, place, { memoryMb: 1500 });
+    const shrunkAtMs = fleet.clock.monotonicMs();
+    await fleet.clock.advance(200);
+    const all = ids(3);
+    for (const id of all) await fleet.submit("node-1", id);
+    vitest.expect(await endAll(fleet, all)).toBe(true);
+    vitest.expect(mostAtOnce(fleet, shrunkAtMs)).toBe(1);
+    await fleet.stop();
+  });
+
+  vitest.it("is followed after an outage of the store", async () => {
+    const fleet = await startFleet();
+    const all = ids(ROOM + 1);
+    for (const id of all) await fleet.submit("node-1", id);
+    await fleet.until(() => fleet.workers.runs.length === ROOM);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ down: true });
+    }
+    resize(fleet, 1);
+    const shrunkAtMs = fleet.clock.monotonicMs();
+    await fleet.clock.advance(RUN_MS * 2);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ down: false });
+    }
+    vitest.expect(await endAll(fleet, all)).toBe(true);
+    vitest.expect(mostAtOnce(fleet, shrunkAtMs)).toBe(1);
+    await fleet.stop();
+  });
 });
