--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -23,3 +23,7 @@
   FLEET_BOUNDS,
   TestFleet,
 } from "./src/test_fleet.ts";
+export { ChangingRooms } from "./src/changing_rooms.ts";
+export { GREY_FAILS_MS, GreyEndpoints } from "./src/grey_endpoints.ts";
+export { checkFailed, CRASHER, findBrokenRuns } from "./src/run_checks.ts";
+export { Suspensions } from "./src/suspensions.ts";
--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -26,95 +26,11 @@
 const ORDER_SHARES: readonly number[] = [0, 0.1, 0.6];
 const END_LIMIT_MS = 120_000;
 
-/** What went wrong, in words. */
-function findViolations(fleet: TestUtils.TestFleet): string[] {
-  fleet.workers.settle();
-  const byTask = new Map<string, StandIns.TaskRunNote[]>();
-  for (const note of fleet.workers.runs) {
-    byTask.set(note.task, [...byTask.get(note.task) ?? [], note]);
-  }
-  return [...byTask.values()].flatMap(checkRuns);
-}
-
-/** Failed runs after which nothing of a task starts; the queues say so. */
-const ATTEMPTS = 3;
-/** Crashes of a task after which its starts are counted, and how many may come. */
-const CRASHES = 3;
-const STARTS_LEFT = 2;
-/** Workflows whose tasks crash their endpoints begin so. */
-const CRASHER = "c";
-
-function checkRuns(runs: readonly StandIns.TaskRunNote[]): string[] {
-  const found = [...checkAttempts(runs), ...checkCrashes(runs)];
-  for (const first of runs) {
-    for (const second of runs) {
-      if (first === second || second.startedAtMs < first.startedAtMs) continue;
-      const endedAtMs = first.endedAtMs ?? Number.POSITIVE_INFINITY;
-      const pair = `${first.task} runs ${first.run} and ${second.run}`;
-      if (second.startedAtMs < endedAtMs) found.push(`${pair} at once`);
-      if (isNotedDone(first)) found.push(`${pair}: the first was done`);
-    }
-  }
-  return found;
-}
-
-/** No start after as many failed ends as are allowed, if they were noted. */
-function checkAttempts(runs: readonly StandIns.TaskRunNote[]): string[] {
-  const failed = runs.filter((note) => note.how === "failed" && isNoted(note))
-    .sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
-  const last = failed[ATTEMPTS - 1];
-  if (last === undefined) return [];
-  const late = runs.filter((note) => note.startedAtMs > (last.endedAtMs ?? 0));
-  return late.map(({ task, run }) => `${task} run ${run} after its attempts`);
-}
-
-/** A task that crashes its endpoints is given up. */
-function checkCrashes(runs: readonly StandIns.TaskRunNote[]): string[] {
-  const [{ task }] = runs;
-  if (!task.startsWith(CRASHER)) return [];
-  const crashes = runs.filter(({ how }) => how === "crashed")
-    .map(({ endedAtMs }) => endedAtMs ?? 0).sort((a, b) => a - b);
-  if (crashes.length < CRASHES) return [];
-  const late = runs.filter(({ startedAtMs }) =>
-    startedAtMs > crashes[CRASHES - 1]
-  );
-  return late.length > STARTS_LEFT
-    ? [`${task}: ${late.length} starts after its third crash`]
-    : [];
-}
-
-/** Crashes under a task after which the operators' rules let it be given up. */
-const CRASHES_TO_GIVE_UP = 2;
-
-/** A workflow that failed has a task that failed or crashed too often. */
-function checkFailed(fleet: TestUtils.TestFleet, id: string): string[] {
-  if (fleet.state(id) !== Workflow.WorkflowState.Failed) return [];
-  const runs = fleet.workers.runs.filter(({ task }) =>
-    task.startsWith(`${id}.`)
-  );
-  const count = (task: string, how: string) =>
-    runs.filter((note) => note.task === task && note.how === how).length;
-  const hasCause = runs.some(({ task }) =>
-    count(task, "failed") >= ATTEMPTS ||
-    count(task, "crashed") >= CRASHES_TO_GIVE_UP
-  );
-  return hasCause ? [] : [`${id} failed without a cause`];
-}
-
-function isNoted(note: StandIns.TaskRunNote): boolean {
-  return note.acknowledgedAtMs !== null && !note.hasLapsedMeanwhile;
-}
-
-/** An end that is noted stands, unless the lease ran out before it was. */
-function isNotedDone(note: StandIns.TaskRunNote): boolean {
-  return note.how === "done" && isNoted(note);
-}
-
 /** Breaks one thing. */
 async function breakSomething(
   fleet: TestUtils.TestFleet,
   random: TestUtils.SeededRandom,
-  grey: GreyEndpoints,
+  grey: TestUtils.GreyEndpoints,
 ): Promise<void> {
   const names = [...fleet.nodes.keys()];
   const name = random.choose(names);
@@ -160,42 +76,6 @@
   }
 }
 
-/** Time from a start on a grey endpoint to its failure, in ms. */
-const GREY_FAILS_MS = 40;
-/** Time for which a grey endpoint is not heard after a failure, in ms. */
-const GREY_SILENT_MS = 1500;
-
-/** Endpoints that fail what they start, and tell of it late. */
-class GreyEndpoints {
-  readonly #ids = new Set<string>();
-  readonly #fleet: TestUtils.TestFleet;
-
-  constructor(fleet: TestUtils.TestFleet) {
-    this.#fleet = fleet;
-  }
-
-  add(id: string): void {
-    this.#ids.add(id);
-  }
-
-  clear(): void {
-    this.#ids.clear();
-  }
-
-  has(id: string): boolean {
-    return this.#ids.has(id);
-  }
-
-  /** Whether a run has failed there lately. */
-  isSilent(id: string): boolean {
-    if (!this.#ids.has(id)) return false;
-    const sinceMs = this.#fleet.clock.monotonicMs() - GREY_SILENT_MS;
-    return this.#fleet.workers.runs.some(({ worker, how, endedAtMs }) =>
-      worker === id && how === "failed" && (endedAtMs ?? 0) > sinceMs
-    );
-  }
-}
-
 function mendNodes(fleet: TestUtils.TestFleet): void {
   fleet.links.passes = () => true;
   for (const name of fleet.nodes.keys()) {
@@ -214,7 +94,7 @@
   fleet: TestUtils.TestFleet,
   random: TestUtils.SeededRandom,
   share: number,
-  grey: GreyEndpoints,
+  grey: TestUtils.GreyEndpoints,
 ): void {
   const fates = [
     StandIns.OrderFate.Lost,
@@ -250,123 +130,9 @@
   return false;
 }
 
-/** A shrunk room counts from then on, in ms: operators give contact and a beat. */
-const ROOM_KNOWN_MS = 4500;
 /** Accelerators of the endpoints. */
 const SIZES: readonly number[] = [2, 2, 1, 1];
 
-/** Rooms of the endpoints that shrink and grow, as their listings tell. */
-class ChangingRooms {
-  readonly #fleet: TestUtils.TestFleet;
-  readonly #random: TestUtils.SeededRandom;
-  readonly #changes: { id: string; atMs: number; room: number }[] = [];
-
-  constructor(fleet: TestUtils.TestFleet, seed: number) {
-    this.#fleet = fleet;
-    // Draws of its own: the other faults of a seed stay as they are.
-    this.#random = new TestUtils.SeededRandom(seed + 0.5);
-    fleet.workers.guardsRoom = false;
-  }
-
-  /** One endpoint says that its room is another. */
-  change(): void {
-    const lives = this.#fleet.workers.listLives();
-    if (lives.length === 0) return;
-    const id = this.#random.choose(lives);
-    this.#set(id, this.#random.between(0, this.#sizeOf(id)));
-  }
-
-  /** All endpoints have all of their room again. */
-  restore(): void {
-    for (const id of this.#fleet.workers.listLives()) {
-      this.#set(id, this.#sizeOf(id));
-    }
-  }
-
-  /** Starts that brought an endpoint over what it had said for long enough. */
-  findViolations(): string[] {
-    const { runs } = this.#fleet.workers;
-    return runs.flatMap(({ task, run, worker, startedAtMs }) => {
-      const held = runs.filter((note) =>
-        note.worker === worker && note.startedAtMs <= startedAtMs &&
-        (note.endedAtMs ?? Number.POSITIVE_INFINITY) > startedAtMs
-      );
-      const room = this.#roomAt(worker, startedAtMs);
-      return held.length > room
-        ? [`${task} run ${run}: ${held.length} on a room of ${room}`]
-        : [];
-    });
-  }
-
-  #set(id: string, room: number): void {
-    const place = this.#fleet.placeOf(id);
-    this.#fleet.list({ id, accelerators: room }, place);
-    this.#changes.push({ id, atMs: this.#fleet.clock.monotonicMs(), room });
-  }
-
-  #sizeOf(id: string): number {
-    return SIZES[this.#fleet.placeOf(id)];
-  }
-
-  /** The most that it has said of itself in the time that counts. */
-  #roomAt(id: string, atMs: number): number {
-    const own = this.#changes.filter((one) => one.id === id && one.atMs < atMs);
-    const before = own.filter((one) => one.atMs <= atMs - ROOM_KNOWN_MS);
-    const counted = own.slice(Math.max(0, before.length - 1));
-    const rooms = counted.map(({ room }) => room);
-    if (before.length === 0) rooms.push(this.#sizeOf(id));
-    return Math.max(...rooms);
-  }
-}
-
-/** Shortest and longest time for which a box stands still, in ms. */
-const SUSPENDED_MS: readonly [number, number] = [1000, 10_000];
-/** How far the time of day steps on some of them, in ms. */
-const WALL_STEPS_MS: readonly number[] = [0, 0, -2000, 2000];
-
-/** Boxes that stand still, the coordinator first, with their steady clocks. */
-class Suspensions {
-  readonly #fleet: TestUtils.TestFleet;
-  readonly #random: TestUtils.SeededRandom;
-  readonly #untilMs = new Map<string, number>();
-
-  constructor(fleet: TestUtils.TestFleet, seed: number) {
-    this.#fleet = fleet;
-    this.#random = new TestUtils.SeededRandom(seed + 0.25);
-  }
-
-  /** One box stands still from now on; others go on when their time is over. */
-  next(): void {
-    this.#resumeDue();
-    const names = [...this.#fleet.nodes.keys()];
-    const coordinator = this.#fleet.coordinator();
-    const isKnown = coordinator !== null && names.includes(coordinator);
-    const name = isKnown && this.#random.next() < 0.7
-      ? coordinator
-      : this.#random.choose(names);
-    const clock = this.#fleet.clocks.get(name);
-    if (clock === undefined) return;
-    const lastsMs = this.#random.between(...SUSPENDED_MS);
-    this.#untilMs.set(name, this.#fleet.clock.monotonicMs() + lastsMs);
-    clock.wallAheadMs = this.#random.choose(WALL_STEPS_MS);
-    clock.suspend();
-  }
-
-  /** All boxes go on. */
-  end(): void {
-    for (const clock of this.#fleet.clocks.values()) clock.resume();
-  }
-
-  #resumeDue(): void {
-    const nowMs = this.#fleet.clock.monotonicMs();
-    for (const [name, untilMs] of this.#untilMs) {
-      if (untilMs > nowMs) continue;
-      this.#untilMs.delete(name);
-      this.#fleet.clocks.get(name)?.resume();
-    }
-  }
-}
-
 /** Kinds of faults beside the usual ones. */
 interface PlayKinds {
   readonly changesRooms?: boolean;
@@ -375,21 +141,27 @@
 
 async function play(seed: number, kinds: PlayKinds = {}): Promise<string[]> {
   const fleet = new TestUtils.TestFleet({ seed, workers: SIZES });
-  const rooms = kinds.changesRooms ? new ChangingRooms(fleet, seed) : null;
-  const suspensions = kinds.suspends ? new Suspensions(fleet, seed) : null;
+  const rooms = kinds.changesRooms
+    ? new TestUtils.ChangingRooms(fleet, { seed, sizes: SIZES })
+    : null;
+  const suspensions = kinds.suspends
+    ? new TestUtils.Suspensions(fleet, seed)
+    : null;
   const random = new TestUtils.SeededRandom(seed);
-  const grey = new GreyEndpoints(fleet);
+  const grey = new TestUtils.GreyEndpoints(fleet);
   fleet.workers.behave = (task, endpoint) => ({
-    runMs: grey.has(endpoint) ? GREY_FAILS_MS : random.between(300, 2500),
+    runMs: grey.has(endpoint)
+      ? TestUtils.GREY_FAILS_MS
+      : random.between(300, 2500),
     fails: grey.has(endpoint) || random.next() < 0.02,
-    ...(task.startsWith(CRASHER)
+    ...(task.startsWith(TestUtils.CRASHER)
       ? { runMs: END_LIMIT_MS, crashesAfterMs: random.choose(CRASH_AFTER_MS) }
       : {}),
   });
   await fleet.start();
   const accepted: string[] = [];
   for (let round = 0; round < ROUNDS; round++) {
-    const kind = random.next() < CRASHER_SHARE ? CRASHER : "a";
+    const kind = random.next() < CRASHER_SHARE ? TestUtils.CRASHER : "a";
     const id = `${kind}${String(round).padStart(15, "0")}`;
     if (await submitSomewhere(fleet, random, id)) accepted.push(id);
     breakOrders(fleet, random, random.choose(ORDER_SHARES), grey);
@@ -412,9 +184,11 @@
     return state !== null && Workflow.isFinal(state);
   };
   const ended = await fleet.until(() => accepted.every(isOver), END_LIMIT_MS);
-  const violations = findViolations(fleet);
+  const violations = TestUtils.findBrokenRuns(fleet);
   violations.push(...rooms?.findViolations() ?? []);
-  violations.push(...accepted.flatMap((id) => checkFailed(fleet, id)));
+  violations.push(
+    ...accepted.flatMap((id) => TestUtils.checkFailed(fleet, id)),
+  );
   if (!ended) {
     violations.push(`not ended: ${accepted.filter((id) => !isOver(id))}`);
   }
