Let suspended clocks of tests end their waits in spite of rounding

Cause: the harness. A wait whose rest was 1e-10 ms woke at the same moment for ever. A suspended box that is killed does not wait for its own end.

--- a/packages/test-utils/src/suspendable_clock.ts
+++ b/packages/test-utils/src/suspendable_clock.ts
@@ -3,6 +3,9 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 
+/** Less than this, in ms, is what adding and taking away times leaves over. */
+const ROUNDING_MS = 0.001;
+
 /** Follows another clock, but for the times in which the box is suspended. */
 export class SuspendableClock extends Ports.Clock {
   readonly #inner: Ports.Clock;
@@ -34,7 +37,7 @@
       for (;;) {
         yield* this.awaitRunning();
         const leftMs = untilMs - this.monotonicMs();
-        if (leftMs <= 0) return;
+        if (leftMs <= ROUNDING_MS) return;
         yield* this.#inner.sleep(leftMs);
       }
     });
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -229,7 +229,10 @@
 
   /** Ends a node at once. */
   async kill(name: string): Promise<void> {
-    await Effect.runPromise(this.#get(name).node.stop());
+    const stopped = Effect.runPromise(this.#get(name).node.stop());
+    // What ends its fibers would wait for as long as it is suspended.
+    this.clocks.get(name)?.resume();
+    await stopped;
     this.nodes.delete(name);
   }
 
