Start nothing in data centres that the operator evacuates

Cause: the adapter decoded the operator's row of the configuration and dropped all others, so that no box knew of an evacuation.

The feed of the operator's table now tells configurations and evacuations. Each box keeps a book of the latter, also between terms. It is asked in the plan, before a start is sent and before each further try of it. What runs goes on.

Ruled out: asking only the plan (a start whose record takes long is sent later: test 'whose record was still being written').

--- a/packages/cli/src/render_node.ts
+++ b/packages/cli/src/render_node.ts
@@ -7,6 +7,13 @@
   readonly configVersion: number | null;
   readonly coordinator: string | null;
   readonly storeSilentMs: number;
+  /** Data centres in which nothing starts, and since when. */
+  readonly evacuations: readonly {
+    readonly dataCentre: string;
+    readonly sinceMs: number;
+  }[];
+  /** Whether it has not heard the operator for so long that it starts nothing. */
+  readonly mayMissEvacuations: boolean;
   readonly work: {
     readonly token: number;
     readonly workflows: readonly {
@@ -23,6 +30,15 @@
       readonly usable: boolean;
       readonly runs: readonly string[];
     }[];
+    readonly evacuations: readonly {
+      readonly dataCentre: string;
+      readonly runs: number;
+    }[];
+    readonly guarantees: {
+      readonly paidFor: number;
+      readonly open: number;
+      readonly short: number;
+    };
   } | null;
 }
 
@@ -33,6 +49,7 @@
     `configuration ${state.configVersion ?? "none"}, ` +
     `coordinator ${state.coordinator ?? "none"}, ` +
     `store silent for ${state.storeSilentMs} ms`,
+    ...describeEvacuations(state),
   ];
   for (const workflow of state.work?.workflows ?? []) {
     const tasks = Object.entries(workflow.tasks)
@@ -54,3 +71,24 @@
   }
   return lines;
 }
+
+function describeEvacuations(state: NodeState): string[] {
+  const { work } = state;
+  const lines = state.evacuations.map(({ dataCentre, sinceMs }) => {
+    const since = new Date(sinceMs).toISOString();
+    const found = work?.evacuations.find((e) => e.dataCentre === dataCentre);
+    const runs = found === undefined ? "" : `; ${found.runs} runs go on there`;
+    return `  data centre ${dataCentre} evacuated since ${since}${runs}`;
+  });
+  if (state.mayMissEvacuations) {
+    lines.push("  starts nothing: it has not heard the operator for too long");
+  }
+  if (lines.length > 0 && work !== null && work.guarantees.short > 0) {
+    const { paidFor, open, short } = work.guarantees;
+    lines.push(
+      `  guarantees: ${paidFor} accelerators paid for, ${open} left, ` +
+        `${short} can not be had`,
+    );
+  }
+  return lines;
+}
--- a/packages/cli/src/render_node_test.ts
+++ b/packages/cli/src/render_node_test.ts
@@ -8,6 +8,8 @@
   configVersion: 7,
   coordinator: "node-1",
   storeSilentMs: 0,
+  evacuations: [],
+  mayMissEvacuations: false,
 };
 
 vitest.describe("describeNode", () => {
@@ -25,6 +27,8 @@
           waitsFor: "room",
         }],
         workers: [{ id: "i-1", rack: "r1", usable: false, runs: ["x@1"] }],
+        evacuations: [],
+        guarantees: { paidFor: 0, open: 0, short: 0 },
       },
     });
     vitest.expect(lines).toEqual([
@@ -40,4 +44,32 @@
     vitest.expect(lines.length).toBe(1);
     vitest.expect(lines[0]).toContain("not ready");
   });
+
+  vitest.it("shows evacuations, what goes on there and what is short", () => {
+    const lines = render.describeNode({
+      ...NODE,
+      evacuations: [{ dataCentre: "brno-b", sinceMs: 0 }],
+      work: {
+        token: 3,
+        workflows: [],
+        workers: [],
+        evacuations: [{ dataCentre: "brno-b", runs: 12 }],
+        guarantees: { paidFor: 100, open: 90, short: 10 },
+      },
+    });
+    vitest.expect(lines.slice(1)).toEqual([
+      "  data centre brno-b evacuated since 1970-01-01T00:00:00.000Z; " +
+      "12 runs go on there",
+      "  guarantees: 100 accelerators paid for, 90 left, 10 can not be had",
+    ]);
+  });
+
+  vitest.it("tells that a node starts nothing until it hears again", () => {
+    const lines = render.describeNode({
+      ...NODE,
+      mayMissEvacuations: true,
+      work: null,
+    });
+    vitest.expect(lines[1]).toContain("starts nothing");
+  });
 });
--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -37,6 +37,7 @@
   storeWritesPerSecond: Positive,
   storeRowBytes: Positive,
   configInForceMs: Positive,
+  evacuationInForceMs: Schema.optionalKey(Schema.NullOr(Positive)),
   graceSeconds: Positive,
   adviceAddress: Schema.optionalKey(Schema.NullOr(Address)),
   bounds: BoundsSchema,
@@ -75,6 +76,11 @@
   /** Most bytes of one row's value. */
   readonly storeRowBytes: number;
   readonly configInForceMs: number;
+  /**
+   * Time within which nothing starts any more in a data centre that the operator
+   * evacuates; where it is not set, the one for configurations counts.
+   */
+  readonly evacuationInForceMs: number;
   /** Time from the signal to stop until the process is killed, in seconds. */
   readonly graceSeconds: number;
   /** Address of the advice service; null where there is none. */
@@ -93,6 +99,7 @@
   return Effect.map(decoded, (parsed) => ({
     ...parsed,
     adviceAddress: parsed.adviceAddress ?? null,
+    evacuationInForceMs: parsed.evacuationInForceMs ?? parsed.configInForceMs,
     logLevel: parsed.logLevel ?? "info",
     logFormat: parsed.logFormat ?? "text",
   }));
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -7,6 +7,7 @@
 import * as describing from "./describe.ts";
 import * as endLogs from "./end_log.ts";
 import type * as terms from "./term.ts";
+import * as guarantees from "./guarantee_watch.ts";
 import * as intake from "./intake.ts";
 import type * as occupants from "./occupant.ts";
 import * as fences from "./partition_fences.ts";
@@ -48,6 +49,7 @@
   readonly #watch: watches.RunWatch;
   readonly #planning: plannings.Planning;
   readonly #endLog: endLogs.EndLog;
+  readonly #guarantees: guarantees.GuaranteeWatch;
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
@@ -79,6 +81,10 @@
       recovery: this.#recovery,
     });
     this.#directory = directory;
+    this.#guarantees = new guarantees.GuaranteeWatch(
+      coordinatorPorts,
+      directory,
+    );
     const book = new advice.AdviceBook({
       advisor: coordinatorPorts.advisor,
       clock: coordinatorPorts.clock,
@@ -111,9 +117,19 @@
         )
       ),
       workers: this.#directory.states().map(describing.describeWorker),
+      evacuations: describing.describeEvacuations(
+        this.#ports.evacuations.list(),
+        this.#directory,
+      ),
+      guarantees: this.#guarantees.describe(),
     };
   }
 
+  #lookAtRuns(): void {
+    this.#watch.look();
+    this.#guarantees.look();
+  }
+
   /** Runs until interrupted. */
   run(): Effect.Effect<void> {
     const followWorkers = this.#followWorkers();
@@ -133,7 +149,7 @@
         this.#recorder.run(),
         this.#planning.run(),
         clock.every(SWEEP_MS, this.#book.sweep()),
-        clock.every(WATCH_MS, Effect.sync(() => this.#watch.look())),
+        clock.every(WATCH_MS, Effect.sync(() => this.#lookAtRuns())),
       ], { concurrency: "unbounded", discard: true });
     });
     const all = Effect.all([this.#recovery.openAll(), work], {
@@ -325,13 +341,17 @@
     return this.#settle(workflow, wasOver);
   }
 
-  /** No plan while the store is silent: its orders would not leave. */
+  /**
+   * No plan while the store is silent: its orders would not leave. None either while
+   * a data centre may be evacuated without this box's knowledge.
+   */
   #preparePlan(): boolean {
     for (const missing of this.#control.takeMissing()) {
       Effect.runFork(this.#endMissing(missing));
     }
     const silentMs = this.#ports.store.silentForMs();
-    return silentMs < STORE_SILENT_MS && !this.#term.isLost;
+    return silentMs < STORE_SILENT_MS && !this.#term.isLost &&
+      !this.#ports.evacuations.mayBeLate;
   }
 }
 
--- a/packages/coordinator/src/describe.ts
+++ b/packages/coordinator/src/describe.ts
@@ -1,6 +1,8 @@
 /** What a coordinator knows, as plain data for people. */
 import * as Workflow from "@cairngate/workflow";
 import type * as Scheduler from "@cairngate/workflow-scheduler";
+import type * as evacuations from "./evacuation_book.ts";
+import type * as directories from "./worker_directory.ts";
 
 /** One workflow that has not ended. */
 export interface WorkflowDump {
@@ -19,11 +21,31 @@
 /** One worker. */
 export interface WorkerDump {
   readonly id: string;
+  readonly dataCentre: string;
   readonly rack: string;
   readonly usable: boolean;
   readonly runs: readonly string[];
 }
 
+/** A data centre in which nothing starts. */
+export interface EvacuationDump {
+  readonly dataCentre: string;
+  /** Time of day at which this box learned of it, in ms since 1970. */
+  readonly sinceMs: number;
+  /** Runs that go on there. */
+  readonly runs: number;
+}
+
+/** What teams have paid for beside what there is. */
+export interface GuaranteeDump {
+  /** Accelerators that all teams together have paid for. */
+  readonly paidFor: number;
+  /** Accelerators that may be given work now. */
+  readonly open: number;
+  /** Accelerators that guarantees can not have now. */
+  readonly short: number;
+}
+
 /** A coordinator's state. */
 export interface CoordinatorDump {
   readonly token: number;
@@ -31,6 +53,8 @@
   readonly lateMs: number;
   readonly workflows: readonly WorkflowDump[];
   readonly workers: readonly WorkerDump[];
+  readonly evacuations: readonly EvacuationDump[];
+  readonly guarantees: GuaranteeDump;
 }
 
 /** Describes one workflow. */
@@ -57,7 +81,27 @@
 
 /** Describes one worker. */
 export function describeWorker(worker: Scheduler.WorkerState): WorkerDump {
-  const { id, rack, usable, occupants } = worker;
+  const { id, dataCentre, rack, usable, occupants } = worker;
   const runs = occupants.map(({ name, run }) => `${name}@${run}`);
-  return { id, rack, usable, runs };
+  return { id, dataCentre, rack, usable, runs };
+}
+
+/** Describes the data centres in which nothing starts. */
+export function describeEvacuations(
+  evacuated: readonly evacuations.Evacuation[],
+  directory: directories.WorkerDirectory,
+): EvacuationDump[] {
+  return evacuated.map((one) => ({
+    ...one,
+    runs: directory.runsIn(one.dataCentre),
+  }));
+}
+
+/** Describes what guarantees can have now. */
+export function describeGuarantees(
+  guarantees: ReadonlyMap<string, number>,
+  open: number,
+): GuaranteeDump {
+  const paidFor = [...guarantees.values()].reduce((sum, one) => sum + one, 0);
+  return { paidFor, open, short: Math.max(0, paidFor - open) };
 }
--- a/packages/coordinator/src/planning.ts
+++ b/packages/coordinator/src/planning.ts
@@ -1,10 +1,10 @@
 /** Makes plans when something has changed, and hands them on. */
-import type * as Ports from "@cairngate/ports";
 import type * as Workflow from "@cairngate/workflow";
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as advice from "./advice_book.ts";
+import * as guarantees from "./guarantee_watch.ts";
 import type * as ports from "./ports.ts";
 import type * as controls from "./run_control.ts";
 import type * as directories from "./worker_directory.ts";
@@ -88,7 +88,7 @@
     return {
       workers,
       workflows,
-      guarantees: guaranteesOf(config()),
+      guarantees: guarantees.guaranteesOf(config()),
       nowMs: clock.monotonicMs(),
       wallMs: clock.wallMs(),
       remotePenalty: bounds.remotePenalty,
@@ -122,10 +122,3 @@
     }
   }
 }
-
-function guaranteesOf(
-  config: Ports.AccessConfig | null,
-): ReadonlyMap<string, number> {
-  const tenants = config?.tenants ?? [];
-  return new Map(tenants.map(({ name, guaranteed }) => [name, guaranteed]));
-}
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -3,6 +3,7 @@
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
 import type * as TableClient from "@cairngate/table-client";
+import type * as evacuations from "./evacuation_book.ts";
 import type * as fitnesses from "./fitness.ts";
 
 /** Bounds that the platform sets, in milliseconds. */
@@ -36,6 +37,8 @@
   readonly electionFeed: Ports.RowFeed<unknown>;
   /** Configuration in force on this node; null before the first. */
   readonly config: () => Ports.AccessConfig | null;
+  /** Data centres in which nothing may start; kept by the node, also between terms. */
+  readonly evacuations: evacuations.EvacuationBook;
   readonly fitness: fitnesses.Fitness;
   readonly bounds: WorkerBounds;
   readonly log: Logger.Logger;
--- a/packages/coordinator/src/run_watch.ts
+++ b/packages/coordinator/src/run_watch.ts
@@ -1,6 +1,6 @@
 /** Watches running tasks: slow ones begin again, leaving workers are emptied. */
 import * as Workflow from "@cairngate/workflow";
-import * as evacuation from "./evacuation.ts";
+import * as departures from "./leaving_runs.ts";
 import type * as occupants from "./occupant.ts";
 import type * as ports from "./ports.ts";
 import type * as controls from "./run_control.ts";
@@ -88,7 +88,7 @@
       const leavesInMs = this.#directory.leavesInMs(run.worker);
       return leavesInMs === null ? [] : [{ ...run, leavesInMs }];
     });
-    for (const task of evacuation.findLeaving(leaving)) {
+    for (const task of departures.findLeaving(leaving)) {
       if (task.state !== Workflow.TaskState.Running) continue;
       log.info(`Run ${task.run} of ${task.name} moves; its worker leaves.`);
       metrics.count("cairngate_evacuated_total");
--- a/packages/coordinator/src/session_listener.ts
+++ b/packages/coordinator/src/session_listener.ts
@@ -20,6 +20,8 @@
   NotWanted = "not-wanted",
   /** The endpoint's listing changed between the plan and the start. */
   NoRoom = "no-room",
+  /** Its data centre was evacuated between the plan and the start. */
+  Evacuated = "evacuated",
 }
 
 const SENTENCE_OF: Readonly<Record<LostCause, string>> = {
@@ -31,6 +33,7 @@
   [LostCause.NeverSent]: "its start did not reach the endpoint",
   [LostCause.NotWanted]: "nobody wants it any more",
   [LostCause.NoRoom]: "its endpoint drains or its room has shrunk",
+  [LostCause.Evacuated]: "its data centre is evacuated, or may be by now",
 };
 
 /** A cause for the log. */
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -14,7 +14,13 @@
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
   sessions.SessionOptions,
-  "ref" | "lapsesAtMs" | "progressWaitMs" | "load" | "silences" | "mayHold"
+  | "ref"
+  | "lapsesAtMs"
+  | "progressWaitMs"
+  | "load"
+  | "silences"
+  | "mayHold"
+  | "dataCentre"
 >;
 
 /**
@@ -136,18 +142,21 @@
 
   /** The workers as a plan sees them. */
   states(): Scheduler.WorkerState[] {
-    const nowMs = this.#options.ports.clock.monotonicMs();
+    const { clock, evacuations } = this.#options.ports;
+    const nowMs = clock.monotonicMs();
     const states: Scheduler.WorkerState[] = [];
     for (const listing of this.#listings.values()) {
       const session = this.open(listing.id);
       states.push({
         id: listing.id,
         service: listing.service,
+        dataCentre: listing.dataCentre,
         rack: listing.rack,
         labels: new Set(listing.labels),
         total: listing,
         usable: !listing.draining && session !== null && session.isUsable &&
-          !session.isOnProbation(nowMs),
+          !session.isOnProbation(nowMs) &&
+          evacuations.mayStart(listing.dataCentre),
         hasCrashedLately: this.silences.hasCrashedLately(listing.address),
         speed: this.speeds.of(listing.id),
         occupants: session?.occupants.map(({ task }) => task) ?? [],
@@ -156,6 +165,23 @@
     return states;
   }
 
+  /** Accelerators that may be given work: listed, staying, not evacuated. */
+  get openAccelerators(): number {
+    const { evacuations } = this.#options.ports;
+    return [...this.#listings.values()]
+      .filter((one) =>
+        !one.draining && !evacuations.isEvacuated(one.dataCentre)
+      )
+      .reduce((sum, { accelerators }) => sum + accelerators, 0);
+  }
+
+  /** Runs that endpoints of a data centre hold or may hold. */
+  runsIn(dataCentre: string): number {
+    return [...this.#sessions.values()]
+      .filter((session) => session.dataCentre === dataCentre)
+      .reduce((sum, { occupants }) => sum + occupants.length, 0);
+  }
+
   /** How late this box is with its own work, in ms. */
   get lateMs(): number {
     return this.#load.lateMs;
@@ -228,7 +254,7 @@
   }
 
   #open(listing: Ports.WorkerListing): sessions.WorkerSession {
-    const { id, address, clockMs } = listing;
+    const { id, address, clockMs, dataCentre } = listing;
     const session = new sessions.WorkerSession({
       ...this.#options,
       ref: { id, address },
@@ -237,6 +263,7 @@
       progressWaitMs: () => this.#progressWaitMs(),
       silences: this.silences,
       mayHold: (tasks) => this.#mayHold(id, tasks),
+      dataCentre,
     });
     session.noteListed(listing.draining);
     const listedAtMs = this.#listedAtMs.get(id);
--- a/packages/coordinator/src/worker_session.ts
+++ b/packages/coordinator/src/worker_session.ts
@@ -39,6 +39,8 @@
   readonly progressWaitMs: () => number;
   /** Whether its listing still lets it run these tasks together. */
   readonly mayHold: (tasks: readonly Workflow.Task[]) => boolean;
+  /** Where it stands; nothing starts there while the operator evacuates it. */
+  readonly dataCentre: string;
   /** Which endpoints have fallen silent or crashed; one for all sessions. */
   readonly silences: silences.SilenceLog;
 }
@@ -74,6 +76,7 @@
 /** One worker life. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
+  readonly dataCentre: string;
   readonly health = new healths.WorkerHealth();
   readonly #options: SessionOptions;
   readonly #clock: leaseClocks.LeaseClock;
@@ -92,6 +95,7 @@
   constructor(options: SessionOptions) {
     this.#options = options;
     this.ref = options.ref;
+    this.dataCentre = options.dataCentre;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
     const { clock, bounds } = options.ports;
     this.#lifeEnd = new lifeEnds.LifeEnd(clock, options.ref, options.silences);
@@ -102,7 +106,8 @@
       load: options.load,
       leaseEnd: () =>
         this.#clock.leaseEnd(clock.monotonicMs(), bounds.longestLeaseMs),
-      isWanted: (occupant) => this.#holds(occupant) && !occupant.stopping,
+      isWanted: (occupant) =>
+        this.#holds(occupant) && !occupant.stopping && this.#mayStart,
     });
   }
 
@@ -184,6 +189,9 @@
       if (occupant.stopping || task.workflow.isOver || this.#over) {
         return yield* this.#end(occupant, lost(LostCause.NotWanted));
       }
+      if (!this.#mayStart) {
+        return yield* this.#end(occupant, lost(LostCause.Evacuated));
+      }
       const sent = this.occupants.filter((one) => one.sent);
       // The plan was made before its record was written, which may take seconds.
       const tasks = [...sent.map((one) => one.task), task];
@@ -274,6 +282,10 @@
       this.occupants.some((occupant) => occupant.sent) || !this.#reachable;
   }
 
+  get #mayStart(): boolean {
+    return this.#options.ports.evacuations.mayStart(this.dataCentre);
+  }
+
   #holds(occupant: occupants.Occupant): boolean {
     return this.#occupants.get(occupant.task.name) === occupant;
   }
--- a/packages/measure/src/workflow_plans.ts
+++ b/packages/measure/src/workflow_plans.ts
@@ -127,6 +127,7 @@
       accelerators: ACCELERATORS,
     },
     usable: true,
+    dataCentre: "dc-1",
     speed: 1,
     occupants,
   };
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -54,3 +54,9 @@
   QueueRoute,
   TenantAccess,
 } from "./src/access_config.ts";
+export {
+  type ConfigEntry,
+  type EvacuationEntry,
+  type OperatorEntry,
+  OperatorEntryKind,
+} from "./src/operator_entry.ts";
--- a/packages/ports/src/task_workers.ts
+++ b/packages/ports/src/task_workers.ts
@@ -15,7 +15,7 @@
 /** A worker as the platform's list shows it. */
 export interface WorkerListing extends WorkerRef {
   readonly service: string;
-  readonly zone: string;
+  readonly dataCentre: string;
   readonly rack: string;
   readonly labels: readonly string[];
   readonly cpuMillis: number;
@@ -24,6 +24,8 @@
   readonly draining: boolean;
   /** Least time that a draining worker has left; null while it stays. */
   readonly leavesInMs: number | null;
+  /** How much longer it runs slowly, from when it wrote the entry; 0: it is warm. */
+  readonly coldForMs: number;
   /** The worker's steady clock when it wrote the entry. */
   readonly clockMs: number | null;
 }
--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -13,6 +13,8 @@
   readonly silent: boolean;
   /** No call to these partitions is carried out. */
   readonly downPartitions: readonly string[];
+  /** Feeds, by the prefix of their rows, of which no look is answered. */
+  readonly silentFeeds: readonly string[];
   /** Share of writes whose answer is lost after they took effect. */
   readonly loseAnswers: number;
   /** Looks for changes are answered in time and show none. */
@@ -30,6 +32,7 @@
   down: false,
   silent: false,
   downPartitions: [],
+  silentFeeds: [],
   loseAnswers: 0,
   hideChanges: false,
   delayMs: 0,
--- a/packages/stand-ins/src/memory_row_feed.ts
+++ b/packages/stand-ins/src/memory_row_feed.ts
@@ -42,7 +42,7 @@
         return pages.cutPage(this.#table.rowsUnder(prefix), ask);
       });
     return Effect.map(
-      this.#faults.apply("scan", read, partition),
+      this.#unlessSilent(this.#faults.apply("scan", read, partition)),
       ({ items, next }): Ports.SnapshotPage<T> => ({
         items: items.map(({ key, value }) => ({ key, value: value as T })),
         next,
@@ -76,6 +76,14 @@
         yield* this.#clock.within(leftMs, this.#table.awaitChange());
       }
     });
-    return this.#faults.apply("scan", () => wait);
+    return this.#unlessSilent(this.#faults.apply("scan", () => wait));
+  }
+
+  #unlessSilent<A, E>(look: Effect.Effect<A, E>): Effect.Effect<A, E> {
+    return Effect.suspend(() =>
+      this.#faults.faults.silentFeeds.includes(this.#prefix)
+        ? Effect.never
+        : look
+    );
   }
 }
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -42,6 +42,8 @@
   acknowledgedAtMs: number | null;
   /** Whether the lease ran out between the end and that moment. */
   hasLapsedMeanwhile: boolean;
+  /** Whether its start was carried out seconds after it was sent. */
+  readonly wasLate: boolean;
 }
 
 /** How long a task runs and how it ends. */
@@ -88,6 +90,8 @@
   readonly runs: TaskRunNote[] = [];
   /** Tasks of each gang, by member. */
   readonly #gangs = new Map<string, readonly string[]>();
+  /** While an order is carried out seconds after it was sent. */
+  #isCarriedLate = false;
   /** Whether a start for which there is no room is refused. */
   guardsRoom = true;
   /** Told of each life that crashes; tests let another one begin. */
@@ -278,7 +282,12 @@
         const later = Effect.sync(() => {
           if (!this.#lives.has(worker.id)) return;
           this.#advance(life);
-          work(life);
+          this.#isCarriedLate = true;
+          try {
+            work(life);
+          } finally {
+            this.#isCarriedLate = false;
+          }
         });
         const order = Effect.andThen(this.#clock.sleep(LATE_MS), later);
         Effect.runFork(Effect.ignoreCause(order));
@@ -312,6 +321,7 @@
       how: null,
       acknowledgedAtMs: null,
       hasLapsedMeanwhile: false,
+      wasLate: this.#isCarriedLate,
     };
     this.runs.push(note);
     life.held.set(order.task, { note, endsAtMs: nowMs + runMs, fails });
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -20,9 +20,11 @@
   buildAccess,
   buildStep,
   CRASH_BACK_MS,
+  EVACUATION_IN_FORCE_MS,
   FLEET_BOUNDS,
   TestFleet,
 } from "./src/test_fleet.ts";
+export { Evacuations } from "./src/evacuations.ts";
 export { ChangingRooms } from "./src/changing_rooms.ts";
 export { GREY_FAILS_MS, GreyEndpoints } from "./src/grey_endpoints.ts";
 export { checkFailed, CRASHER, findBrokenRuns } from "./src/run_checks.ts";
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -1,7 +1,7 @@
 /** Several nodes for workflows on fakes and a clock that the test moves. */
 import * as Logger from "@cairngate/logger";
 import * as Metrics from "@cairngate/metrics";
-import type * as Ports from "@cairngate/ports";
+import * as Ports from "@cairngate/ports";
 import * as StandIns from "@cairngate/stand-ins";
 import * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
@@ -21,11 +21,13 @@
   keepEndedMs: 120_000,
 };
 
-const CONFIG_PREFIX = "test-config/";
+const OPERATOR_PREFIX = "test-operator/";
 const WORKERS_PREFIX = "test-workers/";
 const WRITES_PER_SECOND = 500;
 const ROW_BYTES = 65_536;
 const CONFIG_IN_FORCE_MS = 2000;
+/** Time within which nothing starts any more in an evacuated data centre, in ms. */
+export const EVACUATION_IN_FORCE_MS = 5000;
 /** A crashed endpoint is back after this time, in ms, at the same address. */
 export const CRASH_BACK_MS = 3000;
 
@@ -86,6 +88,8 @@
   /** Clock of each node. */
   readonly clocks = new Map<string, suspendables.SuspendableClock>();
   readonly #config: Ports.AccessConfig;
+  /** Data centre of the endpoint at a place. */
+  readonly dataCentreOf: (place: number) => string;
   readonly #coresOf: (name: string) => number;
   readonly #advisor: Ports.Advisor | null;
   readonly #bounds: typeof FLEET_BOUNDS;
@@ -107,11 +111,14 @@
       advisor?: (clock: Ports.Clock) => Ports.Advisor;
       /** Longest lease of an endpoint, in ms. */
       longestLeaseMs?: number;
+      /** Data centre of the endpoint at each place; left out: one for all. */
+      dataCentreOf?: (place: number) => string;
       /** Logger of each node; silent where it is left out. */
       logOf?: (node: string) => Logger.Logger;
     } = {},
   ) {
     this.#coresOf = options.cores ?? (() => 1);
+    this.dataCentreOf = options.dataCentreOf ?? (() => "dc-1");
     this.#logOf = options.logOf ?? (() => Logger.silentLogger());
     this.#bounds = {
       ...FLEET_BOUNDS,
@@ -179,7 +186,7 @@
       workers: new StandIns.BusyTaskWorkers(this.workers, faults.processor),
       advisor: this.#advisor,
       feeds: {
-        config: feed<Ports.AccessConfig>(CONFIG_PREFIX),
+        operator: feed<Ports.OperatorEntry>(OPERATOR_PREFIX),
         workers: feed<Ports.WorkerListing>(WORKERS_PREFIX),
         intake: feed<unknown>("intake", TableClient.Keys.PARTITIONS),
         election: feed<unknown>("election/"),
@@ -190,6 +197,7 @@
       storeWritesPerSecond: WRITES_PER_SECOND,
       storeRowBytes: ROW_BYTES,
       configInForceMs: CONFIG_IN_FORCE_MS,
+      evacuationInForceMs: EVACUATION_IN_FORCE_MS,
       log: this.#logOf(name),
       metrics: new Metrics.Metrics(),
     });
@@ -248,7 +256,7 @@
       id: spec.id,
       address: `10.0.0.${index}:80`,
       service: "analysis",
-      zone: "zone-1",
+      dataCentre: this.dataCentreOf(index),
       rack,
       labels: ["a", rack],
       cpuMillis: 64_000,
@@ -256,6 +264,7 @@
       accelerators: spec.accelerators,
       draining: false,
       leavesInMs: null,
+      coldForMs: 0,
       clockMs: this.clock.monotonicMs(),
       ...changes,
     };
@@ -286,7 +295,20 @@
 
   /** Puts a configuration in force. */
   applyConfig(config: Ports.AccessConfig): void {
-    this.write(`${CONFIG_PREFIX}config`, config);
+    const kind = Ports.OperatorEntryKind.Config;
+    this.write(`${OPERATOR_PREFIX}config`, { kind, config });
+  }
+
+  /** The operator lets nothing more start in a data centre. */
+  evacuate(dataCentre: string): void {
+    const kind = Ports.OperatorEntryKind.Evacuation;
+    const key = `${OPERATOR_PREFIX}evacuate/${dataCentre}`;
+    this.write(key, { kind, dataCentre });
+  }
+
+  /** The operator takes a data centre back into use. */
+  takeBack(dataCentre: string): void {
+    this.write(`${OPERATOR_PREFIX}evacuate/${dataCentre}`, null);
   }
 
   /** Writes a row as the platform does. */
--- a/packages/workflow-node/src/random_faults_test.ts
+++ b/packages/workflow-node/src/random_faults_test.ts
@@ -2,8 +2,8 @@
  * Random faults over several nodes: kills, outages of the store for one node or
  * all, or of some partitions, cut links, lost answers, connections that turn
  * silent, orders that are lost, unanswered or late, failing runs, endpoints that
- * crash, that fail all they start and are not heard then, and tasks that crash
- * their endpoints.
+ * crash, that fail all they start and are not heard then, tasks that crash their
+ * endpoints, and data centres that are evacuated.
  * CAIRNGATE_FAULT_RUNS sets how many seeds are played, CAIRNGATE_FAULT_FROM the
  * first of them.
  */
@@ -137,16 +137,27 @@
 interface PlayKinds {
   readonly changesRooms?: boolean;
   readonly suspends?: boolean;
+  readonly evacuates?: boolean;
 }
 
+/** Endpoints of each size stand in both data centres. */
+const dataCentreOf = (place: number) => place % 2 === 0 ? "dc-1" : "dc-2";
+
 async function play(seed: number, kinds: PlayKinds = {}): Promise<string[]> {
-  const fleet = new TestUtils.TestFleet({ seed, workers: SIZES });
+  const fleet = new TestUtils.TestFleet({
+    seed,
+    workers: SIZES,
+    dataCentreOf,
+  });
   const rooms = kinds.changesRooms
     ? new TestUtils.ChangingRooms(fleet, { seed, sizes: SIZES })
     : null;
   const suspensions = kinds.suspends
     ? new TestUtils.Suspensions(fleet, seed)
     : null;
+  const evacuations = kinds.evacuates
+    ? new TestUtils.Evacuations(fleet, { seed, dataCentres: ["dc-1", "dc-2"] })
+    : null;
   const random = new TestUtils.SeededRandom(seed);
   const grey = new TestUtils.GreyEndpoints(fleet);
   fleet.workers.behave = (task, endpoint) => ({
@@ -167,6 +178,7 @@
     breakOrders(fleet, random, random.choose(ORDER_SHARES), grey);
     rooms?.change();
     suspensions?.next();
+    evacuations?.change();
     const faults = random.between(1, 3);
     for (let i = 0; i < faults; i++) {
       await breakSomething(fleet, random, grey);
@@ -179,6 +191,7 @@
   fleet.workers.carry = () => StandIns.OrderFate.Carried;
   rooms?.restore();
   suspensions?.end();
+  evacuations?.endAll();
   const isOver = (id: string) => {
     const state = fleet.state(id);
     return state !== null && Workflow.isFinal(state);
@@ -186,6 +199,7 @@
   const ended = await fleet.until(() => accepted.every(isOver), END_LIMIT_MS);
   const violations = TestUtils.findBrokenRuns(fleet);
   violations.push(...rooms?.findViolations() ?? []);
+  violations.push(...evacuations?.findViolations() ?? []);
   violations.push(
     ...accepted.flatMap((id) => TestUtils.checkFailed(fleet, id)),
   );
@@ -238,3 +252,20 @@
     });
   }
 });
+
+vitest.describe("random faults and evacuations of data centres", () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    vitest.it(`start nothing there, seed ${seed}`, async () => {
+      vitest.expect(await play(seed, { evacuates: true })).toEqual([]);
+    });
+  }
+});
+
+vitest.describe("evacuations and boxes that stand still", () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    vitest.it(`start nothing there, seed ${seed}`, async () => {
+      const kinds = { evacuates: true, suspends: true };
+      vitest.expect(await play(seed, kinds)).toEqual([]);
+    });
+  }
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -4,7 +4,7 @@
 import * as Gateway from "@cairngate/gateway";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
-import type * as Ports from "@cairngate/ports";
+import * as Ports from "@cairngate/ports";
 import * as StoreRelay from "@cairngate/store-relay";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
@@ -15,7 +15,8 @@
 
 /** Feeds that a node follows. */
 export interface NodeFeeds {
-  readonly config: Ports.RowFeed<Ports.AccessConfig>;
+  /** Configurations and evacuations. */
+  readonly operator: Ports.RowFeed<Ports.OperatorEntry>;
   readonly workers: Ports.RowFeed<Ports.WorkerListing>;
   readonly intake: Ports.RowFeed<unknown>;
   readonly election: Ports.RowFeed<unknown>;
@@ -43,6 +44,8 @@
   readonly storeRowBytes: number;
   /** Time within which a configuration has to be in force on every node. */
   readonly configInForceMs: number;
+  /** Time within which nothing starts any more where it evacuates, in ms. */
+  readonly evacuationInForceMs: number;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
 }
@@ -73,6 +76,7 @@
   readonly #relay: StoreRelay.RelayServer;
   readonly #feeds: NodeFeeds;
   readonly #election: Coordinator.Election;
+  readonly #evacuations: Coordinator.EvacuationBook;
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
   /** While this node coordinates. */
@@ -123,6 +127,11 @@
       clock,
       rowBytes: ports.storeRowBytes,
     });
+    this.#evacuations = new Coordinator.EvacuationBook({
+      clock,
+      log: log.part("node"),
+      inForceMs: ports.evacuationInForceMs,
+    });
     this.#coordinatorPorts = {
       node,
       incarnation: random.id(),
@@ -135,6 +144,7 @@
       intakeFeed: this.#feeds.intake,
       electionFeed: this.#feeds.election,
       config: () => this.access.config,
+      evacuations: this.#evacuations,
       fitness: new fitnesses.LeaderFitness({
         cores: ports.processorCores,
         others: () => this.#members.others(),
@@ -159,7 +169,7 @@
       this.#store.silentForMs() > STORE_FAILING_MS;
   }
 
-  /** Follows the configuration and takes part in the election. */
+  /** Follows the operator and takes part in the election. */
   start(): Effect.Effect<void, Errors.ListenError> {
     const { peers } = this.#ports;
     const listen = peers.listen((call) => this.#relay.answer(call));
@@ -176,7 +186,7 @@
     });
     this.#keep("Watching for the store's return", watch.run());
     const follower = new TableClient.RowFollower({
-      feed: this.#feeds.config,
+      feed: this.#feeds.operator,
       clock,
       random,
       waitMs: Math.round(configInForceMs * CONFIG_WAIT_SHARE),
@@ -184,17 +194,20 @@
       longestPauseMs: CONFIG_PAUSE_MS,
       onHeard: () => {
         this.#configHeardAtMs = clock.monotonicMs();
+        this.#evacuations.noteHeard();
         this.#store.noteAnswered();
       },
       onDelay: (ms) => this.#store.noteDelay(ms),
       onFailed: () => this.#store.noteFailed(),
       onChange: (entries) => {
+        this.#evacuations.take(entries);
         for (const { value } of entries) {
-          if (value !== null) this.access.offer(value);
+          if (value?.kind !== Ports.OperatorEntryKind.Config) continue;
+          this.access.offer(value.config);
         }
       },
     });
-    this.#keep("Following the configuration", follower.run());
+    this.#keep("Following the operator", follower.run());
     const work = (term: Coordinator.Term) =>
       Effect.suspend(() => {
         const ports = this.#coordinatorPorts;
@@ -246,6 +259,8 @@
       ready: this.isReady,
       configVersion: this.access.config?.version ?? null,
       coordinator: this.#election.holder,
+      evacuations: this.#evacuations.list(),
+      mayMissEvacuations: this.#evacuations.mayBeLate,
       peers: this.#members.others().map((peer) => peer.node),
       storeThrough: this.#route.through,
       storeSilentMs: Math.round(this.#store.silentForMs()),
@@ -262,7 +277,7 @@
   const relay = <T>(name: keyof NodeFeeds, feed: Ports.RowFeed<T>) =>
     new StoreRelay.RelayedFeed<T>(name, feed, route);
   return {
-    config: relay("config", feeds.config),
+    operator: relay("operator", feeds.operator),
     workers: relay("workers", feeds.workers),
     intake: relay("intake", feeds.intake),
     election: relay("election", feeds.election),
--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -5,10 +5,11 @@
 export interface WorkerState {
   readonly id: string;
   readonly service: string;
+  readonly dataCentre: string;
   readonly rack: string;
   readonly labels: ReadonlySet<string>;
   readonly total: Workflow.Resources;
-  /** False while it drains, cannot be reached or is put aside. */
+  /** False while it drains, cannot be reached, is put aside or evacuated. */
   readonly usable: boolean;
   /** An endpoint at its address has crashed in the last seconds. */
   readonly hasCrashedLately?: boolean;
--- a/packages/workflow-scheduler/src/isolation_test.ts
+++ b/packages/workflow-scheduler/src/isolation_test.ts
@@ -45,6 +45,7 @@
       labels: new Set(["a"]),
       total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators: 2 },
       usable: true,
+      dataCentre: "dc-1",
       hasCrashedLately: crashedLately.includes(i),
       speed: 1,
       occupants: halfFull.includes(i) ? [...beside.tasks] : [],
--- a/packages/workflow-scheduler/src/plan_growth_test.ts
+++ b/packages/workflow-scheduler/src/plan_growth_test.ts
@@ -44,6 +44,7 @@
   const workers = Array.from({ length: ENDPOINTS }, (_, i) => ({
     id: `i-${i}`,
     service: "analysis",
+    dataCentre: "dc-1",
     rack: `rack-${Math.floor(i / 8)}`,
     labels: new Set(["a"]),
     total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators: 8 },
--- a/packages/workflow-scheduler/src/plan_test.ts
+++ b/packages/workflow-scheduler/src/plan_test.ts
@@ -40,6 +40,7 @@
     labels: new Set(["a"]),
     total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators },
     usable: true,
+    dataCentre: "dc-1",
     speed: 1,
     occupants: occupants[i] ?? [],
   }));
