Spread tries of failed work, and keep it off endpoints that fail at once

A run that fails within 0.5 s of its start puts its endpoint in doubt for 5 s: it comes after all others, one run at a time.

--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -171,7 +171,7 @@
     const wasOver = workflow.isOver;
     workflow.endRun(task, { run, ...end }, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
-    if (end.how === Workflow.RunEnd.Done) worker.health.succeeded();
+    if (end.how === Workflow.RunEnd.Done) worker.health.succeeded(nowMs);
     else this.#runLost(worker, occupant, end);
     return this.#settle(workflow, wasOver);
   }
@@ -235,7 +235,9 @@
     task.workflow.lostRuns++;
     this.#endLog.ended({ task, run, endpoint: worker.ref.id }, end);
     if (end.how === Workflow.RunEnd.Failed) {
-      worker.health.failed(this.#ports.clock.monotonicMs());
+      const nowMs = this.#ports.clock.monotonicMs();
+      const sentAtMs = occupant.sentAtMs ?? task.startedAtMs;
+      worker.health.ranAndFailed(nowMs, nowMs - sentAtMs);
     }
     if (task.step.gang) this.#control.stopGang(task, run);
   }
--- a/packages/coordinator/src/run_watch.ts
+++ b/packages/coordinator/src/run_watch.ts
@@ -32,8 +32,10 @@
   /** One look. */
   look(): void {
     const occupants = this.#occupantsInProgress();
-    for (const { occupant, worker } of occupants) {
+    const nowMs = this.#ports.clock.monotonicMs();
+    for (const { occupant, pace, worker } of occupants) {
       occupant.wasCold ||= this.#directory.isCold(worker);
+      this.#directory.session(worker)?.health.isRunning(nowMs, pace.watchedMs);
     }
     // A cold endpoint is slow for a while, whatever runs there.
     this.#compareSpeeds(occupants.filter(({ occupant }) => !occupant.wasCold));
--- a/packages/coordinator/src/worker_directory.ts
+++ b/packages/coordinator/src/worker_directory.ts
@@ -166,6 +166,8 @@
         usable: !listing.draining && session !== null && session.isUsable &&
           !session.isOnProbation(nowMs) &&
           evacuations.mayStart(listing.dataCentre),
+        isDoubted: session?.health.isDoubted(nowMs) ?? false,
+        isProven: session?.health.isProven(nowMs) ?? false,
         isCold: this.isCold(listing.id),
         hasCrashedLately: this.silences.hasCrashedLately(listing.address),
         speed: this.speeds.of(listing.id),
--- a/packages/coordinator/src/worker_health.ts
+++ b/packages/coordinator/src/worker_health.ts
@@ -12,18 +12,57 @@
 /** Time after a refusal; what we know of the room there is wrong. */
 const REFUSED_ASIDE_MS = 300;
 
+/**
+ * A run that fails before this age, in ms, speaks against its endpoint: endpoints
+ * that fail what they start do so within 0.1 s, tasks that fail by themselves at any
+ * moment of their 2 to 9 s.
+ */
+const AT_ONCE_MS = 500;
+/** Such an endpoint is in doubt for this time, in ms: they stay so for 4 to 7 s. */
+const DOUBT_MS = 5000;
+
+/**
+ * An endpoint on which a run has come through its first moments, or has ended well,
+ * is proven for this time, in ms: as long as most runs of the users last.
+ */
+const PROVEN_MS = 4000;
+
 /** One worker's record. */
 export class WorkerHealth {
   #failures = 0;
   #asideUntilMs = Number.NEGATIVE_INFINITY;
+  #doubtedUntilMs = Number.NEGATIVE_INFINITY;
+  #provenUntilMs = Number.NEGATIVE_INFINITY;
 
   /** Whether the worker gets no work now. */
   isAside(nowMs: number): boolean {
     return nowMs < this.#asideUntilMs;
   }
 
+  /** Whether it may still fail whatever it starts. */
+  isDoubted(nowMs: number): boolean {
+    return nowMs < this.#doubtedUntilMs;
+  }
+
+  /** Whether something has lately run well there. */
+  isProven(nowMs: number): boolean {
+    return nowMs < this.#provenUntilMs && !this.isDoubted(nowMs);
+  }
+
+  /** A run there has lasted for so long. */
+  isRunning(nowMs: number, ranMs: number): void {
+    if (ranMs >= AT_ONCE_MS) this.#provenUntilMs = nowMs + PROVEN_MS;
+  }
+
+  /** A run failed that had run for so long. */
+  ranAndFailed(nowMs: number, ranMs: number): void {
+    this.failed(nowMs);
+    if (ranMs < AT_ONCE_MS) this.#doubtedUntilMs = nowMs + DOUBT_MS;
+  }
+
   /** A run ended well. */
-  succeeded(): void {
+  succeeded(nowMs: number): void {
+    this.#provenUntilMs = nowMs + PROVEN_MS;
     this.#failures = 0;
     this.#asideUntilMs = Number.NEGATIVE_INFINITY;
   }
--- a/packages/coordinator/src/worker_health_test.ts
+++ b/packages/coordinator/src/worker_health_test.ts
@@ -20,7 +20,7 @@
     const health = new healths.WorkerHealth();
     health.failed(0);
     health.failed(0);
-    health.succeeded();
+    health.succeeded(0);
     vitest.expect(health.isAside(1)).toBe(false);
   });
 
@@ -33,4 +33,24 @@
     slow.wasSlow(0);
     vitest.expect(slow.isAside(400)).toBe(true);
   });
+
+  vitest.it("is in doubt for a while after a run that failed at once", () => {
+    const health = new healths.WorkerHealth();
+    health.ranAndFailed(1000, 50);
+    vitest.expect(health.isDoubted(4000)).toBe(true);
+    vitest.expect(health.isDoubted(9000)).toBe(false);
+    const other = new healths.WorkerHealth();
+    other.ranAndFailed(1000, 2000);
+    vitest.expect(other.isDoubted(1001)).toBe(false);
+  });
+
+  vitest.it("is proven by a run that goes on, not by one that began", () => {
+    const health = new healths.WorkerHealth();
+    health.isRunning(1000, 100);
+    vitest.expect(health.isProven(1001)).toBe(false);
+    health.isRunning(1500, 600);
+    vitest.expect(health.isProven(1501)).toBe(true);
+    health.ranAndFailed(1600, 20);
+    vitest.expect(health.isProven(1601)).toBe(false);
+  });
 });
--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -13,6 +13,10 @@
   readonly usable: boolean;
   /** An endpoint at its address has crashed in the last seconds. */
   readonly hasCrashedLately?: boolean;
+  /** It has failed a run at once lately, so that it may fail whatever it starts. */
+  readonly isDoubted?: boolean;
+  /** Something has lately run well there. */
+  readonly isProven?: boolean;
   /** It has just come up and runs slowly for a while. */
   readonly isCold?: boolean;
   /** Speed beside the other workers; 1 is the usual one. */
@@ -60,12 +64,19 @@
       divide(amounts.memoryMb, step.memoryMb),
       divide(amounts.accelerators, step.accelerators),
       unit.tasks.length,
+      this.#mostTries,
     );
     if (step.perWorker === 0) return Math.max(0, most);
     const held = this.#held.get(unit.workflow.siblings(unit.tasks[0])) ?? 0;
     return Math.max(0, Math.min(most, step.perWorker - held));
   }
 
+  /** One run at a time tells whether an endpoint in doubt still fails. */
+  get #mostTries(): number {
+    if (this.worker.isDoubted !== true) return Number.POSITIVE_INFINITY;
+    return this.isEmpty ? 1 : 0;
+  }
+
   /** Whether nothing runs there, and nothing is planned to. */
   get isEmpty(): boolean {
     return this.worker.occupants.length === 0 && !this.#isClaimed;
--- a/packages/workflow-scheduler/src/placement.ts
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -100,6 +100,14 @@
  */
 const COLD_SPEED = 0.5;
 
+/** Steps of slowness by which endpoints in doubt come after all others. */
+const IN_DOUBT = 1000;
+/**
+ * The same for endpoints on which nothing has run well lately, for work that has
+ * failed before: the next failure may be its last.
+ */
+const UNPROVEN = 100;
+
 /**
  * Urgent work takes the fast workers first and other work the slow ones, because
  * it has more time.
@@ -107,7 +115,13 @@
 function slownessFor(unit: Workflow.Unit): (room: fleet.WorkerRoom) => number {
   const isUrgent = unit.workflow.spec.policy.priority === 0;
   const sign = isUrgent ? -1 : 1;
-  return ({ worker }) => sign * Math.round((speedNow(worker) - 1) / SPEED_STEP);
+  const hasFailed = unit.tasks.some(({ failures }) => failures > 0);
+  const doubtOf = ({ isDoubted, isProven }: fleet.WorkerState) => {
+    if (isDoubted === true) return IN_DOUBT;
+    return hasFailed && isProven !== true ? UNPROVEN : 0;
+  };
+  return ({ worker }) =>
+    doubtOf(worker) + sign * Math.round((speedNow(worker) - 1) / SPEED_STEP);
 }
 
 function speedNow({ speed, isCold }: fleet.WorkerState): number {
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -6,6 +6,7 @@
 import * as placement from "./placement.ts";
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
+import * as retry from "./retry_pause.ts";
 
 /** What a plan is made from. */
 export interface PlanInput {
@@ -33,6 +34,8 @@
   Stops = "stops",
   Advice = "advice",
   Room = "room",
+  /** It has failed, and the next try comes a little later. */
+  Pause = "pause",
 }
 
 /** A unit that stays where it is. */
@@ -93,7 +96,8 @@
     for (const workflow of this.#input.workflows) {
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
-    const sorted = rank.sortUnits(units, this.#ranks, this.#input.wallMs);
+    const ready = units.filter((unit) => !this.#pauses(unit));
+    const sorted = rank.sortUnits(ready, this.#ranks, this.#input.wallMs);
     for (const units of groupSiblings(sorted)) this.#decideAll(units);
     return {
       starts: this.#starts,
@@ -102,6 +106,12 @@
     };
   }
 
+  #pauses(unit: Workflow.Unit): boolean {
+    if (!retry.mustPause(unit, this.#input)) return false;
+    this.#waits.push({ unit, reason: WaitReason.Pause });
+    return true;
+  }
+
   /**
    * One search finds places for all single tasks of a step that fit: a search for
    * each of 40 tasks looked at each endpoint 40 times (plan_growth_test.ts).
@@ -195,8 +205,10 @@
   }
 
   #allRoomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
+    const avoidsDoubt = retry.avoidsDoubt(unit, this.#input.nowMs);
     const eligible = this.#rooms.filter(({ worker }) =>
-      fleet.isEligible(worker, unit)
+      fleet.isEligible(worker, unit) &&
+      !(avoidsDoubt && worker.isDoubted === true)
     );
     if (unit.workflow.spec.policy.advice === null) return eligible;
     return eligible.filter(({ worker }) =>
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -74,6 +74,19 @@
   return endMs <= allowedMs * LATE_FACTOR ? Hope.Late : Hope.None;
 }
 
+/**
+ * Time that a unit may still wait without reaching less: until it would miss its
+ * objective, or, where it has, the time after which its end is of no use.
+ */
+export function spareMs(unit: Workflow.Unit, wallMs: number): number {
+  const { spec } = unit.workflow;
+  const dueMs = Workflow.dueAtMs(spec, unit.round);
+  const allowedMs = Workflow.objectiveAtMs(spec, unit.round) - dueMs;
+  const endMs = wallMs - dueMs + unit.step.estimateMs;
+  if (endMs <= allowedMs) return allowedMs - endMs;
+  return Math.max(0, allowedMs * LATE_FACTOR - endMs);
+}
+
 /**
  * Orders units: rank first, then what they can still reach, then the time by
  * which they should end.
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -46,6 +46,8 @@
   /** Worker of the newest run; null while the task runs nowhere. */
   worker: string | null = null;
   failures = 0;
+  /** Monotonic time of its newest failure; where an earlier term saw it: never. */
+  failedAtMs = Number.NEGATIVE_INFINITY;
   /** Workers that have crashed under it. */
   crashes = budgets.NO_CRASHES;
   /** Runs that were stopped because they were slow. */
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -222,7 +222,9 @@
   }
 
   #count(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
-    if (ended.how === tasks.RunEnd.Failed) this.#countFailure(task, ended.run);
+    if (ended.how === tasks.RunEnd.Failed) {
+      this.#countFailure(task, ended.run, nowMs);
+    }
     if (ended.how === tasks.RunEnd.Crashed) {
       this.#countCrash(task, ended, nowMs);
     }
@@ -243,7 +245,7 @@
     }
   }
 
-  #countFailure(task: tasks.Task, run: number): void {
+  #countFailure(task: tasks.Task, run: number, nowMs: number): void {
     if (task.step.lasting) return;
     if (task.step.gang) {
       const id = gangRun(task, run);
@@ -251,7 +253,10 @@
       this.#countedFailures.add(id);
       this.openEnds.closeRun(task.stepKey, run);
     }
-    for (const member of this.#group(task)) member.failures++;
+    for (const member of this.#group(task)) {
+      member.failures++;
+      member.failedAtMs = nowMs;
+    }
     if (task.failures < this.spec.policy.attempts) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Failures);
   }
