Play loads against the planner alone: tools/decisions

npm run decisions prints, by load and seed, what callers got in the users' terms and what was thrown away.

--- /dev/null
+++ b/tools/decisions/bin.ts
@@ -0,0 +1,59 @@
+/** `npm run decisions`. */
+import * as Clipanion from "clipanion";
+import process from "node:process";
+import * as decisions from "./mod.ts";
+
+/** Exit code for an argument that is not valid, as of `cairngate`. */
+const EXIT_BAD_INPUT = 2;
+
+class DecisionsCommand extends Clipanion.Command {
+  static override paths = [Clipanion.Command.Default];
+  static override usage = Clipanion.Command.Usage({
+    description: "Play loads against the planner and print what callers got",
+    examples: [["Two loads", "npm run decisions -- even small --seeds 6"]],
+  });
+  seeds = Clipanion.Option.String("--seeds", "4", {
+    description: "Seeds of each load, from 1 on",
+  });
+  names = Clipanion.Option.Rest();
+
+  override execute(): Promise<number> {
+    const seeds = Number(this.seeds);
+    const names = this.names.length > 0
+      ? this.names
+      : [...decisions.LOADS.keys()];
+    const unknown = names.find((name) => !decisions.LOADS.has(name));
+    if (unknown !== undefined || !Number.isInteger(seeds) || seeds < 1) {
+      const known = [...decisions.LOADS.keys()].join(", ");
+      this.context.stderr.write(
+        `Takes loads (${known}) and --seeds of 1 and more.\n`,
+      );
+      return Promise.resolve(EXIT_BAD_INPUT);
+    }
+    for (const name of names) this.#play(name, seeds);
+    return Promise.resolve(0);
+  }
+
+  /** One line of JSON a play, for comparisons. */
+  #play(name: string, seeds: number): void {
+    const load = decisions.LOADS.get(name);
+    if (load === undefined) return;
+    for (let seed = 1; seed <= seeds; seed++) {
+      const marks = decisions.marksOf(decisions.play(load, seed));
+      const line = JSON.stringify(
+        { load: name, seed, ...marks },
+        (_, value) =>
+          typeof value === "number" ? Math.round(value * 1e4) / 1e4 : value,
+      );
+      this.context.stdout.write(`${line}\n`);
+    }
+  }
+}
+
+const cli = new Clipanion.Cli({
+  binaryName: "decisions",
+  binaryVersion: "0.1.0",
+});
+cli.register(DecisionsCommand);
+cli.register(Clipanion.Builtins.HelpCommand);
+process.exit(await cli.run(process.argv.slice(2)));
--- /dev/null
+++ b/tools/decisions/src/draw.ts
@@ -0,0 +1,183 @@
+/** Draws the workflows of a load. */
+import * as Workflow from "@cairngate/workflow";
+import * as Float from "pure-rand/distribution/uniformFloat64";
+import * as Xoroshiro from "pure-rand/generator/xoroshiro128plus";
+import type * as loads from "./load.ts";
+
+/** A workflow that will be handed in. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly workflow: Workflow.Workflow;
+  readonly queue: loads.QueueLoad;
+  /** True times of the tasks near their data, by key. */
+  readonly runMs: ReadonlyMap<string, number>;
+  /** Time by which the caller wants it, by its true times, in ms. */
+  readonly objectiveMs: number;
+  /** What it is worth in time. */
+  readonly worth: number;
+  /** Core-seconds of all tasks; accelerators count as eight cores. */
+  readonly work: number;
+}
+
+/** Numbers that repeat for a seed. */
+export class Draws {
+  readonly #generator: ReturnType<typeof Xoroshiro.xoroshiro128plus>;
+
+  constructor(seed: number) {
+    this.#generator = Xoroshiro.xoroshiro128plus(seed);
+  }
+
+  /** At least 0, below 1. */
+  next(): number {
+    return Float.uniformFloat64(this.#generator);
+  }
+
+  /** Time to the next of events that come at random, in ms. */
+  gapMs(perSecond: number): number {
+    return -Math.log(1 - this.next()) / perSecond * 1000;
+  }
+
+  /** About a mean, mostly within a share of it. */
+  around(mean: number, spread: number, max: number): number {
+    const sum = this.next() + this.next() + this.next() - 1.5;
+    return Math.min(max, Math.max(mean * 0.1, mean * (1 + spread * 2 * sum)));
+  }
+
+  /** Many small ones and few large ones. */
+  width(mean: number, max: number): number {
+    const drawn = Math.ceil(-Math.log(1 - this.next()) * mean);
+    return Math.min(max, Math.max(1, drawn));
+  }
+
+  /** One of some things. */
+  choose<T>(from: readonly T[]): T {
+    return from[Math.floor(this.next() * from.length)];
+  }
+}
+
+/** Weight of an accelerator in core-seconds, as the users count it. */
+export const ACCELERATOR_WEIGHT = 8;
+
+/** All workflows that come within a time. */
+export function drawArrivals(
+  load: loads.Load,
+  seed: number,
+  lengthMs: number,
+): Arrival[] {
+  const arrivals = load.queues.flatMap((queue, i) => {
+    const draws = new Draws(seed * 31 + i);
+    const drawn: Arrival[] = [];
+    const peak = Math.max(
+      1,
+      ...load.bursts.map(({ factor }) => factor),
+    );
+    let atMs = draws.gapMs(queue.perSecond * peak);
+    while (atMs < lengthMs) {
+      // Thinned from the highest rate, so that a burst changes no other draw.
+      const isKept = draws.next() < rateAt(load, queue, atMs) / peak;
+      if (isKept) drawn.push(drawOne({ load, queue, draws, atMs }));
+      atMs += draws.gapMs(queue.perSecond * peak);
+    }
+    return drawn;
+  });
+  arrivals.sort((a, b) => a.atMs - b.atMs);
+  return weigh(arrivals);
+}
+
+function rateAt(
+  load: loads.Load,
+  queue: loads.QueueLoad,
+  atMs: number,
+): number {
+  return load.bursts
+    .filter((burst) =>
+      (burst.queue === null || burst.queue === queue.queue) &&
+      burst.fromMs <= atMs && atMs < burst.untilMs
+    )
+    .reduce((rate, { factor }) => rate * factor, 1);
+}
+
+let ids = 0;
+
+function drawOne(
+  { load, queue, draws, atMs }: {
+    load: loads.Load;
+    queue: loads.QueueLoad;
+    draws: Draws;
+    atMs: number;
+  },
+): Arrival {
+  const count = draws.width(queue.width.mean, queue.width.max);
+  const trueMs = draws.around(
+    queue.runMs.mean,
+    queue.runMs.spread,
+    queue.runMs.max,
+  );
+  const off = 1 + queue.estimateOff * (2 * draws.next() - 1);
+  const racks = Math.ceil(load.endpoints / load.rackSize);
+  const gang = draws.next() < queue.gangShare;
+  const accelerators = draws.choose(queue.accelerators);
+  const isNear = draws.next() < queue.nearShare;
+  const rack = `rack-${Math.floor(draws.next() * racks)}`;
+  const step = Workflow.createStep({
+    count,
+    cpuMillis: queue.cpuMillis,
+    memoryMb: queue.memoryMb,
+    accelerators,
+    estimateMs: trueMs * off,
+    checkpoints: draws.next() < queue.checkpointShare,
+    gang,
+    sameRack: gang && draws.next() < queue.oneRackShare,
+    rack: isNear ? rack : null,
+  });
+  const workflow = new Workflow.Workflow({
+    id: `w${ids++}`,
+    // A few teams are large.
+    tenant: `team-${Math.floor(load.teams * draws.next() ** 2)}`,
+    policy: {
+      queue: queue.queue,
+      service: "analysis",
+      priority: queue.priority,
+      attempts: queue.attempts,
+      stretch: queue.stretch,
+      latencyMs: queue.latencyMs,
+      advice: null,
+    },
+    payload: "",
+    steps: [step],
+    schedule: null,
+    acceptedAtMs: atMs,
+  });
+  const runMs = new Map(
+    [...workflow.tasks].map(({ key }) => [
+      key,
+      trueMs * (0.85 + 0.3 * draws.next()),
+    ]),
+  );
+  const longestMs = Math.max(...runMs.values());
+  const weight = queue.cpuMillis / 1000 + ACCELERATOR_WEIGHT * accelerators;
+  return {
+    atMs,
+    workflow,
+    queue,
+    runMs,
+    objectiveMs: queue.stretch * longestMs + queue.latencyMs,
+    worth: queue.worth,
+    work: count * weight * trueMs / 1000,
+  };
+}
+
+/** Larger workflows are worth more, up to four times the usual one. */
+function weigh(arrivals: readonly Arrival[]): Arrival[] {
+  const means = new Map<string, number>();
+  for (const { queue } of arrivals) {
+    const own = arrivals.filter((other) => other.queue === queue);
+    const sum = own.reduce((total, { work }) => total + work, 0);
+    means.set(queue.queue, sum / own.length);
+  }
+  return arrivals.map((arrival) => {
+    const mean = means.get(arrival.queue.queue) ?? 1;
+    const size = Math.min(4, 0.3 + 0.7 * arrival.work / mean);
+    return { ...arrival, worth: arrival.worth * size };
+  });
+}
--- /dev/null
+++ b/tools/decisions/src/load.ts
@@ -0,0 +1,211 @@
+/** Loads: what the fleet has and what callers ask for, as an operator's sheet says. */
+
+/** A queue and the work that comes in through it. */
+export interface QueueLoad {
+  readonly queue: string;
+  readonly priority: number;
+  readonly attempts: number;
+  readonly stretch: number;
+  readonly latencyMs: number;
+  /** Workflows a second on an even day. */
+  readonly perSecond: number;
+  /** Tasks of a step. */
+  readonly width: { readonly mean: number; readonly max: number };
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  /** Accelerators of a task; each is as likely as the others. */
+  readonly accelerators: readonly number[];
+  readonly runMs: {
+    readonly mean: number;
+    readonly spread: number;
+    readonly max: number;
+  };
+  /** How far estimates are off, as a share of the time. */
+  readonly estimateOff: number;
+  readonly gangShare: number;
+  /** Share of the gangs that want one rack. */
+  readonly oneRackShare: number;
+  readonly checkpointShare: number;
+  /** Share of the steps whose data lies in one rack. */
+  readonly nearShare: number;
+  /** What a workflow of mean size is worth in time, and late. */
+  readonly worth: number;
+  readonly lateWorth: number;
+}
+
+/** A burst: one queue, or all, comes so many times as often for a while. */
+export interface Burst {
+  /** Null: all queues. */
+  readonly queue: string | null;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly factor: number;
+}
+
+/** A fleet and its work. */
+export interface Load {
+  readonly name: string;
+  readonly endpoints: number;
+  readonly rackSize: number;
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+  readonly teams: number;
+  /** Share of all accelerators that teams have paid for. */
+  readonly guaranteedShare: number;
+  /** Time that a stop takes, in ms. */
+  readonly stopMs: number;
+  /** Work since the last checkpoint that a stop loses at most, in ms. */
+  readonly checkpointMs: number;
+  readonly queues: readonly QueueLoad[];
+  readonly bursts: readonly Burst[];
+}
+
+const SIZES: readonly number[] = [1, 2, 4, 8, 8];
+
+/** Rebuilds of maps, diagnostics and batches, the users' three kinds of work. */
+function queuesOf(options: {
+  readonly cpuMillis: number;
+  readonly rebuild: Partial<QueueLoad>;
+  readonly urgent: Partial<QueueLoad>;
+  readonly batch: Partial<QueueLoad>;
+}): QueueLoad[] {
+  const { cpuMillis } = options;
+  return [
+    {
+      queue: "rebuild",
+      priority: 1,
+      attempts: 4,
+      stretch: 3,
+      latencyMs: 1000,
+      perSecond: 0.86,
+      width: { mean: 13, max: 78 },
+      cpuMillis: Math.round(cpuMillis * 0.406),
+      memoryMb: 100_000,
+      accelerators: SIZES,
+      runMs: { mean: 8500, spread: 0.3, max: 11_000 },
+      estimateOff: 0.2,
+      gangShare: 1,
+      oneRackShare: 0.6,
+      checkpointShare: 0.45,
+      nearShare: 0.3,
+      worth: 3,
+      lateWorth: 0.9,
+      ...options.rebuild,
+    },
+    {
+      queue: "urgent",
+      priority: 0,
+      attempts: 3,
+      stretch: 1.5,
+      latencyMs: 300,
+      perSecond: 7.9,
+      width: { mean: 5.4, max: 32 },
+      cpuMillis: Math.round(cpuMillis * 0.117),
+      memoryMb: 44_000,
+      accelerators: SIZES,
+      runMs: { mean: 2500, spread: 0.5, max: 8000 },
+      estimateOff: 0.2,
+      gangShare: 1,
+      oneRackShare: 0.8,
+      checkpointShare: 0,
+      nearShare: 0,
+      worth: 4,
+      lateWorth: 0.8,
+      ...options.urgent,
+    },
+    {
+      queue: "batch",
+      priority: 2,
+      attempts: 2,
+      stretch: 3,
+      latencyMs: 3000,
+      perSecond: 1.06,
+      width: { mean: 39, max: 230 },
+      cpuMillis: Math.round(cpuMillis * 0.086),
+      memoryMb: 59_000,
+      accelerators: [1],
+      runMs: { mean: 6100, spread: 0.3, max: 11_000 },
+      estimateOff: 0.2,
+      gangShare: 0,
+      oneRackShare: 0,
+      checkpointShare: 0.45,
+      nearShare: 0.12,
+      worth: 1,
+      lateWorth: 0.3,
+      ...options.batch,
+    },
+  ];
+}
+
+/** A burst of everything, then one of batches: a heavy day in short. */
+const HEAVY: readonly Burst[] = [
+  { queue: null, fromMs: 6000, untilMs: 11_000, factor: 2 },
+  { queue: "batch", fromMs: 16_000, untilMs: 20_000, factor: 2.6 },
+  { queue: "rebuild", fromMs: 22_000, untilMs: 24_000, factor: 3 },
+];
+
+/** Endpoints of 128 cores; one rebuild takes over half of an endpoint's memory. */
+const WIDE_MEMORY: Load = {
+  name: "wide-memory",
+  endpoints: 245,
+  rackSize: 8,
+  cpuMillis: 128_000,
+  memoryMb: 524_288,
+  accelerators: 8,
+  teams: 10,
+  guaranteedShare: 0.6,
+  stopMs: 150,
+  checkpointMs: 500,
+  queues: queuesOf({
+    cpuMillis: 128_000,
+    rebuild: { memoryMb: 270_000 },
+    urgent: { estimateOff: 0.9 },
+    batch: {},
+  }),
+  bursts: HEAVY,
+};
+
+/** Endpoints of 32 cores, where accelerators alone are scarce. */
+const EVEN: Load = {
+  ...WIDE_MEMORY,
+  name: "even",
+  rackSize: 12,
+  cpuMillis: 32_000,
+  memoryMb: 131_072,
+  stopMs: 600,
+  queues: queuesOf({
+    cpuMillis: 32_000,
+    rebuild: { memoryMb: 26_000, perSecond: 1.2 },
+    urgent: { memoryMb: 11_000, perSecond: 6.1 },
+    batch: { memoryMb: 11_000, runMs: { mean: 7600, spread: 0.3, max: 12e3 } },
+  }),
+};
+
+/** A small fleet of the same kind. */
+const SMALL: Load = {
+  ...EVEN,
+  name: "small",
+  endpoints: 33,
+  rackSize: 8,
+  teams: 4,
+  queues: queuesOf({
+    cpuMillis: 32_000,
+    rebuild: {
+      memoryMb: 26_000,
+      perSecond: 0.44,
+      width: { mean: 5, max: 30 },
+    },
+    urgent: { memoryMb: 11_000, perSecond: 1.34, width: { mean: 3, max: 18 } },
+    batch: {
+      memoryMb: 11_000,
+      perSecond: 0.413,
+      width: { mean: 16, max: 90 },
+    },
+  }),
+};
+
+/** Loads by name. */
+export const LOADS: ReadonlyMap<string, Load> = new Map(
+  [WIDE_MEMORY, EVEN, SMALL].map((load) => [load.name, load]),
+);
--- /dev/null
+++ b/tools/decisions/src/marks.ts
@@ -0,0 +1,98 @@
+/** What callers got of a play, in the users' own terms. */
+import type * as plays from "./play.ts";
+
+/** Shares of what was owed that was earned, and what was thrown away. */
+export interface Marks {
+  readonly all: number;
+  readonly byQueue: Readonly<Record<string, number>>;
+  readonly worstTeam: number;
+  /** The largest tenth of each queue's workflows. */
+  readonly large: number;
+  /** The two worst spans of two seconds. */
+  readonly worstSpans: number;
+  /** Core-seconds thrown away for each unit of worth owed. */
+  readonly thrownAway: number;
+  readonly stranded: number;
+  readonly used: number;
+  /** One figure: the parts by the users' usual weights, less what is thrown away. */
+  readonly mark: number;
+}
+
+/** An end within this many times the objective is late, and still of use. */
+const LATE_FACTOR = 3;
+/** Length of a span, in ms. */
+const SPAN_MS = 2000;
+const WORST_SPANS = 2;
+/** The users' weights of the whole, the worst team, spans and queue. */
+const WEIGHTS = { all: 0.4, team: 0.2, spans: 0.15, queue: 0.1 };
+/** Price of a core-second for each unit of worth owed: 71,740 cost 0.055 of 1,250. */
+const PRICE = 0.00095;
+
+/** Marks of a play. */
+export function marksOf(played: plays.Played): Marks {
+  const { served } = played;
+  const queues = group(served, ({ arrival }) => arrival.queue.queue);
+  const teams = group(served, ({ arrival }) => arrival.workflow.spec.tenant);
+  const spans = group(
+    served,
+    ({ arrival }) => String(Math.floor(arrival.atMs / SPAN_MS)),
+  );
+  const all = shareOf(served);
+  const worstTeam = lowest([...teams.values()].map(shareOf), 1);
+  const worstSpans = lowest([...spans.values()].map(shareOf), WORST_SPANS);
+  const worstQueue = lowest([...queues.values()].map(shareOf), 1);
+  const large = [...queues.values()].flatMap((own) =>
+    [...own].sort((a, b) => b.arrival.work - a.arrival.work)
+      .slice(0, Math.ceil(own.length / 10))
+  );
+  const owed = served.reduce((sum, { arrival }) => sum + arrival.worth, 0);
+  const thrownAway = played.thrownAway / owed;
+  const weights = Object.values(WEIGHTS).reduce((sum, one) => sum + one, 0);
+  const earned = WEIGHTS.all * all + WEIGHTS.team * worstTeam +
+    WEIGHTS.spans * worstSpans + WEIGHTS.queue * worstQueue;
+  return {
+    all,
+    byQueue: Object.fromEntries(
+      [...queues].map(([queue, own]) => [queue, shareOf(own)]),
+    ),
+    worstTeam,
+    large: shareOf(large),
+    worstSpans,
+    thrownAway,
+    stranded: played.strandedShare,
+    used: played.usedShare,
+    mark: earned / weights - PRICE * thrownAway,
+  };
+}
+
+function shareOf(served: readonly plays.Served[]): number {
+  let owed = 0;
+  let earned = 0;
+  for (const { arrival, tookMs } of served) {
+    const { worth, queue, objectiveMs } = arrival;
+    owed += worth;
+    if (tookMs === null) continue;
+    if (tookMs <= objectiveMs) earned += worth;
+    else if (tookMs <= objectiveMs * LATE_FACTOR) {
+      earned += worth * queue.lateWorth / queue.worth;
+    }
+  }
+  return owed === 0 ? 1 : earned / owed;
+}
+
+function group<T>(
+  all: readonly T[],
+  keyOf: (one: T) => string,
+): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const one of all) {
+    const key = keyOf(one);
+    groups.set(key, [...groups.get(key) ?? [], one]);
+  }
+  return groups;
+}
+
+function lowest(shares: readonly number[], count: number): number {
+  const sorted = [...shares].sort((a, b) => a - b).slice(0, count);
+  return sorted.reduce((sum, one) => sum + one, 0) / Math.max(1, sorted.length);
+}
--- /dev/null
+++ b/tools/decisions/src/play.ts
@@ -0,0 +1,266 @@
+/** Plays a load against the planner: no network, no store, a simulated time. */
+import * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as draws from "./draw.ts";
+import type * as loads from "./load.ts";
+
+/** A workflow at the end of a play. */
+export interface Served {
+  readonly arrival: draws.Arrival;
+  /** Null: it had not ended when the play did. */
+  readonly tookMs: number | null;
+}
+
+/** What came of a play. */
+export interface Played {
+  readonly served: readonly Served[];
+  /** Core-seconds of work that was stopped and not saved. */
+  readonly thrownAway: number;
+  /** Accelerators that were free where nothing that waited fitted, mean share. */
+  readonly strandedShare: number;
+  /** Accelerators in use, mean share. */
+  readonly usedShare: number;
+  readonly plans: number;
+}
+
+/** Traffic of the users' days, in ms. */
+const TRAFFIC_MS = 34_000;
+/** After the traffic the fleet goes on for this time, in ms. */
+const RUN_OUT_MS = 60_000;
+/** Plans are this far apart at least, in ms: a plan of a large fleet and its pause. */
+const PLAN_EACH_MS = 20;
+/** From a plan to the start on the endpoint: a record and an order, in ms. */
+const START_MS = 12;
+/** A run tells its pace after this time, in ms. */
+const PACE_KNOWN_MS = 600;
+/** How much slower work runs away from its rack. */
+const REMOTE_PENALTY = 3;
+
+interface Run {
+  readonly tasks: readonly Workflow.Task[];
+  readonly run: number;
+  readonly arrival: draws.Arrival;
+  readonly endsAtMs: number;
+  readonly beganAtMs: number;
+  /** Share that was done when it began. */
+  readonly doneBefore: number;
+  isStopped: boolean;
+}
+
+interface Endpoint {
+  readonly id: string;
+  readonly rack: string;
+  readonly occupants: Set<Workflow.Task>;
+}
+
+/** Plays one seed of a load. */
+export function play(load: loads.Load, seed: number): Played {
+  return new Play(load, seed).run();
+}
+
+class Play {
+  readonly #load: loads.Load;
+  readonly #endpoints: readonly Endpoint[];
+  readonly #byId: ReadonlyMap<string, Endpoint>;
+  readonly #arrivals: readonly draws.Arrival[];
+  readonly #guarantees: ReadonlyMap<string, number>;
+  readonly #live = new Map<Workflow.Workflow, draws.Arrival>();
+  readonly #runs = new Set<Run>();
+  readonly #runOf = new Map<Workflow.Task, Run>();
+  /** Share of a unit that its checkpoint saves, by its first task. */
+  readonly #saved = new Map<Workflow.Task, number>();
+  readonly #stops: { run: Run; atMs: number }[] = [];
+  readonly #served: Served[] = [];
+  #nowMs = 0;
+  #thrownAway = 0;
+  #plans = 0;
+  #stranded = 0;
+  #used = 0;
+
+  constructor(load: loads.Load, seed: number) {
+    this.#load = load;
+    this.#endpoints = Array.from({ length: load.endpoints }, (_, i) => ({
+      id: `endpoint-${i}`,
+      rack: `rack-${Math.floor(i / load.rackSize)}`,
+      occupants: new Set<Workflow.Task>(),
+    }));
+    this.#byId = new Map(this.#endpoints.map((one) => [one.id, one]));
+    this.#arrivals = draws.drawArrivals(load, seed, TRAFFIC_MS);
+    const all = load.endpoints * load.accelerators * load.guaranteedShare;
+    this.#guarantees = new Map(
+      Array.from({ length: load.teams }, (_, i) => [
+        `team-${i}`,
+        Math.round(all / load.teams),
+      ]),
+    );
+  }
+
+  run(): Played {
+    let next = 0;
+    const endMs = TRAFFIC_MS + RUN_OUT_MS;
+    for (; this.#nowMs < endMs; this.#nowMs += PLAN_EACH_MS) {
+      while (this.#arrivals[next]?.atMs <= this.#nowMs) {
+        const arrival = this.#arrivals[next++];
+        this.#live.set(arrival.workflow, arrival);
+      }
+      this.#endStops();
+      this.#endRuns();
+      if (this.#live.size > 0) this.#plan();
+      if (next === this.#arrivals.length && this.#live.size === 0) break;
+    }
+    for (const arrival of this.#live.values()) {
+      this.#served.push({ arrival, tookMs: null });
+    }
+    return {
+      served: this.#served,
+      thrownAway: this.#thrownAway,
+      strandedShare: this.#stranded / this.#plans,
+      usedShare: this.#used / this.#plans,
+      plans: this.#plans,
+    };
+  }
+
+  #plan(): void {
+    const states = this.#endpoints.map((one) => this.#stateOf(one));
+    const plan = Scheduler.makePlan({
+      workers: states,
+      workflows: [...this.#live.keys()],
+      guarantees: this.#guarantees,
+      nowMs: this.#nowMs,
+      wallMs: this.#nowMs,
+      remotePenalty: REMOTE_PENALTY,
+      isAdvised: () => true,
+    });
+    for (const { task } of plan.stops) this.#stop(task);
+    for (const start of plan.starts) this.#start(start);
+    this.#plans++;
+    this.#measureRoom(plan);
+  }
+
+  #stateOf({ id, rack, occupants }: Endpoint): Scheduler.WorkerState {
+    for (const task of occupants) {
+      const run = this.#runOf.get(task);
+      if (run === undefined) continue;
+      const isKnown = this.#nowMs - run.beganAtMs > PACE_KNOWN_MS;
+      if (isKnown) task.endsAtMs = run.endsAtMs;
+    }
+    return {
+      id,
+      rack,
+      service: "analysis",
+      dataCentre: "dc-1",
+      labels: new Set(),
+      total: this.#load,
+      usable: true,
+      speed: 1,
+      occupants: [...occupants],
+    };
+  }
+
+  #start({ unit, workers }: Scheduler.StartDecision): void {
+    const arrival = this.#live.get(unit.workflow);
+    if (arrival === undefined) return;
+    const run = 1 + Math.max(...unit.tasks.map((task) => task.run));
+    unit.tasks.forEach((task, i) => {
+      task.place(workers[i], run, this.#nowMs);
+      task.state = Workflow.TaskState.Running;
+      this.#byId.get(workers[i])?.occupants.add(task);
+    });
+    const racks = new Set(workers.map((id) => this.#byId.get(id)?.rack));
+    const { step } = unit;
+    const isAway = (step.rack !== null && !isOnly(racks, step.rack)) ||
+      (step.gang && step.sameRack && racks.size > 1);
+    const longestMs = Math.max(
+      ...unit.tasks.map(({ key }) => arrival.runMs.get(key) ?? 0),
+    );
+    const doneBefore = this.#saved.get(unit.tasks[0]) ?? 0;
+    const lastsMs = longestMs * (isAway ? REMOTE_PENALTY : 1);
+    const began: Run = {
+      tasks: unit.tasks,
+      run,
+      arrival,
+      beganAtMs: this.#nowMs + START_MS,
+      endsAtMs: this.#nowMs + START_MS + lastsMs * (1 - doneBefore),
+      doneBefore,
+      isStopped: false,
+    };
+    this.#runs.add(began);
+    for (const task of unit.tasks) this.#runOf.set(task, began);
+  }
+
+  #stop(task: Workflow.Task): void {
+    const run = this.#runOf.get(task);
+    if (run === undefined || run.isStopped) return;
+    run.isStopped = true;
+    for (const member of run.tasks) {
+      member.state = Workflow.TaskState.Stopping;
+    }
+    this.#stops.push({ run, atMs: this.#nowMs + this.#load.stopMs });
+  }
+
+  #endStops(): void {
+    const due = this.#stops.filter(({ atMs }) => atMs <= this.#nowMs);
+    for (const { run, atMs } of due) {
+      this.#stops.splice(this.#stops.findIndex((s) => s.run === run), 1);
+      if (!this.#runs.has(run)) continue;
+      this.#throwAway(run, atMs);
+      this.#end(run, Workflow.RunEnd.Stopped);
+    }
+  }
+
+  /** Work that is lost with a stopped run; a checkpoint saves the rest. */
+  #throwAway(run: Run, atMs: number): void {
+    const { step } = run.tasks[0];
+    const ranMs = Math.max(0, atMs - run.beganAtMs);
+    const lostMs = step.checkpoints
+      ? Math.min(ranMs, this.#load.checkpointMs / 2)
+      : ranMs;
+    const weight = step.cpuMillis / 1000 +
+      draws.ACCELERATOR_WEIGHT * step.accelerators;
+    this.#thrownAway += run.tasks.length * weight * lostMs / 1000;
+    if (!step.checkpoints) return;
+    const allMs = (run.endsAtMs - run.beganAtMs) / (1 - run.doneBefore);
+    const done = run.doneBefore + (ranMs - lostMs) / allMs;
+    this.#saved.set(run.tasks[0], Math.min(1, done));
+  }
+
+  #endRuns(): void {
+    for (const run of this.#runs) {
+      if (run.endsAtMs <= this.#nowMs) this.#end(run, Workflow.RunEnd.Done);
+    }
+  }
+
+  #end(run: Run, how: Workflow.RunEnd): void {
+    this.#runs.delete(run);
+    const { workflow } = run.arrival;
+    for (const task of run.tasks) {
+      this.#runOf.delete(task);
+      this.#byId.get(task.worker ?? "")?.occupants.delete(task);
+      const end = { run: run.run, how, checkpoint: "" };
+      workflow.endRun(task, end, this.#nowMs);
+    }
+    if (!workflow.isOver) return;
+    this.#live.delete(workflow);
+    const tookMs = run.endsAtMs - run.arrival.atMs;
+    this.#served.push({ arrival: run.arrival, tookMs });
+  }
+
+  #measureRoom(plan: Scheduler.Plan): void {
+    let free = 0;
+    for (const endpoint of this.#endpoints) {
+      const held = [...endpoint.occupants];
+      const taken = held.reduce((sum, t) => sum + t.step.accelerators, 0);
+      free += this.#load.accelerators - taken;
+    }
+    const all = this.#load.endpoints * this.#load.accelerators;
+    this.#used += 1 - free / all;
+    const isWaiting = plan.waits.some(({ reason }) =>
+      reason === Scheduler.WaitReason.Room
+    );
+    if (isWaiting) this.#stranded += free / all;
+  }
+}
+
+function isOnly(racks: ReadonlySet<string | undefined>, rack: string): boolean {
+  return racks.size === 1 && racks.has(rack);
+}
