Lay no crash to a start that came after the life that it was meant for

Cause: 'a good task outlives three losses of power' turned red with the looks at the list 0.1 s apart: four endpoints were back as new lives, the list told of the first, and the task was started within 3 ms on the old lives of the second and the third, which counted as two more crashes under it. The fault was there before, for 2 ms at a time.

A start that another life answers at once, or that was sent less than 0.3 s before another life is seen, never was on the old one: it ends as never sent. Where the endpoint's clock is learned first, the start is checked and counts as sent after that.

Test: crashing_tasks_test (red with the looks 0.1 s apart, green with them at once; green now).

--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -19,8 +19,10 @@
   NotThere = "not-there",
   /** It may be there, or arrive later. */
   MayBeThere = "may-be-there",
-  /** Another life of the worker answered. */
+  /** Another life of the worker answered; a try before may have reached it. */
   Replaced = "replaced",
+  /** Another life answered the first try: the run never was there. */
+  ReplacedBefore = "replaced-before",
   /** A later coordinator gives the orders. */
   Fenced = "fenced",
 }
@@ -77,6 +79,9 @@
         const isOpen = outcome === StartOutcome.NotThere ||
           outcome === StartOutcome.MayBeThere ||
           (outcome === StartOutcome.Refused && mayBeThere);
+        const isUncertain = mayBeThere &&
+          outcome === StartOutcome.ReplacedBefore;
+        if (isUncertain) return reportOf(StartOutcome.Replaced);
         if (!isOpen) return report;
         mayBeThere ||= outcome === StartOutcome.MayBeThere;
         yield* this.#options.ports.clock.sleep(RETRY_MS);
@@ -121,7 +126,7 @@
     metrics.count("cairngate_starts_refused_total", { reason });
     const { task, run } = occupant;
     log.info(`Start of ${task.name} run ${run}: ${err.message}`);
-    if (err._tag === "WorkerReplacedError") return StartOutcome.Replaced;
+    if (err._tag === "WorkerReplacedError") return StartOutcome.ReplacedBefore;
     switch (err.reason) {
       case Errors.OrderRefusal.Fenced:
         return StartOutcome.Fenced;
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -73,6 +73,12 @@
  */
 const PROBATION_MS = 1000;
 
+/**
+ * No endpoint ends and is back as another life within this time, in ms: those of the
+ * users take about 3 s, the quickest that flap 1 s.
+ */
+const LEAST_REBIRTH_MS = 300;
+
 /** One worker life. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
@@ -194,23 +200,16 @@
   /** Starts a run; one whose fate stays open is stopped. */
   start(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const { task } = occupant;
-      if (occupant.stopping || task.workflow.isOver || this.#over) {
-        return yield* this.#held.end(occupant, lost(LostCause.NotWanted));
-      }
-      if (!this.#mayStart) {
-        return yield* this.#held.end(occupant, lost(LostCause.Evacuated));
-      }
-      const sent = this.#held.sent;
-      // The plan was made before its record was written, which may take seconds.
-      const tasks = [...sent.map((one) => one.task), task];
-      if (!this.#options.mayHold(tasks)) {
-        return yield* this.#held.end(occupant, lost(LostCause.NoRoom));
+      const knowsClock = yield* this.#learnClock();
+      if (!this.#held.holds(occupant)) return;
+      const obstacle = this.#obstacleTo(occupant);
+      if (obstacle !== null) {
+        return yield* this.#held.end(occupant, lost(obstacle));
       }
       occupant.sent = true;
       occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
       this.#wake();
-      const report = (yield* this.#learnClock())
+      const report = knowsClock
         ? yield* this.#starter.send(occupant)
         : starters.NEVER_SENT;
       if (this.#held.holds(occupant)) {
@@ -219,6 +218,17 @@
     });
   }
 
+  /** Why a run may not start now: its plan may be seconds old. */
+  #obstacleTo(occupant: occupants.Occupant): listeners.LostCause | null {
+    const { task, stopping } = occupant;
+    if (stopping || task.workflow.isOver || this.#over) {
+      return LostCause.NotWanted;
+    }
+    if (!this.#mayStart) return LostCause.Evacuated;
+    const tasks = [...this.#held.sent.map((one) => one.task), task];
+    return this.#options.mayHold(tasks) ? null : LostCause.NoRoom;
+  }
+
   /** A lease is told in the endpoint's own time, so no start goes without it. */
   #learnClock(): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
@@ -258,10 +268,10 @@
       this.#wake();
       const { listener } = this.#options;
       const unheard = this.#unheard.takeAll();
-      const sent = this.#held.sent;
-      const endOf = this.#lifeEnd.end(sent, unheard);
-      const records = this.occupants.map((occupant) => {
-        const end = occupant.sent
+      const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
+      const endOf = this.#lifeEnd.end(wereThere, unheard);
+      const records = this.#held.all.map((occupant) => {
+        const end = wereThere.includes(occupant)
           ? endOf(this.#lifeEnd.presenceOf(occupant))
           : lost(LostCause.NeverSent);
         return this.#held.end(occupant, end);
@@ -273,6 +283,19 @@
     });
   }
 
+  /**
+   * Whether a run may have been there when this life ended. Another life answers or
+   * is listed by then, so a start sent a moment ago came too late for this one.
+   */
+  #mayBeThere(occupant: occupants.Occupant): boolean {
+    const { sent, sentAtMs } = occupant;
+    if (!sent || sentAtMs === null || occupants.isConfirmed(occupant)) {
+      return sent;
+    }
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    return nowMs - sentAtMs >= LEAST_REBIRTH_MS;
+  }
+
   /** Keeps the lease while there is something to keep it for. */
   run(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -321,6 +344,12 @@
         return Effect.void;
       case starters.StartOutcome.Replaced:
         return this.endAll();
+      case starters.StartOutcome.ReplacedBefore:
+        // No crash under this run: the life that it was meant for was over.
+        return Effect.andThen(
+          this.#held.end(occupant, lost(LostCause.NeverSent)),
+          this.endAll(),
+        );
       case starters.StartOutcome.Fenced:
         term.lose("a worker has seen a higher token");
         return Effect.void;
