Play random faults by kinds in files of their own; mend a stand-in

The check is unchanged: a crashed life holds nothing any more.

Random faults also lose the power of whole data centres, whose endpoints come back cold.

--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -241,6 +241,8 @@
       note.how = "crashed";
     }
     for (const { note } of life.held.values()) this.#endGang(note);
+    // A timer of the life may look at it once more: nothing of it ends again.
+    life.held.clear();
     this.onCrash(life.spec);
   }
 
--- a/packages/test-utils/src/evacuations.ts
+++ b/packages/test-utils/src/evacuations.ts
@@ -1,8 +1,16 @@
-/** Data centres that are evacuated and taken back, and what may start there. */
+/**
+ * Data centres that are evacuated and taken back, or lose power, and what may start
+ * there.
+ */
 import type * as StandIns from "@cairngate/stand-ins";
 import * as randoms from "./seeded_random.ts";
 import * as fleets from "./test_fleet.ts";
 
+/** Share of the changes in which the endpoints of a data centre lose power. */
+const POWER_LOSS_SHARE = 0.2;
+/** Time for which endpoints are cold that come back, in ms. */
+const COLD_MS = 2000;
+
 interface Span {
   readonly dataCentre: string;
   readonly fromMs: number;
@@ -16,20 +24,34 @@
   readonly #dataCentres: readonly string[];
   readonly #spans: Span[] = [];
 
-  /** @param dataCentres those that may be evacuated */
+  readonly #losesPower: boolean;
+
+  /**
+   * @param options.dataCentres those that may be evacuated
+   * @param options.losesPower whether they lose power at times as well
+   */
   constructor(
     fleet: fleets.TestFleet,
-    options: { readonly seed: number; readonly dataCentres: readonly string[] },
+    options: {
+      readonly seed: number;
+      readonly dataCentres: readonly string[];
+      readonly losesPower?: boolean;
+    },
   ) {
     this.#fleet = fleet;
+    this.#losesPower = options.losesPower ?? false;
     this.#dataCentres = options.dataCentres;
     // Draws of its own: the other faults of a seed stay as they are.
     this.#random = new randoms.SeededRandom(options.seed + 0.75);
+    if (this.#losesPower) fleet.coldAfterCrashMs = COLD_MS;
   }
 
   /** One data centre is evacuated, or taken back where it is so already. */
   change(): void {
     const dataCentre = this.#random.choose(this.#dataCentres);
+    if (this.#losesPower && this.#random.next() < POWER_LOSS_SHARE) {
+      this.#losePower(dataCentre);
+    }
     if (this.#open(dataCentre) === undefined) this.begin(dataCentre);
     else this.end(dataCentre);
   }
@@ -67,6 +89,14 @@
     );
   }
 
+  #losePower(dataCentre: string): void {
+    const fleet = this.#fleet;
+    const lost = fleet.workers.listLives().filter((id) =>
+      fleet.dataCentreOf(fleet.placeOf(id)) === dataCentre
+    );
+    for (const id of lost) fleet.workers.crash(id);
+  }
+
   #isForbidden({ worker, startedAtMs }: StandIns.TaskRunNote): boolean {
     const place = this.#fleet.placeOf(worker);
     const dataCentre = this.#fleet.dataCentreOf(place);
--- /dev/null
+++ b/packages/workflow-node/src/random_suspensions_test.ts
@@ -0,0 +1,12 @@
+/** Random faults while boxes stand still for some seconds. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+vitest.describe("random faults and boxes that stand still", () => {
+  for (const seed of TestUtils.faultSeeds()) {
+    vitest.it(`lose nothing and run nothing twice, seed ${seed}`, async () => {
+      vitest.expect(await TestUtils.playRandomFaults(seed, { suspends: true }))
+        .toEqual([]);
+    });
+  }
+});
