--- a/packages/test-utils/src/fault_seeds.ts
+++ b/packages/test-utils/src/fault_seeds.ts
@@ -1,6 +1,7 @@
 /** Which seeds tests with random faults play. */
 import process from "node:process";
 
+/** Seeds that CI plays: about a minute of one core. */
 const DEFAULT_RUNS = 12;
 
 /** CAIRNGATE_FAULT_RUNS sets how many, CAIRNGATE_FAULT_FROM the first of them. */
--- a/packages/test-utils/src/random_play.ts
+++ b/packages/test-utils/src/random_play.ts
@@ -16,7 +16,9 @@
 import * as suspended from "./suspensions.ts";
 import * as fleets from "./test_fleet.ts";
 
+/** Rounds of a play; each hands a workflow in and breaks one to three things. */
 const ROUNDS = 12;
+/** Time after each fault, and of mended peace, in ms: less than a takeover takes. */
 const ROUND_MS = 900;
 /** Times from the start of a crashing task to its crash, in ms. */
 const CRASH_AFTER_MS: readonly number[] = [0, 10, 400, 1500];
--- a/packages/workflow-node/src/close_watchers_test.ts
+++ b/packages/workflow-node/src/close_watchers_test.ts
@@ -2,9 +2,11 @@
 import * as TestUtils from "@cairngate/test-utils";
 import * as vitest from "vitest";
 
+/** Boxes: twice as many as watch closely. */
 const NODES = 12;
 /** Boxes that have the processor to coordinate, and watch closely. */
 const LARGE = 6;
+/** Time for which looks are counted, in ms. */
 const WATCHED_MS = 10_000;
 /** Time within which a term is taken over while close watchers are left, in ms. */
 const TAKEOVER_MS = 2500;
--- a/packages/workflow-node/src/grey_endpoints_test.ts
+++ b/packages/workflow-node/src/grey_endpoints_test.ts
@@ -15,6 +15,7 @@
 const GREY_MS = 5000;
 /** Time from a start there to its failure, in ms. */
 const FAILS_AFTER_MS = 50;
+/** Time of a run on an endpoint that is well, in ms. */
 const RUN_MS = 3000;
 /** Workflows of each kind that are handed in while endpoints fail. */
 const EACH = 6;
--- a/tools/decisions/src/marks.ts
+++ b/tools/decisions/src/marks.ts
@@ -22,6 +22,7 @@
 const LATE_FACTOR = 3;
 /** Length of a span, in ms. */
 const SPAN_MS = 2000;
+/** Spans that count as the worst ones, by the users' rules. */
 const WORST_SPANS = 2;
 /** The users' weights of the whole, the worst team, spans and queue. */
 const WEIGHTS = { all: 0.4, team: 0.2, spans: 0.15, queue: 0.1 };
