Take 5 s for evacuations where the settings name no time

Cause, from reading: where a deployment names no time, the one for configurations counted, 2 s on the small sites; a box starts nothing after 1.3 s without the operator's rows, looks wait 0.8 s for a change, and a store that is 90 times slower answers 0.36 s later. Such a store would have held up all starts now and then.

Test: node_settings_test (the second red before).

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -13,6 +13,13 @@
 );
 const Positive = Schema.Number.check(Schema.isGreaterThan(0));
 
+/**
+ * What operators who evacuate data centres ask for, in ms. The time for
+ * configurations is no stand-in: at 2 s a store that answers in 0.4 s would hold up
+ * all starts now and then.
+ */
+const DEFAULT_EVACUATION_MS = 5000;
+
 const BoundsSchema = Schema.Struct({
   longestLeaseMs: Positive,
   stopMs: Positive,
@@ -78,7 +85,7 @@
   readonly configInForceMs: number;
   /**
    * Time within which nothing starts any more in a data centre that the operator
-   * evacuates; where it is not set, the one for configurations counts.
+   * evacuates; where it is not set, 5 s.
    */
   readonly evacuationInForceMs: number;
   /** Time from the signal to stop until the process is killed, in seconds. */
@@ -99,7 +106,7 @@
   return Effect.map(decoded, (parsed) => ({
     ...parsed,
     adviceAddress: parsed.adviceAddress ?? null,
-    evacuationInForceMs: parsed.evacuationInForceMs ?? parsed.configInForceMs,
+    evacuationInForceMs: parsed.evacuationInForceMs ?? DEFAULT_EVACUATION_MS,
     logLevel: parsed.logLevel ?? "info",
     logFormat: parsed.logFormat ?? "text",
   }));
--- /dev/null
+++ b/packages/config/src/node_settings_test.ts
@@ -0,0 +1,55 @@
+/** Settings of a workflow node. */
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+import * as settings from "./node_settings.ts";
+
+const TEXT = `
+node: edge-1
+zone: brno-a
+callersAddress: "10.1.0.1:80"
+readinessAddress: "10.1.0.1:81"
+peersAddress: "10.1.0.1:7000"
+processor: { share: 0.5, cores: 1 }
+storeAddress: "10.200.0.1:80"
+storeRowBytes: 65536
+storeWritesPerSecond: 800
+configInForceMs: 2000
+graceSeconds: 6
+bounds:
+  longestLeaseMs: 10000
+  stopMs: 900
+  gangWaitMs: 3000
+  remotePenalty: 3
+  keepEndedMs: 120000
+`;
+
+const parse = (text: string) =>
+  Effect.runPromise(settings.parseNodeSettings(text, "node.yaml"));
+
+vitest.describe("evacuationInForceMs", () => {
+  vitest.it("is what the file says", async () => {
+    const parsed = await parse(`${TEXT}evacuationInForceMs: 4000\n`);
+    vitest.expect(parsed.evacuationInForceMs).toBe(4000);
+  });
+
+  vitest.it(
+    "is 5 s where the file has none, or nothing behind it",
+    async () => {
+      const left = [
+        await parse(TEXT),
+        await parse(`${TEXT}evacuationInForceMs:`),
+      ];
+      vitest.expect(left.map((one) => one.evacuationInForceMs))
+        .toEqual([5000, 5000]);
+    },
+  );
+
+  vitest.it("is refused where it is no time", async () => {
+    const parsed = settings.parseNodeSettings(
+      `${TEXT}evacuationInForceMs: -1`,
+      "node.yaml",
+    );
+    const err = await Effect.runPromise(Effect.flip(parsed));
+    vitest.expect(err.message).toContain("evacuationInForceMs");
+  });
+});
