Tell in the log how lives of endpoints ended and why orders failed

Cause: the log of the incident could not tell a crash under a run from a crash before its start, nor why an order failed.

No change of logic: one line when a life counts as ended (what showed it, when it was heard last, since when it is silent, each run with the time of its send and whether it was ever seen there), one for the first order that fails at a reachable endpoint.

What answers at the address says 421 without a body, and is taken for no answer.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -5,6 +5,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as loads from "../sessions/box_load.ts";
+import * as lifeEnds from "../sessions/life_end.ts";
 import * as leaseClocks from "../sessions/lease_clock.ts";
 import * as restart from "../restart.ts";
 import * as listingTimes from "./listing_times.ts";
@@ -12,6 +13,8 @@
 import * as sessions from "../sessions/worker_session.ts";
 import * as speeds from "./worker_speeds.ts";
 
+const { LifeEndSign } = lifeEnds;
+
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
   sessions.SessionOptions,
@@ -102,10 +105,14 @@
         this.#idOfRow.set(key, value.id);
         return this.#list(value);
       });
-      return Effect.forEach(former, (session) => session.endAll(), {
-        concurrency: "unbounded",
-        discard: true,
-      });
+      return Effect.forEach(
+        former,
+        (session) => session.endAll(LifeEndSign.OtherListed),
+        {
+          concurrency: "unbounded",
+          discard: true,
+        },
+      );
     });
   }
 
@@ -192,7 +199,7 @@
       const awayMs = nowMs - (this.#unlistedAtMs.get(id) ?? nowMs);
       if (session.hasUnheard) {
         if (awayMs < GONE_AFTER_MS) continue;
-        Effect.runFork(session.endAll());
+        Effect.runFork(session.endAll(LifeEndSign.Gone));
       }
       this.#drop(id);
     }
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -25,6 +25,7 @@
 import * as healths from "../endpoints/worker_health.ts";
 
 const { LostCause, lost } = listeners;
+const { LifeEndSign } = lifeEnds;
 
 /** What a session needs. */
 export interface SessionOptions {
@@ -101,8 +102,9 @@
     this.ref = options.ref;
     this.dataCentre = options.dataCentre;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
-    const { clock, bounds } = options.ports;
-    this.#lifeEnd = new lifeEnds.LifeEnd(clock, options.ref, options.silences);
+    const { clock, bounds, log } = options.ports;
+    const { ref, silences } = options;
+    this.#lifeEnd = new lifeEnds.LifeEnd({ clock, log, ref, silences });
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
@@ -261,7 +263,7 @@
   }
 
   /** The worker has left, crashed or was replaced: nothing runs there any more. */
-  endAll(): Effect.Effect<void> {
+  endAll(sign: lifeEnds.LifeEndSign): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       if (this.#over) return;
       this.#over = true;
@@ -269,7 +271,7 @@
       const { listener } = this.#options;
       const unheard = this.#unheard.takeAll();
       const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
-      const endOf = this.#lifeEnd.end(wereThere, unheard);
+      const endOf = this.#lifeEnd.end(sign, wereThere, unheard);
       const records = this.#held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
           ? endOf(this.#lifeEnd.presenceOf(occupant))
@@ -343,12 +345,12 @@
         this.#wake();
         return Effect.void;
       case starters.StartOutcome.Replaced:
-        return this.endAll();
+        return this.endAll(LifeEndSign.OtherAnswered);
       case starters.StartOutcome.ReplacedBefore:
         // No crash under this run: the life that it was meant for was over.
         return Effect.andThen(
           this.#held.end(occupant, lost(LostCause.NeverSent)),
-          this.endAll(),
+          this.endAll(LifeEndSign.OtherAnswered),
         );
       case starters.StartOutcome.Fenced:
         term.lose("a worker has seen a higher token");
@@ -383,8 +385,9 @@
       if (timed._tag === "Success") return timed.success?.value ?? null;
       const err = timed.failure;
       if (err._tag === "WorkerReplacedError") {
-        yield* this.endAll();
+        yield* this.endAll(LifeEndSign.OtherAnswered);
       }
+      this.#noteUnanswered(err);
       const isFenced = err._tag === "OrderRefusedError" &&
         err.reason === Errors.OrderRefusal.Fenced;
       if (isFenced) term.lose(err.message);
@@ -392,6 +395,15 @@
     });
   }
 
+  /** The first order without an answer tells most of what became of it. */
+  #noteUnanswered(err: Ports.OrderError): void {
+    if (!this.#reachable) return;
+    const { id, address } = this.ref;
+    this.#options.ports.log.info(
+      `An order to endpoint ${id} at ${address} failed: ${err.message}`,
+    );
+  }
+
   /** One look at the worker, which also renews its lease. */
   #look(mostWaitMs = MOST_WAIT_MS): Effect.Effect<void> {
     const { ports: { clock, workers, bounds }, term, load } = this.#options;
