--- a/packages/stand-ins/mod.ts
+++ b/packages/stand-ins/mod.ts
@@ -14,6 +14,7 @@
 export { MemoryObjectStore } from "./src/memory_object_store.ts";
 export { MemoryRowFeed } from "./src/memory_row_feed.ts";
 export {
+  DeadAddress,
   MemoryTaskWorkers,
   OrderFate,
   type TaskRunNote,
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -29,6 +29,16 @@
   NoRoom = "no-room",
 }
 
+/** What orders meet at an address whose life has ended. */
+export enum DeadAddress {
+  /** Nobody listens until another life is there, which then says so. */
+  Answers = "answers",
+  /** Connections are cut off, also after another life is there. */
+  Resets = "resets",
+  /** Nothing comes back until another life is there, which then says so. */
+  Silent = "silent",
+}
+
 /** One run, for the checks of tests. */
 export interface TaskRunNote {
   readonly task: string;
@@ -92,6 +102,8 @@
   readonly #gangs = new Map<string, readonly string[]>();
   /** While an order is carried out seconds after it was sent. */
   #isCarriedLate = false;
+  /** What orders meet at the address of a life that has ended. */
+  atDeadAddress = DeadAddress.Answers;
   /** Whether a start for which there is no room is refused. */
   guardsRoom = true;
   /** Told of each life that crashes; tests let another one begin. */
@@ -273,7 +285,7 @@
       const life = this.#lives.get(worker.id);
       if (fate === OrderFate.Silent) return Effect.never;
       const ended = this.#endedLives.get(worker.id);
-      if (ended !== undefined) return Effect.fail(this.#refuseDead(worker));
+      if (ended !== undefined) return this.#meetDead(worker, ended.isReplaced);
       if (fate === OrderFate.Lost || life === undefined) {
         return Effect.fail(lost);
       }
@@ -425,17 +437,20 @@
     life.token = token;
   }
 
-  /** What answers at the address of a life that has ended. */
-  #refuseDead(worker: Ports.WorkerRef): Ports.OrderError {
-    if (this.#endedLives.get(worker.id)?.isReplaced === true) {
-      return new Errors.WorkerReplacedError({ worker: worker.id });
+  /** An order arrives where a life has ended. */
+  #meetDead(
+    { id: worker }: Ports.WorkerRef,
+    isReplaced: boolean,
+  ): Effect.Effect<never, Ports.OrderError> {
+    const lose = (cause: string, neverSent: boolean) =>
+      Effect.fail(new Errors.WorkerLostError({ worker, cause, neverSent }));
+    if (this.atDeadAddress === DeadAddress.Resets) return lose("reset", false);
+    if (isReplaced) {
+      return Effect.fail(new Errors.WorkerReplacedError({ worker }));
     }
-    const cause = "connection refused";
-    return new Errors.WorkerLostError({
-      worker: worker.id,
-      cause,
-      neverSent: true,
-    });
+    return this.atDeadAddress === DeadAddress.Silent
+      ? Effect.never
+      : lose("connection refused", true);
   }
 
   #refuse(worker: Ports.WorkerRef, reason: Errors.OrderRefusal) {
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -90,6 +90,10 @@
   readonly #config: Ports.AccessConfig;
   /** Time for which an endpoint is cold that comes back after a crash, in ms. */
   coldAfterCrashMs = 0;
+  /** Time after which a crashed endpoint is back, in ms. */
+  crashBackMs = CRASH_BACK_MS;
+  /** Time for which the entry of a crashed endpoint outlasts its return, in ms. */
+  entryOutlastsMs = 0;
   /** Data centre of the endpoint at a place. */
   readonly dataCentreOf: (place: number) => string;
   readonly #coresOf: (name: string) => number;
@@ -139,7 +143,7 @@
     this.workers = new StandIns.MemoryTaskWorkers(this.clock, specs);
     this.workers.onCrash = (spec) => {
       const back = Effect.sync(() => this.bringBack(spec));
-      Effect.runFork(Effect.andThen(this.clock.sleep(CRASH_BACK_MS), back));
+      Effect.runFork(Effect.andThen(this.clock.sleep(this.crashBackMs), back));
     };
     for (const [i, spec] of specs.entries()) this.list(spec, i);
     this.applyConfig(this.#config);
@@ -279,11 +283,26 @@
     const id = `${base}~${++this.#lives}`;
     const spec = { ...former, id };
     this.workers.replace(former.id, spec);
-    this.unlist(former.id);
+    if (this.entryOutlastsMs === 0) this.unlist(former.id);
+    else {
+      const unlist = Effect.sync(() => this.unlist(former.id));
+      const later = this.clock.sleep(this.entryOutlastsMs);
+      Effect.runFork(Effect.andThen(later, unlist));
+    }
     const coldForMs = this.coldAfterCrashMs;
     this.list(spec, this.placeOf(former.id), { coldForMs });
   }
 
+  /** Each endpoint that lives writes its entry again, as with each heartbeat. */
+  beat(): void {
+    for (const row of this.table.rowsUnder(WORKERS_PREFIX)) {
+      const listing = row.value as Ports.WorkerListing;
+      if (!this.workers.listLives().includes(listing.id)) continue;
+      const clockMs = this.clock.monotonicMs();
+      this.write(row.key, { ...listing, clockMs });
+    }
+  }
+
   /** Number of an endpoint's address. */
   placeOf(id: string): number {
     const place = this.#placeOf.get(id);
