Tell lives of endpoints apart by their own answers only

Cause: a start to an endpoint that had ended before counted as a crash under its task. The class: what is only suspected counts as shown.

Now only another life's own answer ends a life; an entry is a reason to ask. An ended life stays known while its entry is listed, and where two entries claim one address neither newcomer is used before it has answered. A crash counts where the run was seen, or the endpoint had answered within 0.15 s before the start; tasks in doubt ask first. An endpoint that is neither heard nor listed is no crash: it makes the task a suspect and is withdrawn when the endpoint answers again.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -5,7 +5,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as loads from "../sessions/box_load.ts";
-import * as lifeEnds from "../sessions/life_end.ts";
+import * as addresses from "./address_book.ts";
 import * as leaseClocks from "../sessions/lease_clock.ts";
 import * as restart from "../restart.ts";
 import * as listingTimes from "./listing_times.ts";
@@ -13,8 +13,6 @@
 import * as sessions from "../sessions/worker_session.ts";
 import * as speeds from "./worker_speeds.ts";
 
-const { LifeEndSign } = lifeEnds;
-
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
   sessions.SessionOptions,
@@ -25,11 +23,12 @@
   | "silences"
   | "mayHold"
   | "dataCentre"
+  | "isContested"
 >;
 
 /**
- * An endpoint that is neither listed nor heard for this time, in ms, has gone for
- * good: one that lives is listed again about two seconds after an outage.
+ * An endpoint that is neither listed nor heard for this time, in ms, may have ended:
+ * one that lives is listed again about two seconds after an outage.
  */
 const GONE_AFTER_MS = 4000;
 
@@ -48,6 +47,7 @@
   readonly #fibers = new Map<string, Fiber.Fiber<void>>();
   /** Worker of each row; a removed row shows no more than its key. */
   readonly #idOfRow = new Map<string, string>();
+  readonly #addresses = new addresses.AddressBook();
   readonly #load: loads.BoxLoad;
   /** How fast the workers are beside each other. */
   readonly speeds = new speeds.WorkerSpeeds();
@@ -88,32 +88,16 @@
     for (const session of this.#sessions.values()) this.#run(session);
   }
 
-  /**
-   * Takes in changes of the list at once; the effect ends when the ends of runs on
-   * endpoints that were replaced are recorded. That may take as long as the store
-   * is away, and newer changes must not wait for it.
-   */
-  update(
-    entries: readonly Ports.FeedEntry<Ports.WorkerListing>[],
-  ): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      const former = entries.flatMap(({ key, value }) => {
-        if (value === null) {
-          this.#unlist(key);
-          return [];
-        }
-        this.#idOfRow.set(key, value.id);
-        return this.#list(value);
-      });
-      return Effect.forEach(
-        former,
-        (session) => session.endAll(LifeEndSign.OtherListed),
-        {
-          concurrency: "unbounded",
-          discard: true,
-        },
-      );
-    });
+  /** Takes in changes of the list. */
+  update(entries: readonly Ports.FeedEntry<Ports.WorkerListing>[]): void {
+    for (const { key, value } of entries) {
+      if (value === null) {
+        this.#unlist(key);
+        continue;
+      }
+      this.#idOfRow.set(key, value.id);
+      this.#list(value);
+    }
   }
 
   /** The session with a worker; null where the worker is unknown. */
@@ -191,17 +175,20 @@
     return this.#load.lateMs;
   }
 
-  /** Closes sessions with workers that are not listed and hold nothing. */
+  /**
+   * Closes sessions with workers that are not listed and hold nothing. One whose
+   * life has ended stays while its entry does, or it would be taken for a new one.
+   */
   dropGone(): void {
     const nowMs = this.#options.ports.clock.monotonicMs();
     for (const [id, session] of this.#sessions) {
       if (this.#listings.has(id) || !session.isIdle) continue;
-      const awayMs = nowMs - (this.#unlistedAtMs.get(id) ?? nowMs);
       if (session.hasUnheard) {
-        if (awayMs < GONE_AFTER_MS) continue;
-        Effect.runFork(session.endAll(LifeEndSign.Gone));
+        const awayMs = nowMs - (this.#unlistedAtMs.get(id) ?? nowMs);
+        if (awayMs >= GONE_AFTER_MS) session.suspectGone();
+        if (session.isAwaited) continue;
       }
-      this.#drop(id);
+      this.#drop(session);
     }
   }
 
@@ -210,29 +197,50 @@
     return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
   }
 
-  /** Takes in a listing; returns the sessions with lives that it replaces. */
-  #list(listing: Ports.WorkerListing): sessions.WorkerSession[] {
-    this.#listings.set(listing.id, listing);
+  #list(listing: Ports.WorkerListing): void {
+    const { id, address, clockMs, draining } = listing;
+    this.#forgetOtherAddress(listing);
+    this.#listings.set(id, listing);
+    this.#addresses.add(id, address);
     this.times.note(listing);
-    this.#unlistedAtMs.delete(listing.id);
-    const session = this.#sessions.get(listing.id);
-    session?.noteListed(listing.draining);
+    this.#unlistedAtMs.delete(id);
+    const session = this.#sessions.get(id);
+    session?.noteListed(draining);
     const nowMs = this.#options.ports.clock.monotonicMs();
-    if (listing.clockMs !== null) session?.readClock(listing.clockMs, nowMs);
-    const former = [...this.#sessions.values()].filter((one) =>
-      one.ref.id !== listing.id && one.ref.address === listing.address &&
-      !one.isOver
-    );
-    for (const { ref } of former) this.#drop(ref.id);
-    return former;
+    if (clockMs !== null) session?.readClock(clockMs, nowMs);
+    this.#askOthers(listing);
+  }
+
+  /**
+   * One address has one life. Which one it is, only the address can tell: an entry
+   * outlasts its endpoint by seconds, and another writer may name any address.
+   */
+  #askOthers({ id, address }: Ports.WorkerListing): void {
+    for (const other of this.#addresses.othersAt(address, id)) {
+      const session = this.#sessions.get(other);
+      if (session !== undefined) Effect.runFork(session.ask());
+    }
+  }
+
+  /** A life keeps its address: an entry that names another one was wrong, or is. */
+  #forgetOtherAddress({ id, address }: Ports.WorkerListing): void {
+    const former = this.#listings.get(id);
+    if (former === undefined || former.address === address) return;
+    this.#addresses.remove(id, former.address);
+    const session = this.#sessions.get(id);
+    if (session?.isOver === true) this.#drop(session);
   }
 
   #unlist(rowKey: string): void {
     const id = this.#idOfRow.get(rowKey);
     if (id === undefined) return;
     this.#idOfRow.delete(rowKey);
+    const listing = this.#listings.get(id);
     this.#listings.delete(id);
     const session = this.#sessions.get(id);
+    if (session === undefined && listing !== undefined) {
+      this.#addresses.remove(id, listing.address);
+    }
     if (session !== undefined) {
       session.noteUnlisted();
       this.#unlistedAtMs.set(id, this.#options.ports.clock.monotonicMs());
@@ -259,6 +267,7 @@
       silences: this.silences,
       mayHold: (tasks) => this.#mayHold(id, tasks),
       dataCentre,
+      isContested: this.#addresses.othersAt(address, id).length > 0,
     });
     session.noteListed(listing.draining);
     const listedAtMs = this.times.listedAtMs(id);
@@ -295,9 +304,10 @@
     this.#fibers.set(id, Effect.runFork(run));
   }
 
-  #drop(id: string): void {
+  #drop({ ref: { id, address } }: sessions.WorkerSession): void {
     this.#sessions.delete(id);
     this.#unlistedAtMs.delete(id);
+    if (!this.#listings.has(id)) this.#addresses.remove(id, address);
     const fiber = this.#fibers.get(id);
     this.#fibers.delete(id);
     if (fiber !== undefined) Effect.runFork(Fiber.interrupt(fiber));
--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -11,27 +11,18 @@
 import type * as unheards from "./unheard_runs.ts";
 
 /**
- * An endpoint that falls silent within this time, in ms, of a start that it did
- * not answer probably had the run: its connections are reset at once when it ends.
- * One that was dark before is found out by looks that time out, which is slower.
+ * An endpoint that answered within this time, in ms, before a start was sent was
+ * alive when the start came: a start follows the look before it by some ms. If it
+ * never answers again and another life is there, it probably had the run. Without
+ * such an answer it may have ended long before, while its entry was still listed.
  */
-const AT_START_MS = 150;
+const ALIVE_BEFORE_START_MS = 150;
 /**
  * An endpoint that has answered within this time, in ms, is alive: the longest wait
  * of a look and the slack that it gets.
  */
 const HEARD_LATELY_MS = 2800;
 
-/** How the end of a life became known. */
-export enum LifeEndSign {
-  /** Another id is listed at its address. */
-  OtherListed = "another endpoint is listed at its address",
-  /** Another id answered an order that was meant for it. */
-  OtherAnswered = "another endpoint answers at its address",
-  /** It is neither heard nor listed any more. */
-  Gone = "it is neither heard nor listed",
-}
-
 /** What the end of a life works with. */
 export interface LifeEndOptions {
   readonly clock: Ports.Clock;
@@ -78,13 +69,15 @@
     this.#isLeaving ||= isReachable && heardBeforeMs <= HEARD_LATELY_MS;
   }
 
-  /** It has ended; returns how runs ended of which it is so sure that they were there. */
+  /**
+   * Another life has answered at its address, which alone shows that it has ended.
+   * Returns how runs ended of which it is so sure that they were there.
+   */
   end(
-    sign: LifeEndSign,
     held: readonly occupants.Occupant[],
     unheard: readonly unheards.UnheardRun[],
   ): (presence: Workflow.Presence) => listeners.SessionEnd {
-    if (held.length + unheard.length > 0) this.#logEnd(sign, held, unheard);
+    if (held.length + unheard.length > 0) this.#logEnd(held, unheard);
     if (this.#isLeaving) {
       return () => listeners.lost(listeners.LostCause.Left);
     }
@@ -96,7 +89,6 @@
 
   /** One line with all that tells a crash under a run from one before its start. */
   #logEnd(
-    sign: LifeEndSign,
     held: readonly occupants.Occupant[],
     unheard: readonly unheards.UnheardRun[],
   ): void {
@@ -109,8 +101,8 @@
       ...unheard.map(({ task, run }) => `${task.name} run ${run}, given up`),
     ];
     this.#log.info(
-      `Endpoint ${id} at ${address} counts as ended, because ${sign}: last ` +
-        `heard ${heard}, silent since ${silent}${leaving}. It had ` +
+      `Endpoint ${id} at ${address} has ended, as another one answers there: ` +
+        `last heard ${heard}, silent since ${silent}${leaving}. It had ` +
         `${runs.join("; ")}.`,
     );
   }
@@ -130,7 +122,7 @@
     return `${Math.round(this.#clock.monotonicMs() - atMs)} ms ago`;
   }
 
-  /** How sure it is that a run was there when the endpoint fell silent. */
+  /** How sure it is that a run was there when the endpoint was last alive. */
   presenceOf(occupant: occupants.Occupant): Workflow.Presence {
     const { sentAtMs, task, run } = occupant;
     const isKnown = occupants.isConfirmed(occupant) ||
@@ -138,10 +130,8 @@
     if (isKnown) return Workflow.Presence.Certain;
     // An earlier coordinator sent it, most likely: its record says so.
     if (sentAtMs === null) return Workflow.Presence.Likely;
-    const silentAtMs = this.#silences.silentSinceMs(this.#ref);
-    if (silentAtMs === null) return Workflow.Presence.Unknown;
-    const afterMs = silentAtMs - sentAtMs;
-    return afterMs >= 0 && afterMs <= AT_START_MS
+    const beforeMs = sentAtMs - this.#heardAtMs;
+    return beforeMs >= 0 && beforeMs <= ALIVE_BEFORE_START_MS
       ? Workflow.Presence.Likely
       : Workflow.Presence.Unknown;
   }
--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -76,6 +76,8 @@
     run: unheards.UnheardRun,
     end: SessionEnd,
   ): Effect.Effect<void>;
+  /** The endpoint of a run that is over is neither heard nor listed. */
+  abstract runGone(worker: SessionWorker, run: unheards.UnheardRun): void;
   /** So many endpoints crashed at once that these tasks are not to blame. */
   abstract crashExcused(tasks: readonly Workflow.Task[]): void;
   /** A run is confirmed to be there. */
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -25,7 +25,6 @@
 import * as healths from "../endpoints/worker_health.ts";
 
 const { LostCause, lost } = listeners;
-const { LifeEndSign } = lifeEnds;
 
 /** What a session needs. */
 export interface SessionOptions {
@@ -46,6 +45,8 @@
   readonly dataCentre: string;
   /** Which endpoints have fallen silent or crashed; one for all sessions. */
   readonly silences: silences.SilenceLog;
+  /** Another endpoint is known at its address: only an answer tells whose it is. */
+  readonly isContested: boolean;
 }
 
 /** An order without an answer counts as lost after this time, in ms. */
@@ -95,11 +96,17 @@
   readonly #lifeEnd: lifeEnds.LifeEnd;
   #reachable = true;
   #over = false;
+  /** Whether an answer has to show first that this life is at the address. */
+  #mustBeHeard: boolean;
+  /** Neither heard nor listed for long: nobody asks it until it is listed again. */
+  #isGone = false;
+  #isAsking = false;
   #signal = Deferred.makeUnsafe<void>();
 
   constructor(options: SessionOptions) {
     this.#options = options;
     this.ref = options.ref;
+    this.#mustBeHeard = options.isContested;
     this.dataCentre = options.dataCentre;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
     const { clock, bounds, log } = options.ports;
@@ -139,14 +146,14 @@
   /** Whether new work may be sent here. */
   get isUsable(): boolean {
     const nowMs = this.#options.ports.clock.monotonicMs();
-    return !this.#over && this.#reachable && this.#views.strayCount === 0 &&
-      !this.health.isAside(nowMs);
+    return !this.#over && this.#reachable && !this.#mustBeHeard &&
+      this.#views.strayCount === 0 && !this.health.isAside(nowMs);
   }
 
   /** Whether nothing is left to learn or to tell. */
   get isIdle(): boolean {
     return this.#held.isEmpty &&
-      (!this.#reachable || !this.#ends.hasNews);
+      (this.#over || !this.#reachable || !this.#ends.hasNews);
   }
 
   /** Whether runs that were here may still turn out to have ended otherwise. */
@@ -164,6 +171,44 @@
   /** It is listed, and tells whether it is going to leave. */
   noteListed(isDraining: boolean): void {
     this.#lifeEnd.noteListed(isDraining);
+    if (!this.#isGone) return;
+    this.#isGone = false;
+    this.#wake();
+  }
+
+  /**
+   * An entry names its address for another endpoint. That proves nothing: entries
+   * outlast their endpoints, and others write them. The address itself is asked.
+   */
+  ask(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      if (this.#over || this.#isAsking) return Effect.void;
+      this.#isAsking = true;
+      return Effect.ensuring(
+        this.#look(AT_ONCE),
+        Effect.sync(() => {
+          this.#isAsking = false;
+        }),
+      );
+    });
+  }
+
+  /**
+   * It is neither heard nor listed for so long that it may have ended; its entry
+   * lapses as well where it is cut off. What ran there is told of as gone, and the
+   * session is kept: whoever answers there later shows what became of it.
+   */
+  suspectGone(): void {
+    if (this.#isGone) return;
+    this.#isGone = true;
+    for (const run of this.#unheard.all) {
+      this.#options.listener.runGone(this, run);
+    }
+  }
+
+  /** Whether anybody may still want to know what became of its runs. */
+  get isAwaited(): boolean {
+    return this.#unheard.all.some(({ task }) => !task.workflow.isOver);
   }
 
   /** It is listed no more. */
@@ -203,6 +248,7 @@
   start(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const knowsClock = yield* this.#learnClock();
+      const isAlive = !occupant.task.isSuspect || (yield* this.#isAlive());
       if (!this.#held.holds(occupant)) return;
       const obstacle = this.#obstacleTo(occupant);
       if (obstacle !== null) {
@@ -211,7 +257,7 @@
       occupant.sent = true;
       occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
       this.#wake();
-      const report = knowsClock
+      const report = knowsClock && isAlive
         ? yield* this.#starter.send(occupant)
         : starters.NEVER_SENT;
       if (this.#held.holds(occupant)) {
@@ -242,6 +288,17 @@
     });
   }
 
+  /**
+   * Asks before a task starts that may crash its endpoint: only a start that follows
+   * an answer tells whether the endpoint ended under it or before.
+   */
+  #isAlive(): Effect.Effect<boolean> {
+    return Effect.map(
+      this.#look(AT_ONCE),
+      () => this.#reachable && !this.#over,
+    );
+  }
+
   /** Stops a run; ends when the worker has heard it or the run is over. */
   stop(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -262,8 +319,8 @@
     });
   }
 
-  /** The worker has left, crashed or was replaced: nothing runs there any more. */
-  endAll(sign: lifeEnds.LifeEndSign): Effect.Effect<void> {
+  /** Another life has answered at its address: nothing of this one runs any more. */
+  endAll(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       if (this.#over) return;
       this.#over = true;
@@ -271,7 +328,7 @@
       const { listener } = this.#options;
       const unheard = this.#unheard.takeAll();
       const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
-      const endOf = this.#lifeEnd.end(sign, wereThere, unheard);
+      const endOf = this.#lifeEnd.end(wereThere, unheard);
       const records = this.#held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
           ? endOf(this.#lifeEnd.presenceOf(occupant))
@@ -286,8 +343,8 @@
   }
 
   /**
-   * Whether a run may have been there when this life ended. Another life answers or
-   * is listed by then, so a start sent a moment ago came too late for this one.
+   * Whether a run may have been there when this life ended. Another life answers by
+   * then, so a start sent a moment ago came too late for this one.
    */
   #mayBeThere(occupant: occupants.Occupant): boolean {
     const { sent, sentAtMs } = occupant;
@@ -313,7 +370,9 @@
   }
 
   #hasBusiness(): boolean {
+    if (this.#isGone) return false;
     return !this.#options.recovery.isComplete || this.#ends.hasNews ||
+      this.#mustBeHeard ||
       this.#views.strayCount > 0 || this.hasUnheard ||
       this.#held.sent.length > 0 || !this.#reachable;
   }
@@ -345,12 +404,12 @@
         this.#wake();
         return Effect.void;
       case starters.StartOutcome.Replaced:
-        return this.endAll(LifeEndSign.OtherAnswered);
+        return this.endAll();
       case starters.StartOutcome.ReplacedBefore:
         // No crash under this run: the life that it was meant for was over.
         return Effect.andThen(
           this.#held.end(occupant, lost(LostCause.NeverSent)),
-          this.endAll(LifeEndSign.OtherAnswered),
+          this.endAll(),
         );
       case starters.StartOutcome.Fenced:
         term.lose("a worker has seen a higher token");
@@ -385,7 +444,7 @@
       if (timed._tag === "Success") return timed.success?.value ?? null;
       const err = timed.failure;
       if (err._tag === "WorkerReplacedError") {
-        yield* this.endAll(LifeEndSign.OtherAnswered);
+        yield* this.endAll();
       }
       this.#noteUnanswered(err);
       const isFenced = err._tag === "OrderRefusedError" &&
@@ -429,8 +488,10 @@
       if (view === null) return yield* this.#notHeard();
       this.#lifeEnd.noteHeard();
       this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
-      if (!this.#reachable) {
+      this.#isGone = false;
+      if (!this.#reachable || this.#mustBeHeard) {
         this.#reachable = true;
+        this.#mustBeHeard = false;
         this.#options.silences.noteHeard(this.ref);
         this.#options.listener.roomChanged();
       }
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -196,6 +196,15 @@
     return this.#settle(workflow, wasOver);
   }
 
+  override runGone(
+    { ref: { id } }: listeners.SessionWorker,
+    { task, run }: unheards.UnheardRun,
+  ): void {
+    if (!task.workflow.suspectGone(task, run, id)) return;
+    this.#endLog.gone({ task, run, endpoint: id });
+    Effect.runFork(this.#recorder.record(task.workflow));
+  }
+
   override crashExcused(tasks: readonly Workflow.Task[]): void {
     for (const task of tasks) {
       const { workflow } = task;
@@ -254,7 +263,7 @@
       feed: this.#ports.workerFeed,
       gatherMs: GATHER_LISTINGS_MS,
       onChange: (entries) => {
-        Effect.runFork(this.#directory.update(entries));
+        this.#directory.update(entries);
         this.roomChanged();
       },
     });
@@ -338,15 +347,20 @@
     Effect.runFork(this.#recorder.record(workflow));
   }
 
-  /** An endpoint of an earlier term is gone, and its lease has run out. */
-  #endMissing(missing: missings.MissingRun): Effect.Effect<void> {
-    const { task, run, worker, evidence } = missing;
+  /**
+   * An endpoint of an earlier term is not listed, and its lease has run out. Nobody
+   * knows its address any more, so this is all that will be known, unless it is
+   * listed again.
+   */
+  #endMissing({ task, run, worker }: missings.MissingRun): Effect.Effect<void> {
     const { workflow } = task;
     const wasOver = workflow.isOver;
-    const how = Workflow.RunEnd.Crashed;
-    const end = { run, how, checkpoint: "", crash: evidence };
-    workflow.endRun(task, end, this.#ports.clock.monotonicMs());
-    this.#endLog.missing({ task, run, endpoint: worker });
+    const how = Workflow.RunEnd.Lost;
+    const nowMs = this.#ports.clock.monotonicMs();
+    workflow.endRun(task, { run, how, checkpoint: "" }, nowMs);
+    if (workflow.suspectGone(task, run, worker)) {
+      this.#endLog.gone({ task, run, endpoint: worker });
+    }
     return this.#settle(workflow, wasOver);
   }
 
--- a/packages/coordinator/src/work/end_log.ts
+++ b/packages/coordinator/src/work/end_log.ts
@@ -41,14 +41,14 @@
     if (how === Workflow.RunEnd.Crashed) this.#crashed(place);
   }
 
-  /** The endpoint of a run of an earlier term is gone. */
-  missing(place: RunPlace): void {
-    const { task, run, endpoint } = place;
+  /** The endpoint of a run is neither heard nor listed. */
+  gone({ task, run, endpoint }: RunPlace): void {
+    this.#ports.metrics.count("cairngate_runs_gone_total");
     this.#ports.log.info(
-      `Run ${run} of ${task.name}: its endpoint ${endpoint} is not listed and ` +
-        `its lease has run out.`,
+      `Run ${run} of ${task.name}: its endpoint ${endpoint} is neither heard nor ` +
+        `listed and its lease has run out. It may have crashed or be cut off, ` +
+        `so this counts nothing; the task starts on an endpoint of its own.`,
     );
-    this.#crashed(place);
   }
 
   /** A crash under a task is not laid to it any more. */
@@ -68,18 +68,20 @@
     log.warn(
       `Workflow ${id} is given up for ${reason} of ${task}, last with run ` +
         `${run}: ${failures} runs failed, ${crashes.laid} crashes of endpoints ` +
-        `are laid to it, ${crashes.excused} are not.`,
+        `are laid to it, ${crashes.excused} are not, with ${crashes.unseen} ` +
+        `nothing has shown its run.`,
     );
   }
 
   /** One line for each crash with which a task may have something to do. */
   #crashed({ task, run, endpoint }: RunPlace): void {
     const { log, metrics } = this.#ports;
-    const { laid, excused } = task.crashes;
+    const { laid, excused, unseen } = task.crashes;
     metrics.count("cairngate_crashes_under_tasks_total");
     log.warn(
-      `Endpoint ${endpoint} ended with run ${run} of ${task.name} on it: ` +
-        `${laid} crashes are laid to the task, ${excused} are not.`,
+      `Endpoint ${endpoint} has crashed and may have had run ${run} of ` +
+        `${task.name}: ${laid} crashes are laid to the task, ${excused} are ` +
+        `not, with ${unseen} nothing has shown its run.`,
     );
   }
 }
--- a/packages/coordinator/src/work/missing_runs.ts
+++ b/packages/coordinator/src/work/missing_runs.ts
@@ -1,15 +1,14 @@
 /** Runs that the records lay to endpoints which are not listed any more. */
-import * as Workflow from "@cairngate/workflow";
+import type * as Workflow from "@cairngate/workflow";
 
 /** A run whose endpoint is gone; whoever ended it did not tell. */
 export interface MissingRun {
   readonly task: Workflow.Task;
   readonly run: number;
   readonly worker: string;
-  readonly evidence: Workflow.CrashEvidence;
 }
 
-interface Waiting extends Omit<MissingRun, "evidence"> {
+interface Waiting extends MissingRun {
   /** Our time by which its lease has run out. */
   readonly untilMs: number;
 }
@@ -28,28 +27,9 @@
     return this.#take(({ worker }) => isListed(worker));
   }
 
-  /**
-   * Runs whose leases have run out.
-   * @param noteCrash tells whether so many endpoints are gone that no task did it
-   */
-  takeLapsed(
-    nowMs: number,
-    noteCrash: (worker: string, tasks: readonly Workflow.Task[]) => boolean,
-  ): readonly MissingRun[] {
-    const lapsed = this.#take(({ untilMs }) => nowMs >= untilMs);
-    const workers = new Set(lapsed.map(({ worker }) => worker));
-    return [...workers].flatMap((worker) => {
-      const runs = lapsed.filter((one) => one.worker === worker);
-      const tasks = runs.map(({ task }) => task);
-      const isExcused = noteCrash(worker, tasks);
-      const wasAlone = runs.length === 1;
-      return runs.map((one) => {
-        const presence = one.task.confirmedRun === one.run
-          ? Workflow.Presence.Certain
-          : Workflow.Presence.Likely;
-        return { ...one, evidence: { wasAlone, isExcused, presence } };
-      });
-    });
+  /** Runs whose leases have run out. */
+  takeLapsed(nowMs: number): readonly MissingRun[] {
+    return this.#take(({ untilMs }) => nowMs >= untilMs);
   }
 
   #take(isTaken: (run: Waiting) => boolean): readonly Waiting[] {
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -107,11 +107,7 @@
       if (isPlaced) this.adopt(task);
       else this.adoptOpenEnd({ task, run, worker });
     }
-    return this.#missing.takeLapsed(
-      clock.monotonicMs(),
-      // Where it was is not known any more; its id stands for its address.
-      (id, tasks) => directory.silences.noteCrash({ id, address: id }, tasks),
-    );
+    return this.#missing.takeLapsed(clock.monotonicMs());
   }
 
   /** Its lease has run out by then, whoever gave it. */
--- a/packages/workflow-scheduler/src/isolation.ts
+++ b/packages/workflow-scheduler/src/isolation.ts
@@ -2,7 +2,7 @@
  * Where a task runs under which an endpoint has crashed: by itself, so that the
  * next crash hurts nobody else and tells whose doing it was.
  */
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import type * as fleet from "./fleet.ts";
 import * as placement from "./placement.ts";
 
@@ -26,6 +26,7 @@
   rooms: readonly fleet.WorkerRoom[],
   nowMs: number,
 ): readonly fleet.WorkerRoom[] {
+  if (isHeldBack(unit, nowMs)) return [];
   const empty = rooms.filter((room) => room.isEmpty);
   // One that has crashed may do so again, and no task would be to blame.
   const steady = empty.filter(({ worker }) => !worker.hasCrashedLately);
@@ -33,8 +34,21 @@
   if (hasPlacesNear(unit, empty)) return empty;
   const crashes = Math.max(...unit.tasks.map((task) => task.crashes.laid));
   if (crashes < PATIENT_AFTER_CRASHES) return rooms;
-  const waitedMs = nowMs - Math.min(...unit.tasks.map((t) => t.waitingSinceMs));
-  return waitedMs < PATIENCE_MS ? [] : rooms;
+  return waitedMs(unit, nowMs) < PATIENCE_MS ? [] : rooms;
+}
+
+/** Whether it waits because it may have crashed too many endpoints. */
+function isHeldBack(unit: Workflow.Unit, nowMs: number): boolean {
+  const possible = Math.max(
+    ...unit.tasks.map(({ crashes, goneRuns }) =>
+      Workflow.countPossibleCrashes(crashes, goneRuns)
+    ),
+  );
+  return waitedMs(unit, nowMs) < Workflow.holdMs(possible);
+}
+
+function waitedMs(unit: Workflow.Unit, nowMs: number): number {
+  return nowMs - Math.min(...unit.tasks.map((t) => t.waitingSinceMs));
 }
 
 /** Far from its data, or on several racks, it would run much longer. */
--- a/packages/workflow-scheduler/src/isolation_test.ts
+++ b/packages/workflow-scheduler/src/isolation_test.ts
@@ -23,7 +23,7 @@
     acceptedAtMs: 0,
   });
   for (const task of workflow.tasks) {
-    task.crashes = { laid: crashes, excused: 0, presence: crashes };
+    task.crashes = { laid: crashes, excused: 0, presence: crashes, unseen: 0 };
     task.waitingSinceMs = NOW_MS;
   }
   return workflow;
@@ -109,7 +109,7 @@
   vitest.it("does not hold up its siblings", () => {
     const step = buildWorkflow("step", { count: 2 });
     const [suspect] = step.tasks;
-    suspect.crashes = { laid: 2, excused: 0, presence: 4 };
+    suspect.crashes = { laid: 2, excused: 0, presence: 4, unseen: 0 };
     const places = plan(buildWorkers(2, [0, 1]), [step]);
     vitest.expect(places["step"]).toHaveLength(1);
   });
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -21,10 +21,12 @@
 export { RunEnd, Task, TaskState } from "./src/task.ts";
 export { type OpenEnd } from "./src/open_ends.ts";
 export {
+  countPossibleCrashes,
   type CrashCount,
   type CrashEvidence,
   type GiveUp,
   GiveUpReason,
+  holdMs,
   Presence,
 } from "./src/restart_budget.ts";
 export { type EndOfRun, type Unit, Workflow } from "./src/workflow.ts";
--- a/packages/workflow/src/open_ends.ts
+++ b/packages/workflow/src/open_ends.ts
@@ -7,6 +7,8 @@
   readonly run: number;
   /** Where it ran. */
   readonly worker: string;
+  /** Its endpoint is neither heard nor listed: it may have crashed. */
+  readonly isGone?: boolean;
 }
 
 /** The open ends of one workflow. */
@@ -20,7 +22,9 @@
 
   /** A run is given up while its end is not known. */
   add(end: OpenEnd): void {
+    this.close(end.task, end.run);
     this.#open.push(end);
+    if (end.isGone === true) end.task.goneRuns++;
   }
 
   /** The end is known, or can not count any more. False where it was not open. */
@@ -44,6 +48,9 @@
   #removeWhere(isOver: (end: OpenEnd) => boolean): boolean {
     const left = this.#open.filter((one) => !isOver(one));
     const isChanged = left.length < this.#open.length;
+    for (const end of this.#open) {
+      if (end.isGone === true && isOver(end)) end.task.goneRuns--;
+    }
     this.#open.splice(0, this.#open.length, ...left);
     return isChanged;
   }
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -24,6 +24,7 @@
   crashesExcused?: number,
   crashesPresence?: number,
   confirmedRun?: number,
+  crashesUnseen?: number,
 ];
 
 /** A run that was given up before its end was known. */
@@ -31,6 +32,7 @@
   taskKey: string,
   run: number,
   worker: string,
+  isGone?: true,
 ];
 
 /** What is kept of a workflow; untouched tasks are left out. */
@@ -128,7 +130,11 @@
 ): Pick<ProgressRecord, "openEnds"> {
   if (ends.length === 0) return {};
   return {
-    openEnds: ends.map(({ task, run, worker }) => [task.key, run, worker]),
+    openEnds: ends.map(({ task, run, worker, isGone }) =>
+      isGone === true
+        ? [task.key, run, worker, isGone]
+        : [task.key, run, worker]
+    ),
   };
 }
 
@@ -152,17 +158,20 @@
   const place = worker === null ? NO_WORKER : workers.get(worker) ?? NO_WORKER;
   budget.checkpoints -= checkpoint.length;
   const kept = budget.checkpoints < 0 ? "" : checkpoint;
-  const { laid, excused, presence } = task.crashes;
-  if (laid + excused > 0) {
+  const { laid, excused, presence, unseen } = task.crashes;
+  if (task.isSuspect || excused > 0) {
     const { confirmedRun } = task;
-    return [run, place, failures, kept, laid, excused, presence, confirmedRun];
+    const known = [run, place, failures, kept, laid, excused] as const;
+    return unseen === 0
+      ? [...known, presence, confirmedRun]
+      : [...known, presence, confirmedRun, unseen];
   }
   return kept === "" ? [run, place, failures] : [run, place, failures, kept];
 }
 
 /** Ends of a task that count towards giving it up. */
 function badEnds({ failures, crashes }: tasks.Task): number {
-  return failures + crashes.laid + crashes.excused;
+  return failures + crashes.laid + crashes.excused + crashes.unseen;
 }
 
 /** Puts a record into a workflow that was made from its spec. */
@@ -186,9 +195,10 @@
     const task = workflow.task(key);
     if (task !== undefined) applyListed(task, kept, record.workers);
   }
-  for (const [key, run, worker] of record.openEnds ?? []) {
+  for (const [key, run, worker, isGone] of record.openEnds ?? []) {
     const task = workflow.task(key);
-    if (task !== undefined) workflow.openEnds.add({ task, run, worker });
+    if (task === undefined) continue;
+    workflow.openEnds.add({ task, run, worker, isGone });
   }
   workflow.giveUp = record.giveUp ?? null;
 }
@@ -202,8 +212,9 @@
   task.worker = workers[place] ?? null;
   task.failures = failures;
   task.checkpoint = checkpoint ?? "";
-  const [laid = 0, excused = 0, presence = 0, confirmedRun = 0] = crashes;
-  task.crashes = { laid, excused, presence };
+  const [laid = 0, excused = 0, presence = 0, confirmedRun = 0, unseen = 0] =
+    crashes;
+  task.crashes = { laid, excused, presence, unseen };
   task.confirmedRun = confirmedRun;
   const isPlaced = task.worker !== null;
   if (isPlaced && task.state !== tasks.TaskState.Done) {
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -4,7 +4,7 @@
  */
 import type * as spec from "./spec.ts";
 
-/** Endpoints that have crashed under one task. */
+/** Endpoints that have crashed under one task, or may have. */
 export interface CrashCount {
   /** Crashes laid to the task. */
   readonly laid: number;
@@ -12,15 +12,17 @@
   readonly excused: number;
   /** How sure it is that the task's runs were there: their presence, summed. */
   readonly presence: number;
+  /** Endpoints that crashed and on which nothing has shown the task's run. */
+  readonly unseen: number;
 }
 
 /** How sure it is that a run was on the endpoint that crashed. */
 export enum Presence {
-  /** Its start may have been lost. */
+  /** Its start may have been lost, or came when the endpoint had ended. */
   Unknown = 0,
   /**
-   * The endpoint fell silent as soon as the start was sent, or an earlier
-   * coordinator has recorded the start.
+   * The endpoint had answered just before the start was sent and never again, or
+   * an earlier coordinator has recorded the start.
    */
   Likely = 1,
   /** Its start was answered, or a look has shown it. */
@@ -28,7 +30,12 @@
 }
 
 /** A task under which no endpoint has crashed. */
-export const NO_CRASHES: CrashCount = { laid: 0, excused: 0, presence: 0 };
+export const NO_CRASHES: CrashCount = {
+  laid: 0,
+  excused: 0,
+  presence: 0,
+  unseen: 0,
+};
 
 /** Why a task is not started any more. */
 export enum GiveUpReason {
@@ -55,21 +62,26 @@
  */
 const MOST_LAID = 3;
 /**
- * Crashes under a task after which it is given up whoever stood beside it: of the
+ * Crashes laid to a task after which it is given up whoever stood beside it: of the
  * two starts that operators allow after a third crash, one is left for an order
  * that an endpoint carries out late.
  */
 const MOST_CRASHES = 4;
 /**
- * The same where it is not certain that its runs were there: starts that were not
- * answered may have been lost. It is all that operators allow.
+ * The same with those for which others are to blame, and with those that may have
+ * come before the start. It is all that operators allow.
  */
-const MOST_UNCERTAIN_CRASHES = 5;
+const MOST_IN_ALL = 5;
 /**
  * Operators take a task for good until two endpoints crashed under it: two crashes
  * with which it certainly was there, or four with which it was likely.
  */
 const LEAST_PRESENCE = 2 * Presence.Certain;
+/**
+ * The same where all starts that operators allow are used: three likely ones. One
+ * is likely where the endpoint answered within 0.15 s before the start.
+ */
+const LEAST_PRESENCE_IN_ALL = 3 * Presence.Likely;
 /** A lasting task that has run for so long, in ms, is not what ended its endpoint. */
 const LASTING_PROVEN_MS = 30_000;
 
@@ -96,19 +108,27 @@
 
 /** Whether the crashes under a task are reason enough to give it up. */
 export function hasCrashedTooOften(
-  { laid, excused, presence }: CrashCount,
+  { laid, excused, presence, unseen }: CrashCount,
   { wasAlone }: CrashEvidence,
 ): boolean {
-  if (laid + excused >= MOST_UNCERTAIN_CRASHES) return true;
+  const inAll = laid + excused + unseen;
+  if (inAll >= MOST_IN_ALL) return presence >= LEAST_PRESENCE_IN_ALL;
   if (presence < LEAST_PRESENCE) return false;
-  return laid + excused >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
+  return laid >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
 }
 
-/** The count after one more crash. */
+/**
+ * The count after one more crash. Where nothing has shown the run on the endpoint,
+ * the crash makes the task a suspect and counts nothing: the start may have been
+ * sent to an endpoint that had ended before.
+ */
 export function addCrash(
   count: CrashCount,
   { isExcused, presence }: CrashEvidence,
 ): CrashCount {
+  if (presence === Presence.Unknown) {
+    return isExcused ? count : { ...count, unseen: count.unseen + 1 };
+  }
   const added = {
     ...count,
     laid: count.laid + 1,
@@ -117,6 +137,28 @@
   return isExcused ? excuseCrash(added) : added;
 }
 
+/** Ends of a task that were crashes, or may have been. */
+export function countPossibleCrashes(
+  { laid, excused, unseen }: CrashCount,
+  goneRuns: number,
+): number {
+  return laid + excused + unseen + goneRuns;
+}
+
+/** Shortest pause of a task that has used all starts that operators allow, in ms. */
+const LEAST_HOLD_MS = 10_000;
+/** Longest such pause, in ms: a cut that lasts a minute is an outage of its own. */
+const MOST_HOLD_MS = 60_000;
+
+/**
+ * How long a task waits that may have crashed as many endpoints as operators allow,
+ * while too little is shown to give it up: twice as long with each further end.
+ */
+export function holdMs(possibleCrashes: number): number {
+  const over = possibleCrashes - MOST_IN_ALL;
+  return over < 0 ? 0 : Math.min(MOST_HOLD_MS, LEAST_HOLD_MS * 2 ** over);
+}
+
 /**
  * The count after a crash was found to have struck many endpoints at once. One is
  * excused for each task: tasks that crash their endpoints may do so together.
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -50,6 +50,8 @@
   failedAtMs = Number.NEGATIVE_INFINITY;
   /** Workers that have crashed under it. */
   crashes = budgets.NO_CRASHES;
+  /** Runs whose endpoints are neither heard nor listed any more. */
+  goneRuns = 0;
   /** Runs that were stopped because they were slow. */
   slowRuns = 0;
   /** Newest run that a worker has confirmed; kept for suspects only. */
@@ -94,9 +96,9 @@
     return this.worker !== null;
   }
 
-  /** Whether a worker has crashed under it, so that it may crash others. */
+  /** Whether an endpoint may have crashed under it, so that it may crash others. */
   get isSuspect(): boolean {
-    return this.crashes.laid > 0;
+    return this.crashes.laid + this.crashes.unseen + this.goneRuns > 0;
   }
 
   /** Gives the task a place under a new run number. */
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -160,6 +160,17 @@
     });
   }
 
+  /**
+   * The endpoint of a run that was given up is neither heard nor listed. That is no
+   * crash, and no reason to end the work: it may be cut off. Returns false where
+   * nothing follows.
+   */
+  suspectGone(task: tasks.Task, run: number, worker: string): boolean {
+    if (this.isOver || task.state === tasks.TaskState.Done) return false;
+    this.openEnds.add({ task, run, worker, isGone: true });
+    return true;
+  }
+
   /**
    * A crash under a task has struck many endpoints at once. Returns false where
    * that changes nothing.
