Excuse each crash in which many endpoints fall, also under tasks in doubt

Cause: one excuse for each task. Work that met four losses of power with all endpoints at once was given up (new test: not completed; completes now). Six endpoints at one moment, without those that held tasks in doubt, are no task's doing; each such crash is excused. A run has one excuse, and only a counted crash gets one.

--- a/packages/coordinator/src/endpoints/silence_log.ts
+++ b/packages/coordinator/src/endpoints/silence_log.ts
@@ -3,7 +3,7 @@
  * moment have lost their power or their network; no task has done that.
  */
 import type * as Ports from "@cairngate/ports";
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 
 /**
  * Endpoints that fall within this time, in ms, fall together. Looks that wait at
@@ -12,6 +12,12 @@
 const TOGETHER_MS = 1000;
 /** So many at once are no work of tasks: one task takes one endpoint with it. */
 const MOST_ALONE = 2;
+/**
+ * So many at once, without those that held tasks in doubt, are a loss of power
+ * whatever ran there: tasks that crash their endpoints do so one by one, and it
+ * would take three times as many that begin within the same second.
+ */
+const LEAST_MANY = 6;
 /** Notes are kept for this time, in ms: an endpoint is back after some seconds. */
 const KEPT_MS = 20_000;
 
@@ -20,18 +26,29 @@
   readonly silentAtMs: number;
   /** When another life was seen; null while it is only silent. */
   crashedAtMs: number | null;
-  /** Tasks that it had when it crashed. */
-  tasks: readonly Workflow.Task[];
+  /** Runs that it had or may have had when it crashed. */
+  victims: readonly Victim[];
   /** One of its tasks had crashed another endpoint before. */
   isExplained: boolean;
-  isExcused: boolean;
+  /** How many fell with it, as its victims were told. */
+  fellows: Workflow.CrashFellows;
+}
+
+/** A task that ran, or may have run, on an endpoint that crashed. */
+export interface Victim {
+  readonly task: Workflow.Task;
+  readonly run: number;
+  readonly presence: Workflow.Presence;
 }
 
 /** What the log needs. */
 export interface SilenceLogOptions {
   readonly clock: Ports.Clock;
-  /** Told of tasks that are not to blame for a crash after all. */
-  readonly onExcused: (tasks: readonly Workflow.Task[]) => void;
+  /** Told where more endpoints fell than was known when a crash was counted. */
+  readonly onExcused: (
+    victims: readonly Victim[],
+    fellows: Workflow.CrashFellows,
+  ) => void;
 }
 
 /** Falls of the last seconds, by address. */
@@ -56,26 +73,27 @@
   }
 
   /**
-   * It has crashed while it held these tasks, or none. Returns whether so many
-   * fell with it that they are not to blame; those that fell before and were
-   * blamed are told of.
+   * It has crashed with these runs, or none. Returns how many fell with it; those
+   * that fell before and were told of fewer are told of it.
    */
   noteCrash(
     { address }: Ports.WorkerRef,
-    tasks: readonly Workflow.Task[],
-  ): boolean {
+    victims: readonly Victim[],
+  ): Workflow.CrashFellows {
     const fall = this.#note(address);
     fall.crashedAtMs = this.#options.clock.monotonicMs();
-    fall.tasks = tasks;
-    fall.isExplained = tasks.some((task) => task.isSuspect);
-    if (fall.isExplained) return false;
+    fall.victims = victims;
+    fall.isExplained = victims.some(({ task }) => task.isSuspect);
     const together = [...this.#falls.values()].filter((other) =>
-      !other.isExplained && areTogether(fall, other)
+      areTogether(fall, other)
     );
-    if (together.length <= MOST_ALONE) return false;
-    fall.isExcused = true;
-    for (const other of together) this.#excuse(other);
-    return true;
+    const others = together.filter((one) => !one.isExplained).length;
+    const fellows = toFellows(others);
+    for (const one of together) {
+      if (one !== fall) this.#raise(one, fellows);
+    }
+    fall.fellows = told(fall, fellows);
+    return fall.fellows;
   }
 
   /** Since when an endpoint is not heard; null while it is. */
@@ -99,21 +117,39 @@
     const fall: Fall = {
       silentAtMs: nowMs,
       crashedAtMs: null,
-      tasks: [],
+      victims: [],
       isExplained: false,
-      isExcused: false,
+      fellows: Workflow.CrashFellows.Few,
     };
     this.#falls.set(address, fall);
     return fall;
   }
 
-  #excuse(fall: Fall): void {
-    if (fall.crashedAtMs === null || fall.isExcused) return;
-    fall.isExcused = true;
-    this.#options.onExcused(fall.tasks);
+  #raise(fall: Fall, known: Workflow.CrashFellows): void {
+    const fellows = told(fall, known);
+    if (fall.crashedAtMs === null || fellows <= fall.fellows) return;
+    fall.fellows = fellows;
+    this.#options.onExcused(fall.victims, fellows);
   }
 }
 
+function toFellows(others: number): Workflow.CrashFellows {
+  if (others >= LEAST_MANY) return Workflow.CrashFellows.Many;
+  return others > MOST_ALONE
+    ? Workflow.CrashFellows.Several
+    : Workflow.CrashFellows.Few;
+}
+
+/** A task in doubt explains the fall of its endpoint, unless very many fell. */
+function told(
+  { isExplained }: Fall,
+  fellows: Workflow.CrashFellows,
+): Workflow.CrashFellows {
+  return isExplained && fellows < Workflow.CrashFellows.Many
+    ? Workflow.CrashFellows.Few
+    : fellows;
+}
+
 function areTogether(one: Fall, other: Fall): boolean {
   const areBothBack = one.crashedAtMs !== null && other.crashedAtMs !== null;
   const backApartMs = areBothBack
--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -67,7 +67,8 @@
     this.#load = new loads.BoxLoad(options.ports);
     this.silences = new silences.SilenceLog({
       clock,
-      onExcused: (tasks) => options.listener.crashExcused(tasks),
+      onExcused: (victims, fellows) =>
+        options.listener.crashExcused(victims, fellows),
     });
     this.#foreignLapseMs = leaseClocks.foreignLapseMs(
       clock.monotonicMs(),
--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -81,10 +81,17 @@
     if (this.#isLeaving) {
       return () => listeners.lost(listeners.LostCause.Left);
     }
-    const tasks = [...held, ...unheard].map(({ task }) => task);
-    const wasAlone = isOneUnit(tasks);
-    const isExcused = this.#silences.noteCrash(this.#ref, tasks);
-    return (presence) => listeners.crashed({ wasAlone, isExcused, presence });
+    const victims = [
+      ...held.map((one) => ({
+        task: one.task,
+        run: one.run,
+        presence: this.presenceOf(one),
+      })),
+      ...unheard,
+    ];
+    const wasAlone = isOneUnit(victims.map(({ task }) => task));
+    const fellows = this.#silences.noteCrash(this.#ref, victims);
+    return (presence) => listeners.crashed({ wasAlone, fellows, presence });
   }
 
   /** One line with all that tells a crash under a run from one before its start. */
--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -2,6 +2,7 @@
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
 import type * as Effect from "effect/Effect";
+import type * as silences from "../endpoints/silence_log.ts";
 import type * as occupants from "./occupant.ts";
 import type * as unheards from "./unheard_runs.ts";
 import type * as healths from "../endpoints/worker_health.ts";
@@ -78,8 +79,11 @@
   ): Effect.Effect<void>;
   /** The endpoint of a run that is over is neither heard nor listed. */
   abstract runGone(worker: SessionWorker, run: unheards.UnheardRun): void;
-  /** So many endpoints crashed at once that these tasks are not to blame. */
-  abstract crashExcused(tasks: readonly Workflow.Task[]): void;
+  /** More endpoints crashed at once than was known when these crashes were counted. */
+  abstract crashExcused(
+    victims: readonly silences.Victim[],
+    fellows: Workflow.CrashFellows,
+  ): void;
   /** A run is confirmed to be there. */
   abstract runConfirmed(occupant: occupants.Occupant): void;
   /** The room or the reach of the worker has changed. */
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -248,7 +248,8 @@
   start(occupant: occupants.Occupant): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const knowsClock = yield* this.#learnClock();
-      const isAlive = !occupant.task.isSuspect || (yield* this.#isAlive());
+      const isAlive = occupant.task.possibleCrashes === 0 ||
+        (yield* this.#isAlive());
       if (!this.#held.holds(occupant)) return;
       const obstacle = this.#obstacleTo(occupant);
       if (obstacle !== null) {
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -18,6 +18,7 @@
 import * as controls from "./run_control.ts";
 import type * as missings from "./missing_runs.ts";
 import * as listeners from "../sessions/session_listener.ts";
+import type * as silences from "../endpoints/silence_log.ts";
 import type * as unheards from "../sessions/unheard_runs.ts";
 import * as watches from "../endpoints/run_watch.ts";
 import * as directories from "../endpoints/worker_directory.ts";
@@ -205,10 +206,14 @@
     Effect.runFork(this.#recorder.record(task.workflow));
   }
 
-  override crashExcused(tasks: readonly Workflow.Task[]): void {
-    for (const task of tasks) {
+  override crashExcused(
+    victims: readonly silences.Victim[],
+    fellows: Workflow.CrashFellows,
+  ): void {
+    for (const { task, run, presence } of victims) {
       const { workflow } = task;
-      if (!workflow.excuseCrash(task)) continue;
+      const evidence = { fellows, presence };
+      if (!workflow.excuseCrash(task, run, evidence)) continue;
       this.#endLog.excused(task);
       Effect.runFork(this.#recorder.record(workflow));
     }
--- a/packages/workflow-node/src/crashing_tasks_test.ts
+++ b/packages/workflow-node/src/crashing_tasks_test.ts
@@ -240,6 +240,21 @@
     await fleet.stop();
   });
 
+  vitest.it("outlives four losses of power among other work", async () => {
+    const workers = Array.from({ length: 8 }, () => 1);
+    const fleet = new TestUtils.TestFleet({ workers });
+    fleet.workers.behave = () => ({ runMs: 4000, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", ID);
+    for (let i = 2; i <= 8; i++) {
+      await fleet.submit("node-1", `a00000000000000${i}`);
+    }
+    await loseAllPower(fleet, 4);
+    const done = await fleet.until(hasState(fleet, ID, Completed), LIMIT_MS);
+    vitest.expect(done).toBe(true);
+    await fleet.stop();
+  });
+
   vitest.it("outlives cuts of its endpoints", async () => {
     const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1, 1, 1] });
     fleet.workers.behave = () => ({ runMs: 9000, fails: false });
--- a/packages/workflow-scheduler/src/isolation.ts
+++ b/packages/workflow-scheduler/src/isolation.ts
@@ -40,9 +40,7 @@
 /** Whether it waits because it may have crashed too many endpoints. */
 function isHeldBack(unit: Workflow.Unit, nowMs: number): boolean {
   const possible = Math.max(
-    ...unit.tasks.map(({ crashes, goneRuns }) =>
-      Workflow.countPossibleCrashes(crashes, goneRuns)
-    ),
+    ...unit.tasks.map(({ possibleCrashes }) => possibleCrashes),
   );
   return waitedMs(unit, nowMs) < Workflow.holdMs(possible);
 }
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -21,9 +21,9 @@
 export { RunEnd, Task, TaskState } from "./src/task.ts";
 export { type OpenEnd } from "./src/open_ends.ts";
 export {
-  countPossibleCrashes,
   type CrashCount,
   type CrashEvidence,
+  CrashFellows,
   type GiveUp,
   GiveUpReason,
   holdMs,
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -85,19 +85,28 @@
 /** A lasting task that has run for so long, in ms, is not what ended its endpoint. */
 const LASTING_PROVEN_MS = 30_000;
 
+/** How many endpoints crashed at one moment. */
+export enum CrashFellows {
+  /** So few that a task may have done it. */
+  Few = 0,
+  /** More than tasks take with them, unless several such tasks began together. */
+  Several = 1,
+  /** A loss of power or of a network, whatever ran there. */
+  Many = 2,
+}
+
 /** What is known of a crash. */
 export interface CrashEvidence {
   /** Nothing but this task's unit ran on the endpoint. */
   readonly wasAlone: boolean;
-  /** So many endpoints fell at once that no task has done it. */
-  readonly isExcused: boolean;
+  readonly fellows: CrashFellows;
   readonly presence: Presence;
 }
 
 /** Nothing speaks for or against the task. */
 export const NO_EVIDENCE: CrashEvidence = {
   wasAlone: false,
-  isExcused: false,
+  fellows: CrashFellows.Few,
   presence: Presence.Unknown,
 };
 
@@ -124,17 +133,18 @@
  */
 export function addCrash(
   count: CrashCount,
-  { isExcused, presence }: CrashEvidence,
+  { fellows, presence }: CrashEvidence,
 ): CrashCount {
   if (presence === Presence.Unknown) {
-    return isExcused ? count : { ...count, unseen: count.unseen + 1 };
+    const added = { ...count, unseen: count.unseen + 1 };
+    return excuseCrash(added, { fellows, presence });
   }
   const added = {
     ...count,
     laid: count.laid + 1,
     presence: count.presence + presence,
   };
-  return isExcused ? excuseCrash(added) : added;
+  return excuseCrash(added, { fellows, presence });
 }
 
 /** Ends of a task that were crashes, or may have been. */
@@ -160,13 +170,21 @@
 }
 
 /**
- * The count after a crash was found to have struck many endpoints at once. One is
- * excused for each task: tasks that crash their endpoints may do so together.
+ * The count after a counted crash was found to have struck other endpoints as well.
+ * Where they are several, one is excused for each task: tasks that crash their
+ * endpoints may do so together. Where they are many, each is.
  */
-export function excuseCrash(count: CrashCount): CrashCount {
-  return count.laid === 0 || count.excused > 0
-    ? count
-    : { ...count, laid: count.laid - 1, excused: count.excused + 1 };
+export function excuseCrash(
+  count: CrashCount,
+  { fellows, presence }: Pick<CrashEvidence, "fellows" | "presence">,
+): CrashCount {
+  if (fellows === CrashFellows.Few) return count;
+  if (fellows === CrashFellows.Several && count.excused > 0) return count;
+  const excused = count.excused + 1;
+  if (presence === Presence.Unknown) {
+    return { ...count, unseen: Math.max(0, count.unseen - 1), excused };
+  }
+  return { ...count, laid: Math.max(0, count.laid - 1), excused };
 }
 
 /**
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -101,6 +101,11 @@
     return this.crashes.laid + this.crashes.unseen + this.goneRuns > 0;
   }
 
+  /** Ends of its runs that were crashes of endpoints, or may have been. */
+  get possibleCrashes(): number {
+    return budgets.countPossibleCrashes(this.crashes, this.goneRuns);
+  }
+
   /** Gives the task a place under a new run number. */
   place(worker: string, run: number, nowMs: number): void {
     this.state = TaskState.Starting;
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -38,6 +38,8 @@
   readonly #countedFailures = new Set<string>();
   /** Runs with which an endpoint crashed and that are counted, by task and run. */
   readonly #countedCrashes = new Set<string>();
+  /** Those of them for which others are to blame: one excuse for each run. */
+  readonly #excusedCrashes = new Set<string>();
   /** Runs of gangs of which a member ended as broken, as round.step.run. */
   readonly #brokenRuns = new Set<string>();
   state = states.WorkflowState.Queued;
@@ -175,12 +177,20 @@
    * A crash under a task has struck many endpoints at once. Returns false where
    * that changes nothing.
    */
-  excuseCrash(task: tasks.Task): boolean {
-    if (states.isFinal(this.state)) return false;
-    const count = budgets.excuseCrash(task.crashes);
-    const isChanged = count !== task.crashes;
+  excuseCrash(
+    task: tasks.Task,
+    run: number,
+    evidence: Pick<budgets.CrashEvidence, "fellows" | "presence">,
+  ): boolean {
+    const id = taskRun(task, run);
+    const isOpen = this.#countedCrashes.has(id) &&
+      !this.#excusedCrashes.has(id);
+    if (!isOpen || states.isFinal(this.state)) return false;
+    const count = budgets.excuseCrash(task.crashes, evidence);
+    if (count === task.crashes) return false;
     task.crashes = count;
-    return isChanged;
+    this.#excusedCrashes.add(id);
+    return true;
   }
 
   /** Takes in the end of a cancelled workflow once nothing of it runs. */
@@ -274,13 +284,17 @@
 
   #countCrash(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
     const { run, crash = budgets.NO_EVIDENCE } = ended;
-    const id = `${task.key}.${run}`;
+    const id = taskRun(task, run);
     if (this.#countedCrashes.has(id)) return;
     this.#countedCrashes.add(id);
     const ranMs = nowMs - task.startedAtMs;
     const isProven = budgets.isProvenLasting(task.step, ranMs);
     const former = isProven ? budgets.NO_CRASHES : task.crashes;
     task.crashes = budgets.addCrash(former, crash);
+    const { laid, unseen } = task.crashes;
+    if (laid + unseen === former.laid + former.unseen) {
+      this.#excusedCrashes.add(id);
+    }
     if (!budgets.hasCrashedTooOften(task.crashes, crash)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
@@ -306,6 +320,11 @@
   return `${task.stepKey}.${run}`;
 }
 
+/** Name of a run of a task within its workflow. */
+function taskRun(task: tasks.Task, run: number): string {
+  return `${task.key}.${run}`;
+}
+
 /** The highest count among the members of a gang. */
 function mostCrashed(members: readonly tasks.Task[]): budgets.CrashCount {
   const sumOf = ({ laid, excused }: budgets.CrashCount) => laid + excused;
