Check every row that comes from the store before anything uses it

Cause: rows were cast to the types that are hoped for, so that fields which are missing or of another type went on into plans and sessions. A feed said nothing of a row that could not be decoded, so that the former value of its key stayed, and wrote an error line each time the row was written. A row in one of our own tables that somebody else had written threw while a page was read, and the whole page with it.

Now one module reads bytes, text, JSON and fields by effect's Schema and gives a value or a typed reason; it never shows what stands in the row, because that may be a key. Endpoints, members, the operator's rows and our own rows go through it. A feed says of a row that can't be used what it says of one that has gone. A configuration that can't be read leaves the last one in force; a queue, team or key that can't be read is left out alone. A row of ours that can't be read has no value but its revision, so that conditions on it still hold. Lines in the log come when a row becomes unusable and when it is usable again; what is known of a row goes with it.

Conclusion: what others write can't throw or pass as an endpoint; the store's own answers (their envelopes) are still believed.

--- a/packages/errors/src/errors.ts
+++ b/packages/errors/src/errors.ts
@@ -292,3 +292,29 @@
     return `No queue is reached at ${this.path}.`;
   }
 }
+
+/** Why a row of the store can't be used. */
+export enum UnusableReason {
+  /** Its bytes are no text. */
+  Bytes = "bytes",
+  /** Its text is no JSON. */
+  Json = "json",
+  /** A field is missing, or of another type or range. */
+  Shape = "shape",
+  /** It is used, but for some of its parts. */
+  Part = "part",
+}
+
+/** A row that some other writer left in a form that says nothing here. */
+export class UnusableRowError extends Data.TaggedError("UnusableRowError")<{
+  readonly key: string;
+  readonly revision: number;
+  readonly reason: UnusableReason;
+  /** Names the field; it never shows what stands there. */
+  readonly cause: string;
+}> {
+  override get message(): string {
+    return `Row ${this.key} of revision ${this.revision} can't be used ` +
+      `(${this.cause}). Whoever wrote it has to write it again.`;
+  }
+}
