Let a record that somebody else wrote over hold up only its own workflow

Cause: a new coordinator applied whatever stood in a row of progress, and threw where that was no record; each term after it did the same. A caller who asked for a workflow whose row can't be read got a defect for an answer.

Such a workflow is passed over for the term: what of it has run nobody knows. It is neither started nor recorded, so that no condition on its row fails and ends the term. Who asks for a workflow whose own row can't be read gets 503.

Ruled out: starting it from the beginning, which may repeat what was done and uses numbers of runs that endpoints have seen. Leaving it filed as uncertain: an end of one of its runs would be recorded, and the write would fail.

Conclusion: values of another shape inside a row that otherwise looks like one of ours are still believed for progress, fences, the election and workflows.

--- a/packages/coordinator/src/work/recovery.ts
+++ b/packages/coordinator/src/work/recovery.ts
@@ -36,6 +36,8 @@
   readonly #fences: fences.PartitionFences;
   readonly #open = new Set<string>();
   readonly #progress = new Map<string, FoundProgress>();
+  /** Workflows whose records somebody else wrote over. */
+  readonly #unreadable = new Set<string>();
   readonly #complete = Deferred.makeUnsafe<void>();
 
   constructor(
@@ -74,6 +76,11 @@
     return this.#progress.get(id) ?? null;
   }
 
+  /** Whether records of a workflow are there that nobody can read. */
+  isUnreadable(id: string): boolean {
+    return this.#unreadable.has(id);
+  }
+
   /** Opens all partitions, however long some of them are away. */
   openAll(): Effect.Effect<void> {
     return Effect.forEach(
@@ -123,7 +130,8 @@
       Effect.map((rows) => {
         for (const row of rows) {
           const id = row.key.slice(prefix.length);
-          this.#progress.set(id, { partition, row });
+          if (row.value === undefined) this.#unreadable.add(id);
+          else this.#progress.set(id, { partition, row });
         }
         this.#open.add(partition);
         return true;
--- a/packages/coordinator/src/work/workflow_book.ts
+++ b/packages/coordinator/src/work/workflow_book.ts
@@ -62,6 +62,9 @@
   ): Workflow.Workflow | null {
     const known = this.#filed.get(spec.id);
     if (known !== undefined) return this.#acceptAgain(known, partition);
+    if (this.#parts.recovery.isUnreadable(spec.id)) {
+      return this.#passOver(spec.id);
+    }
     // It has ended, and a sweep has overtaken the read that tells of it.
     const isOver = spec.steps.length === 0;
     if (isOver && this.#parts.recovery.progressOf(spec.id) === null) {
@@ -77,6 +80,15 @@
     return workflow;
   }
 
+  /** What of it has run nobody knows: a second start could do harm. */
+  #passOver(id: string): null {
+    this.#parts.ports.log.error(
+      `Workflow ${id} is passed over in this term: ` +
+        `somebody else has written over its progress.`,
+    );
+    return null;
+  }
+
   /** Marks a workflow as cancelled; null where there is nothing to do. */
   cancel({ id, partition }: intake.CancelMark): Workflow.Workflow | null {
     const marks = this.#cancels.get(id) ?? new Set();
--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -213,6 +213,11 @@
       const byKey = new Map(rows.map((row) => [row.key, row]));
       const row = byKey.get(TableClient.Keys.workflowKey(partition, id));
       if (row === undefined) return null;
+      if (row.value === undefined) {
+        const cause = `somebody else has written over ${row.key}`;
+        const operation = "read";
+        return yield* new Errors.StoreUnavailableError({ operation, cause });
+      }
       const spec = row.value as Workflow.WorkflowSpec;
       const cancelKey = TableClient.Keys.cancelKey(partition, id);
       const isCancelled = byKey.has(cancelKey);
--- a/packages/ports/src/table_service.ts
+++ b/packages/ports/src/table_service.ts
@@ -7,6 +7,7 @@
 /** A row. Revisions grow over the whole table; 0 means the row is absent. */
 export interface Row {
   readonly key: string;
+  /** Undefined where somebody else wrote the row, so that nobody can read it. */
   readonly value: unknown;
   readonly revision: number;
   /** Id of the transaction that wrote the row last. */
--- /dev/null
+++ b/packages/workflow-node/src/foreign_records_test.ts
@@ -0,0 +1,101 @@
+/** Rows that somebody else wrote over the product's own hold up nothing else. */
+import * as TableClient from "@cairngate/table-client";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const BROKEN = "a000000000000001";
+const OTHER = "a000000000000002";
+const LATER = "a000000000000003";
+
+function keyOf(fleet: TestUtils.TestFleet, prefix: string, id: string): string {
+  const rows = fleet.table.rowsUnder(prefix);
+  return rows.find(({ key }) => key.includes(id))?.key ?? "";
+}
+
+function isCompleted(fleet: TestUtils.TestFleet, id: string): boolean {
+  return fleet.state(id) === Workflow.WorkflowState.Completed;
+}
+
+vitest.describe("a record of progress that can't be read", () => {
+  vitest.it("holds up only its own workflow, in one term", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
+    fleet.workers.behave = () => ({ runMs: 6000, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", BROKEN);
+    await fleet.submit("node-1", OTHER);
+    await fleet.until(() => fleet.workers.runs.length === 2);
+    await fleet.clock.advance(500);
+    fleet.write(keyOf(fleet, "progress:", BROKEN), undefined);
+    const former = fleet.coordinator() ?? "";
+    await fleet.kill(former);
+    const taken = () => ![former, null].includes(fleet.coordinator());
+    vitest.expect(await fleet.until(taken)).toBe(true);
+    await fleet.clock.advance(2000);
+    const token = fleet.token();
+    const [name] = fleet.nodes.keys();
+    await fleet.submit(name, LATER);
+    for (const id of [OTHER, LATER]) {
+      vitest.expect(await fleet.until(() => isCompleted(fleet, id))).toBe(true);
+    }
+    await fleet.clock.advance(10_000);
+    vitest.expect(fleet.token()).toBe(token);
+    const runs = fleet.workers.runs.filter(({ task }) =>
+      task.startsWith(BROKEN)
+    );
+    vitest.expect(runs.map(({ run }) => run)).toEqual([1]);
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a workflow that can't be read", () => {
+  vitest.it("has no state, and others have theirs", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    await fleet.submit("node-1", BROKEN);
+    await fleet.submit("node-1", OTHER);
+    const key = keyOf(fleet, "intake:", BROKEN);
+    vitest.expect(key).not.toBe("");
+    fleet.write(key, undefined);
+    const asked = fleet.ask("node-1", BROKEN);
+    await vitest.expect(asked).rejects
+      .toMatchObject({ _tag: "StoreUnavailableError" });
+    await fleet.until(() => isCompleted(fleet, OTHER));
+    vitest.expect(await fleet.ask("node-1", OTHER)).toBe("completed");
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a row of the election that can't be read", () => {
+  vitest.it("is written again by whoever coordinates next", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    await fleet.submit("node-1", OTHER);
+    await fleet.until(() => isCompleted(fleet, OTHER));
+    fleet.write(TableClient.Keys.COORDINATOR_KEY, undefined);
+    await fleet.clock.advance(10_000);
+    await fleet.submit("node-1", LATER);
+    vitest.expect(await fleet.until(() => isCompleted(fleet, LATER)))
+      .toBe(true);
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a configuration that can't be read", () => {
+  vitest.it(
+    "leaves the last one in force until a newer one can be",
+    async () => {
+      const fleet = new TestUtils.TestFleet();
+      await fleet.start();
+      fleet.write("test-operator/config", undefined);
+      await fleet.clock.advance(3000);
+      const { access } = fleet.node("node-1");
+      vitest.expect(access.config?.version).toBe(1);
+      await fleet.submit("node-1", OTHER);
+      fleet.applyConfig(TestUtils.buildAccess({ hana: 4 }, 2));
+      await fleet.clock.advance(1000);
+      vitest.expect(access.config?.version).toBe(2);
+      await fleet.stop();
+    },
+  );
+});
