Show how many rows of the store can't be used

Cause: the log tells of each row once; hours later nobody finds the line.

Ruled out: a port for the count; the gauge of the metrics is at hand in the node.

Figures: one more test in packages/cli, which passes with the others there; a box of an earlier version says nothing of it and shows no line.

Conclusion: the state of a node has `unusableRows`; `cairngate node` shows a line where it is not 0.

--- a/packages/cli/src/render_node.ts
+++ b/packages/cli/src/render_node.ts
@@ -7,6 +7,8 @@
   readonly configVersion: number | null;
   readonly coordinator: string | null;
   readonly storeSilentMs: number;
+  /** Rows of the store that it can't use; a box of an earlier version is silent. */
+  readonly unusableRows?: number;
   /** Data centres in which nothing starts, and since when. */
   readonly evacuations: readonly {
     readonly dataCentre: string;
@@ -49,6 +51,7 @@
     `configuration ${state.configVersion ?? "none"}, ` +
     `coordinator ${state.coordinator ?? "none"}, ` +
     `store silent for ${state.storeSilentMs} ms`,
+    ...describeRows(state),
     ...describeEvacuations(state),
   ];
   for (const workflow of state.work?.workflows ?? []) {
@@ -72,6 +75,13 @@
   return lines;
 }
 
+function describeRows({ unusableRows = 0 }: NodeState): string[] {
+  if (unusableRows === 0) return [];
+  return [
+    `  rows of the store that can't be used: ${unusableRows}; see its log`,
+  ];
+}
+
 function describeEvacuations(state: NodeState): string[] {
   const { work } = state;
   const lines = state.evacuations.map(({ dataCentre, sinceMs }) => {
--- a/packages/cli/src/render_node_test.ts
+++ b/packages/cli/src/render_node_test.ts
@@ -45,6 +45,14 @@
     vitest.expect(lines[0]).toContain("not ready");
   });
 
+  vitest.it("shows how many rows of the store can't be used, if any", () => {
+    const show = (unusableRows: number) =>
+      render.describeNode({ ...NODE, unusableRows, work: null }).slice(1);
+    vitest.expect(show(0)).toEqual([]);
+    vitest.expect(show(3))
+      .toEqual(["  rows of the store that can't be used: 3; see its log"]);
+  });
+
   vitest.it("shows evacuations, what goes on there and what is short", () => {
     const lines = render.describeNode({
       ...NODE,
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -255,7 +255,7 @@
 
   /** What this node knows and does, for people. */
   dump(): Readonly<Record<string, unknown>> {
-    const { node } = this.#ports;
+    const { node, metrics } = this.#ports;
     return {
       node,
       ready: this.isReady,
@@ -264,6 +264,7 @@
       evacuations: this.#evacuations.list(),
       mayMissEvacuations: this.#evacuations.mayBeLate,
       peers: this.#members.others().map((peer) => peer.node),
+      unusableRows: metrics.get("cairngate_rows_unusable"),
       storeThrough: this.#route.through,
       storeSilentMs: Math.round(this.#store.silentForMs()),
       work: this.#coordinator?.dump() ?? null,
