Test that an entry at another endpoint's address ends nothing

Cause: an entry of any id that names an endpoint's address counts as proof that the endpoint there has ended. What runs on is started again elsewhere, and the supposed end is laid to the task as a crash.

Ruled out: that an answer of another life is involved. The stand-in now answers an order to an id that does not live at the address as another life, or as the dead address is set to; that only happens to the foreign id.

Conclusion: only an answer from the address may prove the end of a life.

--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -96,6 +96,8 @@
   readonly #connections = new Map<string, connections.OpenConnections>();
   /** Ids of lives that have ended, and whether another one has followed. */
   readonly #endedLives = new Map<string, { isReplaced: boolean }>();
+  /** Id of the life that was last said to live at each address. */
+  readonly #atAddress = new Map<string, string>();
   /** Every run that was started. */
   readonly runs: TaskRunNote[] = [];
   /** Tasks of each gang, by member. */
@@ -265,6 +267,11 @@
     if (ended !== undefined) ended.isReplaced = true;
   }
 
+  /** Says which life listens at an address; orders to others find it there. */
+  livesAt(address: string, id: string): void {
+    if (this.#lives.has(id)) this.#atAddress.set(address, id);
+  }
+
   /** Runs of a task, in order. */
   runsOf(task: string): TaskRunNote[] {
     return this.runs.filter((note) => note.task === task);
@@ -286,6 +293,10 @@
       if (fate === OrderFate.Silent) return Effect.never;
       const ended = this.#endedLives.get(worker.id);
       if (ended !== undefined) return this.#meetDead(worker, ended.isReplaced);
+      const there = this.#atAddress.get(worker.address) ?? worker.id;
+      if (there !== worker.id) {
+        return this.#meetDead(worker, this.#lives.has(there));
+      }
       if (fate === OrderFate.Lost || life === undefined) {
         return Effect.fail(lost);
       }
@@ -437,7 +448,7 @@
     life.token = token;
   }
 
-  /** An order arrives where a life has ended. */
+  /** An order arrives where its life has ended, or has never been. */
   #meetDead(
     { id: worker }: Ports.WorkerRef,
     isReplaced: boolean,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -274,7 +274,20 @@
       clockMs: this.clock.monotonicMs(),
       ...changes,
     };
-    this.write(`${WORKERS_PREFIX}${spec.id}`, listing);
+    this.workers.livesAt(listing.address, spec.id);
+    this.writeEntry(listing);
+  }
+
+  /** Writes an entry of the list as it is, whoever lives at its address. */
+  writeEntry(listing: Ports.WorkerListing): void {
+    this.write(`${WORKERS_PREFIX}${listing.id}`, listing);
+  }
+
+  /** The entry of this id; null while it is not listed. */
+  entryOf(id: string): Ports.WorkerListing | null {
+    const key = `${WORKERS_PREFIX}${id}`;
+    const row = this.table.rowsUnder(key).find((one) => one.key === key);
+    return (row?.value as Ports.WorkerListing | undefined) ?? null;
   }
 
   /** A new life of a crashed endpoint begins at the same address. */
