Test that endpoints which are cut off and live on fail no workflow

Cause: an endpoint that gets no order and whose entry lapses counts as ended for good once its lease has run out, though it lives on and is listed again. Its runs are then laid to the task as crashes. The code is not changed here; the tests are red until it is.

Ruled out: crashes and failed runs.

Conclusion: silence and a lapsed entry together do not prove an end.

--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -24,6 +24,7 @@
   FLEET_BOUNDS,
   TestFleet,
 } from "./src/test_fleet.ts";
+export { type CutShape, EndpointCuts } from "./src/endpoint_cuts.ts";
 export { Evacuations } from "./src/evacuations.ts";
 export { ChangingRooms } from "./src/changing_rooms.ts";
 export { GREY_FAILS_MS, GreyEndpoints } from "./src/grey_endpoints.ts";
