Play random faults with entries that do not tell which endpoints live

Cause: the random faults knew no endpoint that is cut off while its entry lapses, no entry of another writer, and no group of endpoints that ends at one moment beside entries that outlast them.

--- a/packages/test-utils/src/random_play.ts
+++ b/packages/test-utils/src/random_play.ts
@@ -3,7 +3,8 @@
  * all, or of some partitions, cut links, lost answers, connections that turn
  * silent, orders that are lost, unanswered or late, failing runs, endpoints that
  * crash, that fail all they start and are not heard then, tasks that crash their
- * endpoints, and data centres that are evacuated.
+ * endpoints, data centres that are evacuated, and entries that do not tell which
+ * endpoints live.
  */
 import * as StandIns from "@cairngate/stand-ins";
 import * as TableClient from "@cairngate/table-client";
@@ -11,6 +12,7 @@
 import * as roomChanges from "./changing_rooms.ts";
 import * as evacuated from "./evacuations.ts";
 import * as greys from "./grey_endpoints.ts";
+import * as lapsing from "./random_lapses.ts";
 import * as checks from "./run_checks.ts";
 import * as randoms from "./seeded_random.ts";
 import * as suspended from "./suspensions.ts";
@@ -96,7 +98,7 @@
   fleet: fleets.TestFleet,
   random: randoms.SeededRandom,
   share: number,
-  grey: greys.GreyEndpoints,
+  fateOf: (endpoint: string) => StandIns.OrderFate | null,
 ): void {
   const fates = [
     StandIns.OrderFate.Lost,
@@ -104,7 +106,8 @@
     StandIns.OrderFate.Late,
   ];
   fleet.workers.carry = (endpoint) => {
-    if (grey.isSilent(endpoint)) return StandIns.OrderFate.Lost;
+    const fate = fateOf(endpoint);
+    if (fate !== null) return fate;
     return random.next() < share
       ? random.choose(fates)
       : StandIns.OrderFate.Carried;
@@ -136,7 +139,7 @@
 const SIZES: readonly number[] = [2, 2, 1, 1];
 
 /** Kinds of faults beside the usual ones. */
-export interface PlayKinds {
+export interface PlayKinds extends lapsing.LapseKinds {
   readonly changesRooms?: boolean;
   readonly suspends?: boolean;
   readonly evacuates?: boolean;
@@ -172,6 +175,9 @@
     : null;
   const random = new randoms.SeededRandom(seed);
   const grey = new greys.GreyEndpoints(fleet);
+  const lapses = new lapsing.RandomLapses(fleet, seed, kinds);
+  const fateOf = (endpoint: string) =>
+    grey.isSilent(endpoint) ? StandIns.OrderFate.Lost : lapses.fateOf(endpoint);
   fleet.workers.behave = (task, endpoint) => ({
     runMs: grey.has(endpoint) ? greys.GREY_FAILS_MS : random.between(300, 2500),
     fails: grey.has(endpoint) || random.next() < 0.02,
@@ -185,12 +191,13 @@
     const kind = random.next() < CRASHER_SHARE ? checks.CRASHER : "a";
     const id = `${kind}${String(round).padStart(15, "0")}`;
     if (await submitSomewhere(fleet, random, id)) accepted.push(id);
-    breakOrders(fleet, random, random.choose(ORDER_SHARES), grey);
+    breakOrders(fleet, random, random.choose(ORDER_SHARES), fateOf);
     rooms?.change();
     suspensions?.next();
     evacuations?.change();
     const faults = random.between(1, 3);
     for (let i = 0; i < faults; i++) {
+      lapses.change();
       await breakSomething(fleet, random, grey);
       await fleet.clock.advance(ROUND_MS);
     }
@@ -202,6 +209,7 @@
   rooms?.restore();
   suspensions?.end();
   evacuations?.endAll();
+  lapses.endAll();
   const isOver = (id: string) => {
     const state = fleet.state(id);
     return state !== null && Workflow.isFinal(state);
@@ -216,6 +224,7 @@
   if (!ended) {
     violations.push(`not ended: ${accepted.filter((id) => !isOver(id))}`);
   }
+  lapses.stop();
   await fleet.stop();
   return violations;
 }
