Test the neighbours of cut endpoints

Cause: as for the cut endpoints; these plays ask whether other work meets the same fault. The play moves to test-utils, so that both files use it.

Ruled out: that the fault needs orders that never arrive. It shows as well where orders are carried out late, and where only answers are lost.

Conclusion: one fault, many ways in.

--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -24,6 +24,12 @@
   FLEET_BOUNDS,
   TestFleet,
 } from "./src/test_fleet.ts";
+export {
+  type CutOutcome,
+  type CutPlay,
+  playCuts,
+  USUAL_CUTS,
+} from "./src/cut_play.ts";
 export { type CutShape, EndpointCuts } from "./src/endpoint_cuts.ts";
 export { Evacuations } from "./src/evacuations.ts";
 export { ChangingRooms } from "./src/changing_rooms.ts";
--- a/packages/test-utils/src/endpoint_cuts.ts
+++ b/packages/test-utils/src/endpoint_cuts.ts
@@ -6,7 +6,8 @@
 
 /** One cut; its times are in ms from the moment at which it begins. */
 export interface CutShape {
-  readonly fate: StandIns.OrderFate.Lost | StandIns.OrderFate.Silent;
+  /** What becomes of orders to the endpoint meanwhile. */
+  readonly fate: StandIns.OrderFate;
   /** When orders arrive again. */
   readonly healsMs: number;
   readonly entryGoesMs: number;
