Test an outage of the store in which all entries lapse

Cause: entries lapse with the store that holds them; no test had them come back later than the store, over running work.

Ruled out: that such an outage fails work on the code as it is, four outages of 5 s with entries back 2 s after each.

Conclusion: a guard for the mend; it finds no fault now.

--- a/packages/workflow-node/src/outage_test.ts
+++ b/packages/workflow-node/src/outage_test.ts
@@ -1,6 +1,7 @@
 /** The whole store is away for a while, and returns. */
 import type * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
 import * as vitest from "vitest";
 
 const ID = "a000000000000001";
@@ -75,3 +76,57 @@
     });
   }
 });
+
+/** Endpoints whose entries lapse with the store, of two accelerators each. */
+const ENDPOINTS = 4;
+/** Time of a run, in ms: longer than an outage and the longest lease, 6 s. */
+const RUN_MS = 7000;
+/** Outages, how long each lasts and the work between two, in ms. */
+const OUTAGES = 4;
+const OUTAGE_MS = 5000;
+const PEACE_MS = 4000;
+/** Time from the end of an outage until all entries are written again, in ms. */
+const LISTED_AFTER_MS = 2000;
+const LIMIT_MS = 60_000;
+
+/** The store is away, and the entries of all endpoints with it for longer. */
+async function loseEntries(
+  fleet: TestUtils.TestFleet,
+  faults: Partial<StandIns.StoreFaults>,
+): Promise<void> {
+  const ids = Array.from({ length: ENDPOINTS }, (_, i) => `worker-${i}`);
+  setFaults(fleet, faults);
+  await fleet.clock.advance(OUTAGE_MS / 2);
+  for (const id of ids) fleet.unlist(id);
+  await fleet.clock.advance(OUTAGE_MS / 2);
+  setFaults(fleet, { down: false, silent: false });
+  await fleet.clock.advance(LISTED_AFTER_MS);
+  for (const [i, id] of ids.entries()) fleet.list({ id, accelerators: 2 }, i);
+}
+
+vitest.describe("an outage of the store in which all entries lapse", () => {
+  const outages = {
+    "refuses all": { down: true },
+    "answers nothing": { silent: true },
+  };
+  for (const [what, faults] of Object.entries(outages)) {
+    vitest.it(`fails no workflow (it ${what})`, async () => {
+      const workers = Array.from({ length: ENDPOINTS }, () => 2);
+      const fleet = new TestUtils.TestFleet({ workers });
+      fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+      await fleet.start();
+      const steps = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+      const ids = [1, 2, 3, 4, 5, 6].map((i) => `a00000000000000${i}`);
+      for (const id of ids) await fleet.submit("node-1", id, { steps });
+      for (let i = 0; i < OUTAGES; i++) {
+        await fleet.clock.advance(PEACE_MS);
+        await loseEntries(fleet, faults);
+      }
+      const { Completed } = Workflow.WorkflowState;
+      const areDone = () => ids.every((id) => fleet.state(id) === Completed);
+      vitest.expect(await fleet.until(areDone, LIMIT_MS)).toBe(true);
+      vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+      await fleet.stop();
+    });
+  }
+});
