--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -106,6 +106,8 @@
   #isCarriedLate = false;
   /** What orders meet at the address of a life that has ended. */
   atDeadAddress = DeadAddress.Answers;
+  /** Time that each order takes on its way, in ms; 0: it is answered at once. */
+  wayMs = 0;
   /** Whether a start for which there is no room is refused. */
   guardsRoom = true;
   /** Told of each life that crashes; tests let another one begin. */
@@ -287,7 +289,7 @@
       cause: "lost by the test",
       neverSent: false,
     });
-    return Effect.suspend((): Effect.Effect<A, Ports.OrderError> => {
+    const carried = Effect.suspend((): Effect.Effect<A, Ports.OrderError> => {
       const fate = this.carry(worker.id, kind);
       const life = this.#lives.get(worker.id);
       if (fate === OrderFate.Silent) return Effect.never;
@@ -329,6 +331,17 @@
         return Effect.fail(err as Errors.OrderRefusedError);
       }
     });
+    return this.#afterWay(carried);
+  }
+
+  #afterWay<A>(
+    order: Effect.Effect<A, Ports.OrderError>,
+  ): Effect.Effect<A, Ports.OrderError> {
+    return Effect.suspend(() =>
+      this.wayMs === 0
+        ? order
+        : Effect.andThen(this.#clock.sleep(this.wayMs), order)
+    );
   }
 
   #begin(life: WorkerLife, order: Ports.StartRun): void {
--- a/packages/test-utils/src/random_lapses.ts
+++ b/packages/test-utils/src/random_lapses.ts
@@ -18,6 +18,13 @@
 /** Whole steps from the seed, so that each kind draws numbers of its own. */
 const SEED_STEPS = { cuts: 1_000_003, entries: 2_000_003, groups: 3_000_017 };
 
+/**
+ * Time of an order on its way, in ms, the least that a network takes. An answer in
+ * the same turn as its question comes before whatever the coordinator does next in
+ * that turn, as no endpoint's can.
+ */
+const WAY_MS = 1;
+
 /** The lapses of one play. */
 export class RandomLapses {
   readonly #cuts: cutting.RandomCuts | null;
@@ -25,13 +32,16 @@
   readonly #groups: groups.GroupCrashes | null;
 
   constructor(fleet: fleets.TestFleet, seed: number, kinds: LapseKinds) {
-    this.#cuts = kinds.cutsEndpoints
+    const { cutsEndpoints, foreignEntries, crashesInGroups } = kinds;
+    const hasAny = cutsEndpoints || foreignEntries || crashesInGroups;
+    if (hasAny) fleet.workers.wayMs = WAY_MS;
+    this.#cuts = cutsEndpoints
       ? new cutting.RandomCuts(fleet, seed + SEED_STEPS.cuts)
       : null;
-    this.#entries = kinds.foreignEntries
+    this.#entries = foreignEntries
       ? new foreigners.ForeignEntries(fleet, seed + SEED_STEPS.entries)
       : null;
-    this.#groups = kinds.crashesInGroups
+    this.#groups = crashesInGroups
       ? new groups.GroupCrashes(fleet, seed + SEED_STEPS.groups)
       : null;
   }
