--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -96,6 +96,8 @@
   readonly #connections = new Map<string, connections.OpenConnections>();
   /** Ids of lives that have ended, and whether another one has followed. */
   readonly #endedLives = new Map<string, { isReplaced: boolean }>();
+  /** Id of the life that was last said to live at each address. */
+  readonly #atAddress = new Map<string, string>();
   /** Every run that was started. */
   readonly runs: TaskRunNote[] = [];
   /** Tasks of each gang, by member. */
@@ -104,6 +106,8 @@
   #isCarriedLate = false;
   /** What orders meet at the address of a life that has ended. */
   atDeadAddress = DeadAddress.Answers;
+  /** Time that each order takes on its way, in ms; 0: it is answered at once. */
+  wayMs = 0;
   /** Whether a start for which there is no room is refused. */
   guardsRoom = true;
   /** Told of each life that crashes; tests let another one begin. */
@@ -265,6 +269,11 @@
     if (ended !== undefined) ended.isReplaced = true;
   }
 
+  /** Says which life listens at an address; orders to others find it there. */
+  livesAt(address: string, id: string): void {
+    if (this.#lives.has(id)) this.#atAddress.set(address, id);
+  }
+
   /** Runs of a task, in order. */
   runsOf(task: string): TaskRunNote[] {
     return this.runs.filter((note) => note.task === task);
@@ -280,12 +289,16 @@
       cause: "lost by the test",
       neverSent: false,
     });
-    return Effect.suspend((): Effect.Effect<A, Ports.OrderError> => {
+    const carried = Effect.suspend((): Effect.Effect<A, Ports.OrderError> => {
       const fate = this.carry(worker.id, kind);
       const life = this.#lives.get(worker.id);
       if (fate === OrderFate.Silent) return Effect.never;
       const ended = this.#endedLives.get(worker.id);
       if (ended !== undefined) return this.#meetDead(worker, ended.isReplaced);
+      const there = this.#atAddress.get(worker.address) ?? worker.id;
+      if (there !== worker.id) {
+        return this.#meetDead(worker, this.#lives.has(there));
+      }
       if (fate === OrderFate.Lost || life === undefined) {
         return Effect.fail(lost);
       }
@@ -318,6 +331,17 @@
         return Effect.fail(err as Errors.OrderRefusedError);
       }
     });
+    return this.#afterWay(carried);
+  }
+
+  #afterWay<A>(
+    order: Effect.Effect<A, Ports.OrderError>,
+  ): Effect.Effect<A, Ports.OrderError> {
+    return Effect.suspend(() =>
+      this.wayMs === 0
+        ? order
+        : Effect.andThen(this.#clock.sleep(this.wayMs), order)
+    );
   }
 
   #begin(life: WorkerLife, order: Ports.StartRun): void {
@@ -437,7 +461,7 @@
     life.token = token;
   }
 
-  /** An order arrives where a life has ended. */
+  /** An order arrives where its life has ended, or has never been. */
   #meetDead(
     { id: worker }: Ports.WorkerRef,
     isReplaced: boolean,
