Count a crash under a run only where the run was still under way

It is certain now only if its pace or estimate ends after the latest time of the crash: when nobody listens at the address any more, or when another life answers. A run whose lease is out has ended before.

--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -40,6 +40,8 @@
   readonly #silences: silences.SilenceLog;
   /** Our time of its last answer to a look. */
   #heardAtMs = Number.NEGATIVE_INFINITY;
+  /** Our time at which nobody listened there any more; infinite for never. */
+  #refusedAtMs = Number.POSITIVE_INFINITY;
   /** Whether it is known to leave, so that its end is no crash. */
   #isLeaving = false;
 
@@ -53,6 +55,13 @@
   /** It has answered. */
   noteHeard(): void {
     this.#heardAtMs = this.#clock.monotonicMs();
+    this.#refusedAtMs = Number.POSITIVE_INFINITY;
+  }
+
+  /** Nobody listens at its address: it has ended by now, and is not just cut off. */
+  noteRefused(): void {
+    const nowMs = this.#clock.monotonicMs();
+    this.#refusedAtMs = Math.min(this.#refusedAtMs, nowMs);
   }
 
   /** It is listed, and tells whether it is going to leave. */
@@ -85,7 +94,7 @@
       ...held.map((one) => ({
         task: one.task,
         run: one.run,
-        presence: this.presenceOf(one),
+        presence: this.presenceOf(one, this.#clock.monotonicMs()),
       })),
       ...unheard,
     ];
@@ -129,12 +138,22 @@
     return `${Math.round(this.#clock.monotonicMs() - atMs)} ms ago`;
   }
 
-  /** How sure it is that a run was there when the endpoint was last alive. */
-  presenceOf(occupant: occupants.Occupant): Workflow.Presence {
+  /**
+   * How sure it is that a run was under way when the endpoint crashed, if it did so
+   * by this time of ours at the latest.
+   */
+  presenceOf(
+    occupant: occupants.Occupant,
+    crashedByMs: number,
+  ): Workflow.Presence {
     const { sentAtMs, task, run } = occupant;
-    const isKnown = occupants.isConfirmed(occupant) ||
-      task.confirmedRun === run;
-    if (isKnown) return Workflow.Presence.Certain;
+    if (occupants.isConfirmed(occupant)) {
+      const byMs = Math.min(crashedByMs, this.#refusedAtMs);
+      return byMs <= endsAtMs(occupant)
+        ? Workflow.Presence.Certain
+        : Workflow.Presence.Unknown;
+    }
+    if (task.confirmedRun === run) return Workflow.Presence.Certain;
     // An earlier coordinator sent it, most likely: its record says so.
     if (sentAtMs === null) return Workflow.Presence.Likely;
     const beforeMs = sentAtMs - this.#heardAtMs;
@@ -144,6 +163,15 @@
   }
 }
 
+/**
+ * When a run is done by its pace, or by its estimate before it was looked at. One
+ * that is done may wait to be told of when its endpoint crashes.
+ */
+function endsAtMs({ task, sentAtMs }: occupants.Occupant): number {
+  if (task.step.lasting) return Number.POSITIVE_INFINITY;
+  return task.endsAtMs ?? (sentAtMs ?? 0) + task.step.estimateMs;
+}
+
 /** Whether all tasks were started together: one task, or members of one gang. */
 function isOneUnit(tasks: readonly Workflow.Task[]): boolean {
   const units = tasks.map((task) =>
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -326,13 +326,14 @@
       if (this.#over) return;
       this.#over = true;
       this.#wake();
-      const { listener } = this.#options;
+      const { listener, ports: { clock } } = this.#options;
+      const nowMs = clock.monotonicMs();
       const unheard = this.#unheard.takeAll();
       const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
       const endOf = this.#lifeEnd.end(wereThere, unheard);
       const records = this.#held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
-          ? endOf(this.#lifeEnd.presenceOf(occupant))
+          ? endOf(this.#lifeEnd.presenceOf(occupant, nowMs))
           : lost(LostCause.NeverSent);
         return this.#held.end(occupant, end);
       });
@@ -447,6 +448,8 @@
       if (err._tag === "WorkerReplacedError") {
         yield* this.endAll();
       }
+      const isRefused = err._tag === "WorkerLostError" && err.neverSent;
+      if (isRefused) this.#lifeEnd.noteRefused();
       this.#noteUnanswered(err);
       const isFenced = err._tag === "OrderRefusedError" &&
         err.reason === Errors.OrderRefusal.Fenced;
@@ -537,7 +540,9 @@
         if (!occupant.sent) continue;
         if (!hasLapsed && !hasBroken(occupant)) continue;
         const { task, run } = occupant;
-        const presence = this.#lifeEnd.presenceOf(occupant);
+        // A run whose lease is out has ended, whatever became of its endpoint.
+        const byMs = hasLapsed ? Number.POSITIVE_INFINITY : clock.monotonicMs();
+        const presence = this.#lifeEnd.presenceOf(occupant, byMs);
         this.#unheard.add({ task, run, presence });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.GangBroken;
         yield* this.#held.end(occupant, lost(cause));
