Let the answer of either life show an end, and nothing less

Now an answer of one life ends the others at its address; an address where an endpoint never answered this coordinator ends its runs only after two heartbeats; a refused connection of an endpoint that is no longer listed is an end; an earlier coordinator's start counts only where it was confirmed. Doubts end with the task and the record lists 200 at most.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -24,6 +24,7 @@
   | "mayHold"
   | "dataCentre"
   | "isContested"
+  | "onHeard"
 >;
 
 /**
@@ -116,10 +117,16 @@
     return this.#listings.get(id) ?? null;
   }
 
-  /** The session with a worker that the records name. */
+  /** Whether the life of this id was heard and has ended since. */
+  hasEnded(id: string): boolean {
+    const session = this.#sessions.get(id);
+    return session !== undefined && session.isOver && session.wasHeard;
+  }
+
+  /** The session with a worker that the records name; null where it has ended. */
   open(id: string): sessions.WorkerSession | null {
     const known = this.#sessions.get(id);
-    if (known !== undefined) return known;
+    if (known !== undefined) return known.isOver ? null : known;
     const listing = this.#listings.get(id);
     if (listing === undefined) return null;
     return this.#open(listing);
@@ -200,7 +207,7 @@
 
   #list(listing: Ports.WorkerListing): void {
     const { id, address, clockMs, draining } = listing;
-    this.#forgetOtherAddress(listing);
+    const moved = this.#forgetOtherAddress(listing);
     this.#listings.set(id, listing);
     this.#addresses.add(id, address);
     this.times.note(listing);
@@ -209,6 +216,7 @@
     session?.noteListed(draining);
     const nowMs = this.#options.ports.clock.monotonicMs();
     if (clockMs !== null) session?.readClock(clockMs, nowMs);
+    if (moved !== null) this.#reopen(moved);
     this.#askOthers(listing);
   }
 
@@ -223,13 +231,37 @@
     }
   }
 
-  /** A life keeps its address: an entry that names another one was wrong, or is. */
-  #forgetOtherAddress({ id, address }: Ports.WorkerListing): void {
-    const former = this.#listings.get(id);
-    if (former === undefined || former.address === address) return;
-    this.#addresses.remove(id, former.address);
+  /**
+   * A life keeps its address: an entry that names another one was wrong, or is.
+   * Returns the session at an address where it never answered.
+   */
+  #forgetOtherAddress(
+    { id, address }: Ports.WorkerListing,
+  ): sessions.WorkerSession | null {
+    const former = this.#listings.get(id)?.address ?? address;
+    if (former !== address) this.#addresses.remove(id, former);
     const session = this.#sessions.get(id);
-    if (session?.isOver === true) this.#drop(session);
+    if (session === undefined || session.ref.address === address) return null;
+    if (session.wasHeard && !session.isOver) return null;
+    this.#drop(session);
+    return session;
+  }
+
+  /** What an earlier coordinator left at an endpoint is asked for where it stands. */
+  #reopen(former: sessions.WorkerSession): void {
+    const session = this.open(former.ref.id);
+    if (session === null || former.isOver) return;
+    for (const { task } of former.occupants) session.adopt(task);
+    for (const run of former.unheard) session.adoptUnheard(run);
+  }
+
+  /** One life has answered at its address, so no other one is there. */
+  #noteHeard({ id, address }: Ports.WorkerRef): void {
+    for (const other of this.#addresses.othersAt(address, id)) {
+      const session = this.#sessions.get(other);
+      if (session === undefined || session.isOver) continue;
+      Effect.runFork(session.noteReplaced());
+    }
   }
 
   #unlist(rowKey: string): void {
@@ -269,6 +301,7 @@
       mayHold: (tasks) => this.#mayHold(id, tasks),
       dataCentre,
       isContested: this.#addresses.othersAt(address, id).length > 0,
+      onHeard: (ref) => this.#noteHeard(ref),
     });
     session.noteListed(listing.draining);
     const listedAtMs = this.times.listedAtMs(id);
--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -64,6 +64,16 @@
     this.#refusedAtMs = Math.min(this.#refusedAtMs, nowMs);
   }
 
+  /** Whether nobody listened at its address when it was asked last. */
+  get isRefused(): boolean {
+    return Number.isFinite(this.#refusedAtMs);
+  }
+
+  /** Whether it was going to leave. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** It is listed, and tells whether it is going to leave. */
   noteListed(isDraining: boolean): void {
     this.#isLeaving = isDraining;
@@ -148,19 +158,35 @@
   ): Workflow.Presence {
     const { sentAtMs, task, run } = occupant;
     if (occupants.isConfirmed(occupant)) {
-      const byMs = Math.min(crashedByMs, this.#refusedAtMs);
-      return byMs <= endsAtMs(occupant)
-        ? Workflow.Presence.Certain
-        : Workflow.Presence.Unknown;
+      return this.#presenceOfSeen(occupant, crashedByMs);
     }
     if (task.confirmedRun === run) return Workflow.Presence.Certain;
-    // An earlier coordinator sent it, most likely: its record says so.
-    if (sentAtMs === null) return Workflow.Presence.Likely;
+    // Its record was written before the order left: perhaps none ever did.
+    if (sentAtMs === null) return Workflow.Presence.Unknown;
     const beforeMs = sentAtMs - this.#heardAtMs;
     return beforeMs >= 0 && beforeMs <= ALIVE_BEFORE_START_MS
       ? Workflow.Presence.Likely
       : Workflow.Presence.Unknown;
   }
+
+  /**
+   * One that was seen there was under way if its time was not up when the endpoint
+   * had surely crashed. Where that is known only later, it is likely if its time was
+   * not up at the last answer: an endpoint that is cut off, runs on and crashes then
+   * is rarer than one that just crashes.
+   */
+  #presenceOfSeen(
+    occupant: occupants.Occupant,
+    crashedByMs: number,
+  ): Workflow.Presence {
+    const endsMs = endsAtMs(occupant);
+    const byMs = Math.min(crashedByMs, this.#refusedAtMs);
+    if (byMs <= endsMs) return Workflow.Presence.Certain;
+    const answeredMs = Math.max(this.#heardAtMs, occupant.knownSinceMs ?? 0);
+    return answeredMs <= endsMs
+      ? Workflow.Presence.Likely
+      : Workflow.Presence.Unknown;
+  }
 }
 
 /**
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -47,6 +47,8 @@
   readonly silences: silences.SilenceLog;
   /** Another endpoint is known at its address: only an answer tells whose it is. */
   readonly isContested: boolean;
+  /** Told of each answer of this life: no other one is at its address. */
+  readonly onHeard: (ref: Ports.WorkerRef) => void;
 }
 
 /** An order without an answer counts as lost after this time, in ms. */
@@ -81,6 +83,12 @@
  */
 const LEAST_REBIRTH_MS = 300;
 
+/**
+ * An endpoint that lives has written its own entry again within this time, in ms:
+ * two heartbeats of 1.5 s and what a listing takes to be told.
+ */
+const OWN_ENTRY_MS = 3500;
+
 /** One worker life. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
@@ -101,6 +109,9 @@
   /** Neither heard nor listed for long: nobody asks it until it is listed again. */
   #isGone = false;
   #isAsking = false;
+  /** Whether this life has answered this coordinator at its address. */
+  #wasHeard = false;
+  readonly #openedAtMs: number;
   #signal = Deferred.makeUnsafe<void>();
 
   constructor(options: SessionOptions) {
@@ -111,6 +122,7 @@
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
     const { clock, bounds, log } = options.ports;
     const { ref, silences } = options;
+    this.#openedAtMs = clock.monotonicMs();
     this.#lifeEnd = new lifeEnds.LifeEnd({ clock, log, ref, silences });
     this.#starter = new starters.RunStarter({
       ports: options.ports,
@@ -196,11 +208,18 @@
   /**
    * It is neither heard nor listed for so long that it may have ended; its entry
    * lapses as well where it is cut off. What ran there is told of as gone, and the
-   * session is kept: whoever answers there later shows what became of it.
+   * session is kept: whoever answers there later shows what became of it. Where
+   * connections were refused, nobody listens: that is an end, and no cut.
    */
   suspectGone(): void {
     if (this.#isGone) return;
+    if (this.#lifeEnd.isRefused) {
+      Effect.runFork(this.endAll());
+      return;
+    }
     this.#isGone = true;
+    // One that was going to leave has left; nobody waits for news of it.
+    if (this.#lifeEnd.isLeaving) this.#unheard.takeAll();
     for (const run of this.#unheard.all) {
       this.#options.listener.runGone(this, run);
     }
@@ -219,9 +238,33 @@
   /** Takes in a run that an earlier coordinator gave up before its end. */
   adoptUnheard(run: unheards.UnheardRun): void {
     this.#unheard.add(run);
+    this.#isGone = false;
     this.#wake();
   }
 
+  /** Whether this life has answered this coordinator at its address. */
+  get wasHeard(): boolean {
+    return this.#wasHeard;
+  }
+
+  /** Runs whose ends are not known and that it may still tell of. */
+  get unheard(): readonly unheards.UnheardRun[] {
+    return this.#unheard.all;
+  }
+
+  /**
+   * Another endpoint answers at the address. An endpoint that never answered there
+   * may stand elsewhere, where its entry was written by somebody else: what an
+   * earlier coordinator started on it is not given up before it had the time to
+   * write its own entry again.
+   */
+  noteReplaced(): Effect.Effect<void> {
+    const heldMs = this.#options.ports.clock.monotonicMs() - this.#openedAtMs;
+    const mayBeElsewhere = !this.#wasHeard && !this.#held.isEmpty &&
+      heldMs < OWN_ENTRY_MS;
+    return mayBeElsewhere ? Effect.void : this.endAll();
+  }
+
   /** Whether this life of the worker has ended. */
   get isOver(): boolean {
     return this.#over;
@@ -235,6 +278,7 @@
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
     this.#held.adopt(task);
+    this.#isGone = false;
     this.#views.noteAdopted(task);
     this.#wake();
   }
@@ -399,6 +443,7 @@
         }
         occupant.knownSinceMs ??= nowMs;
         this.#reachable = true;
+        this.#wasHeard = true;
         listener.runConfirmed(occupant);
         return Effect.void;
       case starters.StartOutcome.Earlier:
@@ -446,7 +491,7 @@
       if (timed._tag === "Success") return timed.success?.value ?? null;
       const err = timed.failure;
       if (err._tag === "WorkerReplacedError") {
-        yield* this.endAll();
+        yield* this.noteReplaced();
       }
       const isRefused = err._tag === "WorkerLostError" && err.neverSent;
       if (isRefused) this.#lifeEnd.noteRefused();
@@ -493,6 +538,8 @@
       this.#lifeEnd.noteHeard();
       this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
       this.#isGone = false;
+      this.#wasHeard = true;
+      this.#options.onHeard(this.ref);
       if (!this.#reachable || this.#mustBeHeard) {
         this.#reachable = true;
         this.#mustBeHeard = false;
@@ -549,7 +596,7 @@
       }
       // What ended before a lease ran out does not count when it is told later.
       for (const { task, run } of hasLapsed ? this.#unheard.all : []) {
-        task.workflow.openEnds.close(task, run);
+        task.workflow.openEnds.closeUntold(task, run);
       }
       // Perhaps only the connection is silent: the next look takes a new one.
       if (!isFirst) yield* clock.sleep(RETRY_MS * 2);
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -199,9 +199,10 @@
 
   override runGone(
     { ref: { id } }: listeners.SessionWorker,
-    { task, run }: unheards.UnheardRun,
+    { task, run, presence }: unheards.UnheardRun,
   ): void {
-    if (!task.workflow.suspectGone(task, run, id)) return;
+    const end = { task, run, worker: id, presence };
+    if (!task.workflow.suspectGone(end)) return;
     this.#endLog.gone({ task, run, endpoint: id });
     Effect.runFork(this.#recorder.record(task.workflow));
   }
@@ -357,13 +358,14 @@
    * knows its address any more, so this is all that will be known, unless it is
    * listed again.
    */
-  #endMissing({ task, run, worker }: missings.MissingRun): Effect.Effect<void> {
+  #endMissing(missing: missings.MissingRun): Effect.Effect<void> {
+    const { task, run, worker } = missing;
     const { workflow } = task;
     const wasOver = workflow.isOver;
     const how = Workflow.RunEnd.Lost;
     const nowMs = this.#ports.clock.monotonicMs();
     workflow.endRun(task, { run, how, checkpoint: "" }, nowMs);
-    if (workflow.suspectGone(task, run, worker)) {
+    if (workflow.suspectGone(missing)) {
       this.#endLog.gone({ task, run, endpoint: worker });
     }
     return this.#settle(workflow, wasOver);
--- a/packages/coordinator/src/work/missing_runs.ts
+++ b/packages/coordinator/src/work/missing_runs.ts
@@ -6,6 +6,7 @@
   readonly task: Workflow.Task;
   readonly run: number;
   readonly worker: string;
+  readonly presence: Workflow.Presence;
 }
 
 interface Waiting extends MissingRun {
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -85,8 +85,11 @@
     task.startedAtMs = nowMs - task.step.estimateMs / 2;
     const { run, worker } = task;
     if (worker === null) return;
+    const presence = Workflow.Presence.Unknown;
     const session = directory.open(worker);
-    if (session === null) return this.#addMissing({ task, run, worker });
+    if (session === null) {
+      return this.#addMissing({ task, run, worker, presence });
+    }
     session.adopt(task);
     if (task.workflow.isOver) this.stop(task);
   }
@@ -95,26 +98,30 @@
   adoptOpenEnd(end: Workflow.OpenEnd): void {
     const session = this.#parts.directory.open(end.worker);
     if (session === null) this.#addMissing(end);
-    else session.adoptUnheard({ ...end, presence: Workflow.Presence.Certain });
+    else session.adoptUnheard(end);
   }
 
   /** Runs of endpoints that were not listed and whose leases have run out. */
   takeMissing(): readonly missings.MissingRun[] {
     const { ports: { clock }, directory } = this.#parts;
     const isListed = (worker: string) => directory.open(worker) !== null;
-    for (const { task, run, worker } of this.#missing.takeListed(isListed)) {
+    for (const missing of this.#missing.takeListed(isListed)) {
+      const { task, run, worker } = missing;
       const isPlaced = task.worker === worker && task.run === run;
       if (isPlaced) this.adopt(task);
-      else this.adoptOpenEnd({ task, run, worker });
+      else this.adoptOpenEnd(missing);
     }
     return this.#missing.takeLapsed(clock.monotonicMs());
   }
 
-  /** Its lease has run out by then, whoever gave it. */
+  /** Its lease has run out by then, whoever gave it, or it is known to have ended. */
   #addMissing(run: Workflow.OpenEnd): void {
     const { clock, bounds } = this.#parts.ports;
     const nowMs = clock.monotonicMs();
-    const untilMs = leaseClocks.foreignLapseMs(nowMs, bounds.longestLeaseMs);
+    const hasEnded = this.#parts.directory.hasEnded(run.worker);
+    const untilMs = hasEnded
+      ? nowMs
+      : leaseClocks.foreignLapseMs(nowMs, bounds.longestLeaseMs);
     this.#missing.add({ ...run, untilMs });
   }
 }
--- /dev/null
+++ b/packages/workflow-node/src/doubted_work_test.ts
@@ -0,0 +1,169 @@
+/**
+ * Good work that is held back, or whose count
+ * rises although nothing has shown a crash or a failure.
+ */
+import * as StandIns from "@cairngate/stand-ins";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+const TASK = `${ID}.0.0.0`;
+const { Failed } = Workflow.WorkflowState;
+/** The longest lease and what it takes to see its end, in ms. */
+const LEASE_SEEN_MS = 8000;
+
+function sizes(count: number): number[] {
+  return Array.from({ length: count }, () => 1);
+}
+
+vitest.describe("a good task", () => {
+  vitest.it(
+    "is not held back by endpoints that leave as announced",
+    async () => {
+      const fleet = new TestUtils.TestFleet({ workers: sizes(10) });
+      fleet.workers.behave = () => ({ runMs: 60_000, fails: false });
+      fleet.workers.onCrash = () => {};
+      await fleet.start();
+      const steps = [TestUtils.buildStep({ estimateMs: 60_000 })];
+      await fleet.submit("node-1", ID, { steps });
+      const waits: number[] = [];
+      for (let i = 1; i <= 8; i++) {
+        await fleet.until(() => fleet.workers.runs.length >= i, 60_000);
+        const leftAtMs = fleet.workers.runs[i - 2]?.endedAtMs ?? null;
+        if (leftAtMs !== null) {
+          waits.push(fleet.workers.runs[i - 1].startedAtMs - leftAtMs);
+        }
+        await fleet.clock.advance(300);
+        const { worker: id } = fleet.workers.runs[i - 1];
+        fleet.list({ id, accelerators: 1 }, fleet.placeOf(id), {
+          draining: true,
+        });
+        await fleet.clock.advance(100);
+        fleet.workers.crash(id);
+        fleet.unlist(id);
+        await fleet.clock.advance(100);
+      }
+      vitest.expect(waits.filter((ms) => ms > LEASE_SEEN_MS)).toEqual([]);
+      await fleet.stop();
+    },
+  );
+
+  vitest.it("that lasts is not held back by losses minutes apart", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: sizes(10) });
+    fleet.workers.behave = () => ({ runMs: 1e9, fails: false });
+    fleet.workers.onCrash = () => {};
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ lasting: true })];
+    await fleet.submit("node-1", ID, { steps });
+    const waits: number[] = [];
+    for (let i = 1; i <= 7; i++) {
+      await fleet.until(() => fleet.workers.runs.length >= i, 90_000);
+      const leftAtMs = fleet.workers.runs[i - 2]?.endedAtMs ?? null;
+      if (leftAtMs !== null) {
+        waits.push(fleet.workers.runs[i - 1].startedAtMs - leftAtMs);
+      }
+      await fleet.clock.advance(31_000);
+      const { worker: id } = fleet.workers.runs[i - 1];
+      fleet.workers.crash(id);
+      await fleet.clock.advance(4500);
+      fleet.unlist(id);
+    }
+    vitest.expect(waits.filter((ms) => ms > LEASE_SEEN_MS)).toEqual([]);
+    await fleet.stop();
+  });
+
+  /**
+   * A look that is under way when the endpoint counts as gone takes the doubt back
+   * as soon as it fails: silence is no answer.
+   */
+  vitest.it("is in doubt until its endpoint answers", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: sizes(8) });
+    const cut = new Set<string>();
+    fleet.workers.behave = () => ({ runMs: 60_000, fails: false });
+    fleet.workers.carry = (endpoint) =>
+      cut.has(endpoint)
+        ? StandIns.OrderFate.Silent
+        : StandIns.OrderFate.Carried;
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ estimateMs: 60_000 })];
+    await fleet.submit("node-1", ID, { steps });
+    for (let i = 1; i <= 3; i++) {
+      await fleet.until(() => fleet.workers.runs.length >= i, 60_000);
+      const { worker } = fleet.workers.runs[i - 1];
+      await fleet.clock.advance(20);
+      cut.add(worker);
+      // One whose entry goes while it answers leaves, and is no doubt.
+      await fleet.clock.advance(3000);
+      fleet.unlist(worker);
+    }
+    await fleet.clock.advance(12_000);
+    const [row] = fleet.table.rowsUnder("progress:")
+      .filter(({ key }) => key.endsWith(`/${ID}`));
+    const { openEnds } = row.value as Workflow.ProgressRecord;
+    vitest.expect(fleet.workers.runs.length).toBe(4);
+    vitest.expect((openEnds ?? []).map(([, run, , , isGone]) => [run, isGone]))
+      .toEqual([[1, true], [2, true], [3, true]]);
+    await fleet.stop();
+  });
+
+  /**
+   * The record of a start is written before the order leaves. A coordinator that
+   * ends in between leaves a run that never was anywhere.
+   */
+  vitest.it("does not fail by starts that were only recorded", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: sizes(6), nodes: 4 });
+    fleet.workers.behave = () => ({ runMs: 60_000, fails: false });
+    fleet.crashBackMs = 1000;
+    fleet.entryOutlastsMs = 3000;
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ estimateMs: 60_000 })];
+    await fleet.submit("node-1", ID, { steps });
+    await fleet.until(() => fleet.workers.runs.length >= 1);
+    await fleet.clock.advance(500);
+    // The one crash that is shown.
+    const heldBy = fleet.workers.runs[0].worker;
+    // All others end as well, long before the next starts are meant for them.
+    const placeInRecord = () => {
+      const [row] = fleet.table.rowsUnder("progress:")
+        .filter(({ key }) => key.endsWith(`/${ID}`));
+      const record = row?.value as Workflow.ProgressRecord | undefined;
+      const listed = record?.tasks["0.0.0"];
+      if (record === undefined || listed === undefined || listed[1] < 0) {
+        return null;
+      }
+      return { run: listed[0], worker: record.workers[listed[1]] };
+    };
+    fleet.workers.carry = () => StandIns.OrderFate.Carried;
+    fleet.workers.crash(heldBy);
+    let run = 1;
+    for (let i = 0; i < 3; i++) {
+      // No start arrives any more until the coordinator has changed.
+      fleet.workers.carry = (_, order) =>
+        order === "start"
+          ? StandIns.OrderFate.Lost
+          : StandIns.OrderFate.Carried;
+      const found = await fleet.until(
+        () => (placeInRecord()?.run ?? 0) > run,
+        30_000,
+      );
+      if (!found || fleet.state(ID) === Failed) break;
+      const place = placeInRecord();
+      if (place === null) break;
+      ({ run } = place);
+      fleet.workers.crash(place.worker);
+      const coordinator = fleet.coordinator() ?? "";
+      await fleet.kill(coordinator);
+      fleet.startNode(`${coordinator}+`);
+      await fleet.clock.advance(4000);
+    }
+    fleet.workers.carry = () => StandIns.OrderFate.Carried;
+    await fleet.clock.advance(10_000);
+    const crashed = fleet.workers.runsOf(TASK).filter(({ how }) =>
+      how === "crashed"
+    );
+    vitest.expect(crashed.length).toBe(1);
+    vitest.expect(TestUtils.checkFailed(fleet, ID)).toEqual([]);
+    await fleet.stop();
+  });
+});
--- /dev/null
+++ b/packages/workflow-node/src/late_records_test.ts
@@ -0,0 +1,87 @@
+/**
+ * Sessions that are kept after their life has
+ * ended, or is neither heard nor listed, and take in runs that nobody ends then.
+ */
+import * as TableClient from "@cairngate/table-client";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const FIRST = "a000000000000001";
+const HOME = TableClient.Keys.homePartition(FIRST);
+/** An id of another partition. */
+const SECOND = ["a000000000000002", "a000000000000003", "a000000000000004"]
+  .filter((id) => TableClient.Keys.homePartition(id) !== HOME)[0];
+const { Completed } = Workflow.WorkflowState;
+const LIMIT_MS = 120_000;
+const RUN_MS = 20_000;
+
+function setDown(fleet: TestUtils.TestFleet, ...partitions: string[]): void {
+  for (const name of fleet.nodes.keys()) {
+    fleet.faultsOf(name).set({ downPartitions: partitions });
+  }
+}
+
+/** A run is known to the next coordinator only once its partition is back. */
+async function takeOverWithoutHome(
+  fleet: TestUtils.TestFleet,
+  ids: readonly string[],
+): Promise<string> {
+  fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+  await fleet.start();
+  const steps = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+  for (const id of ids) await fleet.submit("node-1", id, { steps });
+  await fleet.until(() => fleet.workers.runs.length === ids.length);
+  const [{ worker }] = fleet.workers.runsOf(`${FIRST}.0.0.0`);
+  setDown(fleet, HOME);
+  await fleet.kill(fleet.coordinator() ?? "");
+  await fleet.clock.advance(4000);
+  return worker;
+}
+
+vitest.describe("a run whose record is read late", () => {
+  vitest.it(
+    "starts again though its endpoint's end was seen before",
+    async () => {
+      const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
+      fleet.crashBackMs = 1000;
+      fleet.entryOutlastsMs = 3000;
+      const worker = await takeOverWithoutHome(fleet, [FIRST]);
+      fleet.workers.crash(worker);
+      await fleet.clock.advance(2500);
+      setDown(fleet);
+      const done = await fleet.until(
+        () => fleet.state(FIRST) === Completed,
+        LIMIT_MS,
+      );
+      vitest.expect(fleet.workers.runsOf(`${FIRST}.0.0.0`).length).toBe(2);
+      vitest.expect(done).toBe(true);
+      await fleet.stop();
+    },
+  );
+
+  vitest.it("starts again though its endpoint was gone before", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [2, 2] });
+    // Both on one endpoint: the other one is listed later.
+    fleet.unlist("worker-1");
+    const worker = await takeOverWithoutHome(fleet, [FIRST, SECOND]);
+    fleet.workers.onCrash = () => {};
+    fleet.list({ id: "worker-1", accelerators: 2 }, 1);
+    fleet.workers.crash(worker);
+    await fleet.clock.advance(4500);
+    fleet.unlist(worker);
+    await fleet.until(() =>
+      fleet.workers.runsOf(`${SECOND}.0.0.0`).length === 2
+    );
+    await fleet.clock.advance(6000);
+    setDown(fleet);
+    const done = await fleet.until(
+      () => fleet.state(FIRST) === Completed,
+      LIMIT_MS,
+    );
+    vitest.expect(fleet.workers.runsOf(`${SECOND}.0.0.0`).length).toBe(2);
+    vitest.expect(fleet.workers.runsOf(`${FIRST}.0.0.0`).length).toBe(2);
+    vitest.expect(done).toBe(true);
+    await fleet.stop();
+  });
+});
--- /dev/null
+++ b/packages/workflow-node/src/record_size_test.ts
@@ -0,0 +1,39 @@
+/**
+ * Doubts about runs whose endpoints are neither
+ * heard nor listed stand in the record, also those of tasks that are done.
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+/** Bytes of one row's value, as the users' stores allow. */
+const ROW_BYTES = 65_536;
+/** Tasks of the workflow, of which 500 at most run at once. */
+const TASKS = 2000;
+
+vitest.describe("the record of a wide workflow", () => {
+  vitest.it("fits into a row after each task has been cut off once", () => {
+    const steps = [TestUtils.buildStep({ count: TASKS })];
+    const workflow = new Workflow.Workflow({
+      id: "a000000000000001",
+      payload: "work",
+      steps,
+      schedule: null,
+      policy: { attempts: 3, advice: null },
+    } as unknown as Workflow.WorkflowSpec);
+    let place = 0;
+    for (const task of workflow.tasks) {
+      const worker = `i-${String(place++).padStart(10, "0")}`;
+      task.place(worker, 1, 0);
+      const lost = { run: 1, how: Workflow.RunEnd.Lost, checkpoint: "" };
+      workflow.endRun(task, lost, 0);
+      const presence = Workflow.Presence.Certain;
+      workflow.suspectGone({ task, run: 1, worker, presence });
+      task.place("i-0", 2, 0);
+      const done = { run: 2, how: Workflow.RunEnd.Done, checkpoint: "" };
+      if (place < TASKS) workflow.endRun(task, done, 0);
+    }
+    const record = Workflow.toProgress(workflow);
+    vitest.expect(JSON.stringify(record).length).toBeLessThan(ROW_BYTES);
+  });
+});
--- a/packages/workflow/src/open_ends.ts
+++ b/packages/workflow/src/open_ends.ts
@@ -1,4 +1,5 @@
 /** Runs that were given up before anybody knew how they ended. */
+import type * as budgets from "./restart_budget.ts";
 import type * as tasks from "./task.ts";
 
 /** A run whose end is not known. */
@@ -9,6 +10,8 @@
   readonly worker: string;
   /** Its endpoint is neither heard nor listed: it may have crashed. */
   readonly isGone?: boolean;
+  /** How sure it is that the endpoint had it. */
+  readonly presence: budgets.Presence;
 }
 
 /** The open ends of one workflow. */
@@ -32,15 +35,30 @@
     return this.#removeWhere((one) => one.task === task && one.run === run);
   }
 
+  /** The end does not count if it is told now; a doubt about its endpoint stays. */
+  closeUntold(task: tasks.Task, run: number): void {
+    this.#removeWhere((one) =>
+      one.task === task && one.run === run && one.isGone !== true
+    );
+  }
+
+  /** Whatever ended a task's earlier runs does not matter any more. */
+  closeTask(task: tasks.Task): void {
+    this.#removeWhere((one) => one.task === task);
+  }
+
   /** The end of one member tells that of the whole run. */
   closeRun(stepKey: string, run: number): void {
     this.#removeWhere((one) => one.task.stepKey === stepKey && one.run === run);
   }
 
-  /** Runs of a step that would be open if this one were. */
+  /**
+   * Runs of a step whose failure may still be told if this one is given up too. What
+   * ran on an endpoint that is gone was killed when its lease ran out.
+   */
   countWith(stepKey: string, run: number): number {
     const runs = this.#open
-      .filter(({ task }) => task.stepKey === stepKey)
+      .filter(({ task, isGone }) => task.stepKey === stepKey && isGone !== true)
       .map((one) => one.run);
     return new Set([...runs, run]).size;
   }
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -5,7 +5,7 @@
  */
 import * as indexSets from "./index_set.ts";
 import type * as openEnds from "./open_ends.ts";
-import type * as budgets from "./restart_budget.ts";
+import * as budgets from "./restart_budget.ts";
 import * as tasks from "./task.ts";
 import type * as workflows from "./workflow.ts";
 import * as states from "./workflow_state.ts";
@@ -32,6 +32,7 @@
   taskKey: string,
   run: number,
   worker: string,
+  presence?: budgets.Presence,
   isGone?: true,
 ];
 
@@ -59,6 +60,8 @@
 
 /** Waiting tasks with a checkpoint or failures that are listed at most. */
 const MOST_WAITING_LISTED = 200;
+/** Runs on endpoints that are gone of which a record tells at most: 10 KB. */
+const MOST_DOUBTS_LISTED = 200;
 /** Characters of all checkpoints of one record; others begin anew. */
 const MOST_CHECKPOINT_LENGTH = 12_000;
 const NO_WORKER = -1;
@@ -130,14 +133,26 @@
 ): Pick<ProgressRecord, "openEnds"> {
   if (ends.length === 0) return {};
   return {
-    openEnds: ends.map(({ task, run, worker, isGone }) =>
+    openEnds: selectOpenEnds(ends).map((
+      { task, run, worker, presence, isGone },
+    ) =>
       isGone === true
-        ? [task.key, run, worker, isGone]
-        : [task.key, run, worker]
+        ? [task.key, run, worker, presence, isGone]
+        : [task.key, run, worker, presence]
     ),
   };
 }
 
+/** Doubts may be lost, the newest last; ends that may still count are kept. */
+function selectOpenEnds(
+  ends: readonly openEnds.OpenEnd[],
+): readonly openEnds.OpenEnd[] {
+  const doubts = new Set(
+    ends.filter(({ isGone }) => isGone === true).slice(-MOST_DOUBTS_LISTED),
+  );
+  return ends.filter((end) => end.isGone !== true || doubts.has(end));
+}
+
 /** Failures and crashes count towards the end of a workflow: they come first. */
 function selectWaiting(waiting: readonly tasks.Task[]): tasks.Task[] {
   return waiting
@@ -195,10 +210,11 @@
     const task = workflow.task(key);
     if (task !== undefined) applyListed(task, kept, record.workers);
   }
-  for (const [key, run, worker, isGone] of record.openEnds ?? []) {
+  for (const [key, run, worker, kept, isGone] of record.openEnds ?? []) {
     const task = workflow.task(key);
     if (task === undefined) continue;
-    workflow.openEnds.add({ task, run, worker, isGone });
+    const presence = kept ?? budgets.Presence.Likely;
+    workflow.openEnds.add({ task, run, worker, presence, isGone });
   }
   workflow.giveUp = record.giveUp ?? null;
 }
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -21,8 +21,7 @@
   /** Its start may have been lost, or came when the endpoint had ended. */
   Unknown = 0,
   /**
-   * The endpoint had answered just before the start was sent and never again, or
-   * an earlier coordinator has recorded the start.
+   * The endpoint had answered just before the start was sent and never again.
    */
   Likely = 1,
   /** Its start was answered, or a look has shown it. */
@@ -201,5 +200,5 @@
 }): boolean {
   const { failures, crashes, attempts, open } = known;
   return failures + open < attempts &&
-    crashes.laid + crashes.excused + open < MOST_LAID;
+    crashes.laid + crashes.excused + crashes.unseen + open < MOST_LAID;
 }
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -23,6 +23,8 @@
   readonly crash?: budgets.CrashEvidence;
   /** Of a lost run: how it ended may still be told. */
   readonly isOpen?: boolean;
+  /** Of a lost run: how sure it is that its endpoint had it. */
+  readonly presence?: budgets.Presence;
 }
 
 /** Tasks of one workflow that may be placed at once. */
@@ -134,9 +136,12 @@
     if (ended.how === tasks.RunEnd.Done && !task.step.lasting) {
       this.#markDone(task);
     }
+    this.#forgiveProven(task, nowMs);
     this.#count(task, ended, nowMs);
     if (ended.isOpen === true && task.worker !== null) {
-      this.openEnds.add({ task, run: ended.run, worker: task.worker });
+      const { worker } = task;
+      const presence = ended.presence ?? budgets.Presence.Likely;
+      this.openEnds.add({ task, run: ended.run, worker, presence });
     }
     if (ended.how === tasks.RunEnd.Broken) {
       this.#brokenRuns.add(gangRun(task, task.run));
@@ -167,9 +172,10 @@
    * crash, and no reason to end the work: it may be cut off. Returns false where
    * nothing follows.
    */
-  suspectGone(task: tasks.Task, run: number, worker: string): boolean {
-    if (this.isOver || task.state === tasks.TaskState.Done) return false;
-    this.openEnds.add({ task, run, worker, isGone: true });
+  suspectGone(end: Omit<openEnds.OpenEnd, "isGone">): boolean {
+    const isDone = end.task.state === tasks.TaskState.Done;
+    if (this.isOver || isDone) return false;
+    this.openEnds.add({ ...end, isGone: true });
     return true;
   }
 
@@ -251,6 +257,14 @@
     }
   }
 
+  /** A lasting task that ran for long does not crash its endpoints. */
+  #forgiveProven(task: tasks.Task, nowMs: number): void {
+    const ranMs = nowMs - task.startedAtMs;
+    if (!budgets.isProvenLasting(task.step, ranMs)) return;
+    task.crashes = budgets.NO_CRASHES;
+    this.openEnds.closeTask(task);
+  }
+
   /** A gang's members end together, and a checkpoint of one serves all. */
   #group(task: tasks.Task): readonly tasks.Task[] {
     return task.step.gang ? this.siblings(task) : [task];
@@ -263,6 +277,7 @@
   #markDone(task: tasks.Task): void {
     for (const member of this.#group(task)) {
       member.state = tasks.TaskState.Done;
+      this.openEnds.closeTask(member);
     }
   }
 
@@ -287,9 +302,7 @@
     const id = taskRun(task, run);
     if (this.#countedCrashes.has(id)) return;
     this.#countedCrashes.add(id);
-    const ranMs = nowMs - task.startedAtMs;
-    const isProven = budgets.isProvenLasting(task.step, ranMs);
-    const former = isProven ? budgets.NO_CRASHES : task.crashes;
+    const former = task.crashes;
     task.crashes = budgets.addCrash(former, crash);
     const { laid, unseen } = task.crashes;
     if (laid + unseen === former.laid + former.unseen) {
