Take an answer with an odd body for no more than it proves

Cause: an answer's meaning was lost or changed where its body was missing or odd. An empty body under application/json counted as a lost answer, whatever its status said. A 409 of an endpoint without a known reason passed for a sure refusal, and {} for an endpoint without runs, whose clock was then undefined.

Now only what an answer shows is taken from it. The stand-in workers' and platform's adapters had the same faults, or would have got them with empty JSON bodies taken as null; they are mended too.

Ruled out: that the platform's own answers leave such fields out. That a 409 with an unknown reason could stay a refusal: a reason that nobody knows may mean that the run is there.

Conclusion: an odd answer costs a read or another try; it no longer decides what became of an order or a write.

--- a/packages/adapters/src/http_platform.ts
+++ b/packages/adapters/src/http_platform.ts
@@ -159,11 +159,27 @@
             ? new Errors.StoreUnavailableError({ operation, cause: err.cause })
             : new Errors.AnswerLostError({ operation }),
         ),
-      onSuccess: (reply) => checkStatus(operation, reply),
+      onSuccess: (reply) =>
+        mayHaveNoBody(what, reply) || isComposite(reply.body)
+          ? checkStatus(operation, reply)
+          : Effect.fail(new Errors.AnswerLostError({ operation })),
     });
   }
 }
 
+function mayHaveNoBody(
+  { method }: HttpJson.HttpCall,
+  { status }: HttpJson.HttpReply,
+): boolean {
+  return method === "PUT" ||
+    (status !== STATUS_OK && status !== STATUS_CONFLICT);
+}
+
+/** An object or a list. */
+function isComposite(body: unknown): boolean {
+  return typeof body === "object" && body !== null;
+}
+
 function checkStatus(
   operation: string,
   reply: HttpJson.HttpReply,
--- a/packages/adapters/src/http_workers.ts
+++ b/packages/adapters/src/http_workers.ts
@@ -10,9 +10,20 @@
 
 const STATUS_REFUSED = 409;
 const STATUS_OK = 200;
+const REASONS: ReadonlySet<string> = new Set(
+  Object.values(Errors.RefusalReason),
+);
 /** Connections of a box to a worker that carry orders and reports. */
 const CONTROL_CONNECTIONS = 2;
 
+/** An order on its way. */
+interface Order {
+  readonly path: string;
+  readonly body: unknown;
+  /** The answer tells something: one without an object is none. */
+  readonly isAsking: boolean;
+}
+
 /** Adapter of the workers' port. */
 export class HttpWorkers extends Ports.Workers {
   readonly #runs: HttpJson.HttpCaller;
@@ -40,49 +51,58 @@
   }
 
   override seal(endpoint: string, fence: Types.Fence) {
-    return this.#order<Types.Inventory>(endpoint, "seal", fence);
+    return this.#ask<Types.Inventory>(endpoint, "seal", fence);
   }
 
   override hold(endpoint: string, order: Types.HoldOrder) {
-    return this.#order<void>(endpoint, "hold", order);
+    return this.#tell(endpoint, "hold", order);
   }
 
   override start(endpoint: string, order: Types.TaskOrder) {
-    return this.#order<void>(endpoint, "start", order);
+    return this.#tell(endpoint, "start", order);
   }
 
   override run(endpoint: string, order: Types.HoldOrder) {
     return this.#call<Types.TaskAnswer>(this.#runs, endpoint, {
       path: "/v1/run",
       body: order,
+      isAsking: true,
     });
   }
 
   override stop(endpoint: string, order: Types.StopOrder) {
-    return this.#order<Types.StopReply>(endpoint, "stop", order);
+    return this.#ask<Types.StopReply>(endpoint, "stop", order);
   }
 
   override report(endpoint: string, request: Types.ReportRequest) {
-    return this.#order<Types.WorkerReport>(endpoint, "report", request);
+    return this.#ask<Types.WorkerReport>(endpoint, "report", request);
   }
 
-  #order<A>(
+  #ask<A>(
     endpoint: string,
     name: string,
     body: unknown,
   ): Effect.Effect<A, Ports.WorkerError> {
-    return this.#call<A>(this.#orders, endpoint, {
-      path: `/v1/${name}`,
-      body,
-    });
+    const what = { path: `/v1/${name}`, body, isAsking: true };
+    return this.#call<A>(this.#orders, endpoint, what);
+  }
+
+  #tell(
+    endpoint: string,
+    name: string,
+    body: unknown,
+  ): Effect.Effect<void, Ports.WorkerError> {
+    const what = { path: `/v1/${name}`, body, isAsking: false };
+    return this.#call<void>(this.#orders, endpoint, what);
   }
 
   #call<A>(
     caller: HttpJson.HttpCaller,
     endpoint: string,
-    what: { path: string; body: unknown },
+    what: Order,
   ): Effect.Effect<A, Ports.WorkerError> {
-    const call = caller.call(endpoint, { method: "POST", ...what });
+    const { path, body } = what;
+    const call = caller.call(endpoint, { method: "POST", path, body });
     return Effect.matchEffect(call, {
       onFailure: (err) =>
         Effect.fail<Ports.WorkerError>(
@@ -92,35 +112,47 @@
             neverSent: err.neverSent,
           }),
         ),
-      onSuccess: (reply) => readReply<A>(endpoint, reply),
+      onSuccess: (reply) => readReply<A>(endpoint, what, reply),
     });
   }
 }
 
 function readReply<A>(
   endpoint: string,
-  reply: HttpJson.HttpReply,
+  what: Order,
+  { status, body }: HttpJson.HttpReply,
 ): Effect.Effect<A, Ports.WorkerError> {
-  if (reply.status === STATUS_OK) return Effect.succeed(reply.body as A);
-  if (reply.status === STATUS_REFUSED) {
-    const body = reply.body as {
-      worker?: string;
-      reason?: Errors.RefusalReason;
-      epoch?: number;
-    };
-    return Effect.fail(
-      new Errors.WorkerRefusedError({
-        worker: body.worker ?? endpoint,
-        reason: body.reason ?? Errors.RefusalReason.Malformed,
-        epoch: body.epoch ?? 0,
-      }),
-    );
+  if (status === STATUS_OK) {
+    return what.isAsking && !HttpJson.isObject(body)
+      ? lose(endpoint, "status 200 without an object")
+      : Effect.succeed(body as A);
   }
+  return status === STATUS_REFUSED
+    ? readRefusal(endpoint, body)
+    : lose(endpoint, `status ${status}`);
+}
+
+/** Without a known reason it proves nothing: the task may be there already. */
+function readRefusal(
+  endpoint: string,
+  body: unknown,
+): Effect.Effect<never, Ports.WorkerError> {
+  const told = (HttpJson.isObject(body) ? body : {}) as {
+    worker?: string;
+    reason?: Errors.RefusalReason;
+    epoch?: number;
+  };
+  const { worker = endpoint, reason, epoch = 0 } = told;
+  return reason !== undefined && REASONS.has(reason)
+    ? Effect.fail(new Errors.WorkerRefusedError({ worker, reason, epoch }))
+    : lose(endpoint, "status 409 without a known reason");
+}
+
+function lose(
+  worker: string,
+  cause: string,
+): Effect.Effect<never, Errors.WorkerLostError> {
   return Effect.fail(
-    new Errors.WorkerLostError({
-      worker: endpoint,
-      cause: `status ${reply.status}`,
-      neverSent: false,
-    }),
+    new Errors.WorkerLostError({ worker, cause, neverSent: false }),
   );
 }
--- /dev/null
+++ b/packages/adapters/src/odd_bodies_test.ts
@@ -0,0 +1,83 @@
+/** Answers of workers and platform with a missing or odd body. */
+import * as HttpJson from "@cairngate/http-json";
+import * as Effect from "effect/Effect";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as vitest from "vitest";
+import * as platforms from "./http_platform.ts";
+import * as workers from "./http_workers.ts";
+
+/** Status and text of the next answers. */
+let answer: { status: number; text: string };
+let address = "";
+const server = http.createServer((req, res) => {
+  req.resume();
+  req.on("end", () => {
+    const headers = { "content-type": "application/json" };
+    res.writeHead(answer.status, headers).end(answer.text);
+  });
+});
+const client = new workers.HttpWorkers(3);
+
+vitest.beforeAll(async () => {
+  await Effect.runPromise(HttpJson.listen(server, "127.0.0.1:0"));
+  address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+});
+
+vitest.afterAll(() => {
+  client.close();
+  server.close();
+  server.closeAllConnections();
+});
+
+/** The tag of a failure; "none" where it is taken for a success. */
+async function failureOf<A, E extends { readonly _tag: string }>(
+  effect: Effect.Effect<A, E>,
+): Promise<string> {
+  const result = await Effect.runPromise(Effect.result(effect));
+  return result._tag === "Success" ? "none" : result.failure._tag;
+}
+
+vitest.describe("a worker's answer", () => {
+  const seal = () => client.seal(address, { cell: "c-1", epoch: 2 });
+
+  for (const text of ["", "null", "{}", '{"reason":"else"}']) {
+    vitest.it(`is no sure refusal with the body '${text}'`, async () => {
+      answer = { status: 409, text };
+      vitest.expect(await failureOf(seal())).toBe("WorkerLostError");
+    });
+  }
+
+  vitest.it("is a refusal with a reason", async () => {
+    answer = { status: 409, text: '{"reason":"stale-epoch","epoch":4}' };
+    const refused = await Effect.runPromise(Effect.flip(seal()));
+    vitest.expect(refused).toMatchObject({
+      _tag: "WorkerRefusedError",
+      worker: address,
+      reason: "stale-epoch",
+      epoch: 4,
+    });
+  });
+
+  for (const text of ["", "null", "[]"]) {
+    vitest.it(`tells nothing by 200 and '${text}'`, async () => {
+      answer = { status: 200, text };
+      vitest.expect(await failureOf(seal())).toBe("WorkerLostError");
+    });
+  }
+});
+
+vitest.describe("the platform's answer", () => {
+  const table = () => new platforms.HttpTable(address);
+  const tx = { writeId: "w", conditions: [], writes: [] };
+
+  for (const status of [200, 409]) {
+    for (const text of ["", "null"]) {
+      vitest.it(`is lost with ${status} and '${text}'`, async () => {
+        answer = { status, text };
+        vitest.expect(await failureOf(table().transact(tx)))
+          .toBe("AnswerLostError");
+      });
+    }
+  }
+});
--- a/packages/http-json/src/http_caller.ts
+++ b/packages/http-json/src/http_caller.ts
@@ -266,9 +266,13 @@
   });
 }
 
-/** Undefined where the answer claims to be JSON and is not. */
+/**
+ * Undefined where the answer claims to be JSON and is not. One without a body is
+ * whole: its status may say all.
+ */
 function parseAnswer(text: string, type: string): unknown {
   if (!type.includes("json")) return text;
+  if (text === "") return null;
   try {
     return JSON.parse(text) as unknown;
   } catch {
