Keep which runs counted towards giving a task up

Cause: a workflow that is given up records counts only ("3 crashes laid"). Which runs these were, where, and what showed their ends lay in log lines of whichever box coordinated, so nobody could tell a crash under a run from one before its start once the logs were gone.

Each task now has a history of at most 12 runs that counted or might have: run, endpoint, how it ended, the evidence, what it counted. Nothing is decided by it. The record of a give-up carries it, about 45 characters a run. While a workflow is open its tasks' histories go into its row as well, worst first, up to 4,000 characters and only as far as the row has room; where some had none the row says so, and later give-ups say that runs may be missing. Records without histories are read as before.

Ruled out: keeping all histories of all listed tasks (700 tasks of 12 runs would not fit into a row); a fixed bound alone: a first try with 4,000 characters whatever the row held made a record of 50,595 characters where 49,152 fit.

--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -29,6 +29,13 @@
   holdMs,
   Presence,
 } from "./src/restart_budget.ts";
+export {
+  RunCount,
+  type RunEntry,
+  RunEvidence,
+  type RunHistory,
+} from "./src/run_history.ts";
+export { readGiveUp } from "./src/history_record.ts";
 export { type EndOfRun, type Unit, Workflow } from "./src/workflow.ts";
 export { isFinal, WorkflowState } from "./src/workflow_state.ts";
 export {
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -3,9 +3,10 @@
  * to fit into one row of the store, however many tasks a workflow has, so only
  * tasks that are under way are listed one by one.
  */
+import * as historyRecords from "./history_record.ts";
 import * as indexSets from "./index_set.ts";
 import type * as openEnds from "./open_ends.ts";
-import type * as budgets from "./restart_budget.ts";
+import * as histories from "./run_history.ts";
 import * as tasks from "./task.ts";
 import type * as workflows from "./workflow.ts";
 import * as states from "./workflow_state.ts";
@@ -36,7 +37,8 @@
 ];
 
 /** What is kept of a workflow; untouched tasks are left out. */
-export interface ProgressRecord {
+export interface ProgressRecord
+  extends historyRecords.ListedHistories, historyRecords.KeptGiveUp {
   readonly state: states.WorkflowState;
   /** Left out: no cancel was known. Stays until the end is recorded. */
   readonly cancelled?: true;
@@ -53,14 +55,17 @@
   readonly tasks: Readonly<Record<string, ListedTask>>;
   /** Left out: there are none. */
   readonly openEnds?: readonly ListedOpenEnd[];
-  /** Left out: it was not given up. */
-  readonly giveUp?: budgets.GiveUp;
 }
 
 /** Waiting tasks with a checkpoint or failures that are listed at most. */
 const MOST_WAITING_LISTED = 200;
 /** Characters of all checkpoints of one record; others begin anew. */
 const MOST_CHECKPOINT_LENGTH = 12_000;
+/**
+ * Characters of a record into which histories still go: rows of 64 KB hold 49,152 in
+ * the platform's encoding; the rest is for their keys and marks.
+ */
+const MOST_LENGTH_WITH_HISTORIES = 47_000;
 const NO_WORKER = -1;
 /** Steps of all rounds up to which each has an entry: 10 KB of 20 bytes each. */
 const MOST_NAMED_STEPS = 500;
@@ -87,6 +92,7 @@
   const workers = new Map<string, number>();
   const listed = new Map<string, ListedTask>();
   const waiting: tasks.Task[] = [];
+  const noted: tasks.Task[] = [];
   const budget = { checkpoints: MOST_CHECKPOINT_LENGTH };
   const hasEnded = states.isFinal(workflow.state);
   const groups = groupsOf(workflow);
@@ -96,6 +102,7 @@
     for (const [place, task] of members.entries()) {
       const isDone = task.state === tasks.TaskState.Done;
       if (isDone) places.push(place);
+      else if (task.history !== histories.NO_HISTORY) noted.push(task);
       if (task.isPlaced) listed.set(task.key, listTask(task, workers, budget));
       else if (!isDone && task.run > 0) {
         waiting.push(task);
@@ -113,7 +120,7 @@
     const name = nameOf.get(task) ?? ALL_STEPS;
     runs[name] = Math.max(runs[name] ?? 0, task.run);
   }
-  return {
+  const record: ProgressRecord = {
     state: workflow.state,
     ...(workflow.cancelled && !hasEnded ? { cancelled: true } : {}),
     workers: [...workers.keys()],
@@ -121,8 +128,12 @@
     runs,
     tasks: Object.fromEntries(listed),
     ...listOpenEnds(hasEnded ? [] : workflow.openEnds.all),
-    ...(workflow.giveUp === null ? {} : { giveUp: workflow.giveUp }),
+    ...historyRecords.listGiveUp(workflow.giveUp),
   };
+  if (noted.length === 0 || hasEnded) return record;
+  const roomLength = MOST_LENGTH_WITH_HISTORIES - JSON.stringify(record).length;
+  const kept = historyRecords.listHistories(worstFirst(noted), roomLength);
+  return { ...record, ...kept };
 }
 
 function listOpenEnds(
@@ -138,12 +149,16 @@
   };
 }
 
+function worstFirst(some: readonly tasks.Task[]): tasks.Task[] {
+  return some.toSorted((a, b) => badEnds(b) - badEnds(a));
+}
+
 /** Failures and crashes count towards the end of a workflow: they come first. */
 function selectWaiting(waiting: readonly tasks.Task[]): tasks.Task[] {
-  return waiting
-    .filter((task) => badEnds(task) > 0 || task.checkpoint !== "")
-    .sort((a, b) => badEnds(b) - badEnds(a))
-    .slice(0, MOST_WAITING_LISTED);
+  const kept = waiting.filter((task) =>
+    badEnds(task) > 0 || task.checkpoint !== ""
+  );
+  return worstFirst(kept).slice(0, MOST_WAITING_LISTED);
 }
 
 function listTask(
@@ -200,7 +215,8 @@
     if (task === undefined) continue;
     workflow.openEnds.add({ task, run, worker, isGone });
   }
-  workflow.giveUp = record.giveUp ?? null;
+  historyRecords.applyHistories(workflow, record);
+  workflow.giveUp = historyRecords.readGiveUp(record);
 }
 
 function applyListed(
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -2,6 +2,7 @@
  * How often work may be started again: the one place that counts failed runs,
  * crashed endpoints and runs whose end is not known, and says when to give up.
  */
+import type * as histories from "./run_history.ts";
 import type * as spec from "./spec.ts";
 
 /** Endpoints that have crashed under one task, or may have. */
@@ -53,6 +54,8 @@
   readonly run: number;
   readonly failures: number;
   readonly crashes: CrashCount;
+  /** Its runs that counted, or might have; null: an earlier version kept none. */
+  readonly history: histories.RunHistory | null;
 }
 
 /**
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -1,5 +1,6 @@
 /** One task of a workflow and the place where it runs. */
 import * as budgets from "./restart_budget.ts";
+import * as histories from "./run_history.ts";
 import type * as spec from "./spec.ts";
 import type * as workflows from "./workflow.ts";
 
@@ -52,6 +53,8 @@
   crashes = budgets.NO_CRASHES;
   /** Runs whose endpoints are neither heard nor listed any more. */
   goneRuns = 0;
+  /** Runs that counted towards giving it up, or might have. */
+  history = histories.NO_HISTORY;
   /** Runs that were stopped because they were slow. */
   slowRuns = 0;
   /** Newest run that a worker has confirmed; kept for suspects only. */
@@ -101,6 +104,11 @@
     return this.crashes.laid + this.crashes.unseen + this.goneRuns > 0;
   }
 
+  /** Takes a run into its history. */
+  note(entry: histories.RunEntry): void {
+    this.history = histories.addEntry(this.history, entry);
+  }
+
   /** Gives the task a place under a new run number. */
   place(worker: string, run: number, nowMs: number): void {
     this.state = TaskState.Starting;
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -1,6 +1,7 @@
 /** A workflow in the coordinator's memory, with all of its tasks. */
 import * as openEnds from "./open_ends.ts";
 import * as budgets from "./restart_budget.ts";
+import * as histories from "./run_history.ts";
 import * as spec from "./spec.ts";
 import * as tasks from "./task.ts";
 import * as states from "./workflow_state.ts";
@@ -19,6 +20,8 @@
   readonly run: number;
   readonly how: tasks.RunEnd;
   readonly checkpoint: string;
+  /** Where it ran; left out: where the task is placed. */
+  readonly endpoint?: string;
   /** Of a crash: what is known of who is to blame. */
   readonly crash?: budgets.CrashEvidence;
   /** Of a lost run: how it ended may still be told. */
@@ -135,6 +138,8 @@
     this.#count(task, ended, nowMs);
     if (ended.isOpen === true && task.worker !== null) {
       this.openEnds.add({ task, run: ended.run, worker: task.worker });
+      const { NotHeard } = histories.RunEvidence;
+      task.note(histories.openEntry(atEnd(task, ended), NotHeard));
     }
     if (ended.how === tasks.RunEnd.Broken) {
       this.#brokenRuns.add(gangRun(task, task.run));
@@ -168,6 +173,9 @@
   suspectGone(task: tasks.Task, run: number, worker: string): boolean {
     if (this.isOver || task.state === tasks.TaskState.Done) return false;
     this.openEnds.add({ task, run, worker, isGone: true });
+    const ended = { run, endpoint: worker, how: tasks.RunEnd.Lost };
+    const { NotListed } = histories.RunEvidence;
+    task.note(histories.openEntry(ended, NotListed));
     return true;
   }
 
@@ -180,6 +188,7 @@
     const count = budgets.excuseCrash(task.crashes);
     const isChanged = count !== task.crashes;
     task.crashes = count;
+    if (isChanged) task.history = histories.excuseNewest(task.history);
     return isChanged;
   }
 
@@ -228,13 +237,17 @@
     const wasOpen = this.openEnds.close(task, ended.run);
     const isCrash = ended.how === tasks.RunEnd.Crashed;
     if (!wasOpen && !isCrash) return false;
+    if (wasOpen) {
+      const { Withdrawn } = histories.RunEvidence;
+      task.note(histories.openEntry(atEnd(task, ended), Withdrawn));
+    }
     this.#count(task, ended, nowMs);
     return true;
   }
 
   #count(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
     if (ended.how === tasks.RunEnd.Failed) {
-      this.#countFailure(task, ended.run, nowMs);
+      this.#countFailure(task, ended, nowMs);
     }
     if (ended.how === tasks.RunEnd.Crashed) {
       this.#countCrash(task, ended, nowMs);
@@ -256,17 +269,20 @@
     }
   }
 
-  #countFailure(task: tasks.Task, run: number, nowMs: number): void {
+  #countFailure(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
     if (task.step.lasting) return;
+    const { run } = ended;
     if (task.step.gang) {
       const id = gangRun(task, run);
       if (this.#countedFailures.has(id)) return;
       this.#countedFailures.add(id);
       this.openEnds.closeRun(task.stepKey, run);
     }
+    const entry = histories.failedEntry(atEnd(task, ended));
     for (const member of this.#group(task)) {
       member.failures++;
       member.failedAtMs = nowMs;
+      member.note(entry);
     }
     if (task.failures < this.spec.policy.attempts) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Failures);
@@ -281,6 +297,12 @@
     const isProven = budgets.isProvenLasting(task.step, ranMs);
     const former = isProven ? budgets.NO_CRASHES : task.crashes;
     task.crashes = budgets.addCrash(former, crash);
+    if (isProven) task.history = histories.NO_HISTORY;
+    task.note(histories.crashedEntry(atEnd(task, ended), {
+      presence: crash.presence,
+      before: former,
+      after: task.crashes,
+    }));
     if (!budgets.hasCrashedTooOften(task.crashes, crash)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
@@ -289,7 +311,8 @@
     if (task.state === tasks.TaskState.Done || this.isOver) return;
     this.state = states.WorkflowState.Failed;
     const { name, run, failures, crashes } = task;
-    this.giveUp = { reason, task: name, run, failures, crashes };
+    const history = histories.checkHistory(task.history, task);
+    this.giveUp = { reason, task: name, run, failures, crashes, history };
   }
 
   #conclude(): void {
@@ -301,6 +324,14 @@
   }
 }
 
+/** An end for the history of a task. */
+function atEnd(
+  task: tasks.Task,
+  { run, how, endpoint }: EndOfRun,
+): histories.RunAtEnd {
+  return { run, how, endpoint: endpoint ?? task.worker ?? "" };
+}
+
 /** Name of a run of a gang within its workflow. */
 function gangRun(task: tasks.Task, run: number): string {
   return `${task.stepKey}.${run}`;
