Show operators for which runs a workflow was given up

Cause: the give-up of a workflow could be seen in the log of one box only.

Any node tells it from the rows (WorkflowNode.tellWorkflow), so it is there after a restart of all boxes and while nobody coordinates; the log has one line for each run when the workflow is given up. Run ends carry the endpoint to the workflow, as a run that is over has no place of its own any more.

Ruled out: the coordinator's dump. It lists open workflows only, is there on one node only, and would grow with all that were ever given up.

Figures: given_up_test has 6 tests.

--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -1,11 +1,15 @@
 /** The coordinator: election, recovery, decisions carried out. */
 export { Coordinator } from "./src/work/coordinator.ts";
-export type {
-  CoordinatorDump,
-  EvacuationDump,
-  GuaranteeDump,
-  WorkerDump,
-  WorkflowDump,
+export {
+  type CoordinatorDump,
+  describeGiveUp,
+  type EvacuationDump,
+  type GiveUpDump,
+  type GuaranteeDump,
+  type RunDump,
+  type WorkerDump,
+  type WorkflowDump,
+  type WorkflowStory,
 } from "./src/work/describe.ts";
 export {
   type Evacuation,
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -175,7 +175,8 @@
     const { clock, metrics } = this.#ports;
     const nowMs = clock.monotonicMs();
     const wasOver = workflow.isOver;
-    workflow.endRun(task, { run, ...end }, nowMs);
+    const endpoint = worker.ref.id;
+    workflow.endRun(task, { run, endpoint, ...end }, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) worker.health.succeeded(nowMs);
     else this.#runLost(worker, occupant, end);
@@ -190,9 +191,10 @@
     const { workflow } = task;
     const nowMs = this.#ports.clock.monotonicMs();
     const wasOver = workflow.isOver;
-    const isNews = workflow.endRun(task, { run, ...end }, nowMs);
+    const endpoint = worker.ref.id;
+    const isNews = workflow.endRun(task, { run, endpoint, ...end }, nowMs);
     if (!isNews) return Effect.void;
-    this.#endLog.endedLate({ task, run, endpoint: worker.ref.id }, end);
+    this.#endLog.endedLate({ task, run, endpoint }, end);
     return this.#settle(workflow, wasOver);
   }
 
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -3,6 +3,7 @@
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
+import * as sentences from "./run_sentences.ts";
 
 /** One workflow that has not ended. */
 export interface WorkflowDump {
@@ -57,6 +58,42 @@
   readonly guarantees: GuaranteeDump;
 }
 
+/** One run for which a workflow was given up. */
+export interface RunDump extends Workflow.RunEntry {
+  /** The same for people. */
+  readonly sentence: string;
+}
+
+/** Why a workflow was given up. */
+export interface GiveUpDump extends Omit<Workflow.GiveUp, "history"> {
+  /** Runs that counted, or might have; null: an earlier version kept none. */
+  readonly runs: readonly RunDump[] | null;
+  /** More runs may have counted. */
+  readonly isPartial: boolean;
+}
+
+/** What the rows of one workflow tell. */
+export interface WorkflowStory {
+  readonly id: string;
+  readonly state: Workflow.WorkflowState;
+  /** Null where it was not given up. */
+  readonly giveUp: GiveUpDump | null;
+}
+
+/** Describes why a workflow was given up. */
+export function describeGiveUp(giveUp: Workflow.GiveUp): GiveUpDump {
+  const { history, ...known } = giveUp;
+  const runs = history?.entries.map((entry) => ({
+    ...entry,
+    sentence: sentences.describeRun(entry),
+  }));
+  return {
+    ...known,
+    runs: runs ?? null,
+    isPartial: history?.isPartial ?? true,
+  };
+}
+
 /** Describes one workflow. */
 export function describeWorkflow(
   workflow: Workflow.Workflow,
--- a/packages/coordinator/src/work/end_log.ts
+++ b/packages/coordinator/src/work/end_log.ts
@@ -2,6 +2,7 @@
 import * as Workflow from "@cairngate/workflow";
 import type * as ports from "../ports.ts";
 import * as listeners from "../sessions/session_listener.ts";
+import * as sentences from "./run_sentences.ts";
 
 /** A run on an endpoint. */
 export interface RunPlace {
@@ -71,6 +72,11 @@
         `are laid to it, ${crashes.excused} are not, with ${crashes.unseen} ` +
         `nothing has shown its run.`,
     );
+    const { entries = [], isPartial = true } = giveUp.history ?? {};
+    for (const entry of entries) {
+      log.info(`Given up ${task}: ${sentences.describeRun(entry)}`);
+    }
+    if (isPartial) log.info(`Given up ${task}: ${sentences.PARTIAL}`);
   }
 
   /** One line for each crash with which a task may have something to do. */
--- /dev/null
+++ b/packages/coordinator/src/work/run_sentences.ts
@@ -0,0 +1,37 @@
+/** Sentences on the runs for which a workflow was given up. */
+import * as Workflow from "@cairngate/workflow";
+
+const { RunCount, RunEvidence } = Workflow;
+
+/** What is told where runs may be missing. */
+export const PARTIAL =
+  "More runs may have counted; they are too many, or an earlier coordinator saw them.";
+
+const EVIDENCE: Readonly<Record<Workflow.RunEvidence, string>> = {
+  [RunEvidence.OwnWord]: "by its own word",
+  [RunEvidence.SeenThere]:
+    "another endpoint answered at its address, and the run had been seen there",
+  [RunEvidence.Likely]:
+    "another endpoint answered at its address, and the start " +
+    "had followed an answer within 0.15 s or was on record",
+  [RunEvidence.NeverShown]:
+    "another endpoint answered at its address, and nothing has shown the run there",
+  [RunEvidence.NotListed]: "its endpoint is neither heard nor listed",
+  [RunEvidence.NotHeard]: "its gang ended, and its endpoint was not heard",
+  [RunEvidence.Withdrawn]: "its end was open until the endpoint answered again",
+};
+
+const COUNT: Readonly<Record<Workflow.RunCount, string>> = {
+  [RunCount.Failure]: "It counts as a failure.",
+  [RunCount.Crash]: "It counts as a crash laid to the task.",
+  [RunCount.Excused]: "It is excused, as others fell at that moment.",
+  [RunCount.Suspicion]: "It is laid to nobody and is one of the ends in all.",
+  [RunCount.Nothing]: "It counts nothing.",
+};
+
+/** One run: where it was, how it ended, what shows it and what it counted. */
+export function describeRun(entry: Workflow.RunEntry): string {
+  const { run, endpoint, how, evidence, counted } = entry;
+  return `run ${run} on ${endpoint} ended as ${how}: ${EVIDENCE[evidence]}. ` +
+    COUNT[counted];
+}
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -9,4 +9,5 @@
   type Submission,
   type SubmissionOptions,
   Submissions,
+  type WorkflowStanding,
 } from "./src/submissions.ts";
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -25,6 +25,13 @@
   readonly rowBytes: number;
 }
 
+/** How a workflow stands, whoever's it is. */
+export interface WorkflowStanding {
+  readonly state: Workflow.WorkflowState;
+  /** Null where it was not given up. */
+  readonly giveUp: Workflow.GiveUp | null;
+}
+
 /** What a row holds beside the workflow. */
 const ROW_OVERHEAD_BYTES = 1000;
 
@@ -102,13 +109,17 @@
     Workflow.WorkflowState,
     Errors.UnknownJobError | Errors.StoreUnavailableError
   > {
-    return Effect.gen({ self: this }, function* () {
-      const found = yield* this.#find(allowed, id);
-      const state = stateOf(found.progress);
-      if (Workflow.isFinal(state)) return state;
-      const isCancelled = found.isCancelled ||
-        found.progress?.cancelled === true;
-      return isCancelled ? Workflow.WorkflowState.Cancelled : state;
+    return Effect.map(this.#find(allowed, id), stateOf);
+  }
+
+  /** How a workflow stands, for operators; null where there is none. */
+  standing(
+    id: string,
+  ): Effect.Effect<WorkflowStanding | null, Errors.StoreUnavailableError> {
+    return Effect.map(this.#rows.find(id), (found) => {
+      if (found === null) return null;
+      const giveUp = Workflow.readGiveUp(found.progress ?? {});
+      return { state: stateOf(found), giveUp };
     });
   }
 
@@ -135,11 +146,15 @@
   }
 }
 
-/** The state that a record shows; without one nothing has begun. */
+/** The state that the rows show; without a record nothing has begun. */
 function stateOf(
-  progress: Workflow.ProgressRecord | null,
+  { progress, isCancelled }: workflowRows.FoundWorkflow,
 ): Workflow.WorkflowState {
-  return progress?.state ?? Workflow.WorkflowState.Queued;
+  const state = progress?.state ?? Workflow.WorkflowState.Queued;
+  if (Workflow.isFinal(state)) return state;
+  return isCancelled || progress?.cancelled === true
+    ? Workflow.WorkflowState.Cancelled
+    : state;
 }
 
 /** A tenant sees its own workflows, and those that were handed in openly. */
--- /dev/null
+++ b/packages/workflow-node/src/given_up_test.ts
@@ -0,0 +1,191 @@
+/** Operators are shown for which runs a workflow was given up. */
+import type * as Coordinator from "@cairngate/coordinator";
+import * as Logger from "@cairngate/logger";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const CRASHER = "c000000000000001";
+const TASK = `${CRASHER}.0.0.0`;
+const LIMIT_MS = 60_000;
+/** Time from a start to the end of its endpoint, in ms: the start is answered. */
+const CRASHES_AFTER_MS = 400;
+
+function letCrash(fleet: TestUtils.TestFleet): void {
+  fleet.workers.behave = () => ({
+    runMs: LIMIT_MS,
+    fails: false,
+    crashesAfterMs: CRASHES_AFTER_MS,
+  });
+}
+
+function isFailed(fleet: TestUtils.TestFleet): () => boolean {
+  return () => fleet.state(CRASHER) === Workflow.WorkflowState.Failed;
+}
+
+/** What any node tells operators of the workflow. */
+async function tell(
+  fleet: TestUtils.TestFleet,
+): Promise<Coordinator.WorkflowStory | null> {
+  const [name] = fleet.nodes.keys();
+  return await fleet.run(fleet.node(name).tellWorkflow(CRASHER));
+}
+
+/** Keeps the sentences of all parts of a box. */
+class KeptLog extends Logger.Logger {
+  readonly #kept: string[];
+
+  constructor(kept: string[]) {
+    super();
+    this.#kept = kept;
+  }
+
+  override error(sentence: string): void {
+    this.#kept.push(sentence);
+  }
+
+  override warn(sentence: string): void {
+    this.#kept.push(sentence);
+  }
+
+  override info(sentence: string): void {
+    this.#kept.push(sentence);
+  }
+
+  override debug(): void {}
+
+  override part(): Logger.Logger {
+    return this;
+  }
+}
+
+async function restartAll(fleet: TestUtils.TestFleet): Promise<void> {
+  for (const name of [...fleet.nodes.keys()]) await fleet.kill(name);
+  for (const name of ["node-4", "node-5"]) fleet.startNode(name);
+  await fleet.clock.advance(10_000);
+}
+
+vitest.describe("a workflow that was given up", () => {
+  vitest.it("shows its runs, also after a restart of all boxes", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1] });
+    letCrash(fleet);
+    await fleet.start();
+    await fleet.submit("node-1", CRASHER);
+    await fleet.until(isFailed(fleet), LIMIT_MS);
+    await restartAll(fleet);
+    const story = await tell(fleet);
+    vitest.expect(story?.state).toBe(Workflow.WorkflowState.Failed);
+    vitest.expect(story?.giveUp).toMatchObject({
+      reason: Workflow.GiveUpReason.Crashes,
+      task: TASK,
+      isPartial: false,
+    });
+    const shown = story?.giveUp?.runs ?? [];
+    vitest.expect(shown.map(({ run, endpoint }) => ({ run, endpoint })))
+      .toEqual(
+        fleet.workers.runsOf(TASK).map(({ run, worker }) => ({
+          run,
+          endpoint: worker,
+        })),
+      );
+    for (const { how, evidence, counted } of shown) {
+      vitest.expect({ how, evidence, counted }).toEqual({
+        how: Workflow.RunEnd.Crashed,
+        evidence: Workflow.RunEvidence.SeenThere,
+        counted: Workflow.RunCount.Crash,
+      });
+    }
+    await fleet.stop();
+  });
+
+  vitest.it("shows runs that earlier coordinators saw", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1] });
+    letCrash(fleet);
+    await fleet.start();
+    await fleet.submit("node-1", CRASHER);
+    // Its crash is known once the second run has begun elsewhere.
+    await fleet.until(() => fleet.workers.runsOf(TASK).length === 2, LIMIT_MS);
+    const former = fleet.coordinator() ?? "";
+    await fleet.kill(former);
+    fleet.startNode(`${former}+`);
+    await fleet.until(isFailed(fleet), LIMIT_MS);
+    const giveUp = (await tell(fleet))?.giveUp;
+    vitest.expect(giveUp?.isPartial).toBe(false);
+    vitest.expect(giveUp?.runs?.map(({ run }) => run))
+      .toEqual(fleet.workers.runsOf(TASK).map(({ run }) => run));
+    await fleet.stop();
+  });
+
+  vitest.it("shows failed runs by the endpoints' own word", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
+    fleet.workers.behave = () => ({ runMs: 100, fails: true });
+    await fleet.start();
+    await fleet.submit("node-1", CRASHER);
+    await fleet.until(isFailed(fleet), LIMIT_MS);
+    const giveUp = (await tell(fleet))?.giveUp;
+    vitest.expect(giveUp?.reason).toBe(Workflow.GiveUpReason.Failures);
+    vitest.expect(giveUp?.runs?.map(({ evidence }) => evidence))
+      .toEqual(Array(3).fill(Workflow.RunEvidence.OwnWord));
+    vitest.expect(giveUp?.runs?.[0].sentence).toContain("by its own word");
+    await fleet.stop();
+  });
+
+  vitest.it("has a line in the log for each of its runs", async () => {
+    const kept: string[] = [];
+    const fleet = new TestUtils.TestFleet({
+      workers: [1, 1, 1, 1],
+      logOf: () => new KeptLog(kept),
+    });
+    letCrash(fleet);
+    await fleet.start();
+    await fleet.submit("node-1", CRASHER);
+    await fleet.until(isFailed(fleet), LIMIT_MS);
+    const lines = kept.filter((line) => line.startsWith(`Given up ${TASK}:`));
+    vitest.expect(lines).toEqual(
+      fleet.workers.runsOf(TASK).map(({ run, worker }) =>
+        `Given up ${TASK}: run ${run} on ${worker} ended as crashed: another ` +
+        "endpoint answered at its address, and the run had been seen there. " +
+        "It counts as a crash laid to the task."
+      ),
+    );
+    await fleet.stop();
+  });
+
+  vitest.it("of an earlier version is told without its runs", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1] });
+    letCrash(fleet);
+    await fleet.start();
+    await fleet.submit("node-1", CRASHER);
+    await fleet.until(isFailed(fleet), LIMIT_MS);
+    await fleet.clock.advance(1000);
+    const [row] = fleet.table.rowsUnder("progress:")
+      .filter(({ key }) => key.endsWith(`/${CRASHER}`));
+    const record = JSON.parse(JSON.stringify(row.value));
+    delete record.giveUp.history;
+    for (const name of [...fleet.nodes.keys()]) await fleet.kill(name);
+    fleet.write(row.key, record);
+    fleet.startNode("node-4");
+    await fleet.clock.advance(10_000);
+    const story = await tell(fleet);
+    vitest.expect(story?.state).toBe(Workflow.WorkflowState.Failed);
+    vitest.expect(story?.giveUp).toMatchObject({ task: TASK, runs: null });
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a workflow that was not given up", () => {
+  vitest.it("is told of by its state", async () => {
+    const fleet = new TestUtils.TestFleet();
+    await fleet.start();
+    vitest.expect(await tell(fleet)).toBeNull();
+    await fleet.submit("node-1", CRASHER);
+    const completed = Workflow.WorkflowState.Completed;
+    await fleet.until(() => fleet.state(CRASHER) === completed);
+    vitest.expect(await tell(fleet)).toEqual({
+      id: CRASHER,
+      state: completed,
+      giveUp: null,
+    });
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -253,6 +253,21 @@
     );
   }
 
+  /** What the store tells of a workflow, for operators; null: of none. */
+  tellWorkflow(
+    id: string,
+  ): Effect.Effect<
+    Coordinator.WorkflowStory | null,
+    Errors.StoreUnavailableError
+  > {
+    return Effect.map(this.submissions.standing(id), (standing) => {
+      if (standing === null) return null;
+      const { state, giveUp } = standing;
+      const told = giveUp === null ? null : Coordinator.describeGiveUp(giveUp);
+      return { id, state, giveUp: told };
+    });
+  }
+
   /** What this node knows and does, for people. */
   dump(): Readonly<Record<string, unknown>> {
     const { node } = this.#ports;
