Let trace ask a box why a workflow was given up

Cause: trace read logs only, which boxes rotate and which no single box has.

With files the lines of the logs follow.

Ruled out: always asking a box. The command then needs a network where logs alone were enough, and a box that does not answer would change its exit code.

Figures: tests of this package 13 before, 23 after, all pass. Three of the four first new tests of the command failed on the code before; the fourth passes there as well (its code was 1 already), its part on logs came with the code.

--- /dev/null
+++ b/packages/cli/src/render_story.ts
@@ -0,0 +1,68 @@
+/** What a node tells of one workflow, as lines for people. */
+
+/** A workflow as a node tells of it. */
+export interface WorkflowStory {
+  readonly id: string;
+  readonly state: string;
+  /** Null where it was not given up. */
+  readonly giveUp: GiveUpStory | null;
+}
+
+/** Why it was given up. */
+export interface GiveUpStory {
+  readonly reason: string;
+  readonly task: string;
+  /** The newest run of the task. */
+  readonly run: number;
+  readonly failures: number;
+  readonly crashes: {
+    readonly laid: number;
+    readonly excused: number;
+    readonly unseen: number;
+  };
+  /** Null where an earlier version kept none. */
+  readonly runs: readonly { readonly sentence: string }[] | null;
+  /** More runs may have counted. */
+  readonly isPartial: boolean;
+}
+
+/** Places of a task within its workflow, behind the id of the workflow. */
+const TASK_PLACES = /(\.\d+){3}$/;
+
+/** The workflow that an id of a workflow or of a task names. */
+export function workflowOf(id: string): string {
+  return id.replace(TASK_PLACES, "");
+}
+
+/** Lines for people. */
+export function renderStory({ id, state, giveUp }: WorkflowStory): string[] {
+  if (giveUp === null) {
+    return [`Workflow ${id} is ${state}; it was not given up.`];
+  }
+  const { reason, task, run, failures, crashes } = giveUp;
+  return [
+    `Workflow ${id} is ${state}.`,
+    `It was given up for ${reason} of ${task}, last with run ${run}: ` +
+    `${failures} runs failed, ${crashes.laid} crashes are laid to it, ` +
+    `${crashes.excused} are excused, with ${crashes.unseen} nothing has shown ` +
+    "its run.",
+    ...renderRuns(giveUp),
+  ];
+}
+
+function renderRuns({ runs, isPartial }: GiveUpStory): string[] {
+  if (runs === null) {
+    return [
+      "  An earlier version gave it up and kept no list of runs; the logs of " +
+      "that time may tell them.",
+    ];
+  }
+  const lines = runs.map(({ sentence }) => `  ${sentence}`);
+  return isPartial
+    ? [
+      ...lines,
+      "  More runs may have counted: they were too many, or an earlier " +
+      "coordinator saw them.",
+    ]
+    : lines;
+}
--- /dev/null
+++ b/packages/cli/src/render_story_test.ts
@@ -0,0 +1,62 @@
+/** Why a workflow was given up, as lines. */
+import * as vitest from "vitest";
+import * as stories from "./render_story.ts";
+
+const ID = "5c0e7a21d94b36f8";
+const RUN = {
+  run: 3,
+  endpoint: "i-1",
+  how: "crashed",
+  evidence: "seen",
+  counted: "crash",
+  sentence: "run 3 on i-1 ended as crashed: seen there.",
+};
+const GIVE_UP = {
+  reason: "crashes",
+  task: `${ID}.0.0.3`,
+  run: 3,
+  failures: 1,
+  crashes: { laid: 3, excused: 1, unseen: 2 },
+  runs: [RUN],
+  isPartial: false,
+};
+
+vitest.describe("the story of a workflow", () => {
+  vitest.it("tells each run for which it was given up", () => {
+    const story = { id: ID, state: "failed", giveUp: GIVE_UP };
+    vitest.expect(stories.renderStory(story)).toEqual([
+      `Workflow ${ID} is failed.`,
+      `It was given up for crashes of ${ID}.0.0.3, last with run 3: ` +
+      "1 runs failed, 3 crashes are laid to it, 1 are excused, with 2 " +
+      "nothing has shown its run.",
+      "  run 3 on i-1 ended as crashed: seen there.",
+    ]);
+  });
+
+  vitest.it("tells where runs may be missing", () => {
+    const giveUp = { ...GIVE_UP, isPartial: true };
+    const story = { id: ID, state: "failed", giveUp };
+    vitest.expect(stories.renderStory(story).at(-1))
+      .toContain("More runs may have counted");
+  });
+
+  vitest.it("tells that an earlier version kept no runs", () => {
+    const giveUp = { ...GIVE_UP, runs: null, isPartial: true };
+    const story = { id: ID, state: "failed", giveUp };
+    vitest.expect(stories.renderStory(story).slice(2)).toEqual([
+      "  An earlier version gave it up and kept no list of runs; the logs of " +
+      "that time may tell them.",
+    ]);
+  });
+
+  vitest.it("is one line where it was not given up", () => {
+    vitest.expect(
+      stories.renderStory({ id: ID, state: "completed", giveUp: null }),
+    ).toEqual([`Workflow ${ID} is completed; it was not given up.`]);
+  });
+
+  vitest.it("is found by the id of a task", () => {
+    vitest.expect(stories.workflowOf(`${ID}.0.1.17`)).toBe(ID);
+    vitest.expect(stories.workflowOf(ID)).toBe(ID);
+  });
+});
--- a/packages/cli/src/trace_command.ts
+++ b/packages/cli/src/trace_command.ts
@@ -1,24 +1,34 @@
-/** `cairngate trace`: the story of one job from log files. */
+/** `cairngate trace`: the story of one job, from a box and from log files. */
+import type * as HttpJson from "@cairngate/http-json";
 import * as Clipanion from "clipanion";
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as readline from "node:readline";
 import type * as stream from "node:stream";
+import type * as tty from "node:tty";
 import * as base from "./base_command.ts";
 import * as exitCodes from "./exit_codes.ts";
+import * as stories from "./render_story.ts";
 import * as traces from "./trace.ts";
 
 const STANDARD_INPUT = "-";
+const STATE_PATH = "/state";
 
-/** Merges what logs tell of one id. */
+/** Merges what a box and logs tell of one id. */
 export class TraceCommand extends base.BaseCommand {
   static override paths = [["trace"]];
   static override usage = Clipanion.Command.Usage({
-    description: "Print what the logs of boxes tell of one job or task",
-    details: "Reads log files of any boxes, as text or JSON, or standard " +
-      "input, and prints the lines that name the id by time. Clocks of boxes " +
-      "may differ a little, and so may the order.",
+    description: "Print what a box and logs tell of one job or task",
+    details: "Asks a box why the job was given up and for which runs, where " +
+      "--box names one or where neither files nor a pipe are given. Reads log " +
+      "files of any boxes, as text or JSON, or standard input, and prints the " +
+      "lines that name the id by time. Clocks of boxes may differ a little, " +
+      "and so may the order.",
     examples: [
+      [
+        "Why it was given up",
+        "cairngate trace 5c0e7a21d94b36f8 --box 127.0.0.1:8523",
+      ],
       ["One job", "cairngate trace 5c0e7a21d94b36f8 box-1.log box-2.log"],
       ["One task", "cairngate trace 5c0e7a21d94b36f8.0.1.17 *.log"],
       ["From a pipe", "zcat *.gz | cairngate trace 5c0e7a21d94b36f8"],
@@ -28,21 +38,61 @@
   files = Clipanion.Option.Rest();
 
   override async execute(): Promise<number> {
-    const files = this.files.length > 0 ? this.files : [STANDARD_INPUT];
+    const files = this.#filesToRead();
     const missing = files.find((f) => f !== STANDARD_INPUT && !isFile(f));
     if (missing !== undefined) {
       this.complain(`${missing} is no file that can be read.`);
       return exitCodes.ExitCode.Invalid;
     }
+    return files.length === 0
+      ? await this.#tellStory()
+      : await this.#tellLogs(files);
+  }
+
+  /** What a box tells alone. */
+  async #tellStory(): Promise<exitCodes.ExitCode> {
+    const reply = await this.#askStory();
+    if (reply?.status !== 200) return this.fail(reply);
+    const story = reply.body as stories.WorkflowStory;
+    this.print({ id: this.id, story }, () => stories.renderStory(story));
+    return exitCodes.ExitCode.Ok;
+  }
+
+  /** What logs tell, after what a box tells where one is named. */
+  async #tellLogs(files: readonly string[]): Promise<exitCodes.ExitCode> {
+    const asksBox = this.box !== undefined;
+    const reply = asksBox ? await this.#askStory() : null;
+    const story = reply?.status === 200
+      ? reply.body as stories.WorkflowStory
+      : null;
     const sources = files.map((file) => this.#open(file));
     const trace = await traces.readTrace(this.id, sources);
-    this.print(trace, () => traces.renderTrace(trace));
+    this.print(asksBox ? { ...trace, story } : trace, () => [
+      ...(story === null ? [] : stories.renderStory(story)),
+      ...traces.renderTrace(trace),
+    ]);
     for (const gap of traces.renderGaps(trace)) this.complain(gap);
-    return trace.lines.length > 0
+    if (asksBox && reply === null) return exitCodes.ExitCode.Unreachable;
+    if (asksBox && story === null) {
+      this.complain("The box does not tell of it.");
+    }
+    return story !== null || trace.lines.length > 0
       ? exitCodes.ExitCode.Ok
       : exitCodes.ExitCode.Refused;
   }
 
+  /** A terminal is no log: without files a box is asked instead. */
+  #filesToRead(): readonly string[] {
+    if (this.files.length > 0) return this.files;
+    const { isTTY } = this.context.stdin as tty.ReadStream;
+    return this.box !== undefined || isTTY ? [] : [STANDARD_INPUT];
+  }
+
+  #askStory(): Promise<HttpJson.HttpReply | null> {
+    const id = encodeURIComponent(stories.workflowOf(this.id));
+    return this.askBox({ method: "GET", path: `${STATE_PATH}/${id}` });
+  }
+
   #open(file: string): traces.LogSource {
     const isPipe = file === STANDARD_INPUT;
     const name = isPipe ? "standard input" : path.basename(file, ".log");
--- a/packages/cli/src/trace_test.ts
+++ b/packages/cli/src/trace_test.ts
@@ -1,5 +1,9 @@
 /** Stories of one id from several logs. */
+import * as HttpJson from "@cairngate/http-json";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
 import * as fs from "node:fs";
+import * as http from "node:http";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as stream from "node:stream";
@@ -87,11 +91,14 @@
   });
   vitest.afterAll(() => fs.rmSync(folder, { recursive: true }));
 
-  async function run(args: readonly string[]) {
+  async function run(args: readonly string[], isTerminal = false) {
     const stdout = new stream.PassThrough();
     const cli = new Clipanion.Cli();
     cli.register(commands.TraceCommand);
-    const stdin = stream.Readable.from([`${text("34.1", `Job ${ID}.`)}\n`]);
+    const stdin = Object.assign(
+      stream.Readable.from([`${text("34.1", `Job ${ID}.`)}\n`]),
+      { isTTY: isTerminal },
+    );
     const code = await cli.run(["trace", ...args], {
       stdout,
       stdin: stdin as unknown as NodeJS.ReadStream,
@@ -114,4 +121,80 @@
     const noFile = await run([ID, path.join(folder, "none.log")]);
     vitest.expect(noFile.code).toBe(exitCodes.ExitCode.Invalid);
   });
+
+  /** A node that knows one workflow, and what it was asked for. */
+  async function openNode() {
+    const asked: string[] = [];
+    const server = http.createServer((req, res) => {
+      asked.push(req.url ?? "");
+      const isKnown = req.url === `/state/${ID}`;
+      const runs = [{ sentence: "run 3 on i-1 ended as crashed." }];
+      const crashes = { laid: 3, excused: 0, unseen: 0 };
+      const task = `${ID}.0.0.3`;
+      const known = { reason: "crashes", task, run: 3, failures: 0, crashes };
+      const giveUp = { ...known, runs, isPartial: false };
+      const body = isKnown
+        ? { id: ID, state: "failed", giveUp }
+        : { detail: "The store knows no such workflow." };
+      HttpJson.sendJson(res, isKnown ? 200 : 404, { body });
+    });
+    const address = `127.0.0.1:${await TestUtils.findFreePort()}`;
+    await Effect.runPromise(HttpJson.listen(server, address));
+    const close = () => {
+      server.close();
+      server.closeAllConnections();
+    };
+    return { address, asked, close };
+  }
+
+  vitest.it("asks a box for the runs of a workflow given up", async () => {
+    const node = await openNode();
+    const found = await run([`${ID}.0.0.3`, "--box", node.address]);
+    vitest.expect(found.code).toBe(exitCodes.ExitCode.Ok);
+    vitest.expect(found.text).toContain("given up for crashes");
+    vitest.expect(found.text).toContain("  run 3 on i-1 ended as crashed.");
+    vitest.expect(found.text).not.toContain("No line names");
+    vitest.expect(node.asked).toEqual([`/state/${ID}`]);
+    node.close();
+  });
+
+  vitest.it("asks a box at a terminal without files", async () => {
+    const node = await openNode();
+    vitest.vi.stubEnv("CAIRNGATE_OPERATORS", node.address);
+    const found = await run([ID], true);
+    vitest.vi.unstubAllEnvs();
+    vitest.expect(found.text).toContain("given up for crashes");
+    vitest.expect(found.text).not.toContain(`Job ${ID}.`);
+    node.close();
+  });
+
+  vitest.it("prints what the box tells before the lines of logs", async () => {
+    const node = await openNode();
+    const found = await run([ID, file, "--box", node.address, "--json"]);
+    const body = JSON.parse(found.text);
+    vitest.expect(body.story.giveUp.task).toBe(`${ID}.0.0.3`);
+    vitest.expect(body.lines).toHaveLength(1);
+    node.close();
+  });
+
+  vitest.it("prints lines of logs though no box answers", async () => {
+    const address = `127.0.0.1:${await TestUtils.findFreePort()}`;
+    const found = await run([ID, file, "--box", address]);
+    vitest.expect(found.text).toContain(`Workflow ${ID} waits.`);
+    vitest.expect(found.code).toBe(exitCodes.ExitCode.Unreachable);
+  });
+
+  vitest.it(
+    "tells by its code that the box knows no such workflow",
+    async () => {
+      const node = await openNode();
+      const found = await run(["0000000000000000", "--box", node.address]);
+      vitest.expect(found.code).toBe(exitCodes.ExitCode.Refused);
+      const args = ["0000000000000000", file, "--box", node.address, "--json"];
+      const inLogs = await run(args);
+      vitest.expect(inLogs.code).toBe(exitCodes.ExitCode.Refused);
+      vitest.expect(JSON.parse(inLogs.text).story).toBeNull();
+      node.close();
+    },
+  );
 });
