Say where a run was not seen but its end left open

Cause: an end that an earlier coordinator left open is adopted as one whose run was certainly there (RunControl.adoptOpenEnd), whatever was known of it. The sentence said "had been seen there", which may not be so.

Ruled out: another presence for adopted ends.

--- a/packages/coordinator/src/work/run_sentences.ts
+++ b/packages/coordinator/src/work/run_sentences.ts
@@ -10,7 +10,8 @@
 const EVIDENCE: Readonly<Record<Workflow.RunEvidence, string>> = {
   [RunEvidence.OwnWord]: "by its own word",
   [RunEvidence.SeenThere]:
-    "another endpoint answered at its address, and the run had been seen there",
+    "another endpoint answered at its address, and the run had been seen there " +
+    "or its end had been left open",
   [RunEvidence.Likely]:
     "another endpoint answered at its address, and the start " +
     "had followed an answer within 0.15 s or was on record",
--- a/packages/workflow-node/src/given_up_test.ts
+++ b/packages/workflow-node/src/given_up_test.ts
@@ -144,7 +144,8 @@
     vitest.expect(lines).toEqual(
       fleet.workers.runsOf(TASK).map(({ run, worker }) =>
         `Given up ${TASK}: run ${run} on ${worker} ended as crashed: another ` +
-        "endpoint answered at its address, and the run had been seen there. " +
+        "endpoint answered at its address, and the run had been seen there or " +
+        "its end had been left open. " +
         "It counts as a crash laid to the task."
       ),
     );
--- a/packages/workflow/src/run_history.ts
+++ b/packages/workflow/src/run_history.ts
@@ -10,7 +10,10 @@
 export enum RunEvidence {
   /** Its endpoint told it. */
   OwnWord = "word",
-  /** Another endpoint answered at the address, and the run was seen there. */
+  /**
+   * Another endpoint answered at the address; the run was seen there, or an earlier
+   * coordinator had left its end open.
+   */
   SeenThere = "seen",
   /**
    * Another endpoint answered at the address; the start had followed an answer, or
