Keep one entry of a run that is gone for two coordinators

Cause: a coordinator that adopts a run whose endpoint is not listed ended it without naming the endpoint, so the history took the place of the task's newer run for it and showed the old run as withdrawn there.

Ruled out: a fault of the record; the run was read back as it was written.

--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -359,7 +359,8 @@
     const wasOver = workflow.isOver;
     const how = Workflow.RunEnd.Lost;
     const nowMs = this.#ports.clock.monotonicMs();
-    workflow.endRun(task, { run, how, checkpoint: "" }, nowMs);
+    const end = { run, how, checkpoint: "", endpoint: worker };
+    workflow.endRun(task, end, nowMs);
     if (workflow.suspectGone(task, run, worker)) {
       this.#endLog.gone({ task, run, endpoint: worker });
     }
--- a/packages/workflow-node/src/given_up_test.ts
+++ b/packages/workflow-node/src/given_up_test.ts
@@ -1,6 +1,7 @@
 /** Operators are shown for which runs a workflow was given up. */
 import type * as Coordinator from "@cairngate/coordinator";
 import * as Logger from "@cairngate/logger";
+import * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
 import * as Workflow from "@cairngate/workflow";
 import * as vitest from "vitest";
@@ -174,6 +175,34 @@
   });
 });
 
+vitest.describe("a run whose endpoint is neither heard nor listed", () => {
+  vitest.it("is one entry, also for the next coordinator", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
+    fleet.workers.behave = () => ({ runMs: 2 * LIMIT_MS, fails: false });
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ estimateMs: 2 * LIMIT_MS })];
+    await fleet.submit("node-1", CRASHER, { steps });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    const [{ worker: cut }] = fleet.workers.runs;
+    fleet.workers.carry = (endpoint) =>
+      endpoint === cut ? StandIns.OrderFate.Lost : StandIns.OrderFate.Carried;
+    fleet.unlist(cut);
+    await fleet.clock.advance(LIMIT_MS / 2);
+    const former = fleet.coordinator() ?? "";
+    await fleet.kill(former);
+    fleet.startNode(`${former}+`);
+    await fleet.clock.advance(LIMIT_MS / 2);
+    const [row] = fleet.table.rowsUnder("progress:")
+      .filter(({ key }) => key.endsWith(`/${CRASHER}`));
+    const { histories } = row.value as Workflow.ProgressRecord;
+    const { NotListed } = Workflow.RunEvidence;
+    vitest.expect(histories?.["0.0.0"].runs).toEqual([
+      [1, cut, Workflow.RunEnd.Lost, NotListed, Workflow.RunCount.Nothing],
+    ]);
+    await fleet.stop();
+  });
+});
+
 vitest.describe("a workflow that was not given up", () => {
   vitest.it("is told of by its state", async () => {
     const fleet = new TestUtils.TestFleet();
