--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -176,7 +176,8 @@
     const { clock, metrics } = this.#ports;
     const nowMs = clock.monotonicMs();
     const wasOver = workflow.isOver;
-    workflow.endRun(task, { run, ...end }, nowMs);
+    const endpoint = worker.ref.id;
+    workflow.endRun(task, { run, endpoint, ...end }, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) worker.health.succeeded(nowMs);
     else this.#runLost(worker, occupant, end);
@@ -191,9 +192,10 @@
     const { workflow } = task;
     const nowMs = this.#ports.clock.monotonicMs();
     const wasOver = workflow.isOver;
-    const isNews = workflow.endRun(task, { run, ...end }, nowMs);
+    const endpoint = worker.ref.id;
+    const isNews = workflow.endRun(task, { run, endpoint, ...end }, nowMs);
     if (!isNews) return Effect.void;
-    this.#endLog.endedLate({ task, run, endpoint: worker.ref.id }, end);
+    this.#endLog.endedLate({ task, run, endpoint }, end);
     return this.#settle(workflow, wasOver);
   }
 
@@ -364,7 +366,8 @@
     const wasOver = workflow.isOver;
     const how = Workflow.RunEnd.Lost;
     const nowMs = this.#ports.clock.monotonicMs();
-    workflow.endRun(task, { run, how, checkpoint: "" }, nowMs);
+    const end = { run, how, checkpoint: "", endpoint: worker };
+    workflow.endRun(task, end, nowMs);
     if (workflow.suspectGone(missing)) {
       this.#endLog.gone({ task, run, endpoint: worker });
     }
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -1,6 +1,7 @@
 /** A workflow in the coordinator's memory, with all of its tasks. */
 import * as openEnds from "./open_ends.ts";
 import * as budgets from "./restart_budget.ts";
+import * as histories from "./run_history.ts";
 import * as spec from "./spec.ts";
 import * as tasks from "./task.ts";
 import * as states from "./workflow_state.ts";
@@ -19,6 +20,8 @@
   readonly run: number;
   readonly how: tasks.RunEnd;
   readonly checkpoint: string;
+  /** Where it ran; left out: where the task is placed. */
+  readonly endpoint?: string;
   /** Of a crash: what is known of who is to blame. */
   readonly crash?: budgets.CrashEvidence;
   /** Of a lost run: how it ended may still be told. */
@@ -142,6 +145,8 @@
       const { worker } = task;
       const presence = ended.presence ?? budgets.Presence.Likely;
       this.openEnds.add({ task, run: ended.run, worker, presence });
+      const { NotHeard } = histories.RunEvidence;
+      task.note(histories.openEntry(atEnd(task, ended), NotHeard));
     }
     if (ended.how === tasks.RunEnd.Broken) {
       this.#brokenRuns.add(gangRun(task, task.run));
@@ -176,6 +181,10 @@
     const isDone = end.task.state === tasks.TaskState.Done;
     if (this.isOver || isDone) return false;
     this.openEnds.add({ ...end, isGone: true });
+    const { task, run, worker } = end;
+    const ended = { run, endpoint: worker, how: tasks.RunEnd.Lost };
+    const { NotListed } = histories.RunEvidence;
+    task.note(histories.openEntry(ended, NotListed));
     return true;
   }
 
@@ -196,6 +205,7 @@
     if (count === task.crashes) return false;
     task.crashes = count;
     this.#excusedCrashes.add(id);
+    task.history = histories.excuseRun(task.history, run);
     return true;
   }
 
@@ -244,16 +254,20 @@
     const wasOpen = this.openEnds.close(task, ended.run);
     const isCrash = ended.how === tasks.RunEnd.Crashed;
     if (!wasOpen && !isCrash) return false;
+    if (wasOpen) {
+      const { Withdrawn } = histories.RunEvidence;
+      task.note(histories.openEntry(atEnd(task, ended), Withdrawn));
+    }
     this.#count(task, ended, nowMs);
     return true;
   }
 
   #count(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
     if (ended.how === tasks.RunEnd.Failed) {
-      this.#countFailure(task, ended.run, nowMs);
+      this.#countFailure(task, ended, nowMs);
     }
     if (ended.how === tasks.RunEnd.Crashed) {
-      this.#countCrash(task, ended, nowMs);
+      this.#countCrash(task, ended);
     }
   }
 
@@ -262,6 +276,7 @@
     const ranMs = nowMs - task.startedAtMs;
     if (!budgets.isProvenLasting(task.step, ranMs)) return;
     task.crashes = budgets.NO_CRASHES;
+    task.history = histories.NO_HISTORY;
     this.openEnds.closeTask(task);
   }
 
@@ -281,23 +296,26 @@
     }
   }
 
-  #countFailure(task: tasks.Task, run: number, nowMs: number): void {
+  #countFailure(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
     if (task.step.lasting) return;
+    const { run } = ended;
     if (task.step.gang) {
       const id = gangRun(task, run);
       if (this.#countedFailures.has(id)) return;
       this.#countedFailures.add(id);
       this.openEnds.closeRun(task.stepKey, run);
     }
+    const entry = histories.failedEntry(atEnd(task, ended));
     for (const member of this.#group(task)) {
       member.failures++;
       member.failedAtMs = nowMs;
+      member.note(entry);
     }
     if (task.failures < this.spec.policy.attempts) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Failures);
   }
 
-  #countCrash(task: tasks.Task, ended: EndOfRun, nowMs: number): void {
+  #countCrash(task: tasks.Task, ended: EndOfRun): void {
     const { run, crash = budgets.NO_EVIDENCE } = ended;
     const id = taskRun(task, run);
     if (this.#countedCrashes.has(id)) return;
@@ -308,6 +326,11 @@
     if (laid + unseen === former.laid + former.unseen) {
       this.#excusedCrashes.add(id);
     }
+    task.note(histories.crashedEntry(atEnd(task, ended), {
+      presence: crash.presence,
+      before: former,
+      after: task.crashes,
+    }));
     if (!budgets.hasCrashedTooOften(task.crashes, crash)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
@@ -316,7 +339,8 @@
     if (task.state === tasks.TaskState.Done || this.isOver) return;
     this.state = states.WorkflowState.Failed;
     const { name, run, failures, crashes } = task;
-    this.giveUp = { reason, task: name, run, failures, crashes };
+    const history = histories.checkHistory(task.history, task);
+    this.giveUp = { reason, task: name, run, failures, crashes, history };
   }
 
   #conclude(): void {
@@ -328,6 +352,14 @@
   }
 }
 
+/** An end for the history of a task. */
+function atEnd(
+  task: tasks.Task,
+  { run, how, endpoint }: EndOfRun,
+): histories.RunAtEnd {
+  return { run, how, endpoint: endpoint ?? task.worker ?? "" };
+}
+
 /** Name of a run of a gang within its workflow. */
 function gangRun(task: tasks.Task, run: number): string {
   return `${task.stepKey}.${run}`;
