--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -23,6 +23,13 @@
  */
 const HEARD_LATELY_MS = 2800;
 
+/** What shows that a life has ended. */
+export enum LifeEndSign {
+  OtherAnswers = "another one answers there",
+  /** Its lease is out and it is not listed, so it is not only busy. */
+  NobodyListens = "nobody listens there",
+}
+
 /** What the end of a life works with. */
 export interface LifeEndOptions {
   readonly clock: Ports.Clock;
@@ -89,14 +96,14 @@
   }
 
   /**
-   * Another life has answered at its address, which alone shows that it has ended.
-   * Returns how runs ended of which it is so sure that they were there.
+   * It is shown to have ended, as entries and silence alone never do. Returns how runs ended of which it is so sure that they were there.
    */
   end(
+    sign: LifeEndSign,
     held: readonly occupants.Occupant[],
     unheard: readonly unheards.UnheardRun[],
   ): (presence: Workflow.Presence) => listeners.SessionEnd {
-    if (held.length + unheard.length > 0) this.#logEnd(held, unheard);
+    if (held.length + unheard.length > 0) this.#logEnd(sign, held, unheard);
     if (this.#isLeaving) {
       return () => listeners.lost(listeners.LostCause.Left);
     }
@@ -115,6 +122,7 @@
 
   /** One line with all that tells a crash under a run from one before its start. */
   #logEnd(
+    sign: LifeEndSign,
     held: readonly occupants.Occupant[],
     unheard: readonly unheards.UnheardRun[],
   ): void {
@@ -127,8 +135,8 @@
       ...unheard.map(({ task, run }) => `${task.name} run ${run}, given up`),
     ];
     this.#log.info(
-      `Endpoint ${id} at ${address} has ended, as another one answers there: ` +
-        `last heard ${heard}, silent since ${silent}${leaving}. It had ` +
+      `Endpoint ${id} at ${address} has ended, as ${sign}: last heard ` +
+        `${heard}, silent since ${silent}${leaving}. It had ` +
         `${runs.join("; ")}.`,
     );
   }
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -214,7 +214,7 @@
   suspectGone(): void {
     if (this.#isGone) return;
     if (this.#lifeEnd.isRefused) {
-      Effect.runFork(this.endAll());
+      Effect.runFork(this.endAll(lifeEnds.LifeEndSign.NobodyListens));
       return;
     }
     this.#isGone = true;
@@ -364,8 +364,8 @@
     });
   }
 
-  /** Another life has answered at its address: nothing of this one runs any more. */
-  endAll(): Effect.Effect<void> {
+  /** It is shown to have ended: nothing of this life runs any more. */
+  endAll(sign = lifeEnds.LifeEndSign.OtherAnswers): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       if (this.#over) return;
       this.#over = true;
@@ -374,7 +374,7 @@
       const nowMs = clock.monotonicMs();
       const unheard = this.#unheard.takeAll();
       const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
-      const endOf = this.#lifeEnd.end(wereThere, unheard);
+      const endOf = this.#lifeEnd.end(sign, wereThere, unheard);
       const records = this.#held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
           ? endOf(this.#lifeEnd.presenceOf(occupant, nowMs))
--- a/packages/coordinator/src/work/run_sentences.ts
+++ b/packages/coordinator/src/work/run_sentences.ts
@@ -10,13 +10,11 @@
 const EVIDENCE: Readonly<Record<Workflow.RunEvidence, string>> = {
   [RunEvidence.OwnWord]: "by its own word",
   [RunEvidence.SeenThere]:
-    "another endpoint answered at its address, and the run had been seen there " +
-    "or its end had been left open",
+    "its endpoint was shown to have ended while the run was under way",
   [RunEvidence.Likely]:
-    "another endpoint answered at its address, and the start " +
-    "had followed an answer within 0.15 s or was on record",
+    "its endpoint was shown to have ended, and the run was likely under way",
   [RunEvidence.NeverShown]:
-    "another endpoint answered at its address, and nothing has shown the run there",
+    "its endpoint was shown to have ended, and nothing shows the run under way",
   [RunEvidence.NotListed]: "its endpoint is neither heard nor listed",
   [RunEvidence.NotHeard]: "its gang ended, and its endpoint was not heard",
   [RunEvidence.Withdrawn]: "its end was open until the endpoint answered again",
--- a/packages/workflow/src/run_history.ts
+++ b/packages/workflow/src/run_history.ts
@@ -11,16 +11,16 @@
   /** Its endpoint told it. */
   OwnWord = "word",
   /**
-   * Another endpoint answered at the address; the run was seen there, or an earlier
-   * coordinator had left its end open.
+   * Its endpoint was shown to have ended; the run had been seen there and its time
+   * was not up.
    */
   SeenThere = "seen",
   /**
-   * Another endpoint answered at the address; the start had followed an answer, or
-   * an earlier coordinator had recorded it.
+   * Its endpoint was shown to have ended; the run's time was not up at its last
+   * answer, or the start had followed one.
    */
   Likely = "likely",
-  /** Another endpoint answered at the address; nothing has shown the run there. */
+  /** Its endpoint was shown to have ended; nothing shows the run under way. */
   NeverShown = "unshown",
   /** Its endpoint is neither heard nor listed. */
   NotListed = "unlisted",
