Forget addresses and doubts that nobody needs any more

Cause: found by the review: an id stayed in the address book where its last entry named another address than its session, and a session was kept for the ends of tasks that are done.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -271,7 +271,8 @@
     const listing = this.#listings.get(id);
     this.#listings.delete(id);
     const session = this.#sessions.get(id);
-    if (session === undefined && listing !== undefined) {
+    // A session keeps its own address in the book until it is dropped.
+    if (listing !== undefined && session?.ref.address !== listing.address) {
       this.#addresses.remove(id, listing.address);
     }
     if (session !== undefined) {
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -4,7 +4,7 @@
  */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as loads from "./box_load.ts";
@@ -227,7 +227,9 @@
 
   /** Whether anybody may still want to know what became of its runs. */
   get isAwaited(): boolean {
-    return this.#unheard.all.some(({ task }) => !task.workflow.isOver);
+    return this.#unheard.all.some(({ task }) =>
+      !task.workflow.isOver && task.state !== Workflow.TaskState.Done
+    );
   }
 
   /** It is listed no more. */
