--- a/packages/workflow-node/src/doubted_work_test.ts
+++ b/packages/workflow-node/src/doubted_work_test.ts
@@ -1,6 +1,6 @@
 /**
- * Good work that is held back, or whose count
- * rises although nothing has shown a crash or a failure.
+ * Good work whose endpoints leave, are cut off or end: it must not be held back for
+ * long, and nothing may be counted that is not shown.
  */
 import * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
@@ -74,8 +74,8 @@
   });
 
   /**
-   * A look that is under way when the endpoint counts as gone takes the doubt back
-   * as soon as it fails: silence is no answer.
+   * A look that is under way when the endpoint counts as gone, and fails, must not
+   * take the doubt back: silence is no answer.
    */
   vitest.it("is in doubt until its endpoint answers", async () => {
     const fleet = new TestUtils.TestFleet({ workers: sizes(8) });
--- a/packages/workflow-node/src/late_records_test.ts
+++ b/packages/workflow-node/src/late_records_test.ts
@@ -1,6 +1,6 @@
 /**
- * Sessions that are kept after their life has
- * ended, or is neither heard nor listed, and take in runs that nobody ends then.
+ * Runs whose records are read late in a takeover, when the session with their
+ * endpoint knows already that it has ended, or is neither heard nor listed.
  */
 import * as TableClient from "@cairngate/table-client";
 import * as TestUtils from "@cairngate/test-utils";
--- a/packages/workflow-node/src/record_size_test.ts
+++ b/packages/workflow-node/src/record_size_test.ts
@@ -1,6 +1,6 @@
 /**
- * Doubts about runs whose endpoints are neither
- * heard nor listed stand in the record, also those of tasks that are done.
+ * The record of a workflow fits into one row of the store, also where very many of
+ * its runs were on endpoints that are neither heard nor listed.
  */
 import * as TestUtils from "@cairngate/test-utils";
 import * as Workflow from "@cairngate/workflow";
--- a/packages/workflow-node/src/unshown_crashes_test.ts
+++ b/packages/workflow-node/src/unshown_crashes_test.ts
@@ -1,6 +1,7 @@
 /**
- * Tasks that crash their endpoints and are not
- * bounded any more, because the crash is not shown or excused.
+ * Tasks that crash their endpoints where little shows it: the start is not answered,
+ * many fall together, the endpoint is back late, or orders for the ended life meet
+ * no answer that tells. Their starts have to be bounded all the same.
  */
 import * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
@@ -27,7 +28,7 @@
    * Tasks of one image behave alike, and jobs with it come together. Where a start
    * is not answered before the crash, and the endpoint was not heard just before,
    * nothing shows the run; where three or more fall together the crash is excused.
-   * Both together count nothing, and make no suspect, as often as it happens.
+   * Both together must not count nothing, as often as it happens.
    */
   for (const crashesAfterMs of [0, 10]) {
     for (const crashers of [3, 14]) {
--- a/packages/workflow-node/src/wrong_addresses_test.ts
+++ b/packages/workflow-node/src/wrong_addresses_test.ts
@@ -1,6 +1,7 @@
 /**
- * Entries that name a wrong address. Another
- * life's 421 is told by whoever stands at that address, for an endpoint that lives.
+ * Entries that name a wrong address for an endpoint that lives. Whoever stands at
+ * that address says that another endpoint is meant: that is no end of the one that
+ * the entry names, and its own next entry has to bring it back into use.
  */
 import * as Errors from "@cairngate/errors";
 import * as TestUtils from "@cairngate/test-utils";
