Pause only after runs that failed at once

Cause: the pause between tries of failed work was meant for endpoints that fail what they start; it also held up work that fails by itself late in its run.

--- a/packages/workflow-scheduler/src/retry_pause.ts
+++ b/packages/workflow-scheduler/src/retry_pause.ts
@@ -15,6 +15,13 @@
  */
 const MOST_PAUSE_MS = 2000;
 
+/**
+ * A run that fails later than this after its start was planned, in ms, has failed by
+ * itself, and waiting wins it nothing. Endpoints that fail what they start do so
+ * within 0.1 s (worker_health.ts); the record and two tries of the order come before.
+ */
+const AT_ONCE_MS = 1000;
+
 /**
  * Time after a failure, in ms, in which a unit starts on no endpoint that may fail
  * whatever it starts; later it takes what there is, because users allow work to
@@ -56,10 +63,19 @@
   if (!hasFailed || unit.step.lasting) return false;
   const failedAtMs = Math.max(...unit.tasks.map((task) => task.failedAtMs));
   const sinceMs = now.nowMs - failedAtMs;
-  if (sinceMs >= MOST_PAUSE_MS) return false;
+  if (sinceMs >= MOST_PAUSE_MS || !hasFailedAtOnce(unit, failedAtMs)) {
+    return false;
+  }
   return sinceMs < pauseMs(unit, now.wallMs - sinceMs);
 }
 
+/** Whether the newest failure of a unit came at once after a start. */
+function hasFailedAtOnce(unit: Workflow.Unit, failedAtMs: number): boolean {
+  return unit.tasks.some((task) =>
+    task.failedAtMs === failedAtMs && task.failedAfterMs < AT_ONCE_MS
+  );
+}
+
 /** Shares the time to spare, as it was at the failure, among the starts left. */
 function pauseMs(unit: Workflow.Unit, failedAtWallMs: number): number {
   const spareMs = rank.spareMs(unit, failedAtWallMs);
--- a/packages/workflow-scheduler/src/retry_pause_test.ts
+++ b/packages/workflow-scheduler/src/retry_pause_test.ts
@@ -9,6 +9,7 @@
 function buildUnit(options: {
   readonly failures: number;
   readonly failedAtMs: number;
+  readonly failedAfterMs?: number;
   readonly estimateMs?: number;
 }): Workflow.Unit {
   const estimateMs = options.estimateMs ?? 1000;
@@ -24,6 +25,7 @@
   const [task] = workflow.tasks;
   task.failures = options.failures;
   task.failedAtMs = options.failedAtMs;
+  task.failedAfterMs = options.failedAfterMs ?? 50;
   return workflow.readyUnits(0)[0];
 }
 
@@ -58,6 +60,15 @@
     vitest.expect(at(510)).toBe(false);
   });
 
+  vitest.it("is nothing for a run that came through its first moments", () => {
+    const at = (failedAfterMs: number) => {
+      const unit = buildUnit({ failures: 1, failedAtMs: 0, failedAfterMs });
+      return retry.mustPause(unit, { nowMs: 10, wallMs: 10 });
+    };
+    vitest.expect(at(990)).toBe(true);
+    vitest.expect(at(1010)).toBe(false);
+  });
+
   vitest.it("lasts 2 s at most", () => {
     const unit = buildUnit({ failures: 1, failedAtMs: 0, estimateMs: 60_000 });
     const at = (ms: number) => retry.mustPause(unit, { nowMs: ms, wallMs: ms });
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -49,6 +49,8 @@
   failures = 0;
   /** Monotonic time of its newest failure; where an earlier term saw it: never. */
   failedAtMs = Number.NEGATIVE_INFINITY;
+  /** Time from the newest start to that failure, in ms. */
+  failedAfterMs = 0;
   /** Workers that have crashed under it. */
   crashes = budgets.NO_CRASHES;
   /** Runs whose endpoints are neither heard nor listed any more. */
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -305,10 +305,12 @@
       this.#countedFailures.add(id);
       this.openEnds.closeRun(task.stepKey, run);
     }
+    const failedAfterMs = nowMs - task.startedAtMs;
     const entry = histories.failedEntry(atEnd(task, ended));
     for (const member of this.#group(task)) {
       member.failures++;
       member.failedAtMs = nowMs;
+      member.failedAfterMs = failedAfterMs;
       member.note(entry);
     }
     if (task.failures < this.spec.policy.attempts) return;
