Make two eased tests as strict as before; name units of constants

Cause: a bound on looks had gone from half of 20 boxes to two thirds of 12, and a limit of 150 ms on a second call to 1 s.

--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -11,10 +11,11 @@
 import type * as unheards from "./unheard_runs.ts";
 
 /**
- * An endpoint that answered within this time, in ms, before a start was sent was
- * alive when the start came: a start follows the look before it by some ms. If it
- * never answers again and another life is there, it probably had the run. Without
- * such an answer it may have ended long before, while its entry was still listed.
+ * Time in ms. An endpoint that answered so shortly before a start was sent was alive
+ * when the start came. If it never answers again and another life is there, it
+ * probably had the run. Without such an answer it may have ended long before, while
+ * its entry was still listed: up to 3.5 s, on a day with endpoints that end in
+ * groups. From a look to the start behind it pass some ms, 100 ms on a late box.
  */
 const ALIVE_BEFORE_START_MS = 150;
 /**
--- a/packages/http-json/src/silence_test.ts
+++ b/packages/http-json/src/silence_test.ts
@@ -104,10 +104,14 @@
   vitest.it("are left as soon as one answer is overdue", async () => {
     await bench.callMany(4);
     bench.proxy.silence();
-    const first = bench.call({}, LONG_LIMIT_MS);
+    let isFirstOver = false;
+    const first = bench.call({}, LONG_LIMIT_MS).finally(() => {
+      isFirstOver = true;
+    });
     await Effect.runPromise(clock.sleep(200));
     // The first call still waits; the second one goes over a new connection.
     vitest.expect(await bench.call({}, LONG_LIMIT_MS / 2)).toBe(true);
+    vitest.expect(isFirstOver).toBe(false);
     vitest.expect(await first).toBe(false);
   });
 
--- a/packages/test-utils/src/foreign_entries.ts
+++ b/packages/test-utils/src/foreign_entries.ts
@@ -3,8 +3,9 @@
 import * as randoms from "./seeded_random.ts";
 import type * as fleets from "./test_fleet.ts";
 
-/** Share of the changes in which an entry comes, and in which one goes. */
+/** Share of the changes in which an entry comes, 0 to 1: one in every other round. */
 const COMES_SHARE = 0.5;
+/** Share of the changes in which one goes, 0 to 1: fewer, so that some stay. */
 const GOES_SHARE = 0.4;
 /** Share of the entries that stay to the end of the play and beyond. */
 const STAYS_SHARE = 0.2;
--- a/packages/test-utils/src/random_cuts.ts
+++ b/packages/test-utils/src/random_cuts.ts
@@ -4,8 +4,9 @@
 import * as randoms from "./seeded_random.ts";
 import type * as fleets from "./test_fleet.ts";
 
-/** Share of the changes in which endpoints are cut off; two of them at times. */
+/** Share of the changes in which an endpoint is cut off, 0 to 1: five in a play. */
 const CUT_SHARE = 0.4;
+/** Share of the cuts that strike two endpoints at once, 0 to 1: one in a play. */
 const PAIR_SHARE = 0.25;
 /** Length of a cut, in ms: from a hiccup to twice the longest lease, 6 s. */
 const LENGTH_MS = { least: 1000, most: 12_000 };
--- a/packages/workflow-node/src/close_watchers_test.ts
+++ b/packages/workflow-node/src/close_watchers_test.ts
@@ -6,8 +6,12 @@
 const NODES = 12;
 /** Boxes that have the processor to coordinate, and watch closely. */
 const LARGE = 6;
+/** Boxes of the test that counts looks: those of a deployment of middle size. */
+const COUNTED_NODES = 20;
 /** Time for which looks are counted, in ms. */
-const WATCHED_MS = 10_000;
+const WATCHED_MS = 20_000;
+/** Real time for the play of so many boxes, in ms: 7 s alone. */
+const TIMEOUT_MS = 120_000;
 /** Time within which a term is taken over while close watchers are left, in ms. */
 const TAKEOVER_MS = 2500;
 /** The same where all of them are gone: a rest longer, in ms. */
@@ -17,9 +21,12 @@
 const numberOf = (name: string) => Number(name.split("-")[1]);
 const isLarge = (name: string) => numberOf(name) <= LARGE;
 
-async function startFleet(seed = 1): Promise<TestUtils.TestFleet> {
+async function startFleet(
+  seed = 1,
+  nodes = NODES,
+): Promise<TestUtils.TestFleet> {
   const fleet = new TestUtils.TestFleet({
-    nodes: NODES,
+    nodes,
     cores: (name) => isLarge(name) ? 1.35 : 0.324,
     seed,
   });
@@ -42,9 +49,9 @@
 
 vitest.describe("the watch of the election", () => {
   vitest.it(
-    "costs less than two thirds of what all boxes would look",
+    "costs less than half of what all boxes would look",
     async () => {
-      const fleet = await startFleet();
+      const fleet = await startFleet(1, COUNTED_NODES);
       const names = [...fleet.nodes.keys()];
       const before = new Map(names.map((name) => [name, looksOf(fleet, name)]));
       await fleet.clock.advance(WATCHED_MS);
@@ -53,10 +60,11 @@
       );
       const close = Math.max(...looks);
       const sum = looks.reduce((all, one) => all + one, 0);
-      vitest.expect(sum).toBeLessThan(close * NODES * 2 / 3);
+      vitest.expect(sum).toBeLessThan(close * COUNTED_NODES / 2);
       vitest.expect(Math.min(...looks)).toBeGreaterThan(0);
       await fleet.stop();
     },
+    TIMEOUT_MS,
   );
 
   vitest.it("takes a term over as soon as ever", async () => {
--- a/packages/workflow-node/src/foreign_entries_test.ts
+++ b/packages/workflow-node/src/foreign_entries_test.ts
@@ -12,11 +12,13 @@
 const FIRST = "worker-0";
 /** Accelerators of each of the two endpoints: all work fits at once. */
 const ROOM = 4;
+/** Workflows of one task: three on each endpoint, so that each entry meets some. */
 const WORKFLOWS = 6;
 /** Time of a run, in ms. */
 const RUN_MS = 6000;
-/** Foreign entries, and the time from one to the next, in ms. */
+/** Foreign entries, one after another. */
 const ENTRIES = 6;
+/** Time from one to the next, in ms: a heartbeat, so that runs of 6 s meet four. */
 const PAUSE_MS = 1500;
 /** Time for which an entry is listed that goes again, in ms. */
 const LISTED_MS = 750;
--- a/packages/workflow-node/src/outage_test.ts
+++ b/packages/workflow-node/src/outage_test.ts
@@ -81,9 +81,11 @@
 const ENDPOINTS = 4;
 /** Time of a run, in ms: longer than an outage and the longest lease, 6 s. */
 const RUN_MS = 7000;
-/** Outages, how long each lasts and the work between two, in ms. */
+/** Outages in one play: more than the three doubts after which a task waits. */
 const OUTAGES = 4;
+/** How long each lasts, in ms: longer than three heartbeats, so that entries lapse. */
 const OUTAGE_MS = 5000;
+/** Time between two of them, in ms: shorter than a run, so that each meets some. */
 const PEACE_MS = 4000;
 /** Time from the end of an outage until all entries are written again, in ms. */
 const LISTED_AFTER_MS = 2000;
--- a/packages/workflow-node/src/outlasting_entries_test.ts
+++ b/packages/workflow-node/src/outlasting_entries_test.ts
@@ -21,8 +21,9 @@
 
 /** Endpoints, of four accelerators each. */
 const ENDPOINTS = 12;
-/** Waves in which endpoints end at one moment, and the time between two, in ms. */
+/** Waves in which endpoints end at one moment; it takes four false crashes to fail. */
 const WAVES = 6;
+/** Time between two waves, in ms: endpoints are back and their former entries gone. */
 const WAVE_MS = 5000;
 /** Endpoints that end in each wave. */
 const ENDING = 4;
