Tell of runs that an endpoint shows after they had counted as over

Callers saw a task run twice at once, and nothing in the log told by which evidence the first run had counted as over, nor that it was still there. Now an answer that shows such a run is told of once, with the evidence and how long ago that was, and counted by cairngate_runs_outlived_total{evidence}. No decision changes.

--- /dev/null
+++ b/packages/coordinator/src/sessions/outlived_runs_test.ts
@@ -0,0 +1,92 @@
+/**
+ * Two runs of a task were on endpoints at once, and no line told that the first one
+ * had counted as over, nor why. The log has to tell such runs by their evidence.
+ */
+import * as Metrics from "@cairngate/metrics";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import * as occupants from "./occupant.ts";
+import * as outliveds from "./outlived_runs.ts";
+import * as listeners from "./session_listener.ts";
+
+const ENDPOINT = "i-1";
+
+/** A run that was sent, and what watches runs of its endpoint. */
+function play() {
+  const clock = new TestUtils.FakeClock();
+  const log = new TestUtils.KeptLog();
+  const workflow = new Workflow.Workflow({
+    id: "w",
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[1],
+    payload: "",
+    steps: [TestUtils.buildStep()],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  const [task] = workflow.tasks;
+  task.place(ENDPOINT, 1, clock.monotonicMs());
+  const occupant = occupants.createOccupant(task, null);
+  occupant.sent = true;
+  const metrics = new Metrics.Metrics();
+  const outlived = new outliveds.OutlivedRuns({
+    clock,
+    log,
+    metrics,
+    endpoint: ENDPOINT,
+  });
+  return { clock, occupant, outlived, metrics, sentences: log.sentences };
+}
+
+/** An answer that shows the run as held, or as ended. */
+function viewOf({ held = false, ended = false }) {
+  const run = { task: "w.0.0.0", run: 1, checkpoint: "" };
+  return {
+    clockMs: 0,
+    bornMs: null,
+    toldEnds: 0,
+    held: held ? [{ ...run, percent: 0, reading: null }] : [],
+    ended: ended ? [{ ...run, number: 1, how: "broken" as const }] : [],
+  };
+}
+
+const OVER_BY_GANG = listeners.lost(listeners.LostCause.GangBroken);
+
+vitest.describe("a run that counted as over", () => {
+  vitest.it(
+    "is told of once, with its evidence, when it is shown",
+    async () => {
+      const { clock, occupant, outlived, metrics, sentences } = play();
+      outlived.note(occupant, OVER_BY_GANG);
+      await clock.advance(300);
+      outlived.compare(viewOf({ held: true }));
+      outlived.compare(viewOf({ held: true }));
+      vitest.expect(sentences).toEqual([
+        "Run 1 of w.0.0.0 counted as over 300 ms ago (gang-broken), and on i-1 " +
+        "it is still there.",
+      ]);
+      const evidence = "gang-broken";
+      vitest.expect(metrics.get("cairngate_runs_outlived_total", { evidence }))
+        .toBe(1);
+    },
+  );
+
+  vitest.it("is told of when its end is listed later", () => {
+    const { occupant, outlived, sentences } = play();
+    outlived.note(occupant, OVER_BY_GANG);
+    outlived.compare(viewOf({ ended: true }));
+    vitest.expect(sentences).toEqual([
+      "Run 1 of w.0.0.0 counted as over 0 ms ago (gang-broken), and on i-1 " +
+      "it has ended as broken.",
+    ]);
+  });
+
+  vitest.it("is not told of where its endpoint listed the end", () => {
+    const { occupant, outlived, sentences } = play();
+    const how = Workflow.RunEnd.Broken;
+    outlived.note(occupant, { how, checkpoint: "", cause: null });
+    outlived.compare(viewOf({ ended: true }));
+    vitest.expect(sentences).toEqual([]);
+  });
+});
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -19,6 +19,7 @@
 import * as occupants from "./occupant.ts";
 import type * as recoveries from "../work/recovery.ts";
 import * as looses from "./loose_starts.ts";
+import * as outliveds from "./outlived_runs.ts";
 import * as presentLives from "./present_life.ts";
 import * as starters from "./run_starter.ts";
 import * as listeners from "./session_listener.ts";
@@ -113,6 +114,7 @@
   readonly #views: views.ViewReader;
   #ends = new endLedgers.EndLedger();
   readonly #unheard = new unheards.UnheardRuns();
+  readonly #outlived: outliveds.OutlivedRuns;
   #lifeEnd: lifeEnds.LifeEnd;
   #reachable = true;
   #over = false;
@@ -136,7 +138,7 @@
     this.#mustBeHeard = options.isContested;
     this.dataCentre = options.dataCentre;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
-    const { clock, bounds, log } = options.ports;
+    const { clock, bounds, log, metrics } = options.ports;
     this.#openedAtMs = clock.monotonicMs();
     this.#lifeEnd = this.#watchLife();
     this.#loose = new looses.LooseStarts(clock);
@@ -151,9 +153,17 @@
       isWanted: (occupant) =>
         this.#held.holds(occupant) && !occupant.stopping && this.#mayStart,
     });
-    this.#held = new helds.HeldRuns((occupant, end) =>
-      options.listener.runEnded(this, occupant, end)
-    );
+    const endpoint = options.ref.id;
+    this.#outlived = new outliveds.OutlivedRuns({
+      clock,
+      log,
+      metrics,
+      endpoint,
+    });
+    this.#held = new helds.HeldRuns((occupant, end) => {
+      this.#outlived.note(occupant, end);
+      return options.listener.runEnded(this, occupant, end);
+    });
     this.#former = new formers.FormerRuns({
       clock,
       held: this.#held,
@@ -626,6 +636,7 @@
         this.#options.silences.noteHeard(this.ref);
         this.#options.listener.roomChanged();
       }
+      this.#outlived.compare(view);
       ends.noteTold(view.toldEnds);
       this.#clock.read(view.clockMs, clock.monotonicMs());
       yield* this.#views.take(view, sentAtMs);
