Let stops and the ends of a gang's members take their time in the stand-ins

The endpoints in memory ended a run in the instant of the stop, and all members of a gang in the instant of the first.

stopTakesMs and gangFollowsMs say so now; both are 0 unless a test sets them, and a former run of a task may still be there beside the next one.

--- a/packages/stand-ins/mod.ts
+++ b/packages/stand-ins/mod.ts
@@ -17,11 +17,11 @@
   DeadAddress,
   MemoryTaskWorkers,
   OrderFate,
-  type TaskRunNote,
   type TaskWorkerSpec,
 } from "./src/memory_task_workers.ts";
 export { MemoryTable, type TableChange } from "./src/memory_table.ts";
 export { MemoryWorkers } from "./src/memory_workers.ts";
 export { type CallWay, OpenConnections } from "./src/open_connections.ts";
+export type { TaskRunNote } from "./src/run_note.ts";
 export { StandInWorker } from "./src/stand_in_worker.ts";
 export { doWork } from "./src/work.ts";
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -6,7 +6,9 @@
 import * as Errors from "@cairngate/errors";
 import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
+import * as heldTasks from "./held_task.ts";
 import * as connections from "./open_connections.ts";
+import type * as runNotes from "./run_note.ts";
 
 /** A worker of the stand-in. */
 export interface TaskWorkerSpec {
@@ -39,28 +41,6 @@
   Silent = "silent",
 }
 
-/** One run, for the checks of tests. */
-export interface TaskRunNote {
-  readonly task: string;
-  readonly run: number;
-  readonly worker: string;
-  readonly startedAtMs: number;
-  endedAtMs: number | null;
-  /** Null while it runs; "crashed" where its endpoint ended under it. */
-  how: Ports.EndKind | "crashed" | null;
-  /** When the coordinator said that the end is recorded. */
-  acknowledgedAtMs: number | null;
-  /** Whether the lease ran out between the end and that moment. */
-  hasLapsedMeanwhile: boolean;
-  /** Whether its start was carried out seconds after it was sent. */
-  readonly wasLate: boolean;
-  /**
-   * Whether that was in a life which no coordinator had called by then: nothing that
-   * a coordinator does can keep a former order from such a life.
-   */
-  readonly wasUncalled: boolean;
-}
-
 /** How long a task runs and how it ends. */
 export interface TaskBehaviour {
   readonly runMs: number;
@@ -72,12 +52,6 @@
   readonly crashesAfterMs?: number;
 }
 
-interface HeldTask {
-  readonly note: TaskRunNote;
-  readonly endsAtMs: number;
-  readonly fails: boolean;
-}
-
 interface WorkerLife {
   readonly spec: TaskWorkerSpec;
   /** What its answers and entries tell; null: they tell none. */
@@ -89,8 +63,9 @@
   /** When a lease ran out last. */
   lapsedAtMs: number;
   nextEnd: number;
-  readonly held: Map<string, HeldTask>;
-  readonly ended: { number: number; note: TaskRunNote }[];
+  /** By task and run: the next run may come while a former one still ends. */
+  readonly held: Map<string, heldTasks.HeldTask>;
+  readonly ended: { number: number; note: runNotes.TaskRunNote }[];
   /** Highest run stopped or ended, by task. */
   readonly over: Map<string, number>;
 }
@@ -110,7 +85,7 @@
   /** Id of the life that was last said to live at each address. */
   readonly #atAddress = new Map<string, string>();
   /** Every run that was started. */
-  readonly runs: TaskRunNote[] = [];
+  readonly runs: runNotes.TaskRunNote[] = [];
   /** Tasks of each gang, by member. */
   readonly #gangs = new Map<string, readonly string[]>();
   /** While an order is carried out seconds after it was sent. */
@@ -121,6 +96,10 @@
   wayMs = 0;
   /** Whether a start for which there is no room is refused. */
   guardsRoom = true;
+  /** How long a run takes to end after a stop was answered, in ms. */
+  stopTakesMs: () => number = () => 0;
+  /** How long after the first end of its gang a member ends, in ms. */
+  gangFollowsMs: (task: string) => number = () => 0;
   /** Told of each life that crashes; tests let another one begin. */
   onCrash: (spec: TaskWorkerSpec) => void = () => {};
   /** Behaviour of a task; tests may replace it. */
@@ -158,10 +137,8 @@
   #start(worker: Ports.WorkerRef, order: Ports.StartRun) {
     return this.#order(worker, "start", (life) => {
       this.#checkToken(life, order.fencingToken);
-      const key = order.task;
-      const held = life.held.get(key);
-      if (held?.note.run === order.run) return this.#clock.monotonicMs();
-      if (order.run <= (life.over.get(key) ?? 0)) {
+      if (life.held.has(keyOf(order))) return this.#clock.monotonicMs();
+      if (order.run <= (life.over.get(order.task) ?? 0)) {
         throw this.#refuse(worker, Errors.OrderRefusal.OldRun);
       }
       life.leaseUntilMs = Math.max(life.leaseUntilMs, order.leaseUntilMs);
@@ -191,8 +168,10 @@
       this.#checkToken(life, order.fencingToken);
       const over = life.over.get(order.task) ?? 0;
       life.over.set(order.task, Math.max(over, order.run));
-      const held = life.held.get(order.task);
-      if (held?.note.run === order.run) this.#end(life, held, "stopped");
+      const held = life.held.get(keyOf(order));
+      if (held !== undefined) {
+        this.#endLater(life, held, "stopped", this.stopTakesMs());
+      }
       return this.#clock.monotonicMs();
     });
   }
@@ -246,7 +225,9 @@
   /** Ends whatever runs of a task, as endpoints do for reasons of their own. */
   endNow(task: string, how: Ports.EndKind): void {
     for (const life of this.#lives.values()) {
-      const held = life.held.get(task);
+      const held = [...life.held.values()].find(({ note }) =>
+        note.task === task
+      );
       if (held !== undefined) this.#end(life, held, how);
     }
   }
@@ -317,7 +298,7 @@
   }
 
   /** Runs of a task, in order. */
-  runsOf(task: string): TaskRunNote[] {
+  runsOf(task: string): runNotes.TaskRunNote[] {
     return this.runs.filter((note) => note.task === task);
   }
 
@@ -395,7 +376,7 @@
       order.task,
       life.spec.id,
     );
-    const note: TaskRunNote = {
+    const note: runNotes.TaskRunNote = {
       task: order.task,
       run: order.run,
       worker: life.spec.id,
@@ -408,13 +389,18 @@
       wasUncalled: this.#isCarriedLate && !life.wasCalled,
     };
     this.runs.push(note);
-    life.held.set(order.task, { note, endsAtMs: nowMs + runMs, fails });
+    const endsAtMs = nowMs + runMs;
+    life.held.set(keyOf(order), { note, endsAtMs, fails, coming: null });
     if (crashesAfterMs !== undefined) {
       this.#crashAfter(life, note, crashesAfterMs);
     }
   }
 
-  #crashAfter(life: WorkerLife, note: TaskRunNote, afterMs: number): void {
+  #crashAfter(
+    life: WorkerLife,
+    note: runNotes.TaskRunNote,
+    afterMs: number,
+  ): void {
     const { id } = life.spec;
     if (afterMs === 0) return this.crash(id);
     const crash = Effect.sync(() => {
@@ -429,43 +415,52 @@
     const nowMs = this.#clock.monotonicMs();
     if (nowMs > life.leaseUntilMs) life.lapsedAtMs = life.leaseUntilMs;
     for (const held of [...life.held.values()]) {
-      const { endsAtMs, fails } = held;
-      if (endsAtMs <= Math.min(nowMs, life.leaseUntilMs)) {
-        this.#end(life, held, fails ? "failed" : "done", endsAtMs);
-      } else if (nowMs > life.leaseUntilMs) {
-        this.#end(life, held, "lapsed", life.leaseUntilMs);
-      }
+      const end = heldTasks.findEnd(held, nowMs, life.leaseUntilMs);
+      if (end !== null) this.#end(life, held, end.how, end.atMs);
     }
   }
 
   #end(
     life: WorkerLife,
-    held: HeldTask,
+    held: heldTasks.HeldTask,
     how: Ports.EndKind,
     atMs = this.#clock.monotonicMs(),
   ): void {
     const { note } = held;
-    life.held.delete(note.task);
-    life.over.set(note.task, note.run);
+    life.held.delete(keyOf(note));
+    const over = life.over.get(note.task) ?? 0;
+    life.over.set(note.task, Math.max(over, note.run));
     note.endedAtMs = atMs;
     note.how = how;
     life.ended.push({ number: life.nextEnd++, note });
     this.#endGang(note);
   }
 
-  /** The other members of a gang's run end with the first. */
-  #endGang({ task, run, how, endedAtMs }: TaskRunNote): void {
+  /** An end that takes its time; until then the run is there and holds its room. */
+  #endLater(
+    life: WorkerLife,
+    held: heldTasks.HeldTask,
+    how: "stopped" | "broken",
+    afterMs: number,
+    fromMs = this.#clock.monotonicMs(),
+  ): void {
+    if (afterMs === 0) return this.#end(life, held, how, fromMs);
+    heldTasks.order(held, { how, atMs: fromMs + afterMs });
+  }
+
+  /** The other members of a gang's run end with the first, or soon after it. */
+  #endGang({ task, run, how, endedAtMs }: runNotes.TaskRunNote): void {
     const others = this.#gangs.get(task) ?? [];
+    const fromMs = endedAtMs ?? this.#clock.monotonicMs();
     for (const other of others) {
       for (const life of this.#lives.values()) {
-        const held = life.held.get(other);
-        if (held === undefined || held.note.run !== run) continue;
-        this.#end(
-          life,
-          held,
-          how === "done" ? "done" : "broken",
-          endedAtMs ?? this.#clock.monotonicMs(),
-        );
+        const held = life.held.get(keyOf({ task: other, run }));
+        if (held === undefined) continue;
+        if (how === "done") this.#end(life, held, "done", fromMs);
+        else {
+          const afterMs = this.gangFollowsMs(other);
+          this.#endLater(life, held, "broken", afterMs, fromMs);
+        }
       }
     }
   }
@@ -488,7 +483,7 @@
         task: held.note.task,
         run: held.note.run,
         checkpoint: "",
-        percent: percentOf(held, this.#clock.monotonicMs()),
+        percent: heldTasks.percentOf(held, this.#clock.monotonicMs()),
         reading: null,
       })),
       ended: life.ended.map(({ number, note }) => ({
@@ -530,14 +525,13 @@
   }
 }
 
-function percentOf(held: HeldTask, nowMs: number): number {
-  const { startedAtMs } = held.note;
-  const share = (nowMs - startedAtMs) / (held.endsAtMs - startedAtMs);
-  return Math.floor(Math.min(1, share) * 100);
+/** Name of a run. */
+function keyOf({ task, run }: Ports.RunRef): string {
+  return `${task}@${run}`;
 }
 
 /** A life tells no crash: it is over by then. */
-function toldEnd({ how }: TaskRunNote): Ports.EndKind {
+function toldEnd({ how }: runNotes.TaskRunNote): Ports.EndKind {
   return how === null || how === "crashed" ? "lapsed" : how;
 }
 
