Reproduce a task that runs twice at once: a test that fails on the code as it is

What callers saw: a task of a gang ran twice at once, the first run ending as broken or as stopped. The test brings both about: a member ends, another one is listed as broken, and the endpoint of the third has no answer for one look of 0.7 s while that run still ends.

--- /dev/null
+++ b/packages/workflow-node/src/two_runs_at_once_test.ts
@@ -0,0 +1,96 @@
+/**
+ * A task of a gang ran twice at once. Users saw a member begin again on another
+ * endpoint while its former run was on an endpoint that was up; that run ended as
+ * broken in one case and as stopped in the other, and both ends were noted later.
+ *
+ * Order of events: one member of the gang ends, so another one is listed as broken;
+ * a third one follows later, or is in the middle of a stop; the connection to its
+ * endpoint is reset, and one look there has no answer.
+ */
+import * as StandIns from "@cairngate/stand-ins";
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+const SIZE = 3;
+const RUN_MS = 30_000;
+/** Time for which the endpoint of the third member answers nothing, in ms. */
+const UNHEARD_MS = 700;
+/** Time within which the gang runs again, in ms. */
+const LIMIT_MS = 20_000;
+
+interface Gang {
+  readonly fleet: TestUtils.TestFleet;
+  /** First runs of its members. */
+  readonly runs: readonly StandIns.TaskRunNote[];
+}
+
+/** A gang that has run for a second, with room for another one beside it. */
+async function startGang(): Promise<Gang> {
+  const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1, 1, 1, 1] });
+  fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+  await fleet.start();
+  const steps = [
+    TestUtils.buildStep({ count: SIZE, gang: true, estimateMs: RUN_MS }),
+  ];
+  await fleet.submit("node-1", ID, { steps });
+  await fleet.until(() => fleet.workers.runs.length === SIZE);
+  await fleet.clock.advance(1000);
+  return { fleet, runs: [...fleet.workers.runs] };
+}
+
+/** Each order to an endpoint fails for some time; the endpoint runs on. */
+async function cutOff(
+  { fleet }: Gang,
+  endpoint: string,
+  forMs: number,
+): Promise<void> {
+  fleet.workers.carry = (id) =>
+    id === endpoint ? StandIns.OrderFate.Lost : StandIns.OrderFate.Carried;
+  await fleet.clock.advance(forMs);
+  fleet.workers.carry = () => StandIns.OrderFate.Carried;
+}
+
+/** What was run twice at once, once the gang runs again. */
+async function findTwice({ fleet }: Gang): Promise<string[]> {
+  const runsAgain = () => fleet.workers.runs.length >= 2 * SIZE;
+  vitest.expect(await fleet.until(runsAgain, LIMIT_MS)).toBe(true);
+  await fleet.clock.advance(1000);
+  const found = TestUtils.findBrokenRuns(fleet);
+  await fleet.stop();
+  return found;
+}
+
+/** The third member breaks after the second one. Returns what ran twice. */
+async function breakLate(): Promise<string[]> {
+  const gang = await startGang();
+  const { fleet, runs: [first, , third] } = gang;
+  fleet.workers.gangFollowsMs = (task) => task === third.task ? UNHEARD_MS : 0;
+  fleet.workers.endNow(first.task, "failed");
+  await cutOff(gang, third.worker, UNHEARD_MS);
+  const found = await findTwice(gang);
+  vitest.expect(third.how).toBe("broken");
+  return found;
+}
+
+/** The second member breaks while the third one is being stopped. */
+async function breakInStop(): Promise<string[]> {
+  const gang = await startGang();
+  const { fleet, runs: [first, second, third] } = gang;
+  fleet.workers.stopTakesMs = () => TestUtils.FLEET_BOUNDS.stopMs;
+  fleet.workers.gangFollowsMs = (task) => task === second.task ? 200 : RUN_MS;
+  fleet.workers.endNow(first.task, "failed");
+  await fleet.clock.advance(150);
+  await cutOff(gang, third.worker, UNHEARD_MS);
+  const found = await findTwice(gang);
+  vitest.expect(third.how).toBe("stopped");
+  return found;
+}
+
+vitest.describe("a member of a broken gang on an endpoint not heard", () => {
+  vitest.it("does not run twice at once", async () => {
+    const inBreak = await breakLate();
+    const inStop = await breakInStop();
+    vitest.expect({ inBreak, inStop }).toEqual({ inBreak: [], inStop: [] });
+  });
+});
