Reproduce a run that ends by an entry which names another's address

What callers saw: a run on an endpoint that had answered at its own address was started a second time beside itself, and a crash was laid to its task, once an entry named another endpoint's address for it and that endpoint answered there.

Measured: run_ends, "ends nothing on an endpoint that was heard", fails: runs 1 and 2 at once, the second one 50 ms after the entry.

--- /dev/null
+++ b/packages/workflow-node/src/run_ends_test.ts
@@ -0,0 +1,52 @@
+/**
+ * A run counts as over only where something proves it (docs/design/run-ends.md). Each
+ * test takes one way in which that is learned and lets the proof look better than it
+ * is, while the run goes on: no second run may stand beside it.
+ *
+ * Entries: an endpoint that had answered at its own address was taken for ended where
+ * an entry named another endpoint's address for it and that one answered there. The
+ * run was started a second time 50 ms later, beside itself, and a crash was laid to
+ * the task. Cause: whoever answered at an address ended all endpoints that entries
+ * named there, not only those that were called there.
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+const RUN_MS = 20_000;
+const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+/** Two heartbeats of an endpoint, in ms. */
+const BEATS_MS = 3000;
+/** Longer than any lease, in ms. */
+const LONG_MS = 10_000;
+
+/** An entry of another writer names a wrong address for an endpoint. */
+function moveEntry(
+  fleet: TestUtils.TestFleet,
+  id: string,
+  address: string,
+): void {
+  const own = fleet.entryOf(id);
+  if (own === null) throw new RangeError(`${id} is not listed`);
+  fleet.writeEntry({ ...own, address });
+}
+
+vitest.describe("an entry with a wrong address", () => {
+  vitest.it("ends nothing on an endpoint that was heard", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
+    fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    await fleet.clock.advance(500);
+    const { worker } = fleet.workers.runs[0];
+    const place = fleet.placeOf(worker);
+    moveEntry(fleet, worker, `10.0.0.${(place + 1) % 3}:80`);
+    await fleet.clock.advance(BEATS_MS);
+    fleet.list({ id: worker, accelerators: 1 }, place);
+    await fleet.clock.advance(LONG_MS);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
+});
