Let an answer end only endpoints that are called at its address

What callers saw: a run was started a second time beside itself, and a crash was laid to its task, where an entry named another endpoint's address for an endpoint that had answered at its own.

Cause: whoever answers at an address ends the others known there, and the book of addresses also holds what entries name. An endpoint that was heard keeps its own address whatever its entry says, so that answer says nothing of it.

Ruled out: keeping such entries out of the book of addresses, which also tells whom to ask when an entry names their address.

Measured: run_ends fails before (runs 1 and 2 at once) and passes after; 54 tests of entries, addresses and lives pass.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -331,11 +331,15 @@
     for (const run of former.unheard) session.adoptUnheard(run);
   }
 
-  /** One life has answered at its address, so no other one is there. */
+  /**
+   * One life has answered at its address, so no other one is there. That ends those
+   * that are called there: an entry may name the address for one that stands elsewhere.
+   */
   #noteHeard({ id, address }: Ports.WorkerRef): void {
     for (const other of this.#addresses.othersAt(address, id)) {
       const session = this.#sessions.get(other);
       if (session === undefined || session.isOver) continue;
+      if (session.ref.address !== address) continue;
       Effect.runFork(session.noteReplaced());
     }
   }
