Reproduce a start that leaves for an address its session has left

What callers saw: a task started on two endpoints at once where an entry named another address for an endpoint that had not answered yet, while the record of a start there was on its way.

--- a/packages/workflow-node/src/run_ends_test.ts
+++ b/packages/workflow-node/src/run_ends_test.ts
@@ -8,6 +8,12 @@
  * run was started a second time 50 ms later, beside itself, and a crash was laid to
  * the task. Cause: whoever answered at an address ended all endpoints that entries
  * named there, not only those that were called there.
+ *
+ * Starts under way: a start waits for its record, and meanwhile an entry names another
+ * address for its endpoint, which has not answered yet. The session at the new address
+ * took the start for one that had left, and late in a term no lease covers it: the
+ * task started elsewhere at once. The former session was let go without a word, and
+ * its start left for the right address 300 ms later.
  */
 import * as TestUtils from "@cairngate/test-utils";
 import * as vitest from "vitest";
@@ -19,6 +25,10 @@
 const BEATS_MS = 3000;
 /** Longer than any lease, in ms. */
 const LONG_MS = 10_000;
+/** Time of a call to a slow store, in ms: the record of a start takes one. */
+const SLOW_MS = 300;
+/** Nobody stands there. */
+const NOWHERE = "10.0.9.9:80";
 
 /** An entry of another writer names a wrong address for an endpoint. */
 function moveEntry(
@@ -49,4 +59,26 @@
     vitest.expect(fleet.workers.runs.length).toBe(1);
     await fleet.stop();
   });
+
+  vitest.it("ends no start that is under way", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
+    fleet.workers.vacate(NOWHERE);
+    fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.clock.advance(LONG_MS);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ delayMs: SLOW_MS });
+    }
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    // The start is planned, and its record is on its way.
+    await fleet.clock.advance(SLOW_MS / 2);
+    vitest.expect(fleet.workers.runs).toEqual([]);
+    moveEntry(fleet, "worker-0", NOWHERE);
+    await fleet.clock.advance(BEATS_MS);
+    fleet.list({ id: "worker-0", accelerators: 1 }, 0);
+    await fleet.clock.advance(LONG_MS);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(fleet.workers.runs.length).toBe(1);
+    await fleet.stop();
+  });
 });
