Plan a start anew where its session is left before it was sent

What callers saw: a task started on two endpoints at once after an entry had named another address for an endpoint that had not answered yet.

Cause: the session at the new address took all that the former one had for sent, also what waited for its record. Late in a term no lease covers it, so the first look without an answer ended it and the task started elsewhere. The former session was not told, and its start left when the record was there.

The mend: the former session is closed, so nothing leaves it any more, and only what was sent is asked for at the new address; the rest is planned anew.

Ruled out: a lease counted from the opening of the session at the new address: the start that follows would still leave, later than any lease counted then.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -276,7 +276,6 @@
         this.#drop(session);
         this.#relist(id);
         this.#reopen(session);
-        session.retire();
       }),
       // Nobody with this birth answers there: the entry stays in doubt.
       Effect.ignore,
@@ -323,12 +322,19 @@
     return session;
   }
 
-  /** What an earlier coordinator left at an endpoint is asked for where it stands. */
+  /**
+   * What may be at an endpoint is asked for where it stands. What was not sent yet is
+   * planned anew: the former session sends nothing any more.
+   */
   #reopen(former: sessions.WorkerSession): void {
     const session = this.open(former.ref.id);
-    if (session === null || former.isOver) return;
-    for (const { task } of former.occupants) session.adopt(task);
-    for (const run of former.unheard) session.adoptUnheard(run);
+    if (session !== null && !former.isOver) {
+      for (const { task, sent } of former.occupants) {
+        if (sent) session.adopt(task);
+      }
+      for (const run of former.unheard) session.adoptUnheard(run);
+    }
+    former.retire();
   }
 
   /**
