Take no member that an earlier coordinator sent for the first end

What callers saw: after a takeover, a member of a gang that was still stopping ran twice at once.

Cause: the ends of all others show that a member ended first only where it was not being stopped. An earlier coordinator may have told it to stop, and no record says so. Such a member needs its endpoint's word, its lease or its endpoint's end now.

Ruled out: to let the time of a stop pass first: the limit of a stop is read from the settings and used nowhere so far, and a stop may arrive late.

Measured: gang_takeover fails before and passes after; broken_gang and two_runs_at_once pass.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -818,10 +818,12 @@
  * Whether the ends of all others of its gang show that a run has ended. That one of
  * them broke is not enough: members end one after another, and a run that counts as
  * over too early is started a second time beside itself. One that was never confirmed
- * may still arrive, late, and wait for the others.
+ * may still arrive, late, and wait for the others. One that an earlier coordinator sent
+ * may have been told to stop by it: no record tells that.
  */
 function hasEndedBeforeGang(occupant: occupants.Occupant): boolean {
-  const { task, run, stoppingSinceMs } = occupant;
-  return occupants.isConfirmed(occupant) && task.run === run &&
+  const { task, run, sentAtMs, stoppingSinceMs } = occupant;
+  return occupants.isConfirmed(occupant) && sentAtMs !== null &&
+    task.run === run &&
     task.workflow.hasEndedBeforeGang(task, stoppingSinceMs);
 }
