Reproduce a lease that a former coordinator renews after the election

What callers saw: a task ran twice at once after a takeover beside a slow store.

Cause: leases of former coordinators are counted from the election. One that has lost the store renews on until the next one calls the endpoints, two seconds later where the store takes 400 ms a call.

--- /dev/null
+++ b/packages/workflow-node/src/former_leases_test.ts
@@ -0,0 +1,65 @@
+/**
+ * A task ran twice at once after a takeover beside a slow store. Order of events: the
+ * coordinator loses the store and goes on renewing leases; another box is elected, and
+ * reading the records takes it two seconds; the endpoint of a run is cut off just
+ * before that box calls it. Cause: the lease of that run was counted from the
+ * election, while the former coordinator had renewed it until it was cut off. The
+ * next run began 0.3 s before the first one lapsed.
+ */
+import * as StandIns from "@cairngate/stand-ins";
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+const RUN_MS = 40_000;
+const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+/** Time of a call to the slow store, in ms: a takeover takes five of them. */
+const SLOW_MS = 400;
+/** A lease and a new plan, in ms. */
+const LIMIT_MS = 15_000;
+
+/** The coordinator is cut off from the store and the other boxes, not from endpoints. */
+function cutOffCoordinator(fleet: TestUtils.TestFleet): void {
+  const former = fleet.coordinator() ?? "";
+  for (const name of fleet.nodes.keys()) {
+    fleet.faultsOf(name).set({ delayMs: SLOW_MS });
+  }
+  fleet.faultsOf(former).set({ down: true });
+  fleet.links.passes = (from, to) => from !== former && to !== former;
+}
+
+/** An endpoint is cut off from the moment at which the next coordinator calls one. */
+function cutOffWhenCalled(fleet: TestUtils.TestFleet, endpoint: string): void {
+  const { workers } = fleet;
+  const token = fleet.token();
+  let isCut = false;
+  const renew = workers.renew.bind(workers);
+  workers.renew = (ref, order) => {
+    isCut ||= order.fencingToken > token;
+    return renew(ref, order);
+  };
+  workers.carry = (id) =>
+    isCut && id === endpoint
+      ? StandIns.OrderFate.Lost
+      : StandIns.OrderFate.Carried;
+}
+
+vitest.describe("a lease that a former coordinator renews", () => {
+  vitest.it("counts until the next one calls the endpoints", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
+    const { workers } = fleet;
+    workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    await fleet.until(() => workers.runs.length === 1);
+    await fleet.clock.advance(1000);
+    const [first] = workers.runs;
+    cutOffWhenCalled(fleet, first.worker);
+    cutOffCoordinator(fleet);
+    const runsAgain = () => workers.runs.length === 2;
+    vitest.expect(await fleet.until(runsAgain, LIMIT_MS)).toBe(true);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(first.how).toBe("lapsed");
+    await fleet.stop();
+  });
+});
