Count former leases from the first calls of a term, not from its election

What callers saw: a task ran twice at once after a takeover beside a slow store.

Cause: a coordinator that has lost the store renews leases until an endpoint tells it of the next term. No endpoint knows of that before the next coordinator calls, so a lease may be as young as these calls; it was counted from the election.

Ruled out: some time more on top, for a coordinator that reaches an endpoint which the next one does not reach: no such time is long enough.

Measured: former_leases fails before (0.3 s at once) and passes after; 66 tests of takeovers, outages, lists and records pass. A run on an endpoint that is cut off during a takeover starts again later by the time that the takeover takes.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -67,7 +67,8 @@
   readonly #unlistedAtMs = new Map<string, number>();
   /** Which endpoints have fallen silent or crashed. */
   readonly silences: silences.SilenceLog;
-  readonly #foreignLapseMs: number;
+  /** Our time by which leases of earlier coordinators have run out. */
+  #foreignLapseMs: number;
   #begun = false;
 
   constructor(options: DirectoryOptions) {
@@ -88,9 +89,18 @@
 
   /**
    * Lets the sessions talk to their workers. Before that, all recorded runs have
-   * to be adopted: a session stops runs that it does not know.
+   * to be adopted: a session stops runs that it does not know. Until now, the former
+   * coordinator may have renewed leases: no endpoint knew of this term.
    */
   begin(): void {
+    const { clock, bounds } = this.#options.ports;
+    this.#foreignLapseMs = leaseClocks.foreignLapseMs(
+      clock.monotonicMs(),
+      bounds.longestLeaseMs,
+    );
+    for (const session of this.#sessions.values()) {
+      session.coverLeases(this.#foreignLapseMs);
+    }
     // Runs that no record names so far have to keep their leases as well.
     if (!this.#options.recovery.isComplete) {
       for (const id of this.#listings.keys()) this.open(id);
--- a/packages/coordinator/src/sessions/lease_clock.ts
+++ b/packages/coordinator/src/sessions/lease_clock.ts
@@ -39,6 +39,11 @@
     return Math.round(this.#nowOnWorker(nowMs) + leaseMs);
   }
 
+  /** Others may have given a lease that has run out by this time of ours. */
+  cover(lapsesAtMs: number): void {
+    this.#lapsesAtMs = Math.max(this.#lapsesAtMs, lapsesAtMs);
+  }
+
   /** Whether every lease has surely run out. */
   hasLapsed(nowMs: number): boolean {
     return nowMs >= this.#lapsesAtMs;
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -292,6 +292,11 @@
     );
   }
 
+  /** Leases that earlier coordinators gave have run out by this time of ours. */
+  coverLeases(lapsesAtMs: number): void {
+    this.#clock.cover(lapsesAtMs);
+  }
+
   /** It is listed no more. */
   noteUnlisted(): void {
     this.#lifeEnd.noteUnlisted(this.#reachable);
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -339,7 +339,7 @@
 
   #begin(): void {
     const { clock, log, metrics } = this.#ports;
-    this.#directory.begin();
+    this.#control.begin();
     const tookMs = clock.monotonicMs() - this.#electedAtMs;
     metrics.observeMs("cairngate_takeover_seconds", tookMs);
     log.info(
--- a/packages/coordinator/src/work/missing_runs.ts
+++ b/packages/coordinator/src/work/missing_runs.ts
@@ -13,7 +13,7 @@
 
 interface Waiting extends MissingRun {
   /** Our time by which its lease has run out. */
-  readonly untilMs: number;
+  untilMs: number;
 }
 
 /** Missing runs, until their leases have run out. */
@@ -25,6 +25,13 @@
     this.#waiting.add(run);
   }
 
+  /** The former coordinator may have renewed the leases of all until now. */
+  coverLeases(untilMs: number): void {
+    for (const run of this.#waiting) {
+      run.untilMs = Math.max(run.untilMs, untilMs);
+    }
+  }
+
   /** Runs whose endpoints are listed after all; they are not missing any more. */
   takeListed(isListed: (worker: string) => boolean): readonly Waiting[] {
     return this.#take(({ worker }) => isListed(worker));
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -101,6 +101,15 @@
     else session.adoptUnheard(end);
   }
 
+  /** Endpoints are called from now on. */
+  begin(): void {
+    const { ports: { clock, bounds }, directory } = this.#parts;
+    directory.begin();
+    this.#missing.coverLeases(
+      leaseClocks.foreignLapseMs(clock.monotonicMs(), bounds.longestLeaseMs),
+    );
+  }
+
   /** Runs of endpoints that were not listed and whose leases have run out. */
   takeMissing(): readonly missings.MissingRun[] {
     const { ports: { clock }, directory } = this.#parts;
