Reproduce a leased run that ends by an entry after a takeover

What callers saw: a task ran twice at once after a takeover, where an entry named another endpoint's address for that of its run and its own entry did not come.

--- a/packages/workflow-node/src/run_ends_test.ts
+++ b/packages/workflow-node/src/run_ends_test.ts
@@ -14,6 +14,10 @@
  * took the start for one that had left, and late in a term no lease covers it: the
  * task started elsewhere at once. The former session was let go without a word, and
  * its start left for the right address 300 ms later.
+ *
+ * Takeovers: an entry names another endpoint's address for one that has not answered
+ * the next coordinator, and its own entry does not come, as it is cut off from the
+ * store. After 3.5 s it counted as crashed, a second before its lease was out.
  */
 import * as TestUtils from "@cairngate/test-utils";
 import * as vitest from "vitest";
@@ -81,4 +85,22 @@
     vitest.expect(fleet.workers.runs.length).toBe(1);
     await fleet.stop();
   });
+
+  vitest.it("ends nothing that is leased, after a takeover", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
+    fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    await fleet.clock.advance(500);
+    const [first] = fleet.workers.runs;
+    const place = fleet.placeOf(first.worker);
+    moveEntry(fleet, first.worker, `10.0.0.${(place + 1) % 3}:80`);
+    await fleet.kill(fleet.coordinator() ?? "");
+    const runsAgain = () => fleet.workers.runs.length === 2;
+    vitest.expect(await fleet.until(runsAgain)).toBe(true);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(first.how).toBe("lapsed");
+    await fleet.stop();
+  });
 });
