Give up nothing that may be leased where another endpoint answers

What callers saw: a task ran twice at once after a takeover, where an entry named another endpoint's address for that of its run.

Cause: 3.5 s after a session was opened, another endpoint at the address that the entry names stood for the end of one that had never answered there. That entry is all that ties it to the address, and its own may not come: it may be cut off.

The mend: its lease has to be out as well; earlier coordinators gave it.

Measured: run_ends fails before (0.95 s at once) and passes after. The price: after a takeover, what ran on an endpoint that crashed meanwhile starts again when its lease is out (6.4 s of the first calls in these tests), not after 3.5 s.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -323,12 +323,13 @@
    * Another endpoint answers at the address. An endpoint that never answered there
    * may stand elsewhere, where its entry was written by somebody else: what an
    * earlier coordinator started on it is not given up before it had the time to
-   * write its own entry again.
+   * write its own entry again, nor while it may be leased.
    */
   noteReplaced(): Effect.Effect<void> {
-    const heldMs = this.#options.ports.clock.monotonicMs() - this.#openedAtMs;
-    const mayBeElsewhere = !this.#wasHeard && !this.#held.isEmpty &&
-      heldMs < OWN_ENTRY_MS;
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    const mayHold = nowMs - this.#openedAtMs < OWN_ENTRY_MS ||
+      !this.#clock.hasLapsed(nowMs);
+    const mayBeElsewhere = !this.#wasHeard && !this.#held.isEmpty && mayHold;
     return mayBeElsewhere ? Effect.void : this.endAll();
   }
 
