Let a moved endpoint's session know the starts that had no answer

What callers saw: a task ran twice at once, and one that was done began again, where an endpoint began again under its id at another address.

Cause: starts without an answer were forgotten with the session at the former address, and what it held counted as sent by an earlier coordinator. So the new life was told to stop none of them, and carried one out seconds later.

The mend: the session at the new address takes over both, with the times at which runs were sent and told to stop, and is used once it has answered.

Ruled out: to keep one session across addresses: leases, clock and health are those of one place and life.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -332,18 +332,10 @@
     return session;
   }
 
-  /**
-   * What may be at an endpoint is asked for where it stands. What was not sent yet is
-   * planned anew: the former session sends nothing any more.
-   */
+  /** What may be at an endpoint is asked for where it stands. */
   #reopen(former: sessions.WorkerSession): void {
     const session = this.open(former.ref.id);
-    if (session !== null && !former.isOver) {
-      for (const { task, sent } of former.occupants) {
-        if (sent) session.adopt(task);
-      }
-      for (const run of former.unheard) session.adoptUnheard(run);
-    }
+    if (session !== null && !former.isOver) session.takeOver(former);
     former.retire();
   }
 
--- a/packages/coordinator/src/sessions/former_runs.ts
+++ b/packages/coordinator/src/sessions/former_runs.ts
@@ -37,6 +37,8 @@
   readonly view: Ports.WorkerView;
   /** Whether this life has begun since the known one answered last. */
   readonly isLater: boolean;
+  /** Whether none was known: starts may have been sent to one at another address. */
+  readonly isFirst: boolean;
   /** What is known of the end of the life before. */
   readonly lifeEnd: lifeEnds.LifeEnd;
   /** Whether that end was taken in already. */
@@ -72,11 +74,9 @@
   endUnshown(answer: LifeAnswer): void {
     const { held, unheard } = this.#findUnshown(answer.view);
     const hasNone = held.length + unheard.length === 0;
-    if (hasNone && !answer.isLater) return;
-    if (!hasNone || !answer.hasEnded) {
-      this.#end(held, unheard, answer.lifeEnd);
-    }
-    if (answer.isLater) this.#sealLoose(held);
+    const { isLater, isFirst, hasEnded, lifeEnd } = answer;
+    if (!hasNone || (isLater && !hasEnded)) this.#end(held, unheard, lifeEnd);
+    if (isLater || isFirst) this.#sealLoose(held);
   }
 
   #findUnshown({ bornMs, held, ended }: Ports.WorkerView) {
--- a/packages/coordinator/src/sessions/held_runs.ts
+++ b/packages/coordinator/src/sessions/held_runs.ts
@@ -49,6 +49,13 @@
     this.#byTask.set(task.name, occupants.adoptOccupant(task));
   }
 
+  /** Takes in a run that was held where its endpoint stood before. */
+  takeOver(former: occupants.Occupant): occupants.Occupant {
+    const occupant = occupants.takeOverOccupant(former);
+    this.#byTask.set(occupant.task.name, occupant);
+    return occupant;
+  }
+
   /** Keeps room for a run whose start is not sent yet. */
   reserve(task: Workflow.Task, ticket: string | null): occupants.Occupant {
     const occupant = occupants.createOccupant(task, ticket);
--- a/packages/coordinator/src/sessions/occupant.ts
+++ b/packages/coordinator/src/sessions/occupant.ts
@@ -61,6 +61,11 @@
   return occupant;
 }
 
+/** A run that was held where its endpoint stood before. */
+export function takeOverOccupant(former: Occupant): Occupant {
+  return { ...former, knownSinceMs: EARLIER_TERM, pace: null };
+}
+
 /**
  * Whether it was sent to another life than this one. An earlier coordinator may not
  * have told which one it was sent to; what this one sent, it knows.
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -352,6 +352,25 @@
     this.#wake();
   }
 
+  /**
+   * Takes in what may be at the endpoint since it stood at another address. What was
+   * not sent yet is planned anew: the former session sends nothing any more.
+   */
+  takeOver(former: WorkerSession): void {
+    for (const one of former.#held.sent) {
+      const occupant = this.#held.takeOver(one);
+      this.#views.noteAdopted(one.task);
+      if (one.stoppingSinceMs !== null) Effect.runFork(this.stop(occupant));
+    }
+    for (const run of former.#loose.all) {
+      this.#loose.add(run);
+      this.#mustBeHeard = true;
+    }
+    for (const run of former.unheard) this.#unheard.add(run);
+    this.#isGone = false;
+    this.#wake();
+  }
+
   /** Keeps room for a run whose start is not sent yet. */
   reserve(task: Workflow.Task, ticket: string | null): occupants.Occupant {
     return this.#held.reserve(task, ticket);
@@ -655,6 +674,7 @@
   /** Notes which life answers; false where that is not clear. */
   #takeLife(view: Ports.WorkerView, leftAt: presentLives.Moment): boolean {
     const formerMs = this.#life.bornMs;
+    const isFirst = !this.#life.wasHeard;
     const speaker = this.#life.hear(view.bornMs, leftAt);
     if (speaker === presentLives.Speaker.Unclear) return false;
     const isLater = speaker === presentLives.Speaker.Later;
@@ -662,6 +682,7 @@
     this.#former.endUnshown({
       view,
       isLater,
+      isFirst,
       lifeEnd: this.#lifeEnd,
       hasEnded: this.#hasLifeEnded,
     });
