--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -67,7 +67,8 @@
   readonly #unlistedAtMs = new Map<string, number>();
   /** Which endpoints have fallen silent or crashed. */
   readonly silences: silences.SilenceLog;
-  readonly #foreignLapseMs: number;
+  /** Our time by which leases of earlier coordinators have run out. */
+  #foreignLapseMs: number;
   #begun = false;
 
   constructor(options: DirectoryOptions) {
@@ -88,9 +89,18 @@
 
   /**
    * Lets the sessions talk to their workers. Before that, all recorded runs have
-   * to be adopted: a session stops runs that it does not know.
+   * to be adopted: a session stops runs that it does not know. Until now, the former
+   * coordinator may have renewed leases: no endpoint knew of this term.
    */
   begin(): void {
+    const { clock, bounds } = this.#options.ports;
+    this.#foreignLapseMs = leaseClocks.foreignLapseMs(
+      clock.monotonicMs(),
+      bounds.longestLeaseMs,
+    );
+    for (const session of this.#sessions.values()) {
+      session.coverLeases(this.#foreignLapseMs);
+    }
     // Runs that no record names so far have to keep their leases as well.
     if (!this.#options.recovery.isComplete) {
       for (const id of this.#listings.keys()) this.open(id);
@@ -322,18 +332,10 @@
     return session;
   }
 
-  /**
-   * What may be at an endpoint is asked for where it stands. What was not sent yet is
-   * planned anew: the former session sends nothing any more.
-   */
+  /** What may be at an endpoint is asked for where it stands. */
   #reopen(former: sessions.WorkerSession): void {
     const session = this.open(former.ref.id);
-    if (session !== null && !former.isOver) {
-      for (const { task, sent } of former.occupants) {
-        if (sent) session.adopt(task);
-      }
-      for (const run of former.unheard) session.adoptUnheard(run);
-    }
+    if (session !== null && !former.isOver) session.takeOver(former);
     former.retire();
   }
 
