Give the options of a session a module of their own

The parts of the session that are cut out of it next take them too; importing them from the session would make a circle. No behaviour changes.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -10,12 +10,13 @@
 import * as restart from "../restart.ts";
 import * as listingTimes from "./listing_times.ts";
 import * as silences from "./silence_log.ts";
+import type * as sessionOptions from "../sessions/session_options.ts";
 import * as sessions from "../sessions/worker_session.ts";
 import * as speeds from "./worker_speeds.ts";
 
 /** What the directory needs; `ref` differs for each session. */
 export type DirectoryOptions = Omit<
-  sessions.SessionOptions,
+  sessionOptions.SessionOptions,
   | "ref"
   | "listedBornMs"
   | "lapsesAtMs"
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -9,56 +9,25 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import type * as loads from "./box_load.ts";
-import type * as terms from "../election/term.ts";
 import * as leaseClocks from "./lease_clock.ts";
 import * as formers from "./former_runs.ts";
 import * as lifeEnds from "./life_end.ts";
-import type * as ports from "../ports.ts";
 import * as endLedgers from "./end_ledger.ts";
 import * as occupants from "./occupant.ts";
-import type * as recoveries from "../work/recovery.ts";
 import * as looses from "./loose_starts.ts";
 import * as outliveds from "./outlived_runs.ts";
 import * as presentLives from "./present_life.ts";
 import * as starters from "./run_starter.ts";
 import * as listeners from "./session_listener.ts";
+import type * as sessionOptions from "./session_options.ts";
 import * as strays from "./stray_runs.ts";
 import * as helds from "./held_runs.ts";
 import * as views from "./view_reader.ts";
-import type * as silences from "../endpoints/silence_log.ts";
 import * as unheards from "./unheard_runs.ts";
 import * as healths from "../endpoints/worker_health.ts";
 
 const { LostCause, lost } = listeners;
 
-/** What a session needs. */
-export interface SessionOptions {
-  readonly ports: ports.CoordinatorPorts;
-  readonly term: terms.Term;
-  readonly listener: listeners.SessionListener;
-  readonly recovery: recoveries.Recovery;
-  readonly ref: Ports.WorkerRef;
-  /** Birth that its entry tells; null: none. */
-  readonly listedBornMs: number | null;
-  /** Our time by which leases of earlier coordinators have run out. */
-  readonly lapsesAtMs: number;
-  /** Delay of this box; one for all sessions. */
-  readonly load: loads.BoxLoad;
-  /** Longest time between two looks at runs that come on, in ms. */
-  readonly progressWaitMs: () => number;
-  /** Whether its listing still lets it run these tasks together. */
-  readonly mayHold: (tasks: readonly Workflow.Task[]) => boolean;
-  /** Where it stands; nothing starts there while the operator evacuates it. */
-  readonly dataCentre: string;
-  /** Which endpoints have fallen silent or crashed; one for all sessions. */
-  readonly silences: silences.SilenceLog;
-  /** Another endpoint is known at its address: only an answer tells whose it is. */
-  readonly isContested: boolean;
-  /** Told of each answer of this life: no other one is at its address. */
-  readonly onHeard: (ref: Ports.WorkerRef) => void;
-}
-
 /** An order without an answer counts as lost after this time, in ms. */
 const ORDER_LIMIT_MS = 450;
 /** A look may take this much longer than it was asked to wait, in ms. */
@@ -103,7 +72,7 @@
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
   readonly dataCentre: string;
-  readonly #options: SessionOptions;
+  readonly #options: sessionOptions.SessionOptions;
   readonly #life = new presentLives.PresentLife();
   readonly #former: formers.FormerRuns;
   readonly #loose: looses.LooseStarts;
@@ -132,7 +101,7 @@
   /** Done when the look that starts wait for has ended; null while there is none. */
   #commonLook: Deferred.Deferred<void> | null = null;
 
-  constructor(options: SessionOptions) {
+  constructor(options: sessionOptions.SessionOptions) {
     this.#options = options;
     this.ref = options.ref;
     this.#mustBeHeard = options.isContested;
