Keep what is known of an endpoint's present life in books of its own

The session kept the clock, the ledger of ends, the health and the signs of an end as fields that a new life replaced one by one. LifeBooks owns them and begins them anew together. No behaviour changes.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -9,10 +9,9 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import * as leaseClocks from "./lease_clock.ts";
 import * as formers from "./former_runs.ts";
+import * as lifeBooks from "./life_books.ts";
 import * as lifeEnds from "./life_end.ts";
-import * as endLedgers from "./end_ledger.ts";
 import * as occupants from "./occupant.ts";
 import * as looses from "./loose_starts.ts";
 import * as outliveds from "./outlived_runs.ts";
@@ -24,7 +23,7 @@
 import * as helds from "./held_runs.ts";
 import * as views from "./view_reader.ts";
 import * as unheards from "./unheard_runs.ts";
-import * as healths from "../endpoints/worker_health.ts";
+import type * as healths from "../endpoints/worker_health.ts";
 
 const { LostCause, lost } = listeners;
 
@@ -73,22 +72,16 @@
   readonly ref: Ports.WorkerRef;
   readonly dataCentre: string;
   readonly #options: sessionOptions.SessionOptions;
-  readonly #life = new presentLives.PresentLife();
+  readonly #life: lifeBooks.LifeBooks;
   readonly #former: formers.FormerRuns;
   readonly #loose: looses.LooseStarts;
-  #health = new healths.WorkerHealth();
-  #clock: leaseClocks.LeaseClock;
   readonly #starter: starters.RunStarter;
   readonly #held: helds.HeldRuns;
   readonly #views: views.ViewReader;
-  #ends = new endLedgers.EndLedger();
   readonly #unheard = new unheards.UnheardRuns();
   readonly #outlived: outliveds.OutlivedRuns;
-  #lifeEnd: lifeEnds.LifeEnd;
   #reachable = true;
   #over = false;
-  /** Whether the life that answered last has ended, and none has answered since. */
-  #hasLifeEnded = false;
   /** Whether an answer has to show first that this life is at the address. */
   #mustBeHeard: boolean;
   /** Neither heard nor listed for long: nobody asks it until it is listed again. */
@@ -106,18 +99,16 @@
     this.ref = options.ref;
     this.#mustBeHeard = options.isContested;
     this.dataCentre = options.dataCentre;
-    this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
-    const { clock, bounds, log, metrics } = options.ports;
+    this.#life = new lifeBooks.LifeBooks(options);
+    const { clock, log, metrics } = options.ports;
     this.#openedAtMs = clock.monotonicMs();
-    this.#lifeEnd = this.#watchLife();
     this.#loose = new looses.LooseStarts(clock);
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
       ref: options.ref,
       load: options.load,
-      leaseEnd: () =>
-        this.#clock.leaseEnd(clock.monotonicMs(), bounds.longestLeaseMs),
+      leaseEnd: () => this.#life.leaseEnd(clock.monotonicMs()),
       onLoose: (run) => this.#loose.add(run),
       isWanted: (occupant) =>
         this.#held.holds(occupant) && occupant.stoppingSinceMs === null &&
@@ -146,7 +137,7 @@
       clock,
       log,
       held: this.#held,
-      ends: () => this.#ends,
+      ends: () => this.#life.ends,
       bornMs: () => this.#life.bornMs,
       former: this.#former,
       unheard: this.#unheard,
@@ -160,7 +151,7 @@
 
   /** What is known of how it treats what it is given. */
   get health(): healths.WorkerHealth {
-    return this.#health;
+    return this.#life.health;
   }
 
   /** Birth of the life that answered last; null: none did, or it tells none. */
@@ -170,13 +161,12 @@
 
   /** Birth of the life that a start is likely to reach; null: nothing tells it. */
   get likelyBornMs(): number | null {
-    return this.#life.wasHeard ? this.#life.bornMs : this.#options.listedBornMs;
+    return this.#life.likelyBornMs;
   }
 
   /** Whether an entry with this birth is of another life than is known here. */
   isOfOtherLife(listedBornMs: number | null): boolean {
-    if (listedBornMs === null) return false;
-    return listedBornMs !== (this.#life.bornMs ?? this.#options.listedBornMs);
+    return this.#life.isOfOther(listedBornMs);
   }
 
   /** Runs that the worker holds or may hold. */
@@ -194,7 +184,7 @@
   /** Whether nothing is left to learn or to tell. */
   get isIdle(): boolean {
     return this.#held.isEmpty &&
-      (this.#over || !this.#reachable || !this.#ends.hasNews);
+      (this.#over || !this.#reachable || !this.#life.ends.hasNews);
   }
 
   /** Whether runs that were here may still turn out to have ended otherwise. */
@@ -211,7 +201,7 @@
 
   /** It is listed, and tells whether it is going to leave. */
   noteListed(isDraining: boolean): void {
-    this.#lifeEnd.noteListed(isDraining);
+    this.#life.ending.noteListed(isDraining);
     if (!this.#isGone) return;
     this.#isGone = false;
     this.#wake();
@@ -242,13 +232,13 @@
    */
   suspectGone(): void {
     if (this.#isGone) return;
-    if (this.#lifeEnd.isRefused) {
+    if (this.#life.ending.isRefused) {
       Effect.runFork(this.endAll(lifeEnds.LifeEndSign.NobodyListens));
       return;
     }
     this.#isGone = true;
     // One that was going to leave has left; nobody waits for news of it.
-    if (this.#lifeEnd.isLeaving) this.#unheard.takeAll();
+    if (this.#life.ending.isLeaving) this.#unheard.takeAll();
     for (const run of this.#unheard.all) {
       this.#options.listener.runGone(this, run);
     }
@@ -263,7 +253,7 @@
 
   /** It is listed no more. */
   noteUnlisted(): void {
-    this.#lifeEnd.noteUnlisted(this.#reachable);
+    this.#life.ending.noteUnlisted(this.#reachable);
   }
 
   /** Takes in a run that an earlier coordinator gave up before its end. */
@@ -363,10 +353,10 @@
   #learnClock(): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       for (let tries = 0; tries < CLOCK_LOOKS; tries++) {
-        if (this.#clock.isKnown || this.#over) break;
+        if (this.#life.clock.isKnown || this.#over) break;
         yield* this.#lookTogether();
       }
-      return this.#clock.isKnown;
+      return this.#life.clock.isKnown;
     });
   }
 
@@ -425,10 +415,10 @@
       const nowMs = clock.monotonicMs();
       const unheard = this.#unheard.takeAll();
       const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
-      const endOf = this.#lifeEnd.end(sign, wereThere, unheard);
+      const endOf = this.#life.ending.end(sign, wereThere, unheard);
       const records = this.#held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
-          ? endOf(this.#lifeEnd.presenceOf(occupant, nowMs))
+          ? endOf(this.#life.ending.presenceOf(occupant, nowMs))
           : lost(LostCause.NeverSent);
         return this.#held.end(occupant, this.#former.take(occupant) ?? end);
       });
@@ -469,7 +459,7 @@
 
   #hasBusiness(): boolean {
     if (this.#isGone) return false;
-    return !this.#options.recovery.isComplete || this.#ends.hasNews ||
+    return !this.#options.recovery.isComplete || this.#life.ends.hasNews ||
       this.#mustBeHeard ||
       this.#views.strayCount > 0 || this.hasUnheard ||
       this.#held.sent.length > 0 || !this.#reachable;
@@ -489,7 +479,7 @@
     if (this.#former.has(occupant)) return Effect.void;
     switch (report.outcome) {
       case starters.StartOutcome.Running:
-        this.#clock.read(report.clockMs ?? 0, nowMs);
+        this.#life.clock.read(report.clockMs ?? 0, nowMs);
         // A run that resumes from a checkpoint does not begin at nothing.
         if (report.clockMs !== null && occupant.task.checkpoint === "") {
           const { clockMs } = report;
@@ -548,7 +538,7 @@
         yield* this.noteReplaced();
       }
       const isRefused = err._tag === "WorkerLostError" && err.neverSent;
-      if (isRefused) this.#lifeEnd.noteRefused();
+      if (isRefused) this.#life.ending.noteRefused();
       this.#noteUnanswered(err);
       const isFenced = err._tag === "OrderRefusedError" &&
         err.reason === Errors.OrderRefusal.Fenced;
@@ -568,21 +558,21 @@
 
   /** One look at the worker, which also renews its lease. */
   #look(mostWaitMs = MOST_WAIT_MS): Effect.Effect<void> {
-    const { ports: { clock, workers, bounds }, term, load } = this.#options;
+    const { ports: { clock, workers }, term, load } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const waitMs = Math.min(mostWaitMs, this.#waitMs());
-      const ends = this.#ends;
+      const ends = this.#life.ends;
       const toTell = ends.recorded;
       let sentAtMs = clock.monotonicMs();
-      let leftAt = this.#life.leave();
+      let leftAt = this.#life.present.leave();
       const renew = Effect.suspend(() => {
         sentAtMs = clock.monotonicMs();
-        leftAt = this.#life.leave();
+        leftAt = this.#life.present.leave();
         const order = workers.renew(this.ref, {
           fencingToken: term.token,
           // A worker that is not heard gets no longer lease: it has to lapse.
-          leaseUntilMs: this.#clock.isKnown && this.#reachable
-            ? this.#clock.leaseEnd(sentAtMs, bounds.longestLeaseMs)
+          leaseUntilMs: this.#life.clock.isKnown && this.#reachable
+            ? this.#life.leaseEnd(sentAtMs)
             : null,
           recordedEnds: toTell,
           recordedBy: this.#life.bornMs,
@@ -594,11 +584,11 @@
       const view = yield* isAtOnce ? load.inTurn(renew) : renew;
       if (view === null) return yield* this.#notHeard();
       if (!this.#takeLife(view, leftAt)) return;
-      this.#lifeEnd.noteHeard();
+      this.#life.ending.noteHeard();
       this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
       this.#isGone = false;
       this.#wasHeard = true;
-      this.#hasLifeEnded = false;
+      this.#life.hasEnded = false;
       this.#options.onHeard(this.ref);
       if (!this.#reachable || this.#mustBeHeard) {
         this.#reachable = true;
@@ -608,7 +598,7 @@
       }
       this.#outlived.compare(view);
       ends.noteTold(view.toldEnds);
-      this.#clock.read(view.clockMs, clock.monotonicMs());
+      this.#life.clock.read(view.clockMs, clock.monotonicMs());
       yield* this.#views.take(view, sentAtMs);
       // It was not sure who would answer; the next look goes where this one did.
       if (ends.hasNews && toTell > view.toldEnds) yield* clock.sleep(RETRY_MS);
@@ -618,17 +608,21 @@
   /** Notes which life answers; false where that is not clear. */
   #takeLife(view: Ports.WorkerView, leftAt: presentLives.Moment): boolean {
     const formerMs = this.#life.bornMs;
-    const speaker = this.#life.hear(view.bornMs, leftAt);
+    const speaker = this.#life.present.hear(view.bornMs, leftAt);
     if (speaker === presentLives.Speaker.Unclear) return false;
     const isLater = speaker === presentLives.Speaker.Later;
     if (isLater) this.#tellRebirth(formerMs);
     this.#former.endUnshown({
       view,
       isLater,
-      lifeEnd: this.#lifeEnd,
-      hasEnded: this.#hasLifeEnded,
+      lifeEnd: this.#life.ending,
+      hasEnded: this.#life.hasEnded,
     });
-    if (isLater) this.#beginLife();
+    if (isLater) {
+      this.#life.begin();
+      this.#views.beginLife();
+      this.#options.listener.lifeBegan(this);
+    }
     return true;
   }
 
@@ -664,35 +658,14 @@
     Effect.runFork(seal);
   }
 
-  /** Nothing that was numbered or timed by the former life holds for this one. */
-  #beginLife(): void {
-    const { ports: { clock, bounds }, listener } = this.#options;
-    const lapsesAtMs = leaseClocks.foreignLapseMs(
-      clock.monotonicMs(),
-      bounds.longestLeaseMs,
-    );
-    this.#clock = new leaseClocks.LeaseClock(lapsesAtMs);
-    this.#ends = new endLedgers.EndLedger();
-    this.#health = new healths.WorkerHealth();
-    this.#lifeEnd = this.#watchLife();
-    this.#hasLifeEnded = false;
-    this.#views.beginLife();
-    listener.lifeBegan(this);
-  }
-
-  #watchLife(): lifeEnds.LifeEnd {
-    const { ref, silences, ports: { clock, log } } = this.#options;
-    return new lifeEnds.LifeEnd({ clock, log, ref, silences });
-  }
-
   /** An answer that came before the time brings an end: it tells no delay. */
   #noteDelay(tookMs: number, waitMs: number): void {
     if (tookMs >= waitMs) this.#options.load.note(tookMs - waitMs);
   }
 
   #waitMs(): number {
-    const settled = this.#clock.isKnown && this.#reachable &&
-      !this.#ends.hasNews && this.#views.strayCount === 0 &&
+    const settled = this.#life.clock.isKnown && this.#reachable &&
+      !this.#life.ends.hasNews && this.#views.strayCount === 0 &&
       this.occupants.every((o) =>
         !o.sent || (o.knownSinceMs !== occupants.EARLIER_TERM)
       );
@@ -715,8 +688,8 @@
         this.#options.silences.noteSilent(this.ref);
         listener.roomChanged();
       }
-      const hasLapsed = this.#clock.hasLapsed(clock.monotonicMs());
-      if (hasLapsed && this.#wasHeard && this.#lifeEnd.isRefused) {
+      const hasLapsed = this.#life.clock.hasLapsed(clock.monotonicMs());
+      if (hasLapsed && this.#wasHeard && this.#life.ending.isRefused) {
         yield* this.#endLifeHere();
       }
       for (const occupant of this.occupants) {
@@ -730,7 +703,7 @@
         const { task, run, bornMs } = occupant;
         // A run whose lease is out has ended, whatever became of its endpoint.
         const byMs = hasLapsed ? Number.POSITIVE_INFINITY : clock.monotonicMs();
-        const presence = this.#lifeEnd.presenceOf(occupant, byMs);
+        const presence = this.#life.ending.presenceOf(occupant, byMs);
         this.#unheard.add({ task, run, bornMs, presence });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst;
         yield* this.#held.end(occupant, lost(cause));
@@ -753,13 +726,13 @@
       const held = this.#held.sent;
       const unheard = this.#unheard.takeAll();
       if (held.length + unheard.length === 0) return;
-      this.#hasLifeEnded = true;
+      this.#life.hasEnded = true;
       const { listener, ports: { clock } } = this.#options;
       const nowMs = clock.monotonicMs();
       const sign = lifeEnds.LifeEndSign.NobodyListens;
-      const endOf = this.#lifeEnd.end(sign, held, unheard);
+      const endOf = this.#life.ending.end(sign, held, unheard);
       const records = held.map((one) => {
-        const end = endOf(this.#lifeEnd.presenceOf(one, nowMs));
+        const end = endOf(this.#life.ending.presenceOf(one, nowMs));
         return this.#held.end(one, this.#former.take(one) ?? end);
       });
       for (const run of unheard) {
