Give what the parts of a session share about its endpoint one owner

Whether the endpoint answers, must be heard first, has gone or is over were fields of the session that many of its methods wrote. EndpointState owns them with the books of the present life and the signal that wakes the session. Taking in a run notes it as adopted before the session is woken, as before. No behaviour changes.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -10,7 +10,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as formers from "./former_runs.ts";
-import * as lifeBooks from "./life_books.ts";
+import * as endpointStates from "./endpoint_state.ts";
 import * as lifeEnds from "./life_end.ts";
 import * as occupants from "./occupant.ts";
 import * as looses from "./loose_starts.ts";
@@ -72,7 +72,7 @@
   readonly ref: Ports.WorkerRef;
   readonly dataCentre: string;
   readonly #options: sessionOptions.SessionOptions;
-  readonly #life: lifeBooks.LifeBooks;
+  readonly #state: endpointStates.EndpointState;
   readonly #former: formers.FormerRuns;
   readonly #loose: looses.LooseStarts;
   readonly #starter: starters.RunStarter;
@@ -80,35 +80,23 @@
   readonly #views: views.ViewReader;
   readonly #unheard = new unheards.UnheardRuns();
   readonly #outlived: outliveds.OutlivedRuns;
-  #reachable = true;
-  #over = false;
-  /** Whether an answer has to show first that this life is at the address. */
-  #mustBeHeard: boolean;
-  /** Neither heard nor listed for long: nobody asks it until it is listed again. */
-  #isGone = false;
   #isAsking = false;
-  /** Whether this life has answered this coordinator at its address. */
-  #wasHeard = false;
-  readonly #openedAtMs: number;
-  #signal = Deferred.makeUnsafe<void>();
   /** Done when the look that starts wait for has ended; null while there is none. */
   #commonLook: Deferred.Deferred<void> | null = null;
 
   constructor(options: sessionOptions.SessionOptions) {
     this.#options = options;
     this.ref = options.ref;
-    this.#mustBeHeard = options.isContested;
     this.dataCentre = options.dataCentre;
-    this.#life = new lifeBooks.LifeBooks(options);
+    this.#state = new endpointStates.EndpointState(options);
     const { clock, log, metrics } = options.ports;
-    this.#openedAtMs = clock.monotonicMs();
     this.#loose = new looses.LooseStarts(clock);
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
       ref: options.ref,
       load: options.load,
-      leaseEnd: () => this.#life.leaseEnd(clock.monotonicMs()),
+      leaseEnd: () => this.#state.life.leaseEnd(clock.monotonicMs()),
       onLoose: (run) => this.#loose.add(run),
       isWanted: (occupant) =>
         this.#held.holds(occupant) && occupant.stoppingSinceMs === null &&
@@ -137,36 +125,36 @@
       clock,
       log,
       held: this.#held,
-      ends: () => this.#life.ends,
-      bornMs: () => this.#life.bornMs,
+      ends: () => this.#state.life.ends,
+      bornMs: () => this.#state.life.bornMs,
       former: this.#former,
       unheard: this.#unheard,
       recovery: options.recovery,
       listener: options.listener,
       endpoint: this,
       stopStray: (run) => this.#stopStray(run),
-      onNews: () => this.#wake(),
+      onNews: () => this.#state.wake(),
     });
   }
 
   /** What is known of how it treats what it is given. */
   get health(): healths.WorkerHealth {
-    return this.#life.health;
+    return this.#state.life.health;
   }
 
   /** Birth of the life that answered last; null: none did, or it tells none. */
   get bornMs(): number | null {
-    return this.#life.bornMs;
+    return this.#state.life.bornMs;
   }
 
   /** Birth of the life that a start is likely to reach; null: nothing tells it. */
   get likelyBornMs(): number | null {
-    return this.#life.likelyBornMs;
+    return this.#state.life.likelyBornMs;
   }
 
   /** Whether an entry with this birth is of another life than is known here. */
   isOfOtherLife(listedBornMs: number | null): boolean {
-    return this.#life.isOfOther(listedBornMs);
+    return this.#state.life.isOfOther(listedBornMs);
   }
 
   /** Runs that the worker holds or may hold. */
@@ -177,14 +165,16 @@
   /** Whether new work may be sent here. */
   get isUsable(): boolean {
     const nowMs = this.#options.ports.clock.monotonicMs();
-    return !this.#over && this.#reachable && !this.#mustBeHeard &&
+    return !this.#state.isOver && this.#state.isReachable &&
+      !this.#state.mustBeHeard &&
       this.#views.strayCount === 0 && !this.health.isAside(nowMs);
   }
 
   /** Whether nothing is left to learn or to tell. */
   get isIdle(): boolean {
     return this.#held.isEmpty &&
-      (this.#over || !this.#reachable || !this.#life.ends.hasNews);
+      (this.#state.isOver || !this.#state.isReachable ||
+        !this.#state.life.ends.hasNews);
   }
 
   /** Whether runs that were here may still turn out to have ended otherwise. */
@@ -201,10 +191,9 @@
 
   /** It is listed, and tells whether it is going to leave. */
   noteListed(isDraining: boolean): void {
-    this.#life.ending.noteListed(isDraining);
-    if (!this.#isGone) return;
-    this.#isGone = false;
-    this.#wake();
+    this.#state.life.ending.noteListed(isDraining);
+    if (!this.#state.isGone) return;
+    this.#state.noteWanted();
   }
 
   /**
@@ -213,7 +202,7 @@
    */
   ask(): Effect.Effect<void> {
     return Effect.suspend(() => {
-      if (this.#over || this.#isAsking) return Effect.void;
+      if (this.#state.isOver || this.#isAsking) return Effect.void;
       this.#isAsking = true;
       return Effect.ensuring(
         this.#look(AT_ONCE),
@@ -231,14 +220,14 @@
    * connections were refused, nobody listens: that is an end, and no cut.
    */
   suspectGone(): void {
-    if (this.#isGone) return;
-    if (this.#life.ending.isRefused) {
+    if (this.#state.isGone) return;
+    if (this.#state.life.ending.isRefused) {
       Effect.runFork(this.endAll(lifeEnds.LifeEndSign.NobodyListens));
       return;
     }
-    this.#isGone = true;
+    this.#state.noteGone();
     // One that was going to leave has left; nobody waits for news of it.
-    if (this.#life.ending.isLeaving) this.#unheard.takeAll();
+    if (this.#state.life.ending.isLeaving) this.#unheard.takeAll();
     for (const run of this.#unheard.all) {
       this.#options.listener.runGone(this, run);
     }
@@ -253,19 +242,18 @@
 
   /** It is listed no more. */
   noteUnlisted(): void {
-    this.#life.ending.noteUnlisted(this.#reachable);
+    this.#state.life.ending.noteUnlisted(this.#state.isReachable);
   }
 
   /** Takes in a run that an earlier coordinator gave up before its end. */
   adoptUnheard(run: unheards.UnheardRun): void {
     this.#unheard.add(run);
-    this.#isGone = false;
-    this.#wake();
+    this.#state.noteWanted();
   }
 
   /** Whether this life has answered this coordinator at its address. */
   get wasHeard(): boolean {
-    return this.#wasHeard;
+    return this.#state.wasHeard;
   }
 
   /** Runs whose ends are not known and that it may still tell of. */
@@ -280,29 +268,28 @@
    * write its own entry again.
    */
   noteReplaced(): Effect.Effect<void> {
-    const heldMs = this.#options.ports.clock.monotonicMs() - this.#openedAtMs;
-    const mayBeElsewhere = !this.#wasHeard && !this.#held.isEmpty &&
+    const heldMs = this.#options.ports.clock.monotonicMs() -
+      this.#state.openedAtMs;
+    const mayBeElsewhere = !this.#state.wasHeard && !this.#held.isEmpty &&
       heldMs < OWN_ENTRY_MS;
     return mayBeElsewhere ? Effect.void : this.endAll();
   }
 
   /** Another session has taken over what it held. */
   retire(): void {
-    this.#over = true;
-    this.#wake();
+    this.#state.end();
   }
 
   /** Whether this life of the worker has ended. */
   get isOver(): boolean {
-    return this.#over;
+    return this.#state.isOver;
   }
 
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
     this.#held.adopt(task);
-    this.#isGone = false;
     this.#views.noteAdopted(task);
-    this.#wake();
+    this.#state.noteWanted();
   }
 
   /** Keeps room for a run whose start is not sent yet. */
@@ -323,8 +310,8 @@
       }
       occupant.sent = true;
       occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
-      occupant.bornMs = this.#life.bornMs;
-      this.#wake();
+      occupant.bornMs = this.#state.life.bornMs;
+      this.#state.wake();
       const report = knowsClock && isAlive
         ? yield* this.#starter.send(occupant)
         : starters.NEVER_SENT;
@@ -337,7 +324,9 @@
   /** Why a run may not start now: its plan may be seconds old. */
   #obstacleTo(occupant: occupants.Occupant): listeners.LostCause | null {
     const { task, stoppingSinceMs } = occupant;
-    if (stoppingSinceMs !== null || task.workflow.isOver || this.#over) {
+    if (
+      stoppingSinceMs !== null || task.workflow.isOver || this.#state.isOver
+    ) {
       return LostCause.NotWanted;
     }
     if (!this.#mayStart) return LostCause.Evacuated;
@@ -353,10 +342,10 @@
   #learnClock(): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       for (let tries = 0; tries < CLOCK_LOOKS; tries++) {
-        if (this.#life.clock.isKnown || this.#over) break;
+        if (this.#state.life.clock.isKnown || this.#state.isOver) break;
         yield* this.#lookTogether();
       }
-      return this.#life.clock.isKnown;
+      return this.#state.life.clock.isKnown;
     });
   }
 
@@ -381,7 +370,7 @@
   #isAlive(): Effect.Effect<boolean> {
     return Effect.map(
       this.#look(AT_ONCE),
-      () => this.#reachable && !this.#over,
+      () => this.#state.isReachable && !this.#state.isOver,
     );
   }
 
@@ -392,12 +381,14 @@
       occupant.stoppingSinceMs ??= clock.monotonicMs();
       const { task: { name: task }, run } = occupant;
       const fencingToken = term.token;
-      while (this.#held.holds(occupant) && !this.#over && occupant.sent) {
+      while (
+        this.#held.holds(occupant) && !this.#state.isOver && occupant.sent
+      ) {
         const order = workers.stop(this.ref, { task, run, fencingToken });
         const heard = yield* this.#call(order, ORDER_LIMIT_MS);
         if (heard !== null) {
           occupant.knownSinceMs ??= clock.monotonicMs();
-          this.#wake();
+          this.#state.wake();
           return;
         }
         yield* clock.sleep(RETRY_MS);
@@ -408,17 +399,16 @@
   /** It is shown to have ended: nothing of this life runs any more. */
   endAll(sign = lifeEnds.LifeEndSign.OtherAnswers): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      if (this.#over) return;
-      this.#over = true;
-      this.#wake();
+      if (this.#state.isOver) return;
+      this.#state.end();
       const { listener, ports: { clock } } = this.#options;
       const nowMs = clock.monotonicMs();
       const unheard = this.#unheard.takeAll();
       const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
-      const endOf = this.#life.ending.end(sign, wereThere, unheard);
+      const endOf = this.#state.life.ending.end(sign, wereThere, unheard);
       const records = this.#held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
-          ? endOf(this.#life.ending.presenceOf(occupant, nowMs))
+          ? endOf(this.#state.life.ending.presenceOf(occupant, nowMs))
           : lost(LostCause.NeverSent);
         return this.#held.end(occupant, this.#former.take(occupant) ?? end);
       });
@@ -446,10 +436,9 @@
   /** Keeps the lease while there is something to keep it for. */
   run(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      while (!this.#over) {
+      while (!this.#state.isOver) {
         if (!this.#hasBusiness()) {
-          yield* Deferred.await(this.#signal);
-          this.#signal = Deferred.makeUnsafe<void>();
+          yield* this.#state.awaitWake();
           continue;
         }
         yield* this.#look();
@@ -458,11 +447,12 @@
   }
 
   #hasBusiness(): boolean {
-    if (this.#isGone) return false;
-    return !this.#options.recovery.isComplete || this.#life.ends.hasNews ||
-      this.#mustBeHeard ||
+    if (this.#state.isGone) return false;
+    return !this.#options.recovery.isComplete ||
+      this.#state.life.ends.hasNews ||
+      this.#state.mustBeHeard ||
       this.#views.strayCount > 0 || this.hasUnheard ||
-      this.#held.sent.length > 0 || !this.#reachable;
+      this.#held.sent.length > 0 || !this.#state.isReachable;
   }
 
   get #mayStart(): boolean {
@@ -479,20 +469,19 @@
     if (this.#former.has(occupant)) return Effect.void;
     switch (report.outcome) {
       case starters.StartOutcome.Running:
-        this.#life.clock.read(report.clockMs ?? 0, nowMs);
+        this.#state.life.clock.read(report.clockMs ?? 0, nowMs);
         // A run that resumes from a checkpoint does not begin at nothing.
         if (report.clockMs !== null && occupant.task.checkpoint === "") {
           const { clockMs } = report;
           occupants.noteProgress(occupant, 0, { clockMs, nowMs });
         }
         occupant.knownSinceMs ??= nowMs;
-        this.#reachable = true;
-        this.#wasHeard = true;
+        this.#state.noteStarted();
         listener.runConfirmed(occupant);
         return Effect.void;
       case starters.StartOutcome.Earlier:
         occupant.knownSinceMs ??= nowMs;
-        this.#wake();
+        this.#state.wake();
         return Effect.void;
       case starters.StartOutcome.Replaced:
         return this.endAll();
@@ -538,7 +527,7 @@
         yield* this.noteReplaced();
       }
       const isRefused = err._tag === "WorkerLostError" && err.neverSent;
-      if (isRefused) this.#life.ending.noteRefused();
+      if (isRefused) this.#state.life.ending.noteRefused();
       this.#noteUnanswered(err);
       const isFenced = err._tag === "OrderRefusedError" &&
         err.reason === Errors.OrderRefusal.Fenced;
@@ -549,7 +538,7 @@
 
   /** The first order without an answer tells most of what became of it. */
   #noteUnanswered(err: Ports.OrderError): void {
-    if (!this.#reachable) return;
+    if (!this.#state.isReachable) return;
     const { id, address } = this.ref;
     this.#options.ports.log.info(
       `An order to endpoint ${id} at ${address} failed: ${err.message}`,
@@ -561,44 +550,41 @@
     const { ports: { clock, workers }, term, load } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const waitMs = Math.min(mostWaitMs, this.#waitMs());
-      const ends = this.#life.ends;
+      const ends = this.#state.life.ends;
       const toTell = ends.recorded;
       let sentAtMs = clock.monotonicMs();
-      let leftAt = this.#life.present.leave();
+      let leftAt = this.#state.life.present.leave();
       const renew = Effect.suspend(() => {
         sentAtMs = clock.monotonicMs();
-        leftAt = this.#life.present.leave();
+        leftAt = this.#state.life.present.leave();
         const order = workers.renew(this.ref, {
           fencingToken: term.token,
           // A worker that is not heard gets no longer lease: it has to lapse.
-          leaseUntilMs: this.#life.clock.isKnown && this.#reachable
-            ? this.#life.leaseEnd(sentAtMs)
-            : null,
+          leaseUntilMs:
+            this.#state.life.clock.isKnown && this.#state.isReachable
+              ? this.#state.life.leaseEnd(sentAtMs)
+              : null,
           recordedEnds: toTell,
-          recordedBy: this.#life.bornMs,
+          recordedBy: this.#state.life.bornMs,
           waitMs,
         });
         return this.#call(order, waitMs + VIEW_SLACK_MS);
       });
-      const isAtOnce = waitMs === 0 && this.#reachable;
+      const isAtOnce = waitMs === 0 && this.#state.isReachable;
       const view = yield* isAtOnce ? load.inTurn(renew) : renew;
       if (view === null) return yield* this.#notHeard();
       if (!this.#takeLife(view, leftAt)) return;
-      this.#life.ending.noteHeard();
+      this.#state.life.ending.noteHeard();
       this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
-      this.#isGone = false;
-      this.#wasHeard = true;
-      this.#life.hasEnded = false;
+      this.#state.noteHeard();
       this.#options.onHeard(this.ref);
-      if (!this.#reachable || this.#mustBeHeard) {
-        this.#reachable = true;
-        this.#mustBeHeard = false;
+      if (this.#state.open()) {
         this.#options.silences.noteHeard(this.ref);
         this.#options.listener.roomChanged();
       }
       this.#outlived.compare(view);
       ends.noteTold(view.toldEnds);
-      this.#life.clock.read(view.clockMs, clock.monotonicMs());
+      this.#state.life.clock.read(view.clockMs, clock.monotonicMs());
       yield* this.#views.take(view, sentAtMs);
       // It was not sure who would answer; the next look goes where this one did.
       if (ends.hasNews && toTell > view.toldEnds) yield* clock.sleep(RETRY_MS);
@@ -607,19 +593,19 @@
 
   /** Notes which life answers; false where that is not clear. */
   #takeLife(view: Ports.WorkerView, leftAt: presentLives.Moment): boolean {
-    const formerMs = this.#life.bornMs;
-    const speaker = this.#life.present.hear(view.bornMs, leftAt);
+    const formerMs = this.#state.life.bornMs;
+    const speaker = this.#state.life.present.hear(view.bornMs, leftAt);
     if (speaker === presentLives.Speaker.Unclear) return false;
     const isLater = speaker === presentLives.Speaker.Later;
     if (isLater) this.#tellRebirth(formerMs);
     this.#former.endUnshown({
       view,
       isLater,
-      lifeEnd: this.#life.ending,
-      hasEnded: this.#life.hasEnded,
+      lifeEnd: this.#state.life.ending,
+      hasEnded: this.#state.life.hasEnded,
     });
     if (isLater) {
-      this.#life.begin();
+      this.#state.life.begin();
       this.#views.beginLife();
       this.#options.listener.lifeBegan(this);
     }
@@ -632,7 +618,7 @@
     metrics.count("cairngate_endpoint_rebirths_total");
     log.info(
       `Endpoint ${id} at ${address} has begun again: it was born at ` +
-        `${this.#life.bornMs}, the life before at ${formerMs}.`,
+        `${this.#state.life.bornMs}, the life before at ${formerMs}.`,
     );
   }
 
@@ -645,11 +631,11 @@
   /** The same for a run that nobody waits for. */
   #sealLoose({ task, run }: Ports.RunRef): void {
     const { term, ports: { clock, workers } } = this.#options;
-    const { bornMs } = this.#life;
+    const { bornMs } = this.#state.life;
     const order = { task, run, fencingToken: term.token };
     const seal = Effect.gen({ self: this }, function* () {
       for (let tries = 0; tries < SEAL_TRIES; tries++) {
-        if (this.#over || this.#life.bornMs !== bornMs) return;
+        if (this.#state.isOver || this.#state.life.bornMs !== bornMs) return;
         const stop = workers.stop(this.ref, order);
         if ((yield* this.#call(stop, ORDER_LIMIT_MS)) !== null) return;
         yield* clock.sleep(RETRY_MS);
@@ -664,8 +650,8 @@
   }
 
   #waitMs(): number {
-    const settled = this.#life.clock.isKnown && this.#reachable &&
-      !this.#life.ends.hasNews && this.#views.strayCount === 0 &&
+    const settled = this.#state.life.clock.isKnown && this.#state.isReachable &&
+      !this.#state.life.ends.hasNews && this.#views.strayCount === 0 &&
       this.occupants.every((o) =>
         !o.sent || (o.knownSinceMs !== occupants.EARLIER_TERM)
       );
@@ -682,14 +668,15 @@
   #notHeard(): Effect.Effect<void> {
     const { ports: { clock }, listener } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const isFirst = this.#reachable;
+      const isFirst = this.#state.noteSilent();
       if (isFirst) {
-        this.#reachable = false;
         this.#options.silences.noteSilent(this.ref);
         listener.roomChanged();
       }
-      const hasLapsed = this.#life.clock.hasLapsed(clock.monotonicMs());
-      if (hasLapsed && this.#wasHeard && this.#life.ending.isRefused) {
+      const hasLapsed = this.#state.life.clock.hasLapsed(clock.monotonicMs());
+      if (
+        hasLapsed && this.#state.wasHeard && this.#state.life.ending.isRefused
+      ) {
         yield* this.#endLifeHere();
       }
       for (const occupant of this.occupants) {
@@ -703,7 +690,7 @@
         const { task, run, bornMs } = occupant;
         // A run whose lease is out has ended, whatever became of its endpoint.
         const byMs = hasLapsed ? Number.POSITIVE_INFINITY : clock.monotonicMs();
-        const presence = this.#life.ending.presenceOf(occupant, byMs);
+        const presence = this.#state.life.ending.presenceOf(occupant, byMs);
         this.#unheard.add({ task, run, bornMs, presence });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst;
         yield* this.#held.end(occupant, lost(cause));
@@ -726,13 +713,13 @@
       const held = this.#held.sent;
       const unheard = this.#unheard.takeAll();
       if (held.length + unheard.length === 0) return;
-      this.#life.hasEnded = true;
+      this.#state.life.hasEnded = true;
       const { listener, ports: { clock } } = this.#options;
       const nowMs = clock.monotonicMs();
       const sign = lifeEnds.LifeEndSign.NobodyListens;
-      const endOf = this.#life.ending.end(sign, held, unheard);
+      const endOf = this.#state.life.ending.end(sign, held, unheard);
       const records = held.map((one) => {
-        const end = endOf(this.#life.ending.presenceOf(one, nowMs));
+        const end = endOf(this.#state.life.ending.presenceOf(one, nowMs));
         return this.#held.end(one, this.#former.take(one) ?? end);
       });
       for (const run of unheard) {
@@ -750,10 +737,6 @@
     const order = { ...run, fencingToken: term.token };
     Effect.runFork(this.#call(workers.stop(this.ref, order), ORDER_LIMIT_MS));
   }
-
-  #wake(): void {
-    Deferred.doneUnsafe(this.#signal, Effect.void);
-  }
 }
 
 /**
