Keep the runs of one endpoint together, each kind in its own book

Runs that are held, unheard, loose, of former lives or outlived were five fields of the session, wired to each other in its constructor. EndpointRuns owns and wires them.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -9,20 +9,17 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import * as formers from "./former_runs.ts";
+import * as endpointRuns from "./endpoint_runs.ts";
 import * as endpointStates from "./endpoint_state.ts";
 import * as lifeEnds from "./life_end.ts";
 import * as occupants from "./occupant.ts";
-import * as looses from "./loose_starts.ts";
-import * as outliveds from "./outlived_runs.ts";
 import * as presentLives from "./present_life.ts";
 import * as starters from "./run_starter.ts";
 import * as listeners from "./session_listener.ts";
 import type * as sessionOptions from "./session_options.ts";
 import * as strays from "./stray_runs.ts";
-import * as helds from "./held_runs.ts";
 import * as views from "./view_reader.ts";
-import * as unheards from "./unheard_runs.ts";
+import type * as unheards from "./unheard_runs.ts";
 import type * as healths from "../endpoints/worker_health.ts";
 
 const { LostCause, lost } = listeners;
@@ -73,13 +70,9 @@
   readonly dataCentre: string;
   readonly #options: sessionOptions.SessionOptions;
   readonly #state: endpointStates.EndpointState;
-  readonly #former: formers.FormerRuns;
-  readonly #loose: looses.LooseStarts;
+  readonly #runs: endpointRuns.EndpointRuns;
   readonly #starter: starters.RunStarter;
-  readonly #held: helds.HeldRuns;
   readonly #views: views.ViewReader;
-  readonly #unheard = new unheards.UnheardRuns();
-  readonly #outlived: outliveds.OutlivedRuns;
   #isAsking = false;
   /** Done when the look that starts wait for has ended; null while there is none. */
   #commonLook: Deferred.Deferred<void> | null = null;
@@ -89,49 +82,35 @@
     this.ref = options.ref;
     this.dataCentre = options.dataCentre;
     this.#state = new endpointStates.EndpointState(options);
-    const { clock, log, metrics } = options.ports;
-    this.#loose = new looses.LooseStarts(clock);
+    const { clock, log } = options.ports;
+    this.#runs = new endpointRuns.EndpointRuns({
+      options,
+      state: this.#state,
+      seal: (occupant) => this.#seal(occupant),
+      sealLoose: (run) => this.#sealLoose(run),
+    });
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
       ref: options.ref,
       load: options.load,
       leaseEnd: () => this.#state.life.leaseEnd(clock.monotonicMs()),
-      onLoose: (run) => this.#loose.add(run),
+      onLoose: (run) => this.#runs.loose.add(run),
       isWanted: (occupant) =>
-        this.#held.holds(occupant) && occupant.stoppingSinceMs === null &&
+        this.#runs.held.holds(occupant) && occupant.stoppingSinceMs === null &&
         this.#mayStart,
     });
-    const endpoint = options.ref.id;
-    this.#outlived = new outliveds.OutlivedRuns({
-      clock,
-      log,
-      metrics,
-      endpoint,
-    });
-    this.#held = new helds.HeldRuns((occupant, end) => {
-      this.#outlived.note(occupant, end);
-      return options.listener.runEnded(this, occupant, end);
-    });
-    this.#former = new formers.FormerRuns({
-      clock,
-      held: this.#held,
-      unheard: this.#unheard,
-      loose: this.#loose,
-      seal: (occupant) => this.#seal(occupant),
-      sealLoose: (run) => this.#sealLoose(run),
-    });
     this.#views = new views.ViewReader({
       clock,
       log,
-      held: this.#held,
+      held: this.#runs.held,
       ends: () => this.#state.life.ends,
       bornMs: () => this.#state.life.bornMs,
-      former: this.#former,
-      unheard: this.#unheard,
+      former: this.#runs.former,
+      unheard: this.#runs.unheard,
       recovery: options.recovery,
       listener: options.listener,
-      endpoint: this,
+      endpoint: this.#state,
       stopStray: (run) => this.#stopStray(run),
       onNews: () => this.#state.wake(),
     });
@@ -159,7 +138,7 @@
 
   /** Runs that the worker holds or may hold. */
   get occupants(): readonly occupants.Occupant[] {
-    return this.#held.all;
+    return this.#runs.held.all;
   }
 
   /** Whether new work may be sent here. */
@@ -172,14 +151,14 @@
 
   /** Whether nothing is left to learn or to tell. */
   get isIdle(): boolean {
-    return this.#held.isEmpty &&
+    return this.#runs.held.isEmpty &&
       (this.#state.isOver || !this.#state.isReachable ||
         !this.#state.life.ends.hasNews);
   }
 
   /** Whether runs that were here may still turn out to have ended otherwise. */
   get hasUnheard(): boolean {
-    return this.#unheard.all.length > 0;
+    return this.#runs.unheard.all.length > 0;
   }
 
   /** Whether it holds a task that may crash it and has only just begun. */
@@ -227,15 +206,15 @@
     }
     this.#state.noteGone();
     // One that was going to leave has left; nobody waits for news of it.
-    if (this.#state.life.ending.isLeaving) this.#unheard.takeAll();
-    for (const run of this.#unheard.all) {
-      this.#options.listener.runGone(this, run);
+    if (this.#state.life.ending.isLeaving) this.#runs.unheard.takeAll();
+    for (const run of this.#runs.unheard.all) {
+      this.#options.listener.runGone(this.#state, run);
     }
   }
 
   /** Whether anybody may still want to know what became of its runs. */
   get isAwaited(): boolean {
-    return this.#unheard.all.some(({ task }) =>
+    return this.#runs.unheard.all.some(({ task }) =>
       !task.workflow.isOver && task.state !== Workflow.TaskState.Done
     );
   }
@@ -247,7 +226,7 @@
 
   /** Takes in a run that an earlier coordinator gave up before its end. */
   adoptUnheard(run: unheards.UnheardRun): void {
-    this.#unheard.add(run);
+    this.#runs.unheard.add(run);
     this.#state.noteWanted();
   }
 
@@ -258,7 +237,7 @@
 
   /** Runs whose ends are not known and that it may still tell of. */
   get unheard(): readonly unheards.UnheardRun[] {
-    return this.#unheard.all;
+    return this.#runs.unheard.all;
   }
 
   /**
@@ -270,7 +249,7 @@
   noteReplaced(): Effect.Effect<void> {
     const heldMs = this.#options.ports.clock.monotonicMs() -
       this.#state.openedAtMs;
-    const mayBeElsewhere = !this.#state.wasHeard && !this.#held.isEmpty &&
+    const mayBeElsewhere = !this.#state.wasHeard && !this.#runs.held.isEmpty &&
       heldMs < OWN_ENTRY_MS;
     return mayBeElsewhere ? Effect.void : this.endAll();
   }
@@ -287,14 +266,14 @@
 
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
-    this.#held.adopt(task);
+    this.#runs.held.adopt(task);
     this.#views.noteAdopted(task);
     this.#state.noteWanted();
   }
 
   /** Keeps room for a run whose start is not sent yet. */
   reserve(task: Workflow.Task, ticket: string | null): occupants.Occupant {
-    return this.#held.reserve(task, ticket);
+    return this.#runs.held.reserve(task, ticket);
   }
 
   /** Starts a run; one whose fate stays open is stopped. */
@@ -303,10 +282,10 @@
       const knowsClock = yield* this.#learnClock();
       const isAlive = occupant.task.possibleCrashes === 0 ||
         (yield* this.#isAlive());
-      if (!this.#held.holds(occupant)) return;
+      if (!this.#runs.held.holds(occupant)) return;
       const obstacle = this.#obstacleTo(occupant);
       if (obstacle !== null) {
-        return yield* this.#held.end(occupant, lost(obstacle));
+        return yield* this.#runs.held.end(occupant, lost(obstacle));
       }
       occupant.sent = true;
       occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
@@ -315,7 +294,7 @@
       const report = knowsClock && isAlive
         ? yield* this.#starter.send(occupant)
         : starters.NEVER_SENT;
-      if (this.#held.holds(occupant)) {
+      if (this.#runs.held.holds(occupant)) {
         yield* this.#settleStart(occupant, report);
       }
     });
@@ -330,7 +309,7 @@
       return LostCause.NotWanted;
     }
     if (!this.#mayStart) return LostCause.Evacuated;
-    const tasks = [...this.#held.sent.map((one) => one.task), task];
+    const tasks = [...this.#runs.held.sent.map((one) => one.task), task];
     return this.#options.mayHold(tasks) ? null : LostCause.NoRoom;
   }
 
@@ -382,7 +361,7 @@
       const { task: { name: task }, run } = occupant;
       const fencingToken = term.token;
       while (
-        this.#held.holds(occupant) && !this.#state.isOver && occupant.sent
+        this.#runs.held.holds(occupant) && !this.#state.isOver && occupant.sent
       ) {
         const order = workers.stop(this.ref, { task, run, fencingToken });
         const heard = yield* this.#call(order, ORDER_LIMIT_MS);
@@ -403,18 +382,23 @@
       this.#state.end();
       const { listener, ports: { clock } } = this.#options;
       const nowMs = clock.monotonicMs();
-      const unheard = this.#unheard.takeAll();
-      const wereThere = this.#held.all.filter((one) => this.#mayBeThere(one));
+      const unheard = this.#runs.unheard.takeAll();
+      const wereThere = this.#runs.held.all.filter((one) =>
+        this.#mayBeThere(one)
+      );
       const endOf = this.#state.life.ending.end(sign, wereThere, unheard);
-      const records = this.#held.all.map((occupant) => {
+      const records = this.#runs.held.all.map((occupant) => {
         const end = wereThere.includes(occupant)
           ? endOf(this.#state.life.ending.presenceOf(occupant, nowMs))
           : lost(LostCause.NeverSent);
-        return this.#held.end(occupant, this.#former.take(occupant) ?? end);
+        return this.#runs.held.end(
+          occupant,
+          this.#runs.former.take(occupant) ?? end,
+        );
       });
       for (const run of unheard) {
-        const end = this.#former.take(run) ?? endOf(run.presence);
-        records.push(listener.lateEnd(this, run, end));
+        const end = this.#runs.former.take(run) ?? endOf(run.presence);
+        records.push(listener.lateEnd(this.#state, run, end));
       }
       yield* Effect.all(records, { concurrency: "unbounded", discard: true });
     });
@@ -452,7 +436,7 @@
       this.#state.life.ends.hasNews ||
       this.#state.mustBeHeard ||
       this.#views.strayCount > 0 || this.hasUnheard ||
-      this.#held.sent.length > 0 || !this.#state.isReachable;
+      this.#runs.held.sent.length > 0 || !this.#state.isReachable;
   }
 
   get #mayStart(): boolean {
@@ -466,7 +450,7 @@
     const { term, listener, ports: { clock } } = this.#options;
     const nowMs = clock.monotonicMs();
     // Its life has ended meanwhile; what became of it the present one shows.
-    if (this.#former.has(occupant)) return Effect.void;
+    if (this.#runs.former.has(occupant)) return Effect.void;
     switch (report.outcome) {
       case starters.StartOutcome.Running:
         this.#state.life.clock.read(report.clockMs ?? 0, nowMs);
@@ -488,7 +472,7 @@
       case starters.StartOutcome.ReplacedBefore:
         // No crash under this run: the life that it was meant for was over.
         return Effect.andThen(
-          this.#held.end(occupant, lost(LostCause.NeverSent)),
+          this.#runs.held.end(occupant, lost(LostCause.NeverSent)),
           this.endAll(),
         );
       case starters.StartOutcome.Fenced:
@@ -500,12 +484,12 @@
         return Effect.andThen(
           this.#look(AT_ONCE),
           Effect.suspend(() =>
-            this.#held.end(occupant, lost(LostCause.Refused))
+            this.#runs.held.end(occupant, lost(LostCause.Refused))
           ),
         );
       case starters.StartOutcome.NotThere:
         this.health.failed(nowMs);
-        return this.#held.end(occupant, lost(LostCause.NeverSent));
+        return this.#runs.held.end(occupant, lost(LostCause.NeverSent));
       case starters.StartOutcome.MayBeThere:
         this.health.failed(nowMs);
         return this.stop(occupant);
@@ -582,7 +566,7 @@
         this.#options.silences.noteHeard(this.ref);
         this.#options.listener.roomChanged();
       }
-      this.#outlived.compare(view);
+      this.#runs.outlived.compare(view);
       ends.noteTold(view.toldEnds);
       this.#state.life.clock.read(view.clockMs, clock.monotonicMs());
       yield* this.#views.take(view, sentAtMs);
@@ -598,7 +582,7 @@
     if (speaker === presentLives.Speaker.Unclear) return false;
     const isLater = speaker === presentLives.Speaker.Later;
     if (isLater) this.#tellRebirth(formerMs);
-    this.#former.endUnshown({
+    this.#runs.former.endUnshown({
       view,
       isLater,
       lifeEnd: this.#state.life.ending,
@@ -607,7 +591,7 @@
     if (isLater) {
       this.#state.life.begin();
       this.#views.beginLife();
-      this.#options.listener.lifeBegan(this);
+      this.#options.listener.lifeBegan(this.#state);
     }
     return true;
   }
@@ -682,21 +666,21 @@
       for (const occupant of this.occupants) {
         if (!occupant.sent) continue;
         if (!hasLapsed && !hasEndedBeforeGang(occupant)) continue;
-        const formerEnd = this.#former.take(occupant);
+        const formerEnd = this.#runs.former.take(occupant);
         if (formerEnd !== null) {
-          yield* this.#held.end(occupant, formerEnd);
+          yield* this.#runs.held.end(occupant, formerEnd);
           continue;
         }
         const { task, run, bornMs } = occupant;
         // A run whose lease is out has ended, whatever became of its endpoint.
         const byMs = hasLapsed ? Number.POSITIVE_INFINITY : clock.monotonicMs();
         const presence = this.#state.life.ending.presenceOf(occupant, byMs);
-        this.#unheard.add({ task, run, bornMs, presence });
+        this.#runs.unheard.add({ task, run, bornMs, presence });
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst;
-        yield* this.#held.end(occupant, lost(cause));
+        yield* this.#runs.held.end(occupant, lost(cause));
       }
       // What ended before a lease ran out does not count when it is told later.
-      for (const { task, run } of hasLapsed ? this.#unheard.all : []) {
+      for (const { task, run } of hasLapsed ? this.#runs.unheard.all : []) {
         task.workflow.openEnds.closeUntold(task, run);
       }
       // Perhaps only the connection is silent: the next look takes a new one.
@@ -710,8 +694,8 @@
    */
   #endLifeHere(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const held = this.#held.sent;
-      const unheard = this.#unheard.takeAll();
+      const held = this.#runs.held.sent;
+      const unheard = this.#runs.unheard.takeAll();
       if (held.length + unheard.length === 0) return;
       this.#state.life.hasEnded = true;
       const { listener, ports: { clock } } = this.#options;
@@ -720,11 +704,11 @@
       const endOf = this.#state.life.ending.end(sign, held, unheard);
       const records = held.map((one) => {
         const end = endOf(this.#state.life.ending.presenceOf(one, nowMs));
-        return this.#held.end(one, this.#former.take(one) ?? end);
+        return this.#runs.held.end(one, this.#runs.former.take(one) ?? end);
       });
       for (const run of unheard) {
-        const end = this.#former.take(run) ?? endOf(run.presence);
-        records.push(listener.lateEnd(this, run, end));
+        const end = this.#runs.former.take(run) ?? endOf(run.presence);
+        records.push(listener.lateEnd(this.#state, run, end));
       }
       yield* Effect.all(records, { concurrency: "unbounded", discard: true });
     });
