Move the ends of an endpoint's lives out of the session

EndpointEnds has one job: which runs end with a life, and how. The two ways in which a life ends share what they do with the runs. No behaviour changes.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -9,9 +9,9 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
+import * as endpointEnds from "./endpoint_ends.ts";
 import * as endpointRuns from "./endpoint_runs.ts";
 import * as endpointStates from "./endpoint_state.ts";
-import * as lifeEnds from "./life_end.ts";
 import * as occupants from "./occupant.ts";
 import * as presentLives from "./present_life.ts";
 import * as starters from "./run_starter.ts";
@@ -52,18 +52,6 @@
  */
 const PROBATION_MS = 1000;
 
-/**
- * No endpoint ends and is back as another life within this time, in ms: those of the
- * users take about 3 s, the quickest that flap 1 s.
- */
-const LEAST_REBIRTH_MS = 300;
-
-/**
- * An endpoint that lives has written its own entry again within this time, in ms:
- * two heartbeats of 1.5 s and what a listing takes to be told.
- */
-const OWN_ENTRY_MS = 3500;
-
 /** One endpoint, under one id at one address. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
@@ -71,6 +59,7 @@
   readonly #options: sessionOptions.SessionOptions;
   readonly #state: endpointStates.EndpointState;
   readonly #runs: endpointRuns.EndpointRuns;
+  readonly #ends: endpointEnds.EndpointEnds;
   readonly #starter: starters.RunStarter;
   readonly #views: views.ViewReader;
   #isAsking = false;
@@ -89,6 +78,12 @@
       seal: (occupant) => this.#seal(occupant),
       sealLoose: (run) => this.#sealLoose(run),
     });
+    this.#ends = new endpointEnds.EndpointEnds({
+      clock,
+      listener: options.listener,
+      state: this.#state,
+      runs: this.#runs,
+    });
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
@@ -192,24 +187,9 @@
     });
   }
 
-  /**
-   * It is neither heard nor listed for so long that it may have ended; its entry
-   * lapses as well where it is cut off. What ran there is told of as gone, and the
-   * session is kept: whoever answers there later shows what became of it. Where
-   * connections were refused, nobody listens: that is an end, and no cut.
-   */
+  /** It is neither heard nor listed for so long that it may have ended. */
   suspectGone(): void {
-    if (this.#state.isGone) return;
-    if (this.#state.life.ending.isRefused) {
-      Effect.runFork(this.endAll(lifeEnds.LifeEndSign.NobodyListens));
-      return;
-    }
-    this.#state.noteGone();
-    // One that was going to leave has left; nobody waits for news of it.
-    if (this.#state.life.ending.isLeaving) this.#runs.unheard.takeAll();
-    for (const run of this.#runs.unheard.all) {
-      this.#options.listener.runGone(this.#state, run);
-    }
+    this.#ends.suspectGone();
   }
 
   /** Whether anybody may still want to know what became of its runs. */
@@ -240,18 +220,9 @@
     return this.#runs.unheard.all;
   }
 
-  /**
-   * Another endpoint answers at the address. An endpoint that never answered there
-   * may stand elsewhere, where its entry was written by somebody else: what an
-   * earlier coordinator started on it is not given up before it had the time to
-   * write its own entry again.
-   */
+  /** Another endpoint answers at the address. */
   noteReplaced(): Effect.Effect<void> {
-    const heldMs = this.#options.ports.clock.monotonicMs() -
-      this.#state.openedAtMs;
-    const mayBeElsewhere = !this.#state.wasHeard && !this.#runs.held.isEmpty &&
-      heldMs < OWN_ENTRY_MS;
-    return mayBeElsewhere ? Effect.void : this.endAll();
+    return this.#ends.noteReplaced();
   }
 
   /** Another session has taken over what it held. */
@@ -375,48 +346,6 @@
     });
   }
 
-  /** It is shown to have ended: nothing of this life runs any more. */
-  endAll(sign = lifeEnds.LifeEndSign.OtherAnswers): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      if (this.#state.isOver) return;
-      this.#state.end();
-      const { listener, ports: { clock } } = this.#options;
-      const nowMs = clock.monotonicMs();
-      const unheard = this.#runs.unheard.takeAll();
-      const wereThere = this.#runs.held.all.filter((one) =>
-        this.#mayBeThere(one)
-      );
-      const endOf = this.#state.life.ending.end(sign, wereThere, unheard);
-      const records = this.#runs.held.all.map((occupant) => {
-        const end = wereThere.includes(occupant)
-          ? endOf(this.#state.life.ending.presenceOf(occupant, nowMs))
-          : lost(LostCause.NeverSent);
-        return this.#runs.held.end(
-          occupant,
-          this.#runs.former.take(occupant) ?? end,
-        );
-      });
-      for (const run of unheard) {
-        const end = this.#runs.former.take(run) ?? endOf(run.presence);
-        records.push(listener.lateEnd(this.#state, run, end));
-      }
-      yield* Effect.all(records, { concurrency: "unbounded", discard: true });
-    });
-  }
-
-  /**
-   * Whether a run may have been there when this life ended. Another life answers by
-   * then, so a start sent a moment ago came too late for this one.
-   */
-  #mayBeThere(occupant: occupants.Occupant): boolean {
-    const { sent, sentAtMs } = occupant;
-    if (!sent || sentAtMs === null || occupants.isConfirmed(occupant)) {
-      return sent;
-    }
-    const nowMs = this.#options.ports.clock.monotonicMs();
-    return nowMs - sentAtMs >= LEAST_REBIRTH_MS;
-  }
-
   /** Keeps the lease while there is something to keep it for. */
   run(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -468,12 +397,12 @@
         this.#state.wake();
         return Effect.void;
       case starters.StartOutcome.Replaced:
-        return this.endAll();
+        return this.#ends.endAll();
       case starters.StartOutcome.ReplacedBefore:
         // No crash under this run: the life that it was meant for was over.
         return Effect.andThen(
           this.#runs.held.end(occupant, lost(LostCause.NeverSent)),
-          this.endAll(),
+          this.#ends.endAll(),
         );
       case starters.StartOutcome.Fenced:
         term.lose("a worker has seen a higher token");
@@ -508,7 +437,7 @@
       if (timed._tag === "Success") return timed.success?.value ?? null;
       const err = timed.failure;
       if (err._tag === "WorkerReplacedError") {
-        yield* this.noteReplaced();
+        yield* this.#ends.noteReplaced();
       }
       const isRefused = err._tag === "WorkerLostError" && err.neverSent;
       if (isRefused) this.#state.life.ending.noteRefused();
@@ -661,7 +590,7 @@
       if (
         hasLapsed && this.#state.wasHeard && this.#state.life.ending.isRefused
       ) {
-        yield* this.#endLifeHere();
+        yield* this.#ends.endLifeHere();
       }
       for (const occupant of this.occupants) {
         if (!occupant.sent) continue;
@@ -688,32 +617,6 @@
     });
   }
 
-  /**
-   * Nobody listens any more where this life has answered, and its lease is out: it has
-   * ended, whatever its entry says. The session stays, as another life may begin.
-   */
-  #endLifeHere(): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const held = this.#runs.held.sent;
-      const unheard = this.#runs.unheard.takeAll();
-      if (held.length + unheard.length === 0) return;
-      this.#state.life.hasEnded = true;
-      const { listener, ports: { clock } } = this.#options;
-      const nowMs = clock.monotonicMs();
-      const sign = lifeEnds.LifeEndSign.NobodyListens;
-      const endOf = this.#state.life.ending.end(sign, held, unheard);
-      const records = held.map((one) => {
-        const end = endOf(this.#state.life.ending.presenceOf(one, nowMs));
-        return this.#runs.held.end(one, this.#runs.former.take(one) ?? end);
-      });
-      for (const run of unheard) {
-        const end = this.#runs.former.take(run) ?? endOf(run.presence);
-        records.push(listener.lateEnd(this.#state, run, end));
-      }
-      yield* Effect.all(records, { concurrency: "unbounded", discard: true });
-    });
-  }
-
   #stopStray(run: Ports.RunRef): void {
     const { term, ports: { workers, log } } = this.#options;
     const name = strays.nameOf(run);
