Move the orders of a session, and what a failed one shows, out of it

EndpointOrders makes an order within its time and reads a failure: that another endpoint answered, that nobody listens, that a later coordinator gives the orders. No behaviour changes.

--- /dev/null
+++ b/packages/coordinator/src/sessions/endpoint_orders.ts
@@ -0,0 +1,65 @@
+/** Makes the orders of one session; a failure tells something of the endpoint. */
+import * as Errors from "@cairngate/errors";
+import type * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import type * as endpointEnds from "./endpoint_ends.ts";
+import type * as endpointStates from "./endpoint_state.ts";
+import type * as sessionOptions from "./session_options.ts";
+
+/** What the orders work with. */
+export interface EndpointOrdersOptions {
+  readonly options: sessionOptions.SessionOptions;
+  readonly state: endpointStates.EndpointState;
+  readonly ends: endpointEnds.EndpointEnds;
+}
+
+/** Pause before an order is sent again, in ms. */
+export const RETRY_MS = 150;
+
+/** Orders to one endpoint. */
+export class EndpointOrders {
+  readonly #options: EndpointOrdersOptions;
+
+  constructor(options: EndpointOrdersOptions) {
+    this.#options = options;
+  }
+
+  /** Makes an order; null where no answer came or it was refused. */
+  call<A>(
+    order: Effect.Effect<A, Ports.OrderError>,
+    limitMs: number,
+  ): Effect.Effect<A | null> {
+    const { ports: { clock }, load } = this.#options.options;
+    return Effect.gen({ self: this }, function* () {
+      const allowedMs = load.allow(limitMs);
+      const timed = yield* Effect.result(clock.within(allowedMs, order));
+      if (timed._tag === "Success") return timed.success?.value ?? null;
+      const err = timed.failure;
+      if (err._tag === "WorkerReplacedError") {
+        yield* this.#options.ends.noteReplaced();
+      }
+      this.#noteFailed(err);
+      return null;
+    });
+  }
+
+  #noteFailed(err: Ports.OrderError): void {
+    const { state: { life }, options: { term } } = this.#options;
+    const isRefused = err._tag === "WorkerLostError" && err.neverSent;
+    if (isRefused) life.ending.noteRefused();
+    this.#tellFirst(err);
+    const isFenced = err._tag === "OrderRefusedError" &&
+      err.reason === Errors.OrderRefusal.Fenced;
+    if (isFenced) term.lose(err.message);
+  }
+
+  /** The first order without an answer tells most of what became of it. */
+  #tellFirst(err: Ports.OrderError): void {
+    const { state, options } = this.#options;
+    if (!state.isReachable) return;
+    const { id, address } = state.ref;
+    options.ports.log.info(
+      `An order to endpoint ${id} at ${address} failed: ${err.message}`,
+    );
+  }
+}
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -4,12 +4,12 @@
  * another under the endpoint's id (present_life.ts); numbers, clock, health and
  * strays are those of the present one, and runs know to which one they were sent.
  */
-import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as endpointEnds from "./endpoint_ends.ts";
+import * as endpointOrders from "./endpoint_orders.ts";
 import * as endpointRuns from "./endpoint_runs.ts";
 import * as endpointStates from "./endpoint_state.ts";
 import * as occupants from "./occupant.ts";
@@ -38,8 +38,6 @@
 const LOOKS_PER_LEASE = 3;
 /** Tries of a stop that nobody waits for: 12 s of them, as late as starts arrive. */
 const SEAL_TRIES = 20;
-/** Pause before an order is sent again, in ms. */
-const RETRY_MS = 150;
 /**
  * Looks that are made for the endpoint's clock before a start: the first one may
  * go over a connection that has turned silent, the second goes over a new one.
@@ -60,6 +58,7 @@
   readonly #state: endpointStates.EndpointState;
   readonly #runs: endpointRuns.EndpointRuns;
   readonly #ends: endpointEnds.EndpointEnds;
+  readonly #orders: endpointOrders.EndpointOrders;
   readonly #starter: starters.RunStarter;
   readonly #views: views.ViewReader;
   #isAsking = false;
@@ -84,6 +83,11 @@
       state: this.#state,
       runs: this.#runs,
     });
+    this.#orders = new endpointOrders.EndpointOrders({
+      options,
+      state: this.#state,
+      ends: this.#ends,
+    });
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
@@ -335,13 +339,13 @@
         this.#runs.held.holds(occupant) && !this.#state.isOver && occupant.sent
       ) {
         const order = workers.stop(this.ref, { task, run, fencingToken });
-        const heard = yield* this.#call(order, ORDER_LIMIT_MS);
+        const heard = yield* this.#orders.call(order, ORDER_LIMIT_MS);
         if (heard !== null) {
           occupant.knownSinceMs ??= clock.monotonicMs();
           this.#state.wake();
           return;
         }
-        yield* clock.sleep(RETRY_MS);
+        yield* clock.sleep(endpointOrders.RETRY_MS);
       }
     });
   }
@@ -425,39 +429,6 @@
     }
   }
 
-  /** Makes an order; null where no answer came or it was refused. */
-  #call<A>(
-    order: Effect.Effect<A, Ports.OrderError>,
-    limitMs: number,
-  ): Effect.Effect<A | null> {
-    const { ports: { clock }, term, load } = this.#options;
-    return Effect.gen({ self: this }, function* () {
-      const allowedMs = load.allow(limitMs);
-      const timed = yield* Effect.result(clock.within(allowedMs, order));
-      if (timed._tag === "Success") return timed.success?.value ?? null;
-      const err = timed.failure;
-      if (err._tag === "WorkerReplacedError") {
-        yield* this.#ends.noteReplaced();
-      }
-      const isRefused = err._tag === "WorkerLostError" && err.neverSent;
-      if (isRefused) this.#state.life.ending.noteRefused();
-      this.#noteUnanswered(err);
-      const isFenced = err._tag === "OrderRefusedError" &&
-        err.reason === Errors.OrderRefusal.Fenced;
-      if (isFenced) term.lose(err.message);
-      return null;
-    });
-  }
-
-  /** The first order without an answer tells most of what became of it. */
-  #noteUnanswered(err: Ports.OrderError): void {
-    if (!this.#state.isReachable) return;
-    const { id, address } = this.ref;
-    this.#options.ports.log.info(
-      `An order to endpoint ${id} at ${address} failed: ${err.message}`,
-    );
-  }
-
   /** One look at the worker, which also renews its lease. */
   #look(mostWaitMs = MOST_WAIT_MS): Effect.Effect<void> {
     const { ports: { clock, workers }, term, load } = this.#options;
@@ -481,7 +452,7 @@
           recordedBy: this.#state.life.bornMs,
           waitMs,
         });
-        return this.#call(order, waitMs + VIEW_SLACK_MS);
+        return this.#orders.call(order, waitMs + VIEW_SLACK_MS);
       });
       const isAtOnce = waitMs === 0 && this.#state.isReachable;
       const view = yield* isAtOnce ? load.inTurn(renew) : renew;
@@ -500,7 +471,9 @@
       this.#state.life.clock.read(view.clockMs, clock.monotonicMs());
       yield* this.#views.take(view, sentAtMs);
       // It was not sure who would answer; the next look goes where this one did.
-      if (ends.hasNews && toTell > view.toldEnds) yield* clock.sleep(RETRY_MS);
+      if (ends.hasNews && toTell > view.toldEnds) {
+        yield* clock.sleep(endpointOrders.RETRY_MS);
+      }
     });
   }
 
@@ -550,8 +523,8 @@
       for (let tries = 0; tries < SEAL_TRIES; tries++) {
         if (this.#state.isOver || this.#state.life.bornMs !== bornMs) return;
         const stop = workers.stop(this.ref, order);
-        if ((yield* this.#call(stop, ORDER_LIMIT_MS)) !== null) return;
-        yield* clock.sleep(RETRY_MS);
+        if ((yield* this.#orders.call(stop, ORDER_LIMIT_MS)) !== null) return;
+        yield* clock.sleep(endpointOrders.RETRY_MS);
       }
     });
     Effect.runFork(seal);
@@ -613,7 +586,7 @@
         task.workflow.openEnds.closeUntold(task, run);
       }
       // Perhaps only the connection is silent: the next look takes a new one.
-      if (!isFirst) yield* clock.sleep(RETRY_MS * 2);
+      if (!isFirst) yield* clock.sleep(endpointOrders.RETRY_MS * 2);
     });
   }
 
@@ -622,7 +595,9 @@
     const name = strays.nameOf(run);
     log.warn(`Worker ${this.ref.id} runs ${name}, which nobody expects.`);
     const order = { ...run, fencingToken: term.token };
-    Effect.runFork(this.#call(workers.stop(this.ref, order), ORDER_LIMIT_MS));
+    Effect.runFork(
+      this.#orders.call(workers.stop(this.ref, order), ORDER_LIMIT_MS),
+    );
   }
 }
 
