Move the stops of an endpoint's runs out of the session

EndpointStops has all four: of a run, of one whose start may still arrive, of a loose start, of a stray. They share the order and its time limit. No behaviour changes.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -12,20 +12,18 @@
 import * as endpointOrders from "./endpoint_orders.ts";
 import * as endpointRuns from "./endpoint_runs.ts";
 import * as endpointStates from "./endpoint_state.ts";
+import * as endpointStops from "./endpoint_stops.ts";
 import * as occupants from "./occupant.ts";
 import * as presentLives from "./present_life.ts";
 import * as starters from "./run_starter.ts";
 import * as listeners from "./session_listener.ts";
 import type * as sessionOptions from "./session_options.ts";
-import * as strays from "./stray_runs.ts";
 import * as views from "./view_reader.ts";
 import type * as unheards from "./unheard_runs.ts";
 import type * as healths from "../endpoints/worker_health.ts";
 
 const { LostCause, lost } = listeners;
 
-/** An order without an answer counts as lost after this time, in ms. */
-const ORDER_LIMIT_MS = 450;
 /** A look may take this much longer than it was asked to wait, in ms. */
 const VIEW_SLACK_MS = 800;
 /** Longest wait of a look at a worker with lasting tasks only, in ms. */
@@ -36,8 +34,6 @@
 const AT_ONCE = 0;
 /** Looks in the time of one lease, so that two may be lost. */
 const LOOKS_PER_LEASE = 3;
-/** Tries of a stop that nobody waits for: 12 s of them, as late as starts arrive. */
-const SEAL_TRIES = 20;
 /**
  * Looks that are made for the endpoint's clock before a start: the first one may
  * go over a connection that has turned silent, the second goes over a new one.
@@ -59,6 +55,7 @@
   readonly #runs: endpointRuns.EndpointRuns;
   readonly #ends: endpointEnds.EndpointEnds;
   readonly #orders: endpointOrders.EndpointOrders;
+  readonly #stops: endpointStops.EndpointStops;
   readonly #starter: starters.RunStarter;
   readonly #views: views.ViewReader;
   #isAsking = false;
@@ -74,8 +71,8 @@
     this.#runs = new endpointRuns.EndpointRuns({
       options,
       state: this.#state,
-      seal: (occupant) => this.#seal(occupant),
-      sealLoose: (run) => this.#sealLoose(run),
+      seal: (occupant) => this.#stops.seal(occupant),
+      sealLoose: (run) => this.#stops.sealLoose(run),
     });
     this.#ends = new endpointEnds.EndpointEnds({
       clock,
@@ -88,6 +85,12 @@
       state: this.#state,
       ends: this.#ends,
     });
+    this.#stops = new endpointStops.EndpointStops({
+      options,
+      state: this.#state,
+      runs: this.#runs,
+      orders: this.#orders,
+    });
     this.#starter = new starters.RunStarter({
       ports: options.ports,
       term: options.term,
@@ -110,7 +113,7 @@
       recovery: options.recovery,
       listener: options.listener,
       endpoint: this.#state,
-      stopStray: (run) => this.#stopStray(run),
+      stopStray: (run) => this.#stops.stopStray(run),
       onNews: () => this.#state.wake(),
     });
   }
@@ -330,24 +333,7 @@
 
   /** Stops a run; ends when the worker has heard it or the run is over. */
   stop(occupant: occupants.Occupant): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const { term, ports: { clock, workers } } = this.#options;
-      occupant.stoppingSinceMs ??= clock.monotonicMs();
-      const { task: { name: task }, run } = occupant;
-      const fencingToken = term.token;
-      while (
-        this.#runs.held.holds(occupant) && !this.#state.isOver && occupant.sent
-      ) {
-        const order = workers.stop(this.ref, { task, run, fencingToken });
-        const heard = yield* this.#orders.call(order, ORDER_LIMIT_MS);
-        if (heard !== null) {
-          occupant.knownSinceMs ??= clock.monotonicMs();
-          this.#state.wake();
-          return;
-        }
-        yield* clock.sleep(endpointOrders.RETRY_MS);
-      }
-    });
+    return this.#stops.stop(occupant);
   }
 
   /** Keeps the lease while there is something to keep it for. */
@@ -425,7 +411,7 @@
         return this.#runs.held.end(occupant, lost(LostCause.NeverSent));
       case starters.StartOutcome.MayBeThere:
         this.health.failed(nowMs);
-        return this.stop(occupant);
+        return this.#stops.stop(occupant);
     }
   }
 
@@ -508,28 +494,6 @@
     );
   }
 
-  /** What is stopped before it arrives never starts; a look then shows its end. */
-  #seal(occupant: occupants.Occupant): void {
-    occupant.knownSinceMs = null;
-    Effect.runFork(this.stop(occupant));
-  }
-
-  /** The same for a run that nobody waits for. */
-  #sealLoose({ task, run }: Ports.RunRef): void {
-    const { term, ports: { clock, workers } } = this.#options;
-    const { bornMs } = this.#state.life;
-    const order = { task, run, fencingToken: term.token };
-    const seal = Effect.gen({ self: this }, function* () {
-      for (let tries = 0; tries < SEAL_TRIES; tries++) {
-        if (this.#state.isOver || this.#state.life.bornMs !== bornMs) return;
-        const stop = workers.stop(this.ref, order);
-        if ((yield* this.#orders.call(stop, ORDER_LIMIT_MS)) !== null) return;
-        yield* clock.sleep(endpointOrders.RETRY_MS);
-      }
-    });
-    Effect.runFork(seal);
-  }
-
   /** An answer that came before the time brings an end: it tells no delay. */
   #noteDelay(tookMs: number, waitMs: number): void {
     if (tookMs >= waitMs) this.#options.load.note(tookMs - waitMs);
@@ -589,16 +553,6 @@
       if (!isFirst) yield* clock.sleep(endpointOrders.RETRY_MS * 2);
     });
   }
-
-  #stopStray(run: Ports.RunRef): void {
-    const { term, ports: { workers, log } } = this.#options;
-    const name = strays.nameOf(run);
-    log.warn(`Worker ${this.ref.id} runs ${name}, which nobody expects.`);
-    const order = { ...run, fencingToken: term.token };
-    Effect.runFork(
-      this.#orders.call(workers.stop(this.ref, order), ORDER_LIMIT_MS),
-    );
-  }
 }
 
 /**
