--- /dev/null
+++ b/packages/coordinator/src/sessions/endpoint_silence.ts
@@ -0,0 +1,107 @@
+/** What follows where an endpoint does not answer a look: leases run out unheard. */
+import * as Effect from "effect/Effect";
+import type * as endpointEnds from "./endpoint_ends.ts";
+import * as endpointOrders from "./endpoint_orders.ts";
+import type * as endpointRuns from "./endpoint_runs.ts";
+import type * as endpointStates from "./endpoint_state.ts";
+import * as occupants from "./occupant.ts";
+import type * as sessionOptions from "./session_options.ts";
+import * as listeners from "./session_listener.ts";
+
+const { LostCause, lost } = listeners;
+
+/** What the silence works with. */
+export interface EndpointSilenceOptions {
+  readonly options: sessionOptions.SessionOptions;
+  readonly state: endpointStates.EndpointState;
+  readonly runs: endpointRuns.EndpointRuns;
+  readonly ends: endpointEnds.EndpointEnds;
+}
+
+/** Silence of one endpoint. */
+export class EndpointSilence {
+  readonly #options: EndpointSilenceOptions;
+
+  constructor(options: EndpointSilenceOptions) {
+    this.#options = options;
+  }
+
+  /** A look had no answer. */
+  note(): Effect.Effect<void> {
+    const { state, ends, options: { ports: { clock } } } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const isFirst = this.#noteSilent();
+      const { life } = state;
+      const hasLapsed = life.clock.hasLapsed(clock.monotonicMs());
+      if (hasLapsed && state.wasHeard && life.ending.isRefused) {
+        yield* ends.endLifeHere();
+      }
+      yield* this.#endRuns(hasLapsed);
+      if (hasLapsed) this.#closeUntold();
+      // Perhaps only the connection is silent: the next look takes a new one.
+      if (!isFirst) yield* clock.sleep(endpointOrders.RETRY_MS * 2);
+    });
+  }
+
+  /** Returns whether the look before had an answer. */
+  #noteSilent(): boolean {
+    const { state, options: { silences, listener } } = this.#options;
+    const isFirst = state.noteSilent();
+    if (isFirst) {
+      silences.noteSilent(state.ref);
+      listener.roomChanged();
+    }
+    return isFirst;
+  }
+
+  /** Ends the runs that must be over by now, whatever became of their endpoint. */
+  #endRuns(hasLapsed: boolean): Effect.Effect<void> {
+    const { held, former } = this.#options.runs;
+    return Effect.gen({ self: this }, function* () {
+      for (const occupant of held.all) {
+        if (!occupant.sent) continue;
+        if (!hasLapsed && !hasEndedBeforeGang(occupant)) continue;
+        const formerEnd = former.take(occupant);
+        yield* held.end(
+          occupant,
+          formerEnd ?? this.#giveUp(occupant, hasLapsed),
+        );
+      }
+    });
+  }
+
+  /** How it ended may still be told. */
+  #giveUp(
+    occupant: occupants.Occupant,
+    hasLapsed: boolean,
+  ): listeners.SessionEnd {
+    const { state: { life }, runs, options: { ports } } = this.#options;
+    const { task, run, bornMs } = occupant;
+    // A run whose lease is out has ended, whatever became of its endpoint.
+    const byMs = hasLapsed
+      ? Number.POSITIVE_INFINITY
+      : ports.clock.monotonicMs();
+    const presence = life.ending.presenceOf(occupant, byMs);
+    runs.unheard.add({ task, run, bornMs, presence });
+    return lost(hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst);
+  }
+
+  /** What ended before a lease ran out does not count when it is told later. */
+  #closeUntold(): void {
+    for (const { task, run } of this.#options.runs.unheard.all) {
+      task.workflow.openEnds.closeUntold(task, run);
+    }
+  }
+}
+
+/**
+ * Whether the ends of all others of its gang show that a run has ended. That one of
+ * them broke is not enough: members end one after another, and a run that counts as
+ * over too early is started a second time beside itself. One that was never confirmed
+ * may still arrive, late, and wait for the others.
+ */
+function hasEndedBeforeGang(occupant: occupants.Occupant): boolean {
+  const { task, run, stoppingSinceMs } = occupant;
+  return occupants.isConfirmed(occupant) && task.run === run &&
+    task.workflow.hasEndedBeforeGang(task, stoppingSinceMs);
+}
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -11,6 +11,7 @@
 import * as endpointEnds from "./endpoint_ends.ts";
 import * as endpointOrders from "./endpoint_orders.ts";
 import * as endpointRuns from "./endpoint_runs.ts";
+import * as endpointSilences from "./endpoint_silence.ts";
 import * as endpointStates from "./endpoint_state.ts";
 import * as endpointStops from "./endpoint_stops.ts";
 import * as occupants from "./occupant.ts";
@@ -55,6 +56,7 @@
   readonly #runs: endpointRuns.EndpointRuns;
   readonly #ends: endpointEnds.EndpointEnds;
   readonly #orders: endpointOrders.EndpointOrders;
+  readonly #silence: endpointSilences.EndpointSilence;
   readonly #stops: endpointStops.EndpointStops;
   readonly #starter: starters.RunStarter;
   readonly #views: views.ViewReader;
@@ -85,6 +87,12 @@
       state: this.#state,
       ends: this.#ends,
     });
+    this.#silence = new endpointSilences.EndpointSilence({
+      options,
+      state: this.#state,
+      runs: this.#runs,
+      ends: this.#ends,
+    });
     this.#stops = new endpointStops.EndpointStops({
       options,
       state: this.#state,
@@ -442,7 +450,7 @@
       });
       const isAtOnce = waitMs === 0 && this.#state.isReachable;
       const view = yield* isAtOnce ? load.inTurn(renew) : renew;
-      if (view === null) return yield* this.#notHeard();
+      if (view === null) return yield* this.#silence.note();
       if (!this.#takeLife(view, leftAt)) return;
       this.#state.life.ending.noteHeard();
       this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
@@ -514,55 +522,4 @@
     const leaseShareMs = Math.floor(longestLeaseMs / LOOKS_PER_LEASE);
     return Math.min(longestMs, leaseShareMs, MOST_WAIT_MS);
   }
-
-  #notHeard(): Effect.Effect<void> {
-    const { ports: { clock }, listener } = this.#options;
-    return Effect.gen({ self: this }, function* () {
-      const isFirst = this.#state.noteSilent();
-      if (isFirst) {
-        this.#options.silences.noteSilent(this.ref);
-        listener.roomChanged();
-      }
-      const hasLapsed = this.#state.life.clock.hasLapsed(clock.monotonicMs());
-      if (
-        hasLapsed && this.#state.wasHeard && this.#state.life.ending.isRefused
-      ) {
-        yield* this.#ends.endLifeHere();
-      }
-      for (const occupant of this.occupants) {
-        if (!occupant.sent) continue;
-        if (!hasLapsed && !hasEndedBeforeGang(occupant)) continue;
-        const formerEnd = this.#runs.former.take(occupant);
-        if (formerEnd !== null) {
-          yield* this.#runs.held.end(occupant, formerEnd);
-          continue;
-        }
-        const { task, run, bornMs } = occupant;
-        // A run whose lease is out has ended, whatever became of its endpoint.
-        const byMs = hasLapsed ? Number.POSITIVE_INFINITY : clock.monotonicMs();
-        const presence = this.#state.life.ending.presenceOf(occupant, byMs);
-        this.#runs.unheard.add({ task, run, bornMs, presence });
-        const cause = hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst;
-        yield* this.#runs.held.end(occupant, lost(cause));
-      }
-      // What ended before a lease ran out does not count when it is told later.
-      for (const { task, run } of hasLapsed ? this.#runs.unheard.all : []) {
-        task.workflow.openEnds.closeUntold(task, run);
-      }
-      // Perhaps only the connection is silent: the next look takes a new one.
-      if (!isFirst) yield* clock.sleep(endpointOrders.RETRY_MS * 2);
-    });
-  }
-}
-
-/**
- * Whether the ends of all others of its gang show that a run has ended. That one of
- * them broke is not enough: members end one after another, and a run that counts as
- * over too early is started a second time beside itself. One that was never confirmed
- * may still arrive, late, and wait for the others.
- */
-function hasEndedBeforeGang(occupant: occupants.Occupant): boolean {
-  const { task, run, stoppingSinceMs } = occupant;
-  return occupants.isConfirmed(occupant) && task.run === run &&
-    task.workflow.hasEndedBeforeGang(task, stoppingSinceMs);
 }
