--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -9,13 +9,13 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as endpointEnds from "./endpoint_ends.ts";
+import * as endpointLooks from "./endpoint_look.ts";
 import * as endpointOrders from "./endpoint_orders.ts";
 import * as endpointRuns from "./endpoint_runs.ts";
 import * as endpointSilences from "./endpoint_silence.ts";
 import * as endpointStates from "./endpoint_state.ts";
 import * as endpointStops from "./endpoint_stops.ts";
 import * as occupants from "./occupant.ts";
-import * as presentLives from "./present_life.ts";
 import * as starters from "./run_starter.ts";
 import * as listeners from "./session_listener.ts";
 import type * as sessionOptions from "./session_options.ts";
@@ -25,16 +25,6 @@
 
 const { LostCause, lost } = listeners;
 
-/** A look may take this much longer than it was asked to wait, in ms. */
-const VIEW_SLACK_MS = 800;
-/** Longest wait of a look at a worker with lasting tasks only, in ms. */
-const LONGEST_WAIT_MS = 1000;
-/** Endpoints wait no longer than this for an end, in ms, by their protocol. */
-const MOST_WAIT_MS = 2000;
-/** A look that waits for no end, in ms: somebody waits for what it tells. */
-const AT_ONCE = 0;
-/** Looks in the time of one lease, so that two may be lost. */
-const LOOKS_PER_LEASE = 3;
 /**
  * Looks that are made for the endpoint's clock before a start: the first one may
  * go over a connection that has turned silent, the second goes over a new one.
@@ -60,6 +50,7 @@
   readonly #stops: endpointStops.EndpointStops;
   readonly #starter: starters.RunStarter;
   readonly #views: views.ViewReader;
+  readonly #look: endpointLooks.EndpointLook;
   #isAsking = false;
   /** Done when the look that starts wait for has ended; null while there is none. */
   #commonLook: Deferred.Deferred<void> | null = null;
@@ -124,6 +115,14 @@
       stopStray: (run) => this.#stops.stopStray(run),
       onNews: () => this.#state.wake(),
     });
+    this.#look = new endpointLooks.EndpointLook({
+      options,
+      state: this.#state,
+      runs: this.#runs,
+      orders: this.#orders,
+      silence: this.#silence,
+      views: this.#views,
+    });
   }
 
   /** What is known of how it treats what it is given. */
@@ -194,7 +193,7 @@
       if (this.#state.isOver || this.#isAsking) return Effect.void;
       this.#isAsking = true;
       return Effect.ensuring(
-        this.#look(AT_ONCE),
+        this.#look.look(endpointLooks.AT_ONCE),
         Effect.sync(() => {
           this.#isAsking = false;
         }),
@@ -324,7 +323,7 @@
         this.#commonLook = null;
         Deferred.doneUnsafe(done, Effect.void);
       });
-      return Effect.ensuring(this.#look(), finish);
+      return Effect.ensuring(this.#look.look(), finish);
     });
   }
 
@@ -334,7 +333,7 @@
    */
   #isAlive(): Effect.Effect<boolean> {
     return Effect.map(
-      this.#look(AT_ONCE),
+      this.#look.look(endpointLooks.AT_ONCE),
       () => this.#state.isReachable && !this.#state.isOver,
     );
   }
@@ -352,7 +351,7 @@
           yield* this.#state.awaitWake();
           continue;
         }
-        yield* this.#look();
+        yield* this.#look.look();
       }
     });
   }
@@ -409,7 +408,7 @@
         this.health.refused(nowMs);
         // The look tells what takes the room, and the worker's clock.
         return Effect.andThen(
-          this.#look(AT_ONCE),
+          this.#look.look(endpointLooks.AT_ONCE),
           Effect.suspend(() =>
             this.#runs.held.end(occupant, lost(LostCause.Refused))
           ),
@@ -422,104 +421,4 @@
         return this.#stops.stop(occupant);
     }
   }
-
-  /** One look at the worker, which also renews its lease. */
-  #look(mostWaitMs = MOST_WAIT_MS): Effect.Effect<void> {
-    const { ports: { clock, workers }, term, load } = this.#options;
-    return Effect.gen({ self: this }, function* () {
-      const waitMs = Math.min(mostWaitMs, this.#waitMs());
-      const ends = this.#state.life.ends;
-      const toTell = ends.recorded;
-      let sentAtMs = clock.monotonicMs();
-      let leftAt = this.#state.life.present.leave();
-      const renew = Effect.suspend(() => {
-        sentAtMs = clock.monotonicMs();
-        leftAt = this.#state.life.present.leave();
-        const order = workers.renew(this.ref, {
-          fencingToken: term.token,
-          // A worker that is not heard gets no longer lease: it has to lapse.
-          leaseUntilMs:
-            this.#state.life.clock.isKnown && this.#state.isReachable
-              ? this.#state.life.leaseEnd(sentAtMs)
-              : null,
-          recordedEnds: toTell,
-          recordedBy: this.#state.life.bornMs,
-          waitMs,
-        });
-        return this.#orders.call(order, waitMs + VIEW_SLACK_MS);
-      });
-      const isAtOnce = waitMs === 0 && this.#state.isReachable;
-      const view = yield* isAtOnce ? load.inTurn(renew) : renew;
-      if (view === null) return yield* this.#silence.note();
-      if (!this.#takeLife(view, leftAt)) return;
-      this.#state.life.ending.noteHeard();
-      this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
-      this.#state.noteHeard();
-      this.#options.onHeard(this.ref);
-      if (this.#state.open()) {
-        this.#options.silences.noteHeard(this.ref);
-        this.#options.listener.roomChanged();
-      }
-      this.#runs.outlived.compare(view);
-      ends.noteTold(view.toldEnds);
-      this.#state.life.clock.read(view.clockMs, clock.monotonicMs());
-      yield* this.#views.take(view, sentAtMs);
-      // It was not sure who would answer; the next look goes where this one did.
-      if (ends.hasNews && toTell > view.toldEnds) {
-        yield* clock.sleep(endpointOrders.RETRY_MS);
-      }
-    });
-  }
-
-  /** Notes which life answers; false where that is not clear. */
-  #takeLife(view: Ports.WorkerView, leftAt: presentLives.Moment): boolean {
-    const formerMs = this.#state.life.bornMs;
-    const speaker = this.#state.life.present.hear(view.bornMs, leftAt);
-    if (speaker === presentLives.Speaker.Unclear) return false;
-    const isLater = speaker === presentLives.Speaker.Later;
-    if (isLater) this.#tellRebirth(formerMs);
-    this.#runs.former.endUnshown({
-      view,
-      isLater,
-      lifeEnd: this.#state.life.ending,
-      hasEnded: this.#state.life.hasEnded,
-    });
-    if (isLater) {
-      this.#state.life.begin();
-      this.#views.beginLife();
-      this.#options.listener.lifeBegan(this.#state);
-    }
-    return true;
-  }
-
-  #tellRebirth(formerMs: number | null): void {
-    const { id, address } = this.ref;
-    const { log, metrics } = this.#options.ports;
-    metrics.count("cairngate_endpoint_rebirths_total");
-    log.info(
-      `Endpoint ${id} at ${address} has begun again: it was born at ` +
-        `${this.#state.life.bornMs}, the life before at ${formerMs}.`,
-    );
-  }
-
-  /** An answer that came before the time brings an end: it tells no delay. */
-  #noteDelay(tookMs: number, waitMs: number): void {
-    if (tookMs >= waitMs) this.#options.load.note(tookMs - waitMs);
-  }
-
-  #waitMs(): number {
-    const settled = this.#state.life.clock.isKnown && this.#state.isReachable &&
-      !this.#state.life.ends.hasNews && this.#views.strayCount === 0 &&
-      this.occupants.every((o) =>
-        !o.sent || (o.knownSinceMs !== occupants.EARLIER_TERM)
-      );
-    if (!settled) return 0;
-    const { longestLeaseMs } = this.#options.ports.bounds;
-    const comesOn = this.occupants.some(({ task }) => !task.step.lasting);
-    const longestMs = comesOn
-      ? this.#options.progressWaitMs()
-      : LONGEST_WAIT_MS;
-    const leaseShareMs = Math.floor(longestLeaseMs / LOOKS_PER_LEASE);
-    return Math.min(longestMs, leaseShareMs, MOST_WAIT_MS);
-  }
 }
