Move the starts of runs out of the session

EndpointStarts starts what nothing stands against, StartLooks learns the clock and whether the endpoint is alive before, StartReports settles what a start came to. The session is left with wiring them. No behaviour changes.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -6,30 +6,23 @@
  */
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
-import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as endpointEnds from "./endpoint_ends.ts";
 import * as endpointLooks from "./endpoint_look.ts";
 import * as endpointOrders from "./endpoint_orders.ts";
 import * as endpointRuns from "./endpoint_runs.ts";
 import * as endpointSilences from "./endpoint_silence.ts";
+import * as endpointStarts from "./endpoint_starts.ts";
 import * as endpointStates from "./endpoint_state.ts";
 import * as endpointStops from "./endpoint_stops.ts";
-import * as occupants from "./occupant.ts";
-import * as starters from "./run_starter.ts";
-import * as listeners from "./session_listener.ts";
+import type * as occupants from "./occupant.ts";
 import type * as sessionOptions from "./session_options.ts";
+import * as startLooks from "./start_looks.ts";
+import * as startReports from "./start_reports.ts";
 import * as views from "./view_reader.ts";
 import type * as unheards from "./unheard_runs.ts";
 import type * as healths from "../endpoints/worker_health.ts";
 
-const { LostCause, lost } = listeners;
-
-/**
- * Looks that are made for the endpoint's clock before a start: the first one may
- * go over a connection that has turned silent, the second goes over a new one.
- */
-const CLOCK_LOOKS = 2;
 /**
  * A task under which an endpoint has crashed has its endpoint for itself for this
  * time, in ms. The crashes of the users' record came 10 ms after the start; longer
@@ -48,12 +41,10 @@
   readonly #orders: endpointOrders.EndpointOrders;
   readonly #silence: endpointSilences.EndpointSilence;
   readonly #stops: endpointStops.EndpointStops;
-  readonly #starter: starters.RunStarter;
   readonly #views: views.ViewReader;
   readonly #look: endpointLooks.EndpointLook;
+  readonly #starts: endpointStarts.EndpointStarts;
   #isAsking = false;
-  /** Done when the look that starts wait for has ended; null while there is none. */
-  #commonLook: Deferred.Deferred<void> | null = null;
 
   constructor(options: sessionOptions.SessionOptions) {
     this.#options = options;
@@ -90,17 +81,6 @@
       runs: this.#runs,
       orders: this.#orders,
     });
-    this.#starter = new starters.RunStarter({
-      ports: options.ports,
-      term: options.term,
-      ref: options.ref,
-      load: options.load,
-      leaseEnd: () => this.#state.life.leaseEnd(clock.monotonicMs()),
-      onLoose: (run) => this.#runs.loose.add(run),
-      isWanted: (occupant) =>
-        this.#runs.held.holds(occupant) && occupant.stoppingSinceMs === null &&
-        this.#mayStart,
-    });
     this.#views = new views.ViewReader({
       clock,
       log,
@@ -123,6 +103,23 @@
       silence: this.#silence,
       views: this.#views,
     });
+    this.#starts = new endpointStarts.EndpointStarts({
+      options,
+      state: this.#state,
+      runs: this.#runs,
+      looks: new startLooks.StartLooks({
+        state: this.#state,
+        look: this.#look,
+      }),
+      reports: new startReports.StartReports({
+        options,
+        state: this.#state,
+        runs: this.#runs,
+        ends: this.#ends,
+        stops: this.#stops,
+        look: this.#look,
+      }),
+    });
   }
 
   /** What is known of how it treats what it is given. */
@@ -263,79 +260,7 @@
 
   /** Starts a run; one whose fate stays open is stopped. */
   start(occupant: occupants.Occupant): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const knowsClock = yield* this.#learnClock();
-      const isAlive = occupant.task.possibleCrashes === 0 ||
-        (yield* this.#isAlive());
-      if (!this.#runs.held.holds(occupant)) return;
-      const obstacle = this.#obstacleTo(occupant);
-      if (obstacle !== null) {
-        return yield* this.#runs.held.end(occupant, lost(obstacle));
-      }
-      occupant.sent = true;
-      occupant.sentAtMs = this.#options.ports.clock.monotonicMs();
-      occupant.bornMs = this.#state.life.bornMs;
-      this.#state.wake();
-      const report = knowsClock && isAlive
-        ? yield* this.#starter.send(occupant)
-        : starters.NEVER_SENT;
-      if (this.#runs.held.holds(occupant)) {
-        yield* this.#settleStart(occupant, report);
-      }
-    });
-  }
-
-  /** Why a run may not start now: its plan may be seconds old. */
-  #obstacleTo(occupant: occupants.Occupant): listeners.LostCause | null {
-    const { task, stoppingSinceMs } = occupant;
-    if (
-      stoppingSinceMs !== null || task.workflow.isOver || this.#state.isOver
-    ) {
-      return LostCause.NotWanted;
-    }
-    if (!this.#mayStart) return LostCause.Evacuated;
-    const tasks = [...this.#runs.held.sent.map((one) => one.task), task];
-    return this.#options.mayHold(tasks) ? null : LostCause.NoRoom;
-  }
-
-  /**
-   * A lease is told in the endpoint's own time, which only an answer of the present
-   * life tells. So no life is given a start before it has answered this coordinator;
-   * from then on it takes no order of an earlier one.
-   */
-  #learnClock(): Effect.Effect<boolean> {
-    return Effect.gen({ self: this }, function* () {
-      for (let tries = 0; tries < CLOCK_LOOKS; tries++) {
-        if (this.#state.life.clock.isKnown || this.#state.isOver) break;
-        yield* this.#lookTogether();
-      }
-      return this.#state.life.clock.isKnown;
-    });
-  }
-
-  /** One look for all starts that wait for it: up to eight come at once. */
-  #lookTogether(): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      if (this.#commonLook !== null) return Deferred.await(this.#commonLook);
-      const done = Deferred.makeUnsafe<void>();
-      this.#commonLook = done;
-      const finish = Effect.sync(() => {
-        this.#commonLook = null;
-        Deferred.doneUnsafe(done, Effect.void);
-      });
-      return Effect.ensuring(this.#look.look(), finish);
-    });
-  }
-
-  /**
-   * Asks before a task starts that may crash its endpoint: only a start that follows
-   * an answer tells whether the endpoint ended under it or before.
-   */
-  #isAlive(): Effect.Effect<boolean> {
-    return Effect.map(
-      this.#look.look(endpointLooks.AT_ONCE),
-      () => this.#state.isReachable && !this.#state.isOver,
-    );
+    return this.#starts.start(occupant);
   }
 
   /** Stops a run; ends when the worker has heard it or the run is over. */
@@ -364,61 +289,4 @@
       this.#views.strayCount > 0 || this.hasUnheard ||
       this.#runs.held.sent.length > 0 || !this.#state.isReachable;
   }
-
-  get #mayStart(): boolean {
-    return this.#options.ports.evacuations.mayStart(this.dataCentre);
-  }
-
-  #settleStart(
-    occupant: occupants.Occupant,
-    report: starters.StartReport,
-  ): Effect.Effect<void> {
-    const { term, listener, ports: { clock } } = this.#options;
-    const nowMs = clock.monotonicMs();
-    // Its life has ended meanwhile; what became of it the present one shows.
-    if (this.#runs.former.has(occupant)) return Effect.void;
-    switch (report.outcome) {
-      case starters.StartOutcome.Running:
-        this.#state.life.clock.read(report.clockMs ?? 0, nowMs);
-        // A run that resumes from a checkpoint does not begin at nothing.
-        if (report.clockMs !== null && occupant.task.checkpoint === "") {
-          const { clockMs } = report;
-          occupants.noteProgress(occupant, 0, { clockMs, nowMs });
-        }
-        occupant.knownSinceMs ??= nowMs;
-        this.#state.noteStarted();
-        listener.runConfirmed(occupant);
-        return Effect.void;
-      case starters.StartOutcome.Earlier:
-        occupant.knownSinceMs ??= nowMs;
-        this.#state.wake();
-        return Effect.void;
-      case starters.StartOutcome.Replaced:
-        return this.#ends.endAll();
-      case starters.StartOutcome.ReplacedBefore:
-        // No crash under this run: the life that it was meant for was over.
-        return Effect.andThen(
-          this.#runs.held.end(occupant, lost(LostCause.NeverSent)),
-          this.#ends.endAll(),
-        );
-      case starters.StartOutcome.Fenced:
-        term.lose("a worker has seen a higher token");
-        return Effect.void;
-      case starters.StartOutcome.Refused:
-        this.health.refused(nowMs);
-        // The look tells what takes the room, and the worker's clock.
-        return Effect.andThen(
-          this.#look.look(endpointLooks.AT_ONCE),
-          Effect.suspend(() =>
-            this.#runs.held.end(occupant, lost(LostCause.Refused))
-          ),
-        );
-      case starters.StartOutcome.NotThere:
-        this.health.failed(nowMs);
-        return this.#runs.held.end(occupant, lost(LostCause.NeverSent));
-      case starters.StartOutcome.MayBeThere:
-        this.health.failed(nowMs);
-        return this.#stops.stop(occupant);
-    }
-  }
 }
