--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -1,5 +1,4 @@
 /** What ends with a life of one endpoint: the runs that it had, and its session. */
-import type * as Ports from "@cairngate/ports";
 import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import type * as endpointRuns from "./endpoint_runs.ts";
@@ -7,14 +6,14 @@
 import * as lifeEnds from "./life_end.ts";
 import * as occupants from "./occupant.ts";
 import * as listeners from "./session_listener.ts";
+import type * as sessionOptions from "./session_options.ts";
 import type * as unheards from "./unheard_runs.ts";
 
 const { LostCause, lost } = listeners;
 
 /** What the ends work with. */
 export interface EndpointEndsOptions {
-  readonly clock: Ports.Clock;
-  readonly listener: listeners.SessionListener;
+  readonly options: sessionOptions.SessionOptions;
   readonly state: endpointStates.EndpointState;
   readonly runs: endpointRuns.EndpointRuns;
 }
@@ -44,11 +43,11 @@
 
   /** It is shown to have ended: nothing of this life runs any more. */
   endAll(sign = lifeEnds.LifeEndSign.OtherAnswers): Effect.Effect<void> {
-    const { state, runs: { held, unheard }, clock } = this.#options;
+    const { state, runs: { held, unheard }, options } = this.#options;
     return Effect.gen({ self: this }, function* () {
       if (state.isOver) return;
       state.end();
-      const nowMs = clock.monotonicMs();
+      const nowMs = options.ports.clock.monotonicMs();
       const untold = unheard.takeAll();
       const wereThere = held.all.filter((one) => this.#mayBeThere(one));
       const endOf = state.life.ending.end(sign, wereThere, untold);
@@ -67,13 +66,13 @@
    * ended, whatever its entry says. The session stays, as another life may begin.
    */
   endLifeHere(): Effect.Effect<void> {
-    const { state: { life }, runs, clock } = this.#options;
+    const { state: { life }, runs, options } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const held = runs.held.sent;
       const untold = runs.unheard.takeAll();
       if (held.length + untold.length === 0) return;
       life.hasEnded = true;
-      const nowMs = clock.monotonicMs();
+      const nowMs = options.ports.clock.monotonicMs();
       const sign = lifeEnds.LifeEndSign.NobodyListens;
       const endOf = life.ending.end(sign, held, untold);
       const records = held.map((one) => this.#endHeld(one, endOf, nowMs));
@@ -89,8 +88,8 @@
    * write its own entry again.
    */
   noteReplaced(): Effect.Effect<void> {
-    const { state, runs, clock } = this.#options;
-    const heldMs = clock.monotonicMs() - state.openedAtMs;
+    const { state, runs, options } = this.#options;
+    const heldMs = options.ports.clock.monotonicMs() - state.openedAtMs;
     const mayBeElsewhere = !state.wasHeard && !runs.held.isEmpty &&
       heldMs < OWN_ENTRY_MS;
     return mayBeElsewhere ? Effect.void : this.endAll();
@@ -103,7 +102,7 @@
    * connections were refused, nobody listens: that is an end, and no cut.
    */
   suspectGone(): void {
-    const { state, runs: { unheard }, listener } = this.#options;
+    const { state, runs: { unheard }, options } = this.#options;
     if (state.isGone) return;
     if (state.life.ending.isRefused) {
       Effect.runFork(this.endAll(lifeEnds.LifeEndSign.NobodyListens));
@@ -112,7 +111,7 @@
     state.noteGone();
     // One that was going to leave has left; nobody waits for news of it.
     if (state.life.ending.isLeaving) unheard.takeAll();
-    for (const run of unheard.all) listener.runGone(state, run);
+    for (const run of unheard.all) options.listener.runGone(state, run);
   }
 
   /**
@@ -124,7 +123,7 @@
     if (!sent || sentAtMs === null || occupants.isConfirmed(occupant)) {
       return sent;
     }
-    const nowMs = this.#options.clock.monotonicMs();
+    const nowMs = this.#options.options.ports.clock.monotonicMs();
     return nowMs - sentAtMs >= LEAST_REBIRTH_MS;
   }
 
@@ -153,7 +152,7 @@
     untold: readonly unheards.UnheardRun[],
     endOf: EndOf,
   ): readonly Effect.Effect<void>[] {
-    const { state, runs: { former }, listener } = this.#options;
+    const { state, runs: { former }, options: { listener } } = this.#options;
     return untold.map((run) =>
       listener.lateEnd(state, run, former.take(run) ?? endOf(run.presence))
     );
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -3,23 +3,18 @@
  * starts and stops, and learns what runs and what has ended. Lives may follow one
  * another under the endpoint's id (present_life.ts); numbers, clock, health and
  * strays are those of the present one, and runs know to which one they were sent.
+ * Each of its jobs is a part of its own (session_parts.ts); this is what the rest of
+ * the coordinator sees of them.
  */
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
-import * as endpointEnds from "./endpoint_ends.ts";
 import * as endpointLooks from "./endpoint_look.ts";
-import * as endpointOrders from "./endpoint_orders.ts";
-import * as endpointRuns from "./endpoint_runs.ts";
-import * as endpointSilences from "./endpoint_silence.ts";
-import * as endpointStarts from "./endpoint_starts.ts";
-import * as endpointStates from "./endpoint_state.ts";
-import * as endpointStops from "./endpoint_stops.ts";
+import type * as endpointRuns from "./endpoint_runs.ts";
+import type * as endpointStates from "./endpoint_state.ts";
 import type * as occupants from "./occupant.ts";
 import type * as sessionOptions from "./session_options.ts";
-import * as startLooks from "./start_looks.ts";
-import * as startReports from "./start_reports.ts";
-import * as views from "./view_reader.ts";
+import * as sessionParts from "./session_parts.ts";
 import type * as unheards from "./unheard_runs.ts";
 import type * as healths from "../endpoints/worker_health.ts";
 
@@ -34,92 +29,17 @@
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
   readonly dataCentre: string;
-  readonly #options: sessionOptions.SessionOptions;
+  readonly #parts: sessionParts.SessionParts;
   readonly #state: endpointStates.EndpointState;
   readonly #runs: endpointRuns.EndpointRuns;
-  readonly #ends: endpointEnds.EndpointEnds;
-  readonly #orders: endpointOrders.EndpointOrders;
-  readonly #silence: endpointSilences.EndpointSilence;
-  readonly #stops: endpointStops.EndpointStops;
-  readonly #views: views.ViewReader;
-  readonly #look: endpointLooks.EndpointLook;
-  readonly #starts: endpointStarts.EndpointStarts;
   #isAsking = false;
 
   constructor(options: sessionOptions.SessionOptions) {
-    this.#options = options;
     this.ref = options.ref;
     this.dataCentre = options.dataCentre;
-    this.#state = new endpointStates.EndpointState(options);
-    const { clock, log } = options.ports;
-    this.#runs = new endpointRuns.EndpointRuns({
-      options,
-      state: this.#state,
-      seal: (occupant) => this.#stops.seal(occupant),
-      sealLoose: (run) => this.#stops.sealLoose(run),
-    });
-    this.#ends = new endpointEnds.EndpointEnds({
-      clock,
-      listener: options.listener,
-      state: this.#state,
-      runs: this.#runs,
-    });
-    this.#orders = new endpointOrders.EndpointOrders({
-      options,
-      state: this.#state,
-      ends: this.#ends,
-    });
-    this.#silence = new endpointSilences.EndpointSilence({
-      options,
-      state: this.#state,
-      runs: this.#runs,
-      ends: this.#ends,
-    });
-    this.#stops = new endpointStops.EndpointStops({
-      options,
-      state: this.#state,
-      runs: this.#runs,
-      orders: this.#orders,
-    });
-    this.#views = new views.ViewReader({
-      clock,
-      log,
-      held: this.#runs.held,
-      ends: () => this.#state.life.ends,
-      bornMs: () => this.#state.life.bornMs,
-      former: this.#runs.former,
-      unheard: this.#runs.unheard,
-      recovery: options.recovery,
-      listener: options.listener,
-      endpoint: this.#state,
-      stopStray: (run) => this.#stops.stopStray(run),
-      onNews: () => this.#state.wake(),
-    });
-    this.#look = new endpointLooks.EndpointLook({
-      options,
-      state: this.#state,
-      runs: this.#runs,
-      orders: this.#orders,
-      silence: this.#silence,
-      views: this.#views,
-    });
-    this.#starts = new endpointStarts.EndpointStarts({
-      options,
-      state: this.#state,
-      runs: this.#runs,
-      looks: new startLooks.StartLooks({
-        state: this.#state,
-        look: this.#look,
-      }),
-      reports: new startReports.StartReports({
-        options,
-        state: this.#state,
-        runs: this.#runs,
-        ends: this.#ends,
-        stops: this.#stops,
-        look: this.#look,
-      }),
-    });
+    this.#parts = sessionParts.wireParts(options);
+    this.#state = this.#parts.state;
+    this.#runs = this.#parts.runs;
   }
 
   /** What is known of how it treats what it is given. */
@@ -149,17 +69,16 @@
 
   /** Whether new work may be sent here. */
   get isUsable(): boolean {
-    const nowMs = this.#options.ports.clock.monotonicMs();
-    return !this.#state.isOver && this.#state.isReachable &&
-      !this.#state.mustBeHeard &&
-      this.#views.strayCount === 0 && !this.health.isAside(nowMs);
+    const { state, views, options: { ports: { clock } } } = this.#parts;
+    return !state.isOver && state.isReachable && !state.mustBeHeard &&
+      views.strayCount === 0 && !this.health.isAside(clock.monotonicMs());
   }
 
   /** Whether nothing is left to learn or to tell. */
   get isIdle(): boolean {
+    const { isOver, isReachable, life } = this.#state;
     return this.#runs.held.isEmpty &&
-      (this.#state.isOver || !this.#state.isReachable ||
-        !this.#state.life.ends.hasNews);
+      (isOver || !isReachable || !life.ends.hasNews);
   }
 
   /** Whether runs that were here may still turn out to have ended otherwise. */
@@ -177,8 +96,7 @@
   /** It is listed, and tells whether it is going to leave. */
   noteListed(isDraining: boolean): void {
     this.#state.life.ending.noteListed(isDraining);
-    if (!this.#state.isGone) return;
-    this.#state.noteWanted();
+    if (this.#state.isGone) this.#state.noteWanted();
   }
 
   /**
@@ -190,7 +108,7 @@
       if (this.#state.isOver || this.#isAsking) return Effect.void;
       this.#isAsking = true;
       return Effect.ensuring(
-        this.#look.look(endpointLooks.AT_ONCE),
+        this.#parts.look.look(endpointLooks.AT_ONCE),
         Effect.sync(() => {
           this.#isAsking = false;
         }),
@@ -200,7 +118,7 @@
 
   /** It is neither heard nor listed for so long that it may have ended. */
   suspectGone(): void {
-    this.#ends.suspectGone();
+    this.#parts.ends.suspectGone();
   }
 
   /** Whether anybody may still want to know what became of its runs. */
@@ -233,7 +151,7 @@
 
   /** Another endpoint answers at the address. */
   noteReplaced(): Effect.Effect<void> {
-    return this.#ends.noteReplaced();
+    return this.#parts.ends.noteReplaced();
   }
 
   /** Another session has taken over what it held. */
@@ -249,7 +167,7 @@
   /** Takes in a run that the records say may be here. */
   adopt(task: Workflow.Task): void {
     this.#runs.held.adopt(task);
-    this.#views.noteAdopted(task);
+    this.#parts.views.noteAdopted(task);
     this.#state.noteWanted();
   }
 
@@ -260,12 +178,12 @@
 
   /** Starts a run; one whose fate stays open is stopped. */
   start(occupant: occupants.Occupant): Effect.Effect<void> {
-    return this.#starts.start(occupant);
+    return this.#parts.starts.start(occupant);
   }
 
   /** Stops a run; ends when the worker has heard it or the run is over. */
   stop(occupant: occupants.Occupant): Effect.Effect<void> {
-    return this.#stops.stop(occupant);
+    return this.#parts.stops.stop(occupant);
   }
 
   /** Keeps the lease while there is something to keep it for. */
@@ -276,17 +194,16 @@
           yield* this.#state.awaitWake();
           continue;
         }
-        yield* this.#look.look();
+        yield* this.#parts.look.look();
       }
     });
   }
 
   #hasBusiness(): boolean {
-    if (this.#state.isGone) return false;
-    return !this.#options.recovery.isComplete ||
-      this.#state.life.ends.hasNews ||
-      this.#state.mustBeHeard ||
-      this.#views.strayCount > 0 || this.hasUnheard ||
-      this.#runs.held.sent.length > 0 || !this.#state.isReachable;
+    const { state, runs, views, options: { recovery } } = this.#parts;
+    if (state.isGone) return false;
+    return !recovery.isComplete || state.life.ends.hasNews ||
+      state.mustBeHeard || views.strayCount > 0 || this.hasUnheard ||
+      runs.held.sent.length > 0 || !state.isReachable;
   }
 }
