Cut the directory of endpoints by job

ListingBook keeps the entries that are believed and their addresses, ListingChanges takes in changes of the list, DoubtedListings keeps the entries of other lives and asks who lives, EndpointSessions opens, runs and drops sessions, PlanStates makes the states for a plan. The directory wires them and is what the rest of the coordinator sees. No behaviour changes.

--- /dev/null
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -0,0 +1,190 @@
+/** A session with each endpoint that is listed or named by the records. */
+import type * as Ports from "@cairngate/ports";
+import type * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import * as restart from "../restart.ts";
+import * as loads from "../sessions/box_load.ts";
+import * as leaseClocks from "../sessions/lease_clock.ts";
+import * as sessions from "../sessions/worker_session.ts";
+import type * as directoryOptions from "./directory_options.ts";
+import type * as listingBooks from "./listing_book.ts";
+import type * as silences from "./silence_log.ts";
+
+/** What the sessions work with. */
+export interface EndpointSessionsOptions {
+  readonly options: directoryOptions.DirectoryOptions;
+  readonly book: listingBooks.ListingBook;
+  readonly silences: silences.SilenceLog;
+}
+
+/**
+ * An endpoint that is neither listed nor heard for this time, in ms, may have ended:
+ * one that lives is listed again about two seconds after an outage.
+ */
+const GONE_AFTER_MS = 4000;
+/** Time between two looks at runs that come on, in a small fleet, in ms. */
+const LEAST_PROGRESS_WAIT_MS = 600;
+/** The same in a large fleet: slow runs have to be noticed within seconds. */
+const LONGEST_PROGRESS_WAIT_MS = 1000;
+/** Looks in a second before they become rarer: 250 workers once a second. */
+const LOOKS_PER_SECOND = 250;
+
+/** Sessions by endpoint; one for each term. */
+export class EndpointSessions {
+  readonly #parts: EndpointSessionsOptions;
+  readonly #sessions = new Map<string, sessions.WorkerSession>();
+  readonly #fibers = new Map<string, Fiber.Fiber<void>>();
+  readonly #load: loads.BoxLoad;
+  readonly #foreignLapseMs: number;
+  #begun = false;
+
+  constructor(parts: EndpointSessionsOptions) {
+    this.#parts = parts;
+    const { ports, ports: { clock, bounds } } = parts.options;
+    this.#load = new loads.BoxLoad(ports);
+    this.#foreignLapseMs = leaseClocks.foreignLapseMs(
+      clock.monotonicMs(),
+      bounds.longestLeaseMs,
+    );
+  }
+
+  /** All sessions. */
+  get all(): Iterable<sessions.WorkerSession> {
+    return this.#sessions.values();
+  }
+
+  /** The session with an endpoint; undefined where there is none. */
+  get(id: string): sessions.WorkerSession | undefined {
+    return this.#sessions.get(id);
+  }
+
+  /** How late this box is with its own work, in ms. */
+  get lateMs(): number {
+    return this.#load.lateMs;
+  }
+
+  /** Lets the sessions talk to their endpoints. */
+  begin(): void {
+    const { options: { recovery }, book } = this.#parts;
+    // Runs that no record names so far have to keep their leases as well.
+    if (!recovery.isComplete) {
+      for (const { id } of book.all) this.open(id);
+    }
+    this.#begun = true;
+    for (const session of this.#sessions.values()) this.#run(session);
+  }
+
+  /** The session with an endpoint that the records name; null where it has ended. */
+  open(id: string): sessions.WorkerSession | null {
+    const known = this.#sessions.get(id);
+    if (known !== undefined) return known.isOver ? null : known;
+    const listing = this.#parts.book.get(id);
+    if (listing === undefined) return null;
+    return this.#open(listing);
+  }
+
+  /** What an earlier coordinator left at an endpoint is asked for where it stands. */
+  reopen(former: sessions.WorkerSession): void {
+    const session = this.open(former.ref.id);
+    if (session === null || former.isOver) return;
+    for (const { task } of former.occupants) session.adopt(task);
+    for (const run of former.unheard) session.adoptUnheard(run);
+  }
+
+  /** Closes a session. */
+  drop({ ref }: sessions.WorkerSession): void {
+    const { id } = ref;
+    this.#sessions.delete(id);
+    this.#parts.book.noteDropped(ref);
+    const fiber = this.#fibers.get(id);
+    this.#fibers.delete(id);
+    if (fiber !== undefined) Effect.runFork(Fiber.interrupt(fiber));
+  }
+
+  /**
+   * Closes sessions with endpoints that are not listed and hold nothing. One whose
+   * life has ended stays while its entry does, or it would be taken for a new one.
+   */
+  dropGone(): void {
+    const { book } = this.#parts;
+    for (const [id, session] of this.#sessions) {
+      if (book.get(id) !== undefined || !session.isIdle) continue;
+      if (session.hasUnheard) {
+        if (book.awayMs(id) >= GONE_AFTER_MS) session.suspectGone();
+        if (session.isAwaited) continue;
+      }
+      this.drop(session);
+    }
+  }
+
+  /** Ends all fibers of the sessions. */
+  close(): Effect.Effect<void> {
+    return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
+  }
+
+  #open(listing: Ports.WorkerListing): sessions.WorkerSession {
+    const { options, book, silences } = this.#parts;
+    const { id, address, bornMs, dataCentre, draining } = listing;
+    const ref = { id, address };
+    const session = new sessions.WorkerSession({
+      ...options,
+      ref,
+      listedBornMs: bornMs,
+      lapsesAtMs: this.#foreignLapseMs,
+      load: this.#load,
+      progressWaitMs: () => this.#progressWaitMs(),
+      silences,
+      mayHold: (tasks) => this.#mayHold(id, tasks),
+      dataCentre,
+      isContested: book.othersAt(ref).length > 0,
+      onHeard: (heard) => this.#noteHeard(heard),
+    });
+    session.noteListed(draining);
+    this.#sessions.set(id, session);
+    if (this.#begun) this.#run(session);
+    return session;
+  }
+
+  #run(session: sessions.WorkerSession): void {
+    const { clock, log, metrics } = this.#parts.options.ports;
+    const { id } = session.ref;
+    const what = `The session with worker ${id}`;
+    const run = restart.restartOnDefect(session.run(), {
+      what,
+      clock,
+      log,
+      metrics,
+    });
+    this.#fibers.set(id, Effect.runFork(run));
+  }
+
+  /** One life has answered at its address, so no other one is there. */
+  #noteHeard(ref: Ports.WorkerRef): void {
+    for (const other of this.#parts.book.othersAt(ref)) {
+      const session = this.#sessions.get(other);
+      if (session === undefined || session.isOver) continue;
+      Effect.runFork(session.noteReplaced());
+    }
+  }
+
+  /** An endpoint whose listing lapsed with the store keeps its last word. */
+  #mayHold(id: string, tasks: readonly Workflow.Task[]): boolean {
+    const listing = this.#parts.book.get(id);
+    if (listing === undefined) return true;
+    return !listing.draining && Scheduler.fitTogether(tasks, listing);
+  }
+
+  /**
+   * A box that is late leaves longer times between its looks: an end is told at
+   * once all the same, because a look waits for it at the endpoint.
+   */
+  #progressWaitMs(): number {
+    const count = this.#sessions.size;
+    const fairMs = count / LOOKS_PER_SECOND * 1000;
+    const usualMs = Math.min(LONGEST_PROGRESS_WAIT_MS, fairMs);
+    const bearableMs = count * this.#load.spacingMs;
+    return Math.max(LEAST_PROGRESS_WAIT_MS, usualMs, bearableMs);
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/endpoints/plan_states.ts
@@ -0,0 +1,81 @@
+/** The endpoints as a plan sees them. */
+import type * as Ports from "@cairngate/ports";
+import type * as Scheduler from "@cairngate/workflow-scheduler";
+import type * as evacuations from "./evacuation_book.ts";
+import type * as endpointSessions from "./endpoint_sessions.ts";
+import type * as listingBooks from "./listing_book.ts";
+import type * as listingTimes from "./listing_times.ts";
+import type * as silences from "./silence_log.ts";
+import type * as speeds from "./worker_speeds.ts";
+
+/** What the states are made of. */
+export interface PlanStatesOptions {
+  readonly clock: Ports.Clock;
+  readonly evacuations: evacuations.EvacuationBook;
+  readonly book: listingBooks.ListingBook;
+  readonly sessions: endpointSessions.EndpointSessions;
+  readonly times: listingTimes.ListingTimes;
+  readonly speeds: speeds.WorkerSpeeds;
+  readonly silences: silences.SilenceLog;
+}
+
+interface Moment {
+  readonly nowMs: number;
+  /** Whether the evacuations are known up to now, so that work may start at all. */
+  readonly mayStart: boolean;
+}
+
+/** States of all listed endpoints. */
+export class PlanStates {
+  readonly #options: PlanStatesOptions;
+
+  constructor(options: PlanStatesOptions) {
+    this.#options = options;
+  }
+
+  /** The endpoints as a plan sees them. */
+  all(): Scheduler.WorkerState[] {
+    const { clock, evacuations, book } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const mayStart = !evacuations.mayBeLate;
+    return Array.from(
+      book.all,
+      (listing) => this.#stateOf(listing, { nowMs, mayStart }),
+    );
+  }
+
+  /** Accelerators that may be given work: listed, staying, not evacuated. */
+  get openAccelerators(): number {
+    return [...this.#options.book.all]
+      .filter((one) => this.#isOpen(one))
+      .reduce((sum, { accelerators }) => sum + accelerators, 0);
+  }
+
+  #stateOf(listing: Ports.WorkerListing, at: Moment): Scheduler.WorkerState {
+    const { sessions, times, speeds, silences } = this.#options;
+    const { id, address } = listing;
+    const { nowMs, mayStart } = at;
+    const session = sessions.open(id);
+    return {
+      id,
+      service: listing.service,
+      dataCentre: listing.dataCentre,
+      rack: listing.rack,
+      labels: new Set(listing.labels),
+      total: listing,
+      usable: mayStart && this.#isOpen(listing) &&
+        session !== null && session.isUsable && !session.isOnProbation(nowMs),
+      isDoubted: session?.health.isDoubted(nowMs) ?? false,
+      isProven: session?.health.isProven(nowMs) ?? false,
+      isCold: times.isCold(id),
+      hasCrashedLately: silences.hasCrashedLately(address),
+      speed: speeds.of(id),
+      occupants: session?.occupants.map(({ task }) => task) ?? [],
+    };
+  }
+
+  /** Whether it stays and is not evacuated. */
+  #isOpen({ draining, dataCentre }: Ports.WorkerListing): boolean {
+    return !draining && !this.#options.evacuations.isEvacuated(dataCentre);
+  }
+}
