--- /dev/null
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -0,0 +1,170 @@
+/** What follows from what the sessions tell: above all from the ends of runs. */
+import * as Workflow from "@cairngate/workflow";
+import * as Effect from "effect/Effect";
+import type * as silences from "../endpoints/silence_log.ts";
+import type * as ports from "../ports.ts";
+import type * as occupants from "../sessions/occupant.ts";
+import * as listeners from "../sessions/session_listener.ts";
+import type * as unheards from "../sessions/unheard_runs.ts";
+import * as endLogs from "./end_log.ts";
+import type * as missings from "./missing_runs.ts";
+import type * as recorders from "./recorder.ts";
+import type * as controls from "./run_control.ts";
+import type * as books from "./workflow_book.ts";
+
+/** What the ends have to do with. */
+export interface RunEndsOptions {
+  readonly ports: ports.CoordinatorPorts;
+  readonly recorder: recorders.Recorder;
+  readonly book: books.WorkflowBook;
+  /** It stands once the sessions do, which tell of ends. */
+  readonly control: () => controls.RunControl;
+  /** Another life has begun under this id. */
+  readonly onLife: (id: string) => void;
+  /** Something has changed that a plan has to do with. */
+  readonly onRoom: () => void;
+}
+
+/** Ends of runs; one for each term. */
+export class RunEnds extends listeners.SessionListener {
+  readonly #options: RunEndsOptions;
+  readonly #log: endLogs.EndLog;
+
+  constructor(options: RunEndsOptions) {
+    super();
+    this.#options = options;
+    this.#log = new endLogs.EndLog(options.ports);
+  }
+
+  override runEnded(
+    worker: listeners.SessionWorker,
+    occupant: occupants.Occupant,
+    end: listeners.SessionEnd,
+  ): Effect.Effect<void> {
+    const { task, run } = occupant;
+    const { workflow } = task;
+    const { clock, metrics } = this.#options.ports;
+    const nowMs = clock.monotonicMs();
+    const wasOver = workflow.isOver;
+    const endpoint = worker.ref.id;
+    workflow.endRun(task, { run, endpoint, ...end }, nowMs);
+    metrics.count("cairngate_runs_ended_total", { how: end.how });
+    if (end.how === Workflow.RunEnd.Done) worker.health.succeeded(nowMs);
+    else this.#runLost(worker, occupant, end);
+    return this.#settle(workflow, wasOver);
+  }
+
+  override lateEnd(
+    worker: listeners.SessionWorker,
+    { task, run }: unheards.UnheardRun,
+    end: listeners.SessionEnd,
+  ): Effect.Effect<void> {
+    const { workflow } = task;
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    const wasOver = workflow.isOver;
+    const endpoint = worker.ref.id;
+    const isNews = workflow.endRun(task, { run, endpoint, ...end }, nowMs);
+    if (!isNews) return Effect.void;
+    this.#log.endedLate({ task, run, endpoint }, end);
+    return this.#settle(workflow, wasOver);
+  }
+
+  override runGone(
+    { ref: { id } }: listeners.SessionWorker,
+    { task, run, presence, bornMs }: unheards.UnheardRun,
+  ): void {
+    const end = { task, run, worker: id, bornMs, presence };
+    if (!task.workflow.suspectGone(end)) return;
+    this.#log.gone({ task, run, endpoint: id });
+    this.#record(task.workflow);
+  }
+
+  override crashExcused(
+    victims: readonly silences.Victim[],
+    fellows: Workflow.CrashFellows,
+  ): void {
+    for (const { task, run, presence } of victims) {
+      const { workflow } = task;
+      const evidence = { fellows, presence };
+      if (!workflow.excuseCrash(task, run, evidence)) continue;
+      this.#log.excused(task);
+      this.#record(workflow);
+    }
+  }
+
+  override lifeBegan({ ref: { id } }: listeners.SessionWorker): void {
+    this.#options.onLife(id);
+    this.roomChanged();
+  }
+
+  override runConfirmed({ task, run }: occupants.Occupant): void {
+    if (task.run !== run) return;
+    if (task.state === Workflow.TaskState.Starting) {
+      task.state = Workflow.TaskState.Running;
+    }
+    if (!task.isSuspect || task.confirmedRun === run) return;
+    // The next coordinator has to know that it was there if its endpoint ends.
+    const { clock } = this.#options.ports;
+    const endsAtMs = task.endsAtMs ??
+      task.startedAtMs + task.step.estimateMs;
+    const leftMs = endsAtMs - clock.monotonicMs();
+    task.confirmedRun = run;
+    task.confirmedEndsAtWallMs = Math.round(clock.wallMs() + leftMs);
+    this.#record(task.workflow);
+  }
+
+  override roomChanged(): void {
+    this.#options.onRoom();
+  }
+
+  /**
+   * An endpoint of an earlier term is not listed, and its lease has run out. Nobody
+   * knows its address any more, so this is all that will be known, unless it is
+   * listed again.
+   */
+  endMissing(missing: missings.MissingRun): Effect.Effect<void> {
+    const { task, run, worker } = missing;
+    const { workflow } = task;
+    const wasOver = workflow.isOver;
+    const how = Workflow.RunEnd.Lost;
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    const end = { run, how, checkpoint: "", endpoint: worker };
+    workflow.endRun(task, end, nowMs);
+    if (workflow.suspectGone(missing)) {
+      this.#log.gone({ task, run, endpoint: worker });
+    }
+    return this.#settle(workflow, wasOver);
+  }
+
+  #runLost(
+    worker: listeners.SessionWorker,
+    occupant: occupants.Occupant,
+    end: listeners.SessionEnd,
+  ): void {
+    const { task, run } = occupant;
+    task.workflow.lostRuns++;
+    this.#log.ended({ task, run, endpoint: worker.ref.id }, end);
+    if (end.how === Workflow.RunEnd.Failed) {
+      const nowMs = this.#options.ports.clock.monotonicMs();
+      const sentAtMs = occupant.sentAtMs ?? task.startedAtMs;
+      worker.health.ranAndFailed(nowMs, nowMs - sentAtMs);
+    }
+    if (task.step.gang) this.#options.control().stopGang(task, run);
+  }
+
+  /** What follows from the end of a run; the effect ends when it is recorded. */
+  #settle(workflow: Workflow.Workflow, wasOver: boolean): Effect.Effect<void> {
+    const { control, book, recorder } = this.#options;
+    if (workflow.isOver && !wasOver) {
+      this.#log.gaveUp(workflow);
+      control().stopAll(workflow);
+    }
+    book.conclude(workflow);
+    this.roomChanged();
+    return recorder.record(workflow);
+  }
+
+  #record(workflow: Workflow.Workflow): void {
+    Effect.runFork(this.#options.recorder.record(workflow));
+  }
+}
