Cut the election by job

RowWatch sees the rows and says whether this node may take them, TermKeeper renews, hands on and releases them; the election takes and serves. No behaviour changes.

--- /dev/null
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -0,0 +1,185 @@
+/**
+ * What is seen of the rows of the election: who holds them, whether the holder renews
+ * them, and whether this node may take them.
+ */
+import type * as Ports from "@cairngate/ports";
+import * as TableClient from "@cairngate/table-client";
+import * as Effect from "effect/Effect";
+import type * as ports from "../ports.ts";
+import * as fitnesses from "./fitness.ts";
+import * as paces from "./renewal_pace.ts";
+import type * as terms from "./term.ts";
+
+/** What the watch works with. */
+export interface RowWatchOptions {
+  readonly ports: ports.CoordinatorPorts;
+  /** Told of each change of the row that holds the token. */
+  readonly onRow: (row: terms.CoordinatorRow | null) => void;
+}
+
+/** Candidates wait up to this much longer, in ms, so that few collide. */
+const SPREAD_MS = 200;
+/** At the first start the boxes learn of each other for this time, in ms. */
+const FIRST_WAIT_MS = 700;
+/** A successor takes a released row within this time, in ms, or another does. */
+const SUCCESSOR_MS = 1000;
+/** Longest wait of one look, in ms: a silent link is noticed soon after. */
+const FEED_WAIT_MS = 400;
+/**
+ * Boxes that are not among the few close watchers look this seldom, in ms, while
+ * each look tells of a renewal; after one that tells of none they watch closely. If
+ * all close watchers are gone, a term is taken over so much later at most.
+ */
+const REST_MS = 1500;
+
+/** The rows as this node sees them. */
+export class RowWatch {
+  readonly #ports: ports.CoordinatorPorts;
+  readonly #onRow: RowWatchOptions["onRow"];
+  readonly #follower: TableClient.RowFollower<unknown>;
+  readonly #pace = new paces.RenewalPace();
+  #row: terms.CoordinatorRow | null = null;
+  /** Newest renewal that was seen; differs with each one. */
+  #lease: unknown = null;
+  #changedAtMs = Number.POSITIVE_INFINITY;
+  #silentSinceMs = Number.POSITIVE_INFINITY;
+  #lastHeardMs = Number.NEGATIVE_INFINITY;
+  #heardFirstAtMs: number | null = null;
+  #spreadMs = 0;
+  /** Whether the last look told of a renewal. */
+  #hasToldOfRenewal = false;
+
+  constructor({ ports: watched, onRow }: RowWatchOptions) {
+    this.#ports = watched;
+    this.#onRow = onRow;
+    const { clock, random, store, electionFeed: feed } = watched;
+    this.#follower = new TableClient.RowFollower<unknown>({
+      feed,
+      clock,
+      random,
+      awaitBack: () => store.awaitBack(),
+      waitMs: FEED_WAIT_MS,
+      onChange: (entries) => this.#note(entries),
+      onHeard: () => this.#heard(),
+    });
+  }
+
+  /** Holder of the row as last seen; empty where there is none. */
+  get holder(): string {
+    return this.#row?.holder ?? "";
+  }
+
+  /** Token of the row as last seen; 0 where there is none. */
+  get token(): number {
+    return this.#row?.token ?? 0;
+  }
+
+  /**
+   * Watches for ever. Calls of boxes that can not be next would grow with boxes times
+   * renewals, so these rest between two looks.
+   *
+   * @param holds whether this node holds the row
+   */
+  run(holds: () => boolean): Effect.Effect<never> {
+    return Effect.forever(Effect.gen({ self: this }, function* () {
+      if (!holds() && this.#mayRest) yield* this.#ports.clock.sleep(REST_MS);
+      this.#hasToldOfRenewal = false;
+      yield* this.#follower.step();
+    }));
+  }
+
+  /** Whether the holder has let the rows stand still, or there is none. */
+  mayTake(): boolean {
+    if (!this.#follower.hasSnapshot) return false;
+    const { node, incarnation, clock } = this.#ports;
+    if (this.#row === null || this.#row.holder === "") return this.#mayClaim();
+    const isFormerSelf = this.#row.holder === node &&
+      this.#row.incarnation !== incarnation;
+    if (isFormerSelf) return true;
+    const nowMs = clock.monotonicMs();
+    const { silenceMs } = this.#pace;
+    if (nowMs - this.#lastHeardMs > silenceMs) return false;
+    const sinceMs = Math.max(
+      Number.isFinite(this.#changedAtMs) ? this.#changedAtMs : 0,
+      this.#silentSinceMs,
+    );
+    const delayMs = fitnesses.claimDelayMs(this.#ports.fitness);
+    return nowMs - sinceMs > silenceMs + this.#spreadMs + delayMs;
+  }
+
+  /**
+   * Whether the holder has renewed since the feed told of it last: a feed may
+   * fall behind while its looks are still answered.
+   */
+  hasRenewed(found: terms.CoordinatorRow | undefined, lease: unknown): boolean {
+    const isHeld = found !== undefined && found.holder !== "" &&
+      found.holder !== this.#ports.node;
+    if (!isHeld || lease === this.#lease) return false;
+    this.#lease = lease;
+    return true;
+  }
+
+  /** The rows have changed: whoever holds them has its usual time again. */
+  noteBehind(): void {
+    this.#changedAtMs = this.#ports.clock.monotonicMs();
+    this.#ports.log.warn("The feed of the election falls behind its rows.");
+  }
+
+  /** Silence counts from the next time at which the store is heard. */
+  forgetSilence(): void {
+    this.#silentSinceMs = Number.POSITIVE_INFINITY;
+  }
+
+  /** Silence counts from now: this node held the row so far. */
+  beginSilence(): void {
+    this.#silentSinceMs = this.#ports.clock.monotonicMs();
+  }
+
+  get #mayRest(): boolean {
+    return this.#hasToldOfRenewal && this.holder !== "" &&
+      this.#follower.isCaughtUp && !this.#ports.fitness.isCloseWatcher();
+  }
+
+  #note(entries: readonly Ports.FeedEntry<unknown>[]): void {
+    for (const { key, value } of entries) {
+      if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) {
+        this.#lease = value;
+        this.#hasToldOfRenewal = true;
+      }
+      if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
+      this.#row = value as terms.CoordinatorRow | null;
+      this.#pace.reset();
+      this.#onRow(this.#row);
+    }
+    this.#changedAtMs = this.#ports.clock.monotonicMs();
+    this.#pace.note(this.#changedAtMs);
+  }
+
+  /** Silence counts only while the store is heard without a break. */
+  #heard(): void {
+    const nowMs = this.#ports.clock.monotonicMs();
+    const brokeOff = nowMs - this.#lastHeardMs > this.#pace.silenceMs;
+    this.#lastHeardMs = nowMs;
+    if (this.#heardFirstAtMs === null) this.#heardFirstAtMs = nowMs;
+    // After an outage the holder needs a while to renew again.
+    if (brokeOff) this.#pace.reset();
+    if (brokeOff || this.#silentSinceMs === Number.POSITIVE_INFINITY) {
+      this.#silentSinceMs = nowMs;
+      this.#spreadMs = this.#ports.random.next() * SPREAD_MS;
+    }
+  }
+
+  /** Nobody holds the row: the fittest box claims it first. */
+  #mayClaim(): boolean {
+    const { node, clock, fitness } = this.#ports;
+    const successor = this.#row?.successor;
+    if (successor === node) return true;
+    const firstMs = this.#row === null ? FIRST_WAIT_MS : 0;
+    const waitMs = successor === undefined ? firstMs : SUCCESSOR_MS;
+    const heardMs = this.#heardFirstAtMs ?? Number.POSITIVE_INFINITY;
+    const isKnown = Number.isFinite(this.#changedAtMs);
+    const sinceMs = isKnown ? Math.max(this.#changedAtMs, heardMs) : heardMs;
+    const freeForMs = clock.monotonicMs() - sinceMs;
+    return freeForMs >= waitMs + fitnesses.claimDelayMs(fitness);
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/election/term_keeper.ts
@@ -0,0 +1,95 @@
+/** Keeps the row of the election while a term lasts, and hands it on. */
+import * as TableClient from "@cairngate/table-client";
+import * as Effect from "effect/Effect";
+import type * as ports from "../ports.ts";
+import type * as terms from "./term.ts";
+
+/** Time between two renewals, in ms: a loss is seen after three of them. */
+const RENEW_MS = 350;
+/** A renewal is not repeated after this time, in ms: the next one is due. */
+const RENEW_LIMIT_MS = 400;
+/** Time between two looks for a fitter box, in ms. */
+const FITTER_MS = 1000;
+/** A release is given up after this time, in ms. */
+const RELEASE_LIMIT_MS = 1500;
+
+/** Keeps terms of this node. */
+export class TermKeeper {
+  readonly #ports: ports.CoordinatorPorts;
+
+  constructor(coordinatorPorts: ports.CoordinatorPorts) {
+    this.#ports = coordinatorPorts;
+  }
+
+  /** Renews the row for ever; the term is lost where the row has changed. */
+  keepRenewing(term: terms.Term): Effect.Effect<never> {
+    const { store, clock, metrics } = this.#ports;
+    const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
+    let renewedAtMs = clock.monotonicMs();
+    const renew = Effect.suspend(() =>
+      store.write({
+        conditions: [term.condition],
+        writes: [{ key, value: Math.round(clock.monotonicMs()) }],
+      }, RENEW_LIMIT_MS)
+    ).pipe(
+      Effect.map(() => {
+        const nowMs = clock.monotonicMs();
+        const pauseMs = nowMs - renewedAtMs;
+        metrics.observeMs("cairngate_renewal_pause_seconds", pauseMs);
+        renewedAtMs = nowMs;
+      }),
+      Effect.catchTags({
+        ConditionFailedError: () =>
+          Effect.sync(() => term.lose("the row has changed")),
+        StoreUnavailableError: () => Effect.void,
+      }),
+    );
+    return clock.every(RENEW_MS, renew);
+  }
+
+  /** Hands the term to a box that is better placed for it, once there is one. */
+  moveToFitter(term: terms.Term): Effect.Effect<never> {
+    const { clock, fitness } = this.#ports;
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        yield* clock.sleep(FITTER_MS);
+        if (!fitness.hasFitter()) continue;
+        const fitter = yield* fitness.findFitter();
+        if (fitter === null || term.isLost) continue;
+        yield* this.#writeRelease(term, fitter);
+        term.lose(`handed to ${fitter}`);
+      }
+    });
+  }
+
+  /** Gives the term up, so that another node takes over at once. */
+  release(term: terms.Term): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const successor = yield* this.#ports.fitness.findSuccessor();
+      if (term.isLost) return;
+      term.lose("released");
+      yield* this.#writeRelease(term, successor);
+    });
+  }
+
+  #writeRelease(
+    term: terms.Term,
+    successor: string | null,
+  ): Effect.Effect<void> {
+    const { incarnation, store, log } = this.#ports;
+    const { token, condition, condition: { key } } = term;
+    const value: terms.CoordinatorRow = {
+      token,
+      holder: "",
+      incarnation,
+      ...(successor === null ? {} : { successor }),
+    };
+    const write = { conditions: [condition], writes: [{ key, value }] };
+    return Effect.andThen(
+      Effect.ignore(store.write(write, RELEASE_LIMIT_MS)),
+      Effect.sync(() => {
+        log.info(`Token ${token} is released to ${successor ?? "any box"}.`);
+      }),
+    );
+  }
+}
