Cut the client of the store by job

StoreHealth knows how the store fares, TimedCalls makes one call and the pauses between tries, ResolvedWrites learns what became of a write, WriteBudget holds writes back; the client wires them. The rule for the pause between two tries, which reads and writes both had, is in one place. No behaviour changes.

--- a/packages/table-client/src/grouped_writer.ts
+++ b/packages/table-client/src/grouped_writer.ts
@@ -8,11 +8,12 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as clients from "./store_client.ts";
+import type * as storeErrors from "./store_errors.ts";
 
 /** One write of a group. */
 export type GroupedWrite = clients.Write;
 
-type Failure = clients.StoreFailure | Errors.ConditionFailedError;
+type Failure = storeErrors.StoreFailure | Errors.ConditionFailedError;
 
 interface Pending {
   readonly write: GroupedWrite;
--- /dev/null
+++ b/packages/table-client/src/resolved_writes.ts
@@ -0,0 +1,115 @@
+/**
+ * Writes whose outcome is learned. A transaction whose answer is lost is resolved by
+ * reading its rows back: each row names the transaction that wrote it. A retry is
+ * the same transaction, and its conditions keep it from taking effect twice.
+ */
+import * as Errors from "@cairngate/errors";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import * as keys from "./keys.ts";
+import type * as storeErrors from "./store_errors.ts";
+import type * as healths from "./store_health.ts";
+import type * as timedCalls from "./timed_calls.ts";
+import type * as budgets from "./write_budget.ts";
+
+/** What the writes work with. */
+export interface ResolvedWritesOptions {
+  readonly table: Ports.TableService;
+  readonly clock: Ports.Clock;
+  readonly metrics: Metrics.Metrics;
+  readonly health: healths.StoreHealth;
+  readonly calls: timedCalls.TimedCalls;
+  readonly budget: budgets.WriteBudget;
+}
+
+type WriteTry =
+  | { readonly kind: "written"; readonly revision: number }
+  | {
+    readonly kind: "refused";
+    readonly err: Errors.ConditionFailedError | Errors.WriteRefusedError;
+  }
+  | { readonly kind: "lost" }
+  | { readonly kind: "down" };
+
+/** Writes of one client. */
+export class ResolvedWrites {
+  readonly #options: ResolvedWritesOptions;
+
+  constructor(options: ResolvedWritesOptions) {
+    this.#options = options;
+  }
+
+  /** Writes until it is done, refused, or the deadline has passed. */
+  write(
+    tx: Ports.Transaction,
+    deadlineMs: number,
+  ): Effect.Effect<number, storeErrors.WriteFailure> {
+    const { clock, calls, budget } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const endMs = clock.monotonicMs() + deadlineMs;
+      const backoff = calls.backoffUntil(endMs);
+      let mayHaveLanded = false;
+      for (;;) {
+        yield* budget.take(endMs);
+        const tried = yield* this.#try(tx);
+        if (tried.kind === "written") return tried.revision;
+        if (tried.kind === "refused" && !mayHaveLanded) return yield* tried.err;
+        mayHaveLanded ||= tried.kind === "lost";
+        if (mayHaveLanded) {
+          const landed = yield* this.#find(tx);
+          if (landed !== null) return landed;
+          if (tried.kind === "refused") return yield* tried.err;
+        }
+        if (backoff.isOver) return yield* overdue(mayHaveLanded);
+        yield* backoff.pause();
+      }
+    });
+  }
+
+  #try(tx: Ports.Transaction): Effect.Effect<WriteTry> {
+    const { table, metrics, health, calls } = this.#options;
+    metrics.count("cairngate_store_writes_total");
+    const target = { operation: "write", partition: partitionOf(tx) };
+    return calls.call(target, table.transact(tx), health.writeLimitMs).pipe(
+      Effect.map((revision): WriteTry => ({ kind: "written", revision })),
+      Effect.catchTags({
+        ConditionFailedError: (err) =>
+          Effect.succeed<WriteTry>({ kind: "refused", err }),
+        WriteRefusedError: (err) =>
+          Effect.succeed<WriteTry>({ kind: "refused", err }),
+        AnswerLostError: () => Effect.succeed<WriteTry>({ kind: "lost" }),
+        StoreUnavailableError: () => Effect.succeed<WriteTry>({ kind: "down" }),
+      }),
+    );
+  }
+
+  /** Revision of the transaction if its rows show that it took effect. */
+  #find(tx: Ports.Transaction): Effect.Effect<number | null> {
+    const { table, metrics, calls } = this.#options;
+    const kept = tx.writes.filter((w) => w.value !== null);
+    const call = table.read(kept.map((w) => w.key));
+    metrics.count("cairngate_store_lost_answers_total");
+    const target = { operation: "read", partition: partitionOf(tx) };
+    return calls.call(target, call).pipe(
+      Effect.map((rows) => {
+        const own = rows.find((row) => row.writeId === tx.writeId);
+        return own?.revision ?? null;
+      }),
+      Effect.catch(() => Effect.succeed(null)),
+    );
+  }
+}
+
+function overdue(perhapsDone: boolean): Errors.StoreUnavailableError {
+  return new Errors.StoreUnavailableError({
+    operation: "write",
+    cause: "no answer before the deadline",
+    perhapsDone,
+  });
+}
+
+/** A transaction stays within one partition. */
+function partitionOf({ writes, conditions }: Ports.Transaction): string {
+  return keys.partitionIn((writes[0] ?? conditions[0])?.key ?? "");
+}
--- /dev/null
+++ b/packages/table-client/src/timed_calls.ts
@@ -0,0 +1,117 @@
+/** Single calls to the store, and the pauses between them. */
+import * as Errors from "@cairngate/errors";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import type * as breakers from "./circuit_breaker.ts";
+import * as storeErrors from "./store_errors.ts";
+import * as healths from "./store_health.ts";
+
+/** What the calls work with. */
+export interface TimedCallsOptions {
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
+  readonly metrics: Metrics.Metrics;
+  readonly health: healths.StoreHealth;
+}
+
+/** What a call does, and to which partition. */
+export interface Target {
+  readonly operation: string;
+  readonly partition: string;
+}
+
+const FIRST_BACKOFF_MS = 40;
+const LONGEST_BACKOFF_MS = 1000;
+
+/** Calls of one client. */
+export class TimedCalls {
+  readonly #options: TimedCallsOptions;
+
+  constructor(options: TimedCallsOptions) {
+    this.#options = options;
+  }
+
+  /** One call with a deadline, counted and watched by the circuit breaker. */
+  call<A, E extends { readonly _tag: string }>(
+    { operation, partition }: Target,
+    call: Effect.Effect<A, E>,
+    limitMs = healths.CALL_MS,
+  ): Effect.Effect<A, E | Errors.AnswerLostError | storeErrors.StoreFailure> {
+    const { clock, metrics, health } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const breaker = health.breaker(partition);
+      if (breaker.isOpen()) {
+        const cause = "it failed several times lately";
+        return yield* storeErrors.unavailable(operation, cause);
+      }
+      const startMs = clock.monotonicMs();
+      const noteTime = () => {
+        const isWrite = operation === "write";
+        if (isWrite) health.noteDelay(clock.monotonicMs() - startMs);
+      };
+      const timed = yield* clock.within(limitMs, call).pipe(
+        Effect.tapError((err) =>
+          Effect.sync(() => {
+            noteTime();
+            if (!isAnswer(err._tag)) this.#failed(breaker);
+          })
+        ),
+      );
+      if (timed === null) {
+        this.#failed(breaker);
+        return yield* new Errors.AnswerLostError({ operation });
+      }
+      noteTime();
+      breaker.succeeded();
+      health.noteAnswered();
+      const tookMs = clock.monotonicMs() - startMs;
+      if (operation === "write") health.noteWrite(tookMs);
+      metrics.observeMs(`cairngate_store_${operation}_seconds`, tookMs);
+      return timed.value;
+    });
+  }
+
+  /** Pauses between the tries of one call that gives up at a time of ours. */
+  backoffUntil(endMs: number): Backoff {
+    return new Backoff(this.#options, endMs);
+  }
+
+  #failed(breaker: breakers.CircuitBreaker): void {
+    breaker.failed();
+    this.#options.health.noteFailed();
+  }
+}
+
+/** Pauses between the tries of one call; each is twice as long as the one before. */
+export class Backoff {
+  readonly #options: TimedCallsOptions;
+  readonly #endMs: number;
+  #backoffMs = FIRST_BACKOFF_MS;
+
+  constructor(options: TimedCallsOptions, endMs: number) {
+    this.#options = options;
+    this.#endMs = endMs;
+  }
+
+  /** Whether the next try would come too late. */
+  get isOver(): boolean {
+    const { clock } = this.#options;
+    return clock.monotonicMs() + this.#backoffMs > this.#endMs;
+  }
+
+  /** The pause before the next try; the end of an outage ends it. */
+  pause(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const { clock, random, health } = this.#options;
+      const slept = clock.sleep(random.jitter(this.#backoffMs));
+      this.#backoffMs = Math.min(this.#backoffMs * 2, LONGEST_BACKOFF_MS);
+      return Effect.raceFirst(slept, health.awaitBack());
+    });
+  }
+}
+
+/** Errors that the service itself has answered with. */
+function isAnswer(tag: string): boolean {
+  return tag === "ConditionFailedError" || tag === "WriteRefusedError";
+}
--- /dev/null
+++ b/packages/table-client/src/write_budget.ts
@@ -0,0 +1,36 @@
+/** The writes that one box may make; those beyond it wait. */
+import type * as Ports from "@cairngate/ports";
+import * as Effect from "effect/Effect";
+import * as storeErrors from "./store_errors.ts";
+
+const BURST_SECONDS = 1;
+
+/** Budget of one box. */
+export class WriteBudget {
+  readonly #clock: Ports.Clock;
+  readonly #writesPerSecond: number;
+  #tokens: number;
+  #tokensAtMs: number;
+
+  constructor(clock: Ports.Clock, writesPerSecond: number) {
+    this.#clock = clock;
+    this.#writesPerSecond = writesPerSecond;
+    this.#tokens = writesPerSecond * BURST_SECONDS;
+    this.#tokensAtMs = clock.monotonicMs();
+  }
+
+  /** Waits for the write budget; fails when the wait passes the deadline. */
+  take(endMs: number): Effect.Effect<void, storeErrors.StoreFailure> {
+    const nowMs = this.#clock.monotonicMs();
+    const gained = (nowMs - this.#tokensAtMs) / 1000 * this.#writesPerSecond;
+    const most = this.#writesPerSecond * BURST_SECONDS;
+    this.#tokens = Math.min(most, this.#tokens + gained) - 1;
+    this.#tokensAtMs = nowMs;
+    if (this.#tokens >= 0) return Effect.void;
+    const waitMs = -this.#tokens / this.#writesPerSecond * 1000;
+    if (nowMs + waitMs <= endMs) return this.#clock.sleep(waitMs);
+    this.#tokens++;
+    const cause = "the write budget of this box is used up";
+    return storeErrors.unavailable("write", cause);
+  }
+}
