Cut the caller of JSON endpoints by job

KeptConnections keeps the connections, json_answer.ts reads an answer to its end, http_call.ts names calls and what comes of them; the caller makes one call. No behaviour changes.

--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -2,13 +2,15 @@
 export { formatAddress, listen, parseAddress } from "./src/address.ts";
 export {
   type HttpCall,
-  HttpCaller,
-  type HttpCallerOptions,
   HttpLostError,
   type HttpReply,
+} from "./src/http_call.ts";
+export {
+  HttpCaller,
+  type HttpCallerOptions,
   type SilentConnection,
-  type TrafficListener,
 } from "./src/http_caller.ts";
+export { type TrafficListener } from "./src/kept_connections.ts";
 export { isObject } from "./src/is_object.ts";
 export { readJsonBody } from "./src/read_json_body.ts";
 export { sendJson, sendText } from "./src/send.ts";
