Let a test reset the connections to endpoints while orders are on their way

Cause: in the stand-in an order arrived at once or after a fixed time, and only silence could strike a connection.

Off unless a test gives the times of ways: then no order takes another path than before.

--- a/packages/stand-ins/mod.ts
+++ b/packages/stand-ins/mod.ts
@@ -22,6 +22,7 @@
 export { MemoryTable, type TableChange } from "./src/memory_table.ts";
 export { MemoryWorkers } from "./src/memory_workers.ts";
 export { type CallWay, OpenConnections } from "./src/open_connections.ts";
+export { OrderWays, type WayTimes } from "./src/order_ways.ts";
 export type { TaskRunNote } from "./src/run_note.ts";
 export { StandInWorker } from "./src/stand_in_worker.ts";
 export { doWork } from "./src/work.ts";
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -8,6 +8,7 @@
 import * as Effect from "effect/Effect";
 import * as heldTasks from "./held_task.ts";
 import * as connections from "./open_connections.ts";
+import * as orderWays from "./order_ways.ts";
 import type * as runNotes from "./run_note.ts";
 
 /** A worker of the stand-in. */
@@ -94,6 +95,8 @@
   atDeadAddress = DeadAddress.Answers;
   /** Time that each order takes on its way, in ms; 0: it is answered at once. */
   wayMs = 0;
+  /** Ways that take drawn times and whose connections may be reset. */
+  readonly ways: orderWays.OrderWays;
   /** Whether a start for which there is no room is refused. */
   guardsRoom = true;
   /** How long a run takes to end after a stop was answered, in ms. */
@@ -116,6 +119,7 @@
   constructor(clock: Ports.Clock, specs: readonly TaskWorkerSpec[]) {
     super();
     this.#clock = clock;
+    this.ways = new orderWays.OrderWays(clock);
     for (const spec of specs) this.#lives.set(spec.id, this.#createLife(spec));
   }
 
@@ -130,7 +134,8 @@
   ): Effect.Effect<A, Ports.OrderError> {
     return Effect.suspend(() => {
       const way = this.#connectionsTo(worker.id).begin();
-      return way.isSilent ? Effect.never : order;
+      if (way.isSilent) return Effect.never;
+      return this.ways.carry(worker.id, order);
     });
   }
 
@@ -190,7 +195,7 @@
       return this.#view(life, toldEnds);
     });
     const stepMs = 50;
-    return Effect.gen({ self: this }, function* () {
+    const whole = Effect.gen({ self: this }, function* () {
       const way = this.#connectionsTo(worker.id).begin();
       if (way.isSilent) return yield* Effect.never;
       const untilMs = this.#clock.monotonicMs() + order.waitMs;
@@ -202,6 +207,7 @@
         yield* this.#clock.sleep(stepMs);
       }
     });
+    return this.ways.carry(worker.id, whole);
   }
 
   /** All open connections turn silent; new ones work. */
