Play gangs on endpoints that take their time to end runs

Cause: random plays ended each run at its stop and each gang at one moment, so no play could show that a run which is about to end is taken for over.

Its draws are its own: no seed of another play changes. Endpoints start whatever they are told, so that a start without room shows; a gang's failures count once a run, as in FAILURES.md, and so in its check.

--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -46,3 +46,4 @@
 } from "./src/play_kinds.ts";
 export { faultSeeds } from "./src/fault_seeds.ts";
 export { type PlayKinds, playRandomFaults } from "./src/random_play.ts";
+export { playSlowEnds, type SlowPlayOptions } from "./src/slow_play.ts";
--- a/packages/test-utils/src/run_checks.ts
+++ b/packages/test-utils/src/run_checks.ts
@@ -81,6 +81,18 @@
   return hasCause ? [] : [`${id} failed without a cause`];
 }
 
+/**
+ * The same for a workflow of one gang: a run of it counts as one failure, whichever
+ * of its members failed.
+ */
+export function checkFailedGang(fleet: fleets.TestFleet, id: string): string[] {
+  const failed = fleet.workers.runs.filter(({ task, how }) =>
+    task.startsWith(`${id}.`) && how === "failed"
+  );
+  const failedRuns = new Set(failed.map(({ run }) => run));
+  return failedRuns.size >= ATTEMPTS ? [] : checkFailed(fleet, id);
+}
+
 function isNoted(note: StandIns.TaskRunNote): boolean {
   return note.acknowledgedAtMs !== null && !note.hasLapsedMeanwhile;
 }
--- /dev/null
+++ b/packages/test-utils/src/slow_faults.ts
@@ -0,0 +1,113 @@
+/** What strikes in the middle of a stop, or between two: one thing at a time. */
+import * as Effect from "effect/Effect";
+import * as cuts from "./brief_cuts.ts";
+import type * as evacuated from "./evacuations.ts";
+import * as randoms from "./seeded_random.ts";
+import type * as fleets from "./test_fleet.ts";
+
+/** Each of them, as often as it is drawn. */
+enum Fault {
+  /** The coordinator ends; another box takes over. */
+  Takeover,
+  /** A caller cancels a workflow. */
+  Cancel,
+  /** A data centre is evacuated, or taken back. */
+  Evacuation,
+  /** Some endpoints are cut off for a moment. */
+  CutOff,
+  /** Connections to all endpoints, or to most, are reset at once. */
+  Reset,
+  /** An endpoint ends. */
+  Crash,
+}
+
+const FAULTS: readonly Fault[] = [
+  ...[Fault.Takeover, Fault.Takeover, Fault.Cancel, Fault.Evacuation],
+  ...[Fault.CutOff, Fault.CutOff, Fault.CutOff],
+  ...[Fault.Reset, Fault.Reset, Fault.Reset, Fault.Crash],
+];
+/** Shares of the endpoints whose connections a reset strikes, 0 to 1. */
+const RESET_SHARES: readonly number[] = [0.5, 1];
+const HOST = "jobs.example";
+const KEY = "key-of-hana";
+
+/** A workflow that was handed in. */
+export interface HandedIn {
+  readonly id: string;
+  readonly priority: number;
+}
+
+/** What the faults of a play work with. */
+export interface SlowFaultsOptions {
+  readonly fleet: fleets.TestFleet;
+  readonly seed: number;
+  readonly cuts: cuts.BriefCuts;
+  readonly evacuations: evacuated.Evacuations;
+  /** Workflows that may be cancelled. */
+  readonly open: () => readonly HandedIn[];
+}
+
+/** Draws and does them. */
+export class SlowFaults {
+  readonly #options: SlowFaultsOptions;
+  readonly #random: randoms.SeededRandom;
+
+  constructor(options: SlowFaultsOptions) {
+    this.#options = options;
+    this.#random = new randoms.SeededRandom(options.seed);
+  }
+
+  /** One of them strikes. */
+  async strike(): Promise<void> {
+    const { fleet, cuts, evacuations } = this.#options;
+    switch (this.#random.choose(FAULTS)) {
+      case Fault.Takeover:
+        return await this.#replaceCoordinator();
+      case Fault.Cancel:
+        return this.#cancel();
+      case Fault.Evacuation:
+        return evacuations.change();
+      case Fault.CutOff:
+        return cuts.strike();
+      case Fault.Reset:
+        return this.#reset();
+      case Fault.Crash: {
+        const lives = fleet.workers.listLives();
+        if (lives.length > 0) fleet.workers.crash(this.#random.choose(lives));
+      }
+    }
+  }
+
+  async #replaceCoordinator(): Promise<void> {
+    const { fleet } = this.#options;
+    const coordinator = fleet.coordinator();
+    if (coordinator === null || !fleet.nodes.has(coordinator)) return;
+    await fleet.kill(coordinator);
+    fleet.startNode(`${coordinator}+`);
+  }
+
+  /** Nobody waits for the answer: time moves on with the play. */
+  #cancel(): void {
+    const { fleet, open } = this.#options;
+    const candidates = open();
+    if (candidates.length === 0) return;
+    const { id, priority } = this.#random.choose(candidates);
+    const at = this.#random.choose([...fleet.nodes.keys()]);
+    const { access, submissions } = fleet.node(at);
+    const path = `/p${priority}/${id}`;
+    const call = Effect.gen(function* () {
+      const allowed = yield* access.check({ host: HOST, path, key: KEY });
+      yield* submissions.cancel(allowed, id);
+    });
+    Effect.runFork(Effect.ignoreCause(call));
+  }
+
+  #reset(): void {
+    const share = this.#random.choose(RESET_SHARES);
+    const { workers } = this.#options.fleet;
+    const struck = new Set(
+      workers.listLives().filter(() => this.#random.next() < share),
+    );
+    workers.ways.reset((endpoint) => struck.has(endpoint));
+  }
+}
--- /dev/null
+++ b/packages/workflow-node/src/random_slow_ends_test.ts
@@ -0,0 +1,18 @@
+/**
+ * Gangs on endpoints as slow as those of users, see TestUtils.playSlowEnds: stops that
+ * take their time, members that end one after another, and faults in the middle of it.
+ * CAIRNGATE_FAULT_RUNS sets how many seeds are played, CAIRNGATE_FAULT_FROM the first.
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+/** Seeds that CI plays. */
+const FEW = 8;
+
+vitest.describe("gangs on endpoints that take their time to end runs", () => {
+  for (const seed of TestUtils.faultSeeds(FEW)) {
+    vitest.it(`run nothing twice and lose nothing, seed ${seed}`, async () => {
+      vitest.expect(await TestUtils.playSlowEnds(seed)).toEqual([]);
+    });
+  }
+});
