Let answers overtake one another in the stand-in, and orders outlast a reset

Cause: orders of a box to one endpoint were answered in the order in which they left, as over one connection, and one that met a reset was lost for good. So no play could show what a look tells that was answered before a start arrived and is read after its answer, or a start that counts as lost and arrives.

It reaches the life that it was sent to and no later one: its connection ends with that process.

--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -119,7 +119,7 @@
   constructor(clock: Ports.Clock, specs: readonly TaskWorkerSpec[]) {
     super();
     this.#clock = clock;
-    this.ways = new orderWays.OrderWays(clock);
+    this.ways = new orderWays.OrderWays(clock, (id) => this.#lives.get(id));
     for (const spec of specs) this.#lives.set(spec.id, this.#createLife(spec));
   }
 
--- a/packages/test-utils/src/slow_faults.ts
+++ b/packages/test-utils/src/slow_faults.ts
@@ -28,6 +28,10 @@
 ];
 /** Shares of the endpoints whose connections a reset strikes, 0 to 1. */
 const RESET_SHARES: readonly number[] = [0.5, 1];
+/** Orders on their way for which a reset waits, and how long it does, in ms. */
+const ORDERS_TO_STRIKE = 2;
+const AWAIT_ORDERS_MS = 300;
+const ORDERS_STEP_MS = 2;
 const HOST = "jobs.example";
 const KEY = "key-of-hana";
 
@@ -70,7 +74,7 @@
       case Fault.CutOff:
         return cuts.strike();
       case Fault.Reset:
-        return this.#reset();
+        return await this.#reset();
       case Fault.Crash: {
         const lives = fleet.workers.listLives();
         if (lives.length > 0) fleet.workers.crash(this.#random.choose(lives));
@@ -102,9 +106,14 @@
     Effect.runFork(Effect.ignoreCause(call));
   }
 
-  #reset(): void {
+  /** While several orders are on their way, as those to a gang leave together. */
+  async #reset(): Promise<void> {
     const share = this.#random.choose(RESET_SHARES);
-    const { workers } = this.#options.fleet;
+    const { clock, workers } = this.#options.fleet;
+    for (let ms = 0; ms < AWAIT_ORDERS_MS; ms += ORDERS_STEP_MS) {
+      if (workers.ways.leftCount >= ORDERS_TO_STRIKE) break;
+      await clock.advance(ORDERS_STEP_MS);
+    }
     const struck = new Set(
       workers.listLives().filter(() => this.#random.next() < share),
     );
--- a/packages/test-utils/src/slow_play.ts
+++ b/packages/test-utils/src/slow_play.ts
@@ -7,6 +7,7 @@
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
 import * as cuts from "./brief_cuts.ts";
+import * as drawnWays from "./drawn_ways.ts";
 import * as evacuated from "./evacuations.ts";
 import * as reborn from "./rebirths.ts";
 import * as rooms from "./room_check.ts";
@@ -40,8 +41,6 @@
 const PAUSE_MS = { least: 0, most: 500 };
 /** Time after the faults of a round, in ms. */
 const ROUND_PAUSE_MS = { least: 100, most: 1500 };
-/** Time of an order on its way to its endpoint, in ms. */
-const THERE_MS = { least: 1, most: 10 };
 const END_LIMIT_MS = 120_000;
 /** Whole steps from the seed, so that each part draws numbers of its own. */
 const SEED_STEPS = {
@@ -111,13 +110,10 @@
   #setEndpoints(seed: number): void {
     const { workers } = this.fleet;
     const runs = new randoms.SeededRandom(seed + SEED_STEPS.runs);
-    const ways = new randoms.SeededRandom(seed + SEED_STEPS.ways);
     const runMs = new Map<string, number>();
     workers.guardsRoom = false;
     workers.carry = (endpoint) => this.#cuts.fateOf(endpoint);
-    workers.ways.times = {
-      thereMs: () => ways.between(THERE_MS.least, THERE_MS.most),
-    };
+    workers.ways.times = drawnWays.drawWays(seed + SEED_STEPS.ways);
     workers.behave = (task) => {
       const [id] = task.split(".");
       const ms = runMs.get(id) ?? runs.between(RUN_MS.least, RUN_MS.most);
