--- a/packages/stand-ins/src/memory_table.ts
+++ b/packages/stand-ins/src/memory_table.ts
@@ -52,9 +52,11 @@
 
   /** Changes under a prefix after a revision. */
   changesAfter(prefix: string, revision: number): TableChange[] {
-    return this.#changes.filter((change) =>
-      change.revision > revision && change.key.startsWith(prefix)
-    );
+    const changes = this.#changes;
+    // From the newest on: each feed asks after each change, mostly for the last one.
+    let first = changes.length;
+    while (first > 0 && changes[first - 1].revision > revision) first--;
+    return changes.slice(first).filter(({ key }) => key.startsWith(prefix));
   }
 
   /** Ends at the next change of any row. */
