Begin the pause between two tries in the same step as before

Cause: Backoff.pause put its work into one more suspended effect than the client had before. Why one more effect matters was not traced; by reading, draws and times are the same and only the order in which the fibers of a node take their steps can differ.

Conclusion: the effects are those of before, and so are these plays.

--- a/packages/table-client/src/timed_calls.ts
+++ b/packages/table-client/src/timed_calls.ts
@@ -102,12 +102,10 @@
 
   /** The pause before the next try; the end of an outage ends it. */
   pause(): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      const { clock, random, health } = this.#options;
-      const slept = clock.sleep(random.jitter(this.#backoffMs));
-      this.#backoffMs = Math.min(this.#backoffMs * 2, LONGEST_BACKOFF_MS);
-      return Effect.raceFirst(slept, health.awaitBack());
-    });
+    const { clock, random, health } = this.#options;
+    const slept = clock.sleep(random.jitter(this.#backoffMs));
+    this.#backoffMs = Math.min(this.#backoffMs * 2, LONGEST_BACKOFF_MS);
+    return Effect.raceFirst(slept, health.awaitBack());
   }
 }
 
