Test former leases of endpoints not listed, and members never heard

With the lease that is counted from the first calls taken out for endpoints that are not listed, former_leases fails; with members that were never confirmed taken for first ends, gang_takeover does. The test of a start refused as old now keeps its endpoint silent, so that no look answers first.

--- a/packages/workflow-node/src/former_leases_test.ts
+++ b/packages/workflow-node/src/former_leases_test.ts
@@ -15,6 +15,11 @@
 const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
 /** Time of a call to the slow store, in ms: a takeover takes five of them. */
 const SLOW_MS = 400;
+/** No endpoint has the room for it. */
+const WIDE = [TestUtils.buildStep({ accelerators: 8 })];
+/** Workflows that wait, and the time that a kilobyte of them takes to a slow box, in ms. */
+const FILLERS = 60;
+const KILOBYTE_MS = 75;
 /** A lease and a new plan, in ms. */
 const LIMIT_MS = 15_000;
 
@@ -62,4 +67,41 @@
     vitest.expect(first.how).toBe("lapsed");
     await fleet.stop();
   });
+
+  vitest.it("counts so long where the endpoint is not listed", async () => {
+    const sentences: string[] = [];
+    const fleet = new TestUtils.TestFleet({
+      workers: [1, 1, 1],
+      logOf: () => new TestUtils.KeptLog(sentences),
+    });
+    const { workers } = fleet;
+    workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    await fleet.until(() => workers.runs.length === 1);
+    await fleet.clock.advance(1000);
+    const [first] = workers.runs;
+    const former = fleet.coordinator() ?? "";
+    // The others are long at reading what waits, after the row of the first run.
+    for (let i = 0; i < FILLERS; i++) {
+      const id = `b${String(i).padStart(15, "0")}`;
+      await fleet.submit("node-1", id, { steps: WIDE });
+    }
+    cutOffCoordinator(fleet);
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ kilobyteMs: KILOBYTE_MS });
+    }
+    fleet.unlist(first.worker);
+    // Nobody calls it any more once the next coordinator has begun.
+    const hasBegun = () =>
+      sentences.filter((one) => one.startsWith("Took over ")).length > 1;
+    vitest.expect(await fleet.until(hasBegun)).toBe(true);
+    await fleet.kill(former);
+    const runsAgain = () => workers.runsOf(first.task).length === 2;
+    vitest.expect(await fleet.until(runsAgain, LIMIT_MS)).toBe(true);
+
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(first.how).toBe("lapsed");
+    await fleet.stop();
+  });
 });
--- a/packages/workflow-node/src/gang_takeover_test.ts
+++ b/packages/workflow-node/src/gang_takeover_test.ts
@@ -23,15 +23,26 @@
   readonly runs: readonly StandIns.TaskRunNote[];
 }
 
-/** A gang that has run for a second, with room for another one beside it. */
-async function startGang(): Promise<Gang> {
+/** Room for a gang and for another one beside it. */
+function createFleet() {
   const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1, 1, 1, 1] });
-  fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
-  await fleet.start();
+  const { workers } = fleet;
+  workers.behave = () => ({ runMs: RUN_MS, fails: false });
+  return { fleet, workers };
+}
+
+async function submitGang(fleet: TestUtils.TestFleet): Promise<void> {
   const steps = [
     TestUtils.buildStep({ count: SIZE, gang: true, estimateMs: RUN_MS }),
   ];
   await fleet.submit("node-1", ID, { steps });
+}
+
+/** A gang that has run for a second. */
+async function startGang(): Promise<Gang> {
+  const { fleet } = createFleet();
+  await fleet.start();
+  await submitGang(fleet);
   await fleet.until(() => fleet.workers.runs.length === SIZE);
   await fleet.clock.advance(1000);
   return { fleet, runs: [...fleet.workers.runs] };
@@ -86,3 +97,28 @@
     await fleet.stop();
   });
 });
+
+vitest.describe("a member whose start was not answered", () => {
+  vitest.it("does not count as the first that ended", async () => {
+    const { fleet, workers } = createFleet();
+    await fleet.start();
+    // The start of one member arrives 2.5 s late, and its endpoint is not heard then.
+    let late = "";
+    workers.carry = (id, order) => {
+      if (order === "start" && late === "") late = id;
+      if (id !== late) return StandIns.OrderFate.Carried;
+      return order === "start"
+        ? StandIns.OrderFate.Late
+        : order === "renew" && workers.runs.length === 0
+        ? StandIns.OrderFate.Carried
+        : StandIns.OrderFate.Lost;
+    };
+    await submitGang(fleet);
+    await fleet.until(() => workers.runs.length === SIZE - 1);
+    for (const { task } of [...workers.runs]) workers.endNow(task, "broken");
+    await fleet.clock.advance(LIMIT_MS);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(workers.runs.length).toBeGreaterThanOrEqual(2 * SIZE - 1);
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/run_proofs_test.ts
+++ b/packages/workflow-node/src/run_proofs_test.ts
@@ -121,10 +121,17 @@
   vitest.it("as old may have run there: its end is asked for", async () => {
     const fleet = await startFleet([1, 1], 100);
     let starts = 0;
-    fleet.workers.carry = (_, order) =>
-      order === "start" && starts++ === 0
-        ? StandIns.OrderFate.AnswerLost
-        : StandIns.OrderFate.Carried;
+    let silentUntilMs = 0;
+    // The answer to the first try is lost, and looks have none for a while.
+    fleet.workers.carry = (_, order) => {
+      const nowMs = fleet.clock.monotonicMs();
+      if (order === "renew" && nowMs < silentUntilMs) {
+        return StandIns.OrderFate.Lost;
+      }
+      if (order !== "start" || starts++ > 0) return StandIns.OrderFate.Carried;
+      silentUntilMs = nowMs + 1000;
+      return StandIns.OrderFate.AnswerLost;
+    };
     await startRuns(fleet);
     await fleet.clock.advance(3000);
     vitest.expect(fleet.workers.runs.length).toBe(1);
