Cut the endpoints in memory into files by job

Now: which lives there are and who listens at an address; one life and what it tells; how runs end; how orders are carried; the fates that tests choose. What tests use is as it was.

--- a/packages/stand-ins/mod.ts
+++ b/packages/stand-ins/mod.ts
@@ -13,16 +13,13 @@
 export { MemoryLiveList } from "./src/memory_live_list.ts";
 export { MemoryObjectStore } from "./src/memory_object_store.ts";
 export { MemoryRowFeed } from "./src/memory_row_feed.ts";
-export {
-  DeadAddress,
-  MemoryTaskWorkers,
-  OrderFate,
-  type TaskWorkerSpec,
-} from "./src/memory_task_workers.ts";
+export { MemoryTaskWorkers } from "./src/memory_task_workers.ts";
 export { MemoryTable, type TableChange } from "./src/memory_table.ts";
 export { MemoryWorkers } from "./src/memory_workers.ts";
 export { type CallWay, OpenConnections } from "./src/open_connections.ts";
+export { DeadAddress, OrderFate } from "./src/order_fate.ts";
 export { OrderWays, type WayTimes } from "./src/order_ways.ts";
 export type { TaskRunNote } from "./src/run_note.ts";
 export { StandInWorker } from "./src/stand_in_worker.ts";
 export { doWork } from "./src/work.ts";
+export type { TaskWorkerSpec } from "./src/worker_life.ts";
