Give the gangs of each round of a play ids of their own

Cause: ids are filled up with zeros, so the urgent gangs of rounds 1 and 10 had one id, and the second counted as handed in with the members of the first.

Only the ids of the last two rounds change.

--- a/packages/test-utils/src/slow_play.ts
+++ b/packages/test-utils/src/slow_play.ts
@@ -141,10 +141,12 @@
   }
 
   async #playRound(round: number): Promise<void> {
+    // One digit: ids are filled up with zeros.
+    const digit = round.toString(ROUNDS);
     for (let i = this.#random.between(1, this.#load.mostGangs); i > 0; i--) {
-      await this.#handIn(`a${round}-${i}`, this.#random.between(1, 2));
+      await this.#handIn(`a${digit}-${i}`, this.#random.between(1, 2));
     }
-    if (this.#random.next() < RUSH_SHARE) await this.#handIn(`u${round}`, 0);
+    if (this.#random.next() < RUSH_SHARE) await this.#handIn(`u${digit}`, 0);
     for (let left = this.#random.between(1, 3); left > 0; left--) {
       if (this.#random.next() < BREAK_SHARE) this.#faults.breakGang();
       if (this.#random.next() < IN_END_SHARE) {
