Keep the seeds that show two runs at once, and no other

Seed 25 was kept for work given up with the mend of two runs at once taken out. Since the gangs of each round have ids of their own it is green there as well, and so proves nothing.

--- a/packages/workflow-node/src/random_slow_ends_test.ts
+++ b/packages/workflow-node/src/random_slow_ends_test.ts
@@ -10,11 +10,10 @@
 const FEW = 8;
 
 /**
- * Seeds that show a fault as soon as one member's break stands for the ends of all
- * others: 10, 22 and 23 tasks that run twice at once, 25 work given up that did
- * nothing.
+ * Seeds in which a task runs twice at once as soon as one member's break stands for
+ * the ends of all others.
  */
-const FAULTY_SEEDS: readonly number[] = [10, 22, 23, 25];
+const FAULTY_SEEDS: readonly number[] = [10, 22, 23];
 
 vitest.describe("gangs on endpoints that take their time, as found", () => {
   for (const seed of FAULTY_SEEDS) {
