--- a/packages/workflow-node/src/run_proofs_test.ts
+++ b/packages/workflow-node/src/run_proofs_test.ts
@@ -197,18 +197,26 @@
   vitest.it("ends a start on its way by calling its endpoint", async () => {
     const fleet = await startFleet([1, 1], LONG_MS);
     const former = fleet.coordinator() ?? "";
-    let isSent = false;
-    fleet.workers.carry = (_, order) => {
-      const fate = order === "start" && !isSent
-        ? StandIns.OrderFate.Late
-        : StandIns.OrderFate.Carried;
-      isSent ||= order === "start";
-      return fate;
+    const token = fleet.token();
+    let endpoint = "";
+    fleet.workers.carry = (id, order) => {
+      if (order !== "start" || fleet.coordinator() !== former) {
+        return StandIns.OrderFate.Carried;
+      }
+      endpoint = id;
+      return StandIns.OrderFate.Late;
     };
     const steps = [TestUtils.buildStep({ estimateMs: LONG_MS })];
     await fleet.submit("node-1", ID, { steps });
-    await fleet.until(() => isSent);
+    await fleet.until(() => endpoint !== "");
+    // The next run begins elsewhere, so that no start of it calls this endpoint.
+    const spec = { id: endpoint, accelerators: 1 };
+    fleet.list(spec, fleet.placeOf(endpoint), { draining: true });
     await fleet.kill(former);
+    // Orders under way in a test outlast the box that makes them.
+    const stop = fleet.workers.stop.bind(fleet.workers);
+    fleet.workers.stop = (ref, order) =>
+      order.fencingToken === token ? Effect.never : stop(ref, order);
     await fleet.clock.advance(LEASE_OUT_MS);
     vitest.expect(fleet.workers.runs.length).toBe(1);
     vitest.expect(await endTest(fleet)).toEqual([]);
