Reproduce a call that was sent and counts as never sent

What callers would see: a start that an endpoint has taken counts as never sent where the host becomes unreachable while its connection is open, so the work is started elsewhere at once.

Measured: never_sent fails for EHOSTUNREACH and ENETUNREACH.

--- /dev/null
+++ b/packages/http-json/src/never_sent_test.ts
@@ -0,0 +1,62 @@
+/**
+ * A call that fails as never sent is taken for one that did nothing: what it started is
+ * started elsewhere. A host that can't be reached any more may have taken the call
+ * before, over a connection that was open. It was told as never sent all the same.
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as diagnostics from "node:diagnostics_channel";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as vitest from "vitest";
+import * as callers from "./http_caller.ts";
+
+const CALL = { method: "POST", path: "/run-start", body: {} } as const;
+
+/** How a call ends that has arrived when its connection fails. */
+async function failOpen(code: string): Promise<boolean> {
+  const address = await TestUtils.findFreeAddress();
+  const [host, port] = address.split(":");
+  const caller = new callers.HttpCaller({ connections: 2 });
+  const opened: net.Socket[] = [];
+  const keep = (message: unknown) => {
+    opened.push((message as { socket: net.Socket }).socket);
+  };
+  diagnostics.subscribe("net.client.socket", keep);
+  const server = http.createServer(() => {
+    const err = Object.assign(new Error(`read ${code}`), {
+      code,
+      syscall: "read",
+    });
+    opened[0].destroy(err);
+  });
+  await new Promise<void>((done) => {
+    server.listen(Number(port), host, done);
+  });
+  const failed = await Effect.runPromise(
+    Effect.flip(caller.call(address, CALL)),
+  );
+  diagnostics.unsubscribe("net.client.socket", keep);
+  caller.close();
+  server.closeAllConnections();
+  server.close();
+  return failed.neverSent;
+}
+
+vitest.describe("a call whose host can't be reached any more", () => {
+  for (const code of ["EHOSTUNREACH", "ENETUNREACH", "ECONNRESET"]) {
+    vitest.it(`was sent where its connection was open (${code})`, async () => {
+      vitest.expect(await failOpen(code)).toBe(false);
+    });
+  }
+
+  vitest.it("was never sent where nobody listens", async () => {
+    const address = await TestUtils.findFreeAddress();
+    const caller = new callers.HttpCaller({ connections: 2 });
+    const failed = await Effect.runPromise(
+      Effect.flip(caller.call(address, CALL)),
+    );
+    vitest.expect(failed.neverSent).toBe(true);
+    caller.close();
+  });
+});
