Count a call as never sent only where its connection never opened

Cause: host and network unreachable counted as connections that could not be opened. An open connection fails with them too, when the call may have arrived.

Ruled out: to look at the name of the failed system call: an address of several numbers fails with an error that has none.

--- a/packages/http-json/src/http_caller.ts
+++ b/packages/http-json/src/http_caller.ts
@@ -164,6 +164,7 @@
       }
       const call = this.#begin(address, what);
       let socket: net.Socket | null = null;
+      let wasOpen = false;
       const req = this.#open(address, what);
       const fail = (cause: string, neverSent: boolean) => {
         this.#watch.ended(call);
@@ -173,11 +174,14 @@
       };
       req.on("socket", (assigned) => {
         socket = assigned;
+        if (assigned.connecting) {
+          assigned.once("connect", () => (wasOpen = true));
+        } else wasOpen = true;
         call.onKept = req.reusedSocket;
         this.#connectionOf(assigned);
       });
       req.on("error", (err: NodeJS.ErrnoException) => {
-        fail(err.message, CONNECT_REFUSED.has(err.code ?? ""));
+        fail(err.message, !wasOpen && CONNECT_REFUSED.has(err.code ?? ""));
       });
       req.on("response", (res) => {
         const connection = this.#connectionOf(res.socket);
--- a/packages/test-utils/src/play_kinds.ts
+++ b/packages/test-utils/src/play_kinds.ts
@@ -8,6 +8,13 @@
   lapses: { cutsEndpoints: true, foreignEntries: true, crashesInGroups: true },
   suspensions: { suspends: true },
   rebirths: { beginsAgain: true },
+  slowEnds: { endsTakeTime: true },
+  slowEndsAndCuts: {
+    endsTakeTime: true,
+    cutsEndpoints: true,
+    foreignEntries: true,
+    beginsAgain: true,
+  },
   rebirthsAndCuts: { beginsAgain: true, cutsEndpoints: true, suspends: true },
 } satisfies Record<string, plays.PlayKinds>;
 
--- a/packages/test-utils/src/random_play.ts
+++ b/packages/test-utils/src/random_play.ts
@@ -151,10 +151,22 @@
   readonly evacuates?: boolean;
   /** Data centres that are evacuated lose power at times, and come back cold. */
   readonly losesPower?: boolean;
+  /** Stops, and the ends of a gang's other members, take their time. */
+  readonly endsTakeTime?: boolean;
   /** Endpoints that crash begin again, mostly under the ids that they had. */
   readonly beginsAgain?: boolean;
 }
 
+/** Longest time between the first end of a gang and that of another member, in ms. */
+const FOLLOWS_MS = 400;
+
+/** Runs are there for a while after they were told to end. */
+function slowEnds({ workers }: fleets.TestFleet, seed: number): void {
+  const random = new randoms.SeededRandom(seed);
+  workers.stopTakesMs = () => random.between(0, fleets.FLEET_BOUNDS.stopMs);
+  workers.gangFollowsMs = () => random.between(0, FOLLOWS_MS);
+}
+
 /** Endpoints of each size stand in both data centres. */
 const dataCentreOf = (place: number) => place % 2 === 0 ? "dc-1" : "dc-2";
 
@@ -195,6 +207,7 @@
       ? { runMs: END_LIMIT_MS, crashesAfterMs: random.choose(CRASH_AFTER_MS) }
       : {}),
   });
+  if (kinds.endsTakeTime) slowEnds(fleet, seed);
   await fleet.start();
   const accepted: string[] = [];
   for (let round = 0; round < ROUNDS; round++) {
