Reproduce a gang whose break began with the stop of another member

What callers saw: nothing yet; found by review of the mend of two runs at once. A member that is not heard counts as the first end where all others broke. Another member that was told to stop may have made them break, and may have broken itself before its stop was over.

Others break as a stop begins in it, which nobody has told us, nor that they do not.

--- a/packages/workflow-node/src/two_runs_at_once_test.ts
+++ b/packages/workflow-node/src/two_runs_at_once_test.ts
@@ -11,6 +11,10 @@
  * whose endpoint did not answer, so the gang was placed anew. The evidence: with
  * members that end one after another, this test showed run 2 beside run 1 in both
  * cases; with the own end of the third member as the only proof it shows none.
+ *
+ * A third way was found by review, in the mend: others break as the stop of a member
+ * begins, and that member ends as broken itself, before its stop is over. Then all but
+ * the one that is not heard have broken, and none of them shows that it has ended.
  */
 import * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
@@ -92,6 +96,30 @@
   return found;
 }
 
+/** The third member breaks as the second one's stop begins, and the second one then. */
+async function breakAtStop(): Promise<string[]> {
+  const gang = await startGang();
+  const { fleet, runs: [first, second, third] } = gang;
+  const { workers } = fleet;
+  workers.stopTakesMs = () => TestUtils.FLEET_BOUNDS.stopMs;
+  workers.gangFollowsMs = (task) => task === first.task ? RUN_MS : 100;
+  let isStopping = false;
+  workers.carry = (id, order) => {
+    isStopping ||= order === "stop" && id === second.worker;
+    return StandIns.OrderFate.Carried;
+  };
+  // It moves, because its endpoint is going to leave.
+  const spec = { id: second.worker, accelerators: 1 };
+  const leaves = { draining: true, leavesInMs: 500 };
+  fleet.list(spec, fleet.placeOf(second.worker), leaves);
+  vitest.expect(await fleet.until(() => isStopping)).toBe(true);
+  workers.endNow(third.task, "broken");
+  await cutOff(gang, first.worker, UNHEARD_MS);
+  const found = await findTwice(gang);
+  vitest.expect(second.how).toBe("broken");
+  return found;
+}
+
 vitest.describe("a member of a broken gang on an endpoint not heard", () => {
   vitest.it("does not run twice where it breaks after the others", async () => {
     vitest.expect(await breakLate()).toEqual([]);
@@ -100,4 +128,8 @@
   vitest.it("does not run twice where it is being stopped", async () => {
     vitest.expect(await breakInStop()).toEqual([]);
   });
+
+  vitest.it("does not run twice where another one was stopped", async () => {
+    vitest.expect(await breakAtStop()).toEqual([]);
+  });
 });
