Let no break stand for a first end where any member was being stopped

Cause: the ends of all others show that a member ended first only where nobody was told to stop before they broke. Only the member's own stop was looked at, and not those of the others, each of which may have begun the break and then broken itself.

The mend: with each break it is noted since when that member was being stopped.

Ruled out: the state of the tasks: a start without an answer is stopped without a change of state.

--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -181,13 +181,14 @@
     occupant: occupants.Occupant,
     end: listeners.SessionEnd,
   ): Effect.Effect<void> {
-    const { task, run } = occupant;
+    const { task, run, stoppingSinceMs } = occupant;
     const { workflow } = task;
     const { clock, metrics } = this.#ports;
     const nowMs = clock.monotonicMs();
     const wasOver = workflow.isOver;
     const endpoint = worker.ref.id;
-    workflow.endRun(task, { run, endpoint, ...end }, nowMs);
+    const ended = { run, endpoint, stoppingSinceMs, ...end };
+    workflow.endRun(task, ended, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) worker.health.succeeded(nowMs);
     else this.#runLost(worker, occupant, end);
--- a/packages/workflow/src/gang_breaks.ts
+++ b/packages/workflow/src/gang_breaks.ts
@@ -8,7 +8,8 @@
 interface BrokenRun {
   /** Our time at which the first member was listed as broken. */
   readonly sinceMs: number;
-  readonly members: Set<tasks.Task>;
+  /** Our time since which each was being stopped; null where it was not. */
+  readonly stoppingSinceMs: Map<tasks.Task, number | null>;
 }
 
 /** Those of one workflow. */
@@ -17,19 +18,23 @@
   readonly #runs = new Map<string, BrokenRun>();
 
   /** The present run of a member ended as broken. */
-  note(task: tasks.Task, nowMs: number): void {
+  note(
+    task: tasks.Task,
+    nowMs: number,
+    stoppingSinceMs: number | null = null,
+  ): void {
     const name = nameOf(task);
     const known = this.#runs.get(name);
-    const run = known ?? { sinceMs: nowMs, members: new Set() };
-    run.members.add(task);
+    const run = known ?? { sinceMs: nowMs, stoppingSinceMs: new Map() };
+    run.stoppingSinceMs.set(task, stoppingSinceMs);
     this.#runs.set(name, run);
   }
 
   /**
    * Whether the present run of a member must have ended before those of all others:
    * each of them broke because another one had ended, so the first end was this one's.
-   * Not where it was told to stop before: a stop takes its time, and nobody says
-   * whether others break at its beginning or at its end.
+   * Not where one of them, or this one, was told to stop before: a stop takes its time,
+   * and nobody says whether others break at its beginning or at its end.
    */
   isFirstEnd(
     task: tasks.Task,
@@ -38,10 +43,13 @@
   ): boolean {
     const broken = this.#runs.get(nameOf(task));
     if (broken === undefined) return false;
-    if (stoppingSinceMs !== null && stoppingSinceMs < broken.sinceMs) {
-      return false;
-    }
-    return others.every((other) => broken.members.has(other));
+    const wasStopped = (sinceMs: number | null) =>
+      sinceMs !== null && sinceMs < broken.sinceMs;
+    if (wasStopped(stoppingSinceMs)) return false;
+    return others.every((other) => {
+      const sinceMs = broken.stoppingSinceMs.get(other);
+      return sinceMs !== undefined && !wasStopped(sinceMs);
+    });
   }
 }
 
--- a/packages/workflow/src/gang_breaks_test.ts
+++ b/packages/workflow/src/gang_breaks_test.ts
@@ -55,6 +55,14 @@
     vitest.expect(isFirstEnd([0, 1], BROKEN_AT_MS + 1)).toBe(true);
   });
 
+  vitest.it("may run on where another one was told to stop before", () => {
+    const [first, second, third] = startGang();
+    const breaks = new gangBreaks.GangBreaks();
+    breaks.note(third, BROKEN_AT_MS);
+    breaks.note(second, BROKEN_AT_MS + 100, BROKEN_AT_MS - 1);
+    vitest.expect(breaks.isFirstEnd(first, [second, third], null)).toBe(false);
+  });
+
   vitest.it("is not shown by an earlier run of its gang", () => {
     const [first, ...others] = startGang();
     const breaks = new gangBreaks.GangBreaks();
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -27,6 +27,8 @@
   readonly crash?: budgets.CrashEvidence;
   /** Of a lost run: how it ended may still be told. */
   readonly isOpen?: boolean;
+  /** Our time since which it was being stopped; null or left out: it was not. */
+  readonly stoppingSinceMs?: number | null;
   /** Of a lost run: how sure it is that its endpoint had it. */
   readonly presence?: budgets.Presence;
 }
@@ -149,7 +151,7 @@
       task.note(histories.openEntry(atEnd(task, ended), NotHeard));
     }
     if (ended.how === tasks.RunEnd.Broken) {
-      this.#gangBreaks.note(task, nowMs);
+      this.#gangBreaks.note(task, nowMs, ended.stoppingSinceMs);
     }
     task.release(nowMs);
     this.#conclude();
