--- a/packages/http-json/src/http_caller.ts
+++ b/packages/http-json/src/http_caller.ts
@@ -83,6 +83,7 @@
       }
       const call = this.#begin(address, what);
       let socket: net.Socket | null = null;
+      let wasOpen = false;
       const req = this.#kept.request(address, what);
       const fail = (cause: string, neverSent: boolean) => {
         this.#watch.ended(call);
@@ -90,11 +91,14 @@
       };
       req.on("socket", (assigned) => {
         socket = assigned;
+        if (assigned.connecting) {
+          assigned.once("connect", () => (wasOpen = true));
+        } else wasOpen = true;
         call.onKept = req.reusedSocket;
         this.#kept.of(assigned);
       });
       req.on("error", (err: NodeJS.ErrnoException) => {
-        fail(err.message, CONNECT_REFUSED.has(err.code ?? ""));
+        fail(err.message, !wasOpen && CONNECT_REFUSED.has(err.code ?? ""));
       });
       req.on("response", (res) => {
         const done = (reply: calls.HttpReply) => resume(Effect.succeed(reply));
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -119,7 +119,7 @@
       task.note(histories.openEntry(ends.atEnd(task, ended), NotHeard));
     }
     if (ended.how === taskStates.RunEnd.Broken) {
-      this.#gangBreaks.note(task, nowMs);
+      this.#gangBreaks.note(task, nowMs, ended.stoppingSinceMs);
     }
     task.release(nowMs);
     this.#conclude();
