Give up no work for crashes that are only likely

What changed: a task is given up for two sure crashes (with three laid to it alone on the last endpoint, or four); likely ones no longer stand for them. A run that was seen counts as likely and not as sure where it was being stopped, where another member of its gang had ended, or where only its estimate tells its time and its endpoint answered nobody for more than 0.35 s. A start without an answer counts as sure where the endpoint answered just before it and nobody listened within 0.1 s after it: so end endpoints under work that crashes them.

Left as it was: after five ends in all three likely ones suffice, as there is no start left that users allow.

--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -18,12 +18,25 @@
  * groups. From a look to the start behind it pass some ms, 100 ms on a late box.
  */
 const ALIVE_BEFORE_START_MS = 150;
+/**
+ * Time in ms. An endpoint that answered just before a start was sent and at which nobody
+ * listened so shortly after it ended as the start came: a task that ends endpoints at
+ * its start is never confirmed.
+ */
+const ENDED_AT_START_MS = 100;
 /**
  * An endpoint that has answered within this time, in ms, is alive: the longest wait
  * of a look and the slack that it gets.
  */
 const HEARD_LATELY_MS = 2800;
 
+/**
+ * Time in ms. A look that waits at an endpoint breaks as it crashes, and the next one
+ * or the one after it (0.3 s later) is refused. Where an endpoint answered nobody for
+ * longer before it was found dead, a run may have ended untold in between.
+ */
+const MOST_UNTOLD_MS = 350;
+
 /** What shows that a life has ended. */
 export enum LifeEndSign {
   OtherAnswers = "another one answers there",
@@ -51,6 +64,11 @@
   #heardAtMs = Number.NEGATIVE_INFINITY;
   /** Our time at which nobody listened there any more; infinite for never. */
   #refusedAtMs = Number.POSITIVE_INFINITY;
+  /**
+   * Our time since which it may have ended runs untold; infinite while a look tells of
+   * each end.
+   */
+  #untoldSinceMs = Number.POSITIVE_INFINITY;
   /** Whether it is known to leave, so that its end is no crash. */
   #isLeaving = false;
 
@@ -65,6 +83,18 @@
   noteHeard(): void {
     this.#heardAtMs = this.#clock.monotonicMs();
     this.#refusedAtMs = Number.POSITIVE_INFINITY;
+    this.#untoldSinceMs = Number.POSITIVE_INFINITY;
+  }
+
+  /**
+   * An order had no answer. One that broke was open until then, and so was a look that
+   * would have told of ends; one that fell silent may have been so since the last answer.
+   */
+  noteUnanswered(isBroken: boolean): void {
+    if (Number.isFinite(this.#untoldSinceMs)) return;
+    this.#untoldSinceMs = isBroken
+      ? this.#clock.monotonicMs()
+      : this.#heardAtMs;
   }
 
   /** Nobody listens at its address: it has ended by now, and is not just cut off. */
@@ -176,9 +206,13 @@
     // Its record was written before the order left: perhaps none ever did.
     if (sentAtMs === null) return Workflow.Presence.Unknown;
     const beforeMs = sentAtMs - this.#heardAtMs;
-    return beforeMs >= 0 && beforeMs <= ALIVE_BEFORE_START_MS
-      ? Workflow.Presence.Likely
-      : Workflow.Presence.Unknown;
+    if (beforeMs < 0 || beforeMs > ALIVE_BEFORE_START_MS) {
+      return Workflow.Presence.Unknown;
+    }
+    const endedAfterMs = Math.min(crashedByMs, this.#refusedAtMs) - sentAtMs;
+    return endedAfterMs >= 0 && endedAfterMs <= ENDED_AT_START_MS
+      ? Workflow.Presence.Certain
+      : Workflow.Presence.Likely;
   }
 
   /**
@@ -202,9 +236,9 @@
 
   /**
    * One that was seen there was under way if its time was not up when the endpoint
-   * had surely crashed. Where that is known only later, it is likely if its time was
-   * not up at the last answer: an endpoint that is cut off, runs on and crashes then
-   * is rarer than one that just crashes.
+   * had surely crashed, and nothing else may have ended it before. Where that is not
+   * known, it is likely if its time was not up at the last answer: an endpoint that is
+   * cut off, runs on and crashes then is rarer than one that just crashes.
    */
   #presenceOfSeen(
     occupant: occupants.Occupant,
@@ -212,12 +246,30 @@
   ): Workflow.Presence {
     const endsMs = endsAtMs(occupant);
     const byMs = Math.min(crashedByMs, this.#refusedAtMs);
-    if (byMs <= endsMs) return Workflow.Presence.Certain;
+    if (byMs <= endsMs && !this.#mayHaveEndedBefore(occupant, byMs)) {
+      return Workflow.Presence.Certain;
+    }
     const answeredMs = Math.max(this.#heardAtMs, occupant.knownSinceMs ?? 0);
     return answeredMs <= endsMs
       ? Workflow.Presence.Likely
       : Workflow.Presence.Unknown;
   }
+
+  /**
+   * Whether a run may have ended by itself before its endpoint did: it was being stopped,
+   * or another member of its gang had ended, or only its estimate tells how long it takes
+   * and its endpoint had answered nobody for a while.
+   */
+  #mayHaveEndedBefore(
+    { task, run, stoppingSinceMs, knownSinceMs }: occupants.Occupant,
+    byMs: number,
+  ): boolean {
+    if (stoppingSinceMs !== null && stoppingSinceMs <= byMs) return true;
+    if (task.workflow.hasLostMember(task, run)) return true;
+    if (task.step.lasting || task.endsAtMs !== null) return false;
+    const untoldSinceMs = Math.max(this.#untoldSinceMs, knownSinceMs ?? 0);
+    return byMs - untoldSinceMs > MOST_UNTOLD_MS;
+  }
 }
 
 /**
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -573,8 +573,12 @@
     return Effect.gen({ self: this }, function* () {
       const allowedMs = load.allow(limitMs);
       const timed = yield* Effect.result(clock.within(allowedMs, order));
-      if (timed._tag === "Success") return timed.success?.value ?? null;
+      if (timed._tag === "Success") {
+        if (timed.success === null) this.#lifeEnd.noteUnanswered(false);
+        return timed.success?.value ?? null;
+      }
       const err = timed.failure;
+      if (err._tag === "WorkerLostError") this.#lifeEnd.noteUnanswered(true);
       if (err._tag === "WorkerReplacedError") {
         yield* this.noteReplaced();
       }
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -75,10 +75,11 @@
  */
 const MOST_IN_ALL = 5;
 /**
- * Operators take a task for good until two endpoints crashed under it: two crashes
- * with which it certainly was there, or four with which it was likely.
+ * Operators take a task for good until two endpoints crashed under it. Crashes with
+ * which it was likely there don't show that, however many they are: in random plays
+ * half of such runs of good work had ended before.
  */
-const LEAST_PRESENCE = 2 * Presence.Certain;
+const LEAST_CERTAIN = 2;
 /**
  * The same where all starts that operators allow are used: three likely ones. One
  * is likely where the endpoint answered within 0.15 s before the start.
@@ -124,10 +125,21 @@
 ): boolean {
   const inAll = laid + excused + unseen;
   if (inAll >= MOST_IN_ALL) return presence >= LEAST_PRESENCE_IN_ALL;
-  if (presence < LEAST_PRESENCE) return false;
+  if (countCertain({ laid, excused, presence }) < LEAST_CERTAIN) return false;
   return laid >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
 }
 
+/**
+ * Crashes with which the task certainly was there, at least: each that counts brings
+ * its presence, and one that was only likely brings one. Excused ones may have brought
+ * none.
+ */
+function countCertain(
+  { laid, excused, presence }: Omit<CrashCount, "unseen">,
+): number {
+  return presence - laid - excused;
+}
+
 /**
  * The count after one more crash. Where nothing has shown the run on the endpoint,
  * the crash makes the task a suspect and counts nothing: the start may have been
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -179,6 +179,17 @@
     });
   }
 
+  /**
+   * Whether a run of a gang has lost another member, so that it ends or has ended
+   * whatever becomes of its endpoint.
+   */
+  hasLostMember(task: tasks.Task, run: number): boolean {
+    if (!task.step.gang) return false;
+    return this.siblings(task).some((other) =>
+      other !== task && (!other.isPlaced || other.run !== run)
+    );
+  }
+
   /**
    * The endpoint of a run that was given up is neither heard nor listed. That is no
    * crash, and no reason to end the work: it may be cut off. Returns false where
