Count starts that end without a crash, and waste none of the last two

Two such starts give a task up only if two crashes are sure. Such a task does not yield for 2 s from its start, and later only where nothing else can; a guarantee waits those 2 s.

Never to yield would keep a guarantee waiting for as long as the task runs.

The tests fail on the code before (run on a copy of it).

--- a/packages/coordinator/src/endpoints/run_watch.ts
+++ b/packages/coordinator/src/endpoints/run_watch.ts
@@ -10,11 +10,6 @@
 
 /** A run this old tells the speed of its worker. */
 const LEAST_COMPARED_MS = 1000;
-/**
- * A task under which so many endpoints may have crashed is not started again for
- * being slow: operators allow two starts after a third crash.
- */
-const MOST_FOR_RESTART = 3;
 /** Runs of a step that are needed for a comparison. */
 const LEAST_COMPARED = 3;
 
@@ -87,7 +82,7 @@
       this.#directory.session(id)?.health.wasSlow(nowMs);
     }
     for (const task of found.restart) {
-      if (task.possibleCrashes >= MOST_FOR_RESTART) continue;
+      if (task.hasFewStarts) continue;
       log.info(`Run ${task.run} of ${task.name} is slow; it starts again.`);
       metrics.count("cairngate_stragglers_total");
       task.slowRuns++;
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -24,6 +24,17 @@
 const ACCELERATOR_WEIGHT = 8;
 /** Time for which a place is of no use around any stop and restart, in ms. */
 const RESTART_MS = 1000;
+/**
+ * Cost of a start of a task that has few left, in core-seconds: more than all that an
+ * endpoint runs. Such a task yields only where nothing else can.
+ */
+const FEW_STARTS_COST = 1e9;
+/**
+ * Such a task does not yield at all for this time from its start, in ms: if it ends its
+ * endpoint, it mostly does so by then (after 10 ms in the users' record), and a start
+ * that is cut short tells nothing. A guarantee waits for it no longer.
+ */
+const FEW_STARTS_KEPT_MS = 2000;
 /** Work that a task with checkpoints loses at most, in ms. */
 const LOST_WITH_CHECKPOINT_MS = 100;
 
@@ -129,7 +140,7 @@
   if (room.fits(unit, amounts) >= count) return { tasks: [], cost: 0 };
   const candidates = room.worker.occupants
     .filter((task) =>
-      !chosen.has(task) && isEvictable(task) &&
+      !chosen.has(task) && isEvictable(task, context.nowMs) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
     .map((task) => ({ task, cost: knownCost(task, context) }))
@@ -171,10 +182,12 @@
     ? Math.min(ranMs, LOST_WITH_CHECKPOINT_MS)
     : ranMs;
   const weight = weightOf(step);
-  const members = step.gang ? task.workflow.siblings(task).length : 1;
+  const group = groupOf(task);
   const isMissed = missesByStop(task, { ranMs, lostMs, ...context });
   const missed = isMissed ? weight * step.estimateMs / 1000 : 0;
-  return members * (weight * (lostMs + RESTART_MS) / 1000 + missed);
+  const isLast = group.some((one) => mayCrash(one, context.nowMs));
+  const last = isLast ? FEW_STARTS_COST : 0;
+  return last + group.length * (weight * (lostMs + RESTART_MS) / 1000 + missed);
 }
 
 /** Whether a task would end in time, by its estimate, unless it is stopped now. */
@@ -189,9 +202,23 @@
   return endsMs <= objectiveMs && endsAgainMs > objectiveMs;
 }
 
-function isEvictable(task: Workflow.Task): boolean {
-  return task.state === Workflow.TaskState.Starting ||
-    task.state === Workflow.TaskState.Running;
+function isEvictable(task: Workflow.Task, nowMs: number): boolean {
+  const isKept = groupOf(task).some((one) =>
+    one.hasFewStarts && nowMs - one.startedAtMs < FEW_STARTS_KEPT_MS
+  );
+  return !isKept && (task.state === Workflow.TaskState.Starting ||
+    task.state === Workflow.TaskState.Running);
+}
+
+/** Whether a task has few starts left, and has not shown that it needs no more. */
+function mayCrash(task: Workflow.Task, nowMs: number): boolean {
+  return task.hasFewStarts &&
+    !Workflow.isProvenLasting(task.step, nowMs - task.startedAtMs);
+}
+
+/** What stops with a task. */
+function groupOf(task: Workflow.Task): readonly Workflow.Task[] {
+  return task.step.gang ? task.workflow.siblings(task) : [task];
 }
 
 /** Whether a lasting step can not miss one more of its tasks. */
@@ -210,8 +237,7 @@
 }
 
 function addGroup(chosen: Set<Workflow.Task>, task: Workflow.Task): void {
-  const group = task.step.gang ? task.workflow.siblings(task) : [task];
-  for (const member of group) {
+  for (const member of groupOf(task)) {
     if (member.isPlaced) chosen.add(member);
   }
 }
--- a/packages/workflow-scheduler/src/isolation.ts
+++ b/packages/workflow-scheduler/src/isolation.ts
@@ -39,10 +39,12 @@
 
 /** Whether it waits because it may have crashed too many endpoints. */
 export function isHeldBack(unit: Workflow.Unit, nowMs: number): boolean {
-  const possible = Math.max(
-    ...unit.tasks.map(({ possibleCrashes }) => possibleCrashes),
+  const longestMs = Math.max(
+    ...unit.tasks.map(({ possibleCrashes, spentStarts }) =>
+      Workflow.holdMs(possibleCrashes, spentStarts)
+    ),
   );
-  return waitedMs(unit, nowMs) < Workflow.holdMs(possible);
+  return waitedMs(unit, nowMs) < longestMs;
 }
 
 function waitedMs(unit: Workflow.Unit, nowMs: number): number {
--- a/packages/workflow-scheduler/src/isolation_test.ts
+++ b/packages/workflow-scheduler/src/isolation_test.ts
@@ -131,3 +131,67 @@
     vitest.expect(["worker-0", "worker-1"]).toContain(places["suspect"][0]);
   });
 });
+
+/**
+ * Work that crashes its endpoints was started three times after its third crash: one of
+ * the two starts that are allowed was stopped after a second, before it could tell, for
+ * urgent work. The evidence: a random play (rebirths, seed 122).
+ */
+vitest.describe("a task under which three endpoints have crashed", () => {
+  const RAN_MS = { young: 500, old: 5000 };
+
+  /** What has to yield to guaranteed work where these tasks fill all endpoints. */
+  function findYielding(running: readonly Workflow.Workflow[]): string[] {
+    const claim = new Workflow.Workflow({
+      ...buildWorkflow("claim", {}).spec,
+      policy: TestUtils.buildAccess().queues[0],
+    });
+    const empty = buildWorkers(running.length, []);
+    const workers = empty.map((worker, i) => ({
+      ...worker,
+      total: { ...worker.total, accelerators: 1 },
+      occupants: [...running[i].tasks],
+    }));
+    const { stops } = plans.makePlan({
+      workers,
+      workflows: [...running, claim],
+      guarantees: new Map([["hana", 1]]),
+      nowMs: NOW_MS,
+      wallMs: 0,
+      remotePenalty: 3,
+      isAdvised: () => true,
+    });
+    return stops.map(({ task }) => task.workflow.spec.id);
+  }
+
+  function startOn(
+    workflow: Workflow.Workflow,
+    worker: string,
+    ranMs: number,
+  ): Workflow.Workflow {
+    for (const task of workflow.tasks) {
+      task.place(worker, 1, NOW_MS - ranMs);
+      task.state = Workflow.TaskState.Running;
+    }
+    return workflow;
+  }
+
+  function suspectOn(worker: string, ranMs: number, crashes = 3) {
+    return startOn(buildWorkflow("suspect", {}, crashes), worker, ranMs);
+  }
+
+  vitest.it("does not yield before it had the time to tell", () => {
+    const { young, old } = RAN_MS;
+    vitest.expect(findYielding([suspectOn("worker-0", young, 2)]))
+      .toEqual(["suspect"]);
+    vitest.expect(findYielding([suspectOn("worker-0", young)])).toEqual([]);
+    vitest.expect(findYielding([suspectOn("worker-0", old)]))
+      .toEqual(["suspect"]);
+  });
+
+  vitest.it("yields after all others", () => {
+    const other = startOn(buildWorkflow("other", {}), "worker-1", 50_000);
+    const suspect = suspectOn("worker-0", RAN_MS.old);
+    vitest.expect(findYielding([suspect, other])).toEqual(["other"]);
+  });
+});
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -27,6 +27,7 @@
   type GiveUp,
   GiveUpReason,
   holdMs,
+  isProvenLasting,
   Presence,
 } from "./src/restart_budget.ts";
 export {
--- a/packages/workflow/src/open_ends.ts
+++ b/packages/workflow/src/open_ends.ts
@@ -69,7 +69,7 @@
     const left = this.#open.filter((one) => !isOver(one));
     const isChanged = left.length < this.#open.length;
     for (const end of this.#open) {
-      if (end.isGone === true && isOver(end)) end.task.goneRuns--;
+      if (end.isGone === true && isOver(end)) end.task.withdrawGone();
     }
     this.#open.splice(0, this.#open.length, ...left);
     return isChanged;
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -27,7 +27,8 @@
   crashesPresence?: number,
   confirmedRun?: number,
   crashesUnseen?: number,
-  confirmedEndsAtWallMs?: number,
+  confirmedEndsAtWallMs?: number | null,
+  spentStarts?: number,
 ];
 
 /** A run that was given up before its end was known. */
@@ -220,9 +221,12 @@
   const kept = budget.checkpoints < 0 ? "" : checkpoint;
   const { laid, excused, presence, unseen } = task.crashes;
   if (task.isSuspect || excused > 0) {
-    const { confirmedRun, confirmedEndsAtWallMs } = task;
+    const { confirmedRun, confirmedEndsAtWallMs, spentStarts } = task;
     const known = [run, place, failures, kept, laid, excused] as const;
     const counted = [...known, presence, confirmedRun] as const;
+    if (spentStarts > 0) {
+      return [...counted, unseen, confirmedEndsAtWallMs, spentStarts];
+    }
     if (confirmedEndsAtWallMs !== null) {
       return [...counted, unseen, confirmedEndsAtWallMs];
     }
@@ -279,10 +283,12 @@
   task.failures = failures;
   task.checkpoint = checkpoint ?? "";
   const [laid = 0, excused = 0, presence = 0, ...seen] = crashes;
-  const [confirmedRun = 0, unseen = 0, confirmedEndsAtWallMs = null] = seen;
+  const [confirmedRun = 0, unseen = 0, ...since] = seen;
+  const [confirmedEndsAtWallMs = null, spentStarts = 0] = since;
   task.crashes = { laid, excused, presence, unseen };
   task.confirmedRun = confirmedRun;
   task.confirmedEndsAtWallMs = confirmedEndsAtWallMs;
+  task.spentStarts = spentStarts ?? 0;
   const isPlaced = task.worker !== null;
   if (isPlaced && task.state !== tasks.TaskState.Done) {
     task.state = tasks.TaskState.Starting;
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -118,12 +118,16 @@
   return step.lasting && ranMs >= LASTING_PROVEN_MS;
 }
 
-/** Whether the crashes under a task are reason enough to give it up. */
+/**
+ * Whether the crashes under a task are reason enough to give it up, beside the starts
+ * that it has spent otherwise.
+ */
 export function hasCrashedTooOften(
   { laid, excused, presence, unseen }: CrashCount,
   { wasAlone }: CrashEvidence,
+  spentStarts: number,
 ): boolean {
-  const inAll = laid + excused + unseen;
+  const inAll = laid + excused + unseen + spentStarts;
   if (inAll >= MOST_IN_ALL) return presence >= LEAST_PRESENCE_IN_ALL;
   if (countCertain({ laid, excused, presence }) < LEAST_CERTAIN) return false;
   return laid >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
@@ -161,6 +165,26 @@
   return excuseCrash(added, { fellows, presence });
 }
 
+/**
+ * Whether a task has spent all starts that operators allow after a third crash, the
+ * last of them without a crash, and is known to have crashed endpoints.
+ */
+export function hasSpentAllStarts(
+  { laid, excused, presence, unseen }: CrashCount,
+  spentStarts: number,
+): boolean {
+  return laid + excused + unseen + spentStarts >= MOST_IN_ALL &&
+    countCertain({ laid, excused, presence }) >= LEAST_CERTAIN;
+}
+
+/**
+ * Whether each further start of a task may be one of the two that operators allow
+ * after a third crash: none is spent without need.
+ */
+export function hasFewStarts(possibleCrashes: number): boolean {
+  return possibleCrashes >= MOST_LAID;
+}
+
 /** Ends of a task that were crashes, or may have been. */
 export function countPossibleCrashes(
   { laid, excused, unseen }: CrashCount,
@@ -178,8 +202,8 @@
  * How long a task waits that may have crashed as many endpoints as operators allow,
  * while too little is shown to give it up: twice as long with each further end.
  */
-export function holdMs(possibleCrashes: number): number {
-  const over = possibleCrashes - MOST_IN_ALL;
+export function holdMs(possibleCrashes: number, spentStarts = 0): number {
+  const over = possibleCrashes + spentStarts - MOST_IN_ALL;
   return over < 0 ? 0 : Math.min(MOST_HOLD_MS, LEAST_HOLD_MS * 2 ** over);
 }
 
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -55,6 +55,11 @@
   failedAfterMs = 0;
   /** Workers that have crashed under it. */
   crashes = budgets.NO_CRASHES;
+  /**
+   * Starts after a third possible crash that ended by a stop or with their gang: users
+   * count them as they count those that end in a crash.
+   */
+  spentStarts = 0;
   /** Runs whose endpoints are neither heard nor listed any more. */
   goneRuns = 0;
   /** Runs that counted towards giving it up, or might have. */
@@ -118,6 +123,17 @@
     return budgets.countPossibleCrashes(this.crashes, this.goneRuns);
   }
 
+  /** Whether none of the starts that it has left may be spent without need. */
+  get hasFewStarts(): boolean {
+    return budgets.hasFewStarts(this.possibleCrashes);
+  }
+
+  /** The end of a run whose endpoint was neither heard nor listed is a doubt no more. */
+  withdrawGone(): void {
+    this.goneRuns--;
+    if (!this.hasFewStarts) this.spentStarts = 0;
+  }
+
   /** Takes a run into its history. */
   note(entry: histories.RunEntry): void {
     this.history = histories.addEntry(this.history, entry);
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -34,6 +34,14 @@
 /** Tasks of one workflow that may be placed at once. */
 export const MOST_PLACED = 500;
 
+/** Ends by an endpoint's own word of runs that had begun and came to nothing. */
+const HAVE_BEGUN: ReadonlySet<tasks.RunEnd> = new Set([
+  tasks.RunEnd.Stopped,
+  tasks.RunEnd.Lapsed,
+  tasks.RunEnd.Broken,
+  tasks.RunEnd.Alone,
+]);
+
 /** A workflow. Mutable; one coordinator owns it. */
 export class Workflow {
   readonly spec: spec.WorkflowSpec;
@@ -287,6 +295,7 @@
     if (ended.how === tasks.RunEnd.Crashed) {
       this.#countCrash(task, ended);
     }
+    if (HAVE_BEGUN.has(ended.how)) this.#countSpent(task);
   }
 
   /** A lasting task that ran for long does not crash its endpoints. */
@@ -294,6 +303,7 @@
     const ranMs = nowMs - task.startedAtMs;
     if (!budgets.isProvenLasting(task.step, ranMs)) return;
     task.crashes = budgets.NO_CRASHES;
+    task.spentStarts = 0;
     task.history = histories.NO_HISTORY;
     this.openEnds.closeTask(task);
   }
@@ -351,7 +361,16 @@
       before: former,
       after: task.crashes,
     }));
-    if (!budgets.hasCrashedTooOften(task.crashes, crash)) return;
+    const { crashes, spentStarts } = task;
+    if (!budgets.hasCrashedTooOften(crashes, crash, spentStarts)) return;
+    this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
+  }
+
+  /** A start that ended without a crash is one of the few that it had all the same. */
+  #countSpent(task: tasks.Task): void {
+    if (!task.hasFewStarts) return;
+    task.spentStarts++;
+    if (!budgets.hasSpentAllStarts(task.crashes, task.spentStarts)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
 
