Let the next coordinator ask where a task in doubt was

Cause, from the log: the crash was counted, and the work given up, 0.1 s before the coordinator lost its term, and neither was recorded. The endpoint was back under another id, and its former entry was gone; the next coordinator knew the id from the record and no address, so it could ask nobody, and the crash stayed a doubt that counts nothing.

What changed: the record keeps the address of the endpoint where a task in doubt is placed, and of doubts. The next coordinator asks there; the evidence is the one that counts elsewhere: another endpoint answers, or nobody listens and the lease is out. A silent or cut address counts nothing, as before.

Ruled out: counting such a doubt as a crash, which would give up work that was cut off.

--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -132,13 +132,24 @@
     return session !== undefined && session.isOver && session.wasHeard;
   }
 
-  /** The session with a worker that the records name; null where it has ended. */
-  open(id: string): sessions.WorkerSession | null {
+  /**
+   * The session with a worker that the records name; null where it has ended. One that
+   * is not listed any more is asked where the records say that it was.
+   */
+  open(
+    id: string,
+    recorded: { bornMs: number | null; address?: string | null } | null = null,
+  ): sessions.WorkerSession | null {
     const known = this.#sessions.get(id);
     if (known !== undefined) return known.isOver ? null : known;
     const listing = this.#listings.get(id);
-    if (listing === undefined) return null;
-    return this.#open(listing);
+    if (listing !== undefined) return this.#open(listing);
+    const address = recorded?.address ?? null;
+    if (recorded === null || address === null) return null;
+    this.#addresses.add(id, address);
+    this.#unlistedAtMs.set(id, this.#options.ports.clock.monotonicMs());
+    const place = { dataCentre: "", draining: false };
+    return this.#open({ id, address, bornMs: recorded.bornMs, ...place });
   }
 
   /** The workers as a plan sees them. */
@@ -291,7 +302,9 @@
     this.#addresses.add(id, address);
     this.times.note(listing);
     this.#unlistedAtMs.delete(id);
-    this.#sessions.get(id)?.noteListed(draining);
+    const session = this.#sessions.get(id);
+    if (session !== undefined) session.dataCentre = listing.dataCentre;
+    session?.noteListed(draining);
     if (moved !== null) this.#reopen(moved);
     this.#askOthers(listing);
   }
@@ -367,7 +380,12 @@
     return !listing.draining && Scheduler.fitTogether(tasks, listing);
   }
 
-  #open(listing: Ports.WorkerListing): sessions.WorkerSession {
+  #open(
+    listing: Pick<
+      Ports.WorkerListing,
+      "id" | "address" | "bornMs" | "dataCentre" | "draining"
+    >,
+  ): sessions.WorkerSession {
     const { id, address, bornMs, dataCentre } = listing;
     const session = new sessions.WorkerSession({
       ...this.#options,
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -102,7 +102,8 @@
 /** One endpoint, under one id at one address. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
-  readonly dataCentre: string;
+  /** As its newest entry tells; empty: it was not listed since the record named it. */
+  dataCentre: string;
   readonly #options: SessionOptions;
   readonly #life = new presentLives.PresentLife();
   readonly #former: formers.FormerRuns;
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -210,10 +210,10 @@
   }
 
   override runGone(
-    { ref: { id } }: listeners.SessionWorker,
+    { ref: { id, address } }: listeners.SessionWorker,
     { task, run, presence, bornMs }: unheards.UnheardRun,
   ): void {
-    const end = { task, run, worker: id, bornMs, presence };
+    const end = { task, run, worker: id, bornMs, address, presence };
     if (!task.workflow.suspectGone(end)) return;
     this.#endLog.gone({ task, run, endpoint: id });
     Effect.runFork(this.#recorder.record(task.workflow));
--- a/packages/coordinator/src/work/missing_runs.ts
+++ b/packages/coordinator/src/work/missing_runs.ts
@@ -8,6 +8,7 @@
   readonly worker: string;
   /** Birth of that endpoint's life; null: not told, or not known. */
   readonly bornMs: number | null;
+  readonly address?: string | null;
   readonly presence: Workflow.Presence;
 }
 
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -39,7 +39,9 @@
     const orders = unit.tasks.flatMap((task, i) => {
       const session = directory.session(workers[i]);
       if (session === null) return [];
-      task.place(workers[i], run, clock.monotonicMs(), session.likelyBornMs);
+      const { likelyBornMs, ref: { address } } = session;
+      const nowMs = clock.monotonicMs();
+      task.place(workers[i], run, nowMs, likelyBornMs, address);
       const ticket = this.#parts.advice.ticket(unit, workers[i]);
       return [{ session, occupant: session.reserve(task, ticket) }];
     });
@@ -83,12 +85,12 @@
     const nowMs = clock.monotonicMs();
     // How long it ran is not known; half of its work is a fair guess.
     task.startedAtMs = nowMs - task.step.estimateMs / 2;
-    const { run, worker, bornMs } = task;
+    const { run, worker, bornMs, address } = task;
     if (worker === null) return;
     const presence = Workflow.Presence.Unknown;
-    const session = directory.open(worker);
+    const session = directory.open(worker, task);
     if (session === null) {
-      return this.#addMissing({ task, run, worker, bornMs, presence });
+      return this.#addMissing({ task, run, worker, bornMs, address, presence });
     }
     session.adopt(task);
     if (task.workflow.isOver) this.stop(task);
@@ -96,7 +98,7 @@
 
   /** A run that an earlier term gave up; its endpoint may still tell its end. */
   adoptOpenEnd(end: Workflow.OpenEnd): void {
-    const session = this.#parts.directory.open(end.worker);
+    const session = this.#parts.directory.open(end.worker, end);
     if (session === null) this.#addMissing(end);
     else session.adoptUnheard(end);
   }
--- a/packages/workflow-node/src/record_size_test.ts
+++ b/packages/workflow-node/src/record_size_test.ts
@@ -8,8 +8,12 @@
 
 /** Bytes of one row's value, as the users' stores allow. */
 const ROW_BYTES = 65_536;
+/** Characters that they hold in the platform's encoding. */
+const ENCODED_CHARACTERS = 49_152;
 /** Tasks of the workflow, of which 500 at most run at once. */
 const TASKS = 2000;
+/** Tasks of one workflow that run at once at most. */
+const PLACED = 500;
 /** When the first endpoint was born; each run is on another life. */
 const BORN_MS = 1_790_000_000_000;
 
@@ -39,4 +43,44 @@
     const record = Workflow.toProgress(workflow);
     vitest.expect(JSON.stringify(record).length).toBeLessThan(ROW_BYTES);
   });
+
+  /** Characters of the record where endpoints crash under all that runs. */
+  function measureCrashes(tasks: number): {
+    length: number;
+    addresses: number;
+  } {
+    const steps = [TestUtils.buildStep({ count: tasks })];
+    const workflow = new Workflow.Workflow({
+      id: "a000000000000001",
+      payload: "work",
+      steps,
+      schedule: null,
+      policy: { attempts: 3, advice: null },
+    } as unknown as Workflow.WorkflowSpec);
+    let place = 0;
+    for (const task of workflow.tasks) {
+      const worker = `i-${String(place++).padStart(10, "0")}`;
+      const address = `10.100.${100 + place % 100}.${100 + place % 90}:8080`;
+      const bornMs = BORN_MS + place;
+      task.crashes = { laid: 1, excused: 1, presence: 3, unseen: 1 };
+      const presence = Workflow.Presence.Certain;
+      const life = { worker, bornMs, address };
+      workflow.suspectGone({ task, run: 1, ...life, presence });
+      task.place(worker, 2, 0, bornMs, address);
+      task.confirmedRun = 2;
+      task.confirmedEndsAtWallMs = bornMs;
+    }
+    const record = Workflow.toProgress(workflow);
+    const addresses = Object.keys(record.addresses ?? {}).length;
+    return { length: JSON.stringify(record).length, addresses };
+  }
+
+  vitest.it("leaves out addresses where they would not fit", () => {
+    const wide = measureCrashes(PLACED);
+    vitest.expect(wide.addresses).toBe(0);
+    vitest.expect(wide.length).toBeLessThan(ENCODED_CHARACTERS);
+    const narrow = measureCrashes(150);
+    vitest.expect(narrow.addresses).toBe(150);
+    vitest.expect(narrow.length).toBeLessThan(ENCODED_CHARACTERS);
+  });
 });
--- /dev/null
+++ b/packages/workflow-node/src/recorded_address_test.ts
@@ -0,0 +1,47 @@
+/**
+ * A task that crashes its endpoints was started six times, five are allowed: each crash
+ * fell into a takeover, the endpoint was back under another id, and its former entry was
+ * gone when the next coordinator looked. It knew the former id and no address, so it could
+ * ask nobody, and the crash counted nothing for good. The evidence: a random play
+ * (rebirths, seed 150).
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+
+const CRASHER = "c000000000000001";
+/** Long enough that nobody takes a run for done, in ms. */
+const RUN_MS = 60_000;
+const CRASHES_AFTER_MS = 400;
+/** After a crash, in ms: the next coordinator begins when the endpoint is back. */
+const KILL_AFTER_MS = 2500;
+const LIMIT_MS = 120_000;
+
+vitest.describe("a crash whose endpoint nobody lists any more", () => {
+  vitest.it("counts for the next coordinator", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1, 1] });
+    fleet.workers.behave = () => ({
+      runMs: RUN_MS,
+      fails: false,
+      crashesAfterMs: CRASHES_AFTER_MS,
+    });
+    await fleet.start();
+    const steps = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+    await fleet.submit("node-1", CRASHER, { steps });
+    const isOver = () => fleet.state(CRASHER) === Workflow.WorkflowState.Failed;
+    const crashes = () =>
+      fleet.workers.runs.filter(({ how }) => how === "crashed").length;
+    for (let crash = 1; crash <= 8 && !isOver(); crash++) {
+      await fleet.until(() => isOver() || crashes() >= crash, LIMIT_MS);
+      await fleet.clock.advance(KILL_AFTER_MS);
+      const coordinator = fleet.coordinator();
+      if (coordinator === null || !fleet.nodes.has(coordinator)) continue;
+      await fleet.kill(coordinator);
+      fleet.startNode(`${coordinator}+`);
+    }
+    const gaveUp = await fleet.until(isOver, LIMIT_MS);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    vitest.expect(gaveUp).toBe(true);
+    await fleet.stop();
+  });
+});
--- a/packages/workflow/src/births_record_test.ts
+++ b/packages/workflow/src/births_record_test.ts
@@ -72,4 +72,25 @@
     for (const task of plain.tasks) task.place("i-1", 1, 0);
     vitest.expect("births" in keep(plain)).toBe(false);
   });
+
+  /**
+   * A takeover lost the address of an endpoint whose entry had lapsed, so nobody could
+   * ask who is there now, and the crash of a task in doubt stayed a doubt for good. The
+   * evidence: a random play (rebirths, seed 150).
+   */
+  vitest.it("keeps the address of a life that may end under a task", () => {
+    const workflow = build();
+    const [calm, suspect, gone] = workflow.tasks;
+    const presence = budgets.Presence.Certain;
+    calm.place("i-1", 1, 0, 1000, "10.0.0.1:80");
+    suspect.crashes = { laid: 1, excused: 0, presence, unseen: 0 };
+    suspect.place("i-2", 1, 0, null, "10.0.0.2:80");
+    const end = { task: gone, run: 1, worker: "i-3", bornMs: null, presence };
+    workflow.suspectGone({ ...end, address: "10.0.0.3:80" });
+    const next = read(keep(workflow));
+    vitest.expect([...next.tasks].map(({ address }) => address))
+      .toEqual([null, "10.0.0.2:80", null]);
+    vitest.expect(next.openEnds.all)
+      .toMatchObject([{ worker: "i-3", bornMs: null, address: "10.0.0.3:80" }]);
+  });
 });
--- a/packages/workflow/src/open_ends.ts
+++ b/packages/workflow/src/open_ends.ts
@@ -10,6 +10,8 @@
   readonly worker: string;
   /** Birth of that endpoint's life; null: not told, or not known. */
   readonly bornMs: number | null;
+  /** Address of that endpoint; left out or null: not known. */
+  readonly address?: string | null;
   /** Its endpoint is neither heard nor listed: it may have crashed. */
   readonly isGone?: boolean;
   /** How sure it is that the endpoint had it. */
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -5,6 +5,7 @@
  */
 import * as historyRecords from "./history_record.ts";
 import * as indexSets from "./index_set.ts";
+import * as listedLives from "./listed_lives.ts";
 import type * as openEnds from "./open_ends.ts";
 import * as budgets from "./restart_budget.ts";
 import * as histories from "./run_history.ts";
@@ -38,22 +39,19 @@
   worker: string,
   presence?: budgets.Presence,
   isGone?: boolean,
-  bornMs?: number,
+  bornMs?: number | null,
+  address?: string,
 ];
 
 /** What is kept of a workflow; untouched tasks are left out. */
 export interface ProgressRecord
-  extends historyRecords.ListedHistories, historyRecords.KeptGiveUp {
+  extends
+    historyRecords.ListedHistories,
+    historyRecords.KeptGiveUp,
+    listedLives.LivesRecord {
   readonly state: states.WorkflowState;
   /** Left out: no cancel was known. Stays until the end is recorded. */
   readonly cancelled?: true;
-  /** Workers that may hold runs; one for each of their lives. */
-  readonly workers: readonly string[];
-  /**
-   * Births of these lives; left out, also by earlier versions: none is known. They
-   * stand apart from the ids so that an earlier version still finds those.
-   */
-  readonly births?: readonly (number | null)[];
   /**
    * Indexes of done tasks as a set in one text, by `round.step`; of a workflow
    * of many rounds and steps one set of places among all tasks, by `*`.
@@ -71,6 +69,11 @@
 const MOST_WAITING_LISTED = 200;
 /** Runs on endpoints that are gone of which a record tells at most: 10 KB. */
 const MOST_DOUBTS_LISTED = 200;
+/**
+ * Listed tasks up to which a record tells addresses: with those of doubts 9 KB, beside
+ * 15 KB. Of wider ones a record of all that is in doubt would be too long for its row.
+ */
+const MOST_WITH_ADDRESSES = 150;
 /** Characters of all checkpoints of one record; others begin anew. */
 const MOST_CHECKPOINT_LENGTH = 12_000;
 /**
@@ -101,7 +104,7 @@
 export function toProgress(workflow: workflows.Workflow): ProgressRecord {
   const done: Record<string, string> = {};
   const runs: Record<string, number> = {};
-  const lives = new ListedLives();
+  const lives = new listedLives.ListedLives();
   const listed = new Map<string, ListedTask>();
   const waiting: tasks.Task[] = [];
   const noted: tasks.Task[] = [];
@@ -132,14 +135,15 @@
     const name = nameOf.get(task) ?? ALL_STEPS;
     runs[name] = Math.max(runs[name] ?? 0, task.run);
   }
+  const hasRoom = listed.size <= MOST_WITH_ADDRESSES;
   const record: ProgressRecord = {
     state: workflow.state,
     ...(workflow.cancelled && !hasEnded ? { cancelled: true } : {}),
-    ...lives.list(),
+    ...lives.list(hasRoom),
     done: hasEnded ? {} : done,
     runs,
     tasks: Object.fromEntries(listed),
-    ...listOpenEnds(hasEnded ? [] : workflow.openEnds.all),
+    ...listOpenEnds(hasEnded ? [] : workflow.openEnds.all, hasRoom),
     ...historyRecords.listGiveUp(workflow.giveUp),
   };
   if (noted.length === 0 || hasEnded) return record;
@@ -148,40 +152,19 @@
   return { ...record, ...kept };
 }
 
-/** Lives that one record names. */
-class ListedLives {
-  readonly #places = new Map<string, number>();
-  readonly #workers: string[] = [];
-  readonly #births: (number | null)[] = [];
-
-  /** Place of a life in the lists. */
-  placeOf(worker: string, bornMs: number | null): number {
-    const name = `${bornMs ?? ""}@${worker}`;
-    const known = this.#places.get(name);
-    if (known !== undefined) return known;
-    this.#places.set(name, this.#workers.length);
-    this.#births.push(bornMs);
-    return this.#workers.push(worker) - 1;
-  }
-
-  /** The lists. */
-  list(): Pick<ProgressRecord, "workers" | "births"> {
-    const workers = this.#workers;
-    const births = this.#births;
-    const knowsAny = births.some((bornMs) => bornMs !== null);
-    return knowsAny ? { workers, births } : { workers };
-  }
-}
-
 function listOpenEnds(
   ends: readonly openEnds.OpenEnd[],
+  hasRoom: boolean,
 ): Pick<ProgressRecord, "openEnds"> {
   if (ends.length === 0) return {};
   return {
     openEnds: selectOpenEnds(ends).map((
-      { task, run, worker, presence, isGone, bornMs },
+      { task, run, worker, presence, isGone, bornMs, address },
     ): ListedOpenEnd => {
       const known = [task.key, run, worker, presence] as const;
+      if (hasRoom && typeof address === "string") {
+        return [...known, isGone === true, bornMs, address];
+      }
       if (bornMs !== null) return [...known, isGone === true, bornMs];
       return isGone === true ? [...known, isGone] : known;
     }),
@@ -212,11 +195,14 @@
 
 function listTask(
   task: tasks.Task,
-  lives: ListedLives,
+  lives: listedLives.ListedLives,
   budget: { checkpoints: number },
 ): ListedTask {
   const { run, worker, bornMs, failures, checkpoint } = task;
-  const place = worker === null ? NO_WORKER : lives.placeOf(worker, bornMs);
+  const address = task.isSuspect ? task.address : null;
+  const place = worker === null
+    ? NO_WORKER
+    : lives.placeOf(worker, bornMs, address);
   budget.checkpoints -= checkpoint.length;
   const kept = budget.checkpoints < 0 ? "" : checkpoint;
   const { laid, excused, presence, unseen } = task.crashes;
@@ -262,11 +248,13 @@
     if (task !== undefined) applyListed(task, kept, record);
   }
   for (const listed of record.openEnds ?? []) {
-    const [key, run, worker, kept, isGone = false, bornMs = null] = listed;
+    const [key, run, worker, kept, isGone = false, ...life] = listed;
+    const [bornMs = null, address = null] = life;
     const task = workflow.task(key);
     if (task === undefined) continue;
     const presence = kept ?? budgets.Presence.Likely;
-    workflow.openEnds.add({ task, run, worker, presence, isGone, bornMs });
+    const place = { worker, bornMs, address };
+    workflow.openEnds.add({ task, run, ...place, presence, isGone });
   }
   historyRecords.applyHistories(workflow, record);
   workflow.giveUp = historyRecords.readGiveUp(record);
@@ -275,11 +263,12 @@
 function applyListed(
   task: tasks.Task,
   [run, place, failures, checkpoint, ...crashes]: ListedTask,
-  { workers, births = [] }: ProgressRecord,
+  { workers, births = [], addresses = {} }: ProgressRecord,
 ): void {
   task.run = run;
   task.worker = workers[place] ?? null;
   task.bornMs = births[place] ?? null;
+  task.address = addresses[place] ?? null;
   task.failures = failures;
   task.checkpoint = checkpoint ?? "";
   const [laid = 0, excused = 0, presence = 0, ...seen] = crashes;
--- a/packages/workflow/src/task.ts
+++ b/packages/workflow/src/task.ts
@@ -48,6 +48,8 @@
   worker: string | null = null;
   /** Birth of that worker's life; null: not told, or not known. */
   bornMs: number | null = null;
+  /** Address of that worker; null: not told, or not known. */
+  address: string | null = null;
   failures = 0;
   /** Monotonic time of its newest failure; where an earlier term saw it: never. */
   failedAtMs = Number.NEGATIVE_INFINITY;
@@ -145,10 +147,12 @@
     run: number,
     nowMs: number,
     bornMs: number | null = null,
+    address: string | null = null,
   ): void {
     this.state = TaskState.Starting;
     this.worker = worker;
     this.bornMs = bornMs;
+    this.address = address;
     this.run = run;
     this.startedAtMs = nowMs;
     this.endsAtMs = null;
@@ -158,6 +162,7 @@
   release(nowMs: number): void {
     this.worker = null;
     this.bornMs = null;
+    this.address = null;
     this.waitingSinceMs = nowMs;
     if (this.state !== TaskState.Done) this.state = TaskState.Waiting;
   }
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -150,9 +150,9 @@
     this.#forgiveProven(task, nowMs);
     this.#count(task, ended, nowMs);
     if (ended.isOpen === true && task.worker !== null) {
-      const { worker, bornMs } = task;
+      const { worker, bornMs, address } = task;
       const { run, presence = budgets.Presence.Likely } = ended;
-      this.openEnds.add({ task, run, worker, bornMs, presence });
+      this.openEnds.add({ task, run, worker, bornMs, address, presence });
       const { NotHeard } = histories.RunEvidence;
       task.note(histories.openEntry(atEnd(task, ended), NotHeard));
     }
