Let starts that ended without a crash show nothing

Starts that ended otherwise count among the five only where two crashes are sure.

The test fails on the commit before.

--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -119,18 +119,20 @@
 }
 
 /**
- * Whether the crashes under a task are reason enough to give it up, beside the starts
- * that it has spent otherwise.
+ * Whether the crashes under a task are reason enough to give it up. Starts that it has
+ * spent otherwise show nothing: they count only where two crashes are sure.
  */
 export function hasCrashedTooOften(
-  { laid, excused, presence, unseen }: CrashCount,
-  { wasAlone }: CrashEvidence,
+  count: CrashCount,
+  { wasAlone }: Pick<CrashEvidence, "wasAlone">,
   spentStarts: number,
 ): boolean {
-  const inAll = laid + excused + unseen + spentStarts;
+  const { laid, excused, presence, unseen } = count;
+  const inAll = laid + excused + unseen;
   if (inAll >= MOST_IN_ALL) return presence >= LEAST_PRESENCE_IN_ALL;
-  if (countCertain({ laid, excused, presence }) < LEAST_CERTAIN) return false;
-  return laid >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
+  if (countCertain(count) < LEAST_CERTAIN) return false;
+  return inAll + spentStarts >= MOST_IN_ALL || laid >= MOST_CRASHES ||
+    (laid >= MOST_LAID && wasAlone);
 }
 
 /**
@@ -138,9 +140,7 @@
  * its presence, and one that was only likely brings one. Excused ones may have brought
  * none.
  */
-function countCertain(
-  { laid, excused, presence }: Omit<CrashCount, "unseen">,
-): number {
+function countCertain({ laid, excused, presence }: CrashCount): number {
   return presence - laid - excused;
 }
 
@@ -170,11 +170,12 @@
  * last of them without a crash, and is known to have crashed endpoints.
  */
 export function hasSpentAllStarts(
-  { laid, excused, presence, unseen }: CrashCount,
+  count: CrashCount,
   spentStarts: number,
 ): boolean {
+  const { laid, excused, unseen } = count;
   return laid + excused + unseen + spentStarts >= MOST_IN_ALL &&
-    countCertain({ laid, excused, presence }) >= LEAST_CERTAIN;
+    countCertain(count) >= LEAST_CERTAIN;
 }
 
 /**
--- a/packages/workflow/src/restart_budget_test.ts
+++ b/packages/workflow/src/restart_budget_test.ts
@@ -96,6 +96,11 @@
     vitest.expect(play([...three, Stopped, Certain], beside)).toBe(true);
   });
 
+  vitest.it("show nothing where a stop ended them", () => {
+    const ends: End[] = [Unknown, Likely, Certain, Stopped, Unknown];
+    vitest.expect(play(ends, beside)).toBe(false);
+  });
+
   vitest.it("are spent by two stops where crashes are sure", () => {
     vitest.expect(play([Certain, Certain, Unknown, Stopped, Stopped], beside))
       .toBe(true);
