Record runs of tasks in doubt whose endpoints fell silent

Cause, from the log: a start had no answer, its endpoint was not heard, and the lease ran out. Until an entry goes as well only the session knows that such a run may still turn out to be a crash; a takeover followed, and the crash that the next life showed counted nothing.

What changed: a run of a task in doubt whose lease ran out unheard is recorded as one whose end is not known. It counts nothing, as where the entry goes as well (four seconds later before): the next coordinator asks for it, and the doubt goes when the endpoint answers. Tasks that are not in doubt are left as they were, so a first crash that falls into a takeover like this one is not known.

Log line and sentence of `trace` say "is not heard" now.

--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -78,7 +78,10 @@
     run: unheards.UnheardRun,
     end: SessionEnd,
   ): Effect.Effect<void>;
-  /** The endpoint of a run that is over is neither heard nor listed. */
+  /**
+   * The endpoint of a run that is over is not heard, and not listed or the task is in
+   * doubt.
+   */
   abstract runGone(worker: SessionWorker, run: unheards.UnheardRun): void;
   /** More endpoints crashed at once than was known when these crashes were counted. */
   abstract crashExcused(
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -767,9 +767,13 @@
         // A run whose lease is out has ended, whatever became of its endpoint.
         const byMs = hasLapsed ? Number.POSITIVE_INFINITY : clock.monotonicMs();
         const presence = this.#lifeEnd.presenceOf(occupant, byMs);
-        this.#unheard.add({ task, run, bornMs, presence });
+        const unheard = { task, run, bornMs, presence };
+        this.#unheard.add(unheard);
         const cause = hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst;
         yield* this.#held.end(occupant, lost(cause));
+        // It may have crashed its endpoint: the next coordinator has to ask for it too.
+        const isDoubt = hasLapsed && task.isSuspect;
+        if (isDoubt) this.#options.listener.runGone(this, unheard);
       }
       // What ended before a lease ran out does not count when it is told later.
       for (const { task, run } of hasLapsed ? this.#unheard.all : []) {
--- a/packages/coordinator/src/work/end_log.ts
+++ b/packages/coordinator/src/work/end_log.ts
@@ -42,12 +42,12 @@
     if (how === Workflow.RunEnd.Crashed) this.#crashed(place);
   }
 
-  /** The endpoint of a run is neither heard nor listed. */
+  /** The endpoint of a run is not heard, and not listed or the task is in doubt. */
   gone({ task, run, endpoint }: RunPlace): void {
     this.#ports.metrics.count("cairngate_runs_gone_total");
     this.#ports.log.info(
-      `Run ${run} of ${task.name}: its endpoint ${endpoint} is neither heard nor ` +
-        `listed and its lease has run out. It may have crashed or be cut off, ` +
+      `Run ${run} of ${task.name}: its endpoint ${endpoint} is not heard, and ` +
+        `its lease has run out. It may have crashed or be cut off, ` +
         `so this counts nothing; the task starts on an endpoint of its own.`,
     );
   }
--- a/packages/coordinator/src/work/run_sentences.ts
+++ b/packages/coordinator/src/work/run_sentences.ts
@@ -15,7 +15,8 @@
     "its endpoint was shown to have ended, and the run was likely under way",
   [RunEvidence.NeverShown]:
     "its endpoint was shown to have ended, and nothing shows the run under way",
-  [RunEvidence.NotListed]: "its endpoint is neither heard nor listed",
+  [RunEvidence.NotListed]:
+    "its endpoint is not heard, and its lease has run out",
   [RunEvidence.NotHeard]: "its gang ended, and its endpoint was not heard",
   [RunEvidence.Withdrawn]: "its end was open until the endpoint answered again",
 };
--- a/packages/workflow/src/open_ends.ts
+++ b/packages/workflow/src/open_ends.ts
@@ -34,6 +34,13 @@
     if (end.isGone === true) end.task.goneRuns++;
   }
 
+  /** Whether a run is known to have been on an endpoint that may have crashed. */
+  isGone({ task, run }: Pick<OpenEnd, "task" | "run">): boolean {
+    return this.#open.some((one) =>
+      one.task === task && one.run === run && one.isGone === true
+    );
+  }
+
   /** The end is known, or can not count any more. False where it was not open. */
   close(task: tasks.Task, run: number): boolean {
     return this.#removeWhere((one) => one.task === task && one.run === run);
--- a/packages/workflow/src/run_history.ts
+++ b/packages/workflow/src/run_history.ts
@@ -22,7 +22,7 @@
   Likely = "likely",
   /** Its endpoint was shown to have ended; nothing shows the run under way. */
   NeverShown = "unshown",
-  /** Its endpoint is neither heard nor listed. */
+  /** Its endpoint is not heard, and not listed or the task is in doubt. */
   NotListed = "unlisted",
   /** Its gang ended, and its endpoint is not heard. */
   NotHeard = "unheard",
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -199,13 +199,13 @@
   }
 
   /**
-   * The endpoint of a run that was given up is neither heard nor listed. That is no
-   * crash, and no reason to end the work: it may be cut off. Returns false where
+   * The endpoint of a run that was given up is not heard, and not listed or the task is
+   * in doubt. That is no crash, and no reason to end the work: it may be cut off. Returns false where
    * nothing follows.
    */
   suspectGone(end: Omit<openEnds.OpenEnd, "isGone">): boolean {
     const isDone = end.task.state === tasks.TaskState.Done;
-    if (this.isOver || isDone) return false;
+    if (this.isOver || isDone || this.openEnds.isGone(end)) return false;
     this.openEnds.add({ ...end, isGone: true });
     const { task, run, worker } = end;
     const ended = { run, endpoint: worker, how: tasks.RunEnd.Lost };
