Ask an endpoint again that did not answer a start nobody wants any more

The session's own loop slept, as there had been nothing to do, and only a sent start or news of a run wakes it. Nothing starts on an endpoint that is not reached, so nothing woke it for the rest of the term.

What changed: the first look without an answer wakes the session, which asks until the endpoint answers.

The test, a gang whose two endpoints do not answer a new coordinator for 3 s, fails on the commit before: nothing runs in the 3 s after they answer again.

--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -750,6 +750,8 @@
         this.#reachable = false;
         this.#options.silences.noteSilent(this.ref);
         listener.roomChanged();
+        // A start may have asked: somebody has to ask until it answers again.
+        this.#wake();
       }
       const hasLapsed = this.#clock.hasLapsed(clock.monotonicMs());
       if (hasLapsed && this.#wasHeard && this.#lifeEnd.isRefused) {
