--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -19,6 +19,18 @@
   readonly silences: silences.SilenceLog;
 }
 
+/** Where the records say that an endpoint was, in which life. */
+export interface RecordedPlace {
+  readonly bornMs: number | null;
+  readonly address?: string | null;
+}
+
+/** What a session has to know of an endpoint. */
+type PlaceOfEndpoint = Pick<
+  Ports.WorkerListing,
+  "id" | "address" | "bornMs" | "dataCentre" | "draining"
+>;
+
 /**
  * An endpoint that is neither listed nor heard for this time, in ms, may have ended:
  * one that lives is listed again about two seconds after an outage.
@@ -88,13 +100,25 @@
     for (const session of this.#sessions.values()) this.#run(session);
   }
 
-  /** The session with an endpoint that the records name; null where it has ended. */
-  open(id: string): sessions.WorkerSession | null {
+  /**
+   * The session with an endpoint that the records name; null where it has ended. One
+   * that is not listed any more is asked where the records say that it was.
+   */
+  open(
+    id: string,
+    recorded: RecordedPlace | null = null,
+  ): sessions.WorkerSession | null {
     const known = this.#sessions.get(id);
     if (known !== undefined) return known.isOver ? null : known;
-    const listing = this.#parts.book.get(id);
-    if (listing === undefined) return null;
-    return this.#open(listing);
+    const { book } = this.#parts;
+    const listing = book.get(id);
+    if (listing !== undefined) return this.#open(listing);
+    const address = recorded?.address ?? null;
+    if (recorded === null || address === null) return null;
+    book.noteRecorded({ id, address });
+    const { bornMs } = recorded;
+    const isUnknown = { dataCentre: "", draining: false };
+    return this.#open({ id, address, bornMs, ...isUnknown });
   }
 
   /** What may be at an endpoint is asked for where it stands. */
@@ -135,9 +159,9 @@
     return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
   }
 
-  #open(listing: Ports.WorkerListing): sessions.WorkerSession {
+  #open(listing: PlaceOfEndpoint): sessions.WorkerSession {
     const { options, book, silences } = this.#parts;
-    const { id, address, bornMs, dataCentre, draining } = listing;
+    const { id, address, bornMs, dataCentre } = listing;
     const ref = { id, address };
     const session = new sessions.WorkerSession({
       ...options,
@@ -152,7 +176,7 @@
       isContested: book.othersAt(ref).length > 0,
       onHeard: (heard) => this.#noteHeard(heard),
     });
-    session.noteListed(draining);
+    session.noteListed(listing);
     this.#sessions.set(id, session);
     if (this.#begun) this.#run(session);
     return session;
--- a/packages/coordinator/src/endpoints/listing_book.ts
+++ b/packages/coordinator/src/endpoints/listing_book.ts
@@ -80,6 +80,12 @@
     }
   }
 
+  /** An endpoint that is not listed stands where the records say that it was. */
+  noteRecorded({ id, address }: Ports.WorkerRef): void {
+    this.#addresses.add(id, address);
+    this.#unlistedAtMs.set(id, this.#clock.monotonicMs());
+  }
+
   /** The session with an endpoint is dropped. */
   noteDropped({ id, address }: Ports.WorkerRef): void {
     this.#unlistedAtMs.delete(id);
--- a/packages/coordinator/src/endpoints/listing_changes.ts
+++ b/packages/coordinator/src/endpoints/listing_changes.ts
@@ -64,12 +64,12 @@
 
   #believe(listing: Ports.WorkerListing): void {
     const { book, sessions, times } = this.#parts;
-    const { id, draining } = listing;
+    const { id } = listing;
     const moved = this.#forgetOtherAddress(listing);
     book.set(listing);
     this.#doubted.forget(id);
     times.note(listing);
-    sessions.get(id)?.noteListed(draining);
+    sessions.get(id)?.noteListed(listing);
     if (moved !== null) sessions.reopen(moved);
     this.#askOthers(listing);
   }
--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -82,9 +82,15 @@
     return session !== undefined && session.isOver && session.wasHeard;
   }
 
-  /** The session with a worker that the records name; null where it has ended. */
-  open(id: string): sessions.WorkerSession | null {
-    return this.#sessions.open(id);
+  /**
+   * The session with a worker that the records name; null where it has ended. One that
+   * is not listed any more is asked where the records say that it was.
+   */
+  open(
+    id: string,
+    recorded: endpointSessions.RecordedPlace | null = null,
+  ): sessions.WorkerSession | null {
+    return this.#sessions.open(id, recorded);
   }
 
   /** The workers as a plan sees them. */
--- a/packages/coordinator/src/sessions/endpoint_orders.ts
+++ b/packages/coordinator/src/sessions/endpoint_orders.ts
@@ -33,8 +33,12 @@
     return Effect.gen({ self: this }, function* () {
       const allowedMs = load.allow(limitMs);
       const timed = yield* Effect.result(clock.within(allowedMs, order));
-      if (timed._tag === "Success") return timed.success?.value ?? null;
+      if (timed._tag === "Success") {
+        if (timed.success === null) this.#noteUnanswered(false);
+        return timed.success?.value ?? null;
+      }
       const err = timed.failure;
+      if (err._tag === "WorkerLostError") this.#noteUnanswered(true);
       if (err._tag === "WorkerReplacedError") {
         yield* this.#options.ends.noteReplaced();
       }
@@ -43,6 +47,10 @@
     });
   }
 
+  #noteUnanswered(isCut: boolean): void {
+    this.#options.state.life.ending.noteUnanswered(isCut);
+  }
+
   #noteFailed(err: Ports.OrderError): void {
     const { state: { life }, options: { term } } = this.#options;
     const isRefused = err._tag === "WorkerLostError" && err.neverSent;
--- a/packages/coordinator/src/sessions/endpoint_silence.ts
+++ b/packages/coordinator/src/sessions/endpoint_silence.ts
@@ -50,6 +50,8 @@
     if (isFirst) {
       silences.noteSilent(state.ref);
       listener.roomChanged();
+      // A start may have asked: somebody has to ask until it answers again.
+      state.wake();
     }
     return isFirst;
   }
@@ -62,10 +64,8 @@
         if (!occupant.sent) continue;
         if (!hasLapsed && !hasEndedBeforeGang(occupant)) continue;
         const formerEnd = former.take(occupant);
-        yield* held.end(
-          occupant,
-          formerEnd ?? this.#giveUp(occupant, hasLapsed),
-        );
+        if (formerEnd === null) yield* this.#giveUp(occupant, hasLapsed);
+        else yield* held.end(occupant, formerEnd);
       }
     });
   }
@@ -74,16 +74,22 @@
   #giveUp(
     occupant: occupants.Occupant,
     hasLapsed: boolean,
-  ): listeners.SessionEnd {
-    const { state: { life }, runs, options: { ports } } = this.#options;
+  ): Effect.Effect<void> {
+    const { state, runs, options: { ports, listener } } = this.#options;
     const { task, run, bornMs } = occupant;
     // A run whose lease is out has ended, whatever became of its endpoint.
     const byMs = hasLapsed
       ? Number.POSITIVE_INFINITY
       : ports.clock.monotonicMs();
-    const presence = life.ending.presenceOf(occupant, byMs);
-    runs.unheard.add({ task, run, bornMs, presence });
-    return lost(hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst);
+    const presence = state.life.ending.presenceOf(occupant, byMs);
+    const unheard = { task, run, bornMs, presence };
+    runs.unheard.add(unheard);
+    const cause = hasLapsed ? LostCause.LeaseOut : LostCause.EndedFirst;
+    return Effect.gen({ self: this }, function* () {
+      yield* runs.held.end(occupant, lost(cause));
+      // It may have crashed its endpoint: the next coordinator has to ask for it too.
+      if (hasLapsed && task.isSuspect) listener.runGone(state, unheard);
+    });
   }
 
   /** What ended before a lease ran out does not count when it is told later. */
--- a/packages/coordinator/src/sessions/endpoint_starts.ts
+++ b/packages/coordinator/src/sessions/endpoint_starts.ts
@@ -80,7 +80,7 @@
   }
 
   get #mayStart(): boolean {
-    const { dataCentre, ports: { evacuations } } = this.#options.options;
-    return evacuations.mayStart(dataCentre);
+    const { state, options: { ports: { evacuations } } } = this.#options;
+    return evacuations.mayStart(state.dataCentre);
   }
 }
--- a/packages/coordinator/src/sessions/endpoint_state.ts
+++ b/packages/coordinator/src/sessions/endpoint_state.ts
@@ -13,6 +13,8 @@
 /** State of one session. */
 export class EndpointState implements listeners.SessionWorker {
   readonly ref: Ports.WorkerRef;
+  /** As its newest entry tells; empty: it was not listed since the record named it. */
+  dataCentre: string;
   /** What is known of its present life. */
   readonly life: lifeBooks.LifeBooks;
   /** Our time at which the session began. */
@@ -26,6 +28,7 @@
 
   constructor(options: sessionOptions.SessionOptions) {
     this.ref = options.ref;
+    this.dataCentre = options.dataCentre;
     this.life = new lifeBooks.LifeBooks(options);
     this.openedAtMs = options.ports.clock.monotonicMs();
     this.#mustBeHeard = options.isContested;
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -28,7 +28,6 @@
 /** One endpoint, under one id at one address. */
 export class WorkerSession {
   readonly ref: Ports.WorkerRef;
-  readonly dataCentre: string;
   readonly #parts: sessionParts.SessionParts;
   readonly #state: endpointStates.EndpointState;
   readonly #runs: endpointRuns.EndpointRuns;
@@ -36,12 +35,16 @@
 
   constructor(options: sessionOptions.SessionOptions) {
     this.ref = options.ref;
-    this.dataCentre = options.dataCentre;
     this.#parts = sessionParts.wireParts(options);
     this.#state = this.#parts.state;
     this.#runs = this.#parts.runs;
   }
 
+  /** As its newest entry tells; empty: it was not listed since the record named it. */
+  get dataCentre(): string {
+    return this.#state.dataCentre;
+  }
+
   /** What is known of how it treats what it is given. */
   get health(): healths.WorkerHealth {
     return this.#state.life.health;
@@ -93,9 +96,15 @@
     );
   }
 
-  /** It is listed, and tells whether it is going to leave. */
-  noteListed(isDraining: boolean): void {
-    this.#state.life.ending.noteListed(isDraining);
+  /** It is listed, and tells where it stands and whether it is going to leave. */
+  noteListed(
+    { dataCentre, draining }: Pick<
+      Ports.WorkerListing,
+      "dataCentre" | "draining"
+    >,
+  ): void {
+    this.#state.dataCentre = dataCentre;
+    this.#state.life.ending.noteListed(draining);
     if (this.#state.isGone) this.#state.noteWanted();
   }
 
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -71,10 +71,10 @@
   }
 
   override runGone(
-    { ref: { id } }: listeners.SessionWorker,
+    { ref: { id, address } }: listeners.SessionWorker,
     { task, run, presence, bornMs }: unheards.UnheardRun,
   ): void {
-    const end = { task, run, worker: id, bornMs, presence };
+    const end = { task, run, worker: id, bornMs, address, presence };
     if (!task.workflow.suspectGone(end)) return;
     this.#log.gone({ task, run, endpoint: id });
     this.#record(task.workflow);
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -25,6 +25,7 @@
   CrashFellows,
   GiveUpReason,
   holdMs,
+  isProvenLasting,
   Presence,
 } from "./src/restart_budget.ts";
 export {
--- a/packages/workflow/src/open_ends.ts
+++ b/packages/workflow/src/open_ends.ts
@@ -6,6 +6,8 @@
   readonly stepKey: string;
   /** Runs whose endpoints are neither heard nor listed any more. */
   goneRuns: number;
+  /** The end of a run whose endpoint was neither heard nor listed is a doubt no more. */
+  withdrawGone(): void;
 }
 
 /** A run of a task `T` whose end is not known. */
@@ -16,6 +18,8 @@
   readonly worker: string;
   /** Birth of that endpoint's life; null: not told, or not known. */
   readonly bornMs: number | null;
+  /** Address of that endpoint; left out or null: not known. */
+  readonly address?: string | null;
   /** Its endpoint is neither heard nor listed: it may have crashed. */
   readonly isGone?: boolean;
   /** How sure it is that the endpoint had it. */
@@ -38,6 +42,13 @@
     if (end.isGone === true) end.task.goneRuns++;
   }
 
+  /** Whether a run is known to have been on an endpoint that may have crashed. */
+  isGone({ task, run }: Pick<OpenEnd<T>, "task" | "run">): boolean {
+    return this.#open.some((one) =>
+      one.task === task && one.run === run && one.isGone === true
+    );
+  }
+
   /** The end is known, or can not count any more. False where it was not open. */
   close(task: T, run: number): boolean {
     return this.#removeWhere((one) => one.task === task && one.run === run);
@@ -75,7 +86,7 @@
     const left = this.#open.filter((one) => !isOver(one));
     const isChanged = left.length < this.#open.length;
     for (const end of this.#open) {
-      if (end.isGone === true && isOver(end)) end.task.goneRuns--;
+      if (end.isGone === true && isOver(end)) end.task.withdrawGone();
     }
     this.#open.splice(0, this.#open.length, ...left);
     return isChanged;
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -62,10 +62,11 @@
  */
 const MOST_IN_ALL = 5;
 /**
- * Operators take a task for good until two endpoints crashed under it: two crashes
- * with which it certainly was there, or four with which it was likely.
+ * Operators take a task for good until two endpoints crashed under it. Crashes with
+ * which it was likely there don't show that, however many they are: in random plays
+ * half of such runs of good work had ended before.
  */
-const LEAST_PRESENCE = 2 * Presence.Certain;
+const LEAST_CERTAIN = 2;
 /**
  * The same where all starts that operators allow are used: three likely ones. One
  * is likely where the endpoint answered within 0.15 s before the start.
@@ -104,15 +105,30 @@
   return step.lasting && ranMs >= LASTING_PROVEN_MS;
 }
 
-/** Whether the crashes under a task are reason enough to give it up. */
+/**
+ * Whether the crashes under a task are reason enough to give it up. Starts that it has
+ * spent otherwise show nothing: they count only where two crashes are sure.
+ */
 export function hasCrashedTooOften(
-  { laid, excused, presence, unseen }: CrashCount,
-  { wasAlone }: CrashEvidence,
+  count: CrashCount,
+  { wasAlone }: Pick<CrashEvidence, "wasAlone">,
+  spentStarts: number,
 ): boolean {
+  const { laid, excused, presence, unseen } = count;
   const inAll = laid + excused + unseen;
   if (inAll >= MOST_IN_ALL) return presence >= LEAST_PRESENCE_IN_ALL;
-  if (presence < LEAST_PRESENCE) return false;
-  return laid >= MOST_CRASHES || (laid >= MOST_LAID && wasAlone);
+  if (countCertain(count) < LEAST_CERTAIN) return false;
+  return inAll + spentStarts >= MOST_IN_ALL || laid >= MOST_CRASHES ||
+    (laid >= MOST_LAID && wasAlone);
+}
+
+/**
+ * Crashes with which the task certainly was there, at least: each that counts brings
+ * its presence, and one that was only likely brings one. Excused ones may have brought
+ * none.
+ */
+function countCertain({ laid, excused, presence }: CrashCount): number {
+  return presence - laid - excused;
 }
 
 /**
@@ -136,6 +152,27 @@
   return excuseCrash(added, { fellows, presence });
 }
 
+/**
+ * Whether a task has spent all starts that operators allow after a third crash, the
+ * last of them without a crash, and is known to have crashed endpoints.
+ */
+export function hasSpentAllStarts(
+  count: CrashCount,
+  spentStarts: number,
+): boolean {
+  const { laid, excused, unseen } = count;
+  return laid + excused + unseen + spentStarts >= MOST_IN_ALL &&
+    countCertain(count) >= LEAST_CERTAIN;
+}
+
+/**
+ * Whether each further start of a task may be one of the two that operators allow
+ * after a third crash: none is spent without need.
+ */
+export function hasFewStarts(possibleCrashes: number): boolean {
+  return possibleCrashes >= MOST_LAID;
+}
+
 /** Ends of a task that were crashes, or may have been. */
 export function countPossibleCrashes(
   { laid, excused, unseen }: CrashCount,
@@ -153,8 +190,8 @@
  * How long a task waits that may have crashed as many endpoints as operators allow,
  * while too little is shown to give it up: twice as long with each further end.
  */
-export function holdMs(possibleCrashes: number): number {
-  const over = possibleCrashes - MOST_IN_ALL;
+export function holdMs(possibleCrashes: number, spentStarts = 0): number {
+  const over = possibleCrashes + spentStarts - MOST_IN_ALL;
   return over < 0 ? 0 : Math.min(MOST_HOLD_MS, LEAST_HOLD_MS * 2 ** over);
 }
 
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -22,6 +22,14 @@
 /** Tasks of one workflow that may be placed at once. */
 export const MOST_PLACED = 500;
 
+/** Ends by an endpoint's own word of runs that had begun and came to nothing. */
+const HAVE_BEGUN: ReadonlySet<taskStates.RunEnd> = new Set([
+  taskStates.RunEnd.Stopped,
+  taskStates.RunEnd.Lapsed,
+  taskStates.RunEnd.Broken,
+  taskStates.RunEnd.Alone,
+]);
+
 /** A workflow. Mutable; one coordinator owns it. */
 export class Workflow {
   readonly spec: spec.WorkflowSpec;
@@ -112,9 +120,9 @@
     this.#forgiveProven(task, nowMs);
     this.#count(task, ended, nowMs);
     if (ended.isOpen === true && task.worker !== null) {
-      const { worker, bornMs } = task;
+      const { worker, bornMs, address } = task;
       const { run, presence = budgets.Presence.Likely } = ended;
-      this.openEnds.add({ task, run, worker, bornMs, presence });
+      this.openEnds.add({ task, run, worker, bornMs, address, presence });
       const { NotHeard } = histories.RunEvidence;
       task.note(histories.openEntry(ends.atEnd(task, ended), NotHeard));
     }
@@ -150,13 +158,24 @@
   }
 
   /**
-   * The endpoint of a run that was given up is neither heard nor listed. That is no
-   * crash, and no reason to end the work: it may be cut off. Returns false where
-   * nothing follows.
+   * Whether a run of a gang has lost another member, so that it ends or has ended
+   * whatever becomes of its endpoint.
+   */
+  hasLostMember(task: Task, run: number): boolean {
+    if (!task.step.gang) return false;
+    return this.siblings(task).some((other) =>
+      other !== task && (!other.isPlaced || other.run !== run)
+    );
+  }
+
+  /**
+   * The endpoint of a run that was given up is not heard, and not listed or the task is
+   * in doubt. That is no crash, and no reason to end the work: it may be cut off.
+   * Returns false where nothing follows.
    */
   suspectGone(end: Omit<openEnds.OpenEnd<Task>, "isGone">): boolean {
     const isDone = end.task.state === taskStates.TaskState.Done;
-    if (this.isOver || isDone) return false;
+    if (this.isOver || isDone || this.openEnds.isGone(end)) return false;
     this.openEnds.add({ ...end, isGone: true });
     const { task, run, worker } = end;
     const ended = { run, endpoint: worker, how: taskStates.RunEnd.Lost };
@@ -220,6 +239,7 @@
     if (ended.how === taskStates.RunEnd.Crashed) {
       this.#countCrash(task, ended);
     }
+    if (HAVE_BEGUN.has(ended.how)) this.#countSpent(task);
   }
 
   /** A lasting task that ran for long does not crash its endpoints. */
@@ -227,6 +247,7 @@
     const ranMs = nowMs - task.startedAtMs;
     if (!budgets.isProvenLasting(task.step, ranMs)) return;
     task.crashes = budgets.NO_CRASHES;
+    task.spentStarts = 0;
     task.history = histories.NO_HISTORY;
     this.openEnds.closeTask(task);
   }
@@ -261,7 +282,16 @@
   #countCrash(task: Task, ended: ends.EndOfRun): void {
     const { crash = budgets.NO_EVIDENCE } = ended;
     if (!this.#counts.addCrash(task, ended)) return;
-    if (!budgets.hasCrashedTooOften(task.crashes, crash)) return;
+    const { crashes, spentStarts } = task;
+    if (!budgets.hasCrashedTooOften(crashes, crash, spentStarts)) return;
+    this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
+  }
+
+  /** A start that ended without a crash is one of the few that it had all the same. */
+  #countSpent(task: Task): void {
+    if (!task.hasFewStarts) return;
+    task.spentStarts++;
+    if (!budgets.hasSpentAllStarts(task.crashes, task.spentStarts)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
 
--- a/packages/workflow/src/workflow_task.ts
+++ b/packages/workflow/src/workflow_task.ts
@@ -23,6 +23,8 @@
   worker: string | null = null;
   /** Birth of that worker's life; null: not told, or not known. */
   bornMs: number | null = null;
+  /** Address of that worker; null: not told, or not known. */
+  address: string | null = null;
   failures = 0;
   /** Monotonic time of its newest failure; where an earlier term saw it: never. */
   failedAtMs = Number.NEGATIVE_INFINITY;
@@ -30,6 +32,11 @@
   failedAfterMs = 0;
   /** Workers that have crashed under it. */
   crashes = budgets.NO_CRASHES;
+  /**
+   * Starts after a third possible crash that ended by a stop or with their gang: users
+   * count them as they count those that end in a crash.
+   */
+  spentStarts = 0;
   /** Runs whose endpoints are neither heard nor listed any more. */
   goneRuns = 0;
   /** Runs that counted towards giving it up, or might have. */
@@ -93,6 +100,17 @@
     return budgets.countPossibleCrashes(this.crashes, this.goneRuns);
   }
 
+  /** Whether none of the starts that it has left may be spent without need. */
+  get hasFewStarts(): boolean {
+    return budgets.hasFewStarts(this.possibleCrashes);
+  }
+
+  /** The end of a run whose endpoint was neither heard nor listed is a doubt no more. */
+  withdrawGone(): void {
+    this.goneRuns--;
+    if (!this.hasFewStarts) this.spentStarts = 0;
+  }
+
   /** Takes a run into its history. */
   note(entry: histories.RunEntry): void {
     this.history = histories.addEntry(this.history, entry);
@@ -104,10 +122,12 @@
     run: number,
     nowMs: number,
     bornMs: number | null = null,
+    address: string | null = null,
   ): void {
     this.state = states.TaskState.Starting;
     this.worker = worker;
     this.bornMs = bornMs;
+    this.address = address;
     this.run = run;
     this.startedAtMs = nowMs;
     this.endsAtMs = null;
@@ -117,6 +137,7 @@
   release(nowMs: number): void {
     this.worker = null;
     this.bornMs = null;
+    this.address = null;
     this.waitingSinceMs = nowMs;
     if (this.state !== states.TaskState.Done) {
       this.state = states.TaskState.Waiting;
