--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -38,10 +38,9 @@
 export { checkFailed, CRASHER, findBrokenRuns } from "./src/run_checks.ts";
 export { Suspensions } from "./src/suspensions.ts";
 export {
-  GIVEN_UP_PLAYS,
   isRed,
-  OVERDRAWN_PLAYS,
   PLAY_KINDS,
+  RED_PLAYS,
   type RedPlay,
 } from "./src/play_kinds.ts";
 export { faultSeeds } from "./src/fault_seeds.ts";
--- a/packages/test-utils/src/play_kinds.ts
+++ b/packages/test-utils/src/play_kinds.ts
@@ -18,28 +18,13 @@
   readonly kinds: plays.PlayKinds;
 }
 
-function redPlays(
-  name: keyof typeof PLAY_KINDS,
-  seeds: readonly number[],
-): RedPlay[] {
-  return seeds.map((seed) => ({ name, seed, kinds: PLAY_KINDS[name] }));
-}
-
-/** Work that crashes its endpoints is started once too often. */
-export const OVERDRAWN_PLAYS: readonly RedPlay[] = redPlays(
-  "rebirths",
-  [122, 123, 150],
-);
-
-/** Work that did nothing is given up. */
-export const GIVEN_UP_PLAYS: readonly RedPlay[] = [
-  ...redPlays("lapses", [10]),
-  ...redPlays("rebirths", [174, 187]),
-];
+/**
+ * Plays that are still red; left out of the usual tests. Each of them belongs into a test
+ * of its cause, which KNOWN-RED.txt lists.
+ */
+export const RED_PLAYS: readonly RedPlay[] = [];
 
-/** Whether a play is red; it is played with its like then (overdrawn_starts_test.ts). */
+/** Whether a play is red. */
 export function isRed(name: keyof typeof PLAY_KINDS, seed: number): boolean {
-  return [...OVERDRAWN_PLAYS, ...GIVEN_UP_PLAYS].some((one) =>
-    one.name === name && one.seed === seed
-  );
+  return RED_PLAYS.some((one) => one.name === name && one.seed === seed);
 }
--- a/packages/workflow-node/src/random_lapses_test.ts
+++ b/packages/workflow-node/src/random_lapses_test.ts
@@ -10,12 +10,13 @@
 /**
  * Seeds that have shown a fault: 1019 a run that an earlier coordinator had confirmed,
  * and that was done, counted as under way when its endpoint ended; 1055 a gang of
- * which another member failed each time, which users allow; the others work that
- * crashes its endpoints and was started once too often, or good work given up.
+ * which another member failed each time, which users allow; 10 good work given up for
+ * one sure crash and two likely ones; the others work that crashes its endpoints and was
+ * started once too often, or good work given up.
  */
 const FAULTY_SEEDS: readonly number[] = [
   ...[1003, 1010, 1019, 1022, 1024, 1055, 1057, 1071, 1076],
-  ...[1097, 1113, 1125, 1139],
+  ...[1097, 1113, 1125, 1139, 10],
 ];
 
 vitest.describe("random faults and entries that were found", () => {
--- a/packages/workflow-node/src/random_rebirths_test.ts
+++ b/packages/workflow-node/src/random_rebirths_test.ts
@@ -8,10 +8,16 @@
 const { rebirths, rebirthsAndCuts } = TestUtils.PLAY_KINDS;
 
 /**
- * Seeds that have shown a fault: 85 work given up that did nothing; the others work
- * that crashes its endpoints and was started once too often.
+ * Seeds that have shown a fault: 85, 174 and 187 work given up that did nothing, for
+ * runs that had ended before their endpoints did; 49 an endpoint that was never used
+ * again after a start that nobody wanted; 60 a run that counted as over, began late and was
+ * done, and began again; the others work that crashes its
+ * endpoints and was started once too often.
  */
-const FAULTY_SEEDS: readonly number[] = [7, 22, 34, 40, 85, 198];
+const FAULTY_SEEDS: readonly number[] = [
+  ...[7, 22, 34, 40, 85, 198],
+  ...[49, 60, 122, 123, 150, 174, 187, 191],
+];
 /** The same beside cuts and suspended boxes. */
 const FAULTY_SEEDS_BESIDE_CUTS: readonly number[] = [100, 158];
 
