--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -282,8 +282,8 @@
   #countCrash(task: Task, ended: ends.EndOfRun): void {
     const { crash = budgets.NO_EVIDENCE } = ended;
     if (!this.#counts.addCrash(task, ended)) return;
-    const { crashes, spentStarts } = task;
-    if (!budgets.hasCrashedTooOften(crashes, crash, spentStarts)) return;
+    const spent = task.spentStarts + task.goneRuns;
+    if (!budgets.hasCrashedTooOften(task.crashes, crash, spent)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
 
@@ -291,7 +291,8 @@
   #countSpent(task: Task): void {
     if (!task.hasFewStarts) return;
     task.spentStarts++;
-    if (!budgets.hasSpentAllStarts(task.crashes, task.spentStarts)) return;
+    const spent = task.spentStarts + task.goneRuns;
+    if (!budgets.hasSpentAllStarts(task.crashes, spent)) return;
     this.#giveUpOn(task, budgets.GiveUpReason.Crashes);
   }
 
