Play random faults where stops and the ends of gangs take their time

The random plays ended stopped runs and the members of a broken gang at once, so no seed could show two runs at once in that time. Two kinds of plays let both take up to 0.5 s and 0.4 s: one beside the usual faults, one beside cuts, foreign entries and endpoints that begin again.

--- /dev/null
+++ b/packages/workflow-node/src/random_slow_ends_test.ts
@@ -0,0 +1,21 @@
+/** Random faults where stops, and the ends of a gang's members, take their time. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+/** Seeds that CI plays, of each kind: half a minute of one core. */
+const RUNS = 6;
+const { slowEnds, slowEndsAndCuts } = TestUtils.PLAY_KINDS;
+
+vitest.describe("random faults and ends that take their time", () => {
+  for (const seed of TestUtils.faultSeeds(RUNS)) {
+    vitest.it(`lose nothing and run nothing twice, seed ${seed}`, async () => {
+      vitest.expect(await TestUtils.playRandomFaults(seed, slowEnds)).toEqual(
+        [],
+      );
+    });
+    vitest.it(`do so beside cuts and rebirths, seed ${seed}`, async () => {
+      vitest.expect(await TestUtils.playRandomFaults(seed, slowEndsAndCuts))
+        .toEqual([]);
+    });
+  }
+});
