Give no leases where neither the store nor other boxes are heard

What callers would see: a task runs twice at once for as long as a coordinator is cut off from the store and the other boxes together with the endpoint of a run (found by the review of two runs at once; such cuts are among the kinds that may come).

Cause: a coordinator renewed leases until an endpoint told it of a later term, also while it heard nobody. The next one counts former leases from its own first calls, and nothing made sure that they ended.

Ruled out: to stop renewing in every silence of the store: an outage that is longer than a lease would end all work. Not closed: a cut with most boxes on the coordinator's side (docs/design/run-ends.md).

--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -19,5 +19,6 @@
 export { Election } from "./src/election/election.ts";
 export { type CoordinatorRow, Term } from "./src/election/term.ts";
 export { restartOnDefect, type RestartParts } from "./src/restart.ts";
+export { OutageWord } from "./src/election/outage_word.ts";
 export { Fitness } from "./src/election/fitness.ts";
 export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -5,6 +5,7 @@
 import type * as TableClient from "@cairngate/table-client";
 import type * as evacuations from "./endpoints/evacuation_book.ts";
 import type * as fitnesses from "./election/fitness.ts";
+import type * as outageWords from "./election/outage_word.ts";
 
 /** Bounds that the platform sets, in milliseconds. */
 export interface WorkerBounds {
@@ -40,6 +41,7 @@
   /** Data centres in which nothing may start; kept by the node, also between terms. */
   readonly evacuations: evacuations.EvacuationBook;
   readonly fitness: fitnesses.Fitness;
+  readonly outage: outageWords.OutageWord;
   readonly bounds: WorkerBounds;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
--- a/packages/coordinator/src/sessions/endpoint_look.ts
+++ b/packages/coordinator/src/sessions/endpoint_look.ts
@@ -48,6 +48,11 @@
 const LONGEST_WAIT_MS = 1000;
 /** Endpoints wait no longer than this for an end, in ms, by their protocol. */
 const MOST_WAIT_MS = 2000;
+/**
+ * A store that answers nothing for this long, in ms, is not heard: together with the
+ * time in which a call fails less than what others wait before they take a term over.
+ */
+const STORE_SILENT_MS = 300;
 /** Looks in the time of one lease, so that two may be lost. */
 const LOOKS_PER_LEASE = 3;
 
@@ -82,7 +87,7 @@
     const order = ports.workers.renew(state.ref, {
       fencingToken: term.token,
       // A worker that is not heard gets no longer lease: it has to lapse.
-      leaseUntilMs: life.clock.isKnown && state.isReachable
+      leaseUntilMs: life.clock.isKnown && state.isReachable && this.#mayLease
         ? life.leaseEnd(sentAtMs)
         : null,
       recordedEnds: toTell,
@@ -95,6 +100,15 @@
     );
   }
 
+  /**
+   * A box that does not hear the store may have been followed by another one: it gives
+   * leases only where others say that they don't hear it either.
+   */
+  get #mayLease(): boolean {
+    const { store, outage } = this.#options.options.ports;
+    return store.silentForMs() < STORE_SILENT_MS || outage.isShared();
+  }
+
   /** Takes in the answer of the life that is present. */
   #take(
     { view, sentAtMs }: Answer,
--- a/packages/workflow-node/src/parted_coordinator_test.ts
+++ b/packages/workflow-node/src/parted_coordinator_test.ts
@@ -3,8 +3,8 @@
  * boxes together with the endpoint of a run, as where a data centre is cut off. Order
  * of events: another box is elected and can't call that endpoint; it waits for the
  * lease; the former coordinator goes on renewing it, because no endpoint that it calls
- * has heard of the new term. The lease of a former coordinator is taken to end with
- * the first calls of the next one: nothing makes sure of that here.
+ * has heard of the new term. The cause: a coordinator gave leases whether or not it
+ * heard the store; now it needs the word of other boxes that the store is away for all.
  */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
--- /dev/null
+++ b/packages/workflow-node/src/shared_outage_test.ts
@@ -0,0 +1,73 @@
+/**
+ * What a coordinator may do while it does not hear the store. Work runs on through an
+ * outage that is the same for all; a box that alone hears nobody gives no more leases
+ * (parted_coordinator_test.ts).
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+const RUN_MS = 20_000;
+const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+/** Longer than a lease, in ms. */
+const OUTAGE_MS = 9000;
+
+async function startRun(): Promise<TestUtils.TestFleet> {
+  const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1], nodes: 5 });
+  fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+  await fleet.start();
+  await fleet.submit("node-1", ID, { steps: STEPS });
+  await fleet.until(() => fleet.workers.runs.length === 1);
+  await fleet.clock.advance(1000);
+  return fleet;
+}
+
+/** How the run is after an outage of the store for these boxes. */
+async function endOf(
+  fleet: TestUtils.TestFleet,
+  boxes: readonly string[],
+): Promise<string | null> {
+  for (const name of boxes) fleet.faultsOf(name).set({ down: true });
+  await fleet.clock.advance(OUTAGE_MS);
+  for (const name of boxes) fleet.faultsOf(name).set({ down: false });
+  fleet.workers.settle();
+  const [run] = fleet.workers.runs;
+  return run.how;
+}
+
+vitest.describe("work in an outage that is longer than a lease", () => {
+  vitest.it("runs on where the store is away for all boxes", async () => {
+    const fleet = await startRun();
+    const boxes = [...fleet.nodes.keys()];
+    vitest.expect(await endOf(fleet, boxes)).toBeNull();
+    await fleet.stop();
+  });
+
+  vitest.it("runs on where one box of five has ended as well", async () => {
+    const fleet = await startRun();
+    const [lost] = [...fleet.nodes.keys()].filter((name) =>
+      name !== fleet.coordinator()
+    );
+    await fleet.kill(lost);
+    const boxes = [...fleet.nodes.keys()];
+    vitest.expect(await endOf(fleet, boxes)).toBeNull();
+    await fleet.stop();
+  });
+
+  vitest.it("runs on where the store turns the coordinator away", async () => {
+    const fleet = await startRun();
+    const boxes = [fleet.coordinator() ?? ""];
+    vitest.expect(await endOf(fleet, boxes)).toBeNull();
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    await fleet.stop();
+  });
+
+  vitest.it("lapses where the coordinator hears nobody", async () => {
+    const fleet = await startRun();
+    const former = fleet.coordinator() ?? "";
+    fleet.links.passes = (from, to) => from !== former && to !== former;
+    const boxes = [...fleet.nodes.keys()];
+    vitest.expect(await endOf(fleet, boxes)).toBe("lapsed");
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -12,6 +12,7 @@
 import * as fitnesses from "./leader_fitness.ts";
 import * as members from "./member_book.ts";
 import * as outages from "./outage_watch.ts";
+import * as sharedOutages from "./shared_outage.ts";
 
 /** Feeds that a node follows. */
 export interface NodeFeeds {
@@ -77,6 +78,7 @@
   readonly #feeds: NodeFeeds;
   readonly #election: Coordinator.Election;
   readonly #evacuations: Coordinator.EvacuationBook;
+  readonly #outage: sharedOutages.SharedOutage;
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
   /** While this node coordinates. */
@@ -132,6 +134,14 @@
       log: log.part("node"),
       inForceMs: ports.evacuationInForceMs,
     });
+    this.#outage = new sharedOutages.SharedOutage({
+      clock,
+      random,
+      peers: ports.peers,
+      others: () => this.#members.others(),
+      silentForMs: () => this.#store.silentForMs(),
+      coordinates: () => this.#coordinator !== null,
+    });
     this.#coordinatorPorts = {
       node,
       incarnation: random.id(),
@@ -153,6 +163,7 @@
         peers: ports.peers,
         reachesStore: () => this.#route.isDirect,
       }),
+      outage: this.#outage,
       bounds: ports.bounds,
       log: log.part("coordinator"),
       metrics,
@@ -187,6 +198,7 @@
       probe: () => this.#route.probe(),
     });
     this.#keep("Watching for the store's return", watch.run());
+    this.#keep("Asking others about the store", this.#outage.run());
     const follower = new TableClient.RowFollower({
       feed: this.#feeds.operator,
       clock,
