Show a run that a parted coordinator keeps beside the next one

What callers would see: a task runs twice at once for as long as the coordinator is cut off from the store and the other boxes together with the endpoint of a run.

Cause: a coordinator renews leases until an endpoint tells it of a later term, also while it hears neither the store nor any other box. The next one takes these leases to end with its own first calls.

Ruled out: to stop renewing while the store is silent: in an outage of the whole store work goes on, and one box can't tell the two apart; it has to ask the others.

--- /dev/null
+++ b/packages/workflow-node/src/parted_coordinator_test.ts
@@ -0,0 +1,63 @@
+/**
+ * A task runs twice at once while a coordinator is parted from the store and the other
+ * boxes together with the endpoint of a run, as where a data centre is cut off. Order
+ * of events: another box is elected and can't call that endpoint; it waits for the
+ * lease; the former coordinator goes on renewing it, because no endpoint that it calls
+ * has heard of the new term. The lease of a former coordinator is taken to end with
+ * the first calls of the next one: nothing makes sure of that here.
+ */
+import * as Errors from "@cairngate/errors";
+import type * as Ports from "@cairngate/ports";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+
+const ID = "a000000000000001";
+const RUN_MS = 40_000;
+const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
+/** Longer than a takeover, a lease and a new plan, in ms. */
+const PARTED_MS = 15_000;
+
+/** Orders under a token reach one endpoint only, and all others reach the rest. */
+function partEndpoint(
+  { workers }: TestUtils.TestFleet,
+  endpoint: string,
+  token: number,
+): void {
+  const pass = <A>(
+    { id }: Ports.WorkerRef,
+    fencingToken: number,
+    order: Effect.Effect<A, Ports.OrderError>,
+  ): Effect.Effect<A, Ports.OrderError> => {
+    if ((id === endpoint) === (fencingToken === token)) return order;
+    const lost = { worker: id, cause: "cut off", neverSent: false };
+    return Effect.fail(new Errors.WorkerLostError(lost));
+  };
+  const start = workers.start.bind(workers);
+  const stop = workers.stop.bind(workers);
+  const renew = workers.renew.bind(workers);
+  workers.start = (ref, order) =>
+    pass(ref, order.fencingToken, start(ref, order));
+  workers.stop = (ref, order) =>
+    pass(ref, order.fencingToken, stop(ref, order));
+  workers.renew = (ref, order) =>
+    pass(ref, order.fencingToken, renew(ref, order));
+}
+
+vitest.describe("a coordinator that is cut off with an endpoint", () => {
+  vitest.it("does not keep a run there beside the next one", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
+    fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", ID, { steps: STEPS });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    await fleet.clock.advance(1000);
+    const former = fleet.coordinator() ?? "";
+    partEndpoint(fleet, fleet.workers.runs[0].worker, fleet.token());
+    fleet.faultsOf(former).set({ down: true });
+    fleet.links.passes = (from, to) => from !== former && to !== former;
+    await fleet.clock.advance(PARTED_MS);
+    vitest.expect(TestUtils.findBrokenRuns(fleet)).toEqual([]);
+    await fleet.stop();
+  });
+});
