--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -260,7 +260,7 @@
    * that tells no end after the estimate was up shows that the estimate was wrong.
    */
   #endsAtMs(occupant: occupants.Occupant): number {
-    const endsMs = endsAtMs(occupant);
+    const endsMs = occupants.endsAtMs(occupant);
     const hasOutlasted = occupant.task.endsAtMs === null &&
       this.#heardAtMs > endsMs;
     return hasOutlasted ? Number.POSITIVE_INFINITY : endsMs;
@@ -283,15 +283,6 @@
   }
 }
 
-/**
- * When a run is done by its pace, or by its estimate before it was looked at. One
- * that is done may wait to be told of when its endpoint crashes.
- */
-function endsAtMs({ task, sentAtMs }: occupants.Occupant): number {
-  if (task.step.lasting) return Number.POSITIVE_INFINITY;
-  return task.endsAtMs ?? (sentAtMs ?? 0) + task.step.estimateMs;
-}
-
 /** Whether all tasks were started together: one task, or members of one gang. */
 function isOneUnit(tasks: readonly Workflow.Task[]): boolean {
   const units = tasks.map((task) =>
--- a/packages/coordinator/src/sessions/occupant.ts
+++ b/packages/coordinator/src/sessions/occupant.ts
@@ -107,3 +107,12 @@
   const { leftMs } = occupant.pace;
   if (leftMs !== null) occupant.task.endsAtMs = at.nowMs + leftMs;
 }
+
+/**
+ * When a run is done by its pace, or by its estimate before it was looked at. One
+ * that is done may wait to be told of when its endpoint crashes.
+ */
+export function endsAtMs({ task, sentAtMs }: Occupant): number {
+  if (task.step.lasting) return Number.POSITIVE_INFINITY;
+  return task.endsAtMs ?? (sentAtMs ?? 0) + task.step.estimateMs;
+}
