List a play in which a late start runs beside the next run, with its trace

From its runs and log: run 2 had no answer, was stopped, and its endpoint answered without it, so run 3 began elsewhere; the endpoint ended, and the start of run 2 was carried out 2.5 s late in its next life, which no box had called by then.

--- a/packages/workflow-node/src/random_rebirths_test.ts
+++ b/packages/workflow-node/src/random_rebirths_test.ts
@@ -56,3 +56,17 @@
     });
   }
 });
+
+/**
+ * A task runs twice at once: run 2 has no answer and is stopped, so run 3 begins
+ * elsewhere; the endpoint of run 2 ends, its next life has heard of no stop, and the
+ * start of run 2 is carried out there, 2.5 s late, before any box has called that
+ * life. Nothing that a coordinator does keeps such a start away (lives.md). The
+ * evidence: the runs of this play, of which run 2 was late and its life not called.
+ */
+vitest.describe("a start carried out in a life that nobody has called", () => {
+  vitest.it("does not run beside the next one, seed 3008", async () => {
+    vitest.expect(await TestUtils.playRandomFaults(3008, rebirthsAndCuts))
+      .toEqual([]);
+  });
+});
