--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -19,6 +19,7 @@
 }
 
 const SEAL_MS = 2000;
+/** First and longest pause between two tries, in ms. */
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 2000;
 /** A worker that does not answer for this long is taken as gone. */
--- a/packages/http-json/src/never_sent_test.ts
+++ b/packages/http-json/src/never_sent_test.ts
@@ -11,7 +11,7 @@
 import * as vitest from "vitest";
 import * as callers from "./http_caller.ts";
 
-const CALL = { method: "POST", path: "/run-start", body: {} } as const;
+const CALL = { method: "POST", path: "/start", body: {} } as const;
 
 /** How a call ends that has arrived when its connection fails. */
 async function failOpen(code: string): Promise<boolean> {
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -25,6 +25,7 @@
   readonly metrics: Metrics.Metrics;
 }
 
+/** First and longest pause between two tries, in ms. */
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 1000;
 const CONNECT_MS = 1000;
--- a/packages/table-client/src/row_follower.ts
+++ b/packages/table-client/src/row_follower.ts
@@ -47,6 +47,7 @@
 const ANSWER_MS = 500;
 /** The same for large answers: 1 MB, which the stores give, at 1.5 Mbit/s. */
 const LONGEST_ANSWER_MS = 6000;
+/** First and longest pause between two tries, in ms. */
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 250;
 /** Longest pause where somebody else notices the end of an outage, in ms. */
--- a/packages/table-client/src/store_health.ts
+++ b/packages/table-client/src/store_health.ts
@@ -16,6 +16,7 @@
 const LONGEST_WRITE_MS = 2000;
 /** Writes that take this many times the usual time are late. */
 const HEDGE_FACTOR = 4;
+/** Shortest and longest time before a second try, in ms. */
 const LEAST_HEDGE_MS = 40;
 const LONGEST_HEDGE_MS = 1000;
 /**
--- a/packages/table-client/src/timed_calls.ts
+++ b/packages/table-client/src/timed_calls.ts
@@ -21,6 +21,7 @@
   readonly partition: string;
 }
 
+/** First and longest pause between two tries, in ms. */
 const FIRST_BACKOFF_MS = 40;
 const LONGEST_BACKOFF_MS = 1000;
 
--- a/packages/table-client/src/write_budget.ts
+++ b/packages/table-client/src/write_budget.ts
@@ -3,6 +3,7 @@
 import * as Effect from "effect/Effect";
 import * as storeErrors from "./store_errors.ts";
 
+/** Writes of so many seconds may go out at once. */
 const BURST_SECONDS = 1;
 
 /** Budget of one box. */
--- a/packages/test-utils/src/slow_faults.ts
+++ b/packages/test-utils/src/slow_faults.ts
@@ -34,6 +34,7 @@
 const RESET_SHARES: readonly number[] = [0.5, 1];
 /** Orders on their way for which a reset waits, and how long it does, in ms. */
 const ORDERS_TO_STRIKE = 2;
+/** Longest wait for orders that are on their way, in ms, and its steps. */
 const AWAIT_ORDERS_MS = 300;
 const ORDERS_STEP_MS = 2;
 const HOST = "jobs.example";
--- a/packages/test-utils/src/slow_play.ts
+++ b/packages/test-utils/src/slow_play.ts
@@ -39,6 +39,7 @@
 const RUN_MS = { least: 2000, most: 8000 };
 /** Share of the runs that fail, sooner or later: a gang of six breaks in one of four. */
 const FAIL_SHARE = 0.05;
+/** Time after which a run fails at the earliest, in ms. */
 const LEAST_FAILING_MS = 100;
 /** Share of the faults that strike while a run is about to end, if one is. */
 const IN_END_SHARE = 0.7;
