Play two hard loads against the planner alone: competing teams, uneven endpoints

tools/decisions knew one kind of team and endpoints that are all alike. Two loads more, from the sheets of the two customers: teams whose guarantees and work fall as n^-1.2 beside endpoints whose memory runs out first; endpoints of speeds 0.6, 1 and 1.6, tasks of which 3 in 100 take seven times as long, traffic that swings by 0.55.

The loads that were there draw the same as before (play_test).

--- a/tools/decisions/src/draw.ts
+++ b/tools/decisions/src/draw.ts
@@ -70,7 +70,7 @@
     const peak = Math.max(
       1,
       ...load.bursts.map(({ factor }) => factor),
-    );
+    ) * (1 + (load.wave?.swing ?? 0));
     let atMs = draws.gapMs(queue.perSecond * peak);
     while (atMs < lengthMs) {
       // Thinned from the highest rate, so that a burst changes no other draw.
@@ -89,12 +89,47 @@
   queue: loads.QueueLoad,
   atMs: number,
 ): number {
+  const { wave } = load;
+  const swung = wave === undefined
+    ? 1
+    : 1 + wave.swing * Math.sin(2 * Math.PI * atMs / wave.periodMs);
   return load.bursts
     .filter((burst) =>
       (burst.queue === null || burst.queue === queue.queue) &&
       burst.fromMs <= atMs && atMs < burst.untilMs
     )
-    .reduce((rate, { factor }) => rate * factor, 1);
+    .reduce((rate, { factor }) => rate * factor, swung);
+}
+
+/** The share that each team has of all guarantees and of all work. */
+export function teamShares(load: loads.Load): readonly number[] {
+  const skew = load.teamSkew ?? 0;
+  const weights = Array.from(
+    { length: load.teams },
+    (_, i) => (i + 1) ** -skew,
+  );
+  const sum = weights.reduce((total, weight) => total + weight, 0);
+  return weights.map((weight) => weight / sum);
+}
+
+function drawTeam(load: loads.Load, draws: Draws): string {
+  const drawn = draws.next();
+  // A few teams are large.
+  if (load.teamSkew === undefined) {
+    return nameOfTeam(Math.floor(load.teams * drawn ** 2));
+  }
+  let left = drawn;
+  const shares = teamShares(load);
+  for (const [i, share] of shares.entries()) {
+    left -= share;
+    if (left < 0) return nameOfTeam(i);
+  }
+  return nameOfTeam(load.teams - 1);
+}
+
+/** Name of a load's team. */
+export function nameOfTeam(i: number): string {
+  return `team-${i}`;
 }
 
 let ids = 0;
@@ -133,8 +168,7 @@
   });
   const workflow = new Workflow.Workflow({
     id: `w${ids++}`,
-    // A few teams are large.
-    tenant: `team-${Math.floor(load.teams * draws.next() ** 2)}`,
+    tenant: drawTeam(load, draws),
     policy: {
       queue: queue.queue,
       service: "analysis",
@@ -152,7 +186,7 @@
   const runMs = new Map(
     [...workflow.tasks].map(({ key }) => [
       key,
-      trueMs * (0.85 + 0.3 * draws.next()),
+      trueMs * (0.85 + 0.3 * draws.next()) * drawTail(queue, draws),
     ]),
   );
   const longestMs = Math.max(...runMs.values());
@@ -168,6 +202,11 @@
   };
 }
 
+function drawTail({ tail }: loads.QueueLoad, draws: Draws): number {
+  if (tail === undefined || draws.next() >= tail.share) return 1;
+  return tail.factor;
+}
+
 /** Callers ask for one rack only where an empty one would do. */
 function fitsOneRack(
   load: loads.Load,
--- a/tools/decisions/src/load.ts
+++ b/tools/decisions/src/load.ts
@@ -22,6 +22,8 @@
   };
   /** How far estimates are off, as a share of the time. */
   readonly estimateOff: number;
+  /** A share of the tasks takes so many times as long as the others. */
+  readonly tail?: { readonly share: number; readonly factor: number };
   readonly gangShare: number;
   /** Share of the gangs that want one rack. */
   readonly oneRackShare: number;
@@ -51,8 +53,17 @@
   readonly memoryMb: number;
   readonly accelerators: number;
   readonly teams: number;
+  /**
+   * How uneven teams are: the n-th has paid for, and hands in, n^-skew times what the
+   * first one does. Left out: equal guarantees, and a few teams that hand in more.
+   */
+  readonly teamSkew?: number;
   /** Share of all accelerators that teams have paid for. */
   readonly guaranteedShare: number;
+  /** Speeds of endpoints; each is as likely as the others. Left out: all alike. */
+  readonly speeds?: readonly number[];
+  /** Traffic swings by this share about its mean. Left out: it is even. */
+  readonly wave?: { readonly swing: number; readonly periodMs: number };
   /** Time that a stop takes, in ms. */
   readonly stopMs: number;
   /** Work since the last checkpoint that a stop loses at most, in ms. */
@@ -205,7 +216,80 @@
   }),
 };
 
+/** Uneven teams compete for endpoints whose memory runs out first. */
+const COMPETING: Load = {
+  ...WIDE_MEMORY,
+  name: "competing",
+  rackSize: 12,
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  teamSkew: 1.2,
+  guaranteedShare: 0.62,
+  stopMs: 150,
+  checkpointMs: 1000,
+  queues: queuesOf({
+    cpuMillis: 64_000,
+    rebuild: {
+      attempts: 2,
+      memoryMb: 38_000,
+      perSecond: 0.94,
+      runMs: { mean: 11_000, spread: 0.3, max: 11_000 },
+      estimateOff: 0.5,
+    },
+    urgent: { memoryMb: 20_000, perSecond: 5, latencyMs: 250 },
+    batch: {
+      attempts: 3,
+      memoryMb: 8200,
+      perSecond: 1.15,
+      runMs: { mean: 7600, spread: 0.3, max: 11_000 },
+      estimateOff: 0.9,
+    },
+  }),
+};
+
+const LONG_TAIL = { share: 0.03, factor: 7 };
+
+/** Endpoints, work and demand are uneven, and racks are wide. */
+const UNEVEN: Load = {
+  ...WIDE_MEMORY,
+  name: "uneven",
+  rackSize: 20,
+  guaranteedShare: 0.62,
+  stopMs: 600,
+  checkpointMs: 2000,
+  speeds: [0.6, 1, 1.6],
+  wave: { swing: 0.55, periodMs: 13_000 },
+  queues: queuesOf({
+    cpuMillis: 128_000,
+    rebuild: {
+      attempts: 3,
+      memoryMb: 210_000,
+      perSecond: 1.27,
+      runMs: { mean: 7200, spread: 0.3, max: 76_000 },
+      estimateOff: 0.5,
+      tail: LONG_TAIL,
+    },
+    urgent: {
+      attempts: 4,
+      memoryMb: 44_000,
+      perSecond: 4.32,
+      latencyMs: 250,
+      runMs: { mean: 2100, spread: 0.5, max: 22_000 },
+      tail: LONG_TAIL,
+    },
+    batch: {
+      memoryMb: 33_000,
+      perSecond: 1.56,
+      runMs: { mean: 5200, spread: 0.3, max: 55_000 },
+      estimateOff: 0.5,
+      tail: LONG_TAIL,
+    },
+  }),
+};
+
 /** Loads by name. */
 export const LOADS: ReadonlyMap<string, Load> = new Map(
-  [WIDE_MEMORY, EVEN, SMALL].map((load) => [load.name, load]),
+  [WIDE_MEMORY, EVEN, SMALL, COMPETING, UNEVEN].map((
+    load,
+  ) => [load.name, load]),
 );
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -50,6 +50,7 @@
 interface Endpoint {
   readonly id: string;
   readonly rack: string;
+  readonly speed: number;
   readonly occupants: Set<Workflow.Task>;
 }
 
@@ -79,18 +80,21 @@
 
   constructor(load: loads.Load, seed: number) {
     this.#load = load;
+    const speeds = load.speeds ?? [1];
     this.#endpoints = Array.from({ length: load.endpoints }, (_, i) => ({
       id: `endpoint-${i}`,
       rack: `rack-${Math.floor(i / load.rackSize)}`,
+      // Not in order, so that each rack has endpoints of all speeds.
+      speed: speeds[(i * 7 + Math.floor(i / load.rackSize)) % speeds.length],
       occupants: new Set<Workflow.Task>(),
     }));
     this.#byId = new Map(this.#endpoints.map((one) => [one.id, one]));
     this.#arrivals = draws.drawArrivals(load, seed, TRAFFIC_MS);
     const all = load.endpoints * load.accelerators * load.guaranteedShare;
     this.#guarantees = new Map(
-      Array.from({ length: load.teams }, (_, i) => [
-        `team-${i}`,
-        Math.round(all / load.teams),
+      draws.teamShares(load).map((share, i) => [
+        draws.nameOfTeam(i),
+        Math.round(all * share),
       ]),
     );
   }
@@ -137,7 +141,7 @@
     this.#measureRoom(plan);
   }
 
-  #stateOf({ id, rack, occupants }: Endpoint): Scheduler.WorkerState {
+  #stateOf({ id, rack, speed, occupants }: Endpoint): Scheduler.WorkerState {
     for (const task of occupants) {
       const run = this.#runOf.get(task);
       if (run === undefined) continue;
@@ -152,7 +156,7 @@
       labels: new Set(),
       total: this.#load,
       usable: true,
-      speed: 1,
+      speed,
       occupants: [...occupants],
     };
   }
@@ -170,8 +174,12 @@
     const { step } = unit;
     const isAway = (step.rack !== null && !isOnly(racks, step.rack)) ||
       (step.gang && step.sameRack && racks.size > 1);
+    // A gang comes on at the pace of its slowest member.
     const longestMs = Math.max(
-      ...unit.tasks.map(({ key }) => arrival.runMs.get(key) ?? 0),
+      ...unit.tasks.map(({ key }, i) =>
+        (arrival.runMs.get(key) ?? 0) /
+        (this.#byId.get(workers[i])?.speed ?? 1)
+      ),
     );
     const doneBefore = this.#saved.get(unit.tasks[0]) ?? 0;
     const lastsMs = longestMs * (isAway ? REMOTE_PENALTY : 1);
