Tell which kinds of hard load a deployment has, by its settings and what is seen

What is decided under load is to be used only where a deployment calls for it. The settings name two features, hardLoad.competingTeams and hardLoad.unevenEndpoints, each off, auto or on; left out they are off. Nothing is decided by them yet; the plan is told, the state dump and two gauges show them, a change is logged.

Ruled out: a list of deployments, and one switch for all (teams and endpoints are different loads).

--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -1,5 +1,6 @@
 /** The schema of a workflow node's settings file. */
 import type * as Errors from "@cairngate/errors";
+import * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import * as Schema from "effect/Schema";
 import * as decoding from "./decode_yaml.ts";
@@ -33,6 +34,13 @@
   cores: Positive,
 });
 
+const UseSchema = Schema.optionalKey(Schema.Enum(Types.FeatureUse));
+
+const HardLoadSchema = Schema.Struct({
+  competingTeams: UseSchema,
+  unevenEndpoints: UseSchema,
+});
+
 const NodeSchema = Schema.Struct({
   node: Name,
   zone: Name,
@@ -48,6 +56,7 @@
   graceSeconds: Positive,
   adviceAddress: Schema.optionalKey(Schema.NullOr(Address)),
   bounds: BoundsSchema,
+  hardLoad: Schema.optionalKey(HardLoadSchema),
   logLevel: Schema.optionalKey(
     Schema.Literals(["error", "warn", "info", "debug"]),
   ),
@@ -93,6 +102,8 @@
   /** Address of the advice service; null where there is none. */
   readonly adviceAddress: string | null;
   readonly bounds: NodeBounds;
+  /** Features for hard load; those that are not set are off. */
+  readonly hardLoad: Types.HardLoadSettings;
   readonly logLevel: "error" | "warn" | "info" | "debug";
   readonly logFormat: "text" | "json";
 }
@@ -107,6 +118,7 @@
     ...parsed,
     adviceAddress: parsed.adviceAddress ?? null,
     evacuationInForceMs: parsed.evacuationInForceMs ?? DEFAULT_EVACUATION_MS,
+    hardLoad: { ...Types.HARD_LOAD_OFF, ...parsed.hardLoad },
     logLevel: parsed.logLevel ?? "info",
     logFormat: parsed.logFormat ?? "text",
   }));
--- a/packages/config/src/node_settings_test.ts
+++ b/packages/config/src/node_settings_test.ts
@@ -53,3 +53,32 @@
     vitest.expect(err.message).toContain("evacuationInForceMs");
   });
 });
+
+vitest.describe("hardLoad", () => {
+  vitest.it("is off where the file does not ask for it", async () => {
+    const { hardLoad } = await parse(TEXT);
+    vitest.expect(hardLoad).toEqual({
+      competingTeams: "off",
+      unevenEndpoints: "off",
+    });
+  });
+
+  vitest.it("is what the file says, each feature by itself", async () => {
+    const { hardLoad } = await parse(
+      `${TEXT}hardLoad: { competingTeams: auto }`,
+    );
+    vitest.expect(hardLoad).toEqual({
+      competingTeams: "auto",
+      unevenEndpoints: "off",
+    });
+  });
+
+  vitest.it("is refused where it is no known use", async () => {
+    const parsed = settings.parseNodeSettings(
+      `${TEXT}hardLoad: { competingTeams: sometimes }`,
+      "node.yaml",
+    );
+    const err = await Effect.runPromise(Effect.flip(parsed));
+    vitest.expect(err.message).toContain("hardLoad.competingTeams");
+  });
+});
--- /dev/null
+++ b/packages/coordinator/src/load/hard_load_watch.ts
@@ -0,0 +1,74 @@
+/**
+ * Tells which kinds of hard load the deployment has, by its settings, by what its
+ * teams have paid for and by how its endpoints run.
+ */
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as Types from "@cairngate/types";
+import type * as ports from "../ports.ts";
+
+/** Judges the load of one term. */
+export class HardLoadWatch {
+  readonly #ports: Pick<ports.CoordinatorPorts, "hardLoad" | "log" | "metrics">;
+  #load: Scheduler.HardLoad = Scheduler.NO_HARD_LOAD;
+
+  constructor(
+    watched: Pick<ports.CoordinatorPorts, "hardLoad" | "log" | "metrics">,
+  ) {
+    this.#ports = watched;
+  }
+
+  /** Kinds of hard load as last judged. */
+  get load(): Scheduler.HardLoad {
+    return this.#load;
+  }
+
+  /** Judges anew; a change is told. */
+  look(
+    guarantees: ReadonlyMap<string, number>,
+    speeds: readonly number[],
+  ): void {
+    const { competingTeams, unevenEndpoints } = this.#ports.hardLoad;
+    const before = this.#load;
+    this.#load = {
+      teamsCompete: isUsed(
+        competingTeams,
+        () => Scheduler.haveLargeTeam(guarantees),
+      ),
+      endpointsDiffer: isUsed(
+        unevenEndpoints,
+        () =>
+          Scheduler.doEndpointsDiffer(
+            Scheduler.speedSpread(speeds),
+            before.endpointsDiffer,
+          ),
+      ),
+    };
+    this.#tell(before, speeds);
+  }
+
+  #tell(before: Scheduler.HardLoad, speeds: readonly number[]): void {
+    const { log, metrics } = this.#ports;
+    const { teamsCompete, endpointsDiffer } = this.#load;
+    if (teamsCompete !== before.teamsCompete) {
+      metrics.set("cairngate_teams_compete", Number(teamsCompete));
+      log.info(
+        teamsCompete
+          ? "Teams of very different size compete: shares count from now on."
+          : "No team is much larger than the others: shares do not count.",
+      );
+    }
+    if (endpointsDiffer !== before.endpointsDiffer) {
+      metrics.set("cairngate_endpoints_differ", Number(endpointsDiffer));
+      const spread = Scheduler.speedSpread(speeds).toFixed(2);
+      const verb = endpointsDiffer ? "differ" : "no longer differ";
+      log.info(
+        `Endpoints ${verb} in speed: the fast are ${spread} times as fast.`,
+      );
+    }
+  }
+}
+
+function isUsed(use: Types.FeatureUse, isCalledFor: () => boolean): boolean {
+  if (use === Types.FeatureUse.Auto) return isCalledFor();
+  return use === Types.FeatureUse.On;
+}
--- /dev/null
+++ b/packages/coordinator/src/load/hard_load_watch_test.ts
@@ -0,0 +1,44 @@
+/** When the features for hard load are used. */
+import * as Logger from "@cairngate/logger";
+import * as Metrics from "@cairngate/metrics";
+import * as Types from "@cairngate/types";
+import * as vitest from "vitest";
+import * as watches from "./hard_load_watch.ts";
+
+const UNEVEN_TEAMS = new Map([["large", 400], ["a", 50], ["b", 50]]);
+const EVEN_TEAMS = new Map([["a", 50], ["b", 50]]);
+const UNEVEN_SPEEDS = [0.6, 0.6, 1, 1, 1.5, 1.5];
+
+function watch(competing: Types.FeatureUse, uneven: Types.FeatureUse) {
+  return new watches.HardLoadWatch({
+    hardLoad: { competingTeams: competing, unevenEndpoints: uneven },
+    log: Logger.silentLogger(),
+    metrics: new Metrics.Metrics(),
+  });
+}
+
+vitest.describe("a watch of the load", () => {
+  vitest.it("finds none where the settings ask for no feature", () => {
+    const off = watch(Types.FeatureUse.Off, Types.FeatureUse.Off);
+    off.look(UNEVEN_TEAMS, UNEVEN_SPEEDS);
+    vitest.expect(off.load)
+      .toEqual({ teamsCompete: false, endpointsDiffer: false });
+  });
+
+  vitest.it("finds by itself what configuration and fleet call for", () => {
+    const auto = watch(Types.FeatureUse.Auto, Types.FeatureUse.Auto);
+    auto.look(UNEVEN_TEAMS, [1, 1, 1]);
+    vitest.expect(auto.load)
+      .toEqual({ teamsCompete: true, endpointsDiffer: false });
+    auto.look(EVEN_TEAMS, UNEVEN_SPEEDS);
+    vitest.expect(auto.load)
+      .toEqual({ teamsCompete: false, endpointsDiffer: true });
+  });
+
+  vitest.it("finds what the settings say, whatever is seen", () => {
+    const on = watch(Types.FeatureUse.On, Types.FeatureUse.On);
+    on.look(EVEN_TEAMS, [1]);
+    vitest.expect(on.load)
+      .toEqual({ teamsCompete: true, endpointsDiffer: true });
+  });
+});
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -3,6 +3,7 @@
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
 import type * as TableClient from "@cairngate/table-client";
+import type * as Types from "@cairngate/types";
 import type * as evacuations from "./endpoints/evacuation_book.ts";
 import type * as fitnesses from "./election/fitness.ts";
 import type * as outageWords from "./election/outage_word.ts";
@@ -43,6 +44,7 @@
   readonly fitness: fitnesses.Fitness;
   readonly outage: outageWords.OutageWord;
   readonly bounds: WorkerBounds;
+  readonly hardLoad: Types.HardLoadSettings;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
 }
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -2,6 +2,7 @@
 import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import * as describing from "./describe.ts";
+import * as guarantees from "./guarantee_watch.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
 import * as rowFollowers from "./row_followers.ts";
@@ -10,6 +11,8 @@
 const SWEEP_MS = 5000;
 /** Time between two looks at all running tasks. */
 const WATCH_MS = 400;
+/** Time between two looks at which kinds of hard load there are, in ms. */
+const LOAD_MS = 1000;
 /** A store that is silent for this long holds up plans. */
 const STORE_SILENT_MS = 600;
 
@@ -51,6 +54,7 @@
         this.#parts.directory,
       ),
       guarantees: this.#parts.guarantees.describe(),
+      hardLoad: this.#parts.hardLoad.load,
     };
   }
 
@@ -78,6 +82,7 @@
         this.#parts.planning.run(),
         clock.every(SWEEP_MS, this.#parts.book.sweep()),
         clock.every(WATCH_MS, Effect.sync(() => this.#lookAtRuns())),
+        clock.every(LOAD_MS, Effect.sync(() => this.#lookAtLoad())),
       ], { concurrency: "unbounded", discard: true });
     });
     const all = Effect.all([this.#parts.recovery.openAll(), work], {
@@ -128,6 +133,13 @@
     this.#parts.guarantees.look();
   }
 
+  #lookAtLoad(): void {
+    this.#parts.hardLoad.look(
+      guarantees.guaranteesOf(this.#ports.config()),
+      this.#parts.directory.states().map(({ speed }) => speed),
+    );
+  }
+
   /**
    * No plan while the store is silent: its orders would not leave. None either while
    * a data centre may be evacuated without this box's knowledge.
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -65,6 +65,8 @@
   readonly workers: readonly WorkerDump[];
   readonly evacuations: readonly EvacuationDump[];
   readonly guarantees: GuaranteeDump;
+  /** Kinds of hard load that the decisions take into account. */
+  readonly hardLoad: Scheduler.HardLoad;
 }
 
 /** One run for which a workflow was given up. */
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -6,6 +6,7 @@
 import type * as advice from "./advice_book.ts";
 import * as guarantees from "./guarantee_watch.ts";
 import type * as ports from "../ports.ts";
+import type * as hardLoads from "../load/hard_load_watch.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
@@ -16,6 +17,7 @@
   readonly directory: directories.WorkerDirectory;
   readonly control: controls.RunControl;
   readonly advice: advice.AdviceBook;
+  readonly hardLoad: hardLoads.HardLoadWatch;
   /** Workflows of which something may start. */
   readonly live: () => readonly Workflow.Workflow[];
   /** Workflows of which nothing may start before their records are there. */
@@ -109,6 +111,7 @@
       wallMs: clock.wallMs(),
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
+      hardLoad: this.#parts.hardLoad.load,
     };
   }
 
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,5 +1,6 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
+import * as hardLoads from "../load/hard_load_watch.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
@@ -39,6 +40,7 @@
   readonly watch: watches.RunWatch;
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
+  readonly hardLoad: hardLoads.HardLoadWatch;
 }
 
 /** Makes the parts of one term. */
@@ -76,8 +78,10 @@
     book,
     control,
   });
+  const hardLoad = new hardLoads.HardLoadWatch(given);
   const planning = new plannings.Planning({
     ...shared,
+    hardLoad,
     control,
     live: () => book.live,
     unrecorded: () => book.unrecorded,
@@ -92,6 +96,7 @@
     watch: new watches.RunWatch(given, directory, control),
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
+    hardLoad,
   };
 }
 
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -4,6 +4,7 @@
 import * as Ports from "@cairngate/ports";
 import * as StandIns from "@cairngate/stand-ins";
 import * as TableClient from "@cairngate/table-client";
+import * as Types from "@cairngate/types";
 import * as Workflow from "@cairngate/workflow";
 import * as Node from "@cairngate/workflow-node";
 import * as Effect from "effect/Effect";
@@ -101,6 +102,7 @@
   readonly #coresOf: (name: string) => number;
   readonly #advisor: Ports.Advisor | null;
   readonly #bounds: typeof FLEET_BOUNDS;
+  readonly #hardLoad: Types.HardLoadSettings;
   /** Place of each endpoint's address. */
   readonly #placeOf = new Map<string, number>();
   readonly #logOf: (node: string, clock: Ports.Clock) => Logger.Logger;
@@ -119,6 +121,8 @@
       advisor?: (clock: Ports.Clock) => Ports.Advisor;
       /** Longest lease of an endpoint, in ms. */
       longestLeaseMs?: number;
+      /** Features for hard load; left out: none. */
+      hardLoad?: Types.HardLoadSettings;
       /** Data centre of the endpoint at each place; left out: one for all. */
       dataCentreOf?: (place: number) => string;
       /** Logger of each node; silent where it is left out. */
@@ -132,6 +136,7 @@
       ...FLEET_BOUNDS,
       longestLeaseMs: options.longestLeaseMs ?? FLEET_BOUNDS.longestLeaseMs,
     };
+    this.#hardLoad = options.hardLoad ?? Types.HARD_LOAD_OFF;
     this.#advisor = options.advisor?.(this.clock) ?? null;
     this.random = new randoms.SeededRandom(options.seed ?? 1);
     this.faults = new StandIns.FaultSwitch(this.clock, this.random);
@@ -204,6 +209,7 @@
       },
       processorCores: this.#coresOf(name),
       bounds: this.#bounds,
+      hardLoad: this.#hardLoad,
       storeWritesPerSecond: WRITES_PER_SECOND,
       storeRowBytes: ROW_BYTES,
       configInForceMs: CONFIG_IN_FORCE_MS,
--- a/packages/types/mod.ts
+++ b/packages/types/mod.ts
@@ -1,6 +1,7 @@
 /** Shared data types of cairngate. Every other package may import this one. */
 export * from "./src/config.ts";
 export * from "./src/decision.ts";
+export * from "./src/feature_use.ts";
 export * from "./src/job.ts";
 export * from "./src/peer.ts";
 export * from "./src/worker.ts";
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -7,6 +7,7 @@
 import * as Ports from "@cairngate/ports";
 import * as StoreRelay from "@cairngate/store-relay";
 import * as TableClient from "@cairngate/table-client";
+import type * as Types from "@cairngate/types";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as fitnesses from "./leader_fitness.ts";
@@ -40,6 +41,8 @@
   /** Processor that this node may use, in cores. */
   readonly processorCores: number;
   readonly bounds: Coordinator.WorkerBounds;
+  /** Features for hard load that the settings ask for. */
+  readonly hardLoad: Types.HardLoadSettings;
   readonly storeWritesPerSecond: number;
   /** Most bytes of one row's value. */
   readonly storeRowBytes: number;
@@ -165,6 +168,7 @@
       }),
       outage: this.#outage,
       bounds: ports.bounds,
+      hardLoad: ports.hardLoad,
       log: log.part("coordinator"),
       metrics,
     };
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -1,4 +1,11 @@
 /** Decisions about workflows as plain data. */
+export {
+  doEndpointsDiffer,
+  type HardLoad,
+  haveLargeTeam,
+  NO_HARD_LOAD,
+  speedSpread,
+} from "./src/hard_load.ts";
 export { fitTogether, isEligible, type WorkerState } from "./src/fleet.ts";
 export {
   makePlan,
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -2,6 +2,7 @@
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
 import * as fleet from "./fleet.ts";
+import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
 import * as placement from "./placement.ts";
 import * as rank from "./rank.ts";
@@ -23,6 +24,8 @@
   readonly remotePenalty: number;
   /** Whether the advice for a step lets it run on a worker now. */
   readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
+  /** Kinds of hard load that the deployment has; left out: none. */
+  readonly hardLoad?: hardLoads.HardLoad;
 }
 
 /** Start these tasks on these workers. */
