--- a/tools/decisions/src/load.ts
+++ b/tools/decisions/src/load.ts
@@ -1,4 +1,5 @@
 /** Loads: what the fleet has and what callers ask for, as an operator's sheet says. */
+import type * as Scheduler from "@cairngate/workflow-scheduler";
 
 /** A queue and the work that comes in through it. */
 export interface QueueLoad {
@@ -70,6 +71,8 @@
   readonly checkpointMs: number;
   readonly queues: readonly QueueLoad[];
   readonly bursts: readonly Burst[];
+  /** Kinds of hard load that the planner is told of; left out: none. */
+  readonly hardLoad?: Scheduler.HardLoad;
 }
 
 const SIZES: readonly number[] = [1, 2, 4, 8, 8];
@@ -224,6 +227,7 @@
   cpuMillis: 64_000,
   memoryMb: 131_072,
   teamSkew: 1.2,
+  hardLoad: { teamsCompete: true, endpointsDiffer: false },
   guaranteedShare: 0.62,
   stopMs: 150,
   checkpointMs: 1000,
@@ -258,6 +262,7 @@
   stopMs: 600,
   checkpointMs: 2000,
   speeds: [0.6, 1, 1.6],
+  hardLoad: { teamsCompete: false, endpointsDiffer: true },
   wave: { swing: 0.55, periodMs: 13_000 },
   queues: queuesOf({
     cpuMillis: 128_000,
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -134,6 +134,7 @@
       wallMs: this.#nowMs,
       remotePenalty: REMOTE_PENALTY,
       isAdvised: () => true,
+      hardLoad: this.#load.hardLoad,
     });
     for (const { task } of plan.stops) this.#stop(task);
     for (const start of plan.starts) this.#start(start);
