Reproduce a term that is lost by one renewal without an answer: tests that fail

Cause, by reading: renewals follow one another. One that the store swallows is given up after the time that any write may take (1 s), the next one is due 0.35 s later; others take a term over after 0.9 s without a renewal where renewals came at their usual pace.

The stand-in of the store failed calls at once where answers were lost, so no test could show it: it can swallow writes now, neither carried out nor answered.

--- a/packages/stand-ins/src/fault_switch.ts
+++ b/packages/stand-ins/src/fault_switch.ts
@@ -17,6 +17,8 @@
   readonly silentFeeds: readonly string[];
   /** Share of writes whose answer is lost after they took effect. */
   readonly loseAnswers: number;
+  /** Share of writes that are neither carried out nor answered. */
+  readonly swallowWrites: number;
   /** Looks for changes are answered in time and show none. */
   readonly hideChanges: boolean;
   /** Time that every call takes, in milliseconds. */
@@ -34,6 +36,7 @@
   downPartitions: [],
   silentFeeds: [],
   loseAnswers: 0,
+  swallowWrites: 0,
   hideChanges: false,
   delayMs: 0,
   kilobyteMs: 0,
@@ -84,6 +87,7 @@
       // A probe goes over a new connection.
       const isSwallowed = way.isSilent && operation !== "probe";
       if (silent || isSwallowed) return yield* Effect.never;
+      if (operation === "write" && this.#swallows()) return yield* Effect.never;
       if (delayMs > 0) yield* this.#clock.sleep(delayMs);
       if (this.faults.down || this.faults.downPartitions.includes(partition)) {
         const cause = "outage";
@@ -100,6 +104,12 @@
     });
   }
 
+  /** Draws only where the fault is in force: other plays stay as they are. */
+  #swallows(): boolean {
+    const { swallowWrites } = this.faults;
+    return swallowWrites > 0 && this.#random.next() < swallowWrites;
+  }
+
   /** Brings the rows of a scan to the reader, beside those of other scans. */
   #carry(answer: unknown): Effect.Effect<void> {
     const { kilobyteMs } = this.faults;
--- /dev/null
+++ b/packages/workflow-node/src/swallowed_renewals_test.ts
@@ -0,0 +1,59 @@
+/**
+ * The store loses answers for some seconds, and a share of the writes comes to nothing.
+ *
+ * Symptom: a term changes hands each two seconds while the holder is alive and the
+ * store answers two writes of three. Work that waits stands still in each takeover.
+ * Order: a renewal has no answer; the holder waits a second for it, and then until the
+ * next one is due; the others have seen no renewal for 0.9 s by then and take the term.
+ * The new holder meets the same.
+ * Cause: one renewal at a time, each of them given up only with the time that any write
+ * may take, which is longer than the silence that ends a term.
+ * Evidence: tokens that rise while the holder is alive, with "the row has changed".
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+/** The pace of the renewals is known by then, and silence is judged by it, in ms. */
+const KNOWN_PACE_MS = 4000;
+/** One renewal is due in this time, in ms. */
+const RENEWALS_MS = 370;
+/** A term would have been taken over by then, in ms. */
+const SETTLED_MS = 5000;
+/** Share of writes that a store loses that loses answers. */
+const SHARE = 0.35;
+const SEEDS: readonly number[] = [1, 2, 3, 4, 5, 6];
+
+async function startFleet(seed = 1): Promise<TestUtils.TestFleet> {
+  const fleet = new TestUtils.TestFleet({ nodes: 4, seed });
+  await fleet.start();
+  await fleet.clock.advance(KNOWN_PACE_MS);
+  return fleet;
+}
+
+vitest.describe("a store that swallows writes", () => {
+  vitest.it("costs no term where one renewal is swallowed", async () => {
+    const fleet = await startFleet();
+    const token = fleet.token();
+    const faults = fleet.faultsOf(fleet.coordinator() ?? "");
+    faults.set({ swallowWrites: 1 });
+    await fleet.clock.advance(RENEWALS_MS);
+    faults.set({ swallowWrites: 0 });
+    await fleet.clock.advance(SETTLED_MS);
+    vitest.expect(fleet.token()).toBe(token);
+    await fleet.stop();
+  });
+
+  vitest.it.each(SEEDS)(
+    "costs no term by a third of them, seed %i",
+    async (seed) => {
+      const fleet = await startFleet(seed);
+      const token = fleet.token();
+      for (const name of fleet.nodes.keys()) {
+        fleet.faultsOf(name).set({ swallowWrites: SHARE });
+      }
+      await fleet.clock.advance(SETTLED_MS);
+      vitest.expect(fleet.token()).toBe(token);
+      await fleet.stop();
+    },
+  );
+});
