Count no renewal that was sent before one already seen

What callers would see: a takeover that waits up to six seconds longer, where a store that loses answers carries out renewals of a coordinator that has ended.

Cause: each change of the row counted as a sign of life, also one that left before the newest one seen. It becomes more likely with renewals that are sent again.

The change: a renewal names the time of its holder's clock; only a later one than the newest seen in this term counts, for the feed and for the read before a claim. A takeover writes its token there, which is no such time and tells nothing that the coordinator row does not tell.

Ruled out: to judge silence by the time that a renewal tells; a store that has become slow would look like a silent holder.

Measured: swallowed_renewals "by late renewals" fails without it (six renewals carried out late, 0.4 s apart: no takeover) and passes with it. The tests of swallowed renewals themselves still fail here.

--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -114,7 +114,7 @@
   hasRenewed(found: terms.CoordinatorRow | undefined, lease: unknown): boolean {
     const isHeld = found !== undefined && found.holder !== "" &&
       found.holder !== this.#ports.node;
-    if (!isHeld || lease === this.#lease) return false;
+    if (!isHeld || !this.#isNewer(lease, found.token)) return false;
     this.#lease = lease;
     return true;
   }
@@ -141,20 +141,40 @@
   }
 
   #note(entries: readonly Ports.FeedEntry<unknown>[]): void {
+    let isNews = false;
     for (const { key, value } of entries) {
       if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) {
+        if (!this.#isNewer(value, this.token)) continue;
         this.#lease = value;
         this.#hasToldOfRenewal = true;
       }
+      isNews = true;
       if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
       this.#row = value as terms.CoordinatorRow | null;
+      // The renewals of each term count by a clock of their own.
+      this.#lease = null;
       this.#pace.reset();
       this.#onRow(this.#row);
     }
+    if (!isNews) return;
     this.#changedAtMs = this.#ports.clock.monotonicMs();
     this.#pace.note(this.#changedAtMs);
   }
 
+  /**
+   * Whether a renewal was sent after the newest one that was seen. One that is carried
+   * out late tells nothing of its holder, who may have ended since. A takeover writes
+   * its token, which is no time of the holder's clock.
+   */
+  #isNewer(lease: unknown, token: number): boolean {
+    if (lease === token) return false;
+    const known = this.#lease;
+    if (typeof known === "number" && typeof lease === "number") {
+      return lease > known;
+    }
+    return lease !== known;
+  }
+
   /** Silence counts only while the store is heard without a break. */
   #heard(): void {
     const nowMs = this.#ports.clock.monotonicMs();
--- a/packages/workflow-node/src/swallowed_renewals_test.ts
+++ b/packages/workflow-node/src/swallowed_renewals_test.ts
@@ -10,6 +10,7 @@
  * may take, which is longer than the silence that ends a term.
  * Evidence: tokens that rise while the holder is alive, with "the row has changed".
  */
+import * as TableClient from "@cairngate/table-client";
 import * as TestUtils from "@cairngate/test-utils";
 import * as vitest from "vitest";
 
@@ -56,4 +57,25 @@
       await fleet.stop();
     },
   );
+
+  vitest.it(
+    "does not keep the term of a dead holder by late renewals",
+    async () => {
+      const fleet = await startFleet();
+      const token = fleet.token();
+      const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
+      const [{ value: newest }] = await fleet.run(fleet.table.read([key]));
+      await fleet.kill(fleet.coordinator() ?? "");
+      for (let late = 1; late <= 6; late++) {
+        const value = Number(newest) - late;
+        const write = { key, value };
+        const writeId = `late-${late}`;
+        const tx = { conditions: [], writes: [write], writeId };
+        await fleet.run(fleet.table.transact(tx));
+        await fleet.clock.advance(400);
+      }
+      vitest.expect(fleet.token()).toBe(token + 1);
+      await fleet.stop();
+    },
+  );
 });
