Send a renewal again while the one before it has no answer

What callers saw: the term changes hands each two seconds while the store loses answers, and work that waits stands still in each takeover.

The change: the next try leaves beside the one that is open, after the time in which an answer usually comes (the store's second-try time), then twice that, up to the 350 ms between renewals. While answers come in time nothing differs.

Ruled out: a shorter limit of the write itself (a slow store would be asked ever again, and its failures hide that it is silent); a longer silence before a takeover (urgent work waits for it).

--- /dev/null
+++ b/packages/coordinator/src/election/renewal_pulse.ts
@@ -0,0 +1,75 @@
+/**
+ * One renewal of a term. A try without an answer is not waited for: the store may
+ * have swallowed it, and the others take a term over sooner than a write is given up.
+ */
+import * as TableClient from "@cairngate/table-client";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as ports from "../ports.ts";
+import type * as terms from "./term.ts";
+
+/** A try is not repeated by itself after this time, in ms: the next one is due. */
+const TRY_LIMIT_MS = 400;
+
+/** Renewals of one term. */
+export class RenewalPulse {
+  readonly #ports: ports.CoordinatorPorts;
+  readonly #term: terms.Term;
+  #renewedAtMs: number;
+
+  constructor(coordinatorPorts: ports.CoordinatorPorts, term: terms.Term) {
+    this.#ports = coordinatorPorts;
+    this.#term = term;
+    this.#renewedAtMs = coordinatorPorts.clock.monotonicMs();
+  }
+
+  /**
+   * Ends with the outcome of one of its tries. The next one leaves beside those that
+   * are open, after the time in which an answer usually comes and then twice that.
+   *
+   * @param mostWaitMs longest time between two tries, in ms
+   */
+  renew(mostWaitMs: number): Effect.Effect<void> {
+    const { store, clock, metrics } = this.#ports;
+    return Effect.gen({ self: this }, function* () {
+      const known = Deferred.makeUnsafe<void>();
+      let waitMs = Math.min(store.hedgeMs, mostWaitMs);
+      for (;;) {
+        yield* Effect.forkChild(this.#try(known));
+        const timed = yield* clock.within(waitMs, Deferred.await(known));
+        if (timed !== null) return;
+        metrics.count("cairngate_renewals_repeated_total");
+        waitMs = Math.min(waitMs * 2, mostWaitMs);
+      }
+    });
+  }
+
+  #try(known: Deferred.Deferred<void>): Effect.Effect<void> {
+    const { store, clock } = this.#ports;
+    const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
+    const write = Effect.suspend(() =>
+      store.write({
+        conditions: [this.#term.condition],
+        writes: [{ key, value: Math.round(clock.monotonicMs()) }],
+      }, TRY_LIMIT_MS)
+    );
+    return write.pipe(
+      Effect.map(() => this.#noteRenewed()),
+      Effect.catchTags({
+        ConditionFailedError: () =>
+          Effect.sync(() => this.#term.lose("the row has changed")),
+        StoreUnavailableError: () => Effect.void,
+      }),
+      Effect.andThen(Deferred.succeed(known, undefined)),
+      Effect.asVoid,
+    );
+  }
+
+  #noteRenewed(): void {
+    const { clock, metrics } = this.#ports;
+    const nowMs = clock.monotonicMs();
+    const pauseMs = nowMs - this.#renewedAtMs;
+    metrics.observeMs("cairngate_renewal_pause_seconds", pauseMs);
+    this.#renewedAtMs = nowMs;
+  }
+}
--- a/packages/coordinator/src/election/term_keeper.ts
+++ b/packages/coordinator/src/election/term_keeper.ts
@@ -1,13 +1,11 @@
 /** Keeps the row of the election while a term lasts, and hands it on. */
-import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
+import * as renewals from "./renewal_pulse.ts";
 import type * as terms from "./term.ts";
 
 /** Time between two renewals, in ms: a loss is seen after three of them. */
 const RENEW_MS = 350;
-/** A renewal is not repeated after this time, in ms: the next one is due. */
-const RENEW_LIMIT_MS = 400;
 /** Time between two looks for a fitter box, in ms. */
 const FITTER_MS = 1000;
 /** A release is given up after this time, in ms. */
@@ -23,28 +21,8 @@
 
   /** Renews the row for ever; the term is lost where the row has changed. */
   keepRenewing(term: terms.Term): Effect.Effect<never> {
-    const { store, clock, metrics } = this.#ports;
-    const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
-    let renewedAtMs = clock.monotonicMs();
-    const renew = Effect.suspend(() =>
-      store.write({
-        conditions: [term.condition],
-        writes: [{ key, value: Math.round(clock.monotonicMs()) }],
-      }, RENEW_LIMIT_MS)
-    ).pipe(
-      Effect.map(() => {
-        const nowMs = clock.monotonicMs();
-        const pauseMs = nowMs - renewedAtMs;
-        metrics.observeMs("cairngate_renewal_pause_seconds", pauseMs);
-        renewedAtMs = nowMs;
-      }),
-      Effect.catchTags({
-        ConditionFailedError: () =>
-          Effect.sync(() => term.lose("the row has changed")),
-        StoreUnavailableError: () => Effect.void,
-      }),
-    );
-    return clock.every(RENEW_MS, renew);
+    const pulse = new renewals.RenewalPulse(this.#ports, term);
+    return this.#ports.clock.every(RENEW_MS, pulse.renew(RENEW_MS));
   }
 
   /** Hands the term to a box that is better placed for it, once there is one. */
