Ask for the end of a stopped run where the open look does not tell it

What callers saw: gangs that had broken, and urgent work for which other work yields, begin 1.3 to 2 s later than the stops take where an order to one endpoint gets no answer.

Cause: the look that waits at an endpoint for ends hangs until it is given up (its wait and 0.8 s more), although the endpoint has answered the stop in the meantime.

The change: once a stop must be over, one more look leaves beside the open one, three at most, 0.3 s apart. A view is not read where a look that left later was answered before. Nothing differs where ends are told in time.

Ruled out: to give all looks up sooner, and shorter leases (docs/design/run-ends.md).

--- a/packages/coordinator/src/sessions/endpoint_look.ts
+++ b/packages/coordinator/src/sessions/endpoint_look.ts
@@ -59,11 +59,28 @@
 /** Looks at one endpoint. */
 export class EndpointLook {
   readonly #options: EndpointLookOptions;
+  #isAsking = false;
+  /** When the newest look left whose answer was read. */
+  #readSentAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: EndpointLookOptions) {
     this.#options = options;
   }
 
+  /** One more look beside the one that may be open; one at a time. */
+  ask(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      if (this.#options.state.isOver || this.#isAsking) return Effect.void;
+      this.#isAsking = true;
+      return Effect.ensuring(
+        this.look(AT_ONCE),
+        Effect.sync(() => {
+          this.#isAsking = false;
+        }),
+      );
+    });
+  }
+
   /** One look at the endpoint, which also renews its lease. */
   look(mostWaitMs = MOST_WAIT_MS): Effect.Effect<void> {
     const { state, silence, options: { load } } = this.#options;
@@ -119,6 +136,9 @@
       state.life.ending.noteHeard();
       this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
       this.#noteHeard();
+      // What a later look was answered is newer; ends that it did not tell come again.
+      if (sentAtMs < this.#readSentAtMs) return;
+      this.#readSentAtMs = sentAtMs;
       runs.outlived.compare(view);
       ends.noteTold(view.toldEnds);
       state.life.clock.read(view.clockMs, clock.monotonicMs());
--- a/packages/coordinator/src/sessions/endpoint_stops.ts
+++ b/packages/coordinator/src/sessions/endpoint_stops.ts
@@ -14,6 +14,8 @@
   readonly state: endpointStates.EndpointState;
   readonly runs: endpointRuns.EndpointRuns;
   readonly orders: endpointOrders.EndpointOrders;
+  /** One more look beside the one that may be open. */
+  readonly ask: () => Effect.Effect<void>;
 }
 
 interface StopOrder extends Ports.RunRef {
@@ -22,6 +24,14 @@
 
 /** An order without an answer counts as lost after this time, in ms. */
 const ORDER_LIMIT_MS = 450;
+/**
+ * The look that waits at the endpoint tells an end this much later than it came at
+ * most, in ms; our own delay comes on top.
+ */
+const TOLD_WITHIN_MS = 100;
+/** Looks beside one that hangs, and the time between them in ms: it ends by then. */
+const ASKS = 3;
+const ASK_AGAIN_MS = 300;
 /** Tries of a stop that nobody waits for: 12 s of them, as late as starts arrive. */
 const SEAL_TRIES = 20;
 
@@ -45,6 +55,7 @@
         if ((yield* this.#send(order)) !== null) {
           occupant.knownSinceMs ??= clock.monotonicMs();
           state.wake();
+          Effect.runFork(this.#learnEnd(occupant));
           return;
         }
         yield* clock.sleep(endpointOrders.RETRY_MS);
@@ -52,6 +63,21 @@
     });
   }
 
+  /** Asks for the end of a stopped run that is not told in time: the look may hang. */
+  #learnEnd(occupant: occupants.Occupant): Effect.Effect<void> {
+    const { state, runs: { held }, options, ask } = this.#options;
+    const { load, ports: { clock, metrics, bounds } } = options;
+    return Effect.gen({ self: this }, function* () {
+      yield* clock.sleep(load.allow(bounds.stopMs + TOLD_WITHIN_MS));
+      for (let asked = 0; asked < ASKS; asked++) {
+        if (!held.holds(occupant) || state.isOver) return;
+        metrics.count("cairngate_ends_asked_for_total");
+        yield* ask();
+        yield* clock.sleep(ASK_AGAIN_MS);
+      }
+    });
+  }
+
   /** What is stopped before it arrives never starts; a look then shows its end. */
   seal(occupant: occupants.Occupant): void {
     occupant.knownSinceMs = null;
--- a/packages/coordinator/src/sessions/session_parts.ts
+++ b/packages/coordinator/src/sessions/session_parts.ts
@@ -44,7 +44,11 @@
   const ends = new endpointEnds.EndpointEnds(shared);
   const orders = new endpointOrders.EndpointOrders({ ...shared, ends });
   const silence = new endpointSilences.EndpointSilence({ ...shared, ends });
-  const stops = new endpointStops.EndpointStops({ ...shared, orders });
+  const stops = new endpointStops.EndpointStops({
+    ...shared,
+    orders,
+    ask: () => look.ask(),
+  });
   const reader = readerOf(shared, stops);
   const look = new endpointLooks.EndpointLook({
     ...shared,
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/worker_session.ts
@@ -9,7 +9,6 @@
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
-import * as endpointLooks from "./endpoint_look.ts";
 import type * as endpointRuns from "./endpoint_runs.ts";
 import type * as endpointStates from "./endpoint_state.ts";
 import type * as occupants from "./occupant.ts";
@@ -31,7 +30,6 @@
   readonly #parts: sessionParts.SessionParts;
   readonly #state: endpointStates.EndpointState;
   readonly #runs: endpointRuns.EndpointRuns;
-  #isAsking = false;
 
   constructor(options: sessionOptions.SessionOptions) {
     this.ref = options.ref;
@@ -113,16 +111,7 @@
    * outlast their endpoints, and others write them. The address itself is asked.
    */
   ask(): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      if (this.#state.isOver || this.#isAsking) return Effect.void;
-      this.#isAsking = true;
-      return Effect.ensuring(
-        this.#parts.look.look(endpointLooks.AT_ONCE),
-        Effect.sync(() => {
-          this.#isAsking = false;
-        }),
-      );
-    });
+    return this.#parts.look.ask();
   }
 
   /** It is neither heard nor listed for so long that it may have ended. */
