Play random faults under hard load: uneven teams, too much work, endpoints that differ

The random plays had one team and endpoints of one speed, so nothing that is decided under hard load would meet a fault in them. A kind of play more: three teams, of which one has paid for four fifths, hand in more than the endpoints hold, endpoints take 0.6 to 1.7 times as long, and both features are on. It checks what all plays check, and that work which every box has rejected never runs (nobody rejects any yet).

--- a/packages/test-utils/src/play_kinds.ts
+++ b/packages/test-utils/src/play_kinds.ts
@@ -15,6 +15,13 @@
     foreignEntries: true,
     beginsAgain: true,
   },
+  hardLoad: { underHardLoad: true },
+  hardLoadAndCuts: {
+    underHardLoad: true,
+    cutsEndpoints: true,
+    endsTakeTime: true,
+    suspends: true,
+  },
   rebirthsAndCuts: { beginsAgain: true, cutsEndpoints: true, suspends: true },
 } satisfies Record<string, plays.PlayKinds>;
 
--- a/packages/test-utils/src/random_play.ts
+++ b/packages/test-utils/src/random_play.ts
@@ -14,6 +14,7 @@
 import * as roomChanges from "./changing_rooms.ts";
 import * as evacuated from "./evacuations.ts";
 import * as greys from "./grey_endpoints.ts";
+import * as hardLoads from "./hard_load_work.ts";
 import * as lapsing from "./random_lapses.ts";
 import * as reborn from "./rebirths.ts";
 import * as checks from "./run_checks.ts";
@@ -156,6 +157,8 @@
   readonly endsTakeTime?: boolean;
   /** Endpoints that crash begin again, mostly under the ids that they had. */
   readonly beginsAgain?: boolean;
+  /** Uneven teams hand in more than endpoints of uneven speeds hold. */
+  readonly underHardLoad?: boolean;
 }
 
 /** Longest time between the first end of a gang and that of another member, in ms. */
@@ -181,7 +184,11 @@
     workers: SIZES,
     dataCentreOf,
     ...(kinds.logOf === undefined ? {} : { logOf: kinds.logOf }),
+    ...(kinds.underHardLoad ? hardLoads.HARD_LOAD_OPTIONS : {}),
   });
+  const hardLoad = kinds.underHardLoad
+    ? new hardLoads.HardLoadWork(fleet, seed)
+    : null;
   const rooms = kinds.changesRooms
     ? new roomChanges.ChangingRooms(fleet, { seed, sizes: SIZES })
     : null;
@@ -202,7 +209,9 @@
   const fateOf = (endpoint: string) =>
     grey.isSilent(endpoint) ? StandIns.OrderFate.Lost : lapses.fateOf(endpoint);
   fleet.workers.behave = (task, endpoint) => ({
-    runMs: grey.has(endpoint) ? greys.GREY_FAILS_MS : random.between(300, 2500),
+    runMs: grey.has(endpoint)
+      ? greys.GREY_FAILS_MS
+      : random.between(300, 2500) * (hardLoad?.slownessOf(endpoint) ?? 1),
     fails: grey.has(endpoint) || random.next() < 0.02,
     ...(task.startsWith(checks.CRASHER)
       ? { runMs: END_LIMIT_MS, crashesAfterMs: random.choose(CRASH_AFTER_MS) }
@@ -217,6 +226,7 @@
     const kind = random.next() < CRASHER_SHARE ? checks.CRASHER : "a";
     const id = `${kind}${String(round).padStart(15, "0")}`;
     if (await submitSomewhere(fleet, random, id, gang)) accepted.push(id);
+    await hardLoad?.handIn();
     breakOrders(fleet, random, random.choose(ORDER_SHARES), fateOf);
     rooms?.change();
     suspensions?.next();
@@ -237,6 +247,7 @@
   suspensions?.end();
   evacuations?.endAll();
   lapses.endAll();
+  accepted.push(...hardLoad?.accepted ?? []);
   const isOver = (id: string) => {
     const state = fleet.state(id);
     return state !== null && Workflow.isFinal(state);
@@ -249,6 +260,7 @@
   const violations = checks.findBrokenRuns(fleet);
   violations.push(...rooms?.findViolations() ?? []);
   violations.push(...evacuations?.findViolations() ?? []);
+  violations.push(...hardLoad?.findViolations() ?? []);
   violations.push(
     ...accepted.flatMap((id) => checks.checkFailed(fleet, id)),
   );
