Keep what each team has had of the fleet, as plain data

Cause: the planner knew what teams have paid for, and nothing of what they have had. Change: weights by guarantees, use by the dominant resource with a half-life of 10 s, three coarse levels with hysteresis. Nothing uses them yet.

--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -16,3 +16,15 @@
 } from "./src/plan.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
+export {
+  type Amounts as TeamAmounts,
+  decayUse,
+  isBelowShare,
+  judgeShares,
+  levelIn,
+  ShareLevel,
+  sharesHeld,
+  type TeamShare,
+  type TeamShares,
+  weightsOf,
+} from "./src/team_shares.ts";
--- /dev/null
+++ b/packages/workflow-scheduler/src/team_shares.ts
@@ -0,0 +1,148 @@
+/**
+ * Who has had how much of the fleet, beside what each team is entitled to. Serves
+ * loads in which one team is so large that its queue alone could fill the fleet.
+ */
+import type * as fleet from "./fleet.ts";
+
+/** Where a team stands beside its share; coarse, so that objectives decide within. */
+export enum ShareLevel {
+  Below = 0,
+  Within = 1,
+  Above = 2,
+}
+
+/** What one team has had. */
+export interface TeamShare {
+  /** Share of the fleet that it is entitled to, 0 to 1. */
+  readonly weight: number;
+  /** Share of the fleet that it has lately had, 0 to 1. */
+  readonly use: number;
+  readonly level: ShareLevel;
+}
+
+/** Shares by team. */
+export type TeamShares = ReadonlyMap<string, TeamShare>;
+
+/** Shares of the fleet by team, 0 to 1. */
+export type Amounts = ReadonlyMap<string, number>;
+
+/**
+ * Use counts half after this time, in ms: about the length of a usual run. With less,
+ * a team would be forgiven while its work still runs; with much more, it would pay for
+ * work that nobody waits behind any more.
+ */
+export const HALF_LIFE_MS = 10_000;
+
+/**
+ * Beside an entitlement of 1. Levels begin a quarter away from it, which one workflow
+ * more or less does not make up, and end at it.
+ */
+const ABOVE_BEGINS = 1.25;
+const BELOW_BEGINS = 0.75;
+const ENDS = 1;
+
+/** Shares that teams are entitled to; their sum is 1. */
+export function weightsOf(guarantees: ReadonlyMap<string, number>): Amounts {
+  const paid = [...guarantees.values()].filter((one) => one > 0);
+  // A team without a guarantee is entitled to as little as the smallest one.
+  const least = Math.min(...paid, Number.MAX_VALUE);
+  const weights = [...guarantees].map(([team, guaranteed]) =>
+    [team, paid.length === 0 ? 1 : Math.max(guaranteed, least)] as const
+  );
+  const all = weights.reduce((sum, [, weight]) => sum + weight, 0);
+  return new Map(weights.map(([team, weight]) => [team, weight / all]));
+}
+
+/** Share of the fleet that each team holds now, by the resource it holds most of. */
+export function sharesHeld(workers: readonly fleet.WorkerState[]): Amounts {
+  const all = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  const byTeam = new Map<string, typeof all>();
+  for (const { total, occupants } of workers) {
+    add(all, total, true);
+    for (const { step, workflow } of occupants) {
+      const team = workflow.spec.tenant;
+      const held = byTeam.get(team) ??
+        { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+      add(held, step, !step.fills);
+      byTeam.set(team, held);
+    }
+  }
+  const shareOf = (held: number, of: number) => of === 0 ? 0 : held / of;
+  return new Map(
+    [...byTeam].map(([team, held]) => [
+      team,
+      Math.max(
+        shareOf(held.cpuMillis, all.cpuMillis),
+        shareOf(held.memoryMb, all.memoryMb),
+        shareOf(held.accelerators, all.accelerators),
+      ),
+    ]),
+  );
+}
+
+function add(
+  sum: { cpuMillis: number; memoryMb: number; accelerators: number },
+  amounts: Omit<typeof sum, never>,
+  countsCpu: boolean,
+): void {
+  if (countsCpu) sum.cpuMillis += amounts.cpuMillis;
+  sum.memoryMb += amounts.memoryMb;
+  sum.accelerators += amounts.accelerators;
+}
+
+/** Use after a time in which teams held these shares. */
+export function decayUse(
+  before: Amounts,
+  held: Amounts,
+  elapsedMs: number,
+): Amounts {
+  const kept = 0.5 ** (Math.max(0, elapsedMs) / HALF_LIFE_MS);
+  const teams = new Set([...before.keys(), ...held.keys()]);
+  const use = new Map<string, number>();
+  for (const team of teams) {
+    const earlier = before.get(team) ?? 0;
+    const now = held.get(team) ?? 0;
+    use.set(team, earlier * kept + now * (1 - kept));
+  }
+  return use;
+}
+
+/** Judges all teams, by what they have had and by their former levels. */
+export function judgeShares(
+  weights: Amounts,
+  use: Amounts,
+  before: TeamShares,
+): TeamShares {
+  const teams = new Set([...weights.keys(), ...use.keys()]);
+  const least = Math.min(...weights.values(), 1);
+  const shares = new Map<string, TeamShare>();
+  for (const team of teams) {
+    const weight = weights.get(team) ?? least;
+    const used = use.get(team) ?? 0;
+    const former = before.get(team)?.level ?? ShareLevel.Below;
+    const judged = levelOf(used / weight, former);
+    // Who has less than an equal part of the fleet floods nobody.
+    const isSmall = used * teams.size < 1;
+    const level = isSmall ? Math.min(judged, ShareLevel.Within) : judged;
+    shares.set(team, { weight, use: used, level });
+  }
+  return shares;
+}
+
+function levelOf(ratio: number, former: ShareLevel): ShareLevel {
+  if (ratio >= ABOVE_BEGINS) return ShareLevel.Above;
+  if (ratio < BELOW_BEGINS) return ShareLevel.Below;
+  if (former === ShareLevel.Above && ratio > ENDS) return former;
+  if (former === ShareLevel.Below && ratio < ENDS) return former;
+  return ShareLevel.Within;
+}
+
+/** Level of a team; one of which nothing is known has had nothing. */
+export function levelIn(shares: TeamShares, team: string): ShareLevel {
+  return shares.get(team)?.level ?? ShareLevel.Below;
+}
+
+/** Whether a team has had clearly less than it is entitled to. */
+export function isBelowShare(shares: TeamShares, team: string): boolean {
+  return levelIn(shares, team) === ShareLevel.Below;
+}
