Let teams that have had less go first, and yield last, where teams compete

What callers saw: on a fleet on which one team has paid for four times the mean, work beyond guarantees was ordered by objective alone, so that small teams stood behind the queue of the large one; yields struck whoever was cheapest. Cause: the planner was told of guarantees and objectives, not of what teams had. Change: within one rank and hope, lower levels of share go first; a unit that has waited for half of its spare time is not passed over. A victim of a team above its share counts half, one of a team below it four times for another team's claim beyond its guarantee. Work that waits for that has the reason 'share'. Only where teams compete; elsewhere the plan is the same, which a property test shows.

Ruled out: a total order by use over weight, see docs/design/team-shares.md.

--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -19,6 +19,7 @@
 export {
   type Amounts as TeamAmounts,
   decayUse,
+  HALF_LIFE_MS,
   isBelowShare,
   judgeShares,
   levelIn,
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -3,6 +3,8 @@
 import * as fleet from "./fleet.ts";
 import * as placement from "./placement.ts";
 import type * as rank from "./rank.ts";
+import type * as teamShares from "./team_shares.ts";
+import * as victims from "./victim_cost.ts";
 
 /** Places for a unit and the tasks that have to stop first. */
 export interface Eviction {
@@ -18,6 +20,8 @@
   readonly wallMs: number;
   /** What stopping each task costs, as far as this plan has worked it out. */
   readonly costs: Map<Workflow.Task, number>;
+  /** What teams have had; null where that does not count. */
+  readonly shares: teamShares.TeamShares | null;
 }
 
 /** Core-seconds that one accelerator-second counts for. */
@@ -143,7 +147,13 @@
       !chosen.has(task) && isEvictable(task, context.nowMs) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
-    .map((task) => ({ task, cost: knownCost(task, context) }))
+    .map((task) => ({
+      task,
+      cost: victims.weighCost(
+        { cost: knownCost(task, context), task, claimant: unit.workflow },
+        context,
+      ),
+    }))
     .sort((a, b) => a.cost - b.cost);
   const picked: Workflow.Task[] = [];
   let cost = 0;
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -8,6 +8,7 @@
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
+import type * as teamShares from "./team_shares.ts";
 import * as waiting from "./wait_reason.ts";
 
 const { WaitReason } = waiting;
@@ -26,6 +27,8 @@
   readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
   /** Kinds of hard load that the deployment has; left out: none. */
   readonly hardLoad?: hardLoads.HardLoad;
+  /** What teams have had; counts only where teams compete. Left out: not known. */
+  readonly shares?: teamShares.TeamShares;
 }
 
 /** Start these tasks on these workers. */
@@ -71,6 +74,10 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
+  /** Null where shares do not count. */
+  readonly #shares: teamShares.TeamShares | null;
+  /** Units behind others that come later by their objectives. */
+  #passedOver: ReadonlySet<Workflow.Unit> = new Set();
   #reserved = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
@@ -79,7 +86,15 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
-    this.#evictions = { ranks: this.#ranks, nowMs, wallMs, costs: new Map() };
+    const teamsCompete = input.hardLoad?.teamsCompete === true;
+    this.#shares = teamsCompete ? input.shares ?? null : null;
+    this.#evictions = {
+      ranks: this.#ranks,
+      nowMs,
+      wallMs,
+      costs: new Map(),
+      shares: this.#shares,
+    };
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
@@ -91,8 +106,12 @@
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
     const ready = units.filter((unit) => !this.#pauses(unit));
-    const sorted = rank.sortUnits(ready, this.#ranks, this.#input.wallMs);
-    for (const units of groupSiblings(sorted)) this.#decideAll(units);
+    const sorted = rank.sortUnits(ready, this.#ranks, {
+      wallMs: this.#input.wallMs,
+      shares: this.#shares,
+    });
+    this.#passedOver = sorted.passedOver;
+    for (const some of groupSiblings(sorted.units)) this.#decideAll(some);
     return {
       starts: this.#starts,
       stops: [...this.#stops.values()],
@@ -186,7 +205,8 @@
       fleet.isEligible(worker, unit)
     );
     if (eligible.length === 0) return WaitReason.Endpoints;
-    if (!this.#isIdle) return WaitReason.Room;
+    const isPassedOver = this.#passedOver.has(unit);
+    if (!this.#isIdle) return isPassedOver ? WaitReason.Share : WaitReason.Room;
     const fitsAmong = (
       some: readonly fleet.WorkerRoom[],
       roomOf: placement.RoomOf,
@@ -195,6 +215,7 @@
     const steady = retry.roomsWithoutDoubt(unit, eligible, nowMs);
     if (fitsAmong(steady, placement.freeNow)) return WaitReason.OwnEndpoint;
     if (fitsAmong(eligible, placement.freeNow)) return WaitReason.Doubt;
+    if (isPassedOver) return WaitReason.Share;
     return fitsAmong(eligible, placement.freeBefore)
       ? WaitReason.Reserved
       : WaitReason.Room;
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -1,5 +1,7 @@
 /** Who comes first, and who may make whom yield. */
 import * as Workflow from "@cairngate/workflow";
+import * as shareOrder from "./share_order.ts";
+import type * as teamShares from "./team_shares.ts";
 
 /** Rank of work; a lower rank may make a higher one yield. */
 export enum Rank {
@@ -87,24 +89,36 @@
   return Math.max(0, allowedMs * LATE_FACTOR - endMs);
 }
 
+/** Units in the order in which they are decided for. */
+export interface Sorted {
+  readonly units: readonly Workflow.Unit[];
+  /** Those behind others with a later objective, as their teams have had more. */
+  readonly passedOver: ReadonlySet<Workflow.Unit>;
+}
+
 /**
- * Orders units: rank first, then what they can still reach, then the time by
- * which they should end.
+ * Orders units: rank first, then what they can still reach, then, where teams
+ * compete, whose turn it is, then the time by which they should end.
  */
 export function sortUnits(
   units: readonly Workflow.Unit[],
   ranks: Ranks,
-  wallMs: number,
-): Workflow.Unit[] {
+  now: { wallMs: number; shares: teamShares.TeamShares | null },
+): Sorted {
+  const { wallMs, shares } = now;
   const keyed = units.map((unit) => ({
     unit,
     rank: ranks.of(unit.workflow),
     hope: hopeOf(unit, wallMs),
+    turn: shares === null ? 0 : shareOrder.turnOf(unit, wallMs, shares),
     objectiveMs: Workflow.objectiveAtMs(unit.workflow.spec, unit.round),
   }));
   keyed.sort((a, b) =>
-    a.rank - b.rank || a.hope - b.hope || a.objectiveMs - b.objectiveMs ||
-    a.unit.stepIndex - b.unit.stepIndex
+    a.rank - b.rank || a.hope - b.hope || a.turn - b.turn ||
+    a.objectiveMs - b.objectiveMs || a.unit.stepIndex - b.unit.stepIndex
   );
-  return keyed.map(({ unit }) => unit);
+  return {
+    units: keyed.map(({ unit }) => unit),
+    passedOver: shares === null ? new Set() : shareOrder.passedOver(keyed),
+  };
 }
--- /dev/null
+++ b/packages/workflow-scheduler/src/share_order_test.ts
@@ -0,0 +1,273 @@
+/** Who comes first, and who yields, where teams compete. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as fastCheck from "fast-check";
+import * as vitest from "vitest";
+import type * as fleet from "./fleet.ts";
+import * as plans from "./plan.ts";
+import * as rank from "./rank.ts";
+import * as teamShares from "./team_shares.ts";
+import * as waiting from "./wait_reason.ts";
+
+const { ShareLevel } = teamShares;
+const TEAMS = ["a", "b", "c"];
+const COMPETING = { teamsCompete: true, endpointsDiffer: false };
+
+interface Asked {
+  readonly tenant: string;
+  readonly priority: number;
+  readonly acceptedAtMs: number;
+  readonly estimateMs: number;
+}
+
+let ids = 0;
+
+function buildWorkflow(asked: Partial<Asked>): Workflow.Workflow {
+  return new Workflow.Workflow({
+    id: `workflow-${ids++}`,
+    tenant: asked.tenant ?? "a",
+    policy: TestUtils.buildAccess().queues[asked.priority ?? 1],
+    payload: "",
+    steps: [TestUtils.buildStep({ estimateMs: asked.estimateMs ?? 1000 })],
+    schedule: null,
+    acceptedAtMs: asked.acceptedAtMs ?? 0,
+  });
+}
+
+function sharesOf(
+  levels: Readonly<Record<string, teamShares.ShareLevel>>,
+): teamShares.TeamShares {
+  return new Map(
+    Object.entries(levels).map(([team, level]) => [
+      team,
+      { weight: 0.5, use: 0.5, level },
+    ]),
+  );
+}
+
+function buildEndpoint(
+  occupants: readonly Workflow.Task[],
+  accelerators = 1,
+): fleet.WorkerState {
+  return {
+    id: "endpoint-0",
+    service: "analysis",
+    dataCentre: "dc-1",
+    rack: "rack-0",
+    labels: new Set(),
+    total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators },
+    usable: true,
+    speed: 1,
+    occupants,
+  };
+}
+
+function runOn(workflow: Workflow.Workflow): Workflow.Task {
+  const [task] = workflow.rounds[0][0];
+  task.place("endpoint-0", 1, 0);
+  task.state = Workflow.TaskState.Running;
+  return task;
+}
+
+function inputOf(
+  workflows: readonly Workflow.Workflow[],
+  changes: Partial<plans.PlanInput>,
+): plans.PlanInput {
+  return {
+    workers: [buildEndpoint([])],
+    workflows,
+    guarantees: new Map(),
+    nowMs: 500,
+    wallMs: 0,
+    remotePenalty: 3,
+    isAdvised: () => true,
+    hardLoad: COMPETING,
+    ...changes,
+  };
+}
+
+const anyAsked = fastCheck.record({
+  tenant: fastCheck.constantFrom(...TEAMS),
+  priority: fastCheck.nat({ max: 2 }),
+  acceptedAtMs: fastCheck.integer({ min: -8000, max: 0 }),
+  estimateMs: fastCheck.integer({ min: 100, max: 5000 }),
+});
+const anyLevels = fastCheck.record({
+  a: fastCheck.nat({ max: 2 }),
+  b: fastCheck.nat({ max: 2 }),
+  c: fastCheck.nat({ max: 2 }),
+});
+const manyAsked = fastCheck.array(anyAsked, { maxLength: 12 });
+
+function sort(
+  asked: readonly Asked[],
+  shares: teamShares.TeamShares | null,
+) {
+  const workflows = asked.map((one) => buildWorkflow(one));
+  const ranks = new rank.Ranks(workflows, new Map([["a", 1], ["b", 1]]));
+  const units = workflows.flatMap((one) => one.readyUnits(0));
+  const sorted = rank.sortUnits(units, ranks, { wallMs: 0, shares });
+  return { ...sorted, ranks, given: units };
+}
+
+vitest.describe("the order of waiting work", () => {
+  vitest.it("has no team above its share before one below", () => {
+    fastCheck.assert(
+      fastCheck.property(manyAsked, anyLevels, (asked, levels) => {
+        const shares = sharesOf(levels);
+        const { units, ranks } = sort(asked, shares);
+        for (const [i, later] of units.entries()) {
+          for (const earlier of units.slice(0, i)) {
+            vitest.expect(comesWrongly(earlier, later, { shares, ranks }))
+              .toBe(false);
+          }
+        }
+      }),
+    );
+  });
+
+  vitest.it("is total and stable: what is sorted stays as it is", () => {
+    fastCheck.assert(
+      fastCheck.property(manyAsked, anyLevels, (asked, levels) => {
+        const shares = sharesOf(levels);
+        const { units, ranks, given } = sort(asked, shares);
+        const now = { wallMs: 0, shares };
+        const again = rank.sortUnits(units, ranks, now);
+        vitest.expect(again.units).toEqual(units);
+        vitest.expect(new Set(units)).toEqual(new Set(given));
+      }),
+    );
+  });
+
+  vitest.it("is the former one where all teams fare alike", () => {
+    const anyLevel = fastCheck.nat({ max: 2 });
+    fastCheck.assert(
+      fastCheck.property(manyAsked, anyLevel, (asked, level) => {
+        const shares = sharesOf({ a: level, b: level, c: level });
+        const { units, ranks, given } = sort(asked, null);
+        // One that may not be passed over any more goes before those that may.
+        const patient = given.filter((unit) => !isDue(unit));
+        const now = { wallMs: 0, shares };
+        const ordered = rank.sortUnits(patient, ranks, now);
+        vitest.expect(ordered.units)
+          .toEqual(units.filter((unit) => !isDue(unit)));
+        vitest.expect(ordered.passedOver.size).toBe(0);
+      }),
+    );
+  });
+
+  vitest.it("does not put work inside a guarantee behind any other", () => {
+    const inside = buildWorkflow({ tenant: "a", priority: 0 });
+    const beyond = buildWorkflow({ tenant: "b", priority: 0 });
+    const plan = plans.makePlan(inputOf([beyond, inside], {
+      guarantees: new Map([["a", 1]]),
+      shares: sharesOf({ a: ShareLevel.Above, b: ShareLevel.Below }),
+    }));
+    vitest.expect(plan.starts.map(({ unit }) => unit.workflow))
+      .toEqual([inside]);
+  });
+
+  vitest.it("passes over nobody whose time is half gone", () => {
+    // Objective: 2 x 1,000 + 500 ms; 1,500 ms are left beside the run.
+    const flooding = buildWorkflow({ tenant: "a", acceptedAtMs: -750 });
+    const small = buildWorkflow({ tenant: "b", acceptedAtMs: 0 });
+    const shares = sharesOf({ a: ShareLevel.Above, b: ShareLevel.Below });
+    const plan = (wallMs: number) =>
+      plans.makePlan(inputOf([flooding, small], { shares, wallMs }));
+    const first = (wallMs: number) => plan(wallMs).starts[0].unit.workflow;
+    vitest.expect(first(-1)).toBe(small);
+    vitest.expect(plan(-1).waits[0].reason).toBe(waiting.WaitReason.Share);
+    vitest.expect(first(0)).toBe(flooding);
+    vitest.expect(plan(0).waits[0].reason).toBe(waiting.WaitReason.Reserved);
+  });
+});
+
+vitest.describe("a plan where teams do not compete", () => {
+  vitest.it("is the same whatever teams have had", () => {
+    fastCheck.assert(
+      fastCheck.property(manyAsked, anyLevels, (asked, levels) => {
+        const runs = ["a", "b"].map((tenant) =>
+          runOn(buildWorkflow({ tenant, priority: 2 }))
+        );
+        const workflows = asked.map((one) => buildWorkflow(one));
+        const input = inputOf(workflows, {
+          workers: [buildEndpoint(runs, 2)],
+          hardLoad: { teamsCompete: false, endpointsDiffer: true },
+        });
+        const { hardLoad: _, ...former } = input;
+        const withShares = { ...input, shares: sharesOf(levels) };
+        vitest.expect(plans.makePlan(withShares))
+          .toEqual(plans.makePlan(former));
+      }),
+    );
+  });
+});
+
+vitest.describe("who yields", () => {
+  function victimOf(
+    shares: teamShares.TeamShares,
+    guarantees: ReadonlyMap<string, number> = new Map(),
+  ): string | undefined {
+    // The run of team b costs a little less.
+    const runs = [
+      runOn(buildWorkflow({ tenant: "a", priority: 2, estimateMs: 9000 })),
+      runOn(buildWorkflow({ tenant: "b", priority: 2, estimateMs: 9000 })),
+    ];
+    runs[0].startedAtMs = -100;
+    const urgent = buildWorkflow({
+      tenant: "c",
+      priority: 0,
+      estimateMs: 5000,
+    });
+    const plan = plans.makePlan(inputOf([urgent], {
+      workers: [buildEndpoint(runs, 2)],
+      guarantees,
+      shares,
+    }));
+    return plan.stops[0]?.task.workflow.spec.tenant;
+  }
+
+  vitest.it("is the cheapest among teams that fare alike", () => {
+    const within = ShareLevel.Within;
+    vitest.expect(victimOf(sharesOf({ a: within, b: within }))).toBe("b");
+  });
+
+  vitest.it(
+    "is a team above its share rather than a little cheaper one",
+    () => {
+      const shares = sharesOf({ a: ShareLevel.Above, b: ShareLevel.Within });
+      vitest.expect(victimOf(shares)).toBe("a");
+    },
+  );
+
+  vitest.it("is a team within its share rather than one below", () => {
+    const shares = sharesOf({ a: ShareLevel.Within, b: ShareLevel.Below });
+    vitest.expect(victimOf(shares)).toBe("a");
+  });
+
+  vitest.it("is the cheapest for a guarantee, also of a team below", () => {
+    const shares = sharesOf({ a: ShareLevel.Within, b: ShareLevel.Below });
+    vitest.expect(victimOf(shares, new Map([["c", 1]]))).toBe("b");
+  });
+});
+
+/** Whether a unit that may wait comes before one of a lower level. */
+function comesWrongly(
+  earlier: Workflow.Unit,
+  later: Workflow.Unit,
+  by: { shares: teamShares.TeamShares; ranks: rank.Ranks },
+): boolean {
+  const { shares, ranks } = by;
+  const isAlike = ranks.of(earlier.workflow) === ranks.of(later.workflow) &&
+    rank.hopeOf(earlier, 0) === rank.hopeOf(later, 0);
+  const levelOf = ({ workflow }: Workflow.Unit) =>
+    teamShares.levelIn(shares, workflow.spec.tenant);
+  return isAlike && !isDue(earlier) && levelOf(earlier) > levelOf(later);
+}
+
+/** Whether half of the time is gone that its objective leaves beside its run. */
+function isDue({ workflow: { spec }, step }: Workflow.Unit): boolean {
+  const objectiveMs = Workflow.objectiveAtMs(spec, 0);
+  const spareMs = objectiveMs - spec.acceptedAtMs - step.estimateMs;
+  return -spec.acceptedAtMs * 2 >= Math.max(0, spareMs);
+}
--- a/packages/workflow-scheduler/src/wait_reason.ts
+++ b/packages/workflow-scheduler/src/wait_reason.ts
@@ -9,6 +9,8 @@
   Advice = "advice",
   /** Its endpoints are in use. */
   Room = "room",
+  /** Its endpoints are in use, and others go first: its team has had its share. */
+  Share = "share",
   /** Room that is free is kept for units that come before it. */
   Reserved = "reserved",
   /** Room is free only far from its data, or on several racks. */
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -77,6 +77,8 @@
   #plans = 0;
   #stranded = 0;
   #used = 0;
+  #teamUse: Scheduler.TeamAmounts = new Map();
+  #teamShares: Scheduler.TeamShares = new Map();
 
   constructor(load: loads.Load, seed: number) {
     this.#load = load;
@@ -126,6 +128,7 @@
 
   #plan(): void {
     const states = this.#endpoints.map((one) => this.#stateOf(one));
+    this.#judgeShares(states);
     const plan = Scheduler.makePlan({
       workers: states,
       workflows: [...this.#live.keys()],
@@ -135,6 +138,7 @@
       remotePenalty: REMOTE_PENALTY,
       isAdvised: () => true,
       hardLoad: this.#load.hardLoad,
+      shares: this.#teamShares,
     });
     for (const { task } of plan.stops) this.#stop(task);
     for (const start of plan.starts) this.#start(start);
@@ -142,6 +146,18 @@
     this.#measureRoom(plan);
   }
 
+  /** As the coordinator keeps them, but anew for each plan. */
+  #judgeShares(states: readonly Scheduler.WorkerState[]): void {
+    if (this.#load.hardLoad?.teamsCompete !== true) return;
+    const held = Scheduler.sharesHeld(states);
+    this.#teamUse = Scheduler.decayUse(this.#teamUse, held, PLAN_EACH_MS);
+    this.#teamShares = Scheduler.judgeShares(
+      Scheduler.weightsOf(this.#guarantees),
+      this.#teamUse,
+      this.#teamShares,
+    );
+  }
+
   #stateOf({ id, rack, speed, occupants }: Endpoint): Scheduler.WorkerState {
     for (const task of occupants) {
       const run = this.#runOf.get(task);
@@ -264,7 +280,8 @@
     const all = this.#load.endpoints * this.#load.accelerators;
     this.#used += 1 - free / all;
     const isWaiting = plan.waits.some(({ reason }) =>
-      reason === Scheduler.WaitReason.Room
+      reason === Scheduler.WaitReason.Room ||
+      reason === Scheduler.WaitReason.Share
     );
     if (isWaiting) this.#stranded += free / all;
   }
