Keep what teams have had through a term and its takeover, and show it

Cause: a share that is forgotten with each coordinator lets a team begin anew. Change: the coordinator counts each second what runs, by team, while teams compete; one row of the store, written each 2 s under the term's condition, tells the next one. A missing, old or foreign row counts as nothing known, and is logged; a lost write is made up for by the next one. The dump shows weight, use, level and waiting units by team; gauge cairngate_team_share, counter cairngate_yields_by_team_total, a line where a team is above its share for 10 s.

--- /dev/null
+++ b/packages/coordinator/src/load/share_book.ts
@@ -0,0 +1,161 @@
+/**
+ * Keeps what each team has had of the fleet during a term, while teams compete, and a
+ * copy in the store for the next coordinator.
+ */
+import type * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as TableClient from "@cairngate/table-client";
+import * as Effect from "effect/Effect";
+import type * as terms from "../election/term.ts";
+import type * as ports from "../ports.ts";
+import * as shareLog from "./share_log.ts";
+import * as shareRows from "./share_row.ts";
+
+/** What the book needs of its node. */
+export type ShareBookPorts = Pick<
+  ports.CoordinatorPorts,
+  "clock" | "log" | "metrics" | "store"
+>;
+
+/** What is looked at. */
+export interface SharesSeen {
+  readonly teamsCompete: boolean;
+  /** Accelerators that each team has paid for. */
+  readonly guarantees: ReadonlyMap<string, number>;
+  readonly endpoints: readonly Scheduler.WorkerState[];
+}
+
+/**
+ * Time between two writes, in ms: a small part of the half-life, so that a takeover
+ * forgets little, and far fewer calls than a term makes anyway.
+ */
+const KEEP_MS = 2000;
+/** Time between two tries to read what the former coordinator kept, in ms. */
+const RETRY_MS = 200;
+/** A call is given up after this time, in ms; the next one is due then. */
+const CALL_LIMIT_MS = 1500;
+
+/** The shares of one term. */
+export class ShareBook {
+  readonly #ports: ShareBookPorts;
+  readonly #term: terms.Term;
+  readonly #log: shareLog.ShareLog;
+  #use: Scheduler.TeamAmounts = new Map();
+  #shares: Scheduler.TeamShares = new Map();
+  #teamsCompete = false;
+  #lookedAtMs: number;
+  /** Whether what the former coordinator wrote has been asked for, and answered. */
+  #isRestored = false;
+  /** Use that the store has. */
+  #kept: Scheduler.TeamAmounts | null = null;
+
+  constructor(bookPorts: ShareBookPorts, term: terms.Term) {
+    this.#ports = bookPorts;
+    this.#term = term;
+    this.#log = new shareLog.ShareLog(bookPorts);
+    this.#lookedAtMs = bookPorts.clock.monotonicMs();
+  }
+
+  /** Shares as last judged; empty where teams do not compete. */
+  get shares(): Scheduler.TeamShares {
+    return this.#shares;
+  }
+
+  /** Whether a team has had clearly less than it is entitled to. */
+  isBelowShare(team: string): boolean {
+    return Scheduler.isBelowShare(this.#shares, team);
+  }
+
+  /** Counts what runs now; one pass over it. */
+  look({ teamsCompete, guarantees, endpoints }: SharesSeen): void {
+    const nowMs = this.#ports.clock.monotonicMs();
+    const elapsedMs = nowMs - this.#lookedAtMs;
+    this.#lookedAtMs = nowMs;
+    this.#teamsCompete = teamsCompete;
+    if (!teamsCompete) return this.#forget();
+    const held = Scheduler.sharesHeld(endpoints);
+    this.#use = Scheduler.decayUse(this.#use, held, elapsedMs);
+    const weights = Scheduler.weightsOf(guarantees);
+    this.#shares = Scheduler.judgeShares(weights, this.#use, this.#shares);
+    this.#log.look(this.#shares, nowMs);
+  }
+
+  /** Counts a run that yields, by its team. */
+  noteYield(task: Workflow.Task): void {
+    if (!this.#teamsCompete) return;
+    const team = task.workflow.spec.tenant;
+    this.#ports.metrics.count("cairngate_yields_by_team_total", { team });
+  }
+
+  /** Reads what the former coordinator kept, then writes what is kept, for ever. */
+  run(): Effect.Effect<never> {
+    const { clock } = this.#ports;
+    return Effect.forever(Effect.gen({ self: this }, function* () {
+      if (this.#teamsCompete) {
+        yield* this.#isRestored ? this.#keep() : this.#restore();
+      }
+      yield* clock.sleep(this.#isRestored ? KEEP_MS : RETRY_MS);
+    }));
+  }
+
+  #forget(): void {
+    if (this.#shares.size === 0) return;
+    this.#log.look(new Map(), this.#lookedAtMs);
+    this.#use = new Map();
+    this.#shares = new Map();
+  }
+
+  /** Until it has an answer nothing is written, which would be less than is there. */
+  #restore(): Effect.Effect<void> {
+    const { clock, log, store } = this.#ports;
+    const key = TableClient.Keys.TEAM_SHARES_KEY;
+    return store.read([key], CALL_LIMIT_MS).pipe(
+      Effect.map(([row]) => {
+        this.#isRestored = true;
+        const found = row === undefined
+          ? { reason: "there is no row" }
+          : shareRows.decodeUse(row.value, clock.wallMs());
+        if ("reason" in found) {
+          log.info(`Nothing is known of what teams have had: ${found.reason}.`);
+        } else this.#add(found.use, found.ageMs);
+      }),
+      Effect.catch((err) =>
+        Effect.sync(() =>
+          log.info(`What teams have had is not read yet: ${err.message}`)
+        )
+      ),
+    );
+  }
+
+  /** Adds what teams had before the term to what they have had in it. */
+  #add(former: Scheduler.TeamAmounts, ageMs: number): void {
+    const later = Scheduler.decayUse(former, new Map(), ageMs);
+    const sum = new Map(later);
+    for (const [team, share] of this.#use) {
+      sum.set(team, Math.min(1, share + (later.get(team) ?? 0)));
+    }
+    this.#use = sum;
+    this.#ports.log.info(
+      `Use of ${former.size} teams is taken over, ${Math.round(ageMs)} ms old.`,
+    );
+  }
+
+  /** A write that is lost is made up for by the next one. */
+  #keep(): Effect.Effect<void> {
+    const { clock, store } = this.#ports;
+    const use = this.#use;
+    if (use === this.#kept) return Effect.void;
+    const value = shareRows.encodeUse(use, clock.wallMs());
+    const key = TableClient.Keys.TEAM_SHARES_KEY;
+    const write = {
+      conditions: [this.#term.condition],
+      writes: [{ key, value }],
+    };
+    return store.write(write, CALL_LIMIT_MS).pipe(
+      Effect.map(() => {
+        this.#kept = use;
+      }),
+      Effect.ignore,
+    );
+  }
+}
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -55,6 +55,11 @@
       ),
       guarantees: this.#parts.guarantees.describe(),
       hardLoad: this.#parts.hardLoad.load,
+      teamShares: describing.describeShares(
+        this.#parts.shares.shares,
+        this.#parts.book.live,
+        this.#ports.clock.wallMs(),
+      ),
     };
   }
 
@@ -80,6 +85,7 @@
         ...rows.run(),
         this.#parts.recorder.run(),
         this.#parts.planning.run(),
+        this.#parts.shares.run(),
         clock.every(SWEEP_MS, this.#parts.book.sweep()),
         clock.every(WATCH_MS, Effect.sync(() => this.#lookAtRuns())),
         clock.every(LOAD_MS, Effect.sync(() => this.#lookAtLoad())),
@@ -134,10 +140,12 @@
   }
 
   #lookAtLoad(): void {
-    this.#parts.hardLoad.look(
-      guarantees.guaranteesOf(this.#ports.config()),
-      this.#parts.directory.states().map(({ speed }) => speed),
-    );
+    const { hardLoad, shares, directory } = this.#parts;
+    const paidFor = guarantees.guaranteesOf(this.#ports.config());
+    const endpoints = directory.states();
+    hardLoad.look(paidFor, endpoints.map(({ speed }) => speed));
+    const { teamsCompete } = hardLoad.load;
+    shares.look({ teamsCompete, guarantees: paidFor, endpoints });
   }
 
   /**
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -1,6 +1,6 @@
 /** What a coordinator knows, as plain data for people. */
 import * as Workflow from "@cairngate/workflow";
-import type * as Scheduler from "@cairngate/workflow-scheduler";
+import * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
 import * as sentences from "./run_sentences.ts";
@@ -56,6 +56,18 @@
   readonly short: number;
 }
 
+/** What one team has had, beside what it is entitled to. */
+export interface TeamShareDump {
+  readonly team: string;
+  /** Share of the fleet that it is entitled to, 0 to 1. */
+  readonly weight: number;
+  /** Share of the fleet that it has lately had, 0 to 1. */
+  readonly use: number;
+  readonly level: string;
+  /** Units of it that wait: tasks, or whole gangs. */
+  readonly waiting: number;
+}
+
 /** A coordinator's state. */
 export interface CoordinatorDump {
   readonly token: number;
@@ -67,6 +79,8 @@
   readonly guarantees: GuaranteeDump;
   /** Kinds of hard load that the decisions take into account. */
   readonly hardLoad: Scheduler.HardLoad;
+  /** Shares of teams; empty where teams do not compete. */
+  readonly teamShares: readonly TeamShareDump[];
 }
 
 /** One run for which a workflow was given up. */
@@ -154,3 +168,26 @@
   const paidFor = [...guarantees.values()].reduce((sum, one) => sum + one, 0);
   return { paidFor, open, short: Math.max(0, paidFor - open) };
 }
+
+/** Describes what teams have had, those with most beside their share first. */
+export function describeShares(
+  shares: Scheduler.TeamShares,
+  live: readonly Workflow.Workflow[],
+  wallMs: number,
+): TeamShareDump[] {
+  const waiting = new Map<string, number>();
+  for (const workflow of shares.size === 0 ? [] : live) {
+    const { tenant } = workflow.spec;
+    const units = workflow.readyUnits(wallMs).length;
+    waiting.set(tenant, (waiting.get(tenant) ?? 0) + units);
+  }
+  return [...shares]
+    .sort(([, a], [, b]) => b.use / b.weight - a.use / a.weight)
+    .map(([team, { weight, use, level }]) => ({
+      team,
+      weight,
+      use,
+      level: Scheduler.ShareLevel[level].toLowerCase(),
+      waiting: waiting.get(team) ?? 0,
+    }));
+}
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -7,6 +7,7 @@
 import * as guarantees from "./guarantee_watch.ts";
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
+import type * as shareBooks from "../load/share_book.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
@@ -18,6 +19,7 @@
   readonly control: controls.RunControl;
   readonly advice: advice.AdviceBook;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly shares: shareBooks.ShareBook;
   /** Workflows of which something may start. */
   readonly live: () => readonly Workflow.Workflow[];
   /** Workflows of which nothing may start before their records are there. */
@@ -112,6 +114,7 @@
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
       hardLoad: this.#parts.hardLoad.load,
+      shares: this.#parts.shares.shares,
     };
   }
 
@@ -124,6 +127,7 @@
         `${claimant.workflow.spec.id}; checkpoints: ${task.step.checkpoints}.`,
     );
     metrics.count("cairngate_yields_total");
+    this.#parts.shares.noteYield(task);
     this.#parts.control.stop(task);
   }
 
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,6 +1,7 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
+import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
@@ -41,6 +42,7 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly shares: shareBooks.ShareBook;
 }
 
 /** Makes the parts of one term. */
@@ -79,9 +81,11 @@
     control,
   });
   const hardLoad = new hardLoads.HardLoadWatch(given);
+  const shares = new shareBooks.ShareBook(given, term);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
+    shares,
     control,
     live: () => book.live,
     unrecorded: () => book.unrecorded,
@@ -97,6 +101,7 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    shares,
   };
 }
 
--- a/packages/table-client/src/keys.ts
+++ b/packages/table-client/src/keys.ts
@@ -163,3 +163,9 @@
 
 /** Renewed by the coordinator. */
 export const COORDINATOR_LEASE_KEY = `${ELECTION_PREFIX}lease`;
+
+/**
+ * What each team has lately had; written by the coordinator. It lies in the partition
+ * of the election's rows, so that a write can name the term as its condition.
+ */
+export const TEAM_SHARES_KEY = "shares/teams";
