--- /dev/null
+++ b/packages/coordinator/src/load/share_log_test.ts
@@ -0,0 +1,65 @@
+/** Operators see shares, and hear of a team that is above its own for long. */
+import * as Metrics from "@cairngate/metrics";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import * as vitest from "vitest";
+import * as shareLogs from "./share_log.ts";
+
+const { ShareLevel } = Scheduler;
+
+function sharesOf(
+  level: Scheduler.ShareLevel,
+  teams: readonly string[] = ["large"],
+): Scheduler.TeamShares {
+  const share = { weight: 0.4, use: 0.6, level };
+  return new Map(teams.map((team) => [team, share]));
+}
+
+function build() {
+  const log = new TestUtils.KeptLog();
+  const metrics = new Metrics.Metrics();
+  return { log, metrics, shares: new shareLogs.ShareLog({ log, metrics }) };
+}
+
+vitest.describe("the log of shares", () => {
+  vitest.it("tells of a team after 10 s, and again each minute", () => {
+    const { log, shares } = build();
+    const above = sharesOf(ShareLevel.Above);
+    for (let ms = 0; ms <= 75_000; ms += 1000) shares.look(above, ms);
+    vitest.expect(log.sentences).toEqual([
+      "Team large has been above its share for 10000 ms: it has had 60.0% of " +
+      "the fleet and is entitled to 40.0%; beyond guarantees others go first.",
+      "Team large has been above its share for 70000 ms: it has had 60.0% of " +
+      "the fleet and is entitled to 40.0%; beyond guarantees others go first.",
+    ]);
+  });
+
+  vitest.it("tells of no team that is above only for moments", () => {
+    const { log, shares } = build();
+    for (let ms = 0; ms < 60_000; ms += 1000) {
+      const isAbove = ms % 9000 !== 0;
+      const level = isAbove ? ShareLevel.Above : ShareLevel.Within;
+      shares.look(sharesOf(level), ms);
+    }
+    vitest.expect(log.sentences).toEqual([]);
+  });
+
+  vitest.it("tells of four teams at a time", () => {
+    const { log, shares } = build();
+    const teams = Array.from({ length: 100 }, (_, i) => `team-${i}`);
+    const above = sharesOf(ShareLevel.Above, teams);
+    shares.look(above, 0);
+    shares.look(above, 10_000);
+    vitest.expect(log.sentences.length).toBe(4);
+  });
+
+  vitest.it("keeps a gauge by team, 0 for one that is gone", () => {
+    const { metrics, shares } = build();
+    const gaugeOf = (team: string) =>
+      metrics.get("cairngate_team_share", { team });
+    shares.look(sharesOf(ShareLevel.Above), 0);
+    vitest.expect(gaugeOf("large")).toBeCloseTo(1.5);
+    shares.look(new Map(), 1000);
+    vitest.expect(gaugeOf("large")).toBe(0);
+  });
+});
