Decide by a forecast of room whether a job can still be of use

Nobody is rejected for want of room today: work that can't end while it is of use is accepted and never told. The new package admission decides by plain data; nothing calls it yet.

The limit of use moves to the package workflow, where gateway and scheduler both find it.

--- /dev/null
+++ b/packages/admission/mod.ts
@@ -0,0 +1,28 @@
+/** Decides under hard load whether work that arrives can still be of use. */
+export {
+  type Decision,
+  Doubt,
+  type JobShape,
+  type Known,
+  shapeOf,
+  type TeamState,
+  Verdict,
+} from "./src/job_shape.ts";
+export { decideAdmission } from "./src/decide.ts";
+export {
+  type Forecast,
+  POINTS_MS,
+  type RoomAhead,
+  type ServiceForecast,
+  STALE_MS,
+} from "./src/forecast.ts";
+export { readForecast, writeForecast } from "./src/forecast_text.ts";
+export {
+  type EndpointSize,
+  type Load,
+  makeForecast,
+  type Run,
+  type Wait,
+} from "./src/make_forecast.ts";
+export { ReturnBook } from "./src/return_book.ts";
+export { ShareBook } from "./src/share_book.ts";
--- /dev/null
+++ b/packages/admission/src/decide_test.ts
@@ -0,0 +1,201 @@
+/** Only what surely can't be of use is rejected, and all that is larger with it. */
+import * as Errors from "@cairngate/errors";
+import * as Workflow from "@cairngate/workflow";
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as decide from "./decide.ts";
+import type * as forecasts from "./forecast.ts";
+import * as shapes from "./job_shape.ts";
+
+const { RejectReason } = Errors;
+const { Verdict } = shapes;
+
+function room(accelerators: number): Workflow.Resources {
+  return { cpuMillis: 1e6, memoryMb: 1e6, accelerators };
+}
+
+/** A service whose room for all priorities is this at each point of time. */
+function forecastOf(
+  free: readonly number[],
+  changes: Partial<forecasts.ServiceForecast> = {},
+  urgentUse: forecasts.Forecast["urgentUse"] = [],
+): forecasts.Forecast {
+  const curve = free.map(room);
+  const ahead = { first: curve, last: curve, lastDueMs: 0 };
+  const service: forecasts.ServiceForecast = {
+    service: "analysis",
+    largest: room(8),
+    largestRack: room(32),
+    total: room(64),
+    fastest: 1,
+    room: [0, 1, 2].map((priority) => ({ priority, ...ahead })),
+    ...changes,
+  };
+  return { boxes: 3, remotePenalty: 3, services: [service], urgentUse };
+}
+
+function jobOf(
+  step: Partial<Workflow.StepSpec>,
+  changes: Partial<shapes.JobShape> = {},
+): shapes.JobShape {
+  const steps = [Workflow.createStep({ accelerators: 1, ...step })];
+  const base = { service: "analysis", priority: 1, steps, isTimed: false };
+  return { ...base, dueInMs: 3000, usefulForMs: 9000, ...changes };
+}
+
+const TEAM: shapes.TeamState = { team: "hana", guaranteed: 0 };
+
+function judge(
+  job: shapes.JobShape,
+  forecast: forecasts.Forecast | null,
+  ageMs = 0,
+  team = TEAM,
+): shapes.Decision {
+  return decide.decideAdmission({ job, known: { forecast, ageMs }, team });
+}
+
+const FULL_FOR_8_S = [0, 0, 0, 0, 16, 16, 16];
+
+vitest.describe("a job is accepted", () => {
+  vitest.it("where nothing is known, or too long ago", () => {
+    const late = jobOf({ estimateMs: 2000 });
+    const forecast = forecastOf(FULL_FOR_8_S);
+    vitest.expect(judge(late, forecast).verdict).toBe(Verdict.Rejected);
+    vitest.expect(judge(late, null).verdict).toBe(Verdict.Accepted);
+    vitest.expect(judge(late, forecast, 3001)).toEqual({
+      verdict: Verdict.Accepted,
+      doubt: shapes.Doubt.Stale,
+    });
+    const elsewhere = { ...late, service: "other" };
+    vitest.expect(judge(elsewhere, forecast).verdict).toBe(Verdict.Accepted);
+    const unheard = { ...late, priority: 5 };
+    vitest.expect(judge(unheard, forecast).verdict).toBe(Verdict.Accepted);
+  });
+
+  vitest.it("where it runs at set times or for good", () => {
+    const timed = jobOf({ estimateMs: 99_000 }, { isTimed: true });
+    const forecast = forecastOf(FULL_FOR_8_S);
+    vitest.expect(judge(timed, forecast).verdict).toBe(Verdict.Accepted);
+  });
+
+  vitest.it("where it is of use behind what waits, or before it", () => {
+    const forecast = forecastOf(FULL_FOR_8_S, {
+      room: [{
+        priority: 1,
+        first: [room(8)],
+        last: FULL_FOR_8_S.map(room),
+        lastDueMs: 5000,
+      }],
+    });
+    const job = jobOf({ estimateMs: 2000 });
+    const verdictOf = (dueInMs: number, isBelowShare?: boolean) =>
+      judge({ ...job, dueInMs }, forecast, 0, { ...TEAM, isBelowShare })
+        .verdict;
+    vitest.expect(verdictOf(4999)).toBe(Verdict.Accepted);
+    vitest.expect(verdictOf(5000)).toBe(Verdict.Rejected);
+    vitest.expect(verdictOf(5000, true)).toBe(Verdict.Accepted);
+  });
+});
+
+vitest.describe("a job is rejected", () => {
+  vitest.it("where it would end too late, until it would not", () => {
+    const decision = judge(
+      jobOf({ estimateMs: 2000 }),
+      forecastOf(FULL_FOR_8_S),
+    );
+    vitest.expect(decision).toEqual({
+      verdict: Verdict.Rejected,
+      reason: RejectReason.TooLate,
+      returnInMs: 1000,
+    });
+  });
+
+  vitest.it("where it fits nothing that was seen", () => {
+    const reasonOf = (step: Partial<Workflow.StepSpec>) => {
+      const decision = judge(jobOf(step), forecastOf([64]));
+      return decision.verdict === Verdict.Rejected ? decision.reason : null;
+    };
+    vitest.expect(reasonOf({ accelerators: 8 })).toBe(null);
+    vitest.expect(reasonOf({ accelerators: 9 })).toBe(RejectReason.NoEndpoint);
+    vitest.expect(reasonOf({ count: 65, gang: true }))
+      .toBe(RejectReason.NoFleet);
+    const wide = { count: 33, gang: true, sameRack: true };
+    vitest.expect(reasonOf({ ...wide, estimateMs: 2000 })).toBe(null);
+    vitest.expect(reasonOf({ ...wide, estimateMs: 4000 }))
+      .toBe(RejectReason.NoRack);
+  });
+});
+
+const steps = fc.record({
+  count: fc.integer({ min: 1, max: 40 }),
+  accelerators: fc.integer({ min: 0, max: 9 }),
+  estimateMs: fc.integer({ min: 0, max: 20_000 }),
+  gang: fc.boolean(),
+  sameRack: fc.boolean(),
+});
+const free = fc.array(fc.integer({ min: 0, max: 64 }), {
+  minLength: 1,
+  maxLength: 7,
+});
+const ages = fc.integer({ min: 0, max: 3500 });
+const priorities = fc.constantFrom(0, 1, 2);
+
+vitest.describe("for any forecast", () => {
+  vitest.it("nothing inside a guarantee is rejected", () => {
+    const used = fc.integer({ min: 0, max: 40 });
+    const spare = fc.integer({ min: 0, max: 40 });
+    fc.assert(fc.property(
+      steps,
+      free,
+      ages,
+      used,
+      spare,
+      (step, curve, ageMs, inUse, more) => {
+        const forecast = forecastOf(curve, {}, [["hana", inUse]]);
+        const guaranteed = inUse + step.count * step.accelerators + more;
+        const team = { team: "hana", guaranteed };
+        const decision = judge(
+          jobOf(step, { priority: 0 }),
+          forecast,
+          ageMs,
+          team,
+        );
+        vitest.expect(decision.verdict).toBe(Verdict.Accepted);
+      },
+    ));
+  });
+
+  vitest.it("nothing wider or longer is accepted than what is rejected", () => {
+    const more = fc.record({
+      count: fc.integer({ min: 0, max: 30 }),
+      accelerators: fc.integer({ min: 0, max: 4 }),
+      estimateMs: fc.integer({ min: 0, max: 10_000 }),
+    });
+    const guarantees = fc.integer({ min: 0, max: 100 });
+    fc.assert(
+      fc.property(
+        steps,
+        more,
+        free,
+        ages,
+        priorities,
+        guarantees,
+        (step, extra, curve, ageMs, priority, guaranteed) => {
+          const forecast = forecastOf(curve);
+          const team = { team: "hana", guaranteed };
+          const larger = {
+            ...step,
+            count: step.count + extra.count,
+            accelerators: step.accelerators + extra.accelerators,
+            estimateMs: step.estimateMs + extra.estimateMs,
+          };
+          const verdictOf = (one: typeof step) =>
+            judge(jobOf(one, { priority }), forecast, ageMs, team).verdict;
+          if (verdictOf(step) === Verdict.Accepted) return;
+          vitest.expect(verdictOf(larger)).toBe(Verdict.Rejected);
+        },
+      ),
+      { numRuns: 1000 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/admission/src/forecast_test.ts
@@ -0,0 +1,150 @@
+/** A forecast is cautious, short, and reads as it was written. */
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as texts from "./forecast_text.ts";
+import * as makers from "./make_forecast.ts";
+
+function need(accelerators: number) {
+  return { cpuMillis: 1000, memoryMb: 1024, accelerators };
+}
+
+const SIZE = { cpuMillis: 64_000, memoryMb: 65_536, accelerators: 8 };
+
+function loadOf(changes: Partial<makers.Load> = {}): makers.Load {
+  const endpoint = { service: "analysis", rack: "r", total: SIZE, speed: 1 };
+  return {
+    boxes: 36,
+    remotePenalty: 3,
+    endpoints: [endpoint, endpoint],
+    runs: [],
+    waits: [],
+    priorities: new Map([["analysis", [0, 1, 2]]]),
+    urgentUse: new Map(),
+    before: null,
+    ...changes,
+  };
+}
+
+function runOf(accelerators: number, leftMs: number, rank = 2): makers.Run {
+  return { service: "analysis", rank, need: need(accelerators), leftMs };
+}
+
+function waitOf(changes: Partial<makers.Wait>): makers.Wait {
+  const base = { service: "analysis", rank: 2, need: need(1), count: 1 };
+  return { ...base, gang: false, runMs: 2000, dueInMs: 60_000, ...changes };
+}
+
+function freeFor(load: makers.Load, priority: number) {
+  const [service] = makers.makeForecast(load).services;
+  const ahead = service.room.find((one) => one.priority === priority);
+  const accelerators = (of: "first" | "last") =>
+    ahead?.[of].map((one) => one.accelerators);
+  return { first: accelerators("first"), last: accelerators("last") };
+}
+
+vitest.describe("a forecast of room", () => {
+  vitest.it("lets runs end, and urgent work make others yield", () => {
+    const load = loadOf({ runs: [runOf(8, 3500), runOf(4, 9000, 0)] });
+    vitest.expect(freeFor(load, 1).first)
+      .toEqual([4, 4, 12, 12, 16, 16, 16]);
+    vitest.expect(freeFor(load, 0).first)
+      .toEqual([12, 12, 12, 12, 16, 16, 16]);
+  });
+
+  vitest.it("gives room that gets free to work that comes before", () => {
+    const waits = [
+      waitOf({ rank: 1, need: need(8), runMs: 6000 }),
+      waitOf({ need: need(8), runMs: 20_000 }),
+      waitOf({ need: need(1), runMs: 500, dueInMs: 0 }),
+    ];
+    const load = loadOf({ runs: [runOf(8, 0), runOf(8, 2000)], waits });
+    const { first, last } = freeFor(load, 1);
+    vitest.expect(first).toEqual([0, 0, 8, 16, 16, 16, 16]);
+    vitest.expect(last).toEqual([0, 0, 0, 8, 8, 16, 16]);
+    const [{ room }] = makers.makeForecast(load).services;
+    vitest.expect(room[1].lastDueMs).toBe(60_000);
+  });
+
+  vitest.it("leaves room that waiting work could not take to others", () => {
+    const load = loadOf({
+      runs: [runOf(12, 5000)],
+      waits: [waitOf({ need: need(4), count: 2, gang: true })],
+    });
+    vitest.expect(freeFor(load, 1).last?.[0]).toBe(4);
+  });
+
+  vitest.it("remembers the largest sizes that were seen", () => {
+    const before = makers.makeForecast(loadOf());
+    const after = makers.makeForecast(loadOf({ endpoints: [], before }));
+    vitest.expect(after.services[0].largest).toEqual(SIZE);
+    vitest.expect(after.services[0].total.accelerators).toBe(16);
+  });
+});
+
+const loads = fc.record({
+  runs: fc.array(
+    fc.record({
+      service: fc.constantFrom("analysis", "other"),
+      rank: fc.nat({ max: 3 }),
+      need: fc.nat({ max: 8 }).map(need),
+      leftMs: fc.integer({ min: -100, max: 80_000 }),
+    }),
+    { maxLength: 20 },
+  ),
+  waits: fc.array(
+    fc.record({
+      service: fc.constantFrom("analysis", "other"),
+      rank: fc.nat({ max: 3 }),
+      need: fc.nat({ max: 8 }).map(need),
+      count: fc.integer({ min: 1, max: 50 }),
+      gang: fc.boolean(),
+      runMs: fc.nat({ max: 30_000 }),
+      dueInMs: fc.integer({ min: -100, max: 80_000 }),
+    }),
+    { maxLength: 20 },
+  ),
+});
+
+vitest.describe("the text of a forecast", () => {
+  vitest.it("holds what was written, and is short", () => {
+    fc.assert(fc.property(loads, (load) => {
+      const forecast = makers.makeForecast(loadOf(load));
+      const text = texts.writeForecast(forecast);
+      vitest.expect(Buffer.byteLength(text)).toBeLessThanOrEqual(900);
+      const read = texts.readForecast(text);
+      vitest.expect(read).not.toBe(null);
+      vitest.expect(texts.writeForecast(read ?? forecast)).toBe(text);
+      for (const [i, one] of (read?.services ?? []).entries()) {
+        const { room } = forecast.services[i];
+        vitest.expect(one.room.map(({ priority }) => priority))
+          .toEqual(room.map(({ priority }) => priority));
+        for (const [j, { last }] of one.room.entries()) {
+          const least = room[j].last.at(-1)?.accelerators;
+          vitest.expect(last.at(-1)?.accelerators).toBe(least);
+        }
+      }
+    }));
+  });
+
+  vitest.it("leaves teams and services out that do not fit", () => {
+    const teams = Array.from({ length: 200 }, (_, i) => `team-${i}`);
+    const urgentUse = new Map(teams.map((team, i) => [team, i + 1]));
+    const priorities = new Map(["analysis", "b", "c", "d", "e", "f"].map(
+      (service) => [service, [0, 1, 2]] as const,
+    ));
+    const forecast = makers.makeForecast(loadOf({ urgentUse, priorities }));
+    const text = texts.writeForecast(forecast);
+    vitest.expect(Buffer.byteLength(text)).toBeLessThanOrEqual(900);
+    const read = texts.readForecast(text);
+    vitest.expect(read?.services[0].service).toBe("analysis");
+    vitest.expect(read?.urgentUse[0]).toEqual(["team-199", 200]);
+  });
+
+  vitest.it("is none where somebody else has written", () => {
+    const odd = ["", "{", "3", "null", "[]", '{"boxes":0}', "{}"];
+    for (const text of odd) vitest.expect(texts.readForecast(text)).toBe(null);
+    fc.assert(fc.property(fc.json(), (text) => {
+      vitest.expect(texts.readForecast(text)).toBe(null);
+    }));
+  });
+});
--- a/packages/errors/src/errors.ts
+++ b/packages/errors/src/errors.ts
@@ -318,3 +318,30 @@
       `(${this.cause}). Whoever wrote it has to write it again.`;
   }
 }
+
+/** Why a submission is rejected while there is too little room. */
+export enum RejectReason {
+  /** No endpoint that was seen is large enough for one of its tasks. */
+  NoEndpoint = "no-endpoint",
+  /** All endpoints together are too small for one of its gangs. */
+  NoFleet = "no-fleet",
+  /** No rack is large enough for one of its gangs, and across racks it is late. */
+  NoRack = "no-rack",
+  /** It would end when it is of no use any more. */
+  TooLate = "too-late",
+  /** It came again before the time that it was told. */
+  Turn = "turn",
+}
+
+/** A submission that could not be of use now. Nothing of it was stored. */
+export class RejectedError extends Data.TaggedError("RejectedError")<{
+  readonly jobId: string;
+  readonly reason: RejectReason;
+  /** Time after which it may come again, in ms. */
+  readonly retryAfterMs: number;
+}> {
+  override get message(): string {
+    return `Job ${this.jobId} is not taken and has not run: ${this.reason}. ` +
+      `Hand it in again in ${Math.ceil(this.retryAfterMs / 1000)} s.`;
+  }
+}
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -16,3 +16,4 @@
 } from "./src/plan.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
+export { acceleratorsOf, Hope, hopeOf, Ranks } from "./src/rank.ts";
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -61,8 +61,7 @@
   None = 2,
 }
 
-/** An end within this many times the objective is late, and still of use. */
-const LATE_FACTOR = 3;
+const { LATE_FACTOR } = Workflow;
 
 /** What a unit can still reach if it starts now. */
 export function hopeOf(unit: Workflow.Unit, wallMs: number): Hope {
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -4,6 +4,7 @@
   countRounds,
   createStep,
   dueAtMs,
+  LATE_FACTOR,
   longestChainMs,
   objectiveAtMs,
   type QueuePolicy,
--- a/packages/workflow/src/spec.ts
+++ b/packages/workflow/src/spec.ts
@@ -162,3 +162,6 @@
   const workMs = longestChainMs(spec.steps);
   return dueAtMs(spec, round) + stretch * workMs + latencyMs;
 }
+
+/** An end within this many times the objective is late, and still of use. */
+export const LATE_FACTOR = 3;
