Tell all boxes with each renewal of the election what room will be free

Under hard load the coordinator makes a forecast each 0.5 s. It travels in the value of the lease row, which all boxes look at already: no new row, no new call. The value is a text then, which compares by value: with an object, a version that compares renewals by identity would see a new one at each look and never take over. Without hard load it is the number it was.

A forecast that a box finds when it begins, or after it was cut off for longer than a forecast holds, may be of a holder that is gone: it counts as too old.

--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -8,6 +8,7 @@
   type TeamState,
   Verdict,
 } from "./src/job_shape.ts";
+export { needOf } from "./src/amounts.ts";
 export { decideAdmission } from "./src/decide.ts";
 export {
   type Forecast,
--- a/packages/admission/src/forecast_test.ts
+++ b/packages/admission/src/forecast_test.ts
@@ -140,6 +140,14 @@
     vitest.expect(read?.urgentUse[0]).toEqual(["team-199", 200]);
   });
 
+  vitest.it("reads whatever callers ask for", () => {
+    const urgentUse = new Map([["hana", 0.5], ["ivo", Infinity], ["jo", 1.5]]);
+    const forecast = makers.makeForecast(loadOf({ urgentUse }));
+    const read = texts.readForecast(texts.writeForecast(forecast));
+    vitest.expect(read?.urgentUse)
+      .toEqual([["ivo", Number.MAX_SAFE_INTEGER], ["jo", 1], ["hana", 0]]);
+  });
+
   vitest.it("is none where somebody else has written", () => {
     const odd = ["", "{", "3", "null", "[]", '{"boxes":0}', "{}"];
     for (const text of odd) vitest.expect(texts.readForecast(text)).toBe(null);
--- a/packages/admission/src/forecast_text.ts
+++ b/packages/admission/src/forecast_text.ts
@@ -70,7 +70,7 @@
   return {
     boxes: forecast.boxes,
     far: forecast.remotePenalty,
-    urgent: forecast.urgentUse,
+    urgent: forecast.urgentUse.map(([team, used]) => [team, roundDown(used)]),
     services: forecast.services.map((one) => ({
       name: one.service,
       sizes: flatten([one.largest, one.largestRack, one.total]),
@@ -109,6 +109,11 @@
   };
 }
 
+/** Callers may ask for any number; one that no text holds would spoil it all. */
+function roundDown(used: number): number {
+  return Math.min(Number.MAX_SAFE_INTEGER, Math.floor(used));
+}
+
 function flatten(all: readonly Workflow.Resources[]): number[] {
   return all.flatMap(({ cpuMillis, memoryMb, accelerators }) => [
     Math.ceil(cpuMillis / CORE_MILLIS),
--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -3,6 +3,7 @@
  * token and changes on takeover only; a second row is renewed by the holder.
  * A node takes over when the holder has let both rows stand still.
  */
+import type * as Admission from "@cairngate/admission";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
@@ -39,6 +40,11 @@
     return holder === "" ? null : holder;
   }
 
+  /** What the holder expects, as last seen. */
+  get forecast(): Admission.Known {
+    return this.#watch.forecast;
+  }
+
   /** Runs `work` whenever this node is elected, until the term is lost. */
   run(work: (term: terms.Term) => Effect.Effect<void>): Effect.Effect<never> {
     const hold = Effect.gen({ self: this }, function* () {
@@ -97,7 +103,8 @@
         writes: [{ key, value }, { key: leaseKey, value: token }],
       }, TAKE_LIMIT_MS);
       log.info(`Node ${node} coordinates under token ${token}.`);
-      return new terms.Term(token, revision);
+      const { forecast: before } = this.#watch.forecast;
+      return new terms.Term(token, revision, before);
     }).pipe(Effect.catch((err) => {
       this.#ports.log.info(`Not elected: ${err.message}`);
       this.#watch.forgetSilence();
--- /dev/null
+++ b/packages/coordinator/src/election/forecast_sight_test.ts
@@ -0,0 +1,69 @@
+/** How boxes see the forecast of the holder, and its age. */
+import * as Admission from "@cairngate/admission";
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+import * as sights from "./forecast_sight.ts";
+import * as leases from "./lease_value.ts";
+
+const FORECAST: Admission.Forecast = {
+  boxes: 3,
+  remotePenalty: 3,
+  services: [],
+  urgentUse: [["hana", 4]],
+};
+
+function renewal(atMs: number, ageMs = 100): number | string {
+  return leases.writeLease(atMs, { forecast: FORECAST, ageMs });
+}
+
+vitest.describe("the value of a renewal", () => {
+  vitest.it("is a number without a forecast, as it was ever", () => {
+    vitest.expect(leases.writeLease(12.4, null)).toBe(12);
+    vitest.expect(leases.readLease(12)).toBe(null);
+  });
+
+  vitest.it("differs with each renewal, and compares by value", () => {
+    vitest.expect(renewal(1)).not.toBe(renewal(2));
+    vitest.expect(renewal(1)).toBe(renewal(1));
+  });
+
+  vitest.it("says nothing where somebody else has written", () => {
+    for (const odd of [null, undefined, {}, "", "1", "1 x {}", "1 2 {}"]) {
+      vitest.expect(leases.readLease(odd)).toBe(null);
+    }
+  });
+});
+
+vitest.describe("the age of a forecast", () => {
+  vitest.it("counts from the look that told of it", async () => {
+    const clock = new TestUtils.FakeClock();
+    const sight = new sights.ForecastSight(clock);
+    sight.note(renewal(1), clock.monotonicMs());
+    const lookedAtMs = clock.monotonicMs();
+    await clock.advance(400);
+    sight.note(renewal(2, 100), lookedAtMs);
+    vitest.expect(sight.known).toEqual({ forecast: FORECAST, ageMs: 500 });
+  });
+
+  vitest.it("is not known of a row that stood there before", async () => {
+    const clock = new TestUtils.FakeClock();
+    const sight = new sights.ForecastSight(clock);
+    sight.note(renewal(1), clock.monotonicMs());
+    vitest.expect(sight.known.ageMs).toBe(Number.POSITIVE_INFINITY);
+    sight.note(renewal(2), clock.monotonicMs());
+    vitest.expect(sight.known.ageMs).toBe(100);
+    // Cut off for so long that the next row may be as old.
+    await clock.advance(4000);
+    sight.note(renewal(3), clock.monotonicMs());
+    vitest.expect(sight.known.ageMs).toBe(Number.POSITIVE_INFINITY);
+  });
+
+  vitest.it("ends with a holder that tells of none", () => {
+    const clock = new TestUtils.FakeClock();
+    const sight = new sights.ForecastSight(clock);
+    sight.note(renewal(1), clock.monotonicMs());
+    sight.note(renewal(2), clock.monotonicMs());
+    sight.note(7, clock.monotonicMs());
+    vitest.expect(sight.known.forecast).toBe(null);
+  });
+});
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -2,11 +2,13 @@
  * What is seen of the rows of the election: who holds them, whether the holder renews
  * them, and whether this node may take them.
  */
+import type * as Admission from "@cairngate/admission";
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
 import * as fitnesses from "./fitness.ts";
+import * as sights from "./forecast_sight.ts";
 import * as paces from "./renewal_pace.ts";
 import type * as terms from "./term.ts";
 
@@ -38,6 +40,9 @@
   readonly #onRow: RowWatchOptions["onRow"];
   readonly #follower: TableClient.RowFollower<unknown>;
   readonly #pace = new paces.RenewalPace();
+  readonly #sight: sights.ForecastSight;
+  /** When the look under way began. */
+  #lookedAtMs = 0;
   #row: terms.CoordinatorRow | null = null;
   /** Newest renewal that was seen; differs with each one. */
   #lease: unknown = null;
@@ -53,6 +58,7 @@
     this.#ports = watched;
     this.#onRow = onRow;
     const { clock, random, store, electionFeed: feed } = watched;
+    this.#sight = new sights.ForecastSight(clock);
     this.#follower = new TableClient.RowFollower<unknown>({
       feed,
       clock,
@@ -64,6 +70,11 @@
     });
   }
 
+  /** The forecast that the holder tells of, as last seen. */
+  get forecast(): Admission.Known {
+    return this.#sight.known;
+  }
+
   /** Holder of the row as last seen; empty where there is none. */
   get holder(): string {
     return this.#row?.holder ?? "";
@@ -84,6 +95,7 @@
     return Effect.forever(Effect.gen({ self: this }, function* () {
       if (!holds() && this.#mayRest) yield* this.#ports.clock.sleep(REST_MS);
       this.#hasToldOfRenewal = false;
+      this.#lookedAtMs = this.#ports.clock.monotonicMs();
       yield* this.#follower.step();
     }));
   }
@@ -144,6 +156,7 @@
     for (const { key, value } of entries) {
       if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) {
         this.#lease = value;
+        this.#sight.note(value, this.#lookedAtMs);
         this.#hasToldOfRenewal = true;
       }
       if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
--- a/packages/coordinator/src/election/term.ts
+++ b/packages/coordinator/src/election/term.ts
@@ -1,4 +1,5 @@
 /** One term of a coordinator, and the row that says whose it is. */
+import type * as Admission from "@cairngate/admission";
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Deferred from "effect/Deferred";
@@ -13,15 +14,30 @@
   readonly successor?: string;
 }
 
+/** A forecast, and the monotonic time at which it was made. */
+export interface TimedForecast {
+  readonly forecast: Admission.Forecast;
+  readonly madeAtMs: number;
+}
+
 /** The right to decide, under one fencing token. */
 export class Term {
   readonly token: number;
   /** Condition of every write of the holder. */
   readonly condition: Ports.RowCondition;
+  /** Forecast of the holder before; null where none was known. */
+  readonly inherited: Admission.Forecast | null;
+  /** Told to all boxes with each renewal; null: nothing. */
+  forecast: TimedForecast | null = null;
   readonly #lost = Deferred.makeUnsafe<string>();
 
-  constructor(token: number, revision: number) {
+  constructor(
+    token: number,
+    revision: number,
+    inherited: Admission.Forecast | null = null,
+  ) {
     this.token = token;
+    this.inherited = inherited;
     this.condition = { key: TableClient.Keys.COORDINATOR_KEY, revision };
   }
 
--- a/packages/coordinator/src/election/term_keeper.ts
+++ b/packages/coordinator/src/election/term_keeper.ts
@@ -2,6 +2,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
+import * as leases from "./lease_value.ts";
 import type * as terms from "./term.ts";
 
 /** Time between two renewals, in ms: a loss is seen after three of them. */
@@ -29,7 +30,7 @@
     const renew = Effect.suspend(() =>
       store.write({
         conditions: [term.condition],
-        writes: [{ key, value: Math.round(clock.monotonicMs()) }],
+        writes: [{ key, value: leaseOf(term, clock.monotonicMs()) }],
       }, RENEW_LIMIT_MS)
     ).pipe(
       Effect.map(() => {
@@ -93,3 +94,10 @@
     );
   }
 }
+
+/** Value of a renewal, with the forecast of the term where there is one. */
+function leaseOf({ forecast: made }: terms.Term, nowMs: number) {
+  if (made === null) return leases.writeLease(nowMs, null);
+  const { forecast, madeAtMs } = made;
+  return leases.writeLease(nowMs, { forecast, ageMs: nowMs - madeAtMs });
+}
--- /dev/null
+++ b/packages/coordinator/src/load/forecast_maker.ts
@@ -0,0 +1,84 @@
+/** Makes the forecast that boxes admit work by, while there is hard load. */
+import * as Admission from "@cairngate/admission";
+import type * as Ports from "@cairngate/ports";
+import type * as Workflow from "@cairngate/workflow";
+import type * as terms from "../election/term.ts";
+import type * as directories from "../endpoints/worker_directory.ts";
+import type * as ports from "../ports.ts";
+import * as guarantees from "../work/guarantee_watch.ts";
+import type * as hardLoads from "./hard_load_watch.ts";
+import * as surveys from "./load_survey.ts";
+
+/** What forecasts are made from. */
+export interface ForecastParts {
+  readonly ports: ports.CoordinatorPorts;
+  readonly term: terms.Term;
+  readonly directory: directories.WorkerDirectory;
+  readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly live: () => readonly Workflow.Workflow[];
+}
+
+/** Priorities of a service that a forecast tells of, the first ones. */
+const MOST_PRIORITIES = 4;
+
+/** Makes forecasts for one term. */
+export class ForecastMaker {
+  readonly #parts: ForecastParts;
+  #before: Admission.Forecast | null;
+
+  constructor(parts: ForecastParts) {
+    this.#parts = parts;
+    this.#before = parts.term.inherited;
+  }
+
+  /** Makes a forecast where one is called for; else none is told any more. */
+  make(): void {
+    const { ports: { config, clock, metrics }, term, hardLoad } = this.#parts;
+    const { teamsCompete, endpointsDiffer } = hardLoad.load;
+    const access = config();
+    if (!(teamsCompete || endpointsDiffer) || access === null) {
+      term.forecast = null;
+      return;
+    }
+    const madeAtMs = clock.monotonicMs();
+    const forecast = this.#forecast(access);
+    this.#before = forecast;
+    term.forecast = { forecast, madeAtMs };
+    metrics.count("cairngate_forecasts_total");
+    const tookMs = clock.monotonicMs() - madeAtMs;
+    metrics.observeMs("cairngate_forecast_seconds", tookMs);
+  }
+
+  #forecast(access: Ports.AccessConfig): Admission.Forecast {
+    const { ports: given, directory, live } = this.#parts;
+    const survey = surveys.surveyLoad({
+      endpoints: directory.states(),
+      workflows: live(),
+      guarantees: guarantees.guaranteesOf(access),
+      nowMs: given.clock.monotonicMs(),
+      wallMs: given.clock.wallMs(),
+    });
+    return Admission.makeForecast({
+      ...survey,
+      boxes: given.countBoxes(),
+      remotePenalty: given.bounds.remotePenalty,
+      priorities: prioritiesOf(access),
+      before: this.#before,
+    });
+  }
+}
+
+/** Priorities of the queues of each service, the first ones first. */
+function prioritiesOf(
+  { queues }: Ports.AccessConfig,
+): ReadonlyMap<string, readonly number[]> {
+  const found = new Map<string, Set<number>>();
+  for (const { service, priority } of queues) {
+    const known = found.get(service) ?? new Set();
+    found.set(service, known.add(priority));
+  }
+  return new Map([...found].map(([service, priorities]) => {
+    const sorted = [...priorities].sort((a, b) => a - b);
+    return [service, sorted.slice(0, MOST_PRIORITIES)];
+  }));
+}
--- /dev/null
+++ b/packages/coordinator/src/load/load_survey.ts
@@ -0,0 +1,115 @@
+/** What runs and what waits, as a forecast of room takes it. */
+import * as Admission from "@cairngate/admission";
+import * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+
+/** What is surveyed. */
+export interface Surveyed {
+  readonly endpoints: readonly Scheduler.WorkerState[];
+  /** Workflows of which something may start. */
+  readonly workflows: readonly Workflow.Workflow[];
+  /** Accelerators that each team has paid for. */
+  readonly guarantees: ReadonlyMap<string, number>;
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
+/** A load without what the settings and the configuration say. */
+export type Survey = Pick<
+  Admission.Load,
+  "endpoints" | "runs" | "waits" | "urgentUse"
+>;
+
+/** Surveys endpoints and workflows. */
+export function surveyLoad(surveyed: Surveyed): Survey {
+  const { endpoints, workflows, guarantees } = surveyed;
+  const ranks = new Scheduler.Ranks(workflows, guarantees);
+  const fastest = Math.max(1, ...endpoints.map(({ speed }) => speed));
+  const urgentUse = new Map<string, number>();
+  const waits: Admission.Wait[] = [];
+  for (const workflow of workflows) {
+    waits.push(...waitsOf(workflow, { surveyed, ranks, fastest }));
+    const stays = isUrgent(workflow) && staysInUse(workflow, surveyed, fastest);
+    if (!stays) continue;
+    const { tenant } = workflow.spec;
+    const used = urgentUse.get(tenant) ?? 0;
+    urgentUse.set(tenant, used + Scheduler.acceleratorsOf(workflow));
+  }
+  const runs = endpoints.flatMap((endpoint) =>
+    endpoint.occupants.map((task) => runOf(task, { endpoint, surveyed, ranks }))
+  );
+  return { endpoints, runs, waits, urgentUse };
+}
+
+function isUrgent({ spec, isOver }: Workflow.Workflow): boolean {
+  return spec.policy.priority === 0 && !isOver;
+}
+
+/** Whether some task of it can't end before a forecast that is made now is stale. */
+function staysInUse(
+  workflow: Workflow.Workflow,
+  { nowMs }: Surveyed,
+  fastest: number,
+): boolean {
+  for (const task of workflow.tasks) {
+    if (task.state === Workflow.TaskState.Done) continue;
+    const leftMs = task.isPlaced
+      ? leftOf(task, nowMs)
+      : task.step.estimateMs / fastest;
+    if (leftMs > Admission.STALE_MS) return true;
+  }
+  return false;
+}
+
+function runOf(
+  task: Workflow.Task,
+  from: {
+    readonly endpoint: Scheduler.WorkerState;
+    readonly surveyed: Surveyed;
+    readonly ranks: Scheduler.Ranks;
+  },
+): Admission.Run {
+  const { endpoint: { service }, surveyed: { nowMs }, ranks } = from;
+  const rank = ranks.of(task.workflow);
+  const need = Admission.needOf(task.step);
+  return { service, rank, need, leftMs: leftOf(task, nowMs) };
+}
+
+/** Earliest time by which a run may end: by its pace or its estimate, in ms. */
+function leftOf(task: Workflow.Task, nowMs: number): number {
+  if (task.state === Workflow.TaskState.Stopping) return 0;
+  if (task.step.lasting) return Number.POSITIVE_INFINITY;
+  const byEstimateMs = task.startedAtMs + task.step.estimateMs;
+  const endMs = Math.min(task.endsAtMs ?? byEstimateMs, byEstimateMs);
+  return Math.max(0, endMs - nowMs);
+}
+
+function waitsOf(
+  workflow: Workflow.Workflow,
+  from: {
+    readonly surveyed: Surveyed;
+    readonly ranks: Scheduler.Ranks;
+    readonly fastest: number;
+  },
+): Admission.Wait[] {
+  const { surveyed: { wallMs }, ranks, fastest } = from;
+  const rank = ranks.of(workflow);
+  const { spec } = workflow;
+  const waits = new Map<string, Admission.Wait>();
+  for (const unit of workflow.readyUnits(wallMs)) {
+    if (Scheduler.hopeOf(unit, wallMs) === Scheduler.Hope.None) continue;
+    const { step, tasks } = unit;
+    const key = tasks[0].stepKey;
+    const before = waits.get(key)?.count ?? 0;
+    waits.set(key, {
+      service: spec.policy.service,
+      rank,
+      need: Admission.needOf(step),
+      count: before + tasks.length,
+      gang: step.gang,
+      runMs: step.estimateMs / fastest,
+      dueInMs: Workflow.objectiveAtMs(spec, unit.round) - wallMs,
+    });
+  }
+  return [...waits.values()];
+}
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -43,6 +43,8 @@
   readonly evacuations: evacuations.EvacuationBook;
   readonly fitness: fitnesses.Fitness;
   readonly outage: outageWords.OutageWord;
+  /** Boxes that take work from callers, as far as this one knows. */
+  readonly countBoxes: () => number;
   readonly bounds: WorkerBounds;
   readonly hardLoad: Types.HardLoadSettings;
   readonly log: Logger.Logger;
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -13,6 +13,8 @@
 const WATCH_MS = 400;
 /** Time between two looks at which kinds of hard load there are, in ms. */
 const LOAD_MS = 1000;
+/** Time between two forecasts of room, in ms. */
+const FORECAST_MS = 500;
 /** A store that is silent for this long holds up plans. */
 const STORE_SILENT_MS = 600;
 
@@ -55,6 +57,7 @@
       ),
       guarantees: this.#parts.guarantees.describe(),
       hardLoad: this.#parts.hardLoad.load,
+      forecast: this.#term.forecast?.forecast ?? null,
     };
   }
 
@@ -83,6 +86,10 @@
         clock.every(SWEEP_MS, this.#parts.book.sweep()),
         clock.every(WATCH_MS, Effect.sync(() => this.#lookAtRuns())),
         clock.every(LOAD_MS, Effect.sync(() => this.#lookAtLoad())),
+        clock.every(
+          FORECAST_MS,
+          Effect.sync(() => this.#parts.forecasts.make()),
+        ),
       ], { concurrency: "unbounded", discard: true });
     });
     const all = Effect.all([this.#parts.recovery.openAll(), work], {
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -1,4 +1,5 @@
 /** What a coordinator knows, as plain data for people. */
+import type * as Admission from "@cairngate/admission";
 import * as Workflow from "@cairngate/workflow";
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
@@ -67,6 +68,8 @@
   readonly guarantees: GuaranteeDump;
   /** Kinds of hard load that the decisions take into account. */
   readonly hardLoad: Scheduler.HardLoad;
+  /** Room that boxes admit work by; null without hard load. */
+  readonly forecast: Admission.Forecast | null;
 }
 
 /** One run for which a workflow was given up. */
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,5 +1,6 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
+import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
@@ -41,6 +42,7 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly forecasts: forecasts.ForecastMaker;
 }
 
 /** Makes the parts of one term. */
@@ -97,6 +99,13 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    forecasts: new forecasts.ForecastMaker({
+      ports: given,
+      term,
+      directory,
+      hardLoad,
+      live: () => book.live,
+    }),
   };
 }
 
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -167,6 +167,7 @@
         reachesStore: () => this.#route.isDirect,
       }),
       outage: this.#outage,
+      countBoxes: () => this.#members.others().length + 1,
       bounds: ports.bounds,
       hardLoad: ports.hardLoad,
       log: log.part("coordinator"),
