Reject at once under hard load what surely can't be of use

Callers saw 200 for work that fits no endpoint or can't end while it is of use; it was kept, never told of and never run. Now the gateway asks the decision before anything is written: 429 with Retry-After, the reason and the exact time in the body. Before it answers so, it looks for the id in all partitions; where one does not answer within 300 ms, or this box has written the id or may have, the job is written as before. Without hard load nothing changes.

Retry-After was told too early where the spans of the forecast are long: a caller that came back as told came in vain four times (a play of TestFleet, room free after 40 s). The forecast has eleven points now instead of seven; what a text has no room for is left out, so that it is accepted as before.

While the store is away, callers are told to come back after the time for which it has been silent, spread by a half; without hard load a second as ever.

--- a/packages/admission/src/forecast.ts
+++ b/packages/admission/src/forecast.ts
@@ -3,20 +3,26 @@
 
 /**
  * Moments at which the spans of a forecast begin, in ms after it was made. They are
- * close at first, as work with a short objective is judged by the next seconds.
+ * close at first, as work with a short objective is judged by the next seconds. A
+ * caller comes back when a span begins in which there is room: in long spans it comes
+ * in vain a few times.
  */
 export const POINTS_MS: readonly number[] = [
   0,
   1000,
   2000,
+  3000,
   4000,
+  6000,
   8000,
-  16_000,
-  32_000,
+  11_000,
+  15_000,
+  20_000,
+  30_000,
 ];
 
 /** From here on nothing is known: all room counts as free, in ms. */
-export const HORIZON_MS = 64_000;
+export const HORIZON_MS = 60_000;
 
 /** A forecast older than this is none, in ms: six that were due did not come. */
 export const STALE_MS = 3000;
--- a/packages/admission/src/forecast_text.ts
+++ b/packages/admission/src/forecast_text.ts
@@ -41,7 +41,7 @@
 
 /**
  * The text of a forecast. Amounts are rounded up. Services that do not fit are left
- * out, and then teams: what is not told of is accepted.
+ * out, then the last priorities, then teams: what is not told of is accepted.
  */
 export function writeForecast(forecast: forecasts.Forecast): string {
   const short = toShort(forecast);
@@ -49,10 +49,13 @@
   const services = [...short.services];
   for (;;) {
     const text = JSON.stringify({ ...short, urgent, services });
-    const isShort = Buffer.byteLength(text) <= MOST_BYTES;
-    if (isShort || services.length + urgent.length === 0) return text;
-    if (services.length > 1 || urgent.length === 0) services.pop();
-    else urgent.pop();
+    if (Buffer.byteLength(text) <= MOST_BYTES) return text;
+    if (services.length > 1) services.pop();
+    else if (services.length === 1 && services[0].room.length > 1) {
+      const [{ room, ...service }] = services;
+      services[0] = { ...service, room: room.slice(0, -1) };
+    } else if (urgent.length > 0) urgent.pop();
+    else return JSON.stringify({ ...short, urgent, services: [] });
   }
 }
 
--- a/packages/admission/src/share_book.ts
+++ b/packages/admission/src/share_book.ts
@@ -8,6 +8,12 @@
 export class ShareBook {
   #forecast: forecasts.Forecast | null = null;
   readonly #promised = new Map<string, Workflow.Resources>();
+  #jobs = 0;
+
+  /** Jobs that were promised room since the forecast came. */
+  get jobs(): number {
+    return this.#jobs;
+  }
 
   /**
    * Promises the room that a job needs at first, out of this box's share. Returns
@@ -23,6 +29,7 @@
     const wanted = amounts.add(promised, firstNeed(job));
     if (!amounts.isWithin(wanted, share)) return false;
     this.#promised.set(job.service, wanted);
+    this.#jobs++;
     return true;
   }
 
@@ -30,6 +37,7 @@
     if (forecast === this.#forecast) return;
     this.#forecast = forecast;
     this.#promised.clear();
+    this.#jobs = 0;
   }
 }
 
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -5,6 +5,12 @@
   type AccessRequest,
   AccessTable,
 } from "./src/access.ts";
+export {
+  AdmissionDesk,
+  type AdmissionDeskOptions,
+  type AdmissionDump,
+} from "./src/admission_desk.ts";
+export { type Rejection } from "./src/rejection_log.ts";
 export {
   type Submission,
   type SubmissionOptions,
--- /dev/null
+++ b/packages/gateway/src/admission_desk.ts
@@ -0,0 +1,169 @@
+/**
+ * Decides for one box whether a submission can still be of use, by the newest
+ * forecast that it knows, and tells operators of those that it rejects.
+ */
+import * as Admission from "@cairngate/admission";
+import * as Errors from "@cairngate/errors";
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import type * as Workflow from "@cairngate/workflow";
+import * as rejections from "./rejection_log.ts";
+
+/** What the desk works with. */
+export interface AdmissionDeskOptions {
+  readonly clock: Ports.Clock;
+  readonly random: Ports.RandomSource;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+  /** The newest forecast. */
+  readonly known: () => Admission.Known;
+  /** Accelerators that a team has paid for; null while that is not known. */
+  readonly guaranteeOf: (team: string) => number | null;
+  /** Whether a team has had less than its share lately; left out: not known. */
+  readonly isBelowShare?: (team: string) => boolean | undefined;
+  /** Time for which the store has been silent, in ms. */
+  readonly storeSilentMs: () => number;
+}
+
+/** What the desk knows, for people. */
+export interface AdmissionDump {
+  /** Age of the forecast in use, in ms; null where there is none. */
+  readonly forecastAgeMs: number | null;
+  readonly forecast: Admission.Forecast | null;
+  /** Jobs that this box has promised room by it. */
+  readonly promisedJobs: number;
+  readonly lastRejections: readonly rejections.Rejection[];
+}
+
+/** Hard load that was told of so lately still counts while the store is away. */
+const REMEMBERED_MS = 60_000;
+/** Shortest time after which callers may come back, in ms. */
+const LEAST_RETURN_MS = 1000;
+/** Longest wait for a store that is away, in ms: most come back before. */
+const LONGEST_STORE_MS = 8000;
+
+/** Admission at one box. */
+export class AdmissionDesk {
+  readonly #options: AdmissionDeskOptions;
+  readonly #shares = new Admission.ShareBook();
+  readonly #returns = new Admission.ReturnBook();
+  readonly #rejections: rejections.RejectionLog;
+  #hardLoadAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: AdmissionDeskOptions) {
+    this.#options = options;
+    this.#rejections = new rejections.RejectionLog(options);
+  }
+
+  /** Why a workflow is rejected; null where it is accepted. */
+  judge(spec: Workflow.WorkflowSpec): Errors.RejectedError | null {
+    const known = this.#look();
+    // A store that is silent can't tell whether the workflow is stored already.
+    const isSilent = this.#options.storeSilentMs() > 0;
+    if (known.forecast === null || isSilent) return null;
+    const guaranteed = this.#options.guaranteeOf(spec.tenant);
+    if (guaranteed === null) return null;
+    const job = Admission.shapeOf(spec);
+    const isBelowShare = this.#options.isBelowShare?.(spec.tenant);
+    const team = { team: spec.tenant, guaranteed, isBelowShare };
+    const decision = Admission.decideAdmission({ job, known, team });
+    if (decision.verdict === Admission.Verdict.Rejected) {
+      return this.#reject({ spec, job, forecast: known.forecast }, decision);
+    }
+    if (decision.doubt === null) return this.#awaitTurn(spec.id);
+    return null;
+  }
+
+  /** A workflow is going to be stored. */
+  noteAccepted(spec: Workflow.WorkflowSpec): void {
+    const known = this.#look();
+    if (known.forecast === null) return;
+    this.#returns.forget(spec.id);
+    const promised = this.#shares.promise(Admission.shapeOf(spec), known);
+    const labels = { promised: String(promised) };
+    this.#options.metrics.count("cairngate_admitted_total", labels);
+  }
+
+  /** A rejection is going to be answered. */
+  noteRejected(
+    spec: Workflow.WorkflowSpec,
+    rejected: Errors.RejectedError,
+  ): void {
+    const { forecast, ageMs } = this.#look();
+    this.#rejections.note({ spec, rejected, forecast, ageMs });
+  }
+
+  /**
+   * Time after which a caller may try again whose request the store did not take, in
+   * ms. Without hard load callers come at once.
+   */
+  retryAfterStoreMs(): number {
+    const { clock, random, storeSilentMs } = this.#options;
+    this.#look();
+    const sinceMs = clock.monotonicMs() - this.#hardLoadAtMs;
+    if (sinceMs > REMEMBERED_MS) return LEAST_RETURN_MS;
+    // An outage lasts, as far as anybody can tell, as long again as it has lasted.
+    const lastsMs = Math.min(LONGEST_STORE_MS, storeSilentMs());
+    const spread = 0.5 + random.next();
+    return Math.max(LEAST_RETURN_MS, lastsMs * spread);
+  }
+
+  /** What the desk knows. */
+  dump(): AdmissionDump {
+    const { forecast, ageMs } = this.#look();
+    return {
+      forecastAgeMs: forecast === null || !Number.isFinite(ageMs)
+        ? null
+        : Math.round(ageMs),
+      forecast,
+      promisedJobs: this.#shares.jobs,
+      lastRejections: this.#rejections.last,
+    };
+  }
+
+  #look(): Admission.Known {
+    const { clock, metrics, known } = this.#options;
+    const found = known();
+    if (found.forecast === null) return found;
+    this.#hardLoadAtMs = clock.monotonicMs();
+    const ageSeconds = Math.min(found.ageMs, REMEMBERED_MS) / 1000;
+    metrics.set("cairngate_forecast_age_seconds", ageSeconds);
+    return found;
+  }
+
+  #reject(
+    asked: {
+      readonly spec: Workflow.WorkflowSpec;
+      readonly job: Admission.JobShape;
+      readonly forecast: Admission.Forecast;
+    },
+    { reason, returnInMs }: Extract<
+      Admission.Decision,
+      { verdict: Admission.Verdict.Rejected }
+    >,
+  ): Errors.RejectedError {
+    const { spec: { id }, job, forecast } = asked;
+    const nowMs = this.#options.clock.monotonicMs();
+    // What fits nothing waits for another fleet, and is in nobody's way.
+    const inMs = reason === Errors.RejectReason.TooLate
+      ? this.#returns.note({ id, job }, returnInMs, { nowMs, forecast })
+      : returnInMs;
+    return rejectedError(id, reason, inMs);
+  }
+
+  #awaitTurn(id: string): Errors.RejectedError | null {
+    const waitMs = this.#returns.waitOf(id, this.#options.clock.monotonicMs());
+    if (waitMs <= 0) return null;
+    return rejectedError(id, Errors.RejectReason.Turn, waitMs);
+  }
+}
+
+function rejectedError(
+  jobId: string,
+  reason: Errors.RejectReason,
+  inMs: number,
+): Errors.RejectedError {
+  const retryAfterMs = Math.max(LEAST_RETURN_MS, Math.ceil(inMs));
+  return new Errors.RejectedError({ jobId, reason, retryAfterMs });
+}
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -5,7 +5,9 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import type * as access from "./access.ts";
+import type * as desks from "./admission_desk.ts";
 import * as cancellation from "./cancellation.ts";
+import * as filings from "./known_filings.ts";
 import * as waiting from "./waiting_counts.ts";
 import * as workflowRows from "./workflow_rows.ts";
 
@@ -23,6 +25,8 @@
   readonly clock: Ports.Clock;
   /** Most bytes of one row's value. */
   readonly rowBytes: number;
+  /** Rejects what surely can't be of use under hard load. */
+  readonly desk: desks.AdmissionDesk;
 }
 
 /** How a workflow stands, whoever's it is. */
@@ -34,6 +38,11 @@
 
 /** What a row holds beside the workflow. */
 const ROW_OVERHEAD_BYTES = 1000;
+/**
+ * A look for a stored copy that takes longer is given up, in ms, and the workflow
+ * written: a rejection is worth no more of the time that its caller has.
+ */
+const COPY_LOOK_MS = 300;
 
 /** Callers' side of the workflows. */
 export class Submissions {
@@ -42,9 +51,12 @@
   readonly #waiting: waiting.WaitingCounts;
   readonly #clock: Ports.Clock;
   readonly #rowBytes: number;
+  readonly #desk: desks.AdmissionDesk;
+  readonly #filings = new filings.KnownFilings();
 
   constructor(options: SubmissionOptions) {
     this.#rowBytes = options.rowBytes;
+    this.#desk = options.desk;
     this.#rows = new workflowRows.WorkflowRows(options);
     const { clock } = options;
     this.#cancellation = new cancellation.Cancellation({
@@ -57,7 +69,8 @@
 
   /**
    * Stores a workflow; the same id again changes nothing. An error without
-   * `perhapsDone` proves that it is not stored.
+   * `perhapsDone` proves that it is not stored. One that surely can't be of use is
+   * rejected: it is not stored, and this box has sent no write of it.
    * @param waitsMs how long the caller still waits for the answer
    */
   accept(
@@ -68,6 +81,7 @@
     void,
     | Errors.BadRequestError
     | Errors.TooLargeError
+    | Errors.RejectedError
     | Errors.StoreUnavailableError
   > {
     const { id, payload, steps, schedule } = submission;
@@ -87,7 +101,45 @@
       const what = "The workflow";
       return Effect.fail(new Errors.TooLargeError({ what, limitBytes }));
     }
-    return this.#rows.file(spec, waitsMs);
+    return Effect.suspend(() => {
+      const rejected = this.#filings.mayHave(id)
+        ? null
+        : this.#desk.judge(spec);
+      return rejected === null
+        ? this.#file(spec, waitsMs)
+        : this.#rejectUnlessStored(spec, rejected, waitsMs);
+    });
+  }
+
+  /** Stores a workflow; until it is known to be stored, it may be. */
+  #file(
+    spec: Workflow.WorkflowSpec,
+    waitsMs?: number,
+  ): Effect.Effect<void, Errors.StoreUnavailableError> {
+    this.#desk.noteAccepted(spec);
+    return this.#filings.watch(spec.id, this.#rows.file(spec, waitsMs));
+  }
+
+  /** To reject what is stored already, or may be, would be untrue. */
+  #rejectUnlessStored(
+    spec: Workflow.WorkflowSpec,
+    rejected: Errors.RejectedError,
+    waitsMs?: number,
+  ): Effect.Effect<void, Errors.RejectedError | Errors.StoreUnavailableError> {
+    return Effect.gen({ self: this }, function* () {
+      const begunAtMs = this.#clock.monotonicMs();
+      const look = this.#rows.look(spec.id, COPY_LOOK_MS);
+      const seen = yield* this.#clock.within(COPY_LOOK_MS, look);
+      const isNowhere = seen !== null && seen.value.failure === null &&
+        seen.value.found.length === 0 && !this.#filings.mayHave(spec.id);
+      if (isNowhere) {
+        this.#desk.noteRejected(spec, rejected);
+        return yield* rejected;
+      }
+      const tookMs = this.#clock.monotonicMs() - begunAtMs;
+      const leftMs = waitsMs === undefined ? undefined : waitsMs - tookMs;
+      return yield* this.#file(spec, leftMs);
+    });
   }
 
   /**
--- /dev/null
+++ b/packages/workflow-node/src/admission_test.ts
@@ -0,0 +1,224 @@
+/**
+ * Under hard load, work that surely can't be of use is rejected at once. Whoever is
+ * rejected was told the truth: it has not run, and is stored nowhere.
+ */
+import type * as Errors from "@cairngate/errors";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
+import type * as Workflow from "@cairngate/workflow";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+
+const COMPETING: Types.HardLoadSettings = {
+  competingTeams: Types.FeatureUse.On,
+  unevenEndpoints: Types.FeatureUse.Off,
+};
+/** A run of this length keeps its endpoint beyond the use of all short work. */
+const LONG_MS = 40_000;
+/** Time in which boxes that rest learn the newest forecast, in ms. */
+const LEARNED_MS = 3000;
+
+/** Objective 2.5 s, so of use for 7.5 s; beyond what its team has paid for. */
+const SHORT = TestUtils.buildStep({ accelerators: 2 });
+
+type Failure = Errors.RejectedError | Errors.StoreUnavailableError;
+
+/** Hands in at a box; null: accepted. */
+function submit(
+  fleet: TestUtils.TestFleet,
+  name: string,
+  id: string,
+  step: Workflow.StepSpec = SHORT,
+): Promise<Failure | null> {
+  return fleet.run(handIn(fleet, name, id, step));
+}
+
+function handIn(
+  fleet: TestUtils.TestFleet,
+  name: string,
+  id: string,
+  step: Workflow.StepSpec,
+): Effect.Effect<Failure | null> {
+  const { access, submissions } = fleet.node(name);
+  const path = `/p1/${id}`;
+  const request = { host: "jobs.example", path, key: "key-of-hana" };
+  const job = { id, payload: "work", steps: [step], schedule: null };
+  const call = Effect.gen(function* () {
+    const allowed = yield* access.check(request);
+    yield* submissions.accept(allowed, job);
+  });
+  return Effect.map(
+    Effect.result(call),
+    (result) => result._tag === "Failure" ? result.failure as Failure : null,
+  );
+}
+
+/** A fleet all of whose endpoints are kept busy by long work. */
+async function startFull(
+  hardLoad: Types.HardLoadSettings = COMPETING,
+): Promise<TestUtils.TestFleet> {
+  const fleet = new TestUtils.TestFleet({ hardLoad });
+  fleet.workers.behave = () => ({ runMs: LONG_MS, fails: false });
+  await fleet.start();
+  const long = TestUtils.buildStep({ accelerators: 2, estimateMs: LONG_MS });
+  for (const i of [0, 1]) {
+    const id = `f00000000000000${i}`;
+    await fleet.submit("node-1", id, { priority: 1, steps: [long] });
+  }
+  await fleet.until(() => fleet.workers.runs.length === 2);
+  await fleet.clock.advance(LEARNED_MS);
+  return fleet;
+}
+
+function storedRows(fleet: TestUtils.TestFleet, id: string): number {
+  return fleet.table.rowsUnder("intake").filter(({ key }) => key.includes(id))
+    .length;
+}
+
+const ID = "a000000000000001";
+
+vitest.describe("a submission under hard load", () => {
+  vitest.it("that can't be of use is rejected by each box", async () => {
+    const fleet = await startFull();
+    for (const name of fleet.nodes.keys()) {
+      const err = await submit(fleet, name, ID);
+      vitest.expect(err?._tag).toBe("RejectedError");
+      const { reason, retryAfterMs } = err as Errors.RejectedError;
+      vitest.expect(reason).toBe("too-late");
+      vitest.expect(retryAfterMs).toBeGreaterThan(5000);
+      vitest.expect(retryAfterMs).toBeLessThan(LONG_MS);
+    }
+    await fleet.clock.advance(2000);
+    vitest.expect(storedRows(fleet, ID)).toBe(0);
+    vitest.expect(fleet.workers.runs.length).toBe(2);
+    await fleet.stop();
+  });
+
+  vitest.it("is accepted once it would be of use, and runs", async () => {
+    const fleet = await startFull();
+    let tries = 0;
+    for (;;) {
+      const err = await submit(fleet, "node-1", ID);
+      if (err === null) break;
+      tries++;
+      const { retryAfterMs } = err as Errors.RejectedError;
+      await fleet.clock.advance(retryAfterMs);
+    }
+    vitest.expect(tries).toBeLessThanOrEqual(4);
+    await fleet.until(() => fleet.workers.runs.length === 3);
+    vitest.expect(fleet.workers.runs.length).toBe(3);
+    await fleet.stop();
+  });
+
+  vitest.it("is accepted where there is none", async () => {
+    const fleet = await startFull(Types.HARD_LOAD_OFF);
+    vitest.expect(await submit(fleet, "node-1", ID)).toBe(null);
+    const [row] = fleet.table.rowsUnder("election/lease");
+    vitest.expect(typeof row.value).toBe("number");
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a workflow that is stored already", () => {
+  vitest.it("is never rejected, at no box", async () => {
+    const fleet = await startFull();
+    for (const name of fleet.nodes.keys()) {
+      vitest.expect(await submit(fleet, name, "f000000000000000")).toBe(null);
+    }
+    await fleet.stop();
+  });
+
+  vitest.it("is accepted where its first answer was lost", async () => {
+    const fleet = new TestUtils.TestFleet({ hardLoad: COMPETING });
+    fleet.workers.behave = (task) => ({
+      runMs: task.startsWith("f") ? LONG_MS : 500,
+      fails: false,
+    });
+    await fleet.start();
+    await fleet.clock.advance(LEARNED_MS);
+    fleet.faultsOf("node-1").set({ loseAnswers: 1 });
+    const lost = await submit(fleet, "node-1", ID);
+    vitest.expect(lost?._tag).not.toBe("RejectedError");
+    fleet.faultsOf("node-1").set({ loseAnswers: 0 });
+    vitest.expect(storedRows(fleet, ID)).toBeGreaterThan(0);
+    await fleet.until(() => fleet.state(ID) === "completed");
+    const long = TestUtils.buildStep({ accelerators: 2, estimateMs: LONG_MS });
+    for (const i of [0, 1]) {
+      await submit(fleet, "node-2", `f00000000000000${i}`, long);
+    }
+    await fleet.clock.advance(LEARNED_MS);
+    const other = await submit(fleet, "node-2", "b000000000000001");
+    vitest.expect(other?._tag).toBe("RejectedError");
+    vitest.expect(await submit(fleet, "node-2", ID)).toBe(null);
+    await fleet.stop();
+  });
+
+  vitest.it("is written where the store can't tell whether it is", async () => {
+    const fleet = await startFull();
+    for (const name of fleet.nodes.keys()) {
+      fleet.faultsOf(name).set({ silent: true });
+    }
+    const err = await submit(fleet, "node-2", ID);
+    vitest.expect(err?._tag).toBe("StoreUnavailableError");
+    await fleet.stop();
+  });
+});
+
+vitest.describe("a forecast", () => {
+  vitest.it("that stops coming holds nobody off", async () => {
+    const fleet = await startFull();
+    const holder = fleet.coordinator() ?? "";
+    const other = [...fleet.nodes.keys()].find((name) => name !== holder) ?? "";
+    vitest.expect((await submit(fleet, other, ID))?._tag).toBe("RejectedError");
+    fleet.faultsOf(other).set({ silentFeeds: ["election/"] });
+    await fleet.clock.advance(3500);
+    vitest.expect(await submit(fleet, other, "b000000000000001")).toBe(null);
+    await fleet.stop();
+  });
+
+  vitest.it("of a holder that is gone ends with the takeover", async () => {
+    const fleet = await startFull();
+    const holder = fleet.coordinator() ?? "";
+    await fleet.kill(holder);
+    const [name] = fleet.nodes.keys();
+    await fleet.until(() => fleet.coordinator() !== holder);
+    await fleet.clock.advance(LEARNED_MS);
+    const err = await submit(fleet, name, ID);
+    vitest.expect(err?._tag).toBe("RejectedError");
+    // All that was accepted before is still there, and nothing of what was not.
+    for (const id of ["f000000000000000", "f000000000000001"]) {
+      vitest.expect(await fleet.ask(name, id)).toBe("running");
+    }
+    vitest.expect(storedRows(fleet, ID)).toBe(0);
+    await fleet.stop();
+  });
+});
+
+vitest.describe("boxes that accept at once", () => {
+  vitest.it("promise no room twice", async () => {
+    const fleet = new TestUtils.TestFleet({
+      hardLoad: COMPETING,
+      workers: [4, 4, 4],
+    });
+    fleet.workers.behave = () => ({ runMs: LONG_MS, fails: false });
+    await fleet.start();
+    // Boxes know each other by then.
+    await fleet.clock.advance(12_000);
+    const names = [...fleet.nodes.keys()];
+    const ids = Array.from({ length: 18 }, (_, i) => `c0000000000000${10 + i}`);
+    const calls = ids.map((id, i) =>
+      handIn(fleet, names[i % names.length], id, SHORT)
+    );
+    const answers = await fleet.run(
+      Effect.all(calls, { concurrency: "unbounded" }),
+    );
+    vitest.expect(answers.every((one) => one === null)).toBe(true);
+    const promised = names.map((name) =>
+      fleet.node(name).desk.dump().promisedJobs
+    );
+    const sum = promised.reduce((all, one) => all + one, 0);
+    vitest.expect(sum * SHORT.accelerators).toBeLessThanOrEqual(12);
+    vitest.expect(sum).toBeGreaterThan(0);
+    await fleet.stop();
+  });
+});
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -72,6 +72,8 @@
 /** A node. */
 export class WorkflowNode {
   readonly access: Gateway.AccessTable;
+  /** Rejects under hard load what surely can't be of use. */
+  readonly desk: Gateway.AdmissionDesk;
   readonly submissions: Gateway.Submissions;
   readonly #ports: WorkflowNodePorts;
   readonly #store: TableClient.StoreClient;
@@ -127,7 +129,17 @@
       log.part("access"),
       () => this.#mayBeStale(),
     );
+    this.desk = new Gateway.AdmissionDesk({
+      clock,
+      random,
+      log: log.part("admission"),
+      metrics,
+      known: () => this.#election.forecast,
+      guaranteeOf: (team) => guaranteeOf(this.access.config, team),
+      storeSilentMs: () => this.#store.silentForMs(),
+    });
     this.submissions = new Gateway.Submissions({
+      desk: this.desk,
       store: this.#store,
       clock,
       rowBytes: ports.storeRowBytes,
@@ -299,11 +311,22 @@
       unusableRows: metrics.get("cairngate_rows_unusable"),
       storeThrough: this.#route.through,
       storeSilentMs: Math.round(this.#store.silentForMs()),
+      admission: this.desk.dump(),
       work: this.#coordinator?.dump() ?? null,
     };
   }
 }
 
+/** What a team has paid for; null where there is no configuration yet. */
+function guaranteeOf(
+  config: Ports.AccessConfig | null,
+  team: string,
+): number | null {
+  if (config === null) return null;
+  const found = config.tenants.find(({ name }) => name === team);
+  return found?.guaranteed ?? 0;
+}
+
 /** The same feeds over a route that may lead through a peer. */
 function relayFeeds(
   feeds: NodeFeeds,
