Judge a service by its endpoints only once they have come up

By reading: a coordinator that begins while the first endpoints are listed would have told their sizes as the largest ones, and a service without endpoints yet would have had all of its work rejected for 30 s. A service is told of 10 s after its first endpoint was listed, and at once where the coordinator before told of it.

The test of a takeover failed at first: the forecast to inherit was read after the write of the takeover, when the watch had seen that write and dropped it. It is read before.

--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -82,6 +82,8 @@
   #take(judgedToken: number): Effect.Effect<terms.Term | null> {
     return Effect.gen({ self: this }, function* () {
       const { store, node, incarnation, log } = this.#ports;
+      // The watch may see the write below before it is answered.
+      const { forecast: before } = this.#watch.forecast;
       const key = TableClient.Keys.COORDINATOR_KEY;
       const leaseKey = TableClient.Keys.COORDINATOR_LEASE_KEY;
       const rows = yield* store.read([key, leaseKey], TAKE_LIMIT_MS);
@@ -103,7 +105,6 @@
         writes: [{ key, value }, { key: leaseKey, value: token }],
       }, TAKE_LIMIT_MS);
       log.info(`Node ${node} coordinates under token ${token}.`);
-      const { forecast: before } = this.#watch.forecast;
       return new terms.Term(token, revision, before);
     }).pipe(Effect.catch((err) => {
       this.#ports.log.info(`Not elected: ${err.message}`);
--- a/packages/coordinator/src/load/forecast_maker.ts
+++ b/packages/coordinator/src/load/forecast_maker.ts
@@ -7,6 +7,7 @@
 import type * as ports from "../ports.ts";
 import * as guarantees from "../work/guarantee_watch.ts";
 import type * as hardLoads from "./hard_load_watch.ts";
+import * as knownServices from "./known_services.ts";
 import * as surveys from "./load_survey.ts";
 
 /** What forecasts are made from. */
@@ -24,11 +25,16 @@
 /** Makes forecasts for one term. */
 export class ForecastMaker {
   readonly #parts: ForecastParts;
+  readonly #known: knownServices.KnownServices;
   #before: Admission.Forecast | null;
 
   constructor(parts: ForecastParts) {
     this.#parts = parts;
     this.#before = parts.term.inherited;
+    const inherited = this.#before?.services ?? [];
+    this.#known = new knownServices.KnownServices(
+      inherited.map(({ service }) => service),
+    );
   }
 
   /** Makes a forecast where one is called for; else none is told any more. */
@@ -51,29 +57,35 @@
 
   #forecast(access: Ports.AccessConfig): Admission.Forecast {
     const { ports: given, directory, live } = this.#parts;
+    const nowMs = given.clock.monotonicMs();
+    const endpoints = directory.states();
+    this.#known.note(endpoints.map(({ service }) => service), nowMs);
+    const isKnown = (service: string) => this.#known.has(service, nowMs);
     const survey = surveys.surveyLoad({
-      endpoints: directory.states(),
+      endpoints,
       workflows: live(),
       guarantees: guarantees.guaranteesOf(access),
-      nowMs: given.clock.monotonicMs(),
+      nowMs,
       wallMs: given.clock.wallMs(),
     });
     return Admission.makeForecast({
       ...survey,
       boxes: given.countBoxes(),
       remotePenalty: given.bounds.remotePenalty,
-      priorities: prioritiesOf(access),
+      priorities: prioritiesOf(access, isKnown),
       before: this.#before,
     });
   }
 }
 
-/** Priorities of the queues of each service, the first ones first. */
+/** Priorities of the queues of each service that is known, the first ones first. */
 function prioritiesOf(
   { queues }: Ports.AccessConfig,
+  isKnown: (service: string) => boolean,
 ): ReadonlyMap<string, readonly number[]> {
   const found = new Map<string, Set<number>>();
   for (const { service, priority } of queues) {
+    if (!isKnown(service)) continue;
     const known = found.get(service) ?? new Set();
     found.set(service, known.add(priority));
   }
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -116,7 +116,7 @@
     spec: Workflow.WorkflowSpec,
     waitsMs?: number,
   ): Effect.Effect<void, Errors.StoreUnavailableError> {
-    this.#desk.noteAccepted(spec);
+    if (!this.#filings.mayHave(spec.id)) this.#desk.noteAccepted(spec);
     return this.#filings.watch(spec.id, this.#rows.file(spec, waitsMs));
   }
 
