--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -1,4 +1,5 @@
 /** What a coordinator knows, as plain data for people. */
+import type * as Admission from "@cairngate/admission";
 import * as Workflow from "@cairngate/workflow";
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
@@ -81,6 +82,8 @@
   readonly hardLoad: Scheduler.HardLoad;
   /** Shares of teams; empty where teams do not compete. */
   readonly teamShares: readonly TeamShareDump[];
+  /** Room that boxes admit work by; null without hard load. */
+  readonly forecast: Admission.Forecast | null;
 }
 
 /** One run for which a workflow was given up. */
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,5 +1,6 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
+import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
 import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
@@ -43,6 +44,7 @@
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
   readonly shares: shareBooks.ShareBook;
+  readonly forecasts: forecasts.ForecastMaker;
 }
 
 /** Makes the parts of one term. */
@@ -102,6 +104,13 @@
     planning,
     hardLoad,
     shares,
+    forecasts: new forecasts.ForecastMaker({
+      ports: given,
+      term,
+      directory,
+      hardLoad,
+      live: () => book.live,
+    }),
   };
 }
 
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -29,3 +29,4 @@
   type TeamShares,
   weightsOf,
 } from "./src/team_shares.ts";
+export { acceleratorsOf, Hope, hopeOf, Ranks } from "./src/rank.ts";
