--- a/packages/coordinator/src/election/renewal_pulse.ts
+++ b/packages/coordinator/src/election/renewal_pulse.ts
@@ -6,6 +6,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
+import * as leases from "./lease_value.ts";
 import type * as terms from "./term.ts";
 
 /** A try is not repeated by itself after this time, in ms: the next one is due. */
@@ -50,7 +51,7 @@
     const write = Effect.suspend(() =>
       store.write({
         conditions: [this.#term.condition],
-        writes: [{ key, value: Math.round(clock.monotonicMs()) }],
+        writes: [{ key, value: leaseOf(this.#term, clock.monotonicMs()) }],
       }, TRY_LIMIT_MS)
     );
     return write.pipe(
@@ -73,3 +74,10 @@
     this.#renewedAtMs = nowMs;
   }
 }
+
+/** Value of a renewal, with the forecast of the term where there is one. */
+function leaseOf({ forecast: made }: terms.Term, nowMs: number) {
+  if (made === null) return leases.writeLease(nowMs, null);
+  const { forecast, madeAtMs } = made;
+  return leases.writeLease(nowMs, { forecast, ageMs: nowMs - madeAtMs });
+}
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -2,11 +2,14 @@
  * What is seen of the rows of the election: who holds them, whether the holder renews
  * them, and whether this node may take them.
  */
+import type * as Admission from "@cairngate/admission";
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
 import * as fitnesses from "./fitness.ts";
+import * as sights from "./forecast_sight.ts";
+import * as leases from "./lease_value.ts";
 import * as paces from "./renewal_pace.ts";
 import type * as terms from "./term.ts";
 
@@ -38,6 +41,9 @@
   readonly #onRow: RowWatchOptions["onRow"];
   readonly #follower: TableClient.RowFollower<unknown>;
   readonly #pace = new paces.RenewalPace();
+  readonly #sight: sights.ForecastSight;
+  /** When the look under way began. */
+  #lookedAtMs = 0;
   #row: terms.CoordinatorRow | null = null;
   /** Newest renewal that was seen; differs with each one. */
   #lease: unknown = null;
@@ -53,6 +59,7 @@
     this.#ports = watched;
     this.#onRow = onRow;
     const { clock, random, store, electionFeed: feed } = watched;
+    this.#sight = new sights.ForecastSight(clock);
     this.#follower = new TableClient.RowFollower<unknown>({
       feed,
       clock,
@@ -64,6 +71,11 @@
     });
   }
 
+  /** The forecast that the holder tells of, as last seen. */
+  get forecast(): Admission.Known {
+    return this.#sight.known;
+  }
+
   /** Holder of the row as last seen; empty where there is none. */
   get holder(): string {
     return this.#row?.holder ?? "";
@@ -84,6 +96,7 @@
     return Effect.forever(Effect.gen({ self: this }, function* () {
       if (!holds() && this.#mayRest) yield* this.#ports.clock.sleep(REST_MS);
       this.#hasToldOfRenewal = false;
+      this.#lookedAtMs = this.#ports.clock.monotonicMs();
       yield* this.#follower.step();
     }));
   }
@@ -114,7 +127,8 @@
   hasRenewed(found: terms.CoordinatorRow | undefined, lease: unknown): boolean {
     const isHeld = found !== undefined && found.holder !== "" &&
       found.holder !== this.#ports.node;
-    if (!isHeld || !this.#isNewer(lease, found.token)) return false;
+    if (!isHeld || lease === found.token) return false;
+    if (!this.#isNewer(lease)) return false;
     this.#lease = lease;
     return true;
   }
@@ -141,38 +155,45 @@
   }
 
   #note(entries: readonly Ports.FeedEntry<unknown>[]): void {
-    let isNews = false;
-    for (const { key, value } of entries) {
-      if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) {
-        if (!this.#isNewer(value, this.token)) continue;
-        this.#lease = value;
-        this.#hasToldOfRenewal = true;
-      }
-      isNews = true;
-      if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
-      this.#row = value as terms.CoordinatorRow | null;
-      // The renewals of each term count by a clock of their own.
-      this.#lease = null;
-      this.#pace.reset();
-      this.#onRow(this.#row);
-    }
-    if (!isNews) return;
+    const rows = entries.filter(({ key }) =>
+      key === TableClient.Keys.COORDINATOR_KEY
+    );
+    for (const { value } of rows) this.#noteRow(value);
+    const renewals = entries.filter(({ key, value }) =>
+      key === TableClient.Keys.COORDINATOR_LEASE_KEY && this.#noteLease(value)
+    );
+    if (rows.length + renewals.length === 0) return;
     this.#changedAtMs = this.#ports.clock.monotonicMs();
     this.#pace.note(this.#changedAtMs);
   }
 
+  #noteRow(value: unknown): void {
+    this.#row = value as terms.CoordinatorRow | null;
+    // The renewals of each term count by a clock of their own.
+    this.#lease = null;
+    this.#pace.reset();
+    this.#onRow(this.#row);
+  }
+
+  /** Returns whether it tells anything. A takeover writes its token there. */
+  #noteLease(value: unknown): boolean {
+    const isTakeover = value === this.token;
+    if (!isTakeover && !this.#isNewer(value)) return false;
+    this.#lease = isTakeover ? null : value;
+    this.#sight.note(value, this.#lookedAtMs);
+    this.#hasToldOfRenewal = true;
+    return true;
+  }
+
   /**
    * Whether a renewal was sent after the newest one that was seen. One that is carried
-   * out late tells nothing of its holder, who may have ended since. A takeover writes
-   * its token, which is no time of the holder's clock.
+   * out late tells nothing of its holder, who may have ended since.
    */
-  #isNewer(lease: unknown, token: number): boolean {
-    if (lease === token) return false;
-    const known = this.#lease;
-    if (typeof known === "number" && typeof lease === "number") {
-      return lease > known;
-    }
-    return lease !== known;
+  #isNewer(lease: unknown): boolean {
+    const knownMs = leases.renewedAtMs(this.#lease);
+    const sentMs = leases.renewedAtMs(lease);
+    if (knownMs === null || sentMs === null) return lease !== this.#lease;
+    return sentMs > knownMs;
   }
 
   /** Silence counts only while the store is heard without a break. */
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,6 +1,8 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
+import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
+import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
@@ -41,6 +43,8 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly shares: shareBooks.ShareBook;
+  readonly forecasts: forecasts.ForecastMaker;
 }
 
 /** Makes the parts of one term. */
@@ -79,9 +83,11 @@
     control,
   });
   const hardLoad = new hardLoads.HardLoadWatch(given);
+  const shares = new shareBooks.ShareBook(given, term);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
+    shares,
     control,
     live: () => book.live,
     unrecorded: () => book.unrecorded,
@@ -97,6 +103,14 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    shares,
+    forecasts: new forecasts.ForecastMaker({
+      ports: given,
+      term,
+      directory,
+      hardLoad,
+      live: () => book.live,
+    }),
   };
 }
 
