Let the gang that waits in a test of shares be one that can be served

The test handed in a gang of nine on a fleet of eight, to have something that waits. With admission beside it that is rejected at once, rightly: it fits no fleet. Now it is as wide as the fleet and long enough to be of use after what runs; all that is checked of it stays as it was.

--- a/packages/workflow-node/src/team_shares_test.ts
+++ b/packages/workflow-node/src/team_shares_test.ts
@@ -63,7 +63,10 @@
     const log = new TestUtils.KeptLog();
     const fleet = buildFleet({ log });
     await holdHalf(fleet, 25_000);
-    const steps = [TestUtils.buildStep({ count: 9, gang: true })];
+    // As wide as the fleet, and long enough to be of use after what runs.
+    const steps = [
+      TestUtils.buildStep({ count: 8, gang: true, estimateMs: 60_000 }),
+    ];
     await fleet.submit("node-1", "a000000000000002", {
       tenant: "small",
       steps,
