--- a/packages/coordinator/src/election/lease_value.ts
+++ b/packages/coordinator/src/election/lease_value.ts
@@ -25,6 +25,14 @@
   return [number, Math.round(told.ageMs), text].join(SEPARATOR);
 }
 
+/** When a renewal was sent, on the clock of its holder; null: that can't be read. */
+export function renewedAtMs(value: unknown): number | null {
+  if (typeof value === "number") return value;
+  if (typeof value !== "string") return null;
+  const atMs = Number.parseInt(value, 10);
+  return Number.isNaN(atMs) ? null : atMs;
+}
+
 /** What a renewal tells; null where that is nothing, or can't be read. */
 export function readLease(value: unknown): ToldForecast | null {
   if (typeof value !== "string") return null;
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -9,6 +9,7 @@
 import type * as ports from "../ports.ts";
 import * as fitnesses from "./fitness.ts";
 import * as sights from "./forecast_sight.ts";
+import * as leases from "./lease_value.ts";
 import * as paces from "./renewal_pace.ts";
 import type * as terms from "./term.ts";
 
@@ -126,7 +127,8 @@
   hasRenewed(found: terms.CoordinatorRow | undefined, lease: unknown): boolean {
     const isHeld = found !== undefined && found.holder !== "" &&
       found.holder !== this.#ports.node;
-    if (!isHeld || lease === this.#lease) return false;
+    if (!isHeld || lease === found.token) return false;
+    if (!this.#isNewer(lease)) return false;
     this.#lease = lease;
     return true;
   }
@@ -153,21 +155,47 @@
   }
 
   #note(entries: readonly Ports.FeedEntry<unknown>[]): void {
-    for (const { key, value } of entries) {
-      if (key === TableClient.Keys.COORDINATOR_LEASE_KEY) {
-        this.#lease = value;
-        this.#sight.note(value, this.#lookedAtMs);
-        this.#hasToldOfRenewal = true;
-      }
-      if (key !== TableClient.Keys.COORDINATOR_KEY) continue;
-      this.#row = value as terms.CoordinatorRow | null;
-      this.#pace.reset();
-      this.#onRow(this.#row);
-    }
+    const rows = entries.filter(({ key }) =>
+      key === TableClient.Keys.COORDINATOR_KEY
+    );
+    for (const { value } of rows) this.#noteRow(value);
+    const renewals = entries.filter(({ key, value }) =>
+      key === TableClient.Keys.COORDINATOR_LEASE_KEY && this.#noteLease(value)
+    );
+    if (rows.length + renewals.length === 0) return;
     this.#changedAtMs = this.#ports.clock.monotonicMs();
     this.#pace.note(this.#changedAtMs);
   }
 
+  #noteRow(value: unknown): void {
+    this.#row = value as terms.CoordinatorRow | null;
+    // The renewals of each term count by a clock of their own.
+    this.#lease = null;
+    this.#pace.reset();
+    this.#onRow(this.#row);
+  }
+
+  /** Returns whether it tells anything. A takeover writes its token there. */
+  #noteLease(value: unknown): boolean {
+    const isTakeover = value === this.token;
+    if (!isTakeover && !this.#isNewer(value)) return false;
+    this.#lease = isTakeover ? null : value;
+    this.#sight.note(value, this.#lookedAtMs);
+    this.#hasToldOfRenewal = true;
+    return true;
+  }
+
+  /**
+   * Whether a renewal was sent after the newest one that was seen. One that is carried
+   * out late tells nothing of its holder, who may have ended since.
+   */
+  #isNewer(lease: unknown): boolean {
+    const knownMs = leases.renewedAtMs(this.#lease);
+    const sentMs = leases.renewedAtMs(lease);
+    if (knownMs === null || sentMs === null) return lease !== this.#lease;
+    return sentMs > knownMs;
+  }
+
   /** Silence counts only while the store is heard without a break. */
   #heard(): void {
     const nowMs = this.#ports.clock.monotonicMs();
