Place and claim by the time that runs are expected to take

Callers saw urgent gangs of 2.1 s, to be done within 3.4 s, end after 3.5 s because they ran on endpoints of speed 0.6. Cause: the planner orders free endpoints by speed, but makes room where that costs least, and judges hope, ends and victims by the estimate alone.

Where endpoints differ, the expected time of a unit is estimate x correction of its queue / speed of the slowest endpoint. Urgent units take free room that is fast enough, else such room that is being freed, else stop others there, else wait for ends there that come in time (not where a guarantee is for room at once); then what was done before. Gangs get endpoints of like speed, other work the slowest that end it in time. Elsewhere nothing changes (property test).

--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -7,6 +7,12 @@
   speedSpread,
 } from "./src/hard_load.ts";
 export { fitTogether, isEligible, type WorkerState } from "./src/fleet.ts";
+export {
+  type EndedRun,
+  EstimateBook,
+  type EstimateWorth,
+} from "./src/estimate_book.ts";
+export { type Corrections } from "./src/expected_run.ts";
 export {
   makePlan,
   type Plan,
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -18,6 +18,8 @@
   readonly wallMs: number;
   /** What stopping each task costs, as far as this plan has worked it out. */
   readonly costs: Map<Workflow.Task, number>;
+  /** Time until the run of a task ends that has run for some time, in ms. */
+  readonly leftMs: (task: Workflow.Task, ranMs: number) => number;
 }
 
 /** Core-seconds that one accelerator-second counts for. */
@@ -183,21 +185,21 @@
     : ranMs;
   const weight = weightOf(step);
   const group = groupOf(task);
-  const isMissed = missesByStop(task, { ranMs, lostMs, ...context });
+  const leftMs = context.leftMs(task, ranMs);
+  const isMissed = missesByStop(task, { ...context, leftMs, lostMs });
   const missed = isMissed ? weight * step.estimateMs / 1000 : 0;
   const isLast = group.some((one) => mayCrash(one, context.nowMs));
   const last = isLast ? FEW_STARTS_COST : 0;
   return last + group.length * (weight * (lostMs + RESTART_MS) / 1000 + missed);
 }
 
-/** Whether a task would end in time, by its estimate, unless it is stopped now. */
+/** Whether a task would end in time, as expected, unless it is stopped now. */
 function missesByStop(
   task: Workflow.Task,
-  now: { ranMs: number; lostMs: number; wallMs: number },
+  now: { leftMs: number; lostMs: number; wallMs: number },
 ): boolean {
   const objectiveMs = Workflow.objectiveAtMs(task.workflow.spec, task.round);
-  const leftMs = Math.max(0, task.step.estimateMs - now.ranMs);
-  const endsMs = now.wallMs + leftMs;
+  const endsMs = now.wallMs + now.leftMs;
   const endsAgainMs = endsMs + now.lostMs + RESTART_MS;
   return endsMs <= objectiveMs && endsAgainMs > objectiveMs;
 }
--- /dev/null
+++ b/packages/workflow-scheduler/src/expected_run_test.ts
@@ -0,0 +1,92 @@
+/** Expected times of runs, and what estimates turn out to be worth. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as books from "./estimate_book.ts";
+import * as outlooks from "./expected_run.ts";
+
+function buildUnit(estimateMs: number): Workflow.Unit {
+  const workflow = new Workflow.Workflow({
+    id: "workflow",
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[0],
+    payload: "",
+    steps: [TestUtils.buildStep({ estimateMs })],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  return workflow.readyUnits(0)[0];
+}
+
+vitest.describe("the expected time of a run", () => {
+  vitest.it("grows as the slowest endpoint is slower", () => {
+    const speed = fc.double({ min: 0.1, max: 4, noNaN: true });
+    fc.assert(fc.property(speed, speed, (one, other) => {
+      const outlook = new outlooks.RunOutlook([1], new Map());
+      const unit = buildUnit(1000);
+      const slow = outlook.expectedMs(unit, Math.min(one, other));
+      const fast = outlook.expectedMs(unit, Math.max(one, other));
+      vitest.expect(slow).toBeGreaterThanOrEqual(fast);
+    }));
+  });
+
+  vitest.it("grows with what runs of the queue took", () => {
+    const { queue } = TestUtils.buildAccess().queues[0];
+    const outlook = new outlooks.RunOutlook([1], new Map([[queue, 1.5]]));
+    vitest.expect(outlook.expectedMs(buildUnit(1000), 0.5)).toBe(3000);
+  });
+});
+
+vitest.describe("the speed that a unit needs", () => {
+  vitest.it("grows while it waits, and stops take longer still", () => {
+    const outlook = new outlooks.RunOutlook([1.6], new Map());
+    const unit = buildUnit(2000);
+    const atOnce = outlook.neededSpeed(unit, 0);
+    vitest.expect(outlook.neededSpeed(unit, 500)).toBeGreaterThan(atOnce);
+    vitest.expect(outlook.neededSpeedAfterStops(unit, 0))
+      .toBeGreaterThan(outlook.neededSpeed(unit, 500));
+  });
+
+  vitest.it("is infinite once its end is of no use any more", () => {
+    const outlook = new outlooks.RunOutlook([1.6], new Map());
+    vitest.expect(outlook.neededSpeed(buildUnit(2000), 1e6))
+      .toBe(Number.POSITIVE_INFINITY);
+  });
+});
+
+vitest.describe("a correction", () => {
+  vitest.it("stays within its bounds whatever runs are fed", () => {
+    const run = fc.record({
+      queue: fc.constantFrom("a", "b"),
+      estimateMs: fc.double(),
+      tookMs: fc.double(),
+      speed: fc.double(),
+    });
+    fc.assert(fc.property(fc.array(run), (runs) => {
+      const book = new books.EstimateBook();
+      for (const one of runs) book.note(one);
+      for (const correction of book.corrections.values()) {
+        vitest.expect(correction).toBeGreaterThanOrEqual(0.5);
+        vitest.expect(correction).toBeLessThanOrEqual(2.5);
+      }
+    }));
+  });
+
+  vitest.it("follows what runs took, at the speed of their endpoint", () => {
+    const book = new books.EstimateBook();
+    const ended = { queue: "a", estimateMs: 1000, tookMs: 3000, speed: 0.5 };
+    for (let i = 0; i < 4; i++) book.note(ended);
+    vitest.expect(book.corrections.get("a")).toBe(1);
+    for (let i = 0; i < 4; i++) book.note(ended);
+    vitest.expect(book.corrections.get("a")).toBe(1.5);
+  });
+
+  vitest.it("forgets what runs took long ago", () => {
+    const book = new books.EstimateBook();
+    const ended = { queue: "a", estimateMs: 1000, tookMs: 2000, speed: 1 };
+    for (let i = 0; i < 60; i++) book.note(ended);
+    for (let i = 0; i < 60; i++) book.note({ ...ended, tookMs: 1000 });
+    vitest.expect(book.corrections.get("a")).toBe(1);
+  });
+});
--- a/packages/workflow-scheduler/src/placement.ts
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -127,7 +127,8 @@
     doubtOf(worker) + sign * Math.round((speedNow(worker) - 1) / SPEED_STEP);
 }
 
-function speedNow({ speed, isCold }: fleet.WorkerState): number {
+/** Speed as it is now; one that has just come up is slower than it will be. */
+export function speedNow({ speed, isCold }: fleet.WorkerState): number {
   return isCold === true ? speed * COLD_SPEED : speed;
 }
 
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -1,6 +1,7 @@
 /** Makes a plan: which units start where, and which tasks stop for them. */
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
+import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
 import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
@@ -8,6 +9,8 @@
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
+import * as bands from "./speed_bands.ts";
+import * as speedClaims from "./speed_claims.ts";
 import * as waiting from "./wait_reason.ts";
 
 const { WaitReason } = waiting;
@@ -26,6 +29,8 @@
   readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
   /** Kinds of hard load that the deployment has; left out: none. */
   readonly hardLoad?: hardLoads.HardLoad;
+  /** What runs of each queue took against their estimates; left out: as estimated. */
+  readonly corrections?: outlooks.Corrections;
 }
 
 /** Start these tasks on these workers. */
@@ -71,6 +76,9 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
+  readonly #endings: reservation.EndingContext;
+  /** Null where endpoints do not differ in speed. */
+  readonly #outlook: outlooks.RunOutlook | null;
   #reserved = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
@@ -79,10 +87,18 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
-    this.#evictions = { ranks: this.#ranks, nowMs, wallMs, costs: new Map() };
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+    this.#outlook = outlookOf(input);
+    this.#evictions = {
+      ranks: this.#ranks,
+      nowMs,
+      wallMs,
+      costs: new Map(),
+      leftMs: (task, ranMs) => this.#leftMs(task, ranMs),
+    };
+    this.#endings = { nowMs, runMs: (task) => this.#runMs(task) };
   }
 
   run(): Plan {
@@ -91,7 +107,8 @@
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
     const ready = units.filter((unit) => !this.#pauses(unit));
-    const sorted = rank.sortUnits(ready, this.#ranks, this.#input.wallMs);
+    const hopeFor = (unit: Workflow.Unit) => this.#hopeOf(unit);
+    const sorted = rank.sortUnits(ready, this.#ranks, hopeFor);
     for (const units of groupSiblings(sorted)) this.#decideAll(units);
     return {
       starts: this.#starts,
@@ -100,6 +117,28 @@
     };
   }
 
+  /** What a unit can still reach, on the best endpoints where they differ. */
+  #hopeOf(unit: Workflow.Unit): rank.Hope {
+    const { wallMs } = this.#input;
+    return this.#outlook?.hopeOf(unit, wallMs) ?? rank.hopeOf(unit, wallMs);
+  }
+
+  /** Time that the run of a task takes where it is. */
+  #runMs(task: Workflow.Task): number {
+    if (this.#outlook === null) return task.step.estimateMs;
+    const room = this.#byId.get(task.worker ?? "");
+    const speed = room === undefined ? 1 : placement.speedNow(room.worker);
+    return this.#outlook.expectedMs(task, speed);
+  }
+
+  /** Time that is left of the run of a task, by its pace where speeds differ. */
+  #leftMs(task: Workflow.Task, ranMs: number): number {
+    if (this.#outlook !== null && task.endsAtMs !== null) {
+      return Math.max(0, task.endsAtMs - this.#input.nowMs);
+    }
+    return Math.max(0, this.#runMs(task) - ranMs);
+  }
+
   #pauses(unit: Workflow.Unit): boolean {
     if (!retry.mustPause(unit, this.#input)) return false;
     this.#waits.push({ unit, reason: WaitReason.Pause });
@@ -131,7 +170,7 @@
     rooms: readonly fleet.WorkerRoom[],
   ): placement.Places {
     const near = placement.nearWorkers(all, rooms);
-    const places = placement.findForEach(all, near, placement.freeNow);
+    const places = this.#findForEachNear(all, near);
     const isFull = places.length === all.tasks.length;
     if (isFull || near === rooms) return places;
     const one = { ...all, tasks: all.tasks.slice(0, 1) };
@@ -145,10 +184,62 @@
     ];
   }
 
+  /** Where speeds differ, endpoints on which the tasks end in time come first. */
+  #findForEachNear(
+    all: Workflow.Unit,
+    near: readonly fleet.WorkerRoom[],
+  ): placement.Places {
+    if (this.#outlook === null) {
+      return placement.findForEach(all, near, placement.freeNow);
+    }
+    const needed = this.#outlook.neededSpeed(all, this.#input.wallMs);
+    const fast = new Set(bands.fastRooms(near, needed));
+    const first = placement.findForEach(all, [...fast], placement.freeNow);
+    if (first.length === all.tasks.length) return first;
+    const rest = { ...all, tasks: all.tasks.slice(first.length) };
+    const slow = near.filter((room) => !fast.has(room));
+    return [...first, ...placement.findForEach(rest, slow, placement.freeNow)];
+  }
+
+  /** Places a unit on endpoints that are fast enough, or gets them for it. */
+  #decideBySpeed(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): boolean {
+    const outlook = this.#outlook;
+    if (outlook === null) return false;
+    const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
+    const claim = speedClaims.findFast(unit, rooms, {
+      outlook,
+      evictions: this.#evictions,
+      endings: this.#endings,
+      mayStop: this.#mayClaim(unit),
+      // A guarantee is for room at once, whatever its speed.
+      mayWait: !isGuaranteed && this.#reserved < MOST_RESERVED,
+      isWorth: (found) => this.#isWorth(unit, found),
+    });
+    if (claim === null) return false;
+    this.#carryOut(unit, claim);
+    return true;
+  }
+
+  #carryOut(unit: Workflow.Unit, claim: speedClaims.Claim): void {
+    if (claim.way === speedClaims.Way.Stops) {
+      return this.#makeYield(unit, claim.found);
+    }
+    const { places } = claim;
+    if (claim.way === speedClaims.Way.Free) return this.#start(unit, places);
+    if (claim.way === speedClaims.Way.Soon) return this.#reserve(unit, places);
+    this.#reserved++;
+    for (const room of places) room.claim(unit, 1);
+    this.#waits.push({ unit, reason: WaitReason.Room });
+  }
+
   #decide(unit: Workflow.Unit): void {
     const siblings = unit.workflow.siblings(unit.tasks[0]);
     if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
     const rooms = this.#roomsFor(unit);
+    if (this.#decideBySpeed(unit, rooms)) return;
     const places = this.#findFree(unit, rooms);
     if (places !== null) return this.#start(unit, places);
     this.#decideWithoutRoom(unit, rooms);
@@ -205,7 +296,7 @@
     if (unit.workflow.spec.policy.priority > 0) return false;
     const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
     return isGuaranteed ||
-      rank.hopeOf(unit, this.#input.wallMs) === rank.Hope.InTime;
+      this.#hopeOf(unit) === rank.Hope.InTime;
   }
 
   /** Keeps the room that a waiting gang will get first from later units. */
@@ -215,10 +306,10 @@
   ): void {
     const isDue = unit.step.gang && !this.#isIdle;
     if (!isDue || this.#reserved >= MOST_RESERVED) return;
-    const places = reservation.findEarliest(unit, rooms, this.#input.nowMs);
-    if (places === null) return;
+    const found = reservation.findEarliest(unit, rooms, this.#endings);
+    if (found === null) return;
     this.#reserved++;
-    for (const room of places) room.claim(unit, 1);
+    for (const room of found.places) room.claim(unit, 1);
   }
 
   #roomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
@@ -276,13 +367,21 @@
     rooms: readonly fleet.WorkerRoom[],
   ): boolean {
     const soon = placement.findNear(unit, rooms, placement.freeSoon);
-    if (soon !== null) return this.#reserve(unit, soon);
+    if (soon !== null) {
+      this.#reserve(unit, soon);
+      return true;
+    }
     const context = this.#evictions;
     const found = eviction.findEviction(unit, rooms, context) ??
       eviction.evictAmong(unit, rooms, context);
     if (found === null || !this.#isWorth(unit, found)) return false;
+    this.#makeYield(unit, found);
+    return true;
+  }
+
+  #makeYield(unit: Workflow.Unit, found: eviction.Eviction): void {
     for (const victim of found.victims) this.#stop(victim, unit);
-    return this.#reserve(unit, found.places);
+    this.#reserve(unit, found.places);
   }
 
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
@@ -291,10 +390,9 @@
       found.cost <= eviction.workOf(unit);
   }
 
-  #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
+  #reserve(unit: Workflow.Unit, places: placement.Places): void {
     for (const room of places) room.claim(unit, 1);
     this.#waits.push({ unit, reason: WaitReason.Stops });
-    return true;
   }
 
   #stop(task: Workflow.Task, claimant: Workflow.Unit): void {
@@ -305,6 +403,14 @@
   }
 }
 
+/** What runs are expected to take; null where endpoints do not differ in speed. */
+function outlookOf(input: PlanInput): outlooks.RunOutlook | null {
+  const { workers, hardLoad, corrections } = input;
+  if (hardLoad?.endpointsDiffer !== true) return null;
+  const speeds = workers.filter(({ usable }) => usable).map(placement.speedNow);
+  return new outlooks.RunOutlook(speeds, corrections ?? new Map());
+}
+
 /** Single tasks of one step that follow one another; all others by themselves. */
 function groupSiblings(
   sorted: readonly Workflow.Unit[],
--- /dev/null
+++ b/packages/workflow-scheduler/src/plan_speeds_test.ts
@@ -0,0 +1,208 @@
+/**
+ * Plans over endpoints of different speeds.
+ *
+ * The failure: an urgent gang of 2.1 s, to be done within 3.4 s, was late though
+ * endpoints were there that could have ended it in time. It was placed on endpoints
+ * of speed 0.6, because room was made where that cost least, and needed 3.5 s there.
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import type * as fleet from "./fleet.ts";
+import * as hardLoads from "./hard_load.ts";
+import * as plans from "./plan.ts";
+
+const UNEVEN = { teamsCompete: false, endpointsDiffer: true };
+const SLOW = 0.6;
+const FAST = 1.6;
+const URGENT_MS = 2100;
+/** What is stopped must cost less than the unit brings where none is guaranteed. */
+const GUARANTEES = new Map([["hana", 100]]);
+
+function buildWorkflow(
+  priority: number,
+  step: Partial<Workflow.StepSpec>,
+): Workflow.Workflow {
+  const policy = {
+    ...TestUtils.buildAccess().queues[priority],
+    priority,
+    stretch: 1.5,
+    latencyMs: 250,
+  };
+  return new Workflow.Workflow({
+    id: `workflow-${priority}`,
+    tenant: "hana",
+    policy,
+    payload: "",
+    steps: [TestUtils.buildStep({ estimateMs: URGENT_MS, ...step })],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+}
+
+interface Given {
+  readonly speed: number;
+  /** Time since which ordinary work runs there; left out: it is free. */
+  readonly busyMs?: number;
+  /** Time until that ends by its pace. */
+  readonly leftMs?: number;
+}
+
+const NOW_MS = 10_000;
+
+function buildEndpoints(given: readonly Given[]): fleet.WorkerState[] {
+  return given.map(({ speed, busyMs, leftMs }, i) => {
+    const beside = buildWorkflow(2, { estimateMs: 20_000 });
+    for (const task of beside.tasks) {
+      task.place(`endpoint-${i}`, 1, NOW_MS - (busyMs ?? 0));
+      task.state = Workflow.TaskState.Running;
+      if (leftMs !== undefined) task.endsAtMs = NOW_MS + leftMs;
+    }
+    return {
+      id: `endpoint-${i}`,
+      service: "analysis",
+      dataCentre: "dc-1",
+      rack: "rack-0",
+      labels: new Set(["a"]),
+      total: { cpuMillis: 64_000, memoryMb: 64_000, accelerators: 1 },
+      usable: true,
+      speed,
+      occupants: busyMs === undefined ? [] : [...beside.tasks],
+    };
+  });
+}
+
+function plan(
+  workers: readonly fleet.WorkerState[],
+  workflow: Workflow.Workflow,
+  options: Partial<plans.PlanInput> = {},
+): plans.Plan {
+  return plans.makePlan({
+    workers,
+    workflows: [workflow],
+    guarantees: GUARANTEES,
+    nowMs: NOW_MS,
+    wallMs: 0,
+    remotePenalty: 3,
+    isAdvised: () => true,
+    hardLoad: UNEVEN,
+    ...options,
+  });
+}
+
+const stopped = (made: plans.Plan) => made.stops.map(({ task }) => task.worker);
+const started = (made: plans.Plan) =>
+  made.starts.flatMap(({ workers }) => [...workers]).sort();
+
+vitest.describe("urgent work on uneven endpoints", () => {
+  vitest.it("makes room where it ends in time, though that costs more", () => {
+    const endpoints = buildEndpoints([
+      { speed: SLOW, busyMs: 100 },
+      { speed: FAST, busyMs: 900 },
+    ]);
+    const urgent = buildWorkflow(0, {});
+    vitest.expect(stopped(plan(endpoints, urgent))).toEqual(["endpoint-1"]);
+    // Where endpoints are taken for alike, the cheapest room is made.
+    const even = { hardLoad: hardLoads.NO_HARD_LOAD };
+    vitest.expect(stopped(plan(endpoints, urgent, even)))
+      .toEqual(["endpoint-0"]);
+  });
+
+  vitest.it("makes room rather than start where it would be late", () => {
+    const endpoints = buildEndpoints([
+      { speed: SLOW },
+      { speed: FAST, busyMs: 100 },
+    ]);
+    const made = plan(endpoints, buildWorkflow(0, {}));
+    vitest.expect(started(made)).toEqual([]);
+    vitest.expect(stopped(made)).toEqual(["endpoint-1"]);
+  });
+
+  vitest.it("takes slow room where nothing faster is to be had", () => {
+    const endpoints = buildEndpoints([{ speed: SLOW }]);
+    vitest.expect(started(plan(endpoints, buildWorkflow(0, {}))))
+      .toEqual(["endpoint-0"]);
+  });
+
+  vitest.it("begins at once where no endpoint can be fast enough", () => {
+    const endpoints = buildEndpoints([
+      { speed: SLOW },
+      { speed: FAST, busyMs: 100 },
+    ]);
+    const late = { wallMs: 20_000 };
+    vitest.expect(started(plan(endpoints, buildWorkflow(0, {}), late)))
+      .toEqual(["endpoint-0"]);
+  });
+
+  vitest.it("waits for a fast endpoint that is free in time", () => {
+    const endpoints = buildEndpoints([
+      { speed: SLOW },
+      { speed: FAST, busyMs: 5000, leftMs: 300 },
+    ]);
+    const noGuarantee = { guarantees: new Map<string, number>() };
+    const made = plan(endpoints, buildWorkflow(0, {}), noGuarantee);
+    vitest.expect([started(made), stopped(made)]).toEqual([[], []]);
+    // A guarantee is for room at once.
+    const guaranteed = plan(endpoints, buildWorkflow(0, {}));
+    vitest.expect(stopped(guaranteed)).toEqual(["endpoint-1"]);
+  });
+});
+
+vitest.describe("gangs on uneven endpoints", () => {
+  vitest.it("keep fast endpoints out of the company of slow ones", () => {
+    const speeds = [FAST, 1, FAST, 1, 1].map((speed) => ({ speed }));
+    const gang = buildWorkflow(0, { count: 3, gang: true });
+    vitest.expect(started(plan(buildEndpoints(speeds), gang)))
+      .toEqual(["endpoint-1", "endpoint-3", "endpoint-4"]);
+  });
+
+  vitest.it("that are not urgent leave the fast endpoints free", () => {
+    const speeds = [FAST, SLOW, FAST, SLOW, FAST].map((speed) => ({ speed }));
+    const patient = { count: 2, gang: true, estimateMs: 100 };
+    vitest.expect(
+      started(plan(buildEndpoints(speeds), buildWorkflow(1, patient))),
+    )
+      .toEqual(["endpoint-1", "endpoint-3"]);
+    // What would end late there goes to faster ones.
+    const pressed = { count: 2, gang: true, estimateMs: 10_000 };
+    vitest.expect(
+      started(plan(buildEndpoints(speeds), buildWorkflow(1, pressed))),
+    )
+      .toEqual(["endpoint-0", "endpoint-2"]);
+  });
+});
+
+vitest.describe("free endpoints", () => {
+  const speeds = fc.array(fc.constantFrom(SLOW, 1, FAST), {
+    minLength: 1,
+    maxLength: 12,
+  });
+
+  vitest.it("are as fast for urgent work as any that it could have", () => {
+    fc.assert(fc.property(speeds, fc.integer({ min: 1, max: 5 }), (all, n) => {
+      const count = Math.min(n, all.length);
+      const gang = buildWorkflow(0, { count, gang: true });
+      const endpoints = buildEndpoints(all.map((speed) => ({ speed })));
+      const taken = plan(endpoints, gang).starts[0].workers;
+      const slowest = Math.min(
+        ...taken.map((id) => endpoints.find((e) => e.id === id)?.speed ?? 0),
+      );
+      const best = [...all].sort((a, b) => b - a).slice(0, count);
+      vitest.expect(slowest).toBe(Math.min(...best));
+    }));
+  });
+
+  vitest.it("count as alike where the load does not call for more", () => {
+    fc.assert(fc.property(speeds, fc.integer({ min: 0, max: 2 }), (all, p) => {
+      const endpoints = buildEndpoints(all.map((speed) => ({ speed })));
+      const tell = (options: Partial<plans.PlanInput>) => {
+        const made = plan(endpoints, buildWorkflow(p, { count: 2 }), options);
+        return [started(made), stopped(made)];
+      };
+      const corrections = new Map([["analysis", 2]]);
+      vitest.expect(tell({ hardLoad: hardLoads.NO_HARD_LOAD, corrections }))
+        .toEqual(tell({ hardLoad: undefined }));
+    }));
+  });
+});
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -64,16 +64,33 @@
 /** An end within this many times the objective is late, and still of use. */
 const LATE_FACTOR = 3;
 
-/** What a unit can still reach if it starts now. */
-export function hopeOf(unit: Workflow.Unit, wallMs: number): Hope {
+/** What a unit can still reach if it starts now and takes as long as expected. */
+export function hopeOf(
+  unit: Workflow.Unit,
+  wallMs: number,
+  expectedMs = unit.step.estimateMs,
+): Hope {
   const { spec } = unit.workflow;
   const dueMs = Workflow.dueAtMs(spec, unit.round);
   const allowedMs = Workflow.objectiveAtMs(spec, unit.round) - dueMs;
-  const endMs = wallMs - dueMs + unit.step.estimateMs;
+  const endMs = wallMs - dueMs + expectedMs;
   if (endMs <= allowedMs) return Hope.InTime;
   return endMs <= allowedMs * LATE_FACTOR ? Hope.Late : Hope.None;
 }
 
+/** Time that is left until a unit has to have ended to reach so much, in ms. */
+export function leftMs(
+  unit: Workflow.Unit,
+  wallMs: number,
+  hope: Hope,
+): number {
+  const { spec } = unit.workflow;
+  const dueMs = Workflow.dueAtMs(spec, unit.round);
+  const allowedMs = Workflow.objectiveAtMs(spec, unit.round) - dueMs;
+  const factor = hope === Hope.InTime ? 1 : LATE_FACTOR;
+  return dueMs + allowedMs * factor - wallMs;
+}
+
 /**
  * Time that a unit may still wait without reaching less: until it would miss its
  * objective, or, where it has, the time after which its end is of no use.
@@ -94,12 +111,12 @@
 export function sortUnits(
   units: readonly Workflow.Unit[],
   ranks: Ranks,
-  wallMs: number,
+  hopeFor: (unit: Workflow.Unit) => Hope,
 ): Workflow.Unit[] {
   const keyed = units.map((unit) => ({
     unit,
     rank: ranks.of(unit.workflow),
-    hope: hopeOf(unit, wallMs),
+    hope: hopeFor(unit),
     objectiveMs: Workflow.objectiveAtMs(unit.workflow.spec, unit.round),
   }));
   keyed.sort((a, b) =>
--- a/packages/workflow-scheduler/src/reservation.ts
+++ b/packages/workflow-scheduler/src/reservation.ts
@@ -15,37 +15,50 @@
   readonly atMs: number;
 }
 
+/** Places and when they are free. */
+export interface Reservation {
+  readonly places: placement.Places;
+  readonly atMs: number;
+}
+
+/** What the ends of runs are guessed by. */
+export interface EndingContext {
+  readonly nowMs: number;
+  /** Time that a run takes, as far as it is not told by its pace. */
+  readonly runMs: (task: Workflow.Task) => number;
+}
+
 /** The places that are free first; null where the unit fits nowhere. */
 export function findEarliest(
   unit: Workflow.Unit,
   rooms: readonly fleet.WorkerRoom[],
-  nowMs: number,
-): placement.Places | null {
+  context: EndingContext,
+): Reservation | null {
   const near = placement.nearWorkers(unit, rooms);
   if (!placement.wantsOneRack(unit)) {
-    return searchAmong(unit, near, nowMs)?.places ?? null;
+    return searchAmong(unit, near, context);
   }
-  let best: { places: placement.Places; atMs: number } | null = null;
+  let best: Reservation | null = null;
   for (const rack of placement.groupByRack(near).values()) {
-    const found = searchAmong(unit, rack, nowMs);
+    const found = searchAmong(unit, rack, context);
     if (found === null) continue;
     if (best === null || found.atMs < best.atMs) best = found;
   }
-  return best?.places ?? null;
+  return best;
 }
 
 /** Lets runs end one after another until the unit fits. */
 function searchAmong(
   unit: Workflow.Unit,
   rooms: readonly fleet.WorkerRoom[],
-  nowMs: number,
-): { places: placement.Places; atMs: number } | null {
+  context: EndingContext,
+): Reservation | null {
   if (placement.findAmong(unit, rooms, (r) => r.worker.total) === null) {
     return null;
   }
   const amounts = new Map(rooms.map((room) => [room, { ...room.soon }]));
   const roomOf = (room: fleet.WorkerRoom) => amounts.get(room) ?? room.soon;
-  for (const { room, task, atMs } of listEndings(rooms, nowMs)) {
+  for (const { room, task, atMs } of listEndings(rooms, context)) {
     const amount = amounts.get(room);
     if (amount !== undefined) fleet.give(amount, task.step);
     const places = placement.findAmong(unit, rooms, roomOf);
@@ -54,16 +67,16 @@
   return null;
 }
 
-/** When a run ends by its pace, or else by its estimate. */
-function endOf(task: Workflow.Task, nowMs: number): number {
+/** When a run ends by its pace, or else by the time that runs take. */
+function endOf(task: Workflow.Task, { nowMs, runMs }: EndingContext): number {
   if (task.endsAtMs !== null) return Math.max(task.endsAtMs, nowMs);
-  const expectedMs = task.startedAtMs + task.step.estimateMs;
+  const expectedMs = task.startedAtMs + runMs(task);
   return Math.max(expectedMs, nowMs + OVERDUE_MS);
 }
 
 function listEndings(
   rooms: readonly fleet.WorkerRoom[],
-  nowMs: number,
+  context: EndingContext,
 ): Ending[] {
   const endings: Ending[] = [];
   for (const room of rooms) {
@@ -71,7 +84,7 @@
       if (task.state === Workflow.TaskState.Stopping) continue;
       // The members of a gang end together.
       const group = task.step.gang ? task.workflow.siblings(task) : [task];
-      const ends = group.map((member) => endOf(member, nowMs));
+      const ends = group.map((member) => endOf(member, context));
       endings.push({ room, task, atMs: Math.max(...ends) });
     }
   }
