Let plays learn what estimates are worth

Runs in tools/decisions now tell the planner what the runs of a queue took against their estimates, as a coordinator will.

--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -44,6 +44,9 @@
   readonly beganAtMs: number;
   /** Share that was done when it began. */
   readonly doneBefore: number;
+  /** Speed of its endpoint, or of the slowest that its gang runs on. */
+  readonly speed: number;
+  readonly isAway: boolean;
   isStopped: boolean;
 }
 
@@ -72,6 +75,7 @@
   readonly #saved = new Map<Workflow.Task, number>();
   readonly #stops: { run: Run; atMs: number }[] = [];
   readonly #served: Served[] = [];
+  readonly #estimates = new Scheduler.EstimateBook();
   #nowMs = 0;
   #thrownAway = 0;
   #plans = 0;
@@ -135,6 +139,7 @@
       remotePenalty: REMOTE_PENALTY,
       isAdvised: () => true,
       hardLoad: this.#load.hardLoad,
+      corrections: this.#estimates.corrections,
     });
     for (const { task } of plan.stops) this.#stop(task);
     for (const start of plan.starts) this.#start(start);
@@ -191,6 +196,10 @@
       beganAtMs: this.#nowMs + START_MS,
       endsAtMs: this.#nowMs + START_MS + lastsMs * (1 - doneBefore),
       doneBefore,
+      speed: Math.min(
+        ...workers.map((id) => this.#byId.get(id)?.speed ?? 1),
+      ),
+      isAway,
       isStopped: false,
     };
     this.#runs.add(began);
@@ -235,10 +244,21 @@
 
   #endRuns(): void {
     for (const run of this.#runs) {
-      if (run.endsAtMs <= this.#nowMs) this.#end(run, Workflow.RunEnd.Done);
+      if (run.endsAtMs > this.#nowMs) continue;
+      this.#learn(run);
+      this.#end(run, Workflow.RunEnd.Done);
     }
   }
 
+  /** Runs that began from a checkpoint or away from their data say little. */
+  #learn({ tasks, speed, isAway, doneBefore, beganAtMs, endsAtMs }: Run): void {
+    if (isAway || doneBefore > 0) return;
+    const [{ workflow, step: { estimateMs } }] = tasks;
+    const { queue } = workflow.spec.policy;
+    const tookMs = endsAtMs - beganAtMs;
+    this.#estimates.note({ queue, estimateMs, tookMs, speed });
+  }
+
   #end(run: Run, how: Workflow.RunEnd): void {
     this.#runs.delete(run);
     const { workflow } = run.arrival;
