Learn speeds by what is known of endpoints, and what estimates are worth

Callers' urgent work landed on slow endpoints because speeds were learned slowly and wrongly on an uneven fleet: runs of a step on slow endpoints alone made them look like usual ones, and shares beyond 0.5 to 2 of the median were dropped, though 0.6 beside 1.6 is 0.375.

Where endpoints differ: speeds from runs divided by what is known of their endpoints and anchored in the queue's corrected estimate; the last nine comparisons, by their median. Corrections from runs that ended well on their first run near their data, at the speed of the slowest member. The watch for stragglers divides paces by speeds, so that a slow endpoint is not taken for a straggler. Starts of urgent work on endpoints too slow for its objective are counted and told with the reason; the dump shows speeds and corrections.

--- a/packages/coordinator/src/endpoints/directory_options.ts
+++ b/packages/coordinator/src/endpoints/directory_options.ts
@@ -1,8 +1,14 @@
 /** What the directory of endpoints is given, for all its parts. */
 import type * as sessionOptions from "../sessions/session_options.ts";
 
-/** What the directory needs: what is the same for all its sessions. */
-export type DirectoryOptions = Omit<
+/** What the directory needs. */
+export interface DirectoryOptions extends SharedOptions {
+  /** Whether endpoints differ so much that their speeds count for more. */
+  readonly doEndpointsDiffer: () => boolean;
+}
+
+/** What is the same for all its sessions. */
+export type SharedOptions = Omit<
   sessionOptions.SessionOptions,
   | "ref"
   | "listedBornMs"
--- a/packages/coordinator/src/endpoints/listing_changes.ts
+++ b/packages/coordinator/src/endpoints/listing_changes.ts
@@ -7,6 +7,7 @@
 import type * as endpointSessions from "./endpoint_sessions.ts";
 import type * as listingBooks from "./listing_book.ts";
 import type * as listingTimes from "./listing_times.ts";
+import type * as uneven from "./uneven_speeds.ts";
 import type * as speeds from "./worker_speeds.ts";
 
 /** What the changes have to do with. */
@@ -16,6 +17,7 @@
   readonly sessions: endpointSessions.EndpointSessions;
   readonly times: listingTimes.ListingTimes;
   readonly speeds: speeds.WorkerSpeeds;
+  readonly unevenSpeeds: uneven.UnevenSpeeds;
 }
 
 /** Changes of the list. */
@@ -49,6 +51,7 @@
   /** Another life answers under this id. */
   lifeBegan(id: string): void {
     this.#parts.speeds.forget(id);
+    this.#parts.unevenSpeeds.forget(id);
     this.#doubted.lifeBegan(id);
   }
 
@@ -105,7 +108,7 @@
   }
 
   #unlist(rowKey: string): void {
-    const { book, sessions, times, speeds } = this.#parts;
+    const { book, sessions, times, speeds, unevenSpeeds } = this.#parts;
     const id = book.removeRow(rowKey);
     if (id === undefined) return;
     const session = sessions.get(id);
@@ -114,5 +117,6 @@
     session?.noteUnlisted();
     times.forget(id);
     speeds.forget(id);
+    unevenSpeeds.forget(id);
   }
 }
--- a/packages/coordinator/src/endpoints/plan_states.ts
+++ b/packages/coordinator/src/endpoints/plan_states.ts
@@ -6,6 +6,7 @@
 import type * as listingBooks from "./listing_book.ts";
 import type * as listingTimes from "./listing_times.ts";
 import type * as silences from "./silence_log.ts";
+import type * as uneven from "./uneven_speeds.ts";
 import type * as speeds from "./worker_speeds.ts";
 
 /** What the states are made of. */
@@ -16,6 +17,9 @@
   readonly sessions: endpointSessions.EndpointSessions;
   readonly times: listingTimes.ListingTimes;
   readonly speeds: speeds.WorkerSpeeds;
+  readonly unevenSpeeds: uneven.UnevenSpeeds;
+  /** Whether endpoints differ so much that their speeds count for more. */
+  readonly doEndpointsDiffer: () => boolean;
   readonly silences: silences.SilenceLog;
 }
 
@@ -44,6 +48,25 @@
     );
   }
 
+  /** Speed of an endpoint beside the others; 1 is the usual one. */
+  speedOf(id: string): number {
+    const { speeds, unevenSpeeds, doEndpointsDiffer } = this.#options;
+    return doEndpointsDiffer() ? unevenSpeeds.of(id) : speeds.of(id);
+  }
+
+  /** Speed by which the paces of runs are compared; 1 where speeds hardly differ. */
+  speedInPaces(id: string): number {
+    const { unevenSpeeds, doEndpointsDiffer } = this.#options;
+    return doEndpointsDiffer() ? unevenSpeeds.of(id) : 1;
+  }
+
+  /** Where an endpoint stands and how fast it is; null where it is not listed. */
+  siteOf(id: string): { rack: string; speed: number } | null {
+    const listing = this.#options.book.get(id);
+    if (listing === undefined) return null;
+    return { rack: listing.rack, speed: this.speedOf(id) };
+  }
+
   /** Accelerators that may be given work: listed, staying, not evacuated. */
   get openAccelerators(): number {
     return [...this.#options.book.all]
@@ -52,7 +75,7 @@
   }
 
   #stateOf(listing: Ports.WorkerListing, at: Moment): Scheduler.WorkerState {
-    const { sessions, times, speeds, silences } = this.#options;
+    const { sessions, times, silences } = this.#options;
     const { id, address } = listing;
     const { nowMs, mayStart } = at;
     const session = sessions.open(id);
@@ -69,7 +92,7 @@
       isProven: session?.health.isProven(nowMs) ?? false,
       isCold: times.isCold(id),
       hasCrashedLately: silences.hasCrashedLately(address),
-      speed: speeds.of(id),
+      speed: this.speedOf(id),
       occupants: session?.occupants.map(({ task }) => task) ?? [],
     };
   }
--- a/packages/coordinator/src/endpoints/straggler_watch.ts
+++ b/packages/coordinator/src/endpoints/straggler_watch.ts
@@ -9,6 +9,8 @@
 export interface RunProgress {
   readonly task: Workflow.Task;
   readonly worker: string;
+  /** Speed of its worker, by which its pace is compared; 1 is the usual one. */
+  readonly speed: number;
   /** Time for which the run was watched. */
   readonly ranMs: number;
   /** Share that is done, 0 to 100. */
@@ -96,10 +98,18 @@
   return run.recentRate ?? rateOf(run);
 }
 
-/** Percent per millisecond: the upper median, or by the estimate if alone. */
+/** Rate that the run would have on a worker of usual speed. */
+function usualRateOf(run: RunProgress): number {
+  return rateOf(run) / run.speed;
+}
+
+/**
+ * Percent per millisecond on a worker of usual speed: the upper median, or by the
+ * estimate if alone.
+ */
 function usualRate(group: readonly RunProgress[]): number {
   if (group.length === 1) return 100 / Math.max(1, estimateOf(group[0]));
-  const rates = group.map(rateOf).sort((a, b) => b - a);
+  const rates = group.map(usualRateOf).sort((a, b) => b - a);
   return rates[Math.floor((rates.length - 1) / 2)];
 }
 
@@ -113,7 +123,7 @@
     return paceOf(run) < run.earlierRate * SLOW_SHARE_OF_ITSELF;
   }
   const share = others === 1 ? SLOW_SHARE_ALONE : SLOW_SHARE;
-  return paceOf(run) < usual * share;
+  return paceOf(run) < usual * run.speed * share;
 }
 
 function paysToRestart(run: RunProgress, usual: number): boolean {
--- a/packages/coordinator/src/endpoints/straggler_watch_test.ts
+++ b/packages/coordinator/src/endpoints/straggler_watch_test.ts
@@ -6,7 +6,11 @@
 
 function buildRuns(
   percents: readonly number[],
-  options: { ranMs?: number; step?: Partial<Workflow.StepSpec> } = {},
+  options: {
+    ranMs?: number;
+    step?: Partial<Workflow.StepSpec>;
+    speeds?: readonly number[];
+  } = {},
 ): watch.RunProgress[] {
   const step = TestUtils.buildStep({
     count: percents.length,
@@ -25,6 +29,7 @@
   return percents.map((percent, i) => ({
     task: workflow.rounds[0][0][i],
     worker: `worker-${i}`,
+    speed: options.speeds?.[i] ?? 1,
     ranMs: options.ranMs ?? 2000,
     percent,
     came: percent,
@@ -47,6 +52,29 @@
     vitest.expect(found.restart).toEqual([]);
   });
 
+  vitest.it(
+    "takes no run for slow because of its endpoint's usual speed",
+    () => {
+      const percents = [80, 80, 20, 80];
+      const speeds = [1.6, 1.6, 0.6, 1.6];
+      const found = watch.findStragglers(buildRuns(percents, { speeds }));
+      vitest.expect([...found.workers]).toEqual([]);
+      const even = watch.findStragglers(buildRuns(percents));
+      vitest.expect([...even.workers]).toEqual(["worker-2"]);
+    },
+  );
+
+  vitest.it(
+    "finds a run that is slow beside its endpoint's usual speed",
+    () => {
+      const speeds = [0.6, 1.6, 1.6];
+      const runs = buildRuns([30, 80, 20], { speeds });
+      vitest.expect([...watch.findStragglers(runs).workers]).toEqual([
+        "worker-2",
+      ]);
+    },
+  );
+
   vitest.it("says nothing about runs that have just begun", () => {
     const found = watch.findStragglers(
       buildRuns([20, 0, 20], { ranMs: 400 }),
--- /dev/null
+++ b/packages/coordinator/src/endpoints/uneven_speeds.ts
@@ -0,0 +1,74 @@
+/**
+ * How fast endpoints are where they differ much. Runs of one step are compared by what
+ * is known of their endpoints already: a step that runs on slow ones alone would else
+ * make them look like usual ones.
+ */
+import type * as speeds from "./worker_speeds.ts";
+
+/** Runs of one step, as far as they have come. */
+export interface StepRates {
+  readonly all: readonly speeds.RunRate[];
+  /** Those that were not compared before. */
+  readonly fresh: readonly speeds.RunRate[];
+  /** Rate on a usual endpoint by the corrected estimate, percent per millisecond. */
+  readonly expectedRate: number;
+}
+
+/** Newest comparisons that are kept: a speed that has turned is forgotten with them. */
+const MOST_SHARES = 9;
+/** Comparisons from which on a speed counts as known. */
+const KNOWN_SHARES = 2;
+/** Endpoints of known speed that can stand for the others. */
+const LEAST_KNOWN = 3;
+/** A run that is this much off says more about a fault, or its task, than of speed. */
+const LEAST_SHARE = 0.3;
+const MOST_SHARE = 3;
+
+/** Speeds of endpoints; 1 is the usual one. */
+export class UnevenSpeeds {
+  readonly #shares = new Map<string, number[]>();
+  readonly #speeds = new Map<string, number>();
+
+  /** Speed of an endpoint; 1 where nothing is known. */
+  of(endpoint: string): number {
+    return this.#speeds.get(endpoint) ?? 1;
+  }
+
+  /** Compares runs of one step with each other and with their estimate. */
+  compare({ all, fresh, expectedRate }: StepRates): void {
+    const known = all.filter(({ worker }) => this.#isKnown(worker));
+    const compared = known.length >= LEAST_KNOWN ? known : all;
+    const usual = medianOf([
+      ...compared.map(({ worker, rate }) => rate / this.of(worker)),
+      expectedRate,
+    ]);
+    if (!(usual > 0)) return;
+    for (const { worker, rate } of fresh) this.#note(worker, rate / usual);
+  }
+
+  /** Drops what is known of an endpoint that has gone. */
+  forget(endpoint: string): void {
+    this.#shares.delete(endpoint);
+    this.#speeds.delete(endpoint);
+  }
+
+  #isKnown(endpoint: string): boolean {
+    return (this.#shares.get(endpoint)?.length ?? 0) >= KNOWN_SHARES;
+  }
+
+  /** The usual speed counts as one comparison, so that the first says only half. */
+  #note(endpoint: string, share: number): void {
+    if (!(share >= LEAST_SHARE && share <= MOST_SHARE)) return;
+    const shares = [...this.#shares.get(endpoint) ?? [], share]
+      .slice(-MOST_SHARES);
+    this.#shares.set(endpoint, shares);
+    this.#speeds.set(endpoint, medianOf([...shares, 1]));
+  }
+}
+
+/** The middle one, or the mean of the two in the middle; NaN of none. */
+function medianOf(numbers: readonly number[]): number {
+  const sorted = [...numbers].sort((a, b) => a - b);
+  const half = (sorted.length - 1) / 2;
+  return (sorted[Math.floor(half)] + sorted[Math.ceil(half)]) / 2;
+}
--- /dev/null
+++ b/packages/coordinator/src/endpoints/uneven_speeds_test.ts
@@ -0,0 +1,108 @@
+/** Speeds of endpoints that differ much are learned from a few rough comparisons. */
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as uneven from "./uneven_speeds.ts";
+
+const SPEEDS = [0.6, 1, 1.6];
+const ENDPOINTS = 60;
+const speedOf = (i: number) => SPEEDS[i % SPEEDS.length];
+const TASKS = 12;
+/** Rate on a usual endpoint, percent per millisecond. */
+const RATE = 0.02;
+
+/** Draws numbers in 0 to 1, the same for a seed. */
+function drawsOf(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 48_271) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+/** Steps of uneven tasks on endpoints drawn at random; estimates are rough. */
+function buildSteps(count: number, seed: number): uneven.StepRates[] {
+  const draw = drawsOf(seed);
+  const around = (off: number) => 1 + off * (2 * draw() - 1);
+  return Array.from({ length: count }, () => {
+    const all = Array.from({ length: TASKS }, () => {
+      const i = Math.floor(draw() * ENDPOINTS);
+      const tail = draw() < 0.03 ? 7 : 1;
+      return { worker: `${i}`, rate: RATE * speedOf(i) / around(0.3) / tail };
+    });
+    return { all, fresh: all, expectedRate: RATE * around(0.5) };
+  });
+}
+
+/** Share of the endpoints whose speed is known within a fifth. */
+function knownShare(of: (endpoint: string) => number): number {
+  const all = Array.from({ length: ENDPOINTS }, (_, i) => i);
+  const known = all.filter((i) => Math.abs(of(`${i}`) / speedOf(i) - 1) < 0.2);
+  return known.length / ENDPOINTS;
+}
+
+vitest.describe("speeds of uneven endpoints", () => {
+  vitest.it("are known after a few comparisons of each endpoint", () => {
+    const seeds = Array.from({ length: 20 }, (_, i) => i + 1);
+    const shares = seeds.map((seed) => {
+      const speeds = new uneven.UnevenSpeeds();
+      // Eight comparisons of each endpoint.
+      for (const step of buildSteps(40, seed)) speeds.compare(step);
+      return knownShare((id) => speeds.of(id));
+    });
+    const mean = shares.reduce((sum, one) => sum + one, 0) / shares.length;
+    vitest.expect(mean).toBeGreaterThan(0.8);
+  });
+
+  vitest.it("stay what they are while steps run on slow ones alone", () => {
+    const speeds = new uneven.UnevenSpeeds();
+    for (const step of buildSteps(60, 1)) speeds.compare(step);
+    const slow = Array.from({ length: 20 }, (_, i) => `${i * 3}`);
+    const meanSpeed = () =>
+      slow.reduce((sum, id) => sum + speeds.of(id), 0) / slow.length;
+    const before = meanSpeed();
+    for (let i = 0; i < 20; i++) {
+      const all = slow.map((worker) => ({ worker, rate: RATE * 0.6 }));
+      speeds.compare({ all, fresh: all, expectedRate: RATE });
+    }
+    vitest.expect(Math.abs(meanSpeed() - before)).toBeLessThan(0.05);
+  });
+
+  vitest.it("follow an endpoint that turns slow and is well again", () => {
+    const speeds = new uneven.UnevenSpeeds();
+    const others = ["a", "b", "c", "d"].map((worker) => ({
+      worker,
+      rate: RATE,
+    }));
+    const feed = (share: number, times: number) => {
+      const one = { worker: "turning", rate: RATE * share };
+      for (let i = 0; i < times; i++) {
+        const all = [...others, one];
+        speeds.compare({ all, fresh: all, expectedRate: RATE });
+      }
+      return speeds.of("turning");
+    };
+    vitest.expect(feed(1, 9)).toBe(1);
+    vitest.expect(feed(0.5, 6)).toBe(0.5);
+    vitest.expect(feed(1, 6)).toBe(1);
+  });
+
+  vitest.it("stay within bounds whatever rates are fed", () => {
+    const rate = fc.record({
+      worker: fc.constantFrom("a", "b", "c"),
+      rate: fc.double(),
+    });
+    const step = fc.record({
+      all: fc.array(rate),
+      fresh: fc.array(rate),
+      expectedRate: fc.double(),
+    });
+    fc.assert(fc.property(fc.array(step), (steps) => {
+      const speeds = new uneven.UnevenSpeeds();
+      for (const one of steps) speeds.compare(one);
+      for (const id of ["a", "b", "c"]) {
+        vitest.expect(speeds.of(id)).toBeGreaterThanOrEqual(0.3);
+        vitest.expect(speeds.of(id)).toBeLessThanOrEqual(3);
+      }
+    }));
+  });
+});
--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -10,12 +10,15 @@
 import * as listingTimes from "./listing_times.ts";
 import * as planStates from "./plan_states.ts";
 import * as silences from "./silence_log.ts";
+import * as uneven from "./uneven_speeds.ts";
 import * as speeds from "./worker_speeds.ts";
 
 /** Workers by id; one for each term. */
 export class WorkerDirectory {
   /** How fast the workers are beside each other. */
   readonly speeds = new speeds.WorkerSpeeds();
+  /** The same, learned for fleets on which they differ much. */
+  readonly unevenSpeeds = new uneven.UnevenSpeeds();
   /** When listings came, until when endpoints are cold, when they leave. */
   readonly times: listingTimes.ListingTimes;
   /** Which endpoints have fallen silent or crashed. */
@@ -37,14 +40,16 @@
       book,
       silences: this.silences,
     });
-    const { times, speeds } = this;
-    const parts = { book, sessions: this.#sessions, times, speeds };
+    const { times, speeds, unevenSpeeds } = this;
+    const sessions = this.#sessions;
+    const parts = { book, sessions, times, speeds, unevenSpeeds };
     this.#changes = new listingChanges.ListingChanges({ ...parts, options });
     this.#states = new planStates.PlanStates({
       ...parts,
       clock,
       evacuations,
       silences: this.silences,
+      doEndpointsDiffer: options.doEndpointsDiffer,
     });
   }
 
@@ -98,6 +103,16 @@
     return this.#states.all();
   }
 
+  /** Speed by which the paces of runs are compared; 1 where speeds hardly differ. */
+  speedInPaces(id: string): number {
+    return this.#states.speedInPaces(id);
+  }
+
+  /** Where an endpoint stands and how fast it is; null where it is not listed. */
+  siteOf(id: string): { rack: string; speed: number } | null {
+    return this.#states.siteOf(id);
+  }
+
   /** Accelerators that may be given work: listed, staying, not evacuated. */
   get openAccelerators(): number {
     return this.#states.openAccelerators;
--- a/packages/coordinator/src/load/hard_load_watch.ts
+++ b/packages/coordinator/src/load/hard_load_watch.ts
@@ -27,7 +27,9 @@
     guarantees: ReadonlyMap<string, number>,
     speeds: readonly number[],
   ): void {
-    const { competingTeams, unevenEndpoints } = this.#ports.hardLoad;
+    const { hardLoad, metrics } = this.#ports;
+    const { competingTeams, unevenEndpoints } = hardLoad;
+    metrics.set("cairngate_speed_spread", Scheduler.speedSpread(speeds));
     const before = this.#load;
     this.#load = {
       teamsCompete: isUsed(
--- /dev/null
+++ b/packages/coordinator/src/load/run_estimates.ts
@@ -0,0 +1,69 @@
+/**
+ * Learns what estimates are worth from runs that end well. It begins anew with each
+ * term; a queue's estimates are judged by its own runs after about ten of them.
+ */
+import type * as Ports from "@cairngate/ports";
+import type * as Workflow from "@cairngate/workflow";
+import * as Scheduler from "@cairngate/workflow-scheduler";
+import type * as occupants from "../sessions/occupant.ts";
+
+/** Where an endpoint stands, and how fast it is. */
+export interface RunSite {
+  readonly rack: string;
+  readonly speed: number;
+}
+
+/** What the estimates are learned with. */
+export interface RunEstimatesOptions {
+  readonly clock: Ports.Clock;
+  /** Null where the endpoint is not listed. */
+  readonly siteOf: (endpoint: string) => RunSite | null;
+}
+
+/** Estimates of one term. */
+export class RunEstimates {
+  readonly #options: RunEstimatesOptions;
+  readonly #book = new Scheduler.EstimateBook();
+
+  constructor(options: RunEstimatesOptions) {
+    this.#options = options;
+  }
+
+  /** What runs of each queue took against their estimates. */
+  get corrections(): Scheduler.Corrections {
+    return this.#book.corrections;
+  }
+
+  /** The same for people. */
+  describe(): readonly Scheduler.EstimateWorth[] {
+    return this.#book.describe();
+  }
+
+  /** A run has ended well; called before its workflow takes that in. */
+  noteDone({ task, run, sentAtMs }: occupants.Occupant): void {
+    const { workflow, step } = task;
+    const members = step.gang ? workflow.siblings(task) : [task];
+    // The first end of a gang stands for all of it; later ones find members released.
+    const isWhole = members.every((one) => one.isPlaced && one.run === run);
+    const isResumed = step.checkpoints && run > 1;
+    if (sentAtMs === null || step.lasting || isResumed || !isWhole) return;
+    const sites = members.map(({ worker }) =>
+      this.#options.siteOf(worker ?? "")
+    );
+    if (!sites.every((site) => site !== null)) return;
+    if (isAway(step, sites)) return;
+    this.#book.note({
+      queue: workflow.spec.policy.queue,
+      estimateMs: step.estimateMs,
+      tookMs: this.#options.clock.monotonicMs() - sentAtMs,
+      speed: Math.min(...sites.map(({ speed }) => speed)),
+    });
+  }
+}
+
+/** Whether a run takes longer because of where it is. */
+function isAway(step: Workflow.StepSpec, sites: readonly RunSite[]): boolean {
+  const racks = new Set(sites.map(({ rack }) => rack));
+  if (step.rack !== null) return racks.size > 1 || !racks.has(step.rack);
+  return step.gang && step.sameRack && racks.size > 1;
+}
--- /dev/null
+++ b/packages/coordinator/src/load/run_estimates_test.ts
@@ -0,0 +1,81 @@
+/** What counts as a run that tells the worth of its estimate. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import * as occupants from "../sessions/occupant.ts";
+import * as estimates from "./run_estimates.ts";
+
+const ESTIMATE_MS = 1000;
+const TOOK_MS = 3000;
+
+const SITES = new Map([
+  ["fast", { rack: "rack-0", speed: 1.6 }],
+  ["slow", { rack: "rack-0", speed: 0.5 }],
+  ["far", { rack: "rack-1", speed: 1 }],
+]);
+
+/** Lets the runs of one step end well, in order; returns how many were taken in. */
+function endAll(
+  step: Partial<Workflow.StepSpec>,
+  endpoints: readonly string[],
+  run = 1,
+): readonly { runs: number; usual: number }[] {
+  const workflow = new Workflow.Workflow({
+    id: "a000000000000001",
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[0],
+    payload: "",
+    steps: [
+      TestUtils.buildStep({
+        count: endpoints.length,
+        estimateMs: ESTIMATE_MS,
+        ...step,
+      }),
+    ],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  const clock = new TestUtils.FakeClock();
+  const learned = new estimates.RunEstimates({
+    clock,
+    siteOf: (id) => SITES.get(id) ?? null,
+  });
+  const placed = workflow.rounds[0][0].map((task, i) => {
+    task.place(endpoints[i], run, clock.monotonicMs());
+    const occupant = occupants.createOccupant(task, null);
+    return { ...occupant, sentAtMs: clock.monotonicMs() - TOOK_MS };
+  });
+  for (const occupant of placed) {
+    learned.noteDone(occupant);
+    const end = { run, how: Workflow.RunEnd.Done, checkpoint: "" };
+    workflow.endRun(occupant.task, end, clock.monotonicMs());
+  }
+  return learned.describe();
+}
+
+vitest.describe("estimates", () => {
+  vitest.it("are judged by single runs", () => {
+    vitest.expect(endAll({}, ["fast", "slow"])[0].runs).toBe(2);
+  });
+
+  vitest.it("are judged once by a gang, at its slowest member's speed", () => {
+    const gang = { gang: true };
+    const [learned] = endAll(gang, ["fast", "slow", "fast"]);
+    vitest.expect(learned.runs).toBe(1);
+  });
+
+  vitest.it("are not judged by runs away from their data or rack", () => {
+    vitest.expect(endAll({ rack: "rack-1" }, ["fast"])).toEqual([]);
+    vitest.expect(endAll({ gang: true, sameRack: true }, ["fast", "far"]))
+      .toEqual([]);
+  });
+
+  vitest.it("are not judged by runs that go on from a checkpoint", () => {
+    vitest.expect(endAll({ checkpoints: true }, ["fast"], 2)).toEqual([]);
+    vitest.expect(endAll({ checkpoints: true }, ["fast"], 1)[0].runs).toBe(1);
+  });
+
+  vitest.it("are not judged by runs on endpoints that are not listed", () => {
+    vitest.expect(endAll({}, ["gone"])).toEqual([]);
+  });
+});
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -34,6 +34,8 @@
   readonly dataCentre: string;
   readonly rack: string;
   readonly usable: boolean;
+  /** Speed beside the other endpoints; 1 is the usual one. */
+  readonly speed: number;
   readonly runs: readonly string[];
 }
 
@@ -67,6 +69,8 @@
   readonly guarantees: GuaranteeDump;
   /** Kinds of hard load that the decisions take into account. */
   readonly hardLoad: Scheduler.HardLoad;
+  /** What runs of each queue took against their estimates. */
+  readonly estimates: readonly Scheduler.EstimateWorth[];
 }
 
 /** One run for which a workflow was given up. */
@@ -130,9 +134,9 @@
 
 /** Describes one worker. */
 export function describeWorker(worker: Scheduler.WorkerState): WorkerDump {
-  const { id, dataCentre, rack, usable, occupants } = worker;
+  const { id, dataCentre, rack, usable, speed, occupants } = worker;
   const runs = occupants.map(({ name, run }) => `${name}@${run}`);
-  return { id, dataCentre, rack, usable, runs };
+  return { id, dataCentre, rack, usable, speed, runs };
 }
 
 /** Describes the data centres in which nothing starts. */
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -7,6 +7,7 @@
 import * as guarantees from "./guarantee_watch.ts";
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
+import type * as estimates from "../load/run_estimates.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
@@ -18,6 +19,7 @@
   readonly control: controls.RunControl;
   readonly advice: advice.AdviceBook;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly estimates: estimates.RunEstimates;
   /** Workflows of which something may start. */
   readonly live: () => readonly Workflow.Workflow[];
   /** Workflows of which nothing may start before their records are there. */
@@ -33,6 +35,13 @@
 /** A plan that took long is followed by a pause this many times as long. */
 const PLAN_PAUSE = 3;
 
+const SLOW_SENTENCE_OF: Readonly<Record<Scheduler.SlowReason, string>> = {
+  [Scheduler.SlowReason.Taken]:
+    "on slow endpoints, on which it ends late: fast ones are in use",
+  [Scheduler.SlowReason.TooLate]:
+    "so late that no endpoint is fast enough for its objective",
+};
+
 /** Plans for one term. */
 export class Planning {
   readonly #parts: PlanningParts;
@@ -68,7 +77,7 @@
   }
 
   #plan(): void {
-    const { ports: { clock, metrics }, control, directory } = this.#parts;
+    const { ports: { clock, metrics }, directory } = this.#parts;
     const startedAtMs = clock.monotonicMs();
     const workflows = this.#parts.live();
     const unrecorded = this.#waitsForRecords();
@@ -84,7 +93,7 @@
       nowMs: startedAtMs,
     });
     for (const stop of plan.stops) this.#yield(stop);
-    for (const start of plan.starts) control.start(start);
+    for (const start of plan.starts) this.#start(start);
     this.#askAdvice(plan, workers);
     this.#planMs = clock.monotonicMs() - startedAtMs;
     metrics.observeMs("cairngate_plan_seconds", this.#planMs);
@@ -112,9 +121,20 @@
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
       hardLoad: this.#parts.hardLoad.load,
+      corrections: this.#parts.estimates.corrections,
     };
   }
 
+  #start(decision: Scheduler.StartDecision): void {
+    const { unit: { workflow: { spec } }, slow } = decision;
+    if (slow !== undefined) {
+      const { log, metrics } = this.#parts.ports;
+      metrics.count("cairngate_slow_places_total", { reason: slow });
+      log.info(`Urgent workflow ${spec.id} starts ${SLOW_SENTENCE_OF[slow]}.`);
+    }
+    this.#parts.control.start(decision);
+  }
+
   #yield(decision: Scheduler.StopDecision): void {
     const { task, claimant } = decision;
     const { log, clock, metrics } = this.#parts.ports;
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -19,6 +19,8 @@
   readonly book: books.WorkflowBook;
   /** It stands once the sessions do, which tell of ends. */
   readonly control: () => controls.RunControl;
+  /** A run has ended well. */
+  readonly onDone: (occupant: occupants.Occupant) => void;
   /** Another life has begun under this id. */
   readonly onLife: (id: string) => void;
   /** Something has changed that a plan has to do with. */
@@ -48,6 +50,7 @@
     const wasOver = workflow.isOver;
     const endpoint = worker.ref.id;
     const ended = { run, endpoint, stoppingSinceMs, ...end };
+    if (end.how === Workflow.RunEnd.Done) this.#options.onDone(occupant);
     workflow.endRun(task, ended, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) worker.health.succeeded(nowMs);
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,6 +1,7 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
+import * as estimates from "../load/run_estimates.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
@@ -41,6 +42,7 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly estimates: estimates.RunEstimates;
 }
 
 /** Makes the parts of one term. */
@@ -54,11 +56,17 @@
     clock: given.clock,
     onAdvice: () => planning.wake(),
   });
+  const hardLoad = new hardLoads.HardLoadWatch(given);
+  const runEstimates = new estimates.RunEstimates({
+    clock: given.clock,
+    siteOf: (id) => directory.siteOf(id),
+  });
   const ends = new runEnds.RunEnds({
     ports: given,
     recorder,
     book,
     control: () => control,
+    onDone: (occupant) => runEstimates.noteDone(occupant),
     onLife: (id) => {
       directory.lifeBegan(id);
       advisor.forget(id);
@@ -70,6 +78,7 @@
     term,
     listener: ends,
     recovery,
+    doEndpointsDiffer: () => hardLoad.load.endpointsDiffer,
   });
   const shared = { ports: given, directory, advice: advisor };
   const control = new controls.RunControl({ ...shared, recorder });
@@ -78,10 +87,10 @@
     book,
     control,
   });
-  const hardLoad = new hardLoads.HardLoadWatch(given);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
+    estimates: runEstimates,
     control,
     live: () => book.live,
     unrecorded: () => book.unrecorded,
@@ -97,6 +106,7 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    estimates: runEstimates,
   };
 }
 
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -20,5 +20,6 @@
   type StartDecision,
   type StopDecision,
 } from "./src/plan.ts";
+export { SlowReason } from "./src/slow_place.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -9,6 +9,7 @@
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
+import * as slowPlaces from "./slow_place.ts";
 import * as bands from "./speed_bands.ts";
 import * as speedClaims from "./speed_claims.ts";
 import * as waiting from "./wait_reason.ts";
@@ -38,6 +39,8 @@
   readonly unit: Workflow.Unit;
   /** Worker of each task, in the order of the tasks. */
   readonly workers: readonly string[];
+  /** Why urgent work starts where it will be late; left out: it does not. */
+  readonly slow?: slowPlaces.SlowReason;
 }
 
 /** Stop this task so that a more urgent unit fits. */
@@ -358,7 +361,18 @@
     const workers = places.map((room) => room.worker.id);
     for (const room of places) room.claim(unit, 1);
     if (isolation.isSuspect(unit)) { for (const room of places) room.close(); }
-    this.#starts.push({ unit, workers });
+    const slow = this.#slowReason(unit, places);
+    this.#starts.push({ unit, workers, ...(slow === null ? {} : { slow }) });
+  }
+
+  #slowReason(
+    unit: Workflow.Unit,
+    places: placement.Places,
+  ): slowPlaces.SlowReason | null {
+    const outlook = this.#outlook;
+    if (outlook === null) return null;
+    const { wallMs } = this.#input;
+    return slowPlaces.slowReason(unit, places, { outlook, wallMs });
   }
 
   /** Keeps room that is being freed, or makes others yield. */
--- a/packages/workflow-scheduler/src/plan_speeds_test.ts
+++ b/packages/workflow-scheduler/src/plan_speeds_test.ts
@@ -125,6 +125,18 @@
       .toEqual(["endpoint-0"]);
   });
 
+  vitest.it("is told of with the reason where it starts to be late", () => {
+    const reasonsOf = (given: readonly Given[], wallMs: number) => {
+      const options = { guarantees: new Map<string, number>(), wallMs };
+      const made = plan(buildEndpoints(given), buildWorkflow(0, {}), options);
+      return made.starts.map(({ slow }) => slow);
+    };
+    const taken = [{ speed: SLOW }, { speed: FAST, busyMs: 100 }];
+    vitest.expect(reasonsOf(taken, 2000)).toEqual(["taken"]);
+    vitest.expect(reasonsOf([{ speed: FAST }], 20_000)).toEqual(["too-late"]);
+    vitest.expect(reasonsOf([{ speed: FAST }], 0)).toEqual([undefined]);
+  });
+
   vitest.it("begins at once where no endpoint can be fast enough", () => {
     const endpoints = buildEndpoints([
       { speed: SLOW },
--- /dev/null
+++ b/packages/workflow-scheduler/src/slow_place.ts
@@ -0,0 +1,28 @@
+/** Why urgent work starts on endpoints on which it will be late, for operators. */
+import type * as Workflow from "@cairngate/workflow";
+import type * as outlooks from "./expected_run.ts";
+import type * as placement from "./placement.ts";
+import * as rank from "./rank.ts";
+import * as bands from "./speed_bands.ts";
+
+/** Why an urgent unit did not get endpoints that are fast enough. */
+export enum SlowReason {
+  /** Faster ones were in use, and could not be freed in time or for so little work. */
+  Taken = "taken",
+  /** It has waited so long that none would be fast enough. */
+  TooLate = "too-late",
+}
+
+/** Why a unit starts where it will be late; null where it is not urgent or in time. */
+export function slowReason(
+  unit: Workflow.Unit,
+  places: placement.Places,
+  at: { readonly outlook: outlooks.RunOutlook; readonly wallMs: number },
+): SlowReason | null {
+  const { outlook, wallMs } = at;
+  if (unit.workflow.spec.policy.priority > 0) return null;
+  const slowest = bands.slowestOf(places);
+  if (outlook.endsInTime(unit, { wallMs, slowest })) return null;
+  const isHopeful = outlook.hopeOf(unit, wallMs) === rank.Hope.InTime;
+  return isHopeful ? SlowReason.Taken : SlowReason.TooLate;
+}
