Learn speeds from the ends of runs too, among all that is known of a step

Seen in uneven_endpoints_test.ts before this: after a takeover, no speed was learned in three batches of twelve tasks. Runs of 1.25 s on fast endpoints ended before their pace was watched for a second, so that only slow ones were compared, with each other. First try: ends alone, once three quarters of a step had ended; the slow ones were still compared with each other alone, and fast and slow both counted as usual ones. Now each comparison has the newest rates of all tasks of the step, running or ended.

--- a/packages/coordinator/src/endpoints/run_watch.ts
+++ b/packages/coordinator/src/endpoints/run_watch.ts
@@ -1,28 +1,23 @@
 /** Watches running tasks: slow ones begin again, leaving workers are emptied. */
 import * as Workflow from "@cairngate/workflow";
-import * as Scheduler from "@cairngate/workflow-scheduler";
 import * as departures from "./leaving_runs.ts";
 import type * as occupants from "../sessions/occupant.ts";
 import type * as ports from "../ports.ts";
 import type * as controls from "../work/run_control.ts";
 import type * as paces from "../sessions/run_pace.ts";
 import * as stragglers from "./straggler_watch.ts";
-import type * as uneven from "./uneven_speeds.ts";
 import type * as directories from "./worker_directory.ts";
 
 /** A run this old tells the speed of its worker. */
 const LEAST_COMPARED_MS = 1000;
 /** Runs of a step that are needed for a comparison. */
 const LEAST_COMPARED = 3;
-const DONE_PERCENT = 100;
 
 /** Looks at all runs from time to time. */
 export class RunWatch {
   readonly #ports: ports.CoordinatorPorts;
   readonly #directory: directories.WorkerDirectory;
   readonly #control: controls.RunControl;
-  /** What single tasks took against their estimates; those of gangs count one by one. */
-  readonly #tasks = new Scheduler.EstimateBook();
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
@@ -68,35 +63,19 @@
       );
       this.#directory.speeds.compare(rates, fresh);
       const { task } = runs[0].occupant;
-      const most = Math.min(
-        LEAST_COMPARED,
-        task.workflow.siblings(task).length,
+      const siblings = task.workflow.siblings(task);
+      if (runs.length < Math.min(LEAST_COMPARED, siblings.length)) continue;
+      this.#directory.lessons.noteRunning(
+        runs.map(({ occupant, worker }, i) => ({
+          task: occupant.task,
+          run: { worker, rate: rates[i] },
+          isFresh: !occupant.compared,
+        })),
       );
-      if (runs.length < most) continue;
-      const all = runs.map(({ worker }, i) => ({ worker, rate: rates[i] }));
-      this.#compareUneven(task, { all, fresh });
       for (const { occupant } of runs) occupant.compared = true;
     }
   }
 
-  /** Compares by what is known of the endpoints and of the queue's estimates. */
-  #compareUneven(
-    { step, workflow }: Workflow.Task,
-    runs: Pick<uneven.StepRates, "all" | "fresh">,
-  ): void {
-    const { queue } = workflow.spec.policy;
-    const { estimateMs } = step;
-    const correction = this.#tasks.corrections.get(queue) ?? 1;
-    const expectedRate = DONE_PERCENT / (estimateMs * correction);
-    const { unevenSpeeds } = this.#directory;
-    unevenSpeeds.compare({ ...runs, expectedRate });
-    for (const { worker, rate } of runs.fresh) {
-      const tookMs = DONE_PERCENT / rate;
-      const speed = unevenSpeeds.of(worker);
-      this.#tasks.note({ queue, estimateMs, tookMs, speed });
-    }
-  }
-
   #restartStragglers(
     occupants: readonly WatchedOccupant[],
   ): void {
--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -2,6 +2,7 @@
 import type * as Ports from "@cairngate/ports";
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as Effect from "effect/Effect";
+import type * as occupants from "../sessions/occupant.ts";
 import type * as sessions from "../sessions/worker_session.ts";
 import type * as directoryOptions from "./directory_options.ts";
 import * as endpointSessions from "./endpoint_sessions.ts";
@@ -10,15 +11,20 @@
 import * as listingTimes from "./listing_times.ts";
 import * as planStates from "./plan_states.ts";
 import * as silences from "./silence_log.ts";
+import * as lessons from "./speed_lessons.ts";
 import * as uneven from "./uneven_speeds.ts";
 import * as speeds from "./worker_speeds.ts";
 
+const DONE_PERCENT = 100;
+
 /** Workers by id; one for each term. */
 export class WorkerDirectory {
   /** How fast the workers are beside each other. */
   readonly speeds = new speeds.WorkerSpeeds();
   /** The same, learned for fleets on which they differ much. */
   readonly unevenSpeeds = new uneven.UnevenSpeeds();
+  /** What runs teach of them. */
+  readonly lessons = new lessons.SpeedLessons(this.unevenSpeeds);
   /** When listings came, until when endpoints are cold, when they leave. */
   readonly times: listingTimes.ListingTimes;
   /** Which endpoints have fallen silent or crashed. */
@@ -103,6 +109,17 @@
     return this.#states.all();
   }
 
+  /** Learns from a task that ran by itself and has ended well. */
+  learnFrom(
+    { task, compared, wasCold }: occupants.Occupant,
+    tookMs: number,
+  ): void {
+    const { worker } = task;
+    if (worker === null || wasCold || tookMs <= 0) return;
+    const run = { worker, rate: DONE_PERCENT / tookMs };
+    this.lessons.noteEnd({ task, run, isFresh: !compared });
+  }
+
   /** Speed by which the paces of runs are compared; 1 where speeds hardly differ. */
   speedInPaces(id: string): number {
     return this.#states.speedInPaces(id);
--- a/packages/coordinator/src/load/run_estimates.ts
+++ b/packages/coordinator/src/load/run_estimates.ts
@@ -18,6 +18,8 @@
   readonly clock: Ports.Clock;
   /** Null where the endpoint is not listed. */
   readonly siteOf: (endpoint: string) => RunSite | null;
+  /** Told of tasks that ran by themselves and have ended well. */
+  readonly onSingle: (occupant: occupants.Occupant, tookMs: number) => void;
 }
 
 /** Estimates of one term. */
@@ -40,7 +42,8 @@
   }
 
   /** A run has ended well; called before its workflow takes that in. */
-  noteDone({ task, run, sentAtMs }: occupants.Occupant): void {
+  noteDone(occupant: occupants.Occupant): void {
+    const { task, run, sentAtMs } = occupant;
     const { workflow, step } = task;
     const members = step.gang ? workflow.siblings(task) : [task];
     // The first end of a gang stands for all of it; later ones find members released.
@@ -52,10 +55,12 @@
     );
     if (!sites.every((site) => site !== null)) return;
     if (isAway(step, sites)) return;
+    const tookMs = this.#options.clock.monotonicMs() - sentAtMs;
+    if (!step.gang) this.#options.onSingle(occupant, tookMs);
     this.#book.note({
       queue: workflow.spec.policy.queue,
       estimateMs: step.estimateMs,
-      tookMs: this.#options.clock.monotonicMs() - sentAtMs,
+      tookMs,
       speed: Math.min(...sites.map(({ speed }) => speed)),
     });
   }
--- a/packages/coordinator/src/load/run_estimates_test.ts
+++ b/packages/coordinator/src/load/run_estimates_test.ts
@@ -39,6 +39,7 @@
   const learned = new estimates.RunEstimates({
     clock,
     siteOf: (id) => SITES.get(id) ?? null,
+    onSingle: () => {},
   });
   const placed = workflow.rounds[0][0].map((task, i) => {
     task.place(endpoints[i], run, clock.monotonicMs());
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -60,6 +60,7 @@
   const runEstimates = new estimates.RunEstimates({
     clock: given.clock,
     siteOf: (id) => directory.siteOf(id),
+    onSingle: (occupant, tookMs) => directory.learnFrom(occupant, tookMs),
   });
   const ends = new runEnds.RunEnds({
     ports: given,
--- /dev/null
+++ b/packages/workflow-node/src/uneven_endpoints_test.ts
@@ -0,0 +1,100 @@
+/**
+ * Endpoints differ in speed: it is learned, used for urgent work, and learned anew by
+ * the next coordinator.
+ */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Types from "@cairngate/types";
+import * as vitest from "vitest";
+
+const SPEEDS = [0.6, 1.6, 0.6, 1.6, 0.6, 1.6];
+const FAST = ["worker-1", "worker-3", "worker-5"];
+const BATCH_MS = 2000;
+const URGENT_MS = 1000;
+
+interface DumpedWork {
+  readonly workers: readonly { readonly id: string; readonly speed: number }[];
+}
+
+function createFleet(): TestUtils.TestFleet {
+  const fleet = new TestUtils.TestFleet({
+    workers: SPEEDS.map(() => 2),
+    hardLoad: {
+      competingTeams: Types.FeatureUse.Off,
+      unevenEndpoints: Types.FeatureUse.On,
+    },
+  });
+  fleet.workers.behave = (task, worker) => {
+    const workMs = task.startsWith("b") ? BATCH_MS : URGENT_MS;
+    const place = Number(worker.split("-")[1]);
+    return { runMs: workMs / SPEEDS[place], fails: false };
+  };
+  return fleet;
+}
+
+/** Endpoints that count as twice as fast as the slowest, or more. */
+function fastOnes(fleet: TestUtils.TestFleet): readonly string[] {
+  const { work } = fleet.node(fleet.coordinator() ?? "").dump();
+  const { workers } = work as DumpedWork;
+  const slowest = Math.min(...workers.map(({ speed }) => speed));
+  return workers.filter(({ speed }) => speed >= 2 * slowest)
+    .map(({ id }) => id);
+}
+
+/** Lets a batch run on all endpoints. */
+async function runBatch(
+  fleet: TestUtils.TestFleet,
+  id: string,
+): Promise<void> {
+  const steps = [TestUtils.buildStep({ count: 12, estimateMs: BATCH_MS })];
+  const node = fleet.coordinator() ?? "";
+  await fleet.submit(node, id, { priority: 2, steps });
+  const isDone = () => fleet.state(id) === "completed";
+  vitest.expect(await fleet.until(isDone, 20_000)).toBe(true);
+}
+
+/** Endpoints on which an urgent gang runs. */
+async function placeUrgent(
+  fleet: TestUtils.TestFleet,
+  id: string,
+): Promise<readonly string[]> {
+  const steps = [
+    TestUtils.buildStep({ count: 2, gang: true, estimateMs: URGENT_MS }),
+  ];
+  await fleet.submit(fleet.coordinator() ?? "", id, { priority: 0, steps });
+  const runs = () =>
+    fleet.workers.runs.filter(({ task }) => task.startsWith(id));
+  await fleet.until(() => runs().length === 2);
+  return runs().map(({ worker }) => worker);
+}
+
+vitest.describe("uneven endpoints", () => {
+  vitest.it(
+    "are known by their speed after some runs, and used by it",
+    async () => {
+      const fleet = createFleet();
+      await fleet.start();
+      for (const id of ["b1", "b2", "b3"]) await runBatch(fleet, id);
+      vitest.expect([...fastOnes(fleet)].sort()).toEqual(FAST);
+      for (const worker of await placeUrgent(fleet, "u1")) {
+        vitest.expect(FAST).toContain(worker);
+      }
+      await fleet.stop();
+    },
+  );
+
+  vitest.it("are learned anew when the coordinator dies", async () => {
+    const fleet = createFleet();
+    await fleet.start();
+    for (const id of ["b1", "b2", "b3"]) await runBatch(fleet, id);
+    const first = fleet.coordinator();
+    await fleet.kill(first ?? "");
+    const isTaken = () => ![null, first].includes(fleet.coordinator());
+    vitest.expect(await fleet.until(isTaken)).toBe(true);
+    await fleet.clock.advance(1000);
+    vitest.expect(fastOnes(fleet)).toEqual([]);
+    vitest.expect(await placeUrgent(fleet, "u1")).toHaveLength(2);
+    for (const id of ["b4", "b5", "b6"]) await runBatch(fleet, id);
+    vitest.expect([...fastOnes(fleet)].sort()).toEqual(FAST);
+    await fleet.stop();
+  });
+});
