--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -1,7 +1,7 @@
 /** Makes a plan: which units start where, and which tasks stop for them. */
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
-import * as outlooks from "./expected_run.ts";
+import type * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
 import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
@@ -10,6 +10,7 @@
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
 import * as slowPlaces from "./slow_place.ts";
+import * as runTimes from "./run_times.ts";
 import * as bands from "./speed_bands.ts";
 import * as speedClaims from "./speed_claims.ts";
 import * as waiting from "./wait_reason.ts";
@@ -80,8 +81,7 @@
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
   readonly #endings: reservation.EndingContext;
-  /** Null where endpoints do not differ in speed. */
-  readonly #outlook: outlooks.RunOutlook | null;
+  readonly #times: runTimes.RunTimes;
   #reserved = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
@@ -93,15 +93,15 @@
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
-    this.#outlook = outlookOf(input);
+    this.#times = new runTimes.RunTimes(input);
     this.#evictions = {
       ranks: this.#ranks,
       nowMs,
       wallMs,
       costs: new Map(),
-      leftMs: (task, ranMs) => this.#leftMs(task, ranMs),
+      leftMs: (task, ranMs) => this.#times.leftMs(task, ranMs),
     };
-    this.#endings = { nowMs, runMs: (task) => this.#runMs(task) };
+    this.#endings = { nowMs, runMs: (task) => this.#times.runMs(task) };
   }
 
   run(): Plan {
@@ -110,7 +110,7 @@
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
     const ready = units.filter((unit) => !this.#pauses(unit));
-    const hopeFor = (unit: Workflow.Unit) => this.#hopeOf(unit);
+    const hopeFor = (unit: Workflow.Unit) => this.#times.hopeOf(unit);
     const sorted = rank.sortUnits(ready, this.#ranks, hopeFor);
     for (const units of groupSiblings(sorted)) this.#decideAll(units);
     return {
@@ -120,28 +120,6 @@
     };
   }
 
-  /** What a unit can still reach, on the best endpoints where they differ. */
-  #hopeOf(unit: Workflow.Unit): rank.Hope {
-    const { wallMs } = this.#input;
-    return this.#outlook?.hopeOf(unit, wallMs) ?? rank.hopeOf(unit, wallMs);
-  }
-
-  /** Time that the run of a task takes where it is. */
-  #runMs(task: Workflow.Task): number {
-    if (this.#outlook === null) return task.step.estimateMs;
-    const room = this.#byId.get(task.worker ?? "");
-    const speed = room === undefined ? 1 : placement.speedNow(room.worker);
-    return this.#outlook.expectedMs(task, speed);
-  }
-
-  /** Time that is left of the run of a task, by its pace where speeds differ. */
-  #leftMs(task: Workflow.Task, ranMs: number): number {
-    if (this.#outlook !== null && task.endsAtMs !== null) {
-      return Math.max(0, task.endsAtMs - this.#input.nowMs);
-    }
-    return Math.max(0, this.#runMs(task) - ranMs);
-  }
-
   #pauses(unit: Workflow.Unit): boolean {
     if (!retry.mustPause(unit, this.#input)) return false;
     this.#waits.push({ unit, reason: WaitReason.Pause });
@@ -192,16 +170,12 @@
     all: Workflow.Unit,
     near: readonly fleet.WorkerRoom[],
   ): placement.Places {
-    if (this.#outlook === null) {
+    const { outlook } = this.#times;
+    if (outlook === null) {
       return placement.findForEach(all, near, placement.freeNow);
     }
-    const needed = this.#outlook.neededSpeed(all, this.#input.wallMs);
-    const fast = new Set(bands.fastRooms(near, needed));
-    const first = placement.findForEach(all, [...fast], placement.freeNow);
-    if (first.length === all.tasks.length) return first;
-    const rest = { ...all, tasks: all.tasks.slice(first.length) };
-    const slow = near.filter((room) => !fast.has(room));
-    return [...first, ...placement.findForEach(rest, slow, placement.freeNow)];
+    const needed = outlook.neededSpeed(all, this.#input.wallMs);
+    return bands.findForEachFast(all, near, needed);
   }
 
   /** Places a unit on endpoints that are fast enough, or gets them for it. */
@@ -209,7 +183,7 @@
     unit: Workflow.Unit,
     rooms: readonly fleet.WorkerRoom[],
   ): boolean {
-    const outlook = this.#outlook;
+    const { outlook } = this.#times;
     if (outlook === null) return false;
     const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
     const claim = speedClaims.findFast(unit, rooms, {
@@ -299,7 +273,7 @@
     if (unit.workflow.spec.policy.priority > 0) return false;
     const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
     return isGuaranteed ||
-      this.#hopeOf(unit) === rank.Hope.InTime;
+      this.#times.hopeOf(unit) === rank.Hope.InTime;
   }
 
   /** Keeps the room that a waiting gang will get first from later units. */
@@ -369,7 +343,7 @@
     unit: Workflow.Unit,
     places: placement.Places,
   ): slowPlaces.SlowReason | null {
-    const outlook = this.#outlook;
+    const { outlook } = this.#times;
     if (outlook === null) return null;
     const { wallMs } = this.#input;
     return slowPlaces.slowReason(unit, places, { outlook, wallMs });
@@ -417,14 +391,6 @@
   }
 }
 
-/** What runs are expected to take; null where endpoints do not differ in speed. */
-function outlookOf(input: PlanInput): outlooks.RunOutlook | null {
-  const { workers, hardLoad, corrections } = input;
-  if (hardLoad?.endpointsDiffer !== true) return null;
-  const speeds = workers.filter(({ usable }) => usable).map(placement.speedNow);
-  return new outlooks.RunOutlook(speeds, corrections ?? new Map());
-}
-
 /** Single tasks of one step that follow one another; all others by themselves. */
 function groupSiblings(
   sorted: readonly Workflow.Unit[],
--- a/packages/workflow-scheduler/src/speed_bands.ts
+++ b/packages/workflow-scheduler/src/speed_bands.ts
@@ -46,6 +46,20 @@
   return found;
 }
 
+/** Free places for single tasks, on endpoints that are fast enough first. */
+export function findForEachFast(
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+  neededSpeed: number,
+): placement.Places {
+  const fast = new Set(fastRooms(rooms, neededSpeed));
+  const first = placement.findForEach(unit, [...fast], placement.freeNow);
+  if (first.length === unit.tasks.length) return first;
+  const rest = { ...unit, tasks: unit.tasks.slice(first.length) };
+  const slow = rooms.filter((room) => !fast.has(room));
+  return [...first, ...placement.findForEach(rest, slow, placement.freeNow)];
+}
+
 /** As fast as what was found, without endpoints that are faster than that needs. */
 function findNoFaster(
   unit: Workflow.Unit,
