Judge whether endpoints differ by the speeds that are learned for it

The former speeds drop shares beyond 0.5 to 2 and are drawn to 1 by three comparisons that count from the start. The speeds of uneven_speeds.ts tell it after 20 steps of 12 tasks (20 seeds), and on an even fleet of uneven tasks at no time in 100 steps.

--- a/packages/coordinator/src/endpoints/uneven_speeds.ts
+++ b/packages/coordinator/src/endpoints/uneven_speeds.ts
@@ -18,6 +18,8 @@
 const MOST_SHARES = 9;
 /** Comparisons from which on a speed counts as known. */
 const KNOWN_SHARES = 2;
+/** Comparisons from which on it is sure: tasks of a step differ by a third. */
+const SURE_SHARES = 3;
 /** Endpoints of known speed that can stand for the others. */
 const LEAST_KNOWN = 3;
 /** A run that is this much off says more about a fault, or its task, than of speed. */
@@ -34,6 +36,12 @@
     return this.#speeds.get(endpoint) ?? 1;
   }
 
+  /** The same, but 1 until enough comparisons tell that it is another. */
+  sureOf(endpoint: string): number {
+    const count = this.#shares.get(endpoint)?.length ?? 0;
+    return count >= SURE_SHARES ? this.of(endpoint) : 1;
+  }
+
   /** Compares runs of one step with each other and with their estimate. */
   compare({ all, fresh, expectedRate }: StepRates): void {
     const known = all.filter(({ worker }) => this.#isKnown(worker));
--- a/packages/coordinator/src/endpoints/uneven_speeds_test.ts
+++ b/packages/coordinator/src/endpoints/uneven_speeds_test.ts
@@ -1,11 +1,12 @@
 /** Speeds of endpoints that differ much are learned from a few rough comparisons. */
+import * as Scheduler from "@cairngate/workflow-scheduler";
 import * as fc from "fast-check";
 import * as vitest from "vitest";
 import * as uneven from "./uneven_speeds.ts";
 
 const SPEEDS = [0.6, 1, 1.6];
 const ENDPOINTS = 60;
-const speedOf = (i: number) => SPEEDS[i % SPEEDS.length];
+const speedOf = (i: number, speeds = SPEEDS) => speeds[i % speeds.length];
 const TASKS = 12;
 /** Rate on a usual endpoint, percent per millisecond. */
 const RATE = 0.02;
@@ -20,14 +21,21 @@
 }
 
 /** Steps of uneven tasks on endpoints drawn at random; estimates are rough. */
-function buildSteps(count: number, seed: number): uneven.StepRates[] {
+function buildSteps(
+  count: number,
+  seed: number,
+  speeds = SPEEDS,
+): uneven.StepRates[] {
   const draw = drawsOf(seed);
   const around = (off: number) => 1 + off * (2 * draw() - 1);
   return Array.from({ length: count }, () => {
     const all = Array.from({ length: TASKS }, () => {
       const i = Math.floor(draw() * ENDPOINTS);
       const tail = draw() < 0.03 ? 7 : 1;
-      return { worker: `${i}`, rate: RATE * speedOf(i) / around(0.3) / tail };
+      return {
+        worker: `${i}`,
+        rate: RATE * speedOf(i, speeds) / around(0.3) / tail,
+      };
     });
     return { all, fresh: all, expectedRate: RATE * around(0.5) };
   });
@@ -53,6 +61,31 @@
     vitest.expect(mean).toBeGreaterThan(0.8);
   });
 
+  vitest.it(
+    "tell an uneven fleet from an even one, whatever is known yet",
+    () => {
+      for (let seed = 1; seed <= 20; seed++) {
+        const spreadsOf = (speeds: number[], steps: number) => {
+          const learned = new uneven.UnevenSpeeds();
+          return buildSteps(steps, seed, speeds).map((step) => {
+            learned.compare(step);
+            const sure = Array.from(
+              { length: ENDPOINTS },
+              (_, i) => learned.sureOf(`${i}`),
+            );
+            return Scheduler.speedSpread(sure);
+          });
+        };
+        const even = spreadsOf([1], 100);
+        vitest.expect(Scheduler.doEndpointsDiffer(Math.max(...even), false))
+          .toBe(false);
+        const differing = spreadsOf(SPEEDS, 20);
+        vitest.expect(Scheduler.doEndpointsDiffer(differing[19], false))
+          .toBe(true);
+      }
+    },
+  );
+
   vitest.it("stay what they are while steps run on slow ones alone", () => {
     const speeds = new uneven.UnevenSpeeds();
     for (const step of buildSteps(60, 1)) speeds.compare(step);
--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/worker_directory.ts
@@ -109,6 +109,11 @@
     return this.#states.all();
   }
 
+  /** Speeds of all listed endpoints; 1 where they are not known for sure. */
+  sureSpeeds(): readonly number[] {
+    return this.#states.all().map(({ id }) => this.unevenSpeeds.sureOf(id));
+  }
+
   /** Learns from a task that ran by itself and has ended well. */
   learnFrom(
     { task, compared, wasCold }: occupants.Occupant,
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -137,7 +137,7 @@
   #lookAtLoad(): void {
     this.#parts.hardLoad.look(
       guarantees.guaranteesOf(this.#ports.config()),
-      this.#parts.directory.states().map(({ speed }) => speed),
+      this.#parts.directory.sureSpeeds(),
     );
   }
 
