--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -83,6 +83,8 @@
   readonly #endings: reservation.EndingContext;
   readonly #times: runTimes.RunTimes;
   #reserved = 0;
+  /** Searches for ends that come in time; each looks at all runs. */
+  #endSearches = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
@@ -192,7 +194,7 @@
       endings: this.#endings,
       mayStop: this.#mayClaim(unit),
       // A guarantee is for room at once, whatever its speed.
-      mayWait: !isGuaranteed && this.#reserved < MOST_RESERVED,
+      mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
       isWorth: (found) => this.#isWorth(unit, found),
     });
     if (claim === null) return false;
@@ -207,7 +209,6 @@
     const { places } = claim;
     if (claim.way === speedClaims.Way.Free) return this.#start(unit, places);
     if (claim.way === speedClaims.Way.Soon) return this.#reserve(unit, places);
-    this.#reserved++;
     for (const room of places) room.claim(unit, 1);
     this.#waits.push({ unit, reason: WaitReason.Room });
   }
--- a/packages/workflow-scheduler/src/speed_claims.ts
+++ b/packages/workflow-scheduler/src/speed_claims.ts
@@ -37,7 +37,7 @@
   /** Whether stops may make room for the unit. */
   readonly mayStop: boolean;
   /** Whether it may wait for an end while slower room is to be had at once. */
-  readonly mayWait: boolean;
+  readonly mayWait: () => boolean;
   /** Whether a set of stops brings more than it costs. */
   readonly isWorth: (found: eviction.Eviction) => boolean;
 }
@@ -80,7 +80,7 @@
   fast: readonly fleet.WorkerRoom[],
   context: ClaimContext,
 ): Claim | null {
-  if (!context.mayWait) return null;
+  if (!context.mayWait()) return null;
   const { outlook, endings, evictions: { wallMs } } = context;
   const found = reservation.findEarliest(unit, fast, endings);
   if (found === null) return null;
