--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -13,6 +13,8 @@
 const WATCH_MS = 400;
 /** Time between two looks at which kinds of hard load there are, in ms. */
 const LOAD_MS = 1000;
+/** Time between two forecasts of room, in ms. */
+const FORECAST_MS = 500;
 /** A store that is silent for this long holds up plans. */
 const STORE_SILENT_MS = 600;
 
@@ -56,6 +58,12 @@
       guarantees: this.#parts.guarantees.describe(),
       hardLoad: this.#parts.hardLoad.load,
       estimates: this.#parts.estimates.describe(),
+      teamShares: describing.describeShares(
+        this.#parts.shares.shares,
+        this.#parts.book.live,
+        this.#ports.clock.wallMs(),
+      ),
+      forecast: this.#term.forecast?.forecast ?? null,
     };
   }
 
@@ -81,9 +89,14 @@
         ...rows.run(),
         this.#parts.recorder.run(),
         this.#parts.planning.run(),
+        this.#parts.shares.run(),
         clock.every(SWEEP_MS, this.#parts.book.sweep()),
         clock.every(WATCH_MS, Effect.sync(() => this.#lookAtRuns())),
         clock.every(LOAD_MS, Effect.sync(() => this.#lookAtLoad())),
+        clock.every(
+          FORECAST_MS,
+          Effect.sync(() => this.#parts.forecasts.make()),
+        ),
       ], { concurrency: "unbounded", discard: true });
     });
     const all = Effect.all([this.#parts.recovery.openAll(), work], {
@@ -135,10 +148,12 @@
   }
 
   #lookAtLoad(): void {
-    this.#parts.hardLoad.look(
-      guarantees.guaranteesOf(this.#ports.config()),
-      this.#parts.directory.sureSpeeds(),
-    );
+    const { hardLoad, shares, directory } = this.#parts;
+    const paidFor = guarantees.guaranteesOf(this.#ports.config());
+    const endpoints = directory.states();
+    hardLoad.look(paidFor, directory.sureSpeeds());
+    const { teamsCompete } = hardLoad.load;
+    shares.look({ teamsCompete, guarantees: paidFor, endpoints });
   }
 
   /**
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -8,6 +8,7 @@
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
 import type * as estimates from "../load/run_estimates.ts";
+import type * as shareBooks from "../load/share_book.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
@@ -20,6 +21,7 @@
   readonly advice: advice.AdviceBook;
   readonly hardLoad: hardLoads.HardLoadWatch;
   readonly estimates: estimates.RunEstimates;
+  readonly shares: shareBooks.ShareBook;
   /** Workflows of which something may start. */
   readonly live: () => readonly Workflow.Workflow[];
   /** Workflows of which nothing may start before their records are there. */
@@ -122,6 +124,7 @@
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
       hardLoad: this.#parts.hardLoad.load,
       corrections: this.#parts.estimates.corrections,
+      shares: this.#parts.shares.shares,
     };
   }
 
@@ -144,6 +147,7 @@
         `${claimant.workflow.spec.id}; checkpoints: ${task.step.checkpoints}.`,
     );
     metrics.count("cairngate_yields_total");
+    this.#parts.shares.noteYield(task);
     this.#parts.control.stop(task);
   }
 
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,7 +1,9 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
+import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
 import * as estimates from "../load/run_estimates.ts";
+import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
@@ -43,6 +45,8 @@
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
   readonly estimates: estimates.RunEstimates;
+  readonly shares: shareBooks.ShareBook;
+  readonly forecasts: forecasts.ForecastMaker;
 }
 
 /** Makes the parts of one term. */
@@ -88,10 +92,12 @@
     book,
     control,
   });
+  const shares = new shareBooks.ShareBook(given, term);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
     estimates: runEstimates,
+    shares,
     control,
     live: () => book.live,
     unrecorded: () => book.unrecorded,
@@ -108,6 +114,14 @@
     planning,
     hardLoad,
     estimates: runEstimates,
+    shares,
+    forecasts: new forecasts.ForecastMaker({
+      ports: given,
+      term,
+      directory,
+      hardLoad,
+      live: () => book.live,
+    }),
   };
 }
 
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -23,3 +23,17 @@
 export { SlowReason } from "./src/slow_place.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
+export {
+  type Amounts as TeamAmounts,
+  decayUse,
+  HALF_LIFE_MS,
+  isBelowShare,
+  judgeShares,
+  levelIn,
+  ShareLevel,
+  sharesHeld,
+  type TeamShare,
+  type TeamShares,
+  weightsOf,
+} from "./src/team_shares.ts";
+export { acceleratorsOf, Hope, hopeOf, Ranks } from "./src/rank.ts";
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -13,6 +13,7 @@
 import * as runTimes from "./run_times.ts";
 import * as bands from "./speed_bands.ts";
 import * as speedClaims from "./speed_claims.ts";
+import type * as teamShares from "./team_shares.ts";
 import * as waiting from "./wait_reason.ts";
 
 const { WaitReason } = waiting;
@@ -33,6 +34,8 @@
   readonly hardLoad?: hardLoads.HardLoad;
   /** What runs of each queue took against their estimates; left out: as estimated. */
   readonly corrections?: outlooks.Corrections;
+  /** What teams have had; counts only where teams compete. Left out: not known. */
+  readonly shares?: teamShares.TeamShares;
 }
 
 /** Start these tasks on these workers. */
@@ -82,6 +85,10 @@
   readonly #evictions: eviction.EvictionContext;
   readonly #endings: reservation.EndingContext;
   readonly #times: runTimes.RunTimes;
+  /** Null where shares do not count. */
+  readonly #shares: teamShares.TeamShares | null;
+  /** Units behind others that come later by their objectives. */
+  #passedOver: ReadonlySet<Workflow.Unit> = new Set();
   #reserved = 0;
   /** Searches for ends that come in time; each looks at all runs. */
   #endSearches = 0;
@@ -92,6 +99,8 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
+    const teamsCompete = input.hardLoad?.teamsCompete === true;
+    this.#shares = teamsCompete ? input.shares ?? null : null;
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
@@ -101,6 +110,7 @@
       nowMs,
       wallMs,
       costs: new Map(),
+      shares: this.#shares,
       leftMs: (task, ranMs) => this.#times.leftMs(task, ranMs),
     };
     this.#endings = { nowMs, runMs: (task) => this.#times.runMs(task) };
@@ -112,9 +122,13 @@
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
     const ready = units.filter((unit) => !this.#pauses(unit));
-    const hopeFor = (unit: Workflow.Unit) => this.#times.hopeOf(unit);
-    const sorted = rank.sortUnits(ready, this.#ranks, hopeFor);
-    for (const units of groupSiblings(sorted)) this.#decideAll(units);
+    const sorted = rank.sortUnits(ready, this.#ranks, {
+      wallMs: this.#input.wallMs,
+      shares: this.#shares,
+      hopeOf: (unit) => this.#times.hopeOf(unit),
+    });
+    this.#passedOver = sorted.passedOver;
+    for (const some of groupSiblings(sorted.units)) this.#decideAll(some);
     return {
       starts: this.#starts,
       stops: [...this.#stops.values()],
@@ -255,7 +269,8 @@
       fleet.isEligible(worker, unit)
     );
     if (eligible.length === 0) return WaitReason.Endpoints;
-    if (!this.#isIdle) return WaitReason.Room;
+    const isPassedOver = this.#passedOver.has(unit);
+    if (!this.#isIdle) return isPassedOver ? WaitReason.Share : WaitReason.Room;
     const fitsAmong = (
       some: readonly fleet.WorkerRoom[],
       roomOf: placement.RoomOf,
@@ -264,6 +279,7 @@
     const steady = retry.roomsWithoutDoubt(unit, eligible, nowMs);
     if (fitsAmong(steady, placement.freeNow)) return WaitReason.OwnEndpoint;
     if (fitsAmong(eligible, placement.freeNow)) return WaitReason.Doubt;
+    if (isPassedOver) return WaitReason.Share;
     return fitsAmong(eligible, placement.freeBefore)
       ? WaitReason.Reserved
       : WaitReason.Room;
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -1,5 +1,7 @@
 /** Who comes first, and who may make whom yield. */
 import * as Workflow from "@cairngate/workflow";
+import * as shareOrder from "./share_order.ts";
+import type * as teamShares from "./team_shares.ts";
 
 /** Rank of work; a lower rank may make a higher one yield. */
 export enum Rank {
@@ -61,8 +63,7 @@
   None = 2,
 }
 
-/** An end within this many times the objective is late, and still of use. */
-const LATE_FACTOR = 3;
+const { LATE_FACTOR } = Workflow;
 
 /** What a unit can still reach if it starts now and takes as long as expected. */
 export function hopeOf(
@@ -104,24 +105,46 @@
   return Math.max(0, allowedMs * LATE_FACTOR - endMs);
 }
 
+/** Units in the order in which they are decided for. */
+export interface Sorted {
+  readonly units: readonly Workflow.Unit[];
+  /** Those behind others with a later objective, as their teams have had more. */
+  readonly passedOver: ReadonlySet<Workflow.Unit>;
+}
+
+/** What units are ordered by beside their ranks. */
+export interface SortContext {
+  readonly wallMs: number;
+  /** Null where shares do not count. */
+  readonly shares: teamShares.TeamShares | null;
+  /** What a unit can still reach; left out: by its estimate. */
+  readonly hopeOf?: (unit: Workflow.Unit) => Hope;
+}
+
 /**
- * Orders units: rank first, then what they can still reach, then the time by
- * which they should end.
+ * Orders units: rank first, then what they can still reach, then, where teams
+ * compete, whose turn it is, then the time by which they should end.
  */
 export function sortUnits(
   units: readonly Workflow.Unit[],
   ranks: Ranks,
-  hopeFor: (unit: Workflow.Unit) => Hope,
-): Workflow.Unit[] {
+  now: SortContext,
+): Sorted {
+  const { wallMs, shares } = now;
+  const reaches = now.hopeOf ?? ((unit) => hopeOf(unit, wallMs));
   const keyed = units.map((unit) => ({
     unit,
     rank: ranks.of(unit.workflow),
-    hope: hopeFor(unit),
+    hope: reaches(unit),
+    turn: shares === null ? 0 : shareOrder.turnOf(unit, wallMs, shares),
     objectiveMs: Workflow.objectiveAtMs(unit.workflow.spec, unit.round),
   }));
   keyed.sort((a, b) =>
-    a.rank - b.rank || a.hope - b.hope || a.objectiveMs - b.objectiveMs ||
-    a.unit.stepIndex - b.unit.stepIndex
+    a.rank - b.rank || a.hope - b.hope || a.turn - b.turn ||
+    a.objectiveMs - b.objectiveMs || a.unit.stepIndex - b.unit.stepIndex
   );
-  return keyed.map(({ unit }) => unit);
+  return {
+    units: keyed.map(({ unit }) => unit),
+    passedOver: shares === null ? new Set() : shareOrder.passedOver(keyed),
+  };
 }
