Let a guarantee hold out for fast room no longer than stops take

By reading: a guaranteed urgent gang that waits for fast room which is being freed could wait for as long as it would still end in time there, though slower room is free, for instance while a silent endpoint's lease runs out. It must have begun within the operator's reclaim time whatever the speed. After a second it takes what is free, as before.

--- a/packages/workflow-scheduler/src/expected_run.ts
+++ b/packages/workflow-scheduler/src/expected_run.ts
@@ -14,7 +14,7 @@
 /** Stands for no speed at all. */
 const LEAST_SPEED = 0.05;
 /** Time that an endpoint needs to be free for another run once one has to stop, in ms. */
-const STOP_MS = 1000;
+export const STOP_MS = 1000;
 
 /** Expects runs by the speeds of endpoints and what estimates were worth. */
 export class RunOutlook {
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -1,7 +1,7 @@
 /** Makes a plan: which units start where, and which tasks stop for them. */
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
-import type * as outlooks from "./expected_run.ts";
+import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
 import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
@@ -206,7 +206,8 @@
       outlook,
       evictions: this.#evictions,
       endings: this.#endings,
-      mayStop: this.#mayClaim(unit),
+      mayClaim: this.#mayClaim(unit) &&
+        (!isGuaranteed || this.#waitedMs(unit) < outlooks.STOP_MS),
       // A guarantee is for room at once, whatever its speed.
       mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
       isWorth: (found) => this.#isWorth(unit, found),
@@ -216,6 +217,15 @@
     return true;
   }
 
+  /**
+   * Time for which a unit has waited since it fell due. A guarantee holds out for fast
+   * room no longer than stops take: what is being freed may never come, as where an
+   * endpoint has fallen silent.
+   */
+  #waitedMs({ workflow, round }: Workflow.Unit): number {
+    return this.#input.wallMs - Workflow.dueAtMs(workflow.spec, round);
+  }
+
   #carryOut(unit: Workflow.Unit, claim: speedClaims.Claim): void {
     if (claim.way === speedClaims.Way.Stops) {
       return this.#makeYield(unit, claim.found);
--- a/packages/workflow-scheduler/src/plan_speeds_test.ts
+++ b/packages/workflow-scheduler/src/plan_speeds_test.ts
@@ -119,6 +119,19 @@
     vitest.expect(stopped(made)).toEqual(["endpoint-1"]);
   });
 
+  vitest.it("takes slow room if its guarantee has waited for stops", () => {
+    const endpoints = buildEndpoints([
+      { speed: SLOW },
+      { speed: FAST, busyMs: 100 },
+    ]);
+    const patient = () => buildWorkflow(0, { estimateMs: 20_000 });
+    const soon = plan(endpoints, patient(), { wallMs: 900 });
+    vitest.expect(started(soon)).toEqual([]);
+    const later = plan(endpoints, patient(), { wallMs: 1100 });
+    vitest.expect(started(later)).toEqual(["endpoint-0"]);
+    vitest.expect(stopped(later)).toEqual([]);
+  });
+
   vitest.it("takes slow room where nothing faster is to be had", () => {
     const endpoints = buildEndpoints([{ speed: SLOW }]);
     vitest.expect(started(plan(endpoints, buildWorkflow(0, {}))))
--- a/packages/workflow-scheduler/src/speed_claims.ts
+++ b/packages/workflow-scheduler/src/speed_claims.ts
@@ -34,8 +34,8 @@
   readonly outlook: outlooks.RunOutlook;
   readonly evictions: eviction.EvictionContext;
   readonly endings: reservation.EndingContext;
-  /** Whether stops may make room for the unit. */
-  readonly mayStop: boolean;
+  /** Whether the unit may claim room while slower room is to be had at once. */
+  readonly mayClaim: boolean;
   /** Whether it may wait for an end while slower room is to be had at once. */
   readonly mayWait: () => boolean;
   /** Whether a set of stops brings more than it costs. */
@@ -64,7 +64,7 @@
   fast: readonly fleet.WorkerRoom[],
   context: ClaimContext,
 ): Claim | null {
-  if (!context.mayStop) return null;
+  if (!context.mayClaim) return null;
   const soon = bands.findAlike(unit, fast, placement.freeSoon);
   if (soon !== null) return { way: Way.Soon, places: soon };
   const { outlook, evictions } = context;
