--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -57,6 +57,7 @@
       ),
       guarantees: this.#parts.guarantees.describe(),
       hardLoad: this.#parts.hardLoad.load,
+      estimates: this.#parts.estimates.describe(),
       teamShares: describing.describeShares(
         this.#parts.shares.shares,
         this.#parts.book.live,
@@ -150,7 +151,7 @@
     const { hardLoad, shares, directory } = this.#parts;
     const paidFor = guarantees.guaranteesOf(this.#ports.config());
     const endpoints = directory.states();
-    hardLoad.look(paidFor, endpoints.map(({ speed }) => speed));
+    hardLoad.look(paidFor, directory.sureSpeeds());
     const { teamsCompete } = hardLoad.load;
     shares.look({ teamsCompete, guarantees: paidFor, endpoints });
   }
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -1,6 +1,7 @@
 /** Makes a plan: which units start where, and which tasks stop for them. */
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
+import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
 import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
@@ -8,6 +9,10 @@
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
+import * as slowPlaces from "./slow_place.ts";
+import * as runTimes from "./run_times.ts";
+import * as bands from "./speed_bands.ts";
+import * as speedClaims from "./speed_claims.ts";
 import type * as teamShares from "./team_shares.ts";
 import * as waiting from "./wait_reason.ts";
 
@@ -27,6 +32,8 @@
   readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
   /** Kinds of hard load that the deployment has; left out: none. */
   readonly hardLoad?: hardLoads.HardLoad;
+  /** What runs of each queue took against their estimates; left out: as estimated. */
+  readonly corrections?: outlooks.Corrections;
   /** What teams have had; counts only where teams compete. Left out: not known. */
   readonly shares?: teamShares.TeamShares;
 }
@@ -36,6 +43,8 @@
   readonly unit: Workflow.Unit;
   /** Worker of each task, in the order of the tasks. */
   readonly workers: readonly string[];
+  /** Why urgent work starts where it will be late; left out: it does not. */
+  readonly slow?: slowPlaces.SlowReason;
 }
 
 /** Stop this task so that a more urgent unit fits. */
@@ -74,11 +83,15 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
+  readonly #endings: reservation.EndingContext;
+  readonly #times: runTimes.RunTimes;
   /** Null where shares do not count. */
   readonly #shares: teamShares.TeamShares | null;
   /** Units behind others that come later by their objectives. */
   #passedOver: ReadonlySet<Workflow.Unit> = new Set();
   #reserved = 0;
+  /** Searches for ends that come in time; each looks at all runs. */
+  #endSearches = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
@@ -88,16 +101,19 @@
     const { nowMs, wallMs } = input;
     const teamsCompete = input.hardLoad?.teamsCompete === true;
     this.#shares = teamsCompete ? input.shares ?? null : null;
+    this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
+    this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
+    this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+    this.#times = new runTimes.RunTimes(input);
     this.#evictions = {
       ranks: this.#ranks,
       nowMs,
       wallMs,
       costs: new Map(),
       shares: this.#shares,
+      leftMs: (task, ranMs) => this.#times.leftMs(task, ranMs),
     };
-    this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
-    this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
-    this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+    this.#endings = { nowMs, runMs: (task) => this.#times.runMs(task) };
   }
 
   run(): Plan {
@@ -109,6 +125,7 @@
     const sorted = rank.sortUnits(ready, this.#ranks, {
       wallMs: this.#input.wallMs,
       shares: this.#shares,
+      hopeOf: (unit) => this.#times.hopeOf(unit),
     });
     this.#passedOver = sorted.passedOver;
     for (const some of groupSiblings(sorted.units)) this.#decideAll(some);
@@ -150,7 +167,7 @@
     rooms: readonly fleet.WorkerRoom[],
   ): placement.Places {
     const near = placement.nearWorkers(all, rooms);
-    const places = placement.findForEach(all, near, placement.freeNow);
+    const places = this.#findForEachNear(all, near);
     const isFull = places.length === all.tasks.length;
     if (isFull || near === rooms) return places;
     const one = { ...all, tasks: all.tasks.slice(0, 1) };
@@ -164,10 +181,67 @@
     ];
   }
 
+  /** Where speeds differ, endpoints on which the tasks end in time come first. */
+  #findForEachNear(
+    all: Workflow.Unit,
+    near: readonly fleet.WorkerRoom[],
+  ): placement.Places {
+    const { outlook } = this.#times;
+    if (outlook === null) {
+      return placement.findForEach(all, near, placement.freeNow);
+    }
+    const needed = outlook.neededSpeed(all, this.#input.wallMs);
+    return bands.findForEachFast(all, near, needed);
+  }
+
+  /** Places a unit on endpoints that are fast enough, or gets them for it. */
+  #decideBySpeed(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): boolean {
+    const { outlook } = this.#times;
+    if (outlook === null) return false;
+    const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
+    const claim = speedClaims.findFast(unit, rooms, {
+      outlook,
+      evictions: this.#evictions,
+      endings: this.#endings,
+      mayClaim: this.#mayClaim(unit) &&
+        (!isGuaranteed || this.#waitedMs(unit) < outlooks.STOP_MS),
+      // A guarantee is for room at once, whatever its speed.
+      mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
+      isWorth: (found) => this.#isWorth(unit, found),
+    });
+    if (claim === null) return false;
+    this.#carryOut(unit, claim);
+    return true;
+  }
+
+  /**
+   * Time for which a unit has waited since it fell due. A guarantee holds out for fast
+   * room no longer than stops take: what is being freed may never come, as where an
+   * endpoint has fallen silent.
+   */
+  #waitedMs({ workflow, round }: Workflow.Unit): number {
+    return this.#input.wallMs - Workflow.dueAtMs(workflow.spec, round);
+  }
+
+  #carryOut(unit: Workflow.Unit, claim: speedClaims.Claim): void {
+    if (claim.way === speedClaims.Way.Stops) {
+      return this.#makeYield(unit, claim.found);
+    }
+    const { places } = claim;
+    if (claim.way === speedClaims.Way.Free) return this.#start(unit, places);
+    if (claim.way === speedClaims.Way.Soon) return this.#reserve(unit, places);
+    for (const room of places) room.claim(unit, 1);
+    this.#waits.push({ unit, reason: WaitReason.Room });
+  }
+
   #decide(unit: Workflow.Unit): void {
     const siblings = unit.workflow.siblings(unit.tasks[0]);
     if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
     const rooms = this.#roomsFor(unit);
+    if (this.#decideBySpeed(unit, rooms)) return;
     const places = this.#findFree(unit, rooms);
     if (places !== null) return this.#start(unit, places);
     this.#decideWithoutRoom(unit, rooms);
@@ -226,7 +300,7 @@
     if (unit.workflow.spec.policy.priority > 0) return false;
     const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
     return isGuaranteed ||
-      rank.hopeOf(unit, this.#input.wallMs) === rank.Hope.InTime;
+      this.#times.hopeOf(unit) === rank.Hope.InTime;
   }
 
   /** Keeps the room that a waiting gang will get first from later units. */
@@ -236,10 +310,10 @@
   ): void {
     const isDue = unit.step.gang && !this.#isIdle;
     if (!isDue || this.#reserved >= MOST_RESERVED) return;
-    const places = reservation.findEarliest(unit, rooms, this.#input.nowMs);
-    if (places === null) return;
+    const found = reservation.findEarliest(unit, rooms, this.#endings);
+    if (found === null) return;
     this.#reserved++;
-    for (const room of places) room.claim(unit, 1);
+    for (const room of found.places) room.claim(unit, 1);
   }
 
   #roomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
@@ -288,7 +362,18 @@
     const workers = places.map((room) => room.worker.id);
     for (const room of places) room.claim(unit, 1);
     if (isolation.isSuspect(unit)) { for (const room of places) room.close(); }
-    this.#starts.push({ unit, workers });
+    const slow = this.#slowReason(unit, places);
+    this.#starts.push({ unit, workers, ...(slow === null ? {} : { slow }) });
+  }
+
+  #slowReason(
+    unit: Workflow.Unit,
+    places: placement.Places,
+  ): slowPlaces.SlowReason | null {
+    const { outlook } = this.#times;
+    if (outlook === null) return null;
+    const { wallMs } = this.#input;
+    return slowPlaces.slowReason(unit, places, { outlook, wallMs });
   }
 
   /** Keeps room that is being freed, or makes others yield. */
@@ -297,13 +382,21 @@
     rooms: readonly fleet.WorkerRoom[],
   ): boolean {
     const soon = placement.findNear(unit, rooms, placement.freeSoon);
-    if (soon !== null) return this.#reserve(unit, soon);
+    if (soon !== null) {
+      this.#reserve(unit, soon);
+      return true;
+    }
     const context = this.#evictions;
     const found = eviction.findEviction(unit, rooms, context) ??
       eviction.evictAmong(unit, rooms, context);
     if (found === null || !this.#isWorth(unit, found)) return false;
+    this.#makeYield(unit, found);
+    return true;
+  }
+
+  #makeYield(unit: Workflow.Unit, found: eviction.Eviction): void {
     for (const victim of found.victims) this.#stop(victim, unit);
-    return this.#reserve(unit, found.places);
+    this.#reserve(unit, found.places);
   }
 
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
@@ -312,10 +405,9 @@
       found.cost <= eviction.workOf(unit);
   }
 
-  #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
+  #reserve(unit: Workflow.Unit, places: placement.Places): void {
     for (const room of places) room.claim(unit, 1);
     this.#waits.push({ unit, reason: WaitReason.Stops });
-    return true;
   }
 
   #stop(task: Workflow.Task, claimant: Workflow.Unit): void {
--- a/packages/workflow-scheduler/src/rank.ts
+++ b/packages/workflow-scheduler/src/rank.ts
@@ -65,16 +65,33 @@
 
 const { LATE_FACTOR } = Workflow;
 
-/** What a unit can still reach if it starts now. */
-export function hopeOf(unit: Workflow.Unit, wallMs: number): Hope {
+/** What a unit can still reach if it starts now and takes as long as expected. */
+export function hopeOf(
+  unit: Workflow.Unit,
+  wallMs: number,
+  expectedMs = unit.step.estimateMs,
+): Hope {
   const { spec } = unit.workflow;
   const dueMs = Workflow.dueAtMs(spec, unit.round);
   const allowedMs = Workflow.objectiveAtMs(spec, unit.round) - dueMs;
-  const endMs = wallMs - dueMs + unit.step.estimateMs;
+  const endMs = wallMs - dueMs + expectedMs;
   if (endMs <= allowedMs) return Hope.InTime;
   return endMs <= allowedMs * LATE_FACTOR ? Hope.Late : Hope.None;
 }
 
+/** Time that is left until a unit has to have ended to reach so much, in ms. */
+export function leftMs(
+  unit: Workflow.Unit,
+  wallMs: number,
+  hope: Hope,
+): number {
+  const { spec } = unit.workflow;
+  const dueMs = Workflow.dueAtMs(spec, unit.round);
+  const allowedMs = Workflow.objectiveAtMs(spec, unit.round) - dueMs;
+  const factor = hope === Hope.InTime ? 1 : LATE_FACTOR;
+  return dueMs + allowedMs * factor - wallMs;
+}
+
 /**
  * Time that a unit may still wait without reaching less: until it would miss its
  * objective, or, where it has, the time after which its end is of no use.
@@ -95,6 +112,15 @@
   readonly passedOver: ReadonlySet<Workflow.Unit>;
 }
 
+/** What units are ordered by beside their ranks. */
+export interface SortContext {
+  readonly wallMs: number;
+  /** Null where shares do not count. */
+  readonly shares: teamShares.TeamShares | null;
+  /** What a unit can still reach; left out: by its estimate. */
+  readonly hopeOf?: (unit: Workflow.Unit) => Hope;
+}
+
 /**
  * Orders units: rank first, then what they can still reach, then, where teams
  * compete, whose turn it is, then the time by which they should end.
@@ -102,13 +128,14 @@
 export function sortUnits(
   units: readonly Workflow.Unit[],
   ranks: Ranks,
-  now: { wallMs: number; shares: teamShares.TeamShares | null },
+  now: SortContext,
 ): Sorted {
   const { wallMs, shares } = now;
+  const reaches = now.hopeOf ?? ((unit) => hopeOf(unit, wallMs));
   const keyed = units.map((unit) => ({
     unit,
     rank: ranks.of(unit.workflow),
-    hope: hopeOf(unit, wallMs),
+    hope: reaches(unit),
     turn: shares === null ? 0 : shareOrder.turnOf(unit, wallMs, shares),
     objectiveMs: Workflow.objectiveAtMs(unit.workflow.spec, unit.round),
   }));
