--- a/packages/workflow-node/src/swallowed_renewals_test.ts
+++ b/packages/workflow-node/src/swallowed_renewals_test.ts
@@ -58,6 +58,21 @@
     },
   );
 
+  vitest.it.each(SEEDS)(
+    "changes hands once where the holder is killed meanwhile, seed %i",
+    async (seed) => {
+      const fleet = await startFleet(seed);
+      const token = fleet.token();
+      for (const name of fleet.nodes.keys()) {
+        fleet.faultsOf(name).set({ swallowWrites: SHARE });
+      }
+      await fleet.kill(fleet.coordinator() ?? "");
+      await fleet.clock.advance(2 * SETTLED_MS);
+      vitest.expect(fleet.token()).toBe(token + 1);
+      await fleet.stop();
+    },
+  );
+
   vitest.it(
     "does not keep the term of a dead holder by late renewals",
     async () => {
