--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -21,9 +21,9 @@
 export {
   type EndpointSize,
   type Load,
-  makeForecast,
   type Run,
   type Wait,
-} from "./src/make_forecast.ts";
+} from "./src/load.ts";
+export { makeForecast } from "./src/make_forecast.ts";
 export { ReturnBook } from "./src/return_book.ts";
 export { ShareBook } from "./src/share_book.ts";
--- a/packages/admission/src/forecast_test.ts
+++ b/packages/admission/src/forecast_test.ts
@@ -2,6 +2,7 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
 import * as texts from "./forecast_text.ts";
+import type * as loads from "./load.ts";
 import * as makers from "./make_forecast.ts";
 
 function need(accelerators: number) {
@@ -10,7 +11,7 @@
 
 const SIZE = { cpuMillis: 64_000, memoryMb: 65_536, accelerators: 8 };
 
-function loadOf(changes: Partial<makers.Load> = {}): makers.Load {
+function loadOf(changes: Partial<loads.Load> = {}): loads.Load {
   const endpoint = { service: "analysis", rack: "r", total: SIZE, speed: 1 };
   return {
     boxes: 36,
@@ -25,16 +26,16 @@
   };
 }
 
-function runOf(accelerators: number, leftMs: number, rank = 2): makers.Run {
+function runOf(accelerators: number, leftMs: number, rank = 2): loads.Run {
   return { service: "analysis", rank, need: need(accelerators), leftMs };
 }
 
-function waitOf(changes: Partial<makers.Wait>): makers.Wait {
+function waitOf(changes: Partial<loads.Wait>): loads.Wait {
   const base = { service: "analysis", rank: 2, need: need(1), count: 1 };
   return { ...base, gang: false, runMs: 2000, dueInMs: 60_000, ...changes };
 }
 
-function freeFor(load: makers.Load, priority: number) {
+function freeFor(load: loads.Load, priority: number) {
   const [service] = makers.makeForecast(load).services;
   const ahead = service.room.find((one) => one.priority === priority);
   const accelerators = (of: "first" | "last") =>
@@ -81,7 +82,7 @@
   });
 });
 
-const loads = fc.record({
+const drawnLoads = fc.record({
   runs: fc.array(
     fc.record({
       service: fc.constantFrom("analysis", "other"),
@@ -107,7 +108,7 @@
 
 vitest.describe("the text of a forecast", () => {
   vitest.it("holds what was written, and is short", () => {
-    fc.assert(fc.property(loads, (load) => {
+    fc.assert(fc.property(drawnLoads, (load) => {
       const forecast = makers.makeForecast(loadOf(load));
       const text = texts.writeForecast(forecast);
       vitest.expect(Buffer.byteLength(text)).toBeLessThanOrEqual(900);
--- a/packages/admission/src/make_forecast.ts
+++ b/packages/admission/src/make_forecast.ts
@@ -6,55 +6,11 @@
 import type * as Workflow from "@cairngate/workflow";
 import * as amounts from "./amounts.ts";
 import * as forecasts from "./forecast.ts";
+import type * as loads from "./load.ts";
 import * as pools from "./room_pool.ts";
 
-/** One endpoint that is listed, whether or not it may be given work now. */
-export interface EndpointSize {
-  readonly service: string;
-  readonly rack: string;
-  readonly total: Workflow.Resources;
-  readonly speed: number;
-}
-
-/** One run that an endpoint holds. */
-export interface Run {
-  readonly service: string;
-  /** 0: urgent and guaranteed; else one more than the priority. */
-  readonly rank: number;
-  readonly need: Workflow.Resources;
-  /** Earliest time by which it may end, in ms. */
-  readonly leftMs: number;
-}
-
-/** Tasks of one step that wait. */
-export interface Wait {
-  readonly service: string;
-  readonly rank: number;
-  readonly need: Workflow.Resources;
-  readonly count: number;
-  readonly gang: boolean;
-  /** Shortest time that one of them runs, in ms. */
-  readonly runMs: number;
-  /** Time by which they should end, in ms from now. */
-  readonly dueInMs: number;
-}
-
-/** What a forecast is made from. */
-export interface Load {
-  readonly boxes: number;
-  readonly remotePenalty: number;
-  readonly endpoints: readonly EndpointSize[];
-  readonly runs: readonly Run[];
-  readonly waits: readonly Wait[];
-  /** Priorities of the queues of each service. */
-  readonly priorities: ReadonlyMap<string, readonly number[]>;
-  readonly urgentUse: ReadonlyMap<string, number>;
-  /** The forecast before; endpoints that it tells of may come back. */
-  readonly before: forecasts.Forecast | null;
-}
-
 /** Makes a forecast. */
-export function makeForecast(load: Load): forecasts.Forecast {
+export function makeForecast(load: loads.Load): forecasts.Forecast {
   const services = [...load.priorities].map(([service, priorities]) =>
     forecastService(load, service, priorities)
   );
@@ -64,7 +20,7 @@
 }
 
 function forecastService(
-  load: Load,
+  load: loads.Load,
   service: string,
   priorities: readonly number[],
 ): forecasts.ServiceForecast {
@@ -81,7 +37,7 @@
   return { service, ...sizesOf(endpoints, total, before), room };
 }
 
-function byRankAndDue(a: Wait, b: Wait): number {
+function byRankAndDue(a: loads.Wait, b: loads.Wait): number {
   return a.rank - b.rank || a.dueInMs - b.dueInMs;
 }
 
@@ -92,7 +48,7 @@
 
 /** The largest sizes that were seen, now or before. */
 function sizesOf(
-  endpoints: readonly EndpointSize[],
+  endpoints: readonly loads.EndpointSize[],
   total: Workflow.Resources,
   before: Sizes | undefined,
 ): Sizes {
@@ -113,8 +69,8 @@
 
 interface ServiceLoad {
   readonly total: Workflow.Resources;
-  readonly runs: readonly Run[];
-  readonly waits: readonly Wait[];
+  readonly runs: readonly loads.Run[];
+  readonly waits: readonly loads.Wait[];
 }
 
 /** Rank of urgent work beyond its guarantee; it makes all later ranks yield. */
--- a/packages/admission/src/room_pool.ts
+++ b/packages/admission/src/room_pool.ts
@@ -2,7 +2,7 @@
 import type * as Workflow from "@cairngate/workflow";
 import * as amounts from "./amounts.ts";
 import * as forecasts from "./forecast.ts";
-import type * as makers from "./make_forecast.ts";
+import type * as loads from "./load.ts";
 
 /** Length of one slot of time, in ms. */
 const SLOT_MS = 1000;
@@ -19,7 +19,7 @@
   readonly #later: Workflow.Resources[];
 
   /** @param runs those that keep their room until they end */
-  constructor(total: Workflow.Resources, runs: readonly makers.Run[]) {
+  constructor(total: Workflow.Resources, runs: readonly loads.Run[]) {
     const used = runs.reduce(
       (sum, { need }) => amounts.add(sum, need),
       amounts.NOTHING,
@@ -39,7 +39,7 @@
   }
 
   /** Lets work that waits take room as soon as there is some. */
-  place(wait: makers.Wait): void {
+  place(wait: loads.Wait): void {
     this.#place(wait, Number.POSITIVE_INFINITY);
   }
 
@@ -47,7 +47,7 @@
    * The same for what can still end by its objective: else new work may come before
    * it. Returns whether all of it can.
    */
-  placeInTime(wait: makers.Wait): boolean {
+  placeInTime(wait: loads.Wait): boolean {
     return this.#place(wait, wait.dueInMs);
   }
 
@@ -61,7 +61,7 @@
     });
   }
 
-  #place(wait: makers.Wait, dueInMs: number): boolean {
+  #place(wait: loads.Wait, dueInMs: number): boolean {
     const { runMs, gang, need } = wait;
     const length = Math.max(1, Math.floor(runMs / SLOT_MS));
     let left = wait.count;
