--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -2,6 +2,7 @@
 import * as watches from "../endpoints/run_watch.ts";
 import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
+import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
@@ -42,6 +43,7 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly shares: shareBooks.ShareBook;
   readonly forecasts: forecasts.ForecastMaker;
 }
 
@@ -81,9 +83,11 @@
     control,
   });
   const hardLoad = new hardLoads.HardLoadWatch(given);
+  const shares = new shareBooks.ShareBook(given, term);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
+    shares,
     control,
     live: () => book.live,
     unrecorded: () => book.unrecorded,
@@ -99,6 +103,7 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    shares,
     forecasts: new forecasts.ForecastMaker({
       ports: given,
       term,
