Count no work that waits as surely before its equals where teams compete

Found by reading, on merging the shares of teams: the forecast took work that waits as surely before a new job of its rank with a later objective. With shares, a team that has had less comes first, and a job whose time runs out comes before those that have time, so a job could have been rejected for a queue that it would have passed. Where teams compete only better ranks count now. The input that told whether a team is below its share is gone with it: all teams are judged as one that is.

--- a/packages/admission/src/decide.ts
+++ b/packages/admission/src/decide.ts
@@ -107,12 +107,11 @@
 
 /** Room of those that come at the place in the queue which the job would have. */
 function curveFor(
-  { job, known, team }: Question,
+  { job, known }: Question,
   { room }: forecasts.ServiceForecast,
 ): forecasts.RoomCurve | null {
   const ahead = room.find(({ priority }) => priority === job.priority);
   if (ahead === undefined) return null;
-  const comesLast = known.ageMs + job.dueInMs >= ahead.lastDueMs &&
-    team.isBelowShare !== true;
+  const comesLast = known.ageMs + job.dueInMs >= ahead.lastDueMs;
   return comesLast ? ahead.last : ahead.first;
 }
--- a/packages/admission/src/decide_test.ts
+++ b/packages/admission/src/decide_test.ts
@@ -88,12 +88,10 @@
       }],
     });
     const job = jobOf({ estimateMs: 2000 });
-    const verdictOf = (dueInMs: number, isBelowShare?: boolean) =>
-      judge({ ...job, dueInMs }, forecast, 0, { ...TEAM, isBelowShare })
-        .verdict;
+    const verdictOf = (dueInMs: number) =>
+      judge({ ...job, dueInMs }, forecast).verdict;
     vitest.expect(verdictOf(4999)).toBe(Verdict.Accepted);
     vitest.expect(verdictOf(5000)).toBe(Verdict.Rejected);
-    vitest.expect(verdictOf(5000, true)).toBe(Verdict.Accepted);
   });
 });
 
--- a/packages/admission/src/forecast_test.ts
+++ b/packages/admission/src/forecast_test.ts
@@ -21,6 +21,7 @@
     waits: [],
     priorities: new Map([["analysis", [0, 1, 2]]]),
     urgentUse: new Map(),
+    isInOrder: true,
     before: null,
     ...changes,
   };
@@ -66,6 +67,14 @@
     vitest.expect(room[1].lastDueMs).toBe(60_000);
   });
 
+  vitest.it("gives none to work that new work may overtake", () => {
+    const waits = [waitOf({ need: need(8), runMs: 20_000 })];
+    const load = { runs: [runOf(16, 0)], waits };
+    vitest.expect(freeFor(loadOf(load), 1).last?.[0]).toBe(8);
+    const unordered = loadOf({ ...load, isInOrder: false });
+    vitest.expect(freeFor(unordered, 1).last?.[0]).toBe(16);
+  });
+
   vitest.it("leaves room that waiting work could not take to others", () => {
     const load = loadOf({
       runs: [runOf(12, 5000)],
--- a/packages/admission/src/job_shape.ts
+++ b/packages/admission/src/job_shape.ts
@@ -28,8 +28,6 @@
   readonly team: string;
   /** Accelerators that it has paid for. */
   readonly guaranteed: number;
-  /** Whether it has had less than its share lately; left out: not known. */
-  readonly isBelowShare?: boolean;
 }
 
 /** What becomes of a job. */
--- a/packages/admission/src/load.ts
+++ b/packages/admission/src/load.ts
@@ -43,6 +43,11 @@
   /** Priorities of the queues of each service. */
   readonly priorities: ReadonlyMap<string, readonly number[]>;
   readonly urgentUse: ReadonlyMap<string, number>;
+  /**
+   * Whether work of one priority surely begins in the order of its objectives. Where
+   * teams compete, that of a team which has had less may come before others.
+   */
+  readonly isInOrder: boolean;
   /** The forecast before; endpoints that it tells of may come back. */
   readonly before: forecasts.Forecast | null;
 }
--- a/packages/admission/src/make_forecast.ts
+++ b/packages/admission/src/make_forecast.ts
@@ -25,13 +25,14 @@
   priorities: readonly number[],
 ): forecasts.ServiceForecast {
   const isOfIt = (one: { readonly service: string }) => one.service === service;
+  const { isInOrder } = load;
   const endpoints = load.endpoints.filter(isOfIt);
   const runs = load.runs.filter(isOfIt);
   const waits = load.waits.filter(isOfIt).sort(byRankAndDue);
   const total = endpoints.map((one) => one.total)
     .reduce(amounts.add, amounts.NOTHING);
   const room = priorities.map((priority) =>
-    roomAhead({ total, runs, waits }, priority)
+    roomAhead({ total, runs, waits, isInOrder }, priority)
   );
   const before = load.before?.services.find(isOfIt);
   return { service, ...sizesOf(endpoints, total, before), room };
@@ -71,13 +72,14 @@
   readonly total: Workflow.Resources;
   readonly runs: readonly loads.Run[];
   readonly waits: readonly loads.Wait[];
+  readonly isInOrder: boolean;
 }
 
 /** Rank of urgent work beyond its guarantee; it makes all later ranks yield. */
 const URGENT_RANK = 1;
 
 function roomAhead(
-  { total, runs, waits }: ServiceLoad,
+  { total, runs, waits, isInOrder }: ServiceLoad,
   priority: number,
 ): forecasts.RoomAhead {
   const rank = priority + 1;
@@ -87,6 +89,7 @@
   const pool = new pools.RoomPool(total, stays);
   for (const wait of waits) if (wait.rank < rank) pool.place(wait);
   const first = pool.curve();
+  if (!isInOrder) return { priority, first, last: first, lastDueMs: 0 };
   let lastDueMs = 0;
   for (const wait of waits) {
     if (wait.rank !== rank || !pool.placeInTime(wait)) continue;
--- a/packages/coordinator/src/load/forecast_maker.ts
+++ b/packages/coordinator/src/load/forecast_maker.ts
@@ -56,7 +56,7 @@
   }
 
   #forecast(access: Ports.AccessConfig): Admission.Forecast {
-    const { ports: given, directory, live } = this.#parts;
+    const { ports: given, directory, hardLoad, live } = this.#parts;
     const nowMs = given.clock.monotonicMs();
     const endpoints = directory.states();
     this.#known.note(endpoints.map(({ service }) => service), nowMs);
@@ -72,6 +72,7 @@
       ...survey,
       boxes: given.countBoxes(),
       remotePenalty: given.bounds.remotePenalty,
+      isInOrder: !hardLoad.load.teamsCompete,
       priorities: prioritiesOf(access, isKnown),
       before: this.#before,
     });
--- a/packages/gateway/src/admission_desk.ts
+++ b/packages/gateway/src/admission_desk.ts
@@ -20,8 +20,6 @@
   readonly known: () => Admission.Known;
   /** Accelerators that a team has paid for; null while that is not known. */
   readonly guaranteeOf: (team: string) => number | null;
-  /** Whether a team has had less than its share lately; left out: not known. */
-  readonly isBelowShare?: (team: string) => boolean | undefined;
   /** Time for which the store has been silent, in ms. */
   readonly storeSilentMs: () => number;
 }
@@ -65,8 +63,7 @@
     const guaranteed = this.#options.guaranteeOf(spec.tenant);
     if (guaranteed === null) return null;
     const job = Admission.shapeOf(spec);
-    const isBelowShare = this.#options.isBelowShare?.(spec.tenant);
-    const team = { team: spec.tenant, guaranteed, isBelowShare };
+    const team = { team: spec.tenant, guaranteed };
     const decision = Admission.decideAdmission({ job, known, team });
     if (decision.verdict === Admission.Verdict.Rejected) {
       return this.#reject({ spec, job, forecast: known.forecast }, decision);
