Restore a box's share with each forecast, not with each renewal

Several renewals tell of one forecast, and each made an object of its own, by which the book of promises took it for a new one: a box could promise its share twice. A forecast has a number now.

--- a/packages/admission/src/decide_test.ts
+++ b/packages/admission/src/decide_test.ts
@@ -31,7 +31,8 @@
     room: [0, 1, 2].map((priority) => ({ priority, ...ahead })),
     ...changes,
   };
-  return { boxes: 3, remotePenalty: 3, services: [service], urgentUse };
+  const common = { number: 1, boxes: 3, remotePenalty: 3, urgentUse };
+  return { ...common, services: [service] };
 }
 
 function jobOf(
--- a/packages/admission/src/forecast.ts
+++ b/packages/admission/src/forecast.ts
@@ -57,6 +57,8 @@
 
 /** What a coordinator expects. */
 export interface Forecast {
+  /** Tells it from the one before: a forecast is told several times. */
+  readonly number: number;
   /** Boxes that accept work by it. */
   readonly boxes: number;
   /** How much slower a gang runs on several racks. */
--- a/packages/admission/src/forecast_test.ts
+++ b/packages/admission/src/forecast_test.ts
@@ -14,6 +14,7 @@
 function loadOf(changes: Partial<loads.Load> = {}): loads.Load {
   const endpoint = { service: "analysis", rack: "r", total: SIZE, speed: 1 };
   return {
+    number: 1,
     boxes: 36,
     remotePenalty: 3,
     endpoints: [endpoint, endpoint],
--- a/packages/admission/src/forecast_text.ts
+++ b/packages/admission/src/forecast_text.ts
@@ -18,6 +18,7 @@
 const Count = Schema.Int.check(Schema.isGreaterThanOrEqualTo(0));
 
 const Short = Schema.Struct({
+  no: Count,
   boxes: Count.check(Schema.isGreaterThanOrEqualTo(1)),
   far: Positive,
   urgent: Schema.Array(Schema.Tuple([Schema.String, Count])),
@@ -71,6 +72,7 @@
 
 function toShort(forecast: forecasts.Forecast): Short {
   return {
+    no: forecast.number,
     boxes: forecast.boxes,
     far: forecast.remotePenalty,
     urgent: forecast.urgentUse.map(([team, used]) => [team, roundDown(used)]),
@@ -90,6 +92,7 @@
 
 function fromShort(short: Short): forecasts.Forecast {
   return {
+    number: short.no,
     boxes: short.boxes,
     remotePenalty: short.far,
     urgentUse: short.urgent,
--- a/packages/admission/src/load.ts
+++ b/packages/admission/src/load.ts
@@ -35,6 +35,8 @@
 
 /** What a forecast is made from. */
 export interface Load {
+  /** Number of the forecast. */
+  readonly number: number;
   readonly boxes: number;
   readonly remotePenalty: number;
   readonly endpoints: readonly EndpointSize[];
--- a/packages/admission/src/make_forecast.ts
+++ b/packages/admission/src/make_forecast.ts
@@ -15,8 +15,9 @@
     forecastService(load, service, priorities)
   );
   const urgentUse = [...load.urgentUse].filter(([, used]) => used > 0);
-  const { boxes, remotePenalty } = load;
-  return { boxes: Math.max(1, boxes), remotePenalty, services, urgentUse };
+  const { number, remotePenalty } = load;
+  const boxes = Math.max(1, load.boxes);
+  return { number, boxes, remotePenalty, services, urgentUse };
 }
 
 function forecastService(
--- a/packages/admission/src/return_book_test.ts
+++ b/packages/admission/src/return_book_test.ts
@@ -8,6 +8,7 @@
 
 const TOTAL = { cpuMillis: 1e6, memoryMb: 1e6, accelerators: 30 };
 const FORECAST: forecasts.Forecast = {
+  number: 1,
   boxes: 3,
   remotePenalty: 3,
   services: [{
--- a/packages/admission/src/share_book.ts
+++ b/packages/admission/src/share_book.ts
@@ -6,7 +6,8 @@
 
 /** Promises of one box; a new forecast has taken them in. */
 export class ShareBook {
-  #forecast: forecasts.Forecast | null = null;
+  /** Number of the forecast. */
+  #number: number | null = null;
   readonly #promised = new Map<string, Workflow.Resources>();
   #jobs = 0;
 
@@ -34,8 +35,8 @@
   }
 
   #renew(forecast: forecasts.Forecast): void {
-    if (forecast === this.#forecast) return;
-    this.#forecast = forecast;
+    if (forecast.number === this.#number) return;
+    this.#number = forecast.number;
     this.#promised.clear();
     this.#jobs = 0;
   }
--- a/packages/admission/src/share_book_test.ts
+++ b/packages/admission/src/share_book_test.ts
@@ -10,12 +10,15 @@
   return { cpuMillis: 1e6, memoryMb: 1e6, accelerators };
 }
 
+let made = 0;
+
 function forecastOf(free: number, boxes: number): forecasts.Forecast {
   const curve = [room(free)];
   const ahead = { priority: 1, first: curve, last: curve, lastDueMs: 0 };
   const sizes = { largest: room(8), largestRack: room(32), total: room(64) };
   const service = { service: "analysis", ...sizes, fastest: 1, room: [ahead] };
-  return { boxes, remotePenalty: 3, services: [service], urgentUse: [] };
+  const common = { number: ++made, boxes, remotePenalty: 3, urgentUse: [] };
+  return { ...common, services: [service] };
 }
 
 function jobOf(accelerators: number): shapes.JobShape {
@@ -49,6 +52,8 @@
     const first = { forecast: forecastOf(12, 3), ageMs: 0 };
     vitest.expect(book.promise(jobOf(4), first)).toBe(true);
     vitest.expect(book.promise(jobOf(1), first)).toBe(false);
+    const again = { forecast: { ...first.forecast }, ageMs: 350 };
+    vitest.expect(book.promise(jobOf(1), again)).toBe(false);
     const next = { forecast: forecastOf(12, 3), ageMs: 0 };
     vitest.expect(book.promise(jobOf(4), next)).toBe(true);
     const stale = { forecast: forecastOf(12, 3), ageMs: 3001 };
--- a/packages/coordinator/src/election/forecast_sight.ts
+++ b/packages/coordinator/src/election/forecast_sight.ts
@@ -7,18 +7,25 @@
 export class ForecastSight {
   readonly #clock: Ports.Clock;
   #renewal: unknown = null;
-  #forecast: Admission.Forecast | null = null;
-  #madeAtMs = Number.NEGATIVE_INFINITY;
+  /** When the look began that told of it; null: it may be of any age. */
+  #lookedAtMs: number | null = null;
+  /** What it tells; undefined until somebody asks. */
+  #told: leases.ToldForecast | null | undefined = null;
   #notedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(clock: Ports.Clock) {
     this.#clock = clock;
   }
 
-  /** The forecast and its age. */
+  /** The forecast and its age. Few renewals are asked for: the others stay unread. */
   get known(): Admission.Known {
-    const ageMs = this.#clock.monotonicMs() - this.#madeAtMs;
-    return { forecast: this.#forecast, ageMs };
+    if (this.#told === undefined) {
+      this.#told = leases.readLease(this.#renewal);
+    }
+    const ageMs = this.#told === null || this.#lookedAtMs === null
+      ? Number.POSITIVE_INFINITY
+      : this.#clock.monotonicMs() - this.#lookedAtMs + this.#told.ageMs;
+    return { forecast: this.#told?.forecast ?? null, ageMs };
   }
 
   /**
@@ -32,10 +39,7 @@
     const isFirst = lookedAtMs - this.#notedAtMs > Admission.STALE_MS;
     this.#renewal = renewal;
     this.#notedAtMs = this.#clock.monotonicMs();
-    const told = leases.readLease(renewal);
-    this.#forecast = told?.forecast ?? null;
-    this.#madeAtMs = told === null || isFirst
-      ? Number.NEGATIVE_INFINITY
-      : lookedAtMs - told.ageMs;
+    this.#told = undefined;
+    this.#lookedAtMs = isFirst ? null : lookedAtMs;
   }
 }
--- a/packages/coordinator/src/election/forecast_sight_test.ts
+++ b/packages/coordinator/src/election/forecast_sight_test.ts
@@ -6,6 +6,7 @@
 import * as leases from "./lease_value.ts";
 
 const FORECAST: Admission.Forecast = {
+  number: 1,
   boxes: 3,
   remotePenalty: 3,
   services: [],
--- a/packages/coordinator/src/load/forecast_maker.ts
+++ b/packages/coordinator/src/load/forecast_maker.ts
@@ -70,6 +70,7 @@
     });
     return Admission.makeForecast({
       ...survey,
+      number: Math.round(nowMs),
       boxes: given.countBoxes(),
       remotePenalty: given.bounds.remotePenalty,
       isInOrder: !hardLoad.load.teamsCompete,
