--- a/packages/coordinator/src/endpoints/run_watch.ts
+++ b/packages/coordinator/src/endpoints/run_watch.ts
@@ -62,7 +62,16 @@
         occupant.compared ? [] : [{ worker, rate: rates[i] }]
       );
       this.#directory.speeds.compare(rates, fresh);
-      if (runs.length < LEAST_COMPARED) continue;
+      const { task } = runs[0].occupant;
+      const siblings = task.workflow.siblings(task);
+      if (runs.length < Math.min(LEAST_COMPARED, siblings.length)) continue;
+      this.#directory.lessons.noteRunning(
+        runs.map(({ occupant, worker }, i) => ({
+          task: occupant.task,
+          run: { worker, rate: rates[i] },
+          isFresh: !occupant.compared,
+        })),
+      );
       for (const { occupant } of runs) occupant.compared = true;
     }
   }
@@ -123,6 +132,7 @@
       task,
       worker,
       ranMs: pace.watchedMs,
+      speed: this.#directory.speedInPaces(worker),
       percent: pace.percent,
       came: pace.came,
       recentRate: pace.recentRate,
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -2,6 +2,7 @@
 import * as watches from "../endpoints/run_watch.ts";
 import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
+import * as estimates from "../load/run_estimates.ts";
 import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
@@ -43,6 +44,7 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly estimates: estimates.RunEstimates;
   readonly shares: shareBooks.ShareBook;
   readonly forecasts: forecasts.ForecastMaker;
 }
@@ -58,11 +60,18 @@
     clock: given.clock,
     onAdvice: () => planning.wake(),
   });
+  const hardLoad = new hardLoads.HardLoadWatch(given);
+  const runEstimates = new estimates.RunEstimates({
+    clock: given.clock,
+    siteOf: (id) => directory.siteOf(id),
+    onSingle: (occupant, tookMs) => directory.learnFrom(occupant, tookMs),
+  });
   const ends = new runEnds.RunEnds({
     ports: given,
     recorder,
     book,
     control: () => control,
+    onDone: (occupant) => runEstimates.noteDone(occupant),
     onLife: (id) => {
       directory.lifeBegan(id);
       advisor.forget(id);
@@ -74,6 +83,7 @@
     term,
     listener: ends,
     recovery,
+    doEndpointsDiffer: () => hardLoad.load.endpointsDiffer,
   });
   const shared = { ports: given, directory, advice: advisor };
   const control = new controls.RunControl({ ...shared, recorder });
@@ -82,11 +92,11 @@
     book,
     control,
   });
-  const hardLoad = new hardLoads.HardLoadWatch(given);
   const shares = new shareBooks.ShareBook(given, term);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
+    estimates: runEstimates,
     shares,
     control,
     live: () => book.live,
@@ -103,6 +113,7 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    estimates: runEstimates,
     shares,
     forecasts: new forecasts.ForecastMaker({
       ports: given,
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -7,6 +7,12 @@
   speedSpread,
 } from "./src/hard_load.ts";
 export { fitTogether, isEligible, type WorkerState } from "./src/fleet.ts";
+export {
+  type EndedRun,
+  EstimateBook,
+  type EstimateWorth,
+} from "./src/estimate_book.ts";
+export { type Corrections } from "./src/expected_run.ts";
 export {
   makePlan,
   type Plan,
@@ -14,6 +20,7 @@
   type StartDecision,
   type StopDecision,
 } from "./src/plan.ts";
+export { SlowReason } from "./src/slow_place.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
 export {
