Count half of an estimate as what work surely takes

By reading, on merging the estimates that are learned: a caller's estimate that is twice the truth made a forecast late and a job long, so that one which could be of use would be rejected. Ends count by pace, or else by half the estimate. The price is fewer rejections, and times to come back that are earlier.

--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -16,6 +16,7 @@
   type RoomAhead,
   type ServiceForecast,
   STALE_MS,
+  SURE_SHARE,
 } from "./src/forecast.ts";
 export { readForecast, writeForecast } from "./src/forecast_text.ts";
 export {
--- a/packages/admission/src/decide.ts
+++ b/packages/admission/src/decide.ts
@@ -88,10 +88,11 @@
   const endMs = (runOf: ends.EndQuery["runOf"]) =>
     ends.earliestEnd({ steps, curve, fromMs: ageMs, runOf });
   const { fastest } = facts.service;
-  const nearMs = endMs((step) => step.estimateMs / fastest);
+  const shortest = forecasts.SURE_SHARE / fastest;
+  const nearMs = endMs((step) => step.estimateMs * shortest);
   if (nearMs > limitMs) return reject(RejectReason.TooLate, nearMs - limitMs);
   const farMs = endMs((step) =>
-    step.estimateMs / fastest * penaltyOf(step, facts)
+    step.estimateMs * shortest * penaltyOf(step, facts)
   );
   if (farMs > limitMs) return reject(RejectReason.NoRack, FLEET_CHANGES_MS);
   return accept(null);
--- a/packages/admission/src/forecast.ts
+++ b/packages/admission/src/forecast.ts
@@ -24,6 +24,12 @@
 /** From here on nothing is known: all room counts as free, in ms. */
 export const HORIZON_MS = 60_000;
 
+/**
+ * Share of an estimate that work surely takes. Callers guess, and the users say that
+ * their guesses are off by half.
+ */
+export const SURE_SHARE = 0.5;
+
 /** A forecast older than this is none, in ms: six that were due did not come. */
 export const STALE_MS = 3000;
 
--- a/packages/coordinator/src/load/load_survey.ts
+++ b/packages/coordinator/src/load/load_survey.ts
@@ -55,7 +55,7 @@
     if (task.state === Workflow.TaskState.Done) continue;
     const leftMs = task.isPlaced
       ? leftOf(task, nowMs)
-      : task.step.estimateMs / fastest;
+      : task.step.estimateMs * Admission.SURE_SHARE / fastest;
     if (leftMs > Admission.STALE_MS) return true;
   }
   return false;
@@ -75,12 +75,12 @@
   return { service, rank, need, leftMs: leftOf(task, nowMs) };
 }
 
-/** Earliest time by which a run may end: by its pace or its estimate, in ms. */
+/** Earliest time by which a run may end, in ms: its pace tells, or else its estimate. */
 function leftOf(task: Workflow.Task, nowMs: number): number {
   if (task.state === Workflow.TaskState.Stopping) return 0;
   if (task.step.lasting) return Number.POSITIVE_INFINITY;
-  const byEstimateMs = task.startedAtMs + task.step.estimateMs;
-  const endMs = Math.min(task.endsAtMs ?? byEstimateMs, byEstimateMs);
+  const sureMs = task.step.estimateMs * Admission.SURE_SHARE;
+  const endMs = task.endsAtMs ?? task.startedAtMs + sureMs;
   return Math.max(0, endMs - nowMs);
 }
 
@@ -107,7 +107,7 @@
       need: Admission.needOf(step),
       count: before + tasks.length,
       gang: step.gang,
-      runMs: step.estimateMs / fastest,
+      runMs: step.estimateMs * Admission.SURE_SHARE / fastest,
       dueInMs: Workflow.objectiveAtMs(spec, unit.round) - wallMs,
     });
   }
