--- /dev/null
+++ b/packages/gateway/src/rejection_log_test.ts
@@ -0,0 +1,54 @@
+/** Operators are told of rejections, and a flood of them does not flood the log. */
+import * as Errors from "@cairngate/errors";
+import * as Metrics from "@cairngate/metrics";
+import * as TestUtils from "@cairngate/test-utils";
+import type * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import * as logs from "./rejection_log.ts";
+
+const REASON = Errors.RejectReason.TooLate;
+
+function factsOf(id: string): logs.RejectionFacts {
+  const [route] = TestUtils.buildAccess().queues;
+  const steps = [
+    TestUtils.buildStep({ count: 3, accelerators: 2, gang: true }),
+  ];
+  const spec: Workflow.WorkflowSpec = {
+    id,
+    tenant: "hana",
+    policy: route,
+    payload: "work",
+    steps,
+    schedule: null,
+    acceptedAtMs: 0,
+  };
+  const rejected = new Errors.RejectedError({
+    jobId: id,
+    reason: REASON,
+    retryAfterMs: 2500,
+  });
+  return { spec, rejected, forecast: null, ageMs: 740.2 };
+}
+
+vitest.describe("the log of rejections", () => {
+  vitest.it("tells five a second, and how many it left out", async () => {
+    const clock = new TestUtils.FakeClock();
+    const log = new TestUtils.KeptLog();
+    const metrics = new Metrics.Metrics();
+    const told = new logs.RejectionLog({ clock, log, metrics });
+    for (let i = 0; i < 7; i++) told.note(factsOf(`job-${i}`));
+    vitest.expect(log.sentences).toHaveLength(5);
+    vitest.expect(log.sentences[0]).toBe(
+      "Workflow job-0 of team hana in queue-0 is rejected: too-late; it may " +
+        "come back in 2500 ms. It wants 3 x 2 together accelerators; room: " +
+        "not known, forecast 740 ms ago.",
+    );
+    await clock.advance(1000);
+    told.note(factsOf("job-7"));
+    vitest.expect(log.sentences[5])
+      .toMatch(/ 2 more were rejected without a line\.$/);
+    const labels = { reason: REASON };
+    vitest.expect(metrics.get("cairngate_rejected_total", labels)).toBe(8);
+    vitest.expect(told.last[0].id).toBe("job-7");
+  });
+});
