--- a/tools/decisions/src/marks.ts
+++ b/tools/decisions/src/marks.ts
@@ -14,12 +14,21 @@
   readonly thrownAway: number;
   readonly stranded: number;
   readonly used: number;
+  /** Runs that were stopped for others, and those of them that had just begun. */
+  readonly stops: number;
+  readonly earlyStops: number;
+  /** Those whose claimant missed its objective all the same. */
+  readonly idleStops: number;
+  /** Most stops of one task. */
+  readonly mostStops: number;
   /** One figure: the parts by the users' usual weights, less what is thrown away. */
   readonly mark: number;
 }
 
 /** An end within this many times the objective is late, and still of use. */
 const LATE_FACTOR = 3;
+/** A run that is stopped before this time from its start has just begun, in ms. */
+const EARLY_MS = 1000;
 /** Length of a span, in ms. */
 const SPAN_MS = 2000;
 /** Spans that count as the worst ones, by the users' rules. */
@@ -62,10 +71,28 @@
     thrownAway,
     stranded: played.strandedShare,
     used: played.usedShare,
+    ...countStops(played),
     mark: earned / weights - PRICE * thrownAway,
   };
 }
 
+function countStops({ stops, served }: plays.Played) {
+  const inTime = new Set(
+    served
+      .filter(({ arrival, tookMs }) =>
+        tookMs !== null && tookMs <= arrival.objectiveMs
+      )
+      .map(({ arrival }) => arrival.workflow),
+  );
+  const ofTasks = [...group(stops, ({ task }) => task.name).values()];
+  return {
+    stops: stops.length,
+    earlyStops: stops.filter(({ ranMs }) => ranMs < EARLY_MS).length,
+    idleStops: stops.filter(({ claimant }) => !inTime.has(claimant)).length,
+    mostStops: Math.max(0, ...ofTasks.map((own) => own.length)),
+  };
+}
+
 function shareOf(served: readonly plays.Served[]): number {
   let owed = 0;
   let earned = 0;
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -21,6 +21,15 @@
   /** Accelerators in use, mean share. */
   readonly usedShare: number;
   readonly plans: number;
+  /** Stops for others, as far as they struck a run. */
+  readonly stops: readonly StopSeen[];
+}
+
+/** One stop of a run, and with it of its gang, for others. */
+export interface StopSeen {
+  readonly task: Workflow.Task;
+  readonly claimant: Workflow.Workflow;
+  readonly ranMs: number;
 }
 
 /** Traffic of the users' days, in ms. */
@@ -72,6 +81,7 @@
   readonly #saved = new Map<Workflow.Task, number>();
   readonly #stops: { run: Run; atMs: number }[] = [];
   readonly #served: Served[] = [];
+  readonly #stopsSeen: StopSeen[] = [];
   #nowMs = 0;
   #thrownAway = 0;
   #plans = 0;
@@ -121,6 +131,7 @@
       strandedShare: this.#stranded / this.#plans,
       usedShare: this.#used / this.#plans,
       plans: this.#plans,
+      stops: this.#stopsSeen,
     };
   }
 
@@ -136,7 +147,7 @@
       isAdvised: () => true,
       hardLoad: this.#load.hardLoad,
     });
-    for (const { task } of plan.stops) this.#stop(task);
+    for (const stop of plan.stops) this.#stop(stop);
     for (const start of plan.starts) this.#start(start);
     this.#plans++;
     this.#measureRoom(plan);
@@ -197,10 +208,12 @@
     for (const task of unit.tasks) this.#runOf.set(task, began);
   }
 
-  #stop(task: Workflow.Task): void {
+  #stop({ task, claimant }: Scheduler.StopDecision): void {
     const run = this.#runOf.get(task);
     if (run === undefined || run.isStopped) return;
     run.isStopped = true;
+    const ranMs = this.#nowMs - run.beganAtMs;
+    this.#stopsSeen.push({ task, claimant: claimant.workflow, ranMs });
     for (const member of run.tasks) {
       member.state = Workflow.TaskState.Stopping;
     }
