Count what came of each stop for urgent work, by the victim's queue and age

Operators saw that much yields, and not whether it helped. The coordinator follows the claimants of stops until they are over: in time, late, started elsewhere, or never started. cairngate_stops_total{result,queue,age} counts them, the dump shows them under 'stops'. Nothing is decided by it. At most 2,000 claimants are followed at once.

--- /dev/null
+++ b/packages/coordinator/src/load/stop_book.ts
@@ -0,0 +1,120 @@
+/** Counts what came of stops: whether the work that others stopped for was in time. */
+import type * as Metrics from "@cairngate/metrics";
+import * as Workflow from "@cairngate/workflow";
+import type * as Scheduler from "@cairngate/workflow-scheduler";
+
+/** What came of one stop for other work. */
+export enum StopResult {
+  /** The work took the room and met its objective. */
+  InTime = "in_time",
+  /** The work took the room and was late all the same. */
+  Late = "late",
+  /** The work started without this room. */
+  Elsewhere = "elsewhere",
+  /** The work ended, cancelled or given up, without a start. */
+  NeverStarted = "never_started",
+}
+
+/** Stops by what came of them. */
+export interface StopCounts extends Readonly<Record<StopResult, number>> {
+  /** Not known yet. */
+  readonly open: number;
+}
+
+/** What the result of a stop hangs on. */
+export interface StopFacts {
+  /** Endpoint of the run that stopped; null where it had none any more. */
+  readonly freed: string | null;
+  /** Endpoints on which the claimant started since; null where it did not. */
+  readonly started: readonly string[] | null;
+  readonly isInTime: boolean;
+}
+
+/** What came of a stop, once the claimant is over. */
+export function resultOf({ freed, started, isInTime }: StopFacts): StopResult {
+  if (started === null) return StopResult.NeverStarted;
+  if (freed === null || !started.includes(freed)) return StopResult.Elsewhere;
+  return isInTime ? StopResult.InTime : StopResult.Late;
+}
+
+interface Stop {
+  readonly freed: string | null;
+  readonly queue: string;
+  readonly isEarly: boolean;
+}
+
+interface Claim {
+  readonly unit: Workflow.Unit;
+  readonly stops: Stop[];
+  started: readonly string[] | null;
+}
+
+/** A run that is stopped before this time from its start has just begun, in ms. */
+const EARLY_MS = 1000;
+/** Claims that are followed at once; further ones are not counted. */
+const MOST_CLAIMS = 2000;
+
+/** Follows stops of one term until it is known what came of them. */
+export class StopBook {
+  readonly #metrics: Metrics.Metrics;
+  /** By the first task of the claimant. */
+  readonly #claims = new Map<Workflow.Task, Claim>();
+  readonly #counts = {
+    [StopResult.InTime]: 0,
+    [StopResult.Late]: 0,
+    [StopResult.Elsewhere]: 0,
+    [StopResult.NeverStarted]: 0,
+  };
+
+  constructor(metrics: Metrics.Metrics) {
+    this.#metrics = metrics;
+  }
+
+  /** Stops by what came of them in this term. */
+  get counts(): StopCounts {
+    const stops = [...this.#claims.values()].map((claim) => claim.stops.length);
+    const open = stops.reduce((sum, one) => sum + one, 0);
+    return { ...this.#counts, open };
+  }
+
+  /** A run is stopped for a claimant. */
+  stopped(decision: Scheduler.StopDecision, nowMs: number): void {
+    const { task, claimant: unit } = decision;
+    const [first] = unit.tasks;
+    const claim = this.#claims.get(first) ?? { unit, stops: [], started: null };
+    if (this.#claims.size >= MOST_CLAIMS && claim.stops.length === 0) return;
+    this.#claims.set(first, claim);
+    claim.stops.push({
+      freed: task.worker,
+      queue: task.workflow.spec.policy.queue,
+      isEarly: nowMs - task.startedAtMs < EARLY_MS,
+    });
+  }
+
+  /** A unit starts; it may be a claimant. */
+  started({ unit, workers }: Scheduler.StartDecision): void {
+    const claim = this.#claims.get(unit.tasks[0]);
+    if (claim !== undefined) claim.started ??= workers;
+  }
+
+  /** Counts the stops whose claimants are over by now. */
+  look(wallMs: number): void {
+    for (const [first, claim] of this.#claims) {
+      const { workflow, round } = claim.unit;
+      if (!workflow.isOver) continue;
+      const isDone = workflow.state === Workflow.WorkflowState.Completed;
+      const isInTime = isDone &&
+        wallMs <= Workflow.objectiveAtMs(workflow.spec, round);
+      for (const stop of claim.stops) this.#count(stop, claim, isInTime);
+      this.#claims.delete(first);
+    }
+  }
+
+  #count(stop: Stop, { started }: Claim, isInTime: boolean): void {
+    const { freed, queue, isEarly } = stop;
+    const result = resultOf({ freed, started, isInTime });
+    this.#counts[result]++;
+    const age = isEarly ? "under_1s" : "1s_and_more";
+    this.#metrics.count("cairngate_stops_total", { result, queue, age });
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/load/stop_book_test.ts
@@ -0,0 +1,91 @@
+/** What is counted of stops for other work. */
+import * as Metrics from "@cairngate/metrics";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import * as books from "./stop_book.ts";
+
+let ids = 0;
+
+function buildUnit(priority: number): Workflow.Unit {
+  const workflow = new Workflow.Workflow({
+    id: `workflow-${ids++}`,
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[priority],
+    payload: "",
+    steps: [TestUtils.buildStep()],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  return workflow.readyUnits(0)[0];
+}
+
+function stopFor(claimant: Workflow.Unit, book: books.StopBook): Workflow.Task {
+  const [task] = buildUnit(2).tasks;
+  task.place("worker-1", 1, 0);
+  book.stopped({ task, claimant }, 400);
+  return task;
+}
+
+/** The claimant's only run ends well. */
+function complete(unit: Workflow.Unit): void {
+  const [task] = unit.tasks;
+  task.place("worker-1", 1, 500);
+  const how = Workflow.RunEnd.Done;
+  unit.workflow.endRun(task, { run: 1, how, checkpoint: "" }, 600);
+}
+
+vitest.describe("the result of a stop", () => {
+  vitest.it("is that of the claimant where it took the room", () => {
+    const facts = { freed: "a", started: ["a", "b"] };
+    vitest.expect(books.resultOf({ ...facts, isInTime: true }))
+      .toBe(books.StopResult.InTime);
+    vitest.expect(books.resultOf({ ...facts, isInTime: false }))
+      .toBe(books.StopResult.Late);
+  });
+
+  vitest.it("is nothing where the claimant took other room, or none", () => {
+    const rest = { freed: "a", isInTime: true };
+    vitest.expect(books.resultOf({ ...rest, started: ["b"] }))
+      .toBe(books.StopResult.Elsewhere);
+    vitest.expect(books.resultOf({ ...rest, started: null }))
+      .toBe(books.StopResult.NeverStarted);
+  });
+});
+
+vitest.describe("a book of stops", () => {
+  vitest.it("counts by result, queue and age once the claimant is over", () => {
+    const metrics = new Metrics.Metrics();
+    const book = new books.StopBook(metrics);
+    const claimant = buildUnit(0);
+    const victim = stopFor(claimant, book);
+    book.look(0);
+    vitest.expect(book.counts).toMatchObject({ in_time: 0, open: 1 });
+    book.started({ unit: claimant, workers: ["worker-1"] });
+    complete(claimant);
+    book.look(1);
+    vitest.expect(book.counts).toMatchObject({ in_time: 1, open: 0 });
+    const { queue } = victim.workflow.spec.policy;
+    const labels = { result: "in_time", queue, age: "under_1s" };
+    vitest.expect(metrics.get("cairngate_stops_total", labels)).toBe(1);
+  });
+
+  vitest.it("counts as late what ends after its objective", () => {
+    const book = new books.StopBook(new Metrics.Metrics());
+    const claimant = buildUnit(0);
+    stopFor(claimant, book);
+    book.started({ unit: claimant, workers: ["worker-1"] });
+    complete(claimant);
+    book.look(Workflow.objectiveAtMs(claimant.workflow.spec, 0) + 1);
+    vitest.expect(book.counts).toMatchObject({ late: 1, in_time: 0 });
+  });
+
+  vitest.it("counts a claimant that was cancelled before it started", () => {
+    const book = new books.StopBook(new Metrics.Metrics());
+    const claimant = buildUnit(0);
+    stopFor(claimant, book);
+    claimant.workflow.cancelled = true;
+    book.look(1);
+    vitest.expect(book.counts).toMatchObject({ never_started: 1, open: 0 });
+  });
+});
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -55,6 +55,7 @@
       ),
       guarantees: this.#parts.guarantees.describe(),
       hardLoad: this.#parts.hardLoad.load,
+      stops: this.#parts.planning.stopCounts,
     };
   }
 
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -2,6 +2,7 @@
 import * as Workflow from "@cairngate/workflow";
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
+import type * as stopBooks from "../load/stop_book.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
 import * as sentences from "./run_sentences.ts";
 
@@ -67,6 +68,8 @@
   readonly guarantees: GuaranteeDump;
   /** Kinds of hard load that the decisions take into account. */
   readonly hardLoad: Scheduler.HardLoad;
+  /** Stops for other work in this term, by what came of them. */
+  readonly stops: stopBooks.StopCounts;
 }
 
 /** One run for which a workflow was given up. */
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -7,6 +7,7 @@
 import * as guarantees from "./guarantee_watch.ts";
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
+import * as stopBooks from "../load/stop_book.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
@@ -37,6 +38,7 @@
 export class Planning {
   readonly #parts: PlanningParts;
   readonly #standstills: standstills.StandstillWatch;
+  readonly #stops: stopBooks.StopBook;
   /** Time that the last plan took. */
   #planMs = 0;
   #signal = Deferred.makeUnsafe<void>();
@@ -44,6 +46,7 @@
   constructor(parts: PlanningParts) {
     this.#parts = parts;
     this.#standstills = new standstills.StandstillWatch(parts.ports);
+    this.#stops = new stopBooks.StopBook(parts.ports.metrics);
   }
 
   /** Something has changed: plan soon. */
@@ -56,6 +59,11 @@
     return this.#standstills.of(id);
   }
 
+  /** What came of stops for other work. */
+  get stopCounts(): stopBooks.StopCounts {
+    return this.#stops.counts;
+  }
+
   /** Plans for ever. */
   run(): Effect.Effect<never> {
     const { clock } = this.#parts.ports;
@@ -63,12 +71,13 @@
       yield* clock.within(REPLAN_MS, Deferred.await(this.#signal));
       this.#signal = Deferred.makeUnsafe<void>();
       yield* clock.sleep(Math.max(GATHER_MS, this.#planMs * PLAN_PAUSE));
+      this.#stops.look(clock.wallMs());
       if (this.#parts.prepare()) this.#plan();
     }));
   }
 
   #plan(): void {
-    const { ports: { clock, metrics }, control, directory } = this.#parts;
+    const { ports: { clock, metrics }, directory } = this.#parts;
     const startedAtMs = clock.monotonicMs();
     const workflows = this.#parts.live();
     const unrecorded = this.#waitsForRecords();
@@ -84,7 +93,7 @@
       nowMs: startedAtMs,
     });
     for (const stop of plan.stops) this.#yield(stop);
-    for (const start of plan.starts) control.start(start);
+    for (const start of plan.starts) this.#start(start);
     this.#askAdvice(plan, workers);
     this.#planMs = clock.monotonicMs() - startedAtMs;
     metrics.observeMs("cairngate_plan_seconds", this.#planMs);
@@ -115,6 +124,11 @@
     };
   }
 
+  #start(decision: Scheduler.StartDecision): void {
+    this.#stops.started(decision);
+    this.#parts.control.start(decision);
+  }
+
   #yield(decision: Scheduler.StopDecision): void {
     const { task, claimant } = decision;
     const { log, clock, metrics } = this.#parts.ports;
@@ -124,6 +138,7 @@
         `${claimant.workflow.spec.id}; checkpoints: ${task.step.checkpoints}.`,
     );
     metrics.count("cairngate_yields_total");
+    this.#stops.stopped(decision, clock.monotonicMs());
     this.#parts.control.stop(task);
   }
 
--- a/packages/workflow-node/src/dump_test.ts
+++ b/packages/workflow-node/src/dump_test.ts
@@ -26,4 +26,22 @@
     vitest.expect(fleet.node(other).dump()["work"]).toBeNull();
     await fleet.stop();
   });
+
+  vitest.it("tells what came of stops for urgent work", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1] });
+    fleet.workers.behave = () => ({ runMs: 2000, fails: false });
+    await fleet.start();
+    await fleet.submit("node-1", "a000000000000001", { priority: 2 });
+    await fleet.until(() => fleet.workers.runs.length === 1);
+    await fleet.submit("node-1", "a000000000000002", { priority: 0 });
+    const stopsNow = () => {
+      const dump = fleet.node(fleet.coordinator() ?? "").dump();
+      return (dump["work"] as Coordinator.CoordinatorDump).stops;
+    };
+    await fleet.until(() => stopsNow().open === 1);
+    await fleet.until(() => stopsNow().open === 0);
+    const { in_time, late } = stopsNow();
+    vitest.expect(in_time + late).toBe(1);
+    await fleet.stop();
+  });
 });
