Stop others under hard load only where it helps, and no task for ever

Callers saw batches stopped up to five times, and urgent work late all the same. Under hard load now: urgent work beyond its guarantee makes others stop only if it is in time after the time that a stop takes; a guarantee that would make others lose more work than it brings waits up to 600 ms for cheaper room, while it stays in time by that; a task that was stopped three times for others is spared, unless a guarantee finds nothing else.

The count of a task's stops is in the coordinator's memory; a takeover begins anew.

--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -1,5 +1,5 @@
 /** Makes plans when something has changed, and hands them on. */
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -121,6 +121,7 @@
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
       hardLoad: this.#parts.hardLoad.load,
+      stopMs: bounds.stopMs,
     };
   }
 
@@ -140,6 +141,7 @@
     metrics.count("cairngate_yields_total");
     this.#stops.stopped(decision, clock.monotonicMs());
     this.#parts.control.stop(task);
+    if (task.state === Workflow.TaskState.Stopping) task.stopsForOthers++;
   }
 
   /** Asks about the first unit that waits for advice. */
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -3,6 +3,7 @@
 import * as fleet from "./fleet.ts";
 import * as placement from "./placement.ts";
 import type * as rank from "./rank.ts";
+import * as stopRules from "./stop_rules.ts";
 
 /** Places for a unit and the tasks that have to stop first. */
 export interface Eviction {
@@ -18,6 +19,8 @@
   readonly wallMs: number;
   /** What stopping each task costs, as far as this plan has worked it out. */
   readonly costs: Map<Workflow.Task, number>;
+  /** Whether tasks that were stopped for others often enough are spared. */
+  readonly sparesStopped: boolean;
 }
 
 /** Core-seconds that one accelerator-second counts for. */
@@ -141,6 +144,7 @@
   const candidates = room.worker.occupants
     .filter((task) =>
       !chosen.has(task) && isEvictable(task, context.nowMs) &&
+      !(context.sparesStopped && stopRules.isSpared(groupOf(task))) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
     .map((task) => ({ task, cost: knownCost(task, context) }))
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -2,12 +2,13 @@
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
 import * as fleet from "./fleet.ts";
-import type * as hardLoads from "./hard_load.ts";
+import * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
 import * as placement from "./placement.ts";
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
+import * as stopRules from "./stop_rules.ts";
 import * as waiting from "./wait_reason.ts";
 
 const { WaitReason } = waiting;
@@ -26,6 +27,8 @@
   readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
   /** Kinds of hard load that the deployment has; left out: none. */
   readonly hardLoad?: hardLoads.HardLoad;
+  /** Time that a stop takes at most, in ms; left out: none. */
+  readonly stopMs?: number;
 }
 
 /** Start these tasks on these workers. */
@@ -71,6 +74,8 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
+  /** Whether stops are weighed for hard load. */
+  readonly #isHard: boolean;
   #reserved = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
@@ -79,12 +84,24 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
-    this.#evictions = { ranks: this.#ranks, nowMs, wallMs, costs: new Map() };
+    this.#isHard = hardLoads.isHard(input.hardLoad);
+    this.#evictions = {
+      ranks: this.#ranks,
+      nowMs,
+      wallMs,
+      costs: new Map(),
+      sparesStopped: this.#isHard,
+    };
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
   }
 
+  /** Time that stops are reckoned to take, in ms; none without hard load. */
+  get #stopMs(): number {
+    return this.#isHard ? this.#input.stopMs ?? 0 : 0;
+  }
+
   run(): Plan {
     const units: Workflow.Unit[] = [];
     for (const workflow of this.#input.workflows) {
@@ -203,9 +220,16 @@
   /** Urgent work beyond a guarantee claims only while that is of use. */
   #mayClaim(unit: Workflow.Unit): boolean {
     if (unit.workflow.spec.policy.priority > 0) return false;
-    const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
-    return isGuaranteed ||
-      rank.hopeOf(unit, this.#input.wallMs) === rank.Hope.InTime;
+    return this.#isGuaranteed(unit) ||
+      stopRules.helpsInTime(unit, this.#moment);
+  }
+
+  #isGuaranteed({ workflow }: Workflow.Unit): boolean {
+    return this.#ranks.of(workflow) === rank.Rank.Guaranteed;
+  }
+
+  get #moment(): stopRules.StopMoment {
+    return { wallMs: this.#input.wallMs, stopMs: this.#stopMs };
   }
 
   /** Keeps the room that a waiting gang will get first from later units. */
@@ -277,18 +301,32 @@
   ): boolean {
     const soon = placement.findNear(unit, rooms, placement.freeSoon);
     if (soon !== null) return this.#reserve(unit, soon);
-    const context = this.#evictions;
-    const found = eviction.findEviction(unit, rooms, context) ??
-      eviction.evictAmong(unit, rooms, context);
+    const found = this.#findEviction(unit, rooms);
     if (found === null || !this.#isWorth(unit, found)) return false;
     for (const victim of found.victims) this.#stop(victim, unit);
     return this.#reserve(unit, found.places);
   }
 
+  /** Work that was stopped often is spared, unless a guarantee finds nothing else. */
+  #findEviction(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): eviction.Eviction | null {
+    const find = (context: eviction.EvictionContext) =>
+      eviction.findEviction(unit, rooms, context) ??
+        eviction.evictAmong(unit, rooms, context);
+    const found = find(this.#evictions);
+    if (found !== null || !this.#isHard || !this.#isGuaranteed(unit)) {
+      return found;
+    }
+    return find({ ...this.#evictions, sparesStopped: false });
+  }
+
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
   #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
-    return this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed ||
-      found.cost <= eviction.workOf(unit);
+    if (found.cost <= eviction.workOf(unit)) return true;
+    if (!this.#isGuaranteed(unit)) return false;
+    return !this.#isHard || !stopRules.mayWaitForCheaper(unit, this.#moment);
   }
 
   #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
--- /dev/null
+++ b/packages/workflow-scheduler/src/stop_rules.ts
@@ -0,0 +1,54 @@
+/**
+ * When a stop is worth it under hard load, and whose turn it is. Answers loads on
+ * which much of what runs is stopped for urgent work.
+ */
+import * as Workflow from "@cairngate/workflow";
+import * as rank from "./rank.ts";
+
+/** The moment of a decision. */
+export interface StopMoment {
+  readonly wallMs: number;
+  /** Time that a stop takes at most, in ms. */
+  readonly stopMs: number;
+}
+
+/**
+ * Stops of one task for others after which it is spared. Callers give ordinary work
+ * about three times its length: a task that has lost three runs is late by that alone.
+ */
+export const MOST_STOPS = 3;
+
+/** Whether a task, or its gang, has been stopped for others as often as it may be. */
+export function isSpared(group: readonly Workflow.Task[]): boolean {
+  return group.some(({ stopsForOthers }) => stopsForOthers >= MOST_STOPS);
+}
+
+/** Whether a unit can still end in time if it starts only once others have stopped. */
+export function helpsInTime(
+  unit: Workflow.Unit,
+  { wallMs, stopMs }: StopMoment,
+): boolean {
+  return rank.hopeOf(unit, wallMs + stopMs) === rank.Hope.InTime;
+}
+
+/**
+ * Longest time for which a guarantee waits before it makes others lose more work than
+ * it brings, in ms. Operators want guaranteed work to begin within some seconds; most
+ * of that is for stops, records and starts.
+ */
+const MOST_WAIT_MS = 600;
+
+/**
+ * Whether guaranteed work may wait for cheaper room: it has just come, and waiting up
+ * to the bound would leave it in time.
+ */
+export function mayWaitForCheaper(
+  unit: Workflow.Unit,
+  { wallMs, stopMs }: StopMoment,
+): boolean {
+  const waitedMs = wallMs - Workflow.dueAtMs(unit.workflow.spec, unit.round);
+  // Before its due time clocks disagree, and nobody knows how long it has waited.
+  if (waitedMs < 0 || waitedMs >= MOST_WAIT_MS) return false;
+  const latestMs = wallMs + MOST_WAIT_MS - waitedMs;
+  return helpsInTime(unit, { wallMs: latestMs, stopMs });
+}
--- /dev/null
+++ b/packages/workflow-scheduler/src/stop_rules_test.ts
@@ -0,0 +1,59 @@
+/** Which stops are worth it under hard load. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as vitest from "vitest";
+import * as stopRules from "./stop_rules.ts";
+
+const STOP_MS = 200;
+
+function buildUnit(estimateMs: number): Workflow.Unit {
+  const workflow = new Workflow.Workflow({
+    id: "workflow-1",
+    tenant: "hana",
+    policy: { ...TestUtils.buildAccess().queues[0], stretch: 2, latencyMs: 0 },
+    payload: "",
+    steps: [TestUtils.buildStep({ estimateMs })],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  return workflow.readyUnits(0)[0];
+}
+
+vitest.describe("a stop for urgent work", () => {
+  vitest.it("helps while the work ends in time after it", () => {
+    const unit = buildUnit(1000);
+    const helpsAt = (wallMs: number) =>
+      stopRules.helpsInTime(unit, { wallMs, stopMs: STOP_MS });
+    vitest.expect(helpsAt(800)).toBe(true);
+    vitest.expect(helpsAt(801)).toBe(false);
+  });
+
+  vitest.it("spares a task, and its gang, that was stopped often", () => {
+    const { tasks } = buildUnit(1000);
+    tasks[0].stopsForOthers = stopRules.MOST_STOPS - 1;
+    vitest.expect(stopRules.isSpared(tasks)).toBe(false);
+    tasks[0].stopsForOthers++;
+    vitest.expect(stopRules.isSpared(tasks)).toBe(true);
+  });
+});
+
+vitest.describe("a wait for cheaper room", () => {
+  const mayWait = (unit: Workflow.Unit, wallMs: number) =>
+    stopRules.mayWaitForCheaper(unit, { wallMs, stopMs: STOP_MS });
+
+  vitest.it("is short", () => {
+    const unit = buildUnit(5000);
+    vitest.expect(mayWait(unit, 0)).toBe(true);
+    vitest.expect(mayWait(unit, 599)).toBe(true);
+    vitest.expect(mayWait(unit, 600)).toBe(false);
+  });
+
+  vitest.it("is none where the work would be late by it", () => {
+    vitest.expect(mayWait(buildUnit(800), 0)).toBe(true);
+    vitest.expect(mayWait(buildUnit(799), 0)).toBe(false);
+  });
+
+  vitest.it("is none where the clock that accepted the work is ahead", () => {
+    vitest.expect(mayWait(buildUnit(5000), -1)).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/workflow-scheduler/src/stops_property_test.ts
@@ -0,0 +1,235 @@
+/** What holds of the stops of each plan, on random fleets and work. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as fastCheck from "fast-check";
+import * as vitest from "vitest";
+import * as fleet from "./fleet.ts";
+import * as hardLoads from "./hard_load.ts";
+import * as placement from "./placement.ts";
+import * as plans from "./plan.ts";
+import * as stopRules from "./stop_rules.ts";
+import * as waiting from "./wait_reason.ts";
+
+const ENDPOINTS = 6;
+const RACK_SIZE = 3;
+const ACCELERATORS = 4;
+const NOW_MS = 20_000;
+const HARD: hardLoads.HardLoad = { teamsCompete: true, endpointsDiffer: false };
+
+/** One workflow, drawn at random. */
+interface Drawn {
+  readonly priority: number;
+  readonly count: number;
+  readonly accelerators: number;
+  readonly gang: boolean;
+  readonly checkpoints: boolean;
+  readonly estimateMs: number;
+  readonly ageMs: number;
+  readonly stops: number;
+  /** Endpoint of its first task; the others follow. */
+  readonly endpoint: number;
+}
+
+const drawn: fastCheck.Arbitrary<Drawn> = fastCheck.record({
+  priority: fastCheck.nat(2),
+  count: fastCheck.integer({ min: 1, max: 4 }),
+  accelerators: fastCheck.integer({ min: 1, max: ACCELERATORS }),
+  gang: fastCheck.boolean(),
+  checkpoints: fastCheck.boolean(),
+  estimateMs: fastCheck.integer({ min: 500, max: 9000 }),
+  ageMs: fastCheck.nat(4000),
+  stops: fastCheck.nat(4),
+  endpoint: fastCheck.nat(ENDPOINTS - 1),
+});
+
+const worlds = fastCheck.record({
+  running: fastCheck.array(drawn, { maxLength: 14 }),
+  waiting: fastCheck.array(drawn, { minLength: 1, maxLength: 6 }),
+  guaranteed: fastCheck.nat(24),
+});
+
+type World = typeof worlds extends fastCheck.Arbitrary<infer W> ? W : never;
+
+function buildWorkflow(one: Drawn, id: string): Workflow.Workflow {
+  const { count, accelerators, gang, checkpoints, estimateMs } = one;
+  const step = { count, accelerators, gang, checkpoints, estimateMs };
+  const workflow = new Workflow.Workflow({
+    id,
+    tenant: "hana",
+    policy: TestUtils.buildAccess().queues[one.priority],
+    payload: "",
+    steps: [TestUtils.buildStep(step)],
+    schedule: null,
+    acceptedAtMs: NOW_MS - one.ageMs,
+  });
+  for (const task of workflow.tasks) task.stopsForOthers = one.stops;
+  return workflow;
+}
+
+interface Built {
+  readonly input: plans.PlanInput;
+  readonly workers: readonly fleet.WorkerState[];
+}
+
+function build(world: World, hardLoad?: hardLoads.HardLoad): Built {
+  const held = Array.from({ length: ENDPOINTS }, (): Workflow.Task[] => []);
+  const running = world.running.flatMap((one, i) => {
+    const workflow = buildWorkflow(one, `running-${i}`);
+    return placeAll(workflow, one, held) ? [workflow] : [];
+  });
+  const waitingWork = world.waiting.map((one, i) =>
+    buildWorkflow(one, `waiting-${i}`)
+  );
+  const workers = held.map((occupants, i) => ({
+    id: `worker-${i}`,
+    service: "analysis",
+    dataCentre: "dc-1",
+    rack: `rack-${Math.floor(i / RACK_SIZE)}`,
+    labels: new Set<string>(),
+    total: {
+      cpuMillis: 64_000,
+      memoryMb: 64_000,
+      accelerators: ACCELERATORS,
+    },
+    usable: true,
+    speed: 1,
+    occupants,
+  }));
+  const input = {
+    workers,
+    workflows: [...running, ...waitingWork],
+    guarantees: new Map([["hana", world.guaranteed]]),
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    remotePenalty: 3,
+    isAdvised: () => true,
+    hardLoad,
+    stopMs: 200,
+  };
+  return { input, workers };
+}
+
+/** Places all tasks of a workflow where there is room; false where there is not. */
+function placeAll(
+  workflow: Workflow.Workflow,
+  { endpoint, ageMs }: Drawn,
+  held: readonly Workflow.Task[][],
+): boolean {
+  const used = held.map((tasks) =>
+    tasks.reduce((sum, { step }) => sum + step.accelerators, 0)
+  );
+  const tasks = [...workflow.tasks];
+  const places: number[] = [];
+  for (const { step } of tasks) {
+    const at = held.findIndex((_, i) =>
+      used[(endpoint + i) % ENDPOINTS] + step.accelerators <= ACCELERATORS
+    );
+    if (at < 0) return false;
+    const place = (endpoint + at) % ENDPOINTS;
+    used[place] += step.accelerators;
+    places.push(place);
+  }
+  tasks.forEach((task, i) => {
+    task.place(`worker-${places[i]}`, 1, NOW_MS - ageMs);
+    task.state = Workflow.TaskState.Running;
+    held[places[i]].push(task);
+  });
+  return true;
+}
+
+/** A plan in words that can be compared. */
+function tell({ starts, stops, waits }: plans.Plan) {
+  const nameOf = (unit: Workflow.Unit) => unit.tasks[0].name;
+  return {
+    starts: starts.map(({ unit, workers }) => [nameOf(unit), ...workers]),
+    stops: stops.map(({ task, claimant }) => [task.name, nameOf(claimant)]),
+    waits: waits.map(({ unit, reason }) => [nameOf(unit), reason]),
+  };
+}
+
+/** Whether a unit fits once some tasks have stopped. */
+function fitsWithout(
+  unit: Workflow.Unit,
+  { workers }: Built,
+  gone: ReadonlySet<Workflow.Task>,
+): boolean {
+  const rooms = workers.map((worker) =>
+    new fleet.WorkerRoom({
+      ...worker,
+      occupants: worker.occupants.filter((task) => !gone.has(task)),
+    })
+  );
+  return placement.findAmong(unit, rooms, placement.freeNow) !== null;
+}
+
+const isSpared = (task: Workflow.Task) =>
+  stopRules.isSpared(
+    task.step.gang ? task.workflow.siblings(task) : [task],
+  );
+
+vitest.describe("stops of a plan under hard load", () => {
+  vitest.it("come with a place for their claimant, in the same plan", () => {
+    fastCheck.assert(fastCheck.property(worlds, (world) => {
+      const built = build(world, HARD);
+      const { stops, waits } = plans.makePlan(built.input);
+      const gone = new Set(stops.map(({ task }) => task));
+      for (const { claimant } of stops) {
+        const wait = waits.find(({ unit }) => unit === claimant);
+        vitest.expect(wait?.reason).toBe(waiting.WaitReason.Stops);
+        vitest.expect(fitsWithout(claimant, built, gone)).toBe(true);
+      }
+    }));
+  });
+
+  vitest.it("spare a task that was stopped often, but for guarantees", () => {
+    fastCheck.assert(fastCheck.property(worlds, (world) => {
+      const built = build({ ...world, guaranteed: 0 }, HARD);
+      const { stops } = plans.makePlan(built.input);
+      vitest.expect(stops.filter(({ task }) => isSpared(task))).toEqual([]);
+    }));
+  });
+
+  vitest.it(
+    "strike such a task for a guarantee that finds nothing else",
+    () => {
+      // One unit that is guaranteed: nothing else is planned before it.
+      const alone = worlds.map((world) => ({
+        ...world,
+        waiting: world.waiting.slice(0, 1).map((one) => ({
+          ...one,
+          gang: true,
+        })),
+        guaranteed: 1000,
+      }));
+      fastCheck.assert(fastCheck.property(alone, (world) => {
+        const built = build(world, HARD);
+        const { stops } = plans.makePlan(built.input);
+        if (!stops.some(({ task }) => isSpared(task))) return;
+        const others = built.workers.flatMap(({ occupants }) => occupants)
+          .filter((task) =>
+            !isSpared(task) && task.workflow.spec.policy.priority > 0
+          );
+        const [{ claimant }] = stops;
+        vitest.expect(fitsWithout(claimant, built, new Set(others))).toBe(
+          false,
+        );
+      }));
+    },
+  );
+});
+
+vitest.describe("a plan without hard load", () => {
+  vitest.it("does not hang on what is known for hard load", () => {
+    fastCheck.assert(fastCheck.property(worlds, (world) => {
+      const known = build(world, hardLoads.NO_HARD_LOAD).input;
+      const forgetful = build({
+        ...world,
+        running: world.running.map((one) => ({ ...one, stops: 0 })),
+        waiting: world.waiting.map((one) => ({ ...one, stops: 0 })),
+      }).input;
+      const { stopMs: _, ...former } = forgetful;
+      vitest.expect(tell(plans.makePlan(known)))
+        .toEqual(tell(plans.makePlan(former)));
+    }));
+  });
+});
--- a/packages/workflow/src/workflow_task.ts
+++ b/packages/workflow/src/workflow_task.ts
@@ -43,6 +43,8 @@
   history = histories.NO_HISTORY;
   /** Runs that were stopped because they were slow. */
   slowRuns = 0;
+  /** Stops of its runs for other work, as far as this coordinator knows. */
+  stopsForOthers = 0;
   /** Newest run that a worker has confirmed; kept for suspects only. */
   confirmedRun = 0;
   /**
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -146,6 +146,7 @@
       remotePenalty: REMOTE_PENALTY,
       isAdvised: () => true,
       hardLoad: this.#load.hardLoad,
+      stopMs: this.#load.stopMs,
     });
     for (const stop of plan.stops) this.#stop(stop);
     for (const start of plan.starts) this.#start(start);
@@ -213,6 +214,7 @@
     if (run === undefined || run.isStopped) return;
     run.isStopped = true;
     const ranMs = this.#nowMs - run.beganAtMs;
+    for (const member of run.tasks) member.stopsForOthers++;
     this.#stopsSeen.push({ task, claimant: claimant.workflow, ranMs });
     for (const member of run.tasks) {
       member.state = Workflow.TaskState.Stopping;
