Count the room of a stopping run once in a plan under hard load

Symptom: a claimant for which others stopped made others stop again some ms later. Order: two urgent units claim in one plan; the first one's victim is still running, so it is chosen again for the second one, whose claim then has room that is given away. Cause: a plan knew stops of earlier plans (the run is stopping), not its own. Evidence: the property that all claims and starts of a plan fit the fleet failed at once (25 of 24 accelerators), and fails again with the check taken out.

Used under hard load only, as work elsewhere is to be planned as before; the fault is there too.

--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -21,6 +21,8 @@
   readonly costs: Map<Workflow.Task, number>;
   /** Whether tasks that were stopped for others often enough are spared. */
   readonly sparesStopped: boolean;
+  /** Whether a task stops for another unit already; its room is given away. */
+  readonly isTaken: (task: Workflow.Task) => boolean;
 }
 
 /** Core-seconds that one accelerator-second counts for. */
@@ -144,6 +146,7 @@
   const candidates = room.worker.occupants
     .filter((task) =>
       !chosen.has(task) && isEvictable(task, context.nowMs) &&
+      !context.isTaken(task) &&
       !(context.sparesStopped && stopRules.isSpared(groupOf(task))) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -91,6 +91,7 @@
       wallMs,
       costs: new Map(),
       sparesStopped: this.#isHard,
+      isTaken: (task) => this.#isHard && this.#stops.has(task),
     };
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
--- a/packages/workflow-scheduler/src/stops_property_test.ts
+++ b/packages/workflow-scheduler/src/stops_property_test.ts
@@ -181,6 +181,26 @@
     }));
   });
 
+  vitest.it("make room for all claimants and starts together", () => {
+    fastCheck.assert(fastCheck.property(worlds, (world) => {
+      const built = build(world, HARD);
+      const { starts, stops, waits } = plans.makePlan(built.input);
+      const gone = new Set(stops.map(({ task }) => task));
+      const left = built.workers.flatMap(({ occupants }) => occupants)
+        .filter((task) => !gone.has(task));
+      const claimants = waits
+        .filter(({ reason }) => reason === waiting.WaitReason.Stops)
+        .map(({ unit }) => unit);
+      const needs = [...starts.map(({ unit }) => unit), ...claimants]
+        .reduce(
+          (sum, { step, tasks }) => sum + step.accelerators * tasks.length,
+          0,
+        );
+      const held = left.reduce((sum, { step }) => sum + step.accelerators, 0);
+      vitest.expect(needs + held).toBeLessThanOrEqual(ENDPOINTS * ACCELERATORS);
+    }));
+  });
+
   vitest.it("spare a task that was stopped often, but for guarantees", () => {
     fastCheck.assert(fastCheck.property(worlds, (world) => {
       const built = build({ ...world, guaranteed: 0 }, HARD);
