Leave room free for urgent work that will come, under hard load

From the urgent arrivals of the last 8 s a plan leaves whole endpoints free, in the emptiest racks: for what comes while a stop takes place, and one wide gang. Ordinary work without checkpoints does not start there; work with checkpoints does, and there first. At most 15% of the accelerators; none while less than 60% of the accelerators, or of them and the cores, is in use: no job may stand still beside room for it twice over. cairngate_endpoints_kept shows it.

--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -39,6 +39,7 @@
   readonly #parts: PlanningParts;
   readonly #standstills: standstills.StandstillWatch;
   readonly #stops: stopBooks.StopBook;
+  readonly #urgent = new Scheduler.UrgentArrivals();
   /** Time that the last plan took. */
   #planMs = 0;
   #signal = Deferred.makeUnsafe<void>();
@@ -85,6 +86,7 @@
       return this.#standstills.clear();
     }
     const workers = directory.states();
+    this.#urgent.note(workflows);
     const plan = Scheduler.makePlan(this.#inputOf(workers, workflows));
     this.#standstills.take({
       waits: [...plan.waits, ...unrecorded],
@@ -97,6 +99,7 @@
     this.#askAdvice(plan, workers);
     this.#planMs = clock.monotonicMs() - startedAtMs;
     metrics.observeMs("cairngate_plan_seconds", this.#planMs);
+    metrics.set("cairngate_endpoints_kept", plan.kept);
   }
 
   #waitsForRecords(): Scheduler.WaitDecision[] {
@@ -122,6 +125,7 @@
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
       hardLoad: this.#parts.hardLoad.load,
       stopMs: bounds.stopMs,
+      urgentTraffic: (service) => this.#urgent.of(service, clock.wallMs()),
     };
   }
 
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -16,3 +16,5 @@
 } from "./src/plan.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
+export { UrgentArrivals } from "./src/urgent_arrivals.ts";
+export { type UrgentTraffic } from "./src/urgent_room.ts";
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -4,11 +4,13 @@
 import * as fleet from "./fleet.ts";
 import * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
+import * as keptRooms from "./kept_rooms.ts";
 import * as placement from "./placement.ts";
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
 import * as stopRules from "./stop_rules.ts";
+import * as urgentRoom from "./urgent_room.ts";
 import * as waiting from "./wait_reason.ts";
 
 const { WaitReason } = waiting;
@@ -29,6 +31,8 @@
   readonly hardLoad?: hardLoads.HardLoad;
   /** Time that a stop takes at most, in ms; left out: none. */
   readonly stopMs?: number;
+  /** Urgent work of a service as it came lately; left out: none. */
+  readonly urgentTraffic?: (service: string) => urgentRoom.UrgentTraffic;
 }
 
 /** Start these tasks on these workers. */
@@ -49,6 +53,8 @@
   readonly starts: readonly StartDecision[];
   readonly stops: readonly StopDecision[];
   readonly waits: readonly waiting.WaitDecision[];
+  /** Endpoints that were left free for urgent work. */
+  readonly kept: number;
 }
 
 /** Decides for all units that are ready. */
@@ -74,8 +80,9 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
-  /** Whether stops are weighed for hard load. */
+  /** Whether stops are weighed, and room is kept, for hard load. */
   readonly #isHard: boolean;
+  readonly #kept: keptRooms.KeptRooms;
   #reserved = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
@@ -96,6 +103,15 @@
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+    const { NO_URGENT_TRAFFIC } = urgentRoom;
+    this.#kept = new keptRooms.KeptRooms({
+      rooms: this.#rooms,
+      trafficOf: (service) =>
+        this.#isHard
+          ? input.urgentTraffic?.(service) ?? NO_URGENT_TRAFFIC
+          : NO_URGENT_TRAFFIC,
+      stopMs: this.#stopMs,
+    });
   }
 
   /** Time that stops are reckoned to take, in ms; none without hard load. */
@@ -115,6 +131,7 @@
       starts: this.#starts,
       stops: [...this.#stops.values()],
       waits: this.#waits,
+      kept: this.#kept.size,
     };
   }
 
@@ -135,7 +152,7 @@
     if (this.#blocked.has(siblings)) return;
     const all = { ...first, tasks: units.flatMap(({ tasks }) => tasks) };
     const rooms = this.#roomsFor(all);
-    const places = this.#findForEach(all, rooms);
+    const places = this.#findForEach(all, this.#kept.openFor(all, rooms));
     places.forEach((room, i) => this.#start(units[i], [room]));
     for (const unit of units.slice(places.length)) {
       this.#decideWithoutRoom(unit, rooms);
@@ -149,7 +166,7 @@
     rooms: readonly fleet.WorkerRoom[],
   ): placement.Places {
     const near = placement.nearWorkers(all, rooms);
-    const places = placement.findForEach(all, near, placement.freeNow);
+    const places = this.#kept.fill(all, near);
     const isFull = places.length === all.tasks.length;
     if (isFull || near === rooms) return places;
     const one = { ...all, tasks: all.tasks.slice(0, 1) };
@@ -157,17 +174,14 @@
     const rest = { ...all, tasks: all.tasks.slice(places.length) };
     const nearRooms = new Set(near);
     const others = rooms.filter((room) => !nearRooms.has(room));
-    return [
-      ...places,
-      ...placement.findForEach(rest, others, placement.freeNow),
-    ];
+    return [...places, ...this.#kept.fill(rest, others)];
   }
 
   #decide(unit: Workflow.Unit): void {
     const siblings = unit.workflow.siblings(unit.tasks[0]);
     if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
     const rooms = this.#roomsFor(unit);
-    const places = this.#findFree(unit, rooms);
+    const places = this.#findFree(unit, this.#kept.openFor(unit, rooms));
     if (places !== null) return this.#start(unit, places);
     this.#decideWithoutRoom(unit, rooms);
   }
--- a/packages/workflow-scheduler/src/stops_property_test.ts
+++ b/packages/workflow-scheduler/src/stops_property_test.ts
@@ -46,6 +46,7 @@
   running: fastCheck.array(drawn, { maxLength: 14 }),
   waiting: fastCheck.array(drawn, { minLength: 1, maxLength: 6 }),
   guaranteed: fastCheck.nat(24),
+  acceleratorsPerSecond: fastCheck.nat(20),
 });
 
 type World = typeof worlds extends fastCheck.Arbitrary<infer W> ? W : never;
@@ -95,6 +96,7 @@
     speed: 1,
     occupants,
   }));
+  const { acceleratorsPerSecond } = world;
   const input = {
     workers,
     workflows: [...running, ...waitingWork],
@@ -105,6 +107,7 @@
     isAdvised: () => true,
     hardLoad,
     stopMs: 200,
+    urgentTraffic: () => ({ acceleratorsPerSecond, wideAccelerators: 4 }),
   };
   return { input, workers };
 }
@@ -247,7 +250,7 @@
         running: world.running.map((one) => ({ ...one, stops: 0 })),
         waiting: world.waiting.map((one) => ({ ...one, stops: 0 })),
       }).input;
-      const { stopMs: _, ...former } = forgetful;
+      const { stopMs: _, urgentTraffic: __, ...former } = forgetful;
       vitest.expect(tell(plans.makePlan(known)))
         .toEqual(tell(plans.makePlan(former)));
     }));
--- /dev/null
+++ b/packages/workflow-scheduler/src/urgent_arrivals.ts
@@ -0,0 +1,63 @@
+/** Remembers what urgent work came lately, to tell what will come. */
+import type * as Workflow from "@cairngate/workflow";
+import * as rank from "./rank.ts";
+import type * as urgentRoom from "./urgent_room.ts";
+
+interface Arrival {
+  readonly service: string;
+  readonly atWallMs: number;
+  readonly accelerators: number;
+}
+
+/**
+ * Time over which arrivals are counted, in ms: demand swings within some 10 s, and a
+ * coordinator that takes over has to know it within seconds.
+ */
+const WINDOW_MS = 8000;
+/** Arrivals that are remembered at most; older ones go first. */
+const MOST_ARRIVALS = 1000;
+/** Share of the arrivals that are at most as wide as a wide one. */
+const WIDE_SHARE = 0.9;
+
+/** Urgent arrivals of the last seconds. */
+export class UrgentArrivals {
+  readonly #seen = new WeakSet<Workflow.Workflow>();
+  #arrivals: Arrival[] = [];
+
+  /** Takes in workflows that have not ended; known ones are passed over. */
+  note(workflows: Iterable<Workflow.Workflow>): void {
+    for (const workflow of workflows) {
+      if (workflow.spec.policy.priority > 0) continue;
+      if (this.#seen.has(workflow)) continue;
+      this.#seen.add(workflow);
+      this.#arrivals.push(arrivalOf(workflow));
+    }
+    if (this.#arrivals.length <= MOST_ARRIVALS) return;
+    this.#arrivals = this.#arrivals.slice(-MOST_ARRIVALS);
+  }
+
+  /** Urgent work of a service as it came lately. */
+  of(service: string, wallMs: number): urgentRoom.UrgentTraffic {
+    this.#arrivals = this.#arrivals.filter(({ atWallMs }) =>
+      atWallMs > wallMs - WINDOW_MS
+    );
+    const own = this.#arrivals.filter((one) => one.service === service);
+    const widths = own.map(({ accelerators }) => accelerators)
+      .sort((a, b) => a - b);
+    const sum = widths.reduce((total, one) => total + one, 0);
+    return {
+      acceleratorsPerSecond: sum * 1000 / WINDOW_MS,
+      wideAccelerators: widths[Math.floor((widths.length - 1) * WIDE_SHARE)] ??
+        0,
+    };
+  }
+}
+
+function arrivalOf(workflow: Workflow.Workflow): Arrival {
+  const { policy, acceptedAtMs } = workflow.spec;
+  return {
+    service: policy.service,
+    atWallMs: acceptedAtMs,
+    accelerators: rank.acceleratorsOf(workflow),
+  };
+}
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -82,6 +82,7 @@
   readonly #stops: { run: Run; atMs: number }[] = [];
   readonly #served: Served[] = [];
   readonly #stopsSeen: StopSeen[] = [];
+  readonly #urgent = new Scheduler.UrgentArrivals();
   #nowMs = 0;
   #thrownAway = 0;
   #plans = 0;
@@ -137,6 +138,7 @@
 
   #plan(): void {
     const states = this.#endpoints.map((one) => this.#stateOf(one));
+    this.#urgent.note(this.#live.keys());
     const plan = Scheduler.makePlan({
       workers: states,
       workflows: [...this.#live.keys()],
@@ -147,6 +149,7 @@
       isAdvised: () => true,
       hardLoad: this.#load.hardLoad,
       stopMs: this.#load.stopMs,
+      urgentTraffic: (service) => this.#urgent.of(service, this.#nowMs),
     });
     for (const stop of plan.stops) this.#stop(stop);
     for (const start of plan.starts) this.#start(start);
