--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -8,6 +8,7 @@
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
 import * as stopBooks from "../load/stop_book.ts";
+import type * as shareBooks from "../load/share_book.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
@@ -19,6 +20,7 @@
   readonly control: controls.RunControl;
   readonly advice: advice.AdviceBook;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly shares: shareBooks.ShareBook;
   /** Workflows of which something may start. */
   readonly live: () => readonly Workflow.Workflow[];
   /** Workflows of which nothing may start before their records are there. */
@@ -126,6 +128,7 @@
       hardLoad: this.#parts.hardLoad.load,
       stopMs: bounds.stopMs,
       urgentTraffic: (service) => this.#urgent.of(service, clock.wallMs()),
+      shares: this.#parts.shares.shares,
     };
   }
 
@@ -144,6 +147,7 @@
     );
     metrics.count("cairngate_yields_total");
     this.#stops.stopped(decision, clock.monotonicMs());
+    this.#parts.shares.noteYield(task);
     this.#parts.control.stop(task);
     if (task.state === Workflow.TaskState.Stopping) task.stopsForOthers++;
   }
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -18,3 +18,17 @@
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
 export { UrgentArrivals } from "./src/urgent_arrivals.ts";
 export { type UrgentTraffic } from "./src/urgent_room.ts";
+export {
+  type Amounts as TeamAmounts,
+  decayUse,
+  HALF_LIFE_MS,
+  isBelowShare,
+  judgeShares,
+  levelIn,
+  ShareLevel,
+  sharesHeld,
+  type TeamShare,
+  type TeamShares,
+  weightsOf,
+} from "./src/team_shares.ts";
+export { acceleratorsOf, Hope, hopeOf, Ranks } from "./src/rank.ts";
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -4,6 +4,8 @@
 import * as placement from "./placement.ts";
 import type * as rank from "./rank.ts";
 import * as stopRules from "./stop_rules.ts";
+import type * as teamShares from "./team_shares.ts";
+import * as victims from "./victim_cost.ts";
 
 /** Places for a unit and the tasks that have to stop first. */
 export interface Eviction {
@@ -23,6 +25,8 @@
   readonly sparesStopped: boolean;
   /** Whether a task stops for another unit already; its room is given away. */
   readonly isTaken: (task: Workflow.Task) => boolean;
+  /** What teams have had; null where that does not count. */
+  readonly shares: teamShares.TeamShares | null;
 }
 
 /** Core-seconds that one accelerator-second counts for. */
@@ -150,7 +154,13 @@
       !(context.sparesStopped && stopRules.isSpared(groupOf(task))) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
-    .map((task) => ({ task, cost: knownCost(task, context) }))
+    .map((task) => ({
+      task,
+      cost: victims.weighCost(
+        { cost: knownCost(task, context), task, claimant: unit.workflow },
+        context,
+      ),
+    }))
     .sort((a, b) => a.cost - b.cost);
   const picked: Workflow.Task[] = [];
   let cost = 0;
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -11,6 +11,7 @@
 import * as retry from "./retry_pause.ts";
 import * as stopRules from "./stop_rules.ts";
 import * as urgentRoom from "./urgent_room.ts";
+import type * as teamShares from "./team_shares.ts";
 import * as waiting from "./wait_reason.ts";
 
 const { WaitReason } = waiting;
@@ -33,6 +34,8 @@
   readonly stopMs?: number;
   /** Urgent work of a service as it came lately; left out: none. */
   readonly urgentTraffic?: (service: string) => urgentRoom.UrgentTraffic;
+  /** What teams have had; counts only where teams compete. Left out: not known. */
+  readonly shares?: teamShares.TeamShares;
 }
 
 /** Start these tasks on these workers. */
@@ -83,6 +86,10 @@
   /** Whether stops are weighed, and room is kept, for hard load. */
   readonly #isHard: boolean;
   readonly #kept: keptRooms.KeptRooms;
+  /** Null where shares do not count. */
+  readonly #shares: teamShares.TeamShares | null;
+  /** Units behind others that come later by their objectives. */
+  #passedOver: ReadonlySet<Workflow.Unit> = new Set();
   #reserved = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
@@ -92,6 +99,8 @@
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
     this.#isHard = hardLoads.isHard(input.hardLoad);
+    const teamsCompete = input.hardLoad?.teamsCompete === true;
+    this.#shares = teamsCompete ? input.shares ?? null : null;
     this.#evictions = {
       ranks: this.#ranks,
       nowMs,
@@ -99,6 +108,7 @@
       costs: new Map(),
       sparesStopped: this.#isHard,
       isTaken: (task) => this.#isHard && this.#stops.has(task),
+      shares: this.#shares,
     };
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
@@ -125,8 +135,12 @@
       units.push(...workflow.readyUnits(this.#input.wallMs));
     }
     const ready = units.filter((unit) => !this.#pauses(unit));
-    const sorted = rank.sortUnits(ready, this.#ranks, this.#input.wallMs);
-    for (const units of groupSiblings(sorted)) this.#decideAll(units);
+    const sorted = rank.sortUnits(ready, this.#ranks, {
+      wallMs: this.#input.wallMs,
+      shares: this.#shares,
+    });
+    this.#passedOver = sorted.passedOver;
+    for (const some of groupSiblings(sorted.units)) this.#decideAll(some);
     return {
       starts: this.#starts,
       stops: [...this.#stops.values()],
@@ -218,7 +232,8 @@
       fleet.isEligible(worker, unit)
     );
     if (eligible.length === 0) return WaitReason.Endpoints;
-    if (!this.#isIdle) return WaitReason.Room;
+    const isPassedOver = this.#passedOver.has(unit);
+    if (!this.#isIdle) return isPassedOver ? WaitReason.Share : WaitReason.Room;
     const fitsAmong = (
       some: readonly fleet.WorkerRoom[],
       roomOf: placement.RoomOf,
@@ -227,6 +242,7 @@
     const steady = retry.roomsWithoutDoubt(unit, eligible, nowMs);
     if (fitsAmong(steady, placement.freeNow)) return WaitReason.OwnEndpoint;
     if (fitsAmong(eligible, placement.freeNow)) return WaitReason.Doubt;
+    if (isPassedOver) return WaitReason.Share;
     return fitsAmong(eligible, placement.freeBefore)
       ? WaitReason.Reserved
       : WaitReason.Room;
