--- a/packages/coordinator/src/election/forecast_sight_test.ts
+++ b/packages/coordinator/src/election/forecast_sight_test.ts
@@ -22,6 +22,14 @@
     vitest.expect(leases.readLease(12)).toBe(null);
   });
 
+  vitest.it("tells when it was sent, with and without a forecast", () => {
+    vitest.expect(leases.renewedAtMs(renewal(1234.4))).toBe(1234);
+    vitest.expect(leases.renewedAtMs(12)).toBe(12);
+    for (const odd of [null, undefined, {}, "", "x 1 {}"]) {
+      vitest.expect(leases.renewedAtMs(odd)).toBe(null);
+    }
+  });
+
   vitest.it("differs with each renewal, and compares by value", () => {
     vitest.expect(renewal(1)).not.toBe(renewal(2));
     vitest.expect(renewal(1)).toBe(renewal(1));
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -36,6 +36,8 @@
   readonly dataCentre: string;
   readonly rack: string;
   readonly usable: boolean;
+  /** Speed beside the other endpoints; 1 is the usual one. */
+  readonly speed: number;
   readonly runs: readonly string[];
 }
 
@@ -83,6 +85,8 @@
   readonly hardLoad: Scheduler.HardLoad;
   /** Stops for other work in this term, by what came of them. */
   readonly stops: stopBooks.StopCounts;
+  /** What runs of each queue took against their estimates. */
+  readonly estimates: readonly Scheduler.EstimateWorth[];
   /** Shares of teams; empty where teams do not compete. */
   readonly teamShares: readonly TeamShareDump[];
   /** Room that boxes admit work by; null without hard load. */
@@ -150,9 +154,9 @@
 
 /** Describes one worker. */
 export function describeWorker(worker: Scheduler.WorkerState): WorkerDump {
-  const { id, dataCentre, rack, usable, occupants } = worker;
+  const { id, dataCentre, rack, usable, speed, occupants } = worker;
   const runs = occupants.map(({ name, run }) => `${name}@${run}`);
-  return { id, dataCentre, rack, usable, runs };
+  return { id, dataCentre, rack, usable, speed, runs };
 }
 
 /** Describes the data centres in which nothing starts. */
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -8,6 +8,7 @@
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
 import * as stopBooks from "../load/stop_book.ts";
+import type * as estimates from "../load/run_estimates.ts";
 import type * as shareBooks from "../load/share_book.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
@@ -20,6 +21,7 @@
   readonly control: controls.RunControl;
   readonly advice: advice.AdviceBook;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly estimates: estimates.RunEstimates;
   readonly shares: shareBooks.ShareBook;
   /** Workflows of which something may start. */
   readonly live: () => readonly Workflow.Workflow[];
@@ -36,6 +38,13 @@
 /** A plan that took long is followed by a pause this many times as long. */
 const PLAN_PAUSE = 3;
 
+const SLOW_SENTENCE_OF: Readonly<Record<Scheduler.SlowReason, string>> = {
+  [Scheduler.SlowReason.Taken]:
+    "on slow endpoints, on which it ends late: fast ones are in use",
+  [Scheduler.SlowReason.TooLate]:
+    "so late that no endpoint is fast enough for its objective",
+};
+
 /** Plans for one term. */
 export class Planning {
   readonly #parts: PlanningParts;
@@ -128,12 +137,19 @@
       hardLoad: this.#parts.hardLoad.load,
       stopMs: bounds.stopMs,
       urgentTraffic: (service) => this.#urgent.of(service, clock.wallMs()),
+      corrections: this.#parts.estimates.corrections,
       shares: this.#parts.shares.shares,
     };
   }
 
   #start(decision: Scheduler.StartDecision): void {
     this.#stops.started(decision);
+    const { unit: { workflow: { spec } }, slow } = decision;
+    if (slow !== undefined) {
+      const { log, metrics } = this.#parts.ports;
+      metrics.count("cairngate_slow_places_total", { reason: slow });
+      log.info(`Urgent workflow ${spec.id} starts ${SLOW_SENTENCE_OF[slow]}.`);
+    }
     this.#parts.control.start(decision);
   }
 
--- a/packages/workflow-scheduler/src/kept_rooms.ts
+++ b/packages/workflow-scheduler/src/kept_rooms.ts
@@ -4,6 +4,12 @@
 import * as placement from "./placement.ts";
 import * as urgentRoom from "./urgent_room.ts";
 
+/** Finds places among some rooms for as many tasks of a unit as there is room for. */
+export type FindForEach = (
+  unit: Workflow.Unit,
+  rooms: readonly fleet.WorkerRoom[],
+) => placement.Places;
+
 /** What the choice is made from. */
 export interface KeptRoomsOptions {
   readonly rooms: readonly fleet.WorkerRoom[];
@@ -45,15 +51,16 @@
   fill(
     unit: Workflow.Unit,
     rooms: readonly fleet.WorkerRoom[],
+    find: FindForEach = findAny,
   ): placement.Places {
     const { priority, service } = unit.workflow.spec.policy;
     const isCheap = priority > 0 && unit.step.checkpoints;
     const kept = isCheap ? this.#of(service) : new Set<fleet.WorkerRoom>();
-    const first = fillAll(unit, rooms.filter((room) => kept.has(room)));
+    const first = find(unit, rooms.filter((room) => kept.has(room)));
     const tasks = unit.tasks.slice(first.length);
     if (tasks.length === 0) return first;
     const others = rooms.filter((room) => !kept.has(room));
-    return [...first, ...fillAll({ ...unit, tasks }, others)];
+    return [...first, ...find({ ...unit, tasks }, others)];
   }
 
   #of(service: string): ReadonlySet<fleet.WorkerRoom> {
@@ -69,7 +76,7 @@
   }
 }
 
-function fillAll(
+function findAny(
   unit: Workflow.Unit,
   rooms: readonly fleet.WorkerRoom[],
 ): placement.Places {
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -1,6 +1,7 @@
 /** Makes a plan: which units start where, and which tasks stop for them. */
 import * as Workflow from "@cairngate/workflow";
 import * as eviction from "./eviction.ts";
+import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
 import * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
@@ -11,6 +12,10 @@
 import * as retry from "./retry_pause.ts";
 import * as stopRules from "./stop_rules.ts";
 import * as urgentRoom from "./urgent_room.ts";
+import * as slowPlaces from "./slow_place.ts";
+import * as runTimes from "./run_times.ts";
+import * as bands from "./speed_bands.ts";
+import * as speedClaims from "./speed_claims.ts";
 import type * as teamShares from "./team_shares.ts";
 import * as waiting from "./wait_reason.ts";
 
@@ -34,6 +39,8 @@
   readonly stopMs?: number;
   /** Urgent work of a service as it came lately; left out: none. */
   readonly urgentTraffic?: (service: string) => urgentRoom.UrgentTraffic;
+  /** What runs of each queue took against their estimates; left out: as estimated. */
+  readonly corrections?: outlooks.Corrections;
   /** What teams have had; counts only where teams compete. Left out: not known. */
   readonly shares?: teamShares.TeamShares;
 }
@@ -43,6 +50,8 @@
   readonly unit: Workflow.Unit;
   /** Worker of each task, in the order of the tasks. */
   readonly workers: readonly string[];
+  /** Why urgent work starts where it will be late; left out: it does not. */
+  readonly slow?: slowPlaces.SlowReason;
 }
 
 /** Stop this task so that a more urgent unit fits. */
@@ -86,11 +95,15 @@
   /** Whether stops are weighed, and room is kept, for hard load. */
   readonly #isHard: boolean;
   readonly #kept: keptRooms.KeptRooms;
+  readonly #endings: reservation.EndingContext;
+  readonly #times: runTimes.RunTimes;
   /** Null where shares do not count. */
   readonly #shares: teamShares.TeamShares | null;
   /** Units behind others that come later by their objectives. */
   #passedOver: ReadonlySet<Workflow.Unit> = new Set();
   #reserved = 0;
+  /** Searches for ends that come in time; each looks at all runs. */
+  #endSearches = 0;
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
@@ -101,6 +114,10 @@
     this.#isHard = hardLoads.isHard(input.hardLoad);
     const teamsCompete = input.hardLoad?.teamsCompete === true;
     this.#shares = teamsCompete ? input.shares ?? null : null;
+    this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
+    this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
+    this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+    this.#times = new runTimes.RunTimes(input);
     this.#evictions = {
       ranks: this.#ranks,
       nowMs,
@@ -109,10 +126,9 @@
       sparesStopped: this.#isHard,
       isTaken: (task) => this.#isHard && this.#stops.has(task),
       shares: this.#shares,
+      leftMs: (task, ranMs) => this.#times.leftMs(task, ranMs),
     };
-    this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
-    this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
-    this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
+    this.#endings = { nowMs, runMs: (task) => this.#times.runMs(task) };
     const { NO_URGENT_TRAFFIC } = urgentRoom;
     this.#kept = new keptRooms.KeptRooms({
       rooms: this.#rooms,
@@ -138,6 +154,7 @@
     const sorted = rank.sortUnits(ready, this.#ranks, {
       wallMs: this.#input.wallMs,
       shares: this.#shares,
+      hopeOf: (unit) => this.#times.hopeOf(unit),
     });
     this.#passedOver = sorted.passedOver;
     for (const some of groupSiblings(sorted.units)) this.#decideAll(some);
@@ -180,7 +197,7 @@
     rooms: readonly fleet.WorkerRoom[],
   ): placement.Places {
     const near = placement.nearWorkers(all, rooms);
-    const places = this.#kept.fill(all, near);
+    const places = this.#findForEachNear(all, near);
     const isFull = places.length === all.tasks.length;
     if (isFull || near === rooms) return places;
     const one = { ...all, tasks: all.tasks.slice(0, 1) };
@@ -191,11 +208,73 @@
     return [...places, ...this.#kept.fill(rest, others)];
   }
 
+  /** Where speeds differ, endpoints on which the tasks end in time come first. */
+  #findForEachNear(
+    all: Workflow.Unit,
+    near: readonly fleet.WorkerRoom[],
+  ): placement.Places {
+    const { outlook } = this.#times;
+    if (outlook === null) {
+      return this.#kept.fill(all, near);
+    }
+    const needed = outlook.neededSpeed(all, this.#input.wallMs);
+    return this.#kept.fill(
+      all,
+      near,
+      (unit, rooms) => bands.findForEachFast(unit, rooms, needed),
+    );
+  }
+
+  /** Places a unit on endpoints that are fast enough, or gets them for it. */
+  #decideBySpeed(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): boolean {
+    const { outlook } = this.#times;
+    if (outlook === null) return false;
+    const isGuaranteed = this.#isGuaranteed(unit);
+    const claim = speedClaims.findFast(unit, rooms, {
+      outlook,
+      evictions: this.#evictions,
+      endings: this.#endings,
+      mayClaim: this.#mayClaim(unit) &&
+        (!isGuaranteed || this.#waitedMs(unit) < outlooks.STOP_MS),
+      // A guarantee is for room at once, whatever its speed.
+      mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
+      isWorth: (found) => isGuaranteed || found.cost <= eviction.workOf(unit),
+    });
+    if (claim === null) return false;
+    this.#carryOut(unit, claim);
+    return true;
+  }
+
+  /**
+   * Time for which a unit has waited since it fell due. A guarantee holds out for fast
+   * room no longer than stops take: what is being freed may never come, as where an
+   * endpoint has fallen silent.
+   */
+  #waitedMs({ workflow, round }: Workflow.Unit): number {
+    return this.#input.wallMs - Workflow.dueAtMs(workflow.spec, round);
+  }
+
+  #carryOut(unit: Workflow.Unit, claim: speedClaims.Claim): void {
+    if (claim.way === speedClaims.Way.Stops) {
+      return this.#makeYield(unit, claim.found);
+    }
+    const { places } = claim;
+    if (claim.way === speedClaims.Way.Free) return this.#start(unit, places);
+    if (claim.way === speedClaims.Way.Soon) return this.#reserve(unit, places);
+    for (const room of places) room.claim(unit, 1);
+    this.#waits.push({ unit, reason: WaitReason.Room });
+  }
+
   #decide(unit: Workflow.Unit): void {
     const siblings = unit.workflow.siblings(unit.tasks[0]);
     if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
     const rooms = this.#roomsFor(unit);
-    const places = this.#findFree(unit, this.#kept.openFor(unit, rooms));
+    const open = this.#kept.openFor(unit, rooms);
+    if (this.#decideBySpeed(unit, open)) return;
+    const places = this.#findFree(unit, open);
     if (places !== null) return this.#start(unit, places);
     this.#decideWithoutRoom(unit, rooms);
   }
@@ -260,7 +339,11 @@
   }
 
   get #moment(): stopRules.StopMoment {
-    return { wallMs: this.#input.wallMs, stopMs: this.#stopMs };
+    return {
+      wallMs: this.#input.wallMs,
+      stopMs: this.#stopMs,
+      hopeAfter: (unit, laterMs) => this.#times.hopeOf(unit, laterMs),
+    };
   }
 
   /** Keeps the room that a waiting gang will get first from later units. */
@@ -270,10 +353,10 @@
   ): void {
     const isDue = unit.step.gang && !this.#isIdle;
     if (!isDue || this.#reserved >= MOST_RESERVED) return;
-    const places = reservation.findEarliest(unit, rooms, this.#input.nowMs);
-    if (places === null) return;
+    const found = reservation.findEarliest(unit, rooms, this.#endings);
+    if (found === null) return;
     this.#reserved++;
-    for (const room of places) room.claim(unit, 1);
+    for (const room of found.places) room.claim(unit, 1);
   }
 
   #roomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
@@ -322,7 +405,18 @@
     const workers = places.map((room) => room.worker.id);
     for (const room of places) room.claim(unit, 1);
     if (isolation.isSuspect(unit)) { for (const room of places) room.close(); }
-    this.#starts.push({ unit, workers });
+    const slow = this.#slowReason(unit, places);
+    this.#starts.push({ unit, workers, ...(slow === null ? {} : { slow }) });
+  }
+
+  #slowReason(
+    unit: Workflow.Unit,
+    places: placement.Places,
+  ): slowPlaces.SlowReason | null {
+    const { outlook } = this.#times;
+    if (outlook === null) return null;
+    const { wallMs } = this.#input;
+    return slowPlaces.slowReason(unit, places, { outlook, wallMs });
   }
 
   /** Keeps room that is being freed, or makes others yield. */
@@ -331,11 +425,19 @@
     rooms: readonly fleet.WorkerRoom[],
   ): boolean {
     const soon = placement.findNear(unit, rooms, placement.freeSoon);
-    if (soon !== null) return this.#reserve(unit, soon);
+    if (soon !== null) {
+      this.#reserve(unit, soon);
+      return true;
+    }
     const found = this.#findEviction(unit, rooms);
     if (found === null || !this.#isWorth(unit, found)) return false;
+    this.#makeYield(unit, found);
+    return true;
+  }
+
+  #makeYield(unit: Workflow.Unit, found: eviction.Eviction): void {
     for (const victim of found.victims) this.#stop(victim, unit);
-    return this.#reserve(unit, found.places);
+    this.#reserve(unit, found.places);
   }
 
   /** Work that was stopped often is spared, unless a guarantee finds nothing else. */
@@ -360,10 +462,9 @@
     return !this.#isHard || !stopRules.mayWaitForCheaper(unit, this.#moment);
   }
 
-  #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
+  #reserve(unit: Workflow.Unit, places: placement.Places): void {
     for (const room of places) room.claim(unit, 1);
     this.#waits.push({ unit, reason: WaitReason.Stops });
-    return true;
   }
 
   #stop(task: Workflow.Task, claimant: Workflow.Unit): void {
--- a/packages/workflow-scheduler/src/stop_rules.ts
+++ b/packages/workflow-scheduler/src/stop_rules.ts
@@ -10,6 +10,8 @@
   readonly wallMs: number;
   /** Time that a stop takes at most, in ms. */
   readonly stopMs: number;
+  /** What a unit can still reach if it starts some time later. */
+  readonly hopeAfter: (unit: Workflow.Unit, laterMs: number) => rank.Hope;
 }
 
 /**
@@ -26,9 +28,9 @@
 /** Whether a unit can still end in time if it starts only once others have stopped. */
 export function helpsInTime(
   unit: Workflow.Unit,
-  { wallMs, stopMs }: StopMoment,
+  { stopMs, hopeAfter }: StopMoment,
 ): boolean {
-  return rank.hopeOf(unit, wallMs + stopMs) === rank.Hope.InTime;
+  return hopeAfter(unit, stopMs) === rank.Hope.InTime;
 }
 
 /**
@@ -44,11 +46,11 @@
  */
 export function mayWaitForCheaper(
   unit: Workflow.Unit,
-  { wallMs, stopMs }: StopMoment,
+  { wallMs, stopMs, hopeAfter }: StopMoment,
 ): boolean {
   const waitedMs = wallMs - Workflow.dueAtMs(unit.workflow.spec, unit.round);
   // Before its due time clocks disagree, and nobody knows how long it has waited.
   if (waitedMs < 0 || waitedMs >= MOST_WAIT_MS) return false;
-  const latestMs = wallMs + MOST_WAIT_MS - waitedMs;
-  return helpsInTime(unit, { wallMs: latestMs, stopMs });
+  const latestMs = MOST_WAIT_MS - waitedMs + stopMs;
+  return hopeAfter(unit, latestMs) === rank.Hope.InTime;
 }
