--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -3,6 +3,7 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
+import type * as stopBooks from "../load/stop_book.ts";
 import type * as directories from "../endpoints/worker_directory.ts";
 import * as sentences from "./run_sentences.ts";
 
@@ -82,6 +83,8 @@
   readonly guarantees: GuaranteeDump;
   /** Kinds of hard load that the decisions take into account. */
   readonly hardLoad: Scheduler.HardLoad;
+  /** Stops for other work in this term, by what came of them. */
+  readonly stops: stopBooks.StopCounts;
   /** What runs of each queue took against their estimates. */
   readonly estimates: readonly Scheduler.EstimateWorth[];
   /** Shares of teams; empty where teams do not compete. */
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -1,5 +1,5 @@
 /** Makes plans when something has changed, and hands them on. */
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -7,6 +7,7 @@
 import * as guarantees from "./guarantee_watch.ts";
 import type * as ports from "../ports.ts";
 import type * as hardLoads from "../load/hard_load_watch.ts";
+import * as stopBooks from "../load/stop_book.ts";
 import type * as estimates from "../load/run_estimates.ts";
 import type * as shareBooks from "../load/share_book.ts";
 import type * as controls from "./run_control.ts";
@@ -48,6 +49,8 @@
 export class Planning {
   readonly #parts: PlanningParts;
   readonly #standstills: standstills.StandstillWatch;
+  readonly #stops: stopBooks.StopBook;
+  readonly #urgent = new Scheduler.UrgentArrivals();
   /** Time that the last plan took. */
   #planMs = 0;
   #signal = Deferred.makeUnsafe<void>();
@@ -55,6 +58,7 @@
   constructor(parts: PlanningParts) {
     this.#parts = parts;
     this.#standstills = new standstills.StandstillWatch(parts.ports);
+    this.#stops = new stopBooks.StopBook(parts.ports.metrics);
   }
 
   /** Something has changed: plan soon. */
@@ -67,6 +71,11 @@
     return this.#standstills.of(id);
   }
 
+  /** What came of stops for other work. */
+  get stopCounts(): stopBooks.StopCounts {
+    return this.#stops.counts;
+  }
+
   /** Plans for ever. */
   run(): Effect.Effect<never> {
     const { clock } = this.#parts.ports;
@@ -74,6 +83,7 @@
       yield* clock.within(REPLAN_MS, Deferred.await(this.#signal));
       this.#signal = Deferred.makeUnsafe<void>();
       yield* clock.sleep(Math.max(GATHER_MS, this.#planMs * PLAN_PAUSE));
+      this.#stops.look(clock.wallMs());
       if (this.#parts.prepare()) this.#plan();
     }));
   }
@@ -87,6 +97,7 @@
       return this.#standstills.clear();
     }
     const workers = directory.states();
+    this.#urgent.note(workflows);
     const plan = Scheduler.makePlan(this.#inputOf(workers, workflows));
     this.#standstills.take({
       waits: [...plan.waits, ...unrecorded],
@@ -99,6 +110,7 @@
     this.#askAdvice(plan, workers);
     this.#planMs = clock.monotonicMs() - startedAtMs;
     metrics.observeMs("cairngate_plan_seconds", this.#planMs);
+    metrics.set("cairngate_endpoints_kept", plan.kept);
   }
 
   #waitsForRecords(): Scheduler.WaitDecision[] {
@@ -123,12 +135,15 @@
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, worker) => book.ticket(unit, worker) !== null,
       hardLoad: this.#parts.hardLoad.load,
+      stopMs: bounds.stopMs,
+      urgentTraffic: (service) => this.#urgent.of(service, clock.wallMs()),
       corrections: this.#parts.estimates.corrections,
       shares: this.#parts.shares.shares,
     };
   }
 
   #start(decision: Scheduler.StartDecision): void {
+    this.#stops.started(decision);
     const { unit: { workflow: { spec } }, slow } = decision;
     if (slow !== undefined) {
       const { log, metrics } = this.#parts.ports;
@@ -147,8 +162,10 @@
         `${claimant.workflow.spec.id}; checkpoints: ${task.step.checkpoints}.`,
     );
     metrics.count("cairngate_yields_total");
+    this.#stops.stopped(decision, clock.monotonicMs());
     this.#parts.shares.noteYield(task);
     this.#parts.control.stop(task);
+    if (task.state === Workflow.TaskState.Stopping) task.stopsForOthers++;
   }
 
   /** Asks about the first unit that waits for advice. */
--- a/packages/workflow-scheduler/mod.ts
+++ b/packages/workflow-scheduler/mod.ts
@@ -23,6 +23,8 @@
 export { SlowReason } from "./src/slow_place.ts";
 export { countRoom, type RoomCount } from "./src/count_room.ts";
 export { type WaitDecision, WaitReason } from "./src/wait_reason.ts";
+export { UrgentArrivals } from "./src/urgent_arrivals.ts";
+export { type UrgentTraffic } from "./src/urgent_room.ts";
 export {
   type Amounts as TeamAmounts,
   decayUse,
--- a/packages/workflow-scheduler/src/run_times.ts
+++ b/packages/workflow-scheduler/src/run_times.ts
@@ -35,9 +35,12 @@
       : null;
   }
 
-  /** What a unit can still reach, on the best endpoints where they differ. */
-  hopeOf(unit: Workflow.Unit): rank.Hope {
-    const { wallMs } = this.#options;
+  /**
+   * What a unit can still reach if it starts some time later, on the best endpoints
+   * where they differ.
+   */
+  hopeOf(unit: Workflow.Unit, laterMs = 0): rank.Hope {
+    const wallMs = this.#options.wallMs + laterMs;
     return this.outlook?.hopeOf(unit, wallMs) ?? rank.hopeOf(unit, wallMs);
   }
 
