Forget the use of teams that are gone

A team that left the configuration stayed in the sums and in the row for as long as teams competed, with a use of nearly nothing. A use below a millionth of the fleet is dropped; the property of the decay asks for it.

--- a/packages/workflow-scheduler/src/team_shares.ts
+++ b/packages/workflow-scheduler/src/team_shares.ts
@@ -2,6 +2,7 @@
  * Who has had how much of the fleet, beside what each team is entitled to. Serves
  * loads in which one team is so large that its queue alone could fill the fleet.
  */
+import type * as Workflow from "@cairngate/workflow";
 import type * as fleet from "./fleet.ts";
 
 /** Where a team stands beside its share; coarse, so that objectives decide within. */
@@ -41,6 +42,9 @@
 const BELOW_BEGINS = 0.75;
 const ENDS = 1;
 
+/** A use below it is forgotten: a team that is gone would else be kept for ever. */
+const FORGOTTEN = 1e-6;
+
 /** Shares that teams are entitled to; their sum is 1. */
 export function weightsOf(guarantees: ReadonlyMap<string, number>): Amounts {
   const paid = [...guarantees.values()].filter((one) => one > 0);
@@ -81,8 +85,8 @@
 }
 
 function add(
-  sum: { cpuMillis: number; memoryMb: number; accelerators: number },
-  amounts: Omit<typeof sum, never>,
+  sum: { -readonly [K in keyof Workflow.Resources]: number },
+  amounts: Workflow.Resources,
   countsCpu: boolean,
 ): void {
   if (countsCpu) sum.cpuMillis += amounts.cpuMillis;
@@ -102,7 +106,8 @@
   for (const team of teams) {
     const earlier = before.get(team) ?? 0;
     const now = held.get(team) ?? 0;
-    use.set(team, earlier * kept + now * (1 - kept));
+    const sum = earlier * kept + now * (1 - kept);
+    if (sum > FORGOTTEN) use.set(team, sum);
   }
   return use;
 }
