Let no claim fail for what a team has had, and spare nobody

What callers saw: urgent work beyond guarantees was late more often. Cause: work of teams below their share cost four times as much for another team's claim, and by that cost a claim was judged. While most teams are below, most claims were too dear. Change: shares choose among victims, and only those of teams above are cheaper; whether a claim is worth it goes by the loss.

A bound on claims belongs to preemption, not to shares.

--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -10,7 +10,10 @@
 export interface Eviction {
   readonly places: placement.Places;
   readonly victims: ReadonlySet<Workflow.Task>;
+  /** By which the victims were chosen. */
   readonly cost: number;
+  /** What is lost with them, in core-seconds, whoever they are. */
+  readonly loss: number;
 }
 
 /** What an eviction needs to know. */
@@ -90,12 +93,14 @@
   };
   const offers = new Map(rooms.map((room) => [room, offerOf(room)]));
   let cost = 0;
+  let loss = 0;
   while (places.length < unit.tasks.length) {
     const best = cheapest(offers);
     if (best === null) return null;
     const before = chosen.size;
     for (const victim of best.more.tasks) addGroup(chosen, victim);
     cost += best.more.cost;
+    loss += best.more.loss;
     taken.set(best.room, (taken.get(best.room) ?? 0) + 1);
     places.push(best.room);
     const added = [...chosen].slice(before);
@@ -105,7 +110,7 @@
     );
     for (const room of changed) offers.set(room, offerOf(room));
   }
-  return { places, victims: chosen, cost };
+  return { places, victims: chosen, cost, loss };
 }
 
 /** The first of the rooms that cost least; null where none can be freed. */
@@ -124,6 +129,7 @@
 interface Victims {
   readonly tasks: readonly Workflow.Task[];
   readonly cost: number;
+  readonly loss: number;
 }
 
 /** Cheapest further victims on one worker so that `count` tasks fit. */
@@ -141,22 +147,22 @@
   for (const task of room.worker.occupants) {
     if (chosen.has(task)) fleet.give(amounts, task.step);
   }
-  if (room.fits(unit, amounts) >= count) return { tasks: [], cost: 0 };
+  if (room.fits(unit, amounts) >= count) return { tasks: [], cost: 0, loss: 0 };
   const candidates = room.worker.occupants
     .filter((task) =>
       !chosen.has(task) && isEvictable(task, context.nowMs) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
-    .map((task) => ({
+    .map((task) => ({ task, loss: knownCost(task, context) }))
+    .map(({ task, loss }) => ({
       task,
-      cost: victims.weighCost(
-        { cost: knownCost(task, context), task, claimant: unit.workflow },
-        context,
-      ),
+      loss,
+      cost: victims.weighCost({ task, loss }, context.shares),
     }))
     .sort((a, b) => a.cost - b.cost);
   const picked: Workflow.Task[] = [];
   let cost = 0;
+  let loss = 0;
   for (const candidate of candidates) {
     const { task } = candidate;
     const isKept = task.step.lasting &&
@@ -165,7 +171,8 @@
     fleet.give(amounts, candidate.task.step);
     picked.push(candidate.task);
     cost += candidate.cost;
-    if (room.fits(unit, amounts) >= count) return { tasks: picked, cost };
+    loss += candidate.loss;
+    if (room.fits(unit, amounts) >= count) return { tasks: picked, cost, loss };
   }
   return null;
 }
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -309,7 +309,7 @@
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
   #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
     return this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed ||
-      found.cost <= eviction.workOf(unit);
+      found.loss <= eviction.workOf(unit);
   }
 
   #reserve(unit: Workflow.Unit, places: placement.Places): boolean {
