--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -1,6 +1,8 @@
 /** The parts of one term, each with its one job, wired to each other. */
 import * as watches from "../endpoints/run_watch.ts";
+import * as forecasts from "../load/forecast_maker.ts";
 import * as hardLoads from "../load/hard_load_watch.ts";
+import * as estimates from "../load/run_estimates.ts";
 import * as shareBooks from "../load/share_book.ts";
 import * as directories from "../endpoints/worker_directory.ts";
 import type * as terms from "../election/term.ts";
@@ -42,7 +44,9 @@
   readonly guarantees: guarantees.GuaranteeWatch;
   readonly planning: plannings.Planning;
   readonly hardLoad: hardLoads.HardLoadWatch;
+  readonly estimates: estimates.RunEstimates;
   readonly shares: shareBooks.ShareBook;
+  readonly forecasts: forecasts.ForecastMaker;
 }
 
 /** Makes the parts of one term. */
@@ -56,11 +60,18 @@
     clock: given.clock,
     onAdvice: () => planning.wake(),
   });
+  const hardLoad = new hardLoads.HardLoadWatch(given);
+  const runEstimates = new estimates.RunEstimates({
+    clock: given.clock,
+    siteOf: (id) => directory.siteOf(id),
+    onSingle: (occupant, tookMs) => directory.learnFrom(occupant, tookMs),
+  });
   const ends = new runEnds.RunEnds({
     ports: given,
     recorder,
     book,
     control: () => control,
+    onDone: (occupant) => runEstimates.noteDone(occupant),
     onLife: (id) => {
       directory.lifeBegan(id);
       advisor.forget(id);
@@ -72,6 +83,7 @@
     term,
     listener: ends,
     recovery,
+    doEndpointsDiffer: () => hardLoad.load.endpointsDiffer,
   });
   const shared = { ports: given, directory, advice: advisor };
   const control = new controls.RunControl({ ...shared, recorder });
@@ -80,11 +92,11 @@
     book,
     control,
   });
-  const hardLoad = new hardLoads.HardLoadWatch(given);
   const shares = new shareBooks.ShareBook(given, term);
   const planning = new plannings.Planning({
     ...shared,
     hardLoad,
+    estimates: runEstimates,
     shares,
     control,
     live: () => book.live,
@@ -101,7 +113,15 @@
     guarantees: new guarantees.GuaranteeWatch(given, directory),
     planning,
     hardLoad,
+    estimates: runEstimates,
     shares,
+    forecasts: new forecasts.ForecastMaker({
+      ports: given,
+      term,
+      directory,
+      hardLoad,
+      live: () => book.live,
+    }),
   };
 }
 
