--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -241,7 +241,7 @@
         (!isGuaranteed || this.#waitedMs(unit) < outlooks.STOP_MS),
       // A guarantee is for room at once, whatever its speed.
       mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
-      isWorth: (found) => isGuaranteed || found.cost <= eviction.workOf(unit),
+      isWorth: (found) => isGuaranteed || found.loss <= eviction.workOf(unit),
     });
     if (claim === null) return false;
     this.#carryOut(unit, claim);
@@ -457,7 +457,7 @@
 
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
   #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
-    if (found.cost <= eviction.workOf(unit)) return true;
+    if (found.loss <= eviction.workOf(unit)) return true;
     if (!this.#isGuaranteed(unit)) return false;
     return !this.#isHard || !stopRules.mayWaitForCheaper(unit, this.#moment);
   }
