Stop others for speed only for as much work as the unit brings

Now stops for speed cost others no more than the unit brings, beyond what it would cost them on slower endpoints.

--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -210,13 +210,26 @@
         (!isGuaranteed || this.#waitedMs(unit) < outlooks.STOP_MS),
       // A guarantee is for room at once, whatever its speed.
       mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
-      isWorth: (found) => this.#isWorth(unit, found),
+      isWorth: (found) =>
+        this.#isWorth(unit, found) &&
+        speedClaims.isWorthSpeed(unit, found, this.#costAnyhow(unit, rooms)),
     });
     if (claim === null) return false;
     this.#carryOut(unit, claim);
     return true;
   }
 
+  /** Cost of the stops that a unit causes where it takes room at any speed. */
+  #costAnyhow(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): number {
+    if (this.#findFree(unit, rooms) !== null) return 0;
+    if (placement.findNear(unit, rooms, placement.freeSoon) !== null) return 0;
+    const found = this.#findStops(unit, rooms);
+    return found !== null && this.#isWorth(unit, found) ? found.cost : 0;
+  }
+
   /**
    * Time for which a unit has waited since it fell due. A guarantee holds out for fast
    * room no longer than stops take: what is being freed may never come, as where an
@@ -386,14 +399,22 @@
       this.#reserve(unit, soon);
       return true;
     }
-    const context = this.#evictions;
-    const found = eviction.findEviction(unit, rooms, context) ??
-      eviction.evictAmong(unit, rooms, context);
+    const found = this.#findStops(unit, rooms);
     if (found === null || !this.#isWorth(unit, found)) return false;
     this.#makeYield(unit, found);
     return true;
   }
 
+  /** Near its data where that can be had, else anywhere. */
+  #findStops(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): eviction.Eviction | null {
+    const context = this.#evictions;
+    return eviction.findEviction(unit, rooms, context) ??
+      eviction.evictAmong(unit, rooms, context);
+  }
+
   #makeYield(unit: Workflow.Unit, found: eviction.Eviction): void {
     for (const victim of found.victims) this.#stop(victim, unit);
     this.#reserve(unit, found.places);
--- a/packages/workflow-scheduler/src/speed_claims.ts
+++ b/packages/workflow-scheduler/src/speed_claims.ts
@@ -42,6 +42,18 @@
   readonly isWorth: (found: eviction.Eviction) => boolean;
 }
 
+/**
+ * Whether stops on fast endpoints cost others no more than the unit brings, beyond the
+ * stops that it would cause on slower ones: a guarantee is for room, not for speed.
+ */
+export function isWorthSpeed(
+  unit: Workflow.Unit,
+  { cost }: eviction.Eviction,
+  costAnyhow: number,
+): boolean {
+  return cost - costAnyhow <= eviction.workOf(unit);
+}
+
 /** Finds room on endpoints that are fast enough; null where there is none. */
 export function findFast(
   unit: Workflow.Unit,
