--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -241,13 +241,26 @@
         (!isGuaranteed || this.#waitedMs(unit) < outlooks.STOP_MS),
       // A guarantee is for room at once, whatever its speed.
       mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
-      isWorth: (found) => isGuaranteed || found.loss <= eviction.workOf(unit),
+      isWorth: (found) =>
+        this.#isWorth(unit, found) &&
+        speedClaims.isWorthSpeed(unit, found, this.#lossAnyhow(unit, rooms)),
     });
     if (claim === null) return false;
     this.#carryOut(unit, claim);
     return true;
   }
 
+  /** What others lose where a unit takes room at any speed. */
+  #lossAnyhow(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): number {
+    if (this.#findFree(unit, rooms) !== null) return 0;
+    if (placement.findNear(unit, rooms, placement.freeSoon) !== null) return 0;
+    const found = this.#findEviction(unit, rooms);
+    return found !== null && this.#isWorth(unit, found) ? found.loss : 0;
+  }
+
   /**
    * Time for which a unit has waited since it fell due. A guarantee holds out for fast
    * room no longer than stops take: what is being freed may never come, as where an
