--- a/packages/workflow-scheduler/src/stops_property_test.ts
+++ b/packages/workflow-scheduler/src/stops_property_test.ts
@@ -14,7 +14,11 @@
 const RACK_SIZE = 3;
 const ACCELERATORS = 4;
 const NOW_MS = 20_000;
-const HARD: hardLoads.HardLoad = { teamsCompete: true, endpointsDiffer: false };
+/** Kinds of hard load, each with the speeds of endpoints that it has. */
+const KINDS = [
+  { teamsCompete: true, endpointsDiffer: false, speeds: [1] },
+  { teamsCompete: false, endpointsDiffer: true, speeds: [0.6, 1, 1.6] },
+];
 
 /** One workflow, drawn at random. */
 interface Drawn {
@@ -46,6 +50,7 @@
   running: fastCheck.array(drawn, { maxLength: 14 }),
   waiting: fastCheck.array(drawn, { minLength: 1, maxLength: 6 }),
   guaranteed: fastCheck.nat(24),
+  kind: fastCheck.constantFrom(...KINDS),
   acceleratorsPerSecond: fastCheck.nat(20),
 });
 
@@ -93,7 +98,7 @@
       accelerators: ACCELERATORS,
     },
     usable: true,
-    speed: 1,
+    speed: world.kind.speeds[i % world.kind.speeds.length],
     occupants,
   }));
   const { acceleratorsPerSecond } = world;
@@ -173,7 +178,7 @@
 vitest.describe("stops of a plan under hard load", () => {
   vitest.it("come with a place for their claimant, in the same plan", () => {
     fastCheck.assert(fastCheck.property(worlds, (world) => {
-      const built = build(world, HARD);
+      const built = build(world, world.kind);
       const { stops, waits } = plans.makePlan(built.input);
       const gone = new Set(stops.map(({ task }) => task));
       for (const { claimant } of stops) {
@@ -186,7 +191,7 @@
 
   vitest.it("make room for all claimants and starts together", () => {
     fastCheck.assert(fastCheck.property(worlds, (world) => {
-      const built = build(world, HARD);
+      const built = build(world, world.kind);
       const { starts, stops, waits } = plans.makePlan(built.input);
       const gone = new Set(stops.map(({ task }) => task));
       const left = built.workers.flatMap(({ occupants }) => occupants)
@@ -206,7 +211,7 @@
 
   vitest.it("spare a task that was stopped often, but for guarantees", () => {
     fastCheck.assert(fastCheck.property(worlds, (world) => {
-      const built = build({ ...world, guaranteed: 0 }, HARD);
+      const built = build({ ...world, guaranteed: 0 }, world.kind);
       const { stops } = plans.makePlan(built.input);
       vitest.expect(stops.filter(({ task }) => isSpared(task))).toEqual([]);
     }));
@@ -225,7 +230,7 @@
         guaranteed: 1000,
       }));
       fastCheck.assert(fastCheck.property(alone, (world) => {
-        const built = build(world, HARD);
+        const built = build(world, world.kind);
         const { stops } = plans.makePlan(built.input);
         if (!stops.some(({ task }) => isSpared(task))) return;
         const others = built.workers.flatMap(({ occupants }) => occupants)
