--- a/packages/admission/src/forecast.ts
+++ b/packages/admission/src/forecast.ts
@@ -24,6 +24,12 @@
 /** From here on nothing is known: all room counts as free, in ms. */
 export const HORIZON_MS = 60_000;
 
+/**
+ * Share of an estimate that work surely takes. Callers guess, and the users say that
+ * their guesses are off by half.
+ */
+export const SURE_SHARE = 0.5;
+
 /** A forecast older than this is none, in ms: six that were due did not come. */
 export const STALE_MS = 3000;
 
@@ -57,6 +63,8 @@
 
 /** What a coordinator expects. */
 export interface Forecast {
+  /** Tells it from the one before: a forecast is told several times. */
+  readonly number: number;
   /** Boxes that accept work by it. */
   readonly boxes: number;
   /** How much slower a gang runs on several racks. */
