Weigh stops and keep room only where teams compete

On the merged code the parts lose beside the choice of endpoints by speed. So they are taken out where endpoints differ only.

The property of plans that do not hang on stops and arrivals now covers loads on which only endpoints differ.

--- a/packages/workflow-scheduler/src/hard_load.ts
+++ b/packages/workflow-scheduler/src/hard_load.ts
@@ -17,11 +17,6 @@
   endpointsDiffer: false,
 };
 
-/** Whether there is hard load of any kind. */
-export function isHard(load: HardLoad | undefined): boolean {
-  return load !== undefined && (load.teamsCompete || load.endpointsDiffer);
-}
-
 /**
  * The largest team has paid for this many times what teams pay for on average: with
  * that much more work in the queue it can push all others back, although each of them
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -3,7 +3,7 @@
 import * as eviction from "./eviction.ts";
 import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
-import * as hardLoads from "./hard_load.ts";
+import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
 import * as keptRooms from "./kept_rooms.ts";
 import * as placement from "./placement.ts";
@@ -92,8 +92,8 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
-  /** Whether stops are weighed, and room is kept, for hard load. */
-  readonly #isHard: boolean;
+  /** Whether stops are weighed, and room is kept: only where teams compete. */
+  readonly #weighsStops: boolean;
   readonly #kept: keptRooms.KeptRooms;
   readonly #endings: reservation.EndingContext;
   readonly #times: runTimes.RunTimes;
@@ -111,8 +111,8 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
-    this.#isHard = hardLoads.isHard(input.hardLoad);
     const teamsCompete = input.hardLoad?.teamsCompete === true;
+    this.#weighsStops = teamsCompete;
     this.#shares = teamsCompete ? input.shares ?? null : null;
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
@@ -123,8 +123,8 @@
       nowMs,
       wallMs,
       costs: new Map(),
-      sparesStopped: this.#isHard,
-      isTaken: (task) => this.#isHard && this.#stops.has(task),
+      sparesStopped: this.#weighsStops,
+      isTaken: (task) => this.#weighsStops && this.#stops.has(task),
       shares: this.#shares,
       leftMs: (task, ranMs) => this.#times.leftMs(task, ranMs),
     };
@@ -133,16 +133,16 @@
     this.#kept = new keptRooms.KeptRooms({
       rooms: this.#rooms,
       trafficOf: (service) =>
-        this.#isHard
+        this.#weighsStops
           ? input.urgentTraffic?.(service) ?? NO_URGENT_TRAFFIC
           : NO_URGENT_TRAFFIC,
       stopMs: this.#stopMs,
     });
   }
 
-  /** Time that stops are reckoned to take, in ms; none without hard load. */
+  /** Time that stops are reckoned to take, in ms; none where they are not weighed. */
   get #stopMs(): number {
-    return this.#isHard ? this.#input.stopMs ?? 0 : 0;
+    return this.#weighsStops ? this.#input.stopMs ?? 0 : 0;
   }
 
   run(): Plan {
@@ -449,7 +449,7 @@
       eviction.findEviction(unit, rooms, context) ??
         eviction.evictAmong(unit, rooms, context);
     const found = find(this.#evictions);
-    if (found !== null || !this.#isHard || !this.#isGuaranteed(unit)) {
+    if (found !== null || !this.#weighsStops || !this.#isGuaranteed(unit)) {
       return found;
     }
     return find({ ...this.#evictions, sparesStopped: false });
@@ -459,7 +459,8 @@
   #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
     if (found.cost <= eviction.workOf(unit)) return true;
     if (!this.#isGuaranteed(unit)) return false;
-    return !this.#isHard || !stopRules.mayWaitForCheaper(unit, this.#moment);
+    return !this.#weighsStops ||
+      !stopRules.mayWaitForCheaper(unit, this.#moment);
   }
 
   #reserve(unit: Workflow.Unit, places: placement.Places): void {
