--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -3,11 +3,11 @@
 export {
   type CoordinatorDump,
   describeGiveUp,
+  type EndpointDump,
   type EvacuationDump,
   type GiveUpDump,
   type GuaranteeDump,
   type RunDump,
-  type WorkerDump,
   type WorkflowDump,
   type WorkflowStory,
 } from "./src/work/describe.ts";
@@ -21,4 +21,4 @@
 export { restartOnDefect, type RestartParts } from "./src/restart.ts";
 export { OutageWord } from "./src/election/outage_word.ts";
 export { Fitness } from "./src/election/fitness.ts";
-export type { CoordinatorPorts, WorkerBounds } from "./src/ports.ts";
+export type { CoordinatorPorts, EndpointBounds } from "./src/ports.ts";
--- a/packages/coordinator/src/endpoints/doubted_listings.ts
+++ b/packages/coordinator/src/endpoints/doubted_listings.ts
@@ -14,7 +14,7 @@
   readonly book: listingBooks.ListingBook;
   readonly sessions: endpointSessions.EndpointSessions;
   /** Told of an entry that is not in doubt any more. */
-  readonly onBelieved: (listing: Ports.WorkerListing) => void;
+  readonly onBelieved: (listing: Ports.EndpointListing) => void;
 }
 
 /** A look at an address that an entry names may take this long, in ms, as any order. */
@@ -23,14 +23,14 @@
 /** Entries in doubt, by endpoint. */
 export class DoubtedListings {
   readonly #parts: DoubtedListingsOptions;
-  readonly #listings = new Map<string, Ports.WorkerListing>();
+  readonly #listings = new Map<string, Ports.EndpointListing>();
 
   constructor(parts: DoubtedListingsOptions) {
     this.#parts = parts;
   }
 
   /** Whether an entry is of another life than the one that answers and is listed. */
-  isDoubtful({ id, bornMs }: Ports.WorkerListing): boolean {
+  isDoubtful({ id, bornMs }: Ports.EndpointListing): boolean {
     const { sessions, book } = this.#parts;
     const session = sessions.get(id);
     if (session === undefined || session.isOver || !session.wasHeard) {
@@ -40,7 +40,7 @@
   }
 
   /** Takes in an entry that is in doubt, and asks who lives. */
-  add(listing: Ports.WorkerListing): void {
+  add(listing: Ports.EndpointListing): void {
     this.#listings.set(listing.id, listing);
     this.#askWhoLives(listing);
   }
@@ -63,7 +63,7 @@
   }
 
   /** An entry is a reason to ask, where it says that the endpoint is and was. */
-  #askWhoLives(listing: Ports.WorkerListing): void {
+  #askWhoLives(listing: Ports.EndpointListing): void {
     const session = this.#parts.sessions.get(listing.id);
     if (session === undefined) return;
     Effect.runFork(session.ask());
@@ -72,7 +72,7 @@
   }
 
   /** Moves to where a later life says that it is, if that life answers there. */
-  #lookAt(listing: Ports.WorkerListing): Effect.Effect<void> {
+  #lookAt(listing: Ports.EndpointListing): Effect.Effect<void> {
     const { ports: { workers, clock }, term } = this.#parts.options;
     const look = workers.renew(listing, {
       fencingToken: term.token,
--- a/packages/coordinator/src/endpoints/worker_directory.ts
+++ b/packages/coordinator/src/endpoints/endpoint_directory.ts
@@ -3,7 +3,7 @@
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as Effect from "effect/Effect";
 import type * as occupants from "../sessions/occupant.ts";
-import type * as sessions from "../sessions/worker_session.ts";
+import type * as sessions from "../sessions/endpoint_session.ts";
 import type * as directoryOptions from "./directory_options.ts";
 import * as endpointSessions from "./endpoint_sessions.ts";
 import * as listingBooks from "./listing_book.ts";
@@ -13,14 +13,14 @@
 import * as silences from "./silence_log.ts";
 import * as lessons from "./speed_lessons.ts";
 import * as uneven from "./uneven_speeds.ts";
-import * as speeds from "./worker_speeds.ts";
+import * as speeds from "./endpoint_speeds.ts";
 
 const DONE_PERCENT = 100;
 
 /** Workers by id; one for each term. */
-export class WorkerDirectory {
+export class EndpointDirectory {
   /** How fast the workers are beside each other. */
-  readonly speeds = new speeds.WorkerSpeeds();
+  readonly speeds = new speeds.EndpointSpeeds();
   /** The same, learned for fleets on which they differ much. */
   readonly unevenSpeeds = new uneven.UnevenSpeeds();
   /** What runs teach of them. */
@@ -68,7 +68,7 @@
   }
 
   /** Takes in changes of the list. */
-  update(entries: readonly Ports.FeedEntry<Ports.WorkerListing>[]): void {
+  update(entries: readonly Ports.FeedEntry<Ports.EndpointListing>[]): void {
     this.#changes.update(entries);
   }
 
@@ -78,12 +78,12 @@
   }
 
   /** The session with a worker; null where the worker is unknown. */
-  session(id: string): sessions.WorkerSession | null {
+  session(id: string): sessions.EndpointSession | null {
     return this.#sessions.get(id) ?? null;
   }
 
   /** All sessions. */
-  get sessions(): Iterable<sessions.WorkerSession> {
+  get sessions(): Iterable<sessions.EndpointSession> {
     return this.#sessions.all;
   }
 
@@ -100,7 +100,7 @@
   open(
     id: string,
     recorded: endpointSessions.RecordedPlace | null = null,
-  ): sessions.WorkerSession | null {
+  ): sessions.EndpointSession | null {
     return this.#sessions.open(id, recorded);
   }
 
--- a/packages/coordinator/src/endpoints/worker_health.ts
+++ b/packages/coordinator/src/endpoints/endpoint_health.ts
@@ -28,7 +28,7 @@
 const PROVEN_MS = 4000;
 
 /** One worker's record. */
-export class WorkerHealth {
+export class EndpointHealth {
   #failures = 0;
   #asideUntilMs = Number.NEGATIVE_INFINITY;
   #doubtedUntilMs = Number.NEGATIVE_INFINITY;
--- a/packages/coordinator/src/endpoints/worker_health_test.ts
+++ b/packages/coordinator/src/endpoints/endpoint_health_test.ts
@@ -1,10 +1,10 @@
 /** Workers are put aside for what went wrong there, and come back. */
 import * as vitest from "vitest";
-import * as healths from "./worker_health.ts";
+import * as healths from "./endpoint_health.ts";
 
-vitest.describe("WorkerHealth", () => {
+vitest.describe("EndpointHealth", () => {
   vitest.it("stays aside ever longer while runs fail", () => {
-    const health = new healths.WorkerHealth();
+    const health = new healths.EndpointHealth();
     const lengths = [1, 2, 3].map((i) => {
       const failedAtMs = i * 100_000;
       health.failed(failedAtMs);
@@ -17,7 +17,7 @@
   });
 
   vitest.it("comes back at once after a success", () => {
-    const health = new healths.WorkerHealth();
+    const health = new healths.EndpointHealth();
     health.failed(0);
     health.failed(0);
     health.succeeded(0);
@@ -25,27 +25,27 @@
   });
 
   vitest.it("rests briefly after a refusal, longer when it was slow", () => {
-    const refused = new healths.WorkerHealth();
+    const refused = new healths.EndpointHealth();
     refused.refused(0);
     vitest.expect(refused.isAside(200)).toBe(true);
     vitest.expect(refused.isAside(400)).toBe(false);
-    const slow = new healths.WorkerHealth();
+    const slow = new healths.EndpointHealth();
     slow.wasSlow(0);
     vitest.expect(slow.isAside(400)).toBe(true);
   });
 
   vitest.it("is in doubt for a while after a run that failed at once", () => {
-    const health = new healths.WorkerHealth();
+    const health = new healths.EndpointHealth();
     health.ranAndFailed(1000, 50);
     vitest.expect(health.isDoubted(4000)).toBe(true);
     vitest.expect(health.isDoubted(9000)).toBe(false);
-    const other = new healths.WorkerHealth();
+    const other = new healths.EndpointHealth();
     other.ranAndFailed(1000, 2000);
     vitest.expect(other.isDoubted(1001)).toBe(false);
   });
 
   vitest.it("is proven by a run that goes on, not by one that began", () => {
-    const health = new healths.WorkerHealth();
+    const health = new healths.EndpointHealth();
     health.isRunning(1000, 100);
     vitest.expect(health.isProven(1001)).toBe(false);
     health.isRunning(1500, 600);
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -7,7 +7,7 @@
 import * as restart from "../restart.ts";
 import * as loads from "../sessions/box_load.ts";
 import * as leaseClocks from "../sessions/lease_clock.ts";
-import * as sessions from "../sessions/worker_session.ts";
+import * as sessions from "../sessions/endpoint_session.ts";
 import type * as directoryOptions from "./directory_options.ts";
 import type * as listingBooks from "./listing_book.ts";
 import type * as silences from "./silence_log.ts";
@@ -27,7 +27,7 @@
 
 /** What a session has to know of an endpoint. */
 type PlaceOfEndpoint = Pick<
-  Ports.WorkerListing,
+  Ports.EndpointListing,
   "id" | "address" | "bornMs" | "dataCentre" | "draining"
 >;
 
@@ -46,7 +46,7 @@
 /** Sessions by endpoint; one for each term. */
 export class EndpointSessions {
   readonly #parts: EndpointSessionsOptions;
-  readonly #sessions = new Map<string, sessions.WorkerSession>();
+  readonly #sessions = new Map<string, sessions.EndpointSession>();
   readonly #fibers = new Map<string, Fiber.Fiber<void>>();
   readonly #load: loads.BoxLoad;
   /** Our time by which leases of earlier coordinators have run out. */
@@ -64,12 +64,12 @@
   }
 
   /** All sessions. */
-  get all(): Iterable<sessions.WorkerSession> {
+  get all(): Iterable<sessions.EndpointSession> {
     return this.#sessions.values();
   }
 
   /** The session with an endpoint; undefined where there is none. */
-  get(id: string): sessions.WorkerSession | undefined {
+  get(id: string): sessions.EndpointSession | undefined {
     return this.#sessions.get(id);
   }
 
@@ -107,7 +107,7 @@
   open(
     id: string,
     recorded: RecordedPlace | null = null,
-  ): sessions.WorkerSession | null {
+  ): sessions.EndpointSession | null {
     const known = this.#sessions.get(id);
     if (known !== undefined) return known.isOver ? null : known;
     const { book } = this.#parts;
@@ -122,14 +122,14 @@
   }
 
   /** What may be at an endpoint is asked for where it stands. */
-  reopen(former: sessions.WorkerSession): void {
+  reopen(former: sessions.EndpointSession): void {
     const session = this.open(former.ref.id);
     if (session !== null && !former.isOver) session.takeOver(former);
     former.retire();
   }
 
   /** Closes a session. */
-  drop({ ref }: sessions.WorkerSession): void {
+  drop({ ref }: sessions.EndpointSession): void {
     const { id } = ref;
     this.#sessions.delete(id);
     this.#parts.book.noteDropped(ref);
@@ -159,11 +159,11 @@
     return Effect.suspend(() => Fiber.interruptAll(this.#fibers.values()));
   }
 
-  #open(listing: PlaceOfEndpoint): sessions.WorkerSession {
+  #open(listing: PlaceOfEndpoint): sessions.EndpointSession {
     const { options, book, silences } = this.#parts;
     const { id, address, bornMs, dataCentre } = listing;
     const ref = { id, address };
-    const session = new sessions.WorkerSession({
+    const session = new sessions.EndpointSession({
       ...options,
       ref,
       listedBornMs: bornMs,
@@ -182,7 +182,7 @@
     return session;
   }
 
-  #run(session: sessions.WorkerSession): void {
+  #run(session: sessions.EndpointSession): void {
     const { clock, log, metrics } = this.#parts.options.ports;
     const { id } = session.ref;
     const what = `The session with worker ${id}`;
@@ -199,7 +199,7 @@
    * One life has answered at its address, so no other one is there. That ends those
    * that are called there: an entry may name the address for one that stands elsewhere.
    */
-  #noteHeard(ref: Ports.WorkerRef): void {
+  #noteHeard(ref: Ports.EndpointRef): void {
     for (const other of this.#parts.book.othersAt(ref)) {
       const session = this.#sessions.get(other);
       if (session === undefined || session.isOver) continue;
--- a/packages/coordinator/src/endpoints/worker_speeds.ts
+++ b/packages/coordinator/src/endpoints/endpoint_speeds.ts
@@ -27,7 +27,7 @@
 }
 
 /** Speeds of workers; 1 is the usual one. */
-export class WorkerSpeeds {
+export class EndpointSpeeds {
   readonly #seen = new Map<string, Seen>();
 
   /** Speed of a worker. */
--- a/packages/coordinator/src/endpoints/listing_book.ts
+++ b/packages/coordinator/src/endpoints/listing_book.ts
@@ -5,7 +5,7 @@
 /** Listings by endpoint. */
 export class ListingBook {
   readonly #clock: Ports.Clock;
-  readonly #listings = new Map<string, Ports.WorkerListing>();
+  readonly #listings = new Map<string, Ports.EndpointListing>();
   /** Endpoint of each row; a removed row shows no more than its key. */
   readonly #idOfRow = new Map<string, string>();
   readonly #addresses = new addresses.AddressBook();
@@ -17,12 +17,12 @@
   }
 
   /** All listings. */
-  get all(): Iterable<Ports.WorkerListing> {
+  get all(): Iterable<Ports.EndpointListing> {
     return this.#listings.values();
   }
 
   /** The listing of an endpoint; undefined where it is not listed. */
-  get(id: string): Ports.WorkerListing | undefined {
+  get(id: string): Ports.EndpointListing | undefined {
     return this.#listings.get(id);
   }
 
@@ -33,7 +33,7 @@
   }
 
   /** Other endpoints that are known at an address. */
-  othersAt({ id, address }: Ports.WorkerRef): readonly string[] {
+  othersAt({ id, address }: Ports.EndpointRef): readonly string[] {
     return this.#addresses.othersAt(address, id);
   }
 
@@ -50,7 +50,7 @@
   }
 
   /** An entry is believed. */
-  set(listing: Ports.WorkerListing): void {
+  set(listing: Ports.EndpointListing): void {
     const { id, address } = listing;
     this.#listings.set(id, listing);
     this.#addresses.add(id, address);
@@ -58,7 +58,7 @@
   }
 
   /** An entry that is believed names another address than the one before. */
-  noteMoved({ id, address }: Ports.WorkerListing): void {
+  noteMoved({ id, address }: Ports.EndpointListing): void {
     const former = this.#listings.get(id)?.address ?? address;
     if (former !== address) this.#addresses.remove(id, former);
   }
@@ -81,13 +81,13 @@
   }
 
   /** An endpoint that is not listed stands where the records say that it was. */
-  noteRecorded({ id, address }: Ports.WorkerRef): void {
+  noteRecorded({ id, address }: Ports.EndpointRef): void {
     this.#addresses.add(id, address);
     this.#unlistedAtMs.set(id, this.#clock.monotonicMs());
   }
 
   /** The session with an endpoint is dropped. */
-  noteDropped({ id, address }: Ports.WorkerRef): void {
+  noteDropped({ id, address }: Ports.EndpointRef): void {
     this.#unlistedAtMs.delete(id);
     if (!this.#listings.has(id)) this.#addresses.remove(id, address);
   }
--- a/packages/coordinator/src/endpoints/listing_changes.ts
+++ b/packages/coordinator/src/endpoints/listing_changes.ts
@@ -1,14 +1,14 @@
 /** Takes in the changes of the platform's list; an entry alone proves little. */
 import type * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
-import type * as sessions from "../sessions/worker_session.ts";
+import type * as sessions from "../sessions/endpoint_session.ts";
 import type * as directoryOptions from "./directory_options.ts";
 import * as doubteds from "./doubted_listings.ts";
 import type * as endpointSessions from "./endpoint_sessions.ts";
 import type * as listingBooks from "./listing_book.ts";
 import type * as listingTimes from "./listing_times.ts";
 import type * as uneven from "./uneven_speeds.ts";
-import type * as speeds from "./worker_speeds.ts";
+import type * as speeds from "./endpoint_speeds.ts";
 
 /** What the changes have to do with. */
 export interface ListingChangesOptions {
@@ -16,7 +16,7 @@
   readonly book: listingBooks.ListingBook;
   readonly sessions: endpointSessions.EndpointSessions;
   readonly times: listingTimes.ListingTimes;
-  readonly speeds: speeds.WorkerSpeeds;
+  readonly speeds: speeds.EndpointSpeeds;
   readonly unevenSpeeds: uneven.UnevenSpeeds;
 }
 
@@ -37,7 +37,7 @@
   }
 
   /** Takes in changes. */
-  update(entries: readonly Ports.FeedEntry<Ports.WorkerListing>[]): void {
+  update(entries: readonly Ports.FeedEntry<Ports.EndpointListing>[]): void {
     for (const { key, value } of entries) {
       if (value === null) {
         this.#unlist(key);
@@ -55,7 +55,7 @@
     this.#doubted.lifeBegan(id);
   }
 
-  #list(listing: Ports.WorkerListing): void {
+  #list(listing: Ports.EndpointListing): void {
     const { sessions } = this.#parts;
     const session = sessions.get(listing.id);
     if (session?.isOver === true && session.isOfOtherLife(listing.bornMs)) {
@@ -65,7 +65,7 @@
     else this.#believe(listing);
   }
 
-  #believe(listing: Ports.WorkerListing): void {
+  #believe(listing: Ports.EndpointListing): void {
     const { book, sessions, times } = this.#parts;
     const { id } = listing;
     const moved = this.#forgetOtherAddress(listing);
@@ -82,8 +82,8 @@
    * Returns the session at an address where it never answered.
    */
   #forgetOtherAddress(
-    listing: Ports.WorkerListing,
-  ): sessions.WorkerSession | null {
+    listing: Ports.EndpointListing,
+  ): sessions.EndpointSession | null {
     const { book, sessions } = this.#parts;
     book.noteMoved(listing);
     const session = sessions.get(listing.id);
@@ -99,7 +99,7 @@
    * One address has one life. Which one it is, only the address can tell: an entry
    * outlasts its endpoint by seconds, and another writer may name any address.
    */
-  #askOthers(listing: Ports.WorkerListing): void {
+  #askOthers(listing: Ports.EndpointListing): void {
     const { book, sessions } = this.#parts;
     for (const other of book.othersAt(listing)) {
       const session = sessions.get(other);
--- a/packages/coordinator/src/endpoints/listing_times.ts
+++ b/packages/coordinator/src/endpoints/listing_times.ts
@@ -25,7 +25,7 @@
    * A listing has come; one that tells no time to leave keeps what the same life told
    * before.
    */
-  note(listing: Ports.WorkerListing): void {
+  note(listing: Ports.EndpointListing): void {
     const { id, bornMs, draining, leavesInMs, coldForMs } = listing;
     const listedAtMs = this.#clock.monotonicMs();
     const former = this.#told.get(id);
--- a/packages/coordinator/src/endpoints/plan_states.ts
+++ b/packages/coordinator/src/endpoints/plan_states.ts
@@ -7,7 +7,7 @@
 import type * as listingTimes from "./listing_times.ts";
 import type * as silences from "./silence_log.ts";
 import type * as uneven from "./uneven_speeds.ts";
-import type * as speeds from "./worker_speeds.ts";
+import type * as speeds from "./endpoint_speeds.ts";
 
 /** What the states are made of. */
 export interface PlanStatesOptions {
@@ -16,7 +16,7 @@
   readonly book: listingBooks.ListingBook;
   readonly sessions: endpointSessions.EndpointSessions;
   readonly times: listingTimes.ListingTimes;
-  readonly speeds: speeds.WorkerSpeeds;
+  readonly speeds: speeds.EndpointSpeeds;
   readonly unevenSpeeds: uneven.UnevenSpeeds;
   /** Whether endpoints differ so much that their speeds count for more. */
   readonly doEndpointsDiffer: () => boolean;
@@ -74,7 +74,7 @@
       .reduce((sum, { accelerators }) => sum + accelerators, 0);
   }
 
-  #stateOf(listing: Ports.WorkerListing, at: Moment): Scheduler.WorkerState {
+  #stateOf(listing: Ports.EndpointListing, at: Moment): Scheduler.WorkerState {
     const { sessions, times, silences } = this.#options;
     const { id, address } = listing;
     const { nowMs, mayStart } = at;
@@ -98,7 +98,7 @@
   }
 
   /** Whether it stays and is not evacuated. */
-  #isOpen({ draining, dataCentre }: Ports.WorkerListing): boolean {
+  #isOpen({ draining, dataCentre }: Ports.EndpointListing): boolean {
     return !draining && !this.#options.evacuations.isEvacuated(dataCentre);
   }
 }
--- a/packages/coordinator/src/endpoints/run_watch.ts
+++ b/packages/coordinator/src/endpoints/run_watch.ts
@@ -6,7 +6,7 @@
 import type * as controls from "../work/run_control.ts";
 import type * as paces from "../sessions/run_pace.ts";
 import * as stragglers from "./straggler_watch.ts";
-import type * as directories from "./worker_directory.ts";
+import type * as directories from "./endpoint_directory.ts";
 
 /** A run this old tells the speed of its worker. */
 const LEAST_COMPARED_MS = 1000;
@@ -16,12 +16,12 @@
 /** Looks at all runs from time to time. */
 export class RunWatch {
   readonly #ports: ports.CoordinatorPorts;
-  readonly #directory: directories.WorkerDirectory;
+  readonly #directory: directories.EndpointDirectory;
   readonly #control: controls.RunControl;
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
-    directory: directories.WorkerDirectory,
+    directory: directories.EndpointDirectory,
     control: controls.RunControl,
   ) {
     this.#ports = coordinatorPorts;
--- a/packages/coordinator/src/endpoints/silence_log.ts
+++ b/packages/coordinator/src/endpoints/silence_log.ts
@@ -61,12 +61,12 @@
   }
 
   /** An endpoint does not answer any more. */
-  noteSilent({ address }: Ports.WorkerRef): void {
+  noteSilent({ address }: Ports.EndpointRef): void {
     this.#note(address);
   }
 
   /** It answers again, in the same life. */
-  noteHeard({ address }: Ports.WorkerRef): void {
+  noteHeard({ address }: Ports.EndpointRef): void {
     if (this.#falls.get(address)?.crashedAtMs === null) {
       this.#falls.delete(address);
     }
@@ -77,7 +77,7 @@
    * that fell before and were told of fewer are told of it.
    */
   noteCrash(
-    { address }: Ports.WorkerRef,
+    { address }: Ports.EndpointRef,
     victims: readonly Victim[],
   ): Workflow.CrashFellows {
     const fall = this.#note(address);
@@ -97,7 +97,7 @@
   }
 
   /** Since when an endpoint is not heard; null while it is. */
-  silentSinceMs({ address }: Ports.WorkerRef): number | null {
+  silentSinceMs({ address }: Ports.EndpointRef): number | null {
     return this.#falls.get(address)?.silentAtMs ?? null;
   }
 
--- a/packages/coordinator/src/endpoints/speed_lessons.ts
+++ b/packages/coordinator/src/endpoints/speed_lessons.ts
@@ -5,7 +5,7 @@
 import type * as Workflow from "@cairngate/workflow";
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as uneven from "./uneven_speeds.ts";
-import type * as speeds from "./worker_speeds.ts";
+import type * as speeds from "./endpoint_speeds.ts";
 
 /** What is known of the runs of one step. */
 interface KnownStep {
--- a/packages/coordinator/src/endpoints/uneven_speeds.ts
+++ b/packages/coordinator/src/endpoints/uneven_speeds.ts
@@ -3,7 +3,7 @@
  * is known of their endpoints already: a step that runs on slow ones alone would else
  * make them look like usual ones.
  */
-import type * as speeds from "./worker_speeds.ts";
+import type * as speeds from "./endpoint_speeds.ts";
 
 /** Runs of one step, as far as they have come. */
 export interface StepRates {
--- a/packages/coordinator/src/load/forecast_maker.ts
+++ b/packages/coordinator/src/load/forecast_maker.ts
@@ -3,7 +3,7 @@
 import type * as Ports from "@cairngate/ports";
 import type * as Workflow from "@cairngate/workflow";
 import type * as terms from "../election/term.ts";
-import type * as directories from "../endpoints/worker_directory.ts";
+import type * as directories from "../endpoints/endpoint_directory.ts";
 import type * as ports from "../ports.ts";
 import * as guarantees from "../work/guarantee_watch.ts";
 import type * as hardLoads from "./hard_load_watch.ts";
@@ -14,7 +14,7 @@
 export interface ForecastParts {
   readonly ports: ports.CoordinatorPorts;
   readonly term: terms.Term;
-  readonly directory: directories.WorkerDirectory;
+  readonly directory: directories.EndpointDirectory;
   readonly hardLoad: hardLoads.HardLoadWatch;
   readonly live: () => readonly Workflow.Workflow[];
 }
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -9,7 +9,7 @@
 import type * as outageWords from "./election/outage_word.ts";
 
 /** Bounds that the platform sets, in milliseconds. */
-export interface WorkerBounds {
+export interface EndpointBounds {
   /** Longest lease of a worker. */
   readonly longestLeaseMs: number;
   /** Time that a stop takes at most. */
@@ -34,7 +34,7 @@
   readonly workers: Ports.TaskWorkers;
   /** Null where no advice service is set. */
   readonly advisor: Ports.Advisor | null;
-  readonly workerFeed: Ports.RowFeed<Ports.WorkerListing>;
+  readonly workerFeed: Ports.RowFeed<Ports.EndpointListing>;
   readonly intakeFeed: Ports.RowFeed<unknown>;
   readonly electionFeed: Ports.RowFeed<unknown>;
   /** Configuration in force on this node; null before the first. */
@@ -45,7 +45,7 @@
   readonly outage: outageWords.OutageWord;
   /** Boxes that take work from callers, as far as this one knows. */
   readonly countBoxes: () => number;
-  readonly bounds: WorkerBounds;
+  readonly bounds: EndpointBounds;
   readonly hardLoad: Types.HardLoadSettings;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
--- a/packages/coordinator/src/sessions/endpoint_look.ts
+++ b/packages/coordinator/src/sessions/endpoint_look.ts
@@ -34,7 +34,7 @@
 
 /** What it was answered. */
 interface Answer {
-  readonly view: Ports.WorkerView;
+  readonly view: Ports.EndpointView;
   /** When the order left. */
   readonly sentAtMs: number;
   readonly leftAt: presentLives.Moment;
--- a/packages/coordinator/src/sessions/worker_session.ts
+++ b/packages/coordinator/src/sessions/endpoint_session.ts
@@ -15,7 +15,7 @@
 import type * as sessionOptions from "./session_options.ts";
 import * as sessionParts from "./session_parts.ts";
 import type * as unheards from "./unheard_runs.ts";
-import type * as healths from "../endpoints/worker_health.ts";
+import type * as healths from "../endpoints/endpoint_health.ts";
 
 /**
  * A task under which an endpoint has crashed has its endpoint for itself for this
@@ -25,8 +25,8 @@
 const PROBATION_MS = 1000;
 
 /** One endpoint, under one id at one address. */
-export class WorkerSession {
-  readonly ref: Ports.WorkerRef;
+export class EndpointSession {
+  readonly ref: Ports.EndpointRef;
   readonly #parts: sessionParts.SessionParts;
   readonly #state: endpointStates.EndpointState;
   readonly #runs: endpointRuns.EndpointRuns;
@@ -44,7 +44,7 @@
   }
 
   /** What is known of how it treats what it is given. */
-  get health(): healths.WorkerHealth {
+  get health(): healths.EndpointHealth {
     return this.#state.life.health;
   }
 
@@ -97,7 +97,7 @@
   /** It is listed, and tells where it stands and whether it is going to leave. */
   noteListed(
     { dataCentre, draining }: Pick<
-      Ports.WorkerListing,
+      Ports.EndpointListing,
       "dataCentre" | "draining"
     >,
   ): void {
@@ -178,7 +178,7 @@
    * Takes in what may be at the endpoint since it stood at another address. What was
    * not sent yet is planned anew: the former session sends nothing any more.
    */
-  takeOver(former: WorkerSession): void {
+  takeOver(former: EndpointSession): void {
     for (const one of former.#runs.held.sent) {
       const occupant = this.#runs.held.takeOver(one);
       this.#parts.views.noteAdopted(one.task);
--- a/packages/coordinator/src/sessions/endpoint_state.ts
+++ b/packages/coordinator/src/sessions/endpoint_state.ts
@@ -5,14 +5,14 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as Ports from "@cairngate/ports";
-import type * as healths from "../endpoints/worker_health.ts";
+import type * as healths from "../endpoints/endpoint_health.ts";
 import * as lifeBooks from "./life_books.ts";
 import type * as listeners from "./session_listener.ts";
 import type * as sessionOptions from "./session_options.ts";
 
 /** State of one session. */
 export class EndpointState implements listeners.SessionWorker {
-  readonly ref: Ports.WorkerRef;
+  readonly ref: Ports.EndpointRef;
   /** As its newest entry tells; empty: it was not listed since the record named it. */
   dataCentre: string;
   /** What is known of its present life. */
@@ -34,7 +34,7 @@
     this.#mustBeHeard = options.isContested;
   }
 
-  get health(): healths.WorkerHealth {
+  get health(): healths.EndpointHealth {
     return this.life.health;
   }
 
--- a/packages/coordinator/src/sessions/former_runs.ts
+++ b/packages/coordinator/src/sessions/former_runs.ts
@@ -34,7 +34,7 @@
 
 /** The answer of a life, beside what was known before it. */
 export interface LifeAnswer {
-  readonly view: Ports.WorkerView;
+  readonly view: Ports.EndpointView;
   /** Whether this life has begun since the known one answered last. */
   readonly isLater: boolean;
   /** Whether none was known: starts may have been sent to one at another address. */
@@ -79,7 +79,7 @@
     if (isLater || isFirst) this.#sealLoose(held);
   }
 
-  #findUnshown({ bornMs, held, ended }: Ports.WorkerView) {
+  #findUnshown({ bornMs, held, ended }: Ports.EndpointView) {
     const { held: known, unheard } = this.#options;
     const sentElsewhere = known.all.filter((one) =>
       occupants.isOfOtherLife(one, bornMs)
--- a/packages/coordinator/src/sessions/life_books.ts
+++ b/packages/coordinator/src/sessions/life_books.ts
@@ -2,7 +2,7 @@
  * What is known of the present life of one endpoint. Nothing that was numbered or
  * timed by a former life holds for the next one, so all of it begins anew with it.
  */
-import * as healths from "../endpoints/worker_health.ts";
+import * as healths from "../endpoints/endpoint_health.ts";
 import * as endLedgers from "./end_ledger.ts";
 import * as leaseClocks from "./lease_clock.ts";
 import * as lifeEnds from "./life_end.ts";
@@ -18,7 +18,7 @@
   readonly #options: sessionOptions.SessionOptions;
   #clock: leaseClocks.LeaseClock;
   #ends = new endLedgers.EndLedger();
-  #health = new healths.WorkerHealth();
+  #health = new healths.EndpointHealth();
   #ending: lifeEnds.LifeEnd;
 
   constructor(options: sessionOptions.SessionOptions) {
@@ -38,7 +38,7 @@
   }
 
   /** How it treats what it is given. */
-  get health(): healths.WorkerHealth {
+  get health(): healths.EndpointHealth {
     return this.#health;
   }
 
@@ -78,7 +78,7 @@
     );
     this.#clock = new leaseClocks.LeaseClock(lapsesAtMs);
     this.#ends = new endLedgers.EndLedger();
-    this.#health = new healths.WorkerHealth();
+    this.#health = new healths.EndpointHealth();
     this.#ending = this.#watchEnding();
     this.hasEnded = false;
   }
--- a/packages/coordinator/src/sessions/life_end.ts
+++ b/packages/coordinator/src/sessions/life_end.ts
@@ -49,7 +49,7 @@
 export interface LifeEndOptions {
   readonly clock: Ports.Clock;
   readonly log: Logger.Logger;
-  readonly ref: Ports.WorkerRef;
+  readonly ref: Ports.EndpointRef;
   /** Which endpoints have fallen silent or crashed; one for all sessions. */
   readonly silences: silences.SilenceLog;
 }
@@ -58,7 +58,7 @@
 export class LifeEnd {
   readonly #clock: Ports.Clock;
   readonly #log: Logger.Logger;
-  readonly #ref: Ports.WorkerRef;
+  readonly #ref: Ports.EndpointRef;
   readonly #silences: silences.SilenceLog;
   /** Our time of its last answer to a look. */
   #heardAtMs = Number.NEGATIVE_INFINITY;
--- a/packages/coordinator/src/sessions/outlived_runs.ts
+++ b/packages/coordinator/src/sessions/outlived_runs.ts
@@ -51,7 +51,7 @@
   }
 
   /** Tells of each run once that an answer shows although it counted as over. */
-  compare({ held, ended }: Ports.WorkerView): void {
+  compare({ held, ended }: Ports.EndpointView): void {
     if (this.#over.size === 0) return;
     for (const run of held) this.#tell(run, "is still there");
     for (const run of ended) this.#tell(run, `has ended as ${run.how}`);
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -43,7 +43,7 @@
 export interface RunStarterOptions {
   readonly ports: ports.CoordinatorPorts;
   readonly term: terms.Term;
-  readonly ref: Ports.WorkerRef;
+  readonly ref: Ports.EndpointRef;
   /** Delay of this box. */
   readonly load: loads.BoxLoad;
   /** End of a lease that begins now, on the worker's clock. */
--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -5,7 +5,7 @@
 import type * as silences from "../endpoints/silence_log.ts";
 import type * as occupants from "./occupant.ts";
 import type * as unheards from "./unheard_runs.ts";
-import type * as healths from "../endpoints/worker_health.ts";
+import type * as healths from "../endpoints/endpoint_health.ts";
 
 /** Why a run counts as lost. */
 export enum LostCause {
@@ -57,8 +57,8 @@
 
 /** The worker at which something happened. */
 export interface SessionWorker {
-  readonly ref: Ports.WorkerRef;
-  readonly health: healths.WorkerHealth;
+  readonly ref: Ports.EndpointRef;
+  readonly health: healths.EndpointHealth;
 }
 
 /** Told by a session of what happens at its worker. */
--- a/packages/coordinator/src/sessions/session_options.ts
+++ b/packages/coordinator/src/sessions/session_options.ts
@@ -14,7 +14,7 @@
   readonly term: terms.Term;
   readonly listener: listeners.SessionListener;
   readonly recovery: recoveries.Recovery;
-  readonly ref: Ports.WorkerRef;
+  readonly ref: Ports.EndpointRef;
   /** Birth that its entry tells; null: none. */
   readonly listedBornMs: number | null;
   /** Our time by which leases of earlier coordinators have run out. */
@@ -32,5 +32,5 @@
   /** Another endpoint is known at its address: only an answer tells whose it is. */
   readonly isContested: boolean;
   /** Told of each answer of this life: no other one is at its address. */
-  readonly onHeard: (ref: Ports.WorkerRef) => void;
+  readonly onHeard: (ref: Ports.EndpointRef) => void;
 }
--- a/packages/coordinator/src/sessions/view_reader.ts
+++ b/packages/coordinator/src/sessions/view_reader.ts
@@ -71,7 +71,7 @@
   }
 
   /** Takes in a view that was asked for at a time of ours. */
-  take(view: Ports.WorkerView, sentAtMs: number): Effect.Effect<void> {
+  take(view: Ports.EndpointView, sentAtMs: number): Effect.Effect<void> {
     const { unheard, listener, endpoint, clock, former } = this.#options;
     const ends = this.#options.ends();
     return Effect.gen({ self: this }, function* () {
@@ -158,7 +158,7 @@
   }
 
   /** Confirms runs that are held; stops those that nobody expects. */
-  #takeHeld(view: Ports.WorkerView): Set<occupants.Occupant> {
+  #takeHeld(view: Ports.EndpointView): Set<occupants.Occupant> {
     const { listener, held, clock, bornMs } = this.#options;
     const found = new Set<occupants.Occupant>();
     const unexpected: Ports.RunRef[] = [];
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -4,7 +4,7 @@
 import * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as evacuations from "../endpoints/evacuation_book.ts";
 import type * as stopBooks from "../load/stop_book.ts";
-import type * as directories from "../endpoints/worker_directory.ts";
+import type * as directories from "../endpoints/endpoint_directory.ts";
 import * as sentences from "./run_sentences.ts";
 
 /** One workflow that has not ended. */
@@ -31,7 +31,7 @@
 }
 
 /** One worker. */
-export interface WorkerDump {
+export interface EndpointDump {
   readonly id: string;
   readonly dataCentre: string;
   readonly rack: string;
@@ -78,7 +78,7 @@
   /** How late this box is with its own work, in ms. */
   readonly lateMs: number;
   readonly workflows: readonly WorkflowDump[];
-  readonly workers: readonly WorkerDump[];
+  readonly workers: readonly EndpointDump[];
   readonly evacuations: readonly EvacuationDump[];
   readonly guarantees: GuaranteeDump;
   /** Kinds of hard load that the decisions take into account. */
@@ -153,7 +153,7 @@
 }
 
 /** Describes one worker. */
-export function describeWorker(worker: Scheduler.WorkerState): WorkerDump {
+export function describeWorker(worker: Scheduler.WorkerState): EndpointDump {
   const { id, dataCentre, rack, usable, speed, occupants } = worker;
   const runs = occupants.map(({ name, run }) => `${name}@${run}`);
   return { id, dataCentre, rack, usable, speed, runs };
@@ -162,7 +162,7 @@
 /** Describes the data centres in which nothing starts. */
 export function describeEvacuations(
   evacuated: readonly evacuations.Evacuation[],
-  directory: directories.WorkerDirectory,
+  directory: directories.EndpointDirectory,
 ): EvacuationDump[] {
   return evacuated.map((one) => ({
     ...one,
--- a/packages/coordinator/src/work/guarantee_watch.ts
+++ b/packages/coordinator/src/work/guarantee_watch.ts
@@ -5,18 +5,18 @@
 import type * as Ports from "@cairngate/ports";
 import * as describing from "./describe.ts";
 import type * as ports from "../ports.ts";
-import type * as directories from "../endpoints/worker_directory.ts";
+import type * as directories from "../endpoints/endpoint_directory.ts";
 
 /** Compares guarantees with the room that is left. */
 export class GuaranteeWatch {
   readonly #ports: ports.CoordinatorPorts;
-  readonly #directory: directories.WorkerDirectory;
+  readonly #directory: directories.EndpointDirectory;
   /** Accelerators that were short when it was last told. */
   #toldShort = 0;
 
   constructor(
     coordinatorPorts: ports.CoordinatorPorts,
-    directory: directories.WorkerDirectory,
+    directory: directories.EndpointDirectory,
   ) {
     this.#ports = coordinatorPorts;
     this.#directory = directory;
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -12,12 +12,12 @@
 import type * as shareBooks from "../load/share_book.ts";
 import type * as controls from "./run_control.ts";
 import * as standstills from "./standstill_watch.ts";
-import type * as directories from "../endpoints/worker_directory.ts";
+import type * as directories from "../endpoints/endpoint_directory.ts";
 
 /** What planning works with. */
 export interface PlanningParts {
   readonly ports: ports.CoordinatorPorts;
-  readonly directory: directories.WorkerDirectory;
+  readonly directory: directories.EndpointDirectory;
   readonly control: controls.RunControl;
   readonly advice: advice.AdviceBook;
   readonly hardLoad: hardLoads.HardLoadWatch;
--- a/packages/coordinator/src/work/row_followers.ts
+++ b/packages/coordinator/src/work/row_followers.ts
@@ -12,7 +12,7 @@
   readonly recovery: recoveries.Recovery;
   /** Told of changes of the listings. */
   readonly onListings: (
-    entries: readonly Ports.FeedEntry<Ports.WorkerListing>[],
+    entries: readonly Ports.FeedEntry<Ports.EndpointListing>[],
   ) => void;
   /** Told of workflows that were accepted or cancelled. */
   readonly onIntake: (events: intake.IntakeEvents) => void;
@@ -37,7 +37,7 @@
 /** Followers of one term. */
 export class RowFollowers {
   readonly #options: RowFollowersOptions;
-  readonly #listings: TableClient.RowFollower<Ports.WorkerListing>;
+  readonly #listings: TableClient.RowFollower<Ports.EndpointListing>;
   readonly #intake: TableClient.RowFollower<unknown>;
 
   constructor(options: RowFollowersOptions) {
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -7,13 +7,13 @@
 import * as missings from "./missing_runs.ts";
 import type * as ports from "../ports.ts";
 import type * as recorders from "./recorder.ts";
-import type * as directories from "../endpoints/worker_directory.ts";
+import type * as directories from "../endpoints/endpoint_directory.ts";
 
 /** What the control of runs works with. */
 export interface RunControlParts {
   readonly ports: ports.CoordinatorPorts;
   readonly recorder: recorders.Recorder;
-  readonly directory: directories.WorkerDirectory;
+  readonly directory: directories.EndpointDirectory;
   readonly advice: advice.AdviceBook;
 }
 
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -4,7 +4,7 @@
 import * as hardLoads from "../load/hard_load_watch.ts";
 import * as estimates from "../load/run_estimates.ts";
 import * as shareBooks from "../load/share_book.ts";
-import * as directories from "../endpoints/worker_directory.ts";
+import * as directories from "../endpoints/endpoint_directory.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
 import * as advice from "./advice_book.ts";
@@ -36,7 +36,7 @@
 
 /** The parts that the coordinator calls. */
 export interface TermParts extends Records {
-  readonly directory: directories.WorkerDirectory;
+  readonly directory: directories.EndpointDirectory;
   readonly control: controls.RunControl;
   readonly intake: workflowIntakes.WorkflowIntake;
   readonly ends: runEnds.RunEnds;
@@ -78,7 +78,7 @@
     },
     onRoom: () => planning.wake(),
   });
-  const directory = new directories.WorkerDirectory({
+  const directory = new directories.EndpointDirectory({
     ports: given,
     term,
     listener: ends,
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -39,15 +39,15 @@
 export {
   type EndedRun,
   type EndKind,
+  type EndpointListing,
+  type EndpointRef,
+  type EndpointView,
   type HeldRun,
   type OrderError,
   type RenewLease,
   type RunRef,
   type StartRun,
   TaskWorkers,
-  type WorkerListing,
-  type WorkerRef,
-  type WorkerView,
 } from "./src/task_workers.ts";
 export type {
   AccessConfig,
--- a/packages/ports/src/task_workers.ts
+++ b/packages/ports/src/task_workers.ts
@@ -9,14 +9,14 @@
  * A worker by its id. Its lives may share the id: one may begin again under it, empty,
  * with numbers, clock and fencing token anew. Births tell such lives apart.
  */
-export interface WorkerRef {
+export interface EndpointRef {
   readonly id: string;
   /** host:port */
   readonly address: string;
 }
 
 /** A worker as the platform's list shows it. */
-export interface WorkerListing extends WorkerRef {
+export interface EndpointListing extends EndpointRef {
   readonly service: string;
   readonly dataCentre: string;
   readonly rack: string;
@@ -93,7 +93,7 @@
 }
 
 /** What a worker holds and what has ended there. */
-export interface WorkerView {
+export interface EndpointView {
   readonly clockMs: number;
   /** When the life that answers began, as in its entry; null: not told. */
   readonly bornMs: number | null;
@@ -113,13 +113,13 @@
 export abstract class TaskWorkers {
   /** Starts a run; the same run again does nothing. Returns its clock. */
   abstract start(
-    worker: WorkerRef,
+    worker: EndpointRef,
     order: StartRun,
   ): Effect.Effect<number, OrderError>;
 
   /** Stops a run; one that has not arrived yet never starts. */
   abstract stop(
-    worker: WorkerRef,
+    worker: EndpointRef,
     order: RunRef & { readonly fencingToken: number },
   ): Effect.Effect<number, OrderError>;
 
@@ -128,7 +128,7 @@
    * that the life which numbered the recorded ends will answer, it tells of none.
    */
   abstract renew(
-    worker: WorkerRef,
+    worker: EndpointRef,
     order: RenewLease,
-  ): Effect.Effect<WorkerView, OrderError>;
+  ): Effect.Effect<EndpointView, OrderError>;
 }
--- a/packages/stand-ins/src/busy_task_workers.ts
+++ b/packages/stand-ins/src/busy_task_workers.ts
@@ -14,18 +14,18 @@
     this.#processor = processor;
   }
 
-  override start(endpoint: Ports.WorkerRef, order: Ports.StartRun) {
+  override start(endpoint: Ports.EndpointRef, order: Ports.StartRun) {
     return this.#work(this.#inner.start(endpoint, order));
   }
 
   override stop(
-    endpoint: Ports.WorkerRef,
+    endpoint: Ports.EndpointRef,
     order: Ports.RunRef & { readonly fencingToken: number },
   ) {
     return this.#work(this.#inner.stop(endpoint, order));
   }
 
-  override renew(endpoint: Ports.WorkerRef, order: Ports.RenewLease) {
+  override renew(endpoint: Ports.EndpointRef, order: Ports.RenewLease) {
     return this.#work(this.#inner.renew(endpoint, order));
   }
 
--- a/packages/stand-ins/src/life_book.ts
+++ b/packages/stand-ins/src/life_book.ts
@@ -61,7 +61,7 @@
   }
 
   /** Who listens where an order to an endpoint arrives. */
-  listenerAt(worker: Ports.WorkerRef): Listener {
+  listenerAt(worker: Ports.EndpointRef): Listener {
     const ended = this.#ended.get(worker.id);
     if (ended !== undefined) {
       return ended.isReplaced ? Listener.Another : Listener.Nobody;
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -78,14 +78,14 @@
     for (const spec of specs) this.#lives.begin(this.#createLife(spec));
   }
 
-  override start(worker: Ports.WorkerRef, order: Ports.StartRun) {
+  override start(worker: Ports.EndpointRef, order: Ports.StartRun) {
     const work = (life: lives.WorkerLife) => this.#takeStart(life, order);
     const start = this.#carrier.carry({ worker, kind: "start", work });
     return this.#overConnection(worker, start);
   }
 
   override stop(
-    worker: Ports.WorkerRef,
+    worker: Ports.EndpointRef,
     order: Ports.RunRef & { readonly fencingToken: number },
   ) {
     const work = (life: lives.WorkerLife) => {
@@ -99,7 +99,7 @@
     return this.#overConnection(worker, stop);
   }
 
-  override renew(worker: Ports.WorkerRef, order: Ports.RenewLease) {
+  override renew(worker: Ports.EndpointRef, order: Ports.RenewLease) {
     const work = (life: lives.WorkerLife) => this.#takeLook(life, order);
     const look = this.#carrier.carry({ worker, kind: "renew", work });
     const whole = Effect.gen({ self: this }, function* () {
@@ -194,7 +194,7 @@
 
   /** An order that is answered at once, over a connection that may be silent. */
   #overConnection<A>(
-    worker: Ports.WorkerRef,
+    worker: Ports.EndpointRef,
     order: Effect.Effect<A, Ports.OrderError>,
   ): Effect.Effect<A, Ports.OrderError> {
     return Effect.suspend(() => {
--- a/packages/stand-ins/src/order_carrier.ts
+++ b/packages/stand-ins/src/order_carrier.ts
@@ -28,7 +28,7 @@
 
 /** An order: what it does where it arrives. */
 export interface Order<A> {
-  readonly worker: Ports.WorkerRef;
+  readonly worker: Ports.EndpointRef;
   readonly kind: fates.OrderKind;
   readonly work: (life: lives.WorkerLife) => A;
 }
@@ -116,7 +116,7 @@
 
   /** An order arrives where its life has ended, or has never been. */
   #meetDead(
-    worker: Ports.WorkerRef,
+    worker: Ports.EndpointRef,
     listener: books.Listener,
   ): Effect.Effect<never, Ports.OrderError> {
     const { Resets, Silent } = fates.DeadAddress;
@@ -132,7 +132,7 @@
 }
 
 function lose(
-  { id: worker }: Ports.WorkerRef,
+  { id: worker }: Ports.EndpointRef,
   { cause = "lost by the test", neverSent = false } = {},
 ): Effect.Effect<never, Ports.OrderError> {
   return Effect.fail(new Errors.WorkerLostError({ worker, cause, neverSent }));
--- a/packages/stand-ins/src/order_ways_test.ts
+++ b/packages/stand-ins/src/order_ways_test.ts
@@ -5,7 +5,7 @@
 import * as Effect from "effect/Effect";
 import * as vitest from "vitest";
 
-const ENDPOINT: Ports.WorkerRef = { id: "i-1", address: "10.0.0.1:80" };
+const ENDPOINT: Ports.EndpointRef = { id: "i-1", address: "10.0.0.1:80" };
 const TASK = "a.0.0.0";
 const LEASE_MS = 60_000;
 /** Time of an order on its way, in ms. */
--- a/packages/test-utils/src/endpoint_cuts.ts
+++ b/packages/test-utils/src/endpoint_cuts.ts
@@ -18,7 +18,7 @@
 interface Cut {
   fate: StandIns.OrderFate | null;
   /** The entry while it is away. */
-  entry: Ports.WorkerListing | null;
+  entry: Ports.EndpointListing | null;
   isListed: boolean;
 }
 
--- a/packages/test-utils/src/foreign_entries.ts
+++ b/packages/test-utils/src/foreign_entries.ts
@@ -13,7 +13,7 @@
 const MOST = 3;
 
 /** Makes of an endpoint's entry one that names no life. */
-type Forge = (own: Ports.WorkerListing) => Ports.WorkerListing;
+type Forge = (own: Ports.EndpointListing) => Ports.EndpointListing;
 
 const FORGES: readonly Forge[] = [
   // Looks usable, and names the endpoint's address.
--- a/packages/test-utils/src/rebirths.ts
+++ b/packages/test-utils/src/rebirths.ts
@@ -104,7 +104,7 @@
   }
 
   /** What the former life wrote takes effect only now. */
-  #writeAgain(former: Ports.WorkerListing | null): void {
+  #writeAgain(former: Ports.EndpointListing | null): void {
     const isListed = former !== null &&
       this.#fleet.entryOf(former.id) !== null;
     if (isListed) this.#fleet.writeEntry(former);
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -202,7 +202,7 @@
       advisor: this.#advisor,
       feeds: {
         operator: feed<Ports.OperatorEntry>(OPERATOR_PREFIX),
-        workers: feed<Ports.WorkerListing>(WORKERS_PREFIX),
+        workers: feed<Ports.EndpointListing>(WORKERS_PREFIX),
         intake: feed<unknown>("intake", TableClient.Keys.PARTITIONS),
         election: feed<unknown>("election/"),
         members: feed<Node.MemberRow>("members/"),
@@ -264,11 +264,11 @@
   list(
     spec: StandIns.TaskWorkerSpec,
     index: number,
-    changes: Partial<Ports.WorkerListing> = {},
+    changes: Partial<Ports.EndpointListing> = {},
   ): void {
     this.#placeOf.set(spec.id, index);
     const rack = `rack-${Math.floor(index / 4)}`;
-    const listing: Ports.WorkerListing = {
+    const listing: Ports.EndpointListing = {
       id: spec.id,
       address: `10.0.0.${index}:80`,
       service: "analysis",
@@ -290,15 +290,15 @@
   }
 
   /** Writes an entry of the list as it is, whoever lives at its address. */
-  writeEntry(listing: Ports.WorkerListing): void {
+  writeEntry(listing: Ports.EndpointListing): void {
     this.write(`${WORKERS_PREFIX}${listing.id}`, listing);
   }
 
   /** The entry of this id; null while it is not listed. */
-  entryOf(id: string): Ports.WorkerListing | null {
+  entryOf(id: string): Ports.EndpointListing | null {
     const key = `${WORKERS_PREFIX}${id}`;
     const row = this.table.rowsUnder(key).find((one) => one.key === key);
-    return (row?.value as Ports.WorkerListing | undefined) ?? null;
+    return (row?.value as Ports.EndpointListing | undefined) ?? null;
   }
 
   /** A new life of a crashed endpoint begins at the same address. */
@@ -327,7 +327,7 @@
   /** Each endpoint that lives writes its entry again, as with each heartbeat. */
   beat(): void {
     for (const row of this.table.rowsUnder(WORKERS_PREFIX)) {
-      const listing = row.value as Ports.WorkerListing;
+      const listing = row.value as Ports.EndpointListing;
       if (!this.workers.listLives().includes(listing.id)) continue;
       const clockMs = this.clock.monotonicMs();
       const bornMs = this.workers.bornMs(listing.id);
--- a/packages/workflow-node/src/foreign_entries_test.ts
+++ b/packages/workflow-node/src/foreign_entries_test.ts
@@ -28,7 +28,7 @@
 /** What a play writes into the list. */
 interface Play {
   /** What the foreign entry says; the rest is as in that of the first endpoint. */
-  readonly says: Partial<Ports.WorkerListing>;
+  readonly says: Partial<Ports.EndpointListing>;
   /** Whether it stays from its first moment to the end of the play. */
   readonly stays: boolean;
   /** Whether each entry has an id of its own. */
@@ -40,7 +40,7 @@
   readonly beats: boolean;
 }
 
-const UNUSABLE: Partial<Ports.WorkerListing> = {
+const UNUSABLE: Partial<Ports.EndpointListing> = {
   service: "nobody-names-it",
   accelerators: 0,
 };
--- a/packages/workflow-node/src/parted_coordinator_test.ts
+++ b/packages/workflow-node/src/parted_coordinator_test.ts
@@ -25,7 +25,7 @@
   token: number,
 ): void {
   const pass = <A>(
-    { id }: Ports.WorkerRef,
+    { id }: Ports.EndpointRef,
     fencingToken: number,
     order: Effect.Effect<A, Ports.OrderError>,
   ): Effect.Effect<A, Ports.OrderError> => {
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -19,7 +19,7 @@
 export interface NodeFeeds {
   /** Configurations and evacuations. */
   readonly operator: Ports.RowFeed<Ports.OperatorEntry>;
-  readonly workers: Ports.RowFeed<Ports.WorkerListing>;
+  readonly workers: Ports.RowFeed<Ports.EndpointListing>;
   readonly intake: Ports.RowFeed<unknown>;
   readonly election: Ports.RowFeed<unknown>;
   readonly members: Ports.RowFeed<members.MemberRow>;
@@ -40,7 +40,7 @@
   readonly feeds: NodeFeeds;
   /** Processor that this node may use, in cores. */
   readonly processorCores: number;
-  readonly bounds: Coordinator.WorkerBounds;
+  readonly bounds: Coordinator.EndpointBounds;
   /** Features for hard load that the settings ask for. */
   readonly hardLoad: Types.HardLoadSettings;
   readonly storeWritesPerSecond: number;
--- a/packages/workflow-node/src/wrong_addresses_test.ts
+++ b/packages/workflow-node/src/wrong_addresses_test.ts
@@ -19,7 +19,7 @@
 function heedAddresses(fleet: TestUtils.TestFleet): void {
   const { workers } = fleet;
   const meet = <A>(
-    { id, address }: Ports.WorkerRef,
+    { id, address }: Ports.EndpointRef,
     order: Effect.Effect<A, Ports.OrderError>,
   ): Effect.Effect<A, Ports.OrderError> => {
     const worker = id;
--- a/packages/workflow-scheduler/src/count_room.ts
+++ b/packages/workflow-scheduler/src/count_room.ts
@@ -18,7 +18,7 @@
 ): RoomCount {
   const known = endpoints.filter((endpoint) => fleet.isOfKind(endpoint, unit));
   const couldHold = known.filter((endpoint) => {
-    const room = new fleet.WorkerRoom(endpoint);
+    const room = new fleet.EndpointRoom(endpoint);
     return room.fits(unit, room.free) > 0;
   });
   return {
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -65,7 +65,7 @@
 /** Finds the cheapest set of victims; null where even that is not enough. */
 export function findEviction(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   context: EvictionContext,
 ): Eviction | null {
   const near = placement.nearWorkers(unit, rooms);
@@ -88,13 +88,13 @@
  */
 export function evictAmong(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   context: EvictionContext,
 ): Eviction | null {
   const chosen = new Set<Workflow.Task>();
-  const places: fleet.WorkerRoom[] = [];
-  const taken = new Map<fleet.WorkerRoom, number>();
-  const offerOf = (room: fleet.WorkerRoom) => {
+  const places: fleet.EndpointRoom[] = [];
+  const taken = new Map<fleet.EndpointRoom, number>();
+  const offerOf = (room: fleet.EndpointRoom) => {
     const count = (taken.get(room) ?? 0) + 1;
     return victimsFor({ unit, room, count, chosen }, context);
   };
@@ -122,9 +122,9 @@
 
 /** The first of the rooms that cost least; null where none can be freed. */
 function cheapest(
-  offers: ReadonlyMap<fleet.WorkerRoom, Victims | null>,
-): { readonly room: fleet.WorkerRoom; readonly more: Victims } | null {
-  let best: { room: fleet.WorkerRoom; more: Victims } | null = null;
+  offers: ReadonlyMap<fleet.EndpointRoom, Victims | null>,
+): { readonly room: fleet.EndpointRoom; readonly more: Victims } | null {
+  let best: { room: fleet.EndpointRoom; more: Victims } | null = null;
   for (const [room, more] of offers) {
     if (more === null) continue;
     if (best === null || more.cost < best.more.cost) best = { room, more };
@@ -143,7 +143,7 @@
 function victimsFor(
   search: {
     unit: Workflow.Unit;
-    room: fleet.WorkerRoom;
+    room: fleet.EndpointRoom;
     count: number;
     chosen: ReadonlySet<Workflow.Task>;
   },
--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -33,7 +33,7 @@
 }
 
 /** Room of one worker during a plan. */
-export class WorkerRoom {
+export class EndpointRoom {
   readonly worker: WorkerState;
   /** Free when the plan began. */
   readonly before: Workflow.Resources;
@@ -144,7 +144,7 @@
 }
 
 /** Share of the fleet's capacity that is taken, by the scarcest resource. */
-export function usedShare(rooms: readonly WorkerRoom[]): number {
+export function usedShare(rooms: readonly EndpointRoom[]): number {
   const total = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
   const free = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
   for (const room of rooms) {
--- a/packages/workflow-scheduler/src/isolation.ts
+++ b/packages/workflow-scheduler/src/isolation.ts
@@ -23,9 +23,9 @@
 /** The rooms that a suspect may use now. */
 export function roomsApart(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   nowMs: number,
-): readonly fleet.WorkerRoom[] {
+): readonly fleet.EndpointRoom[] {
   if (isHeldBack(unit, nowMs)) return [];
   const empty = rooms.filter((room) => room.isEmpty);
   // One that has crashed may do so again, and no task would be to blame.
@@ -54,7 +54,7 @@
 /** Far from its data, or on several racks, it would run much longer. */
 function hasPlacesNear(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
 ): boolean {
   return placement.findNear(unit, rooms, placement.freeNow) !== null;
 }
--- a/packages/workflow-scheduler/src/kept_rooms.ts
+++ b/packages/workflow-scheduler/src/kept_rooms.ts
@@ -7,12 +7,12 @@
 /** Finds places among some rooms for as many tasks of a unit as there is room for. */
 export type FindForEach = (
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
 ) => placement.Places;
 
 /** What the choice is made from. */
 export interface KeptRoomsOptions {
-  readonly rooms: readonly fleet.WorkerRoom[];
+  readonly rooms: readonly fleet.EndpointRoom[];
   /** Urgent work of a service as it came lately. */
   readonly trafficOf: (service: string) => urgentRoom.UrgentTraffic;
   /** Time that a stop takes at most, in ms. */
@@ -22,7 +22,7 @@
 /** Endpoints that are left free, by service; chosen once in a plan. */
 export class KeptRooms {
   readonly #options: KeptRoomsOptions;
-  readonly #kept = new Map<string, ReadonlySet<fleet.WorkerRoom>>();
+  readonly #kept = new Map<string, ReadonlySet<fleet.EndpointRoom>>();
 
   constructor(options: KeptRoomsOptions) {
     this.#options = options;
@@ -36,8 +36,8 @@
   /** Those of the rooms that a unit may take. */
   openFor(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
-  ): readonly fleet.WorkerRoom[] {
+    rooms: readonly fleet.EndpointRoom[],
+  ): readonly fleet.EndpointRoom[] {
     if (urgentRoom.mayUse(unit)) return rooms;
     const kept = this.#of(unit.workflow.spec.policy.service);
     return kept.size === 0 ? rooms : rooms.filter((room) => !kept.has(room));
@@ -50,12 +50,12 @@
    */
   fill(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
     find: FindForEach = findAny,
   ): placement.Places {
     const { priority, service } = unit.workflow.spec.policy;
     const isCheap = priority > 0 && unit.step.checkpoints;
-    const kept = isCheap ? this.#of(service) : new Set<fleet.WorkerRoom>();
+    const kept = isCheap ? this.#of(service) : new Set<fleet.EndpointRoom>();
     const first = find(unit, rooms.filter((room) => kept.has(room)));
     const tasks = unit.tasks.slice(first.length);
     if (tasks.length === 0) return first;
@@ -63,7 +63,7 @@
     return [...first, ...find({ ...unit, tasks }, others)];
   }
 
-  #of(service: string): ReadonlySet<fleet.WorkerRoom> {
+  #of(service: string): ReadonlySet<fleet.EndpointRoom> {
     const known = this.#kept.get(service);
     if (known !== undefined) return known;
     const { rooms, trafficOf, stopMs } = this.#options;
@@ -78,7 +78,7 @@
 
 function findAny(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
 ): placement.Places {
   return placement.findForEach(unit, rooms, placement.freeNow);
 }
--- a/packages/workflow-scheduler/src/placement.ts
+++ b/packages/workflow-scheduler/src/placement.ts
@@ -3,10 +3,10 @@
 import * as fleet from "./fleet.ts";
 
 /** Workers of a unit's tasks, in the order of the tasks. */
-export type Places = readonly fleet.WorkerRoom[];
+export type Places = readonly fleet.EndpointRoom[];
 
 /** Tells the room of a worker that a search may use. */
-export type RoomOf = (room: fleet.WorkerRoom) => Workflow.Resources;
+export type RoomOf = (room: fleet.EndpointRoom) => Workflow.Resources;
 
 /** Room that is free now. */
 export const freeNow: RoomOf = (room) => room.free;
@@ -20,7 +20,7 @@
 /** Finds the tightest places among some workers; null where there are none. */
 export function findAmong(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   roomOf: RoomOf,
 ): Places | null {
   const open = rooms
@@ -51,7 +51,7 @@
  */
 export function findForEach(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   roomOf: RoomOf,
 ): Places {
   const fitting = rooms
@@ -82,10 +82,10 @@
 
 /** The first places, in order, of rooms that each take some tasks. */
 function takePlaces(
-  open: readonly { readonly room: fleet.WorkerRoom; readonly fits: number }[],
+  open: readonly { readonly room: fleet.EndpointRoom; readonly fits: number }[],
   most: number,
 ): Places {
-  const places: fleet.WorkerRoom[] = [];
+  const places: fleet.EndpointRoom[] = [];
   for (const { room, fits } of open) {
     const count = Math.min(fits, most - places.length);
     for (let i = 0; i < count; i++) places.push(room);
@@ -115,7 +115,9 @@
  * Urgent work takes the fast workers first and other work the slow ones, because
  * it has more time.
  */
-function slownessFor(unit: Workflow.Unit): (room: fleet.WorkerRoom) => number {
+function slownessFor(
+  unit: Workflow.Unit,
+): (room: fleet.EndpointRoom) => number {
   const isUrgent = unit.workflow.spec.policy.priority === 0;
   const sign = isUrgent ? -1 : 1;
   const hasFailed = unit.tasks.some(({ failures }) => failures > 0);
@@ -134,7 +136,7 @@
 
 /** Free accelerators of each rack. */
 function freeByRack(
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   roomOf: RoomOf,
 ): Map<string, number> {
   const free = new Map<string, number>();
@@ -148,7 +150,7 @@
 /** Finds places within one rack: the wanted one, else the tightest. */
 export function findInOneRack(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   roomOf: RoomOf,
 ): Places | null {
   const slowness = slownessFor(unit);
@@ -173,8 +175,8 @@
 /** Workers where a unit runs at full speed. */
 export function nearWorkers(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
-): readonly fleet.WorkerRoom[] {
+  rooms: readonly fleet.EndpointRoom[],
+): readonly fleet.EndpointRoom[] {
   const { rack } = unit.step;
   if (rack === null) return rooms;
   return rooms.filter((room) => room.worker.rack === rack);
@@ -183,7 +185,7 @@
 /** Finds places where the unit runs at full speed. */
 export function findNear(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   roomOf: RoomOf,
 ): Places | null {
   const near = nearWorkers(unit, rooms);
@@ -195,16 +197,16 @@
 /** Whether the unit would run at full speed on empty workers. */
 export function couldBeNear(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
 ): boolean {
   return findNear(unit, rooms, (room) => room.worker.total) !== null;
 }
 
 /** Workers by rack. */
 export function groupByRack(
-  rooms: readonly fleet.WorkerRoom[],
-): Map<string, fleet.WorkerRoom[]> {
-  const racks = new Map<string, fleet.WorkerRoom[]>();
+  rooms: readonly fleet.EndpointRoom[],
+): Map<string, fleet.EndpointRoom[]> {
+  const racks = new Map<string, fleet.EndpointRoom[]>();
   for (const room of rooms) {
     const rack = racks.get(room.worker.rack);
     if (rack === undefined) racks.set(room.worker.rack, [room]);
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -84,8 +84,8 @@
 class Planner {
   readonly #input: PlanInput;
   readonly #ranks: rank.Ranks;
-  readonly #rooms: readonly fleet.WorkerRoom[];
-  readonly #byId: ReadonlyMap<string, fleet.WorkerRoom>;
+  readonly #rooms: readonly fleet.EndpointRoom[];
+  readonly #byId: ReadonlyMap<string, fleet.EndpointRoom>;
   readonly #starts: StartDecision[] = [];
   readonly #stops = new Map<Workflow.Task, StopDecision>();
   readonly #waits: waiting.WaitDecision[] = [];
@@ -114,7 +114,7 @@
     const teamsCompete = input.hardLoad?.teamsCompete === true;
     this.#weighsStops = teamsCompete;
     this.#shares = teamsCompete ? input.shares ?? null : null;
-    this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
+    this.#rooms = input.workers.map((w) => new fleet.EndpointRoom(w));
     this.#isIdle = fleet.usedShare(this.#rooms) < IDLE_SHARE;
     this.#byId = new Map(this.#rooms.map((r) => [r.worker.id, r]));
     this.#times = new runTimes.RunTimes(input);
@@ -194,7 +194,7 @@
   /** Near their data first; elsewhere only where waiting does not pay. */
   #findForEach(
     all: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): placement.Places {
     const near = placement.nearWorkers(all, rooms);
     const places = this.#findForEachNear(all, near);
@@ -211,7 +211,7 @@
   /** Where speeds differ, endpoints on which the tasks end in time come first. */
   #findForEachNear(
     all: Workflow.Unit,
-    near: readonly fleet.WorkerRoom[],
+    near: readonly fleet.EndpointRoom[],
   ): placement.Places {
     const { outlook } = this.#times;
     if (outlook === null) {
@@ -228,7 +228,7 @@
   /** Places a unit on endpoints that are fast enough, or gets them for it. */
   #decideBySpeed(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): boolean {
     const { outlook } = this.#times;
     if (outlook === null) return false;
@@ -253,7 +253,7 @@
   /** What others lose where a unit takes room at any speed. */
   #lossAnyhow(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): number {
     if (this.#findFree(unit, rooms) !== null) return 0;
     if (placement.findNear(unit, rooms, placement.freeSoon) !== null) return 0;
@@ -295,7 +295,7 @@
   /** A unit for which nothing is free makes others yield, or waits. */
   #decideWithoutRoom(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): void {
     if (this.#mayClaim(unit) && this.#claim(unit, rooms)) return;
     this.#reserveAhead(unit, rooms);
@@ -313,7 +313,7 @@
    */
   #reasonFor(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): waiting.WaitReason {
     const { nowMs } = this.#input;
     if (unit.workflow.spec.policy.advice !== null) return WaitReason.Advice;
@@ -327,7 +327,7 @@
     const isPassedOver = this.#passedOver.has(unit);
     if (!this.#isIdle) return isPassedOver ? WaitReason.Share : WaitReason.Room;
     const fitsAmong = (
-      some: readonly fleet.WorkerRoom[],
+      some: readonly fleet.EndpointRoom[],
       roomOf: placement.RoomOf,
     ) => placement.findAmong(unit, some, roomOf) !== null;
     if (fitsAmong(rooms, placement.freeNow)) return WaitReason.NearData;
@@ -362,7 +362,7 @@
   /** Keeps the room that a waiting gang will get first from later units. */
   #reserveAhead(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): void {
     const isDue = unit.step.gang && !this.#isIdle;
     if (!isDue || this.#reserved >= MOST_RESERVED) return;
@@ -372,14 +372,14 @@
     for (const room of found.places) room.claim(unit, 1);
   }
 
-  #roomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
+  #roomsFor(unit: Workflow.Unit): readonly fleet.EndpointRoom[] {
     const rooms = this.#allRoomsFor(unit);
     return isolation.isSuspect(unit)
       ? isolation.roomsApart(unit, rooms, this.#input.nowMs)
       : rooms;
   }
 
-  #allRoomsFor(unit: Workflow.Unit): readonly fleet.WorkerRoom[] {
+  #allRoomsFor(unit: Workflow.Unit): readonly fleet.EndpointRoom[] {
     const all = this.#rooms.filter(({ worker }) =>
       fleet.isEligible(worker, unit)
     );
@@ -392,7 +392,7 @@
 
   #findFree(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): placement.Places | null {
     const near = placement.findNear(unit, rooms, placement.freeNow);
     if (near !== null) return near;
@@ -403,7 +403,7 @@
   /** Waiting pays while the unit would still end earlier near its data. */
   #shouldStayNear(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): boolean {
     const { step, workflow } = unit;
     if (step.rack === null && !placement.wantsOneRack(unit)) return true;
@@ -435,7 +435,7 @@
   /** Keeps room that is being freed, or makes others yield. */
   #claim(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): boolean {
     const soon = placement.findNear(unit, rooms, placement.freeSoon);
     if (soon !== null) {
@@ -456,7 +456,7 @@
   /** Work that was stopped often is spared, unless a guarantee finds nothing else. */
   #findEviction(
     unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
+    rooms: readonly fleet.EndpointRoom[],
   ): eviction.Eviction | null {
     const find = (context: eviction.EvictionContext) =>
       eviction.findEviction(unit, rooms, context) ??
--- a/packages/workflow-scheduler/src/reservation.ts
+++ b/packages/workflow-scheduler/src/reservation.ts
@@ -10,7 +10,7 @@
 const OVERDUE_MS = 500;
 
 interface Ending {
-  readonly room: fleet.WorkerRoom;
+  readonly room: fleet.EndpointRoom;
   readonly task: Workflow.Task;
   readonly atMs: number;
 }
@@ -31,7 +31,7 @@
 /** The places that are free first; null where the unit fits nowhere. */
 export function findEarliest(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   context: EndingContext,
 ): Reservation | null {
   const near = placement.nearWorkers(unit, rooms);
@@ -50,14 +50,14 @@
 /** Lets runs end one after another until the unit fits. */
 function searchAmong(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   context: EndingContext,
 ): Reservation | null {
   if (placement.findAmong(unit, rooms, (r) => r.worker.total) === null) {
     return null;
   }
   const amounts = new Map(rooms.map((room) => [room, { ...room.soon }]));
-  const roomOf = (room: fleet.WorkerRoom) => amounts.get(room) ?? room.soon;
+  const roomOf = (room: fleet.EndpointRoom) => amounts.get(room) ?? room.soon;
   for (const { room, task, atMs } of listEndings(rooms, context)) {
     const amount = amounts.get(room);
     if (amount !== undefined) fleet.give(amount, task.step);
@@ -75,7 +75,7 @@
 }
 
 function listEndings(
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   context: EndingContext,
 ): Ending[] {
   const endings: Ending[] = [];
--- a/packages/workflow-scheduler/src/retry_pause.ts
+++ b/packages/workflow-scheduler/src/retry_pause.ts
@@ -18,7 +18,7 @@
 /**
  * A run that fails later than this after its start was planned, in ms, has failed by
  * itself, and waiting wins it nothing. Endpoints that fail what they start do so
- * within 0.1 s (worker_health.ts); the record and two tries of the order come before.
+ * within 0.1 s (endpoint_health.ts); the record and two tries of the order come before.
  */
 const AT_ONCE_MS = 1000;
 
@@ -38,9 +38,9 @@
 /** Those of the rooms on which a unit that has failed may start now. */
 export function roomsWithoutDoubt(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   nowMs: number,
-): readonly fleet.WorkerRoom[] {
+): readonly fleet.EndpointRoom[] {
   const failedAtMs = Math.max(...unit.tasks.map((task) => task.failedAtMs));
   const sinceMs = nowMs - failedAtMs;
   if (sinceMs >= AVOIDS_DOUBT_LAST_MS) return rooms;
--- a/packages/workflow-scheduler/src/retry_pause_test.ts
+++ b/packages/workflow-scheduler/src/retry_pause_test.ts
@@ -29,9 +29,9 @@
   return workflow.readyUnits(0)[0];
 }
 
-function buildRooms(doubted: readonly boolean[]): fleet.WorkerRoom[] {
+function buildRooms(doubted: readonly boolean[]): fleet.EndpointRoom[] {
   return doubted.map((isDoubted, i) =>
-    new fleet.WorkerRoom({
+    new fleet.EndpointRoom({
       id: `worker-${i}`,
       service: "analysis",
       dataCentre: "dc-1",
--- a/packages/workflow-scheduler/src/speed_bands.ts
+++ b/packages/workflow-scheduler/src/speed_bands.ts
@@ -12,9 +12,9 @@
 
 /** Endpoints at least as fast as needed. */
 export function fastRooms(
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   neededSpeed: number,
-): readonly fleet.WorkerRoom[] {
+): readonly fleet.EndpointRoom[] {
   return rooms.filter(({ worker }) =>
     placement.speedNow(worker) >= neededSpeed
   );
@@ -32,7 +32,7 @@
  */
 export function findAlike(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   roomOf: placement.RoomOf,
 ): placement.Places | null {
   const found = placement.findNear(unit, rooms, roomOf);
@@ -49,7 +49,7 @@
 /** Free places for single tasks, on endpoints that are fast enough first. */
 export function findForEachFast(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   neededSpeed: number,
 ): placement.Places {
   const fast = new Set(fastRooms(rooms, neededSpeed));
@@ -65,7 +65,7 @@
   unit: Workflow.Unit,
   found: placement.Places,
   roomOf: placement.RoomOf,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
 ): placement.Places | null {
   const slowest = slowestOf(found);
   const alike = rooms.filter(({ worker }) => {
@@ -77,9 +77,9 @@
 
 /** Endpoints of like speed, slow ones first. */
 function bandsOf(
-  rooms: readonly fleet.WorkerRoom[],
-): readonly (readonly fleet.WorkerRoom[])[] {
-  const bands = new Map<number, fleet.WorkerRoom[]>();
+  rooms: readonly fleet.EndpointRoom[],
+): readonly (readonly fleet.EndpointRoom[])[] {
+  const bands = new Map<number, fleet.EndpointRoom[]>();
   for (const room of rooms) {
     const speed = Math.max(placement.speedNow(room.worker), LEAST_SPEED);
     const band = Math.round(Math.log(speed) / Math.log(ALIKE_RATIO));
--- a/packages/workflow-scheduler/src/speed_claims.ts
+++ b/packages/workflow-scheduler/src/speed_claims.ts
@@ -57,7 +57,7 @@
 /** Finds room on endpoints that are fast enough; null where there is none. */
 export function findFast(
   unit: Workflow.Unit,
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   context: ClaimContext,
 ): Claim | null {
   const { outlook, evictions: { wallMs } } = context;
@@ -73,7 +73,7 @@
 
 function findByStops(
   unit: Workflow.Unit,
-  fast: readonly fleet.WorkerRoom[],
+  fast: readonly fleet.EndpointRoom[],
   context: ClaimContext,
 ): Claim | null {
   if (!context.mayClaim) return null;
@@ -89,7 +89,7 @@
 
 function findByEnds(
   unit: Workflow.Unit,
-  fast: readonly fleet.WorkerRoom[],
+  fast: readonly fleet.EndpointRoom[],
   context: ClaimContext,
 ): Claim | null {
   if (!context.mayWait()) return null;
--- a/packages/workflow-scheduler/src/stops_property_test.ts
+++ b/packages/workflow-scheduler/src/stops_property_test.ts
@@ -162,7 +162,7 @@
   gone: ReadonlySet<Workflow.Task>,
 ): boolean {
   const rooms = workers.map((worker) =>
-    new fleet.WorkerRoom({
+    new fleet.EndpointRoom({
       ...worker,
       occupants: worker.occupants.filter((task) => !gone.has(task)),
     })
--- a/packages/workflow-scheduler/src/urgent_room.ts
+++ b/packages/workflow-scheduler/src/urgent_room.ts
@@ -47,11 +47,11 @@
  * emptiest first, as wide gangs want whole endpoints of one rack.
  */
 export function chooseRooms(
-  rooms: readonly fleet.WorkerRoom[],
+  rooms: readonly fleet.EndpointRoom[],
   traffic: UrgentTraffic,
   stopMs: number,
-): ReadonlySet<fleet.WorkerRoom> {
-  const chosen = new Set<fleet.WorkerRoom>();
+): ReadonlySet<fleet.EndpointRoom> {
+  const chosen = new Set<fleet.EndpointRoom>();
   if (usedShare(rooms) < LEAST_USED) return chosen;
   const all = sumOf(rooms, ({ worker }) => worker.total.accelerators);
   let left = wantedRoom(traffic, { all, stopMs });
@@ -70,12 +70,12 @@
 }
 
 interface OpenRoom {
-  readonly room: fleet.WorkerRoom;
+  readonly room: fleet.EndpointRoom;
   /** Accelerators that are free, or held by work that stops cheaply. */
   readonly open: number;
 }
 
-function byRackAndOpen(rooms: readonly fleet.WorkerRoom[]): OpenRoom[] {
+function byRackAndOpen(rooms: readonly fleet.EndpointRoom[]): OpenRoom[] {
   const racks = new Map<string, OpenRoom[]>();
   for (const room of rooms) {
     const open = openFor(room);
@@ -92,7 +92,7 @@
   return sorted.flatMap(({ rack }) => rack);
 }
 
-function openFor({ soon, worker }: fleet.WorkerRoom): number {
+function openFor({ soon, worker }: fleet.EndpointRoom): number {
   const cheap = worker.occupants.filter(stopsCheaply);
   return cheap.reduce((sum, { step }) => sum + step.accelerators, 0) +
     soon.accelerators;
@@ -107,7 +107,7 @@
 const ACCELERATOR_WEIGHT = 8;
 
 /** Share in use: of the accelerators, or of them and the cores, whichever is less. */
-function usedShare(rooms: readonly fleet.WorkerRoom[]): number {
+function usedShare(rooms: readonly fleet.EndpointRoom[]): number {
   const weigh = ({ cpuMillis, accelerators }: Workflow.Resources) =>
     cpuMillis / 1000 + ACCELERATOR_WEIGHT * accelerators;
   const usedOf = (measure: (one: Workflow.Resources) => number) => {
@@ -119,8 +119,8 @@
 }
 
 function sumOf(
-  rooms: readonly fleet.WorkerRoom[],
-  of: (room: fleet.WorkerRoom) => number,
+  rooms: readonly fleet.EndpointRoom[],
+  of: (room: fleet.EndpointRoom) => number,
 ): number {
   return rooms.reduce((sum, room) => sum + of(room), 0);
 }
--- a/packages/workflow-scheduler/src/urgent_room_test.ts
+++ b/packages/workflow-scheduler/src/urgent_room_test.ts
@@ -31,14 +31,14 @@
 /** Ten endpoints in racks of two, each with work on some of its accelerators. */
 function buildRooms(
   held: readonly (readonly [number, boolean])[],
-): fleet.WorkerRoom[] {
+): fleet.EndpointRoom[] {
   return held.map(([accelerators, checkpoints], i) => {
     const cpuMillis = accelerators * CORES_EACH * 1000;
     const step = { cpuMillis, accelerators, checkpoints };
     const workflow = buildWorkflow(2, step);
     const [task] = workflow.tasks;
     task.place(`worker-${i}`, 1, 0);
-    return new fleet.WorkerRoom({
+    return new fleet.EndpointRoom({
       id: `worker-${i}`,
       service: "analysis",
       dataCentre: "dc-1",
@@ -57,7 +57,7 @@
   () => [ACCELERATORS, false] as const,
 );
 
-function idsOf(rooms: ReadonlySet<fleet.WorkerRoom>): string[] {
+function idsOf(rooms: ReadonlySet<fleet.EndpointRoom>): string[] {
   return [...rooms].map(({ worker }) => worker.id);
 }
 
