--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -57,6 +57,7 @@
       ),
       guarantees: this.#parts.guarantees.describe(),
       hardLoad: this.#parts.hardLoad.load,
+      stops: this.#parts.planning.stopCounts,
       estimates: this.#parts.estimates.describe(),
       teamShares: describing.describeShares(
         this.#parts.shares.shares,
--- a/packages/workflow-scheduler/src/eviction.ts
+++ b/packages/workflow-scheduler/src/eviction.ts
@@ -3,6 +3,7 @@
 import * as fleet from "./fleet.ts";
 import * as placement from "./placement.ts";
 import type * as rank from "./rank.ts";
+import * as stopRules from "./stop_rules.ts";
 import type * as teamShares from "./team_shares.ts";
 import * as victims from "./victim_cost.ts";
 
@@ -20,6 +21,10 @@
   readonly wallMs: number;
   /** What stopping each task costs, as far as this plan has worked it out. */
   readonly costs: Map<Workflow.Task, number>;
+  /** Whether tasks that were stopped for others often enough are spared. */
+  readonly sparesStopped: boolean;
+  /** Whether a task stops for another unit already; its room is given away. */
+  readonly isTaken: (task: Workflow.Task) => boolean;
   /** Time until the run of a task ends that has run for some time, in ms. */
   readonly leftMs: (task: Workflow.Task, ranMs: number) => number;
   /** What teams have had; null where that does not count. */
@@ -147,6 +152,8 @@
   const candidates = room.worker.occupants
     .filter((task) =>
       !chosen.has(task) && isEvictable(task, context.nowMs) &&
+      !context.isTaken(task) &&
+      !(context.sparesStopped && stopRules.isSpared(groupOf(task))) &&
       context.ranks.mayEvict(unit.workflow, task.workflow)
     )
     .map((task) => ({
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -3,12 +3,15 @@
 import * as eviction from "./eviction.ts";
 import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
-import type * as hardLoads from "./hard_load.ts";
+import * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
+import * as keptRooms from "./kept_rooms.ts";
 import * as placement from "./placement.ts";
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
+import * as stopRules from "./stop_rules.ts";
+import * as urgentRoom from "./urgent_room.ts";
 import * as slowPlaces from "./slow_place.ts";
 import * as runTimes from "./run_times.ts";
 import * as bands from "./speed_bands.ts";
@@ -32,6 +35,10 @@
   readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
   /** Kinds of hard load that the deployment has; left out: none. */
   readonly hardLoad?: hardLoads.HardLoad;
+  /** Time that a stop takes at most, in ms; left out: none. */
+  readonly stopMs?: number;
+  /** Urgent work of a service as it came lately; left out: none. */
+  readonly urgentTraffic?: (service: string) => urgentRoom.UrgentTraffic;
   /** What runs of each queue took against their estimates; left out: as estimated. */
   readonly corrections?: outlooks.Corrections;
   /** What teams have had; counts only where teams compete. Left out: not known. */
@@ -58,6 +65,8 @@
   readonly starts: readonly StartDecision[];
   readonly stops: readonly StopDecision[];
   readonly waits: readonly waiting.WaitDecision[];
+  /** Endpoints that were left free for urgent work. */
+  readonly kept: number;
 }
 
 /** Decides for all units that are ready. */
@@ -83,6 +92,9 @@
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
   readonly #evictions: eviction.EvictionContext;
+  /** Whether stops are weighed, and room is kept, for hard load. */
+  readonly #isHard: boolean;
+  readonly #kept: keptRooms.KeptRooms;
   readonly #endings: reservation.EndingContext;
   readonly #times: runTimes.RunTimes;
   /** Null where shares do not count. */
@@ -99,6 +111,7 @@
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
+    this.#isHard = hardLoads.isHard(input.hardLoad);
     const teamsCompete = input.hardLoad?.teamsCompete === true;
     this.#shares = teamsCompete ? input.shares ?? null : null;
     this.#rooms = input.workers.map((w) => new fleet.WorkerRoom(w));
@@ -110,10 +123,26 @@
       nowMs,
       wallMs,
       costs: new Map(),
+      sparesStopped: this.#isHard,
+      isTaken: (task) => this.#isHard && this.#stops.has(task),
       shares: this.#shares,
       leftMs: (task, ranMs) => this.#times.leftMs(task, ranMs),
     };
     this.#endings = { nowMs, runMs: (task) => this.#times.runMs(task) };
+    const { NO_URGENT_TRAFFIC } = urgentRoom;
+    this.#kept = new keptRooms.KeptRooms({
+      rooms: this.#rooms,
+      trafficOf: (service) =>
+        this.#isHard
+          ? input.urgentTraffic?.(service) ?? NO_URGENT_TRAFFIC
+          : NO_URGENT_TRAFFIC,
+      stopMs: this.#stopMs,
+    });
+  }
+
+  /** Time that stops are reckoned to take, in ms; none without hard load. */
+  get #stopMs(): number {
+    return this.#isHard ? this.#input.stopMs ?? 0 : 0;
   }
 
   run(): Plan {
@@ -133,6 +162,7 @@
       starts: this.#starts,
       stops: [...this.#stops.values()],
       waits: this.#waits,
+      kept: this.#kept.size,
     };
   }
 
@@ -153,7 +183,7 @@
     if (this.#blocked.has(siblings)) return;
     const all = { ...first, tasks: units.flatMap(({ tasks }) => tasks) };
     const rooms = this.#roomsFor(all);
-    const places = this.#findForEach(all, rooms);
+    const places = this.#findForEach(all, this.#kept.openFor(all, rooms));
     places.forEach((room, i) => this.#start(units[i], [room]));
     for (const unit of units.slice(places.length)) {
       this.#decideWithoutRoom(unit, rooms);
@@ -175,10 +205,7 @@
     const rest = { ...all, tasks: all.tasks.slice(places.length) };
     const nearRooms = new Set(near);
     const others = rooms.filter((room) => !nearRooms.has(room));
-    return [
-      ...places,
-      ...placement.findForEach(rest, others, placement.freeNow),
-    ];
+    return [...places, ...this.#kept.fill(rest, others)];
   }
 
   /** Where speeds differ, endpoints on which the tasks end in time come first. */
@@ -188,10 +215,14 @@
   ): placement.Places {
     const { outlook } = this.#times;
     if (outlook === null) {
-      return placement.findForEach(all, near, placement.freeNow);
+      return this.#kept.fill(all, near);
     }
     const needed = outlook.neededSpeed(all, this.#input.wallMs);
-    return bands.findForEachFast(all, near, needed);
+    return this.#kept.fill(
+      all,
+      near,
+      (unit, rooms) => bands.findForEachFast(unit, rooms, needed),
+    );
   }
 
   /** Places a unit on endpoints that are fast enough, or gets them for it. */
@@ -201,7 +232,7 @@
   ): boolean {
     const { outlook } = this.#times;
     if (outlook === null) return false;
-    const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
+    const isGuaranteed = this.#isGuaranteed(unit);
     const claim = speedClaims.findFast(unit, rooms, {
       outlook,
       evictions: this.#evictions,
@@ -211,7 +242,7 @@
       // A guarantee is for room at once, whatever its speed.
       mayWait: () => !isGuaranteed && this.#endSearches++ < MOST_RESERVED,
       isWorth: (found) =>
-        this.#isWorth(unit, found) &&
+        (isGuaranteed || found.cost <= eviction.workOf(unit)) &&
         speedClaims.isWorthSpeed(unit, found, this.#costAnyhow(unit, rooms)),
     });
     if (claim === null) return false;
@@ -226,8 +257,11 @@
   ): number {
     if (this.#findFree(unit, rooms) !== null) return 0;
     if (placement.findNear(unit, rooms, placement.freeSoon) !== null) return 0;
-    const found = this.#findStops(unit, rooms);
-    return found !== null && this.#isWorth(unit, found) ? found.cost : 0;
+    const found = this.#findEviction(unit, rooms);
+    if (found === null) return 0;
+    const isMade = this.#isGuaranteed(unit) ||
+      found.cost <= eviction.workOf(unit);
+    return isMade ? found.cost : 0;
   }
 
   /**
@@ -254,8 +288,9 @@
     const siblings = unit.workflow.siblings(unit.tasks[0]);
     if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
     const rooms = this.#roomsFor(unit);
-    if (this.#decideBySpeed(unit, rooms)) return;
-    const places = this.#findFree(unit, rooms);
+    const open = this.#kept.openFor(unit, rooms);
+    if (this.#decideBySpeed(unit, open)) return;
+    const places = this.#findFree(unit, open);
     if (places !== null) return this.#start(unit, places);
     this.#decideWithoutRoom(unit, rooms);
   }
@@ -311,9 +346,20 @@
   /** Urgent work beyond a guarantee claims only while that is of use. */
   #mayClaim(unit: Workflow.Unit): boolean {
     if (unit.workflow.spec.policy.priority > 0) return false;
-    const isGuaranteed = this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed;
-    return isGuaranteed ||
-      this.#times.hopeOf(unit) === rank.Hope.InTime;
+    return this.#isGuaranteed(unit) ||
+      stopRules.helpsInTime(unit, this.#moment);
+  }
+
+  #isGuaranteed({ workflow }: Workflow.Unit): boolean {
+    return this.#ranks.of(workflow) === rank.Rank.Guaranteed;
+  }
+
+  get #moment(): stopRules.StopMoment {
+    return {
+      wallMs: this.#input.wallMs,
+      stopMs: this.#stopMs,
+      hopeAfter: (unit, laterMs) => this.#times.hopeOf(unit, laterMs),
+    };
   }
 
   /** Keeps the room that a waiting gang will get first from later units. */
@@ -399,31 +445,37 @@
       this.#reserve(unit, soon);
       return true;
     }
-    const found = this.#findStops(unit, rooms);
+    const found = this.#findEviction(unit, rooms);
     if (found === null || !this.#isWorth(unit, found)) return false;
     this.#makeYield(unit, found);
     return true;
   }
 
-  /** Near its data where that can be had, else anywhere. */
-  #findStops(
-    unit: Workflow.Unit,
-    rooms: readonly fleet.WorkerRoom[],
-  ): eviction.Eviction | null {
-    const context = this.#evictions;
-    return eviction.findEviction(unit, rooms, context) ??
-      eviction.evictAmong(unit, rooms, context);
-  }
-
   #makeYield(unit: Workflow.Unit, found: eviction.Eviction): void {
     for (const victim of found.victims) this.#stop(victim, unit);
     this.#reserve(unit, found.places);
   }
 
+  /** Work that was stopped often is spared, unless a guarantee finds nothing else. */
+  #findEviction(
+    unit: Workflow.Unit,
+    rooms: readonly fleet.WorkerRoom[],
+  ): eviction.Eviction | null {
+    const find = (context: eviction.EvictionContext) =>
+      eviction.findEviction(unit, rooms, context) ??
+        eviction.evictAmong(unit, rooms, context);
+    const found = find(this.#evictions);
+    if (found !== null || !this.#isHard || !this.#isGuaranteed(unit)) {
+      return found;
+    }
+    return find({ ...this.#evictions, sparesStopped: false });
+  }
+
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
   #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
-    return this.#ranks.of(unit.workflow) === rank.Rank.Guaranteed ||
-      found.cost <= eviction.workOf(unit);
+    if (found.cost <= eviction.workOf(unit)) return true;
+    if (!this.#isGuaranteed(unit)) return false;
+    return !this.#isHard || !stopRules.mayWaitForCheaper(unit, this.#moment);
   }
 
   #reserve(unit: Workflow.Unit, places: placement.Places): void {
--- a/tools/decisions/src/play.ts
+++ b/tools/decisions/src/play.ts
@@ -21,6 +21,15 @@
   /** Accelerators in use, mean share. */
   readonly usedShare: number;
   readonly plans: number;
+  /** Stops for others, as far as they struck a run. */
+  readonly stops: readonly StopSeen[];
+}
+
+/** One stop of a run, and with it of its gang, for others. */
+export interface StopSeen {
+  readonly task: Workflow.Task;
+  readonly claimant: Workflow.Workflow;
+  readonly ranMs: number;
 }
 
 /** Traffic of the users' days, in ms. */
@@ -75,6 +84,8 @@
   readonly #saved = new Map<Workflow.Task, number>();
   readonly #stops: { run: Run; atMs: number }[] = [];
   readonly #served: Served[] = [];
+  readonly #stopsSeen: StopSeen[] = [];
+  readonly #urgent = new Scheduler.UrgentArrivals();
   readonly #estimates = new Scheduler.EstimateBook();
   #nowMs = 0;
   #thrownAway = 0;
@@ -127,11 +138,13 @@
       strandedShare: this.#stranded / this.#plans,
       usedShare: this.#used / this.#plans,
       plans: this.#plans,
+      stops: this.#stopsSeen,
     };
   }
 
   #plan(): void {
     const states = this.#endpoints.map((one) => this.#stateOf(one));
+    this.#urgent.note(this.#live.keys());
     this.#judgeShares(states);
     const plan = Scheduler.makePlan({
       workers: states,
@@ -142,10 +155,12 @@
       remotePenalty: REMOTE_PENALTY,
       isAdvised: () => true,
       hardLoad: this.#load.hardLoad,
+      stopMs: this.#load.stopMs,
+      urgentTraffic: (service) => this.#urgent.of(service, this.#nowMs),
       corrections: this.#estimates.corrections,
       shares: this.#teamShares,
     });
-    for (const { task } of plan.stops) this.#stop(task);
+    for (const stop of plan.stops) this.#stop(stop);
     for (const start of plan.starts) this.#start(start);
     this.#plans++;
     this.#measureRoom(plan);
@@ -222,10 +237,13 @@
     for (const task of unit.tasks) this.#runOf.set(task, began);
   }
 
-  #stop(task: Workflow.Task): void {
+  #stop({ task, claimant }: Scheduler.StopDecision): void {
     const run = this.#runOf.get(task);
     if (run === undefined || run.isStopped) return;
     run.isStopped = true;
+    const ranMs = this.#nowMs - run.beganAtMs;
+    for (const member of run.tasks) member.stopsForOthers++;
+    this.#stopsSeen.push({ task, claimant: claimant.workflow, ranMs });
     for (const member of run.tasks) {
       member.state = Workflow.TaskState.Stopping;
     }
