Let a guarantee make room at once, whatever it costs others

Likely cause, by what differs: a guarantee waited up to 0.6 s before it made others lose more work than it brings.

--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -470,10 +470,7 @@
 
   /** Beyond a guarantee nobody makes others lose more work than it brings. */
   #isWorth(unit: Workflow.Unit, found: eviction.Eviction): boolean {
-    if (found.loss <= eviction.workOf(unit)) return true;
-    if (!this.#isGuaranteed(unit)) return false;
-    return !this.#weighsStops ||
-      !stopRules.mayWaitForCheaper(unit, this.#moment);
+    return this.#isGuaranteed(unit) || found.loss <= eviction.workOf(unit);
   }
 
   #reserve(unit: Workflow.Unit, places: placement.Places): void {
--- a/packages/workflow-scheduler/src/stop_rules.ts
+++ b/packages/workflow-scheduler/src/stop_rules.ts
@@ -32,25 +32,3 @@
 ): boolean {
   return hopeAfter(unit, stopMs) === rank.Hope.InTime;
 }
-
-/**
- * Longest time for which a guarantee waits before it makes others lose more work than
- * it brings, in ms. Operators want guaranteed work to begin within some seconds; most
- * of that is for stops, records and starts.
- */
-const MOST_WAIT_MS = 600;
-
-/**
- * Whether guaranteed work may wait for cheaper room: it has just come, and waiting up
- * to the bound would leave it in time.
- */
-export function mayWaitForCheaper(
-  unit: Workflow.Unit,
-  { wallMs, stopMs, hopeAfter }: StopMoment,
-): boolean {
-  const waitedMs = wallMs - Workflow.dueAtMs(unit.workflow.spec, unit.round);
-  // Before its due time clocks disagree, and nobody knows how long it has waited.
-  if (waitedMs < 0 || waitedMs >= MOST_WAIT_MS) return false;
-  const latestMs = MOST_WAIT_MS - waitedMs + stopMs;
-  return hopeAfter(unit, latestMs) === rank.Hope.InTime;
-}
