Say of no workflow that may be stored that it was not taken

What callers would see: a 503 for a workflow that an earlier try had stored; it runs all the same. Order: the first try is stored, its answer is lost; the second comes with little time left and is judged; the look for a copy finds it, and the write that follows has no time left and fails as not done. Now a copy that is found is an acceptance, and a failure of a workflow that this box has filed, or could not look for, is perhaps done (504). Also: the time to come back to a store is 8 s at most as written (it could be 12), and hard load is remembered from when a forecast was made, not from when it was looked at.

Left: a box that began anew knows of no earlier write; one that is read after a later try's rejection is not told apart (docs/design/admission.md).

--- a/packages/gateway/src/admission_desk.ts
+++ b/packages/gateway/src/admission_desk.ts
@@ -103,7 +103,8 @@
     // An outage lasts, as far as anybody can tell, as long again as it has lasted.
     const lastsMs = Math.min(LONGEST_STORE_MS, storeSilentMs());
     const spread = 0.5 + random.next();
-    return Math.max(LEAST_RETURN_MS, lastsMs * spread);
+    const returnMs = Math.min(LONGEST_STORE_MS, lastsMs * spread);
+    return Math.max(LEAST_RETURN_MS, returnMs);
   }
 
   /** What the desk knows. */
@@ -123,7 +124,8 @@
     const { clock, metrics, known } = this.#options;
     const found = known();
     if (found.forecast === null) return found;
-    this.#hardLoadAtMs = clock.monotonicMs();
+    const madeAtMs = clock.monotonicMs() - found.ageMs;
+    this.#hardLoadAtMs = Math.max(this.#hardLoadAtMs, madeAtMs);
     const ageSeconds = Math.min(found.ageMs, REMEMBERED_MS) / 1000;
     metrics.set("cairngate_forecast_age_seconds", ageSeconds);
     return found;
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -111,13 +111,19 @@
     });
   }
 
-  /** Stores a workflow; until it is known to be stored, it may be. */
+  /**
+   * Stores a workflow; until it is known to be stored, it may be.
+   * @param mayBeStored whether an earlier copy may be stored: that this one was not
+   * written proves nothing then
+   */
   #file(
     spec: Workflow.WorkflowSpec,
     waitsMs?: number,
+    mayBeStored = this.#filings.mayHave(spec.id),
   ): Effect.Effect<void, Errors.StoreUnavailableError> {
     if (!this.#filings.mayHave(spec.id)) this.#desk.noteAccepted(spec);
-    return this.#filings.watch(spec.id, this.#rows.file(spec, waitsMs));
+    const filed = this.#filings.watch(spec.id, this.#rows.file(spec, waitsMs));
+    return mayBeStored ? Effect.mapError(filed, withDoubt) : filed;
   }
 
   /** To reject what is stored already, or may be, would be untrue. */
@@ -130,15 +136,17 @@
       const begunAtMs = this.#clock.monotonicMs();
       const look = this.#rows.look(spec.id, COPY_LOOK_MS);
       const seen = yield* this.#clock.within(COPY_LOOK_MS, look);
+      // It was accepted before.
+      if (seen !== null && seen.value.found.length > 0) return;
       const isNowhere = seen !== null && seen.value.failure === null &&
-        seen.value.found.length === 0 && !this.#filings.mayHave(spec.id);
+        !this.#filings.mayHave(spec.id);
       if (isNowhere) {
         this.#desk.noteRejected(spec, rejected);
         return yield* rejected;
       }
       const tookMs = this.#clock.monotonicMs() - begunAtMs;
       const leftMs = waitsMs === undefined ? undefined : waitsMs - tookMs;
-      return yield* this.#file(spec, leftMs);
+      return yield* this.#file(spec, leftMs, true);
     });
   }
 
@@ -232,3 +240,14 @@
   } = route;
   return { queue, service, priority, attempts, stretch, latencyMs, advice };
 }
+
+/** The same failure of a workflow that may be stored all the same. */
+function withDoubt(
+  { operation, cause }: Errors.StoreUnavailableError,
+): Errors.StoreUnavailableError {
+  return new Errors.StoreUnavailableError({
+    operation,
+    cause,
+    perhapsDone: true,
+  });
+}
--- a/packages/workflow-node/src/admission_test.ts
+++ b/packages/workflow-node/src/admission_test.ts
@@ -31,8 +31,9 @@
   name: string,
   id: string,
   step: Workflow.StepSpec = SHORT,
+  waitsMs?: number,
 ): Promise<Failure | null> {
-  return fleet.run(handIn(fleet, name, id, step));
+  return fleet.run(handIn(fleet, name, id, step, waitsMs));
 }
 
 function handIn(
@@ -40,6 +41,7 @@
   name: string,
   id: string,
   step: Workflow.StepSpec,
+  waitsMs?: number,
 ): Effect.Effect<Failure | null> {
   const { access, submissions } = fleet.node(name);
   const path = `/p1/${id}`;
@@ -47,7 +49,7 @@
   const job = { id, payload: "work", steps: [step], schedule: null };
   const call = Effect.gen(function* () {
     const allowed = yield* access.check(request);
-    yield* submissions.accept(allowed, job);
+    yield* submissions.accept(allowed, job, waitsMs);
   });
   return Effect.map(
     Effect.result(call),
@@ -97,6 +99,24 @@
     await fleet.stop();
   });
 
+  vitest.it("that may be stored is never said not to be", async () => {
+    // The second try comes with so little time left that nothing is written.
+    const fleet = await startFull();
+    const stored = "f000000000000000";
+    const long = TestUtils.buildStep({ accelerators: 2, estimateMs: LONG_MS });
+    for (const step of [long, SHORT]) {
+      for (const name of fleet.nodes.keys()) {
+        const err = await submit(fleet, name, stored, step, 1);
+        const isTold = err?._tag === "StoreUnavailableError" &&
+          err.perhapsDone !== true;
+        // A box that has neither stored it nor looks for it knows of no copy.
+        const isFirst = step === long && name !== "node-1";
+        vitest.expect([name, isTold && !isFirst]).toEqual([name, false]);
+      }
+    }
+    await fleet.stop();
+  });
+
   vitest.it("is accepted once it would be of use, and runs", async () => {
     const fleet = await startFull();
     let tries = 0;
