Keep no renewal as the newest one whose time can't be true

What could happen since renewals are compared by their times: somebody else writes a large number into the row of renewals, no true one counts as newer from then on, and a healthy holder is replaced. A time that runs ahead of the newest one by more than the time since and 10 s is a sign of life, as any change was before, and no bar for later ones.

--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -35,6 +35,12 @@
  */
 const REST_MS = 1500;
 
+/**
+ * A renewal whose time is ahead of the newest one seen by more than this, beside the
+ * time since, is not its holder's: by it no later one would count, in ms.
+ */
+const MOST_AHEAD_MS = 10_000;
+
 /** The rows as this node sees them. */
 export class RowWatch {
   readonly #ports: ports.CoordinatorPorts;
@@ -47,6 +53,8 @@
   #row: terms.CoordinatorRow | null = null;
   /** Newest renewal that was seen; differs with each one. */
   #lease: unknown = null;
+  /** When it was seen. */
+  #leaseAtMs = 0;
   #changedAtMs = Number.POSITIVE_INFINITY;
   #silentSinceMs = Number.POSITIVE_INFINITY;
   #lastHeardMs = Number.NEGATIVE_INFINITY;
@@ -129,7 +137,7 @@
       found.holder !== this.#ports.node;
     if (!isHeld || lease === found.token) return false;
     if (!this.#isNewer(lease)) return false;
-    this.#lease = lease;
+    this.#keepLease(lease);
     return true;
   }
 
@@ -179,12 +187,25 @@
   #noteLease(value: unknown): boolean {
     const isTakeover = value === this.token;
     if (!isTakeover && !this.#isNewer(value)) return false;
-    this.#lease = isTakeover ? null : value;
+    if (isTakeover) this.#lease = null;
+    else this.#keepLease(value);
     this.#sight.note(value, this.#lookedAtMs);
     this.#hasToldOfRenewal = true;
     return true;
   }
 
+  /** A renewal is a sign of life; the time that it names counts if it can be true. */
+  #keepLease(lease: unknown): void {
+    const nowMs = this.#ports.clock.monotonicMs();
+    const knownMs = leases.renewedAtMs(this.#lease);
+    const sentMs = leases.renewedAtMs(lease);
+    const isAhead = knownMs !== null && sentMs !== null &&
+      sentMs - knownMs > nowMs - this.#leaseAtMs + MOST_AHEAD_MS;
+    if (isAhead) return;
+    this.#lease = lease;
+    this.#leaseAtMs = nowMs;
+  }
+
   /**
    * Whether a renewal was sent after the newest one that was seen. One that is carried
    * out late tells nothing of its holder, who may have ended since.
--- a/packages/workflow-node/src/swallowed_renewals_test.ts
+++ b/packages/workflow-node/src/swallowed_renewals_test.ts
@@ -73,6 +73,16 @@
     },
   );
 
+  vitest.it("keeps its term beside a renewal of another writer", async () => {
+    const fleet = await startFleet();
+    const token = fleet.token();
+    // By its time no true renewal would be newer.
+    fleet.write(TableClient.Keys.COORDINATOR_LEASE_KEY, 1e15);
+    await fleet.clock.advance(SETTLED_MS);
+    vitest.expect(fleet.token()).toBe(token);
+    await fleet.stop();
+  });
+
   vitest.it(
     "does not keep the term of a dead holder by late renewals",
     async () => {
