Count endpoints that are gone as room that may be back, and estimates as off

Both rejected what could be served. Now the room of endpoints that were seen counts, and the limit is that of work half as long again as estimated. Tests of both; the first fails without the change.

--- a/packages/admission/src/decide_test.ts
+++ b/packages/admission/src/decide_test.ts
@@ -96,6 +96,34 @@
   });
 });
 
+vitest.describe("the shape of a job", () => {
+  vitest.it(
+    "leaves it the time that it has if it takes half as long again",
+    () => {
+      const policy = {
+        queue: "q",
+        service: "analysis",
+        priority: 1,
+        attempts: 1,
+        stretch: 2,
+        latencyMs: 500,
+        advice: null,
+      };
+      const shape = shapes.shapeOf({
+        id: "a",
+        tenant: "hana",
+        policy,
+        payload: "",
+        steps: [Workflow.createStep({ estimateMs: 1000 })],
+        schedule: null,
+        acceptedAtMs: 0,
+      });
+      vitest.expect(shape.dueInMs).toBe(2500);
+      vitest.expect(shape.usefulForMs).toBe(10_500);
+    },
+  );
+});
+
 vitest.describe("a job is rejected", () => {
   vitest.it("where it would end too late, until it would not", () => {
     const decision = judge(
--- a/packages/admission/src/forecast_test.ts
+++ b/packages/admission/src/forecast_test.ts
@@ -84,6 +84,12 @@
     vitest.expect(freeFor(load, 1).last?.[0]).toBe(4);
   });
 
+  vitest.it("counts endpoints that are gone as ones that may be back", () => {
+    const before = makers.makeForecast(loadOf());
+    const load = loadOf({ endpoints: [], before });
+    vitest.expect(freeFor(load, 1).first).toEqual(freeFor(loadOf(), 1).first);
+  });
+
   vitest.it("remembers the largest sizes that were seen", () => {
     const before = makers.makeForecast(loadOf());
     const after = makers.makeForecast(loadOf({ endpoints: [], before }));
--- a/packages/admission/src/job_shape.ts
+++ b/packages/admission/src/job_shape.ts
@@ -61,6 +61,9 @@
     readonly returnInMs: number;
   };
 
+/** Work may take this many times its estimate: estimates are off by up to half. */
+const LONGEST_SHARE = 1.5;
+
 /** The shape of a workflow that is handed in now. */
 export function shapeOf(spec: Workflow.WorkflowSpec): JobShape {
   const dueInMs = Workflow.objectiveAtMs(spec, 0) - Workflow.dueAtMs(spec, 0);
@@ -70,6 +73,12 @@
     steps: spec.steps,
     isTimed: spec.schedule !== null || spec.steps.some((one) => one.lasting),
     dueInMs,
-    usefulForMs: dueInMs * Workflow.LATE_FACTOR,
+    usefulForMs: longestObjectiveMs(spec) * Workflow.LATE_FACTOR,
   };
 }
+
+/** The objective of work that takes as long as it may; callers count its true time. */
+function longestObjectiveMs({ steps, policy }: Workflow.WorkflowSpec): number {
+  const workMs = Workflow.longestChainMs(steps) * LONGEST_SHARE;
+  return policy.stretch * workMs + policy.latencyMs;
+}
--- a/packages/admission/src/make_forecast.ts
+++ b/packages/admission/src/make_forecast.ts
@@ -32,11 +32,12 @@
   const waits = load.waits.filter(isOfIt).sort(byRankAndDue);
   const total = endpoints.map((one) => one.total)
     .reduce(amounts.add, amounts.NOTHING);
-  const room = priorities.map((priority) =>
-    roomAhead({ total, runs, waits, isInOrder }, priority)
-  );
   const before = load.before?.services.find(isOfIt);
-  return { service, ...sizesOf(endpoints, total, before), room };
+  const sizes = sizesOf(endpoints, total, before);
+  // Endpoints that were seen and are not listed may be back at any moment, empty.
+  const most = { total: sizes.total, runs, waits, isInOrder };
+  const room = priorities.map((priority) => roomAhead(most, priority));
+  return { service, ...sizes, room };
 }
 
 function byRankAndDue(a: loads.Wait, b: loads.Wait): number {
