Give calls that are not under test the time that a busy machine takes

So the machine was late, not the caller: the assertions that failed come before, or beside, what the tests are about. (The second had failed once before, untraced.) These calls get 2 s now; connections opened, silences and the one call that silence may cost are checked as before.

--- a/packages/http-json/src/silence_test.ts
+++ b/packages/http-json/src/silence_test.ts
@@ -76,8 +76,8 @@
   }
 
   /** Many calls side by side; how many were answered. */
-  async callMany(count: number): Promise<number> {
-    const calls = Array.from({ length: count }, () => this.call());
+  async callMany(count: number, limitMs = LIMIT_MS): Promise<number> {
+    const calls = Array.from({ length: count }, () => this.call({}, limitMs));
     return (await Promise.all(calls)).filter((done) => done).length;
   }
 }
@@ -92,7 +92,8 @@
 
 vitest.describe("kept connections that turn silent", () => {
   vitest.it("cost at most one call when none is under way", async () => {
-    vitest.expect(await bench.callMany(CONNECTIONS)).toBe(CONNECTIONS);
+    vitest.expect(await bench.callMany(CONNECTIONS, LONG_LIMIT_MS))
+      .toBe(CONNECTIONS);
     vitest.expect(bench.proxy.silence()).toBe(CONNECTIONS);
     const answered: boolean[] = [];
     for (let i = 0; i < 4; i++) answered.push(await bench.call());
@@ -149,10 +150,10 @@
 
 vitest.describe("an address that is slow, not silent", () => {
   vitest.it("gets no flood of new connections", async () => {
-    await bench.callMany(4);
+    await bench.callMany(4, LONG_LIMIT_MS);
     bench.answerMs = SLOW_MS;
     for (let round = 0; round < 5; round++) {
-      vitest.expect(await bench.callMany(4)).toBe(4);
+      vitest.expect(await bench.callMany(4, LONG_LIMIT_MS)).toBe(4);
     }
     // One more set at most: until the slower pace is known.
     vitest.expect(bench.proxy.opened).toBeLessThanOrEqual(8);
