--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -3,74 +3,35 @@
 import * as eviction from "./eviction.ts";
 import * as outlooks from "./expected_run.ts";
 import * as fleet from "./fleet.ts";
-import type * as hardLoads from "./hard_load.ts";
 import * as isolation from "./isolation.ts";
 import * as keptRooms from "./kept_rooms.ts";
 import * as placement from "./placement.ts";
+import type * as data from "./plan_data.ts";
 import * as rank from "./rank.ts";
 import * as reservation from "./reservation.ts";
 import * as retry from "./retry_pause.ts";
 import * as stopRules from "./stop_rules.ts";
 import * as urgentRoom from "./urgent_room.ts";
+import * as siblingGroups from "./sibling_groups.ts";
 import * as slowPlaces from "./slow_place.ts";
 import * as runTimes from "./run_times.ts";
 import * as bands from "./speed_bands.ts";
 import * as speedClaims from "./speed_claims.ts";
 import type * as teamShares from "./team_shares.ts";
 import * as waiting from "./wait_reason.ts";
+import * as whys from "./why_waiting.ts";
 
 const { WaitReason } = waiting;
 
-/** What a plan is made from. */
-export interface PlanInput {
-  readonly workers: readonly fleet.WorkerState[];
-  readonly workflows: Iterable<Workflow.Workflow>;
-  /** Accelerators that each tenant has paid for. */
-  readonly guarantees: ReadonlyMap<string, number>;
-  readonly nowMs: number;
-  readonly wallMs: number;
-  /** How much slower work runs away from its rack. */
-  readonly remotePenalty: number;
-  /** Whether the advice for a step lets it run on a worker now. */
-  readonly isAdvised: (unit: Workflow.Unit, worker: string) => boolean;
-  /** Kinds of hard load that the deployment has; left out: none. */
-  readonly hardLoad?: hardLoads.HardLoad;
-  /** Time that a stop takes at most, in ms; left out: none. */
-  readonly stopMs?: number;
-  /** Urgent work of a service as it came lately; left out: none. */
-  readonly urgentTraffic?: (service: string) => urgentRoom.UrgentTraffic;
-  /** What runs of each queue took against their estimates; left out: as estimated. */
-  readonly corrections?: outlooks.Corrections;
-  /** What teams have had; counts only where teams compete. Left out: not known. */
-  readonly shares?: teamShares.TeamShares;
-}
-
-/** Start these tasks on these workers. */
-export interface StartDecision {
-  readonly unit: Workflow.Unit;
-  /** Worker of each task, in the order of the tasks. */
-  readonly workers: readonly string[];
-  /** Why urgent work starts where it will be late; left out: it does not. */
-  readonly slow?: slowPlaces.SlowReason;
-}
-
-/** Stop this task so that a more urgent unit fits. */
-export interface StopDecision {
-  readonly task: Workflow.Task;
-  readonly claimant: Workflow.Unit;
-}
-
-/** Decisions of one plan. */
-export interface Plan {
-  readonly starts: readonly StartDecision[];
-  readonly stops: readonly StopDecision[];
-  readonly waits: readonly waiting.WaitDecision[];
-  /** Endpoints that were left free for urgent work. */
-  readonly kept: number;
-}
+export type {
+  Plan,
+  PlanInput,
+  StartDecision,
+  StopDecision,
+} from "./plan_data.ts";
 
 /** Decides for all units that are ready. */
-export function makePlan(input: PlanInput): Plan {
+export function makePlan(input: data.PlanInput): data.Plan {
   return new Planner(input).run();
 }
 
@@ -82,12 +43,12 @@
 const IDLE_WAIT_MS = 2000;
 
 class Planner {
-  readonly #input: PlanInput;
+  readonly #input: data.PlanInput;
   readonly #ranks: rank.Ranks;
   readonly #rooms: readonly fleet.EndpointRoom[];
   readonly #byId: ReadonlyMap<string, fleet.EndpointRoom>;
-  readonly #starts: StartDecision[] = [];
-  readonly #stops = new Map<Workflow.Task, StopDecision>();
+  readonly #starts: data.StartDecision[] = [];
+  readonly #stops = new Map<Workflow.Task, data.StopDecision>();
   readonly #waits: waiting.WaitDecision[] = [];
   /** Most of the fleet is free: nothing should wait for a better place. */
   readonly #isIdle: boolean;
@@ -107,7 +68,7 @@
   /** Steps of which a task found no room; its siblings find none either. */
   readonly #blocked = new Set<readonly Workflow.Task[]>();
 
-  constructor(input: PlanInput) {
+  constructor(input: data.PlanInput) {
     this.#input = input;
     this.#ranks = new rank.Ranks(input.workflows, input.guarantees);
     const { nowMs, wallMs } = input;
@@ -145,7 +106,7 @@
     return this.#weighsStops ? this.#input.stopMs ?? 0 : 0;
   }
 
-  run(): Plan {
+  run(): data.Plan {
     const units: Workflow.Unit[] = [];
     for (const workflow of this.#input.workflows) {
       units.push(...workflow.readyUnits(this.#input.wallMs));
@@ -157,7 +118,9 @@
       hopeOf: (unit) => this.#times.hopeOf(unit),
     });
     this.#passedOver = sorted.passedOver;
-    for (const some of groupSiblings(sorted.units)) this.#decideAll(some);
+    for (const some of siblingGroups.groupSiblings(sorted.units)) {
+      this.#decideAll(some);
+    }
     return {
       starts: this.#starts,
       stops: [...this.#stops.values()],
@@ -305,41 +268,15 @@
     if (!isolation.isSuspect(unit)) {
       this.#blocked.add(unit.workflow.siblings(unit.tasks[0]));
     }
-    this.#waits.push({ unit, reason: this.#reasonFor(unit, rooms) });
-  }
-
-  /**
-   * Why a unit found no place among these rooms. On a fleet that is mostly in use
-   * the answer is room; to look further for each waiting step would cost a search
-   * of all endpoints.
-   */
-  #reasonFor(
-    unit: Workflow.Unit,
-    rooms: readonly fleet.EndpointRoom[],
-  ): waiting.WaitReason {
-    const { nowMs } = this.#input;
-    if (unit.workflow.spec.policy.advice !== null) return WaitReason.Advice;
-    const isHeld = isolation.isSuspect(unit) &&
-      isolation.isHeldBack(unit, nowMs);
-    if (isHeld) return WaitReason.Hold;
-    const eligible = this.#rooms.filter(({ worker }) =>
-      fleet.isEligible(worker, unit)
-    );
-    if (eligible.length === 0) return WaitReason.Endpoints;
-    const isPassedOver = this.#passedOver.has(unit);
-    if (!this.#isIdle) return isPassedOver ? WaitReason.Share : WaitReason.Room;
-    const fitsAmong = (
-      some: readonly fleet.EndpointRoom[],
-      roomOf: placement.RoomOf,
-    ) => placement.findAmong(unit, some, roomOf) !== null;
-    if (fitsAmong(rooms, placement.freeNow)) return WaitReason.NearData;
-    const steady = retry.roomsWithoutDoubt(unit, eligible, nowMs);
-    if (fitsAmong(steady, placement.freeNow)) return WaitReason.OwnEndpoint;
-    if (fitsAmong(eligible, placement.freeNow)) return WaitReason.Doubt;
-    if (isPassedOver) return WaitReason.Share;
-    return fitsAmong(eligible, placement.freeBefore)
-      ? WaitReason.Reserved
-      : WaitReason.Room;
+    const reason = whys.whyWaiting({
+      unit,
+      rooms,
+      all: this.#rooms,
+      nowMs: this.#input.nowMs,
+      isIdle: this.#isIdle,
+      isPassedOver: this.#passedOver.has(unit),
+    });
+    this.#waits.push({ unit, reason });
   }
 
   /** Urgent work beyond a guarantee claims only while that is of use. */
@@ -494,22 +431,3 @@
     if (task.state !== Workflow.TaskState.Stopping) room?.expect(task);
   }
 }
-
-/** Single tasks of one step that follow one another; all others by themselves. */
-function groupSiblings(
-  sorted: readonly Workflow.Unit[],
-): readonly (readonly Workflow.Unit[])[] {
-  const groups: Workflow.Unit[][] = [];
-  let lastSiblings: readonly Workflow.Task[] | null = null;
-  for (const unit of sorted) {
-    const isSingle = !unit.step.gang && !isolation.isSuspect(unit);
-    const siblings = unit.workflow.siblings(unit.tasks[0]);
-    if (isSingle && siblings === lastSiblings) {
-      groups[groups.length - 1].push(unit);
-      continue;
-    }
-    groups.push([unit]);
-    lastSiblings = isSingle ? siblings : null;
-  }
-  return groups;
-}
