Poll before a start without an answer is sent again

What callers saw: nothing reported. Where answers to starts are lost, work that runs well is stopped and begun anew: eight runs for one task of 1 s.

Cause: RunStarter.send repeats a start without an answer after 150 ms without asking whether it arrived. Ruled out: that repeats are mostly needed.

Change: after each attempt without an answer the endpoint is polled until an answer comes, up to four times, 150 ms apart and beside one another. A run that the answer shows goes on; one that it does not show is sent again; without an answer the start is stopped. If the next incarnation answers, the run ends with the former one before anything else is sent, so the crash counts. New metric cairngate_unanswered_starts_total{run}.

The first attempt leaves when it did, the second one a poll later.

--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -3,6 +3,7 @@
  * answers, and reads which runs it holds and which have ended.
  */
 import type * as Ports from "@cairngate/ports";
+import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as reportedEnds from "./reported_ends.ts";
 import * as endpointOrders from "./endpoint_orders.ts";
@@ -80,7 +81,7 @@
       if (this.#options.state.isOver || this.#isPollingNow) return Effect.void;
       this.#isPollingNow = true;
       return Effect.ensuring(
-        this.poll(NO_WAIT_MS),
+        Effect.asVoid(this.poll(NO_WAIT_MS)),
         Effect.sync(() => {
           this.#isPollingNow = false;
         }),
@@ -105,13 +106,37 @@
     });
     return Effect.suspend(() =>
       state.mayAcceptStaleStarts
-        ? Effect.raceFirst(this.poll(), sendHedges)
-        : this.poll()
+        ? Effect.raceFirst(Effect.asVoid(this.poll()), sendHedges)
+        : Effect.asVoid(this.poll())
     );
   }
 
-  /** Sends one poll, which also renews the lease of the endpoint. */
-  poll(mostWaitMs = MAX_WAIT_MS): Effect.Effect<void> {
+  /**
+   * Sends polls until one is answered, some at once, as an open connection may be
+   * silent. Returns whether one of them was answered.
+   */
+  pollUntilAnswered(): Effect.Effect<boolean> {
+    const { state, options: { load, ports: { clock } } } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const answered = Deferred.makeUnsafe<void>();
+      const poll = Effect.map(this.poll(NO_WAIT_MS), (isAnswered) => {
+        if (isAnswered) Deferred.doneUnsafe(answered, Effect.void);
+      });
+      for (let sent = 0; sent < MAX_HEDGES && !state.isOver; sent++) {
+        Effect.runFork(poll);
+        const limitMs = load.extendLimit(HEDGE_DELAY_MS);
+        const timed = yield* clock.within(limitMs, Deferred.await(answered));
+        if (timed !== null) return true;
+      }
+      return false;
+    });
+  }
+
+  /**
+   * Sends one poll, which also renews the lease of the endpoint. Returns whether it
+   * was answered.
+   */
+  poll(mostWaitMs = MAX_WAIT_MS): Effect.Effect<boolean> {
     const { state, unansweredPolls, options: { load } } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const waitMs = Math.min(mostWaitMs, this.#waitMs());
@@ -124,10 +149,12 @@
       if (answer === null) {
         // Where another poll was answered meanwhile, only this connection is silent.
         if (this.#answerCount === countBefore) yield* unansweredPolls.handle();
-        return;
+        return false;
       }
       this.#answerCount++;
-      if (this.#identify(answer)) yield* this.#process(answer, request);
+      if (!this.#identify(answer)) return false;
+      yield* this.#process(answer, request);
+      return true;
     });
   }
 
--- a/packages/coordinator/src/sessions/pre_start_polls.ts
+++ b/packages/coordinator/src/sessions/pre_start_polls.ts
@@ -54,6 +54,14 @@
     );
   }
 
+  /**
+   * Polls after an unanswered start, until an answer shows which runs the endpoint
+   * has. Returns false if there is no answer.
+   */
+  showsRuns(): Effect.Effect<boolean> {
+    return this.#options.poller.pollUntilAnswered();
+  }
+
   /** Sends one poll for all waiting starts: up to eight start at once. */
   #pollShared(): Effect.Effect<void> {
     return Effect.suspend(() => {
@@ -64,7 +72,8 @@
         this.#sharedPoll = null;
         Deferred.doneUnsafe(done, Effect.void);
       });
-      return Effect.ensuring(this.#options.poller.poll(), finish);
+      const poll = Effect.asVoid(this.#options.poller.poll());
+      return Effect.ensuring(poll, finish);
     });
   }
 }
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -4,7 +4,7 @@
 import * as Effect from "effect/Effect";
 import type * as loads from "./box_load.ts";
 import type * as terms from "../election/term.ts";
-import type * as assignments from "./assignment.ts";
+import * as assignments from "./assignment.ts";
 import type * as ports from "../ports.ts";
 
 /** What is known after the attempts. */
@@ -35,6 +35,14 @@
   readonly clockMs: number | null;
 }
 
+/** Whether an endpoint has a run whose start was not answered. */
+enum RunPresence {
+  Shown = "shown",
+  Absent = "absent",
+  /** No poll was answered. */
+  Unknown = "unknown",
+}
+
 /** Nothing was sent, so the endpoint cannot have the run. */
 export const NEVER_SENT: StartReport = {
   outcome: StartOutcome.NotDelivered,
@@ -52,6 +60,11 @@
   readonly leaseEnd: () => number;
   /** Receives each attempt without an answer, which may be executed later. */
   readonly onUnanswered: (run: Ports.RunRef) => void;
+  /**
+   * Polls the endpoint after an unanswered attempt; returns whether it answered. The
+   * answer confirms the run, ends it or leaves it as it is.
+   */
+  readonly poll: () => Effect.Effect<boolean>;
   /** Whether the run is still wanted. */
   readonly isWanted: (assignment: assignments.Assignment) => boolean;
 }
@@ -69,9 +82,10 @@
   }
 
   /**
-   * Sends the start. An unanswered one is sent again for the same run, which has no
-   * effect where the run has already started. A refusal proves nothing about an
-   * earlier unanswered attempt, which may still be delivered.
+   * Sends the start. An unanswered one is sent again only if a later poll is answered
+   * and does not show the run: each further copy may be delivered late, to the next
+   * incarnation. A refusal proves nothing about an earlier unanswered attempt,
+   * which may still be delivered.
    */
   send(assignment: assignments.Assignment): Effect.Effect<StartReport> {
     return Effect.gen({ self: this }, function* () {
@@ -89,6 +103,12 @@
         if (!isUnsettled) return report;
         mayBeDelivered ||= outcome === StartOutcome.MayBeDelivered;
         yield* this.#options.ports.clock.sleep(RETRY_DELAY_MS);
+        if (!mayBeDelivered) continue;
+        const presence = yield* this.#pollFor(assignment);
+        if (presence === RunPresence.Shown) {
+          return reportOf(StartOutcome.AlreadyHandled);
+        }
+        if (presence === RunPresence.Unknown) break;
       }
       return reportOf(
         mayBeDelivered
@@ -98,6 +118,16 @@
     });
   }
 
+  /** Determines whether an unanswered attempt has reached the endpoint. */
+  #pollFor(assignment: assignments.Assignment): Effect.Effect<RunPresence> {
+    const { poll, ports: { metrics } } = this.#options;
+    return Effect.map(poll(), (isAnswered) => {
+      const presence = presenceOf(assignment, isAnswered);
+      metrics.count("cairngate_unanswered_starts_total", { run: presence });
+      return presence;
+    });
+  }
+
   #sendOnce(assignment: assignments.Assignment): Effect.Effect<StartReport> {
     const { term, ref, load, ports: { endpoints, clock } } = this.#options;
     const { task, run, ticket } = assignment;
@@ -159,3 +189,11 @@
 function reportOf(outcome: StartOutcome): StartReport {
   return { outcome, clockMs: null };
 }
+
+function presenceOf(
+  assignment: assignments.Assignment,
+  isAnswered: boolean,
+): RunPresence {
+  if (assignments.isConfirmed(assignment)) return RunPresence.Shown;
+  return isAnswered ? RunPresence.Absent : RunPresence.Unknown;
+}
--- a/packages/test-utils/src/simulation_kinds.ts
+++ b/packages/test-utils/src/simulation_kinds.ts
@@ -40,13 +40,7 @@
  * Simulations that are known to fail and that the usual tests skip. A test of its
  * cause, listed in KNOWN-RED.txt, has to cover each of them.
  */
-export const UNRESOLVED_FAILURES: readonly UnresolvedFailure[] = [
-  {
-    name: "rebirthsAndCuts",
-    seed: 6042,
-    kinds: SIMULATION_KINDS.rebirthsAndCuts,
-  },
-];
+export const UNRESOLVED_FAILURES: readonly UnresolvedFailure[] = [];
 
 /** Whether a simulation is known to fail. */
 export function isUnresolvedFailure(
