Say where the two stand-ins differ on orders for an earlier incarnation

The platform's pages leave open whether an order that one incarnation had received reaches the next one under the same id. OrderDelivery executes it, OrderTransit drops it.

--- a/packages/stand-ins/src/order_delivery.ts
+++ b/packages/stand-ins/src/order_delivery.ts
@@ -102,6 +102,7 @@
     const { clock, registry, advance } = this.#options;
     const later = Effect.sync(() => {
       // A later incarnation of the same id can't detect an order for an earlier one.
+      // OrderTransit drops such an order instead, as the endpoint had buffered it.
       const current = registry.get(endpoint.id);
       if (current === undefined) return;
       advance(current);
--- a/packages/stand-ins/src/order_transit.ts
+++ b/packages/stand-ins/src/order_transit.ts
@@ -3,7 +3,8 @@
  * reset all at once. Each order has its own connection, so that answers overtake one
  * another. A reset loses the answers that have not arrived. It also loses the orders
  * that have not arrived, unless the endpoint had already buffered them and executes
- * them later.
+ * them later. Such an order is lost with the incarnation that buffered it; an order
+ * that OrderDelivery executes late also reaches the next incarnation.
  */
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
