Choose a victim for each claimant of a plan

What callers saw: two urgent tasks arrive at busy endpoints; one starts after a stop, the other waits for the next plan (test of claimants, listed: 1 stop, 2 expected).

Cause: the search for victims left out tasks that the same plan already stops only where teams compete. Elsewhere each claimant found the cheapest victim; the plan stops it once, and the second claimant reserves capacity that the first one has taken. Ruled out: rank and worth of the second claimant (both are guaranteed), and capacity that is being freed, which is searched first.

Change: a task that the plan already stops is no victim for another claimant, whether or not teams compete.

Evidence: claimants_test, unchanged, red before and green now. Tests of the planner on plans, stops, shares, speeds and isolation: 90 passed.

--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -85,7 +85,7 @@
       wallMs,
       losses: new Map(),
       sparesOftenStopped: this.#teamsCompete,
-      isAlreadyVictim: (task) => this.#teamsCompete && this.#stops.has(task),
+      isAlreadyVictim: (task) => this.#stops.has(task),
       shares: this.#shares,
       remainingMs: (task, ranMs) => this.#runTimes.remainingMs(task, ranMs),
     };
