Take excused crashes without presence off no certain ones

Cause: after run 5 three crashes count against the task, those of runs 4 and 5 are certain, and it was alone: reason to give it up. The certain crashes are computed from the sum of presences, less one for each crash that counts or is excused. The crash of run 2 was excused with unknown presence, had added nothing, and was taken off all the same, so only one certain crash was left.

Change: excused crashes that add no presence are counted by themselves, in one more field at the end of the task's record, and are not taken off.

--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -30,6 +30,7 @@
   crashesUnseen?: number,
   confirmedEndsAtWallMs?: number | null,
   spentStarts?: number,
+  crashesExcusedUnseen?: number,
 ];
 
 /** A run that was given up before its outcome was known. */
@@ -234,7 +235,7 @@
     : table.indexOf(endpoint, bornMs, address);
   budget.checkpoints -= checkpoint.length;
   const storedCheckpoint = budget.checkpoints < 0 ? "" : checkpoint;
-  const { laid, excused, presence, unseen } = task.crashes;
+  const { laid, excused, presence, unseen, excusedUnseen = 0 } = task.crashes;
   if (task.isSuspect || excused > 0) {
     const { confirmedRun, confirmedEndsAtWallMs, spentStarts } = task;
     const base = [
@@ -246,8 +247,14 @@
       excused,
     ] as const;
     const withConfirmation = [...base, presence, confirmedRun] as const;
-    if (spentStarts > 0) {
-      return [...withConfirmation, unseen, confirmedEndsAtWallMs, spentStarts];
+    if (spentStarts > 0 || excusedUnseen > 0) {
+      const all = [
+        ...withConfirmation,
+        unseen,
+        confirmedEndsAtWallMs,
+        spentStarts,
+      ] as const;
+      return excusedUnseen === 0 ? all : [...all, excusedUnseen];
     }
     if (confirmedEndsAtWallMs !== null) {
       return [...withConfirmation, unseen, confirmedEndsAtWallMs];
@@ -320,8 +327,10 @@
   const [laid = 0, excused = 0, presence = 0, ...confirmationFields] =
     crashFields;
   const [confirmedRun = 0, unseen = 0, ...restartFields] = confirmationFields;
-  const [confirmedEndsAtWallMs = null, spentStarts = 0] = restartFields;
-  task.crashes = { laid, excused, presence, unseen };
+  const [confirmedEndsAtWallMs = null, spentStarts = 0, excusedUnseen = 0] =
+    restartFields;
+  const counts = { laid, excused, presence, unseen };
+  task.crashes = excusedUnseen === 0 ? counts : { ...counts, excusedUnseen };
   task.confirmedRun = confirmedRun;
   task.confirmedEndsAtWallMs = confirmedEndsAtWallMs;
   task.spentStarts = spentStarts ?? 0;
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -20,6 +20,8 @@
   readonly presence: number;
   /** Crashes of endpoints on which the task's run was never confirmed. */
   readonly unseen: number;
+  /** Excused crashes that add no presence; omitted if there are none. */
+  readonly excusedUnseen?: number;
 }
 
 /** How certain it is that a run was on the endpoint that crashed. */
@@ -132,12 +134,13 @@
 }
 
 /**
- * Lower bound for the crashes at which the task was certainly present. Each
- * attributed crash adds its presence, which is 1 for a likely one; excused crashes
- * may have added none.
+ * Number of crashes at which the task was certainly present. Each of these adds a
+ * presence of 2 and each likely one a presence of 1.
  */
-function countCertainCrashes({ laid, excused, presence }: CrashCount): number {
-  return presence - laid - excused;
+function countCertainCrashes(
+  { laid, excused, presence, excusedUnseen = 0 }: CrashCount,
+): number {
+  return presence - laid - (excused - excusedUnseen);
 }
 
 /**
@@ -228,7 +231,9 @@
   if (scale === CrashScale.Several && count.excused > 0) return count;
   const excused = count.excused + 1;
   if (presence === Presence.Unknown) {
-    return { ...count, unseen: Math.max(0, count.unseen - 1), excused };
+    const unseen = Math.max(0, count.unseen - 1);
+    const excusedUnseen = (count.excusedUnseen ?? 0) + 1;
+    return { ...count, unseen, excused, excusedUnseen };
   }
   return { ...count, laid: Math.max(0, count.laid - 1), excused };
 }
--- a/packages/workflow/src/restart_budget_test.ts
+++ b/packages/workflow/src/restart_budget_test.ts
@@ -170,3 +170,53 @@
     vitest.expect(task.spentStarts).toBe(0);
   });
 });
+
+/**
+ * Guards against restarting a task that has certainly crashed two endpoints: an
+ * excused crash without evidence was deducted from the certain ones.
+ */
+vitest.describe("an excused crash that may have preceded the start", () => {
+  const { Several, Few } = budgets.CrashScale;
+
+  function countCrashes(
+    ...presences: readonly budgets.Presence[]
+  ): budgets.CrashCount {
+    const excused = budgets.addCrash(budgets.NO_CRASHES, {
+      wasAlone: true,
+      scale: Several,
+      presence: Unknown,
+    });
+    return presences.reduce(
+      (count, presence) =>
+        budgets.addCrash(count, { wasAlone: true, scale: Few, presence }),
+      excused,
+    );
+  }
+
+  const isTooOften = (count: budgets.CrashCount) =>
+    budgets.hasCrashedTooOften(count, { wasAlone: true }, 0);
+
+  vitest.it("takes nothing away from certain crashes", () => {
+    vitest.expect(isTooOften(countCrashes(Likely, Certain, Certain)))
+      .toBe(true);
+  });
+
+  vitest.it("adds no certainty", () => {
+    vitest.expect(isTooOften(countCrashes(Likely, Likely, Certain)))
+      .toBe(false);
+    vitest.expect(isTooOften(countCrashes(Certain, Certain))).toBe(false);
+  });
+
+  vitest.it("is restored by the next coordinator", () => {
+    const workflow = build();
+    const [task] = workflow.tasks;
+    task.place("i-1", 1, 0);
+    task.crashes = countCrashes(Likely, Certain);
+    const record = JSON.parse(
+      JSON.stringify(records.toProgressRecord(workflow)),
+    );
+    const next = build();
+    records.applyProgressRecord(next, record);
+    vitest.expect([...next.tasks][0].crashes).toEqual(task.crashes);
+  });
+});
