List a late start while the next coordinator is suspended

The endpoint crashes at 23.716 s and is back at 23.766 s; run 7 begins there at 24.054 s, before any call.

Telling wanted starts needs guards that know which term followed.

--- a/packages/workflow-node/src/random_rebirths_test.ts
+++ b/packages/workflow-node/src/random_rebirths_test.ts
@@ -106,6 +106,18 @@
   },
 );
 
+/**
+ * Guards against two concurrent runs of a task: the start of run 7 gets no answer, and
+ * its coordinator is replaced. The endpoint answers the next coordinator, which then is
+ * suspended, and restarts before the start of run 7 is delivered.
+ */
+vitest.describe("a late start while the next coordinator is suspended", () => {
+  vitest.it("does not run beside the next run, seed 9098", async () => {
+    vitest.expect(await TestUtils.simulateRandomFaults(9098, rebirthsAndCuts))
+      .toEqual([]);
+  });
+});
+
 /** Guards against a runnable task that waits while endpoints have free capacity. */
 vitest.describe("a task that crashes its endpoints", () => {
   vitest.it(
