List a late start at an idle endpoint that restarts in a new term

The endpoint answers the next term and restarts; its entry is still that of the former incarnation.

Cause: a session polls its endpoint while it holds something or has not answered in this term. An idle one that has answered is not polled, so its next incarnation has not received the token that refuses the start.

--- a/packages/workflow-node/src/late_starts_test.ts
+++ b/packages/workflow-node/src/late_starts_test.ts
@@ -147,3 +147,34 @@
     await fleet.stop();
   });
 });
+
+vitest.describe("a late start at an idle endpoint of a new term", () => {
+  vitest.it("does not run before the entry shows the restart", async () => {
+    let lateEndpointId: string | null = null;
+    const { fleet, firstSentAtMs } = await submitTask(
+      NEVER_MS,
+      (id) => id === (lateEndpointId ??= id),
+    );
+    const { workers } = fleet;
+    const previousToken = fleet.token();
+    let isPolled = false;
+    workers.decideOutcome = (id, order) => {
+      isPolled ||= id === lateEndpointId && order === "renew" &&
+        fleet.token() > previousToken;
+      return Delivered;
+    };
+    await fleet.kill(fleet.coordinator() ?? "");
+    await fleet.until(() => isPolled);
+    await fleet.clock.advance(1);
+    const id = lateEndpointId ?? "";
+    vitest.expect(fleet.clock.monotonicMs())
+      .toBeLessThan(firstSentAtMs + LATE_START_DELAY_MS);
+    // The entry of the previous incarnation stays as it is.
+    workers.crash(id);
+    workers.restart({ id, accelerators: 1 });
+    await fleet.clock.advance(SETTLED_MS);
+    vitest.expect(workers.runsOf(TASK).length).toBe(1);
+    vitest.expect(TestUtils.findRunViolations(fleet)).toEqual([]);
+    await fleet.stop();
+  });
+});
