Name the guard of other boxes apart from the one of a session

StartGuard of workflow-node and LateStartGuard of coordinator did different things under nearly one name: it is StandbyStartGuard now, its calls come from StandbyGuardRequests, and PreStartPolls.showsRuns, which returns whether a poll was answered, is called as the poller's pollUntilAnswered. Comments say how several polls are sent.

--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -112,8 +112,8 @@
   }
 
   /**
-   * Sends polls until one is answered, some at once, as an open connection may be
-   * silent. Returns whether one of them was answered.
+   * Sends several polls one after another until one is answered, without waiting for
+   * the earlier ones, whose connections may be silent. Returns whether one was answered.
    */
   pollUntilAnswered(): Effect.Effect<boolean> {
     const { state, options: { load, ports: { clock } } } = this.#options;
--- a/packages/coordinator/src/sessions/endpoint_starts.ts
+++ b/packages/coordinator/src/sessions/endpoint_starts.ts
@@ -35,7 +35,7 @@
       load,
       leaseEnd: () => state.incarnation.leaseEnd(ports.clock.monotonicMs()),
       onUnanswered: (run) => runs.unansweredStarts.add(run),
-      poll: () => parts.polls.showsRuns(),
+      poll: () => parts.polls.pollUntilAnswered(),
       isWanted: (assignment) =>
         runs.tracked.holds(assignment) && assignment.stoppingSinceMs === null &&
         this.#mayStart,
--- a/packages/coordinator/src/sessions/pre_start_polls.ts
+++ b/packages/coordinator/src/sessions/pre_start_polls.ts
@@ -1,4 +1,4 @@
-/** Polls an endpoint before a run starts there. */
+/** Polls an endpoint before a run starts there, or before its start is sent again. */
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as pollers from "./endpoint_poller.ts";
@@ -55,10 +55,10 @@
   }
 
   /**
-   * Polls after an unanswered start, until an answer shows which runs the endpoint
-   * has. Returns false if there is no answer.
+   * Polls after an unanswered start: an answer shows whether the endpoint has the run.
+   * Returns whether there was one.
    */
-  showsRuns(): Effect.Effect<boolean> {
+  pollUntilAnswered(): Effect.Effect<boolean> {
     return this.#options.poller.pollUntilAnswered();
   }
 
--- a/packages/test-utils/src/standstill_check_test.ts
+++ b/packages/test-utils/src/standstill_check_test.ts
@@ -13,6 +13,7 @@
 const OTHER_ID = "a000000000000002";
 /** Longer than the check allows work to be idle, in ms. */
 const IDLE_MS = 13_000;
+/** Time between two checks, in ms. */
 const CHECK_INTERVAL_MS = 100;
 /** Exceeds the duration of the tests, in ms. */
 const NEVER_MS = 600_000;
@@ -127,12 +128,11 @@
     vitest.expect(await check).toEqual(STANDSTILL);
   });
 
-  for (
-    const { busy, expected } of [{ busy: 1, expected: STANDSTILL }, {
-      busy: 2,
-      expected: [],
-    }]
-  ) {
+  const reservations = [
+    { busy: 1, expected: STANDSTILL },
+    { busy: 2, expected: [] },
+  ];
+  for (const { busy, expected } of reservations) {
     vitest.it(
       `lets a gang reserve the rest of four accelerators, ${busy} in use`,
       async () => {
--- a/packages/workflow-node/src/start_guard_requests.ts
+++ b/packages/workflow-node/src/standby_guard_requests.ts
@@ -7,8 +7,8 @@
 import * as Ports from "@cairngate/ports";
 import * as Effect from "effect/Effect";
 
-/** Dependencies of {@link StartGuardRequests}. */
-export interface StartGuardRequestsOptions {
+/** Dependencies of {@link StandbyGuardRequests}. */
+export interface StandbyGuardRequestsOptions {
   readonly clock: Ports.Clock;
   readonly peers: Ports.StorePeers;
   readonly log: Logger.Logger;
@@ -18,7 +18,7 @@
   readonly coordinator: () => Coordinator.Coordinator | null;
 }
 
-/** Interval of the calls to each guarding box, in ms; see `start_guard.ts`. */
+/** Interval of the calls to each guarding box, in ms; see `standby_start_guard.ts`. */
 export const REQUEST_INTERVAL_MS = 200;
 /** Timeout of one call, in ms. */
 const REQUEST_TIMEOUT_MS = 400;
@@ -34,12 +34,12 @@
 }
 
 /** Asks other boxes to guard against revoked starts while this box coordinates. */
-export class StartGuardRequests {
-  readonly #options: StartGuardRequestsOptions;
+export class StandbyGuardRequests {
+  readonly #options: StandbyGuardRequestsOptions;
   /** Confirmed starts by the name of the guarding box. */
   readonly #confirmed = new Map<string, ConfirmedStarts>();
 
-  constructor(options: StartGuardRequestsOptions) {
+  constructor(options: StandbyGuardRequestsOptions) {
     this.#options = options;
   }
 
--- a/packages/workflow-node/src/start_guard.ts
+++ b/packages/workflow-node/src/standby_start_guard.ts
@@ -10,17 +10,17 @@
 import * as Ports from "@cairngate/ports";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
-import * as requests from "./start_guard_requests.ts";
+import * as requests from "./standby_guard_requests.ts";
 
-/** Dependencies of {@link StartGuard}. */
-export interface StartGuardOptions {
+/** Dependencies of {@link StandbyStartGuard}. */
+export interface StandbyStartGuardOptions {
   readonly clock: Ports.Clock;
   readonly endpoints: Ports.TaskEndpoints;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
 }
 
-/** A call that reports revoked starts. */
+/** A call by which the coordinator reports revoked starts. */
 export type GuardCall = Extract<
   Ports.StoreCall,
   { readonly kind: Ports.StoreCallKind.GuardStarts }
@@ -39,8 +39,8 @@
 const COORDINATOR_SILENCE_MS = 2 * requests.REQUEST_INTERVAL_MS;
 
 /** Sends the stops of revoked starts while the coordinator is silent. */
-export class StartGuard {
-  readonly #options: StartGuardOptions;
+export class StandbyStartGuard {
+  readonly #options: StandbyStartGuardOptions;
   #token = 0;
   #starts: readonly GuardedStart[] = [];
   #heardAtMs = Number.NEGATIVE_INFINITY;
@@ -48,7 +48,7 @@
   /** Completes when there are starts to guard against. */
   #hasStarts = Deferred.makeUnsafe<void>();
 
-  constructor(options: StartGuardOptions) {
+  constructor(options: StandbyStartGuardOptions) {
     this.#options = options;
   }
 
--- a/packages/workflow-node/src/start_guard_test.ts
+++ b/packages/workflow-node/src/standby_start_guard_test.ts
@@ -9,6 +9,7 @@
 import * as vitest from "vitest";
 
 const ID = "a000000000000001";
+/** Run time of the task, in ms. */
 const RUN_MS = 100;
 /** Exceeds the duration of the tests, in ms. */
 const NEVER_MS = 600_000;
@@ -47,6 +48,16 @@
   return { fleet, deliveredAtMs: firstSentAtMs + LATE_START_DELAY_MS };
 }
 
+/** Delivers all orders from now on; the result counts the stops among them. */
+function watchStops(fleet: TestUtils.TestFleet): () => number {
+  let stops = 0;
+  fleet.workers.decideOutcome = (_, order) => {
+    if (order === "stop") stops++;
+    return Delivered;
+  };
+  return () => stops;
+}
+
 async function advanceTo({ clock }: TestUtils.TestFleet, atMs: number) {
   await clock.advance(atMs - clock.monotonicMs());
 }
@@ -74,44 +85,32 @@
 vitest.describe("boxes that guard against late starts", () => {
   vitest.it("send no stops while the coordinator is there", async () => {
     const { fleet } = await completeTask();
-    let stops = 0;
-    fleet.workers.decideOutcome = (_, order) => {
-      if (order === "stop") stops++;
-      return Delivered;
-    };
+    const countStops = watchStops(fleet);
     await fleet.clock.advance(SETTLED_MS);
-    vitest.expect(stops).toBe(0);
+    vitest.expect(countStops()).toBe(0);
     await fleet.stop();
   });
 
   vitest.it("send no more stops once another box coordinates", async () => {
     const { fleet } = await completeTask();
-    let stops = 0;
-    fleet.workers.decideOutcome = (_, order) => {
-      if (order === "stop") stops++;
-      return Delivered;
-    };
+    const countStops = watchStops(fleet);
     await fleet.kill(fleet.coordinator() ?? "");
     await fleet.clock.advance(SETTLED_MS);
-    const stopsBefore = stops;
+    const stopsBefore = countStops();
     vitest.expect(stopsBefore).toBeGreaterThan(0);
     await fleet.clock.advance(SETTLED_MS);
-    vitest.expect(stops).toBe(stopsBefore);
+    vitest.expect(countStops()).toBe(stopsBefore);
     await fleet.stop();
   });
 
   vitest.it("send no more stops after they have ended", async () => {
     const { fleet } = await completeTask();
-    let stops = 0;
-    fleet.workers.decideOutcome = (_, order) => {
-      if (order === "stop") stops++;
-      return Delivered;
-    };
+    const countStops = watchStops(fleet);
     await fleet.kill(fleet.coordinator() ?? "");
-    await fleet.until(() => stops > 0);
+    await fleet.until(() => countStops() > 0);
     await fleet.stop();
-    const stopsAtEnd = stops;
+    const stopsAtEnd = countStops();
     await fleet.clock.advance(SETTLED_MS);
-    vitest.expect(stops).toBe(stopsAtEnd);
+    vitest.expect(countStops()).toBe(stopsAtEnd);
   });
 });
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -14,8 +14,8 @@
 import * as members from "./member_registry.ts";
 import * as recoveries from "./recovery_detector.ts";
 import * as sharedOutages from "./shared_outage_detector.ts";
-import * as startGuards from "./start_guard.ts";
-import * as startGuardRequests from "./start_guard_requests.ts";
+import * as standbyGuards from "./standby_start_guard.ts";
+import * as standbyGuardRequests from "./standby_guard_requests.ts";
 
 /** Change feeds of the store that a box follows. */
 export interface NodeFeeds {
@@ -87,8 +87,8 @@
   readonly #election: Coordinator.Election;
   readonly #evacuations: Coordinator.EvacuationTracker;
   readonly #sharedOutage: sharedOutages.SharedOutageDetector;
-  readonly #startGuard: startGuards.StartGuard;
-  readonly #startGuardRequests: startGuardRequests.StartGuardRequests;
+  readonly #standbyGuard: standbyGuards.StandbyStartGuard;
+  readonly #standbyGuardRequests: standbyGuardRequests.StandbyGuardRequests;
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
   readonly #fibers: Fiber.Fiber<unknown>[] = [];
   /** Null while this box is not the coordinator. */
@@ -166,13 +166,13 @@
       failingForMs: () => this.#store.failingForMs(),
       coordinates: () => this.#coordinator !== null,
     });
-    this.#startGuard = new startGuards.StartGuard({
+    this.#standbyGuard = new standbyGuards.StandbyStartGuard({
       clock,
       endpoints: ports.workers,
       log: log.child("guard"),
       metrics,
     });
-    this.#startGuardRequests = new startGuardRequests.StartGuardRequests({
+    this.#standbyGuardRequests = new standbyGuardRequests.StandbyGuardRequests({
       clock,
       peers: ports.peers,
       log: log.child("guard"),
@@ -230,7 +230,7 @@
 
   #answer(call: Ports.StoreCall): Effect.Effect<Ports.StoreReply> {
     return call.kind === Ports.StoreCallKind.GuardStarts
-      ? Effect.sync(() => this.#startGuard.accept(call))
+      ? Effect.sync(() => this.#standbyGuard.accept(call))
       : this.#relay.answer(call);
   }
 
@@ -244,8 +244,8 @@
     });
     this.#runForever("Watching for the store's return", recovery.run());
     this.#runForever("Asking others about the store", this.#sharedOutage.run());
-    this.#runForever("Guarding against late starts", this.#startGuard.run());
-    this.#runForever("Asking for guards", this.#startGuardRequests.run());
+    this.#runForever("Guarding against late starts", this.#standbyGuard.run());
+    this.#runForever("Asking for guards", this.#standbyGuardRequests.run());
     const follower = new TableClient.RowFollower({
       feed: this.#feeds.operator,
       clock,
