List a late start that comes while stops are lost

Trace: its first start leaves at 25.871 s and is under way for 2.5 s; the repetition completes it; the endpoint crashes at 27.900 s and is back at 28.200 s; the stops of 28.249 and 28.299 s are lost; the late start begins at 28.371 s; the next stop is answered at 28.449 s. No call of ours reached the new incarnation in time; whether more of them are worth their cost was not tried.

--- a/packages/workflow-node/src/random_rebirths_test.ts
+++ b/packages/workflow-node/src/random_rebirths_test.ts
@@ -118,6 +118,17 @@
   });
 });
 
+/**
+ * Guards against repeating completed work: an endpoint is back 0.17 s before a late
+ * start is delivered, and the stops of that time are lost.
+ */
+vitest.describe("a late start while stops are lost", () => {
+  vitest.it("does not repeat completed work, seed 9175", async () => {
+    vitest.expect(await TestUtils.simulateRandomFaults(9175, rebirths))
+      .toEqual([]);
+  });
+});
+
 /** Guards against a runnable task that waits while endpoints have free capacity. */
 vitest.describe("a task that crashes its endpoints", () => {
   vitest.it(
