--- a/packages/workflow-node/src/random_rebirths_test.ts
+++ b/packages/workflow-node/src/random_rebirths_test.ts
@@ -11,14 +11,14 @@
  * Seeds that once failed. 85, 174 and 187: a harmless workflow failed for runs that had
  * ended before their endpoints did. 49: an endpoint stayed out of use after a start
  * that was withdrawn. 60: a run that counted as over started late, completed, and was
- * repeated. 6018 and 6094: an endpoint accepted a late start of completed work after
+ * repeated. 6018, 6094 and 9203: an endpoint accepted a late start of completed work after
  * its restart. 9158: a task that crashes its endpoints waited for two leases to expire.
  * 123 and 9008: the check asked for gangs while too few accelerators were
  * running. The others: a task that crashes its endpoints was started once too often.
  */
 const REGRESSION_SEEDS: readonly number[] = [
   ...[7, 22, 34, 40, 85, 198],
-  ...[49, 60, 122, 123, 150, 174, 187, 191, 6018, 6094, 9008, 9158],
+  ...[49, 60, 122, 123, 150, 174, 187, 191, 6018, 6094, 9008, 9158, 9203],
 ];
 /**
  * Seeds that once failed with cuts and suspended boxes. 6093: the late report of a
