Hand revoked starts over to the next coordinator

Cause: a start without an answer may be delivered for 15 s, but what was known of it ended with the term. The next coordinator polls an idle endpoint once; its token makes that incarnation refuse the start. If the endpoint then restarts, the next incarnation accepts it. The records do not name the run any more. Two boxes did know it, the guards of the former term, but dropped it as soon as the endpoint refused their token. Trace on, from the first start: run 2 begins elsewhere at 1.02 s, the next coordinator polls at 1.10 s, the guards are refused at 1.40 s, the endpoint restarts at 1.72 s, run 1 begins at 2.50 s.

Change: guarding boxes keep their starts until they expire, hand them over to each later coordinator in a new call between boxes, and send stops until they have done so. The coordinator adds them to its own unanswered starts, so it polls these endpoints, blocks the runs in new incarnations and tells its own guards.

Why it works: whoever coordinates knows the start, and two boxes beside it, until it can't be delivered any more.

Ruled out: polling all idle endpoints (a call a second each); asking all boxes at the beginning of a term (hundreds of connections in large deployments).

--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -40,6 +40,11 @@
     return holder === "" ? null : holder;
   }
 
+  /** Fencing token of the newest term, as last seen; 0 where there is none. */
+  get token(): number {
+    return this.#watch.token;
+  }
+
   /** Forecast of the holder, as last seen. */
   get forecast(): Admission.KnownForecast {
     return this.#watch.forecast;
--- a/packages/coordinator/src/endpoints/endpoint_directory.ts
+++ b/packages/coordinator/src/endpoints/endpoint_directory.ts
@@ -108,6 +108,11 @@
     return this.#sessions.open(id, recorded);
   }
 
+  /** Adopts a start that an earlier coordinator revoked. */
+  adoptRevokedStart(start: Ports.RevokedStart): void {
+    this.#sessions.adoptRevokedStart(start);
+  }
+
   /** Endpoint snapshots for the scheduler. */
   states(): Scheduler.EndpointSnapshot[] {
     return this.#snapshots.all();
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -146,6 +146,18 @@
     former.close();
   }
 
+  /**
+   * Adopts a start that an earlier coordinator revoked. Its endpoint is polled until the
+   * start can't be delivered any more.
+   */
+  adoptRevokedStart({ endpoint, task, run, expiresInMs }: Ports.RevokedStart) {
+    const { clock } = this.#parts.options.ports;
+    const ageMs = unansweredStarts.LONGEST_ORDER_DELAY_MS - expiresInMs;
+    const sentAtMs = clock.monotonicMs() - ageMs;
+    this.#unansweredStartsOf(endpoint.id).add({ task, run }, sentAtMs);
+    this.open(endpoint.id)?.noteUnansweredStart();
+  }
+
   /** Closes a session and interrupts its fiber. */
   drop({ ref }: sessions.EndpointSession): void {
     const { id } = ref;
--- a/packages/coordinator/src/sessions/endpoint_session.ts
+++ b/packages/coordinator/src/sessions/endpoint_session.ts
@@ -101,6 +101,12 @@
     return this.#parts.lateStarts.revokedStarts;
   }
 
+  /** Resumes polling because of an unanswered start of an earlier coordinator. */
+  noteUnansweredStart(): void {
+    this.#runs.noteRevocation();
+    this.#state.wake();
+  }
+
   /** Whether it holds a task that may crash it and that started only a moment ago. */
   isOnProbation(nowMs: number): boolean {
     return this.assignments.some(({ task }) =>
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -52,6 +52,11 @@
       .flatMap(({ revokedStarts }) => revokedStarts);
   }
 
+  /** Adopts starts that earlier coordinators revoked and that may still be delivered. */
+  adoptRevokedStarts(starts: readonly Ports.RevokedStart[]): void {
+    for (const start of starts) this.#parts.directory.adoptRevokedStart(start);
+  }
+
   /** State of this coordinator for the state dump. */
   dump(): describing.CoordinatorDump {
     return {
--- a/packages/ports/src/store_peers.ts
+++ b/packages/ports/src/store_peers.ts
@@ -17,6 +17,8 @@
   Changes = "changes",
   /** Asks the peer to guard endpoints while there is no coordinator. */
   GuardStarts = "guard-starts",
+  /** Hands starts that earlier coordinators revoked over to the coordinator. */
+  HandOverStarts = "hand-over-starts",
 }
 
 /** A call to a peer, which mostly makes a call to the store on behalf of this box. */
@@ -52,6 +54,12 @@
     readonly fencingToken: number;
     /** Replaces the starts of earlier calls; null if they are unchanged. */
     readonly starts: readonly endpoints.RevokedStart[] | null;
+  }
+  | {
+    readonly kind: StoreCallKind.HandOverStarts;
+    /** Fencing token of the coordinator that the call is meant for. */
+    readonly fencingToken: number;
+    readonly starts: readonly endpoints.RevokedStart[];
   };
 
 /** Result of a relayed call. */
--- a/packages/workflow-node/src/standby_start_guard.ts
+++ b/packages/workflow-node/src/standby_start_guard.ts
@@ -1,10 +1,10 @@
 /**
  * Guards endpoints while there is no coordinator: an endpoint that restarts then would
  * execute a late start of a run that is over. The coordinator reports such starts, and
- * this box sends the stops once it hears nothing more from the coordinator. A stop of
- * a run that is over changes nothing else, so the guard needs no lease of its own.
+ * this box sends the stops once it hears nothing more from the coordinator, until it
+ * has handed the starts over to the next one. A stop of a run that is over changes
+ * nothing else, so the guard needs no lease of its own.
  */
-import * as Errors from "@cairngate/errors";
 import type * as Logger from "@cairngate/logger";
 import type * as Metrics from "@cairngate/metrics";
 import * as Ports from "@cairngate/ports";
@@ -18,6 +18,13 @@
   readonly endpoints: Ports.TaskEndpoints;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
+  /** Fencing token of the newest term that this box knows of. */
+  readonly currentToken: () => number;
+  /** Hands starts over to the coordinator with this token; returns whether it did. */
+  readonly handOver: (
+    fencingToken: number,
+    starts: readonly Ports.RevokedStart[],
+  ) => Effect.Effect<boolean>;
 }
 
 /** A call by which the coordinator reports revoked starts. */
@@ -27,8 +34,13 @@
 >;
 
 /** A start to guard against. */
-interface GuardedStart extends Ports.RevokedStart {
+interface GuardedStart extends Ports.RunRef {
+  readonly endpoint: Ports.EndpointRef;
   readonly expiresAtMs: number;
+  /** Fencing token of the newest coordinator that is known to have this start. */
+  knownToToken: number;
+  /** Whether this box has told that coordinator, which chooses its own guards. */
+  isHandedOver: boolean;
 }
 
 /** Interval between stops of the same run, in ms. */
@@ -38,13 +50,17 @@
 /** Time without a call after which the coordinator counts as lost, in ms. */
 const COORDINATOR_SILENCE_MS = 2 * requests.REQUEST_INTERVAL_MS;
 
-/** Sends the stops of revoked starts while the coordinator is silent. */
+/**
+ * Sends the stops of revoked starts while the coordinator is silent, and hands these
+ * starts over to each later coordinator.
+ */
 export class StandbyStartGuard {
   readonly #options: StandbyStartGuardOptions;
   #token = 0;
   #starts: readonly GuardedStart[] = [];
   #heardAtMs = Number.NEGATIVE_INFINITY;
   #isGuarding = false;
+  #isHandingOver = false;
   /** Completes when there are starts to guard against. */
   #hasStarts = Deferred.makeUnsafe<void>();
 
@@ -52,7 +68,10 @@
     this.#options = options;
   }
 
-  /** Handles a report of the coordinator. */
+  /**
+   * Handles a report of the coordinator. Its starts replace those of its earlier
+   * reports; starts of earlier coordinators are kept, as it may not know them.
+   */
   accept({ fencingToken, starts }: GuardCall): Ports.StoreReply {
     const isKnown = fencingToken === this.#token;
     if (fencingToken < this.#token || (starts === null && !isKnown)) {
@@ -62,24 +81,39 @@
     const nowMs = this.#options.clock.monotonicMs();
     this.#token = fencingToken;
     this.#heardAtMs = nowMs;
-    if (starts !== null) {
-      this.#starts = starts.map((start) => ({
-        ...start,
-        expiresAtMs: nowMs + start.expiresInMs,
-      }));
-    }
+    if (starts !== null) this.#replaceReported(starts, nowMs);
     if (this.#starts.length > 0) {
       Deferred.doneUnsafe(this.#hasStarts, Effect.void);
     }
     return { outcome: Ports.StoreOutcome.Done, value: null };
   }
 
-  /** Sends stops while the coordinator is silent; never ends. */
+  #replaceReported(
+    starts: readonly Ports.RevokedStart[],
+    nowMs: number,
+  ): void {
+    const reported = starts.map(({ expiresInMs, ...start }) => ({
+      ...start,
+      expiresAtMs: nowMs + expiresInMs,
+      knownToToken: this.#token,
+      isHandedOver: false,
+    }));
+    const names = new Set(reported.map(nameOf));
+    const others = this.#starts.filter((start) =>
+      !names.has(nameOf(start)) &&
+      (start.knownToToken < this.#token || start.isHandedOver)
+    );
+    this.#starts = [...others, ...reported];
+  }
+
+  /** Sends stops and hands starts over while there are any; never ends. */
   run(): Effect.Effect<never> {
     const { clock } = this.#options;
     return Effect.forever(Effect.gen({ self: this }, function* () {
       yield* Deferred.await(this.#hasStarts);
       while (this.#starts.length > 0) {
+        this.#removeExpired();
+        Effect.runFork(this.handOver());
         this.#sendStops();
         yield* clock.sleep(STOP_INTERVAL_MS);
       }
@@ -87,47 +121,67 @@
     }));
   }
 
-  #sendStops(): void {
+  #removeExpired(): void {
     const nowMs = this.#options.clock.monotonicMs();
     this.#starts = this.#starts.filter(({ expiresAtMs }) =>
       expiresAtMs > nowMs
     );
+  }
+
+  /** Hands starts over to the newest coordinator if it may not know them. */
+  handOver(): Effect.Effect<void> {
+    const { clock, currentToken, handOver } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const token = currentToken();
+      const pending = this.#starts.filter(({ knownToToken }) =>
+        knownToToken < token
+      );
+      if (this.#isHandingOver || pending.length === 0) return;
+      this.#isHandingOver = true;
+      const nowMs = clock.monotonicMs();
+      const starts = pending.map(({ endpoint, task, run, expiresAtMs }) => {
+        const expiresInMs = expiresAtMs - nowMs;
+        return { endpoint, task, run, expiresInMs };
+      });
+      const isDone = yield* handOver(token, starts);
+      this.#isHandingOver = false;
+      if (!isDone) return;
+      for (const start of pending) {
+        start.knownToToken = Math.max(start.knownToToken, token);
+        start.isHandedOver = true;
+      }
+    });
+  }
+
+  #sendStops(): void {
+    const nowMs = this.#options.clock.monotonicMs();
     const isSilent = nowMs - this.#heardAtMs > COORDINATOR_SILENCE_MS;
-    const isGuarding = isSilent && this.#starts.length > 0;
+    // A later coordinator that calls may not know the starts of an earlier one.
+    const guarded = this.#starts.filter(({ knownToToken, isHandedOver }) =>
+      !isHandedOver && (isSilent || knownToToken < this.#token)
+    );
+    const isGuarding = guarded.length > 0;
     if (isGuarding && !this.#isGuarding) {
       this.#options.log.info(
         `The coordinator with token ${this.#token} is silent; this box sends the ` +
-          `stops of ${this.#starts.length} starts that may be delivered late.`,
+          `stops of ${guarded.length} starts that may be delivered late.`,
       );
     }
     this.#isGuarding = isGuarding;
-    if (!isGuarding) return;
-    for (const start of this.#starts) Effect.runFork(this.#stop(start));
+    for (const start of guarded) Effect.runFork(this.#stop(start));
   }
 
-  #stop(start: GuardedStart): Effect.Effect<void> {
+  /** Ignores the outcome: the endpoint may restart after each answer. */
+  #stop({ endpoint, task, run }: GuardedStart): Effect.Effect<void> {
     const { clock, endpoints, metrics } = this.#options;
-    const { endpoint, task, run } = start;
-    const fencingToken = this.#token;
+    const order = { task, run, fencingToken: this.#token };
     metrics.count("cairngate_loose_start_stops_total");
-    return endpoints.stop(endpoint, { task, run, fencingToken }).pipe(
-      (stop) => clock.within(STOP_LIMIT_MS, stop),
-      Effect.catch((err) =>
-        Effect.sync(() => {
-          // The next coordinator has called the endpoint, which refuses the start now.
-          if (isFenced(err)) this.#remove(start);
-        })
-      ),
-      Effect.asVoid,
+    return Effect.ignore(
+      clock.within(STOP_LIMIT_MS, endpoints.stop(endpoint, order)),
     );
   }
-
-  #remove(start: GuardedStart): void {
-    this.#starts = this.#starts.filter((one) => one !== start);
-  }
 }
 
-function isFenced(err: Ports.OrderError): boolean {
-  return err._tag === "OrderRefusedError" &&
-    err.reason === Errors.OrderRefusal.Fenced;
+function nameOf({ endpoint, task, run }: GuardedStart): string {
+  return `${endpoint.id} ${task}@${run}`;
 }
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -69,9 +69,16 @@
 const MAX_CONFIG_PAUSE_MS = 250;
 /** Time without an answer of the store after which requests fail as well, in ms. */
 const STORE_FAILURE_MS = 300;
+/** Timeout of handing starts over to the coordinator, in ms. */
+const HAND_OVER_TIMEOUT_MS = 400;
 /** Covers the time from a poll of the store to the check of a request, in ms. */
 const FRESHNESS_MARGIN_MS = 150;
 
+type HandOverCall = Extract<
+  Ports.StoreCall,
+  { readonly kind: Ports.StoreCallKind.HandOverStarts }
+>;
+
 /** Accepts workflows, and coordinates while elected. */
 export class WorkflowNode {
   readonly access: Gateway.AccessTable;
@@ -171,6 +178,9 @@
       endpoints: ports.workers,
       log: log.child("guard"),
       metrics,
+      currentToken: () =>
+        Math.max(this.#election.token, this.#coordinator?.token ?? 0),
+      handOver: (token, starts) => this.#handOverStarts(token, starts),
     });
     this.#standbyGuardRequests = new standbyGuardRequests.StandbyGuardRequests({
       clock,
@@ -230,9 +240,52 @@
   }
 
   #answer(call: Ports.StoreCall): Effect.Effect<Ports.StoreReply> {
-    return call.kind === Ports.StoreCallKind.GuardStarts
-      ? Effect.sync(() => this.#standbyGuard.accept(call))
-      : this.#relay.answer(call);
+    switch (call.kind) {
+      case Ports.StoreCallKind.GuardStarts:
+        return Effect.sync(() => this.#standbyGuard.accept(call));
+      case Ports.StoreCallKind.HandOverStarts:
+        return Effect.sync(() => this.#adoptStarts(call));
+      default:
+        return this.#relay.answer(call);
+    }
+  }
+
+  /** Adopts starts that another box hands over, unless they are meant for another term. */
+  #adoptStarts({ fencingToken, starts }: HandOverCall): Ports.StoreReply {
+    const coordinator = this.#coordinator;
+    if (coordinator?.token !== fencingToken) {
+      const value = `it does not coordinate under token ${fencingToken}`;
+      return { outcome: Ports.StoreOutcome.Unavailable, value };
+    }
+    coordinator.adoptRevokedStarts(starts);
+    return { outcome: Ports.StoreOutcome.Done, value: null };
+  }
+
+  /** Hands starts over to the coordinator with this token, which may be on this box. */
+  #handOverStarts(
+    fencingToken: number,
+    starts: readonly Ports.RevokedStart[],
+  ): Effect.Effect<boolean> {
+    const { peers, log } = this.#ports;
+    const kind = Ports.StoreCallKind.HandOverStarts;
+    const call: HandOverCall = { kind, fencingToken, starts };
+    if (this.#coordinator?.token === fencingToken) {
+      return Effect.succeed(
+        this.#adoptStarts(call).outcome === Ports.StoreOutcome.Done,
+      );
+    }
+    const { holder } = this.#election;
+    const box = this.#members.others().find(({ node }) => node === holder);
+    if (box === undefined) return Effect.succeed(false);
+    return peers.call(box, call, HAND_OVER_TIMEOUT_MS).pipe(
+      Effect.map(({ outcome }) => outcome === Ports.StoreOutcome.Done),
+      Effect.catch((err) =>
+        Effect.sync(() => {
+          log.debug(`Box ${box.node} took over no starts: ${err.message}`);
+          return false;
+        })
+      ),
+    );
   }
 
   #startLoops(): void {
@@ -274,6 +327,7 @@
       Effect.suspend(() => {
         const ports = this.#coordinatorPorts;
         this.#coordinator = new Coordinator.Coordinator(ports, term);
+        Effect.runFork(this.#standbyGuard.handOver());
         const ended = Effect.sync(() => {
           this.#coordinator = null;
         });
