Refuse a hand-over of starts whose endpoints are not known

The guards counted the start as handed over and sent no more stops. An endpoint that restarts while it is not listed then runs the late start beside the next run.

Change: the coordinator refuses a hand-over while it does not know all of the endpoints; guarding boxes go on sending the stops and ask again. A hand-over that fails in an unexpected way no longer blocks later ones.

--- a/packages/coordinator/src/endpoints/endpoint_directory.ts
+++ b/packages/coordinator/src/endpoints/endpoint_directory.ts
@@ -108,9 +108,12 @@
     return this.#sessions.open(id, recorded);
   }
 
-  /** Adopts a start that an earlier coordinator revoked. */
-  adoptRevokedStart(start: Ports.RevokedStart): void {
-    this.#sessions.adoptRevokedStart(start);
+  /**
+   * Adopts a start that an earlier coordinator revoked. Returns false if its endpoint is
+   * not known.
+   */
+  adoptRevokedStart(start: Ports.RevokedStart): boolean {
+    return this.#sessions.adoptRevokedStart(start);
   }
 
   /** Endpoint snapshots for the scheduler. */
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -150,14 +150,19 @@
 
   /**
    * Adopts a start that an earlier coordinator revoked. Its endpoint is polled until the
-   * start can't be delivered any more.
+   * start can't be delivered any more. Returns false if the endpoint is not known, so
+   * that it can't be polled.
    */
-  adoptRevokedStart({ endpoint, task, run, expiresInMs }: Ports.RevokedStart) {
+  adoptRevokedStart(
+    { endpoint, task, run, expiresInMs }: Ports.RevokedStart,
+  ): boolean {
     const { clock } = this.#parts.options.ports;
     const ageMs = unansweredStarts.LONGEST_ORDER_DELAY_MS - expiresInMs;
     const sentAtMs = clock.monotonicMs() - ageMs;
     this.#unansweredStartsOf(endpoint.id).add({ task, run }, sentAtMs);
-    this.open(endpoint.id)?.noteUnansweredStart();
+    const session = this.open(endpoint.id);
+    session?.noteUnansweredStart();
+    return session !== null;
   }
 
   /** Closes a session and interrupts its fiber. */
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -52,9 +52,16 @@
       .flatMap(({ revokedStarts }) => revokedStarts);
   }
 
-  /** Adopts starts that earlier coordinators revoked and that may still be delivered. */
-  adoptRevokedStarts(starts: readonly Ports.RevokedStart[]): void {
-    for (const start of starts) this.#parts.directory.adoptRevokedStart(start);
+  /**
+   * Adopts starts that earlier coordinators revoked and that may still be delivered.
+   * Returns false if some endpoints are not known yet.
+   */
+  adoptRevokedStarts(starts: readonly Ports.RevokedStart[]): boolean {
+    const { directory } = this.#parts;
+    const unknown = starts.filter((start) =>
+      !directory.adoptRevokedStart(start)
+    );
+    return unknown.length === 0;
   }
 
   /** State of this coordinator for the state dump. */
--- a/packages/workflow-node/src/handed_over_starts_test.ts
+++ b/packages/workflow-node/src/handed_over_starts_test.ts
@@ -82,4 +82,23 @@
       },
     );
   }
+
+  vitest.it("does not run beside the next run if it is unlisted", async () => {
+    const fleet = new TestUtils.TestFleet({ workers: [1, 1], boxes: 5 });
+    const { lateEndpoint, deliveredAtMs } = await startElsewhere(fleet);
+    const { workers, clock } = fleet;
+    const token = fleet.token();
+    workers.decideOutcome = () => Delivered;
+    workers.crash(lateEndpoint);
+    fleet.unlist(lateEndpoint);
+    await fleet.run(fleet.box(fleet.coordinator() ?? "").leave());
+    await clock.advance(IDLE_MS);
+    vitest.expect(fleet.token()).toBeGreaterThan(token);
+    vitest.expect(clock.monotonicMs()).toBeLessThan(deliveredAtMs);
+    workers.restart({ id: lateEndpoint, accelerators: 1 });
+    await clock.advance(SETTLED_MS);
+    vitest.expect(workers.runsOf(TASK).length).toBe(1);
+    vitest.expect(TestUtils.findRunViolations(fleet)).toEqual([]);
+    await fleet.stop();
+  });
 });
--- a/packages/workflow-node/src/standby_start_guard.ts
+++ b/packages/workflow-node/src/standby_start_guard.ts
@@ -145,8 +145,12 @@
         const expiresInMs = expiresAtMs - nowMs;
         return { endpoint, task, run, expiresInMs };
       });
-      const isDone = yield* handOver(token, starts);
-      this.#isHandingOver = false;
+      const isDone = yield* Effect.ensuring(
+        handOver(token, starts),
+        Effect.sync(() => {
+          this.#isHandingOver = false;
+        }),
+      );
       if (!isDone) return;
       for (const start of pending) {
         start.knownToToken = Math.max(start.knownToToken, token);
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -250,15 +250,18 @@
     }
   }
 
-  /** Adopts starts that another box hands over, unless they are meant for another term. */
+  /** Adopts starts that a box hands over, unless they are meant for another term. */
   #adoptStarts({ fencingToken, starts }: HandOverCall): Ports.StoreReply {
     const coordinator = this.#coordinator;
     if (coordinator?.token !== fencingToken) {
       const value = `it does not coordinate under token ${fencingToken}`;
       return { outcome: Ports.StoreOutcome.Unavailable, value };
     }
-    coordinator.adoptRevokedStarts(starts);
-    return { outcome: Ports.StoreOutcome.Done, value: null };
+    // The sender goes on sending stops until all endpoints are known here.
+    const value = "it does not know all of these endpoints";
+    return coordinator.adoptRevokedStarts(starts)
+      ? { outcome: Ports.StoreOutcome.Done, value: null }
+      : { outcome: Ports.StoreOutcome.Unavailable, value };
   }
 
   /** Hands starts over to the coordinator with this token, which may be on this box. */
