--- a/packages/workflow-node/src/random_faults_slow_ends_test.ts
+++ b/packages/workflow-node/src/random_faults_slow_ends_test.ts
@@ -8,10 +8,10 @@
 
 /**
  * Seeds that once failed with cuts and rebirths. 9017: the check asked for gangs of
- * three while two accelerators were running. 9025: a task that crashes its endpoints
- * was started once too often.
+ * three while two accelerators were running. 9025 and 20023: a task that crashes its
+ * endpoints was started once too often.
  */
-const REGRESSION_SEEDS: readonly number[] = [9017, 9025];
+const REGRESSION_SEEDS: readonly number[] = [9017, 9025, 20023];
 
 vitest.describe("random faults and slow ends that once failed", () => {
   for (const seed of REGRESSION_SEEDS) {
