Move the hand-over of starts to a module of its own

WorkflowNode only connects its parts again; the callback of the coordinator is named like the others, onStartsRevoked.

--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -44,7 +44,7 @@
   readonly fitness: fitnesses.Fitness;
   readonly outageReports: outageReports.OutageReports;
   /** Called when the coordinator's revoked starts may have changed. */
-  readonly startsRevoked: () => void;
+  readonly onStartsRevoked: () => void;
   /** Number of boxes that accept work from callers, as far as this one knows. */
   readonly countBoxes: () => number;
   readonly bounds: EndpointBounds;
--- a/packages/coordinator/src/sessions/endpoint_runs.ts
+++ b/packages/coordinator/src/sessions/endpoint_runs.ts
@@ -74,7 +74,7 @@
     const { state, options } = this.#options;
     if (this.unansweredStarts.isEmpty) return;
     if (state.incarnation.likelyBornMs === null) return;
-    options.ports.startsRevoked();
+    options.ports.onStartsRevoked();
   }
 
   /**
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -14,6 +14,7 @@
 import * as members from "./member_registry.ts";
 import * as recoveries from "./recovery_detector.ts";
 import * as sharedOutages from "./shared_outage_detector.ts";
+import * as startHandOvers from "./start_hand_over.ts";
 import * as standbyGuards from "./standby_start_guard.ts";
 import * as standbyGuardRequests from "./standby_guard_requests.ts";
 
@@ -69,16 +70,9 @@
 const MAX_CONFIG_PAUSE_MS = 250;
 /** Time without an answer of the store after which requests fail as well, in ms. */
 const STORE_FAILURE_MS = 300;
-/** Timeout of handing starts over to the coordinator, in ms. */
-const HAND_OVER_TIMEOUT_MS = 400;
 /** Covers the time from a poll of the store to the check of a request, in ms. */
 const FRESHNESS_MARGIN_MS = 150;
 
-type HandOverCall = Extract<
-  Ports.StoreCall,
-  { readonly kind: Ports.StoreCallKind.HandOverStarts }
->;
-
 /** Accepts workflows, and coordinates while elected. */
 export class WorkflowNode {
   readonly access: Gateway.AccessTable;
@@ -94,6 +88,7 @@
   readonly #election: Coordinator.Election;
   readonly #evacuations: Coordinator.EvacuationTracker;
   readonly #sharedOutage: sharedOutages.SharedOutageDetector;
+  readonly #startHandOver: startHandOvers.StartHandOver;
   readonly #standbyGuard: standbyGuards.StandbyStartGuard;
   readonly #standbyGuardRequests: standbyGuardRequests.StandbyGuardRequests;
   readonly #coordinatorPorts: Coordinator.CoordinatorPorts;
@@ -173,6 +168,13 @@
       failingForMs: () => this.#store.failingForMs(),
       coordinates: () => this.#coordinator !== null,
     });
+    this.#startHandOver = new startHandOvers.StartHandOver({
+      peers: ports.peers,
+      log: log.child("guard"),
+      otherBoxes: () => this.#members.others(),
+      coordinatingBox: () => this.#election.holder,
+      coordinator: () => this.#coordinator,
+    });
     this.#standbyGuard = new standbyGuards.StandbyStartGuard({
       clock,
       endpoints: ports.workers,
@@ -180,7 +182,7 @@
       metrics,
       currentToken: () =>
         Math.max(this.#election.token, this.#coordinator?.token ?? 0),
-      handOver: (token, starts) => this.#handOverStarts(token, starts),
+      handOver: (token, starts) => this.#startHandOver.send(token, starts),
     });
     this.#standbyGuardRequests = new standbyGuardRequests.StandbyGuardRequests({
       clock,
@@ -211,7 +213,7 @@
         hasDirectStoreAccess: () => this.#route.isDirect,
       }),
       outageReports: this.#sharedOutage,
-      startsRevoked: () => this.#standbyGuardRequests.requestSoon(),
+      onStartsRevoked: () => this.#standbyGuardRequests.requestSoon(),
       countBoxes: () => this.#members.others().length + 1,
       bounds: ports.bounds,
       hardLoad: ports.hardLoad,
@@ -244,53 +246,12 @@
       case Ports.StoreCallKind.GuardStarts:
         return Effect.sync(() => this.#standbyGuard.accept(call));
       case Ports.StoreCallKind.HandOverStarts:
-        return Effect.sync(() => this.#adoptStarts(call));
+        return Effect.sync(() => this.#startHandOver.accept(call));
       default:
         return this.#relay.answer(call);
     }
   }
 
-  /** Adopts starts that a box hands over, unless they are meant for another term. */
-  #adoptStarts({ fencingToken, starts }: HandOverCall): Ports.StoreReply {
-    const coordinator = this.#coordinator;
-    if (coordinator?.token !== fencingToken) {
-      const value = `it does not coordinate under token ${fencingToken}`;
-      return { outcome: Ports.StoreOutcome.Unavailable, value };
-    }
-    // The sender goes on sending stops until all endpoints are known here.
-    const value = "it does not know all of these endpoints";
-    return coordinator.adoptRevokedStarts(starts)
-      ? { outcome: Ports.StoreOutcome.Done, value: null }
-      : { outcome: Ports.StoreOutcome.Unavailable, value };
-  }
-
-  /** Hands starts over to the coordinator with this token, which may be on this box. */
-  #handOverStarts(
-    fencingToken: number,
-    starts: readonly Ports.RevokedStart[],
-  ): Effect.Effect<boolean> {
-    const { peers, log } = this.#ports;
-    const kind = Ports.StoreCallKind.HandOverStarts;
-    const call: HandOverCall = { kind, fencingToken, starts };
-    if (this.#coordinator?.token === fencingToken) {
-      return Effect.succeed(
-        this.#adoptStarts(call).outcome === Ports.StoreOutcome.Done,
-      );
-    }
-    const { holder } = this.#election;
-    const box = this.#members.others().find(({ node }) => node === holder);
-    if (box === undefined) return Effect.succeed(false);
-    return peers.call(box, call, HAND_OVER_TIMEOUT_MS).pipe(
-      Effect.map(({ outcome }) => outcome === Ports.StoreOutcome.Done),
-      Effect.catch((err) =>
-        Effect.sync(() => {
-          log.debug(`Box ${box.node} took over no starts: ${err.message}`);
-          return false;
-        })
-      ),
-    );
-  }
-
   #startLoops(): void {
     const { clock, random, configInForceMs } = this.#ports;
     this.#runForever("Membership", this.#members.run());
