--- a/packages/workflow-node/src/done_before_crash_test.ts
+++ b/packages/workflow-node/src/done_before_crash_test.ts
@@ -12,7 +12,9 @@
 const RUN_MS = 379;
 /** Time from the start of a run to the crash of its endpoint, in ms. */
 const CRASH_MS = 393;
+/** Estimated run time of the task, in ms. */
 const ESTIMATE_MS = 1000;
+/** Time from a crash to the return of the endpoint, in ms. */
 const RESTART_DELAY_MS = 300;
 /** Runs whose endpoint crashes; only the last one is still under way then. */
 const CRASHED_RUNS = 3;
