Log failures that count nothing, and starts that follow failures

- an end as failed of a run that the coordinator presumed ended, or never tracked, was acknowledged without a line.
It is now logged as a warning with its cause, the counted failures, the runs of unknown outcome and the attempts, and counted in cairngate_failures_not_counted_total;
- a start that follows a failure, or a run of unknown outcome, is logged with the same figures.

No decision changes.

--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -87,6 +87,11 @@
     endpoint: SessionEndpoint,
     ended: Ports.EndedRun,
   ): Effect.Effect<void>;
+  /** Handles a run that an endpoint reports as failed and the session never tracked. */
+  abstract unexpectedFailure(
+    endpoint: SessionEndpoint,
+    ended: Ports.EndedRun,
+  ): void;
   /**
    * Handles a run that is over and whose endpoint does not answer, where the endpoint
    * is not listed or the task may have crashed it.
--- a/packages/coordinator/src/sessions/view_reader.ts
+++ b/packages/coordinator/src/sessions/view_reader.ts
@@ -146,6 +146,7 @@
       );
     }
     if (!recovery.isComplete) return this.#deferEnd(ended);
+    if (ended.how === "failed") listener.unexpectedFailure(endpoint, ended);
     return ended.how === "done"
       ? listener.unexpectedDone(endpoint, ended)
       : null;
--- a/packages/coordinator/src/work/end_log.ts
+++ b/packages/coordinator/src/work/end_log.ts
@@ -11,6 +11,14 @@
   readonly endpoint: string;
 }
 
+/** Why the failure of a run is not counted. */
+export enum UncountedCause {
+  /** The run was presumed ended otherwise, for example by the end of its lease. */
+  Presumed = "presumed-ended",
+  /** This coordinator never tracked the run at that endpoint. */
+  Unexpected = "unexpected",
+}
+
 /** Logs and counts the ends of runs; one instance for each term. */
 export class EndLog {
   readonly #ports: Pick<ports.CoordinatorPorts, "log" | "metrics">;
@@ -42,6 +50,22 @@
     if (how === Workflow.RunEnd.Crashed) this.#logCrash(place);
   }
 
+  /** Logs a failure that is not counted while its task may still start. */
+  logUncountedFailure(
+    { task, run, endpoint }: RunLocation,
+    cause: UncountedCause,
+  ): void {
+    const { workflow, step, state } = task;
+    const isDone = state === Workflow.TaskState.Done;
+    if (workflow.isOver || isDone || step.lasting) return;
+    const { log, metrics } = this.#ports;
+    metrics.count("cairngate_failures_not_counted_total", { cause });
+    log.warn(
+      `Run ${run} of ${task.name} on ${endpoint} failed, which is not counted ` +
+        `(${cause}): ${sentences.describeFailures(task)}.`,
+    );
+  }
+
   /**
    * Logs a run whose endpoint does not answer, and either is not listed any more or
    * may have been crashed by the task.
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -5,6 +5,7 @@
 import type * as advice from "./advice_cache.ts";
 import * as leaseClocks from "../sessions/lease_clock.ts";
 import * as missingRuns from "./missing_runs.ts";
+import * as descriptions from "./run_descriptions.ts";
 import type * as ports from "../ports.ts";
 import type * as recorders from "./recorder.ts";
 import type * as directories from "../endpoints/endpoint_directory.ts";
@@ -45,6 +46,7 @@
       const ticket = this.#parts.advice.ticket(unit, endpoints[i]);
       return [{ session, assignment: session.reserve(task, ticket) }];
     });
+    this.#logRetry(unit, run);
     const send = Effect.forEach(
       orders,
       ({ session, assignment }) => session.start(assignment),
@@ -135,6 +137,18 @@
     return this.#missing.removeExpired(clock.monotonicMs());
   }
 
+  /** Logs a start that follows failed runs, or runs that may turn out to have failed. */
+  #logRetry({ tasks: [first], tasks }: Workflow.Unit, run: number): void {
+    const { workflow: { unresolvedRuns }, stepKey } = first;
+    const hasFailed = tasks.some(({ failures }) => failures > 0);
+    if (!hasFailed && unresolvedRuns.openRuns(stepKey).size === 0) return;
+    this.#parts.ports.log.info(
+      `Run ${run} of ${first.name} starts: ${
+        descriptions.describeFailures(first)
+      }.`,
+    );
+  }
+
   /**
    * Tracks a run until every lease that a coordinator may have granted has expired.
    * An endpoint known to have ended needs no wait.
--- a/packages/coordinator/src/work/run_descriptions.ts
+++ b/packages/coordinator/src/work/run_descriptions.ts
@@ -1,4 +1,4 @@
-/** Describes the runs that counted toward giving a workflow up. */
+/** Describes failures, and the runs that counted toward giving a workflow up. */
 import * as Workflow from "@cairngate/workflow";
 
 const { CountedAs, RunEvidence } = Workflow;
@@ -40,3 +40,13 @@
   }. ` +
     COUNT_TEXT[counted];
 }
+
+/** Describes how many runs of a task have failed, or may turn out to have failed. */
+export function describeFailures(
+  { workflow, stepKey, failures }: Workflow.Task,
+): string {
+  const { spec: { policy: { attempts } }, unresolvedRuns } = workflow;
+  const openCount = unresolvedRuns.openRuns(stepKey).size;
+  return `${failures} of ${attempts} allowed failures are counted, and ` +
+    `${openCount} runs are of unknown outcome`;
+}
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -73,8 +73,14 @@
       { run, endpoint: endpointId, ...end },
       nowMs,
     );
-    if (!isNew) return Effect.void;
-    this.#log.logLateEnd({ task, run, endpoint: endpointId }, end);
+    const place = { task, run, endpoint: endpointId };
+    if (!isNew) {
+      if (end.how === Workflow.RunEnd.Failed) {
+        this.#log.logUncountedFailure(place, endLogs.UncountedCause.Presumed);
+      }
+      return Effect.void;
+    }
+    this.#log.logLateEnd(place, end);
     if (end.how === Workflow.RunEnd.Done) this.#stopOtherRuns(task, run);
     return this.#concludeAndRecord(workflow, wasOver);
   }
@@ -99,6 +105,16 @@
     );
   }
 
+  override unexpectedFailure(
+    { ref: { id: endpoint } }: listeners.SessionEndpoint,
+    { task: name, run }: Ports.EndedRun,
+  ): void {
+    const task = this.#options.workflows.findTask(name);
+    if (task === null) return;
+    const { Unexpected } = endLogs.UncountedCause;
+    this.#log.logUncountedFailure({ task, run, endpoint }, Unexpected);
+  }
+
   override runGone(
     { ref: { id, address } }: listeners.SessionEndpoint,
     { task, run, presence, bornMs }: unreportedRuns.UnreportedRun,
--- a/packages/workflow/src/unresolved_runs.ts
+++ b/packages/workflow/src/unresolved_runs.ts
@@ -85,15 +85,14 @@
   }
 
   /**
-   * Number of runs of a step whose failure may still be reported if this one is
-   * given up too. A run on a gone endpoint was killed when its lease expired, so it
-   * is left out.
+   * Runs of a step whose failure may still be reported. A run on a gone endpoint was
+   * killed when its lease expired, so it is left out.
    */
-  countRunsIncluding(stepKey: string, run: number): number {
-    const runs = this.#runs
-      .filter(({ task, isGone }) => task.stepKey === stepKey && isGone !== true)
-      .map((entry) => entry.run);
-    return new Set([...runs, run]).size;
+  openRuns(stepKey: string): ReadonlySet<number> {
+    const open = this.#runs.filter(({ task, isGone }) =>
+      task.stepKey === stepKey && isGone !== true
+    );
+    return new Set(open.map(({ run }) => run));
   }
 
   #removeWhere(isRemoved: (end: UnresolvedRun<T>) => boolean): boolean {
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -169,7 +169,7 @@
       failures,
       crashes: failureCounts.highestCrashCount(this.siblings(task)),
       attempts: this.spec.policy.attempts,
-      open: this.unresolvedRuns.countRunsIncluding(stepKey, run),
+      open: new Set([...this.unresolvedRuns.openRuns(stepKey), run]).size,
     });
   }
 
