Weigh runs of unknown outcome before a gang starts again

What callers saw: a task was started once more although as many of its runs had failed as its queue allows (BUDGET).

Cause: a gang's run that is given up while its outcome is unknown was weighed against the attempts only when it was given up. When the next run was planned, counted failures alone decided. So a run left open with an attempt to spare, and failures after it, led to a start that the late report of the open run put beyond the attempts. The class: a decision that takes unknown for "no".

Both rules now stand in restart_budget.ts and share the comparison with the attempts. The planner leaves such a unit with the reason "unknown-outcome"; the record names the open runs, so the next coordinator waits as well. The wait ends with the report, with the proof that the endpoint has ended, or with the end of the lease, after which users do not count the failure.

An endpoint that leaves closes its open runs now.

--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -123,7 +123,11 @@
     }
     state.suspectGone();
     // An endpoint that was leaving has left, so its outstanding ends are not needed.
-    if (state.incarnation.endEvidence.isLeaving) unreported.takeAll();
+    if (state.incarnation.endEvidence.isLeaving) {
+      for (const { task, run } of unreported.takeAll()) {
+        task.workflow.unresolvedRuns.closeUnlessGone(task, run);
+      }
+    }
     for (const run of unreported.all) options.listener.runGone(state, run);
   }
 
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -130,11 +130,17 @@
   }
 
   #waitsForRetry(unit: Workflow.Unit): boolean {
-    if (!retry.mustPause(unit, this.#input)) return false;
-    this.#waits.push({ unit, reason: WaitReason.Pause });
+    const reason = this.#retryWaitReason(unit);
+    if (reason === null) return false;
+    this.#waits.push({ unit, reason });
     return true;
   }
 
+  #retryWaitReason(unit: Workflow.Unit): waiting.WaitReason | null {
+    if (unit.workflow.mustAwaitOutcome(unit)) return WaitReason.UnknownOutcome;
+    return retry.mustPause(unit, this.#input) ? WaitReason.Pause : null;
+  }
+
   /**
    * Places all single tasks of a step in one search: a search for each of 40 tasks
    * would read each endpoint 40 times (plan_growth_test.ts).
--- a/packages/workflow-scheduler/src/wait_reason.ts
+++ b/packages/workflow-scheduler/src/wait_reason.ts
@@ -17,6 +17,8 @@
   NearData = "near-data",
   /** It has failed and pauses before the next attempt. */
   Pause = "pause",
+  /** An earlier run, of unknown outcome, may have used up its attempts. */
+  UnknownOutcome = "unknown-outcome",
   /** It has failed, and the free endpoints are unreliable. */
   UnreliableEndpoints = "doubt",
   /** It is in backoff because too many endpoints may have crashed while running it. */
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -188,9 +188,9 @@
 /** Ends of a task that were crashes, or may have been. */
 export function countPossibleCrashes(
   { laid, excused, unseen }: CrashCount,
-  goneRuns: number,
+  unknownRuns: number,
 ): number {
-  return laid + excused + unseen + goneRuns;
+  return laid + excused + unseen + unknownRuns;
 }
 
 /**
@@ -238,19 +238,37 @@
   return { ...count, laid: Math.max(0, count.laid - 1), excused };
 }
 
-/**
- * Whether a run of unknown outcome may be given up and followed by another. Each
- * such run may turn out to be a failure or a crash, so there may be no more of them
- * than the failures and crashes that are left.
- */
-export function canLeaveRunUnresolved(counts: {
+/** What the runs of a unit have used of its limits, or may turn out to have used. */
+export interface BudgetUse {
   readonly failures: number;
-  readonly crashes: CrashCount;
+  /** Failed runs after which the unit is given up. */
   readonly attempts: number;
-  /** Runs of unknown outcome, including this one. */
+  readonly crashes: CrashCount;
+  /** Runs of unknown outcome; each may turn out to be a failure or a crash. */
   readonly open: number;
-}): boolean {
-  const { failures, crashes, attempts, open } = counts;
-  return failures + open < attempts &&
-    crashes.laid + crashes.excused + crashes.unseen + open < CRASH_LIMIT_ALONE;
+}
+
+/**
+ * Whether a run of unknown outcome may be given up and followed by another. The runs
+ * of unknown outcome, this one included, must not exceed the failures and crashes
+ * that are left.
+ */
+export function canLeaveRunUnresolved(use: BudgetUse): boolean {
+  return isWithinAttempts(use) &&
+    countPossibleCrashes(use.crashes, use.open) < CRASH_LIMIT_ALONE;
+}
+
+/**
+ * Whether a unit may start before the outcome of its earlier runs is known: a failure
+ * that is reported after the start still counts as preceding it.
+ */
+export function mayStartBeforeOutcome(use: BudgetUse): boolean {
+  return use.open === 0 ||
+    (isWithinAttempts(use) &&
+      countPossibleCrashes(use.crashes, use.open) < TOTAL_CRASH_LIMIT);
+}
+
+/** Whether the unit has attempts left even if all runs of unknown outcome failed. */
+function isWithinAttempts({ failures, attempts, open }: BudgetUse): boolean {
+  return failures + open < attempts;
 }
--- a/packages/workflow/src/restart_budget_test.ts
+++ b/packages/workflow/src/restart_budget_test.ts
@@ -220,3 +220,30 @@
     vitest.expect([...next.tasks][0].crashes).toEqual(task.crashes);
   });
 });
+
+vitest.describe("a unit with runs of unknown outcome", () => {
+  const use = {
+    failures: 0,
+    attempts: 9,
+    crashes: budgets.NO_CRASHES,
+    open: 1,
+  };
+
+  vitest.it("waits if they may have used up its attempts", () => {
+    const mayStart = (failures: number, open: number) =>
+      budgets.mayStartBeforeOutcome({ ...use, attempts: 3, failures, open });
+    vitest.expect(mayStart(2, 0)).toBe(true);
+    vitest.expect(mayStart(1, 1)).toBe(true);
+    vitest.expect(mayStart(2, 1)).toBe(false);
+    vitest.expect(mayStart(1, 2)).toBe(false);
+  });
+
+  vitest.it("waits if they may have used up its starts after crashes", () => {
+    const mayStart = (unseen: number) => {
+      const crashes = { ...budgets.NO_CRASHES, laid: 1, excused: 1, unseen };
+      return budgets.mayStartBeforeOutcome({ ...use, crashes });
+    };
+    vitest.expect(mayStart(1)).toBe(true);
+    vitest.expect(mayStart(2)).toBe(false);
+  });
+});
--- a/packages/workflow/src/unresolved_runs.ts
+++ b/packages/workflow/src/unresolved_runs.ts
@@ -29,6 +29,8 @@
   readonly presence: budgets.Presence;
 }
 
+const NO_RUNS: ReadonlySet<number> = new Set();
+
 /** The unresolved runs of one workflow. */
 export class UnresolvedRuns<T extends TaskWithUnresolvedRuns> {
   readonly #runs: UnresolvedRun<T>[] = [];
@@ -89,6 +91,7 @@
    * killed when its lease expired, so it is left out.
    */
   openRuns(stepKey: string): ReadonlySet<number> {
+    if (this.#runs.length === 0) return NO_RUNS;
     const open = this.#runs.filter(({ task, isGone }) =>
       task.stepKey === stepKey && isGone !== true
     );
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -159,18 +159,25 @@
     task: Task,
     stoppingSinceMs: number | null,
   ): boolean {
-    const { run, failures, step, stepKey } = task;
+    const { run, step, stepKey } = task;
     if (!step.gang) return false;
-    const others = this.siblings(task).filter((other) => other !== task);
+    const members = this.siblings(task);
+    const others = members.filter((other) => other !== task);
     if (!this.#brokenGangRuns.hasEndedFirst(task, others, stoppingSinceMs)) {
       return false;
     }
-    return budgets.canLeaveRunUnresolved({
-      failures,
-      crashes: failureCounts.highestCrashCount(this.siblings(task)),
-      attempts: this.spec.policy.attempts,
-      open: new Set([...this.unresolvedRuns.openRuns(stepKey), run]).size,
-    });
+    const openRuns = new Set([...this.unresolvedRuns.openRuns(stepKey), run]);
+    return budgets.canLeaveRunUnresolved(this.#budgetUse(members, openRuns));
+  }
+
+  /**
+   * Whether a unit has to wait until the outcome of an earlier run is known, because
+   * that run may have used up its attempts.
+   */
+  mustAwaitOutcome({ tasks }: Pick<Unit, "tasks">): boolean {
+    const openRuns = this.unresolvedRuns.openRuns(tasks[0].stepKey);
+    if (openRuns.size === 0) return false;
+    return !budgets.mayStartBeforeOutcome(this.#budgetUse(tasks, openRuns));
   }
 
   /**
@@ -224,6 +231,18 @@
     return true;
   }
 
+  #budgetUse(
+    tasks: readonly Task[],
+    openRuns: ReadonlySet<number>,
+  ): budgets.BudgetUse {
+    return {
+      failures: Math.max(...tasks.map(({ failures }) => failures)),
+      attempts: this.spec.policy.attempts,
+      crashes: failureCounts.highestCrashCount(tasks),
+      open: openRuns.size,
+    };
+  }
+
   #makeRound(round: number): Task[][] {
     return this.spec.steps.map((step, stepIndex) =>
       Array.from({ length: step.count }, (_, index) => {
