Keep runs of unknown outcome open until their lease has expired

Cause: a run that was given up with unknown outcome counted as one on a gone endpoint, which can't report a failure any more, 4 s after its endpoint was neither listed nor reachable. Its lease lasts 6 s and more. An endpoint whose entry expires while it is cut off may be back before that, and reports the failure, which counts.

Where connections are refused, its end is proven at once, as before.

--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -121,6 +121,9 @@
       Effect.runFork(this.endAll(evidences.EndProof.ConnectionRefused));
       return;
     }
+    // A failure that is reported before the lease expires still counts.
+    const nowMs = options.ports.clock.monotonicMs();
+    if (!state.incarnation.clock.hasLapsed(nowMs)) return;
     state.suspectGone();
     // An endpoint that was leaving has left, so its outstanding ends are not needed.
     if (state.incarnation.endEvidence.isLeaving) {
--- a/packages/workflow-node/src/unresolved_failures_test.ts
+++ b/packages/workflow-node/src/unresolved_failures_test.ts
@@ -10,6 +10,8 @@
 const FAILURE_DELAY_MS = 40;
 /** Time in which a gang that may start again does so, in ms. */
 const RESTART_MS = 2500;
+/** Time after a start that is within its lease of 6 s, in ms. */
+const WITHIN_LEASE_MS = 5500;
 /** Longest lease and the time to detect its end, in ms. */
 const LEASE_EXPIRY_MS = 7000;
 
@@ -123,6 +125,28 @@
     await gang.fleet.stop();
   });
 
+  vitest.it(
+    "does not start beyond its attempts if its endpoint is unlisted",
+    async () => {
+      const gang = new FailingGang(2);
+      const { fleet } = gang;
+      await gang.start();
+      await gang.failRunSilently(1);
+      const id = gang.silentEndpoint;
+      fleet.unlist(id);
+      await gang.failRun(2);
+      const [first] = fleet.workers.runsOf(FAILING);
+      const elapsedMs = fleet.clock.monotonicMs() - first.startedAtMs;
+      await fleet.clock.advance(WITHIN_LEASE_MS - elapsedMs);
+      fleet.list({ id, accelerators: 1 }, fleet.indexOf(id));
+      gang.endSilence();
+      await fleet.clock.advance(RESTART_MS);
+      vitest.expect(gang.runCount).toBe(2);
+      vitest.expect(fleet.state(ID)).toBe(Workflow.WorkflowState.Failed);
+      await fleet.stop();
+    },
+  );
+
   vitest.it("starts again when the lease of that run expires", async () => {
     const gang = new FailingGang(2);
     await gang.start();
