Simulate many failures beside silent endpoints

Random simulations let 2 to 5 of 100 runs fail, so several failures of one task, one of them reported late, hardly met. Two new kinds let 40 of 100 runs fail; after half of the failures the endpoint is unreachable for 1 to 5 s; queues allow two or three failed runs. One kind suspends boxes, the other restarts and cuts endpoints; ends take their time in both. The checks of attempts take the number of the fleet's queues instead of a constant; all earlier kinds have the 3 that the constant was.

--- a/packages/test-utils/src/random_fault_simulation.ts
+++ b/packages/test-utils/src/random_fault_simulation.ts
@@ -11,6 +11,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
 import * as capacityChanges from "./capacity_changes.ts";
+import * as failureSilences from "./failure_silences.ts";
 import * as evacuated from "./evacuations.ts";
 import * as greyEndpoints from "./grey_endpoints.ts";
 import * as hardLoads from "./hard_load_work.ts";
@@ -33,6 +34,10 @@
 /** Shares of the orders in a round that are lost, unanswered or late, 0 to 1. */
 const ORDER_FAULT_SHARES: readonly number[] = [0, 0.1, 0.6];
 const END_TIMEOUT_MS = 120_000;
+/** Share of the runs that fail, 0 to 1. */
+const FAIL_SHARE = 0.02;
+/** The same where many runs fail: most gangs of three fail in each run. */
+const HIGH_FAIL_SHARE = 0.4;
 
 /** Injects one random fault. */
 async function injectFault(
@@ -156,6 +161,8 @@
   readonly delaysEnds?: boolean;
   /** Crashed endpoints restart, mostly under the same id. */
   readonly restartsEndpoints?: boolean;
+  /** Many runs fail, and endpoints are often unreachable right after a failure. */
+  readonly failsOften?: boolean;
   /** Teams of uneven size submit more work than endpoints of uneven speed can hold. */
   readonly hasHardLoad?: boolean;
 }
@@ -170,6 +177,11 @@
   workers.gangEndDelayMs = () => random.between(0, MAX_GANG_END_DELAY_MS);
 }
 
+/** Allows two or three failed runs, as the seed is even or odd. */
+function buildAccessOf(seed: number): Ports.AccessConfig {
+  return fleets.buildAccess(undefined, undefined, 2 + seed % 2);
+}
+
 /** Places endpoints of each size in both data centres. */
 const dataCentreOf = (place: number) => place % 2 === 0 ? "dc-1" : "dc-2";
 
@@ -184,6 +196,7 @@
     dataCentreOf,
     ...(options.logOf === undefined ? {} : { logOf: options.logOf }),
     ...(options.hasHardLoad ? hardLoads.HARD_LOAD_OPTIONS : {}),
+    ...(options.failsOften ? { config: buildAccessOf(seed) } : {}),
   });
   const hardLoad = options.hasHardLoad
     ? new hardLoads.HardLoadWork(fleet, seed)
@@ -206,16 +219,20 @@
     : null;
   const random = new randoms.SeededRandom(seed);
   const grey = new greyEndpoints.GreyEndpoints(fleet);
+  const silences = options.failsOften
+    ? new failureSilences.FailureSilences(fleet, seed)
+    : null;
+  const failShare = options.failsOften ? HIGH_FAIL_SHARE : FAIL_SHARE;
   const listingFaults = new listings.ListingFaults(fleet, seed, options);
   const outcomeOf = (endpoint: string) =>
-    grey.isSilent(endpoint)
+    grey.isSilent(endpoint) || silences?.isSilent(endpoint)
       ? StandIns.OrderOutcome.Lost
       : listingFaults.outcomeOf(endpoint);
   fleet.workers.behave = (task, endpoint) => ({
     runMs: grey.has(endpoint)
       ? greyEndpoints.GREY_FAILS_MS
       : random.between(300, 2500) * (hardLoad?.runTimeFactorOf(endpoint) ?? 1),
-    fails: grey.has(endpoint) || random.next() < 0.02,
+    fails: grey.has(endpoint) || random.next() < failShare,
     ...(task.startsWith(checks.CRASHING_ID_PREFIX)
       ? {
         runMs: END_TIMEOUT_MS,
--- a/packages/test-utils/src/run_checks.ts
+++ b/packages/test-utils/src/run_checks.ts
@@ -10,11 +10,11 @@
   for (const record of fleet.workers.runs) {
     byTask.set(record.task, [...byTask.get(record.task) ?? [], record]);
   }
-  return [...byTask.values()].flatMap(checkRuns);
+  return [...byTask.values()].flatMap((runs) =>
+    checkRuns(runs, fleet.attempts)
+  );
 }
 
-/** Failed runs after which a task is not started again, as set in the queues. */
-const MAX_ATTEMPTS = 3;
 /** Crashes under a task after which users limit its further starts. */
 const MAX_CRASHES = 3;
 /** Starts that users allow after that crash. */
@@ -22,8 +22,11 @@
 /** Id prefix of the workflows whose tasks crash their endpoints. */
 export const CRASHING_ID_PREFIX = "c";
 
-function checkRuns(runs: readonly StandIns.TaskRunRecord[]): string[] {
-  const found = [...checkAttempts(runs), ...checkCrashes(runs)];
+function checkRuns(
+  runs: readonly StandIns.TaskRunRecord[],
+  attempts: number,
+): string[] {
+  const found = [...checkAttempts(runs, attempts), ...checkCrashes(runs)];
   for (const first of runs) {
     for (const second of runs) {
       if (first === second || second.startedAtMs < first.startedAtMs) continue;
@@ -37,12 +40,15 @@
 }
 
 /** Finds starts after the last allowed failure was acknowledged. */
-function checkAttempts(runs: readonly StandIns.TaskRunRecord[]): string[] {
+function checkAttempts(
+  runs: readonly StandIns.TaskRunRecord[],
+  attempts: number,
+): string[] {
   const failed = runs.filter((record) =>
     record.how === "failed" && isAcknowledged(record)
   )
     .sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
-  const last = failed[MAX_ATTEMPTS - 1];
+  const last = failed[attempts - 1];
   if (last === undefined) return [];
   const late = runs.filter((record) =>
     record.startedAtMs > (last.endedAtMs ?? 0)
@@ -81,7 +87,7 @@
     runs.filter((record) => record.task === task && record.how === "crashed")
       .length;
   const hasCause = runs.some(({ task }) =>
-    countFailedRuns(fleet, task) >= MAX_ATTEMPTS ||
+    countFailedRuns(fleet, task) >= fleet.attempts ||
     countCrashes(task) >= MIN_CRASHES_TO_GIVE_UP
   );
   return hasCause ? [] : [`${id} failed without too many failures or crashes`];
@@ -108,7 +114,9 @@
     task.startsWith(`${id}.`) && how === "failed"
   );
   const failedRuns = new Set(failed.map(({ run }) => run));
-  return failedRuns.size >= MAX_ATTEMPTS ? [] : checkFailedWorkflow(fleet, id);
+  return failedRuns.size >= fleet.attempts
+    ? []
+    : checkFailedWorkflow(fleet, id);
 }
 
 function isAcknowledged(record: StandIns.TaskRunRecord): boolean {
--- a/packages/test-utils/src/simulation_kinds.ts
+++ b/packages/test-utils/src/simulation_kinds.ts
@@ -15,6 +15,13 @@
     foreignEntries: true,
     restartsEndpoints: true,
   },
+  failures: { failsOften: true, delaysEnds: true, suspends: true },
+  failuresAndRebirths: {
+    failsOften: true,
+    delaysEnds: true,
+    restartsEndpoints: true,
+    cutsEndpoints: true,
+  },
   hardLoad: { hasHardLoad: true },
   hardLoadAndCuts: {
     hasHardLoad: true,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -32,10 +32,14 @@
 /** Time after which a crashed endpoint returns at the same address, in ms. */
 export const RESTART_DELAY_MS = 3000;
 
+/** Failed runs after which a task is not started again, unless a test sets others. */
+const DEFAULT_ATTEMPTS = 3;
+
 /** Builds a configuration with one queue for each priority, 0 to 2. */
 export function buildAccess(
   guarantees: Readonly<Record<string, number>> = { hana: 4 },
   version = 1,
+  attempts = DEFAULT_ATTEMPTS,
 ): Ports.AccessConfig {
   const queues = [0, 1, 2].map((priority) => ({
     queue: `queue-${priority}`,
@@ -44,7 +48,7 @@
     anonymous: false,
     service: "analysis",
     priority,
-    attempts: 3,
+    attempts,
     stretch: 2,
     latencyMs: 500,
     advice: null,
@@ -166,6 +170,11 @@
     for (let i = 1; i <= count; i++) this.addBox(`node-${i}`);
   }
 
+  /** Failed runs after which a task is not started again, the same in all queues. */
+  get attempts(): number {
+    return this.#config.queues[0].attempts;
+  }
+
   /** Starts all boxes and waits for a coordinator. */
   async start(): Promise<void> {
     for (const { node } of this.boxes.values()) Effect.runSync(node.start());
--- /dev/null
+++ b/packages/workflow-node/src/random_failures_test.ts
@@ -0,0 +1,24 @@
+/** Random faults while many runs fail and their endpoints are then unreachable. */
+import * as TestUtils from "@cairngate/test-utils";
+import * as vitest from "vitest";
+
+/** Seeds that CI runs of each kind. */
+const SEED_COUNT = 6;
+
+vitest.describe("random faults and many failures", () => {
+  for (const seed of TestUtils.faultSeeds(SEED_COUNT)) {
+    for (const kind of ["failures", "failuresAndRebirths"] as const) {
+      vitest.it(
+        `start nothing beyond its attempts, ${kind} ${seed}`,
+        async () => {
+          vitest.expect(
+            await TestUtils.simulateRandomFaults(
+              seed,
+              TestUtils.SIMULATION_KINDS[kind],
+            ),
+          ).toEqual([]);
+        },
+      );
+    }
+  }
+});
