Count failures of runs that were treated as lost

Cause: an end as failed of a run that the session doesn't track was passed over and acknowledged, whatever the run was. Such a run may have failed for good: its start is delivered late, to an endpoint that has restarted and is unreachable until the run has ended, while the coordinator treats the run as lost and starts the next one.

Such a failure now counts, and is recorded before it is acknowledged, unless the history of its task shows it as counted, or doesn't name all counted failures: then an earlier coordinator may have counted it before its acknowledgement got lost. Ruled out as ways to a failure that nobody counts: a run whose lease has expired (users leave its failure out), and ends beyond the 500 of one answer (while records can't be written nothing starts, so an endpoint of 8 slots never has them).

Ends as done took this path before; both kinds are one event of the session now.

--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -80,18 +80,13 @@
     end: RunEndReport,
   ): Effect.Effect<void>;
   /**
-   * Handles a run that an endpoint reports as done and the session no longer tracks;
-   * the effect completes when that is recorded.
+   * Handles a run that an endpoint reports as done or failed and the session does not
+   * track; the effect completes when that is recorded.
    */
-  abstract unexpectedDone(
+  abstract unexpectedEnd(
     endpoint: SessionEndpoint,
     ended: Ports.EndedRun,
   ): Effect.Effect<void>;
-  /** Handles a run that an endpoint reports as failed and the session never tracked. */
-  abstract unexpectedFailure(
-    endpoint: SessionEndpoint,
-    ended: Ports.EndedRun,
-  ): void;
   /**
    * Handles a run that is over and whose endpoint does not answer, where the endpoint
    * is not listed or the task may have crashed it.
--- a/packages/coordinator/src/sessions/view_reader.ts
+++ b/packages/coordinator/src/sessions/view_reader.ts
@@ -146,9 +146,8 @@
       );
     }
     if (!recovery.isComplete) return this.#deferEnd(ended);
-    if (ended.how === "failed") listener.unexpectedFailure(endpoint, ended);
-    return ended.how === "done"
-      ? listener.unexpectedDone(endpoint, ended)
+    return ended.how === "done" || ended.how === "failed"
+      ? listener.unexpectedEnd(endpoint, ended)
       : null;
   }
 
--- a/packages/coordinator/src/work/end_log.ts
+++ b/packages/coordinator/src/work/end_log.ts
@@ -15,8 +15,8 @@
 export enum UncountedCause {
   /** The run was presumed ended otherwise, for example by the end of its lease. */
   Presumed = "presumed-ended",
-  /** This coordinator never tracked the run at that endpoint. */
-  Unexpected = "unexpected",
+  /** An earlier coordinator has counted it, or may have. */
+  Repeated = "counted-before",
 }
 
 /** Logs and counts the ends of runs; one instance for each term. */
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -85,7 +85,7 @@
     return this.#concludeAndRecord(workflow, wasOver);
   }
 
-  override unexpectedDone(
+  override unexpectedEnd(
     endpoint: listeners.SessionEndpoint,
     ended: Ports.EndedRun,
   ): Effect.Effect<void> {
@@ -96,23 +96,13 @@
       task.endpoint !== endpoint.ref.id;
     // Such a run belongs to an earlier submission of the same id.
     if (run > task.run || isElsewhere) return Effect.void;
+    const end = listeners.toRunEndReport(ended);
+    if (end.how === Workflow.RunEnd.Failed) {
+      return this.#endUnexpectedFailure(endpoint, { task, run }, end);
+    }
     const { Likely } = Workflow.Presence;
     const lateRun = { task, run, presence: Likely, bornMs: null };
-    return this.lateEndReported(
-      endpoint,
-      lateRun,
-      listeners.toRunEndReport(ended),
-    );
-  }
-
-  override unexpectedFailure(
-    { ref: { id: endpoint } }: listeners.SessionEndpoint,
-    { task: name, run }: Ports.EndedRun,
-  ): void {
-    const task = this.#options.workflows.findTask(name);
-    if (task === null) return;
-    const { Unexpected } = endLogs.UncountedCause;
-    this.#log.logUncountedFailure({ task, run, endpoint }, Unexpected);
+    return this.lateEndReported(endpoint, lateRun, end);
   }
 
   override runGone(
@@ -183,6 +173,25 @@
     return this.#concludeAndRecord(workflow, wasOver);
   }
 
+  /** Counts the failure of a run that was treated as lost, or was not known. */
+  #endUnexpectedFailure(
+    { ref: { id: endpoint } }: listeners.SessionEndpoint,
+    { task, run }: { readonly task: Workflow.Task; readonly run: number },
+    end: listeners.RunEndReport,
+  ): Effect.Effect<void> {
+    const { workflow } = task;
+    const wasOver = workflow.isOver;
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    const place = { task, run, endpoint };
+    if (!workflow.countLateFailure(task, { run, endpoint, ...end }, nowMs)) {
+      const { Repeated } = endLogs.UncountedCause;
+      this.#log.logUncountedFailure(place, Repeated);
+      return Effect.void;
+    }
+    this.#log.logLateEnd(place, end);
+    return this.#concludeAndRecord(workflow, wasOver);
+  }
+
   /** Stops other runs of a task, or of its gang, after one run has completed. */
   #stopOtherRuns(task: Workflow.Task, doneRun: number): void {
     const members = task.step.gang ? task.workflow.siblings(task) : [task];
--- a/packages/workflow/src/run_history.ts
+++ b/packages/workflow/src/run_history.ts
@@ -1,7 +1,7 @@
 /**
  * The runs of a task that counted towards giving it up, or might have: how each
- * ended, on what evidence, and what it counted as. It is for diagnosis only; no
- * decision depends on it.
+ * ended, on what evidence, and what it counted as. It explains why a task was given
+ * up, and shows whether a reported failure is counted already.
  */
 import * as budgets from "./restart_budget.ts";
 import type * as tasks from "./task_state.ts";
@@ -135,6 +135,21 @@
   return trimToMaxEntries({ ...history, entries: [...others, entry] });
 }
 
+/**
+ * Whether the failure of a run is certainly not counted yet: the history names all
+ * counted failures, and this run is not among them.
+ */
+export function isFailureNew(
+  { entries }: RunHistory,
+  { run, failures }: { readonly run: number; readonly failures: number },
+): boolean {
+  const counted = entries.filter((entry) =>
+    entry.counted === CountedAs.Failure
+  );
+  return counted.length === failures &&
+    counted.every((entry) => entry.run !== run);
+}
+
 /** Marks the newest counted crash of a run as excused. */
 export function excuseRun(history: RunHistory, run: number): RunHistory {
   const { entries } = history;
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -210,6 +210,24 @@
     return true;
   }
 
+  /**
+   * Counts the failure of a run that was given up or is not known, unless an earlier
+   * coordinator may have counted it. Returns false if it changes nothing.
+   */
+  countLateFailure(
+    task: Task,
+    ended: ends.RunEndDetails,
+    nowMs: number,
+  ): boolean {
+    const { history, failures, state, step } = task;
+    const isDone = state === taskStates.TaskState.Done;
+    if (this.isOver || isDone || step.lasting) return false;
+    const { run } = ended;
+    if (!histories.isFailureNew(history, { run, failures })) return false;
+    this.#countFailure(task, ended, nowMs);
+    return true;
+  }
+
   /**
    * Excuses a crash that struck many endpoints at once. Returns false if that
    * changes nothing.
