Store the failures of more waiting tasks than a record lists

Evidence: "restore the failures of more tasks than are listed" was red without the change: of 600 waiting tasks, 400 of them with one or two failures, not all came back.

Where a row has no space left, further sets are left out, as histories are. Records without unlisted failures are as before and cost nothing more.

--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -4,6 +4,7 @@
  * tasks in progress are stored one by one.
  */
 import * as failedRuns from "./failed_runs.ts";
+import * as failureSets from "./failure_sets.ts";
 import * as historyRecords from "./history_record.ts";
 import * as indexSets from "./index_set.ts";
 import * as incarnations from "./incarnation_table.ts";
@@ -50,6 +51,7 @@
     historyRecords.HistoriesRecord,
     historyRecords.GiveUpRecord,
     incarnations.IncarnationsRecord,
+    failureSets.FailureSetsRecord,
     failedRuns.FailedRunsRecord {
   readonly state: states.WorkflowState;
   /** Omitted if no cancel was known. Stays until the end is recorded. */
@@ -85,11 +87,11 @@
  */
 const MAX_CHECKPOINTS_CHARS = 12_000;
 /**
- * Characters of a record up to which histories are added. Rows of 64 KB hold 49,152
- * characters in the platform's encoding; the difference is left for keys and
- * punctuation.
+ * Characters of a record up to which failures of unlisted tasks and histories are added.
+ * Rows of 64 KB hold 49,152 characters in the platform's encoding; the difference is left
+ * for keys and punctuation.
  */
-const MAX_CHARS_WITH_HISTORIES = 47_000;
+const MAX_CHARS_WITH_OPTIONAL_PARTS = 47_000;
 const NO_ENDPOINT_INDEX = -1;
 /**
  * Number of steps over all rounds up to which each has its own entry: 10 KB at 20
@@ -164,14 +166,38 @@
     ...failedRuns.listFailedRuns(workflow),
     ...historyRecords.encodeGiveUp(workflow.giveUp),
   };
-  if (withHistory.length === 0 || hasEnded) return record;
-  const availableChars = MAX_CHARS_WITH_HISTORIES -
-    JSON.stringify(record).length;
+  if (hasEnded) return record;
+  const recordWithFailures = {
+    ...record,
+    ...encodeUnlistedFailures(record, groups, waiting),
+  };
+  if (withHistory.length === 0) return recordWithFailures;
   const historiesRecord = historyRecords.encodeHistories(
     mostFailuresFirst(withHistory),
-    availableChars,
+    spaceLeft(recordWithFailures),
+  );
+  return { ...recordWithFailures, ...historiesRecord };
+}
+
+function encodeUnlistedFailures(
+  record: ProgressRecord,
+  groups: readonly TaskGroup[],
+  waiting: readonly tasks.Task[],
+): failureSets.FailureSetsRecord {
+  const unlisted = waiting.filter(({ key, failures }) =>
+    failures > 0 && record.tasks[key] === undefined
+  );
+  if (unlisted.length === 0) return {};
+  return failureSets.encodeFailureSets(
+    groups,
+    new Set(unlisted),
+    spaceLeft(record),
   );
-  return { ...record, ...historiesRecord };
+}
+
+/** Characters that a record has left for what it can do without. */
+function spaceLeft(record: ProgressRecord): number {
+  return MAX_CHARS_WITH_OPTIONAL_PARTS - JSON.stringify(record).length;
 }
 
 function encodeUnresolvedRuns(
@@ -288,6 +314,7 @@
       if (index < members.length) members[index].state = tasks.TaskState.Done;
     }
   }
+  failureSets.applyFailureSets(groups, record);
   for (const [key, taskRecord] of Object.entries(record.tasks)) {
     const task = workflow.task(key);
     if (task !== undefined) applyTaskRecord(task, taskRecord, record);
--- a/packages/workflow/src/workflow_test.ts
+++ b/packages/workflow/src/workflow_test.ts
@@ -201,6 +201,26 @@
     vitest.expect(JSON.stringify(record).length).toBeLessThan(ROW_CHARS);
   });
 
+  vitest.it("restore the failures of more tasks than are listed", () => {
+    const steps = [
+      TestUtils.buildStep({ count: 300 }),
+      TestUtils.buildStep({ count: 300 }),
+    ];
+    const workflow = build(steps);
+    workflow.state = states.WorkflowState.Running;
+    for (const task of workflow.tasks) {
+      task.run = 2;
+      task.failures = task.index % 3;
+    }
+    const record = records.toProgressRecord(workflow);
+    vitest.expect(JSON.stringify(record).length).toBeLessThan(ROW_CHARS);
+    const restored = build(steps);
+    records.applyProgressRecord(restored, record);
+    const failuresOf = ({ tasks }: workflows.Workflow) =>
+      [...tasks].map(({ failures }) => failures);
+    vitest.expect(failuresOf(restored)).toEqual(failuresOf(workflow));
+  });
+
   vitest.it("fit into one row, however many rounds a workflow has", () => {
     const rounds = MAX_TASKS_OF_STEP;
     const schedule = { firstAtMs: 0, everyMs: 1, rounds };
