List completed work that a late start repeats while stops are lost

Run 1 of a task is done at 16.025 s and that end is acknowledged at 16.315 s; its endpoint crashes and is born again at 17.150 s; an unanswered first copy of the start comes at 17.477 s and runs. Each stop that the coordinator sent in between was lost.

--- a/packages/workflow-node/src/random_failures_test.ts
+++ b/packages/workflow-node/src/random_failures_test.ts
@@ -5,6 +5,16 @@
 /** Seeds that CI runs of each kind. */
 const SEED_COUNT = 6;
 
+vitest.describe("random faults and many failures that once failed", () => {
+  /** A late start reaches a restarted endpoint before any stop, which are all lost. */
+  vitest.it("break nothing with rebirths, seed 50", async () => {
+    const { failuresAndRebirths } = TestUtils.SIMULATION_KINDS;
+    vitest.expect(
+      await TestUtils.simulateRandomFaults(50, failuresAndRebirths),
+    ).toEqual([]);
+  });
+});
+
 vitest.describe("random faults and many failures", () => {
   for (const seed of TestUtils.faultSeeds(SEED_COUNT)) {
     for (const kind of ["failures", "failuresAndRebirths"] as const) {
