Include unconfirmed crashes in the highest crash count of a gang

What callers would see: more starts after crashes than users allow, where a gang's run is left open once more than its crashes permit.

Cause: among the members of a gang the one with the most crashes decides whether a run may be left with unknown outcome; the comparison left out crashes at which nothing showed the run, while the limit includes them. A member with two of these lost against one with a single crash.

Evidence: failure_counts_test, red without the change.

--- a/packages/workflow/src/failure_counts.ts
+++ b/packages/workflow/src/failure_counts.ts
@@ -99,11 +99,12 @@
   }
 }
 
-/** The highest crash count among the members of a gang. */
+/** The highest count of possible crashes among the members of a gang. */
 export function highestCrashCount(
   members: readonly Task[],
 ): budgets.CrashCount {
-  const totalOf = ({ laid, excused }: budgets.CrashCount) => laid + excused;
+  const totalOf = (count: budgets.CrashCount) =>
+    budgets.countPossibleCrashes(count, 0);
   return members.map(({ crashes }) => crashes).reduce(
     (highest, count) => totalOf(count) > totalOf(highest) ? count : highest,
     budgets.NO_CRASHES,
