--- a/packages/workflow-node/src/random_failures_test.ts
+++ b/packages/workflow-node/src/random_failures_test.ts
@@ -13,6 +13,14 @@
       await TestUtils.simulateRandomFaults(50, failuresAndRebirths),
     ).toEqual([]);
   });
+
+  /** A harmless crash suspect waits while all endpoints are in backoff or crash. */
+  vitest.it("let no work wait, seed 20090", async () => {
+    const { failures } = TestUtils.SIMULATION_KINDS;
+    vitest.expect(
+      await TestUtils.simulateRandomFaults(20090, failures),
+    ).toEqual([]);
+  });
 });
 
 vitest.describe("random faults and many failures", () => {
