Apply a failure that was reported before the record of its run was read

Cause: a new coordinator polls endpoints before it has read all records. An end of a run that no record has named yet is set aside until a record names it, or all are read. A record that names the run as one of unknown outcome did not release it. An end is reported as new only once, so the next poll showed the run neither held nor ended, and it was closed as not held: the gang started again. With the last record the failure was applied after all, beyond the attempts.

A run of unknown outcome now releases its end as a placed run does.

--- a/packages/coordinator/src/sessions/endpoint_session.ts
+++ b/packages/coordinator/src/sessions/endpoint_session.ts
@@ -160,6 +160,7 @@
   /** Adds a run that an earlier coordinator gave up before its end was reported. */
   adoptUnreported(run: unreportedRuns.UnreportedRun): void {
     this.#runs.unreported.add(run);
+    this.#noteAdopted(run.task, run.run);
     this.#state.resumePolling();
   }
 
@@ -191,7 +192,7 @@
   /** Adds a run that the records place on this endpoint. */
   adopt(task: Workflow.Task): void {
     this.#runs.tracked.adopt(task);
-    this.#parts.viewReader.noteAdopted(task);
+    this.#noteAdopted(task, task.run);
     this.#state.resumePolling();
   }
 
@@ -203,7 +204,7 @@
   takeOver(former: EndpointSession): void {
     for (const one of former.#runs.tracked.sent) {
       const assignment = this.#runs.tracked.takeOver(one);
-      this.#parts.viewReader.noteAdopted(one.task);
+      this.#noteAdopted(one.task, one.run);
       if (one.stoppingSinceMs !== null) Effect.runFork(this.stop(assignment));
     }
     if (this.#runs.unansweredStarts.all.length > 0) this.#state.requireAnswer();
@@ -241,6 +242,10 @@
     });
   }
 
+  #noteAdopted({ name: task }: Workflow.Task, run: number): void {
+    this.#parts.viewReader.noteAdopted({ task, run });
+  }
+
   #needsPolling(): boolean {
     const { state, runs, viewReader, options: { recovery } } = this.#parts;
     if (state.isSuspectedGone) return false;
--- a/packages/coordinator/src/sessions/view_reader.ts
+++ b/packages/coordinator/src/sessions/view_reader.ts
@@ -4,7 +4,6 @@
  */
 import type * as Logger from "@cairngate/logger";
 import type * as Ports from "@cairngate/ports";
-import type * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as recoveries from "../work/recovery.ts";
@@ -65,8 +64,8 @@
   }
 
   /** Notes that the record of a run has been read. */
-  noteAdopted({ name: task, run }: Workflow.Task): void {
-    const ended = this.#deferredEnds.get(unexpectedRuns.runName({ task, run }));
+  noteAdopted(run: Ports.RunRef): void {
+    const ended = this.#deferredEnds.get(unexpectedRuns.runName(run));
     if (ended !== undefined) Deferred.doneUnsafe(ended, Effect.void);
   }
 
--- a/packages/workflow-node/src/unresolved_failures_test.ts
+++ b/packages/workflow-node/src/unresolved_failures_test.ts
@@ -1,5 +1,6 @@
 /** Guards against starts beyond the attempts when a gang's failure is reported late. */
 import * as StandIns from "@cairngate/stand-ins";
+import * as TableClient from "@cairngate/table-client";
 import * as TestUtils from "@cairngate/test-utils";
 import * as Workflow from "@cairngate/workflow";
 import * as vitest from "vitest";
@@ -10,6 +11,8 @@
 const FAILURE_DELAY_MS = 40;
 /** Time in which a gang that may start again does so, in ms. */
 const RESTART_MS = 2500;
+/** Time in which another box takes over and polls the endpoints, in ms. */
+const TAKEOVER_MS = 5000;
 /** Time after a start that is within its lease of 6 s, in ms. */
 const WITHIN_LEASE_MS = 5500;
 /** Longest lease and the time to detect its end, in ms. */
@@ -147,6 +150,36 @@
     },
   );
 
+  vitest.it(
+    "does not start beyond its attempts while other records are unread",
+    async () => {
+      const gang = new FailingGang(2);
+      const { fleet } = gang;
+      await gang.start();
+      await gang.useUpAttempts(2);
+      await fleet.kill(fleet.coordinator() ?? "");
+      const home = TableClient.Keys.homePartition(ID);
+      const others = TableClient.Keys.PARTITIONS.filter((one) => one !== home);
+      const [unread] = others;
+      const setDown = (downPartitions: readonly string[]) => {
+        for (const name of fleet.boxes.keys()) {
+          fleet.faultsOf(name).set({ downPartitions });
+        }
+      };
+      setDown([home, unread]);
+      gang.endSilence();
+      // The next coordinator gets the report of the run before its record.
+      await fleet.clock.advance(TAKEOVER_MS);
+      setDown([unread]);
+      await fleet.clock.advance(RESTART_MS);
+      setDown([]);
+      await fleet.clock.advance(RESTART_MS);
+      vitest.expect(gang.runCount).toBe(2);
+      vitest.expect(fleet.state(ID)).toBe(Workflow.WorkflowState.Failed);
+      await fleet.stop();
+    },
+  );
+
   vitest.it("starts again when the lease of that run expires", async () => {
     const gang = new FailingGang(2);
     await gang.start();
