Test that operators see why a gang waits for an outcome

The planner leaves a gang whose run of unknown outcome may be its last attempt with the reason "unknown-outcome", and starts it once that run is closed. The behaviour came with; its reason had no test.

--- a/packages/workflow-scheduler/src/wait_reason_test.ts
+++ b/packages/workflow-scheduler/src/wait_reason_test.ts
@@ -83,6 +83,26 @@
       .toEqual([`w: ${WaitReason.CrashBackoff}`]);
   });
 
+  vitest.it(
+    "waits for the outcome of a run that may be its last attempt",
+    () => {
+      const gang = buildWorkflow("w", { count: 2, gang: true });
+      const [task] = gang.tasks;
+      for (const member of gang.tasks) member.failures = 2;
+      gang.unresolvedRuns.add({
+        task,
+        run: 1,
+        endpoint: "worker-1",
+        bornMs: null,
+        presence: Workflow.Presence.Certain,
+      });
+      vitest.expect(reasonsOf([buildEndpoint()], [gang]))
+        .toEqual([`w: ${WaitReason.UnknownOutcome}`]);
+      gang.unresolvedRuns.closeTask(task);
+      vitest.expect(reasonsOf([buildEndpoint()], [gang])).toEqual([]);
+    },
+  );
+
   vitest.it("waits if only unreliable endpoints are free", () => {
     const failed = buildWorkflow("w");
     for (const task of failed.tasks) {
