Name the configuration of tests with other attempts

Three tests and a simulation set how many failed runs the queues allow; they call one builder for it instead of passing two undefined arguments. No check changes.

--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -23,6 +23,7 @@
 export { TestCluster } from "./src/test_cluster.ts";
 export {
   buildAccess,
+  buildAccessWithAttempts,
   buildStep,
   EVACUATION_IN_FORCE_MS,
   FLEET_BOUNDS,
--- a/packages/test-utils/src/random_fault_simulation.ts
+++ b/packages/test-utils/src/random_fault_simulation.ts
@@ -179,7 +179,7 @@
 
 /** Allows two or three failed runs, as the seed is even or odd. */
 function buildAccessOf(seed: number): Ports.AccessConfig {
-  return fleets.buildAccess(undefined, undefined, 2 + seed % 2);
+  return fleets.buildAccessWithAttempts(2 + seed % 2);
 }
 
 /** Places endpoints of each size in both data centres. */
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -32,14 +32,10 @@
 /** Time after which a crashed endpoint returns at the same address, in ms. */
 export const RESTART_DELAY_MS = 3000;
 
-/** Failed runs after which a task is not started again, unless a test sets others. */
-const DEFAULT_ATTEMPTS = 3;
-
 /** Builds a configuration with one queue for each priority, 0 to 2. */
 export function buildAccess(
   guarantees: Readonly<Record<string, number>> = { hana: 4 },
   version = 1,
-  attempts = DEFAULT_ATTEMPTS,
 ): Ports.AccessConfig {
   const queues = [0, 1, 2].map((priority) => ({
     queue: `queue-${priority}`,
@@ -48,7 +44,7 @@
     anonymous: false,
     service: "analysis",
     priority,
-    attempts,
+    attempts: 3,
     stretch: 2,
     latencyMs: 500,
     advice: null,
@@ -61,6 +57,13 @@
   return { version, queues, tenants, maxBodyBytes: 100_000 };
 }
 
+/** Builds such a configuration whose queues allow this many failed runs of a task. */
+export function buildAccessWithAttempts(attempts: number): Ports.AccessConfig {
+  const access = buildAccess();
+  const queues = access.queues.map((queue) => ({ ...queue, attempts }));
+  return { ...access, queues };
+}
+
 /** Builds a step of one task on one accelerator; `changes` override the defaults. */
 export function buildStep(
   changes: Partial<Workflow.StepSpec> = {},
--- a/packages/workflow-node/src/late_completion_test.ts
+++ b/packages/workflow-node/src/late_completion_test.ts
@@ -30,7 +30,7 @@
 ): Promise<TestUtils.TestFleet> {
   const fleet = new TestUtils.TestFleet({
     workers: [1],
-    config: TestUtils.buildAccess(undefined, undefined, attempts),
+    config: TestUtils.buildAccessWithAttempts(attempts),
   });
   const { workers, clock } = fleet;
   fleet.keepsIds = true;
@@ -88,7 +88,7 @@
   vitest.it("uses up one attempt", async () => {
     const fleet = new TestUtils.TestFleet({
       workers: [1],
-      config: TestUtils.buildAccess(undefined, undefined, 2),
+      config: TestUtils.buildAccessWithAttempts(2),
     });
     fleet.workers.behave = () => ({ runMs: RUN_MS, fails: true });
     await fleet.start();
--- a/packages/workflow-node/src/unresolved_failures_test.ts
+++ b/packages/workflow-node/src/unresolved_failures_test.ts
@@ -25,11 +25,9 @@
   #silent: string | null = null;
 
   constructor(attempts: number) {
-    const access = TestUtils.buildAccess();
-    const queues = access.queues.map((queue) => ({ ...queue, attempts }));
     this.fleet = new TestUtils.TestFleet({
       workers: Array.from({ length: 9 }, () => 1),
-      config: { ...access, queues },
+      config: TestUtils.buildAccessWithAttempts(attempts),
     });
     this.fleet.workers.decideOutcome = (endpoint) =>
       endpoint === this.#silent
