Measure the presence of an unanswered run from the second sending

What callers saw: a task that crashes its endpoints was started more than twice after its third crash, where its start had to be sent twice.

Cause: a crash is likely under a run if the endpoint answered within 150 ms before the start was sent, and not after it. The time was that of the first sending. A start is sent again only after an answered poll that does not show the run, so the answer fell after the first sending, and each crash at the second one counted with unknown presence. Without presence, no number of crashes gives a task up.

Why this works: the time of the second sending is kept, and the presence of a run that was never confirmed is measured from it. Nothing else uses it: estimates, pace and health still refer to the first sending, as the first copy may be the one that runs.

--- a/packages/coordinator/src/sessions/assignment.ts
+++ b/packages/coordinator/src/sessions/assignment.ts
@@ -14,6 +14,8 @@
   isSent: boolean;
   /** Time of sending, by this box's clock; null if an earlier coordinator sent it. */
   sentAtMs: number | null;
+  /** Time at which the start was sent again, by the same clock; null if it was not. */
+  resentAtMs: number | null;
   /** Birth time of the incarnation that it was sent to; null if unknown. */
   bornMs: number | null;
   /** Time since which it is being stopped, by this box's clock; null if it is not. */
@@ -43,6 +45,7 @@
     expectedSinceMs: null,
     isSent: false,
     sentAtMs: null,
+    resentAtMs: null,
     bornMs: null,
     stoppingSinceMs: null,
     pace: null,
--- a/packages/coordinator/src/sessions/end_evidence.ts
+++ b/packages/coordinator/src/sessions/end_evidence.ts
@@ -205,7 +205,7 @@
     assignment: assignments.Assignment,
     crashedByMs: number,
   ): Workflow.Presence {
-    const { sentAtMs, task, run } = assignment;
+    const { task, run } = assignment;
     if (assignments.isConfirmed(assignment)) {
       return this.#presenceConfirmedHere(assignment, crashedByMs);
     }
@@ -213,6 +213,7 @@
       return this.#presenceConfirmedEarlier(task, crashedByMs);
     }
     // The record is written before the order is sent, which may never have happened.
+    const sentAtMs = assignment.resentAtMs ?? assignment.sentAtMs;
     if (sentAtMs === null) return Workflow.Presence.Unknown;
     const beforeMs = sentAtMs - this.#answeredAtMs;
     if (beforeMs < 0 || beforeMs > ALIVE_BEFORE_START_MS) {
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -92,6 +92,9 @@
       let mayBeDelivered = false;
       for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
         if (!this.#options.isWanted(assignment)) break;
+        if (attempt > 0) {
+          assignment.resentAtMs = this.#options.ports.clock.monotonicMs();
+        }
         const report = yield* this.#sendOnce(assignment);
         const { outcome } = report;
         const isUnsettled = outcome === StartOutcome.NotDelivered ||
