Count the crash of each incarnation that copies of one start have crashed

What callers saw: a task that crashes its endpoints was started three times after its third crash; two are allowed.

Cause: a crash was counted for each run, while each execution of a run can crash an endpoint. Two copies of the start of one run crash two incarnations of an endpoint; the end that was kept with the first one then took the place of the second one's, and the count passed over a second crash of the same run.

Tests: repeated_crashes_test, a fixed order of events.

Why this works: the copies of a start that may be delivered are counted. Where an incarnation ends before a run of an earlier one is settled, that end counts too, as a possible crash, if a copy is left that may have been delivered since the last answer and no stop was confirmed; an incarnation that has shown the run counts by its own evidence. If the lease expires first, the end stays open. Crashes are told apart by the birth time of the incarnation, also where they are excused. No run counts more crashes than copies, so the end of an incarnation that no further copy can have reached counts nothing.

Ruled out: counting each end of the next incarnation, because with a single copy one of the two can't have executed the run.

--- a/packages/coordinator/src/endpoints/endpoint_failure_log.ts
+++ b/packages/coordinator/src/endpoints/endpoint_failure_log.ts
@@ -42,6 +42,8 @@
   readonly task: Workflow.Task;
   readonly run: number;
   readonly presence: Workflow.Presence;
+  /** Birth time of the incarnation that crashed; null if unknown. */
+  readonly bornMs: number | null;
 }
 
 /** Options of the failure log. */
--- a/packages/coordinator/src/sessions/assignment.ts
+++ b/packages/coordinator/src/sessions/assignment.ts
@@ -16,6 +16,11 @@
   sentAtMs: number | null;
   /** Time at which the start was sent again, by the same clock; null if it was not. */
   resentAtMs: number | null;
+  /**
+   * Copies of the start that were delivered or may be: an endpoint executes each of
+   * them once at most.
+   */
+  deliverableCopies: number;
   /** Birth time of the incarnation that it was sent to; null if unknown. */
   bornMs: number | null;
   /** Time since which it is being stopped, by this box's clock; null if it is not. */
@@ -46,6 +51,7 @@
     isSent: false,
     sentAtMs: null,
     resentAtMs: null,
+    deliverableCopies: 0,
     bornMs: null,
     stoppingSinceMs: null,
     pace: null,
--- a/packages/coordinator/src/sessions/end_evidence.ts
+++ b/packages/coordinator/src/sessions/end_evidence.ts
@@ -50,6 +50,14 @@
   ConnectionRefused = "nobody listens there",
 }
 
+/**
+ * Creates the end of a run for how certain it is that the ended incarnation had it, and
+ * for the birth time of that incarnation.
+ */
+export type EndOfRun = (
+  run: Pick<unreportedRuns.UnreportedRun, "presence" | "bornMs">,
+) => listeners.RunEndReport;
+
 /** Dependencies of the evidence. */
 export interface EndEvidenceOptions {
   readonly clock: Ports.Clock;
@@ -111,6 +119,11 @@
     return Number.isFinite(this.#refusedAtMs);
   }
 
+  /** Time of its last answer to a poll, by this box's clock; infinite if there is none. */
+  get answeredAtMs(): number {
+    return this.#answeredAtMs;
+  }
+
   /** Whether it was leaving. */
   get isLeaving(): boolean {
     return this.#isLeaving;
@@ -132,14 +145,13 @@
 
   /**
    * Evaluates the proven end of the incarnation; entries and silence alone prove
-   * none. Returns the end of a run for how certain it is that the endpoint had the
-   * run.
+   * none. Returns a function that creates the ends of the runs that it may have had.
    */
   end(
     proof: EndProof,
     runs: readonly assignments.Assignment[],
     ended: readonly unreportedRuns.UnreportedRun[],
-  ): (presence: Workflow.Presence) => listeners.RunEndReport {
+  ): EndOfRun {
     if (runs.length + ended.length > 0) this.#logEnd(proof, runs, ended);
     if (this.#isLeaving) {
       return () => listeners.lost(listeners.LostCause.Left);
@@ -148,13 +160,15 @@
       ...runs.map((one) => ({
         task: one.task,
         run: one.run,
+        bornMs: one.bornMs,
         presence: this.presenceOf(one, this.#clock.monotonicMs()),
       })),
       ...ended,
     ];
     const wasAlone = isOneTaskOrGang(affectedRuns.map(({ task }) => task));
     const scale = this.#failureLog.noteCrash(this.#ref, affectedRuns);
-    return (presence) => listeners.crashed({ wasAlone, scale, presence });
+    return ({ presence, bornMs }) =>
+      listeners.crashed({ wasAlone, scale, presence, bornMs });
   }
 
   /** Logs what distinguishes a crash during a run from one before its start. */
--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -1,5 +1,4 @@
 /** Ends the runs and the session of one endpoint when its incarnation has ended. */
-import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import type * as endpointRuns from "./endpoint_runs.ts";
 import type * as endpointStates from "./endpoint_state.ts";
@@ -18,9 +17,6 @@
   readonly runs: endpointRuns.EndpointRuns;
 }
 
-/** Returns the end of a run for how certain it is that the endpoint had the run. */
-type EndByPresence = (presence: Workflow.Presence) => listeners.RunEndReport;
-
 /**
  * Shortest time in ms in which an endpoint ends and answers again as another
  * incarnation: a restart takes about 3 s, and 1 s where an endpoint restarts
@@ -53,11 +49,7 @@
       const possiblyStarted = tracked.all.filter((one) =>
         this.#mayHaveStarted(one)
       );
-      const endOf = state.incarnation.endEvidence.end(
-        proof,
-        possiblyStarted,
-        unreportedList,
-      );
+      const endOf = this.#evaluateEnd(proof, possiblyStarted, unreportedList);
       const records = tracked.all.map((one) =>
         possiblyStarted.includes(one)
           ? this.#endTracked(one, endOf, nowMs)
@@ -82,7 +74,7 @@
       incarnation.hasEnded = true;
       const nowMs = options.ports.clock.monotonicMs();
       const proof = evidences.EndProof.ConnectionRefused;
-      const endOf = incarnation.endEvidence.end(proof, sentRuns, unreported);
+      const endOf = this.#evaluateEnd(proof, sentRuns, unreported);
       const records = sentRuns.map((one) =>
         this.#endTracked(one, endOf, nowMs)
       );
@@ -147,16 +139,39 @@
     return nowMs - sentAtMs >= MIN_RESTART_MS;
   }
 
+  /**
+   * Evaluates the end of the incarnation, also for the runs of earlier incarnations that
+   * it may have executed as well.
+   */
+  #evaluateEnd(
+    proof: evidences.EndProof,
+    sentRuns: readonly assignments.Assignment[],
+    unreported: readonly unreportedRuns.UnreportedRun[],
+  ): evidences.EndOfRun {
+    const { state: { incarnation }, runs: { previous } } = this.#options;
+    const { bornMs, endEvidence: evidence } = incarnation;
+    const ownRuns = sentRuns.filter((one) =>
+      !previous.hasEndedBefore(one, bornMs)
+    );
+    const repeated = previous.findRepeated({ bornMs, evidence });
+    const endOf = evidence.end(proof, ownRuns, [...unreported, ...repeated]);
+    previous.addRepeatedEnds(repeated, endOf);
+    return endOf;
+  }
+
   #endTracked(
     assignment: assignments.Assignment,
-    endOf: EndByPresence,
+    endOf: evidences.EndOfRun,
     crashedByMs: number,
   ): Effect.Effect<void> {
-    const { endEvidence } = this.#options.state.incarnation;
-    return this.#endRun(
-      assignment,
-      endOf(endEvidence.presenceOf(assignment, crashedByMs)),
-    );
+    const { state: { incarnation }, runs: { tracked, previous } } =
+      this.#options;
+    const { bornMs, endEvidence: evidence } = incarnation;
+    const presence = evidence.presenceOf(assignment, crashedByMs);
+    const end = endOf({ presence, bornMs: assignment.bornMs });
+    return previous.hasEndedBefore(assignment, bornMs)
+      ? this.#endRun(assignment, end)
+      : tracked.end(assignment, previous.takeMerged(assignment, end));
   }
 
   /** Ends a run; one of a previous incarnation gets the end noted with that one. */
@@ -170,14 +185,14 @@
 
   #endUnreported(
     unreported: readonly unreportedRuns.UnreportedRun[],
-    endOf: EndByPresence,
+    endOf: evidences.EndOfRun,
   ): readonly Effect.Effect<void>[] {
     const { state, runs: { previous }, options: { listener } } = this.#options;
     return unreported.map((run) =>
       listener.lateEndReported(
         state,
         run,
-        previous.take(run) ?? endOf(run.presence),
+        previous.take(run) ?? endOf(run),
       )
     );
   }
--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -240,6 +240,7 @@
       view,
       isNew,
       isFirst,
+      previousBornMs,
       evidence: incarnation.endEvidence,
       hasEnded: incarnation.hasEnded,
     });
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -149,12 +149,14 @@
       );
       if (timed._tag === "Success" && timed.success !== null) {
         const clockMs = timed.success.value;
+        assignment.deliverableCopies++;
         return { outcome: StartOutcome.Running, clockMs };
       }
       const outcome = timed._tag === "Failure"
         ? this.#outcomeOf(assignment, timed.failure)
         : StartOutcome.MayBeDelivered;
       if (outcome === StartOutcome.MayBeDelivered) {
+        assignment.deliverableCopies++;
         this.#options.onUnanswered({ task: task.name, run });
       }
       return reportOf(outcome);
--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -52,6 +52,11 @@
   readonly cause: LostCause | null;
   /** Evidence on the cause of a crash. */
   readonly crash?: Workflow.CrashEvidence;
+  /**
+   * Crashes of earlier incarnations of the endpoint to which copies of the start may
+   * have been delivered; omitted if there were none.
+   */
+  readonly earlierCrashes?: readonly Workflow.CrashEvidence[];
   /** Whether the actual end of a lost run may still be reported. */
   readonly isUnresolved?: boolean;
 }
--- a/packages/coordinator/src/sessions/unanswered_polls.ts
+++ b/packages/coordinator/src/sessions/unanswered_polls.ts
@@ -62,14 +62,36 @@
 
   /** Ends the runs that must be over by now, whatever happened to their endpoint. */
   #endLapsedRuns(hasLapsed: boolean): Effect.Effect<void> {
-    const { tracked, previous } = this.#options.runs;
+    const { state, runs: { tracked, previous } } = this.#options;
     return Effect.gen({ self: this }, function* () {
       for (const assignment of tracked.all) {
         if (!assignment.isSent) continue;
         if (!hasLapsed && !hasEndedBeforeGang(assignment)) continue;
-        const previousEnd = previous.take(assignment);
-        if (previousEnd === null) yield* this.#giveUp(assignment, hasLapsed);
-        else yield* tracked.end(assignment, previousEnd);
+        const { bornMs } = state.incarnation;
+        yield* previous.hasEndedBefore(assignment, bornMs)
+          ? this.#endPrevious(assignment)
+          : this.#giveUp(assignment, hasLapsed);
+      }
+    });
+  }
+
+  /**
+   * Ends a run of an earlier incarnation. If the current one may have executed it, too,
+   * its end may still be reported.
+   */
+  #endPrevious(assignment: assignments.Assignment): Effect.Effect<void> {
+    const { state, runs: { tracked, previous, unreported }, options } =
+      this.#options;
+    const { bornMs, endEvidence: evidence } = state.incarnation;
+    const repeated = previous.findRepeated({ bornMs, evidence })
+      .filter(({ task }) => task === assignment.task);
+    const end = previous.take(assignment) ?? lost(LostCause.LeaseExpired);
+    return Effect.gen(function* () {
+      yield* tracked.end(assignment, end);
+      for (const run of repeated) {
+        unreported.add(run);
+        // It may have crashed its endpoint: the next coordinator needs its end, too.
+        options.listener.runGone(state, run);
       }
     });
   }
@@ -92,7 +114,8 @@
       ? LostCause.LeaseExpired
       : LostCause.EndedBeforeGang;
     return Effect.gen({ self: this }, function* () {
-      yield* runs.tracked.end(assignment, lost(cause));
+      const end = runs.previous.takeMerged(assignment, lost(cause));
+      yield* runs.tracked.end(assignment, end);
       // It may have crashed its endpoint: the next coordinator needs its end, too.
       if (hasLapsed && task.isSuspect) listener.runGone(state, unreported);
     });
--- a/packages/coordinator/src/work/end_log.ts
+++ b/packages/coordinator/src/work/end_log.ts
@@ -30,24 +30,25 @@
   }
 
   /** Logs a run that did not complete its task. */
-  logEnd(place: RunLocation, { how, cause }: listeners.RunEndReport): void {
+  logEnd(place: RunLocation, end: listeners.RunEndReport): void {
     const { log, metrics } = this.#ports;
+    const { how, cause } = end;
     const { task, run, endpoint } = place;
     const reason = cause === null
       ? ""
       : `, because ${listeners.describeCause(cause)}`;
     log.info(`Run ${run} of ${task.name} on ${endpoint}: ${how}${reason}.`);
     if (cause !== null) metrics.count("cairngate_runs_lost_total", { cause });
-    if (how === Workflow.RunEnd.Crashed) this.#logCrash(place);
+    this.#logCrashes(place, end);
   }
 
   /** Logs an end that was reported after the coordinator had given the run up. */
-  logLateEnd(place: RunLocation, { how }: listeners.RunEndReport): void {
+  logLateEnd(place: RunLocation, end: listeners.RunEndReport): void {
     const { task, run, endpoint } = place;
     this.#ports.log.info(
-      `Run ${run} of ${task.name} on ${endpoint}: ${how}, as reported later.`,
+      `Run ${run} of ${task.name} on ${endpoint}: ${end.how}, as reported later.`,
     );
-    if (how === Workflow.RunEnd.Crashed) this.#logCrash(place);
+    this.#logCrashes(place, end);
   }
 
   /** Logs a failure that is not counted while its task may still start. */
@@ -106,13 +107,20 @@
     if (isPartial) log.info(`Given up ${task}: ${sentences.PARTIAL_HISTORY}`);
   }
 
-  /** Logs an endpoint crash that the task of a run may have caused. */
-  #logCrash({ task, run, endpoint }: RunLocation): void {
+  /** Logs the endpoint crashes that the task of a run may have caused. */
+  #logCrashes(
+    { task, run, endpoint }: RunLocation,
+    { how, earlierCrashes = [] }: listeners.RunEndReport,
+  ): void {
     const { log, metrics } = this.#ports;
+    const isCrash = how === Workflow.RunEnd.Crashed;
+    const crashes = earlierCrashes.length + (isCrash ? 1 : 0);
+    if (crashes === 0) return;
     const { laid, excused, unseen } = task.crashes;
-    metrics.count("cairngate_crashes_under_tasks_total");
+    const times = crashes === 1 ? "" : ` ${crashes} times`;
+    metrics.count("cairngate_crashes_under_tasks_total", {}, crashes);
     log.warn(
-      `Endpoint ${endpoint} has crashed and may have held run ${run} of ` +
+      `Endpoint ${endpoint} has crashed${times} and may have held run ${run} of ` +
         `${task.name}: ${laid} crashes count against the task, ${excused} are ` +
         `excused, and ${unseen} occurred where nothing shows its run.`,
     );
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -119,9 +119,9 @@
     affectedRuns: readonly failureLogs.AffectedRun[],
     scale: Workflow.CrashScale,
   ): void {
-    for (const { task, run, presence } of affectedRuns) {
+    for (const { task, run, presence, bornMs } of affectedRuns) {
       const { workflow } = task;
-      const evidence = { scale, presence };
+      const evidence = { scale, presence, bornMs };
       if (!workflow.excuseCrash(task, run, evidence)) continue;
       this.#log.logExcused(task);
       this.#recordInBackground(workflow);
--- a/packages/workflow/src/failure_counts.ts
+++ b/packages/workflow/src/failure_counts.ts
@@ -1,4 +1,7 @@
-/** Counts failures and crashes of the runs of one workflow, each run once. */
+/**
+ * Counts failures and crashes of the runs of one workflow: each run fails once, and each
+ * incarnation of an endpoint crashes once under a run.
+ */
 import * as ends from "./run_end_details.ts";
 import * as budgets from "./restart_budget.ts";
 import * as histories from "./run_history.ts";
@@ -12,11 +15,11 @@
   readonly #gangFailures = new Set<string>();
   /** The newest of these runs, by round.step. */
   readonly #newestFailedRuns = new Map<string, number>();
-  /** Runs whose endpoint crash is counted, by task and run. */
+  /** Counted endpoint crashes, by task, run and incarnation. */
   readonly #crashes = new Set<string>();
   /**
-   * Counted crashes that are excused because other endpoints crashed too; each run
-   * is excused once.
+   * Counted crashes that are excused because other endpoints crashed too; each is
+   * excused once.
    */
   readonly #excused = new Set<string>();
 
@@ -64,7 +67,7 @@
   /** Counts a crash; returns false if it is counted already. */
   addCrash(task: Task, ended: ends.RunEndDetails): boolean {
     const { run, crash = budgets.NO_EVIDENCE } = ended;
-    const id = taskRunKey(task, run);
+    const id = crashKey(task, run, crash);
     if (this.#crashes.has(id)) return false;
     this.#crashes.add(id);
     const prior = task.crashes;
@@ -86,15 +89,16 @@
   excuseCrash(
     task: Task,
     run: number,
-    evidence: Pick<budgets.CrashEvidence, "scale" | "presence">,
+    evidence: Omit<budgets.CrashEvidence, "wasAlone">,
   ): boolean {
-    const id = taskRunKey(task, run);
+    const id = crashKey(task, run, evidence);
     if (!this.#crashes.has(id) || this.#excused.has(id)) return false;
     const count = budgets.excuseCrash(task.crashes, evidence);
     if (count === task.crashes) return false;
     task.crashes = count;
     this.#excused.add(id);
-    task.history = histories.excuseRun(task.history, run);
+    const { presence } = evidence;
+    task.history = histories.excuseRun(task.history, { run, presence });
     return true;
   }
 }
@@ -116,7 +120,11 @@
   return `${stepKey}.${run}`;
 }
 
-/** Key of a task's run within its workflow. */
-function taskRunKey(task: Task, run: number): string {
-  return `${task.key}.${run}`;
+/** Key of the crash of one incarnation under a task's run, within its workflow. */
+function crashKey(
+  task: Task,
+  run: number,
+  { bornMs = null }: Pick<budgets.CrashEvidence, "bornMs">,
+): string {
+  return `${task.key}.${run}.${bornMs}`;
 }
--- a/packages/workflow/src/restart_budget.ts
+++ b/packages/workflow/src/restart_budget.ts
@@ -100,6 +100,10 @@
   readonly wasAlone: boolean;
   readonly scale: CrashScale;
   readonly presence: Presence;
+  /**
+   * Birth time of the crashed incarnation of the endpoint; null or omitted if unknown.
+   */
+  readonly bornMs?: number | null;
 }
 
 /** No evidence for or against the task. */
--- a/packages/workflow/src/run_end_details.ts
+++ b/packages/workflow/src/run_end_details.ts
@@ -13,6 +13,11 @@
   readonly endpoint?: string;
   /** For a crash: evidence on whether the task caused it. */
   readonly crash?: budgets.CrashEvidence;
+  /**
+   * Crashes of earlier incarnations of the endpoint to which copies of the start may
+   * have been delivered; omitted if there were none.
+   */
+  readonly earlierCrashes?: readonly budgets.CrashEvidence[];
   /** For a lost run: its outcome may still be reported. */
   readonly isUnresolved?: boolean;
   /**
--- a/packages/workflow/src/run_history.ts
+++ b/packages/workflow/src/run_history.ts
@@ -150,11 +150,17 @@
     counted.every((entry) => entry.run !== run);
 }
 
-/** Marks the newest counted crash of a run as excused. */
-export function excuseRun(history: RunHistory, run: number): RunHistory {
+/** Marks the newest counted crash of a run with this presence as excused. */
+export function excuseRun(
+  history: RunHistory,
+  { run, presence }: {
+    readonly run: number;
+    readonly presence: budgets.Presence;
+  },
+): RunHistory {
   const { entries } = history;
   const index = entries.findLastIndex((entry) =>
-    entry.run === run &&
+    entry.run === run && entry.evidence === EVIDENCE_BY_PRESENCE[presence] &&
     (entry.counted === CountedAs.Crash ||
       entry.counted === CountedAs.PossibleCrash)
   );
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -235,7 +235,7 @@
   excuseCrash(
     task: Task,
     run: number,
-    evidence: Pick<budgets.CrashEvidence, "scale" | "presence">,
+    evidence: Omit<budgets.CrashEvidence, "wasAlone">,
   ): boolean {
     if (states.isFinal(this.state)) return false;
     return this.failureCounts.excuseCrash(task, run, evidence);
@@ -302,12 +302,12 @@
   }
 
   #countEnd(task: Task, ended: ends.RunEndDetails, nowMs: number): void {
-    if (ended.how === taskStates.RunEnd.Failed) {
-      this.#countFailure(task, ended, nowMs);
-    }
-    if (ended.how === taskStates.RunEnd.Crashed) {
-      this.#countCrash(task, ended);
+    const { Crashed, Failed } = taskStates.RunEnd;
+    for (const crash of ended.earlierCrashes ?? []) {
+      this.#countCrash(task, { ...ended, how: Crashed, crash });
     }
+    if (ended.how === Failed) this.#countFailure(task, ended, nowMs);
+    if (ended.how === Crashed) this.#countCrash(task, ended);
     if (STARTED_WITHOUT_RESULT.has(ended.how)) this.#countSpentStart(task);
   }
 
