Keep the crash of an incarnation whose run the next one reports as ended

What callers saw: a task that crashes its endpoints could start three times after its third crash.

Cause: an incarnation crashes under one copy of a start; the next one executes another copy and reports its end as stopped. That end was taken for the end of the run, and the crash that was kept with the first incarnation was dropped.

Evidence: repeated_crashes_test, "if that one reports the run as stopped": the first incarnation is crashed by the second copy, the next one begins the late first copy and is told to stop it. Red on and on with 3 starts after the third crash.

Why this works: a reported end now includes the crashes that are kept with earlier incarnations, at most one less than copies of the start were sent, so a single copy that came late counts no crash of the incarnation before.

--- a/packages/coordinator/src/sessions/view_reader.ts
+++ b/packages/coordinator/src/sessions/view_reader.ts
@@ -130,11 +130,13 @@
   }
 
   #processEnd(ended: Ports.EndedRun): Effect.Effect<void> | null {
-    const { recovery, tracked, unreported, listener, endpoint } = this.#options;
+    const { recovery, tracked, previous, unreported, listener, endpoint } =
+      this.#options;
     this.#unexpected.noteEnded(ended);
     const assignment = tracked.get(ended.task);
     if (assignment !== undefined && assignment.run === ended.run) {
-      return tracked.end(assignment, listeners.toRunEndReport(ended));
+      const end = listeners.toRunEndReport(ended);
+      return tracked.end(assignment, previous.takeMerged(assignment, end));
     }
     const unreportedRun = unreported.take(ended);
     if (unreportedRun !== null) {
--- a/packages/workflow-node/src/repeated_crashes_test.ts
+++ b/packages/workflow-node/src/repeated_crashes_test.ts
@@ -144,3 +144,34 @@
     );
   }
 });
+
+vitest.describe(
+  "the crash of an incarnation whose run the next one repeats",
+  () => {
+    vitest.it("counts if that one reports the run as stopped", async () => {
+      const fleet = buildFleet();
+      const { workers } = fleet;
+      const isRepeated = () => workers.runs.length === 1;
+      workers.behave = () => ({
+        runMs: NEVER_MS,
+        fails: false,
+        crashesAfterMs: isRepeated() ? NEVER_MS : 0,
+      });
+      await fleet.start();
+      crashTwoIncarnations(fleet);
+      await fleet.submit("node-1", CRASHING_ID);
+      await fleet.until(() => workers.runs.length === 3, TIMEOUT_MS);
+      vitest.expect(workers.runs.slice(0, 2).map(({ run, how }) => [run, how]))
+        .toEqual([[1, "crashed"], [1, "stopped"]]);
+      fleet.restartDelayMs = RESTART_MS;
+      workers.atDeadAddress = Silent;
+      const isGivenUp = await fleet.until(
+        () => fleet.state(CRASHING_ID) === Workflow.WorkflowState.Failed,
+        TIMEOUT_MS,
+      );
+      vitest.expect(TestUtils.findRunViolations(fleet)).toEqual([]);
+      vitest.expect(isGivenUp).toBe(true);
+      await fleet.stop();
+    });
+  },
+);
