--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -153,9 +153,9 @@
     const ownRuns = sentRuns.filter((one) =>
       !previous.hasEndedBefore(one, bornMs)
     );
-    const repeated = previous.findRepeated({ bornMs, evidence });
-    const endOf = evidence.end(proof, ownRuns, [...unreported, ...repeated]);
-    previous.addRepeatedEnds(repeated, endOf);
+    const repeats = previous.findPossibleRepeats({ bornMs, evidence });
+    const endOf = evidence.end(proof, ownRuns, [...unreported, ...repeats]);
+    previous.addRepeatEnds(repeats, endOf);
     return endOf;
   }
 
--- a/packages/coordinator/src/sessions/previous_runs.ts
+++ b/packages/coordinator/src/sessions/previous_runs.ts
@@ -103,7 +103,7 @@
    * copy of the start, which may have been delivered after the last answer, and no stop
    * was confirmed.
    */
-  findRepeated(
+  findPossibleRepeats(
     { bornMs, evidence }: EndedIncarnation,
   ): readonly unreportedRuns.UnreportedRun[] {
     const { Unknown: presence } = Workflow.Presence;
@@ -116,11 +116,11 @@
   }
 
   /** Adds the end of one more incarnation to runs that it may have repeated. */
-  addRepeatedEnds(
-    repeated: readonly unreportedRuns.UnreportedRun[],
+  addRepeatEnds(
+    repeats: readonly unreportedRuns.UnreportedRun[],
     endOf: evidences.EndOfRun,
   ): void {
-    for (const run of repeated) {
+    for (const run of repeats) {
       const name = taskRunName(run);
       const previous = this.#ends.get(name);
       if (previous === undefined) continue;
@@ -185,11 +185,11 @@
     const { clock, blockStart } = this.#options;
     const nowMs = clock.monotonicMs();
     const proof = evidences.EndProof.Restarted;
-    const repeated = isNew && !hasEnded
-      ? this.findRepeated({ bornMs: previousBornMs, evidence })
+    const repeats = isNew && !hasEnded
+      ? this.findPossibleRepeats({ bornMs: previousBornMs, evidence })
       : [];
-    const endOf = evidence.end(proof, tracked, [...unreported, ...repeated]);
-    this.addRepeatedEnds(repeated, endOf);
+    const endOf = evidence.end(proof, tracked, [...unreported, ...repeats]);
+    this.addRepeatEnds(repeats, endOf);
     for (const one of tracked) {
       const presence = evidence.presenceOf(one, nowMs);
       const { bornMs } = one;
--- a/packages/coordinator/src/sessions/previous_runs_test.ts
+++ b/packages/coordinator/src/sessions/previous_runs_test.ts
@@ -97,37 +97,37 @@
   vitest.it("may be repeated by another copy of its start", async () => {
     const { previous, second } = await endWithFirst(2);
     const { Unknown } = Workflow.Presence;
-    vitest.expect(previous.findRepeated(second)).toMatchObject([
+    vitest.expect(previous.findPossibleRepeats(second)).toMatchObject([
       { run: 1, bornMs: SECOND_BORN_MS, presence: Unknown },
     ]);
   });
 
   vitest.it("is not repeated if there was one copy", async () => {
     const { previous, second } = await endWithFirst(1);
-    vitest.expect(previous.findRepeated(second)).toEqual([]);
+    vitest.expect(previous.findPossibleRepeats(second)).toEqual([]);
   });
 
   vitest.it("is not repeated after a confirmed stop", async () => {
     const { previous, assignment, second } = await endWithFirst(2);
     assignment.expectedSinceMs = ANSWER_DELAY_MS;
-    vitest.expect(previous.findRepeated(second)).toEqual([]);
+    vitest.expect(previous.findPossibleRepeats(second)).toEqual([]);
   });
 
   vitest.it("is not repeated once no copy is delivered any more", async () => {
     const delayMs = unansweredStarts.LONGEST_ORDER_DELAY_MS + 1;
     const { previous, second } = await endWithFirst(2, delayMs);
-    vitest.expect(previous.findRepeated(second)).toEqual([]);
+    vitest.expect(previous.findPossibleRepeats(second)).toEqual([]);
   });
 
   vitest.it("is repeated once for each further copy", async () => {
     const { previous, second } = await endWithFirst(2);
-    const repeated = previous.findRepeated(second);
+    const repeats = previous.findPossibleRepeats(second);
     const endOf = second.evidence.end(
       evidences.EndProof.ConnectionRefused,
       [],
-      repeated,
+      repeats,
     );
-    previous.addRepeatedEnds(repeated, endOf);
-    vitest.expect(previous.findRepeated(second)).toEqual([]);
+    previous.addRepeatEnds(repeats, endOf);
+    vitest.expect(previous.findPossibleRepeats(second)).toEqual([]);
   });
 });
--- a/packages/coordinator/src/sessions/unanswered_polls.ts
+++ b/packages/coordinator/src/sessions/unanswered_polls.ts
@@ -83,12 +83,12 @@
     const { state, runs: { tracked, previous, unreported }, options } =
       this.#options;
     const { bornMs, endEvidence: evidence } = state.incarnation;
-    const repeated = previous.findRepeated({ bornMs, evidence })
+    const repeats = previous.findPossibleRepeats({ bornMs, evidence })
       .filter(({ task }) => task === assignment.task);
     const end = previous.take(assignment) ?? lost(LostCause.LeaseExpired);
     return Effect.gen(function* () {
       yield* tracked.end(assignment, end);
-      for (const run of repeated) {
+      for (const run of repeats) {
         unreported.add(run);
         // It may have crashed its endpoint: the next coordinator needs its end, too.
         options.listener.runGone(state, run);
