--- a/packages/coordinator/src/sessions/previous_runs.ts
+++ b/packages/coordinator/src/sessions/previous_runs.ts
@@ -131,7 +131,8 @@
 
   /**
    * Removes the end of a run with earlier incarnations, and returns its end with the
-   * last one including the crashes of the earlier ones.
+   * last one, which has executed one copy of the start, including the crashes of the
+   * earlier ones.
    */
   takeMerged(
     assignment: assignments.Assignment,
