Give each incarnation of a stand-in endpoint a clock of its own

The stand-in measured the leases of all incarnations by the clock of the test and cut none. PROTOCOL.md, "Running tasks": "Everything that runs is leased for a time of at most max_hold_ms (a longer one is cut to that), measured on the worker's own steady clock". What this clock does over a restart under the same id is not stated.

- The clock of an incarnation goes on or begins anew, as the test says, and a lease that is too long is cut.
The delay of late orders can be set.
- Tests in which a late start has to be stopped after a restart let the clock begin anew.
A lease in the former clock then seems to be a long one, so the stops alone keep the start out.
- Random simulations with an odd seed of restarts do so, too; in those with an even one the clock goes on, as before.

--- a/packages/stand-ins/src/incarnation.ts
+++ b/packages/stand-ins/src/incarnation.ts
@@ -15,9 +15,12 @@
   readonly spec: TaskEndpointSpec;
   /** Birth time that it reports, in ms; null if it reports none. */
   readonly bornMs: number | null;
+  /** Difference between its steady clock and that of the test, in ms. */
+  readonly clockOffsetMs: number;
   token: number;
   /** Whether it has answered a coordinator. */
   hasAnswered: boolean;
+  /** When its lease expires, by the clock of the test, in ms. */
   leaseUntilMs: number;
   /** When a lease last expired, in ms. */
   leaseExpiredAtMs: number;
@@ -31,12 +34,15 @@
 
 /** Creates an incarnation without runs. */
 export function createIncarnation(
-  spec: TaskEndpointSpec,
-  bornMs: number | null,
+  { spec, bornMs, clockOffsetMs }: Pick<
+    Incarnation,
+    "spec" | "bornMs" | "clockOffsetMs"
+  >,
 ): Incarnation {
   return {
     spec,
     bornMs,
+    clockOffsetMs,
     token: 0,
     hasAnswered: false,
     leaseUntilMs: 0,
@@ -53,6 +59,32 @@
   return `${task}@${run}`;
 }
 
+/** Reads the steady clock of an incarnation, in ms. */
+export function readClock(
+  { clockOffsetMs }: Incarnation,
+  nowMs: number,
+): number {
+  return nowMs + clockOffsetMs;
+}
+
+/**
+ * Extends a lease to a time of the incarnation's own clock. A lease never shortens, and
+ * one that is too long is cut to the longest lease.
+ */
+export function extendLease(
+  incarnation: Incarnation,
+  untilClockMs: number,
+  { nowMs, longestLeaseMs }: {
+    readonly nowMs: number;
+    readonly longestLeaseMs: number;
+  },
+): void {
+  incarnation.leaseUntilMs = Math.max(
+    incarnation.leaseUntilMs,
+    Math.min(untilClockMs - incarnation.clockOffsetMs, nowMs + longestLeaseMs),
+  );
+}
+
 /** Throws a refusal if an order comes from an earlier coordinator. */
 export function checkToken(incarnation: Incarnation, token: number): void {
   if (token < incarnation.token) {
@@ -100,7 +132,7 @@
   nowMs: number,
 ): Ports.EndpointReport {
   return {
-    clockMs: nowMs,
+    clockMs: readClock(incarnation, nowMs),
     bornMs: incarnation.bornMs,
     toldEnds,
     held: [...incarnation.held.values()].map((held) => ({
--- a/packages/stand-ins/src/memory_task_workers.ts
+++ b/packages/stand-ins/src/memory_task_workers.ts
@@ -42,6 +42,8 @@
   atDeadAddress = outcomes.DeadAddressOutcome.Answers;
   /** Transit time of each order, in ms; with 0, it is answered at once. */
   transitMs = 0;
+  /** Transit time of a late order, in ms. */
+  lateMs = 2500;
   /** Transit of orders with variable times and connections that can be reset. */
   readonly transit: transits.OrderTransit;
   /** Whether an endpoint refuses starts beyond its accelerators. */
@@ -59,6 +61,13 @@
   });
   /** Birth time that a new incarnation reports, in ms; null if it reports none. */
   createBirthMs: () => number | null = () => this.#clock.wallMs();
+  /**
+   * Difference between the steady clock of a new incarnation and that of the test, in
+   * ms: the clock of an endpoint may go on after a restart or begin anew.
+   */
+  createClockOffsetMs: () => number = () => 0;
+  /** Time to which an endpoint cuts a longer lease, in ms. */
+  longestLeaseMs = Number.POSITIVE_INFINITY;
   /** Decides the outcome of an order; tests may replace it. */
   decideOutcome: (
     endpoint: string,
@@ -101,7 +110,7 @@
       incarnations.markOver(incarnation, order);
       const held = incarnation.held.get(incarnations.keyOf(order));
       if (held !== undefined) this.#ends.stop(incarnation, held);
-      return this.#clock.monotonicMs();
+      return incarnations.readClock(incarnation, this.#clock.monotonicMs());
     };
     const stop = this.#delivery.deliver({ endpoint, kind: "stop", work });
     return this.#viaConnection(endpoint, stop);
@@ -204,7 +213,11 @@
   #createIncarnation(
     spec: incarnations.TaskEndpointSpec,
   ): incarnations.Incarnation {
-    return incarnations.createIncarnation(spec, this.createBirthMs());
+    return incarnations.createIncarnation({
+      spec,
+      bornMs: this.createBirthMs(),
+      clockOffsetMs: this.createClockOffsetMs(),
+    });
   }
 
   /**
@@ -237,30 +250,33 @@
     const { StaleRun, LeaseExpired: Late, NoCapacity } = Errors.OrderRefusal;
     const { spec: { id, accelerators }, held } = incarnation;
     const nowMs = this.#clock.monotonicMs();
+    const clockMs = incarnations.readClock(incarnation, nowMs);
     incarnations.checkToken(incarnation, order.fencingToken);
-    if (held.has(incarnations.keyOf(order))) return nowMs;
+    if (held.has(incarnations.keyOf(order))) return clockMs;
     if (order.run <= (incarnation.lastOverRun.get(order.task) ?? 0)) {
       throw incarnations.refuse(id, StaleRun);
     }
-    incarnation.leaseUntilMs = Math.max(
-      incarnation.leaseUntilMs,
-      order.leaseUntilMs,
-    );
+    incarnations.extendLease(incarnation, order.leaseUntilMs, {
+      nowMs,
+      longestLeaseMs: this.longestLeaseMs,
+    });
     if (incarnation.leaseUntilMs < nowMs) throw incarnations.refuse(id, Late);
     if (this.enforcesCapacity && held.size >= accelerators) {
       throw incarnations.refuse(id, NoCapacity);
     }
     this.#begin(incarnation, order);
-    return nowMs;
+    return clockMs;
   }
 
   #handleRenew(incarnation: incarnations.Incarnation, order: Ports.RenewOrder) {
     const nowMs = this.#clock.monotonicMs();
     incarnations.checkToken(incarnation, order.fencingToken);
-    incarnation.leaseUntilMs = Math.max(
-      incarnation.leaseUntilMs,
-      order.leaseUntilMs ?? 0,
-    );
+    if (order.leaseUntilMs !== null) {
+      incarnations.extendLease(incarnation, order.leaseUntilMs, {
+        nowMs,
+        longestLeaseMs: this.longestLeaseMs,
+      });
+    }
     const isSameIncarnation = order.recordedBy === incarnation.bornMs;
     const acknowledgedEnds = isSameIncarnation ? order.recordedEnds : 0;
     incarnations.acknowledge(incarnation, acknowledgedEnds, nowMs);
--- a/packages/stand-ins/src/order_delivery.ts
+++ b/packages/stand-ins/src/order_delivery.ts
@@ -6,9 +6,6 @@
 import * as outcomes from "./order_outcome.ts";
 import * as incarnations from "./incarnation.ts";
 
-/** Transit time of a late order, in ms. */
-const LATE_MS = 2500;
-
 /** Rules for the outcomes of orders; tests may change them. */
 export interface OrderRules {
   readonly decideOutcome: (
@@ -18,6 +15,8 @@
   readonly atDeadAddress: outcomes.DeadAddressOutcome;
   /** Transit time of each order, in ms; with 0, it is answered at once. */
   readonly transitMs: number;
+  /** Transit time of a late order, in ms. */
+  readonly lateMs: number;
 }
 
 /** Options of OrderDelivery. */
@@ -99,7 +98,7 @@
   }
 
   #executeLate<A>({ endpoint, work }: Order<A>): Delivery<A> {
-    const { clock, registry, advance } = this.#options;
+    const { clock, registry, rules, advance } = this.#options;
     const later = Effect.sync(() => {
       // A later incarnation of the same id can't detect an order for an earlier one.
       // OrderTransit drops such an order instead, as the endpoint had buffered it.
@@ -113,7 +112,7 @@
         this.#isExecutingLate = false;
       }
     });
-    const order = Effect.andThen(clock.sleep(LATE_MS), later);
+    const order = Effect.andThen(clock.sleep(rules.lateMs), later);
     Effect.runFork(Effect.ignoreCause(order));
     return drop(endpoint);
   }
--- a/packages/test-utils/src/endpoint_restarts.ts
+++ b/packages/test-utils/src/endpoint_restarts.ts
@@ -1,7 +1,8 @@
 /**
  * Restarts of crashed endpoints, mostly under the same id: soon or late after the
  * crash, with the earlier list entry kept, removed, or written again after the restart,
- * and with a wall clock that may have been set back.
+ * and with a wall clock that may have been set back. Steady clocks go on over a restart
+ * in simulations with an even seed and begin anew in the others.
  */
 import type * as Ports from "@cairngate/ports";
 import type * as StandIns from "@cairngate/stand-ins";
@@ -44,6 +45,7 @@
   constructor(fleet: fleets.TestFleet, seed: number) {
     this.#fleet = fleet;
     this.#random = new randoms.SeededRandom(seed);
+    fleet.resetsClocks = seed % 2 === 1;
     fleet.workers.createBirthMs = () => this.#drawBirthMs();
     fleet.workers.onCrash = (spec) => this.#scheduleReturn(spec);
     const beat = Effect.sync(() => fleet.sendHeartbeats());
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -102,6 +102,11 @@
   restartDelayMs = RESTART_DELAY_MS;
   /** Whether a crashed endpoint restarts under the same id. */
   keepsIds = false;
+  /**
+   * Whether the steady clock of a restarted endpoint begins anew at zero. Orders for the
+   * previous incarnation then do not seem to be late.
+   */
+  resetsClocks = false;
   /** Time from the return of an endpoint to the removal of its earlier entry, in ms. */
   entryOverlapMs = 0;
   /** Data centre of the endpoint at an index. */
@@ -157,6 +162,9 @@
       accelerators,
     }));
     this.workers = new StandIns.MemoryTaskEndpoints(this.clock, specs);
+    this.workers.longestLeaseMs = this.#bounds.longestLeaseMs;
+    this.workers.createClockOffsetMs = () =>
+      this.resetsClocks ? -this.clock.monotonicMs() : 0;
     this.workers.onCrash = (spec) => {
       const back = Effect.sync(() =>
         this.keepsIds
--- a/packages/workflow-node/src/earlier_term_starts_test.ts
+++ b/packages/workflow-node/src/earlier_term_starts_test.ts
@@ -38,6 +38,7 @@
   const fleet = new TestUtils.TestFleet({ workers: [1, 1], boxes: 5 });
   const { workers, clock } = fleet;
   fleet.keepsIds = true;
+  fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
   workers.behave = () => ({ runMs: NEVER_MS, fails: false });
   await fleet.start();
--- a/packages/workflow-node/src/handed_over_starts_test.ts
+++ b/packages/workflow-node/src/handed_over_starts_test.ts
@@ -25,6 +25,7 @@
 async function startElsewhere(fleet: TestUtils.TestFleet) {
   const { workers, clock } = fleet;
   fleet.keepsIds = true;
+  fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
   workers.behave = () => ({ runMs: NEVER_MS, fails: false });
   await fleet.start();
--- a/packages/workflow-node/src/late_start_after_return_test.ts
+++ b/packages/workflow-node/src/late_start_after_return_test.ts
@@ -28,6 +28,7 @@
 async function completeTask(fleet: TestUtils.TestFleet) {
   const { workers, clock } = fleet;
   fleet.keepsIds = true;
+  fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
   workers.behave = () => ({ runMs: 100, fails: false });
   await fleet.start();
--- a/packages/workflow-node/src/late_starts_test.ts
+++ b/packages/workflow-node/src/late_starts_test.ts
@@ -27,6 +27,7 @@
 ): Promise<{ fleet: TestUtils.TestFleet; firstSentAtMs: number }> {
   const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
   fleet.keepsIds = true;
+  fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
   fleet.workers.behave = () => ({ runMs, fails: false });
   await fleet.start();
--- a/packages/workflow-node/src/standby_start_guard_test.ts
+++ b/packages/workflow-node/src/standby_start_guard_test.ts
@@ -29,6 +29,7 @@
   const fleet = new TestUtils.TestFleet({ workers: [1], boxes });
   const { workers, clock } = fleet;
   fleet.keepsIds = true;
+  fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
   workers.behave = () => ({ runMs: RUN_MS, fails: false });
   await fleet.start();
--- a/packages/workflow-node/src/unanswered_starts_test.ts
+++ b/packages/workflow-node/src/unanswered_starts_test.ts
@@ -19,6 +19,7 @@
 async function runScenario(runMs: number): Promise<string[]> {
   const fleet = new TestUtils.TestFleet({ workers: [1, 1] });
   fleet.keepsIds = true;
+  fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
   fleet.workers.behave = () => ({ runMs, fails: false });
   await fleet.start();
