Let a start carry a lease as short as its time limit

What callers would see: work that is done runs again.

Cause: each start carried the longest lease. An incarnation without a lease refuses a start whose own lease has expired, so it took a copy that was late by up to 6 s.

Change: a start carries a lease that ends with the time limit for its answer (450 ms, extended by the delay of this box, and 250 ms for the estimate of the endpoint's clock). Answered polls must have leased the endpoint for two thirds of the longest lease before, so that a run does not live by the lease of its start. An idle endpoint is polled first.

Left: an incarnation whose clock begins anew behind the former one takes the copy, as the lease seems to be a long one. What clocks of users' endpoints do under the same id was not seen.

--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -39,6 +39,8 @@
   /** Time at which the poll was sent, in ms of the monotonic clock of this box. */
   readonly sentAtMs: number;
   readonly sentEvent: currentIncarnations.EventNumber;
+  /** End of the lease that the poll granted, on the endpoint's clock; null for none. */
+  readonly leaseUntilMs: number | null;
 }
 
 /** Wait of a poll that is answered at once, in ms, for callers that need its answer. */
@@ -165,20 +167,22 @@
     const { incarnation } = state;
     const sentAtMs = ports.clock.monotonicMs();
     const sentEvent = incarnation.current.noteSent();
+    // Not extended while the endpoint does not answer, so that the lease expires.
+    const leaseUntilMs =
+      incarnation.clock.isKnown && state.isReachable && this.#mayLease
+        ? incarnation.leaseEnd(sentAtMs)
+        : null;
     const order = ports.endpoints.renew(state.ref, {
       fencingToken: term.token,
-      // Not extended while the endpoint does not answer, so that the lease expires.
-      leaseUntilMs:
-        incarnation.clock.isKnown && state.isReachable && this.#mayLease
-          ? incarnation.leaseEnd(sentAtMs)
-          : null,
+      leaseUntilMs,
       recordedEnds,
       recordedBy: incarnation.bornMs,
       waitMs,
     });
     return Effect.map(
       orders.call(order, waitMs + POLL_SLACK_MS),
-      (view) => view === null ? null : { view, sentAtMs, sentEvent },
+      (view) =>
+        view === null ? null : { view, sentAtMs, sentEvent, leaseUntilMs },
     );
   }
 
@@ -195,13 +199,19 @@
 
   /** Processes the answer of the current incarnation. */
   #process(
-    { view, sentAtMs }: PollAnswer,
+    { view, sentAtMs, leaseUntilMs }: PollAnswer,
     { ends, recordedEnds, waitMs }: PollRequest,
   ): Effect.Effect<void> {
     const { state, runs, options: { ports: { clock } } } = this.#options;
     return Effect.gen({ self: this }, function* () {
+      const nowMs = clock.monotonicMs();
+      if (leaseUntilMs !== null) {
+        const { clockMs } = view;
+        const lease = { leaseUntilMs, clockMs, sentAtMs, nowMs };
+        state.incarnation.confirmLease(lease);
+      }
       state.incarnation.endEvidence.noteAnswered();
-      this.#noteDelay(clock.monotonicMs() - sentAtMs, waitMs);
+      this.#noteDelay(nowMs - sentAtMs, waitMs);
       this.#noteAnswered();
       // The answer to a later poll is newer; ends missing from it are reported again.
       if (sentAtMs < this.#lastReadSentAtMs) return;
--- a/packages/coordinator/src/sessions/endpoint_starts.ts
+++ b/packages/coordinator/src/sessions/endpoint_starts.ts
@@ -33,7 +33,8 @@
       term,
       ref,
       load,
-      leaseEnd: () => state.incarnation.leaseEnd(ports.clock.monotonicMs()),
+      leaseEnd: (limitMs) =>
+        state.incarnation.startLeaseEnd(ports.clock.monotonicMs(), limitMs),
       onUnanswered: (run) => {
         runs.unansweredStarts.add(run);
         runs.noteRevocation();
@@ -49,14 +50,14 @@
   start(assignment: assignments.Assignment): Effect.Effect<void> {
     const { runs: { tracked }, polls, reports } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const isClockKnown = yield* polls.readClock();
+      const isLeased = yield* polls.ensureLease();
       const isAlive = assignment.task.possibleCrashes === 0 ||
         (yield* polls.isAlive());
       if (!tracked.holds(assignment)) return;
       const cause = this.#obstacleTo(assignment);
       if (cause !== null) return yield* tracked.end(assignment, lost(cause));
       this.#noteSent(assignment);
-      const report = isClockKnown && isAlive
+      const report = isLeased && isAlive
         ? yield* this.#starter.send(assignment)
         : starters.NEVER_SENT;
       if (tracked.holds(assignment)) yield* reports.handle(assignment, report);
--- a/packages/coordinator/src/sessions/incarnation_state.ts
+++ b/packages/coordinator/src/sessions/incarnation_state.ts
@@ -9,6 +9,12 @@
 import * as currentIncarnations from "./current_incarnation.ts";
 import type * as sessionOptions from "./session_options.ts";
 
+/**
+ * Share of the longest lease that has to be left when a run starts: the lease then
+ * outlasts two lost polls.
+ */
+const MIN_LEASE_SHARE = 2 / 3;
+
 /** State of one endpoint that each of its incarnations resets. */
 export class IncarnationState {
   /** Identifies the incarnation that answers. */
@@ -71,6 +77,25 @@
     return this.#clock.leaseEnd(nowMs, longestLeaseMs);
   }
 
+  /** End of the lease of a start with this time limit, on the endpoint's clock. */
+  startLeaseEnd(nowMs: number, limitMs: number): number {
+    return this.#clock.startLeaseEnd(nowMs, limitMs);
+  }
+
+  /** Notes that the incarnation has answered a poll that granted a lease. */
+  confirmLease(
+    lease: Omit<leaseClocks.ConfirmedLease, "longestLeaseMs">,
+  ): void {
+    const { longestLeaseMs } = this.#options.ports.bounds;
+    this.#clock.confirmLease({ ...lease, longestLeaseMs });
+  }
+
+  /** Whether answered polls have leased the endpoint for long enough for new runs. */
+  isLeasedForStarts(nowMs: number): boolean {
+    const { longestLeaseMs } = this.#options.ports.bounds;
+    return this.#clock.isLeasedFor(longestLeaseMs * MIN_LEASE_SHARE, nowMs);
+  }
+
   /** Resets the state for a new incarnation. */
   reset(): void {
     const { clock, bounds } = this.#options.ports;
--- a/packages/coordinator/src/sessions/lease_clock.ts
+++ b/packages/coordinator/src/sessions/lease_clock.ts
@@ -10,11 +10,25 @@
 /** Margin in ms for rounding and for estimates that are slightly ahead. */
 const MARGIN_MS = 250;
 
+/** A lease that an answered poll has granted. */
+export interface ConfirmedLease {
+  /** End of the lease, on the endpoint's clock. */
+  readonly leaseUntilMs: number;
+  /** Time of the answer, on the endpoint's clock. */
+  readonly clockMs: number;
+  /** Time at which the poll was sent, by this box's clock. */
+  readonly sentAtMs: number;
+  readonly nowMs: number;
+  readonly longestLeaseMs: number;
+}
+
 /** Reads the clock of an endpoint and bounds its lease. */
 export class LeaseClock {
   #clockMs: number | null = null;
   #readAtMs = 0;
   #lapsesAtMs: number;
+  /** Time of this box's clock until which answered polls have leased the endpoint. */
+  #confirmedUntilMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param lapsesAtMs time of this box's clock by which an earlier lease has expired
@@ -44,6 +58,29 @@
     return Math.round(this.#endpointNowMs(nowMs) + leaseMs);
   }
 
+  /** End of the lease of a start with this time limit, on the endpoint's clock. */
+  startLeaseEnd(nowMs: number, limitMs: number): number {
+    return this.leaseEnd(nowMs, limitMs + MARGIN_MS);
+  }
+
+  /** Notes that the endpoint has answered a poll that granted a lease. */
+  confirmLease(
+    { leaseUntilMs, clockMs, sentAtMs, nowMs, longestLeaseMs }: ConfirmedLease,
+  ): void {
+    // The first bound holds if the estimate of the endpoint's clock lagged, the second one
+    // if this box was late to process the answer.
+    const untilMs = Math.min(
+      nowMs + leaseUntilMs - clockMs,
+      sentAtMs + longestLeaseMs,
+    );
+    this.#confirmedUntilMs = Math.max(this.#confirmedUntilMs, untilMs);
+  }
+
+  /** Whether answered polls have leased the endpoint for at least this time. */
+  isLeasedFor(leaseMs: number, nowMs: number): boolean {
+    return nowMs + leaseMs <= this.#confirmedUntilMs;
+  }
+
   /**
    * Notes that another coordinator may have granted a lease that expires by this time
    * of this box's clock.
--- a/packages/coordinator/src/sessions/pre_start_polls.ts
+++ b/packages/coordinator/src/sessions/pre_start_polls.ts
@@ -1,4 +1,5 @@
 /** Polls an endpoint before a run starts there, or before its start is sent again. */
+import type * as Ports from "@cairngate/ports";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as pollers from "./endpoint_poller.ts";
@@ -8,13 +9,15 @@
 export interface PreStartPollsOptions {
   readonly state: endpointStates.EndpointState;
   readonly poller: pollers.EndpointPoller;
+  readonly clock: Ports.Clock;
 }
 
 /**
- * Maximum number of polls for the endpoint's clock before a start: the first one may
- * use a connection that is silent, the second one opens a new one.
+ * Maximum number of polls for a lease before a start: the first one may use a connection
+ * that is silent, the second one opens a new one and reads the endpoint's clock, and the
+ * third one grants the lease.
  */
-const MAX_CLOCK_POLLS = 2;
+const MAX_LEASE_POLLS = 3;
 
 /** Polls one endpoint before starts. */
 export class PreStartPolls {
@@ -27,18 +30,20 @@
   }
 
   /**
-   * Reads the endpoint's clock, which leases refer to and which only an answer of the
-   * current incarnation contains. So no incarnation receives a start before it has
+   * Polls until the current incarnation is leased for long enough for a run, as a start
+   * carries a short lease only. So no incarnation receives a start before it has
    * answered this coordinator; after that it refuses orders of earlier ones.
    */
-  readClock(): Effect.Effect<boolean> {
-    const { state } = this.#options;
+  ensureLease(): Effect.Effect<boolean> {
+    const { state, clock } = this.#options;
+    const isLeased = () =>
+      state.incarnation.isLeasedForStarts(clock.monotonicMs());
     return Effect.gen({ self: this }, function* () {
-      for (let tries = 0; tries < MAX_CLOCK_POLLS; tries++) {
-        if (state.incarnation.clock.isKnown || state.isOver) break;
+      for (let tries = 0; tries < MAX_LEASE_POLLS; tries++) {
+        if (isLeased() || state.isOver) break;
         yield* this.#pollShared();
       }
-      return state.incarnation.clock.isKnown;
+      return isLeased();
     });
   }
 
@@ -72,7 +77,9 @@
         this.#sharedPoll = null;
         Deferred.doneUnsafe(done, Effect.void);
       });
-      const poll = Effect.asVoid(this.#options.poller.poll());
+      const poll = Effect.asVoid(
+        this.#options.poller.poll(pollers.NO_WAIT_MS),
+      );
       return Effect.ensuring(poll, finish);
     });
   }
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -56,8 +56,8 @@
   readonly ref: Ports.EndpointRef;
   /** Delay of this box. */
   readonly load: loads.BoxLoad;
-  /** End of a lease that begins now, on the endpoint's clock. */
-  readonly leaseEnd: () => number;
+  /** End of the lease of a start with this time limit, on the endpoint's clock. */
+  readonly leaseEnd: (limitMs: number) => number;
   /** Receives each attempt without an answer, which may be executed later. */
   readonly onUnanswered: (run: Ports.RunRef) => void;
   /**
@@ -135,6 +135,7 @@
     const { term, ref, load, ports: { endpoints, clock } } = this.#options;
     const { task, run, ticket } = assignment;
     return Effect.gen({ self: this }, function* () {
+      const limitMs = load.extendLimit(START_LIMIT_MS);
       const order = endpoints.start(ref, {
         task: task.name,
         run,
@@ -142,11 +143,10 @@
         checkpoint: task.checkpoint,
         ticket,
         fencingToken: term.token,
-        leaseUntilMs: this.#options.leaseEnd(),
+        // An incarnation without a lease of its own refuses a copy that arrives later.
+        leaseUntilMs: this.#options.leaseEnd(limitMs),
       });
-      const timed = yield* Effect.result(
-        clock.within(load.extendLimit(START_LIMIT_MS), order),
-      );
+      const timed = yield* Effect.result(clock.within(limitMs, order));
       if (timed._tag === "Success" && timed.success !== null) {
         const clockMs = timed.success.value;
         assignment.deliverableCopies++;
--- a/packages/coordinator/src/sessions/session_parts.ts
+++ b/packages/coordinator/src/sessions/session_parts.ts
@@ -65,7 +65,11 @@
   });
   const starts = new endpointStarts.EndpointStarts({
     ...shared,
-    polls: new preStartPolls.PreStartPolls({ state, poller }),
+    polls: new preStartPolls.PreStartPolls({
+      state,
+      poller,
+      clock: options.ports.clock,
+    }),
     reports: new startReports.StartReportHandler({
       ...shared,
       ends,
