Share the setup of tests in which a start is late

The steps, checks and times are the same. Green as before; without stops of late starts, the six cases of late_start_after_return and standby_start_guard that need them fail as before.

--- a/packages/workflow-node/src/expired_start_test.ts
+++ b/packages/workflow-node/src/expired_start_test.ts
@@ -19,7 +19,7 @@
 /** Differences between the clock of the next incarnation and that of the first one. */
 const NEXT_CLOCKS_MS = { "goes on": 0, "begins anew ahead": 700 };
 
-const { Delivered, Late, Lost } = StandIns.OrderOutcome;
+const { Lost } = StandIns.OrderOutcome;
 
 /**
  * Completes a run whose first start is late, and restarts its endpoint, which no call
@@ -33,21 +33,11 @@
   fleet.keepsIds = true;
   fleet.restartDelayMs = RESTART_MS;
   workers.lateMs = lateMs;
-  workers.behave = () => ({ runMs: RUN_MS, fails: false });
   await fleet.start();
-  const sentAtMs: number[] = [];
-  workers.decideOutcome = (_, order) => {
-    if (order !== "start") return Delivered;
-    sentAtMs.push(clock.monotonicMs());
-    return sentAtMs.length === 1 ? Late : Delivered;
-  };
-  await fleet.submit("node-1", ID, {
-    steps: [TestUtils.buildStep({ estimateMs: RUN_MS })],
+  const deliveredAtMs = await TestUtils.completeBeforeLateStart(fleet, {
+    id: ID,
+    runMs: RUN_MS,
   });
-  await fleet.until(() =>
-    workers.runs.some(({ acknowledgedAtMs }) => acknowledgedAtMs !== null)
-  );
-  const deliveredAtMs = sentAtMs[0] + lateMs;
   const crashAtMs = deliveredAtMs - BIRTH_LEAD_MS - RESTART_MS;
   await clock.advance(crashAtMs - clock.monotonicMs());
   workers.createClockOffsetMs = () => nextClockMs;
--- a/packages/workflow-node/src/late_start_after_return_test.ts
+++ b/packages/workflow-node/src/late_start_after_return_test.ts
@@ -3,15 +3,12 @@
  * start of a completed run is delivered there some milliseconds after it listens again.
  * A stop has to reach the endpoint in between.
  */
-import * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
 import * as vitest from "vitest";
 
 const ID = "a000000000000001";
 /** Exceeds the duration of the tests, in ms. */
 const NEVER_MS = 600_000;
-/** Time from the sending of a late start to its delivery, in ms. */
-const LATE_START_DELAY_MS = 2500;
 /**
  * Times from the crash of the endpoint to the delivery of the late start, in ms. Stops
  * are sent at fixed intervals after the crash, so each time meets another phase.
@@ -22,28 +19,16 @@
 /** Time after which all late orders are delivered, in ms. */
 const SETTLED_MS = 5000;
 
-const { Delivered, Late } = StandIns.OrderOutcome;
-
-/** Completes one task whose first start is still to be delivered. */
-async function completeTask(fleet: TestUtils.TestFleet) {
-  const { workers, clock } = fleet;
+/** Completes one task; returns the time at which its first start is delivered. */
+async function completeTask(fleet: TestUtils.TestFleet): Promise<number> {
   fleet.keepsIds = true;
   fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
-  workers.behave = () => ({ runMs: 100, fails: false });
   await fleet.start();
-  const sentAtMs: number[] = [];
-  workers.decideOutcome = (_, order) => {
-    if (order !== "start") return Delivered;
-    sentAtMs.push(clock.monotonicMs());
-    return sentAtMs.length === 1 ? Late : Delivered;
-  };
-  const steps = [TestUtils.buildStep({ estimateMs: 100 })];
-  await fleet.submit("node-1", ID, { steps });
-  await fleet.until(() =>
-    workers.runs.some(({ acknowledgedAtMs }) => acknowledgedAtMs !== null)
-  );
-  return sentAtMs[0] + LATE_START_DELAY_MS;
+  return await TestUtils.completeBeforeLateStart(fleet, {
+    id: ID,
+    runMs: 100,
+  });
 }
 
 async function advanceTo({ clock }: TestUtils.TestFleet, atMs: number) {
--- a/packages/workflow-node/src/standby_start_guard_test.ts
+++ b/packages/workflow-node/src/standby_start_guard_test.ts
@@ -13,8 +13,6 @@
 const RUN_MS = 100;
 /** Exceeds the duration of the tests, in ms. */
 const NEVER_MS = 600_000;
-/** Time from the sending of a late start to its delivery, in ms. */
-const LATE_START_DELAY_MS = 2500;
 /** Time from the loss of the coordinator to the delivery, in ms: less than a takeover. */
 const COORDINATOR_LOST_MS = 550;
 /** Time from the restart of the endpoint to the delivery, in ms. */
@@ -22,31 +20,20 @@
 /** Time within which all late orders are delivered and a box has taken over, in ms. */
 const SETTLED_MS = 5000;
 
-const { Delivered, Late } = StandIns.OrderOutcome;
+const { Delivered } = StandIns.OrderOutcome;
 
 /** Completes one task, whose first start is still to be delivered. */
 async function completeTask(boxes = 3) {
   const fleet = new TestUtils.TestFleet({ workers: [1], boxes });
-  const { workers, clock } = fleet;
   fleet.keepsIds = true;
   fleet.resetsClocks = true;
   fleet.restartDelayMs = NEVER_MS;
-  workers.behave = () => ({ runMs: RUN_MS, fails: false });
   await fleet.start();
-  const sentAtMs: number[] = [];
-  workers.decideOutcome = (_, order) => {
-    if (order !== "start") return Delivered;
-    sentAtMs.push(clock.monotonicMs());
-    return sentAtMs.length === 1 ? Late : Delivered;
-  };
-  await fleet.submit("node-1", ID, {
-    steps: [TestUtils.buildStep({ estimateMs: RUN_MS })],
+  const deliveredAtMs = await TestUtils.completeBeforeLateStart(fleet, {
+    id: ID,
+    runMs: RUN_MS,
   });
-  await fleet.until(() =>
-    workers.runs.some(({ acknowledgedAtMs }) => acknowledgedAtMs !== null)
-  );
-  const [firstSentAtMs] = sentAtMs;
-  return { fleet, deliveredAtMs: firstSentAtMs + LATE_START_DELAY_MS };
+  return { fleet, deliveredAtMs };
 }
 
 /** Delivers all orders from now on; the result counts the stops among them. */
