--- a/packages/workflow-node/src/expired_start_test.ts
+++ b/packages/workflow-node/src/expired_start_test.ts
@@ -16,7 +16,7 @@
 const BIRTH_LEAD_MS = 330;
 /** Time after which the late start is delivered, in ms. */
 const SETTLED_MS = 1000;
-/** Differences between the clock of the next incarnation and that of the first one. */
+/** Differences between the clocks of the next incarnation and the first one, in ms. */
 const NEXT_CLOCKS_MS = { "goes on": 0, "begins anew ahead": 700 };
 
 const { Lost } = StandIns.OrderOutcome;
