Grant leases only within a window after an acknowledged renewal

A coordinator that was frozen for 4 s woke up and renewed leases at endpoints that its replacement could not reach, while the replacement had already waited for the leases given before and started the tasks elsewhere.

Cause: before each lease the poller asked for how long calls to the store had been failing, which is 0 ms for a box that has just been woken.

Same cause on related paths: the second copy of a start carried a lease unchecked, and a handover to a fitter box ended the term only after the release was answered.

Change: each renewal announces a window, counted from its sending, in which no other box takes over; polls and starts carry leases only within the window of an acknowledged renewal. The usual window is the shortest silence before a takeover (0.9 s), one constant for both sides. On a slow store it grows up to 2 s and stands in the lease row, where the watchers read it. Grants end before a release is sent. After an outage the term is renewed at once, as plans wait for it. New log lines and counters tell when grants pause and when a box stood still.

Ruled out: the time at which an answer is read, as it may have waited in a buffer. A fixed window of 0.9 s, as no renewal of a store with calls of 1 s would open it.

--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -8,6 +8,7 @@
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
 import * as restart from "../restart.ts";
+import * as leaseGrants from "./lease_grants.ts";
 import * as rowWatches from "./row_watch.ts";
 import * as termKeepers from "./term_keeper.ts";
 import * as terms from "./term.ts";
@@ -91,7 +92,7 @@
    */
   #takeOver(observedToken: number): Effect.Effect<terms.Term | null> {
     return Effect.gen({ self: this }, function* () {
-      const { store, box, incarnation, log } = this.#ports;
+      const { store, box, incarnation, log, clock } = this.#ports;
       // Read first: the watch may see the write below before it is answered.
       const { forecast: inherited } = this.#watch.forecast;
       const key = TableClient.Keys.COORDINATOR_KEY;
@@ -107,6 +108,7 @@
       }
       const token = (found?.token ?? 0) + 1;
       const value: terms.CoordinatorRow = { token, holder: box, incarnation };
+      const begunAtMs = clock.monotonicMs();
       const revision = yield* store.write({
         conditions: [
           { key, revision: row?.revision ?? 0 },
@@ -115,7 +117,16 @@
         writes: [{ key, value }, { key: leaseKey, value: token }],
       }, TAKEOVER_TIMEOUT_MS);
       log.info(`Box ${box} coordinates under token ${token}.`);
-      return new terms.Term(token, revision, inherited);
+      const { outageReports, metrics } = this.#ports;
+      const grants = new leaseGrants.LeaseGrants({
+        clock,
+        outageReports,
+        log,
+        metrics,
+        token,
+        begunAtMs,
+      });
+      return new terms.Term({ token, revision, inherited, grants });
     }).pipe(Effect.catch((err) => {
       this.#ports.log.info(`Taking over failed: ${err.message}`);
       this.#watch.resetSilence();
--- /dev/null
+++ b/packages/coordinator/src/election/lease_grants.ts
@@ -0,0 +1,136 @@
+/**
+ * Whether the holder of a term may grant leases to endpoints. Each renewal announces a
+ * window, counted from the time at which it is sent, in which no other box takes over.
+ * The holder grants leases only within the window of an acknowledged renewal, so every
+ * lease of its term is granted before another term can begin.
+ */
+import type * as Logger from "@cairngate/logger";
+import type * as Metrics from "@cairngate/metrics";
+import type * as Ports from "@cairngate/ports";
+import type * as reports from "./outage_reports.ts";
+import * as paces from "./renewal_pace.ts";
+
+/** Dependencies of the grants. */
+export interface LeaseGrantsOptions {
+  readonly clock: Ports.Clock;
+  readonly outageReports: reports.OutageReports;
+  readonly log: Logger.Logger;
+  readonly metrics: Metrics.Metrics;
+  readonly token: number;
+  /** When the write that began the term was sent, in ms of the monotonic clock. */
+  readonly begunAtMs: number;
+}
+
+/** A renewal and the window that it announces. */
+export interface SentRenewal {
+  /** When it was sent, in ms of the monotonic clock. */
+  readonly sentAtMs: number;
+  /** Time from then on in which no other box takes over, in ms. */
+  readonly windowMs: number;
+}
+
+/** Window in units of the longest recent age that the newest renewal has reached. */
+const WINDOW_FACTOR = 1.5;
+/** Factor by which the longest age decays with each renewal. */
+const DECAY = 0.8;
+
+/** Right of one term's holder to grant leases. */
+export class LeaseGrants {
+  readonly #options: LeaseGrantsOptions;
+  /** When the newest acknowledged renewal was sent. */
+  #renewedAtMs: number;
+  /** End of the latest window of an acknowledged renewal. */
+  #openUntilMs: number;
+  /** End of the latest window that was announced, acknowledged or not. */
+  #announcedUntilMs: number;
+  #longestAgeMs = 0;
+  #isEnded = false;
+  /** Called when a renewal opens a window after a time without one. */
+  onReopened: () => void = () => {};
+  /** Time of the check that found that no lease may be granted; null while one may. */
+  #pausedAtMs: number | null = null;
+
+  constructor(options: LeaseGrantsOptions) {
+    this.#options = options;
+    this.#renewedAtMs = options.begunAtMs;
+    this.#openUntilMs = options.begunAtMs + paces.MIN_SILENCE_MS;
+    this.#announcedUntilMs = this.#openUntilMs;
+  }
+
+  /**
+   * Prepares a renewal that is sent now. Windows never end before an earlier one, as
+   * other boxes may know only the later renewal.
+   */
+  announce(): SentRenewal {
+    const sentAtMs = this.#options.clock.monotonicMs();
+    const wantedMs = Math.min(
+      paces.MAX_WINDOW_MS,
+      Math.max(paces.MIN_SILENCE_MS, this.#longestAgeMs * WINDOW_FACTOR),
+    );
+    const windowMs = Math.max(
+      Math.ceil(wantedMs),
+      this.#announcedUntilMs - sentAtMs,
+    );
+    this.#announcedUntilMs = sentAtMs + windowMs;
+    return { sentAtMs, windowMs };
+  }
+
+  /**
+   * Notes that the store has acknowledged a renewal. The answer may have waited in a
+   * buffer while this box stood still, so only the time of sending counts.
+   */
+  noteRenewed({ sentAtMs, windowMs }: SentRenewal): void {
+    const wasOpen = this.#isOpen;
+    this.#longestAgeMs = Math.max(
+      this.renewalAgeMs,
+      this.#longestAgeMs * DECAY,
+    );
+    this.#renewedAtMs = Math.max(this.#renewedAtMs, sentAtMs);
+    this.#openUntilMs = Math.max(this.#openUntilMs, sentAtMs + windowMs);
+    if (!wasOpen && this.#isOpen) this.onReopened();
+  }
+
+  /** Time since the newest acknowledged renewal was sent, in ms. */
+  get renewalAgeMs(): number {
+    return this.#options.clock.monotonicMs() - this.#renewedAtMs;
+  }
+
+  /** Ends the grants for good, before another box may learn that the term ends. */
+  end(): void {
+    this.#isEnded = true;
+  }
+
+  /**
+   * Whether a lease may be granted now. Where the store is unavailable to all boxes, none
+   * can take over, and running work may continue.
+   */
+  mayGrant(): boolean {
+    if (this.#isEnded) return false;
+    const { outageReports } = this.#options;
+    const mayGrant = this.#isOpen || outageReports.isUnavailableToAll();
+    this.#logChange(mayGrant);
+    return mayGrant;
+  }
+
+  get #isOpen(): boolean {
+    return this.#options.clock.monotonicMs() < this.#openUntilMs;
+  }
+
+  #logChange(mayGrant: boolean): void {
+    const { clock, log, metrics, token } = this.#options;
+    if (mayGrant === (this.#pausedAtMs === null)) return;
+    const nowMs = clock.monotonicMs();
+    if (this.#pausedAtMs !== null) {
+      const pausedMs = Math.round(nowMs - this.#pausedAtMs);
+      this.#pausedAtMs = null;
+      log.info(`Token ${token} grants leases again after ${pausedMs} ms.`);
+      return;
+    }
+    this.#pausedAtMs = nowMs;
+    metrics.count("cairngate_lease_grant_pauses_total");
+    log.warn(
+      `Token ${token} grants no leases: its newest acknowledged renewal was sent ` +
+        `${Math.round(this.renewalAgeMs)} ms ago.`,
+    );
+  }
+}
--- a/packages/coordinator/src/election/lease_value.ts
+++ b/packages/coordinator/src/election/lease_value.ts
@@ -1,9 +1,11 @@
 /**
  * Value of the lease row, which the holder writes with each renewal: a number, or a
- * text if there is a forecast to publish. Every version of the product tells renewals
- * apart by comparing these values, so both are primitives.
+ * text if there is a forecast to publish or the window is longer than usual. Every
+ * version of the product tells renewals apart by comparing these values, so both are
+ * primitives, and earlier versions read the time of a text that has a window.
  */
 import * as Admission from "@cairngate/admission";
+import * as paces from "./renewal_pace.ts";
 
 /** Forecast carried by a renewal. */
 export interface AgedForecast {
@@ -13,16 +15,31 @@
 }
 
 const SEPARATOR = " ";
+const WINDOW_SEPARATOR = "+";
 
 /** Encodes the value of one renewal. */
 export function writeLease(
   renewedAtMs: number,
   aged: AgedForecast | null,
+  windowMs = paces.MIN_SILENCE_MS,
 ): number | string {
   const number = Math.round(renewedAtMs);
-  if (aged === null) return number;
+  const isUsual = windowMs <= paces.MIN_SILENCE_MS;
+  const renewal = isUsual
+    ? number
+    : [number, Math.ceil(windowMs)].join(WINDOW_SEPARATOR);
+  if (aged === null) return renewal;
   const text = Admission.writeForecast(aged.forecast);
-  return [number, Math.round(aged.ageMs), text].join(SEPARATOR);
+  return [renewal, Math.round(aged.ageMs), text].join(SEPARATOR);
+}
+
+/** Time after a renewal in which no other box may take over, in ms. */
+export function windowMs(value: unknown): number {
+  if (typeof value !== "string") return paces.MIN_SILENCE_MS;
+  const [renewal] = value.split(SEPARATOR);
+  const announcedMs = Number.parseInt(renewal.split(WINDOW_SEPARATOR)[1], 10);
+  if (Number.isNaN(announcedMs)) return paces.MIN_SILENCE_MS;
+  return Math.min(paces.MAX_WINDOW_MS, announcedMs);
 }
 
 /**
--- /dev/null
+++ b/packages/coordinator/src/election/lease_value_test.ts
@@ -0,0 +1,40 @@
+/** Guards against takeovers within the window in which the holder may grant leases. */
+import type * as Admission from "@cairngate/admission";
+import * as vitest from "vitest";
+import * as leases from "./lease_value.ts";
+
+const FORECAST: Admission.Forecast = {
+  number: 1,
+  boxes: 3,
+  remotePenalty: 3,
+  services: [],
+  urgentUse: [],
+};
+
+vitest.describe("the value of a renewal", () => {
+  vitest.it("names a window that is longer than usual", () => {
+    const value = leases.writeLease(1000, null, 1500);
+    vitest.expect(leases.windowMs(value)).toBe(1500);
+    vitest.expect(leases.renewedAtMs(value)).toBe(1000);
+    vitest.expect(leases.readLease(value)).toBeNull();
+  });
+
+  vitest.it("holds the forecast beside the window", () => {
+    const aged = { forecast: FORECAST, ageMs: 100 };
+    const value = leases.writeLease(1000, aged, 1500);
+    vitest.expect(leases.windowMs(value)).toBe(1500);
+    vitest.expect(leases.readLease(value)).toEqual(aged);
+  });
+
+  vitest.it("is a plain number with the usual window, as before", () => {
+    const value = leases.writeLease(1000, null, 900);
+    vitest.expect(value).toBe(1000);
+    vitest.expect(leases.windowMs(value)).toBe(900);
+  });
+
+  vitest.it("bounds the window of a value that another writer left", () => {
+    vitest.expect(leases.windowMs("1000+999999")).toBe(2000);
+    vitest.expect(leases.windowMs("1000+x")).toBe(900);
+    vitest.expect(leases.windowMs(null)).toBe(900);
+  });
+});
--- a/packages/coordinator/src/election/renewal_pace.ts
+++ b/packages/coordinator/src/election/renewal_pace.ts
@@ -7,14 +7,19 @@
 const MIN_INTERVALS = 3;
 /**
  * Lower bound of the limit, in ms: tolerates the loss of two renewals (350 ms) in a
- * row.
+ * row. Also the shortest window in which the holder may grant leases.
  */
-const MIN_SILENCE_MS = 900;
+export const MIN_SILENCE_MS = 900;
 /**
  * Upper bound of the limit, in ms: leases of running work (6 s) have to be renewed in
  * time.
  */
 const MAX_SILENCE_MS = 1600;
+/**
+ * Longest window of a renewal, in ms. It covers renewals that a store acknowledges after
+ * a second, and leaves time for a takeover before leases of 6 s expire.
+ */
+export const MAX_WINDOW_MS = 2000;
 /** Number of usual intervals that may pass without a renewal. */
 const SILENCE_INTERVALS = 2.5;
 /** Factor by which the longest interval decays with each renewal. */
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -119,7 +119,10 @@
       this.#row.incarnation !== incarnation;
     if (isFormerSelf) return true;
     const nowMs = clock.monotonicMs();
-    const { silenceLimitMs } = this.#pace;
+    const silenceLimitMs = Math.max(
+      this.#pace.silenceLimitMs,
+      leases.windowMs(this.#lease),
+    );
     if (nowMs - this.#lastAnswerAtMs > silenceLimitMs) return false;
     const sinceMs = Math.max(
       Number.isFinite(this.#changedAtMs) ? this.#changedAtMs : 0,
--- a/packages/coordinator/src/election/term.ts
+++ b/packages/coordinator/src/election/term.ts
@@ -4,6 +4,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
+import type * as grants from "./lease_grants.ts";
 
 /** Value of the coordinator row. An empty holder marks a released row. */
 export interface CoordinatorRow {
@@ -20,9 +21,20 @@
   readonly madeAtMs: number;
 }
 
+/** Parameters of a term. */
+export interface TermOptions {
+  readonly token: number;
+  /** Revision of the row that names its holder. */
+  readonly revision: number;
+  readonly inherited: Admission.Forecast | null;
+  readonly grants: grants.LeaseGrants;
+}
+
 /** The right to make decisions, under one fencing token. */
 export class Term {
   readonly token: number;
+  /** Whether its holder may grant leases to endpoints. */
+  readonly grants: grants.LeaseGrants;
   /** Condition of every write of the holder. */
   readonly condition: Ports.RowCondition;
   /** Forecast of the previous holder; null where none was known. */
@@ -31,13 +43,10 @@
   forecast: TimedForecast | null = null;
   readonly #lost = Deferred.makeUnsafe<string>();
 
-  constructor(
-    token: number,
-    revision: number,
-    inherited: Admission.Forecast | null = null,
-  ) {
+  constructor({ token, revision, inherited, grants }: TermOptions) {
     this.token = token;
     this.inherited = inherited;
+    this.grants = grants;
     this.condition = { key: TableClient.Keys.COORDINATOR_KEY, revision };
   }
 
@@ -51,6 +60,7 @@
    * @param how cause, for the log
    */
   lose(how: string): void {
+    this.grants.end();
     Deferred.doneUnsafe(this.#lost, Effect.succeed(how));
   }
 
--- a/packages/coordinator/src/election/term_keeper.ts
+++ b/packages/coordinator/src/election/term_keeper.ts
@@ -21,10 +21,14 @@
 
   /** Renews the lease until interrupted; the term is lost where the row has changed. */
   keepRenewing(term: terms.Term): Effect.Effect<never> {
+    const { clock, store } = this.#ports;
     const renewal = new renewals.TermRenewal(this.#ports, term);
-    return this.#ports.clock.every(
-      RENEW_INTERVAL_MS,
-      renewal.renew(RENEW_INTERVAL_MS),
+    const pause = Effect.raceFirst(
+      clock.sleep(RENEW_INTERVAL_MS),
+      store.awaitRecovery(),
+    );
+    return Effect.forever(
+      Effect.andThen(renewal.renew(RENEW_INTERVAL_MS), pause),
     );
   }
 
@@ -59,6 +63,8 @@
   ): Effect.Effect<void> {
     const { incarnation, store, log } = this.#ports;
     const { token, condition, condition: { key } } = term;
+    // Another box takes a released row at once, before this one gets an answer.
+    term.grants.end();
     const value: terms.CoordinatorRow = {
       token,
       holder: "",
--- a/packages/coordinator/src/election/term_renewal.ts
+++ b/packages/coordinator/src/election/term_renewal.ts
@@ -6,6 +6,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as ports from "../ports.ts";
+import type * as grants from "./lease_grants.ts";
 import * as leases from "./lease_value.ts";
 import type * as terms from "./term.ts";
 
@@ -38,8 +39,13 @@
       let waitMs = Math.min(store.hedgeDelayMs, maxWaitMs);
       for (;;) {
         yield* Effect.forkChild(this.#attempt(settled));
-        const timed = yield* clock.within(waitMs, Deferred.await(settled));
-        if (timed !== null) return;
+        // After an outage, waiting work needs the next renewal at once.
+        const isSettled = Effect.raceFirst(
+          Effect.as(Deferred.await(settled), true),
+          Effect.as(store.awaitRecovery(), false),
+        );
+        const timed = yield* clock.within(waitMs, isSettled);
+        if (timed?.value === true) return;
         metrics.count("cairngate_renewals_repeated_total");
         waitMs = Math.min(waitMs * 2, maxWaitMs);
       }
@@ -47,16 +53,17 @@
   }
 
   #attempt(settled: Deferred.Deferred<void>): Effect.Effect<void> {
-    const { store, clock } = this.#ports;
+    const { store } = this.#ports;
     const key = TableClient.Keys.COORDINATOR_LEASE_KEY;
-    const write = Effect.suspend(() =>
-      store.write({
+    const attempt = Effect.suspend(() => {
+      const renewal = this.#term.grants.announce();
+      const write = store.write({
         conditions: [this.#term.condition],
-        writes: [{ key, value: leaseOf(this.#term, clock.monotonicMs()) }],
-      }, ATTEMPT_TIMEOUT_MS)
-    );
-    return write.pipe(
-      Effect.map(() => this.#noteRenewed()),
+        writes: [{ key, value: leaseOf(this.#term, renewal) }],
+      }, ATTEMPT_TIMEOUT_MS);
+      return Effect.map(write, () => this.#noteRenewed(renewal));
+    });
+    return attempt.pipe(
       Effect.catchTags({
         ConditionFailedError: () =>
           Effect.sync(() => this.#term.lose("the row has changed")),
@@ -67,8 +74,9 @@
     );
   }
 
-  #noteRenewed(): void {
+  #noteRenewed(renewal: grants.SentRenewal): void {
     const { clock, metrics } = this.#ports;
+    this.#term.grants.noteRenewed(renewal);
     const nowMs = clock.monotonicMs();
     const pauseMs = nowMs - this.#renewedAtMs;
     metrics.observeMs("cairngate_renewal_pause_seconds", pauseMs);
@@ -77,8 +85,12 @@
 }
 
 /** Value of a renewal, with the term's forecast if there is one. */
-function leaseOf({ forecast: made }: terms.Term, nowMs: number) {
-  if (made === null) return leases.writeLease(nowMs, null);
+function leaseOf(
+  { forecast: made }: terms.Term,
+  { sentAtMs, windowMs }: grants.SentRenewal,
+) {
+  if (made === null) return leases.writeLease(sentAtMs, null, windowMs);
   const { forecast, madeAtMs } = made;
-  return leases.writeLease(nowMs, { forecast, ageMs: nowMs - madeAtMs });
+  const aged = { forecast, ageMs: sentAtMs - madeAtMs };
+  return leases.writeLease(sentAtMs, aged, windowMs);
 }
--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -51,12 +51,6 @@
 const MAX_LASTING_WAIT_MS = 1000;
 /** Maximum time that endpoints wait for an end, in ms, defined by their protocol. */
 const MAX_WAIT_MS = 2000;
-/**
- * Silence of the store, in ms, after which it counts as unreachable. Together with
- * the time in which a call fails, it is shorter than the wait of other boxes before a
- * takeover.
- */
-const STORE_UNREACHABLE_MS = 300;
 /** Delay before each hedged poll while the first one is unanswered, in ms. */
 const HEDGE_DELAY_MS = 150;
 /** Maximum number of hedged polls sent while one poll is unanswered. */
@@ -169,7 +163,7 @@
     const sentEvent = incarnation.current.noteSent();
     // Not extended while the endpoint does not answer, so that the lease expires.
     const leaseUntilMs =
-      incarnation.clock.isKnown && state.isReachable && this.#mayLease
+      incarnation.clock.isKnown && state.isReachable && term.grants.mayGrant()
         ? incarnation.leaseEnd(sentAtMs)
         : null;
     const order = ports.endpoints.renew(state.ref, {
@@ -186,17 +180,6 @@
     );
   }
 
-  /**
-   * Whether this box may grant leases. Without contact to the store another box may
-   * have taken over, so leases are granted only while other boxes lack that contact,
-   * too.
-   */
-  get #mayLease(): boolean {
-    const { store, outageReports } = this.#options.options.ports;
-    return store.failingForMs() < STORE_UNREACHABLE_MS ||
-      outageReports.isUnavailableToAll();
-  }
-
   /** Processes the answer of the current incarnation. */
   #process(
     { view, sentAtMs, leaseUntilMs }: PollAnswer,
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -25,6 +25,8 @@
   Replaced = "replaced",
   /** Another incarnation answered the first attempt: the run was never there. */
   ReplacedBefore = "replaced-before",
+  /** Nothing was sent, as the holder of the term may not grant a lease now. */
+  Withheld = "withheld",
   /** A later coordinator is in charge. */
   Fenced = "fenced",
 }
@@ -97,6 +99,11 @@
         }
         const report = yield* this.#sendOnce(assignment);
         const { outcome } = report;
+        if (outcome === StartOutcome.Withheld) {
+          return mayBeDelivered
+            ? reportOf(StartOutcome.MayBeDelivered)
+            : report;
+        }
         const isUnsettled = outcome === StartOutcome.NotDelivered ||
           outcome === StartOutcome.MayBeDelivered ||
           (outcome === StartOutcome.Refused && mayBeDelivered);
@@ -135,6 +142,8 @@
     const { term, ref, load, ports: { endpoints, clock } } = this.#options;
     const { task, run, ticket } = assignment;
     return Effect.gen({ self: this }, function* () {
+      // The run may have been recorded long ago, and a start carries a lease.
+      if (!term.grants.mayGrant()) return reportOf(StartOutcome.Withheld);
       const limitMs = load.extendLimit(START_LIMIT_MS);
       const order = endpoints.start(ref, {
         task: task.name,
--- a/packages/coordinator/src/sessions/start_report_handler.ts
+++ b/packages/coordinator/src/sessions/start_report_handler.ts
@@ -62,6 +62,8 @@
       case starters.StartOutcome.Refused:
         state.health.noteRefusal(nowMs);
         return this.#endRefused(assignment);
+      case starters.StartOutcome.Withheld:
+        return tracked.end(assignment, lost(LostCause.NeverSent));
       case starters.StartOutcome.NotDelivered:
         state.health.noteFailure(nowMs);
         return tracked.end(assignment, lost(LostCause.NeverSent));
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -39,6 +39,7 @@
       term,
       preparePlan: () => this.#preparePlan(),
     });
+    term.grants.onReopened = () => this.#parts.planning.requestPlan();
   }
 
   /** Fencing token of the term. */
@@ -192,7 +193,8 @@
 
   /**
    * Ends the missing runs whose leases have expired, then returns whether to plan now.
-   * While the store does not answer, orders could not be recorded and so not be sent.
+   * While the store does not answer, orders could not be recorded and so not be sent;
+   * while no lease may be granted, a start would be withheld.
    * An evacuation that this box has not read yet would be violated.
    */
   #preparePlan(): boolean {
@@ -200,7 +202,7 @@
       Effect.runFork(this.#parts.ends.endMissing(missing));
     }
     const silentMs = this.#ports.store.failingForMs();
-    return silentMs < MAX_STORE_SILENCE_MS && !this.#term.isLost &&
+    return silentMs < MAX_STORE_SILENCE_MS && this.#term.grants.mayGrant() &&
       !this.#ports.evacuations.mayBeOutdated;
   }
 }
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -10,6 +10,7 @@
 export { cancelAt, type CancelCall } from "./src/fleet_callers.ts";
 export { findFreeAddress, findFreePort } from "./src/free_address.ts";
 export { completeBeforeLateStart } from "./src/late_start.ts";
+export { filterOrders } from "./src/order_filter.ts";
 export { RecordingLog } from "./src/recording_log.ts";
 export { FakePeerHub } from "./src/fake_store_peers.ts";
 export { FakeNetwork, NetworkHub } from "./src/fake_network.ts";
--- a/packages/test-utils/src/suspendable_clock.ts
+++ b/packages/test-utils/src/suspendable_clock.ts
@@ -1,4 +1,7 @@
-/** Clock of one box that can be suspended, which stops its monotonic clock. */
+/**
+ * Clock of one box that can be suspended, which stops its monotonic clock, or frozen, as
+ * SIGSTOP does it, which stops the box only.
+ */
 import * as Ports from "@cairngate/ports";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
@@ -12,6 +15,7 @@
   /** Total time of past suspensions, in ms. */
   #suspendedMs = 0;
   #suspendedAtMs: number | null = null;
+  #isFrozen = false;
   #resumed = Deferred.makeUnsafe<void>();
   /** Offset of the wall clock, in ms; tests set it. */
   wallAheadMs = 0;
@@ -49,25 +53,39 @@
     return this.#suspendedAtMs !== null;
   }
 
-  /** Waits while the box is suspended, so that it reads messages only afterwards. */
+  /** Waits while the box is stopped, so that it reads messages only afterwards. */
   awaitRunning(): Effect.Effect<void> {
     return Effect.suspend(() =>
-      this.isSuspended ? Deferred.await(this.#resumed) : Effect.void
+      this.#isStopped ? Deferred.await(this.#resumed) : Effect.void
     );
   }
 
   /** Suspends the box. */
   suspend(): void {
-    if (this.isSuspended) return;
+    if (this.#isStopped) return;
     this.#resumed = Deferred.makeUnsafe<void>();
     this.#suspendedAtMs = this.#inner.monotonicMs();
   }
 
-  /** Resumes the box; its monotonic clock skips the suspension. */
+  /** Stops the box while its monotonic clock goes on. */
+  freeze(): void {
+    if (this.#isStopped) return;
+    this.#resumed = Deferred.makeUnsafe<void>();
+    this.#isFrozen = true;
+  }
+
+  /** Resumes the box; its monotonic clock skips a suspension. */
   resume(): void {
-    if (this.#suspendedAtMs === null) return;
-    this.#suspendedMs += this.#inner.monotonicMs() - this.#suspendedAtMs;
+    if (!this.#isStopped) return;
+    if (this.#suspendedAtMs !== null) {
+      this.#suspendedMs += this.#inner.monotonicMs() - this.#suspendedAtMs;
+    }
     this.#suspendedAtMs = null;
+    this.#isFrozen = false;
     Deferred.doneUnsafe(this.#resumed, Effect.void);
   }
+
+  get #isStopped(): boolean {
+    return this.isSuspended || this.#isFrozen;
+  }
 }
--- a/packages/workflow-node/src/isolated_coordinator_test.ts
+++ b/packages/workflow-node/src/isolated_coordinator_test.ts
@@ -5,10 +5,7 @@
  * isolated coordinator must not renew that lease: without the store it may renew leases
  * only if other boxes confirm that the store is unavailable to them too.
  */
-import * as Errors from "@cairngate/errors";
-import type * as Ports from "@cairngate/ports";
 import * as TestUtils from "@cairngate/test-utils";
-import * as Effect from "effect/Effect";
 import * as vitest from "vitest";
 
 const ID = "a000000000000001";
@@ -19,28 +16,14 @@
 
 /** Orders with this token reach only this endpoint; others reach all but it. */
 function isolateEndpoint(
-  { workers }: TestUtils.TestFleet,
+  fleet: TestUtils.TestFleet,
   endpoint: string,
   token: number,
 ): void {
-  const filterOrder = <A>(
-    { id }: Ports.EndpointRef,
-    fencingToken: number,
-    order: Effect.Effect<A, Ports.OrderError>,
-  ): Effect.Effect<A, Ports.OrderError> => {
-    if ((id === endpoint) === (fencingToken === token)) return order;
-    const lost = { worker: id, cause: "cut off", neverSent: false };
-    return Effect.fail(new Errors.WorkerLostError(lost));
-  };
-  const start = workers.start.bind(workers);
-  const stop = workers.stop.bind(workers);
-  const renew = workers.renew.bind(workers);
-  workers.start = (ref, order) =>
-    filterOrder(ref, order.fencingToken, start(ref, order));
-  workers.stop = (ref, order) =>
-    filterOrder(ref, order.fencingToken, stop(ref, order));
-  workers.renew = (ref, order) =>
-    filterOrder(ref, order.fencingToken, renew(ref, order));
+  TestUtils.filterOrders(
+    fleet,
+    (id, fencingToken) => (id === endpoint) === (fencingToken === token),
+  );
 }
 
 vitest.describe("a coordinator that is cut off with an endpoint", () => {
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -14,6 +14,7 @@
 import * as members from "./member_registry.ts";
 import * as recoveries from "./recovery_detector.ts";
 import * as sharedOutages from "./shared_outage_detector.ts";
+import * as stalls from "./stall_monitor.ts";
 import * as startHandOvers from "./start_hand_over.ts";
 import * as standbyGuards from "./standby_start_guard.ts";
 import * as standbyGuardRequests from "./standby_guard_requests.ts";
@@ -253,7 +254,13 @@
   }
 
   #startLoops(): void {
-    const { clock, random, configInForceMs } = this.#ports;
+    const { clock, random, configInForceMs, log, metrics } = this.#ports;
+    const stallMonitor = new stalls.StallMonitor({
+      clock,
+      log: log.child("node"),
+      metrics,
+    });
+    this.#runForever("Watching for stalls", stallMonitor.run());
     this.#runForever("Membership", this.#members.run());
     const recovery = new recoveries.RecoveryDetector({
       store: this.#store,
