Rely on a shared outage only once every box counts silence anew

What callers would see: a task runs twice at the same time. Found while the grants of a woken coordinator were mended: an outage of 0.8 s and a freeze of 1.2 s that begins 0.7 s after it.

Cause: leases were granted on the word of other boxes for 1.5 s after they had confirmed an outage, less than the 1.6 s that boxes wait after one before they take over. They wait for that long only after an outage longer than the silence that they tolerate (0.9 to 1.6 s). After a shorter one they take over as if there had been none.

Change: the word of other boxes counts once they have confirmed the outage for 1.6 s, the longest silence tolerated, by the election's constant. Boxes are asked also while a store answers some calls but no renewal in time, so that the confirmations do not break off.

Ruled out: reports that are as old as the freeze.

--- a/packages/coordinator/mod.ts
+++ b/packages/coordinator/mod.ts
@@ -21,6 +21,7 @@
 export { Election } from "./src/election/election.ts";
 export { type CoordinatorRow, Term } from "./src/election/term.ts";
 export { restartOnDefect, type RestartOptions } from "./src/restart.ts";
+export { MAX_SILENCE_MS, MIN_SILENCE_MS } from "./src/election/renewal_pace.ts";
 export { OutageReports } from "./src/election/outage_reports.ts";
 export {
   stopLateStarts,
--- a/packages/coordinator/src/election/renewal_pace.ts
+++ b/packages/coordinator/src/election/renewal_pace.ts
@@ -14,7 +14,7 @@
  * Upper bound of the limit, in ms: leases of running work (6 s) have to be renewed in
  * time.
  */
-const MAX_SILENCE_MS = 1600;
+export const MAX_SILENCE_MS = 1600;
 /**
  * Longest window of a renewal, in ms. It covers renewals that a store acknowledges after
  * a second, and leaves time for a takeover before leases of 6 s expire.
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -47,6 +47,11 @@
     return this.#term.token;
   }
 
+  /** Age of the newest acknowledged renewal of the term, in ms. */
+  get renewalAgeMs(): number {
+    return this.#term.grants.renewalAgeMs;
+  }
+
   /** Unanswered starts of runs that are over, for other boxes to guard against. */
   get revokedStarts(): readonly Ports.RevokedStart[] {
     return [...this.#parts.directory.sessions]
--- a/packages/workflow-node/src/frozen_coordinator_test.ts
+++ b/packages/workflow-node/src/frozen_coordinator_test.ts
@@ -18,6 +18,21 @@
 const OBSERVED_MS = 15_000;
 /** Durations that end before and after the replacement starts the task again, in ms. */
 const FREEZES_MS: readonly number[] = [1000, 2000, 3000, 4000, 7000, 9000];
+/**
+ * Outages of the store that end while the coordinator is frozen, in ms: after the first
+ * two, other boxes take over as if there had been none.
+ */
+const OUTAGES: readonly {
+  readonly outageMs: number;
+  readonly frozenAfterMs: number;
+  readonly freezeMs: number;
+}[] = [
+  { outageMs: 800, frozenAfterMs: 700, freezeMs: 1200 },
+  { outageMs: 1000, frozenAfterMs: 1000, freezeMs: 1200 },
+  { outageMs: 1500, frozenAfterMs: 0, freezeMs: 4000 },
+  { outageMs: 4000, frozenAfterMs: 3000, freezeMs: 4000 },
+];
+
 function createFleet(): TestUtils.TestFleet {
   const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1] });
   fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
@@ -106,4 +121,20 @@
       await expectOneRunAtOnce(fleet, former);
     },
   );
+
+  vitest.it.each(OUTAGES)(
+    "does not rely on an outage that ended meanwhile, $outageMs ms",
+    async ({ outageMs, frozenAfterMs, freezeMs }) => {
+      const fleet = await startCutOffRun();
+      const former = fleet.token();
+      setStoreFaults(fleet, { down: true });
+      await fleet.clock.advance(frozenAfterMs);
+      await freezeCoordinator(fleet, async () => {
+        await fleet.clock.advance(outageMs - frozenAfterMs);
+        setStoreFaults(fleet, { down: false, delayMs: STORE_DELAY_MS });
+        await fleet.clock.advance(freezeMs - (outageMs - frozenAfterMs));
+      });
+      await expectOneRunAtOnce(fleet, former);
+    },
+  );
 });
--- a/packages/workflow-node/src/shared_outage_detector.ts
+++ b/packages/workflow-node/src/shared_outage_detector.ts
@@ -16,13 +16,16 @@
   readonly otherBoxes: () => readonly Ports.StorePeer[];
   /** Time since the store last answered a call, in ms. */
   readonly failingForMs: () => number;
-  /** Whether this box is the coordinator. */
-  readonly coordinates: () => boolean;
+  /**
+   * Age of the newest acknowledged renewal of this box's term, in ms; null while it does
+   * not coordinate.
+   */
+  readonly renewalAgeMs: () => number | null;
 }
 
 /** Time between two polls, in ms. */
 const POLL_INTERVAL_MS = 300;
-/** Time without an answer after which the store counts as unavailable, in ms. */
+/** Time without an answer after which the store may be unavailable, in ms. */
 const OUTAGE_AFTER_MS = 150;
 /** Boxes asked per poll, so that its cost does not grow with the number of boxes. */
 const MAX_POLLED_BOXES = 5;
@@ -30,13 +33,23 @@
 const PROBE_TIMEOUT_MS = 900;
 /**
  * Time from the start of a poll for which its result is valid, in ms. Shorter than the
- * 1.6 s that boxes wait after the store's recovery before one of them takes over.
+ * time that boxes wait after an outage before one of them takes over.
+ */
+const RESULT_VALIDITY_MS = Coordinator.MAX_SILENCE_MS - 100;
+/**
+ * Duration of an outage, in ms, after which all boxes count the silence of the
+ * coordinator anew. After a shorter one they may take over at once.
  */
-const RESULT_VALIDITY_MS = 1500;
+const MIN_OUTAGE_MS = Coordinator.MAX_SILENCE_MS;
+/** Longest time between two polls that confirm the same outage, in ms. */
+const MAX_POLL_GAP_MS = 3 * POLL_INTERVAL_MS;
 
 /** Detects whether a store outage affects the other boxes too. */
 export class SharedOutageDetector extends Coordinator.OutageReports {
   readonly #options: SharedOutageDetectorOptions;
+  /** Start of the first poll that confirmed the present outage. */
+  #confirmedSinceMs = Number.POSITIVE_INFINITY;
+  /** Start of the latest poll that confirmed it. */
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: SharedOutageDetectorOptions) {
@@ -48,7 +61,8 @@
     const { clock, otherBoxes } = this.#options;
     // Without other boxes, no other coordinator can be elected.
     if (otherBoxes().length === 0) return true;
-    return clock.monotonicMs() - this.#confirmedAtMs <= RESULT_VALIDITY_MS;
+    return this.#confirmedAtMs - this.#confirmedSinceMs >= MIN_OUTAGE_MS &&
+      clock.monotonicMs() - this.#confirmedAtMs <= RESULT_VALIDITY_MS;
   }
 
   /** Polls other boxes while this one coordinates without the store; never ends. */
@@ -60,8 +74,13 @@
   }
 
   #pollInOutage(): void {
-    const { failingForMs, coordinates } = this.#options;
-    if (!coordinates() || failingForMs() < OUTAGE_AFTER_MS) return;
+    const { failingForMs, renewalAgeMs } = this.#options;
+    const ageMs = renewalAgeMs();
+    if (ageMs === null) return;
+    // A very slow store answers some calls, but no renewal in time.
+    const isAvailable = failingForMs() < OUTAGE_AFTER_MS &&
+      ageMs < Coordinator.MIN_SILENCE_MS;
+    if (isAvailable) return;
     Effect.runFork(this.#pollBoxes());
   }
 
@@ -82,12 +101,25 @@
       const unavailable = answers.filter((outcome) =>
         outcome === Ports.StoreOutcome.Unavailable
       );
-      const isReachable = answers.includes(Ports.StoreOutcome.Done);
-      if (isReachable || unavailable.length * 2 <= polled.length) return;
-      this.#confirmedAtMs = Math.max(this.#confirmedAtMs, polledAtMs);
+      if (answers.includes(Ports.StoreOutcome.Done)) {
+        return this.#noteReachable();
+      }
+      if (unavailable.length * 2 <= polled.length) return;
+      this.#noteConfirmed(polledAtMs);
     });
   }
 
+  #noteReachable(): void {
+    this.#confirmedSinceMs = Number.POSITIVE_INFINITY;
+  }
+
+  #noteConfirmed(polledAtMs: number): void {
+    const isContinued = Number.isFinite(this.#confirmedSinceMs) &&
+      polledAtMs - this.#confirmedAtMs <= MAX_POLL_GAP_MS;
+    if (!isContinued) this.#confirmedSinceMs = polledAtMs;
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, polledAtMs);
+  }
+
   /** Chooses at random, so that the result does not depend on the same few boxes. */
   #chooseBoxes(): readonly Ports.StorePeer[] {
     const { otherBoxes, random } = this.#options;
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -167,7 +167,7 @@
       peers: ports.peers,
       otherBoxes: () => this.#members.others(),
       failingForMs: () => this.#store.failingForMs(),
-      coordinates: () => this.#coordinator !== null,
+      renewalAgeMs: () => this.#coordinator?.renewalAgeMs ?? null,
     });
     this.#startHandOver = new startHandOvers.StartHandOver({
       peers: ports.peers,
