Count workflows as waiting until a start has succeeded

Such a workflow was also shown as running.

Cause: the row of a waiting workflow was removed in the transaction that records its first start, before the order leaves.

Change: a workflow has begun once an endpoint accepts a start, holds a run or reports an end. The row goes with the first record after that, or of a cancel or an end. Such records ride on the next write of the partition, or are written alone after 0.8 s. Records say `begun: false` until then, so that a takeover keeps the row and learns the rest from polls. The state for callers and in the dump is queued again while nothing has begun and no start is on its way.

Ruled out: removing the row with each answer at once, which costs a write for each workflow; a state that is running only after the record, as callers may ask right after a start.

--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -112,6 +112,11 @@
   abstract incarnationStarted(endpoint: SessionEndpoint): void;
   /** Handles the confirmation that the endpoint holds a run. */
   abstract runConfirmed(assignment: assignments.Assignment): void;
+  /**
+   * Handles a run that an endpoint holds or reports as ended and that the session does
+   * not track.
+   */
+  abstract untrackedRunReported(run: Ports.RunRef): void;
   /** Handles a change of the capacity or the reachability of the endpoint. */
   abstract capacityChanged(): void;
 }
@@ -125,6 +130,11 @@
   alone: Workflow.RunEnd.GangIncomplete,
 };
 
+/** Whether an endpoint has reported this end, so that the run had begun there. */
+export function isReportedEnd(how: Workflow.RunEnd): boolean {
+  return Object.values(END_OF_KIND).includes(how);
+}
+
 /** Converts an end as named by endpoints. */
 export function toRunEndReport(ended: Ports.EndedRun): RunEndReport {
   const { how, checkpoint } = ended;
--- a/packages/coordinator/src/sessions/view_reader.ts
+++ b/packages/coordinator/src/sessions/view_reader.ts
@@ -147,6 +147,7 @@
       );
     }
     if (!recovery.isComplete) return this.#deferEnd(ended);
+    listener.untrackedRunReported(ended);
     return ended.how === "done" || ended.how === "failed"
       ? listener.unexpectedEnd(endpoint, ended)
       : null;
@@ -198,7 +199,10 @@
   /** Unexpected runs can be determined only after all records are read. */
   #stopUnexpectedRuns(runs: readonly Ports.RunRef[]): void {
     const { listener, recovery, stopUnexpected } = this.#options;
-    for (const run of recovery.isComplete ? runs : []) stopUnexpected(run);
+    for (const run of recovery.isComplete ? runs : []) {
+      listener.untrackedRunReported(run);
+      stopUnexpected(run);
+    }
     if (this.#unexpected.replace(runs)) listener.capacityChanged();
   }
 }
--- a/packages/coordinator/src/work/describe.ts
+++ b/packages/coordinator/src/work/describe.ts
@@ -146,7 +146,7 @@
     queue: policy.queue,
     tenant,
     priority: policy.priority,
-    state: workflow.state,
+    state: workflow.visibleState,
     cancelled: workflow.cancelled,
     tasks,
     waitsFor: wait?.reason ?? null,
--- a/packages/coordinator/src/work/partition_recorder.ts
+++ b/packages/coordinator/src/work/partition_recorder.ts
@@ -26,6 +26,11 @@
  * store that is merely slow, with writes of half a second, stays below it.
  */
 const STALL_THRESHOLD_MS = 1000;
+/**
+ * Longest time for which a change waits for another write, in ms. Counts of waiting
+ * workflows may be 2 s old, and boxes reuse theirs for one of them.
+ */
+const MAX_DEFERRAL_MS = 800;
 
 /** Dependencies of a `PartitionRecorder`. */
 export interface PartitionRecorderOptions {
@@ -41,6 +46,8 @@
 export class PartitionRecorder {
   readonly #options: PartitionRecorderOptions;
   readonly #dirty = new Set<Workflow.Workflow>();
+  /** Changed workflows that nothing waits for; written with others. */
+  readonly #deferred = new Set<Workflow.Workflow>();
   /** Workflows whose row in the table of waiting workflows may still exist. */
   readonly #withWaitingRow = new Set<Workflow.Workflow>();
   /** Ended workflows whose stored spec no longer holds their work. */
@@ -80,6 +87,7 @@
 
   /** Drops the state of a workflow whose rows have been removed. */
   untrack(workflow: Workflow.Workflow): void {
+    this.#deferred.delete(workflow);
     this.#withWaitingRow.delete(workflow);
     this.#trimmed.delete(workflow);
     this.#rejected.delete(workflow);
@@ -100,6 +108,26 @@
     );
   }
 
+  /**
+   * Leaves a changed workflow to the next write of the partition, or writes it alone
+   * where there is none in time.
+   */
+  recordSoon(workflow: Workflow.Workflow): void {
+    const isFirst = this.#deferred.size === 0;
+    this.#deferred.add(workflow);
+    if (!isFirst) return;
+    const flush = Effect.sync(() => this.#flushDeferred());
+    const { clock } = this.#options.ports;
+    Effect.runFork(Effect.andThen(clock.sleep(MAX_DEFERRAL_MS), flush));
+  }
+
+  #flushDeferred(): void {
+    if (this.#deferred.size === 0) return;
+    for (const workflow of this.#deferred) this.#dirty.add(workflow);
+    this.#deferred.clear();
+    Deferred.doneUnsafe(this.#signal, Effect.void);
+  }
+
   /** Writes changes until interrupted. */
   run(): Effect.Effect<never> {
     return Effect.forever(Effect.gen({ self: this }, function* () {
@@ -111,8 +139,7 @@
 
   #writeAll(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const batch = [...this.#dirty];
-      this.#dirty.clear();
+      const batch = this.#takeBatch();
       const written = this.#batchWritten;
       this.#batchWritten = Deferred.makeUnsafe<void>();
       for (
@@ -128,6 +155,19 @@
     });
   }
 
+  /** Takes all changes that orders wait for, and others that fit into the same writes. */
+  #takeBatch(): Workflow.Workflow[] {
+    const batch = [...this.#dirty];
+    this.#dirty.clear();
+    for (const workflow of batch) this.#deferred.delete(workflow);
+    for (const workflow of this.#deferred) {
+      if (batch.length % MAX_WORKFLOWS_PER_WRITE === 0) break;
+      batch.push(workflow);
+      this.#deferred.delete(workflow);
+    }
+    return batch;
+  }
+
   /**
    * Writes one transaction under one write id and retries it until its outcome is
    * known, because a write that the store applies late must not overwrite a later one.
@@ -144,7 +184,7 @@
       writes: batch.flatMap((workflow) => this.#rowsOf(workflow)),
     };
     // Evaluated now, because a workflow may change while the write is in flight.
-    const started = batch.filter(hasStarted);
+    const notWaiting = batch.filter((workflow) => !isWaiting(workflow));
     const settled = batch.filter(isSettled);
     this.#writingSinceMs = clock.monotonicMs();
     return store.writeReportingRefusal(write, WRITE_TIMEOUT_MS).pipe(
@@ -154,7 +194,9 @@
           this.#revisions.set(workflow, revision);
           this.#rejected.delete(workflow);
         }
-        for (const workflow of started) this.#withWaitingRow.delete(workflow);
+        for (const workflow of notWaiting) {
+          this.#withWaitingRow.delete(workflow);
+        }
         for (const workflow of settled) this.#trimmed.add(workflow);
       }),
       Effect.catch((err) => {
@@ -227,7 +269,7 @@
       key,
       value: Workflow.toProgressRecord(workflow) as unknown,
     }];
-    if (hasStarted(workflow) && this.#withWaitingRow.has(workflow)) {
+    if (!isWaiting(workflow) && this.#withWaitingRow.has(workflow)) {
       const { partition } = this.#options;
       const waitingKey = TableClient.Keys.waitingKey(
         partition,
@@ -255,8 +297,9 @@
   }
 }
 
-function hasStarted(workflow: Workflow.Workflow): boolean {
-  return workflow.state !== Workflow.WorkflowState.Queued;
+/** Whether it counts as waiting: nothing of it has begun, and it goes on. */
+function isWaiting({ hasBegun, isOver }: Workflow.Workflow): boolean {
+  return !hasBegun && !isOver;
 }
 
 /** Whether it has ended and none of its runs has still to be stopped. */
--- a/packages/coordinator/src/work/recorder.ts
+++ b/packages/coordinator/src/work/recorder.ts
@@ -57,6 +57,11 @@
     return this.#byWorkflow.get(workflow)?.record(workflow) ?? Effect.void;
   }
 
+  /** Leaves a changed workflow to the next write of its partition. */
+  recordSoon(workflow: Workflow.Workflow): void {
+    this.#byWorkflow.get(workflow)?.recordSoon(workflow);
+  }
+
   /** Writes changes until interrupted. */
   run(): Effect.Effect<never> {
     const all = [...this.#byPartition.values()].map((recorder) =>
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -35,7 +35,6 @@
     const run = 1 + Math.max(...unit.tasks.map((task) => task.run));
     if (workflow.state === Workflow.WorkflowState.Queued) {
       workflow.state = Workflow.WorkflowState.Running;
-      workflow.firstStartMs = clock.wallMs();
     }
     const orders = unit.tasks.flatMap((task, i) => {
       const session = directory.session(endpoints[i]);
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -52,6 +52,7 @@
     const endpointId = endpoint.ref.id;
     const ended = { run, endpoint: endpointId, stoppingSinceMs, ...end };
     if (end.how === Workflow.RunEnd.Done) this.#options.onCompleted(assignment);
+    this.#noteEndReported(workflow, end);
     workflow.endRun(task, ended, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) endpoint.health.noteSuccess(nowMs);
@@ -68,6 +69,7 @@
     const nowMs = this.#options.ports.clock.monotonicMs();
     const wasOver = workflow.isOver;
     const endpointId = endpoint.ref.id;
+    this.#noteEndReported(workflow, end);
     const isNew = workflow.endRun(
       task,
       { run, endpoint: endpointId, ...end },
@@ -135,7 +137,14 @@
     this.capacityChanged();
   }
 
+  override untrackedRunReported({ task: name, run }: Ports.RunRef): void {
+    const task = this.#options.workflows.findTask(name);
+    // A run with a higher number belongs to an earlier submission of the same id.
+    if (task !== null && run <= task.run) this.#noteBegun(task.workflow);
+  }
+
   override runConfirmed({ task, run }: assignments.Assignment): void {
+    this.#noteBegun(task.workflow);
     if (task.run !== run) return;
     if (task.state === Workflow.TaskState.Starting) {
       task.state = Workflow.TaskState.Running;
@@ -173,6 +182,21 @@
     return this.#concludeAndRecord(workflow, wasOver);
   }
 
+  #noteEndReported(
+    workflow: Workflow.Workflow,
+    { how }: listeners.RunEndReport,
+  ): void {
+    if (listeners.isReportedEnd(how)) this.#noteBegun(workflow);
+  }
+
+  /** Notes that a task has begun, so that the workflow does not count as waiting. */
+  #noteBegun(workflow: Workflow.Workflow): void {
+    if (workflow.hasBegun) return;
+    workflow.hasBegun = true;
+    workflow.firstStartMs = this.#options.ports.clock.wallMs();
+    this.#options.recorder.recordSoon(workflow);
+  }
+
   /** Counts the failure of a run that was treated as lost, or was not known. */
   #endUnexpectedFailure(
     { ref: { id: endpoint } }: listeners.SessionEndpoint,
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -216,7 +216,9 @@
 function stateOf(
   { progress, isCancelled }: workflowRows.FoundWorkflow,
 ): Workflow.WorkflowState {
-  const state = progress?.state ?? Workflow.WorkflowState.Queued;
+  const state = progress === null
+    ? Workflow.WorkflowState.Queued
+    : Workflow.visibleStateOf(progress);
   if (Workflow.isFinal(state)) return state;
   return isCancelled || progress?.cancelled === true
     ? Workflow.WorkflowState.Cancelled
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -447,6 +447,12 @@
     return await this.run(this.box(name).submissions.state(allowed, id));
   }
 
+  /** Requests the number of waiting workflows of a queue, as operators do. */
+  async countWaiting(name: string, priority = 1): Promise<number> {
+    const allowed = await this.#allow(name, "", { priority });
+    return await this.run(this.box(name).submissions.countWaiting(allowed));
+  }
+
   /** State of a workflow in the store; null if there is none. */
   state(id: string): Workflow.WorkflowState | null {
     const [row] = this.table.rowsUnder("progress:")
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -49,4 +49,5 @@
   type ProgressRecord,
   type TaskRecord,
   toProgressRecord,
+  visibleStateOf,
 } from "./src/progress_record.ts";
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -54,6 +54,11 @@
     failureSets.FailureSetsRecord,
     failedRuns.FailedRunsRecord {
   readonly state: states.WorkflowState;
+  /**
+   * Present while a start is recorded and no task is known to have begun; earlier
+   * versions omit it.
+   */
+  readonly begun?: false;
   /** Omitted if no cancel was known. Stays until the end is recorded. */
   readonly cancelled?: true;
   /**
@@ -154,6 +159,7 @@
   const includesAddresses = records.size <= MAX_TASKS_WITH_ADDRESSES;
   const record: ProgressRecord = {
     state: workflow.state,
+    ...(isStartPending(workflow) ? { begun: false } : {}),
     ...(workflow.cancelled && !hasEnded ? { cancelled: true } : {}),
     ...table.toRecord(includesAddresses),
     done: hasEnded ? {} : done,
@@ -179,6 +185,20 @@
   return { ...recordWithFailures, ...historiesRecord };
 }
 
+function isStartPending({ state, hasBegun }: workflows.Workflow): boolean {
+  return state === states.WorkflowState.Running && !hasBegun;
+}
+
+/** State for callers, as a record shows it. */
+export function visibleStateOf(
+  { state, begun, tasks: records }: ProgressRecord,
+): states.WorkflowState {
+  const isPlaced = Object.values(records).some(([, endpoint]) =>
+    endpoint !== NO_ENDPOINT_INDEX
+  );
+  return states.toVisibleState(state, begun !== false || isPlaced);
+}
+
 function encodeUnlistedFailures(
   record: ProgressRecord,
   groups: readonly TaskGroup[],
@@ -303,6 +323,8 @@
   record: ProgressRecord,
 ): void {
   workflow.state = record.state;
+  workflow.hasBegun = record.begun !== false &&
+    record.state !== states.WorkflowState.Queued;
   // A cancel that is known from elsewhere stays.
   workflow.cancelled ||= record.cancelled === true;
   // Earlier versions wrote one entry for each step, however many there were.
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -44,8 +44,14 @@
   readonly #brokenGangRuns = new brokenGangRuns.BrokenGangRuns();
   state = states.WorkflowState.Queued;
   /**
-   * Wall-clock time of the first start; null before it, or if an earlier
-   * coordinator recorded it.
+   * Whether a task has begun: an endpoint accepted its start, held its run or reported
+   * its end. A recorded start may still be refused or lost. Stays true if the run is
+   * lost.
+   */
+  hasBegun = false;
+  /**
+   * Wall-clock time at which the first task had begun; null before it, or if an
+   * earlier coordinator noticed it.
    */
   firstStartMs: number | null = null;
   /** Runs without success that this coordinator recorded. */
@@ -90,6 +96,12 @@
     return this.rounds[task.round][task.stepIndex];
   }
 
+  /** State for callers: it is queued again where no recorded start has succeeded. */
+  get visibleState(): states.WorkflowState {
+    const isPlaced = this.placedTasks().length > 0;
+    return states.toVisibleState(this.state, this.hasBegun || isPlaced);
+  }
+
   /** Whether nothing of it will start any more. */
   get isOver(): boolean {
     return this.cancelled || states.isFinal(this.state);
