Ask all boxes that have a row about an outage

What callers would see: a task runs twice at the same time, after an outage or a stall of more than 50 s.

Cause: without other boxes, leases are granted without the store. Rows of boxes expire 50 s after their last change was read, so in a longer outage, and right after a longer stall, all other boxes seem to be gone.

Change: the outage detector asks all boxes that have a row, expired or not.

Evidence: a new case of shared_outage_test (an outage of 55 s for all, then the coordinator is cut off) is red without the change, with the run still alive 9 s later, and green with it. The other four cases are unchanged and pass.

--- a/packages/workflow-node/src/member_registry.ts
+++ b/packages/workflow-node/src/member_registry.ts
@@ -74,10 +74,23 @@
 
   /** Lists the other boxes whose rows are current. */
   others(): readonly Member[] {
-    const { node, clock } = this.#options;
-    const sinceMs = clock.monotonicMs() - ROW_EXPIRY_MS;
+    const sinceMs = this.#options.clock.monotonicMs() - ROW_EXPIRY_MS;
+    return this.#othersSeenSince(sinceMs);
+  }
+
+  /**
+   * Lists the other boxes that have a row, current or not. After an outage of the store
+   * or a stall of this box, all rows look expired although their boxes are up.
+   */
+  known(): readonly Member[] {
+    return this.#othersSeenSince(Number.NEGATIVE_INFINITY);
+  }
+
+  #othersSeenSince(sinceMs: number): readonly Member[] {
     return [...this.#rows.values()]
-      .filter(({ row, atMs }) => row.node !== node && atMs >= sinceMs)
+      .filter(({ row, atMs }) =>
+        row.node !== this.#options.node && atMs >= sinceMs
+      )
       .map(({ row: { renewedAtMs: _, ...member } }) => member);
   }
 
--- a/packages/workflow-node/src/shared_outage_detector.ts
+++ b/packages/workflow-node/src/shared_outage_detector.ts
@@ -12,7 +12,7 @@
   readonly clock: Ports.Clock;
   readonly random: Ports.RandomSource;
   readonly peers: Ports.StorePeers;
-  /** Lists the other boxes. */
+  /** Lists the other boxes, including those whose rows may have expired unseen. */
   readonly otherBoxes: () => readonly Ports.StorePeer[];
   /** Time since the store last answered a call, in ms. */
   readonly failingForMs: () => number;
--- a/packages/workflow-node/src/shared_outage_test.ts
+++ b/packages/workflow-node/src/shared_outage_test.ts
@@ -11,10 +11,12 @@
 const STEPS = [TestUtils.buildStep({ estimateMs: RUN_MS })];
 /** Longer than a lease, in ms. */
 const OUTAGE_MS = 9000;
+/** Time in an outage after which the rows of all boxes seem expired, in ms. */
+const ROWS_EXPIRE_MS = 55_000;
 
-async function startRun(): Promise<TestUtils.TestFleet> {
+async function startRun(runMs = RUN_MS): Promise<TestUtils.TestFleet> {
   const fleet = new TestUtils.TestFleet({ workers: [1, 1, 1], boxes: 5 });
-  fleet.workers.behave = () => ({ runMs: RUN_MS, fails: false });
+  fleet.workers.behave = () => ({ runMs, fails: false });
   await fleet.start();
   await fleet.submit("node-1", ID, { steps: STEPS });
   await fleet.until(() => fleet.workers.runs.length === 1);
@@ -71,4 +73,17 @@
     vitest.expect(await findEndAfter(fleet, boxes)).toBe("lapsed");
     await fleet.stop();
   });
+
+  vitest.it("ends with its lease if isolated after rows expired", async () => {
+    const fleet = await startRun(2 * ROWS_EXPIRE_MS);
+    const boxes = [...fleet.boxes.keys()];
+    for (const name of boxes) fleet.faultsOf(name).set({ down: true });
+    await fleet.clock.advance(ROWS_EXPIRE_MS);
+    vitest.expect(fleet.workers.runs[0].how).toBeNull();
+    const isolated = fleet.coordinator() ?? "";
+    fleet.links.isReachable = (from, to) =>
+      from !== isolated && to !== isolated;
+    vitest.expect(await findEndAfter(fleet, boxes)).toBe("lapsed");
+    await fleet.stop();
+  });
 });
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -165,7 +165,7 @@
       clock,
       random,
       peers: ports.peers,
-      otherBoxes: () => this.#members.others(),
+      otherBoxes: () => this.#members.known(),
       failingForMs: () => this.#store.failingForMs(),
       renewalAgeMs: () => this.#coordinator?.renewalAgeMs ?? null,
     });
