Keep grants open while a slow store acknowledges renewals late

Cause: a renewal whose answer comes after the limit of a call never counted, though the store had applied it. The first late answers came after the windows of their renewals, as how late they are was not known when these were sent; and two seconds are too short for renewals that take longer.

Change: a renewal counts as well once the holder's own feed of the election shows it; only renewals of this term count. Once no window is open, a renewal announces the longest one, 4 s instead of 2 s.

Ruled out: a longer limit of renewals alone, as answers may be lost.

--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -32,6 +32,7 @@
     this.#watch = new rowWatches.RowWatch({
       ports: coordinatorPorts,
       onRow: (row) => this.#noteRow(row),
+      onRenewal: (atMs) => this.#term?.grants.noteApplied(atMs),
     });
   }
 
--- a/packages/coordinator/src/election/lease_grants.ts
+++ b/packages/coordinator/src/election/lease_grants.ts
@@ -44,6 +44,8 @@
   /** End of the latest window that was announced, acknowledged or not. */
   #announcedUntilMs: number;
   #longestAgeMs = 0;
+  /** Renewals newer than the newest acknowledged one, in the order of sending. */
+  #unacknowledged: SentRenewal[] = [];
   #isEnded = false;
   /** Called when a renewal opens a window after a time without one. */
   onReopened: () => void = () => {};
@@ -63,16 +65,24 @@
    */
   announce(): SentRenewal {
     const sentAtMs = this.#options.clock.monotonicMs();
-    const wantedMs = Math.min(
-      paces.MAX_WINDOW_MS,
-      Math.max(paces.MIN_SILENCE_MS, this.#longestAgeMs * WINDOW_FACTOR),
-    );
     const windowMs = Math.max(
-      Math.ceil(wantedMs),
+      this.#wantedWindowMs,
       this.#announcedUntilMs - sentAtMs,
     );
     this.#announcedUntilMs = sentAtMs + windowMs;
-    return { sentAtMs, windowMs };
+    const renewal = { sentAtMs, windowMs };
+    this.#unacknowledged.push(renewal);
+    return renewal;
+  }
+
+  get #wantedWindowMs(): number {
+    // How late renewals are acknowledged now is known only after the first one.
+    if (!this.#isOpen) return paces.MAX_WINDOW_MS;
+    const wantedMs = Math.ceil(this.#longestAgeMs * WINDOW_FACTOR);
+    return Math.min(
+      paces.MAX_WINDOW_MS,
+      Math.max(paces.MIN_SILENCE_MS, wantedMs),
+    );
   }
 
   /**
@@ -86,10 +96,25 @@
       this.#longestAgeMs * DECAY,
     );
     this.#renewedAtMs = Math.max(this.#renewedAtMs, sentAtMs);
+    this.#unacknowledged = this.#unacknowledged.filter((renewal) =>
+      renewal.sentAtMs > this.#renewedAtMs
+    );
     this.#openUntilMs = Math.max(this.#openUntilMs, sentAtMs + windowMs);
     if (!wasOpen && this.#isOpen) this.onReopened();
   }
 
+  /**
+   * Notes the time of a renewal that the feed of the election shows: its answer may be
+   * lost, or too late for a call. Other writers may have left any time there, so only
+   * renewals of this term count.
+   */
+  noteApplied(renewedAtMs: number): void {
+    const renewal = this.#unacknowledged.find(({ sentAtMs }) =>
+      Math.round(sentAtMs) === renewedAtMs
+    );
+    if (renewal !== undefined) this.noteRenewed(renewal);
+  }
+
   /** Time since the newest acknowledged renewal was sent, in ms. */
   get renewalAgeMs(): number {
     return this.#options.clock.monotonicMs() - this.#renewedAtMs;
--- a/packages/coordinator/src/election/renewal_pace.ts
+++ b/packages/coordinator/src/election/renewal_pace.ts
@@ -17,9 +17,9 @@
 export const MAX_SILENCE_MS = 1600;
 /**
  * Longest window of a renewal, in ms. It covers renewals that a store acknowledges after
- * a second, and leaves time for a takeover before leases of 6 s expire.
+ * more than two seconds; a takeover that waits for it may outlast leases of 6 s.
  */
-export const MAX_WINDOW_MS = 2000;
+export const MAX_WINDOW_MS = 4000;
 /** Number of usual intervals that may pass without a renewal. */
 const SILENCE_INTERVALS = 2.5;
 /** Factor by which the longest interval decays with each renewal. */
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -18,6 +18,8 @@
   readonly ports: ports.CoordinatorPorts;
   /** Called for each change of the row that holds the token. */
   readonly onRow: (row: terms.CoordinatorRow | null) => void;
+  /** Called with the time of each renewal, by the clock of its holder. */
+  readonly onRenewal: (renewedAtMs: number) => void;
 }
 
 /** Maximum random delay of a candidate, in ms, so that few collide. */
@@ -46,6 +48,7 @@
 export class RowWatch {
   readonly #ports: ports.CoordinatorPorts;
   readonly #onRow: RowWatchOptions["onRow"];
+  readonly #onRenewal: RowWatchOptions["onRenewal"];
   readonly #follower: TableClient.RowFollower<unknown>;
   readonly #pace = new paces.RenewalPace();
   readonly #forecastObserver: observers.ForecastObserver;
@@ -64,9 +67,10 @@
   /** Whether the last response brought a renewal. */
   #hasSeenRenewal = false;
 
-  constructor({ ports: watched, onRow }: RowWatchOptions) {
+  constructor({ ports: watched, onRow, onRenewal }: RowWatchOptions) {
     this.#ports = watched;
     this.#onRow = onRow;
+    this.#onRenewal = onRenewal;
     const { clock, random, store, electionFeed: feed } = watched;
     this.#forecastObserver = new observers.ForecastObserver(clock);
     this.#follower = new TableClient.RowFollower<unknown>({
@@ -193,6 +197,8 @@
    * token.
    */
   #noteLease(value: unknown): boolean {
+    const renewedAtMs = leases.renewedAtMs(value);
+    if (renewedAtMs !== null) this.#onRenewal(renewedAtMs);
     const isTakeover = value === this.token;
     if (!isTakeover && !this.#isNewer(value)) return false;
     if (isTakeover) this.#lease = null;
