Do not blame endpoints for starts while no lease may be granted

What callers would see: work waits for up to 2.5 s although endpoints are free, on a store whose late renewals let grants pause. By reading the new code.

Cause: a start needs an endpoint that is leased for long enough. While grants pause, the polls before the start grant nothing, and the start then counted as one that the endpoint did not receive, which puts it aside.

Change: such a start is withheld before its endpoint is judged.

--- a/packages/coordinator/src/sessions/endpoint_starts.ts
+++ b/packages/coordinator/src/sessions/endpoint_starts.ts
@@ -57,13 +57,21 @@
       const cause = this.#obstacleTo(assignment);
       if (cause !== null) return yield* tracked.end(assignment, lost(cause));
       this.#noteSent(assignment);
-      const report = isLeased && isAlive
-        ? yield* this.#starter.send(assignment)
-        : starters.NEVER_SENT;
+      const unsent = this.#unsentReport(isLeased && isAlive);
+      const report = unsent ?? (yield* this.#starter.send(assignment));
       if (tracked.holds(assignment)) yield* reports.handle(assignment, report);
     });
   }
 
+  /**
+   * Report of a start that is not sent; null where it is. An endpoint without a lease is
+   * not to blame while this box may grant none.
+   */
+  #unsentReport(isReady: boolean): starters.StartReport | null {
+    if (!this.#options.options.term.grants.mayGrant()) return starters.WITHHELD;
+    return isReady ? null : starters.NEVER_SENT;
+  }
+
   #noteSent(assignment: assignments.Assignment): void {
     const { state, options: { ports: { clock } } } = this.#options;
     assignment.isSent = true;
--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -51,6 +51,12 @@
   clockMs: null,
 };
 
+/** No start may leave now, whatever its endpoint does. */
+export const WITHHELD: StartReport = {
+  outcome: StartOutcome.Withheld,
+  clockMs: null,
+};
+
 /** Dependencies of a starter. */
 export interface RunStarterOptions {
   readonly ports: ports.CoordinatorPorts;
@@ -143,7 +149,7 @@
     const { task, run, ticket } = assignment;
     return Effect.gen({ self: this }, function* () {
       // The run may have been recorded long ago, and a start carries a lease.
-      if (!term.grants.mayGrant()) return reportOf(StartOutcome.Withheld);
+      if (!term.grants.mayGrant()) return WITHHELD;
       const limitMs = load.extendLimit(START_LIMIT_MS);
       const order = endpoints.start(ref, {
         task: task.name,
