Forget announced renewals that can't open a window any more

In an outage of hours the list of unacknowledged renewals would grow without bound. The log of a workflow that ends before any task has begun says "not started" instead of "started before this term".

--- a/packages/coordinator/src/election/lease_grants.ts
+++ b/packages/coordinator/src/election/lease_grants.ts
@@ -44,7 +44,10 @@
   /** End of the latest window that was announced, acknowledged or not. */
   #announcedUntilMs: number;
   #longestAgeMs = 0;
-  /** Renewals newer than the newest acknowledged one, in the order of sending. */
+  /**
+   * Renewals newer than the newest acknowledged one whose windows may still be open, in
+   * the order of sending.
+   */
   #unacknowledged: SentRenewal[] = [];
   #isEnded = false;
   /** Called when a renewal opens a window after a time without one. */
@@ -71,6 +74,9 @@
     );
     this.#announcedUntilMs = sentAtMs + windowMs;
     const renewal = { sentAtMs, windowMs };
+    this.#unacknowledged = this.#unacknowledged.filter((earlier) =>
+      earlier.sentAtMs + earlier.windowMs > sentAtMs
+    );
     this.#unacknowledged.push(renewal);
     return renewal;
   }
--- a/packages/coordinator/src/work/workflow_registry.ts
+++ b/packages/coordinator/src/work/workflow_registry.ts
@@ -287,8 +287,11 @@
     const dueMs = Workflow.dueAtMs(spec, lastRound);
     const allowedMs = Workflow.objectiveAtMs(spec, lastRound) - dueMs;
     const [first] = spec.steps;
-    const startNote = workflow.firstStartMs === null
+    const unknownStart = workflow.hasBegun
       ? "started before this term"
+      : "not started";
+    const startNote = workflow.firstStartMs === null
+      ? unknownStart
       : `first start after ${Math.round(workflow.firstStartMs - dueMs)} ms`;
     this.#parts.ports.log.info(
       `Workflow ${spec.id} of priority ${spec.policy.priority} is ${state} ` +
