--- a/packages/workflow-node/src/stall_monitor_test.ts
+++ b/packages/workflow-node/src/stall_monitor_test.ts
@@ -6,6 +6,7 @@
 import * as vitest from "vitest";
 import * as stalls from "./stall_monitor.ts";
 
+/** Duration of the stall, in ms; longer than the silence before a takeover. */
 const STALL_MS = 4000;
 
 vitest.describe("StallMonitor", () => {
--- a/packages/workflow-node/src/waiting_count_test.ts
+++ b/packages/workflow-node/src/waiting_count_test.ts
@@ -19,6 +19,7 @@
 const MAX_COUNT_AGE_MS = 2000;
 /** Longer than a takeover, in ms. */
 const TAKEOVER_MS = 4000;
+/** Longer than the time for which a record may be deferred, in ms. */
 const OUTAGE_MS = 3000;
 
 /** Fleet whose orders to start have this outcome until it is changed. */
