Count the age of renewals by both clocks, so that suspensions show

Callers could see a task run twice at once: a coordinator that was suspended wakes and renews a lease at an endpoint that its replacement can't reach.

Cause: the age of the newest acknowledged renewal was counted by the monotonic clock, which stops while a box is suspended. With answers after 0.65 s the woken box polls the endpoint a second time, with a corrected estimate of the endpoint's clock, before it learns that its term is over.

The same cause on a related path: the age of the word of other boxes on an outage, and the time between two such words.

Change: moments that decide about leases hold the time of both clocks, and the longer elapsed time counts, as for the age of evacuations already. One copy of that rule is in Ports.Clock. A late acknowledgement of an earlier renewal no longer replaces a newer one; its window never ends later.

Not closed: a wall clock that is set back by the length of the suspension.

--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -109,7 +109,7 @@
       }
       const token = (found?.token ?? 0) + 1;
       const value: terms.CoordinatorRow = { token, holder: box, incarnation };
-      const begunAtMs = clock.monotonicMs();
+      const begunAt = clock.now();
       const revision = yield* store.write({
         conditions: [
           { key, revision: row?.revision ?? 0 },
@@ -125,7 +125,7 @@
         log,
         metrics,
         token,
-        begunAtMs,
+        begunAt,
       });
       return new terms.Term({ token, revision, inherited, grants });
     }).pipe(Effect.catch((err) => {
--- a/packages/coordinator/src/election/lease_grants.ts
+++ b/packages/coordinator/src/election/lease_grants.ts
@@ -17,14 +17,13 @@
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
   readonly token: number;
-  /** When the write that began the term was sent, in ms of the monotonic clock. */
-  readonly begunAtMs: number;
+  /** When the write that began the term was sent. */
+  readonly begunAt: Ports.Moment;
 }
 
 /** A renewal and the window that it announces. */
 export interface SentRenewal {
-  /** When it was sent, in ms of the monotonic clock. */
-  readonly sentAtMs: number;
+  readonly sentAt: Ports.Moment;
   /** Time from then on in which no other box takes over, in ms. */
   readonly windowMs: number;
 }
@@ -37,11 +36,12 @@
 /** Right of one term's holder to grant leases. */
 export class LeaseGrants {
   readonly #options: LeaseGrantsOptions;
-  /** When the newest acknowledged renewal was sent. */
-  #renewedAtMs: number;
-  /** End of the latest window of an acknowledged renewal. */
-  #openUntilMs: number;
-  /** End of the latest window that was announced, acknowledged or not. */
+  /** The newest acknowledged renewal. No earlier window ends after its own. */
+  #acknowledged: SentRenewal;
+  /**
+   * End of the latest window that was announced, acknowledged or not, in ms of the
+   * monotonic clock.
+   */
   #announcedUntilMs: number;
   #longestAgeMs = 0;
   /**
@@ -57,9 +57,11 @@
 
   constructor(options: LeaseGrantsOptions) {
     this.#options = options;
-    this.#renewedAtMs = options.begunAtMs;
-    this.#openUntilMs = options.begunAtMs + paces.MIN_SILENCE_MS;
-    this.#announcedUntilMs = this.#openUntilMs;
+    this.#acknowledged = {
+      sentAt: options.begunAt,
+      windowMs: paces.MIN_SILENCE_MS,
+    };
+    this.#announcedUntilMs = windowEndMs(this.#acknowledged);
   }
 
   /**
@@ -67,15 +69,15 @@
    * other boxes may know only the later renewal.
    */
   announce(): SentRenewal {
-    const sentAtMs = this.#options.clock.monotonicMs();
+    const sentAt = this.#options.clock.now();
     const windowMs = Math.max(
       this.#wantedWindowMs,
-      this.#announcedUntilMs - sentAtMs,
+      this.#announcedUntilMs - sentAt.monotonicMs,
     );
-    this.#announcedUntilMs = sentAtMs + windowMs;
-    const renewal = { sentAtMs, windowMs };
+    const renewal = { sentAt, windowMs };
+    this.#announcedUntilMs = windowEndMs(renewal);
     this.#unacknowledged = this.#unacknowledged.filter((earlier) =>
-      earlier.sentAtMs + earlier.windowMs > sentAtMs
+      windowEndMs(earlier) > sentAt.monotonicMs
     );
     this.#unacknowledged.push(renewal);
     return renewal;
@@ -95,17 +97,16 @@
    * Notes that the store has acknowledged a renewal. The answer may have waited in a
    * buffer while this box stood still, so only the time of sending counts.
    */
-  noteRenewed({ sentAtMs, windowMs }: SentRenewal): void {
+  noteRenewed(renewal: SentRenewal): void {
     const wasOpen = this.#isOpen;
-    this.#longestAgeMs = Math.max(
-      this.renewalAgeMs,
-      this.#longestAgeMs * DECAY,
+    const nowMs = this.#options.clock.monotonicMs();
+    // A step of the wall clock says nothing about the store.
+    const ageMs = nowMs - this.#acknowledged.sentAt.monotonicMs;
+    this.#longestAgeMs = Math.max(ageMs, this.#longestAgeMs * DECAY);
+    if (!isOlder(renewal, this.#acknowledged)) this.#acknowledged = renewal;
+    this.#unacknowledged = this.#unacknowledged.filter((one) =>
+      isOlder(this.#acknowledged, one)
     );
-    this.#renewedAtMs = Math.max(this.#renewedAtMs, sentAtMs);
-    this.#unacknowledged = this.#unacknowledged.filter((renewal) =>
-      renewal.sentAtMs > this.#renewedAtMs
-    );
-    this.#openUntilMs = Math.max(this.#openUntilMs, sentAtMs + windowMs);
     if (!wasOpen && this.#isOpen) this.onReopened();
   }
 
@@ -115,15 +116,15 @@
    * renewals of this term count.
    */
   noteApplied(renewedAtMs: number): void {
-    const renewal = this.#unacknowledged.find(({ sentAtMs }) =>
-      Math.round(sentAtMs) === renewedAtMs
+    const renewal = this.#unacknowledged.find(({ sentAt }) =>
+      Math.round(sentAt.monotonicMs) === renewedAtMs
     );
     if (renewal !== undefined) this.noteRenewed(renewal);
   }
 
   /** Time since the newest acknowledged renewal was sent, in ms. */
   get renewalAgeMs(): number {
-    return this.#options.clock.monotonicMs() - this.#renewedAtMs;
+    return this.#options.clock.elapsedMsSince(this.#acknowledged.sentAt);
   }
 
   /** Ends the grants for good, before another box may learn that the term ends. */
@@ -144,7 +145,7 @@
   }
 
   get #isOpen(): boolean {
-    return this.#options.clock.monotonicMs() < this.#openUntilMs;
+    return this.renewalAgeMs < this.#acknowledged.windowMs;
   }
 
   #logChange(mayGrant: boolean): void {
@@ -165,3 +166,12 @@
     );
   }
 }
+
+/** End of a renewal's window, in ms of the monotonic clock. */
+function windowEndMs({ sentAt, windowMs }: SentRenewal): number {
+  return sentAt.monotonicMs + windowMs;
+}
+
+function isOlder(renewal: SentRenewal, other: SentRenewal): boolean {
+  return renewal.sentAt.monotonicMs < other.sentAt.monotonicMs;
+}
--- a/packages/coordinator/src/election/lease_grants_test.ts
+++ b/packages/coordinator/src/election/lease_grants_test.ts
@@ -17,14 +17,15 @@
 }
 
 function createGrants() {
-  const clock = new TestUtils.FakeClock();
+  const fakeClock = new TestUtils.FakeClock();
+  const clock = new TestUtils.SuspendableClock(fakeClock);
   const outageReports = new FakeReports();
   const log = new TestUtils.RecordingLog();
   const metrics = new Metrics.Metrics();
-  const begunAtMs = clock.monotonicMs();
-  const options = { clock, outageReports, log, metrics, token: 1, begunAtMs };
+  const begunAt = clock.now();
+  const options = { clock, outageReports, log, metrics, token: 1, begunAt };
   const grants = new leaseGrants.LeaseGrants(options);
-  return { clock, outageReports, log, grants };
+  return { clock: fakeClock, boxClock: clock, outageReports, log, grants };
 }
 
 vitest.describe("LeaseGrants", () => {
@@ -51,6 +52,25 @@
     vitest.expect(grants.mayGrant()).toBe(false);
   });
 
+  vitest.it("pauses after a suspension until the next renewal", async () => {
+    const { clock, boxClock, grants } = createGrants();
+    boxClock.suspend();
+    await clock.advance(2000);
+    boxClock.resume();
+    vitest.expect(grants.mayGrant()).toBe(false);
+    grants.noteRenewed(grants.announce());
+    vitest.expect(grants.mayGrant()).toBe(true);
+  });
+
+  vitest.it("ends in time if the wall clock is set back", async () => {
+    const { clock, boxClock, grants } = createGrants();
+    boxClock.wallAheadMs = -2000;
+    await clock.advance(899);
+    vitest.expect(grants.mayGrant()).toBe(true);
+    await clock.advance(1);
+    vitest.expect(grants.mayGrant()).toBe(false);
+  });
+
   vitest.it("goes on while no box can reach the store", async () => {
     const { clock, grants, outageReports } = createGrants();
     outageReports.isOutage = true;
@@ -86,9 +106,9 @@
       let endMs = 0;
       for (const ageMs of [1300, 10, 10, 10, 10, 10, 10]) {
         const renewal = grants.announce();
-        vitest.expect(renewal.sentAtMs + renewal.windowMs)
-          .toBeGreaterThanOrEqual(endMs);
-        endMs = renewal.sentAtMs + renewal.windowMs;
+        const renewalEndMs = renewal.sentAt.monotonicMs + renewal.windowMs;
+        vitest.expect(renewalEndMs).toBeGreaterThanOrEqual(endMs);
+        endMs = renewalEndMs;
         await clock.advance(ageMs);
         grants.noteRenewed(renewal);
       }
@@ -113,7 +133,7 @@
     async () => {
       const { clock, grants } = createGrants();
       await clock.advance(4000);
-      const { sentAtMs } = grants.announce();
+      const { sentAt: { monotonicMs: sentAtMs } } = grants.announce();
       await clock.advance(100);
       grants.noteApplied(sentAtMs + 1e12);
       vitest.expect(grants.mayGrant()).toBe(false);
--- a/packages/coordinator/src/election/term_keeper_test.ts
+++ b/packages/coordinator/src/election/term_keeper_test.ts
@@ -20,7 +20,7 @@
     log: Logger.silentLogger(),
     metrics: new Metrics.Metrics(),
     token: 1,
-    begunAtMs: clock.monotonicMs(),
+    begunAt: clock.now(),
   });
   return new terms.Term({ token: 1, revision: 1, inherited: null, grants });
 }
--- a/packages/coordinator/src/election/term_renewal.ts
+++ b/packages/coordinator/src/election/term_renewal.ts
@@ -87,7 +87,7 @@
 /** Value of a renewal, with the term's forecast if there is one. */
 function leaseOf(
   { forecast: made }: terms.Term,
-  { sentAtMs, windowMs }: grants.SentRenewal,
+  { sentAt: { monotonicMs: sentAtMs }, windowMs }: grants.SentRenewal,
 ) {
   if (made === null) return leases.writeLease(sentAtMs, null, windowMs);
   const { forecast, madeAtMs } = made;
--- a/packages/coordinator/src/endpoints/evacuation_tracker.ts
+++ b/packages/coordinator/src/endpoints/evacuation_tracker.ts
@@ -34,8 +34,7 @@
   readonly #options: EvacuationTrackerOptions;
   /** Evacuations by row key: the change that removes a row carries only its key. */
   readonly #byRow = new Map<string, Evacuation>();
-  #syncedAtMs = Number.NEGATIVE_INFINITY;
-  #syncedAtWallMs = Number.NEGATIVE_INFINITY;
+  #syncedAt: Ports.Moment | null = null;
 
   constructor(options: EvacuationTrackerOptions) {
     this.#options = options;
@@ -53,23 +52,14 @@
 
   /** Notes that all of the operator's rows are up to date as of now. */
   noteSynced(): void {
-    const { clock } = this.#options;
-    this.#syncedAtMs = clock.monotonicMs();
-    this.#syncedAtWallMs = clock.wallMs();
+    this.#syncedAt = this.#options.clock.now();
   }
 
-  /**
-   * Whether an evacuation may be in force that this box has not received. Both clocks
-   * count: the monotonic clock may have stopped while the box was suspended, the wall
-   * clock has not.
-   */
+  /** Whether an evacuation may be in force that this box has not received. */
   get mayBeOutdated(): boolean {
     const { clock, inForceMs } = this.#options;
-    const staleForMs = Math.max(
-      clock.monotonicMs() - this.#syncedAtMs,
-      clock.wallMs() - this.#syncedAtWallMs,
-    );
-    return staleForMs > inForceMs - ORDER_MARGIN_MS;
+    return this.#syncedAt === null ||
+      clock.elapsedMsSince(this.#syncedAt) > inForceMs - ORDER_MARGIN_MS;
   }
 
   /** Whether a data centre is under evacuation, as far as this box knows. */
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -1,5 +1,10 @@
 /** Ports to the platform, the workers, the peers, time and random numbers. */
-export { Clock, type TimeoutResult } from "./src/clock.ts";
+export {
+  Clock,
+  elapsedMs,
+  type Moment,
+  type TimeoutResult,
+} from "./src/clock.ts";
 export { LiveList, type LiveSnapshot } from "./src/live_list.ts";
 export { ObjectStore } from "./src/object_store.ts";
 export {
--- a/packages/test-utils/mod.ts
+++ b/packages/test-utils/mod.ts
@@ -20,6 +20,7 @@
   Loss,
 } from "./src/faulty_workers.ts";
 export { PausableClock } from "./src/pausable_clock.ts";
+export { SuspendableClock } from "./src/suspendable_clock.ts";
 export { SeededRandom } from "./src/seeded_random.ts";
 export { SilentProxy, type SilentTraffic } from "./src/silent_proxy.ts";
 export { TestCluster } from "./src/test_cluster.ts";
--- a/packages/workflow-node/src/frozen_coordinator_test.ts
+++ b/packages/workflow-node/src/frozen_coordinator_test.ts
@@ -18,6 +18,13 @@
 const OBSERVED_MS = 15_000;
 /** Durations that end before and after the replacement starts the task again, in ms. */
 const FREEZES_MS: readonly number[] = [1000, 2000, 3000, 4000, 7000, 9000];
+/** Durations in which other boxes take over, in ms. */
+const SUSPENSIONS_MS: readonly number[] = [2000, 3000, 4000];
+/**
+ * Duration of the store's calls after a suspension, in ms. The woken box polls the
+ * endpoint twice before it learns that its term is over.
+ */
+const STORE_DELAY_AFTER_SUSPENSION_MS = 700;
 /**
  * Outages of the store that end while the coordinator is frozen, in ms: after the first
  * two, other boxes take over as if there had been none.
@@ -74,6 +81,23 @@
   await fleet.clock.advance(OBSERVED_MS);
 }
 
+/**
+ * Suspends the coordinator, whose monotonic clock then stops, and wakes it. The store is
+ * slow for it afterwards.
+ */
+async function suspendCoordinator(
+  fleet: TestUtils.TestFleet,
+  suspend: () => Promise<void>,
+): Promise<void> {
+  const box = fleet.coordinator() ?? "";
+  const clock = fleet.clocks.get(box);
+  clock?.suspend();
+  await suspend();
+  fleet.faultsOf(box).set({ delayMs: STORE_DELAY_AFTER_SUSPENSION_MS });
+  clock?.resume();
+  await fleet.clock.advance(OBSERVED_MS);
+}
+
 async function expectOneRunAtOnce(
   fleet: TestUtils.TestFleet,
   former: number,
@@ -138,3 +162,31 @@
     },
   );
 });
+
+/** Its monotonic clock shows a renewal as recent that is older than the suspension. */
+vitest.describe("a coordinator that was suspended", () => {
+  vitest.it.each(SUSPENSIONS_MS)(
+    "does not keep a run alive beside its replacement, after %i ms",
+    async (suspendedMs) => {
+      const fleet = await startCutOffRun();
+      const former = fleet.token();
+      await suspendCoordinator(fleet, () => fleet.clock.advance(suspendedMs));
+      await expectOneRunAtOnce(fleet, former);
+    },
+  );
+
+  vitest.it("does not rely on an outage that ended meanwhile", async () => {
+    const fleet = await startCutOffRun();
+    const former = fleet.token();
+    setStoreFaults(fleet, { down: true });
+    await fleet.clock.advance(3000);
+    await suspendCoordinator(fleet, async () => {
+      setStoreFaults(fleet, { down: false });
+      // No answer of another box tells the woken one that the outage is over.
+      const box = fleet.coordinator() ?? "";
+      fleet.links.isReachable = (from, to) => from !== box && to !== box;
+      await fleet.clock.advance(4000);
+    });
+    await expectOneRunAtOnce(fleet, former);
+  });
+});
--- a/packages/workflow-node/src/shared_outage_detector.ts
+++ b/packages/workflow-node/src/shared_outage_detector.ts
@@ -44,13 +44,18 @@
 /** Longest time between two polls that confirm the same outage, in ms. */
 const MAX_POLL_GAP_MS = 3 * POLL_INTERVAL_MS;
 
+/** An outage that polls have confirmed since it began. */
+interface ConfirmedOutage {
+  /** Start of the first poll that confirmed it. */
+  readonly first: Ports.Moment;
+  /** Start of the latest one. */
+  readonly latest: Ports.Moment;
+}
+
 /** Detects whether a store outage affects the other boxes too. */
 export class SharedOutageDetector extends Coordinator.OutageReports {
   readonly #options: SharedOutageDetectorOptions;
-  /** Start of the first poll that confirmed the present outage. */
-  #confirmedSinceMs = Number.POSITIVE_INFINITY;
-  /** Start of the latest poll that confirmed it. */
-  #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  #outage: ConfirmedOutage | null = null;
 
   constructor(options: SharedOutageDetectorOptions) {
     super();
@@ -61,8 +66,10 @@
     const { clock, otherBoxes } = this.#options;
     // Without other boxes, no other coordinator can be elected.
     if (otherBoxes().length === 0) return true;
-    return this.#confirmedAtMs - this.#confirmedSinceMs >= MIN_OUTAGE_MS &&
-      clock.monotonicMs() - this.#confirmedAtMs <= RESULT_VALIDITY_MS;
+    if (this.#outage === null) return false;
+    const { first, latest } = this.#outage;
+    return latest.monotonicMs - first.monotonicMs >= MIN_OUTAGE_MS &&
+      clock.elapsedMsSince(latest) <= RESULT_VALIDITY_MS;
   }
 
   /** Polls other boxes while this one coordinates without the store; never ends. */
@@ -91,7 +98,7 @@
   #pollBoxes(): Effect.Effect<void> {
     const { clock } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const polledAtMs = clock.monotonicMs();
+      const polledAt = clock.now();
       const polled = this.#chooseBoxes();
       const answers = yield* Effect.forEach(
         polled,
@@ -102,22 +109,23 @@
         outcome === Ports.StoreOutcome.Unavailable
       );
       if (answers.includes(Ports.StoreOutcome.Done)) {
-        return this.#noteReachable();
+        this.#outage = null;
+        return;
       }
       if (unavailable.length * 2 <= polled.length) return;
-      this.#noteConfirmed(polledAtMs);
+      this.#noteConfirmed(polledAt);
     });
   }
 
-  #noteReachable(): void {
-    this.#confirmedSinceMs = Number.POSITIVE_INFINITY;
-  }
-
-  #noteConfirmed(polledAtMs: number): void {
-    const isContinued = Number.isFinite(this.#confirmedSinceMs) &&
-      polledAtMs - this.#confirmedAtMs <= MAX_POLL_GAP_MS;
-    if (!isContinued) this.#confirmedSinceMs = polledAtMs;
-    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, polledAtMs);
+  #noteConfirmed(polledAt: Ports.Moment): void {
+    const known = this.#outage;
+    const isContinued = known !== null &&
+      Ports.elapsedMs(known.latest, polledAt) <= MAX_POLL_GAP_MS;
+    if (!isContinued) {
+      this.#outage = { first: polledAt, latest: polledAt };
+    } else if (polledAt.monotonicMs > known.latest.monotonicMs) {
+      this.#outage = { first: known.first, latest: polledAt };
+    }
   }
 
   /** Chooses at random, so that the result does not depend on the same few boxes. */
