Wait in tests until a response is overdue, however slow earlier ones were

Cause: the test waited for a fixed 200 ms, but a response is overdue only after four times the average response time. Where the four calls before take 65 ms or more each, as may be on a busy machine, the first call is not overdue by then, and the second one takes a kept connection that is silent. The detector does what it should.

Both tests now wait for as long as the slowest earlier response demands, which is 200 ms on a quick machine, and each has a case with earlier responses of 80 ms. No other time limit has changed except that of the pending call, which has to outlast the wait.

--- a/packages/http-json/src/silence_detector.ts
+++ b/packages/http-json/src/silence_detector.ts
@@ -32,12 +32,12 @@
  * A response that takes this many times the average is overdue. The responses of
  * a healthy service, 0.5 to 3 times the average, stay below.
  */
-const OVERDUE_FACTOR = 4;
+export const OVERDUE_FACTOR = 4;
 /**
  * No response is overdue sooner, in ms: a box that is busy for a moment reads its
  * responses this late without any fault.
  */
-const MIN_OVERDUE_MS = 100;
+export const MIN_OVERDUE_MS = 100;
 /** Weight of the newest response in the average: about the last three count. */
 const NEWEST_SAMPLE_WEIGHT = 0.3;
 /** At this number, addresses without pending calls are removed. */
--- a/packages/http-json/src/silence_detector_test.ts
+++ b/packages/http-json/src/silence_detector_test.ts
@@ -12,6 +12,7 @@
 import * as callers from "./http_caller.ts";
 import * as listening from "./address.ts";
 import * as sending from "./send.ts";
+import * as detectors from "./silence_detector.ts";
 
 const clock = new Adapters.SystemClock();
 /** Number of connections of a box to the store. */
@@ -25,12 +26,17 @@
 const LONG_TIMEOUT_MS = 2000;
 /** Response time of a store that is 90 times slower, in ms: 4 ms x 90. */
 const SLOW_RESPONSE_MS = 360;
+/** Delay after which a response that is overdue is seen as such, in ms. */
+const OVERDUE_MARGIN_MS = 100;
+/** Response times of a quick server and of one on a busy machine, in ms. */
+const EARLIER_RESPONSES_MS: readonly number[] = [0, 80];
 
 /** A server on loopback, a proxy in front of it and a caller. */
 class Fixture {
   /** Response time of the server, in ms. */
   responseMs = 0;
   served = 0;
+  #slowestMs = 0;
   readonly silences: callers.SilentConnection[] = [];
   readonly caller = new callers.HttpCaller({
     connections: CONNECTIONS,
@@ -71,14 +77,32 @@
       ...options,
     });
     const timed = Effect.result(clock.within(timeoutMs, call));
+    const sentAtMs = clock.monotonicMs();
     return Effect.runPromise(
-      Effect.map(
-        timed,
-        (result) => result._tag === "Success" && result.success !== null,
-      ),
+      Effect.map(timed, (result) => {
+        const tookMs = clock.monotonicMs() - sentAtMs;
+        this.#slowestMs = Math.max(this.#slowestMs, tookMs);
+        return result._tag === "Success" && result.success !== null;
+      }),
     );
   }
 
+  /**
+   * Time after which a response is overdue, in ms. It depends on the average response
+   * time, which the slowest response bounds.
+   */
+  get overdueAfterMs(): number {
+    const scaledMs = this.#slowestMs * detectors.OVERDUE_FACTOR;
+    return Math.max(detectors.MIN_OVERDUE_MS, scaledMs) + OVERDUE_MARGIN_MS;
+  }
+
+  /** Makes the first calls, whose responses take this time, then a quick server. */
+  async warmUp(count: number, responseMs: number): Promise<void> {
+    this.responseMs = responseMs;
+    vitest.expect(await this.callMany(count, LONG_TIMEOUT_MS)).toBe(count);
+    this.responseMs = 0;
+  }
+
   /** Makes concurrent calls; returns how many got a response in time. */
   async callMany(count: number, timeoutMs = TIMEOUT_MS): Promise<number> {
     const calls = Array.from({ length: count }, () => this.call({}, timeoutMs));
@@ -106,19 +130,24 @@
     vitest.expect(fixture.silences[0].closedCount).toBe(CONNECTIONS - 1);
   });
 
-  vitest.it("are not used any more once one response is overdue", async () => {
-    await fixture.callMany(4);
-    fixture.proxy.silence();
-    let isFirstDone = false;
-    const first = fixture.call({}, LONG_TIMEOUT_MS).finally(() => {
-      isFirstDone = true;
-    });
-    await Effect.runPromise(clock.sleep(200));
-    // The first call is still pending; the second one uses a new connection.
-    vitest.expect(await fixture.call({}, LONG_TIMEOUT_MS / 2)).toBe(true);
-    vitest.expect(isFirstDone).toBe(false);
-    vitest.expect(await first).toBe(false);
-  });
+  vitest.it.each(EARLIER_RESPONSES_MS)(
+    "are not used any more once one response is overdue, after %i ms each",
+    async (responseMs) => {
+      await fixture.warmUp(4, responseMs);
+      const { overdueAfterMs } = fixture;
+      fixture.proxy.silence();
+      let isFirstDone = false;
+      const first = fixture.call({}, overdueAfterMs + LONG_TIMEOUT_MS)
+        .finally(() => {
+          isFirstDone = true;
+        });
+      await Effect.runPromise(clock.sleep(overdueAfterMs));
+      // The first call is still pending; the second one uses a new connection.
+      vitest.expect(await fixture.call({}, LONG_TIMEOUT_MS / 2)).toBe(true);
+      vitest.expect(isFirstDone).toBe(false);
+      vitest.expect(await first).toBe(false);
+    },
+  );
 
   vitest.it("are detected when silent in one direction only", async () => {
     for (const way of ["to-server", "to-client"] as const) {
@@ -139,13 +168,14 @@
     vitest.expect(fixture.silences).toHaveLength(1);
   });
 
-  vitest.it(
-    "do not make those suspect that have received data since",
-    async () => {
-      await fixture.callMany(2);
+  vitest.it.each(EARLIER_RESPONSES_MS)(
+    "do not make those suspect that have received data since, after %i ms each",
+    async (responseMs) => {
+      await fixture.warmUp(2, responseMs);
+      const { overdueAfterMs } = fixture;
       fixture.proxy.silence();
-      const first = fixture.call();
-      await Effect.runPromise(clock.sleep(150));
+      const first = fixture.call({}, overdueAfterMs + TIMEOUT_MS);
+      await Effect.runPromise(clock.sleep(overdueAfterMs));
       await fixture.call();
       const opened = fixture.proxy.opened;
       await first;
