Wake each waiter once when the store recovers

When the store came back after an outage, the coordinator could send it hundreds of renewals at once.

Cause: StoreHealth completed the signal of a recovery before it replaced it. Waiters run at once, so the loop of a renewal, which since sends the next attempt at the recovery, waited for the same completed signal again and again until the runtime let another task run.

--- a/packages/table-client/src/store_health.ts
+++ b/packages/table-client/src/store_health.ts
@@ -133,7 +133,9 @@
   /** Allows a trial call in every partition and wakes the calls in backoff. */
   #endOutage(): void {
     for (const breaker of this.#breakers.values()) breaker.allowTrial();
-    Deferred.doneUnsafe(this.#recovered, Effect.void);
+    const recovered = this.#recovered;
+    // Waiters run at once, and may wait again: that is for the next recovery.
     this.#recovered = Deferred.makeUnsafe<void>();
+    Deferred.doneUnsafe(recovered, Effect.void);
   }
 }
