Split the rows of a partition and the message of a conclusion off

Which rows a record changes is plain data and now a module of its own, as is the log message for a workflow that has ended. No change of behaviour: the tests of packages/coordinator and the ones named waiting and cancel pass (153).

--- a/packages/coordinator/src/work/partition_recorder.ts
+++ b/packages/coordinator/src/work/partition_recorder.ts
@@ -6,13 +6,14 @@
 import type * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
-import * as Workflow from "@cairngate/workflow";
+import type * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as intake from "./intake.ts";
 import type * as terms from "../election/term.ts";
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "../ports.ts";
+import * as progress from "./progress_rows.ts";
 
 /**
  * A transaction holds at most 100 entries. Each workflow takes up to four (two
@@ -184,8 +185,10 @@
       writes: batch.flatMap((workflow) => this.#rowsOf(workflow)),
     };
     // Evaluated now, because a workflow may change while the write is in flight.
-    const notWaiting = batch.filter((workflow) => !isWaiting(workflow));
-    const settled = batch.filter(isSettled);
+    const notWaiting = batch.filter((workflow) =>
+      !progress.isWaiting(workflow)
+    );
+    const settled = batch.filter(progress.isSettled);
     this.#writingSinceMs = clock.monotonicMs();
     return store.writeReportingRefusal(write, WRITE_TIMEOUT_MS).pipe(
       Effect.map((revision) => {
@@ -263,27 +266,11 @@
   }
 
   #rowsOf(workflow: Workflow.Workflow): Ports.RowWrite[] {
-    const { spec: { id, policy } } = workflow;
-    const key = this.#keyOf(workflow);
-    const rows = [{
-      key,
-      value: Workflow.toProgressRecord(workflow) as unknown,
-    }];
-    if (!isWaiting(workflow) && this.#withWaitingRow.has(workflow)) {
-      const { partition } = this.#options;
-      const waitingKey = TableClient.Keys.waitingKey(
-        partition,
-        policy.queue,
-        id,
-      );
-      rows.push({ key: waitingKey, value: null });
-    }
-    if (isSettled(workflow) && !this.#trimmed.has(workflow)) {
-      const { partition } = this.#options;
-      const specKey = TableClient.Keys.workflowKey(partition, id);
-      rows.push({ key: specKey, value: Workflow.withoutWork(workflow.spec) });
-    }
-    return rows;
+    return progress.progressRows(workflow, {
+      partition: this.#options.partition,
+      hasWaitingRow: this.#withWaitingRow.has(workflow),
+      isTrimmed: this.#trimmed.has(workflow),
+    });
   }
 
   #cancelKeyOf(workflow: Workflow.Workflow): string {
@@ -296,14 +283,3 @@
     return TableClient.Keys.progressKey(partition, workflow.spec.id);
   }
 }
-
-/** Whether it counts as waiting: nothing of it has begun, and it goes on. */
-function isWaiting({ hasBegun, isOver }: Workflow.Workflow): boolean {
-  return !hasBegun && !isOver;
-}
-
-/** Whether it has ended and none of its runs has still to be stopped. */
-function isSettled(workflow: Workflow.Workflow): boolean {
-  return Workflow.isFinal(workflow.state) &&
-    workflow.placedTasks().length === 0;
-}
--- a/packages/coordinator/src/work/workflow_registry.ts
+++ b/packages/coordinator/src/work/workflow_registry.ts
@@ -2,6 +2,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
+import * as conclusions from "./conclusion_message.ts";
 import type * as intake from "./intake.ts";
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "../ports.ts";
@@ -122,7 +123,9 @@
   conclude(workflow: Workflow.Workflow): void {
     if (!this.isProgressKnown(workflow)) return;
     workflow.completeCancel();
-    if (this.#markEnded(workflow)) this.#logConclusion(workflow);
+    if (!this.#markEnded(workflow)) return;
+    const { clock, log } = this.#parts.ports;
+    log.info(conclusions.describeConclusion(workflow, clock.wallMs()));
   }
 
   /**
@@ -278,29 +281,6 @@
       })
     );
   }
-
-  /** Logs how long a workflow took compared with its objective. */
-  #logConclusion(workflow: Workflow.Workflow): void {
-    const { spec, state } = workflow;
-    const nowMs = this.#parts.ports.clock.wallMs();
-    const lastRound = Workflow.countRounds(spec) - 1;
-    const dueMs = Workflow.dueAtMs(spec, lastRound);
-    const allowedMs = Workflow.objectiveAtMs(spec, lastRound) - dueMs;
-    const [first] = spec.steps;
-    const unknownStart = workflow.hasBegun
-      ? "started before this term"
-      : "not started";
-    const startNote = workflow.firstStartMs === null
-      ? unknownStart
-      : `first start after ${Math.round(workflow.firstStartMs - dueMs)} ms`;
-    this.#parts.ports.log.info(
-      `Workflow ${spec.id} of priority ${spec.policy.priority} is ${state} ` +
-        `after ${Math.round(nowMs - dueMs)} of ${Math.round(allowedMs)} ms; ` +
-        `${startNote}, ${workflow.unsuccessfulRuns} runs lost; ${first.count} tasks of ` +
-        `${first.accelerators} accelerators, gang ${first.gang}, ` +
-        `same rack ${first.sameRack}.`,
-    );
-  }
 }
 
 /** Keys of the rows of a workflow in one partition, except its cancel request. */
