--- a/packages/workflow-node/src/frozen_coordinator_test.ts
+++ b/packages/workflow-node/src/frozen_coordinator_test.ts
@@ -1,7 +1,8 @@
 /**
- * Guards against two concurrent runs of a task after a coordinator was frozen. A box that
- * has just woken has seen no call fail, so it must prove by a renewal that it still holds
- * the term before it extends a lease at an endpoint that its replacement can't reach.
+ * Guards against two concurrent runs of a task after a coordinator was frozen or
+ * suspended. A box that has just woken has seen no call fail, so it must prove by a
+ * renewal that it still holds the term before it extends a lease at an endpoint that its
+ * replacement can't reach.
  */
 import * as StandIns from "@cairngate/stand-ins";
 import * as TestUtils from "@cairngate/test-utils";
