Word three comments for readers who know no other part

Cause: read beside nothing else, "that is for the next recovery", "changes of the rows" and "what is known of stored rows" do not say what the code does.

Change: comments only; no code, check or bound.

--- a/packages/coordinator/src/work/progress_rows.ts
+++ b/packages/coordinator/src/work/progress_rows.ts
@@ -3,7 +3,7 @@
 import * as TableClient from "@cairngate/table-client";
 import * as Workflow from "@cairngate/workflow";
 
-/** What is known of a workflow's stored rows. */
+/** What the store is known to hold of a workflow. */
 export interface StoredRows {
   readonly partition: string;
   /** Whether its row in the table of waiting workflows may still exist. */
@@ -12,7 +12,7 @@
   readonly isTrimmed: boolean;
 }
 
-/** Changes of the rows of a workflow. */
+/** Lists the writes that record the progress of a workflow. */
 export function progressRows(
   workflow: Workflow.Workflow,
   { partition, hasWaitingRow, isTrimmed }: StoredRows,
--- a/packages/table-client/src/store_health.ts
+++ b/packages/table-client/src/store_health.ts
@@ -134,7 +134,7 @@
   #endOutage(): void {
     for (const breaker of this.#breakers.values()) breaker.allowTrial();
     const recovered = this.#recovered;
-    // Waiters run at once, and may wait again: that is for the next recovery.
+    // Waiters resume synchronously and may await the next recovery at once.
     this.#recovered = Deferred.makeUnsafe<void>();
     Deferred.doneUnsafe(recovered, Effect.void);
   }
