--- a/packages/http-json/src/connection_drain.ts
+++ b/packages/http-json/src/connection_drain.ts
@@ -3,6 +3,12 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 
+/**
+ * Turns of the event loop after which waiting connections are accepted and their
+ * requests read.
+ */
+const READ_TURNS = 3;
+
 /** Tracks the unanswered requests of an HTTP server, and closes its connections. */
 export class ConnectionDrain {
   readonly #server: http.Server;
@@ -38,7 +44,7 @@
     if (!this.#isDraining) return Effect.void;
     // Node drops the requests behind an answer with `connection: close`. After one turn,
     // those that arrived in the same segment are tracked.
-    return Effect.map(waitTurn(), () => {
+    return Effect.map(waitTurns(1), () => {
       const isOnly = this.#connections.get(req.socket)?.size === 1;
       if (isOnly && !res.headersSent) res.setHeader("connection", "close");
     });
@@ -46,16 +52,23 @@
 
   /** Accepts no new connections; completes when the last one is closed. */
   close(): Effect.Effect<void> {
-    return Effect.callback((resume) => {
+    const closed = Effect.callback<void>((resume) => {
       this.#server.close(() => resume(Effect.void));
       this.#server.closeIdleConnections();
     });
+    // Requests that arrived while the process was stalled are not read yet.
+    return Effect.andThen(waitTurns(READ_TURNS), closed);
   }
 }
 
-/** Waits until the event loop has polled all sockets. */
-function waitTurn(): Effect.Effect<void> {
+/** Waits until the event loop has polled all sockets this many times. */
+function waitTurns(count: number): Effect.Effect<void> {
   return Effect.callback((resume) => {
-    setImmediate(() => resume(Effect.void));
+    let turns = 0;
+    const next = () => {
+      if (turns++ < count) setImmediate(next);
+      else resume(Effect.void);
+    };
+    next();
   });
 }
