--- a/packages/workflow-node/src/graceful_shutdown.ts
+++ b/packages/workflow-node/src/graceful_shutdown.ts
@@ -11,7 +11,7 @@
 export interface ShutdownBudget {
   /** Handing over, while requests are still served. */
   readonly handOverMs: number;
-  /** Answering the requests under way. */
+  /** Answering the requests under way, at least; time left by handing over is added. */
   readonly answersMs: number;
   /** Ending all fibers. */
   readonly endMs: number;
@@ -39,7 +39,7 @@
 
 /** Reserve for the delivery of the signal and the exit of the process. */
 const RESERVE_SHARE = 0.1;
-/** 1.5 s of a grace time of 6 s, in which all but the longest calls complete. */
+/** 1.5 s of a grace time of 6 s, where handing over takes all of its share. */
 const ANSWERS_SHARE = 0.25;
 /** Fibers end in a few ms, and more slowly on a box with a third of a core. */
 const END_SHARE = 0.05;
@@ -63,14 +63,17 @@
   const budget = splitGraceTime(graceMs);
   const untilUnready = clock.sleep(Math.min(unreadyMs, budget.handOverMs));
   return Effect.gen(function* () {
+    const startedAtMs = clock.monotonicMs();
     yield* Effect.all([
       runStep("handing over", steps.handOver, budget.handOverMs, options),
       untilUnready,
     ], { concurrency: "unbounded", discard: true });
+    const handedOverMs = clock.monotonicMs() - startedAtMs;
+    const unusedMs = Math.max(0, budget.handOverMs - handedOverMs);
     yield* runStep(
       "answering the last requests",
       steps.answer,
-      budget.answersMs,
+      budget.answersMs + unusedMs,
       options,
     );
     yield* runStep("ending", steps.end, budget.endMs, options);
--- a/packages/workflow-node/src/graceful_shutdown_test.ts
+++ b/packages/workflow-node/src/graceful_shutdown_test.ts
@@ -71,4 +71,15 @@
       vitest.expect(endedMs).toBeLessThan(GRACE_MS);
     },
   );
+
+  vitest.it(
+    "answers requests in the time that handing over has not used",
+    async () => {
+      const { began } = await runStop({ answer: Effect.never });
+      const { handOverMs, answersMs } = stops.splitGraceTime(GRACE_MS);
+      vitest.expect(began["end"]).toBeGreaterThanOrEqual(
+        handOverMs + answersMs,
+      );
+    },
+  );
 });
