--- a/packages/http-json/src/connection_drain.ts
+++ b/packages/http-json/src/connection_drain.ts
@@ -4,10 +4,12 @@
 import type * as net from "node:net";
 
 /**
- * Turns of the event loop after which waiting connections are accepted and their
- * requests read.
+ * Turns of the event loop without a new connection or request after which all waiting
+ * ones have been read. Each turn accepts one connection.
  */
-const READ_TURNS = 3;
+const QUIET_TURNS = 3;
+/** Limit of these turns, for callers that never pause. */
+const MAX_READ_TURNS = 2000;
 
 /** Tracks the unanswered requests of an HTTP server, and closes its connections. */
 export class ConnectionDrain {
@@ -15,10 +17,13 @@
   /** Unanswered requests of each open connection. */
   readonly #connections = new Map<net.Socket, Set<http.ServerResponse>>();
   #isDraining = false;
+  /** Number of connections and requests so far. */
+  #arrivals = 0;
 
   constructor(server: http.Server) {
     this.#server = server;
     server.on("connection", (socket) => {
+      this.#arrivals++;
       this.#connections.set(socket, new Set());
       socket.once("close", () => this.#connections.delete(socket));
     });
@@ -26,6 +31,7 @@
 
   /** Starts to track a request; to be called for each one as it arrives. */
   track(req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.#arrivals++;
     const unanswered = this.#connections.get(req.socket);
     unanswered?.add(res);
     res.once("close", () => unanswered?.delete(res));
@@ -44,7 +50,7 @@
     if (!this.#isDraining) return Effect.void;
     // Node drops the requests behind an answer with `connection: close`. After one turn,
     // those that arrived in the same segment are tracked.
-    return Effect.map(waitTurns(1), () => {
+    return Effect.map(waitTurn(), () => {
       const isOnly = this.#connections.get(req.socket)?.size === 1;
       if (isOnly && !res.headersSent) res.setHeader("connection", "close");
     });
@@ -57,18 +63,24 @@
       this.#server.closeIdleConnections();
     });
     // Requests that arrived while the process was stalled are not read yet.
-    return Effect.andThen(waitTurns(READ_TURNS), closed);
+    return Effect.andThen(this.#readWaiting(), closed);
+  }
+
+  #readWaiting(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      let quietTurns = 0;
+      for (let i = 0; i < MAX_READ_TURNS && quietTurns < QUIET_TURNS; i++) {
+        const before = this.#arrivals;
+        yield* waitTurn();
+        quietTurns = this.#arrivals === before ? quietTurns + 1 : 0;
+      }
+    });
   }
 }
 
-/** Waits until the event loop has polled all sockets this many times. */
-function waitTurns(count: number): Effect.Effect<void> {
+/** Waits until the event loop has polled all sockets. */
+function waitTurn(): Effect.Effect<void> {
   return Effect.callback((resume) => {
-    let turns = 0;
-    const next = () => {
-      if (turns++ < count) setImmediate(next);
-      else resume(Effect.void);
-    };
-    next();
+    setImmediate(() => resume(Effect.void));
   });
 }
