--- a/packages/daemon/bin.ts
+++ b/packages/daemon/bin.ts
@@ -54,10 +54,11 @@
   }
 }
 
+/** Settles at the first signal; later ones do not end the process at once. */
 function awaitSignal(): Promise<void> {
   return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    process.on("SIGTERM", () => resolve());
+    process.on("SIGINT", () => resolve());
   });
 }
 
