--- a/packages/http-json/src/connection_drain.ts
+++ b/packages/http-json/src/connection_drain.ts
@@ -76,6 +76,27 @@
       }
     });
   }
+
+  /**
+   * Answers the requests that were received in full and are still unanswered; completes
+   * when these answers are sent.
+   */
+  answerRest(
+    answer: (res: http.ServerResponse) => void,
+  ): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const rest = [...this.#connections.values()]
+        .flatMap((unanswered) => [...unanswered])
+        .filter((res) => res.req.complete && !res.headersSent);
+      const sent = rest.map((res) =>
+        Effect.callback<void>((resume) => {
+          res.once("close", () => resume(Effect.void));
+          answer(res);
+        })
+      );
+      return Effect.all(sent, { concurrency: "unbounded", discard: true });
+    });
+  }
 }
 
 /** Waits until the event loop has polled all sockets. */
