--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -268,12 +268,12 @@
   #waitMs(): number {
     if (!this.#isSettled) return 0;
     const { runs: { tracked }, options } = this.#options;
-    const { longestLeaseMs } = options.ports.bounds;
+    const { grantedLeaseMs } = this.#options.state.incarnation;
     const reportsProgress = tracked.all.some(({ task }) => !task.step.lasting);
     const longestMs = reportsProgress
       ? options.progressWaitMs()
       : MAX_LASTING_WAIT_MS;
-    const leaseShareMs = Math.floor(longestLeaseMs / POLLS_PER_LEASE);
+    const leaseShareMs = Math.floor(grantedLeaseMs / POLLS_PER_LEASE);
     return Math.min(longestMs, leaseShareMs, MAX_WAIT_MS);
   }
 
--- a/packages/coordinator/src/sessions/incarnation_state.ts
+++ b/packages/coordinator/src/sessions/incarnation_state.ts
@@ -8,9 +8,10 @@
 import * as evidences from "./end_evidence.ts";
 import * as currentIncarnations from "./current_incarnation.ts";
 import type * as sessionOptions from "./session_options.ts";
+import * as unansweredStarts from "./unanswered_starts.ts";
 
 /**
- * Share of the longest lease that has to be left when a run starts: the lease then
+ * Share of a granted lease that has to be left when a run starts: the lease then
  * outlasts two lost polls.
  */
 const MIN_LEASE_SHARE = 2 / 3;
@@ -28,6 +29,11 @@
   #ends = new reportedEnds.ReportedEnds();
   #health = new healths.EndpointHealth();
   #endEvidence: evidences.EndEvidence;
+  /**
+   * Time until which an order to the previous incarnation may still arrive. On the clock
+   * of this one, its lease may seem to be the longest.
+   */
+  #previousOrdersUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: sessionOptions.SessionOptions) {
     this.#options = options;
@@ -71,10 +77,18 @@
     return listedBornMs !== (this.bornMs ?? this.#options.listedBornMs);
   }
 
+  /** Duration of the leases that are granted here, in ms. */
+  get grantedLeaseMs(): number {
+    const { longestLeaseMs } = this.#options.ports.bounds;
+    return leaseClocks.grantedLeaseMs(longestLeaseMs);
+  }
+
   /** End of a lease that begins now, on the endpoint's clock. */
   leaseEnd(nowMs: number): number {
-    const { longestLeaseMs } = this.#options.ports.bounds;
-    return this.#clock.leaseEnd(nowMs, longestLeaseMs);
+    if (nowMs < this.#previousOrdersUntilMs) {
+      this.#clock.coverUntil(this.#longestLeaseEndMs(nowMs));
+    }
+    return this.#clock.leaseEnd(nowMs, this.grantedLeaseMs);
   }
 
   /** End of the lease of a start with this time limit, on the endpoint's clock. */
@@ -84,32 +98,35 @@
 
   /** Notes that the incarnation has answered a poll that granted a lease. */
   confirmLease(
-    lease: Omit<leaseClocks.ConfirmedLease, "longestLeaseMs">,
+    lease: Omit<leaseClocks.ConfirmedLease, "leaseMs">,
   ): void {
-    const { longestLeaseMs } = this.#options.ports.bounds;
-    this.#clock.confirmLease({ ...lease, longestLeaseMs });
+    const leaseMs = this.grantedLeaseMs;
+    this.#clock.confirmLease({ ...lease, leaseMs });
   }
 
   /** Whether answered polls have leased the endpoint for long enough for new runs. */
   isLeasedForStarts(nowMs: number): boolean {
-    const { longestLeaseMs } = this.#options.ports.bounds;
-    return this.#clock.isLeasedFor(longestLeaseMs * MIN_LEASE_SHARE, nowMs);
+    const leaseMs = this.grantedLeaseMs * MIN_LEASE_SHARE;
+    return this.#clock.isLeasedFor(leaseMs, nowMs);
   }
 
   /** Resets the state for a new incarnation. */
   reset(): void {
-    const { clock, bounds } = this.#options.ports;
-    const lapsesAtMs = leaseClocks.foreignLeaseEndMs(
-      clock.monotonicMs(),
-      bounds.longestLeaseMs,
-    );
-    this.#clock = new leaseClocks.LeaseClock(lapsesAtMs);
+    const nowMs = this.#options.ports.clock.monotonicMs();
+    this.#previousOrdersUntilMs = nowMs +
+      unansweredStarts.LONGEST_ORDER_DELAY_MS;
+    this.#clock = new leaseClocks.LeaseClock(this.#longestLeaseEndMs(nowMs));
     this.#ends = new reportedEnds.ReportedEnds();
     this.#health = new healths.EndpointHealth();
     this.#endEvidence = this.#createEndEvidence();
     this.hasEnded = false;
   }
 
+  #longestLeaseEndMs(nowMs: number): number {
+    const { longestLeaseMs } = this.#options.ports.bounds;
+    return leaseClocks.foreignLeaseEndMs(nowMs, longestLeaseMs);
+  }
+
   #createEndEvidence(): evidences.EndEvidence {
     const { ref, failureLog, ports: { clock, log } } = this.#options;
     return new evidences.EndEvidence({ clock, log, ref, failureLog });
--- a/packages/coordinator/src/sessions/lease_clock.ts
+++ b/packages/coordinator/src/sessions/lease_clock.ts
@@ -10,6 +10,13 @@
 /** Margin in ms for rounding and for estimates that are slightly ahead. */
 const MARGIN_MS = 250;
 
+/**
+ * Longest lease that is granted, in ms. A run whose endpoint is gone starts again only
+ * after its lease, and callers accept that work stands still for 7 s: this leaves 0.5 s
+ * beyond the clock's slowdown and the margin to notice the end and to start.
+ */
+const MAX_GRANTED_LEASE_MS = 6000;
+
 /** A lease that an answered poll has granted. */
 export interface ConfirmedLease {
   /** End of the lease, on the endpoint's clock. */
@@ -19,7 +26,8 @@
   /** Time at which the poll was sent, by this box's clock. */
   readonly sentAtMs: number;
   readonly nowMs: number;
-  readonly longestLeaseMs: number;
+  /** Duration of the lease, in ms. */
+  readonly leaseMs: number;
 }
 
 /** Reads the clock of an endpoint and bounds its lease. */
@@ -65,13 +73,13 @@
 
   /** Notes that the endpoint has answered a poll that granted a lease. */
   confirmLease(
-    { leaseUntilMs, clockMs, sentAtMs, nowMs, longestLeaseMs }: ConfirmedLease,
+    { leaseUntilMs, clockMs, sentAtMs, nowMs, leaseMs }: ConfirmedLease,
   ): void {
     // The first bound holds if the estimate of the endpoint's clock lagged, the second one
     // if this box was late to process the answer.
     const untilMs = Math.min(
       nowMs + leaseUntilMs - clockMs,
-      sentAtMs + longestLeaseMs,
+      sentAtMs + leaseMs,
     );
     this.#confirmedUntilMs = Math.max(this.#confirmedUntilMs, untilMs);
   }
@@ -99,6 +107,11 @@
   }
 }
 
+/** Duration of the leases that this coordinator grants, in ms. */
+export function grantedLeaseMs(longestLeaseMs: number): number {
+  return Math.min(longestLeaseMs, MAX_GRANTED_LEASE_MS);
+}
+
 /** Time by which leases that others granted until now expire, by this box's clock. */
 export function foreignLeaseEndMs(
   nowMs: number,
--- a/packages/coordinator/src/sessions/lease_clock_test.ts
+++ b/packages/coordinator/src/sessions/lease_clock_test.ts
@@ -10,7 +10,7 @@
   clock.confirmLease({
     leaseUntilMs: LEASE_MS,
     sentAtMs: SENT_AT_MS,
-    longestLeaseMs: LEASE_MS,
+    leaseMs: LEASE_MS,
     ...answer,
   });
   return (atMs: number) => clock.isLeasedFor(0, atMs);
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -135,6 +135,8 @@
       advisor?: (clock: Ports.Clock) => Ports.Advisor;
       /** Longest lease of an endpoint, in ms. */
       longestLeaseMs?: number;
+      /** Longest time in which an endpoint stops a run, in ms. */
+      stopMs?: number;
       /** Features for hard load; defaults to none. */
       hardLoad?: Types.HardLoadSettings;
       /** Data centre of the endpoint at each index; defaults to one for all. */
@@ -149,6 +151,7 @@
     this.#bounds = {
       ...FLEET_BOUNDS,
       longestLeaseMs: options.longestLeaseMs ?? FLEET_BOUNDS.longestLeaseMs,
+      stopMs: options.stopMs ?? FLEET_BOUNDS.stopMs,
     };
     this.#hardLoad = options.hardLoad ?? Types.HARD_LOAD_OFF;
     this.#advisor = options.advisor?.(this.clock) ?? null;
