--- a/packages/coordinator/src/endpoints/endpoint_directory.ts
+++ b/packages/coordinator/src/endpoints/endpoint_directory.ts
@@ -97,6 +97,11 @@
     return session !== undefined && session.isOver && session.hasAnswered;
   }
 
+  /** Whether another endpoint has answered at the endpoint's address in this term. */
+  isReplacedAt(ref: Ports.EndpointRef): boolean {
+    return this.#sessions.isReplacedAt(ref);
+  }
+
   /**
    * The session with an endpoint that the records name; null where its incarnation has
    * ended. An endpoint that is no longer listed is contacted at its recorded address.
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -90,6 +90,15 @@
     return this.#sessions.get(id);
   }
 
+  /** Whether another endpoint has answered at the endpoint's address in this term. */
+  isReplacedAt(ref: Ports.EndpointRef): boolean {
+    return this.#parts.listings.othersAt(ref).some((other) => {
+      const session = this.#sessions.get(other);
+      return session !== undefined && session.hasAnswered &&
+        session.ref.address === ref.address;
+    });
+  }
+
   /** Delay of this box's own processing, in ms. */
   get delayMs(): number {
     return this.#load.delayMs;
--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -87,15 +87,16 @@
    * Handles an answer of another endpoint at this address. An endpoint that never
    * answered here may be at another address if its entry was written by somebody
    * else: runs that an earlier coordinator started on it are kept until it had time
-   * to rewrite its entry and its lease has expired.
+   * to rewrite its entry and its lease has expired, unless the records show that their
+   * starts were sent to this address.
    */
   noteReplaced(): Effect.Effect<void> {
     const { state, runs, options } = this.#options;
     const nowMs = options.ports.clock.monotonicMs();
     const mayHold = nowMs - state.openedAtMs < ENTRY_REFRESH_MS ||
       !state.incarnation.clock.hasLapsed(nowMs);
-    const mayBeElsewhere = !state.hasAnswered && !runs.tracked.isEmpty &&
-      mayHold;
+    const mayBeElsewhere = !state.hasAnswered && mayHold &&
+      !runs.tracked.all.every((one) => this.#wasSentHere(one));
     return mayBeElsewhere ? Effect.void : this.endAll();
   }
 
@@ -126,6 +127,12 @@
     for (const run of unreported.all) options.listener.runGone(state, run);
   }
 
+  /** Whether the record of a run shows that its start was sent to this address. */
+  #wasSentHere({ task, run }: assignments.Assignment): boolean {
+    return task.run === run &&
+      task.address === this.#options.state.ref.address;
+  }
+
   /**
    * Whether the ended incarnation may have had a run. Another incarnation answers
    * already, so a start sent just before came too late for the ended one.
--- a/packages/coordinator/src/work/missing_runs.ts
+++ b/packages/coordinator/src/work/missing_runs.ts
@@ -38,6 +38,13 @@
     return this.#removeWhere(({ endpoint }) => isListed(endpoint));
   }
 
+  /** Removes and returns the runs at whose addresses other endpoints answer. */
+  removeReplaced(
+    isReplaced: (run: MissingRun) => boolean,
+  ): readonly MissingRun[] {
+    return this.#removeWhere(isReplaced);
+  }
+
   /** Removes and returns the runs whose leases have expired. */
   removeExpired(nowMs: number): readonly MissingRun[] {
     return this.#removeWhere(({ leaseExpiresAtMs: untilMs }) =>
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -89,7 +89,7 @@
     const { run, endpoint, bornMs, address } = task;
     if (endpoint === null) return;
     const presence = Workflow.Presence.Unknown;
-    const session = directory.open(endpoint, task);
+    const session = directory.open(endpoint, task.isSuspect ? task : null);
     if (session === null) {
       return this.#addMissing({
         task,
@@ -122,7 +122,7 @@
 
   /**
    * Adopts missing runs whose endpoints are listed again, and returns those whose
-   * leases have expired.
+   * leases have expired or whose endpoints are replaced where their starts were sent.
    */
   resolveMissing(): readonly missingRuns.MissingRun[] {
     const { ports: { clock }, directory } = this.#parts;
@@ -133,7 +133,10 @@
       if (isPlaced) this.adopt(task);
       else this.adoptUnresolved(missing);
     }
-    return this.#missing.removeExpired(clock.monotonicMs());
+    const replaced = this.#missing.removeReplaced(({ endpoint: id, address }) =>
+      typeof address === "string" && directory.isReplacedAt({ id, address })
+    );
+    return [...replaced, ...this.#missing.removeExpired(clock.monotonicMs())];
   }
 
   /** Logs a start that follows failed runs, or runs that may turn out to have failed. */
--- a/packages/workflow/src/incarnation_table.ts
+++ b/packages/workflow/src/incarnation_table.ts
@@ -14,9 +14,10 @@
    */
   readonly births?: readonly (number | null)[];
   /**
-   * Addresses of these incarnations, by index in `workers`, where a task is a crash
-   * suspect: once their entries are gone, nothing else tells whom to ask. Omitted
-   * if none is needed, or by earlier versions.
+   * Addresses to which starts of these incarnations were sent, by index in `workers`:
+   * once their entries are gone, nothing else tells whom to ask, and an answer of
+   * another one there proves their end. Omitted if none is known, and by earlier
+   * versions for tasks that are no crash suspects.
    */
   readonly addresses?: Readonly<Record<string, string>>;
 }
@@ -34,7 +35,8 @@
     bornMs: number | null,
     address: string | null,
   ): number {
-    const key = `${bornMs ?? ""}@${endpoint}`;
+    // An entry may have named a wrong address for a later start.
+    const key = [bornMs ?? "", endpoint, address ?? ""].join("@");
     const index = this.#indexes.get(key) ?? this.#workers.push(endpoint) - 1;
     this.#indexes.set(key, index);
     this.#births[index] = bornMs;
--- a/packages/workflow/src/progress_record.ts
+++ b/packages/workflow/src/progress_record.ts
@@ -274,8 +274,7 @@
   table: incarnations.IncarnationTable,
   budget: { checkpoints: number },
 ): TaskRecord {
-  const { run, endpoint, bornMs, failures, checkpoint } = task;
-  const address = task.isSuspect ? task.address : null;
+  const { run, endpoint, bornMs, address, failures, checkpoint } = task;
   const endpointIndex = endpoint === null
     ? NO_ENDPOINT_INDEX
     : table.indexOf(endpoint, bornMs, address);
