--- a/packages/coordinator/src/sessions/endpoint_poller.ts
+++ b/packages/coordinator/src/sessions/endpoint_poller.ts
@@ -31,6 +31,7 @@
   /** Number up to which the poll acknowledges ends as recorded. */
   readonly recordedEnds: number;
   readonly waitMs: number;
+  readonly renewsLease: boolean;
 }
 
 /** Answer to one poll. */
@@ -110,12 +111,13 @@
   /**
    * Sends several polls one after another until one is answered, without waiting for
    * the earlier ones, whose connections may be silent. Returns whether one was answered.
+   * They renew no lease: the endpoint may be gone.
    */
   pollUntilAnswered(): Effect.Effect<boolean> {
     const { state, options: { load, ports: { clock } } } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const answered = Deferred.makeUnsafe<void>();
-      const poll = Effect.map(this.poll(NO_WAIT_MS), (isAnswered) => {
+      const poll = Effect.map(this.poll(NO_WAIT_MS, false), (isAnswered) => {
         if (isAnswered) Deferred.doneUnsafe(answered, Effect.void);
       });
       for (let sent = 0; sent < MAX_HEDGES && !state.isOver; sent++) {
@@ -129,15 +131,19 @@
   }
 
   /**
-   * Sends one poll, which also renews the lease of the endpoint. Returns whether it
+   * Sends one poll, which usually renews the lease of the endpoint. Returns whether it
    * was answered.
    */
-  poll(mostWaitMs = MAX_WAIT_MS): Effect.Effect<boolean> {
+  poll(
+    mostWaitMs = MAX_WAIT_MS,
+    renewsLease = true,
+  ): Effect.Effect<boolean> {
     const { state, unansweredPolls, options: { load } } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const waitMs = Math.min(mostWaitMs, this.#waitMs());
       const { ends } = state.incarnation;
-      const request = { ends, recordedEnds: ends.recorded, waitMs };
+      const { recorded: recordedEnds } = ends;
+      const request = { ends, recordedEnds, waitMs, renewsLease };
       const renew = Effect.suspend(() => this.#renew(request));
       const isAnsweredAtOnce = waitMs === 0 && state.isReachable;
       const countBefore = this.#answerCount;
@@ -155,17 +161,16 @@
   }
 
   #renew(
-    { recordedEnds, waitMs }: PollRequest,
+    { recordedEnds, waitMs, renewsLease }: PollRequest,
   ): Effect.Effect<PollAnswer | null> {
     const { state, orders, options: { ports, term } } = this.#options;
     const { incarnation } = state;
     const sentAtMs = ports.clock.monotonicMs();
     const sentEvent = incarnation.current.noteSent();
     // Not extended while the endpoint does not answer, so that the lease expires.
-    const leaseUntilMs =
-      incarnation.clock.isKnown && state.isReachable && term.grants.mayGrant()
-        ? incarnation.leaseEnd(sentAtMs)
-        : null;
+    const mayRenew = renewsLease && incarnation.clock.isKnown &&
+      state.isReachable && term.grants.mayGrant();
+    const leaseUntilMs = mayRenew ? incarnation.leaseEnd(sentAtMs) : null;
     const order = ports.endpoints.renew(state.ref, {
       fencingToken: term.token,
       leaseUntilMs,
@@ -174,7 +179,7 @@
       waitMs,
     });
     return Effect.map(
-      orders.call(order, waitMs + POLL_SLACK_MS),
+      orders.call(order, state.cutToLapse(waitMs + POLL_SLACK_MS)),
       (view) =>
         view === null ? null : { view, sentAtMs, sentEvent, leaseUntilMs },
     );
--- a/packages/coordinator/src/sessions/endpoint_state.ts
+++ b/packages/coordinator/src/sessions/endpoint_state.ts
@@ -135,6 +135,16 @@
     return wasReachable;
   }
 
+  /**
+   * Shortens a wait at an endpoint that does not answer to the end of its leases, when
+   * its runs are over.
+   */
+  cutToLapse(waitMs: number): number {
+    if (this.#isReachable) return waitMs;
+    const nowMs = this.#clock.monotonicMs();
+    return this.incarnation.clock.cutToLapse(waitMs, nowMs);
+  }
+
   /** Stops polling, as the endpoint may have ended. */
   suspectGone(): void {
     this.#isSuspectedGone = true;
--- a/packages/coordinator/src/sessions/lease_clock.ts
+++ b/packages/coordinator/src/sessions/lease_clock.ts
@@ -102,6 +102,12 @@
     return nowMs >= this.#lapsesAtMs;
   }
 
+  /** Shortens a wait that would outlast the leases to their end. */
+  cutToLapse(waitMs: number, nowMs: number): number {
+    const leftMs = this.#lapsesAtMs - nowMs;
+    return leftMs > 0 ? Math.min(waitMs, leftMs) : waitMs;
+  }
+
   #endpointNowMs(nowMs: number): number {
     return (this.#clockMs ?? 0) + (nowMs - this.#readAtMs) * MIN_CLOCK_RATE;
   }
--- a/packages/coordinator/src/sessions/unanswered_polls.ts
+++ b/packages/coordinator/src/sessions/unanswered_polls.ts
@@ -42,7 +42,8 @@
       yield* this.#endLapsedRuns(hasLapsed);
       if (hasLapsed) this.#closeUnreported();
       // Possibly only the connection is silent: the next poll opens a new one.
-      if (!isFirst) yield* clock.sleep(endpointOrders.RETRY_DELAY_MS * 2);
+      const pauseMs = endpointOrders.RETRY_DELAY_MS * 2;
+      if (!isFirst) yield* clock.sleep(state.cutToLapse(pauseMs));
     });
   }
 
