--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -9,6 +9,7 @@
 import type * as ports from "../ports.ts";
 import * as restart from "../restart.ts";
 import * as leaseGrants from "./lease_grants.ts";
+import * as remainingLeases from "./remaining_leases.ts";
 import * as rowWatches from "./row_watch.ts";
 import * as termKeepers from "./term_keeper.ts";
 import * as terms from "./term.ts";
@@ -99,6 +100,7 @@
       const key = TableClient.Keys.COORDINATOR_KEY;
       const leaseKey = TableClient.Keys.COORDINATOR_LEASE_KEY;
       const rows = yield* store.read([key, leaseKey], TAKEOVER_TIMEOUT_MS);
+      const readAtMs = clock.monotonicMs();
       const row = rows.find((one) => one.key === key);
       const lease = rows.find((one) => one.key === leaseKey);
       const found = row?.value as terms.CoordinatorRow | undefined;
@@ -127,7 +129,16 @@
         token,
         begunAt,
       });
-      return new terms.Term({ token, revision, inherited, grants });
+      const leases = found?.holder === ""
+        ? remainingLeases.decodeRemainingLeases(found.leases)
+        : null;
+      return new terms.Term({
+        token,
+        revision,
+        inherited,
+        inheritedLeases: leases === null ? null : { leases, readAtMs },
+        grants,
+      });
     }).pipe(Effect.catch((err) => {
       this.#ports.log.info(`Taking over failed: ${err.message}`);
       this.#watch.resetSilence();
--- a/packages/coordinator/src/election/term.ts
+++ b/packages/coordinator/src/election/term.ts
@@ -5,6 +5,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as grants from "./lease_grants.ts";
+import type * as remainingLeases from "./remaining_leases.ts";
 
 /** Value of the coordinator row. An empty holder marks a released row. */
 export interface CoordinatorRow {
@@ -13,6 +14,11 @@
   readonly incarnation: string;
   /** Box that should take over a released row; absent where any may. */
   readonly successor?: string;
+  /**
+   * Leases that were left when it was released; absent where there is a holder, and in
+   * rows of earlier versions.
+   */
+  readonly leases?: remainingLeases.RemainingLeases;
 }
 
 /** A forecast and the monotonic time at which it was made. */
@@ -27,6 +33,7 @@
   /** Revision of the row that names its holder. */
   readonly revision: number;
   readonly inherited: Admission.Forecast | null;
+  readonly inheritedLeases: remainingLeases.InheritedLeases | null;
   readonly grants: grants.LeaseGrants;
 }
 
@@ -39,13 +46,21 @@
   readonly condition: Ports.RowCondition;
   /** Forecast of the previous holder; null where none was known. */
   readonly inherited: Admission.Forecast | null;
+  /** Leases that the previous holder has handed over; null where it has not. */
+  readonly inheritedLeases: remainingLeases.InheritedLeases | null;
   /** Forecast published with each renewal; null for none. */
   forecast: TimedForecast | null = null;
+  /** Lists the leases to hand over, once no more are granted. */
+  listRemainingLeases: () => remainingLeases.RemainingLeases | null = () =>
+    null;
   readonly #lost = Deferred.makeUnsafe<string>();
 
-  constructor({ token, revision, inherited, grants }: TermOptions) {
+  constructor(
+    { token, revision, inherited, inheritedLeases, grants }: TermOptions,
+  ) {
     this.token = token;
     this.inherited = inherited;
+    this.inheritedLeases = inheritedLeases;
     this.grants = grants;
     this.condition = { key: TableClient.Keys.COORDINATOR_KEY, revision };
   }
--- a/packages/coordinator/src/election/term_keeper.ts
+++ b/packages/coordinator/src/election/term_keeper.ts
@@ -65,11 +65,13 @@
     const { token, condition, condition: { key } } = term;
     // Another box takes a released row at once, before this one gets an answer.
     term.grants.end();
+    const leases = term.listRemainingLeases();
     const value: terms.CoordinatorRow = {
       token,
       holder: "",
       incarnation,
       ...(successor === null ? {} : { successor }),
+      ...(leases === null ? {} : { leases }),
     };
     const write = { conditions: [condition], writes: [{ key, value }] };
     return Effect.andThen(
--- a/packages/coordinator/src/election/term_keeper_test.ts
+++ b/packages/coordinator/src/election/term_keeper_test.ts
@@ -22,7 +22,13 @@
     token: 1,
     begunAt: clock.now(),
   });
-  return new terms.Term({ token: 1, revision: 1, inherited: null, grants });
+  return new terms.Term({
+    token: 1,
+    revision: 1,
+    inherited: null,
+    inheritedLeases: null,
+    grants,
+  });
 }
 
 vitest.describe("a term that is handed to a fitter box", () => {
--- a/packages/coordinator/src/endpoints/endpoint_directory.ts
+++ b/packages/coordinator/src/endpoints/endpoint_directory.ts
@@ -2,6 +2,8 @@
 import type * as Ports from "@cairngate/ports";
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import type * as Effect from "effect/Effect";
+import type * as earlierLeases from "../sessions/earlier_leases.ts";
+import type * as leaseHandOver from "../sessions/lease_hand_over.ts";
 import type * as assignments from "../sessions/assignment.ts";
 import type * as sessions from "../sessions/endpoint_session.ts";
 import type * as directoryOptions from "./directory_options.ts";
@@ -97,6 +99,21 @@
     return session !== undefined && session.isOver && session.hasAnswered;
   }
 
+  /** Leases of earlier coordinators and of closed sessions. */
+  get earlierLeases(): earlierLeases.EarlierLeases {
+    return this.#sessions.earlierLeases;
+  }
+
+  /** Whether a session with an endpoint was opened in this term. */
+  wasOpened(id: string): boolean {
+    return this.#sessions.wasOpened(id);
+  }
+
+  /** Ends of all leases, once no more are granted. */
+  listLeaseEnds(): leaseHandOver.LeaseEnds {
+    return this.#sessions.listLeaseEnds();
+  }
+
   /** Whether another endpoint has answered at the endpoint's address in this term. */
   isReplacedAt(ref: Ports.EndpointRef): boolean {
     return this.#sessions.isReplacedAt(ref);
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -6,6 +6,8 @@
 import * as Fiber from "effect/Fiber";
 import * as restart from "../restart.ts";
 import * as loads from "../sessions/box_load.ts";
+import * as earlierLeases from "../sessions/earlier_leases.ts";
+import * as leaseHandOver from "../sessions/lease_hand_over.ts";
 import * as leaseClocks from "../sessions/lease_clock.ts";
 import * as lateStartStops from "../sessions/late_start_stops.ts";
 import * as unansweredStarts from "../sessions/unanswered_starts.ts";
@@ -63,20 +65,17 @@
   >();
   readonly #load: loads.BoxLoad;
   readonly #stopRetrySlots = new lateStartStops.StopRetrySlots();
-  /**
-   * Monotonic time, in ms, by which the leases given by earlier coordinators have
-   * expired.
-   */
-  #earlierLeaseExpiryMs: number;
+  /** Leases of earlier coordinators and of closed sessions. */
+  readonly earlierLeases: earlierLeases.EarlierLeases;
   #hasBegun = false;
 
   constructor(parts: EndpointSessionsOptions) {
     this.#parts = parts;
-    const { ports, ports: { clock, bounds } } = parts.options;
+    const { ports, term } = parts.options;
     this.#load = new loads.BoxLoad(ports);
-    this.#earlierLeaseExpiryMs = leaseClocks.foreignLeaseEndMs(
-      clock.monotonicMs(),
-      bounds.longestLeaseMs,
+    this.earlierLeases = new earlierLeases.EarlierLeases(
+      ports,
+      term.inheritedLeases,
     );
   }
 
@@ -104,19 +103,30 @@
     return this.#load.delayMs;
   }
 
-  /**
-   * Starts the sessions. The former coordinator may have renewed leases until now,
-   * because no endpoint knew of this term yet.
-   */
+  /** Whether a session with an endpoint was opened in this term. */
+  wasOpened(id: string): boolean {
+    return this.#sessions.has(id) || this.earlierLeases.hadSession(id);
+  }
+
+  /** Ends of all leases, once no more are granted. */
+  listLeaseEnds(): leaseHandOver.LeaseEnds {
+    const { clock, bounds } = this.#parts.options.ports;
+    return leaseHandOver.collectLeaseEnds({
+      sessions: this.all,
+      earlier: this.earlierLeases,
+      grantedUntilMs: leaseClocks.foreignLeaseEndMs(
+        clock.monotonicMs(),
+        leaseClocks.grantedLeaseMs(bounds.longestLeaseMs),
+      ),
+    });
+  }
+
+  /** Starts the sessions. */
   begin(): void {
-    const { options: { recovery, ports: { clock, bounds } }, listings } =
-      this.#parts;
-    this.#earlierLeaseExpiryMs = leaseClocks.foreignLeaseEndMs(
-      clock.monotonicMs(),
-      bounds.longestLeaseMs,
-    );
+    const { options: { recovery }, listings } = this.#parts;
+    this.earlierLeases.begin();
     for (const session of this.#sessions.values()) {
-      session.coverLeases(this.#earlierLeaseExpiryMs);
+      session.coverLeases(this.earlierLeases.endMs(session.ref.id));
     }
     // Runs that are not read from the records yet have to keep their leases as well.
     if (!recovery.isComplete) {
@@ -175,9 +185,10 @@
   }
 
   /** Closes a session and interrupts its fiber. */
-  drop({ ref }: sessions.EndpointSession): void {
+  drop({ ref, leaseEndMs }: sessions.EndpointSession): void {
     const { id } = ref;
     this.#sessions.delete(id);
+    this.earlierLeases.noteSessionClosed(id, leaseEndMs);
     this.#parts.listings.noteSessionClosed(ref);
     const fiber = this.#fibers.get(id);
     this.#fibers.delete(id);
@@ -223,7 +234,7 @@
       ref,
       listedBornMs: bornMs,
       unansweredStarts: this.#unansweredStartsOf(id),
-      lapsesAtMs: this.#earlierLeaseExpiryMs,
+      lapsesAtMs: this.earlierLeases.endMs(id),
       load: this.#load,
       stopRetrySlots: this.#stopRetrySlots,
       progressWaitMs: () => this.#pollIntervalMs(),
--- a/packages/coordinator/src/sessions/endpoint_session.ts
+++ b/packages/coordinator/src/sessions/endpoint_session.ts
@@ -114,6 +114,16 @@
     );
   }
 
+  /** Whether the endpoint answers; one that does not gets no leases. */
+  get isReachable(): boolean {
+    return this.#state.isReachable;
+  }
+
+  /** Time of this box's clock by which all leases of the endpoint have expired. */
+  get leaseEndMs(): number {
+    return this.#state.incarnation.clock.lapsesAtMs;
+  }
+
   /** Notes that it is listed, with its data centre and whether it is draining. */
   noteListed(
     { dataCentre, draining }: Pick<
--- a/packages/coordinator/src/sessions/lease_clock.ts
+++ b/packages/coordinator/src/sessions/lease_clock.ts
@@ -97,6 +97,11 @@
     this.#lapsesAtMs = Math.max(this.#lapsesAtMs, lapsesAtMs);
   }
 
+  /** Time of this box's clock by which every lease has expired. */
+  get lapsesAtMs(): number {
+    return this.#lapsesAtMs;
+  }
+
   /** Whether every lease has certainly expired. */
   hasLapsed(nowMs: number): boolean {
     return nowMs >= this.#lapsesAtMs;
--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -40,6 +40,7 @@
       preparePlan: () => this.#preparePlan(),
     });
     term.grants.onReopened = () => this.#parts.planning.requestPlan();
+    term.listRemainingLeases = () => this.#parts.control.listRemainingLeases();
   }
 
   /** Fencing token of the term. */
--- a/packages/coordinator/src/work/missing_runs.ts
+++ b/packages/coordinator/src/work/missing_runs.ts
@@ -27,12 +27,18 @@
   }
 
   /** Extends all leases: the former coordinator may have renewed them until now. */
-  extendLeases(leaseExpiresAtMs: number): void {
+  extendLeases(leaseEndMs: (endpoint: string) => number): void {
     for (const run of this.#runs) {
-      run.leaseExpiresAtMs = Math.max(run.leaseExpiresAtMs, leaseExpiresAtMs);
+      const endMs = leaseEndMs(run.endpoint);
+      run.leaseExpiresAtMs = Math.max(run.leaseExpiresAtMs, endMs);
     }
   }
 
+  /** Ends of the leases by endpoint. */
+  *leaseEnds(): Iterable<readonly [endpoint: string, endMs: number]> {
+    for (const run of this.#runs) yield [run.endpoint, run.leaseExpiresAtMs];
+  }
+
   /** Removes and returns the runs whose endpoints are listed again. */
   removeListed(isListed: (endpoint: string) => boolean): readonly TrackedRun[] {
     return this.#removeWhere(({ endpoint }) => isListed(endpoint));
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -3,7 +3,9 @@
 import type * as Scheduler from "@cairngate/workflow-scheduler";
 import * as Effect from "effect/Effect";
 import type * as advice from "./advice_cache.ts";
+import type * as remainingLeases from "../election/remaining_leases.ts";
 import * as leaseClocks from "../sessions/lease_clock.ts";
+import * as leaseHandOver from "../sessions/lease_hand_over.ts";
 import * as missingRuns from "./missing_runs.ts";
 import * as descriptions from "./run_descriptions.ts";
 import type * as ports from "../ports.ts";
@@ -113,11 +115,19 @@
 
   /** Starts calling endpoints. */
   begin(): void {
-    const { ports: { clock, bounds }, directory } = this.#parts;
+    const { directory } = this.#parts;
     directory.begin();
-    this.#missing.extendLeases(
-      leaseClocks.foreignLeaseEndMs(clock.monotonicMs(), bounds.longestLeaseMs),
-    );
+    this.#missing.extendLeases((id) => directory.earlierLeases.endMs(id));
+  }
+
+  /** Lists the leases of all endpoints, once no more are granted. */
+  listRemainingLeases(): remainingLeases.RemainingLeases {
+    const { ports: { clock }, directory } = this.#parts;
+    const { silent, others } = directory.listLeaseEnds();
+    return leaseHandOver.listRemainingLeases({
+      silent: [...silent, ...this.#missing.leaseEnds()],
+      others,
+    }, clock.monotonicMs());
   }
 
   /**
@@ -156,12 +166,18 @@
    * An endpoint known to have ended needs no wait.
    */
   #addMissing(run: Workflow.UnresolvedRun): void {
-    const { clock, bounds } = this.#parts.ports;
-    const nowMs = clock.monotonicMs();
-    const hasEnded = this.#parts.directory.hasEnded(run.endpoint);
-    const leaseExpiresAtMs = hasEnded
-      ? nowMs
-      : leaseClocks.foreignLeaseEndMs(nowMs, bounds.longestLeaseMs);
+    const leaseExpiresAtMs = this.#leaseEndMs(run.endpoint);
     this.#missing.add({ ...run, leaseExpiresAtMs });
   }
+
+  #leaseEndMs(endpoint: string): number {
+    const { ports: { clock, bounds }, directory } = this.#parts;
+    const nowMs = clock.monotonicMs();
+    if (directory.hasEnded(endpoint)) return nowMs;
+    // This term may have granted leases there.
+    if (directory.wasOpened(endpoint)) {
+      return leaseClocks.foreignLeaseEndMs(nowMs, bounds.longestLeaseMs);
+    }
+    return directory.earlierLeases.endMs(endpoint);
+  }
 }
