--- a/packages/coordinator/src/work/intake.ts
+++ b/packages/coordinator/src/work/intake.ts
@@ -1,7 +1,7 @@
 /** Parses the rows of accepted and cancelled workflows. */
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 
 /** An accepted workflow and the partition that holds its row. */
 export interface AcceptedWorkflow {
@@ -19,6 +19,8 @@
 export interface IntakeEvents {
   readonly accepted: readonly AcceptedWorkflow[];
   readonly cancelled: readonly CancelRequest[];
+  /** Keys of rows that hold no valid specification of their workflow. */
+  readonly invalidKeys: readonly string[];
 }
 
 /**
@@ -31,14 +33,16 @@
 ): IntakeEvents {
   const accepted: AcceptedWorkflow[] = [];
   const cancelled: CancelRequest[] = [];
+  const invalidKeys: string[] = [];
   for (const { key, value } of entries) {
     const partition = TableClient.Keys.partitionOfKey(key);
     if (value === null || !isOpen(partition)) continue;
     const [, id, kind] = key.split("/");
     if (kind === "cancel") cancelled.push({ id, partition });
-    if (kind === "spec") {
-      accepted.push({ spec: value as Workflow.WorkflowSpec, partition });
-    }
+    if (kind !== "spec") continue;
+    const spec = Workflow.decodeSpec(value, id);
+    if (spec === null) invalidKeys.push(key);
+    else accepted.push({ spec, partition });
   }
-  return { accepted, cancelled };
+  return { accepted, cancelled, invalidKeys };
 }
--- a/packages/coordinator/src/work/recovery.ts
+++ b/packages/coordinator/src/work/recovery.ts
@@ -3,8 +3,8 @@
  * unavailable partition delays only its own workflows, and those operations that
  * require all records.
  */
-import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
+import * as Workflow from "@cairngate/workflow";
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as terms from "../election/term.ts";
@@ -26,7 +26,8 @@
 /** Progress that an earlier coordinator recorded. */
 export interface RecordedProgress {
   readonly partition: string;
-  readonly row: Ports.Row;
+  readonly revision: number;
+  readonly record: Workflow.ProgressRecord;
 }
 
 /** Recovery of the state of earlier terms; one instance for each term. */
@@ -130,8 +131,10 @@
       Effect.map((rows) => {
         for (const row of rows) {
           const id = row.key.slice(prefix.length);
-          if (row.value === undefined) this.#unreadable.add(id);
-          else this.#progress.set(id, { partition, row });
+          const { value, revision } = row;
+          const record = Workflow.decodeProgress(value);
+          if (record === null) this.#unreadable.add(id);
+          else this.#progress.set(id, { partition, revision, record });
         }
         this.#openPartitions.add(partition);
         return true;
--- a/packages/coordinator/src/work/row_followers.ts
+++ b/packages/coordinator/src/work/row_followers.ts
@@ -53,8 +53,11 @@
       ...this.#feedOptions(),
       feed: options.ports.intakeFeed,
       canRead: isOpen,
-      onChange: (entries) =>
-        options.onIntake(intake.parseIntake(entries, isOpen)),
+      onChange: (entries) => {
+        const events = intake.parseIntake(entries, isOpen);
+        this.#logInvalid(events.invalidKeys);
+        options.onIntake(events);
+      },
       onPolled: () => this.#checkAllRead(),
     });
   }
@@ -99,6 +102,16 @@
     );
   }
 
+  #logInvalid(keys: readonly string[]): void {
+    const { log } = this.#options.ports;
+    for (const key of keys) {
+      log.error(
+        `Row ${JSON.stringify(key)} is skipped: another writer has put ` +
+          `something there that is no workflow.`,
+      );
+    }
+  }
+
   #checkAllRead(): void {
     const { recovery, onAllRead } = this.#options;
     if (!recovery.isComplete && this.#intake.isCaughtUp) onAllRead();
--- a/packages/coordinator/src/work/workflow_registry.ts
+++ b/packages/coordinator/src/work/workflow_registry.ts
@@ -209,9 +209,9 @@
       entry.copies.delete(recorded.partition);
       entry.partition = recorded.partition;
     }
-    const { partition, row: { revision, value } } = recorded;
+    const { partition, revision, record } = recorded;
     recorder.track(workflow, { partition, revision });
-    Workflow.applyProgressRecord(workflow, value as Workflow.ProgressRecord);
+    Workflow.applyProgressRecord(workflow, record);
     return true;
   }
 
--- a/packages/gateway/src/workflow_rows.ts
+++ b/packages/gateway/src/workflow_rows.ts
@@ -6,7 +6,7 @@
 import * as Errors from "@cairngate/errors";
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
-import type * as Workflow from "@cairngate/workflow";
+import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import * as alternatives from "./first_success.ts";
 
@@ -16,8 +16,10 @@
   readonly spec: Workflow.WorkflowSpec;
   /** Revision of the row with the spec. */
   readonly revision: number;
-  /** Null before the coordinator has recorded any. */
+  /** Null before the coordinator has recorded any, and if it is unreadable. */
   readonly progress: Workflow.ProgressRecord | null;
+  /** Whether another program has overwritten the progress. */
+  readonly hasUnreadableProgress: boolean;
   readonly isCancelled: boolean;
 }
 
@@ -117,7 +119,10 @@
     );
   }
 
-  /** Finds a workflow; null where all partitions were read and none holds it. */
+  /**
+   * Finds a workflow; null where all partitions were read and none holds it. Fails if
+   * its progress is unreadable, because its state is unknown.
+   */
   find(
     id: string,
   ): Effect.Effect<FoundWorkflow | null, Errors.StoreUnavailableError> {
@@ -125,8 +130,10 @@
       const { copies, failure } = yield* this.lookUp(id);
       const best = copies.find(({ progress }) => progress !== null) ??
         copies[0];
-      if (best !== undefined) return best;
-      return failure === null ? null : yield* failure;
+      if (best === undefined) return failure === null ? null : yield* failure;
+      if (!best.hasUnreadableProgress) return best;
+      const key = TableClient.Keys.progressKey(best.partition, id);
+      return yield* overwritten(key);
     });
   }
 
@@ -223,16 +230,12 @@
       const byKey = new Map(rows.map((row) => [row.key, row]));
       const row = byKey.get(TableClient.Keys.workflowKey(partition, id));
       if (row === undefined) return null;
-      if (row.value === undefined) {
-        const cause = `another program has overwritten ${row.key}`;
-        const operation = "read";
-        return yield* new Errors.StoreUnavailableError({ operation, cause });
-      }
-      const spec = row.value as Workflow.WorkflowSpec;
+      const spec = Workflow.decodeSpec(row.value, id);
+      if (spec === null) return yield* overwritten(row.key);
       const cancelKey = TableClient.Keys.cancelKey(partition, id);
       const isCancelled = byKey.has(cancelKey);
       const { revision } = row;
-      return { partition, spec, revision, progress, isCancelled };
+      return { partition, spec, revision, ...progress, isCancelled };
     });
   }
 
@@ -240,17 +243,24 @@
     partition: string,
     id: string,
   ): Effect.Effect<
-    Workflow.ProgressRecord | null,
+    Pick<FoundWorkflow, "progress" | "hasUnreadableProgress">,
     Errors.StoreUnavailableError
   > {
     const key = TableClient.Keys.progressKey(partition, id);
-    return Effect.map(
-      this.#store.read([key], READ_TIMEOUT_MS),
-      ([row]) => (row?.value as Workflow.ProgressRecord | undefined) ?? null,
-    );
+    return Effect.map(this.#store.read([key], READ_TIMEOUT_MS), ([row]) => {
+      const progress = Workflow.decodeProgress(row?.value);
+      const hasUnreadableProgress = row !== undefined && progress === null;
+      return { progress, hasUnreadableProgress };
+    });
   }
 }
 
+/** Error for a row whose value is no longer what this program has written. */
+function overwritten(key: string): Errors.StoreUnavailableError {
+  const cause = `another program has overwritten ${key}`;
+  return new Errors.StoreUnavailableError({ operation: "read", cause });
+}
+
 function unavailable(
   cause: string,
   perhapsDone: boolean,
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -42,6 +42,8 @@
 } from "./src/run_history.ts";
 export { type GiveUp } from "./src/give_up.ts";
 export { decodeGiveUp } from "./src/history_record.ts";
+export { decodeProgress } from "./src/decode_progress.ts";
+export { decodeSpec } from "./src/decode_spec.ts";
 export { type RunEndDetails, type Unit, Workflow } from "./src/workflow.ts";
 export { isFinal, WorkflowState } from "./src/workflow_state.ts";
 export {
