--- a/packages/http-json/src/http_caller.ts
+++ b/packages/http-json/src/http_caller.ts
@@ -1,5 +1,6 @@
 /** Makes HTTP calls with JSON bodies over kept connections. */
 import * as Effect from "effect/Effect";
+import * as Result from "effect/Result";
 import type * as http from "node:http";
 import type * as net from "node:net";
 import * as detectors from "./silence_detector.ts";
@@ -86,10 +87,12 @@
             true,
           );
         }
+        const request = this.#createRequest(address, call);
+        if (Result.isFailure(request)) return failWith(request.failure, true);
+        const { req, body } = request.success;
         const pending = this.#addPending(address, call);
         let socket: net.Socket | null = null;
         let isConnected = false;
-        const req = this.#pool.request(address, call);
         const fail = (cause: string, neverSent: boolean) => {
           this.#detector.remove(pending);
           failWith(cause, neverSent);
@@ -113,9 +116,7 @@
             resume(Effect.succeed(response));
           this.#read(pending, res, { succeed, fail });
         });
-        req.end(
-          call.body === undefined ? undefined : JSON.stringify(call.body),
-        );
+        req.end(body);
         return Effect.sync(() => {
           this.#abandon(pending, socket);
           req.destroy();
@@ -124,6 +125,23 @@
     );
   }
 
+  /**
+   * Creates a request with its body. Fails if the address, a header or the body can't
+   * be sent at all, such as a port above 65535.
+   */
+  #createRequest(
+    address: string,
+    call: calls.HttpCall,
+  ): Result.Result<PreparedRequest, string> {
+    return Result.try({
+      try: () => {
+        const body = JSON.stringify(call.body);
+        return { req: this.#pool.request(address, call), body };
+      },
+      catch: (err) => err instanceof Error ? err.message : String(err),
+    });
+  }
+
   #addPending(address: string, call: calls.HttpCall): detectors.PendingCall {
     const pending: detectors.PendingCall = {
       address,
@@ -178,6 +196,12 @@
   }
 }
 
+/** A request that is not sent yet, and its body; undefined for none. */
+interface PreparedRequest {
+  readonly req: http.ClientRequest;
+  readonly body: string | undefined;
+}
+
 /** Callbacks for the result of a call. */
 interface ResponseHandlers {
   readonly succeed: (response: calls.HttpResponse) => void;
