--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -7,3 +7,4 @@
   WsPeerNetwork,
   type WsPeerNetworkOptions,
 } from "./src/ws_peer_network.ts";
+export { isNestedDeeper } from "./src/nesting.ts";
--- a/packages/peers/src/frames.ts
+++ b/packages/peers/src/frames.ts
@@ -1,6 +1,10 @@
 /** Frames on a link between processes, encoded with msgpackr. */
 import * as Errors from "@cairngate/errors";
 import * as MsgPack from "msgpackr";
+import * as nesting from "./nesting.ts";
+
+/** Levels of lists and objects in a frame; a page of rows takes about ten. */
+const MAX_LEVELS = 64;
 
 /** Kinds of frames. */
 export enum FrameKind {
@@ -43,6 +47,14 @@
 /** Any frame. */
 export type Frame = RequestFrame | ReplyFrame | FailureFrame | NoticeFrame;
 
+/**
+ * Whether a frame can be encoded. The packer fails halfway on one that is nested too
+ * deeply, and the peer can't decode any later frame of the connection.
+ */
+export function canEncode(frame: Frame): boolean {
+  return !nesting.isNestedDeeper(frame, MAX_LEVELS);
+}
+
 /**
  * Encodes and decodes the frames of one connection. Field names are sent once per
  * connection and kind of frame; later frames refer to them by a number.
@@ -51,7 +63,7 @@
   readonly #encoder = new MsgPack.Packr({ sequential: true });
   readonly #decoder = new MsgPack.Packr({ sequential: true });
 
-  /** Encodes a frame. */
+  /** Encodes a frame for which `canEncode` is true. */
   encode(frame: Frame): Uint8Array {
     // The packer reuses its buffer, and ws may still be sending it.
     return Uint8Array.from(this.#encoder.pack(frame));
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -106,7 +106,10 @@
       this.#pending.set(id, done);
       const { self, clock } = this.#options;
       const kind = frames.FrameKind.Request as const;
-      this.#send(socket, { kind, id, from: self, req });
+      if (!this.#send(socket, { kind, id, from: self, req })) {
+        this.#pending.delete(id);
+        return yield* this.#unreachable("the request is nested too deeply");
+      }
       const reply = clock.within(timeoutMs, Deferred.await(done));
       const timed = yield* Effect.ensuring(
         reply,
@@ -176,13 +179,16 @@
     Deferred.doneUnsafe(done, toResult(frame));
   }
 
-  #send(socket: Ws.WebSocket, frame: frames.Frame): void {
+  /** Sends a frame; false if it can't be encoded. */
+  #send(socket: Ws.WebSocket, frame: frames.Frame): boolean {
+    if (!frames.canEncode(frame)) return false;
     const bytes = this.#codec.encode(frame);
     const { metrics } = this.#options;
     metrics.count("cairngate_peer_sent_bytes_total", {}, bytes.length);
     socket.send(bytes, () => {});
     this.#isUnconfirmed = true;
     if (!this.#isWatching) Effect.runFork(this.#watch(socket));
+    return true;
   }
 
   #recordReceived(): void {
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -34,6 +34,11 @@
  */
 const MAX_UNREAD_BYTES = 8_000_000;
 
+/** Failure for a reply that can't be encoded. */
+const TOO_DEEP = new Errors.NotReadyError({
+  waitsFor: "a reply that is not nested too deeply",
+});
+
 /** Accepts links and answers the requests that arrive on them. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
@@ -160,7 +165,8 @@
       })),
       Effect.catch((err) => Effect.succeed(toFailure(id, err))),
       Effect.map((reply) => {
-        const bytes = connection.codec.encode(reply);
+        const sent = frames.canEncode(reply) ? reply : toFailure(id, TOO_DEEP);
+        const bytes = connection.codec.encode(sent);
         const { metrics } = this.#options;
         metrics.count("cairngate_peer_sent_bytes_total", {}, bytes.length);
         const { socket } = connection;
--- a/packages/peers/src/ws_store_peers_test.ts
+++ b/packages/peers/src/ws_store_peers_test.ts
@@ -67,3 +67,35 @@
     vitest.expect(performance.now() - startedAtMs).toBeLessThan(1500);
   });
 });
+
+vitest.describe("a reply that can't be sent", () => {
+  vitest.it("fails its own call at once and no later one", async () => {
+    const caller = await createPeers("node-1");
+    const { peers, member } = await createPeers("node-2");
+    const nested = JSON.parse("[".repeat(30_000) + "]".repeat(30_000));
+    const outcome = Ports.StoreOutcome.Done;
+    const replies: unknown[] = [nested, { a: nested }, [{ key: "a/1" }]];
+    await Effect.runPromise(
+      peers.listen(() => Effect.succeed({ outcome, value: replies.shift() })),
+    );
+    const call = () => Effect.runPromise(caller.peers.call(member, READ, 5000));
+    for (let i = 0; i < 2; i++) {
+      vitest.expect(await call())
+        .toMatchObject({ outcome: Ports.StoreOutcome.Unavailable });
+    }
+    vitest.expect(await call()).toEqual({ outcome, value: [{ key: "a/1" }] });
+  });
+});
+
+vitest.describe("an address that is no URL", () => {
+  for (const address of ["999.999.999.999:80", "[1]:80", "[::::]:80"]) {
+    vitest.it(`fails a call like an absent peer (${address})`, async () => {
+      const { peers } = await createPeers("node-1");
+      const call = peers.call({ node: "node-2", address }, READ, 100);
+      const result = await Effect.runPromise(Effect.result(call));
+      vitest.expect(result).toMatchObject({
+        failure: { _tag: "PeerUnreachableError", box: "node-2" },
+      });
+    });
+  }
+});
