--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -11,6 +11,7 @@
 import * as leaseGrants from "./lease_grants.ts";
 import * as rowWatches from "./row_watch.ts";
 import * as termKeepers from "./term_keeper.ts";
+import * as storedTokens from "./stored_tokens.ts";
 import * as terms from "./term.ts";
 
 /** Interval of checks whether to claim the row, in ms. */
@@ -101,13 +102,13 @@
       const rows = yield* store.read([key, leaseKey], TAKEOVER_TIMEOUT_MS);
       const row = rows.find((one) => one.key === key);
       const lease = rows.find((one) => one.key === leaseKey);
-      const found = row?.value as terms.CoordinatorRow | undefined;
+      const found = storedTokens.decodeCoordinatorRow(row?.value);
       const isOther = (found?.token ?? 0) !== observedToken;
       if (isOther || this.#watch.hasRenewed(found, lease?.value ?? null)) {
         this.#watch.noteFeedBehind();
         return null;
       }
-      const token = (found?.token ?? 0) + 1;
+      const token = Math.max(found?.token ?? 0, this.#watch.highestToken) + 1;
       const value: terms.CoordinatorRow = { token, holder: box, incarnation };
       const begunAt = clock.now();
       const revision = yield* store.write({
@@ -155,6 +156,7 @@
       const workAndUpkeep = Effect.raceFirst(guarded, upkeep);
       yield* Effect.raceFirst(workAndUpkeep, loss);
       term.lose("the work ended");
+      this.#watch.noteToken(term.laterToken);
       this.#term = null;
       this.#watch.startSilence();
     });
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -11,6 +11,7 @@
 import * as observers from "./forecast_observer.ts";
 import * as leases from "./lease_value.ts";
 import * as paces from "./renewal_pace.ts";
+import * as storedTokens from "./stored_tokens.ts";
 import type * as terms from "./term.ts";
 
 /** Options of the watch. */
@@ -55,6 +56,7 @@
   /** When the present feed request was sent. */
   #requestedAtMs = 0;
   #row: terms.CoordinatorRow | null = null;
+  #highestToken = 0;
   /** Value of the newest renewal; differs with each one. */
   #lease: unknown = null;
   /** When it was seen. */
@@ -99,6 +101,19 @@
     return this.#row?.token ?? 0;
   }
 
+  /**
+   * Highest token known. The next one must be above it even if the row has become
+   * unreadable, because endpoints and fences reject lower ones.
+   */
+  get highestToken(): number {
+    return this.#highestToken;
+  }
+
+  /** Notes a token of another term. */
+  noteToken(token: number): void {
+    this.#highestToken = Math.max(this.#highestToken, token);
+  }
+
   /**
    * Follows the rows until interrupted. Boxes that are unlikely to take over pause
    * between requests; otherwise calls would grow with boxes times renewals.
@@ -140,8 +155,8 @@
    * Whether the holder has renewed since the last renewal in the feed: a feed may fall
    * behind while its requests are still answered.
    */
-  hasRenewed(found: terms.CoordinatorRow | undefined, lease: unknown): boolean {
-    const isHeld = found !== undefined && found.holder !== "" &&
+  hasRenewed(found: terms.CoordinatorRow | null, lease: unknown): boolean {
+    const isHeld = found !== null && found.holder !== "" &&
       found.holder !== this.#ports.box;
     if (!isHeld || lease === found.token) return false;
     if (!this.#isNewer(lease)) return false;
@@ -184,7 +199,8 @@
   }
 
   #noteRow(value: unknown): void {
-    this.#row = value as terms.CoordinatorRow | null;
+    this.#row = storedTokens.decodeCoordinatorRow(value);
+    this.noteToken(this.token);
     // Renewal times are comparable only within one term, as each holder uses its own
     // clock.
     this.#lease = null;
--- a/packages/coordinator/src/election/term.ts
+++ b/packages/coordinator/src/election/term.ts
@@ -41,6 +41,7 @@
   readonly inherited: Admission.Forecast | null;
   /** Forecast published with each renewal; null for none. */
   forecast: TimedForecast | null = null;
+  #laterToken = 0;
   readonly #lost = Deferred.makeUnsafe<string>();
 
   constructor({ token, revision, inherited, grants }: TermOptions) {
@@ -64,6 +65,20 @@
     Deferred.doneUnsafe(this.#lost, Effect.succeed(how));
   }
 
+  /** Token of a later term that has ended this one; 0 if none is known. */
+  get laterToken(): number {
+    return this.#laterToken;
+  }
+
+  /**
+   * Ends the term because a later one has begun.
+   * @param how cause, for the log
+   */
+  loseTo(laterToken: number, how: string): void {
+    this.#laterToken = Math.max(this.#laterToken, laterToken);
+    this.lose(how);
+  }
+
   /** Waits for the end of the term and returns its cause. */
   awaitLoss(): Effect.Effect<string> {
     return Deferred.await(this.#lost);
--- a/packages/coordinator/src/work/partition_fences.ts
+++ b/packages/coordinator/src/work/partition_fences.ts
@@ -5,6 +5,7 @@
 import type * as Ports from "@cairngate/ports";
 import * as TableClient from "@cairngate/table-client";
 import * as Effect from "effect/Effect";
+import * as storedTokens from "../election/stored_tokens.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
 
@@ -44,9 +45,10 @@
     const key = TableClient.Keys.fenceKey(partition);
     return Effect.gen({ self: this }, function* () {
       const [row] = yield* this.#store.read([key], TIMEOUT_MS);
-      const currentToken = (row?.value as FenceRow | undefined)?.token ?? 0;
+      const currentToken = storedTokens.decodeFence(row?.value);
       if (currentToken > this.#term.token) {
-        this.#term.lose(
+        this.#term.loseTo(
+          currentToken,
           `a later token ${currentToken} fences partition ${partition}`,
         );
         return false;
