--- a/packages/config/src/node_settings.ts
+++ b/packages/config/src/node_settings.ts
@@ -21,6 +21,10 @@
  */
 const DEFAULT_EVACUATION_MS = 5000;
 
+/** The machine that is assumed where the settings describe none. */
+const DEFAULT_MEMORY_MB = 350;
+const DEFAULT_MAX_FDS = 4100;
+
 const BoundsSchema = Schema.Struct({
   longestLeaseMs: Positive,
   stopMs: Positive,
@@ -48,6 +52,8 @@
   readinessAddress: Address,
   peersAddress: Address,
   processor: ProcessorSchema,
+  memoryMb: Schema.optionalKey(Schema.NullOr(Positive)),
+  maxFds: Schema.optionalKey(Schema.NullOr(Positive)),
   storeAddress: Address,
   storeWritesPerSecond: Positive,
   storeRowBytes: Positive,
@@ -87,6 +93,10 @@
   /** Address for connections of peers, as host:port. */
   readonly peersAddress: string;
   readonly processor: Processor;
+  /** Memory of the process, in MB; 350 by default. */
+  readonly memoryMb: number;
+  /** File descriptors of the process, sockets among them; 4,100 by default. */
+  readonly maxFds: number;
   readonly storeAddress: string;
   readonly storeWritesPerSecond: number;
   /** Maximum size of one row's value, in bytes. */
@@ -116,6 +126,8 @@
   const decoded = decoding.decodeYaml(NodeSchema, { file, text });
   return Effect.map(decoded, (parsed) => ({
     ...parsed,
+    memoryMb: parsed.memoryMb ?? DEFAULT_MEMORY_MB,
+    maxFds: parsed.maxFds ?? DEFAULT_MAX_FDS,
     adviceAddress: parsed.adviceAddress ?? null,
     evacuationInForceMs: parsed.evacuationInForceMs ?? DEFAULT_EVACUATION_MS,
     hardLoad: { ...Types.HARD_LOAD_OFF, ...parsed.hardLoad },
--- a/packages/config/src/node_settings_test.ts
+++ b/packages/config/src/node_settings_test.ts
@@ -54,6 +54,20 @@
   });
 });
 
+vitest.describe("the limits of the machine", () => {
+  vitest.it("are read from the file", async () => {
+    const parsed = await parse(`${TEXT}memoryMb: 700\nmaxFds: 9000\n`);
+    vitest.expect([parsed.memoryMb, parsed.maxFds]).toEqual([700, 9000]);
+  });
+
+  vitest.it("have defaults if they are missing or have no value", async () => {
+    for (const text of [TEXT, `${TEXT}memoryMb:\nmaxFds:\n`]) {
+      const parsed = await parse(text);
+      vitest.expect([parsed.memoryMb, parsed.maxFds]).toEqual([350, 4100]);
+    }
+  });
+});
+
 vitest.describe("hardLoad", () => {
   vitest.it("is off by default", async () => {
     const { hardLoad } = await parse(TEXT);
--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -12,5 +12,16 @@
 } from "./src/http_caller.ts";
 export { type TrafficListener } from "./src/connection_pool.ts";
 export { isObject } from "./src/is_object.ts";
-export { readJsonBody } from "./src/read_json_body.ts";
+export { BodyBudget, type BodyClaim } from "./src/body_budget.ts";
+export {
+  type BodyFailure,
+  type BodyLimits,
+  readJsonBody,
+} from "./src/read_json_body.ts";
 export { sendJson, sendText } from "./src/send.ts";
+export {
+  DEFAULT_MACHINE,
+  deriveServerLimits,
+  type MachineLimits,
+  type ServerLimits,
+} from "./src/server_limits.ts";
--- a/packages/http-json/src/body_limits_test.ts
+++ b/packages/http-json/src/body_limits_test.ts
@@ -10,8 +10,9 @@
 
 const LIMIT_BYTES = 100_000;
 const server = http.createServer((req, res) => {
+  if (req.url === "/early") return sending.sendJson(res, 401, { body: {} });
   Effect.runFork(
-    Effect.match(reading.readJsonBody(req, LIMIT_BYTES), {
+    Effect.match(reading.readJsonBody(req, { limitBytes: LIMIT_BYTES }), {
       onSuccess: (body) => sending.sendJson(res, 200, { body }),
       onFailure: ({ message }) => sending.sendJson(res, 413, { body: message }),
     }),
@@ -62,6 +63,22 @@
   });
 });
 
+vitest.describe("an early response", () => {
+  vitest.it("closes its connection if the body never arrives", async () => {
+    const received = await exchange(
+      `GET /early HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\n`,
+    );
+    vitest.expect(received).toMatch(/^HTTP\/1.1 401 /);
+  });
+
+  vitest.it("leaves its connection open if the body arrives", async () => {
+    const early = "GET /early HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n";
+    const last = `${HEAD}connection: close\r\ncontent-length: 2\r\n\r\n{}`;
+    const received = await exchange(early, "{}", last);
+    vitest.expect(received).toMatch(/^HTTP\/1.1 401 .*HTTP\/1.1 200 /s);
+  });
+});
+
 vitest.describe("a body within the limit", () => {
   vitest.it("leaves its connection open for the next request", async () => {
     const text = `${HEAD}content-length: 2\r\n\r\n{}`;
--- a/packages/http-json/src/read_json_body.ts
+++ b/packages/http-json/src/read_json_body.ts
@@ -2,9 +2,24 @@
 import * as Errors from "@cairngate/errors";
 import * as Effect from "effect/Effect";
 import type * as http from "node:http";
+import type * as budgets from "./body_budget.ts";
 import * as buffers from "./body_buffer.ts";
 
-type BodyFailure = Errors.BadRequestError | Errors.TooLargeError;
+/** Why a body is refused. */
+export type BodyFailure =
+  | Errors.BadRequestError
+  | Errors.TooLargeError
+  | Errors.OverloadedError;
+
+/** Limits of one body. */
+export interface BodyLimits {
+  readonly limitBytes: number;
+  /** Part of the budget of all bodies; its owner releases it. */
+  readonly claim?: budgets.BodyClaim;
+}
+
+/** Time after which a body that found no room may be sent again, in s. */
+const RETRY_AFTER_S = 1;
 
 /**
  * Reads and parses the body of a request; an empty body is null. Reading ends with the
@@ -12,30 +27,43 @@
  */
 export function readJsonBody(
   req: http.IncomingMessage,
-  limitBytes: number,
+  limits: BodyLimits,
 ): Effect.Effect<unknown, BodyFailure> {
-  return Effect.flatMap(readBody(req, limitBytes), parseBody);
+  return Effect.flatMap(readBody(req, limits), parseBody);
 }
 
 function readBody(
   req: http.IncomingMessage,
-  limitBytes: number,
+  { limitBytes, claim }: BodyLimits,
 ): Effect.Effect<string, BodyFailure> {
   return Effect.callback((resume) => {
     const announced = announcedBytes(req);
     if ((announced ?? 0) > limitBytes) {
       return resume(Effect.fail(tooLarge(limitBytes)));
     }
-    const body = new buffers.BodyBuffer(announced ?? limitBytes);
+    const body = new buffers.BodyBuffer(
+      announced ?? limitBytes,
+      (bytes) => claim?.grow(bytes) ?? true,
+    );
     const finish = (result: Effect.Effect<string, BodyFailure>) => {
       req.off("data", onData).off("end", onEnd);
+      // The listener of errors keeps the buffer alive for as long as the request.
+      body.clear();
       req.pause();
       resume(result);
     };
     const onData = (chunk: Uint8Array) => {
-      if (!body.append(chunk)) finish(Effect.fail(tooLarge(limitBytes)));
+      const isTooLarge = body.length + chunk.length > limitBytes;
+      if (isTooLarge) finish(Effect.fail(tooLarge(limitBytes)));
+      else if (!body.append(chunk)) finish(Effect.fail(noRoom()));
+    };
+    const onEnd = () => {
+      claim?.complete();
+      finish(Effect.succeed(body.decode()));
     };
-    const onEnd = () => finish(Effect.succeed(body.decode()));
+    if (claim !== undefined) {
+      claim.onEvict = () => finish(Effect.fail(noRoom()));
+    }
     req.on("data", onData);
     req.on("end", onEnd);
     // Stays, because a connection may also break after the end of the read.
@@ -57,6 +85,12 @@
   return new Errors.TooLargeError({ what: "The request body", limitBytes });
 }
 
+function noRoom(): Errors.OverloadedError {
+  const limit = "memory for request bodies";
+  const retryAfterSeconds = RETRY_AFTER_S;
+  return new Errors.OverloadedError({ limit, retryAfterSeconds });
+}
+
 function parseBody(
   text: string,
 ): Effect.Effect<unknown, Errors.BadRequestError> {
--- a/packages/http-json/src/send.ts
+++ b/packages/http-json/src/send.ts
@@ -2,8 +2,8 @@
 import type * as http from "node:http";
 
 /**
- * Length of a body up to which the rest of it is read after a response, in bytes, so
- * that the connection can be used again.
+ * Length of a body up to which its connection stays open after an early response, in
+ * bytes, if the rest of it arrives.
  */
 const MAX_REST_BYTES = 65_536;
 /**
@@ -41,37 +41,47 @@
   if (res.headersSent || res.destroyed) return;
   const body = new TextEncoder().encode(response.text);
   const headers = { ...response.headers, "content-length": body.length };
-  if (!hasLongRest(res.req)) {
+  const restBytes = restBytesOf(res.req);
+  if (restBytes === 0) {
     res.writeHead(status, headers);
     res.end(body);
     return;
   }
-  res.writeHead(status, { ...headers, connection: "close" });
+  const isLong = restBytes > MAX_REST_BYTES;
+  res.writeHead(status, isLong ? { ...headers, connection: "close" } : headers);
   res.write(body);
-  drain(res.req, () => res.end());
+  drain(res.req, (isWhole) => {
+    res.end();
+    if (!isWhole) res.once("finish", () => res.req.socket.destroySoon());
+  });
 }
 
-/** Whether a body is still arriving that is long or of unknown length. */
-function hasLongRest(req: http.IncomingMessage): boolean {
-  if (req.complete) return false;
-  if (req.headers["transfer-encoding"] !== undefined) return true;
-  return Number(req.headers["content-length"] ?? 0) > MAX_REST_BYTES;
+/** Most bytes of a body that is still arriving; infinite for a chunked one. */
+function restBytesOf(req: http.IncomingMessage): number {
+  if (req.complete) return 0;
+  if (req.headers["transfer-encoding"] !== undefined) return Infinity;
+  return Number(req.headers["content-length"] ?? 0);
 }
 
-/** Discards the rest of a body within the limits, then calls `done`. */
-function drain(req: http.IncomingMessage, done: () => void): void {
+/** Discards the rest of a body within the limits, and tells whether it was whole. */
+function drain(
+  req: http.IncomingMessage,
+  done: (isWhole: boolean) => void,
+): void {
   let drainedBytes = 0;
-  const finish = () => {
+  const finish = (isWhole: boolean) => {
     clearTimeout(timer);
-    req.off("data", onData).off("end", finish).off("close", finish);
-    done();
+    req.off("data", onData).off("end", onEnd).off("close", onClose);
+    done(isWhole);
   };
   const onData = (chunk: Uint8Array) => {
     drainedBytes += chunk.length;
-    if (drainedBytes > MAX_DRAINED_BYTES) finish();
+    if (drainedBytes > MAX_DRAINED_BYTES) finish(false);
   };
-  const timer = setTimeout(finish, DRAIN_MS);
-  req.on("data", onData).on("end", finish).on("close", finish);
+  const onEnd = () => finish(true);
+  const onClose = () => finish(false);
+  const timer = setTimeout(onClose, DRAIN_MS);
+  req.on("data", onData).on("end", onEnd).on("close", onClose);
   req.on("error", () => {});
   req.resume();
 }
--- a/packages/http/src/callers_server.ts
+++ b/packages/http/src/callers_server.ts
@@ -33,9 +33,12 @@
 ): Effect.Effect<CallersServer, Errors.ListenError> {
   return Effect.gen(function* () {
     const state = { closing: false };
+    const limits = HttpJson.deriveServerLimits(HttpJson.DEFAULT_MACHINE);
+    const bodies = new HttpJson.BodyBudget(limits.bodyBytes);
+    const { bodyBytes } = options;
     const server = http.createServer((req, res) => {
       if (state.closing) res.setHeader("connection", "close");
-      Effect.runFork(handle(box, { req, res, bodyBytes: options.bodyBytes }));
+      Effect.runFork(handle(box, { req, res, bodyBytes, bodies }));
     });
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
@@ -62,6 +65,7 @@
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly bodyBytes: number;
+  readonly bodies: HttpJson.BodyBudget;
 }
 
 function handle(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
@@ -95,10 +99,11 @@
 }
 
 function submit(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
-  const { req, res, bodyBytes } = exchange;
+  const { req, res, bodyBytes: limitBytes, bodies } = exchange;
+  const claim = bodies.claim();
   return Effect.gen(function* () {
     const waitSeconds = yield* readWaitSeconds(req);
-    const body = yield* HttpJson.readJsonBody(req, bodyBytes);
+    const body = yield* HttpJson.readJsonBody(req, { limitBytes, claim });
     const idempotencyKey = readHeader(req, "idempotency-key");
     return yield* box.entry.submit({ body, idempotencyKey, waitSeconds });
   }).pipe(
@@ -107,6 +112,7 @@
       // Nothing has been sent to a worker when a submission fails.
       onFailure: (err) => problems.sendFailure(res, err, outcomeOfFailure(err)),
     }),
+    Effect.ensuring(Effect.sync(() => claim.release())),
   );
 }
 
--- a/packages/http/src/operators_server.ts
+++ b/packages/http/src/operators_server.ts
@@ -98,7 +98,9 @@
 
 function apply(box: Box.Box, req: http.IncomingMessage): RouteResult {
   return Effect.gen(function* () {
-    const body = yield* HttpJson.readJsonBody(req, MAX_FILE_BYTES);
+    const body = yield* HttpJson.readJsonBody(req, {
+      limitBytes: MAX_FILE_BYTES,
+    });
     const fields = (body ?? {}) as Partial<Box.ApplyRequest>;
     const { text, basedOn, applyId } = fields;
     if (typeof text !== "string") return yield* reject("text", "a file's text");
--- a/packages/stand-in-server/src/platform_routes.ts
+++ b/packages/stand-in-server/src/platform_routes.ts
@@ -29,7 +29,9 @@
   services: PlatformServices,
 ): http.RequestListener {
   return (req, res) => {
-    const handled = HttpJson.readJsonBody(req, MAX_BODY_BYTES).pipe(
+    const handled = HttpJson.readJsonBody(req, {
+      limitBytes: MAX_BODY_BYTES,
+    }).pipe(
       Effect.flatMap((body) => route(services, req, body)),
       Effect.match({
         onSuccess: (body) => HttpJson.sendJson(res, 200, { body }),
--- a/packages/stand-in-server/src/worker_routes.ts
+++ b/packages/stand-in-server/src/worker_routes.ts
@@ -19,7 +19,9 @@
   worker: StandIns.StandInEndpoint,
 ): http.RequestListener {
   return (req, res) => {
-    const handled = HttpJson.readJsonBody(req, MAX_BODY_BYTES).pipe(
+    const handled = HttpJson.readJsonBody(req, {
+      limitBytes: MAX_BODY_BYTES,
+    }).pipe(
       Effect.flatMap((body) => handleOrder(worker, req.url ?? "", body)),
       Effect.match({
         onSuccess: (body) => HttpJson.sendJson(res, STATUS_OK, { body }),
