--- a/packages/http-json/src/send.ts
+++ b/packages/http-json/src/send.ts
@@ -38,7 +38,8 @@
   status: number,
   response: { text: string; headers: Readonly<Record<string, string>> },
 ): void {
-  if (res.headersSent || res.destroyed) return;
+  // A response that waits behind another one is not destroyed with its connection.
+  if (res.headersSent || res.destroyed || res.req.socket.destroyed) return;
   const body = new TextEncoder().encode(response.text);
   const headers = { ...response.headers, "content-length": body.length };
   const restBytes = restBytesOf(res.req);
--- a/packages/http-json/src/server_limits.ts
+++ b/packages/http-json/src/server_limits.ts
@@ -1,5 +1,7 @@
 /** Limits of an HTTP server, derived from the machine that it runs on. */
 
+import type * as requests from "./request_limit.ts";
+
 /** What a machine grants to a process. */
 export interface MachineLimits {
   readonly memoryMb: number;
@@ -8,7 +10,7 @@
 }
 
 /** Limits of all requests of a server together. */
-export interface ServerLimits {
+export interface ServerLimits extends requests.RequestLimits {
   /** Memory for request bodies, in bytes. */
   readonly bodyBytes: number;
 }
@@ -22,8 +24,17 @@
  */
 const BODY_SHARE = 1 / 8;
 const BYTES_PER_MB = 1_000_000;
+/** Requests under way for each MB: one takes about 40 kB of heap beside its body. */
+const REQUESTS_PER_MB = 6;
+/** Share of the requests under way that may be sent ahead on their connections. */
+const AHEAD_SHARE = 1 / 8;
 
 /** Derives the limits of a server. */
-export function deriveServerLimits(machine: MachineLimits): ServerLimits {
-  return { bodyBytes: machine.memoryMb * BYTES_PER_MB * BODY_SHARE };
+export function deriveServerLimits({ memoryMb }: MachineLimits): ServerLimits {
+  const requestCount = Math.ceil(memoryMb * REQUESTS_PER_MB);
+  return {
+    bodyBytes: memoryMb * BYTES_PER_MB * BODY_SHARE,
+    requests: requestCount,
+    requestsAhead: requestCount * AHEAD_SHARE,
+  };
 }
--- a/packages/http/src/callers_server.ts
+++ b/packages/http/src/callers_server.ts
@@ -35,10 +35,15 @@
     const state = { closing: false };
     const limits = HttpJson.deriveServerLimits(HttpJson.DEFAULT_MACHINE);
     const bodies = new HttpJson.BodyBudget(limits.bodyBytes);
+    const requests = new HttpJson.RequestLimit(limits);
     const { bodyBytes } = options;
     const server = http.createServer((req, res) => {
       if (state.closing) res.setHeader("connection", "close");
-      Effect.runFork(handle(box, { req, res, bodyBytes, bodies }));
+      const slot = requests.begin(req, res);
+      if (slot === null) return sendBusy(res);
+      const end = Effect.sync(() => slot.end());
+      const handled = handle(box, { req, res, bodyBytes, bodies });
+      Effect.runFork(Effect.ensuring(handled, end));
     });
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
@@ -54,6 +59,13 @@
   });
 }
 
+/** Refuses a request that was not looked at. */
+function sendBusy(res: http.ServerResponse): void {
+  const limit = "requests under way";
+  const err = new Errors.OverloadedError({ limit, retryAfterSeconds: 1 });
+  problems.sendFailure(res, err, Types.OutcomeKind.NotRun);
+}
+
 function closeServer(server: http.Server): Effect.Effect<void> {
   return Effect.callback<void>((resume) => {
     server.close(() => resume(Effect.void));
