--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -11,6 +11,7 @@
   type SilentConnection,
 } from "./src/http_caller.ts";
 export { type TrafficListener } from "./src/connection_pool.ts";
+export { ConnectionLimit } from "./src/connection_limit.ts";
 export { isObject } from "./src/is_object.ts";
 export { BodyBudget, type BodyClaim } from "./src/body_budget.ts";
 export {
--- a/packages/http-json/src/server_limits.ts
+++ b/packages/http-json/src/server_limits.ts
@@ -13,6 +13,7 @@
 export interface ServerLimits extends requests.RequestLimits {
   /** Memory for request bodies, in bytes. */
   readonly bodyBytes: number;
+  readonly connections: number;
 }
 
 /** The machine that is assumed where none is described. */
@@ -28,12 +29,19 @@
 const REQUESTS_PER_MB = 6;
 /** Share of the requests under way that may be sent ahead on their connections. */
 const AHEAD_SHARE = 1 / 8;
+/** File descriptors for anything but sockets. */
+const FILE_FDS = 200;
+/** Share of the sockets for callers; the rest is for calls of the box and its peers. */
+const CALLERS_SHARE = 3 / 4;
 
 /** Derives the limits of a server. */
-export function deriveServerLimits({ memoryMb }: MachineLimits): ServerLimits {
+export function deriveServerLimits(
+  { memoryMb, maxFds }: MachineLimits,
+): ServerLimits {
   const requestCount = Math.ceil(memoryMb * REQUESTS_PER_MB);
   return {
     bodyBytes: memoryMb * BYTES_PER_MB * BODY_SHARE,
+    connections: Math.max(1, (maxFds - FILE_FDS) * CALLERS_SHARE),
     requests: requestCount,
     requestsAhead: requestCount * AHEAD_SHARE,
   };
--- a/packages/http/src/callers_server.ts
+++ b/packages/http/src/callers_server.ts
@@ -48,7 +48,7 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
-    server.maxConnections = MAX_CONNECTIONS;
+    new HttpJson.ConnectionLimit(MAX_CONNECTIONS).watch(server);
     yield* HttpJson.listen(server, options.address);
     return {
       beginClosing: () => {
