--- a/packages/errors/src/errors.ts
+++ b/packages/errors/src/errors.ts
@@ -217,6 +217,15 @@
   }
 }
 
+/** A request's body has stopped arriving. */
+export class StalledBodyError extends Data.TaggedError("StalledBodyError")<{
+  readonly idleMs: number;
+}> {
+  override get message(): string {
+    return `Nothing of the request body has arrived for ${this.idleMs} ms.`;
+  }
+}
+
 /** A server could not listen on its address. */
 export class ListenError extends Data.TaggedError("ListenError")<{
   readonly address: string;
--- a/packages/http-json/src/body_limits_test.ts
+++ b/packages/http-json/src/body_limits_test.ts
@@ -9,13 +9,22 @@
 import * as sending from "./send.ts";
 
 const LIMIT_BYTES = 100_000;
+const IDLE_MS = 2000;
+/** Pause between two pieces of a slow body, in ms. */
+const PIECE_PAUSE_MS = 400;
 const server = http.createServer((req, res) => {
   if (req.url === "/early") return sending.sendJson(res, 401, { body: {} });
   Effect.runFork(
-    Effect.match(reading.readJsonBody(req, { limitBytes: LIMIT_BYTES }), {
-      onSuccess: (body) => sending.sendJson(res, 200, { body }),
-      onFailure: ({ message }) => sending.sendJson(res, 413, { body: message }),
-    }),
+    Effect.match(
+      reading.readJsonBody(req, { limitBytes: LIMIT_BYTES, idleMs: IDLE_MS }),
+      {
+        onSuccess: (body) => sending.sendJson(res, 200, { body }),
+        onFailure: ({ _tag, message }) => {
+          const status = _tag === "StalledBodyError" ? 408 : 413;
+          sending.sendJson(res, status, { body: message });
+        },
+      },
+    ),
   );
 });
 
@@ -63,6 +72,33 @@
   });
 });
 
+vitest.describe("a body that arrives slowly", () => {
+  vitest.it("is given up once nothing of it arrives", async () => {
+    const received = await exchange(`${HEAD}content-length: 9\r\n\r\n{`);
+    vitest.expect(received).toMatch(/^HTTP\/1.1 408 /);
+  });
+
+  vitest.it("is read to its end while some of it arrives", async () => {
+    const { port } = server.address() as net.AddressInfo;
+    const options = { host: "127.0.0.1", port, method: "POST", agent: false };
+    const status = await new Promise((resolve, reject) => {
+      const req = http.request(options, (res) => {
+        res.resume();
+        resolve(res.statusCode);
+      });
+      req.on("error", reject);
+      const pieces = ["[", ..."1,".repeat(4), "1]"];
+      const timer = setInterval(() => {
+        const piece = pieces.shift();
+        if (piece !== undefined) return req.write(piece);
+        clearInterval(timer);
+        req.end();
+      }, PIECE_PAUSE_MS);
+    });
+    vitest.expect(status).toBe(200);
+  });
+});
+
 vitest.describe("an early response", () => {
   vitest.it("closes its connection if the body never arrives", async () => {
     const received = await exchange(
--- a/packages/http-json/src/read_json_body.ts
+++ b/packages/http-json/src/read_json_body.ts
@@ -9,15 +9,21 @@
 export type BodyFailure =
   | Errors.BadRequestError
   | Errors.TooLargeError
-  | Errors.OverloadedError;
+  | Errors.OverloadedError
+  | Errors.StalledBodyError;
 
 /** Limits of one body. */
 export interface BodyLimits {
   readonly limitBytes: number;
   /** Part of the budget of all bodies; its owner releases it. */
   readonly claim?: budgets.BodyClaim;
+  /** Time without any bytes after which the body is given up, in ms; 15 s if left out. */
+  readonly idleMs?: number;
 }
 
+/** Default of `idleMs`: as long as an idle connection of the job API stays open. */
+const DEFAULT_IDLE_MS = 15_000;
+
 /** Time after which a body that found no room may be sent again, in s. */
 const RETRY_AFTER_S = 1;
 
@@ -34,7 +40,7 @@
 
 function readBody(
   req: http.IncomingMessage,
-  { limitBytes, claim }: BodyLimits,
+  { limitBytes, claim, idleMs = DEFAULT_IDLE_MS }: BodyLimits,
 ): Effect.Effect<string, BodyFailure> {
   return Effect.callback((resume) => {
     const announced = announcedBytes(req);
@@ -46,13 +52,19 @@
       (bytes) => claim?.grow(bytes) ?? true,
     );
     const finish = (result: Effect.Effect<string, BodyFailure>) => {
+      clearTimeout(idleTimer);
       req.off("data", onData).off("end", onEnd);
       // The listener of errors keeps the buffer alive for as long as the request.
       body.clear();
       req.pause();
       resume(result);
     };
+    const idleTimer = setTimeout(
+      () => finish(Effect.fail(new Errors.StalledBodyError({ idleMs }))),
+      idleMs,
+    );
     const onData = (chunk: Uint8Array) => {
+      idleTimer.refresh();
       const isTooLarge = body.length + chunk.length > limitBytes;
       if (isTooLarge) finish(Effect.fail(tooLarge(limitBytes)));
       else if (!body.append(chunk)) finish(Effect.fail(noRoom()));
--- a/packages/http/src/problems.ts
+++ b/packages/http/src/problems.ts
@@ -30,6 +30,7 @@
   BadRequestError: 400,
   InvalidFileError: 400,
   UnknownJobError: 404,
+  StalledBodyError: 408,
   VersionConflictError: 409,
   InfeasibleGuaranteeError: 422,
   TooLargeError: 413,
