--- a/packages/http-json/mod.ts
+++ b/packages/http-json/mod.ts
@@ -19,6 +19,7 @@
   type BodyLimits,
   readJsonBody,
 } from "./src/read_json_body.ts";
+export { giveUpLastCallers } from "./src/last_callers.ts";
 export { RequestLimit, type RequestLimits } from "./src/request_limit.ts";
 export { sendJson, sendText } from "./src/send.ts";
 export {
--- a/packages/http-json/src/body_budget.ts
+++ b/packages/http-json/src/body_budget.ts
@@ -37,11 +37,13 @@
 
   /** Opens a claim for one body, which holds nothing yet. */
   claim(): BodyClaim {
-    return new Claim({
+    const opened = new Claim({
       grow: (claim, bytes) => this.#grow(claim, bytes),
       complete: (claim) => this.#leaveClass(claim),
       release: (claim) => this.#release(claim),
     });
+    this.#joinClass(opened);
+    return opened;
   }
 
   /** Evicts all bodies that are still arriving. */
@@ -59,9 +61,7 @@
     }
     claim.bytes = bytes;
     this.#usedBytes += claim.bytes;
-    const sizeClass = classOf(claim.bytes);
-    const peers = this.#arriving.get(sizeClass) ?? new Set();
-    this.#arriving.set(sizeClass, peers.add(claim));
+    this.#joinClass(claim);
     return true;
   }
 
@@ -84,6 +84,12 @@
     claim.bytes = 0;
   }
 
+  #joinClass(claim: Claim): void {
+    const sizeClass = classOf(claim.bytes);
+    const peers = this.#arriving.get(sizeClass) ?? new Set();
+    this.#arriving.set(sizeClass, peers.add(claim));
+  }
+
   #leaveClass(claim: Claim): void {
     const sizeClass = classOf(claim.bytes);
     const peers = this.#arriving.get(sizeClass);
--- a/packages/http-json/src/connection_limit.ts
+++ b/packages/http-json/src/connection_limit.ts
@@ -25,6 +25,11 @@
     server.on("request", (req, res) => this.#follow(req, res));
   }
 
+  /** Closes all connections that wait for their callers. */
+  closeWaiting(): void {
+    for (const socket of [...this.#waiting]) this.#close(socket);
+  }
+
   #admit(socket: net.Socket): void {
     if (this.#open.size >= this.#maxConnections) {
       const [longestWaiting = socket] = this.#waiting;
--- a/packages/http/src/callers_server.ts
+++ b/packages/http/src/callers_server.ts
@@ -48,13 +48,19 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
-    new HttpJson.ConnectionLimit(MAX_CONNECTIONS).watch(server);
+    const connections = new HttpJson.ConnectionLimit(MAX_CONNECTIONS);
+    connections.watch(server);
     yield* HttpJson.listen(server, options.address);
     return {
       beginClosing: () => {
         state.closing = true;
       },
-      close: () => closeServer(server),
+      close: () =>
+        Effect.callback<void>((resume) => {
+          server.close(() => resume(Effect.void));
+          server.closeIdleConnections();
+          HttpJson.giveUpLastCallers(bodies, connections);
+        }),
     };
   });
 }
@@ -66,13 +72,6 @@
   problems.sendFailure(res, err, Types.OutcomeKind.NotRun);
 }
 
-function closeServer(server: http.Server): Effect.Effect<void> {
-  return Effect.callback<void>((resume) => {
-    server.close(() => resume(Effect.void));
-    server.closeIdleConnections();
-  });
-}
-
 interface Exchange {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
