--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -20,6 +20,11 @@
   readonly metrics: Metrics.Metrics;
 }
 
+/** Links of all peers: a few from each of some hundred boxes. */
+const MAX_CONNECTIONS = 1024;
+/** Time within which the request to open a link must arrive, in ms. */
+const HEADERS_TIMEOUT_MS = 3000;
+const UPGRADE_REQUIRED = 426;
 const MAX_FRAME_BYTES = 16_000_000;
 /**
  * Interval between two checks of the accepted links, in ms. A link that received
@@ -60,6 +65,9 @@
     handler: RequestHandler,
   ): Effect.Effect<void, Errors.ListenError> {
     return Effect.gen({ self: this }, function* () {
+      this.#server.maxConnections = MAX_CONNECTIONS;
+      this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
+      this.#server.on("request", refuseRequest);
       yield* this.#listenOn(address);
       this.#sockets = new Ws.WebSocketServer({
         server: this.#server,
@@ -173,6 +181,16 @@
   }
 }
 
+/** Only links are accepted; any other request is refused and its connection closed. */
+function refuseRequest(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): void {
+  if (req.socket.destroyed) return;
+  res.writeHead(UPGRADE_REQUIRED, { connection: "close" }).end();
+  res.once("finish", () => req.socket.destroy());
+}
+
 function toFailure(
   id: number,
   err: Errors.NotOwnerError | Errors.NotReadyError,
--- a/packages/peers/src/ws_store_peers_test.ts
+++ b/packages/peers/src/ws_store_peers_test.ts
@@ -5,6 +5,7 @@
 import * as Ports from "@cairngate/ports";
 import * as TestUtils from "@cairngate/test-utils";
 import * as Effect from "effect/Effect";
+import * as net from "node:net";
 import * as vitest from "vitest";
 import * as stores from "./ws_store_peers.ts";
 
@@ -31,6 +32,21 @@
   open = [];
 });
 
+vitest.describe("the address for links", () => {
+  vitest.it("answers other requests and closes their connections", async () => {
+    const { peers, member: { address } } = await createPeers("node-1");
+    const done = Effect.succeed({ outcome: Ports.StoreOutcome.Done, value: 1 });
+    await Effect.runPromise(peers.listen(() => done));
+    const [host, port] = address.split(":");
+    const socket = net.connect({ host, port: Number(port) });
+    let received = "";
+    socket.on("data", (chunk) => (received += String(chunk)));
+    socket.write("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{");
+    await new Promise((resolve) => socket.once("close", resolve));
+    vitest.expect(received).toContain(" 426 ");
+  });
+});
+
 vitest.describe("links for calls to the store", () => {
   vitest.it("carry a call and its reply", async () => {
     const caller = await createPeers("node-1");
