--- a/packages/http/src/operators_server.ts
+++ b/packages/http/src/operators_server.ts
@@ -13,6 +13,14 @@
 import * as problems from "./problems.ts";
 
 const MAX_FILE_BYTES = 16_000_000;
+/** Memory for the files of all operators at once, in bytes. */
+const ALL_FILES_BYTES = 2 * MAX_FILE_BYTES;
+/** Connections of operators and their tools. */
+const MAX_CONNECTIONS = 128;
+/** Requests of operators and their tools under way. */
+const REQUEST_LIMITS = { requests: 64, requestsAhead: 8 };
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
 const VERSIONS_PATH = "/v1/config/versions/";
 const EXPLAIN_PATTERN = /^\/v1\/jobs\/([^/]+)\/explain$/;
 
@@ -24,9 +32,21 @@
   address: string,
 ): Effect.Effect<() => void, Errors.ListenError> {
   return Effect.gen(function* () {
+    const requests = new HttpJson.RequestLimit(REQUEST_LIMITS);
+    const bodies = new HttpJson.BodyBudget(ALL_FILES_BYTES);
     const server = http.createServer((req, res) => {
-      Effect.runFork(handle(box, req, res));
+      const slot = requests.begin(req, res);
+      if (slot === null) return HttpJson.sendText(res, 503, "");
+      const claim = bodies.claim();
+      const end = Effect.sync(() => {
+        claim.release();
+        slot.end();
+      });
+      Effect.runFork(Effect.ensuring(handle(box, { req, res, claim }), end));
     });
+    new HttpJson.ConnectionLimit(MAX_CONNECTIONS).watch(server);
+    server.headersTimeout = HEADERS_TIMEOUT_MS;
+    server.requestTimeout = REQUEST_TIMEOUT_MS;
     yield* HttpJson.listen(server, address);
     return () => {
       server.close();
@@ -35,11 +55,14 @@
   });
 }
 
-function handle(
-  box: Box.Box,
-  req: http.IncomingMessage,
-  res: http.ServerResponse,
-): Effect.Effect<void> {
+interface Exchange {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly claim: HttpJson.BodyClaim;
+}
+
+function handle(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
+  const { req, res } = exchange;
   const { pathname } = new URL(req.url ?? "/", "http://box");
   switch (pathname) {
     case "/healthz":
@@ -52,7 +75,7 @@
         HttpJson.sendText(res, 200, box.metrics.format());
       });
   }
-  return Effect.match(route(box, req, pathname), {
+  return Effect.match(route(box, exchange, pathname), {
     onSuccess: (body) => HttpJson.sendJson(res, 200, { body }),
     onFailure: (err) => problems.sendFailure(res, err, null),
   });
@@ -60,7 +83,7 @@
 
 function route(
   box: Box.Box,
-  req: http.IncomingMessage,
+  exchange: Exchange,
   pathname: string,
 ): RouteResult {
   const match = EXPLAIN_PATTERN.exec(pathname);
@@ -68,8 +91,8 @@
   if (pathname.startsWith(VERSIONS_PATH)) {
     return readVersion(box, pathname.slice(VERSIONS_PATH.length));
   }
-  if (pathname === "/v1/config" && req.method === "POST") {
-    return apply(box, req);
+  if (pathname === "/v1/config" && exchange.req.method === "POST") {
+    return apply(box, exchange);
   }
   switch (pathname) {
     case "/v1/config":
@@ -96,10 +119,11 @@
   box.metrics.set("process_resident_memory_bytes", process.memoryUsage().rss);
 }
 
-function apply(box: Box.Box, req: http.IncomingMessage): RouteResult {
+function apply(box: Box.Box, { req, claim }: Exchange): RouteResult {
   return Effect.gen(function* () {
     const body = yield* HttpJson.readJsonBody(req, {
       limitBytes: MAX_FILE_BYTES,
+      claim,
     });
     const fields = (body ?? {}) as Partial<Box.ApplyRequest>;
     const { text, basedOn, applyId } = fields;
