--- a/packages/http-json/src/connection_drain.ts
+++ b/packages/http-json/src/connection_drain.ts
@@ -56,11 +56,15 @@
     });
   }
 
-  /** Accepts no new connections; completes when the last one is closed. */
-  close(): Effect.Effect<void> {
+  /**
+   * Accepts no new connections; completes when the last one is closed.
+   * @param onListenerClosed called once no new connection is accepted
+   */
+  close(onListenerClosed: () => void = () => {}): Effect.Effect<void> {
     const closed = Effect.callback<void>((resume) => {
       this.#server.close(() => resume(Effect.void));
       this.#server.closeIdleConnections();
+      onListenerClosed();
     });
     // Requests that arrived while the process was stalled are not read yet.
     return Effect.andThen(this.#readWaiting(), closed);
--- a/packages/http/src/callers_server.ts
+++ b/packages/http/src/callers_server.ts
@@ -33,35 +33,50 @@
 ): Effect.Effect<CallersServer, Errors.ListenError> {
   return Effect.gen(function* () {
     const state = { closing: false };
+    const limits = HttpJson.deriveServerLimits(HttpJson.DEFAULT_MACHINE);
+    const bodies = new HttpJson.BodyBudget(limits.bodyBytes);
+    const requests = new HttpJson.RequestLimit(limits);
+    const { bodyBytes } = options;
     const server = http.createServer((req, res) => {
       if (state.closing) res.setHeader("connection", "close");
-      Effect.runFork(handle(box, { req, res, bodyBytes: options.bodyBytes }));
+      const slot = requests.begin(req, res);
+      if (slot === null) return sendBusy(res);
+      const end = Effect.sync(() => slot.end());
+      const handled = handle(box, { req, res, bodyBytes, bodies });
+      Effect.runFork(Effect.ensuring(handled, end));
     });
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
-    server.maxConnections = MAX_CONNECTIONS;
+    const connections = new HttpJson.ConnectionLimit(MAX_CONNECTIONS);
+    connections.watch(server);
     yield* HttpJson.listen(server, options.address);
     return {
       beginClosing: () => {
         state.closing = true;
       },
-      close: () => closeServer(server),
+      close: () =>
+        Effect.callback<void>((resume) => {
+          server.close(() => resume(Effect.void));
+          server.closeIdleConnections();
+          HttpJson.giveUpLastCallers(bodies, connections);
+        }),
     };
   });
 }
 
-function closeServer(server: http.Server): Effect.Effect<void> {
-  return Effect.callback<void>((resume) => {
-    server.close(() => resume(Effect.void));
-    server.closeIdleConnections();
-  });
+/** Refuses a request that was not looked at. */
+function sendBusy(res: http.ServerResponse): void {
+  const limit = "requests under way";
+  const err = new Errors.OverloadedError({ limit, retryAfterSeconds: 1 });
+  problems.sendFailure(res, err, Types.OutcomeKind.NotRun);
 }
 
 interface Exchange {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly bodyBytes: number;
+  readonly bodies: HttpJson.BodyBudget;
 }
 
 function handle(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
@@ -95,10 +110,11 @@
 }
 
 function submit(box: Box.Box, exchange: Exchange): Effect.Effect<void> {
-  const { req, res, bodyBytes } = exchange;
+  const { req, res, bodyBytes: limitBytes, bodies } = exchange;
+  const claim = bodies.claim();
   return Effect.gen(function* () {
     const waitSeconds = yield* readWaitSeconds(req);
-    const body = yield* HttpJson.readJsonBody(req, bodyBytes);
+    const body = yield* HttpJson.readJsonBody(req, { limitBytes, claim });
     const idempotencyKey = readHeader(req, "idempotency-key");
     return yield* box.entry.submit({ body, idempotencyKey, waitSeconds });
   }).pipe(
@@ -107,6 +123,7 @@
       // Nothing has been sent to a worker when a submission fails.
       onFailure: (err) => problems.sendFailure(res, err, outcomeOfFailure(err)),
     }),
+    Effect.ensuring(Effect.sync(() => claim.release())),
   );
 }
 
