--- a/packages/coordinator/src/endpoints/directory_options.ts
+++ b/packages/coordinator/src/endpoints/directory_options.ts
@@ -13,6 +13,7 @@
   | "ref"
   | "listedBornMs"
   | "lapsesAtMs"
+  | "previousOrdersUntilMs"
   | "unansweredStarts"
   | "progressWaitMs"
   | "load"
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -235,6 +235,7 @@
       listedBornMs: bornMs,
       unansweredStarts: this.#unansweredStartsOf(id),
       lapsesAtMs: this.earlierLeases.endMs(id),
+      previousOrdersUntilMs: this.earlierLeases.ordersUntilMs(id),
       load: this.#load,
       stopRetrySlots: this.#stopRetrySlots,
       progressWaitMs: () => this.#pollIntervalMs(),
--- a/packages/coordinator/src/sessions/earlier_leases.ts
+++ b/packages/coordinator/src/sessions/earlier_leases.ts
@@ -2,6 +2,14 @@
 import type * as remainingLeases from "../election/remaining_leases.ts";
 import type * as ports from "../ports.ts";
 import * as leaseClocks from "./lease_clock.ts";
+import * as unansweredStarts from "./unanswered_starts.ts";
+
+interface ClosedSession {
+  /** Time by which its leases have expired. */
+  readonly endMs: number;
+  /** Time until which its orders may still arrive. */
+  readonly ordersUntilMs: number;
+}
 
 /** Ends of earlier leases, by the monotonic clock of this box. */
 export class EarlierLeases {
@@ -12,7 +20,7 @@
   readonly #othersEndMs: number;
   /** End of all leases where none was handed over; null before this term has begun. */
   #endMs: number | null = null;
-  readonly #closed = new Map<string, number>();
+  readonly #closed = new Map<string, ClosedSession>();
 
   constructor(
     coordinatorPorts: Pick<ports.CoordinatorPorts, "clock" | "bounds">,
@@ -37,7 +45,9 @@
 
   /** Notes the end of the leases of a session that is closed. */
   noteSessionClosed(endpoint: string, endMs: number): void {
-    this.#closed.set(endpoint, endMs);
+    const closedAtMs = this.#ports.clock.monotonicMs();
+    const ordersUntilMs = closedAtMs + unansweredStarts.LONGEST_ORDER_DELAY_MS;
+    this.#closed.set(endpoint, { endMs, ordersUntilMs });
   }
 
   /** Whether a session with an endpoint was closed in this term. */
@@ -45,15 +55,22 @@
     return this.#closed.has(endpoint);
   }
 
+  /** Time until which orders of closed sessions may still arrive at an endpoint. */
+  ordersUntilMs(endpoint: string): number {
+    return this.#closed.get(endpoint)?.ordersUntilMs ??
+      Number.NEGATIVE_INFINITY;
+  }
+
   /** Time by which all earlier leases of an endpoint have expired. */
   endMs(endpoint: string): number {
-    const closedEndMs = this.#closed.get(endpoint) ?? 0;
+    const closedEndMs = this.#closed.get(endpoint)?.endMs ?? 0;
     return Math.max(this.#inheritedEndMs(endpoint), closedEndMs);
   }
 
   /** Time by which all earlier leases of all endpoints have expired. */
   get lastEndMs(): number {
-    const ends = [...this.#closed.values(), ...this.#inherited?.values() ?? []];
+    const closedEnds = [...this.#closed.values()].map(({ endMs }) => endMs);
+    const ends = [...closedEnds, ...this.#inherited?.values() ?? []];
     const othersEndMs = this.#inherited === null
       ? this.#endMs ?? this.#longestEndMs()
       : this.#othersEndMs;
--- a/packages/coordinator/src/sessions/incarnation_state.ts
+++ b/packages/coordinator/src/sessions/incarnation_state.ts
@@ -33,10 +33,11 @@
    * Time until which an order to the previous incarnation may still arrive. On the clock
    * of this one, its lease may seem to be the longest.
    */
-  #previousOrdersUntilMs = Number.NEGATIVE_INFINITY;
+  #previousOrdersUntilMs: number;
 
   constructor(options: sessionOptions.SessionOptions) {
     this.#options = options;
+    this.#previousOrdersUntilMs = options.previousOrdersUntilMs;
     this.#clock = new leaseClocks.LeaseClock(options.lapsesAtMs);
     this.#endEvidence = this.#createEndEvidence();
   }
--- a/packages/coordinator/src/sessions/session_options.ts
+++ b/packages/coordinator/src/sessions/session_options.ts
@@ -23,6 +23,8 @@
   readonly unansweredStarts: unansweredStarts.UnansweredStarts;
   /** Time of this box's clock by which leases of earlier coordinators have expired. */
   readonly lapsesAtMs: number;
+  /** Time until which orders of an earlier session with it may still arrive. */
+  readonly previousOrdersUntilMs: number;
   /** Delay of this box; shared by all sessions. */
   readonly load: loads.BoxLoad;
   /** Limits how many endpoints get frequent stops; shared by all sessions. */
--- a/packages/workflow-node/src/lost_work_takeover_test.ts
+++ b/packages/workflow-node/src/lost_work_takeover_test.ts
@@ -54,4 +54,29 @@
       });
     }
   }
+
+  vitest.it.each([0, 300, 600])(
+    "does not stand still where no entry is left (%s ms before the next one)",
+    async (beforeMs) => {
+      const fleet = new TestUtils.TestFleet({
+        workers: Array.from({ length: ENDPOINTS }, () => 1),
+        longestLeaseMs: LONGEST_LEASE_MS,
+      });
+      const { workers, clock, restartDelayMs } = fleet;
+      workers.behave = () => ({ runMs: 60_000, fails: false });
+      await fleet.start();
+      const steps = [TestUtils.buildStep({ estimateMs: 60_000 })];
+      await fleet.submit("node-1", ID, { steps });
+      await fleet.until(() => workers.runs.length === 1);
+      await clock.advance(2 * LONGEST_LEASE_MS);
+      workers.crash(workers.runs[0].worker);
+      await clock.advance(restartDelayMs - beforeMs);
+      await fleet.kill(fleet.coordinator() ?? "");
+      const isAgain = () => workers.runs.length >= 2;
+      const limitMs = MAX_IDLE_MS + CALM_MS;
+      vitest.expect(await fleet.until(isAgain, limitMs)).toBe(true);
+      vitest.expect(TestUtils.findRunViolations(fleet)).toEqual([]);
+      await fleet.stop();
+    },
+  );
 });
