--- a/packages/coordinator/src/election/term.ts
+++ b/packages/coordinator/src/election/term.ts
@@ -15,8 +15,8 @@
   /** Box that should take over a released row; absent where any may. */
   readonly successor?: string;
   /**
-   * Leases that were left when it was released; absent where there is a holder, and in
-   * rows of earlier versions.
+   * Leases of silent endpoints that were left when it was released; absent where there
+   * is a holder, and in rows of earlier versions.
    */
   readonly leases?: remainingLeases.RemainingLeases;
 }
--- a/packages/coordinator/src/endpoints/endpoint_directory.ts
+++ b/packages/coordinator/src/endpoints/endpoint_directory.ts
@@ -109,8 +109,8 @@
     return this.#sessions.wasOpened(id);
   }
 
-  /** Ends of all leases, once no more are granted. */
-  listLeaseEnds(): leaseHandOver.LeaseEnds {
+  /** Ends of the leases at endpoints that do not answer. */
+  listLeaseEnds(): readonly leaseHandOver.LeaseEnd[] {
     return this.#sessions.listLeaseEnds();
   }
 
--- a/packages/coordinator/src/endpoints/endpoint_sessions.ts
+++ b/packages/coordinator/src/endpoints/endpoint_sessions.ts
@@ -8,7 +8,6 @@
 import * as loads from "../sessions/box_load.ts";
 import * as earlierLeases from "../sessions/earlier_leases.ts";
 import * as leaseHandOver from "../sessions/lease_hand_over.ts";
-import * as leaseClocks from "../sessions/lease_clock.ts";
 import * as lateStartStops from "../sessions/late_start_stops.ts";
 import * as unansweredStarts from "../sessions/unanswered_starts.ts";
 import * as sessions from "../sessions/endpoint_session.ts";
@@ -108,17 +107,10 @@
     return this.#sessions.has(id) || this.earlierLeases.hadSession(id);
   }
 
-  /** Ends of all leases, once no more are granted. */
-  listLeaseEnds(): leaseHandOver.LeaseEnds {
-    const { clock, bounds } = this.#parts.options.ports;
-    return leaseHandOver.collectLeaseEnds({
-      sessions: this.all,
-      earlier: this.earlierLeases,
-      grantedUntilMs: leaseClocks.foreignLeaseEndMs(
-        clock.monotonicMs(),
-        leaseClocks.grantedLeaseMs(bounds.longestLeaseMs),
-      ),
-    });
+  /** Ends of the leases at endpoints that do not answer. */
+  listLeaseEnds(): readonly leaseHandOver.LeaseEnd[] {
+    const { all: sessions, earlierLeases: earlier } = this;
+    return leaseHandOver.collectLeaseEnds({ sessions, earlier });
   }
 
   /** Starts the sessions. */
--- a/packages/coordinator/src/sessions/earlier_leases.ts
+++ b/packages/coordinator/src/sessions/earlier_leases.ts
@@ -14,11 +14,11 @@
 /** Ends of earlier leases, by the monotonic clock of this box. */
 export class EarlierLeases {
   readonly #ports: Pick<ports.CoordinatorPorts, "clock" | "bounds">;
-  /** Ends by endpoint that the former holder has handed over; null for none. */
-  readonly #inherited: ReadonlyMap<string, number> | null;
-  /** End of all others that it has handed over. */
-  readonly #othersEndMs: number;
-  /** End of all leases where none was handed over; null before this term has begun. */
+  /** Ends at silent endpoints, as the former holder has handed them over. */
+  readonly #inherited: ReadonlyMap<string, number>;
+  /** Time until which orders of the former holder may still arrive. */
+  readonly #inheritedOrdersUntilMs: number;
+  /** End of all other leases; null before this term has begun. */
   #endMs: number | null = null;
   readonly #closed = new Map<string, ClosedSession>();
 
@@ -27,17 +27,17 @@
     inherited: remainingLeases.InheritedLeases | null,
   ) {
     this.#ports = coordinatorPorts;
-    const { leases, readAtMs } = inherited ?? { leases: null, readAtMs: 0 };
-    const ends = Object.entries(leases?.byEndpoint ?? {}).map((
-      [id, leftMs],
-    ): [string, number] => [id, readAtMs + leftMs]);
-    this.#inherited = leases === null ? null : new Map(ends);
-    this.#othersEndMs = readAtMs + (leases?.othersMs ?? 0);
+    const { leases, readAtMs } = inherited ?? { leases: {}, readAtMs: 0 };
+    this.#inherited = new Map(
+      Object.entries(leases).map(([id, leftMs]) => [id, readAtMs + leftMs]),
+    );
+    this.#inheritedOrdersUntilMs = readAtMs +
+      unansweredStarts.LONGEST_ORDER_DELAY_MS;
   }
 
   /**
-   * Notes that endpoints are called from now on. A former holder that has not handed
-   * over may have renewed leases until now, as no endpoint knew of this term.
+   * Notes that endpoints are called from now on. The former holder may have renewed
+   * leases until now, as no endpoint knew of this term.
    */
   begin(): void {
     this.#endMs = this.#longestEndMs();
@@ -55,36 +55,27 @@
     return this.#closed.has(endpoint);
   }
 
-  /** Time until which orders of closed sessions may still arrive at an endpoint. */
+  /**
+   * Time until which earlier orders may still arrive at an endpoint whose leases were
+   * handed over, or with which a session was closed.
+   */
   ordersUntilMs(endpoint: string): number {
+    const isInherited = this.#inherited.has(endpoint);
     return this.#closed.get(endpoint)?.ordersUntilMs ??
-      Number.NEGATIVE_INFINITY;
+      (isInherited ? this.#inheritedOrdersUntilMs : Number.NEGATIVE_INFINITY);
   }
 
   /** Time by which all earlier leases of an endpoint have expired. */
   endMs(endpoint: string): number {
     const closedEndMs = this.#closed.get(endpoint)?.endMs ?? 0;
-    return Math.max(this.#inheritedEndMs(endpoint), closedEndMs);
-  }
-
-  /** Time by which all earlier leases of all endpoints have expired. */
-  get lastEndMs(): number {
-    const closedEnds = [...this.#closed.values()].map(({ endMs }) => endMs);
-    const ends = [...closedEnds, ...this.#inherited?.values() ?? []];
-    const othersEndMs = this.#inherited === null
-      ? this.#endMs ?? this.#longestEndMs()
-      : this.#othersEndMs;
-    return Math.max(othersEndMs, ...ends);
-  }
-
-  /** Endpoints whose leases were handed over one by one, and their ends. */
-  get handedOver(): Iterable<readonly [endpoint: string, endMs: number]> {
-    return this.#inherited ?? [];
+    const endMs = this.#inherited.get(endpoint) ?? this.#endMs ??
+      this.#longestEndMs();
+    return Math.max(endMs, closedEndMs);
   }
 
-  #inheritedEndMs(endpoint: string): number {
-    if (this.#inherited === null) return this.#endMs ?? this.#longestEndMs();
-    return this.#inherited.get(endpoint) ?? this.#othersEndMs;
+  /** Ends at endpoints that the former holder has handed over. */
+  get inherited(): Iterable<readonly [endpoint: string, endMs: number]> {
+    return this.#inherited;
   }
 
   #longestEndMs(): number {
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -120,14 +120,13 @@
     this.#missing.extendLeases((id) => directory.earlierLeases.endMs(id));
   }
 
-  /** Lists the leases of all endpoints, once no more are granted. */
+  /** Lists the leases of silent endpoints, once no more are granted. */
   listRemainingLeases(): remainingLeases.RemainingLeases {
     const { ports: { clock }, directory } = this.#parts;
-    const { silent, others } = directory.listLeaseEnds();
-    return leaseHandOver.listRemainingLeases({
-      silent: [...silent, ...this.#missing.leaseEnds()],
-      others,
-    }, clock.monotonicMs());
+    return leaseHandOver.listRemainingLeases(
+      [...directory.listLeaseEnds(), ...this.#missing.leaseEnds()],
+      clock.monotonicMs(),
+    );
   }
 
   /**
