--- a/packages/http-json/src/server_limits.ts
+++ b/packages/http-json/src/server_limits.ts
@@ -25,7 +25,7 @@
  */
 const BODY_SHARE = 1 / 8;
 const BYTES_PER_MB = 1_000_000;
-/** Requests under way for each MB: one takes about 40 kB of heap beside its body. */
+/** Requests under way for each MB: one takes some tens of kB of heap beside its body. */
 const REQUESTS_PER_MB = 6;
 /** Share of the requests under way that may be sent ahead on their connections. */
 const AHEAD_SHARE = 1 / 8;
