--- a/packages/http-json/src/connection_drain.ts
+++ b/packages/http-json/src/connection_drain.ts
@@ -82,16 +82,20 @@
   }
 
   /**
-   * Answers the requests that were received in full and are still unanswered; completes
-   * when these answers are sent.
+   * Answers the requests that were received in full and are still unanswered, and
+   * closes their connections; completes when these answers are sent.
    */
   answerRest(
     answer: (res: http.ServerResponse) => void,
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
-      const rest = [...this.#connections.values()]
-        .flatMap((unanswered) => [...unanswered])
-        .filter((res) => res.req.complete && !res.headersSent);
+      const rest = [...this.#connections.values()].flatMap((unanswered) => {
+        const complete = [...unanswered].filter((res) =>
+          res.req.complete && !res.headersSent
+        );
+        complete.at(-1)?.setHeader("connection", "close");
+        return complete;
+      });
       const sent = rest.map((res) =>
         Effect.callback<void>((resume) => {
           res.once("close", () => resume(Effect.void));
