--- a/packages/test-utils/src/random_fault_simulation.ts
+++ b/packages/test-utils/src/random_fault_simulation.ts
@@ -33,20 +33,33 @@
 const CRASHER_SHARE = 0.15;
 /** Shares of the orders in a round that are lost, unanswered or late, 0 to 1. */
 const ORDER_FAULT_SHARES: readonly number[] = [0, 0.1, 0.6];
+/** Share of the faults that are hand-overs, if there are any, 0 to 1. */
+const HAND_OVER_SHARE = 0.3;
 const END_TIMEOUT_MS = 120_000;
 /** Share of the runs that fail, 0 to 1. */
 const FAIL_SHARE = 0.02;
 /** The same where many runs fail: most gangs of three fail in each run. */
 const HIGH_FAIL_SHARE = 0.4;
 
+/** Stops the coordinator as operators do, and starts a box in its place. */
+async function handOver(fleet: fleets.TestFleet): Promise<void> {
+  const target = fleet.coordinator();
+  if (target === null || !fleet.boxes.has(target)) return;
+  await fleet.run(fleet.box(target).leave());
+  await fleet.kill(target);
+  fleet.startBox(`${target}+`);
+}
+
 /** Injects one random fault. */
 async function injectFault(
   fleet: fleets.TestFleet,
   random: randoms.SeededRandom,
   grey: greyEndpoints.GreyEndpoints,
+  { handsOver = false }: FaultOptions,
 ): Promise<void> {
   const names = [...fleet.boxes.keys()];
   const name = random.choose(names);
+  if (handsOver && random.next() < HAND_OVER_SHARE) return handOver(fleet);
   switch (random.between(0, 11)) {
     case 0: {
       const target = fleet.coordinator() ?? name;
@@ -151,6 +164,8 @@
 /** Additional faults of a simulation. */
 export interface FaultOptions extends listings.ListingFaultOptions {
   readonly changesCapacity?: boolean;
+  /** The coordinator is often stopped, so that it hands over. */
+  readonly handsOver?: boolean;
   /** Logger of each box, to trace a seed. */
   readonly logOf?: (box: string, clock: Ports.Clock) => Logger.Logger;
   readonly suspends?: boolean;
@@ -260,7 +275,7 @@
     for (let i = 0; i < faults; i++) {
       listingFaults.change();
       restarts?.change();
-      await injectFault(fleet, random, grey);
+      await injectFault(fleet, random, grey, options);
       await fleet.clock.advance(PHASE_MS);
     }
     repairBoxes(fleet);
--- a/packages/test-utils/src/simulation_kinds.ts
+++ b/packages/test-utils/src/simulation_kinds.ts
@@ -7,6 +7,7 @@
   rooms: { changesCapacity: true },
   lapses: { cutsEndpoints: true, foreignEntries: true, crashesInGroups: true },
   suspensions: { suspends: true },
+  handOvers: { handsOver: true, cutsEndpoints: true },
   rebirths: { restartsEndpoints: true },
   slowEnds: { delaysEnds: true },
   slowEndsAndCuts: {
