--- a/packages/coordinator/src/sessions/endpoint_ends.ts
+++ b/packages/coordinator/src/sessions/endpoint_ends.ts
@@ -127,9 +127,13 @@
     for (const run of unreported.all) options.listener.runGone(state, run);
   }
 
-  /** Whether the record of a run shows that its start was sent to this address. */
+  /**
+   * Whether the record of a run shows that its start was sent to this address. A task
+   * that may have crashed its endpoints is not started again so soon: whether it did is
+   * not known yet.
+   */
   #wasSentHere({ task, run }: assignments.Assignment): boolean {
-    return task.run === run &&
+    return task.run === run && !task.isSuspect &&
       task.address === this.#options.state.ref.address;
   }
 
--- a/packages/coordinator/src/work/run_control.ts
+++ b/packages/coordinator/src/work/run_control.ts
@@ -142,8 +142,11 @@
       if (isPlaced) this.adopt(task);
       else this.adoptUnresolved(missing);
     }
-    const replaced = this.#missing.removeReplaced(({ endpoint: id, address }) =>
-      typeof address === "string" && directory.isReplacedAt({ id, address })
+    const replaced = this.#missing.removeReplaced((
+      { task, endpoint: id, address },
+    ) =>
+      typeof address === "string" && !task.isSuspect &&
+      directory.isReplacedAt({ id, address })
     );
     return [...replaced, ...this.#missing.removeExpired(clock.monotonicMs())];
   }
