--- a/review/stand-ins-2/play.mjs
+++ b/review/stand-ins-2/play.mjs
@@ -195,6 +195,22 @@
     };
   }
 
+  /** Starts a box again whenever it ends by itself, as the platform does. */
+  keepRunning(node, bounds, delayMs = 1000) {
+    node.ownEnds = 0;
+    node.child.exited.then(async ({ code, signal }) => {
+      if (this.ended) return;
+      node.ownEnds++;
+      this.note(`${node.name} has ended by itself (${signal ?? `code ${code}`})`);
+      await sleep(delayMs);
+      if (this.ended) return;
+      const { ownEnds } = node;
+      Object.assign(node, await this.startNode(node.name, bounds, node.ports));
+      this.keepRunning(node, bounds, delayMs);
+      node.ownEnds = ownEnds;
+    });
+  }
+
   /** Waits until a box is ready. */
   async awaitReady(node, limitMs = 15_000) {
     const endMs = Date.now() + limitMs;
