--- a/review/stand-ins-2/play.mjs
+++ b/review/stand-ins-2/play.mjs
@@ -13,15 +13,21 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** A port that nothing listens on now. */
-export function freePort() {
-  return new Promise((resolve, reject) => {
-    const server = net.createServer().once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
+const given = new Set();
+
+/** A port that nothing listens on now, below those that outgoing connections get. */
+export async function freePort() {
+  for (;;) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    if (given.has(port)) continue;
+    const isFree = await new Promise((resolve) => {
+      const server = net.createServer().once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
-  });
+    if (!isFree) continue;
+    given.add(port);
+    return port;
+  }
 }
 
 /** One HTTP call on a connection of its own; status 0 without an answer. */
