--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -13,6 +13,11 @@
 const TRAFFIC_S = 26;
 const BURST = { fromS: 1, forS: 6, x: 2.2 };
 const FINISH_S = 14;
+const SMALL_TASKS = 2;
+/** The rule's 3 s, counted only from 4 s of calm after the burst on. */
+const STANDSTILL_MS = 3000;
+const CALM_S = 4;
+const ASKS = 5;
 const bounds = { longestLeaseMs: 6000, stopMs: 400 };
 
 const play = new plays.Play(path.dirname(fileURLToPath(import.meta.url)), "5");
@@ -35,7 +40,7 @@
   for (let i = 0; i < 6; i++) {
     const node = nodes[(accepted.length + i) % nodes.length];
     const { status } = await plays.ask(node, "POST", id, job);
-    if (status >= 200 && status < 300) return accepted.push(id);
+    if (status >= 200 && status < 300) return accepted.push({ id, atMs: Date.now() });
     play.note(`POST ${id} at ${node.name}: ${status}`);
     await plays.sleep(300);
   }
@@ -52,7 +57,7 @@
   if (nowS < NIGHTLY.forS) owed += (nowS - lastS) * NIGHTLY.perS * (isBurst ? BURST.x : 1);
   lastS = nowS;
   if (owed >= nightly + 1) {
-    await handIn(`5c0e7a21d9${100_000 + ++nightly}`, {
+    await handIn(`5c0e7a21d${100_000 + ++nightly}a`, {
       spec,
       steps: [{ ...step, count: TASKS }],
       start_at_ms: Date.now() + DAY_MS,
@@ -62,23 +67,37 @@
   }
   // A job of two tasks, to be done at once.
   if (nowS >= SMALL_EACH_S * small) {
-    await handIn(`6c0e7a21d9${100_000 + ++small}`, { spec, steps: [{ ...step, count: 2 }] });
+    await handIn(`6c0e7a21d${100_000 + ++small}a`, { spec, steps: [{ ...step, count: SMALL_TASKS }] });
   }
   await plays.sleep(50);
 }
 play.note(`accepted: ${accepted.length} of ${nightly} nightly and ${small} small jobs`);
 await plays.sleep(FINISH_S * 1000);
 
+/** Asks all boxes for a job, again after a second where none answers. */
+async function isKnown(id) {
+  for (let i = 0; i < ASKS; i++) {
+    const answers = await Promise.all(nodes.map((node) => plays.ask(node, "GET", id)));
+    if (answers.some(({ status }) => status === 200)) return true;
+    await plays.sleep(1000);
+  }
+  return false;
+}
+const calmFromMs = beganMs + 1000 * (BURST.fromS + BURST.forS + CALM_S);
 const lost = [];
-for (const id of accepted) {
-  const answers = await Promise.all(nodes.map((node) => plays.ask(node, "GET", id)));
-  const states = answers.map(({ status, body }) => status === 200 ? body.state : status);
-  const isDone = id.startsWith("6") ? states.includes("completed") : states.includes("queued");
-  if (!isDone) lost.push(`${id}: ${states.join(", ")}`);
+for (const { id, atMs } of accepted) {
+  if (!id.startsWith("6")) continue;
+  const fromMs = Math.max(atMs, calmFromMs);
+  const sinceMs = play.standsStillSince(id, SMALL_TASKS, fromMs);
+  const stoodMs = sinceMs === null ? 0 : Date.now() - sinceMs;
+  if (stoodMs > STANDSTILL_MS) lost.push(`${id} has nothing running for ${(stoodMs / 1000).toFixed(1)} s`);
+}
+for (const { id } of accepted) {
+  if (!await isKnown(id)) lost.push(`${id} isn't known, or no box answers`);
 }
 const ends = nodes.map(({ name, ownEnds }) => `${name} ${ownEnds}`).join(", ");
 play.note(`boxes ended by themselves: ${ends}`);
-for (const line of lost.slice(0, 5)) play.note(`no answer, or not done: ${line}`);
+for (const line of lost.slice(0, 5)) play.note(line);
 if (accepted.length < 10) await play.finish(2, "too few jobs were accepted");
 else if (lost.length > 0) await play.finish(1, `LOST: ${lost.length} of ${accepted.length} accepted jobs`);
-else await play.finish(0, "all accepted jobs are known, and the small ones done");
+else await play.finish(0, "all accepted jobs are known, and none stands still");
--- a/review/stand-ins-2/play.mjs
+++ b/review/stand-ins-2/play.mjs
@@ -100,6 +100,8 @@
 
   /** Starts a program; completes when it prints `ready`, where that is waited for. */
   async spawn(args, { env = {}, out = null, waits = true } = {}) {
+    // Nothing is started any more once the play is being ended.
+    if (this.ended) return new Promise(() => {});
     const child = spawn(process.execPath, args, {
       cwd: ROOT,
       env: { PATH: process.env.PATH, HOME: process.env.HOME ?? "", ...env },
@@ -265,6 +267,25 @@
     return again;
   }
 
+  /**
+   * Time since which a job of which not all tasks are done has had nothing running; null
+   * where something of it runs, or all of it is done.
+   */
+  standsStillSince(id, tasks, fromMs) {
+    const done = new Set();
+    const running = new Set();
+    let sinceMs = fromMs;
+    for (const { at, start, end, how, run } of this.events()) {
+      const name = start ?? end;
+      if (name === undefined || !name.startsWith(`${id}.`)) continue;
+      if (start) running.add(`${name}@${run}`);
+      else running.delete(`${name}@${run}`);
+      if (how === "done") done.add(name);
+      sinceMs = Math.max(sinceMs, at);
+    }
+    return running.size > 0 || done.size === tasks ? null : sinceMs;
+  }
+
   /** Ends all processes, writes the record and ends the play. */
   async finish(code, verdict) {
     if (this.ended) return sleep(60_000);
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -154,7 +154,7 @@
   const chunks = [];
   for await (const chunk of req) chunks.push(chunk);
   if (down) return res.writeHead(503).end();
-  const url = new URL(req.url, "http://store");
+  const url = new URL(req.url, "http://127.0.0.1");
   const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
   switch (`${req.method} ${url.pathname}`) {
     case "POST /rows-tx":
