Reject workflows for which the coordinator has no memory

What callers saw: a box that accepts more jobs than its memory holds ends, and each box that takes over reads the same jobs and ends too.

Change: the coordinator estimates the memory of its workflows from acceptance to removal and publishes its use with each renewal, from a quarter of the limit on; a fifth of the heap is the limit. Each box rejects a workflow at once, with 429 and a Retry-After by the pace at which memory is freed, unless 64 times its need is free. So large ones are rejected first, and small ones are still accepted. A box adds what it has accepted since the newest renewals, and, while there is no coordinator, as much for each other box. The next coordinator publishes at least the inherited use until it has read everything. A job that is stored already is still answered with 200; where a lookup does not tell, or eight are under way, the answer is 504.

The lease value carries the use behind the window, where earlier versions do not read. Without high use it is the same number as before.

Operators see cairngate_work_memory_bytes, _limit_bytes and _share, the reason no-memory of cairngate_rejected_total, and a log line when rejecting begins and ends.

Ruled out: accepting where the lookup does not tell, as for other rejections.

--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -28,3 +28,9 @@
 export { makeForecast } from "./src/make_forecast.ts";
 export { RetrySchedule } from "./src/retry_schedule.ts";
 export { CapacityReservations } from "./src/capacity_reservations.ts";
+export {
+  findMemoryWaitMs,
+  type MemoryRequest,
+  type MemoryUse,
+  MIN_PUBLISHED_SHARE,
+} from "./src/memory_use.ts";
--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -54,6 +54,11 @@
     return this.#watch.forecast;
   }
 
+  /** Memory use that the holder published last. */
+  get memoryUse(): rowWatches.NotedMemoryUse {
+    return this.#watch.memoryUse;
+  }
+
   /** Runs `work` whenever this box is elected, until the term is lost. Never ends. */
   run(work: (term: terms.Term) => Effect.Effect<void>): Effect.Effect<never> {
     const campaign = Effect.gen({ self: this }, function* () {
@@ -98,6 +103,7 @@
       const { store, box, incarnation, log, clock } = this.#ports;
       // Read first: the watch may see the write below before it is answered.
       const { forecast: inherited } = this.#watch.forecast;
+      const { use: inheritedMemoryUse } = this.#watch.memoryUse;
       const key = TableClient.Keys.COORDINATOR_KEY;
       const leaseKey = TableClient.Keys.COORDINATOR_LEASE_KEY;
       const rows = yield* store.read([key, leaseKey], TAKEOVER_TIMEOUT_MS);
@@ -137,6 +143,7 @@
         token,
         revision,
         inherited,
+        inheritedMemoryUse,
         inheritedLeases: leases === null ? null : { leases, readAtMs },
         grants,
       });
--- a/packages/coordinator/src/election/lease_value.ts
+++ b/packages/coordinator/src/election/lease_value.ts
@@ -1,7 +1,7 @@
 /**
  * Value of the lease row, which the holder writes with each renewal: a number, or a
- * text if there is a forecast to publish or the window is longer than usual. Every
- * version of the product tells renewals apart by comparing these values, so both are
+ * text if there is a forecast or a use of memory to publish or the window is longer
+ * than usual. Every version of the product tells renewals apart by comparing these values, so both are
  * primitives, and earlier versions read the time of a text that has a window.
  */
 import * as Admission from "@cairngate/admission";
@@ -16,18 +16,22 @@
 
 const SEPARATOR = " ";
 const WINDOW_SEPARATOR = "+";
+const PER_MILLE = 1000;
 
 /** Encodes the value of one renewal. */
 export function writeLease(
   renewedAtMs: number,
   aged: AgedForecast | null,
   windowMs = paces.MIN_SILENCE_MS,
+  memoryUse: Admission.MemoryUse | null = null,
 ): number | string {
   const number = Math.round(renewedAtMs);
   const isUsual = windowMs <= paces.MIN_SILENCE_MS;
-  const renewal = isUsual
+  const renewal = isUsual && memoryUse === null
     ? number
-    : [number, Math.ceil(windowMs)].join(WINDOW_SEPARATOR);
+    : [number, Math.ceil(windowMs), ...toPerMille(memoryUse)].join(
+      WINDOW_SEPARATOR,
+    );
   if (aged === null) return renewal;
   const text = Admission.writeForecast(aged.forecast);
   return [renewal, Math.round(aged.ageMs), text].join(SEPARATOR);
@@ -61,3 +65,20 @@
   const forecast = Admission.readForecast(rest.join(SEPARATOR));
   return forecast === null ? null : { forecast, ageMs };
 }
+
+/** Decodes the use of memory of a renewal; null where none is published. */
+export function readMemoryUse(value: unknown): Admission.MemoryUse | null {
+  if (typeof value !== "string") return null;
+  const [renewal] = value.split(SEPARATOR);
+  const [, , held, freed] = renewal.split(WINDOW_SEPARATOR).map(Number);
+  if (!(held >= 0 && freed >= 0)) return null;
+  return { heldShare: held / PER_MILLE, freedShare: freed / PER_MILLE };
+}
+
+function toPerMille(use: Admission.MemoryUse | null): number[] {
+  if (use === null) return [];
+  return [
+    Math.ceil(use.heldShare * PER_MILLE),
+    Math.floor(use.freedShare * PER_MILLE),
+  ];
+}
--- a/packages/coordinator/src/election/lease_value_test.ts
+++ b/packages/coordinator/src/election/lease_value_test.ts
@@ -32,6 +32,27 @@
     vitest.expect(leases.windowMs(value)).toBe(900);
   });
 
+  vitest.it("holds the use of memory beside the window and a forecast", () => {
+    const aged = { forecast: FORECAST, ageMs: 100 };
+    const use = { heldShare: 0.437, freedShare: 0.02 };
+    for (const forecast of [null, aged]) {
+      const value = leases.writeLease(1000, forecast, 900, use);
+      vitest.expect(leases.readMemoryUse(value)).toEqual(use);
+      vitest.expect(leases.readLease(value)).toEqual(forecast);
+      vitest.expect(leases.windowMs(value)).toBe(900);
+      vitest.expect(leases.renewedAtMs(value)).toBe(1000);
+    }
+  });
+
+  vitest.it("has no use of memory where none is published", () => {
+    const aged = { forecast: FORECAST, ageMs: 100 };
+    for (const forecast of [null, aged]) {
+      const value = leases.writeLease(1000, forecast, 1500);
+      vitest.expect(leases.readMemoryUse(value)).toBeNull();
+    }
+    vitest.expect(leases.readMemoryUse("1000+900+x+y")).toBeNull();
+  });
+
   vitest.it("bounds the window of a value that another writer left", () => {
     vitest.expect(leases.windowMs("1000+999999")).toBe(4000);
     vitest.expect(leases.windowMs("1000+x")).toBe(900);
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -45,6 +45,14 @@
  */
 const MAX_AHEAD_MS = 10_000;
 
+/** Memory use that a renewal published. */
+export interface NotedMemoryUse {
+  /** Null if it is too low to be published. */
+  readonly use: Admission.MemoryUse | null;
+  /** Monotonic time at which this box noted the renewal. */
+  readonly notedAtMs: number;
+}
+
 /** Election rows as this box sees them. */
 export class RowWatch {
   readonly #ports: ports.CoordinatorPorts;
@@ -53,6 +61,10 @@
   readonly #follower: TableClient.RowFollower<unknown>;
   readonly #pace = new paces.RenewalPace();
   readonly #forecastObserver: observers.ForecastObserver;
+  #memoryUse: NotedMemoryUse = {
+    use: null,
+    notedAtMs: Number.NEGATIVE_INFINITY,
+  };
   /** When the present feed request was sent. */
   #requestedAtMs = 0;
   #row: terms.CoordinatorRow | null = null;
@@ -91,6 +103,11 @@
     return this.#forecastObserver.latest;
   }
 
+  /** Memory use that the newest renewal published. */
+  get memoryUse(): NotedMemoryUse {
+    return this.#memoryUse;
+  }
+
   /** Holder of the row as last seen; empty where there is none. */
   get holder(): string {
     return this.#row?.holder ?? "";
@@ -218,7 +235,11 @@
     const isTakeover = value === this.token;
     if (!isTakeover && !this.#isNewer(value)) return false;
     if (isTakeover) this.#lease = null;
-    else this.#recordLease(value);
+    else {
+      this.#recordLease(value);
+      const notedAtMs = this.#ports.clock.monotonicMs();
+      this.#memoryUse = { use: leases.readMemoryUse(value), notedAtMs };
+    }
     this.#forecastObserver.note(value, this.#requestedAtMs);
     this.#hasSeenRenewal = true;
     return true;
--- a/packages/coordinator/src/election/term.ts
+++ b/packages/coordinator/src/election/term.ts
@@ -34,6 +34,7 @@
   readonly revision: number;
   readonly inherited: Admission.Forecast | null;
   readonly inheritedLeases: remainingLeases.InheritedLeases | null;
+  readonly inheritedMemoryUse: Admission.MemoryUse | null;
   readonly grants: grants.LeaseGrants;
 }
 
@@ -48,6 +49,10 @@
   readonly inherited: Admission.Forecast | null;
   /** Leases that the previous holder has handed over; null where it has not. */
   readonly inheritedLeases: remainingLeases.InheritedLeases | null;
+  /** Memory use that the previous holder published; null where it did not. */
+  readonly inheritedMemoryUse: Admission.MemoryUse | null;
+  /** Returns the memory use to publish with each renewal; null for none. */
+  memoryUse: () => Admission.MemoryUse | null = () => this.inheritedMemoryUse;
   /** Forecast published with each renewal; null for none. */
   forecast: TimedForecast | null = null;
   /** Lists the leases to hand over, once no more are granted. */
@@ -57,9 +62,17 @@
   readonly #lost = Deferred.makeUnsafe<string>();
 
   constructor(
-    { token, revision, inherited, inheritedLeases, grants }: TermOptions,
+    {
+      token,
+      revision,
+      inherited,
+      inheritedLeases,
+      inheritedMemoryUse,
+      grants,
+    }: TermOptions,
   ) {
     this.token = token;
+    this.inheritedMemoryUse = inheritedMemoryUse;
     this.inherited = inherited;
     this.inheritedLeases = inheritedLeases;
     this.grants = grants;
--- a/packages/coordinator/src/election/term_keeper_test.ts
+++ b/packages/coordinator/src/election/term_keeper_test.ts
@@ -27,6 +27,7 @@
     revision: 1,
     inherited: null,
     inheritedLeases: null,
+    inheritedMemoryUse: null,
     grants,
   });
 }
--- a/packages/coordinator/src/election/term_renewal.ts
+++ b/packages/coordinator/src/election/term_renewal.ts
@@ -84,13 +84,13 @@
   }
 }
 
-/** Value of a renewal, with the term's forecast if there is one. */
+/** Value of a renewal, with what the term publishes. */
 function leaseOf(
-  { forecast: made }: terms.Term,
+  { forecast: made, memoryUse }: terms.Term,
   { sentAt: { monotonicMs: sentAtMs }, windowMs }: grants.SentRenewal,
 ) {
-  if (made === null) return leases.writeLease(sentAtMs, null, windowMs);
-  const { forecast, madeAtMs } = made;
-  const aged = { forecast, ageMs: sentAtMs - madeAtMs };
-  return leases.writeLease(sentAtMs, aged, windowMs);
+  const aged = made === null
+    ? null
+    : { forecast: made.forecast, ageMs: sentAtMs - made.madeAtMs };
+  return leases.writeLease(sentAtMs, aged, windowMs, memoryUse());
 }
--- a/packages/coordinator/src/ports.ts
+++ b/packages/coordinator/src/ports.ts
@@ -48,6 +48,8 @@
   /** Number of boxes that accept work from callers, as far as this one knows. */
   readonly countBoxes: () => number;
   readonly bounds: EndpointBounds;
+  /** Memory for all accepted workflows, in bytes. */
+  readonly workMemoryBytes: number;
   readonly hardLoad: Types.HardLoadSettings;
   readonly log: Logger.Logger;
   readonly metrics: Metrics.Metrics;
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -5,6 +5,7 @@
 import * as estimates from "../load/run_estimates.ts";
 import * as shareTrackers from "../load/team_share_tracker.ts";
 import * as directories from "../endpoints/endpoint_directory.ts";
+import * as memoryMeters from "../load/memory_meter.ts";
 import type * as terms from "../election/term.ts";
 import type * as ports from "../ports.ts";
 import * as advice from "./advice_cache.ts";
@@ -142,7 +143,14 @@
     fences: partitionFences,
     onCancelled,
   });
+  const memory = new memoryMeters.MemoryMeter(coordinatorPorts);
+  term.memoryUse = () =>
+    memoryMeters.publishedUse([
+      memory.use,
+      recovery.isComplete ? null : term.inheritedMemoryUse,
+    ]);
   const workflows = new registries.WorkflowRegistry({
+    memory,
     ports: coordinatorPorts,
     fences: partitionFences,
     recorder,
--- a/packages/coordinator/src/work/workflow_registry.ts
+++ b/packages/coordinator/src/work/workflow_registry.ts
@@ -3,6 +3,7 @@
 import * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
 import * as conclusions from "./conclusion_message.ts";
+import type * as memoryMeters from "../load/memory_meter.ts";
 import type * as intake from "./intake.ts";
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "../ports.ts";
@@ -15,6 +16,7 @@
   readonly fences: fences.PartitionFences;
   readonly recorder: recorders.Recorder;
   readonly recovery: recoveries.Recovery;
+  readonly memory: memoryMeters.MemoryMeter;
 }
 
 /** A workflow and the partitions that hold its rows. */
@@ -92,6 +94,7 @@
       copies: new Set(),
     };
     this.#entries.set(spec.id, entry);
+    this.#parts.memory.add(Workflow.estimateBytes(spec));
     this.#parts.recorder.track(workflow, { partition, revision: 0 });
     this.#applyRecord(entry);
     workflow.cancelled ||= this.#cancelPartitions.has(spec.id);
@@ -265,6 +268,7 @@
         TableClient.Keys.cancelKey(partition, id),
       ]);
       this.#entries.delete(id);
+      this.#parts.memory.remove(Workflow.estimateBytes(workflow.spec));
       this.#cancelPartitions.delete(id);
       this.#endedAtMs.delete(id);
       this.#parts.recorder.untrack(workflow);
--- a/packages/errors/src/errors.ts
+++ b/packages/errors/src/errors.ts
@@ -340,6 +340,8 @@
   TooLate = "too-late",
   /** It was resubmitted before its retry time. */
   TooEarly = "turn",
+  /** The coordinator has no memory for more accepted workflows. */
+  NoMemory = "no-memory",
 }
 
 /** A submission was rejected for lack of capacity. Nothing was stored. */
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -10,6 +10,11 @@
   type AdmissionControllerOptions,
   type AdmissionDump,
 } from "./src/admission_controller.ts";
+export {
+  type KnownMemoryUse,
+  MemoryAdmission,
+  type MemoryAdmissionOptions,
+} from "./src/memory_admission.ts";
 export { type Rejection } from "./src/rejection_log.ts";
 export {
   type Submission,
--- a/packages/gateway/src/admission_controller.ts
+++ b/packages/gateway/src/admission_controller.ts
@@ -8,6 +8,7 @@
 import type * as Metrics from "@cairngate/metrics";
 import type * as Ports from "@cairngate/ports";
 import type * as Workflow from "@cairngate/workflow";
+import type * as memoryAdmission from "./memory_admission.ts";
 import * as rejections from "./rejection_log.ts";
 
 /** Options of an AdmissionController. */
@@ -22,6 +23,7 @@
   readonly guaranteeOf: (team: string) => number | null;
   /** Returns the time for which the store has not answered, in ms. */
   readonly storeSilentMs: () => number;
+  readonly memory: memoryAdmission.MemoryAdmission;
 }
 
 /** State of the admission control in the state dump. */
@@ -58,8 +60,10 @@
   checkAdmission(spec: Workflow.WorkflowSpec): Errors.RejectedError | null {
     const known = this.#currentForecast();
     // Without the store it can't be checked whether the workflow is stored already.
-    const isSilent = this.#options.storeSilentMs() > 0;
-    if (known.forecast === null || isSilent) return null;
+    if (this.#options.storeSilentMs() > 0) return null;
+    const noMemory = this.#checkMemory(spec);
+    if (noMemory !== null) return noMemory;
+    if (known.forecast === null) return null;
     const guaranteed = this.#options.guaranteeOf(spec.tenant);
     if (guaranteed === null) return null;
     const job = Admission.toJobShape(spec);
@@ -78,6 +82,7 @@
 
   /** Reserves room for a workflow that is about to be stored. */
   noteAccepted(spec: Workflow.WorkflowSpec): void {
+    this.#options.memory.noteAccepted(spec);
     const known = this.#currentForecast();
     if (known.forecast === null) return;
     this.#returns.forget(spec.id);
@@ -156,6 +161,16 @@
     return rejectedError(id, reason, retryInMs);
   }
 
+  /** Spreads returns, so that callers do not all come back at the same moment. */
+  #checkMemory(spec: Workflow.WorkflowSpec): Errors.RejectedError | null {
+    const { memory, random } = this.#options;
+    const waitMs = memory.findWaitMs(spec);
+    if (waitMs === null) return null;
+    const jitter = 0.5 + random.next();
+    const { NoMemory } = Errors.RejectReason;
+    return rejectedError(spec.id, NoMemory, waitMs * jitter);
+  }
+
   #checkTurn(id: string): Errors.RejectedError | null {
     const waitMs = this.#returns.remainingWaitMs(
       id,
--- a/packages/gateway/src/rejection_log.ts
+++ b/packages/gateway/src/rejection_log.ts
@@ -91,10 +91,8 @@
     this.#suppressed = 0;
     return `Workflow ${id} of team ${tenant} in ${queue} is rejected: ` +
       `${reason}; it may be submitted again in ${retryAfterMs} ms. ` +
-      `It requests ${describeDemand(spec)}; expected free: ${
-        describeRoom(spec, forecast)
-      }, ` +
-      `forecast ${Math.round(ageMs)} ms old.${suppressed}`;
+      `It requests ${describeDemand(spec)}; ` +
+      `${describeForecast(spec, forecast, ageMs)}.${suppressed}`;
   }
 }
 
@@ -109,6 +107,16 @@
     : `${first} accelerators and ${others.length} more steps`;
 }
 
+function describeForecast(
+  spec: Workflow.WorkflowSpec,
+  forecast: Admission.Forecast | null,
+  ageMs: number,
+): string {
+  if (!Number.isFinite(ageMs)) return "there is no forecast";
+  return `expected free: ${describeRoom(spec, forecast)}, ` +
+    `forecast ${Math.round(ageMs)} ms old`;
+}
+
 /** Lists the accelerators expected to be free for this priority, by time span. */
 function describeRoom(
   { policy }: Workflow.WorkflowSpec,
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -44,6 +44,19 @@
  */
 const COPY_LOOKUP_TIMEOUT_MS = 300;
 
+/**
+ * Maximum number of concurrent lookups before rejections for lack of memory. Each reads
+ * all partitions, and rejections come in large numbers.
+ */
+const MAX_MEMORY_LOOKUPS = 8;
+
+/** Whether a workflow is stored, as far as a lookup shows. */
+enum Presence {
+  Stored = "stored",
+  Absent = "absent",
+  Unknown = "unknown",
+}
+
 /** Carries out the workflow requests of callers. */
 export class Submissions {
   readonly #rows: workflowRows.WorkflowRows;
@@ -53,6 +66,8 @@
   readonly #rowBytes: number;
   readonly #admission: admission.AdmissionController;
   readonly #writes = new recentWrites.RecentWrites();
+  /** Number of lookups before rejections for lack of memory. */
+  #memoryLookups = 0;
 
   constructor(options: SubmissionOptions) {
     this.#rowBytes = options.rowBytes;
@@ -136,15 +151,14 @@
     rejected: Errors.RejectedError,
     callerWaitMs?: number,
   ): Effect.Effect<void, Errors.RejectedError | Errors.StoreUnavailableError> {
+    if (rejected.reason === Errors.RejectReason.NoMemory) {
+      return this.#rejectForMemory(spec, rejected);
+    }
     return Effect.gen({ self: this }, function* () {
       const startMs = this.#clock.monotonicMs();
-      const lookup = this.#rows.lookUp(spec.id, COPY_LOOKUP_TIMEOUT_MS);
-      const timed = yield* this.#clock.within(COPY_LOOKUP_TIMEOUT_MS, lookup);
-      // An earlier request was accepted.
-      if (timed !== null && timed.value.copies.length > 0) return;
-      const isNotStored = timed !== null && timed.value.failure === null &&
-        !this.#writes.mayBeStored(spec.id);
-      if (isNotStored) {
+      const presence = yield* this.#findPresence(spec.id);
+      if (presence === Presence.Stored) return;
+      if (presence === Presence.Absent) {
         this.#admission.noteRejected(spec, rejected);
         return yield* rejected;
       }
@@ -156,6 +170,47 @@
     });
   }
 
+  /**
+   * Rejects a workflow only if it is provably not stored; otherwise it stays open
+   * whether it is. Accepting it could end the coordinator.
+   */
+  #rejectForMemory(
+    spec: Workflow.WorkflowSpec,
+    rejected: Errors.RejectedError,
+  ): Effect.Effect<void, Errors.RejectedError | Errors.StoreUnavailableError> {
+    if (this.#memoryLookups >= MAX_MEMORY_LOOKUPS) {
+      return Effect.fail(presenceUnknown());
+    }
+    this.#memoryLookups++;
+    const rejection = Effect.gen({ self: this }, function* () {
+      const presence = yield* this.#findPresence(spec.id);
+      if (presence === Presence.Stored) return;
+      if (presence === Presence.Unknown) return yield* presenceUnknown();
+      this.#admission.noteRejected(spec, rejected);
+      return yield* rejected;
+    });
+    return Effect.ensuring(
+      rejection,
+      Effect.sync(() => {
+        this.#memoryLookups--;
+      }),
+    );
+  }
+
+  /** Finds out within a time limit whether an earlier request was accepted. */
+  #findPresence(id: string): Effect.Effect<Presence> {
+    const lookup = this.#rows.lookUp(id, COPY_LOOKUP_TIMEOUT_MS);
+    const timed = this.#clock.within(COPY_LOOKUP_TIMEOUT_MS, lookup);
+    return Effect.map(timed, (result) => {
+      if (result !== null && result.value.copies.length > 0) {
+        return Presence.Stored;
+      }
+      const isAbsent = result !== null && result.value.failure === null &&
+        !this.#writes.mayBeStored(id);
+      return isAbsent ? Presence.Absent : Presence.Unknown;
+    });
+  }
+
   /**
    * Cancels a workflow; fails where there is none. An error with `perhapsDone`
    * means that it may be cancelled or not.
@@ -249,6 +304,14 @@
   return { queue, service, priority, attempts, stretch, latencyMs, advice };
 }
 
+function presenceUnknown(): Errors.StoreUnavailableError {
+  return new Errors.StoreUnavailableError({
+    operation: "read",
+    cause: "it is not known whether an earlier request was accepted",
+    perhapsDone: true,
+  });
+}
+
 /** Marks a failure as one of a workflow that may be stored nevertheless. */
 function asPerhapsDone(
   { operation, cause }: Errors.StoreUnavailableError,
--- a/packages/test-utils/src/test_fleet.ts
+++ b/packages/test-utils/src/test_fleet.ts
@@ -115,6 +115,7 @@
   readonly #advisor: Ports.Advisor | null;
   readonly #bounds: typeof FLEET_BOUNDS;
   readonly #hardLoad: Types.HardLoadSettings;
+  readonly #heapBytes: number;
   /** Index of each endpoint's address. */
   readonly #indexes = new Map<string, number>();
   readonly #logOf: (box: string, clock: Ports.Clock) => Logger.Logger;
@@ -139,6 +140,8 @@
       stopMs?: number;
       /** Features for hard load; defaults to none. */
       hardLoad?: Types.HardLoadSettings;
+      /** Limit of the heap of each box, in bytes; none by default. */
+      heapBytes?: number;
       /** Data centre of the endpoint at each index; defaults to one for all. */
       dataCentreOf?: (index: number) => string;
       /** Logger of each box; defaults to a silent one. */
@@ -154,6 +157,7 @@
       stopMs: options.stopMs ?? FLEET_BOUNDS.stopMs,
     };
     this.#hardLoad = options.hardLoad ?? Types.HARD_LOAD_OFF;
+    this.#heapBytes = options.heapBytes ?? Number.POSITIVE_INFINITY;
     this.#advisor = options.advisor?.(this.clock) ?? null;
     this.random = new randoms.SeededRandom(options.seed ?? 1);
     this.faults = new StandIns.FaultSwitch(this.clock, this.random);
@@ -240,6 +244,7 @@
       bounds: this.#bounds,
       hardLoad: this.#hardLoad,
       storeWritesPerSecond: WRITES_PER_SECOND,
+      heapBytes: this.#heapBytes,
       storeRowBytes: ROW_BYTES,
       configInForceMs: CONFIG_IN_FORCE_MS,
       evacuationInForceMs: EVACUATION_IN_FORCE_MS,
--- a/packages/workflow-node/src/workflow_node.ts
+++ b/packages/workflow-node/src/workflow_node.ts
@@ -49,6 +49,8 @@
   /** Configured use of the features for overload. */
   readonly hardLoad: Types.HardLoadSettings;
   readonly storeWritesPerSecond: number;
+  /** Limit of the heap of this process, in bytes. */
+  readonly heapBytes: number;
   /** Maximum size of one row's value, in bytes. */
   readonly storeRowBytes: number;
   /** Time within which a configuration must be in force on every box, in ms. */
@@ -74,6 +76,12 @@
 /** Covers the time from a poll of the store to the check of a request, in ms. */
 const FRESHNESS_MARGIN_MS = 150;
 
+/**
+ * Share of the heap for all accepted workflows. While a box takes over, the rows that it
+ * reads take memory beside them.
+ */
+const WORK_HEAP_SHARE = 0.2;
+
 /** Accepts workflows, and coordinates while elected. */
 export class WorkflowNode {
   readonly access: Gateway.AccessTable;
@@ -102,6 +110,7 @@
   constructor(ports: WorkflowNodePorts) {
     this.#ports = ports;
     const { node, clock, random, metrics, table, log } = ports;
+    const workMemoryBytes = ports.heapBytes * WORK_HEAP_SHARE;
     this.#route = new StoreRelay.StoreRoute({
       table,
       peers: ports.peers,
@@ -149,6 +158,13 @@
       currentForecast: () => this.#election.forecast,
       guaranteeOf: (team) => guaranteeOf(this.access.config, team),
       storeSilentMs: () => this.#store.failingForMs(),
+      memory: new Gateway.MemoryAdmission({
+        clock,
+        log: log.child("admission"),
+        limitBytes: workMemoryBytes,
+        knownUse: () => this.#election.memoryUse,
+        countBoxes: () => this.#members.others().length + 1,
+      }),
     });
     this.submissions = new Gateway.Submissions({
       admission: this.admissionControl,
@@ -217,6 +233,7 @@
       onStartsRevoked: () => this.#standbyGuardRequests.requestSoon(),
       countBoxes: () => this.#members.others().length + 1,
       bounds: ports.bounds,
+      workMemoryBytes,
       hardLoad: ports.hardLoad,
       log: log.child("coordinator"),
       metrics,
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -41,6 +41,7 @@
   RunEvidence,
   type RunHistory,
 } from "./src/run_history.ts";
+export { estimateBytes } from "./src/memory_estimate.ts";
 export { type GiveUp } from "./src/give_up.ts";
 export { decodeGiveUp } from "./src/history_record.ts";
 export { decodeProgress } from "./src/decode_progress.ts";
--- a/packages/workflow/src/task_table.ts
+++ b/packages/workflow/src/task_table.ts
@@ -40,7 +40,7 @@
   readonly #groups = new Map<number, groups.TaskGroup<W>>();
   readonly #context: groups.GroupContext<W>;
   /** Highest recorded run of waiting tasks, by `round.step`. */
-  readonly #recordedRuns = new Map<string, number>();
+  #recordedRuns: Map<string, number> | null = null;
   /** Highest recorded run of waiting tasks of all groups. */
   #highestRecordedRun = 0;
   /** History of the tasks that have no object yet. */
@@ -211,6 +211,7 @@
     if (stepKey === null) {
       this.#highestRecordedRun = Math.max(this.#highestRecordedRun, run);
     } else if (this.#parseKey(`${stepKey}.0`) !== null) {
+      this.#recordedRuns ??= new Map();
       this.#recordedRuns.set(stepKey, run);
     }
     for (const task of this.materialized()) {
@@ -221,7 +222,7 @@
 
   /** Restored runs that still apply to tasks without an object, by `round.step`. */
   *restoredRuns(): Iterable<readonly [stepKey: string, run: number]> {
-    for (const [stepKey, run] of this.#recordedRuns) {
+    for (const [stepKey, run] of this.#recordedRuns ?? []) {
       const [round, stepIndex] = stepKey.split(".").map(Number);
       if (this.#hasUnusedTask(round, stepIndex)) yield [stepKey, run];
     }
@@ -262,7 +263,7 @@
   #recordedRunOf(stepKey: string): number {
     return Math.max(
       this.#highestRecordedRun,
-      this.#recordedRuns.get(stepKey) ?? 0,
+      this.#recordedRuns?.get(stepKey) ?? 0,
     );
   }
 
