Keep the members of a group as one list while each has an object

Callers see no difference. The list is kept until members are dropped. Also wraps a comment of the lease value.

--- a/packages/coordinator/src/election/lease_value.ts
+++ b/packages/coordinator/src/election/lease_value.ts
@@ -1,8 +1,9 @@
 /**
  * Value of the lease row, which the holder writes with each renewal: a number, or a
  * text if there is a forecast or a use of memory to publish or the window is longer
- * than usual. Every version of the product tells renewals apart by comparing these values, so both are
- * primitives, and earlier versions read the time of a text that has a window.
+ * than usual. Every version of the product tells renewals apart by comparing these
+ * values, so both are primitives, and earlier versions read the time of a text that
+ * has a window.
  */
 import * as Admission from "@cairngate/admission";
 import * as paces from "./renewal_pace.ts";
--- a/packages/workflow/src/task_group.ts
+++ b/packages/workflow/src/task_group.ts
@@ -37,6 +37,8 @@
   readonly step: spec.StepSpec;
   readonly #context: GroupContext<W>;
   readonly #tasks = new Map<number, workflowTasks.WorkflowTask<W>>();
+  /** All tasks, while each of them has an object; null until they are requested. */
+  #all: readonly workflowTasks.WorkflowTask<W>[] | null = null;
 
   constructor(context: GroupContext<W>, place: GroupPlace) {
     this.#context = context;
@@ -64,7 +66,11 @@
 
   /** All tasks, in order; creates the objects that are missing. */
   get all(): readonly workflowTasks.WorkflowTask<W>[] {
-    return Array.from({ length: this.step.count }, (_, i) => this.task(i));
+    this.#all ??= Array.from(
+      { length: this.step.count },
+      (_, index) => this.task(index),
+    );
+    return this.#all;
   }
 
   /** Whether all tasks are done. */
@@ -108,6 +114,7 @@
     if (this.#tasks.get(task.index) !== task) return;
     const unit = this.step.gang ? this.all : [task];
     if (!unit.every(isSettled)) return;
+    this.#all = null;
     for (const { index } of unit) {
       this.#context.retired.add(this.place.first + index);
       this.#tasks.delete(index);
