Count other boxes' work only once the renewal is stale for forecasts too

Callers at a box that rests could have been rejected in calm: it looks at renewals each 1.5 s, and from an age of 2 s on it reserved as much memory for each other box as it had accepted itself. The age is now the one from which a forecast is stale, 3 s.

--- a/packages/gateway/src/memory_admission.ts
+++ b/packages/gateway/src/memory_admission.ts
@@ -26,11 +26,6 @@
   readonly countBoxes: () => number;
 }
 
-/**
- * Age of the newest renewal from which other boxes count as accepting as much as this
- * one, in ms: no coordinator counts what they accept.
- */
-const MAX_USE_AGE_MS = 2000;
 /**
  * Time from the acceptance of a workflow after which a renewal surely counts it, in ms.
  */
@@ -85,7 +80,8 @@
     const { clock, countBoxes } = this.#options;
     const { current, previous } = this.#acceptedBytes;
     const ageMs = clock.monotonicMs() - this.#notedAtMs;
-    const boxes = ageMs > MAX_USE_AGE_MS ? countBoxes() : 1;
+    // Without a coordinator, nobody counts what the other boxes accept.
+    const boxes = ageMs > Admission.STALE_MS ? countBoxes() : 1;
     return (current + previous) * boxes;
   }
 
