Simulate random faults while workflows run in several rounds

The random simulations held no workflow with a schedule, so that no seed showed what a takeover, a cut or a lost order does to rounds that are past, due or still to come. The new kind draws a schedule for most workflows, with overlapping rounds, and stops the coordinator again and again. Other kinds draw the same as before.

--- a/packages/test-utils/src/random_fault_simulation.ts
+++ b/packages/test-utils/src/random_fault_simulation.ts
@@ -31,6 +31,8 @@
 const CRASH_DELAYS_MS: readonly number[] = [0, 10, 400, 1500];
 /** Share of the workflows whose tasks crash their endpoints, 0 to 1. */
 const CRASHER_SHARE = 0.15;
+/** Share of the workflows that run in several rounds, if there are any, 0 to 1. */
+const SCHEDULED_SHARE = 0.6;
 /** Shares of the orders in a round that are lost, unanswered or late, 0 to 1. */
 const ORDER_FAULT_SHARES: readonly number[] = [0, 0.1, 0.6];
 /** Share of the faults that are hand-overs, if there are any, 0 to 1. */
@@ -136,22 +138,47 @@
   };
 }
 
+/** Work of one workflow: steps, and when they run again. */
+type Work = Pick<Workflow.WorkflowSpec, "steps" | "schedule">;
+
+function drawWork(random: randoms.SeededRandom, gang: number): Work {
+  const steps = [
+    fleets.buildStep({ count: random.between(1, 3) }),
+    fleets.buildStep({ count: gang, gang: true, after: [0] }),
+  ];
+  return { steps, schedule: null };
+}
+
+/** Draws work that runs in several rounds, some of which overlap. */
+function drawScheduledWork(
+  random: randoms.SeededRandom,
+  wallMs: number,
+): Work {
+  const steps = [
+    fleets.buildStep({ count: random.between(1, 2) }),
+    fleets.buildStep({ count: random.between(1, 2), after: [0] }),
+  ];
+  const schedule = {
+    firstAtMs: wallMs + random.between(-2000, 2000),
+    everyMs: random.between(100, 1500),
+    rounds: random.between(2, 4),
+  };
+  return { steps, schedule };
+}
+
 /** Submits a workflow to the first box that accepts it; returns whether one did. */
 async function submitToAnyBox(
   fleet: fleets.TestFleet,
   random: randoms.SeededRandom,
   id: string,
-  gang: number,
+  { steps, schedule }: Work,
 ): Promise<boolean> {
-  const steps = [
-    fleets.buildStep({ count: random.between(1, 3) }),
-    fleets.buildStep({ count: gang, gang: true, after: [0] }),
-  ];
   for (const name of fleet.boxes.keys()) {
     // A call to a suspended box would block until it resumes.
     if (fleet.clocks.get(name)?.isSuspended === true) continue;
     const priority = random.between(0, 2);
-    const done = await fleet.submit(name, id, { steps, priority })
+    const times = schedule === null ? {} : { schedule };
+    const done = await fleet.submit(name, id, { steps, priority, ...times })
       .then(() => true, () => false);
     if (done) return true;
   }
@@ -180,6 +207,8 @@
   readonly failsOften?: boolean;
   /** Teams of uneven size submit more work than endpoints of uneven speed can hold. */
   readonly hasHardLoad?: boolean;
+  /** Many workflows run their steps in several rounds. */
+  readonly schedules?: boolean;
 }
 
 /** Longest time from the first end in a gang to that of another member, in ms. */
@@ -265,7 +294,12 @@
       ? checks.CRASHING_ID_PREFIX
       : "a";
     const id = `${kind}${String(round).padStart(15, "0")}`;
-    if (await submitToAnyBox(fleet, random, id, gang)) accepted.push(id);
+    const isScheduled = options.schedules === true &&
+      kind !== checks.CRASHING_ID_PREFIX && random.next() < SCHEDULED_SHARE;
+    const work = isScheduled
+      ? drawScheduledWork(random, fleet.clock.wallMs())
+      : drawWork(random, gang);
+    if (await submitToAnyBox(fleet, random, id, work)) accepted.push(id);
     await hardLoad?.submitBatch();
     disruptOrders(fleet, random, random.choose(ORDER_FAULT_SHARES), outcomeOf);
     capacities?.change();
--- a/packages/test-utils/src/simulation_kinds.ts
+++ b/packages/test-utils/src/simulation_kinds.ts
@@ -23,6 +23,7 @@
     restartsEndpoints: true,
     cutsEndpoints: true,
   },
+  schedules: { schedules: true, handsOver: true },
   hardLoad: { hasHardLoad: true },
   hardLoadAndCuts: {
     hasHardLoad: true,
