--- a/packages/coordinator/src/endpoints/run_monitor.ts
+++ b/packages/coordinator/src/endpoints/run_monitor.ts
@@ -56,9 +56,9 @@
     for (const one of watched) {
       if (one.pace.watchedMs < MIN_COMPARED_AGE_MS) continue;
       const { task } = one.assignment;
-      const siblings = task.workflow.groupOf(task);
-      const group = steps.get(siblings);
-      if (group === undefined) steps.set(siblings, [one]);
+      const taskGroup = task.workflow.groupOf(task);
+      const group = steps.get(taskGroup);
+      if (group === undefined) steps.set(taskGroup, [one]);
       else group.push(one);
     }
     for (const runs of steps.values()) {
--- a/packages/coordinator/src/endpoints/speed_learner.ts
+++ b/packages/coordinator/src/endpoints/speed_learner.ts
@@ -69,9 +69,9 @@
   }
 
   #historyOf(task: Workflow.Task): StepHistory {
-    const siblings = task.workflow.groupOf(task);
-    const found = this.#steps.get(siblings) ?? { rates: new Map(), fresh: [] };
-    this.#steps.set(siblings, found);
+    const taskGroup = task.workflow.groupOf(task);
+    const found = this.#steps.get(taskGroup) ?? { rates: new Map(), fresh: [] };
+    this.#steps.set(taskGroup, found);
     return found;
   }
 
--- a/packages/coordinator/src/endpoints/straggler_watch.ts
+++ b/packages/coordinator/src/endpoints/straggler_watch.ts
@@ -83,9 +83,9 @@
   const groups = new Map<Workflow.TaskGroup, RunProgress[]>();
   for (const run of runs) {
     if (run.ranMs < MIN_WATCHED_MS || run.task.step.lasting) continue;
-    const siblings = run.task.workflow.groupOf(run.task);
-    const group = groups.get(siblings);
-    if (group === undefined) groups.set(siblings, [run]);
+    const taskGroup = run.task.workflow.groupOf(run.task);
+    const group = groups.get(taskGroup);
+    if (group === undefined) groups.set(taskGroup, [run]);
     else group.push(run);
   }
   return groups;
--- a/packages/workflow-scheduler/src/fleet.ts
+++ b/packages/workflow-scheduler/src/fleet.ts
@@ -108,10 +108,10 @@
 
   #countForStep(task: Workflow.Task, count: number): void {
     if (task.step.perWorker === 0) return;
-    const siblings = task.workflow.groupOf(task);
+    const taskGroup = task.workflow.groupOf(task);
     this.#tasksPerStep.set(
-      siblings,
-      (this.#tasksPerStep.get(siblings) ?? 0) + count,
+      taskGroup,
+      (this.#tasksPerStep.get(taskGroup) ?? 0) + count,
     );
   }
 }
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -148,8 +148,8 @@
   #decideGroup(units: readonly Workflow.Unit[]): void {
     const [first] = units;
     if (units.length === 1) return this.#decide(first);
-    const siblings = first.workflow.groupOf(first.tasks[0]);
-    if (this.#blocked.has(siblings)) return;
+    const taskGroup = first.workflow.groupOf(first.tasks[0]);
+    if (this.#blocked.has(taskGroup)) return;
     const combined = { ...first, tasks: units.flatMap(({ tasks }) => tasks) };
     const endpoints = this.#endpointsFor(combined);
     const places = this.#placeEach(
@@ -159,7 +159,7 @@
     places.forEach((endpoint, i) => this.#start(units[i], [endpoint]));
     for (const unit of units.slice(places.length)) {
       this.#decideWithoutPlace(unit, endpoints);
-      if (this.#blocked.has(siblings)) return;
+      if (this.#blocked.has(taskGroup)) return;
     }
   }
 
@@ -268,8 +268,8 @@
   }
 
   #decide(unit: Workflow.Unit): void {
-    const siblings = unit.workflow.groupOf(unit.tasks[0]);
-    if (this.#blocked.has(siblings) && !isolation.isSuspect(unit)) return;
+    const taskGroup = unit.workflow.groupOf(unit.tasks[0]);
+    if (this.#blocked.has(taskGroup) && !isolation.isSuspect(unit)) return;
     const endpoints = this.#endpointsFor(unit);
     const allowed = this.#urgentReserve.allowedFor(unit, endpoints);
     if (this.#claimFastEndpoints(unit, allowed)) return;
--- a/packages/workflow-scheduler/src/sibling_groups.ts
+++ b/packages/workflow-scheduler/src/sibling_groups.ts
@@ -7,16 +7,16 @@
   sorted: readonly Workflow.Unit[],
 ): readonly (readonly Workflow.Unit[])[] {
   const groups: Workflow.Unit[][] = [];
-  let lastSiblings: Workflow.TaskGroup | null = null;
+  let lastTaskGroup: Workflow.TaskGroup | null = null;
   for (const unit of sorted) {
     const isSingle = !unit.step.gang && !isolation.isSuspect(unit);
-    const siblings = unit.workflow.groupOf(unit.tasks[0]);
-    if (isSingle && siblings === lastSiblings) {
+    const taskGroup = unit.workflow.groupOf(unit.tasks[0]);
+    if (isSingle && taskGroup === lastTaskGroup) {
       groups[groups.length - 1].push(unit);
       continue;
     }
     groups.push([unit]);
-    lastSiblings = isSingle ? siblings : null;
+    lastTaskGroup = isSingle ? taskGroup : null;
   }
   return groups;
 }
