Move the lookup before a rejection into a class of its own

Callers see no difference. KnownMemoryUse stood twice under two names and is now in admission, beside KnownForecast. Code is moved and renamed only.

Evidence: the tests of admission, the memory limit and the lease value pass (24).

--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -30,6 +30,7 @@
 export { CapacityReservations } from "./src/capacity_reservations.ts";
 export {
   findMemoryWaitMs,
+  type KnownMemoryUse,
   type MemoryRequest,
   type MemoryUse,
   MIN_PUBLISHED_SHARE,
--- a/packages/admission/src/memory_use.ts
+++ b/packages/admission/src/memory_use.ts
@@ -12,6 +12,14 @@
   readonly freedShare: number;
 }
 
+/** Memory use that the coordinator published with its newest renewal. */
+export interface KnownMemoryUse {
+  /** Null if it is too low to be published. */
+  readonly use: MemoryUse | null;
+  /** Monotonic time at which this box noted the renewal. */
+  readonly notedAtMs: number;
+}
+
 /** A workflow that asks for memory. */
 export interface MemoryRequest {
   readonly neededBytes: number;
--- a/packages/coordinator/src/election/election.ts
+++ b/packages/coordinator/src/election/election.ts
@@ -55,7 +55,7 @@
   }
 
   /** Memory use that the holder published last. */
-  get memoryUse(): rowWatches.NotedMemoryUse {
+  get memoryUse(): Admission.KnownMemoryUse {
     return this.#watch.memoryUse;
   }
 
--- a/packages/coordinator/src/election/row_watch.ts
+++ b/packages/coordinator/src/election/row_watch.ts
@@ -45,14 +45,6 @@
  */
 const MAX_AHEAD_MS = 10_000;
 
-/** Memory use that a renewal published. */
-export interface NotedMemoryUse {
-  /** Null if it is too low to be published. */
-  readonly use: Admission.MemoryUse | null;
-  /** Monotonic time at which this box noted the renewal. */
-  readonly notedAtMs: number;
-}
-
 /** Election rows as this box sees them. */
 export class RowWatch {
   readonly #ports: ports.CoordinatorPorts;
@@ -61,7 +53,7 @@
   readonly #follower: TableClient.RowFollower<unknown>;
   readonly #pace = new paces.RenewalPace();
   readonly #forecastObserver: observers.ForecastObserver;
-  #memoryUse: NotedMemoryUse = {
+  #memoryUse: Admission.KnownMemoryUse = {
     use: null,
     notedAtMs: Number.NEGATIVE_INFINITY,
   };
@@ -104,7 +96,7 @@
   }
 
   /** Memory use that the newest renewal published. */
-  get memoryUse(): NotedMemoryUse {
+  get memoryUse(): Admission.KnownMemoryUse {
     return this.#memoryUse;
   }
 
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -11,7 +11,6 @@
   type AdmissionDump,
 } from "./src/admission_controller.ts";
 export {
-  type KnownMemoryUse,
   MemoryAdmission,
   type MemoryAdmissionOptions,
 } from "./src/memory_admission.ts";
--- a/packages/gateway/src/memory_admission.ts
+++ b/packages/gateway/src/memory_admission.ts
@@ -7,21 +7,13 @@
 import type * as Ports from "@cairngate/ports";
 import * as Workflow from "@cairngate/workflow";
 
-/** Memory use that the coordinator published with its newest renewal. */
-export interface KnownMemoryUse {
-  /** Null if it is too low to be published. */
-  readonly use: Admission.MemoryUse | null;
-  /** Monotonic time at which this box noted the renewal. */
-  readonly notedAtMs: number;
-}
-
 /** Options of MemoryAdmission. */
 export interface MemoryAdmissionOptions {
   readonly clock: Ports.Clock;
   readonly log: Logger.Logger;
   /** Memory for all accepted workflows, in bytes. */
   readonly limitBytes: number;
-  readonly knownUse: () => KnownMemoryUse;
+  readonly knownUse: () => Admission.KnownMemoryUse;
   /** Number of boxes that accept workflows, this one included. */
   readonly countBoxes: () => number;
 }
@@ -85,7 +77,7 @@
     return (current + previous) * boxes;
   }
 
-  #updateKnownUse(): KnownMemoryUse {
+  #updateKnownUse(): Admission.KnownMemoryUse {
     const known = this.#options.knownUse();
     if (known.notedAtMs !== this.#notedAtMs) {
       this.#notedAtMs = known.notedAtMs;
--- a/packages/gateway/src/memory_admission_test.ts
+++ b/packages/gateway/src/memory_admission_test.ts
@@ -1,4 +1,5 @@
 /** Checks what a box counts between two renewals, and what it tells operators. */
+import type * as Admission from "@cairngate/admission";
 import * as TestUtils from "@cairngate/test-utils";
 import type * as Workflow from "@cairngate/workflow";
 import * as vitest from "vitest";
@@ -26,7 +27,7 @@
 class Box {
   readonly clock = new TestUtils.FakeClock();
   readonly log = new TestUtils.RecordingLog();
-  known: memory.KnownMemoryUse = { use: null, notedAtMs: 0 };
+  known: Admission.KnownMemoryUse = { use: null, notedAtMs: 0 };
   readonly admission = new memory.MemoryAdmission({
     clock: this.clock,
     log: this.log,
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -8,6 +8,7 @@
 import type * as admission from "./admission_controller.ts";
 import * as cancellation from "./cancellation.ts";
 import * as recentWrites from "./recent_writes.ts";
+import * as storedChecks from "./stored_check.ts";
 import * as waiting from "./waiting_counts.ts";
 import * as workflowRows from "./workflow_rows.ts";
 
@@ -38,25 +39,6 @@
 
 /** Room in a row for other data than the workflow, in bytes. */
 const ROW_OVERHEAD_BYTES = 1000;
-/**
- * Timeout of the lookup of a stored copy before a rejection, in ms. After it the
- * workflow is written instead, so that enough of the caller's time is left.
- */
-const COPY_LOOKUP_TIMEOUT_MS = 300;
-
-/**
- * Maximum number of concurrent lookups before rejections for lack of memory. Each reads
- * all partitions, and rejections come in large numbers.
- */
-const MAX_MEMORY_LOOKUPS = 8;
-
-/** Whether a workflow is stored, as far as a lookup shows. */
-enum Presence {
-  Stored = "stored",
-  Absent = "absent",
-  Unknown = "unknown",
-}
-
 /** Carries out the workflow requests of callers. */
 export class Submissions {
   readonly #rows: workflowRows.WorkflowRows;
@@ -66,8 +48,7 @@
   readonly #rowBytes: number;
   readonly #admission: admission.AdmissionController;
   readonly #writes = new recentWrites.RecentWrites();
-  /** Number of lookups before rejections for lack of memory. */
-  #memoryLookups = 0;
+  readonly #storedCheck: storedChecks.StoredCheck;
 
   constructor(options: SubmissionOptions) {
     this.#rowBytes = options.rowBytes;
@@ -79,6 +60,11 @@
       clock,
     });
     this.#waiting = new waiting.WaitingCounts(options);
+    this.#storedCheck = new storedChecks.StoredCheck({
+      rows: this.#rows,
+      clock,
+      writes: this.#writes,
+    });
     this.#clock = clock;
   }
 
@@ -156,9 +142,9 @@
     }
     return Effect.gen({ self: this }, function* () {
       const startMs = this.#clock.monotonicMs();
-      const presence = yield* this.#findPresence(spec.id);
-      if (presence === Presence.Stored) return;
-      if (presence === Presence.Absent) {
+      const presence = yield* this.#storedCheck.find(spec.id);
+      if (presence === storedChecks.Presence.Stored) return;
+      if (presence === storedChecks.Presence.Absent) {
         this.#admission.noteRejected(spec, rejected);
         return yield* rejected;
       }
@@ -178,37 +164,15 @@
     spec: Workflow.WorkflowSpec,
     rejected: Errors.RejectedError,
   ): Effect.Effect<void, Errors.RejectedError | Errors.StoreUnavailableError> {
-    if (this.#memoryLookups >= MAX_MEMORY_LOOKUPS) {
-      return Effect.fail(presenceUnknown());
-    }
-    this.#memoryLookups++;
-    const rejection = Effect.gen({ self: this }, function* () {
-      const presence = yield* this.#findPresence(spec.id);
-      if (presence === Presence.Stored) return;
-      if (presence === Presence.Unknown) return yield* presenceUnknown();
+    return Effect.gen({ self: this }, function* () {
+      const presence = yield* this.#storedCheck.findLimited(spec.id);
+      if (presence === storedChecks.Presence.Stored) return;
+      if (presence === storedChecks.Presence.Unknown) {
+        return yield* presenceUnknown();
+      }
       this.#admission.noteRejected(spec, rejected);
       return yield* rejected;
     });
-    return Effect.ensuring(
-      rejection,
-      Effect.sync(() => {
-        this.#memoryLookups--;
-      }),
-    );
-  }
-
-  /** Finds out within a time limit whether an earlier request was accepted. */
-  #findPresence(id: string): Effect.Effect<Presence> {
-    const lookup = this.#rows.lookUp(id, COPY_LOOKUP_TIMEOUT_MS);
-    const timed = this.#clock.within(COPY_LOOKUP_TIMEOUT_MS, lookup);
-    return Effect.map(timed, (result) => {
-      if (result !== null && result.value.copies.length > 0) {
-        return Presence.Stored;
-      }
-      const isAbsent = result !== null && result.value.failure === null &&
-        !this.#writes.mayBeStored(id);
-      return isAbsent ? Presence.Absent : Presence.Unknown;
-    });
   }
 
   /**
