--- a/review/stand-ins-3/platform.mjs
+++ b/review/stand-ins-3/platform.mjs
@@ -47,13 +47,37 @@
   res.end(text);
 }
 
-function listen(server, port = 0) {
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 16_000;
+const LAST_PORT = 31_000;
+const MAX_TRIES = 200;
+/** Ports that were handed to processes, which may not listen yet. */
+const handedOut = new Set();
+
+function tryListen(server, port) {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(port, HOST, () => resolve(server.address().port));
+    server.listen(port, HOST, () => {
+      server.off("error", reject);
+      resolve(port);
+    });
   });
 }
 
+/** Listens on a port, or on a free one; returns it. */
+export async function listen(server, port = 0) {
+  for (let tries = 1;; tries++) {
+    const wanted = port || FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (!port && handedOut.has(wanted)) continue;
+    try {
+      return await tryListen(server, wanted);
+    } catch (err) {
+      if (err.code !== "EADDRINUSE" || tries === MAX_TRIES) throw err;
+      if (port) await sleep(50);
+    }
+  }
+}
+
 export async function freePorts(count) {
   const servers = [];
   const ports = [];
@@ -62,6 +86,7 @@
     ports.push(await listen(server));
     servers.push(server);
   }
+  for (const port of ports) handedOut.add(port);
   await Promise.all(servers.map((s) => new Promise((done) => s.close(done))));
   return ports;
 }
