--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,8 +1,8 @@
 /**
- * A long-running task. The worker that runs it crashes three times, each time some
- * seconds after the start, and is back 1.5 s later with a new id. The task itself never
- * fails. A batch task of 20 s beside it is treated in the same way; it is recorded only.
- * With TROUBLE=0 no worker crashes.
+ * The store is down for 1.5 s: it answers nothing, and what was written to it meanwhile
+ * is done 6 s later if its condition still holds. A client submits a job in that time,
+ * gets 504, and cancels the job when the store is back. The cancel is answered with 410.
+ * With TROUBLE=0 the store is never down.
  */
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
@@ -10,73 +10,59 @@
 
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
 const TROUBLE = process.env.TROUBLE !== "0";
-/** One worker of eight is down at a time. */
-const WORKERS = 8;
 const DOWN_MS = 1500;
-const CRASH_AFTER_MS = 3000;
-const CRASHES = 3;
-const BATCH_MS = 20_000;
-/** The state is asked for after the last crash and a calm of 4 s, for 12 s. */
-const CALM_MS = 4000;
-const WATCH_MS = 12_000;
-const LASTING = "00000000000000d1";
-const BATCH = "00000000000000d2";
-const RESOURCES = { count: 1, cpu: 8000, mem_mb: 2000, gpu: 1 };
-const STEPS = {
-  [LASTING]: { ...RESOURCES, long_running: true },
-  [BATCH]: { ...RESOURCES, estimated_ms: BATCH_MS },
-};
+const LATE_MS = 6000;
+/** Bounds of the site: cancel_ms, contact_ms, stop_timeout_ms. */
+const CANCEL_MS = 3000;
+const CONTACT_MS = 3000;
+const WATCH_MS = 14_000;
+const JOB = "0000000000000111";
+const STEP = { count: 2, cpu: 8000, mem_mb: 2000, gpu: 1, estimated_ms: 1500 };
+const STEPS = [STEP, { ...STEP, after: [0] }];
 
 await P.runCase(async () => {
-  const stepOf = (task) => STEPS[task.split(".")[0]];
   const d = await P.startDeployment(FOLDER, {
     nodes: 3,
-    workers: Array.from({ length: WORKERS }, (_, i) => ({ rack: `r1-${1 + i}` })),
-    world: {
-      stepOf,
-      behave: ({ task }) => ({ workMs: stepOf(task).long_running ? Infinity : BATCH_MS, how: "done" }),
-    },
+    workers: [{ rack: "r1-1" }, { rack: "r1-2" }, { rack: "r1-3" }, { rack: "r1-4" }],
+    world: { stepOf: () => STEP, behave: () => ({ workMs: 1500, how: "done" }) },
   });
   if (!d.isReady) throw new Error("the nodes are not ready");
   const [a, b] = d.nodes.nodes;
   const client = new P.Client(d.nodes.nodes, d.recorder);
-  const runsOf = (id) => d.world.runs.filter(({ task }) => task.startsWith(`${id}.`));
-
-  /** Submits one job and lets the workers under it crash; returns its last state. */
-  async function play(id) {
-    const { status } = await client.submit(a, id, { spec: "work", steps: [STEPS[id]] });
-    if (status !== 200) throw new Error(`the job was not accepted: ${status}`);
-    for (let crashes = 0; TROUBLE && crashes < CRASHES;) {
-      await P.sleep(50);
-      const run = runsOf(id).find(({ endedAt }) => endedAt === null);
-      if (run === undefined || P.now() - run.startedAt < CRASH_AFTER_MS) {
-        if (P.now() > 90_000) throw new Error("the task was not started again");
-        continue;
-      }
-      const worker = d.world.workers.find((one) => one.id === run.worker);
-      worker.crash();
-      crashes++;
-      await P.sleep(DOWN_MS);
-      await worker.begin();
-    }
-    await P.sleep(CALM_MS);
-    let state = "";
-    const until = P.now() + WATCH_MS;
-    while (P.now() < until && state !== "failed") {
-      state = (await client.state(b, id)).body?.state ?? state;
-      await P.sleep(1000);
-    }
-    const ends = runsOf(id).map(({ run, worker, how }) => `run ${run} at ${worker}: ${how ?? "runs"}`);
-    d.recorder.note(`${id} is shown as ${state}; ${ends.join(", ")}`);
-    return state;
+  const isIntake = ({ body }) => (body.put ?? []).some(({ tls_key }) => tls_key.startsWith(JOB));
+  let downSince = P.now();
+  if (TROUBLE) {
+    d.recorder.note(`the store is down for ${DOWN_MS} ms`);
+    d.store.rule = (call) => {
+      if (call.path !== "/rows-tx" || !isIntake(call)) return { drop: true };
+      d.recorder.note(`${call.who} writes the job into part ${call.body.put[0].part}: done ${LATE_MS} ms later, not answered`);
+      return { lateMs: LATE_MS };
+    };
   }
-
-  const state = await play(LASTING);
-  const isFailedRun = runsOf(LASTING).some(({ how }) => how === "failed");
-  const isBroken = (state === "failed" || state === "canceled") && !isFailedRun;
-  d.recorder.note(isBroken ? "LOST is broken" : "LOST holds");
-  d.recorder.note("The batch task, not judged:");
-  await play(BATCH);
+  const submitted = client.submit(a, JOB, { spec: "work", steps: STEPS });
+  await P.sleep(DOWN_MS);
+  d.store.rule = () => undefined;
+  const upAt = P.now();
+  d.recorder.note("the store is up");
+  const { status } = await submitted;
+  // Waits until the other node serves again.
+  let cancel = { status: 0 };
+  for (let tries = 0; tries < 20 && cancel.status !== 200 && cancel.status !== 410; tries++) {
+    await P.sleep(200);
+    cancel = await client.cancel(b, JOB, 6000);
+  }
+  const cancelledAt = P.now();
+  if (cancel.status !== 200 && cancel.status !== 410) throw new Error("the cancel was not acknowledged");
+  await P.sleep(WATCH_MS);
+  const { body } = await client.state(b, JOB);
+  const late = d.world.runs.filter(({ startedAt }) =>
+    startedAt > cancelledAt + CANCEL_MS && startedAt > upAt + CONTACT_MS
+  );
+  d.recorder.note(`submitted: ${status}; cancelled: ${cancel.status}; then shown as ${body?.state ?? "no job"}; ` +
+    `${late.length} tasks started later than ${CANCEL_MS} ms after the cancel was acknowledged, at ` +
+    `${late.map(({ startedAt }) => `+${Math.round(startedAt - cancelledAt)} ms`).join(", ")}`);
+  const isBroken = late.length > 0;
+  d.recorder.note(isBroken ? "UNASKED is broken" : "UNASKED holds");
   await d.stop();
   return isBroken;
 });
--- a/review/12/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-cd "$(dirname "$0")" && exec node case.mjs
