Review 3: scripts end their processes however they end themselves

Shown by ending a script with an error and with SIGTERM: no process and no temporary folder is left.

--- a/review/stand-ins-3/platform.mjs
+++ b/review/stand-ins-3/platform.mjs
@@ -539,6 +539,13 @@
   }
 }
 
+/** Ends the processes that a script has started, however the script itself ends. */
+const running = new Set();
+process.on("exit", () => {
+  for (const nodes of running) nodes.endNow();
+});
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.on(signal, () => process.exit(2));
+
 /** The processes of the system, by the command of the deploy file. */
 export class Nodes {
   constructor(store, recorder, folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-3-"))) {
@@ -546,6 +553,9 @@
     this.recorder = recorder;
     this.folder = folder;
     this.nodes = [];
+    /** All processes that were started; some nodes are started again. */
+    this.children = [];
+    running.add(this);
   }
 
   async add(settings = {}) {
@@ -591,6 +601,7 @@
     fs.closeSync(out);
     this.recorder.note(`${node.name} starts`);
     const child = node.child;
+    this.children.push(child);
     child.on("exit", (code, signal) => {
       child.ended = true;
       this.recorder.note(`${node.name} has ended: ${signal ?? `code ${code}`}`);
@@ -622,15 +633,22 @@
   }
 
   async stop() {
-    for (const node of this.nodes) {
-      if (node.child && !node.child.ended) {
-        node.child.kill("SIGCONT");
-        node.child.kill("SIGKILL");
-      }
-    }
+    this.#killAll();
     await sleep(200);
+    this.endNow();
+  }
+
+  endNow() {
+    running.delete(this);
+    this.#killAll();
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
+
+  #killAll() {
+    for (const child of this.children) {
+      if (!child.ended) child.kill("SIGKILL");
+    }
+  }
 }
 
 /** One call over a connection of its own; status 0 where no answer came. */
