--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,7 +1,7 @@
 /**
- * A configuration sends a queue to another service. The two workers of the old service
- * are emptied and taken away, as planned. A job that was accepted before runs on them.
- * With TROUBLE=0 neither the configuration nor the workers change.
+ * A configuration sends a queue to another service, as the workers of the old one are full
+ * with tasks of another queue that last. A job of the queue that was accepted before waits.
+ * With TROUBLE=0 the configuration does not change.
  */
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
@@ -9,22 +9,30 @@
 
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
 const TROUBLE = process.env.TROUBLE !== "0";
+const GPUS = 8;
 const OLD_WORKERS = 2;
 const NEW_WORKERS = 31;
-const WORK_MS = 12_000;
-/** A worker says `draining`, serves on for this time, and ends. */
-const DRAIN_MS = 5000;
+const WORK_MS = 3000;
 /** Bounds: config_apply_ms, and of LOST: 4 s of calm, then 3 s in which nothing runs. */
 const CONFIG_MS = 2000;
 const CALM_MS = 4000;
 const IDLE_MS = 3000;
-const WATCH_MS = 35_000;
+const WATCH_MS = 30_000;
+const SERVING_JOB = "0000000000000100";
 const JOB = "0000000000000101";
 const LATER_JOB = "0000000000000102";
+const SERVING = { count: OLD_WORKERS, cpu: 30_000, mem_mb: 8000, gpu: GPUS, estimated_ms: 5000, long_running: true };
 const STEP = { count: 2, cpu: 8000, mem_mb: 2000, gpu: 1, estimated_ms: WORK_MS };
+const stepOf = (task) => task.startsWith(SERVING_JOB) ? SERVING : STEP;
 
+/** Two queues: the tasks that last stay with svc-a, the other queue goes to `service`. */
 function configOf(version, service) {
-  const config = P.makeConfig(version, { route: { service } });
+  const config = P.makeConfig(version);
+  const [route] = config.routes;
+  config.routes = [
+    { ...route, name: "r-1", path_prefix: "/q/", service },
+    { ...route, name: "r-2", path_prefix: "/s/", service: "svc-a" },
+  ];
   config.services = ["svc-a", "svc-b"].map((name) => ({ ...config.services[0], name }));
   return config;
 }
@@ -36,49 +44,51 @@
     nodes: 3,
     workers: [...old, ...later],
     config: configOf(1, "svc-a"),
-    world: { stepOf: () => STEP, behave: () => ({ workMs: WORK_MS, how: "done" }) },
+    world: { stepOf, behave: ({ task }) => ({ workMs: stepOf(task).long_running ? Infinity : WORK_MS, how: "done" }) },
   });
   if (!d.isReady) throw new Error("the nodes are not ready");
   const [a, b] = d.nodes.nodes;
   const client = new P.Client(d.nodes.nodes, d.recorder);
-  const { status } = await client.submit(a, JOB, { spec: "work", steps: [STEP] });
-  if (status !== 200) throw new Error(`the job was not accepted: ${status}`);
-  while (d.world.runs.length < STEP.count) await P.sleep(20);
+  const serving = new P.Client(d.nodes.nodes, d.recorder, { prefix: "/s/" });
+  const submit = async (from, id, step) => {
+    const { status } = await from.submit(a, id, { spec: "work", steps: [step] });
+    if (status !== 200) throw new Error(`the job was not accepted: ${status}`);
+  };
+  await submit(serving, SERVING_JOB, SERVING);
+  while (d.world.runs.length < SERVING.count) await P.sleep(20);
+  await submit(client, JOB, STEP);
   await P.sleep(1000);
+  let service = "svc-a";
   if (TROUBLE) {
     d.recorder.note("configuration 2 sends the queue to svc-b");
     d.store.putJson("op", "config", configOf(2, "svc-b"));
+    service = "svc-b";
     await P.sleep(CONFIG_MS + 500);
-    for (const worker of d.world.workers.slice(0, OLD_WORKERS)) {
-      d.recorder.note(`worker ${worker.id} is draining`);
-      worker.drain(DRAIN_MS);
-    }
-    await P.sleep(DRAIN_MS + 500);
-    for (const worker of d.world.workers.slice(0, OLD_WORKERS)) {
-      worker.crash();
-      d.store.remove("servers", worker.id);
-      d.recorder.note(`worker ${worker.id} has left`);
-    }
     // A job of the same queue that comes now, to show where the queue's tasks run.
-    await client.submit(a, LATER_JOB, { spec: "work", steps: [STEP] });
+    await submit(client, LATER_JOB, STEP);
   }
+  const usedOf = (worker) => [...worker.held.values()].reduce((sum, { use }) => sum + use.gpu, 0);
   const runsOf = (id) => d.world.runs.filter(({ task }) => task.startsWith(`${id}.`));
   const calmAt = P.now() + CALM_MS;
-  let idleSince = P.now();
-  let longestIdleMs = 0;
-  let state = "";
   const until = P.now() + WATCH_MS;
-  while (P.now() < until && state !== "completed" && state !== "failed") {
-    await P.sleep(500);
-    const isIdle = runsOf(JOB).every(({ endedAt }) => endedAt !== null);
-    if (!isIdle || P.now() < calmAt) idleSince = P.now();
-    longestIdleMs = Math.max(longestIdleMs, P.now() - idleSince);
-    state = (await client.state(b, JOB)).body?.state ?? state;
+  let idleSince = null;
+  let longestIdleMs = 0;
+  while (P.now() < until && runsOf(JOB).length === 0) {
+    await P.sleep(100);
+    // Room in the service of the queue, by the configuration in force.
+    const used = d.world.workers.filter(({ spec }) => spec.service === service).map(usedOf);
+    const sum = used.reduce((total, gpus) => total + gpus, 0);
+    const total = used.length * GPUS;
+    const isRoomy = total - sum >= 2 * STEP.count && sum * 2 < total;
+    const isIdle = isRoomy && P.now() >= calmAt && runsOf(JOB).length === 0;
+    idleSince = isIdle ? idleSince ?? P.now() : null;
+    if (isIdle) longestIdleMs = Math.max(longestIdleMs, P.now() - idleSince);
   }
+  const { body } = await client.state(b, JOB);
   if (TROUBLE) await client.state(b, LATER_JOB);
-  d.recorder.note(`at the end: shown as ${state}; runs: ${runsOf(JOB).map(({ run, worker, how }) => `${run} at ${worker} ${how}`).join(", ")}; ` +
-    `after the calm nothing of the job ran for ${Math.round(longestIdleMs)} ms, with ${NEW_WORKERS} workers of svc-b`);
-  const isBroken = state !== "completed" && state !== "failed" && longestIdleMs > IDLE_MS;
+  d.recorder.note(`at the end: shown as ${body?.state}; ${runsOf(JOB).length} runs; after the calm nothing of the job ran for ` +
+    `${Math.round(longestIdleMs)} ms with room in ${service}, the service of its queue`);
+  const isBroken = longestIdleMs > IDLE_MS;
   d.recorder.note(isBroken ? "LOST is broken" : "LOST holds");
   await d.stop();
   return isBroken;
