--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,7 +1,7 @@
 /**
- * The store is down for 1.5 s: it answers nothing, and what was written to it meanwhile
- * is done 6 s later if its condition still holds. A client submits a job in that time,
- * gets 504, and cancels the job when the store is back. The cancel is answered with 410.
+ * The store is down for 1.5 s and answers nothing. A client submits a job in that time and
+ * gets 504; one of the writes of it is done 6 s later, the others never. When the store is
+ * back, the client cancels the job. The cancel is answered with 410.
  * With TROUBLE=0 the store is never down.
  */
 import * as path from "node:path";
@@ -30,11 +30,14 @@
   const [a, b] = d.nodes.nodes;
   const client = new P.Client(d.nodes.nodes, d.recorder);
   const isIntake = ({ body }) => (body.put ?? []).some(({ tls_key }) => tls_key.startsWith(JOB));
-  let downSince = P.now();
+  let writes = 0;
+  let lateWrites = 0;
   if (TROUBLE) {
     d.recorder.note(`the store is down for ${DOWN_MS} ms`);
     d.store.rule = (call) => {
-      if (call.path !== "/rows-tx" || !isIntake(call)) return { drop: true };
+      if (call.path === "/rows-tx") writes++;
+      if (call.path !== "/rows-tx" || !isIntake(call) || lateWrites > 0) return { drop: true };
+      lateWrites++;
       d.recorder.note(`${call.who} writes the job into part ${call.body.put[0].part}: done ${LATE_MS} ms later, not answered`);
       return { lateMs: LATE_MS };
     };
@@ -43,7 +46,7 @@
   await P.sleep(DOWN_MS);
   d.store.rule = () => undefined;
   const upAt = P.now();
-  d.recorder.note("the store is up");
+  d.recorder.note(`the store is up; of ${writes} writes that were sent to it while it was down, ${lateWrites} will be done`);
   const { status } = await submitted;
   // Waits until the other node serves again.
   let cancel = { status: 0 };
