Name the endpoints that advice allows again after a cut

Cause: AdviceCache kept two facts of different lifetimes in one record, who may run a step (which never changes) and which tickets are valid. Once all tickets had expired, the next answer replaced both. Later requests began with the first 30 eligible endpoints, all denied, and the other ones counted as requested.

Ruled out: backoff of the endpoints after the cut (they are eligible, and the adviser's record shows that they are not named); a denial by the adviser.

Change: StepAdvice keeps allowed and denied endpoints until their incarnation ends, and each ticket with its own time. Allowed endpoints without a valid ticket are requested first, then those that no answer has covered, so that a round that outlasts its first answer goes on. The new reason "allowed-endpoints" tells this wait from one for the adviser or for room.

--- a/packages/coordinator/src/work/advice_cache.ts
+++ b/packages/coordinator/src/work/advice_cache.ts
@@ -1,11 +1,12 @@
 /**
- * Caches the answers of the advice service by step. The service handles one request
- * of a box at a time, so at most one request is in flight, and only for steps that
- * wait for advice.
+ * Requests and caches the answers of the advice service. The service handles one
+ * request of a box at a time, so at most one request is in flight, and only for steps
+ * that wait for advice.
  */
 import * as Ports from "@cairngate/ports";
 import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
+import * as stepAdvice from "./step_advice.ts";
 
 /** Dependencies of an `AdviceCache`. */
 export interface AdviceCacheOptions {
@@ -16,16 +17,17 @@
   readonly onAdvice: () => void;
 }
 
-interface CachedAdvice {
-  /** Ticket by endpoint id. */
-  readonly tickets: Map<string, string>;
-  /** Endpoints requested so far; the policy of a step never changes. */
-  readonly requested: Set<string>;
-  readonly validUntilMs: number;
+/** A waiting unit for which advice may be requested. */
+export interface AdviceCandidate {
+  readonly unit: Workflow.Unit;
+  /** Lists the endpoints that may be named, in the order of preference. */
+  readonly listEndpoints: () => readonly string[];
+}
+
+interface CachedStep {
+  readonly advice: stepAdvice.StepAdvice;
 }
 
-/** A ticket has to stay valid until the start order reaches the endpoint. */
-const DISPATCH_MARGIN_MS = 400;
 /** Added to the time that the service takes by its policy. */
 const RESPONSE_MARGIN_MS = 1500;
 /** Steps with many tasks request twice as many endpoints as they have tasks. */
@@ -34,7 +36,8 @@
 /** Tickets that let the tasks of a step run on given endpoints. */
 export class AdviceCache {
   readonly #options: AdviceCacheOptions;
-  readonly #cached = new Map<string, CachedAdvice>();
+  /** Cached advice by the name of the step. */
+  readonly #steps = new Map<string, CachedStep>();
   #isFetching = false;
 
   constructor(options: AdviceCacheOptions) {
@@ -43,27 +46,39 @@
 
   /** The ticket for a unit on an endpoint; null where it may not run there now. */
   ticket(unit: Workflow.Unit, endpoint: string): string | null {
-    const cached = this.#cached.get(stepName(unit));
-    if (cached === undefined) return null;
     const nowMs = this.#options.clock.monotonicMs();
-    if (nowMs + DISPATCH_MARGIN_MS > cached.validUntilMs) return null;
-    return cached.tickets.get(endpoint) ?? null;
+    const step = this.#steps.get(stepName(unit));
+    return step?.advice.ticket(endpoint, nowMs) ?? null;
+  }
+
+  /** Whether the service has allowed a unit on an endpoint, even without a ticket. */
+  isAllowed(unit: Workflow.Unit, endpoint: string): boolean {
+    return this.#steps.get(stepName(unit))?.advice.isAllowed(endpoint) ?? false;
   }
 
-  /** Drops the tickets of a restarted endpoint: they hold for one instance only. */
+  /** Drops what is known of a restarted endpoint: it holds for one instance only. */
   evictEndpoint(endpoint: string): void {
-    for (const { tickets, requested } of this.#cached.values()) {
-      tickets.delete(endpoint);
-      requested.delete(endpoint);
-    }
+    for (const { advice } of this.#steps.values()) advice.forget(endpoint);
   }
 
-  /** Requests advice for a waiting unit, unless a request is in flight. */
-  request(unit: Workflow.Unit, endpoints: readonly string[]): void {
+  /**
+   * Requests advice for one of the waiting units, unless a request is in flight.
+   */
+  request(candidates: readonly AdviceCandidate[]): void {
     const { advisor } = this.#options;
-    if (advisor === null || this.#isFetching || endpoints.length === 0) return;
-    const requested = this.#selectEndpoints(unit, endpoints);
-    if (requested.length === 0) return;
+    if (advisor === null || this.#isFetching || candidates.length === 0) return;
+    for (const { unit, listEndpoints } of candidates) {
+      const requested = this.#selectEndpoints(unit, listEndpoints());
+      if (requested.length === 0) continue;
+      return this.#send(advisor, unit, requested);
+    }
+  }
+
+  #send(
+    advisor: Ports.Advisor,
+    unit: Workflow.Unit,
+    requested: readonly string[],
+  ): void {
     this.#isFetching = true;
     const done = Effect.sync(() => {
       this.#isFetching = false;
@@ -74,10 +89,6 @@
     );
   }
 
-  /**
-   * While the cached advice is valid, endpoints not yet requested; after that, those
-   * that were allowed before, or all where none were.
-   */
   #selectEndpoints(
     unit: Workflow.Unit,
     endpoints: readonly string[],
@@ -86,15 +97,9 @@
       Ports.MAX_ADVISED_ENDPOINTS,
       Math.max(MIN_ENDPOINTS_PER_REQUEST, unit.tasks.length * 2),
     );
-    const cached = this.#cached.get(stepName(unit));
-    const isValid = cached !== undefined &&
-      this.#options.clock.monotonicMs() + DISPATCH_MARGIN_MS <
-        cached.validUntilMs;
-    if (!isValid) {
-      const allowed = endpoints.filter((id) => cached?.tickets.has(id) ?? true);
-      return (allowed.length > 0 ? allowed : endpoints).slice(0, max);
-    }
-    return endpoints.filter((id) => !cached.requested.has(id)).slice(0, max);
+    const nowMs = this.#options.clock.monotonicMs();
+    const step = this.#stepOf(unit);
+    return step.advice.selectEndpoints(endpoints, nowMs).slice(0, max);
   }
 
   #fetch(
@@ -108,37 +113,25 @@
       (policy?.perWorkerMs ?? 0) * requested.length;
     return Effect.gen({ self: this }, function* () {
       const requestedAtMs = clock.monotonicMs();
-      const name = stepName(unit);
-      const response = advisor.requestAdvice(name, requested);
+      const response = advisor.requestAdvice(stepName(unit), requested);
       const timeoutMs = serviceMs + RESPONSE_MARGIN_MS;
       const timed = yield* clock.within(timeoutMs, response);
       if (timed === null) return;
-      this.#merge(name, requested, { advice: timed.value, requestedAtMs });
+      const advice = timed.value;
+      const answeredAtMs = clock.monotonicMs();
+      const step = this.#stepOf(unit);
+      step.advice.apply({ advice, requested, requestedAtMs, answeredAtMs });
     }).pipe(Effect.ignore);
   }
 
-  #merge(
-    name: string,
-    requested: readonly string[],
-    response: { advice: Ports.Advice; requestedAtMs: number },
-  ): void {
-    const { tickets, validityMs } = response.advice;
-    const previous = this.#cached.get(name);
-    const nowMs = this.#options.clock.monotonicMs();
-    const isPreviousValid = previous !== undefined &&
-      nowMs < previous.validUntilMs;
-    const merged = new Map(isPreviousValid ? previous.tickets : []);
-    for (const { worker, ticket } of tickets) merged.set(worker, ticket);
-    // The service starts the validity at its answer at the latest. Counting from the
-    // request, and keeping the earlier end, never overestimates it.
-    const validUntilMs = response.requestedAtMs + validityMs;
-    this.#cached.set(name, {
-      tickets: merged,
-      requested: new Set([...(previous?.requested ?? []), ...requested]),
-      validUntilMs: isPreviousValid
-        ? Math.min(previous.validUntilMs, validUntilMs)
-        : validUntilMs,
-    });
+  #stepOf(unit: Workflow.Unit): CachedStep {
+    const name = stepName(unit);
+    const existing = this.#steps.get(name);
+    if (existing !== undefined) return existing;
+    const advice = new stepAdvice.StepAdvice();
+    const step = { advice };
+    this.#steps.set(name, step);
+    return step;
   }
 }
 
--- /dev/null
+++ b/packages/coordinator/src/work/advice_cache_test.ts
@@ -0,0 +1,95 @@
+/** Which steps the requests to the advice service go to. */
+import * as Errors from "@cairngate/errors";
+import * as Ports from "@cairngate/ports";
+import * as TestUtils from "@cairngate/test-utils";
+import * as Workflow from "@cairngate/workflow";
+import * as Effect from "effect/Effect";
+import * as vitest from "vitest";
+import * as advice from "./advice_cache.ts";
+
+const VALIDITY_MS = 3000;
+const DECISION_MS = 200;
+
+/** Denies all endpoints but the given ones; fails while it is overloaded. */
+class FakeAdvisor extends Ports.Advisor {
+  readonly requests: { step: string; endpoints: readonly string[] }[] = [];
+  readonly allowed = new Set<string>();
+  isOverloaded = false;
+  readonly #clock: Ports.Clock;
+
+  constructor(clock: Ports.Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  override requestAdvice(step: string, endpoints: readonly string[]) {
+    this.requests.push({ step, endpoints });
+    if (this.isOverloaded) {
+      const err = { operation: "advice", cause: "status 429" };
+      return Effect.fail(new Errors.StoreUnavailableError(err));
+    }
+    const tickets = endpoints.filter((id) => this.allowed.has(id))
+      .map((worker) => ({ worker, ticket: `${step}@${worker}` }));
+    return Effect.as(this.#clock.sleep(DECISION_MS), {
+      tickets,
+      validityMs: VALIDITY_MS,
+    });
+  }
+}
+
+/** A waiting unit that may use the given endpoints. */
+function buildCandidate(
+  id: string,
+  endpoints: readonly string[],
+): advice.AdviceCandidate {
+  const policy = {
+    ...TestUtils.buildAccess().queues[1],
+    advice: {
+      decisionMs: DECISION_MS,
+      perWorkerMs: 0,
+      validityMs: VALIDITY_MS,
+    },
+  };
+  const workflow = new Workflow.Workflow({
+    id,
+    tenant: "hana",
+    policy,
+    payload: "",
+    steps: [TestUtils.buildStep()],
+    schedule: null,
+    acceptedAtMs: 0,
+  });
+  const [unit] = workflow.readyUnits(0);
+  return { unit, listEndpoints: () => endpoints };
+}
+
+function setUp() {
+  const clock = new TestUtils.FakeClock();
+  const advisor = new FakeAdvisor(clock);
+  const cache = new advice.AdviceCache({ advisor, clock, onAdvice: () => {} });
+  /** Requests advice for the candidates each 50 ms, as plans do. */
+  const planFor = async (
+    candidates: readonly advice.AdviceCandidate[],
+    durationMs: number,
+  ) => {
+    for (let ms = 0; ms < durationMs; ms += 50) {
+      cache.request(candidates);
+      await clock.advance(50);
+    }
+  };
+  return { clock, advisor, cache, planFor };
+}
+
+vitest.describe("AdviceCache", () => {
+  vitest.it("names an endpoint again after a lost answer", async () => {
+    const { clock, advisor, cache, planFor } = setUp();
+    const candidate = buildCandidate("w", ["a"]);
+    advisor.allowed.add("a");
+    advisor.isOverloaded = true;
+    cache.request([candidate]);
+    await clock.advance(0);
+    advisor.isOverloaded = false;
+    await planFor([candidate], 1000);
+    vitest.expect(cache.ticket(candidate.unit, "a")).toBe("w.0.0@a");
+  });
+});
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -138,6 +138,7 @@
       remotePenalty: bounds.remotePenalty,
       isAdvised: (unit, endpoint) =>
         adviceCache.ticket(unit, endpoint) !== null,
+      isAllowed: (unit, endpoint) => adviceCache.isAllowed(unit, endpoint),
       hardLoad: this.#parts.hardLoad.load,
       stopMs: bounds.stopMs,
       urgentTraffic: (service) =>
@@ -175,17 +176,28 @@
     if (task.state === Workflow.TaskState.Stopping) task.preemptions++;
   }
 
-  /** Requests advice for units that wait for it; the cache allows one at a time. */
+  /** Requests advice for a waiting unit of a queue with advice. */
   #requestAdvice(
     plan: Scheduler.Plan,
     endpoints: readonly Scheduler.EndpointSnapshot[],
   ): void {
-    for (const { unit, reason } of plan.waits) {
-      if (reason !== Scheduler.WaitReason.Advice) continue;
-      const eligible = endpoints
-        .filter((endpoint) => Scheduler.isEligible(endpoint, unit))
-        .sort((a, b) => a.tasks.length - b.tasks.length);
-      this.#parts.advice.request(unit, eligible.map(({ id }) => id));
-    }
+    const candidates = plan.waits
+      .filter(({ unit }) => unit.workflow.spec.policy.advice !== null)
+      .map(({ unit }) => ({
+        unit,
+        listEndpoints: () => listEligible(unit, endpoints),
+      }));
+    this.#parts.advice.request(candidates);
   }
 }
+
+/** Ids of the endpoints that a unit may use, those with the fewest tasks first. */
+function listEligible(
+  unit: Workflow.Unit,
+  endpoints: readonly Scheduler.EndpointSnapshot[],
+): readonly string[] {
+  return endpoints
+    .filter((endpoint) => Scheduler.isEligible(endpoint, unit))
+    .sort((a, b) => a.tasks.length - b.tasks.length)
+    .map(({ id }) => id);
+}
--- a/packages/workflow-node/src/advice_test.ts
+++ b/packages/workflow-node/src/advice_test.ts
@@ -8,18 +8,18 @@
 const VALIDITY_MS = 2000;
 const DECISION_MS = 100;
 
-/** Allows every step to run on one endpoint only. */
+/** Allows every step to run on given endpoints only. */
 class FixedAdvisor extends Ports.Advisor {
   readonly #clock: Ports.Clock;
-  readonly #allowed: string;
+  readonly #allowed: ReadonlySet<string>;
   callCount = 0;
   concurrentCalls = 0;
   maxConcurrentCalls = 0;
 
-  constructor(clock: Ports.Clock, allowed: string) {
+  constructor(clock: Ports.Clock, allowed: Iterable<string>) {
     super();
     this.#clock = clock;
-    this.#allowed = allowed;
+    this.#allowed = new Set(allowed);
   }
 
   override requestAdvice(step: string, workers: readonly string[]) {
@@ -29,7 +29,7 @@
       this.maxConcurrentCalls,
       this.concurrentCalls,
     );
-    const tickets = workers.filter((id) => id === this.#allowed)
+    const tickets = workers.filter((id) => this.#allowed.has(id))
       .map((worker) => ({ worker, ticket: `${step}@${worker}` }));
     return Effect.map(this.#clock.sleep(DECISION_MS), () => {
       this.concurrentCalls--;
@@ -38,22 +38,26 @@
   }
 }
 
+function buildAdvisedAccess(): Ports.AccessConfig {
+  const access = TestUtils.buildAccess();
+  const advice = {
+    decisionMs: DECISION_MS,
+    perWorkerMs: 0,
+    validityMs: VALIDITY_MS,
+  };
+  const queues = access.queues.map((queue) => ({ ...queue, advice }));
+  return { ...access, queues };
+}
+
 vitest.describe("a queue with advice", () => {
   vitest.it("runs on advised endpoints and asks one by one", async () => {
-    const access = TestUtils.buildAccess();
-    const advice = {
-      decisionMs: DECISION_MS,
-      perWorkerMs: 0,
-      validityMs: VALIDITY_MS,
-    };
-    const queues = access.queues.map((queue) => ({ ...queue, advice }));
     let advisor: FixedAdvisor | null = null;
     const fleet = new TestUtils.TestFleet({
       workers: [2, 2, 2],
-      config: { ...access, queues },
+      config: buildAdvisedAccess(),
       advisor: (
         clock,
-      ) => (advisor = new FixedAdvisor(clock, "worker-2")),
+      ) => (advisor = new FixedAdvisor(clock, ["worker-2"])),
     });
     await fleet.start();
     const ids = ["a000000000000001", "a000000000000002"];
@@ -69,4 +73,33 @@
     vitest.expect(maxConcurrentCalls).toBe(1);
     await fleet.stop();
   });
+
+  // Guards against an accepted workflow that never continues: once all tickets had
+  // expired, endpoints that a cut had hidden were not named to the adviser again.
+  vitest.it("continues on its endpoints after a cut", async () => {
+    const id = "a000000000000001";
+    const allowed = new Set(["worker-38", "worker-39"]);
+    const fleet = new TestUtils.TestFleet({
+      workers: Array.from({ length: 40 }, () => 1),
+      config: buildAdvisedAccess(),
+      advisor: (clock) => new FixedAdvisor(clock, allowed),
+    });
+    await fleet.start();
+    let isCut = false;
+    TestUtils.filterOrders(
+      fleet,
+      (endpoint) => !isCut || !allowed.has(endpoint),
+    );
+    const steps = [TestUtils.buildStep({ count: 6, estimateMs: 1500 })];
+    await fleet.submit("node-1", id, { steps });
+    await fleet.until(() => fleet.workers.runs.length > 0);
+    isCut = true;
+    await fleet.clock.advance(5000);
+    isCut = false;
+    const isDone = await fleet.until(() =>
+      fleet.state(id) === Workflow.WorkflowState.Completed
+    );
+    vitest.expect(isDone).toBe(true);
+    await fleet.stop();
+  });
 });
--- a/packages/workflow-scheduler/src/plan.ts
+++ b/packages/workflow-scheduler/src/plan.ts
@@ -296,6 +296,7 @@
       nowMs: this.#input.nowMs,
       isIdle: this.#isIdle,
       isPassedOver: this.#passedOver.has(unit),
+      isAllowed: this.#input.isAllowed ?? (() => false),
     });
     this.#waits.push({ unit, reason });
   }
--- a/packages/workflow-scheduler/src/plan_data.ts
+++ b/packages/workflow-scheduler/src/plan_data.ts
@@ -20,6 +20,11 @@
   readonly remotePenalty: number;
   /** Whether the advice for a unit allows it to run on an endpoint now. */
   readonly isAdvised: (unit: Workflow.Unit, endpoint: string) => boolean;
+  /**
+   * Whether the advice allows a unit on an endpoint, with or without a valid ticket;
+   * defaults to unknown for all.
+   */
+  readonly isAllowed?: (unit: Workflow.Unit, endpoint: string) => boolean;
   /** Kinds of hard load in the deployment; defaults to none. */
   readonly hardLoad?: hardLoads.HardLoad;
   /** Longest time that a stop takes, in ms; defaults to 0. */
--- a/packages/workflow-scheduler/src/wait_explanation.ts
+++ b/packages/workflow-scheduler/src/wait_explanation.ts
@@ -20,6 +20,8 @@
   readonly isIdle: boolean;
   /** Whether units with later objectives went first. */
   readonly isPassedOver: boolean;
+  /** Whether the advice allows the unit on an endpoint, with or without a ticket. */
+  readonly isAllowed: (unit: Workflow.Unit, endpoint: string) => boolean;
 }
 
 /**
@@ -28,13 +30,11 @@
  */
 export function waitReasonOf(context: WaitContext): waiting.WaitReason {
   const { unit, endpoints, nowMs, isIdle, isPassedOver } = context;
-  if (unit.workflow.spec.policy.advice !== null) return WaitReason.Advice;
+  if (isWithoutAdvice(context)) return adviceReasonOf(context);
   const isInBackoff = isolation.isSuspect(unit) &&
     isolation.isInCrashBackoff(unit, nowMs);
   if (isInBackoff) return WaitReason.CrashBackoff;
-  const eligible = context.all.filter(({ state }) =>
-    fleet.isEligible(state, unit)
-  );
+  const eligible = eligibleOf(context);
   if (eligible.length === 0) return WaitReason.Endpoints;
   if (!isIdle) return isPassedOver ? WaitReason.Share : WaitReason.Room;
   const fits = (
@@ -50,3 +50,26 @@
     ? WaitReason.Reserved
     : WaitReason.Room;
 }
+
+/** Whether advice is needed and no ticket is valid for a usable endpoint. */
+function isWithoutAdvice({ unit, endpoints }: WaitContext): boolean {
+  return unit.workflow.spec.policy.advice !== null && endpoints.length === 0;
+}
+
+/** Tells a step that waits for an answer from one whose allowed endpoints are away. */
+function adviceReasonOf(
+  { unit, all, isAllowed }: WaitContext,
+): waiting.WaitReason {
+  const allowed = all.filter(({ state }) => isAllowed(unit, state.id));
+  const isAway = allowed.length > 0 &&
+    !allowed.some(({ state }) => fleet.isEligible(state, unit));
+  return isAway ? WaitReason.AllowedEndpoints : WaitReason.Advice;
+}
+
+/** Endpoints that accept the unit; with advice, those that it may use. */
+function eligibleOf(
+  { unit, endpoints, all }: WaitContext,
+): readonly fleet.Endpoint[] {
+  if (unit.workflow.spec.policy.advice !== null) return endpoints;
+  return all.filter(({ state }) => fleet.isEligible(state, unit));
+}
--- a/packages/workflow-scheduler/src/wait_reason.ts
+++ b/packages/workflow-scheduler/src/wait_reason.ts
@@ -7,6 +7,8 @@
   Stops = "stops",
   /** No endpoint is known to be allowed by the advice for its step. */
   Advice = "advice",
+  /** The endpoints that the advice allows for its step accept no work. */
+  AllowedEndpoints = "allowed-endpoints",
   /** Its endpoints are in use. */
   Room = "room",
   /** Its endpoints are in use, and other teams go first because of its team's use. */
--- a/packages/workflow-scheduler/src/wait_reason_test.ts
+++ b/packages/workflow-scheduler/src/wait_reason_test.ts
@@ -121,4 +121,34 @@
     vitest.expect(reasonsOf([buildEndpoint()], [first, second]))
       .toEqual([`w2: ${WaitReason.Reserved}`]);
   });
+
+  // Guards against a wait for absent endpoints that looks like one for the service.
+  vitest.it("waits for endpoints that the advice allows", () => {
+    const advice = { decisionMs: 50, perWorkerMs: 2, validityMs: 3000 };
+    const policy = { ...TestUtils.buildAccess().queues[1], advice };
+    const { spec } = buildWorkflow("w");
+    const reasonOf = (
+      endpoints: readonly fleet.EndpointSnapshot[],
+      allowed: readonly string[],
+    ) => {
+      const { waits } = plans.makePlan({
+        endpoints,
+        workflows: [new Workflow.Workflow({ ...spec, policy })],
+        guarantees: new Map(),
+        nowMs: NOW_MS,
+        wallMs: 0,
+        remotePenalty: 3,
+        isAdvised: () => false,
+        isAllowed: (_, endpoint) => allowed.includes(endpoint),
+      });
+      return waits[0].reason;
+    };
+    const absent = buildEndpoint({ id: "absent", usable: false });
+    const endpoints = [buildEndpoint(), absent];
+    vitest.expect(reasonOf(endpoints, ["absent"]))
+      .toBe(WaitReason.AllowedEndpoints);
+    vitest.expect(reasonOf(endpoints, [])).toBe(WaitReason.Advice);
+    vitest.expect(reasonOf(endpoints, ["absent", "worker-0"]))
+      .toBe(WaitReason.Advice);
+  });
 });
