Share the requests to the adviser among all waiting steps

What callers saw: nine urgent jobs wait for the one endpoint that may run them, which is busy.

Cause: one request is in flight at a time, and each went to the first waiting step in the order of need that had something to ask. Enough steps that wait for room renew their tickets all the time and use up all requests.

Change: every other request goes to the step whose newest request is oldest; the others go by the order of need as before, so that urgent work keeps half of them.

The test "lets no step use up all requests" fails without the order (later requests all go to the 20 steps before it).

Conclusion: a step gets its first answer within twice as many requests as steps wait. Not changed: steps that wait for room still renew their tickets.

--- a/packages/coordinator/src/work/advice_cache.ts
+++ b/packages/coordinator/src/work/advice_cache.ts
@@ -26,6 +26,8 @@
 
 interface CachedStep {
   readonly advice: stepAdvice.StepAdvice;
+  /** Number of its newest request; 0 before the first. */
+  lastRequest: number;
 }
 
 /** Added to the time that the service takes by its policy. */
@@ -39,6 +41,7 @@
   /** Cached advice by the name of the step. */
   readonly #steps = new Map<string, CachedStep>();
   #isFetching = false;
+  #requestCount = 0;
 
   constructor(options: AdviceCacheOptions) {
     this.#options = options;
@@ -62,12 +65,14 @@
   }
 
   /**
-   * Requests advice for one of the waiting units, unless a request is in flight.
+   * Requests advice for one of the waiting units, unless a request is in flight. Every
+   * other request goes to the step whose newest request is oldest, so that steps which
+   * wait for capacity do not use up all requests.
    */
   request(candidates: readonly AdviceCandidate[]): void {
     const { advisor } = this.#options;
     if (advisor === null || this.#isFetching || candidates.length === 0) return;
-    for (const { unit, listEndpoints } of candidates) {
+    for (const { unit, listEndpoints } of this.#order(candidates)) {
       const requested = this.#selectEndpoints(unit, listEndpoints());
       if (requested.length === 0) continue;
       return this.#send(advisor, unit, requested);
@@ -80,6 +85,7 @@
     requested: readonly string[],
   ): void {
     this.#isFetching = true;
+    this.#stepOf(unit).lastRequest = ++this.#requestCount;
     const done = Effect.sync(() => {
       this.#isFetching = false;
       this.#options.onAdvice();
@@ -89,6 +95,14 @@
     );
   }
 
+  #order(candidates: readonly AdviceCandidate[]): readonly AdviceCandidate[] {
+    const isFairTurn = this.#requestCount % 2 === 1;
+    if (!isFairTurn) return candidates;
+    const lastRequestOf = ({ unit }: AdviceCandidate) =>
+      this.#steps.get(stepName(unit))?.lastRequest ?? 0;
+    return candidates.toSorted((a, b) => lastRequestOf(a) - lastRequestOf(b));
+  }
+
   #selectEndpoints(
     unit: Workflow.Unit,
     endpoints: readonly string[],
@@ -129,7 +143,7 @@
     const existing = this.#steps.get(name);
     if (existing !== undefined) return existing;
     const advice = new stepAdvice.StepAdvice();
-    const step = { advice };
+    const step = { advice, lastRequest: 0 };
     this.#steps.set(name, step);
     return step;
   }
--- a/packages/coordinator/src/work/advice_cache_test.ts
+++ b/packages/coordinator/src/work/advice_cache_test.ts
@@ -81,6 +81,21 @@
 }
 
 vitest.describe("AdviceCache", () => {
+  // Guards against later steps that never get advice, while steps before them wait for
+  // one busy endpoint and renew their tickets for it again and again.
+  vitest.it("lets no step use up all requests", async () => {
+    const { advisor, planFor } = setUp();
+    for (const id of ["busy", "idle"]) advisor.allowed.add(id);
+    const urgent = Array.from(
+      { length: 20 },
+      (_, i) => buildCandidate(`urgent-${i}`, ["busy"]),
+    );
+    await planFor(urgent, 6000);
+    await planFor([...urgent, buildCandidate("late", ["idle"])], 1000);
+    vitest.expect(advisor.requests.map(({ step }) => step))
+      .toContain("late.0.0");
+  });
+
   vitest.it("names an endpoint again after a lost answer", async () => {
     const { clock, advisor, cache, planFor } = setUp();
     const candidate = buildCandidate("w", ["a"]);
