Pause after failed requests for advice and drop advice of ended work

Cause 1: a request that fails (429, no connection) requests a plan at once, and the plan sends the next request: at the pace of the network while the adviser is overloaded. Now there is a pause of 250 ms after it. Cause 2: nothing removed a step from the cache before the end of the term. Now steps of workflows that are over go with the next request. Cause 3: an answer about an endpoint that restarted under its id while the request was in flight was used for the new incarnation, whose starts then fail with "ticket". Now it is ignored.

Tests: "pauses after a request that the service rejects", "drops the steps of workflows that are over", "ignores an answer about an endpoint that has restarted". Each fails when its line is taken out (one run each).

Conclusion: the load on the adviser and the size of the cache are bounded.

--- a/packages/coordinator/src/work/advice_cache.ts
+++ b/packages/coordinator/src/work/advice_cache.ts
@@ -25,6 +25,7 @@
 }
 
 interface CachedStep {
+  readonly workflow: Workflow.Workflow;
   readonly advice: stepAdvice.StepAdvice;
   /** Number of its newest request; 0 before the first. */
   lastRequest: number;
@@ -34,19 +35,29 @@
 const RESPONSE_MARGIN_MS = 1500;
 /** Steps with many tasks request twice as many endpoints as they have tasks. */
 const MIN_ENDPOINTS_PER_REQUEST = 30;
+/** Pause after a request without an answer, in ms, so that an overload can end. */
+const FAILURE_PAUSE_MS = 250;
 
 /** Tickets that let the tasks of a step run on given endpoints. */
 export class AdviceCache {
   readonly #options: AdviceCacheOptions;
   /** Cached advice by the name of the step. */
   readonly #steps = new Map<string, CachedStep>();
+  /** Endpoints that have restarted since the current request was sent. */
+  readonly #restarted = new Set<string>();
   #isFetching = false;
   #requestCount = 0;
+  #pausedUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: AdviceCacheOptions) {
     this.#options = options;
   }
 
+  /** Number of steps with cached advice. */
+  get size(): number {
+    return this.#steps.size;
+  }
+
   /** The ticket for a unit on an endpoint; null where it may not run there now. */
   ticket(unit: Workflow.Unit, endpoint: string): string | null {
     const nowMs = this.#options.clock.monotonicMs();
@@ -61,6 +72,7 @@
 
   /** Drops what is known of a restarted endpoint: it holds for one instance only. */
   evictEndpoint(endpoint: string): void {
+    this.#restarted.add(endpoint);
     for (const { advice } of this.#steps.values()) advice.forget(endpoint);
   }
 
@@ -70,8 +82,10 @@
    * wait for capacity do not use up all requests.
    */
   request(candidates: readonly AdviceCandidate[]): void {
-    const { advisor } = this.#options;
+    const { advisor, clock } = this.#options;
     if (advisor === null || this.#isFetching || candidates.length === 0) return;
+    if (clock.monotonicMs() < this.#pausedUntilMs) return;
+    this.#evictEnded();
     for (const { unit, listEndpoints } of this.#order(candidates)) {
       const requested = this.#selectEndpoints(unit, listEndpoints());
       if (requested.length === 0) continue;
@@ -85,6 +99,7 @@
     requested: readonly string[],
   ): void {
     this.#isFetching = true;
+    this.#restarted.clear();
     this.#stepOf(unit).lastRequest = ++this.#requestCount;
     const done = Effect.sync(() => {
       this.#isFetching = false;
@@ -129,24 +144,36 @@
       const requestedAtMs = clock.monotonicMs();
       const response = advisor.requestAdvice(stepName(unit), requested);
       const timeoutMs = serviceMs + RESPONSE_MARGIN_MS;
-      const timed = yield* clock.within(timeoutMs, response);
-      if (timed === null) return;
-      const advice = timed.value;
+      const result = yield* Effect.result(clock.within(timeoutMs, response));
       const answeredAtMs = clock.monotonicMs();
+      if (result._tag === "Failure" || result.success === null) {
+        this.#pausedUntilMs = answeredAtMs + FAILURE_PAUSE_MS;
+        return;
+      }
+      const advice = result.success.value;
       const step = this.#stepOf(unit);
       step.advice.apply({ advice, requested, requestedAtMs, answeredAtMs });
-    }).pipe(Effect.ignore);
+      // The answer may be about the instances that have ended since.
+      for (const endpoint of this.#restarted) step.advice.forget(endpoint);
+    });
   }
 
   #stepOf(unit: Workflow.Unit): CachedStep {
     const name = stepName(unit);
     const existing = this.#steps.get(name);
     if (existing !== undefined) return existing;
+    const { workflow } = unit;
     const advice = new stepAdvice.StepAdvice();
-    const step = { advice, lastRequest: 0 };
+    const step = { workflow, advice, lastRequest: 0 };
     this.#steps.set(name, step);
     return step;
   }
+
+  #evictEnded(): void {
+    for (const [name, { workflow }] of this.#steps) {
+      if (workflow.isOver) this.#steps.delete(name);
+    }
+  }
 }
 
 /** Name of a unit's step, as the advice service knows it. */
--- a/packages/coordinator/src/work/advice_cache_test.ts
+++ b/packages/coordinator/src/work/advice_cache_test.ts
@@ -107,4 +107,38 @@
     await planFor([candidate], 1000);
     vitest.expect(cache.ticket(candidate.unit, "a")).toBe("w.0.0@a");
   });
+
+  vitest.it("pauses after a request that the service rejects", async () => {
+    const { advisor, planFor } = setUp();
+    advisor.isOverloaded = true;
+    await planFor([buildCandidate("w", ["a"])], 1000);
+    vitest.expect(advisor.requests.length).toBeLessThanOrEqual(4);
+  });
+
+  vitest.it(
+    "ignores an answer about an endpoint that has restarted",
+    async () => {
+      const { clock, advisor, cache } = setUp();
+      const candidate = buildCandidate("w", ["a"]);
+      advisor.allowed.add("a");
+      cache.request([candidate]);
+      await clock.advance(DECISION_MS / 2);
+      cache.evictEndpoint("a");
+      await clock.advance(DECISION_MS);
+      vitest.expect(cache.ticket(candidate.unit, "a")).toBeNull();
+      cache.request([candidate]);
+      await clock.advance(DECISION_MS);
+      vitest.expect(cache.ticket(candidate.unit, "a")).toBe("w.0.0@a");
+    },
+  );
+
+  vitest.it("drops the steps of workflows that are over", async () => {
+    const { cache, planFor } = setUp();
+    const ended = buildCandidate("ended", ["a"]);
+    await planFor([ended], 500);
+    ended.unit.workflow.cancelled = true;
+    ended.unit.workflow.completeCancel();
+    await planFor([buildCandidate("live", ["a"])], 500);
+    vitest.expect(cache.size).toBe(1);
+  });
 });
