Let accepted work follow its queue to another service or advice

Where a version gives the queue advice, later steps of an accepted job start without tickets and are rejected.

Cause: the settings of the queue are copied into the stored workflow and only that copy is read. Two kinds of settings stand there: what was promised to the caller, and how the queue is served.

Ruled out: an old configuration on the coordinator (the later job is planned by it), and withheld capacity (the wait is for room in the former service).

Change: QueueRoutings applies service and advice of the configuration in force to unfinished workflows before each plan, and to each that is read. Workflows keep the configuration version of their acceptance, so that a coordinator that lags behind moves nothing back. A removed queue or a missing configuration changes nothing. Rows get one optional field, which earlier versions do not read.

Conclusion: the class "settings read from a copy" is closed for what decides where a task may start.

--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -13,6 +13,7 @@
 import type * as intakes from "./intake.ts";
 import * as fences from "./partition_fences.ts";
 import * as plannings from "./planning.ts";
+import * as queueRoutings from "./queue_routings.ts";
 import * as recorders from "./recorder.ts";
 import * as recoveries from "./recovery.ts";
 import * as controls from "./run_control.ts";
@@ -151,6 +152,7 @@
     ]);
   const workflows = new registries.WorkflowRegistry({
     memory,
+    routings: new queueRoutings.QueueRoutings(coordinatorPorts),
     ports: coordinatorPorts,
     fences: partitionFences,
     recorder,
--- a/packages/coordinator/src/work/workflow_registry.ts
+++ b/packages/coordinator/src/work/workflow_registry.ts
@@ -7,6 +7,7 @@
 import type * as intake from "./intake.ts";
 import type * as fences from "./partition_fences.ts";
 import type * as ports from "../ports.ts";
+import type * as queueRoutings from "./queue_routings.ts";
 import type * as recorders from "./recorder.ts";
 import type * as recoveries from "./recovery.ts";
 
@@ -17,6 +18,7 @@
   readonly recorder: recorders.Recorder;
   readonly recovery: recoveries.Recovery;
   readonly memory: memoryMeters.MemoryMeter;
+  readonly routings: queueRoutings.QueueRoutings;
 }
 
 /** A workflow and the partitions that hold its rows. */
@@ -88,6 +90,7 @@
       return null;
     }
     const workflow = new Workflow.Workflow(spec);
+    this.#parts.routings.apply(workflow);
     const entry: RegisteredWorkflow = {
       workflow,
       partition,
@@ -102,6 +105,11 @@
     return workflow;
   }
 
+  /** Applies a new version of the configuration to the unfinished workflows. */
+  followConfig(): void {
+    this.#parts.routings.update(() => this.unfinished);
+  }
+
   /** Skips a workflow: without its progress, tasks could be run a second time. */
   #skip(id: string): null {
     this.#parts.ports.log.error(
--- a/packages/gateway/src/access.ts
+++ b/packages/gateway/src/access.ts
@@ -19,6 +19,8 @@
   readonly team: string;
   /** Path after the queue's prefix. */
   readonly subpath: string;
+  /** Version of the configuration that granted it. */
+  readonly configVersion: number;
 }
 
 /** Why a request is refused. */
@@ -79,7 +81,13 @@
       return Effect.fail(new Errors.UnknownKeyError({ queue: route.queue }));
     }
     const subpath = path.slice(route.pathPrefix.length);
-    return Effect.succeed({ route, team: team ?? "", subpath });
+    const configVersion = this.#config.version;
+    return Effect.succeed({
+      route,
+      team: team ?? "",
+      subpath,
+      configVersion,
+    });
   }
 }
 
--- a/packages/gateway/src/submissions.ts
+++ b/packages/gateway/src/submissions.ts
@@ -92,6 +92,7 @@
       id,
       tenant: allowed.team,
       policy: policyOf(allowed.route),
+      configVersion: allowed.configVersion,
       payload,
       steps,
       schedule,
--- a/packages/workflow-scheduler/src/wait_explanation.ts
+++ b/packages/workflow-scheduler/src/wait_explanation.ts
@@ -60,7 +60,9 @@
 function adviceReasonOf(
   { unit, all, isAllowed }: WaitContext,
 ): waiting.WaitReason {
-  const allowed = all.filter(({ state }) => isAllowed(unit, state.id));
+  const allowed = all.filter(({ state }) =>
+    fleet.matchesUnit(state, unit) && isAllowed(unit, state.id)
+  );
   const isAway = allowed.length > 0 &&
     !allowed.some(({ state }) => fleet.isEligible(state, unit));
   return isAway ? WaitReason.AllowedEndpoints : WaitReason.Advice;
--- a/packages/workflow/mod.ts
+++ b/packages/workflow/mod.ts
@@ -8,6 +8,7 @@
   LATE_FACTOR,
   objectiveAtMs,
   type QueuePolicy,
+  type QueueRouting,
   type Resources,
   type Schedule,
   type StepSpec,
--- a/packages/workflow/src/decode_spec.ts
+++ b/packages/workflow/src/decode_spec.ts
@@ -48,6 +48,7 @@
     latencyMs: isFiniteNumber,
     advice: optional(nullOr(isAdvice)),
   }),
+  configVersion: optional(isCount),
   payload: isText,
   steps: checks.listOf(isStep),
   schedule: nullOr(checks.fieldsOf({
--- a/packages/workflow/src/spec.ts
+++ b/packages/workflow/src/spec.ts
@@ -94,6 +94,9 @@
   readonly advice: AdvicePolicy | null;
 }
 
+/** The settings of a queue that apply to accepted work as soon as they change. */
+export type QueueRouting = Pick<QueuePolicy, "service" | "advice">;
+
 /** How the advice service of a queue behaves. */
 export interface AdvicePolicy {
   readonly decisionMs: number;
@@ -108,7 +111,10 @@
 export interface WorkflowSpec {
   readonly id: string;
   readonly tenant: string;
+  /** Settings of its queue on acceptance, with the newest routing. */
   readonly policy: QueuePolicy;
+  /** Configuration version of these settings; left out by earlier versions. */
+  readonly configVersion?: number;
   /** Text that is passed to each task. */
   readonly payload: string;
   readonly steps: readonly StepSpec[];
--- a/packages/workflow/src/workflow.ts
+++ b/packages/workflow/src/workflow.ts
@@ -37,7 +37,7 @@
 
 /** A workflow. Mutable and owned by one coordinator. */
 export class Workflow {
-  readonly spec: spec.WorkflowSpec;
+  #spec: spec.WorkflowSpec;
   readonly #tasks: tables.TaskTable<Workflow>;
   /** Failures and crashes of its runs. */
   readonly failureCounts = new failureCounts.FailureCounts();
@@ -64,10 +64,21 @@
   readonly unresolvedRuns = new unresolvedRuns.UnresolvedRuns<Task>();
 
   constructor(workflowSpec: spec.WorkflowSpec) {
-    this.spec = workflowSpec;
+    this.#spec = workflowSpec;
     this.#tasks = new tables.TaskTable<Workflow>(this);
   }
 
+  /** Its specification, with the newest routing of its queue. */
+  get spec(): spec.WorkflowSpec {
+    return this.#spec;
+  }
+
+  /** Applies a new routing of its queue to further starts; placed tasks stay. */
+  reroute({ service, advice }: spec.QueueRouting): void {
+    const policy = { ...this.#spec.policy, service, advice };
+    this.#spec = { ...this.#spec, policy };
+  }
+
   /** The task with this key; undefined if there is none. */
   task(key: string): Task | undefined {
     return this.#tasks.find(key);
