Pause after a start whose ticket is rejected, and drop the ticket

Each start is charged and each writes a record.

Cause: a rejected start is planned again at once. The backoff of 300 ms holds for the endpoint, so that the starts go round all endpoints. A rejected ticket also stayed in the cache until the end of its validity.

Change: a rejection for the ticket is an outcome of its own. It does not count against the endpoint, drops this ticket (not a newer one), and pauses the task for 100 ms, doubled with each further one up to 2 s, until a run is confirmed.

Conclusion: the rate is bounded whatever causes the rejection.

--- a/packages/coordinator/src/sessions/run_starter.ts
+++ b/packages/coordinator/src/sessions/run_starter.ts
@@ -15,6 +15,8 @@
   AlreadyHandled = "earlier",
   /** The endpoint is healthy and did not accept the run. */
   Refused = "refused",
+  /** The endpoint is healthy and rejected the ticket, or requires one. */
+  InvalidTicket = "invalid-ticket",
   /** The endpoint was unreachable or is not healthy, so it does not have the run. */
   NotDelivered = "not-there",
   /** The run may be there, or its start may be delivered later. */
@@ -112,7 +114,7 @@
         }
         const isUnsettled = outcome === StartOutcome.NotDelivered ||
           outcome === StartOutcome.MayBeDelivered ||
-          (outcome === StartOutcome.Refused && mayBeDelivered);
+          (isRefusal(outcome) && mayBeDelivered);
         const mayHaveRun = mayBeDelivered &&
           outcome === StartOutcome.ReplacedBefore;
         if (mayHaveRun) return reportOf(StartOutcome.Replaced);
@@ -200,6 +202,8 @@
         return StartOutcome.AlreadyHandled;
       case Errors.OrderRefusal.Unhealthy:
         return StartOutcome.NotDelivered;
+      case Errors.OrderRefusal.InvalidTicket:
+        return StartOutcome.InvalidTicket;
       default:
         return StartOutcome.Refused;
     }
@@ -210,6 +214,11 @@
   return { outcome, clockMs: null };
 }
 
+function isRefusal(outcome: StartOutcome): boolean {
+  return outcome === StartOutcome.Refused ||
+    outcome === StartOutcome.InvalidTicket;
+}
+
 function presenceOf(
   assignment: assignments.Assignment,
   isAnswered: boolean,
--- a/packages/coordinator/src/sessions/session_listener.ts
+++ b/packages/coordinator/src/sessions/session_listener.ts
@@ -17,6 +17,7 @@
   /** The endpoint answers and does not hold the run. */
   NotHeld = "not-held",
   Refused = "refused",
+  InvalidTicket = "invalid-ticket",
   NeverSent = "never-sent",
   NotWanted = "not-wanted",
   /** The listing of the endpoint changed between the plan and the start. */
@@ -33,6 +34,7 @@
     "the ends of its gang show that it ended first, and its endpoint is silent",
   [LostCause.NotHeld]: "its endpoint does not hold it",
   [LostCause.Refused]: "its start was refused",
+  [LostCause.InvalidTicket]: "its endpoint did not accept its ticket",
   [LostCause.NeverSent]: "its start did not reach the endpoint",
   [LostCause.NotWanted]: "it was no longer needed",
   [LostCause.NoCapacity]: "its endpoint is draining or has too little capacity",
--- a/packages/coordinator/src/sessions/start_report_handler.ts
+++ b/packages/coordinator/src/sessions/start_report_handler.ts
@@ -62,6 +62,8 @@
       case starters.StartOutcome.Refused:
         state.health.noteRefusal(nowMs);
         return this.#endRefused(assignment);
+      case starters.StartOutcome.InvalidTicket:
+        return tracked.end(assignment, lost(LostCause.InvalidTicket));
       case starters.StartOutcome.Withheld:
         return tracked.end(assignment, lost(LostCause.NeverSent));
       case starters.StartOutcome.NotDelivered:
--- a/packages/coordinator/src/work/advice_cache.ts
+++ b/packages/coordinator/src/work/advice_cache.ts
@@ -24,6 +24,9 @@
   readonly listEndpoints: () => readonly string[];
 }
 
+/** A step in one round of its workflow, as units and tasks name it. */
+type StepPlace = Pick<Workflow.Unit, "workflow" | "round" | "stepIndex">;
+
 interface CachedStep {
   readonly workflow: Workflow.Workflow;
   readonly advice: stepAdvice.StepAdvice;
@@ -70,6 +73,16 @@
     return this.#steps.get(stepName(unit))?.advice.isAllowed(endpoint) ?? false;
   }
 
+  /** Drops a ticket that an endpoint has rejected. */
+  dropTicket(
+    task: Workflow.Task,
+    endpoint: string,
+    ticket: string | null,
+  ): void {
+    const step = this.#steps.get(stepName(task));
+    step?.advice.dropTicket(endpoint, ticket);
+  }
+
   /** Drops what is known of a restarted endpoint: it holds for one instance only. */
   evictEndpoint(endpoint: string): void {
     this.#restarted.add(endpoint);
@@ -176,7 +189,9 @@
   }
 }
 
-/** Name of a unit's step, as the advice service knows it. */
-export function stepName(unit: Workflow.Unit): string {
-  return `${unit.workflow.spec.id}.${unit.round}.${unit.stepIndex}`;
+/** Name of a step, as the advice service knows it. */
+export function stepName(
+  { workflow, round, stepIndex }: StepPlace,
+): string {
+  return `${workflow.spec.id}.${round}.${stepIndex}`;
 }
--- a/packages/coordinator/src/work/run_ends.ts
+++ b/packages/coordinator/src/work/run_ends.ts
@@ -22,6 +22,11 @@
   readonly control: () => controls.RunControl;
   /** Called when a run has completed its task. */
   readonly onCompleted: (assignment: assignments.Assignment) => void;
+  /** Called when an endpoint has rejected the ticket of a start. */
+  readonly onTicketRejected: (
+    assignment: assignments.Assignment,
+    endpoint: string,
+  ) => void;
   /** Called when another instance has started under an endpoint's id. */
   readonly onEndpointRestarted: (id: string) => void;
   /** Called when a change may allow new starts. */
@@ -53,6 +58,10 @@
     const ended = { run, endpoint: endpointId, stoppingSinceMs, ...end };
     if (end.how === Workflow.RunEnd.Done) this.#options.onCompleted(assignment);
     this.#noteEndReported(workflow, end);
+    if (end.cause === listeners.LostCause.InvalidTicket) {
+      task.noteTicketRejection(nowMs);
+      this.#options.onTicketRejected(assignment, endpointId);
+    }
     workflow.endRun(task, ended, nowMs);
     metrics.count("cairngate_runs_ended_total", { how: end.how });
     if (end.how === Workflow.RunEnd.Done) endpoint.health.noteSuccess(nowMs);
@@ -146,6 +155,7 @@
   override runConfirmed({ task, run }: assignments.Assignment): void {
     this.#noteBegun(task.workflow);
     if (task.run !== run) return;
+    task.ticketRejections = 0;
     if (task.state === Workflow.TaskState.Starting) {
       task.state = Workflow.TaskState.Running;
     }
--- a/packages/coordinator/src/work/step_advice.ts
+++ b/packages/coordinator/src/work/step_advice.ts
@@ -71,6 +71,12 @@
     this.#deniedAtMs.delete(endpoint);
   }
 
+  /** Drops a ticket that an endpoint has rejected, unless there is a newer one. */
+  dropTicket(endpoint: string, ticket: string | null): void {
+    const held = this.#tickets.get(endpoint);
+    if (held?.ticket === ticket) this.#tickets.delete(endpoint);
+  }
+
   /**
    * Endpoints to name in the next request: allowed ones whose tickets have expired,
    * otherwise those that no answer has covered yet. Denied ones are named again, rarely,
--- a/packages/coordinator/src/work/step_advice_test.ts
+++ b/packages/coordinator/src/work/step_advice_test.ts
@@ -81,4 +81,15 @@
     vitest.expect(advice.isAllowed("a")).toBe(false);
     vitest.expect(advice.selectEndpoints(ENDPOINTS, 100)).toEqual(["a", "b"]);
   });
+
+  vitest.it("drops a rejected ticket but not a newer one", () => {
+    const advice = new stepAdvice.StepAdvice();
+    answer(advice, ["a"], ["a"], 0);
+    answer(advice, ["a"], ["a"], 1000);
+    advice.dropTicket("a", "a@0");
+    vitest.expect(advice.ticket("a", 1100)).toBe("a@1000");
+    advice.dropTicket("a", "a@1000");
+    vitest.expect(advice.ticket("a", 1100)).toBeNull();
+    vitest.expect(advice.selectEndpoints(["a"], 1100)).toEqual(["a"]);
+  });
 });
--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -75,6 +75,8 @@
     workflows,
     control: () => control,
     onCompleted: (assignment) => runEstimates.noteDone(assignment),
+    onTicketRejected: ({ task, ticket }, endpoint) =>
+      adviceCache.dropTicket(task, endpoint, ticket),
     onEndpointRestarted: (id) => {
       directory.noteNewIncarnation(id);
       adviceCache.evictEndpoint(id);
--- a/packages/workflow-scheduler/src/retry_pause.ts
+++ b/packages/workflow-scheduler/src/retry_pause.ts
@@ -36,6 +36,13 @@
  */
 const AVOID_UNRELIABLE_LAST_START_MS = 5000;
 
+/**
+ * Pause after the first start whose ticket was rejected, in ms; it doubles with each
+ * further one. The next start succeeds only once there is a new ticket or a new
+ * configuration.
+ */
+const TICKET_PAUSE_MS = 100;
+
 /** Endpoints on which a unit may start now, given its earlier failures. */
 export function withoutUnreliable(
   unit: Workflow.Unit,
@@ -56,11 +63,12 @@
   return unit.workflow.spec.policy.attempts - failures;
 }
 
-/** Whether a unit that has failed should wait before it starts again. */
+/** Whether a unit whose last start did not succeed should wait before the next one. */
 export function mustPause(
   unit: Workflow.Unit,
   now: { readonly nowMs: number; readonly wallMs: number },
 ): boolean {
+  if (isTicketPause(unit, now.nowMs)) return true;
   const hasFailed = unit.tasks.some((task) => task.failures > 0);
   if (!hasFailed || unit.step.lasting) return false;
   const failedAtMs = Math.max(...unit.tasks.map((task) => task.failedAtMs));
@@ -71,6 +79,15 @@
   return sinceMs < pauseMs(unit, now.wallMs - sinceMs);
 }
 
+/** Whether the ticket of a unit's start was rejected a short time ago. */
+function isTicketPause({ tasks }: Workflow.Unit, nowMs: number): boolean {
+  return tasks.some(({ ticketRejections, ticketRejectedAtMs }) => {
+    if (ticketRejections === 0) return false;
+    const pauseMs = TICKET_PAUSE_MS * 2 ** (ticketRejections - 1);
+    return nowMs - ticketRejectedAtMs < Math.min(MAX_PAUSE_MS, pauseMs);
+  });
+}
+
 /** Whether the latest failure of a unit came right after its start. */
 function hasFailedEarly(unit: Workflow.Unit, failedAtMs: number): boolean {
   return unit.tasks.some((task) =>
--- a/packages/workflow-scheduler/src/wait_reason.ts
+++ b/packages/workflow-scheduler/src/wait_reason.ts
@@ -17,7 +17,7 @@
   Reserved = "reserved",
   /** Capacity is free only far from its data or across several racks. */
   NearData = "near-data",
-  /** It has failed and pauses before the next attempt. */
+  /** It has failed, or its ticket was rejected; it pauses before the next attempt. */
   Pause = "pause",
   /** An earlier run, of unknown outcome, may have used up its attempts. */
   UnknownOutcome = "unknown-outcome",
--- a/packages/workflow/src/workflow_task.ts
+++ b/packages/workflow/src/workflow_task.ts
@@ -33,6 +33,10 @@
   failedAtMs = Number.NEGATIVE_INFINITY;
   /** Time from the newest start to that failure, in ms. */
   failedAfterMs = 0;
+  /** Starts since the last confirmed run whose tickets were rejected. */
+  ticketRejections = 0;
+  /** Monotonic time of the newest of them; negative infinity if there was none. */
+  ticketRejectedAtMs = Number.NEGATIVE_INFINITY;
   /** Endpoint crashes under the task. */
   crashes = budgets.NO_CRASHES;
   /**
@@ -141,6 +145,12 @@
     this.endsAtMs = null;
   }
 
+  /** Notes that an endpoint has rejected the ticket of the newest start. */
+  noteTicketRejection(nowMs: number): void {
+    this.ticketRejections++;
+    this.ticketRejectedAtMs = nowMs;
+  }
+
   /** Marks the task as no longer placed. */
   release(nowMs: number): void {
     this.endpoint = null;
