Request no advice for units that wait for stops, pauses or run ends

Found by reading the diff: since the wait reasons of queues with advice say more than "advice", units whose wait no ticket can end were candidates for a request too. They were none before, and would have used the one slot of the adviser.

--- a/packages/coordinator/src/work/coordinator.ts
+++ b/packages/coordinator/src/work/coordinator.ts
@@ -202,9 +202,9 @@
 
   /**
    * Applies a new configuration and ends the missing runs whose leases have expired,
-   * then returns whether to plan now. While the store does not answer, orders could not be recorded and so not be sent;
-   * while no lease may be granted, a start would be withheld.
-   * An evacuation that this box has not read yet would be violated.
+   * then returns whether to plan now. While the store does not answer, orders could not
+   * be recorded and so not be sent; while no lease may be granted, a start would be
+   * withheld. An evacuation that this box has not read yet would be violated.
    */
   #preparePlan(): boolean {
     this.#parts.workflows.followConfig();
--- a/packages/coordinator/src/work/planning.ts
+++ b/packages/coordinator/src/work/planning.ts
@@ -38,6 +38,13 @@
 /** Pause before the next plan, as a multiple of the time that the last one took. */
 const PLAN_PAUSE_FACTOR = 3;
 
+/** Reasons that further advice does not change. */
+const REASONS_WITHOUT_ADVICE: ReadonlySet<Scheduler.WaitReason> = new Set([
+  Scheduler.WaitReason.Stops,
+  Scheduler.WaitReason.Pause,
+  Scheduler.WaitReason.UnknownOutcome,
+]);
+
 const SLOW_START_MESSAGES: Readonly<Record<Scheduler.SlowReason, string>> = {
   [Scheduler.SlowReason.FasterInUse]:
     "on slow endpoints and will end late: fast endpoints are in use",
@@ -182,6 +189,7 @@
     endpoints: readonly Scheduler.EndpointSnapshot[],
   ): void {
     const candidates = plan.waits
+      .filter(({ reason }) => !REASONS_WITHOUT_ADVICE.has(reason))
       .filter(({ unit }) => unit.workflow.spec.policy.advice !== null)
       .map(({ unit }) => ({
         unit,
