Hold a workflow only until its own early cancels are read

Cause: after a loss of history a queued workflow outside its home waited until all intake rows were known. While history is lost faster than all partitions can be read, that never comes.

Change: such a workflow is held until the rows of its id in its home have been read, which is a single read. It was stored after the early cancel, so that this read shows the early cancel if there is one.

--- a/packages/coordinator/src/work/term_parts.ts
+++ b/packages/coordinator/src/work/term_parts.ts
@@ -96,6 +96,7 @@
   const shared = { ports: coordinatorPorts, directory, advice: adviceCache };
   const control = new controls.RunControl({ ...shared, recorder });
   const intake = new workflowIntakes.WorkflowIntake({
+    ports: coordinatorPorts,
     recorder,
     workflows,
     control,
--- a/packages/coordinator/src/work/workflow_intake.ts
+++ b/packages/coordinator/src/work/workflow_intake.ts
@@ -1,13 +1,19 @@
 /** Applies accepted workflows and cancel requests. */
+import * as TableClient from "@cairngate/table-client";
 import type * as Workflow from "@cairngate/workflow";
 import * as Effect from "effect/Effect";
-import type * as intake from "./intake.ts";
+import * as intake from "./intake.ts";
+import type * as ports from "../ports.ts";
 import type * as recorders from "./recorder.ts";
 import type * as controls from "./run_control.ts";
 import type * as registries from "./workflow_registry.ts";
 
+/** Most attempts to read the early cancels of one workflow; each takes up to 3 s. */
+const MAX_READ_ATTEMPTS = 10;
+
 /** Dependencies of `WorkflowIntake`. */
 export interface WorkflowIntakeOptions {
+  readonly ports: Pick<ports.CoordinatorPorts, "store" | "log">;
   readonly recorder: recorders.Recorder;
   readonly workflows: registries.WorkflowRegistry;
   readonly control: controls.RunControl;
@@ -54,6 +60,34 @@
     for (const task of workflow.placedTasks()) control.adopt(task);
     for (const end of workflow.unresolvedRuns.all) control.adoptUnresolved(end);
     if (workflow.cancelled) this.#endCancelled(workflow);
+    else if (workflows.mayMissEarlyCancel(workflow)) {
+      const read = this.#readEarlyCancels(workflow);
+      Effect.runFork(workflows.holdStartDuring(workflow, read));
+    }
+  }
+
+  /** Reads and applies the early cancels of a workflow. */
+  #readEarlyCancels(
+    { spec: { id } }: Workflow.Workflow,
+  ): Effect.Effect<void> {
+    const { store, log } = this.#options.ports;
+    const { homePartition, intakePrefix } = TableClient.Keys;
+    const prefix = intakePrefix(homePartition(id), id);
+    return store.scan(prefix).pipe(
+      Effect.retry({ times: MAX_READ_ATTEMPTS - 1 }),
+      Effect.map((rows) => {
+        const { cancelledEarly } = intake.parseIntake(rows, () => true);
+        for (const request of cancelledEarly) this.#cancelEarly(request);
+      }),
+      Effect.catch((err) =>
+        Effect.sync(() =>
+          log.warn(
+            `Workflow ${id} may start although its early cancels could not be ` +
+              `read: ${err.message}`,
+          )
+        )
+      ),
+    );
   }
 
   #endCancelled(workflow: Workflow.Workflow): void {
--- a/packages/coordinator/src/work/workflow_registry.ts
+++ b/packages/coordinator/src/work/workflow_registry.ts
@@ -40,6 +40,8 @@
   /** Partitions that hold cancel requests, by workflow id, registered or not. */
   readonly #cancelPartitions = new Map<string, Set<string>>();
   readonly #earlyCancels: earlyCancels.EarlyCancels;
+  /** Workflows that may not start until their early cancels are read. */
+  readonly #awaitingEarlyCancels = new Set<string>();
   /** Monotonic time at which the end of a workflow was noticed, by id. */
   readonly #endedAtMs = new Map<string, number>();
 
@@ -209,21 +211,35 @@
 
   #canStart(workflow: Workflow.Workflow): boolean {
     return !workflow.isOver && this.isProgressKnown(workflow) &&
-      !this.#mayBeCancelledEarly(workflow) &&
+      !this.#awaitingEarlyCancels.has(workflow.spec.id) &&
       !this.#parts.recorder.isStalled(workflow);
   }
 
   /**
-   * Whether an early cancel of a queued workflow may not have been read yet. It lies in
-   * the home partition, which may be read after that of the workflow.
+   * Whether an early cancel of a workflow that was just read may be unread: it lies in
+   * the home partition, which may be read after that of the workflow. Until recovery is
+   * complete, nothing queued starts anyway.
    */
-  #mayBeCancelledEarly({ state, spec: { id } }: Workflow.Workflow): boolean {
+  mayMissEarlyCancel({ state, spec: { id } }: Workflow.Workflow): boolean {
+    const { recovery, isIntakeCaughtUp } = this.#parts;
     const isQueued = state === Workflow.WorkflowState.Queued;
-    if (!isQueued || this.#parts.isIntakeCaughtUp()) return false;
+    if (!isQueued || isIntakeCaughtUp() || !recovery.isComplete) return false;
     const home = TableClient.Keys.homePartition(id);
     return this.#entries.get(id)?.partition !== home;
   }
 
+  /** Keeps a workflow from starting until `effect` has ended. */
+  holdStartDuring(
+    { spec: { id } }: Workflow.Workflow,
+    effect: Effect.Effect<void>,
+  ): Effect.Effect<void> {
+    this.#awaitingEarlyCancels.add(id);
+    const release = Effect.sync(() => {
+      this.#awaitingEarlyCancels.delete(id);
+    });
+    return Effect.ensuring(effect, release);
+  }
+
   /**
    * Whether the recorded progress of a workflow is known. Until all partitions are
    * read, a queued workflow may have been started from a copy in another
--- a/packages/workflow-node/src/early_cancel_test.ts
+++ b/packages/workflow-node/src/early_cancel_test.ts
@@ -230,4 +230,31 @@
     vitest.expect(countRows()).toBe(0);
     await fleet.stop();
   });
+
+  // Guards against workflows outside their home that wait until the store keeps its
+  // history for long enough to read all partitions.
+  vitest.it(
+    "starts at once while history is lost again and again",
+    async () => {
+      const fleet = await startFleet();
+      for (const name of fleet.boxes.keys()) {
+        fleet.faultsOf(name).set({ delayMs: 50 });
+      }
+      const forget = () => {
+        fleet.write("test-other/row", fleet.clock.monotonicMs());
+        fleet.table.forgetHistory();
+      };
+      for (let i = 0; i < 10; i++) {
+        forget();
+        await fleet.clock.advance(100);
+      }
+      storeLate(fleet, OTHER_PARTITION);
+      for (let i = 0; i < 20 && fleet.workers.runs.length === 0; i++) {
+        forget();
+        await fleet.clock.advance(100);
+      }
+      vitest.expect(fleet.workers.runs.length).toBeGreaterThan(0);
+      await fleet.stop();
+    },
+  );
 });
